--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: ``python -m bench NAME``."""
--- /dev/null
+++ b/sedgepin/__init__.py
@@ -0,0 +1,1 @@
+"""A router for model pipelines over mixed accelerators."""
--- /dev/null
+++ b/sedgepin/_model/__init__.py
@@ -0,0 +1,43 @@
+"""The nouns of the system: endpoints, layer ranges, pipelines, tokens."""
+
+from sedgepin._model._announcement import AcceleratorKind
+from sedgepin._model._announcement import Announcement
+from sedgepin._model._announcement import CacheEvent
+from sedgepin._model._announcement import EndpointKind
+from sedgepin._model._announcement import LoadReport
+from sedgepin._model._identity import CustomerId
+from sedgepin._model._identity import DataCentreId
+from sedgepin._model._identity import EndpointId
+from sedgepin._model._identity import Incarnation
+from sedgepin._model._identity import ModelName
+from sedgepin._model._identity import RequestId
+from sedgepin._model._identity import ServiceName
+from sedgepin._model._identity import VmId
+from sedgepin._model._layers import LayerRange
+from sedgepin._model._layers import LayersNotTiled
+from sedgepin._model._layers import Pipeline
+from sedgepin._model._layers import Stage
+from sedgepin._model._tokens import StageMark
+from sedgepin._model._tokens import TokenPiece
+
+__all__ = [
+    "AcceleratorKind",
+    "Announcement",
+    "CacheEvent",
+    "CustomerId",
+    "DataCentreId",
+    "EndpointId",
+    "EndpointKind",
+    "Incarnation",
+    "LayerRange",
+    "LayersNotTiled",
+    "LoadReport",
+    "ModelName",
+    "Pipeline",
+    "RequestId",
+    "ServiceName",
+    "Stage",
+    "StageMark",
+    "TokenPiece",
+    "VmId",
+]
--- /dev/null
+++ b/sedgepin/conftest.py
@@ -0,0 +1,12 @@
+"""Test settings: the same verdict on every run."""
+
+import hypothesis
+
+hypothesis.settings.register_profile(
+    "repeatable",
+    derandomize=True,
+    database=None,
+    deadline=None,
+    print_blob=False,
+)
+hypothesis.settings.load_profile("repeatable")
