--- /dev/null
+++ b/sedgepin/_entry/_callers.py
@@ -0,0 +1,297 @@
+"""The HTTP surface of an entry VM: callers and endpoints' announcements."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import datetime
+import hashlib
+import hmac
+import itertools
+import typing
+import urllib.parse
+
+import msgspec
+import result
+import trio
+
+from sedgepin._entry import _completions
+from sedgepin._entry import _effects
+from sedgepin._entry import _events
+from sedgepin._entry import _exchange
+from sedgepin import _http as http
+from sedgepin import _model as model
+from sedgepin import documents
+from sedgepin import errors
+from sedgepin import settings
+
+_ANNOUNCEMENT_LIMIT_BYTES = 262_144
+_PRIORITY_DEFAULT = 1
+_UNKNOWN_PATH = "/"
+Submit: typing.TypeAlias = collections.abc.Callable[[_events.EntryEvent], None]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnnouncementReply:
+    """What an endpoint is told when it announced itself."""
+
+    echo: str
+    announce_again_after_seconds: float
+
+
+class EntryServer(http.HttpServer):
+    """Turns HTTP requests into events, and effects into HTTP answers."""
+
+    __slots__ = (
+        "_announcements",
+        "_cfg",
+        "_customers",
+        "_exchange_ids",
+        "_exchanges",
+        "_is_ready",
+        "_status",
+        "_submit",
+    )
+
+    def __init__(
+        self,
+        cfg: settings.EntrySettings,
+        submit: Submit,
+        is_ready: collections.abc.Callable[[], bool],
+        status: collections.abc.Callable[[], object],
+    ) -> None:
+        super().__init__()
+        self._cfg = cfg
+        self._submit = submit
+        self._is_ready = is_ready
+        self._status = status
+        self._exchanges: dict[model.RequestId, _exchange.Exchange] = {}
+        self._exchange_ids = itertools.count(1)
+        self._announcements: dict[
+            int,
+            trio.MemorySendChannel[
+                _effects.ReplyAnnouncement | _effects.RefuseAnnouncement
+            ],
+        ] = {}
+        self._customers = {
+            customer.credential_sha256: model.CustomerId(customer.id)
+            for customer in cfg.customers
+        }
+
+    def carry_out(self, effect: _exchange.CallerEffect) -> None:
+        """Pass on what the reducer decided for a caller."""
+        exchange = self._exchanges.get(effect.request_id)
+        if exchange is not None:
+            exchange.put(effect)
+
+    def reply_announcement(
+        self,
+        effect: _effects.ReplyAnnouncement | _effects.RefuseAnnouncement,
+    ) -> None:
+        """Pass on what the reducer decided for an endpoint."""
+        channel = self._announcements.pop(effect.exchange_id, None)
+        if channel is not None:
+            channel.send_nowait(effect)
+
+    async def answer(self, request: http.Request) -> None:
+        """Answer one request whole."""
+        parts = request.path.strip("/").split("/")
+        if parts == ["healthz"]:
+            await http.send_document(request, {"alive": True})
+        elif parts == ["readyz"]:
+            await self._answer_readiness(request)
+        elif parts == ["v1", "status"]:
+            await http.send_document(request, self._status())
+        elif parts[:2] == ["v1", "endpoints"]:
+            await self._answer_endpoint(request, parts[2:])
+        elif parts[:2] == ["v1", "services"] and len(parts) >= 4:
+            await self._answer_caller(request, parts[2], parts[3:])
+        elif parts == ["v1", "completions"]:
+            await self._answer_caller(request, None, ["completions"])
+        else:
+            await http.send_problem(request, http.NotFound())
+
+    async def _answer_readiness(self, request: http.Request) -> None:
+        ready = self._is_ready()
+        status = 200 if ready else 503
+        await http.send_document(request, {"ready": ready}, status)
+
+    async def _answer_endpoint(
+        self, request: http.Request, parts: list[str]
+    ) -> None:
+        if parts == ["schema"] and request.method == "GET":
+            schema = msgspec.json.schema(model.Announcement)
+            await http.send_document(request, schema)
+            return
+        if parts != ["announcements"] or request.method != "POST":
+            await http.send_problem(request, http.NotFound())
+            return
+        wanted = self._cfg.endpoint_credential_sha256
+        given = http.bearer_digest(request) or ""
+        if wanted is not None and not hmac.compare_digest(wanted, given):
+            await http.send_problem(request, http.CredentialRefused())
+            return
+        body = await http.read_body(request, _ANNOUNCEMENT_LIMIT_BYTES)
+        if isinstance(body, result.Err):
+            await _send_unless_gone(request, body.err_value)
+            return
+        decoded = documents.decode(
+            body.ok_value, model.Announcement, "announcement"
+        )
+        if isinstance(decoded, result.Err):
+            await http.send_problem(request, decoded.err_value)
+            return
+        await self._announce(request, decoded.ok_value)
+
+    async def _announce(
+        self, request: http.Request, announcement: model.Announcement
+    ) -> None:
+        exchange_id = next(self._exchange_ids)
+        sender, receiver = trio.open_memory_channel[
+            _effects.ReplyAnnouncement | _effects.RefuseAnnouncement
+        ](1)
+        self._announcements[exchange_id] = sender
+        self._submit(_events.AnnouncementArrived(exchange_id, announcement))
+        decided = await receiver.receive()
+        if isinstance(decided, _effects.RefuseAnnouncement):
+            await http.send_problem(request, decided.failure)
+            return
+        pause = decided.announce_again_after.total_seconds()
+        await http.send_document(
+            request, AnnouncementReply(decided.echo, pause)
+        )
+
+    async def _answer_caller(
+        self, request: http.Request, service: str | None, parts: list[str]
+    ) -> None:
+        digest = http.bearer_digest(request)
+        customer = self._customers.get(digest or "")
+        if customer is None:
+            await http.send_problem(request, http.CredentialRefused())
+            return
+        body = await http.read_body(request, self._cfg.limits.body_bytes)
+        if isinstance(body, result.Err):
+            await _send_unless_gone(request, body.err_value)
+            return
+        if parts == ["completions"] and request.method == "POST":
+            await self._complete(request, service, customer, body.ok_value)
+        elif parts[0] == "call" and service is not None:
+            await self._call(request, service, customer, body.ok_value)
+        else:
+            await http.send_problem(request, http.NotFound())
+
+    async def _complete(
+        self,
+        request: http.Request,
+        service: str | None,
+        customer: model.CustomerId,
+        raw: bytes,
+    ) -> None:
+        try:
+            body = msgspec.json.decode(raw, type=_completions.CompletionBody)
+        except (msgspec.DecodeError, RecursionError) as exc:
+            problem = http.RequestNotUnderstood(str(exc))
+            await http.send_problem(request, problem)
+            return
+        wanted = _completions.generate_request(
+            self._cfg.limits, service, customer, raw, body
+        )
+        event = _events.GenerateRequested(wanted)
+        answer = (
+            _completions.stream_answer
+            if body.stream
+            else _completions.whole_answer
+        )
+        async with self._exchange(
+            request, wanted.request_id, event
+        ) as exchange:
+            await answer(request, exchange, wanted)
+
+    async def _call(
+        self,
+        request: http.Request,
+        service: str,
+        customer: model.CustomerId,
+        body: bytes,
+    ) -> None:
+        wanted = _service_request(
+            self._cfg.limits, request, service, customer, body
+        )
+        event = _events.ServiceCallRequested(wanted)
+        request_id = wanted.request_id
+        async with self._exchange(request, request_id, event) as exchange:
+            for effect in await exchange.take():
+                if isinstance(effect, _effects.AnswerCall):
+                    await http.send_whole(
+                        request, effect.status, effect.headers, effect.body
+                    )
+                elif isinstance(effect, _effects.RefuseCaller):
+                    await http.send_problem(
+                        request, effect.failure, request_id
+                    )
+
+    @contextlib.asynccontextmanager
+    async def _exchange(
+        self,
+        request: http.Request,
+        request_id: model.RequestId,
+        event: _events.EntryEvent,
+    ) -> collections.abc.AsyncIterator[_exchange.Exchange]:
+        """Submit a request; stop waiting for it when its caller leaves."""
+        exchange = _exchange.Exchange()
+        finished = False
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_wait_gone, request, nursery.cancel_scope)
+            self._exchanges[request_id] = exchange
+            try:
+                self._submit(event)
+                yield exchange
+                finished = True
+            finally:
+                del self._exchanges[request_id]
+                if not finished:
+                    self._submit(_events.CallerLeft(request_id))
+                nursery.cancel_scope.cancel()
+
+
+async def _wait_gone(request: http.Request, scope: trio.CancelScope) -> None:
+    """Cancel ``scope`` once the caller has closed the connection."""
+    while True:
+        event = await request.receive()
+        if event["type"] == "http.disconnect":
+            scope.cancel()
+            return
+
+
+def _service_request(
+    limits: settings.Limits,
+    request: http.Request,
+    service: str,
+    customer: model.CustomerId,
+    body: bytes,
+) -> _events.ServiceRequest:
+    prefix = f"/v1/services/{service}/call"
+    path = urllib.parse.quote(request.path[len(prefix) :]) or _UNKNOWN_PATH
+    if request.query:
+        path = f"{path}?{request.query}"
+    digest = hashlib.sha256(f"{request.method} {path}\n".encode() + body)
+    key = request.header(b"idempotency-key")
+    return _events.ServiceRequest(
+        request_id=_completions.new_request_id(),
+        customer=customer,
+        service=model.ServiceName(service),
+        method=request.method,
+        path=path,
+        headers=request.headers,
+        body=body,
+        body_digest=digest.hexdigest(),
+        idempotency_key=None if key is None else key.decode("latin-1"),
+        priority=_PRIORITY_DEFAULT,
+        time_allowed=datetime.timedelta(seconds=limits.request_seconds),
+    )
+
+
+async def _send_unless_gone(
+    request: http.Request, failure: errors.Failure
+) -> None:
+    if not isinstance(failure, http.CallerGone):
+        await http.send_problem(request, failure)
--- /dev/null
+++ b/sedgepin/_entry/_completions.py
@@ -0,0 +1,175 @@
+"""Completions: the body of a request, and its answer, streamed or whole."""
+
+import datetime
+import hashlib
+import typing
+import uuid
+
+import msgspec
+
+from sedgepin._entry import _effects
+from sedgepin._entry import _events
+from sedgepin._entry import _exchange
+from sedgepin import _http as http
+from sedgepin import _model as model
+from sedgepin import settings
+
+_PRIORITY_DEFAULT = 1
+_TOKENS_DEFAULT = 256
+_SSE_HEADERS = (
+    (b"content-type", b"text/event-stream"),
+    (b"cache-control", b"no-store"),
+)
+
+
+class CompletionBody(msgspec.Struct, frozen=True):
+    """The body of a completions request; further fields are ignored.
+
+    The fields are those of the completions interface that clients of
+    language models commonly speak (OpenAI API reference, "Completions").
+    """
+
+    prompt: str
+    model: str = ""
+    max_tokens: typing.Annotated[int, msgspec.Meta(gt=0)] = _TOKENS_DEFAULT
+    stream: bool = False
+    priority: typing.Annotated[int, msgspec.Meta(ge=0, le=9)] = (
+        _PRIORITY_DEFAULT
+    )
+    timeout_seconds: typing.Annotated[float, msgspec.Meta(gt=0)] | None = None
+
+
+def new_request_id() -> model.RequestId:
+    """Return an id that no other request has."""
+    return model.RequestId(uuid.uuid4().hex)
+
+
+def generate_request(
+    limits: settings.Limits,
+    service: str | None,
+    customer: model.CustomerId,
+    raw: bytes,
+    body: CompletionBody,
+) -> _events.GenerateRequest:
+    """Return the request that a completions body stands for."""
+    seconds = limits.request_seconds
+    if body.timeout_seconds is not None:
+        seconds = min(seconds, body.timeout_seconds)
+    return _events.GenerateRequest(
+        request_id=new_request_id(),
+        customer=customer,
+        service=model.ServiceName(service or body.model),
+        prompt=body.prompt,
+        limit_tokens=min(body.max_tokens, limits.generated_tokens),
+        priority=body.priority,
+        time_allowed=datetime.timedelta(seconds=seconds),
+        body_digest=hashlib.sha256(raw).hexdigest(),
+    )
+
+
+async def stream_answer(
+    request: http.Request,
+    exchange: _exchange.Exchange,
+    wanted: _events.GenerateRequest,
+) -> None:
+    """Send the answer as server-sent events."""
+    started = False
+    while True:
+        effects = await exchange.take()
+        first = effects[0]
+        if not started and isinstance(first, _effects.RefuseCaller):
+            failure = first.failure
+            await http.send_problem(request, failure, wanted.request_id)
+            return
+        if not started:
+            started = True
+            start = {
+                "type": "http.response.start",
+                "status": 200,
+                "headers": list(_SSE_HEADERS),
+            }
+            await request.send(start)
+        chunk, ended = _events_of(effects, wanted)
+        await request.send(
+            {
+                "type": "http.response.body",
+                "body": chunk,
+                "more_body": not ended,
+            }
+        )
+        if ended:
+            return
+
+
+def _events_of(
+    effects: list[_exchange.CallerEffect], wanted: _events.GenerateRequest
+) -> tuple[bytes, bool]:
+    """Return the server-sent events for ``effects``, and if they end it.
+
+    Tokens that wait together go out as one event: a reader that lags costs
+    fewer, larger writes.
+    """
+    texts: list[str] = []
+    closing = b""
+    for effect in effects:
+        if isinstance(effect, _effects.DeliverPieces):
+            texts.extend(effect.texts)
+        elif isinstance(effect, _effects.EndAnswer):
+            last = _completion(wanted, "", effect.finish_reason)
+            closing = b"data: " + last + b"\n\ndata: [DONE]\n\n"
+        elif isinstance(effect, _effects.RefuseCaller):
+            problem = http.problem_document(effect.failure, wanted.request_id)
+            closing = b"event: error\ndata: " + problem + b"\n\n"
+    chunk = b""
+    if texts:
+        joined = _completion(wanted, "".join(texts), None)
+        chunk = b"data: " + joined + b"\n\n"
+    return chunk + closing, bool(closing)
+
+
+async def whole_answer(
+    request: http.Request,
+    exchange: _exchange.Exchange,
+    wanted: _events.GenerateRequest,
+) -> None:
+    """Send the answer as one document."""
+    texts: list[str] = []
+    while True:
+        for effect in await exchange.take():
+            if isinstance(effect, _effects.DeliverPieces):
+                texts.extend(effect.texts)
+            elif isinstance(effect, _effects.EndAnswer):
+                body = _completion(
+                    wanted, "".join(texts), effect.finish_reason
+                )
+                headers = (
+                    http.HeaderField(b"content-type", b"application/json"),
+                )
+                await http.send_whole(request, 200, headers, body)
+                return
+            elif isinstance(effect, _effects.RefuseCaller):
+                failure = effect.failure
+                await http.send_problem(request, failure, wanted.request_id)
+                return
+
+
+class _Choice(msgspec.Struct, frozen=True):
+    text: str
+    index: int
+    finish_reason: str | None
+
+
+class _Completion(msgspec.Struct, frozen=True):
+    id: model.RequestId
+    model: model.ServiceName
+    choices: tuple[_Choice, ...]
+    object: str = "text_completion"
+
+
+def _completion(
+    wanted: _events.GenerateRequest, text: str, finish_reason: str | None
+) -> bytes:
+    choice = _Choice(text, 0, finish_reason)
+    return msgspec.json.encode(
+        _Completion(wanted.request_id, wanted.service, (choice,))
+    )
--- /dev/null
+++ b/sedgepin/_http/__init__.py
@@ -0,0 +1,37 @@
+"""What the HTTP surfaces of both daemons share."""
+
+from sedgepin._http._failures import BodyTooLarge
+from sedgepin._http._failures import CallerGone
+from sedgepin._http._failures import CredentialRefused
+from sedgepin._http._failures import NotFound
+from sedgepin._http._failures import RequestNotUnderstood
+from sedgepin._http._messages import bearer_digest
+from sedgepin._http._messages import HeaderField
+from sedgepin._http._messages import problem_document
+from sedgepin._http._messages import read_body
+from sedgepin._http._messages import Receive
+from sedgepin._http._messages import Request
+from sedgepin._http._messages import Send
+from sedgepin._http._messages import send_document
+from sedgepin._http._messages import send_problem
+from sedgepin._http._messages import send_whole
+from sedgepin._http._server import HttpServer
+
+__all__ = [
+    "BodyTooLarge",
+    "CallerGone",
+    "CredentialRefused",
+    "HeaderField",
+    "HttpServer",
+    "NotFound",
+    "Receive",
+    "Request",
+    "RequestNotUnderstood",
+    "Send",
+    "bearer_digest",
+    "problem_document",
+    "read_body",
+    "send_document",
+    "send_problem",
+    "send_whole",
+]
--- /dev/null
+++ b/sedgepin/_http/_failures.py
@@ -0,0 +1,63 @@
+"""Failures of an HTTP request before anything was decided about it."""
+
+import dataclasses
+import typing
+
+from sedgepin import errors
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CredentialRefused(errors.Failure):
+    """No credential came, or none that is known."""
+
+    code: typing.ClassVar[str] = "credential_refused"
+    title: typing.ClassVar[str] = "The credential is missing or not known"
+    http_status: typing.ClassVar[int] = 401
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NotFound(errors.Failure):
+    """Nothing is served at that path and method."""
+
+    code: typing.ClassVar[str] = "not_found"
+    title: typing.ClassVar[str] = "Nothing is served there"
+    http_status: typing.ClassVar[int] = 404
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class BodyTooLarge(errors.Failure):
+    """The body is over the limit in the settings."""
+
+    code: typing.ClassVar[str] = "body_too_large"
+    title: typing.ClassVar[str] = "The body is too large"
+    http_status: typing.ClassVar[int] = 413
+
+    limit_bytes: int
+
+    def detail(self) -> str:
+        """Return the limit."""
+        return f"the limit is {self.limit_bytes} bytes"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestNotUnderstood(errors.Failure):
+    """The request has a fault that the caller can mend."""
+
+    code: typing.ClassVar[str] = "request_not_understood"
+    title: typing.ClassVar[str] = "The request cannot be understood"
+    http_status: typing.ClassVar[int] = 400
+
+    reason: str
+
+    def detail(self) -> str:
+        """Return what is wrong."""
+        return self.reason
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallerGone(errors.Failure):
+    """The caller closed the connection before its request was whole."""
+
+    code: typing.ClassVar[str] = "caller_gone"
+    title: typing.ClassVar[str] = "The caller closed the connection"
+    http_status: typing.ClassVar[int] = 499
--- /dev/null
+++ b/sedgepin/_http/_messages.py
@@ -0,0 +1,161 @@
+"""Requests, whole answers and problem documents (RFC 9457) over ASGI."""
+
+import collections.abc
+import dataclasses
+import hashlib
+import math
+import typing
+
+import msgspec
+import result
+
+from sedgepin._http import _failures
+from sedgepin import errors
+
+Scope: typing.TypeAlias = collections.abc.MutableMapping[str, typing.Any]
+Receive: typing.TypeAlias = collections.abc.Callable[
+    [], collections.abc.Awaitable[typing.Any]
+]
+Send: typing.TypeAlias = collections.abc.Callable[
+    [typing.Any], collections.abc.Awaitable[None]
+]
+
+_BEARER = b"bearer "
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HeaderField:
+    """One HTTP header field; the name is in lower case."""
+
+    name: bytes
+    value: bytes
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Request:
+    """The head of an HTTP request, and the ways to read and answer it."""
+
+    method: str
+    path: str
+    query: str
+    headers: tuple[HeaderField, ...]
+    receive: Receive
+    send: Send
+
+    @classmethod
+    def from_scope(
+        cls, scope: Scope, receive: Receive, send: Send
+    ) -> "Request":
+        """Return the request that an ASGI scope describes."""
+        headers = tuple(
+            HeaderField(bytes(name).lower(), bytes(value))
+            for name, value in scope["headers"]
+        )
+        query = bytes(scope.get("query_string", b"")).decode("latin-1")
+        return cls(
+            scope["method"], scope["path"], query, headers, receive, send
+        )
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of the first header called ``name``."""
+        for field in self.headers:
+            if field.name == name:
+                return field.value
+        return None
+
+
+async def read_body(
+    request: Request, limit_bytes: int
+) -> result.Result[bytes, _failures.BodyTooLarge | _failures.CallerGone]:
+    """Return the whole body, or why there is none."""
+    declared = request.header(b"content-length")
+    if declared is not None and declared.isdigit():
+        if int(declared) > limit_bytes:
+            return result.Err(_failures.BodyTooLarge(limit_bytes))
+    body = bytearray()
+    while True:
+        event = await request.receive()
+        if event["type"] == "http.disconnect":
+            return result.Err(_failures.CallerGone())
+        body += event.get("body", b"")
+        if len(body) > limit_bytes:
+            return result.Err(_failures.BodyTooLarge(limit_bytes))
+        if not event.get("more_body", False):
+            return result.Ok(bytes(body))
+
+
+def bearer_digest(request: Request) -> str | None:
+    """Return the SHA-256 of the bearer credential, if one came."""
+    value = request.header(b"authorization")
+    if value is None or value[: len(_BEARER)].lower() != _BEARER:
+        return None
+    return hashlib.sha256(value[len(_BEARER) :].strip()).hexdigest()
+
+
+def problem_document(
+    failure: errors.Failure, request_id: str | None = None
+) -> bytes:
+    """Return the problem document that reports ``failure``."""
+    document: dict[str, object] = {
+        "type": f"urn:sedgepin:{failure.code}",
+        "code": failure.code,
+        "title": failure.title,
+        "status": failure.http_status,
+        "detail": failure.detail(),
+        "outcome": failure.outcome.value,
+    }
+    if isinstance(failure, errors.DocumentRefused):
+        document["faults"] = [
+            {"field": fault.field, "problem": fault.problem}
+            for fault in failure.faults
+        ]
+    if failure.retry_after is not None:
+        seconds = failure.retry_after.total_seconds()
+        document["retry_after_seconds"] = seconds
+    if request_id is not None:
+        document["request"] = request_id
+    return msgspec.json.encode(document)
+
+
+async def send_whole(
+    request: Request,
+    status: int,
+    headers: collections.abc.Iterable[HeaderField],
+    body: bytes,
+) -> None:
+    """Send a whole answer."""
+    pairs = [(field.name, field.value) for field in headers]
+    pairs.append((b"content-length", str(len(body)).encode()))
+    start = {
+        "type": "http.response.start",
+        "status": status,
+        "headers": pairs,
+    }
+    await request.send(start)
+    await request.send({"type": "http.response.body", "body": body})
+
+
+async def send_document(
+    request: Request, document: object, status: int = 200
+) -> None:
+    """Send a JSON document."""
+    headers = (HeaderField(b"content-type", b"application/json"),)
+    body = msgspec.json.encode(document)
+    await send_whole(request, status, headers, body)
+
+
+async def send_problem(
+    request: Request,
+    failure: errors.Failure,
+    request_id: str | None = None,
+) -> None:
+    """Send ``failure`` as a problem document, with when to come back."""
+    headers = [HeaderField(b"content-type", b"application/problem+json")]
+    if failure.retry_after is not None:
+        seconds = math.ceil(failure.retry_after.total_seconds())
+        value = str(max(seconds, 1)).encode()
+        headers.append(HeaderField(b"retry-after", value))
+    if isinstance(failure, _failures.CredentialRefused):
+        headers.append(HeaderField(b"www-authenticate", b"Bearer"))
+    body = problem_document(failure, request_id)
+    await send_whole(request, failure.http_status, headers, body)
--- /dev/null
+++ b/sedgepin/_protocol/__init__.py
@@ -0,0 +1,51 @@
+"""What the system's own processes say to each other, and how it travels."""
+
+from sedgepin._protocol._framing import decode_messages
+from sedgepin._protocol._framing import encode_messages
+from sedgepin._protocol._framing import FRAME_LIMIT_BYTES
+from sedgepin._protocol._framing import FrameRefused
+from sedgepin._protocol._messages import CommandAnswered
+from sedgepin._protocol._messages import CommandAsked
+from sedgepin._protocol._messages import CommandRefusal
+from sedgepin._protocol._messages import EndpointsSeen
+from sedgepin._protocol._messages import FleetPublished
+from sedgepin._protocol._messages import FleetWanted
+from sedgepin._protocol._messages import Hello
+from sedgepin._protocol._messages import PeerMessage
+from sedgepin._protocol._messages import VmHeartbeat
+from sedgepin._protocol._transport import IdentityNotProved
+from sedgepin._protocol._transport import PeerConnected
+from sedgepin._protocol._transport import PeerDisconnected
+from sedgepin._protocol._transport import PeerEvent
+from sedgepin._protocol._transport import PeerMessageArrived
+from sedgepin._protocol._transport import PeerRefused
+from sedgepin._protocol._transport import StreamTransport
+from sedgepin._protocol._transport import Transport
+from sedgepin._protocol._trust import client_context
+from sedgepin._protocol._trust import server_context
+
+__all__ = [
+    "CommandAnswered",
+    "CommandAsked",
+    "CommandRefusal",
+    "EndpointsSeen",
+    "FRAME_LIMIT_BYTES",
+    "FleetPublished",
+    "FleetWanted",
+    "FrameRefused",
+    "Hello",
+    "IdentityNotProved",
+    "PeerConnected",
+    "PeerDisconnected",
+    "PeerEvent",
+    "PeerMessage",
+    "PeerMessageArrived",
+    "PeerRefused",
+    "StreamTransport",
+    "Transport",
+    "VmHeartbeat",
+    "client_context",
+    "decode_messages",
+    "encode_messages",
+    "server_context",
+]
--- /dev/null
+++ b/sedgepin/_protocol/_framing.py
@@ -0,0 +1,71 @@
+"""Frames: a length, a version and the messages that wait to be sent.
+
+A frame is four bytes of length (big endian), one byte of version and a
+msgpack array of messages.  Sending all that waits in one frame is what keeps
+the cost of a message low when there are many.
+"""
+
+import collections.abc
+import dataclasses
+import struct
+import typing
+
+import msgspec
+import result
+
+from sedgepin._protocol import _messages
+from sedgepin import errors
+
+FRAME_LIMIT_BYTES = 16 * 1024 * 1024
+LENGTH_BYTES = 4
+VERSION = 1
+
+_LENGTH = struct.Struct(">I")
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[tuple[_messages.PeerMessage, ...]] = (
+    msgspec.msgpack.Decoder(tuple[_messages.PeerMessage, ...])
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class FrameRefused(errors.Failure):
+    """A frame that is too long, of another version, or not readable."""
+
+    code: typing.ClassVar[str] = "frame_refused"
+    title: typing.ClassVar[str] = "A frame from a peer cannot be read"
+
+    reason: str
+
+    def detail(self) -> str:
+        """Return what is wrong with the frame."""
+        return self.reason
+
+
+def encode_messages(
+    messages: collections.abc.Sequence[_messages.PeerMessage],
+) -> bytes:
+    """Return one frame that holds ``messages``."""
+    body = _encoder.encode(messages)
+    return _LENGTH.pack(len(body) + 1) + bytes([VERSION]) + body
+
+
+def decode_length(
+    header: bytes | bytearray,
+) -> result.Result[int, FrameRefused]:
+    """Return how many bytes follow the first four of a frame."""
+    (length,) = _LENGTH.unpack(header[:LENGTH_BYTES])
+    if not 1 <= length <= FRAME_LIMIT_BYTES:
+        return result.Err(FrameRefused(f"its length is {length} bytes"))
+    return result.Ok(int(length))
+
+
+def decode_messages(
+    body: bytes | bytearray,
+) -> result.Result[tuple[_messages.PeerMessage, ...], FrameRefused]:
+    """Return the messages of a frame, given all that follows its length."""
+    if not body or body[0] != VERSION:
+        return result.Err(FrameRefused("its version is not known"))
+    try:
+        return result.Ok(_decoder.decode(memoryview(body)[1:]))
+    except (msgspec.DecodeError, RecursionError) as exc:
+        return result.Err(FrameRefused(str(exc)))
--- /dev/null
+++ b/sedgepin/_protocol/_messages.py
@@ -0,0 +1,94 @@
+"""Messages between processes of the system.
+
+Fields are only ever added, with defaults, and unknown ones are ignored, so
+that two versions can run side by side during an upgrade.
+"""
+
+import typing
+
+import msgspec
+
+from sedgepin import _model as model
+
+
+class Hello(msgspec.Struct, frozen=True, tag=True):
+    """The first message on every stream: who speaks."""
+
+    id: model.VmId
+    role: str
+    data_centre: model.DataCentreId
+    incarnation: model.Incarnation
+
+
+class VmHeartbeat(msgspec.Struct, frozen=True, tag=True):
+    """An entry VM is alive; it says which note it follows."""
+
+    id: model.VmId
+    data_centre: model.DataCentreId
+    incarnation: model.Incarnation
+    note_number: int
+    ready: bool
+    draining: bool = False
+
+
+class CommandAsked(msgspec.Struct, frozen=True, tag=True):
+    """Please put a command into the replicated log."""
+
+    ask_id: int
+    command: bytes
+
+
+class CommandRefusal(msgspec.Struct, frozen=True):
+    """Why a command was not put into the log.
+
+    ``may_be_committed`` is true when the command was taken and its fate is
+    not known.
+    """
+
+    code: str
+    leader_id: model.VmId | None = None
+    may_be_committed: bool = False
+
+
+class CommandAnswered(msgspec.Struct, frozen=True, tag=True):
+    """What came of a command: the reply, or a refusal."""
+
+    ask_id: int
+    reply: bytes | None = None
+    refusal: CommandRefusal | None = None
+
+
+class FleetWanted(msgspec.Struct, frozen=True, tag=True):
+    """Please send the fleet if it is newer than note ``have``."""
+
+    have: int
+
+
+class FleetPublished(msgspec.Struct, frozen=True, tag=True):
+    """The fleet as of a note.
+
+    ``confirmed`` is true when a leader that holds its lease sent it, false
+    when it is the newest that the sender has.  ``fleet`` is empty when the
+    receiver holds this note already.
+    """
+
+    number: int
+    confirmed: bool
+    fleet: bytes = b""
+
+
+class EndpointsSeen(msgspec.Struct, frozen=True, tag=True):
+    """Endpoints that announced themselves to the sender."""
+
+    announcements: tuple[model.Announcement, ...]
+
+
+PeerMessage: typing.TypeAlias = (
+    Hello
+    | VmHeartbeat
+    | CommandAsked
+    | CommandAnswered
+    | FleetWanted
+    | FleetPublished
+    | EndpointsSeen
+)
--- /dev/null
+++ b/sedgepin/_shell/__init__.py
@@ -0,0 +1,19 @@
+"""What the shells of both daemons share: turning the outside into events."""
+
+from sedgepin._shell._daemon import peers_to_dial
+from sedgepin._shell._daemon import wait_for_sigterm
+from sedgepin._shell._driver import Driver
+from sedgepin._shell._metrics import MetricSink
+from sedgepin._shell._metrics import open_sink
+from sedgepin._shell._metrics import SilentSink
+from sedgepin._shell._metrics import StatsdSink
+
+__all__ = [
+    "Driver",
+    "MetricSink",
+    "SilentSink",
+    "StatsdSink",
+    "open_sink",
+    "peers_to_dial",
+    "wait_for_sigterm",
+]
--- /dev/null
+++ b/sedgepin/events.py
@@ -0,0 +1,243 @@
+"""The catalogue of log events: each has a number, a level and fields.
+
+Nothing else is logged.  ``docs/EVENTS.md`` is made from this catalogue
+(``python -m sedgepin.events``); a test compares them.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EventDefinition:
+    """One kind of log event."""
+
+    number: int
+    level: str
+    name: str
+    fields: tuple[str, ...]
+    meaning: str
+
+    def line(self, **values: object) -> "LogLine":
+        """Return a line of this event; ``values`` must match its fields."""
+        if set(values) != set(self.fields):
+            raise TypeError(f"event {self.number} has fields {self.fields}")
+        ordered = tuple(LogField(name, values[name]) for name in self.fields)
+        return LogLine(self, ordered)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LogField:
+    """A field of a log line and its value."""
+
+    name: str
+    value: object
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LogLine:
+    """One event that happened."""
+
+    definition: EventDefinition
+    fields: tuple[LogField, ...]
+
+
+_catalogue: list[EventDefinition] = []
+
+
+def _define(
+    number: int, level: str, name: str, meaning: str, *fields: str
+) -> EventDefinition:
+    definition = EventDefinition(number, level, name, fields, meaning)
+    _catalogue.append(definition)
+    return definition
+
+
+# 100 to 199: processes and their links.
+PROCESS_STARTED = _define(
+    100,
+    "INFO",
+    "process_started",
+    "A daemon listens.",
+    "id",
+    "role",
+    "address",
+)
+PROCESS_DRAINING = _define(
+    101, "INFO", "process_draining", "SIGTERM came; the balancer is told."
+)
+PROCESS_STOPPED = _define(
+    102, "INFO", "process_stopped", "Nothing was in flight any more.", "id"
+)
+PEER_CONNECTED = _define(
+    110, "INFO", "peer_connected", "A stream to a peer is up.", "peer"
+)
+PEER_DISCONNECTED = _define(
+    111, "WARNING", "peer_disconnected", "A stream to a peer ended.", "peer"
+)
+PEER_REFUSED = _define(
+    112,
+    "WARNING",
+    "peer_refused",
+    "A peer failed to prove who it is, or sent what cannot be read.",
+    "address",
+    "failure",
+)
+
+# 200 to 299: endpoints.
+ENDPOINT_JOINED = _define(
+    200,
+    "INFO",
+    "endpoint_joined",
+    "An endpoint announced itself.",
+    "endpoint",
+    "incarnation",
+)
+ENDPOINT_LEAVING = _define(
+    201,
+    "INFO",
+    "endpoint_leaving",
+    "An endpoint gets no new work any more.",
+    "endpoint",
+    "incarnation",
+)
+ENDPOINT_LOST = _define(
+    202,
+    "WARNING",
+    "endpoint_lost",
+    "An endpoint's announcements stopped.",
+    "endpoint",
+    "incarnation",
+)
+ENDPOINT_SUSPECTED = _define(
+    203,
+    "WARNING",
+    "endpoint_suspected",
+    "A connection to an endpoint failed.",
+    "endpoint",
+    "failure",
+)
+ANNOUNCEMENT_REFUSED = _define(
+    204,
+    "WARNING",
+    "announcement_refused",
+    "An announcement had faults or no credential.",
+    "failure",
+)
+
+# 300 to 399: requests.
+REQUEST_REFUSED = _define(
+    300,
+    "INFO",
+    "request_refused",
+    "A caller was given a final refusal.",
+    "request",
+    "customer",
+    "code",
+    "outcome",
+)
+ATTEMPT_FAILED = _define(
+    301,
+    "WARNING",
+    "attempt_failed",
+    "An attempt at an answer ended early.",
+    "request",
+    "attempt",
+    "endpoint",
+    "code",
+)
+ANSWER_RESUMED = _define(
+    302,
+    "INFO",
+    "answer_resumed",
+    "A new attempt goes on where the delivered tokens end.",
+    "request",
+    "attempt",
+    "position",
+)
+PIECE_DROPPED = _define(
+    303,
+    "WARNING",
+    "piece_dropped",
+    "A late, doubled or foreign token was dropped.",
+    "request",
+    "code",
+)
+REQUEST_QUARANTINED = _define(
+    304,
+    "WARNING",
+    "request_quarantined",
+    "A request crashed its endpoints and is not run again.",
+    "fingerprint",
+    "customer",
+)
+
+# 400 to 499: release notes and orders.
+NOTE_IN_FORCE = _define(
+    400, "INFO", "note_in_force", "This VM follows a newer note.", "number"
+)
+NOTE_ACCEPTED = _define(
+    401, "INFO", "note_accepted", "A note won its number.", "number", "author"
+)
+ORDER_GIVEN = _define(
+    410,
+    "INFO",
+    "order_given",
+    "An endpoint was ordered to change.",
+    "endpoint",
+    "action",
+    "epoch",
+    "sequence",
+)
+ORDER_FAILED = _define(
+    411,
+    "WARNING",
+    "order_failed",
+    "An order was refused or not answered.",
+    "endpoint",
+    "failure",
+)
+
+# 500 to 599: the replicated log.
+LEADER_CHANGED = _define(
+    500,
+    "INFO",
+    "leader_changed",
+    "Another control VM leads, or none.",
+    "leader",
+    "term",
+)
+LOG_REFUSED = _define(
+    501,
+    "ERROR",
+    "log_refused",
+    "The data folder cannot be used.",
+    "failure",
+)
+VM_LOST = _define(
+    510, "WARNING", "vm_lost", "An entry VM's heartbeats stopped.", "vm"
+)
+
+CATALOGUE: tuple[EventDefinition, ...] = tuple(_catalogue)
+
+
+def render_catalogue() -> str:
+    """Return the catalogue as the Markdown of ``docs/EVENTS.md``."""
+    lines = [
+        "# Log events",
+        "",
+        "Made from `sedgepin/events.py` by `python -m sedgepin.events`.",
+        "",
+        "| number | level | name | fields | meaning |",
+        "|---|---|---|---|---|",
+    ]
+    for one in CATALOGUE:
+        fields = ", ".join(f"`{name}`" for name in one.fields)
+        lines.append(
+            f"| {one.number} | {one.level} | {one.name} | {fields} "
+            f"| {one.meaning} |"
+        )
+    return "\n".join(lines) + "\n"
+
+
+if __name__ == "__main__":
+    print(render_catalogue(), end="")
--- /dev/null
+++ b/sedgepin/settings.py
@@ -0,0 +1,222 @@
+"""The settings of each daemon, read from one JSON file a process.
+
+``docs/SETTINGS.md`` is made from these classes; a test compares them.
+Secrets are never in a settings file: credentials appear as the SHA-256 of
+the secret, in hexadecimal, and keys as paths of files.
+"""
+
+import collections
+import enum
+import pathlib
+import typing
+
+import msgspec
+import result
+
+from sedgepin import documents
+from sedgepin import errors
+
+_Name = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
+]
+_Address = typing.Annotated[
+    str,
+    msgspec.Meta(
+        pattern=r"^([0-9]{1,3}(\.[0-9]{1,3}){3}|\[[0-9a-fA-F:]+\]):[0-9]{1,5}$"
+    ),
+]
+_Digest = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+_PositiveInt = typing.Annotated[int, msgspec.Meta(gt=0)]
+_PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
+_NaturalFloat = typing.Annotated[float, msgspec.Meta(ge=0)]
+
+
+class LogFormat(enum.Enum):
+    """How log lines are written."""
+
+    TEXT = "text"
+    JSON = "json"
+
+
+class LogLevel(enum.Enum):
+    """The least level that is written."""
+
+    DEBUG = "DEBUG"
+    INFO = "INFO"
+    WARNING = "WARNING"
+    ERROR = "ERROR"
+
+
+class Peer(msgspec.Struct, frozen=True, kw_only=True):
+    """Another process of the system: its name, address and data centre."""
+
+    id: _Name
+    address: _Address
+    data_centre: _Name
+
+
+class Tls(msgspec.Struct, frozen=True, kw_only=True):
+    """Files for mutual TLS between processes of the system (PEM)."""
+
+    certificate: str
+    key: str
+    authority: str
+
+
+class CallerTls(msgspec.Struct, frozen=True, kw_only=True):
+    """Certificate and key shown to callers and operators (PEM)."""
+
+    certificate: str
+    key: str
+
+
+class Statsd(msgspec.Struct, frozen=True, kw_only=True):
+    """Where metrics are sent, over UDP."""
+
+    address: _Address
+    prefix: str = "sedgepin"
+
+
+class Log(msgspec.Struct, frozen=True, kw_only=True):
+    """How and how much is logged, to standard error."""
+
+    format: LogFormat = LogFormat.TEXT
+    level: LogLevel = LogLevel.INFO
+
+
+class Customer(msgspec.Struct, frozen=True, kw_only=True):
+    """A customer, the digest of its credential and its share."""
+
+    id: _Name
+    credential_sha256: _Digest
+    weight: _PositiveFloat = 1.0
+    open_requests: _PositiveInt = 256
+
+
+class Operator(msgspec.Struct, frozen=True, kw_only=True):
+    """A person or program that may publish notes and read the audit."""
+
+    id: _Name
+    credential_sha256: _Digest
+
+
+class Limits(msgspec.Struct, frozen=True, kw_only=True):
+    """What one request, and all of them together, may take."""
+
+    body_bytes: _PositiveInt = 1_048_576
+    header_bytes: _PositiveInt = 16_384
+    answer_bytes: _PositiveInt = 4_194_304
+    request_seconds: _PositiveFloat = 300.0
+    open_requests: _PositiveInt = 4096
+    generated_tokens: _PositiveInt = 4096
+
+
+class Drain(msgspec.Struct, frozen=True, kw_only=True):
+    """How a daemon leaves.
+
+    For ``notice_seconds`` after SIGTERM ``/readyz`` already answers 503
+    while new requests are still taken, so that the balancer learns first.
+    """
+
+    notice_seconds: _NaturalFloat = 5.0
+
+
+class _Common(msgspec.Struct, frozen=True, kw_only=True):
+    id: _Name
+    data_centre: _Name
+    peer_listen: _Address
+    controls: typing.Annotated[
+        tuple[Peer, ...], msgspec.Meta(min_length=1, max_length=18)
+    ]
+    tls: Tls | None = None
+    statsd: Statsd | None = None
+    log: Log = Log()
+    drain: Drain = Drain()
+
+
+class EntrySettings(_Common, frozen=True, kw_only=True):
+    """Settings of ``sedgepin entry``."""
+
+    caller_listen: _Address
+    caller_tls: CallerTls | None = None
+    entries: tuple[Peer, ...] = ()
+    customers: typing.Annotated[
+        tuple[Customer, ...], msgspec.Meta(min_length=1)
+    ]
+    endpoint_credential_sha256: _Digest | None = None
+    limits: Limits = Limits()
+
+
+class ControlSettings(_Common, frozen=True, kw_only=True):
+    """Settings of ``sedgepin control``."""
+
+    operator_listen: _Address
+    operator_tls: CallerTls | None = None
+    data_folder: str
+    operators: typing.Annotated[
+        tuple[Operator, ...], msgspec.Meta(min_length=1)
+    ]
+    order_credential: str = ""
+    loads_per_second: _PositiveFloat = 2.0
+    write_retention_days: _PositiveInt = 400
+
+
+Settings: typing.TypeAlias = EntrySettings | ControlSettings
+
+_Role: typing.TypeAlias = type[EntrySettings] | type[ControlSettings]
+
+
+def read(
+    path: pathlib.Path,
+) -> result.Result[Settings, errors.DocumentRefused]:
+    """Return the checked settings in ``path``, or every fault in them.
+
+    A file with ``operator_listen`` or ``data_folder`` is a control VM's;
+    any other is an entry VM's.
+    """
+    try:
+        raw = path.read_bytes()
+    except OSError as exc:
+        fault = errors.FieldFault("$", exc.strerror or "cannot be read")
+        return result.Err(errors.DocumentRefused(str(path), (fault,)))
+    return parse(raw, str(path))
+
+
+def parse(
+    raw: bytes, document: str
+) -> result.Result[Settings, errors.DocumentRefused]:
+    """Return the checked settings in ``raw``, or every fault in them."""
+    role: _Role = EntrySettings
+    if b'"operator_listen"' in raw or b'"data_folder"' in raw:
+        role = ControlSettings
+    decoded = documents.decode(raw, role, document)
+    if isinstance(decoded, result.Err):
+        return decoded
+    faults = _faults_between_fields(decoded.ok_value)
+    if faults:
+        return result.Err(errors.DocumentRefused(document, tuple(faults)))
+    return result.Ok(decoded.ok_value)
+
+
+def _faults_between_fields(cfg: Settings) -> list[errors.FieldFault]:
+    faults = _repeated("controls", [peer.id for peer in cfg.controls])
+    if isinstance(cfg, EntrySettings):
+        faults += _repeated("entries", [peer.id for peer in cfg.entries])
+        faults += _repeated("customers", [one.id for one in cfg.customers])
+        digests = [one.credential_sha256 for one in cfg.customers]
+        faults += _repeated("customers.credential_sha256", digests)
+        return faults
+    faults += _repeated("operators", [one.id for one in cfg.operators])
+    if cfg.id not in {peer.id for peer in cfg.controls}:
+        problem = f"must hold this process, {cfg.id}"
+        faults.append(errors.FieldFault("controls", problem))
+    return faults
+
+
+def _repeated(field: str, values: list[str]) -> list[errors.FieldFault]:
+    counted = collections.Counter(values)
+    return [
+        errors.FieldFault(field, f"{value} is there {count} times")
+        for value, count in counted.items()
+        if count > 1
+    ]
--- /dev/null
+++ b/sedgepin/tests/fake_engine.py
@@ -0,0 +1,301 @@
+"""A stand-in for an engine that holds a range of a model's layers.
+
+Run as ``python -m sedgepin.tests.fake_engine JSON``; the JSON object has the
+fields of ``Options``.  It speaks the protocol of ``docs/ENDPOINTS.md``: runs
+its layers, forwards along the chain that the request names, streams tokens
+back, announces itself, takes orders.  On demand it crashes (a prompt that
+holds ``crash_word``) or goes silent (a prompt that holds ``silence_word``).
+
+The text at a position depends only on the prompt and the position, so that
+a resumed answer can be compared with an undisturbed one.
+"""
+
+import collections
+import collections.abc
+import hashlib
+import os
+import signal
+import sys
+import typing
+
+import httpcore
+import hypercorn.config
+import hypercorn.trio
+import msgspec
+import trio
+
+from sedgepin import _model as model
+
+_FORWARD_TIMEOUT_SECONDS = 60.0
+
+
+class Options(msgspec.Struct, frozen=True, kw_only=True):
+    """What the stand-in is and how it behaves."""
+
+    endpoint_id: str
+    port: int
+    entries: tuple[str, ...]
+    data_centre: str = "dc1"
+    services: tuple[str, ...] = ("assistant",)
+    model: str | None = "beet-32"
+    first_layer: int = 0
+    end_layer: int = 8
+    token_seconds: float = 0.01
+    prefill_seconds: float = 0.05
+    crash_word: str = "CRASH"
+    silence_word: str = "SILENCE"
+    checks_fencing: bool = True
+    incarnation: int = 1
+    announce_seconds: float = 0.5
+    credential: str = ""
+
+
+class Engine:
+    """State of one stand-in engine."""
+
+    def __init__(self, options: Options) -> None:
+        self.options = options
+        self.sequence = 0
+        self.echoes: dict[str, str] = {}
+        self.leaving = False
+        self.running: set[tuple[str, int]] = set()
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.fence = (0, 0)
+        self.orders: list[dict[str, typing.Any]] = []
+        self.role: dict[str, typing.Any] = {}
+        self.pool = httpcore.AsyncConnectionPool()
+
+    def announcement(self, entry: str) -> bytes:
+        """Return the announcement for one entry."""
+        options = self.options
+        self.sequence += 1
+        told = model.Announcement(
+            endpoint_id=model.EndpointId(options.endpoint_id),
+            incarnation=model.Incarnation(options.incarnation),
+            sequence=self.sequence,
+            kind=model.EndpointKind.ENGINE,
+            address=f"http://127.0.0.1:{options.port}",
+            data_centre=model.DataCentreId(options.data_centre),
+            services=tuple(model.ServiceName(s) for s in options.services),
+            model=model.ModelName(options.model) if options.model else None,
+            model_version=self.role.get("version", "1"),
+            layers=model.LayerRange(options.first_layer, options.end_layer),
+            accelerator=model.AcceleratorKind("fake", 8, 8000.0),
+            checks_fencing=options.checks_fencing,
+            leaving=self.leaving,
+            load=model.LoadReport(running_requests=len(self.running)),
+            echo=self.echoes.get(entry, ""),
+        )
+        return msgspec.json.encode(told)
+
+    async def announce(self, entry: str) -> None:
+        """Announce to one entry for ever."""
+        headers = [("content-type", "application/json")]
+        if self.options.credential:
+            bearer = f"Bearer {self.options.credential}"
+            headers.append(("authorization", bearer))
+        while True:
+            pause = self.options.announce_seconds
+            try:
+                with trio.fail_after(1):
+                    response = await self.pool.request(
+                        "POST",
+                        f"http://{entry}/v1/endpoints/announcements",
+                        headers=headers,
+                        content=self.announcement(entry),
+                    )
+                reply = msgspec.json.decode(response.content)
+                self.echoes[entry] = reply.get("echo", "")
+                pause = reply.get("announce_again_after_seconds", pause)
+            except (httpcore.NetworkError, httpcore.TimeoutException):
+                pass
+            except (trio.TooSlowError, httpcore.ProtocolError):
+                pass
+            await trio.sleep(min(pause, self.options.announce_seconds))
+
+    async def run_stage(
+        self, body: dict[str, typing.Any]
+    ) -> collections.abc.AsyncIterator[dict[str, typing.Any]]:
+        """Run this engine's layers for a request, and those after it."""
+        prompt = body["prompt"]
+        if self.options.crash_word in prompt:
+            os.kill(os.getpid(), signal.SIGKILL)
+        if self.options.silence_word in prompt:
+            await trio.sleep_forever()
+        attempt = (body["request_id"], body["attempt"])
+        self.running.add(attempt)
+        self.runs[body["request_id"]] += 1
+        stage = body["stages"][body["index"]]
+        mark = {
+            "endpoint_id": self.options.endpoint_id,
+            "layers": stage["layers"],
+        }
+        try:
+            await trio.sleep(self.options.prefill_seconds)
+            last = body["index"] + 1 == len(body["stages"])
+            made = self.generate(body) if last else self.forward(body)
+            async for line in made:
+                if line["type"] == "piece":
+                    line["lineage"].insert(0, mark)
+                yield line
+        finally:
+            self.running.discard(attempt)
+
+    async def generate(
+        self, body: dict[str, typing.Any]
+    ) -> collections.abc.AsyncIterator[dict[str, typing.Any]]:
+        """Make the tokens, as the last stage does."""
+        for position in range(body["position"], body["limit_tokens"]):
+            await trio.sleep(self.options.token_seconds)
+            yield {
+                "type": "piece",
+                "request_id": body["request_id"],
+                "attempt": body["attempt"],
+                "position": position,
+                "text": token_text(body["prompt"], position),
+                "lineage": [],
+            }
+        yield {
+            "type": "end",
+            "token_count": body["limit_tokens"],
+            "finish_reason": "length",
+        }
+
+    async def forward(
+        self, body: dict[str, typing.Any]
+    ) -> collections.abc.AsyncIterator[dict[str, typing.Any]]:
+        """Pass the request on to the next stage and its tokens back."""
+        following = body["stages"][body["index"] + 1]
+        content = msgspec.json.encode({**body, "index": body["index"] + 1})
+        try:
+            async with self.pool.stream(
+                "POST",
+                f"{following['address']}/v1/pipeline",
+                headers=[("content-type", "application/json")],
+                content=content,
+                extensions={"timeout": {"read": _FORWARD_TIMEOUT_SECONDS}},
+            ) as response:
+                async for line in lines(response.aiter_stream()):
+                    yield line
+                    if line["type"] in ("end", "failed"):
+                        return
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ):
+            pass
+        yield {
+            "type": "failed",
+            "endpoint_id": following["endpoint_id"],
+            "code": "stage_lost",
+        }
+
+    def take_order(self, order: dict[str, typing.Any]) -> int:
+        """Take or refuse an order; return the HTTP status."""
+        token = (order["epoch"], order["sequence"])
+        if self.options.checks_fencing and token <= self.fence:
+            return 409
+        self.fence = max(self.fence, token)
+        self.orders.append(order)
+        self.role.update(order)
+        return 200
+
+    async def app(
+        self, scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        """Serve one HTTP request."""
+        if scope["type"] != "http":
+            return
+        raw = b""
+        while True:
+            event = await receive()
+            raw += event.get("body", b"")
+            if not event.get("more_body", False):
+                break
+        path = scope["path"]
+        if path == "/v1/pipeline":
+            await self.answer_stream(msgspec.json.decode(raw), send)
+            return
+        status, body = 200, {}
+        if path == "/v1/orders":
+            status = self.take_order(msgspec.json.decode(raw))
+        elif path == "/v1/leave":
+            self.leaving = True
+        elif path == "/v1/running":
+            running = sorted(list(one) for one in self.running)
+            body = {"running": running, "runs": dict(self.runs)}
+        await reply(send, status, body)
+
+    async def answer_stream(
+        self, body: dict[str, typing.Any], send: typing.Any
+    ) -> None:
+        """Stream an attempt's lines."""
+        start = {
+            "type": "http.response.start",
+            "status": 200,
+            "headers": [(b"content-type", b"application/x-ndjson")],
+        }
+        await send(start)
+        async for line in self.run_stage(body):
+            chunk = msgspec.json.encode(line) + b"\n"
+            await send(
+                {
+                    "type": "http.response.body",
+                    "body": chunk,
+                    "more_body": True,
+                }
+            )
+        await send({"type": "http.response.body", "body": b""})
+
+
+def token_text(prompt: str, position: int) -> str:
+    """Return the token that follows ``prompt`` at ``position``."""
+    digest = hashlib.sha256(f"{prompt}/{position}".encode()).hexdigest()
+    return f"{digest[:5]} "
+
+
+async def lines(
+    chunks: collections.abc.AsyncIterable[bytes],
+) -> collections.abc.AsyncIterator[dict[str, typing.Any]]:
+    """Yield the JSON lines in a stream of chunks."""
+    rest = b""
+    async for chunk in chunks:
+        rest += chunk
+        *whole, rest = rest.split(b"\n")
+        for line in whole:
+            yield msgspec.json.decode(line)
+
+
+async def reply(send: typing.Any, status: int, body: typing.Any) -> None:
+    """Send a whole JSON answer."""
+    headers = [(b"content-type", b"application/json")]
+    await send(
+        {"type": "http.response.start", "status": status, "headers": headers}
+    )
+    await send(
+        {"type": "http.response.body", "body": msgspec.json.encode(body)}
+    )
+
+
+async def serve(app: typing.Any, port: int) -> None:
+    """Serve ``app`` on loopback until cancelled."""
+    cfg = hypercorn.config.Config()
+    cfg.bind = [f"127.0.0.1:{port}"]
+    cfg.loglevel = "CRITICAL"
+    cfg.accesslog = None
+    cfg.errorlog = None
+    await hypercorn.trio.serve(app, cfg)
+
+
+async def run(options: Options) -> None:
+    """Serve and announce for ever."""
+    engine = Engine(options)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(serve, engine.app, options.port)
+        for entry in options.entries:
+            nursery.start_soon(engine.announce, entry)
+
+
+if __name__ == "__main__":
+    trio.run(run, msgspec.json.decode(sys.argv[1], type=Options))
