--- /dev/null
+++ b/sedgepin/_control/__init__.py
@@ -0,0 +1,7 @@
+"""The control daemon."""
+
+from sedgepin import settings
+
+
+def run(cfg: settings.ControlSettings) -> None:
+    """Run."""
--- /dev/null
+++ b/sedgepin/_entry/__init__.py
@@ -0,0 +1,7 @@
+"""The entry daemon."""
+
+from sedgepin import settings
+
+
+def run(cfg: settings.EntrySettings) -> None:
+    """Run."""
--- a/sedgepin/documents.py
+++ b/sedgepin/documents.py
@@ -83,13 +83,14 @@
     value: object, expected: typing.Any, path: str, faults: _Faults
 ) -> None:
     item = _struct_inside_tuple(expected)
+    known = len(faults)
+    struct_type = _struct_of(expected)
     if item is not None and isinstance(value, list):
         for position, member in enumerate(value):
             _check_struct(member, item, f"{path}[{position}]", faults)
-        return
-    struct_type = _struct_of(expected)
-    if struct_type is not None and value is not None:
+    elif struct_type is not None and value is not None:
         _check_struct(value, struct_type, path, faults)
+    if len(faults) > known:
         return
     try:
         msgspec.convert(value, expected)
