Read release notes and apply them to the fleet

Notes are checked field by field so that an operator sees every fault at once; the fleet is the immutable result of the accepted notes in order.

--- /dev/null
+++ b/sedgepin/_release/__init__.py
@@ -0,0 +1,63 @@
+"""Release notes, the fleet they describe, and the orders that bring it."""
+
+from sedgepin._release._acceptance import AcceptedNote
+from sedgepin._release._failures import NoteConflict
+from sedgepin._release._failures import NoteConflictKind
+from sedgepin._release._fleet import decode_fleet
+from sedgepin._release._fleet import encode_fleet
+from sedgepin._release._fleet import Fleet
+from sedgepin._release._ledger import LedgerContents
+from sedgepin._release._ledger import NoteLedger
+from sedgepin._release._note import Adapter
+from sedgepin._release._note import Added
+from sedgepin._release._note import Change
+from sedgepin._release._note import Changed
+from sedgepin._release._note import Item
+from sedgepin._release._note import ItemKey
+from sedgepin._release._note import Model
+from sedgepin._release._note import ReleaseNote
+from sedgepin._release._note import Role
+from sedgepin._release._note import Selector
+from sedgepin._release._note import Service
+from sedgepin._release._note import ServiceKind
+from sedgepin._release._note import Version
+from sedgepin._release._note import Withdrawn
+from sedgepin._release._note import WithdrawnAdapter
+from sedgepin._release._note import WithdrawnItem
+from sedgepin._release._note import WithdrawnModel
+from sedgepin._release._note import WithdrawnRole
+from sedgepin._release._note import WithdrawnService
+from sedgepin._release._note import WithdrawnVersion
+from sedgepin._release._parsing import parse_note
+
+__all__ = [
+    "AcceptedNote",
+    "Adapter",
+    "Added",
+    "Change",
+    "Changed",
+    "Fleet",
+    "Item",
+    "ItemKey",
+    "LedgerContents",
+    "Model",
+    "NoteConflict",
+    "NoteConflictKind",
+    "NoteLedger",
+    "ReleaseNote",
+    "Role",
+    "Selector",
+    "Service",
+    "ServiceKind",
+    "Version",
+    "Withdrawn",
+    "WithdrawnAdapter",
+    "WithdrawnItem",
+    "WithdrawnModel",
+    "WithdrawnRole",
+    "WithdrawnService",
+    "WithdrawnVersion",
+    "decode_fleet",
+    "encode_fleet",
+    "parse_note",
+]
--- /dev/null
+++ b/sedgepin/_release/_fleet.py
@@ -0,0 +1,122 @@
+"""The fleet as the accepted notes, applied in order, say it shall be."""
+
+import collections.abc
+import typing
+
+import msgspec
+import result
+
+from sedgepin import _model
+from sedgepin._release import _draft
+from sedgepin._release import _note
+from sedgepin import errors
+
+_ItemT = typing.TypeVar("_ItemT", bound=_note.Item)
+
+
+class Fleet(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The result of applying notes 1 up to ``note_number``.
+
+    This is what every entry VM receives.  It is immutable: a later note
+    gives another fleet.  Number 0 is the empty fleet, before any note.
+
+    >>> fleet = Fleet()
+    >>> fleet.with_note(note).unwrap().note_number
+    1
+    """
+
+    note_number: int = 0
+    note_id: str = ""
+    note_digest: str = ""
+    author: str = ""
+    models: tuple[_note.Model, ...] = ()
+    versions: tuple[_note.Version, ...] = ()
+    adapters: tuple[_note.Adapter, ...] = ()
+    services: tuple[_note.Service, ...] = ()
+    roles: tuple[_note.Role, ...] = ()
+
+    def with_note(
+        self, note: _note.ReleaseNote
+    ) -> result.Result["Fleet", errors.DocumentRefused]:
+        """Return the fleet after ``note``, or every fault of the note."""
+        draft = _draft.Draft({item.key: item for item in self._items()})
+        draft.apply(note)
+        if note.number != self.note_number + 1:
+            problem = f"is not the next number, {self.note_number + 1}"
+            draft.faults.insert(0, errors.FieldFault("number", problem))
+        if draft.faults:
+            return result.Err(
+                errors.DocumentRefused("release note", tuple(draft.faults))
+            )
+        return result.Ok(_fleet_of(note, draft.items))
+
+    def model_named(self, name: str) -> _note.Model | None:
+        """Return the model of that name."""
+        return _first_named(self.models, name)
+
+    def service_named(self, name: str) -> _note.Service | None:
+        """Return the service of that name."""
+        return _first_named(self.services, name)
+
+    def role_for(self, announced: _model.Announcement) -> _note.Role | None:
+        """Return the role that counts for an endpoint."""
+        selecting = (
+            role for role in self.roles if role.selector.matches(announced)
+        )
+        return min(
+            selecting,
+            key=lambda role: (-role.selector.specificity, role.name),
+            default=None,
+        )
+
+    def _items(self) -> collections.abc.Iterator[_note.Item]:
+        yield from self.models
+        yield from self.versions
+        yield from self.adapters
+        yield from self.services
+        yield from self.roles
+
+
+def encode_fleet(fleet: Fleet) -> bytes:
+    """Return the fleet as MessagePack."""
+    return msgspec.msgpack.encode(fleet)
+
+
+def decode_fleet(raw: bytes) -> result.Result[Fleet, errors.DocumentRefused]:
+    """Return the fleet that ``encode_fleet`` made, or why it is none."""
+    try:
+        return result.Ok(msgspec.msgpack.decode(raw, type=Fleet))
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        fault = errors.FieldFault("fleet", str(exc))
+        return result.Err(errors.DocumentRefused("fleet", (fault,)))
+
+
+def _first_named(items: tuple[_ItemT, ...], name: str) -> _ItemT | None:
+    return next((item for item in items if item.name == name), None)
+
+
+def _of_type(
+    items: dict[_note.ItemKey, _note.Item], kind: type[_ItemT]
+) -> tuple[_ItemT, ...]:
+    ordered = (items[key] for key in sorted(items))
+    return tuple(item for item in ordered if isinstance(item, kind))
+
+
+def _fleet_of(
+    note: _note.ReleaseNote, items: dict[_note.ItemKey, _note.Item]
+) -> Fleet:
+    models = tuple(
+        _draft.with_adapter_names(items, item)
+        for item in _of_type(items, _note.Model)
+    )
+    return Fleet(
+        note_number=note.number,
+        note_id=note.note_id,
+        note_digest=note.digest,
+        author=note.author,
+        models=models,
+        versions=_of_type(items, _note.Version),
+        adapters=_of_type(items, _note.Adapter),
+        services=_of_type(items, _note.Service),
+        roles=_of_type(items, _note.Role),
+    )
