Add the disk interface and the log store

A member's log must survive a crash at any byte and must never be taken for whole when it is not. One group commit is one frame whose checksum is chained to the frame before, so a torn write can only concern the last frame; anything else that does not fit is refused with file and offset. The identity of the disk is the first record of the log file: a lost file is a new member.

--- /dev/null
+++ b/sedgepin/_storage/__init__.py
@@ -0,0 +1,37 @@
+"""Durable storage: the disk interface, the log file, the snapshot file."""
+
+from sedgepin._storage._disk import Disk
+from sedgepin._storage._failures import FolderLocked
+from sedgepin._storage._failures import LogDamaged
+from sedgepin._storage._failures import LogVersionUnknown
+from sedgepin._storage._failures import OpenFailure
+from sedgepin._storage._folder_disk import FolderDisk
+from sedgepin._storage._log_store import LogStore
+from sedgepin._storage._memory_disk import MemoryDisk
+from sedgepin._storage._records import Configuration
+from sedgepin._storage._records import DiskId
+from sedgepin._storage._records import EntryKind
+from sedgepin._storage._records import HardState
+from sedgepin._storage._records import LogEntry
+from sedgepin._storage._records import MemberId
+from sedgepin._storage._records import Recovered
+from sedgepin._storage._records import Snapshot
+
+__all__ = [
+    "Configuration",
+    "Disk",
+    "DiskId",
+    "EntryKind",
+    "FolderDisk",
+    "FolderLocked",
+    "HardState",
+    "LogDamaged",
+    "LogEntry",
+    "LogStore",
+    "LogVersionUnknown",
+    "MemberId",
+    "MemoryDisk",
+    "OpenFailure",
+    "Recovered",
+    "Snapshot",
+]
--- /dev/null
+++ b/sedgepin/_storage/_folder_disk.py
@@ -0,0 +1,132 @@
+"""The disk of a real VM: one locked folder."""
+
+import fcntl
+import os
+import pathlib
+
+import result
+
+from sedgepin._storage import _disk
+from sedgepin._storage import _failures
+
+_LOCK_NAME = "lock"
+_ASIDE_SUFFIX = ".aside"
+_FILE_MODE = 0o640
+
+
+class FolderDisk(_disk.Disk):
+    """Files in one folder that no other process can open meanwhile.
+
+    Use ``open``, which takes the lock:
+
+    >>> import tempfile
+    >>> folder = tempfile.mkdtemp()
+    >>> disk = FolderDisk.open(pathlib.Path(folder)).unwrap()
+    >>> disk.replace("greeting", b"hello")
+    >>> disk.read("greeting")
+    b'hello'
+    >>> disk.close()
+    """
+
+    __slots__ = ("_folder_fd", "_file_fds", "_lock_fd", "path")
+
+    def __init__(self, path: pathlib.Path, lock_fd: int) -> None:
+        self.path = path
+        self._lock_fd = lock_fd
+        self._folder_fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+        self._file_fds: dict[str, int] = {}
+
+    @classmethod
+    def open(
+        cls, path: pathlib.Path
+    ) -> result.Result["FolderDisk", _failures.FolderLocked]:
+        """Create the folder where needed, lock it and return the disk.
+
+        The lock is ``flock(2)``: it ends with the process that holds it.
+        """
+        path.mkdir(parents=True, exist_ok=True)
+        lock_fd = os.open(path / _LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(lock_fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            os.close(lock_fd)
+            return result.Err(_failures.FolderLocked(str(path)))
+        return result.Ok(cls(path, lock_fd))
+
+    def close(self) -> None:
+        """Close all files and release the lock."""
+        for fd in self._file_fds.values():
+            os.close(fd)
+        self._file_fds.clear()
+        os.close(self._folder_fd)
+        os.close(self._lock_fd)
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add ``data`` to the end of a file."""
+        fd = self._open_file(name)
+        _write_all(fd, data)
+
+    def sync(self, name: str) -> None:
+        """Return once all that was written to the file is durable."""
+        os.fdatasync(self._open_file(name))
+
+    def read(self, name: str) -> bytes:
+        """Return the whole file."""
+        return (self.path / name).read_bytes()
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Write aside, sync, rename over the name and sync the folder."""
+        aside = self.path / (name + _ASIDE_SUFFIX)
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
+        fd = os.open(aside, flags, _FILE_MODE)
+        try:
+            _write_all(fd, data)
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+        self._forget_file(name)
+        os.rename(aside, self.path / name)
+        os.fsync(self._folder_fd)
+
+    def truncate(self, name: str, size_bytes: int) -> None:
+        """Cut the file down to ``size_bytes``."""
+        os.ftruncate(self._open_file(name), size_bytes)
+
+    def names(self) -> list[str]:
+        """Return the names of all files but the disk's own."""
+        return sorted(
+            found.name
+            for found in self.path.iterdir()
+            if found.name != _LOCK_NAME
+            and not found.name.endswith(_ASIDE_SUFFIX)
+        )
+
+    def remove(self, name: str) -> None:
+        """Remove a file and sync the folder."""
+        self._forget_file(name)
+        (self.path / name).unlink(missing_ok=True)
+        os.fsync(self._folder_fd)
+
+    def _open_file(self, name: str) -> int:
+        fd = self._file_fds.get(name)
+        if fd is not None:
+            return fd
+        is_new = not (self.path / name).exists()
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        fd = os.open(self.path / name, flags, _FILE_MODE)
+        self._file_fds[name] = fd
+        if is_new:
+            os.fsync(self._folder_fd)
+        return fd
+
+    def _forget_file(self, name: str) -> None:
+        fd = self._file_fds.pop(name, None)
+        if fd is not None:
+            os.close(fd)
+
+
+def _write_all(fd: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        written = os.write(fd, view)
+        view = view[written:]
--- /dev/null
+++ b/sedgepin/_storage/_memory_disk.py
@@ -0,0 +1,80 @@
+"""A disk for tests that forgets what was not synced."""
+
+import random
+
+from sedgepin._storage import _disk
+
+
+class MemoryDisk(_disk.Disk):
+    """Files in memory, and what a crash would leave of them.
+
+    >>> disk = MemoryDisk()
+    >>> disk.append("log", b"kept")
+    >>> disk.sync("log")
+    >>> disk.append("log", b"lost")
+    >>> disk.crash(random.Random(1))
+    >>> disk.read("log")[:4]
+    b'kept'
+    """
+
+    __slots__ = ("_durable", "_written", "sync_count")
+
+    def __init__(self) -> None:
+        self._durable: dict[str, bytes] = {}
+        self._written: dict[str, bytes] = {}
+        self.sync_count = 0
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add ``data`` to the end of a file."""
+        self._written[name] = self._written.get(name, b"") + data
+
+    def sync(self, name: str) -> None:
+        """Make what was written to the file durable."""
+        self.sync_count += 1
+        self._durable[name] = self._written[name]
+
+    def read(self, name: str) -> bytes:
+        """Return the whole file."""
+        if name not in self._written:
+            raise FileNotFoundError(name)
+        return self._written[name]
+
+    def replace(self, name: str, data: bytes) -> None:
+        """Make ``data`` the whole content."""
+        self._written[name] = data
+        self.sync(name)
+
+    def truncate(self, name: str, size_bytes: int) -> None:
+        """Cut the file down to ``size_bytes``."""
+        self._written[name] = self._written[name][:size_bytes]
+
+    def names(self) -> list[str]:
+        """Return the names of all files."""
+        return sorted(self._written)
+
+    def remove(self, name: str) -> None:
+        """Remove a file."""
+        self._written.pop(name, None)
+        self._durable.pop(name, None)
+
+    def crash(self, rng: random.Random) -> None:
+        """Keep what was synced, and of the rest what chance leaves.
+
+        Of bytes appended since the last sync there remains nothing, a
+        prefix, or the whole length with zeros from some byte on.
+        """
+        for name in list(self._written):
+            durable = self._durable.get(name, b"")
+            kept = self._after_crash(durable, self._written[name], rng)
+            self._written[name] = kept
+            self._durable[name] = kept
+
+    @staticmethod
+    def _after_crash(
+        durable: bytes, written: bytes, rng: random.Random
+    ) -> bytes:
+        if not written.startswith(durable):
+            return rng.choice((durable, written))
+        cut = rng.randint(len(durable), len(written))
+        zeros = rng.choice((0, len(written) - cut))
+        return written[:cut] + bytes(zeros)
--- /dev/null
+++ b/sedgepin/_storage/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the disk and of the log file."""
--- /dev/null
+++ b/sedgepin/_storage/tests/test_folder_disk.py
@@ -0,0 +1,31 @@
+"""Tests of ``FolderDisk`` on a real folder."""
+
+import pathlib
+
+from sedgepin import _storage as storage
+
+
+class TestFolderDisk:
+    def test_second_opener_is_refused(self, tmp_path: pathlib.Path) -> None:
+        disk = storage.FolderDisk.open(tmp_path).unwrap()
+        refused = storage.FolderDisk.open(tmp_path).unwrap_err()
+        assert refused == storage.FolderLocked(str(tmp_path))
+        disk.close()
+        storage.FolderDisk.open(tmp_path).unwrap().close()
+
+    def test_log_survives_reopening(self, tmp_path: pathlib.Path) -> None:
+        disk = storage.FolderDisk.open(tmp_path / "data").unwrap()
+        store = storage.LogStore(disk)
+        first = store.open().unwrap()
+        store.save_snapshot(
+            storage.Snapshot(3, 1, storage.Configuration(), b"state")
+        )
+        store.append(storage.HardState(term=4))
+        disk.append("log", b"torn")
+        disk.close()
+        disk = storage.FolderDisk.open(tmp_path / "data").unwrap()
+        found = storage.LogStore(disk).open().unwrap()
+        disk.close()
+        assert (found.disk_id, found.term) == (first.disk_id, 4)
+        assert found.torn_bytes == 4
+        assert disk.names() == ["log", "snapshot"]
