Add endpoint membership between the entries

EndpointDirectory merges announcements by (incarnation, left, sequence) and bounds their age by echoes of the reader's own instants. GossipNode is the reducer: batched reports over a grid of the scope's entries, joins pushed at once, leaving marks, failures and rumours flooded, a digest in each frame.

--- /dev/null
+++ b/sedgepin/_membership/__init__.py
@@ -0,0 +1,63 @@
+"""Which endpoints and VMs there are, and which may get new work."""
+
+from sedgepin._membership._age import Echo
+from sedgepin._membership._directory import AnnounceOutcome
+from sedgepin._membership._directory import EndpointDirectory
+from sedgepin._membership._directory import LeftMark
+from sedgepin._membership._events import AnnouncementHeard
+from sedgepin._membership._events import ApplyAnnouncement
+from sedgepin._membership._events import ApplyRumour
+from sedgepin._membership._events import Effect
+from sedgepin._membership._events import EndpointFailed
+from sedgepin._membership._events import EntriesChanged
+from sedgepin._membership._events import Event
+from sedgepin._membership._events import GossipArrived
+from sedgepin._membership._events import PeerDown
+from sedgepin._membership._events import PeerUp
+from sedgepin._membership._events import RefuseAnnouncement
+from sedgepin._membership._events import ReplyAnnouncement
+from sedgepin._membership._events import ReportEndpointJoined
+from sedgepin._membership._events import ReportEndpointLost
+from sedgepin._membership._events import ReportLeaving
+from sedgepin._membership._events import RumourStarted
+from sedgepin._membership._events import SendGossip
+from sedgepin._membership._events import TimerFired
+from sedgepin._membership._events import WakeAt
+from sedgepin._membership._failures import DirectoryFull
+from sedgepin._membership._frames import GossipFrame
+from sedgepin._membership._gossip import GossipNode
+from sedgepin._membership._rumours import RumourBook
+from sedgepin._membership._settings import MembershipSettings
+from sedgepin._membership._topology import choose_subset
+
+__all__ = [
+    "AnnounceOutcome",
+    "AnnouncementHeard",
+    "ApplyAnnouncement",
+    "ApplyRumour",
+    "DirectoryFull",
+    "Echo",
+    "Effect",
+    "EndpointDirectory",
+    "EndpointFailed",
+    "EntriesChanged",
+    "Event",
+    "GossipArrived",
+    "GossipFrame",
+    "GossipNode",
+    "LeftMark",
+    "MembershipSettings",
+    "PeerDown",
+    "PeerUp",
+    "RefuseAnnouncement",
+    "ReplyAnnouncement",
+    "ReportEndpointJoined",
+    "ReportEndpointLost",
+    "ReportLeaving",
+    "RumourBook",
+    "RumourStarted",
+    "SendGossip",
+    "TimerFired",
+    "WakeAt",
+    "choose_subset",
+]
--- /dev/null
+++ b/sedgepin/_membership/_age.py
@@ -0,0 +1,144 @@
+"""Bounds on the age of a message that trust no wall clock.
+
+A process compares only instants of its own clock.  A message that returns
+one of them was sent after that instant, however long it travelled and
+whatever the sender's clock shows.  Clocks may run at rates up to 5% off true
+time, in either direction, and go on while their process is stopped.
+"""
+
+import dataclasses
+import datetime
+
+from sedgepin import _model as model
+
+# The rate of one clock as another sees it: 0.95/1.05 and 1.05/0.95, rounded
+# away from each other.
+SLOWEST_RATE = 0.904
+FASTEST_RATE = 1.106
+
+MILLISECOND = datetime.timedelta(milliseconds=1)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Echo:
+    """An instant of one life of one VM, in milliseconds since its start.
+
+    >>> Echo.parse(str(Echo(model.VmId("e1"), model.Incarnation(7), 1500)))
+    Echo(vm_id='e1', incarnation=7, instant_milliseconds=1500)
+    """
+
+    vm_id: model.VmId
+    incarnation: model.Incarnation
+    instant_milliseconds: int
+
+    def __str__(self) -> str:
+        return f"{self.vm_id}/{self.incarnation}/{self.instant_milliseconds}"
+
+    @classmethod
+    def parse(cls, text: str) -> "Echo | None":
+        """Return the echo that ``text`` holds; ``None`` where it is none."""
+        vm_id, _, rest = text.rpartition("/")
+        vm_id, _, life = vm_id.rpartition("/")
+        if not (vm_id and _is_number(life) and _is_number(rest)):
+            return None
+        return cls(model.VmId(vm_id), model.Incarnation(int(life)), int(rest))
+
+
+def _is_number(text: str) -> bool:
+    return len(text) <= 18 and text.isascii() and text.isdigit()
+
+
+class LifeClock:
+    """Turns instants of this process into milliseconds since its start."""
+
+    __slots__ = ("started_at",)
+
+    def __init__(self, started_at: datetime.datetime) -> None:
+        self.started_at = started_at
+
+    def to_milliseconds(self, instant: datetime.datetime) -> int:
+        """Return the whole milliseconds from the start to ``instant``."""
+        return (instant - self.started_at) // MILLISECOND
+
+    def to_instant(self, milliseconds: int) -> datetime.datetime:
+        """Return the instant that lies ``milliseconds`` after the start."""
+        return self.started_at + milliseconds * MILLISECOND
+
+
+class PeerClock:
+    """Bounds, from below, where a peer's instants lie on the own clock.
+
+    Each frame of the peer names the peer's instant of sending and returns
+    the last own instant that the peer had received: the frame was sent no
+    earlier than that.  The best bound so far is carried on at the slowest
+    rate that the peer's clock can stand for.
+    """
+
+    __slots__ = ("_bound", "_peer_milliseconds", "incarnation", "latest")
+
+    def __init__(self, incarnation: model.Incarnation) -> None:
+        self.incarnation = incarnation
+        self.latest = -1
+        self._peer_milliseconds = 0
+        self._bound: datetime.datetime | None = None
+
+    def observe(
+        self, peer_milliseconds: int, returned: datetime.datetime | None
+    ) -> datetime.datetime | None:
+        """Take a frame in; return the earliest own instant of its sending.
+
+        ``returned`` is the own instant that the frame returns, if any.  The
+        answer is ``None`` while the peer has returned none.
+        """
+        self.latest = max(self.latest, peer_milliseconds)
+        bound = self.earliest(peer_milliseconds)
+        if returned is not None:
+            bound = returned if bound is None else max(bound, returned)
+        if bound is not None and peer_milliseconds >= self._peer_milliseconds:
+            self._bound = bound
+            self._peer_milliseconds = peer_milliseconds
+        return bound
+
+    def earliest(self, peer_milliseconds: int) -> datetime.datetime | None:
+        """Return the earliest own instant for an instant of the peer."""
+        if self._bound is None:
+            return None
+        # Both instants are whole milliseconds: one more may hide in them.
+        elapsed = peer_milliseconds - self._peer_milliseconds - 1
+        rate = SLOWEST_RATE if elapsed >= 0 else FASTEST_RATE
+        return self._bound + elapsed * rate * MILLISECOND
+
+
+class FreezeGuard:
+    """Tells how long the process stood still just before it woke.
+
+    What waited in the sockets meanwhile may be as old as that.  For one
+    ``limit`` after the wake everything received counts as if it had waited
+    from the start of the gap.
+    """
+
+    __slots__ = ("_gap_from", "_last_handled", "_limit", "_woke_at")
+
+    def __init__(self, limit: datetime.timedelta) -> None:
+        self._limit = limit
+        self._last_handled: datetime.datetime | None = None
+        self._gap_from: datetime.datetime | None = None
+        self._woke_at: datetime.datetime | None = None
+
+    def earliest_receipt(
+        self, now: datetime.datetime, due: datetime.datetime | None
+    ) -> datetime.datetime:
+        """Return the earliest instant at which what is read may have come.
+
+        ``due`` is when the next timer should fire: a loop that is overdue
+        by more than the limit stood still since its last event.
+        """
+        if due is not None and now - due > self._limit:
+            self._gap_from = self._last_handled or due
+            self._woke_at = now
+        self._last_handled = now
+        if self._woke_at is None or self._gap_from is None:
+            return now
+        if now - self._woke_at > self._limit:
+            return now
+        return self._gap_from
--- /dev/null
+++ b/sedgepin/_membership/_gossip.py
@@ -0,0 +1,377 @@
+"""How one entry takes in what it hears of endpoints.
+
+Ordinary reports go out batched on a tick, across the sender's row of the
+grid and from there down each column.  A join goes the same way at once.  A
+leaving mark, a failure and a rumour are flooded: whoever did not know passes
+them to all its neighbours, so that any path that is left carries them.  A
+digest in every frame finds what was lost.
+"""
+
+import datetime
+import random
+
+from sedgepin._membership import _age as age
+from sedgepin._membership import _directory as directory
+from sedgepin._membership import _events as events
+from sedgepin._membership import _frames as frames
+from sedgepin._membership import _peer as peers
+from sedgepin._membership import _rumours as rumours
+from sedgepin._membership import _sender as senders
+from sedgepin._membership import _settings as settings
+from sedgepin import _model as model
+
+_TICK_JITTER = 0.2
+_SHORTEST_REPLY_RATIO = 0.9
+_SHORTEST_RUMOUR = datetime.timedelta(seconds=1)
+
+_NEWER = frozenset(
+    (directory.AnnounceOutcome.JOINED, directory.AnnounceOutcome.REFRESHED)
+)
+
+
+class GossipNode:
+    """Endpoint membership at one entry.
+
+    ``entries`` are the VMs of the scope, this one included.  ``endpoints``
+    is the directory that routing reads, ``rumours`` the book that admission
+    reads.
+
+    >>> now = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+    >>> node = GossipNode(
+    ...     model.VmId("e1"),
+    ...     model.Incarnation(1),
+    ...     (model.VmId("e1"),),
+    ...     settings.MembershipSettings(),
+    ...     random.Random(1),
+    ...     now,
+    ... )
+    >>> effects = node.handle(events.TimerFired(), node.wake_at)
+    >>> effects == [events.WakeAt(node.wake_at)]
+    True
+    """
+
+    __slots__ = (
+        "_cfg",
+        "_effects",
+        "_guard",
+        "_incarnation",
+        "_life",
+        "_random",
+        "_sender",
+        "_vm_id",
+        "endpoints",
+        "rumours",
+        "wake_at",
+    )
+
+    def __init__(
+        self,
+        vm_id: model.VmId,
+        incarnation: model.Incarnation,
+        entries: tuple[model.VmId, ...],
+        cfg: settings.MembershipSettings,
+        generator: random.Random,
+        now: datetime.datetime,
+    ) -> None:
+        self._vm_id = vm_id
+        self._incarnation = incarnation
+        self._cfg = cfg
+        self._random = generator
+        self._life = age.LifeClock(now)
+        self._guard = age.FreezeGuard(cfg.freeze_limit)
+        self._effects: list[events.Effect] = []
+        self.endpoints = directory.EndpointDirectory(cfg)
+        self.rumours = rumours.RumourBook(cfg.rumour_limit)
+        self._sender = senders.GossipSender(
+            vm_id,
+            incarnation,
+            self._life,
+            cfg,
+            generator,
+            self.endpoints,
+            self.rumours,
+        )
+        self._sender.change_entries(entries)
+        self.wake_at = now + cfg.tick
+
+    def handle(
+        self, event: events.Event, now: datetime.datetime
+    ) -> list[events.Effect]:
+        """Take in one event; return what is to be done, in order."""
+        received_from = self._guard.earliest_receipt(now, self.wake_at)
+        match event:
+            case events.AnnouncementHeard(announcement):
+                self._hear(announcement, received_from, now)
+            case events.GossipArrived(sender, frame):
+                self._take_frame(sender, frame, now)
+            case events.PeerUp(vm_id):
+                self._sender.set_up(vm_id)
+            case events.PeerDown(vm_id):
+                self._sender.set_down(vm_id)
+            case events.EntriesChanged(entries):
+                self._sender.change_entries(entries)
+            case events.EndpointFailed(endpoint_id):
+                self._fail(endpoint_id, now)
+            case events.RumourStarted(fingerprint, until):
+                self._start_rumour(fingerprint, until, now)
+            case events.TimerFired():
+                self._tick(now)
+        effects, self._effects = self._effects, []
+        return effects
+
+    def neighbours(self) -> frozenset[model.VmId]:
+        """Return the entries to keep a connection with.
+
+        The answer may change with each ``PeerUp``, ``PeerDown`` and
+        ``EntriesChanged``.
+        """
+        return self._sender.neighbours()
+
+    def _hear(
+        self,
+        announcement: model.Announcement,
+        received_from: datetime.datetime,
+        now: datetime.datetime,
+    ) -> None:
+        sent = self._earliest_sending(announcement, received_from, now)
+        known = None if sent is None else now - sent
+        announced = self.endpoints.announce(announcement, known, now)
+        failure = announced.err()
+        if failure is not None:
+            self._effects.append(events.RefuseAnnouncement(failure))
+            return
+        self._reply(known is not None, now)
+        outcome = announced.unwrap()
+        if outcome in _NEWER:
+            self._sender.pass_on(announcement, is_heard=True)
+        self._follow(announcement, outcome, None, now)
+
+    def _take_frame(
+        self,
+        sender: model.VmId,
+        frame: frames.GossipFrame,
+        now: datetime.datetime,
+    ) -> None:
+        peer = self._sender.find(sender)
+        if peer is None:
+            return
+        clock = peer.visit(model.Incarnation(frame.incarnation))
+        if clock is None:
+            return
+        returned = self._returned(frame, now)
+        sent = clock.observe(frame.instant_milliseconds, returned)
+        self._sender.take_requests(peer, frame)
+        for refresh in frame.heard:
+            self._take_refresh(sender, peer, refresh, sent, now, True)
+        for refresh in frame.relayed:
+            self._take_refresh(sender, peer, refresh, sent, now, False)
+        for news in frame.news:
+            self._take_news(sender, news, sent, now)
+        self._effects += self._sender.compare(sender, frame.digest, now)
+
+    def _take_refresh(
+        self,
+        sender: model.VmId,
+        peer: peers.Peer,
+        refresh: frames.Refresh,
+        sent: datetime.datetime | None,
+        now: datetime.datetime,
+        is_to_pass_on: bool,
+    ) -> None:
+        base = peer.theirs.get(refresh.handle)
+        if base is None:
+            peer.wanted.add(refresh.handle)
+            return
+        announcement = peers.to_announcement(base, refresh)
+        known = peers.relayed_age(refresh, sent, now)
+        announced = self.endpoints.announce(announcement, known, now)
+        outcome = announced.unwrap_or(directory.AnnounceOutcome.STALE)
+        if is_to_pass_on and outcome in _NEWER:
+            self._sender.pass_on(announcement, is_heard=False)
+        self._follow(announcement, outcome, sender, now)
+
+    def _follow(
+        self,
+        announcement: model.Announcement,
+        outcome: directory.AnnounceOutcome,
+        sender: model.VmId | None,
+        now: datetime.datetime,
+    ) -> None:
+        endpoint_id = announcement.endpoint_id
+        incarnation = announcement.incarnation
+        if outcome is directory.AnnounceOutcome.LEFT:
+            self._leave(endpoint_id, incarnation, sender, now)
+            return
+        if outcome is directory.AnnounceOutcome.STALE:
+            return
+        known = self.endpoints.age(endpoint_id, now)
+        self._effects.append(events.ApplyAnnouncement(announcement, known))
+        if outcome is directory.AnnounceOutcome.JOINED:
+            self._effects.append(
+                events.ReportEndpointJoined(endpoint_id, incarnation)
+            )
+            self._effects += self._sender.push(endpoint_id, now)
+
+    def _leave(
+        self,
+        endpoint_id: model.EndpointId,
+        incarnation: model.Incarnation,
+        sender: model.VmId | None,
+        now: datetime.datetime,
+    ) -> None:
+        self._sender.drop(endpoint_id)
+        self._effects.append(events.ReportLeaving(endpoint_id, incarnation))
+        news = frames.EndpointLeft(endpoint_id, incarnation)
+        self._effects += self._sender.flood(news, sender, now)
+
+    def _fail(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> None:
+        known = self.endpoints.find(endpoint_id)
+        if known is None:
+            return
+        is_new = not self.endpoints.is_suspected(endpoint_id, now)
+        self.endpoints.mark_failed(endpoint_id, now)
+        if is_new:
+            news = frames.EndpointUnreachable(endpoint_id, known.incarnation)
+            self._effects += self._sender.flood(news, None, now)
+
+    def _start_rumour(
+        self,
+        fingerprint: str,
+        until: datetime.datetime,
+        now: datetime.datetime,
+    ) -> None:
+        if self.rumours.learn(fingerprint, until, now):
+            news = senders.to_rumour(fingerprint, until, now)
+            self._effects += self._sender.flood(news, None, now)
+
+    def _take_news(
+        self,
+        sender: model.VmId,
+        news: frames.News,
+        sent: datetime.datetime | None,
+        now: datetime.datetime,
+    ) -> None:
+        match news:
+            case frames.EndpointLeft(endpoint_id, incarnation):
+                self._take_left(
+                    sender,
+                    model.EndpointId(endpoint_id),
+                    model.Incarnation(incarnation),
+                    now,
+                )
+            case frames.EndpointUnreachable():
+                self._take_unreachable(sender, news, now)
+            case frames.Rumour(fingerprint, remaining):
+                self._take_rumour(sender, fingerprint, remaining, sent, now)
+
+    def _take_left(
+        self,
+        sender: model.VmId,
+        endpoint_id: model.EndpointId,
+        incarnation: model.Incarnation,
+        now: datetime.datetime,
+    ) -> None:
+        marked = self.endpoints.mark_left(endpoint_id, incarnation, now)
+        outcome = marked.unwrap_or(directory.AnnounceOutcome.STALE)
+        if outcome is directory.AnnounceOutcome.LEFT:
+            self._leave(endpoint_id, incarnation, sender, now)
+
+    def _take_unreachable(
+        self,
+        sender: model.VmId,
+        news: frames.EndpointUnreachable,
+        now: datetime.datetime,
+    ) -> None:
+        known = self.endpoints.find(model.EndpointId(news.endpoint_id))
+        if known is None or known.incarnation != news.incarnation:
+            return
+        if self.endpoints.is_suspected(known.endpoint_id, now):
+            return
+        self.endpoints.mark_suspected(known.endpoint_id, now)
+        self._effects += self._sender.flood(news, sender, now)
+
+    def _take_rumour(
+        self,
+        sender: model.VmId,
+        fingerprint: str,
+        remaining_milliseconds: int,
+        sent: datetime.datetime | None,
+        now: datetime.datetime,
+    ) -> None:
+        # Counted from the earliest sending, a rumour that goes round never
+        # outlives the entry that started it.
+        until = (sent or now) + remaining_milliseconds * age.MILLISECOND
+        if until - now < _SHORTEST_RUMOUR:
+            return
+        if not self.rumours.learn(fingerprint, until, now):
+            return
+        self._effects.append(events.ApplyRumour(fingerprint, until))
+        news = senders.to_rumour(fingerprint, until, now)
+        self._effects += self._sender.flood(news, sender, now)
+
+    def _tick(self, now: datetime.datetime) -> None:
+        if now >= self.wake_at:
+            self._forget(now)
+            self._effects += self._sender.send_tick(now)
+            stretch = self._random.uniform(1 - _TICK_JITTER, 1 + _TICK_JITTER)
+            self.wake_at = now + self._cfg.tick * stretch
+        self._effects.append(events.WakeAt(self.wake_at))
+
+    def _forget(self, now: datetime.datetime) -> None:
+        self.rumours.forget(now)
+        for announcement in self.endpoints.forget(now):
+            self._sender.drop(announcement.endpoint_id)
+            self._effects.append(
+                events.ReportEndpointLost(
+                    announcement.endpoint_id, announcement.incarnation
+                )
+            )
+
+    def _earliest_sending(
+        self,
+        announcement: model.Announcement,
+        received_from: datetime.datetime,
+        now: datetime.datetime,
+    ) -> datetime.datetime | None:
+        echo = age.Echo.parse(announcement.echo)
+        sent = None if echo is None else self._translate(echo)
+        if sent is not None and sent <= now:
+            return sent
+        if self._cfg.accept_announcements_without_echo:
+            return received_from
+        return None
+
+    def _translate(self, echo: age.Echo) -> datetime.datetime | None:
+        if echo.vm_id == self._vm_id:
+            if echo.incarnation != self._incarnation:
+                return None
+            return self._life.to_instant(echo.instant_milliseconds)
+        peer = self._sender.find(echo.vm_id)
+        if peer is None or peer.clock is None:
+            return None
+        if peer.clock.incarnation != echo.incarnation:
+            return None
+        return peer.clock.earliest(echo.instant_milliseconds)
+
+    def _returned(
+        self, frame: frames.GossipFrame, now: datetime.datetime
+    ) -> datetime.datetime | None:
+        if frame.echo_incarnation != self._incarnation:
+            return None
+        if frame.echo_milliseconds < 0:
+            return None
+        instant = self._life.to_instant(frame.echo_milliseconds)
+        return instant if instant <= now else None
+
+    def _reply(self, is_age_known: bool, now: datetime.datetime) -> None:
+        echo = age.Echo(
+            self._vm_id, self._incarnation, self._life.to_milliseconds(now)
+        )
+        wait = self._cfg.announce_interval * self._random.uniform(
+            _SHORTEST_REPLY_RATIO, 1
+        )
+        if not is_age_known:
+            wait = datetime.timedelta()
+        self._effects.append(events.ReplyAnnouncement(str(echo), wait))
--- /dev/null
+++ b/sedgepin/_membership/_sender.py
@@ -0,0 +1,397 @@
+"""What one entry sends to the others, when, and to whom."""
+
+import collections.abc
+import datetime
+import random
+
+import msgspec
+
+from sedgepin._membership import _age as age
+from sedgepin._membership import _directory as directory
+from sedgepin._membership import _events as events
+from sedgepin._membership import _frames as frames
+from sedgepin._membership import _peer as peers
+from sedgepin._membership import _rumours as rumours
+from sedgepin._membership import _settings as settings
+from sedgepin._membership import _topology as topology
+from sedgepin import _model as model
+
+# From this age on an endpoint is asked for at another entry, until it is so
+# old that nobody can be expected to know better.
+_ASK_FROM = datetime.timedelta(seconds=1.9)
+_ASK_UNTIL = datetime.timedelta(seconds=5)
+_ANSWER_BELOW = datetime.timedelta(seconds=1.5)
+_ASK_LIMIT = 64
+_WANTED_LIMIT = 4096
+_INVENTORY_LIMIT = 256
+_CACHE_EVENT_LIMIT = 256
+
+_Pending = dict[model.EndpointId, model.Announcement]
+
+
+class GossipSender:
+    """Peers, what is due to them, and the frames that carry it."""
+
+    __slots__ = (
+        "_cfg",
+        "_descriptions",
+        "_endpoints",
+        "_entries",
+        "_heard",
+        "_incarnation",
+        "_life",
+        "_near",
+        "_peers",
+        "_random",
+        "_relayed",
+        "_relays",
+        "_rumours",
+        "_subsets",
+        "_vm_id",
+    )
+
+    def __init__(
+        self,
+        vm_id: model.VmId,
+        incarnation: model.Incarnation,
+        life: age.LifeClock,
+        cfg: settings.MembershipSettings,
+        generator: random.Random,
+        endpoints: directory.EndpointDirectory,
+        held: rumours.RumourBook,
+    ) -> None:
+        self._vm_id = vm_id
+        self._incarnation = incarnation
+        self._life = life
+        self._cfg = cfg
+        self._random = generator
+        self._endpoints = endpoints
+        self._rumours = held
+        self._descriptions = peers.Descriptions()
+        self._peers: dict[model.VmId, peers.Peer] = {}
+        self._heard: _Pending = {}
+        self._relayed: _Pending = {}
+        self._subsets: dict[model.EndpointId, frozenset[model.VmId]] = {}
+        self._entries: frozenset[model.VmId] = frozenset()
+        self._near: frozenset[model.VmId] = frozenset()
+        self._relays = topology.Relays()
+
+    def change_entries(
+        self, entries: collections.abc.Iterable[model.VmId]
+    ) -> None:
+        """Lay the entries out anew; peers that remain keep their state."""
+        self._entries = frozenset(entries)
+        grid = topology.Grid(self._entries, self._cfg.mesh_limit_entries)
+        self._relays = grid.relays(self._vm_id)
+        self._near = grid.neighbours(self._vm_id)
+        self._subsets.clear()
+        for vm_id in self._peers.keys() - self._entries:
+            del self._peers[vm_id]
+
+    def neighbours(self) -> frozenset[model.VmId]:
+        """Return the entries to keep a connection with.
+
+        Beside those of the grid, the second choice of a column whose first
+        was lost.
+        """
+        stand_ins = frozenset(
+            column[1]
+            for column in self._relays.across
+            if len(column) > 1 and self._is_lost(column[0])
+        )
+        return self._near | stand_ins
+
+    def find(self, vm_id: model.VmId) -> peers.Peer | None:
+        """Return the peer of that name; ``None`` outside the scope."""
+        if vm_id not in self._entries or vm_id == self._vm_id:
+            return None
+        return self._peers.setdefault(vm_id, peers.Peer())
+
+    def set_up(self, vm_id: model.VmId) -> None:
+        """Send to a peer from now on."""
+        peer = self.find(vm_id)
+        if peer is not None:
+            peer.is_up = True
+            peer.is_lost = False
+            peer.introduced.clear()
+
+    def set_down(self, vm_id: model.VmId) -> None:
+        """Send no more to a peer."""
+        peer = self.find(vm_id)
+        if peer is not None:
+            peer.is_up = False
+            peer.is_lost = True
+
+    def take_requests(
+        self, peer: peers.Peer, frame: frames.GossipFrame
+    ) -> None:
+        """Note what a peer introduces, and what it asks for."""
+        for introduction in frame.introduced:
+            peer.theirs[introduction.handle] = self._descriptions.share(
+                introduction.announcement
+            )
+            peer.wanted.discard(introduction.handle)
+        peer.to_introduce.update(frame.wanted[:_WANTED_LIMIT])
+        peer.answers.update(
+            model.EndpointId(asked) for asked in frame.asked[:_ASK_LIMIT]
+        )
+
+    def pass_on(
+        self, announcement: model.Announcement, is_heard: bool
+    ) -> None:
+        """Have an announcement sent, from an endpoint or from across."""
+        pending = self._heard if is_heard else self._relayed
+        before = pending.get(announcement.endpoint_id)
+        pending[announcement.endpoint_id] = _join_cache_events(
+            before, announcement
+        )
+
+    def drop(self, endpoint_id: model.EndpointId) -> None:
+        """Send nothing more of an endpoint that left or was lost."""
+        self._heard.pop(endpoint_id, None)
+        self._relayed.pop(endpoint_id, None)
+        self._subsets.pop(endpoint_id, None)
+        self._descriptions.forget(endpoint_id)
+
+    def flood(
+        self,
+        news: frames.News,
+        sender: model.VmId | None,
+        now: datetime.datetime,
+    ) -> list[events.Effect]:
+        """Send news to every peer but the one that it came from."""
+        return [
+            self._frame(vm_id, now, news=(news,))
+            for vm_id in self._up()
+            if vm_id != sender
+        ]
+
+    def push(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> list[events.Effect]:
+        """Send what is pending of one endpoint without waiting."""
+        heard = _take(self._heard, endpoint_id)
+        relayed = _take(self._relayed, endpoint_id)
+        across = self._across()
+        sent: list[events.Effect] = []
+        for vm_id in self._up():
+            to_relay, to_keep = self._shares(vm_id, across, heard, relayed)
+            if to_relay or to_keep:
+                sent.append(self._frame(vm_id, now, to_relay, to_keep))
+        return sent
+
+    def send_tick(self, now: datetime.datetime) -> list[events.Effect]:
+        """Send every peer what is pending; an empty frame where nothing is.
+
+        Empty frames keep the bounds on the clocks tight.
+        """
+        heard = list(self._heard.values())
+        relayed = list(self._relayed.values())
+        self._heard.clear()
+        self._relayed.clear()
+        across = self._across()
+        up = self._up()
+        asked = self._ageing(now)
+        chosen = self._random.choice(up) if asked and up else None
+        sent: list[events.Effect] = []
+        for vm_id in up:
+            to_relay, to_keep = self._shares(vm_id, across, heard, relayed)
+            to_ask = asked if vm_id == chosen else ()
+            sent.append(self._frame(vm_id, now, to_relay, to_keep, to_ask))
+        return sent
+
+    def compare(
+        self, vm_id: model.VmId, digest: int, now: datetime.datetime
+    ) -> list[events.Effect]:
+        """Send the left marks and rumours to a peer that holds others."""
+        peer = self._peers[vm_id]
+        if digest in (frames.UNKNOWN, self._digest()) or not peer.is_up:
+            return []
+        if peer.inventory_at and now < peer.inventory_at:
+            return []
+        peer.inventory_at = now + self._cfg.digest_interval
+        return [self._frame(vm_id, now, news=self._inventory(now))]
+
+    def _up(self) -> list[model.VmId]:
+        return sorted(
+            vm_id for vm_id, peer in self._peers.items() if peer.is_up
+        )
+
+    def _is_lost(self, vm_id: model.VmId) -> bool:
+        peer = self._peers.get(vm_id)
+        return peer is not None and peer.is_lost
+
+    def _across(self) -> dict[model.VmId, tuple[model.VmId, ...]]:
+        up = frozenset(self._up())
+        chosen = {}
+        for column in self._relays.across:
+            relay = next((vm_id for vm_id in column if vm_id in up), None)
+            if relay is not None:
+                chosen[relay] = column
+        return chosen
+
+    def _shares(
+        self,
+        vm_id: model.VmId,
+        across: dict[model.VmId, tuple[model.VmId, ...]],
+        heard: list[model.Announcement],
+        relayed: list[model.Announcement],
+    ) -> tuple[list[model.Announcement], list[model.Announcement]]:
+        """Return what a peer is to relay, and what it is only to keep."""
+        column = across.get(vm_id)
+        if column is not None:
+            return self._followed(heard, column), []
+        if vm_id in self._relays.down:
+            return [], self._followed(heard + relayed, (vm_id,))
+        return [], []
+
+    def _followed(
+        self,
+        announcements: list[model.Announcement],
+        entries: tuple[model.VmId, ...],
+    ) -> list[model.Announcement]:
+        return [
+            announcement
+            for announcement in announcements
+            if not self._subset(announcement.endpoint_id).isdisjoint(entries)
+        ]
+
+    def _subset(self, endpoint_id: model.EndpointId) -> frozenset[model.VmId]:
+        subset = self._subsets.get(endpoint_id)
+        if subset is None:
+            subset = topology.choose_subset(
+                endpoint_id, self._entries, self._cfg.subset_size
+            )
+            self._subsets[endpoint_id] = subset
+        return subset
+
+    def _ageing(self, now: datetime.datetime) -> tuple[str, ...]:
+        ageing = self._endpoints.aged(_ASK_FROM, _ASK_UNTIL, now)
+        followed = [
+            endpoint_id
+            for endpoint_id in ageing
+            if self._vm_id in self._subset(endpoint_id)
+        ]
+        return tuple(followed[:_ASK_LIMIT])
+
+    def _frame(
+        self,
+        vm_id: model.VmId,
+        now: datetime.datetime,
+        heard: collections.abc.Sequence[model.Announcement] = (),
+        relayed: collections.abc.Sequence[model.Announcement] = (),
+        asked: tuple[str, ...] = (),
+        news: tuple[frames.News, ...] = (),
+    ) -> events.SendGossip:
+        peer = self._peers[vm_id]
+        clock = peer.clock
+        introduced = self._due_introductions(peer)
+        kept = [*relayed, *self._answers(peer, now)]
+        frame = frames.GossipFrame(
+            self._incarnation,
+            self._life.to_milliseconds(now),
+            clock.incarnation if clock else frames.UNKNOWN,
+            clock.latest if clock else frames.UNKNOWN,
+            self._digest(),
+            self._refreshes(peer, heard, introduced, now),
+            self._refreshes(peer, kept, introduced, now),
+            tuple(introduced),
+            tuple(sorted(peer.wanted)),
+            asked,
+            news,
+        )
+        peer.wanted.clear()
+        return events.SendGossip(vm_id, frame)
+
+    def _refreshes(
+        self,
+        peer: peers.Peer,
+        announcements: collections.abc.Iterable[model.Announcement],
+        introduced: list[frames.Introduction],
+        now: datetime.datetime,
+    ) -> tuple[frames.Refresh, ...]:
+        refreshes = []
+        for announcement in announcements:
+            described = self._descriptions.describe(announcement)
+            if described.handle not in peer.introduced:
+                introduced.append(peer.introduce(described))
+            known = self._endpoints.age(announcement.endpoint_id, now)
+            refreshes.append(
+                peers.to_refresh(described.handle, announcement, known)
+            )
+        return tuple(refreshes)
+
+    def _due_introductions(
+        self, peer: peers.Peer
+    ) -> list[frames.Introduction]:
+        due = []
+        for handle in sorted(peer.to_introduce):
+            described = self._descriptions.find(handle)
+            if described is not None:
+                due.append(peer.introduce(described))
+        peer.to_introduce.clear()
+        return due
+
+    def _answers(
+        self, peer: peers.Peer, now: datetime.datetime
+    ) -> list[model.Announcement]:
+        answers = []
+        for endpoint_id in sorted(peer.answers):
+            announcement = self._endpoints.find(endpoint_id)
+            known = self._endpoints.age(endpoint_id, now)
+            if announcement and known is not None and known < _ANSWER_BELOW:
+                answers.append(announcement)
+        peer.answers.clear()
+        return answers
+
+    def _digest(self) -> int:
+        return self._endpoints.left_digest ^ self._rumours.digest
+
+    def _inventory(self, now: datetime.datetime) -> tuple[frames.News, ...]:
+        marks = sorted(
+            self._endpoints.left_marks(),
+            key=lambda mark: mark.heard_at,
+            reverse=True,
+        )
+        left = [
+            frames.EndpointLeft(mark.endpoint_id, mark.incarnation)
+            for mark in marks[:_INVENTORY_LIMIT]
+        ]
+        held = [
+            to_rumour(fingerprint, until, now)
+            for fingerprint, until in self._rumours.held(now)
+        ]
+        return (*left, *held[:_INVENTORY_LIMIT])
+
+
+def to_rumour(
+    fingerprint: str, until: datetime.datetime, now: datetime.datetime
+) -> frames.Rumour:
+    """Return a rumour as it goes into a frame at ``now``."""
+    remaining = (until - now) // age.MILLISECOND
+    return frames.Rumour(fingerprint, max(remaining, 0))
+
+
+def _take(
+    pending: _Pending, endpoint_id: model.EndpointId
+) -> list[model.Announcement]:
+    announcement = pending.pop(endpoint_id, None)
+    return [] if announcement is None else [announcement]
+
+
+def _join_cache_events(
+    before: model.Announcement | None, after: model.Announcement
+) -> model.Announcement:
+    """Keep the cache events of an announcement that was not sent yet.
+
+    Past the limit the older ones are dropped: the gap in their numbers makes
+    the reader wait for the next snapshot.
+    """
+    if before is None or not before.cache_events:
+        return after
+    if before.incarnation != after.incarnation:
+        return after
+    joined = before.cache_events + after.cache_events
+    return msgspec.structs.replace(
+        after, cache_events=joined[-_CACHE_EVENT_LIMIT:]
+    )
