--- a/sedgepin/_entry/_callers.py
+++ b/sedgepin/_entry/_callers.py
@@ -3,7 +3,6 @@
 import collections.abc
 import contextlib
 import dataclasses
-import datetime
 import hashlib
 import hmac
 import itertools
@@ -213,9 +212,7 @@
         customer: model.CustomerId,
         body: bytes,
     ) -> None:
-        wanted = _service_request(
-            self._cfg.limits, request, service, customer, body
-        )
+        wanted = _service_request(request, service, customer, body)
         event = _events.ServiceCallRequested(wanted)
         request_id = wanted.request_id
         async with self._exchange(request, request_id, event) as exchange:
@@ -263,7 +260,6 @@
 
 
 def _service_request(
-    limits: settings.Limits,
     request: http.Request,
     service: str,
     customer: model.CustomerId,
@@ -286,7 +282,6 @@
         body_digest=digest.hexdigest(),
         idempotency_key=None if key is None else key.decode("latin-1"),
         priority=_PRIORITY_DEFAULT,
-        time_allowed=datetime.timedelta(seconds=limits.request_seconds),
     )
 
 
--- a/sedgepin/_entry/_completions.py
+++ b/sedgepin/_entry/_completions.py
@@ -52,9 +52,9 @@
     body: CompletionBody,
 ) -> _events.GenerateRequest:
     """Return the request that a completions body stands for."""
-    seconds = limits.request_seconds
+    allowed = None
     if body.timeout_seconds is not None:
-        seconds = min(seconds, body.timeout_seconds)
+        allowed = datetime.timedelta(seconds=body.timeout_seconds)
     return _events.GenerateRequest(
         request_id=new_request_id(),
         customer=customer,
@@ -62,7 +62,7 @@
         prompt=body.prompt,
         limit_tokens=min(body.max_tokens, limits.generated_tokens),
         priority=body.priority,
-        time_allowed=datetime.timedelta(seconds=seconds),
+        time_allowed=allowed,
         body_digest=hashlib.sha256(raw).hexdigest(),
     )
 
--- a/sedgepin/_entry/_effects.py
+++ b/sedgepin/_entry/_effects.py
@@ -41,12 +41,14 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class ProbeEndpoint:
-    """Ask on a fresh connection whether an attempt is still running."""
+class ProbeStages:
+    """Ask each stage on a fresh connection how an attempt is doing."""
 
     request_id: model.RequestId
     attempt: int
-    address: str
+    probe: int
+    stages: tuple[model.Stage, ...]
+    timeout: datetime.timedelta
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -56,6 +58,7 @@
     request: _events.ServiceRequest
     attempt: int
     address: str
+    time_allowed: datetime.timedelta
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -143,7 +146,7 @@
 EntryEffect: typing.TypeAlias = (
     StartStream
     | CancelStream
-    | ProbeEndpoint
+    | ProbeStages
     | CallService
     | CancelCall
     | DeliverPieces
--- a/sedgepin/_entry/_endpoint_client.py
+++ b/sedgepin/_entry/_endpoint_client.py
@@ -17,11 +17,11 @@
 from sedgepin._entry import _effects
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
+from sedgepin import _answers as answers
 from sedgepin import _http as http
 from sedgepin import _model as model
 
 _CONNECT_TIMEOUT_SECONDS = 1.0
-_PROBE_TIMEOUT_SECONDS = 1.0
 _LINE_LIMIT_BYTES = 1_048_576
 
 Emit: typing.TypeAlias = collections.abc.Callable[[_events.EntryEvent], None]
@@ -101,6 +101,14 @@
     ran: bool = True
 
 
+class AttemptState(msgspec.Struct, frozen=True):
+    """The answer to ``GET /v1/attempts/{request}/{attempt}``."""
+
+    state: answers.StreamState
+    produced: int = 0
+    incarnation: model.Incarnation | None = None
+
+
 _Line: typing.TypeAlias = PieceLine | HeartbeatLine | EndLine | FailedLine
 _line_decoder: msgspec.json.Decoder[_Line] = msgspec.json.Decoder(_Line)
 
@@ -121,8 +129,8 @@
         """Send one call to a plain service, once."""
 
     @abc.abstractmethod
-    async def probe(self, effect: _effects.ProbeEndpoint, emit: Emit) -> None:
-        """Ask on a fresh connection whether an attempt still runs."""
+    async def probe(self, effect: _effects.ProbeStages, emit: Emit) -> None:
+        """Ask all stages at once how an attempt is doing."""
 
 
 class HttpEndpointClient(EndpointClient):
@@ -181,7 +189,7 @@
         """Send one call to a plain service, once."""
         request = effect.request
         identity = (request.request_id, effect.attempt)
-        seconds = request.time_allowed.total_seconds()
+        seconds = effect.time_allowed.total_seconds()
         try:
             with trio.fail_after(seconds):
                 answered = await self._exchange(effect)
@@ -197,31 +205,37 @@
         else:
             emit(answered)
 
-    async def probe(self, effect: _effects.ProbeEndpoint, emit: Emit) -> None:
-        """Ask on a fresh connection whether an attempt still runs."""
-        alive = False
-        running = False
-        wanted = [effect.request_id, effect.attempt]
-        try:
-            with trio.fail_after(_PROBE_TIMEOUT_SECONDS):
-                response = await self._pool.request(
-                    "GET",
-                    f"{effect.address}/v1/running",
-                    extensions=_timeouts(),
-                )
-            alive = response.status == 200
-            listed = msgspec.json.decode(response.content)
-            running = wanted in listed["running"]
-        except (trio.TooSlowError, *_BROKEN):
-            pass
-        except (msgspec.DecodeError, KeyError, TypeError):
-            pass
+    async def probe(self, effect: _effects.ProbeStages, emit: Emit) -> None:
+        """Ask all stages at once how an attempt is doing."""
+        reports: dict[model.EndpointId, _events.StageReport] = {}
+        async with trio.open_nursery() as nursery:
+            for stage in effect.stages:
+                nursery.start_soon(self._ask_stage, effect, stage, reports)
+        ordered = tuple(reports[one.endpoint_id] for one in effect.stages)
         emit(
             _events.ProbeAnswered(
-                effect.request_id, effect.attempt, alive, running
+                effect.request_id, effect.attempt, effect.probe, ordered
             )
         )
 
+    async def _ask_stage(
+        self,
+        effect: _effects.ProbeStages,
+        stage: model.Stage,
+        reports: dict[model.EndpointId, _events.StageReport],
+    ) -> None:
+        endpoint_id = stage.endpoint_id
+        reports[endpoint_id] = _events.StageReport(endpoint_id, None)
+        path = f"/v1/attempts/{effect.request_id}/{effect.attempt}"
+        try:
+            with trio.fail_after(effect.timeout.total_seconds()):
+                response = await self._pool.request(
+                    "GET", stage.address + path, extensions=_timeouts()
+                )
+        except (trio.TooSlowError, *_BROKEN):
+            return
+        reports[endpoint_id] = _stage_report(endpoint_id, response)
+
     async def _exchange(
         self, effect: _effects.CallService
     ) -> _events.ServiceAnswered | _events.ServiceFailed:
@@ -270,6 +284,19 @@
     )
 
 
+def _stage_report(
+    endpoint_id: model.EndpointId, response: httpcore.Response
+) -> _events.StageReport:
+    try:
+        told = msgspec.json.decode(response.content, type=AttemptState)
+    except msgspec.DecodeError:
+        # It answers, but does not know this question.
+        told = AttemptState(answers.StreamState.NOT_TOLD)
+    return _events.StageReport(
+        endpoint_id, told.state, told.produced, told.incarnation
+    )
+
+
 def _timeouts() -> dict[str, typing.Any]:
     return {"timeout": {"connect": _CONNECT_TIMEOUT_SECONDS}}
 
@@ -313,7 +340,7 @@
             line.text,
             line.lineage,
         )
-        return _events.PieceArrived(piece)
+        return _events.PieceArrived(*identity, piece)
     if isinstance(line, HeartbeatLine):
         return _events.EngineHeartbeatArrived(*identity)
     if isinstance(line, EndLine):
--- a/sedgepin/_entry/_events.py
+++ b/sedgepin/_entry/_events.py
@@ -4,6 +4,7 @@
 import datetime
 import typing
 
+from sedgepin import _answers as answers
 from sedgepin import _http as http
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
@@ -20,7 +21,7 @@
     prompt: str
     limit_tokens: int
     priority: int
-    time_allowed: datetime.timedelta
+    time_allowed: datetime.timedelta | None
     body_digest: str
 
 
@@ -38,7 +39,7 @@
     body_digest: str
     idempotency_key: str | None
     priority: int
-    time_allowed: datetime.timedelta
+    time_allowed: datetime.timedelta | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -72,8 +73,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PieceArrived:
-    """A token came from an engine."""
+    """A token came on the stream of an attempt.
 
+    The stamp in the piece is the engine's word; ``request_id`` and
+    ``attempt`` say which stream it came on.
+    """
+
+    request_id: model.RequestId
+    attempt: int
     piece: model.TokenPiece
 
 
@@ -132,14 +139,28 @@
     bytes_were_sent: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StageReport:
+    """What a stage said of an attempt on a fresh connection.
+
+    ``state`` is ``None`` where the stage could not be reached.  ``produced``
+    counts the answer's tokens that have passed through it.
+    """
+
+    endpoint_id: model.EndpointId
+    state: answers.StreamState | None
+    produced: int = 0
+    incarnation: model.Incarnation | None = None
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ProbeAnswered:
-    """A fresh connection to an endpoint was tried."""
+    """All stages of an attempt were asked on fresh connections."""
 
     request_id: model.RequestId
     attempt: int
-    alive: bool
-    still_running: bool
+    probe: int
+    reports: tuple[StageReport, ...]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/tests/fake_engine.py
+++ b/sedgepin/tests/fake_engine.py
@@ -58,7 +58,7 @@
         self.sequence = 0
         self.echoes: dict[str, str] = {}
         self.leaving = False
-        self.running: set[tuple[str, int]] = set()
+        self.running: dict[tuple[str, int], int] = {}
         self.runs: collections.Counter[str] = collections.Counter()
         self.fence = (0, 0)
         self.orders: list[dict[str, typing.Any]] = []
@@ -123,7 +123,7 @@
         if self.options.silence_word in prompt:
             await trio.sleep_forever()
         attempt = (body["request_id"], body["attempt"])
-        self.running.add(attempt)
+        self.running[attempt] = 0
         self.runs[body["request_id"]] += 1
         stage = body["stages"][body["index"]]
         mark = {
@@ -137,9 +137,10 @@
             async for line in made:
                 if line["type"] == "piece":
                     line["lineage"].insert(0, mark)
+                    self.running[attempt] = line["position"] + 1
                 yield line
         finally:
-            self.running.discard(attempt)
+            self.running.pop(attempt, None)
 
     async def generate(
         self, body: dict[str, typing.Any]
@@ -166,6 +167,7 @@
     ) -> collections.abc.AsyncIterator[dict[str, typing.Any]]:
         """Pass the request on to the next stage and its tokens back."""
         following = body["stages"][body["index"] + 1]
+        ran = False
         content = msgspec.json.encode({**body, "index": body["index"] + 1})
         try:
             async with self.pool.stream(
@@ -175,20 +177,24 @@
                 content=content,
                 extensions={"timeout": {"read": _FORWARD_TIMEOUT_SECONDS}},
             ) as response:
+                ran = True
                 async for line in lines(response.aiter_stream()):
                     yield line
                     if line["type"] in ("end", "failed"):
                         return
+        except (httpcore.ConnectError, httpcore.ConnectTimeout):
+            pass
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
         ):
-            pass
+            ran = True
         yield {
             "type": "failed",
             "endpoint_id": following["endpoint_id"],
             "code": "stage_lost",
+            "ran": ran,
         }
 
     def take_order(self, order: dict[str, typing.Any]) -> int:
@@ -201,6 +207,18 @@
         self.role.update(order)
         return 200
 
+    def attempt_state(
+        self, request_id: str, attempt: str
+    ) -> dict[str, typing.Any]:
+        """Say how an attempt is doing."""
+        produced = self.running.get((request_id, int(attempt)))
+        state = "producing" if produced else "prefilling"
+        return {
+            "state": "unknown" if produced is None else state,
+            "produced": produced or 0,
+            "incarnation": self.options.incarnation,
+        }
+
     async def app(
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
     ) -> None:
@@ -222,9 +240,10 @@
             status = self.take_order(msgspec.json.decode(raw))
         elif path == "/v1/leave":
             self.leaving = True
-        elif path == "/v1/running":
-            running = sorted(list(one) for one in self.running)
-            body = {"running": running, "runs": dict(self.runs)}
+        elif path.startswith("/v1/attempts/"):
+            body = self.attempt_state(*path.split("/")[3:])
+        elif path == "/v1/runs":
+            body = dict(self.runs)
         await reply(send, status, body)
 
     async def answer_stream(
