Add answer assembly, admission, retry budget and quarantine

First usable version of the reducers that the entry composes: one answer put together from all its attempts, silence verdicts, fair share with deadlines, the retry budget, and the case against requests that crash endpoints.

--- /dev/null
+++ b/sedgepin/_admission/__init__.py
@@ -0,0 +1,85 @@
+"""Limits: fair share, deadlines, retries, suspect requests."""
+
+from sedgepin._admission._admission import Admission
+from sedgepin._admission._admission import RequestAlreadyOpen
+from sedgepin._admission._failures import DeadlineCannotBeMet
+from sedgepin._admission._failures import Draining
+from sedgepin._admission._failures import NoCapacity
+from sedgepin._admission._failures import NotAdmitted
+from sedgepin._admission._failures import QueueFull
+from sedgepin._admission._failures import RateExceeded
+from sedgepin._admission._failures import TooManyOpenRequests
+from sedgepin._admission._quarantine import Aboard
+from sedgepin._admission._quarantine import AnswerQuarantined
+from sedgepin._admission._quarantine import EndpointDied
+from sedgepin._admission._quarantine import Quarantine
+from sedgepin._admission._quarantine import QuarantineEffect
+from sedgepin._admission._quarantine import QuarantineRefusal
+from sedgepin._admission._quarantine import QuarantineSettings
+from sedgepin._admission._quarantine import QuarantineVerdict
+from sedgepin._admission._quarantine import RequestOnTrial
+from sedgepin._admission._quarantine import RequestQuarantined
+from sedgepin._admission._quarantine import ResumeFreely
+from sedgepin._admission._quarantine import RunFreely
+from sedgepin._admission._quarantine import RunOnTrial
+from sedgepin._admission._quarantine import ShareRumour
+from sedgepin._admission._quarantine import StartTrial
+from sedgepin._admission._retries import RetryBudget
+from sedgepin._admission._retries import RetryReason
+from sedgepin._admission._retries import RetryRefused
+from sedgepin._admission._retries import RetryRequest
+from sedgepin._admission._retries import RetrySettings
+from sedgepin._admission._rumour import DeathId
+from sedgepin._admission._rumour import DeathMark
+from sedgepin._admission._rumour import Fingerprint
+from sedgepin._admission._rumour import Rumour
+from sedgepin._admission._rumour import Trial
+from sedgepin._admission._settings import AdmissionSettings
+from sedgepin._admission._settings import CustomerLimits
+from sedgepin._admission._ticket import Admit
+from sedgepin._admission._ticket import Decision
+from sedgepin._admission._ticket import Refuse
+from sedgepin._admission._ticket import Ticket
+
+__all__ = [
+    "Aboard",
+    "Admission",
+    "AdmissionSettings",
+    "Admit",
+    "AnswerQuarantined",
+    "CustomerLimits",
+    "DeadlineCannotBeMet",
+    "DeathId",
+    "DeathMark",
+    "Decision",
+    "Draining",
+    "EndpointDied",
+    "Fingerprint",
+    "NoCapacity",
+    "NotAdmitted",
+    "Quarantine",
+    "QuarantineEffect",
+    "QuarantineRefusal",
+    "QuarantineSettings",
+    "QuarantineVerdict",
+    "QueueFull",
+    "RateExceeded",
+    "Refuse",
+    "RequestAlreadyOpen",
+    "RequestOnTrial",
+    "RequestQuarantined",
+    "ResumeFreely",
+    "RetryBudget",
+    "RetryReason",
+    "RetryRefused",
+    "RetryRequest",
+    "RetrySettings",
+    "Rumour",
+    "RunFreely",
+    "RunOnTrial",
+    "ShareRumour",
+    "StartTrial",
+    "Ticket",
+    "TooManyOpenRequests",
+    "Trial",
+]
--- /dev/null
+++ b/sedgepin/_answers/_silence.py
@@ -0,0 +1,270 @@
+"""Decides whether a silent stream has a dead connection or endpoint.
+
+A silent stream is first asked about over a fresh connection.  Success there
+with tokens that never arrived here means that the old connection is dead;
+repeated failure means that the endpoint is.  An endpoint that says it is
+still prefilling is left to work, for as long as it says so.
+"""
+
+import dataclasses
+import datetime
+import enum
+
+from sedgepin._answers import _progress
+from sedgepin import _model as model
+
+
+class StreamState(enum.Enum):
+    """What an endpoint says of a request when it is asked."""
+
+    PREFILLING = "prefilling"
+    PRODUCING = "producing"
+    UNKNOWN = "unknown"
+    NOT_TOLD = "not_told"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HeartbeatSeen:
+    """A heartbeat came over the stream's own connection."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ProgressSeen:
+    """A token came; ``next_position`` is the next one to deliver."""
+
+    next_position: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ProbeSucceeded:
+    """The endpoint answered on a fresh connection.
+
+    ``NOT_TOLD`` stands for an endpoint that cannot say how a request is
+    doing.  ``produced`` is the number of the answer's tokens it has made.
+    """
+
+    probe: int
+    state: StreamState
+    produced: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ProbeFailed:
+    """No fresh connection, or no answer on it."""
+
+    probe: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TimerFired:
+    """The time that ``SilenceWatch.wake_at`` named has come."""
+
+
+SilenceEvent = (
+    HeartbeatSeen | ProgressSeen | ProbeSucceeded | ProbeFailed | TimerFired
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ProbeEndpoint:
+    """Ask the endpoint about the request over a fresh connection."""
+
+    endpoint_id: model.EndpointId
+    request_id: model.RequestId
+    probe: int
+    timeout: datetime.timedelta
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DeclareConnectionDead:
+    """Close the connection and resume over a new one, attempt raised."""
+
+    endpoint_id: model.EndpointId
+    request_id: model.RequestId
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DeclareEndpointDead:
+    """Treat the endpoint as lost and resume on others, attempt raised."""
+
+    endpoint_id: model.EndpointId
+    request_id: model.RequestId
+
+
+SilenceEffect = ProbeEndpoint | DeclareConnectionDead | DeclareEndpointDead
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SilenceSettings:
+    """Probing.
+
+    ``token_grace`` is how long tokens that the endpoint has made may be
+    under way.  ``untold_probes`` bounds the patience with an endpoint that
+    answers probes but cannot say how the request is doing; each such answer
+    doubles the time allowed.
+    """
+
+    probe_timeout: datetime.timedelta = datetime.timedelta(milliseconds=500)
+    probe_interval: datetime.timedelta = datetime.timedelta(milliseconds=500)
+    probe_failures: int = 2
+    token_grace: datetime.timedelta = datetime.timedelta(milliseconds=250)
+    untold_probes: int = 3
+    progress: _progress.ProgressSettings = dataclasses.field(
+        default_factory=_progress.ProgressSettings
+    )
+
+
+class SilenceWatch:
+    """The reducer that watches one stream of one attempt.
+
+    Feed it events through ``handle`` and call it with ``TimerFired`` at
+    ``wake_at``.  After a verdict it stays quiet.
+    """
+
+    __slots__ = (
+        "request_id",
+        "endpoint_id",
+        "wake_at",
+        "finished",
+        "_settings",
+        "_watch",
+        "_next_position",
+        "_probe",
+        "_probing",
+        "_failures",
+        "_untold",
+        "_allowance",
+        "_overdue_produced",
+    )
+
+    def __init__(
+        self,
+        request_id: model.RequestId,
+        endpoint_id: model.EndpointId,
+        expected_prefill: datetime.timedelta,
+        next_position: int,
+        now: datetime.datetime,
+        settings: SilenceSettings | None = None,
+    ) -> None:
+        self.request_id = request_id
+        self.endpoint_id = endpoint_id
+        self.finished = False
+        self._settings = settings or SilenceSettings()
+        self._watch = _progress.ProgressWatch(
+            expected_prefill, now, self._settings.progress
+        )
+        self._next_position = next_position
+        self._probe = 0
+        self._probing = False
+        self._failures = 0
+        self._untold = 0
+        self._allowance = max(expected_prefill, self._settings.probe_interval)
+        self._overdue_produced: int | None = None
+        self.wake_at = self._watch.silent_at
+
+    def handle(
+        self, event: SilenceEvent, now: datetime.datetime
+    ) -> list[SilenceEffect]:
+        """Take one event and return what is to be done."""
+        if self.finished:
+            return []
+        match event:
+            case ProgressSeen(next_position):
+                self._next_position = next_position
+                self._watch.progress(now)
+                self._settle()
+            case HeartbeatSeen():
+                self._watch.heartbeat(now)
+                self._settle()
+            case ProbeSucceeded():
+                return self._probe_succeeded(event, now)
+            case ProbeFailed(probe):
+                return self._probe_failed(probe, now)
+            case TimerFired():
+                return self._timer_fired(now)
+        return []
+
+    def _settle(self) -> None:
+        self._probing = False
+        self._failures = 0
+        self._untold = 0
+        self._overdue_produced = None
+        self.wake_at = self._watch.silent_at
+
+    def _timer_fired(self, now: datetime.datetime) -> list[SilenceEffect]:
+        if now < self.wake_at:
+            return []
+        if self._probing:
+            return self._probe_failed(self._probe, now)
+        return self._ask(now)
+
+    def _ask(self, now: datetime.datetime) -> list[SilenceEffect]:
+        self._probe += 1
+        self._probing = True
+        timeout = self._settings.probe_timeout
+        self.wake_at = now + timeout
+        return [
+            ProbeEndpoint(
+                self.endpoint_id, self.request_id, self._probe, timeout
+            )
+        ]
+
+    def _probe_failed(
+        self, probe: int, now: datetime.datetime
+    ) -> list[SilenceEffect]:
+        if not self._probing or probe != self._probe:
+            return []
+        self._failures += 1
+        if self._failures < self._settings.probe_failures:
+            return self._ask(now)
+        self.finished = True
+        return [DeclareEndpointDead(self.endpoint_id, self.request_id)]
+
+    def _probe_succeeded(
+        self, event: ProbeSucceeded, now: datetime.datetime
+    ) -> list[SilenceEffect]:
+        if not self._probing or event.probe != self._probe:
+            return []
+        self._probing = False
+        self._failures = 0
+        match event.state:
+            case StreamState.UNKNOWN:
+                return self._connection_dead()
+            case StreamState.PREFILLING:
+                self._wait(self._settings.probe_interval, now)
+                return []
+            case StreamState.PRODUCING:
+                return self._producing(event.produced, now)
+            case StreamState.NOT_TOLD:
+                return self._not_told(now)
+
+    def _producing(
+        self, produced: int, now: datetime.datetime
+    ) -> list[SilenceEffect]:
+        if produced <= self._next_position:
+            self._overdue_produced = None
+            self._wait(self._settings.probe_interval, now)
+            return []
+        if self._overdue_produced is not None:
+            return self._connection_dead()
+        self._overdue_produced = produced
+        self._wait(self._settings.token_grace, now)
+        return []
+
+    def _not_told(self, now: datetime.datetime) -> list[SilenceEffect]:
+        self._untold += 1
+        if self._untold > self._settings.untold_probes:
+            return self._connection_dead()
+        self._wait(self._allowance, now)
+        self._allowance *= 2
+        return []
+
+    def _wait(
+        self, allowance: datetime.timedelta, now: datetime.datetime
+    ) -> None:
+        self._watch.extend(allowance, now)
+        self.wake_at = now + allowance
+
+    def _connection_dead(self) -> list[SilenceEffect]:
+        self.finished = True
+        return [DeclareConnectionDead(self.endpoint_id, self.request_id)]
