Add the consensus reducer: a first usable version

Raft written from Ongaro's dissertation as a pure reducer: pre-vote, elections, check-quorum, leader lease, replication with bounded batches,

leadership transfer, founding and joining by identity of the disk.

A voter that has answered a leader votes for nobody within the shortest election timeout, a restarted one likewise, so that whoever is elected has waited the old lease out.

--- /dev/null
+++ b/sedgepin/_consensus/__init__.py
@@ -0,0 +1,59 @@
+"""The replicated log: the Raft algorithm as a reducer."""
+
+from sedgepin._consensus._effects import ApplyEntry
+from sedgepin._consensus._effects import ChangeLeadership
+from sedgepin._consensus._effects import ChangeMembers
+from sedgepin._consensus._effects import Effect
+from sedgepin._consensus._effects import Persist
+from sedgepin._consensus._effects import PersistSnapshot
+from sedgepin._consensus._effects import RejectProposal
+from sedgepin._consensus._effects import RequestSnapshot
+from sedgepin._consensus._effects import RestoreSnapshot
+from sedgepin._consensus._effects import SendMessage
+from sedgepin._consensus._events import CommandsProposed
+from sedgepin._consensus._events import Event
+from sedgepin._consensus._events import LeadershipTransferRequested
+from sedgepin._consensus._events import MemberAction
+from sedgepin._consensus._events import MemberChangeProposed
+from sedgepin._consensus._events import PeerMessageArrived
+from sedgepin._consensus._events import Proposal
+from sedgepin._consensus._events import SnapshotTaken
+from sedgepin._consensus._events import TimerFired
+from sedgepin._consensus._failures import LeaseLost
+from sedgepin._consensus._failures import MemberChangeRefused
+from sedgepin._consensus._failures import NotLeader
+from sedgepin._consensus._failures import RefusalReason
+from sedgepin._consensus._failures import TooManyProposals
+from sedgepin._consensus._messages import RaftMessage
+from sedgepin._consensus._node import RaftNode
+from sedgepin._consensus._settings import RaftSettings
+
+__all__ = [
+    "ApplyEntry",
+    "ChangeLeadership",
+    "ChangeMembers",
+    "CommandsProposed",
+    "Effect",
+    "Event",
+    "LeadershipTransferRequested",
+    "LeaseLost",
+    "MemberAction",
+    "MemberChangeProposed",
+    "MemberChangeRefused",
+    "NotLeader",
+    "PeerMessageArrived",
+    "Persist",
+    "PersistSnapshot",
+    "Proposal",
+    "RaftMessage",
+    "RaftNode",
+    "RaftSettings",
+    "RefusalReason",
+    "RejectProposal",
+    "RequestSnapshot",
+    "RestoreSnapshot",
+    "SendMessage",
+    "SnapshotTaken",
+    "TimerFired",
+    "TooManyProposals",
+]
--- /dev/null
+++ b/sedgepin/_consensus/_core.py
@@ -0,0 +1,270 @@
+"""The state that all parts of a member share."""
+
+import collections.abc
+import datetime
+import enum
+import random
+
+import msgspec
+
+from sedgepin._consensus import _effects
+from sedgepin._consensus import _failures
+from sedgepin._consensus import _log
+from sedgepin._consensus import _messages
+from sedgepin._consensus import _outbox
+from sedgepin._consensus import _settings
+from sedgepin import _model as model
+from sedgepin import _storage as storage
+
+
+class Role(enum.Enum):
+    """What a member is at the moment."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class Core:
+    """Term, vote, log and commit index, and the steps that change them."""
+
+    __slots__ = (
+        "_bytes_since_snapshot",
+        "_is_snapshot_requested",
+        "_leader_term",
+        "applied_index",
+        "cfg",
+        "commit_index",
+        "election_at",
+        "hard_state",
+        "heard_leader_at",
+        "leader",
+        "log",
+        "me",
+        "outbox",
+        "pending",
+        "rng",
+        "role",
+    )
+
+    def __init__(
+        self,
+        cfg: _settings.RaftSettings,
+        recovered: storage.Recovered,
+        rng: random.Random,
+        now: datetime.datetime,
+    ) -> None:
+        self.cfg = cfg
+        self.rng = rng
+        self.me = storage.MemberId(cfg.vm_id, recovered.disk_id)
+        self.log = _log.ReplicatedLog(recovered.snapshot, recovered.entries)
+        self.hard_state = recovered.hard_state
+        self.commit_index = self.log.snapshot_index
+        self.applied_index = self.log.snapshot_index
+        self.role = Role.FOLLOWER
+        self.leader: storage.MemberId | None = None
+        self._leader_term = 0
+        self.outbox = _outbox.Outbox()
+        self.pending: dict[int, int] = {}
+        self._is_snapshot_requested = False
+        self._bytes_since_snapshot = 0
+        # The process that ran here before may have answered a leader just
+        # now, whose lease rests on that answer.
+        self.heard_leader_at: datetime.datetime | None = now
+        if self.log.is_empty:
+            self.heard_leader_at = None
+        self.restart_election_timer(now)
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self.hard_state.term
+
+    @property
+    def configuration(self) -> storage.Configuration:
+        """Return the configuration in effect."""
+        return self.log.configuration
+
+    @property
+    def is_voter(self) -> bool:
+        """Tell whether this member counts in the quorum."""
+        return self.me in self.configuration.voters
+
+    def has_promised(self, now: datetime.datetime) -> bool:
+        """Tell whether a leader's lease may rest on this member's answer."""
+        if self.heard_leader_at is None:
+            return False
+        return now < self.heard_leader_at + self.cfg.election_timeout_min
+
+    def hear_leader(self, now: datetime.datetime) -> None:
+        """Note that the leader of this term was heard."""
+        self.heard_leader_at = now
+        self.restart_election_timer(now)
+
+    def restart_election_timer(self, now: datetime.datetime) -> None:
+        """Draw the instant of the next election."""
+        shortest = self.cfg.election_timeout_min
+        spread = self.cfg.election_timeout_max - shortest
+        self.election_at = now + shortest + spread * self.rng.random()
+
+    def change_hard_state(
+        self,
+        term: int | None = None,
+        voted_for: storage.MemberId | None = None,
+        cluster_id: int | None = None,
+    ) -> None:
+        """Change term, vote or cluster; a new term forgets the vote."""
+        old = self.hard_state
+        is_new_term = term is not None and term != old.term
+        kept_vote = None if is_new_term else old.voted_for
+        self.hard_state = msgspec.structs.replace(
+            old,
+            term=old.term if term is None else term,
+            voted_for=voted_for or kept_vote,
+            cluster_id=old.cluster_id if cluster_id is None else cluster_id,
+        )
+        if self.hard_state != old:
+            self.outbox.keep_hard_state(self.hard_state)
+
+    def follow(
+        self,
+        now: datetime.datetime,
+        term: int,
+        leader: storage.MemberId | None,
+    ) -> None:
+        """Be a follower in ``term``, of ``leader`` where it is known."""
+        if self.role is not Role.FOLLOWER:
+            self.restart_election_timer(now)
+        self.role = Role.FOLLOWER
+        self._give_up_pending()
+        self.change_hard_state(term=term)
+        self.set_leader(leader)
+
+    def set_leader(self, leader: storage.MemberId | None) -> None:
+        """Note who leads, and tell the shell when it changes."""
+        is_same_term = leader is None or self._leader_term == self.term
+        if leader == self.leader and is_same_term:
+            return
+        self.leader = leader
+        self._leader_term = self.term
+        self.outbox.add(
+            _effects.ChangeLeadership(
+                leader.vm_id if leader else None, self.term, leader == self.me
+            )
+        )
+
+    def header(self, recipient: storage.MemberId) -> _messages.Header:
+        """Return the header of a message to ``recipient``."""
+        return _messages.Header(
+            self.term,
+            self.hard_state.cluster_id,
+            self.me.disk_id,
+            recipient.disk_id,
+        )
+
+    def send(
+        self, recipient: model.VmId, message: _messages.RaftMessage
+    ) -> None:
+        """Send a message after all that must be durable before it."""
+        self.outbox.add(_effects.SendMessage(recipient, message))
+
+    def append(
+        self, entries: collections.abc.Sequence[storage.LogEntry]
+    ) -> None:
+        """Add entries at the end of the log."""
+        self.log.append(entries)
+        self.outbox.keep_entries(entries)
+
+    def replace_from(
+        self, entries: collections.abc.Sequence[storage.LogEntry]
+    ) -> None:
+        """Put ``entries`` in their places and drop what was there."""
+        index = entries[0].index
+        if index <= self.commit_index:
+            raise AssertionError("a committed entry would be replaced")
+        truncate_from = index if index <= self.log.last_index else None
+        if truncate_from is not None:
+            self.log.truncate_from(index)
+        self.log.append(entries)
+        self.outbox.keep_entries(entries, truncate_from)
+
+    def commit_up_to(self, index: int) -> None:
+        """Commit and apply entries up to ``index``."""
+        if index <= self.commit_index:
+            return
+        self.commit_index = index
+        for entry in self.log.between(self.applied_index + 1, index):
+            self._apply(entry)
+        self._request_snapshot()
+
+    def compact(self, index: int, state: bytes) -> None:
+        """Take over a snapshot of this member's own applied state."""
+        self._is_snapshot_requested = False
+        if not self.log.snapshot_index < index <= self.applied_index:
+            return
+        term = self.log.term_at(index)
+        if term is None:
+            return
+        configuration = self.log.configuration_at(index)
+        snapshot = storage.Snapshot(index, term, configuration, state)
+        self.log.compact(snapshot, self.cfg.trailing_entries)
+        self._bytes_since_snapshot = 0
+        self.outbox.keep_snapshot(snapshot, self.log.entries)
+
+    def install(self, snapshot: storage.Snapshot) -> None:
+        """Take over a leader's snapshot."""
+        self.log.install(snapshot)
+        self.commit_index = snapshot.index
+        self.applied_index = snapshot.index
+        self._bytes_since_snapshot = 0
+        self.outbox.keep_snapshot(snapshot, self.log.entries)
+        self.restore()
+
+    def restore(self) -> None:
+        """Have the shell load the snapshot."""
+        snapshot = self.log.snapshot
+        if snapshot is None:
+            return
+        self.outbox.add(
+            _effects.RestoreSnapshot(snapshot.index, snapshot.state)
+        )
+        self.outbox.add(
+            _effects.ChangeMembers(
+                snapshot.index, snapshot.configuration, None
+            )
+        )
+
+    def _apply(self, entry: storage.LogEntry) -> None:
+        self.applied_index = entry.index
+        self._bytes_since_snapshot += _log.entry_bytes(entry)
+        proposal_id = self.pending.pop(entry.index, None)
+        if entry.kind is storage.EntryKind.COMMAND:
+            self.outbox.add(
+                _effects.ApplyEntry(
+                    entry.index, entry.term, entry.command, proposal_id
+                )
+            )
+        elif entry.configuration is not None:
+            self.outbox.add(
+                _effects.ChangeMembers(
+                    entry.index, entry.configuration, proposal_id
+                )
+            )
+
+    def _request_snapshot(self) -> None:
+        count = self.applied_index - self.log.snapshot_index
+        is_due = (
+            count >= self.cfg.snapshot_after_entries
+            or self._bytes_since_snapshot >= self.cfg.snapshot_after_bytes
+        )
+        if is_due and not self._is_snapshot_requested:
+            self._is_snapshot_requested = True
+            self.outbox.add(_effects.RequestSnapshot(self.applied_index))
+
+    def _give_up_pending(self) -> None:
+        for proposal_id in self.pending.values():
+            self.outbox.add(
+                _effects.RejectProposal(proposal_id, _failures.LeaseLost())
+            )
+        self.pending.clear()
--- /dev/null
+++ b/sedgepin/_consensus/_election.py
@@ -0,0 +1,158 @@
+"""Elections: asking for votes and giving them."""
+
+import datetime
+
+from sedgepin._consensus import _core
+from sedgepin._consensus import _messages
+from sedgepin import _storage as storage
+
+
+class Election:
+    """One member's part in elections.
+
+    A member first asks whether it would be elected (pre-vote) and raises
+    its term only if a quorum says so.  A vote is refused while the voter's
+    own answer to a leader may still hold up that leader's lease: whoever is
+    elected has thereby waited the old lease out.
+    """
+
+    __slots__ = ("_core", "_granted")
+
+    def __init__(self, core: _core.Core) -> None:
+        self._core = core
+        self._granted: set[storage.MemberId] = set()
+
+    def start_pre_vote(self, now: datetime.datetime) -> bool:
+        """Ask whether a quorum would vote for this member.
+
+        Return whether the election is won at once, as the only voter.
+        """
+        core = self._core
+        core.role = _core.Role.PRE_CANDIDATE
+        core.set_leader(None)
+        core.restart_election_timer(now)
+        self._granted = {core.me}
+        if self._has_quorum():
+            return self.start(now)
+        self._ask(is_pre=True)
+        return False
+
+    def start(self, now: datetime.datetime, is_transfer: bool = False) -> bool:
+        """Raise the term, vote for oneself and ask the others."""
+        core = self._core
+        core.role = _core.Role.CANDIDATE
+        core.set_leader(None)
+        core.change_hard_state(term=core.term + 1, voted_for=core.me)
+        core.restart_election_timer(now)
+        self._granted = {core.me}
+        self._ask(is_pre=False, is_transfer=is_transfer)
+        return self._has_quorum()
+
+    def answer(
+        self,
+        candidate: storage.MemberId,
+        request: _messages.VoteRequest,
+        now: datetime.datetime,
+    ) -> None:
+        """Give or refuse a vote."""
+        core = self._core
+        if not request.is_transfer and self._is_loyal(now):
+            return
+        if request.is_pre:
+            is_granted = self._would_vote(request)
+        else:
+            if request.header.term > core.term:
+                core.follow(now, request.header.term, None)
+            is_granted = self._vote(candidate, request, now)
+        core.send(
+            candidate.vm_id,
+            _messages.VoteReply(
+                core.header(candidate),
+                request.is_pre,
+                request.header.term,
+                is_granted,
+            ),
+        )
+
+    def count(
+        self,
+        voter: storage.MemberId,
+        reply: _messages.VoteReply,
+        now: datetime.datetime,
+    ) -> bool:
+        """Count an answer; return whether the election is won."""
+        core = self._core
+        if reply.header.term > core.term:
+            core.follow(now, reply.header.term, None)
+            return False
+        if not reply.is_granted:
+            return False
+        if core.role is _core.Role.PRE_CANDIDATE and reply.is_pre:
+            if reply.asked_term != core.term + 1:
+                return False
+            self._granted.add(voter)
+            return self._has_quorum() and self.start(now)
+        if core.role is _core.Role.CANDIDATE and not reply.is_pre:
+            if reply.asked_term != core.term:
+                return False
+            self._granted.add(voter)
+            return self._has_quorum()
+        return False
+
+    def _ask(self, is_pre: bool, is_transfer: bool = False) -> None:
+        core = self._core
+        for voter in core.configuration.voters:
+            if voter == core.me:
+                continue
+            header = core.header(voter)
+            if is_pre:
+                header = _messages.Header(
+                    core.term + 1,
+                    header.cluster_id,
+                    header.sender_disk,
+                    header.recipient_disk,
+                )
+            request = _messages.VoteRequest(
+                header,
+                is_pre,
+                core.log.last_index,
+                core.log.last_term,
+                is_transfer,
+            )
+            core.send(voter.vm_id, request)
+
+    def _has_quorum(self) -> bool:
+        configuration = self._core.configuration
+        count = sum(voter in self._granted for voter in configuration.voters)
+        return count >= configuration.quorum
+
+    def _is_loyal(self, now: datetime.datetime) -> bool:
+        core = self._core
+        return core.role is _core.Role.LEADER or core.has_promised(now)
+
+    def _would_vote(self, request: _messages.VoteRequest) -> bool:
+        if request.header.term <= self._core.term:
+            return False
+        return self._is_up_to_date(request)
+
+    def _vote(
+        self,
+        candidate: storage.MemberId,
+        request: _messages.VoteRequest,
+        now: datetime.datetime,
+    ) -> bool:
+        core = self._core
+        if request.header.term < core.term:
+            return False
+        if core.hard_state.voted_for not in (None, candidate):
+            return False
+        if not self._is_up_to_date(request):
+            return False
+        core.change_hard_state(voted_for=candidate)
+        core.restart_election_timer(now)
+        return True
+
+    def _is_up_to_date(self, request: _messages.VoteRequest) -> bool:
+        log = self._core.log
+        theirs = (request.last_term, request.last_index)
+        return theirs >= (log.last_term, log.last_index)
--- /dev/null
+++ b/sedgepin/_consensus/_failures.py
@@ -0,0 +1,93 @@
+"""Why a proposal was not taken, or what became of it."""
+
+import dataclasses
+import datetime
+import enum
+import typing
+
+from sedgepin import _model as model
+from sedgepin import errors
+
+_ELECTION_WAIT = datetime.timedelta(milliseconds=500)
+_BACKLOG_WAIT = datetime.timedelta(milliseconds=100)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NotLeader(errors.Failure):
+    """This member does not lead; ``leader_id`` does, where it is known."""
+
+    code: typing.ClassVar[str] = "not_leader"
+    title: typing.ClassVar[str] = "This VM does not lead the log"
+    http_status: typing.ClassVar[int] = 503
+
+    leader_id: model.VmId | None
+
+    @property
+    def retry_after(self) -> datetime.timedelta | None:
+        """Return how long an election takes."""
+        return _ELECTION_WAIT
+
+    def detail(self) -> str:
+        """Return who leads."""
+        return f"the leader is {self.leader_id or 'not known'}"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LeaseLost(errors.Failure):
+    """Leadership was lost while the proposal waited for a quorum.
+
+    A later leader may still commit it, so its outcome is unknown: ask again
+    under the same key and find out.
+    """
+
+    code: typing.ClassVar[str] = "lease_lost"
+    title: typing.ClassVar[str] = "Leadership was lost before the commit"
+    http_status: typing.ClassVar[int] = 503
+    outcome: typing.ClassVar[errors.Outcome] = errors.Outcome.UNKNOWN
+
+    @property
+    def retry_after(self) -> datetime.timedelta | None:
+        """Return how long an election takes."""
+        return _ELECTION_WAIT
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TooManyProposals(errors.Failure):
+    """More is waiting for the quorum than the leader may hold."""
+
+    code: typing.ClassVar[str] = "too_many_proposals"
+    title: typing.ClassVar[str] = "Too many proposals wait for the quorum"
+    http_status: typing.ClassVar[int] = 503
+
+    waiting: int
+
+    @property
+    def retry_after(self) -> datetime.timedelta | None:
+        """Return how long the backlog takes to go down."""
+        return _BACKLOG_WAIT
+
+
+class RefusalReason(enum.Enum):
+    """Why members cannot be changed so."""
+
+    CHANGE_PENDING = "another change of members is not committed yet"
+    NOT_CAUGHT_UP = "the learner has not caught up"
+    NO_SUCH_MEMBER = "there is no such member"
+    ALREADY_MEMBER = "it is a member already"
+    TOO_MANY_VOTERS = "there are as many voters as the settings allow"
+    LAST_VOTER = "it is the last voter"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class MemberChangeRefused(errors.Failure):
+    """The members cannot be changed in the way that was asked for."""
+
+    code: typing.ClassVar[str] = "member_change_refused"
+    title: typing.ClassVar[str] = "The members cannot be changed so"
+    http_status: typing.ClassVar[int] = 409
+
+    reason: RefusalReason
+
+    def detail(self) -> str:
+        """Return the reason."""
+        return self.reason.value
--- /dev/null
+++ b/sedgepin/_consensus/_founding.py
@@ -0,0 +1,85 @@
+"""How an empty member finds its cluster, or founds it with the others."""
+
+import datetime
+
+from sedgepin._consensus import _core
+from sedgepin._consensus import _messages
+from sedgepin import _model as model
+from sedgepin import _storage as storage
+
+_ANY_DISK = storage.DiskId(0)
+
+
+class Founding:
+    """What a member does while its log is empty.
+
+    It asks all control VMs to let it join.  The first of them in order of
+    name founds a cluster once every other one has said that it is empty as
+    well.  A VM that comes back with an empty disk meets one that is not,
+    so it can only join.
+    """
+
+    __slots__ = ("_asked_at", "_blank", "_core")
+
+    def __init__(self, core: _core.Core) -> None:
+        self._core = core
+        self._asked_at: datetime.datetime | None = None
+        self._blank: dict[model.VmId, storage.MemberId] = {}
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Ask again when it is time, as long as the log is empty."""
+        core = self._core
+        if not core.log.is_empty or not self._is_due(now):
+            return
+        self._asked_at = now
+        self._blank.clear()
+        for vm_id in core.cfg.control_vms:
+            if vm_id == core.cfg.vm_id:
+                continue
+            header = core.header(storage.MemberId(vm_id, _ANY_DISK))
+            core.send(vm_id, _messages.JoinRequest(header))
+        self._found_if_all_blank(now)
+
+    def answer(self, joiner: storage.MemberId) -> None:
+        """Tell a member that asks whether this one is empty as well."""
+        core = self._core
+        reply = _messages.JoinReply(core.header(joiner), core.log.is_empty)
+        core.send(joiner.vm_id, reply)
+
+    def take_reply(
+        self,
+        sender: storage.MemberId,
+        reply: _messages.JoinReply,
+        now: datetime.datetime,
+    ) -> None:
+        """Note an answer, and found the cluster if it was the last."""
+        if not self._core.log.is_empty:
+            return
+        if reply.is_blank:
+            self._blank[sender.vm_id] = sender
+        else:
+            self._blank.pop(sender.vm_id, None)
+        self._found_if_all_blank(now)
+
+    def _is_due(self, now: datetime.datetime) -> bool:
+        if self._asked_at is None:
+            return True
+        return now - self._asked_at >= self._core.cfg.join_interval
+
+    def _found_if_all_blank(self, now: datetime.datetime) -> None:
+        core = self._core
+        others = set(core.cfg.control_vms) - {core.cfg.vm_id}
+        if core.cfg.vm_id != min(core.cfg.control_vms):
+            return
+        if set(self._blank) != others:
+            return
+        voters = tuple(sorted([core.me, *self._blank.values()]))
+        first = storage.LogEntry(
+            1,
+            0,
+            storage.EntryKind.CONFIGURATION,
+            configuration=storage.Configuration(voters),
+        )
+        core.change_hard_state(cluster_id=core.me.disk_id)
+        core.append([first])
+        core.election_at = now
--- /dev/null
+++ b/sedgepin/_consensus/_leadership.py
@@ -0,0 +1,249 @@
+"""One term as leader: replication, commit, lease and handing over."""
+
+import collections.abc
+import datetime
+
+import result
+
+from sedgepin._consensus import _core
+from sedgepin._consensus import _effects
+from sedgepin._consensus import _events
+from sedgepin._consensus import _failures
+from sedgepin._consensus import _handover
+from sedgepin._consensus import _log
+from sedgepin._consensus import _messages
+from sedgepin._consensus import _replication
+from sedgepin._consensus import _steward
+from sedgepin import _model as model
+from sedgepin import _storage as storage
+from sedgepin import errors
+
+
+class Leadership:
+    """What a member does from its election until it steps down."""
+
+    __slots__ = (
+        "_core",
+        "_elected_at",
+        "_first_index",
+        "_handover",
+        "_replication",
+        "_steward",
+        "_uncommitted_bytes",
+    )
+
+    def __init__(self, core: _core.Core, now: datetime.datetime) -> None:
+        self._core = core
+        self._elected_at = now
+        self._handover = _handover.Handover(core)
+        self._replication = _replication.Replication(core)
+        self._steward = _steward.Steward(core)
+        self._uncommitted_bytes = 0
+        core.role = _core.Role.LEADER
+        core.set_leader(core.me)
+        self._first_index = core.log.last_index + 1
+        self._append(storage.EntryKind.EMPTY, now)
+
+    def lease_holds(self, now: datetime.datetime) -> bool:
+        """Tell whether no other member can have been elected yet.
+
+        The applied state is then also the latest there is.
+        """
+        if self._handover.has_given_up_lease or not self._has_started():
+            return False
+        heard_at = self._replication.quorum_heard_at(now)
+        return now < heard_at + self._core.cfg.lease
+
+    def check_quorum(self, now: datetime.datetime) -> None:
+        """Step down once no quorum has answered for an election timeout."""
+        core = self._core
+        heard_at = self._replication.quorum_heard_at(now)
+        last_at = max(heard_at, self._elected_at)
+        is_lost = now - last_at >= core.cfg.election_timeout_min
+        if is_lost or self._handover.is_over(now):
+            core.follow(now, core.term, None)
+
+    def tick(self, now: datetime.datetime) -> None:
+        """Send what is due, and go on with changes of members."""
+        self._replication.send_heartbeats(now)
+        self._change_members(now)
+
+    def propose(
+        self,
+        proposals: collections.abc.Sequence[_events.Proposal],
+        now: datetime.datetime,
+    ) -> None:
+        """Append commands to the log and send them out."""
+        core = self._core
+        entries: list[storage.LogEntry] = []
+        for proposal in proposals:
+            failure = self._refusal(len(entries))
+            if failure is not None:
+                core.outbox.add(
+                    _effects.RejectProposal(proposal.proposal_id, failure)
+                )
+                continue
+            entry = storage.LogEntry(
+                core.log.last_index + len(entries) + 1,
+                core.term,
+                storage.EntryKind.COMMAND,
+                proposal.command,
+            )
+            core.pending[entry.index] = proposal.proposal_id
+            self._uncommitted_bytes += _log.entry_bytes(entry)
+            entries.append(entry)
+        if entries:
+            core.append(entries)
+            self._replicate(now)
+
+    def propose_change(
+        self, event: _events.MemberChangeProposed, now: datetime.datetime
+    ) -> None:
+        """Change one member on an operator's order."""
+        if not self._may_change_members():
+            reason = _failures.RefusalReason.CHANGE_PENDING
+            self._reject(event, _failures.MemberChangeRefused(reason))
+            return
+        checked = self._steward.check(
+            event.action, event.member, self._replication.progress
+        )
+        if isinstance(checked, result.Err):
+            self._reject(event, checked.err_value)
+            return
+        self._core.pending[self._core.log.last_index + 1] = event.proposal_id
+        self._append(storage.EntryKind.CONFIGURATION, now, checked.ok_value)
+
+    def hand_over(
+        self, target: model.VmId | None, now: datetime.datetime
+    ) -> None:
+        """Start to hand the leadership over."""
+        self._handover.start(target, self._replication.progress, now)
+        self._handover.go_on(self._replication.progress, now)
+
+    def note_joiner(self, member: storage.MemberId) -> None:
+        """Remember an empty member that asked to join."""
+        self._steward.note_joiner(member)
+
+    def take_append_reply(
+        self,
+        sender: storage.MemberId,
+        reply: _messages.AppendReply,
+        now: datetime.datetime,
+    ) -> None:
+        """Note how far a member agrees; commit and send what follows."""
+        known = self._replication.progress.get(sender)
+        if known is None:
+            return
+        known.hear(reply.stamp_microseconds, now)
+        if not reply.is_accepted:
+            known.disagree(reply.index)
+        else:
+            known.agree(reply.index)
+            known.close_round(
+                now,
+                self._core.log.last_index,
+                self._core.cfg.election_timeout_min,
+            )
+            self._commit(now)
+        if self._core.role is _core.Role.LEADER:
+            self._replication.send_entries(sender, now)
+            self._handover.go_on(self._replication.progress, now)
+
+    def take_snapshot_reply(
+        self,
+        sender: storage.MemberId,
+        reply: _messages.SnapshotReply,
+        now: datetime.datetime,
+    ) -> None:
+        """Send the next chunk."""
+        known = self._replication.progress.get(sender)
+        if known is None:
+            return
+        known.hear(reply.stamp_microseconds, now)
+        self._replication.send_next_chunk(
+            sender, reply.index, reply.received_bytes, now
+        )
+
+    def _append(
+        self,
+        kind: storage.EntryKind,
+        now: datetime.datetime,
+        configuration: storage.Configuration | None = None,
+    ) -> None:
+        core = self._core
+        entry = storage.LogEntry(
+            core.log.last_index + 1,
+            core.term,
+            kind,
+            configuration=configuration,
+        )
+        core.append([entry])
+        self._replicate(now)
+
+    def _replicate(self, now: datetime.datetime) -> None:
+        self._replication.match_members(now)
+        self._replication.send_all_entries(now)
+        self._commit(now)
+
+    def _commit(self, now: datetime.datetime) -> None:
+        """Commit what a quorum holds, entries of this term only.
+
+        Earlier entries are committed with the first one of this term.
+        """
+        core = self._core
+        index = self._replication.quorum_match_index()
+        if index <= core.commit_index or core.log.term_at(index) != core.term:
+            return
+        for entry in core.log.between(core.commit_index + 1, index):
+            if entry.index in core.pending:
+                self._uncommitted_bytes -= _log.entry_bytes(entry)
+        core.commit_up_to(index)
+        is_settled = core.log.configuration_index <= core.commit_index
+        if is_settled and not core.is_voter:
+            self._replication.send_heartbeats(now, is_forced=True)
+            core.follow(now, core.term, None)
+
+    def _refusal(self, taken: int) -> errors.Failure | None:
+        core = self._core
+        if self._handover.target is not None:
+            return _failures.NotLeader(self._handover.target.vm_id)
+        waiting = core.log.last_index + taken - core.commit_index
+        if (
+            waiting >= core.cfg.uncommitted_limit_entries
+            or self._uncommitted_bytes >= core.cfg.uncommitted_limit_bytes
+        ):
+            return _failures.TooManyProposals(waiting)
+        return None
+
+    def _reject(
+        self, event: _events.MemberChangeProposed, failure: errors.Failure
+    ) -> None:
+        self._core.outbox.add(
+            _effects.RejectProposal(event.proposal_id, failure)
+        )
+
+    def _has_started(self) -> bool:
+        return self._core.commit_index >= self._first_index
+
+    def _may_change_members(self) -> bool:
+        """Tell whether no change is under way.
+
+        Before an entry of this term is committed, a change that an earlier
+        leader left behind may still come to light.
+        """
+        core = self._core
+        is_settled = core.log.configuration_index <= core.commit_index
+        return (
+            is_settled
+            and self._has_started()
+            and self._handover.target is None
+        )
+
+    def _change_members(self, now: datetime.datetime) -> None:
+        if not self._may_change_members():
+            return
+        configuration = self._steward.next_configuration(
+            self._replication.progress, now
+        )
+        if configuration is not None:
+            self._append(storage.EntryKind.CONFIGURATION, now, configuration)
--- /dev/null
+++ b/sedgepin/_consensus/_outbox.py
@@ -0,0 +1,82 @@
+"""The effects of one event, in the order in which they must happen."""
+
+import collections.abc
+
+from sedgepin._consensus import _effects
+from sedgepin import _storage as storage
+
+
+class Outbox:
+    """Collects effects; what must be durable first comes out first."""
+
+    __slots__ = (
+        "_effects",
+        "_entries",
+        "_hard_state",
+        "_snapshot",
+        "_truncate_from",
+    )
+
+    def __init__(self) -> None:
+        self._hard_state: storage.HardState | None = None
+        self._truncate_from: int | None = None
+        self._entries: list[storage.LogEntry] = []
+        self._snapshot: _effects.PersistSnapshot | None = None
+        self._effects: list[_effects.Effect] = []
+
+    def keep_hard_state(self, hard_state: storage.HardState) -> None:
+        """Have the term and vote persisted."""
+        self._hard_state = hard_state
+
+    def keep_entries(
+        self,
+        entries: collections.abc.Iterable[storage.LogEntry],
+        truncate_from: int | None = None,
+    ) -> None:
+        """Have entries persisted, after dropping what they replace."""
+        if truncate_from is not None:
+            self._truncate_from = truncate_from
+        self._entries.extend(entries)
+
+    def keep_snapshot(
+        self,
+        snapshot: storage.Snapshot,
+        entries: tuple[storage.LogEntry, ...],
+    ) -> None:
+        """Have a snapshot persisted, with the entries kept beside it."""
+        self._snapshot = _effects.PersistSnapshot(snapshot, entries)
+
+    def add(self, effect: _effects.Effect) -> None:
+        """Add an effect that comes after all persisting."""
+        self._effects.append(effect)
+
+    def take(self) -> list[_effects.Effect]:
+        """Return all effects and start anew."""
+        taken: list[_effects.Effect] = []
+        if self._has_commit():
+            taken.append(
+                _effects.Persist(
+                    self._hard_state,
+                    self._truncate_from,
+                    tuple(self._entries),
+                )
+            )
+        if self._snapshot is not None:
+            taken.append(self._snapshot)
+        taken.extend(self._effects)
+        self._clear()
+        return taken
+
+    def _has_commit(self) -> bool:
+        return bool(
+            self._hard_state is not None
+            or self._truncate_from is not None
+            or self._entries
+        )
+
+    def _clear(self) -> None:
+        self._hard_state = None
+        self._truncate_from = None
+        self._entries = []
+        self._snapshot = None
+        self._effects = []
--- /dev/null
+++ b/sedgepin/_consensus/_replication.py
@@ -0,0 +1,176 @@
+"""Sending the log to the other members, and what their answers add up to."""
+
+import datetime
+
+from sedgepin._consensus import _core
+from sedgepin._consensus import _messages
+from sedgepin._consensus import _progress
+from sedgepin import _storage as storage
+
+
+class Replication:
+    """The leader's view of all other members."""
+
+    __slots__ = ("_core", "progress")
+
+    def __init__(self, core: _core.Core) -> None:
+        self._core = core
+        self.progress: dict[storage.MemberId, _progress.Progress] = {}
+
+    def match_members(self, now: datetime.datetime) -> None:
+        """Follow a change of the configuration."""
+        core = self._core
+        others = [one for one in core.configuration.members if one != core.me]
+        next_index = core.log.last_index
+        self.progress = {
+            member: self.progress.get(member)
+            or _progress.Progress(next_index, now)
+            for member in others
+        }
+
+    def quorum_heard_at(self, now: datetime.datetime) -> datetime.datetime:
+        """Return when the latest message that a quorum answered was sent."""
+        heard = [
+            now if voter == self._core.me else self.progress[voter].heard_at
+            for voter in self._core.configuration.voters
+        ]
+        heard.sort(reverse=True)
+        return heard[self._core.configuration.quorum - 1]
+
+    def quorum_match_index(self) -> int:
+        """Return the last index that a quorum holds."""
+        core = self._core
+        matches = [
+            core.log.last_index
+            if voter == core.me
+            else self.progress[voter].match_index
+            for voter in core.configuration.voters
+        ]
+        matches.sort(reverse=True)
+        return matches[core.configuration.quorum - 1]
+
+    def send_heartbeats(
+        self, now: datetime.datetime, is_forced: bool = False
+    ) -> None:
+        """Send to all members to whom nothing was sent for an interval."""
+        interval = self._core.cfg.heartbeat_interval
+        for member, known in self.progress.items():
+            if not is_forced and now - known.sent_at < interval:
+                continue
+            if known.snapshot is not None:
+                self._send_chunk(member, known, now, is_probe=True)
+            elif not self._send_batch(member, known, now, is_heartbeat=True):
+                self._start_snapshot(member, known, now)
+
+    def send_all_entries(self, now: datetime.datetime) -> None:
+        """Send what is new to all members."""
+        for member in self.progress:
+            self.send_entries(member, now)
+
+    def send_entries(
+        self, member: storage.MemberId, now: datetime.datetime
+    ) -> None:
+        """Send what a member does not have yet, within the bounds."""
+        known = self.progress[member]
+        if known.snapshot is not None:
+            return
+        if known.next_index > self._core.log.last_index:
+            return
+        if not self._send_batch(member, known, now, is_heartbeat=False):
+            self._start_snapshot(member, known, now)
+
+    def send_next_chunk(
+        self,
+        member: storage.MemberId,
+        snapshot_index: int,
+        received_bytes: int,
+        now: datetime.datetime,
+    ) -> None:
+        """Send the chunk after those that have arrived.
+
+        One that was sent within the last election timeout is not sent
+        again: the answer may be one to a probe.
+        """
+        known = self.progress[member]
+        if known.snapshot is None or known.snapshot.index != snapshot_index:
+            return
+        patience = self._core.cfg.election_timeout_min
+        is_sent = now - known.chunk_sent_at < patience
+        if received_bytes == known.snapshot_offset_bytes and is_sent:
+            return
+        known.snapshot_offset_bytes = received_bytes
+        known.chunk_sent_at = now
+        self._send_chunk(member, known, now, is_probe=False)
+
+    def _send_batch(
+        self,
+        member: storage.MemberId,
+        known: _progress.Progress,
+        now: datetime.datetime,
+        is_heartbeat: bool,
+    ) -> bool:
+        """Send entries; return false where they are compacted away."""
+        core = self._core
+        prev_index = known.next_index - 1
+        prev_term = core.log.term_at(prev_index)
+        if prev_term is None:
+            return False
+        room = core.cfg.in_flight_limit_entries
+        room -= prev_index - known.match_index
+        entries: tuple[storage.LogEntry, ...] = ()
+        if room > 0:
+            entries = core.log.batch(
+                known.next_index, room, core.cfg.batch_limit_bytes
+            )
+        if not entries and not is_heartbeat:
+            return True
+        request = _messages.AppendRequest(
+            core.header(member),
+            prev_index,
+            prev_term,
+            core.commit_index,
+            _progress.to_stamp(now),
+            entries,
+        )
+        known.next_index += len(entries)
+        known.sent_at = now
+        core.send(member.vm_id, request)
+        return True
+
+    def _start_snapshot(
+        self,
+        member: storage.MemberId,
+        known: _progress.Progress,
+        now: datetime.datetime,
+    ) -> None:
+        snapshot = self._core.log.snapshot
+        if snapshot is None:
+            raise AssertionError("entries are missing without a snapshot")
+        known.start_snapshot(snapshot)
+        self._send_chunk(member, known, now, is_probe=True)
+
+    def _send_chunk(
+        self,
+        member: storage.MemberId,
+        known: _progress.Progress,
+        now: datetime.datetime,
+        is_probe: bool,
+    ) -> None:
+        core = self._core
+        snapshot = known.snapshot
+        if snapshot is None:
+            return
+        start = known.snapshot_offset_bytes
+        end = start if is_probe else start + core.cfg.snapshot_chunk_bytes
+        chunk = _messages.SnapshotChunk(
+            core.header(member),
+            snapshot.index,
+            snapshot.term,
+            snapshot.configuration,
+            len(snapshot.state),
+            start,
+            _progress.to_stamp(now),
+            snapshot.state[start:end],
+        )
+        known.sent_at = now
+        core.send(member.vm_id, chunk)
--- /dev/null
+++ b/sedgepin/_consensus/_steward.py
@@ -0,0 +1,132 @@
+"""Which change of members is due next."""
+
+import collections.abc
+import datetime
+import typing
+
+import result
+
+from sedgepin._consensus import _core
+from sedgepin._consensus import _events
+from sedgepin._consensus import _failures
+from sedgepin._consensus import _progress
+from sedgepin import _model as model
+from sedgepin import _storage as storage
+
+ProgressMap: typing.TypeAlias = collections.abc.Mapping[
+    storage.MemberId, _progress.Progress
+]
+_Checked: typing.TypeAlias = result.Result[
+    storage.Configuration, _failures.MemberChangeRefused
+]
+
+
+class Steward:
+    """Brings back VMs whose disk was lost, one change at a time.
+
+    The new disk first joins as a learner.  Only once it has caught up is
+    the lost one removed, and then the learner promoted: at no point does
+    the quorum shrink below what it was with the lost disk counted in.
+    """
+
+    __slots__ = ("_core", "_joiners")
+
+    def __init__(self, core: _core.Core) -> None:
+        self._core = core
+        self._joiners: dict[model.VmId, storage.MemberId] = {}
+
+    def note_joiner(self, member: storage.MemberId) -> None:
+        """Remember an empty member that asked to join."""
+        if member.vm_id in self._core.cfg.control_vms:
+            self._joiners[member.vm_id] = member
+
+    def next_configuration(
+        self, progress: ProgressMap, now: datetime.datetime
+    ) -> storage.Configuration | None:
+        """Return the configuration to change to, if any change is due."""
+        return (
+            self._with_joiner()
+            or self._with_voter(progress, now)
+            or self._without_silent(progress, now)
+        )
+
+    def check(
+        self,
+        action: _events.MemberAction,
+        member: storage.MemberId,
+        progress: ProgressMap,
+    ) -> _Checked:
+        """Return the configuration that an operator asks for."""
+        old = self._core.configuration
+        reasons = _failures.RefusalReason
+        is_member = member in old.members
+        if action is _events.MemberAction.ADD_LEARNER:
+            if is_member:
+                return _refuse(reasons.ALREADY_MEMBER)
+            return result.Ok(old.with_learner(member))
+        if not is_member:
+            return _refuse(reasons.NO_SUCH_MEMBER)
+        if action is _events.MemberAction.REMOVE:
+            if old.voters == (member,):
+                return _refuse(reasons.LAST_VOTER)
+            return result.Ok(old.without(member))
+        if member in old.voters:
+            return _refuse(reasons.ALREADY_MEMBER)
+        if not progress[member].is_caught_up:
+            return _refuse(reasons.NOT_CAUGHT_UP)
+        if len(old.voters) >= self._core.cfg.voter_limit:
+            return _refuse(reasons.TOO_MANY_VOTERS)
+        return result.Ok(old.with_promoted(member))
+
+    def _with_joiner(self) -> storage.Configuration | None:
+        old = self._core.configuration
+        for vm_id, member in sorted(self._joiners.items()):
+            if member in old.members:
+                del self._joiners[vm_id]
+                continue
+            for learner in old.learners:
+                if learner.vm_id == vm_id:
+                    return old.without(learner)
+            return old.with_learner(member)
+        return None
+
+    def _with_voter(
+        self, progress: ProgressMap, now: datetime.datetime
+    ) -> storage.Configuration | None:
+        old = self._core.configuration
+        for learner in old.learners:
+            known = progress[learner]
+            if not known.is_caught_up or self._is_silent(known, now):
+                continue
+            for voter in old.voters:
+                if voter.vm_id == learner.vm_id:
+                    return old.without(voter)
+            if len(old.voters) < self._core.cfg.voter_limit:
+                return old.with_promoted(learner)
+        return None
+
+    def _without_silent(
+        self, progress: ProgressMap, now: datetime.datetime
+    ) -> storage.Configuration | None:
+        """Drop a learner left over from a disk that is in use no more."""
+        old = self._core.configuration
+        voting_vms = {voter.vm_id for voter in old.voters}
+        patience = self._core.cfg.learner_patience
+        for learner in old.learners:
+            known = progress[learner]
+            last_sign_at = max(known.heard_at, known.known_since)
+            is_over = now - last_sign_at > patience
+            if is_over and learner.vm_id in voting_vms:
+                return old.without(learner)
+        return None
+
+    def _is_silent(
+        self, known: _progress.Progress, now: datetime.datetime
+    ) -> bool:
+        return now - known.heard_at > self._core.cfg.election_timeout_min
+
+
+def _refuse(
+    reason: _failures.RefusalReason,
+) -> result.Err[_failures.MemberChangeRefused]:
+    return result.Err(_failures.MemberChangeRefused(reason))
