--- a/sedgepin/_entry/_endpoint_client.py
+++ b/sedgepin/_entry/_endpoint_client.py
@@ -14,10 +14,10 @@
 import msgspec
 import trio
 
+from sedgepin import _answers as answers
 from sedgepin._entry import _effects
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
-from sedgepin import _answers as answers
 from sedgepin import _http as http
 from sedgepin import _model as model
 
--- /dev/null
+++ b/sedgepin/_entry/_losses.py
@@ -0,0 +1,509 @@
+"""What happens when an attempt at an answer is lost."""
+
+import datetime
+
+import result
+
+from sedgepin import _admission as admission
+from sedgepin import _answers as answers
+from sedgepin._entry import _effects
+from sedgepin._entry import _events
+from sedgepin._entry import _failures
+from sedgepin._entry import _generation
+from sedgepin._entry import _open_answer
+from sedgepin._entry import _surroundings
+from sedgepin import _membership as membership
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin import events
+
+Effects = list[_effects.EntryEffect]
+
+# Shorter than the silence watch's own, so that the stages' answers, which
+# name the one that is dead, come first.
+_PROBE_TIMEOUT = datetime.timedelta(milliseconds=400)
+
+
+class Losses:
+    """Finds out what was lost, and resumes what was running on it.
+
+    A broken stream alone does not say whether an endpoint died or only a
+    connection.  The stages are asked on fresh connections, which a dead
+    process refuses at once, before anything is held against anyone.
+    """
+
+    __slots__ = ("_around", "_generation", "_policy")
+
+    def __init__(
+        self,
+        around: _surroundings.Surroundings,
+        generation: _generation.Generation,
+    ) -> None:
+        self._around = around
+        self._generation = generation
+        self._policy = answers.ImportOrPrefill()
+
+    def stream_ended(
+        self, event: _events.StreamEnded, now: datetime.datetime
+    ) -> Effects:
+        """Take in the end marker of an attempt."""
+        answer = self._current(event.request_id, event.attempt)
+        if answer is None:
+            return []
+        try:
+            reason = answers.FinishReason(event.finish_reason)
+        except ValueError:
+            reason = answers.FinishReason.STOP
+        ended = answer.assembly.end(event.attempt, event.token_count, reason)
+        if ended.is_ok() and answer.assembly.completion is not None:
+            completion = answer.assembly.completion
+            return self._generation.finish(answer, completion, now)
+        return self._resume(answer, frozenset(), False, now)
+
+    def stream_failed(
+        self, event: _events.StreamFailed, now: datetime.datetime
+    ) -> Effects:
+        """Take in that an attempt ended early."""
+        answer = self._current(event.request_id, event.attempt)
+        if answer is None or answer.lost is not None:
+            return []
+        line = events.ATTEMPT_FAILED.line(
+            request=event.request_id,
+            attempt=event.attempt,
+            endpoint=event.at_fault,
+            code=event.failure.detail(),
+        )
+        made: Effects = [_effects.WriteLog(line)]
+        answer.assembly.leave_attempt(event.attempt, now)
+        completion = answer.assembly.end_at_limit()
+        if completion is not None:
+            return made + self._generation.finish(answer, completion, now)
+        if event.crashed:
+            answer.lost = event
+            return [*made, self._probe(answer)]
+        made += self._mark_failed(event.at_fault, now)
+        answer.avoid |= {event.at_fault}
+        return made + self._retry_unrun(answer, event, now)
+
+    def probe_answered(
+        self, event: _events.ProbeAnswered, now: datetime.datetime
+    ) -> Effects:
+        """Take in what the stages of an attempt said."""
+        answer = self._current(event.request_id, event.attempt)
+        if answer is None or event.probe != answer.probe:
+            return []
+        if answer.lost is not None:
+            return self._judge_loss(answer, event, now)
+        return self._judge_silence(answer, event, now)
+
+    def tick(self, now: datetime.datetime) -> Effects:
+        """Look for silent streams and requests whose time is over."""
+        made: Effects = []
+        for answer in list(self._generation.open.values()):
+            if answer.request.request_id not in self._generation.open:
+                continue
+            if now >= answer.deadline:
+                made += self._time_out(answer, now)
+                continue
+            watch = answer.silence
+            if watch is None or answer.lost or now < watch.wake_at:
+                continue
+            for effect in watch.handle(answers.TimerFired(), now):
+                made += self._carry_out(answer, effect, now)
+        wake_at = self._around.quarantine.wake_at
+        if wake_at is not None and now >= wake_at:
+            made += self.carry_out(self._around.quarantine.tick(now), now)
+        return made
+
+    def follow_up(self, now: datetime.datetime) -> Effects:
+        """Tell the quarantine what the last event meant for suspects."""
+        made: Effects = []
+        while self._generation.follow_ups:
+            told = self._tell_quarantine(
+                self._generation.follow_ups.pop(0), now
+            )
+            made += self.carry_out(told, now)
+        return made
+
+    def merge_rumour(
+        self, rumour: admission.Rumour, now: datetime.datetime
+    ) -> Effects:
+        """Take in what another VM tells of a suspect."""
+        return self.carry_out(self._around.quarantine.merge(rumour, now), now)
+
+    def carry_out(
+        self,
+        effects: list[admission.QuarantineEffect],
+        now: datetime.datetime,
+    ) -> Effects:
+        """Carry out what the quarantine decided."""
+        made: Effects = []
+        for effect in effects:
+            match effect:
+                case admission.ShareRumour(rumour):
+                    made += self._share(rumour)
+                case admission.ResumeFreely(request_id):
+                    made += self._resume_freely(request_id, now)
+                case admission.StartTrial(request_id):
+                    made += self._start_trial(request_id, now)
+                case admission.AnswerQuarantined(request_id, failure):
+                    made += self._condemn(request_id, failure, now)
+        return made
+
+    def _tell_quarantine(
+        self, follow_up: _generation.FollowUp, now: datetime.datetime
+    ) -> list[admission.QuarantineEffect]:
+        quarantine = self._around.quarantine
+        match follow_up:
+            case _generation.TrialDue(answer):
+                return quarantine.enter_trial(
+                    answer.request.request_id, answer.fingerprint, now
+                )
+            case _generation.TrialOutrun(answer):
+                answer.on_trial = False
+                return quarantine.trial_survived(answer.fingerprint, now)
+            case _generation.RequestOver(request_id):
+                return quarantine.leave(request_id, now)
+
+    def _current(
+        self, request_id: model.RequestId, attempt: int
+    ) -> _open_answer.OpenAnswer | None:
+        answer = self._generation.open.get(request_id)
+        if answer is None or answer.assembly.attempt != attempt:
+            return None
+        return answer
+
+    def _probe(
+        self, answer: _open_answer.OpenAnswer
+    ) -> _effects.ProbeStages:
+        pipeline = answer.assembly.pipeline
+        assert pipeline is not None
+        answer.probe += 1
+        return _effects.ProbeStages(
+            answer.request.request_id,
+            answer.assembly.attempt,
+            answer.probe,
+            pipeline.stages,
+            _PROBE_TIMEOUT,
+        )
+
+    def _judge_loss(
+        self,
+        answer: _open_answer.OpenAnswer,
+        event: _events.ProbeAnswered,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Tell a dead endpoint from a dead connection."""
+        lost = answer.lost
+        assert lost is not None
+        dead = [
+            report.endpoint_id
+            for report in event.reports
+            if self._has_died(report)
+        ]
+        if dead:
+            return self._bury(dead, now)
+        return self._resume(answer, frozenset((lost.at_fault,)), False, now)
+
+    def _has_died(self, report: _events.StageReport) -> bool:
+        if report.state is None:
+            return True
+        known = self._around.gossip.endpoints.find(report.endpoint_id)
+        if known is None or report.incarnation is None:
+            return False
+        return report.incarnation > known.incarnation
+
+    def _judge_silence(
+        self,
+        answer: _open_answer.OpenAnswer,
+        event: _events.ProbeAnswered,
+        now: datetime.datetime,
+    ) -> Effects:
+        watch = answer.silence
+        if watch is None:
+            return []
+        made: Effects = []
+        heard = _combined(event, answer.silence_probe)
+        for effect in watch.handle(heard, now):
+            if isinstance(effect, answers.DeclareEndpointDead):
+                dead = [
+                    report.endpoint_id
+                    for report in event.reports
+                    if report.state is None
+                ]
+                made += self._bury(dead, now)
+            else:
+                made += self._carry_out(answer, effect, now)
+        return made
+
+    def _carry_out(
+        self,
+        answer: _open_answer.OpenAnswer,
+        effect: answers.SilenceEffect,
+        now: datetime.datetime,
+    ) -> Effects:
+        match effect:
+            case answers.ProbeEndpoint():
+                answer.silence_probe = effect.probe
+                return [self._probe(answer)]
+            case answers.DeclareEndpointDead(endpoint_id):
+                return self._bury([endpoint_id], now)
+            case answers.DeclareConnectionDead():
+                cancel = self._cancel(answer, now)
+                return cancel + self._resume(answer, frozenset(), False, now)
+
+    def _bury(
+        self, dead: list[model.EndpointId], now: datetime.datetime
+    ) -> Effects:
+        """Take endpoints out of use, and resume what ran on them."""
+        made: Effects = []
+        for endpoint_id in dead:
+            made += self._bury_one(endpoint_id, now)
+        return made
+
+    def _bury_one(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> Effects:
+        announced = self._around.gossip.endpoints.find(endpoint_id)
+        incarnation = model.Incarnation(0)
+        if announced is not None:
+            incarnation = announced.incarnation
+        made = self._mark_failed(endpoint_id, now)
+        aboard = []
+        for answer in list(self._generation.open.values()):
+            if not answer.runs_on(endpoint_id):
+                continue
+            aboard.append(_aboard(answer))
+            made += self._cancel(answer, now)
+            answer.avoid |= {endpoint_id}
+            answer.prefer = _survivors(answer, endpoint_id)
+        died = admission.EndpointDied(endpoint_id, incarnation, tuple(aboard))
+        decided = self._around.quarantine.endpoint_died(died, now)
+        return made + self.carry_out(decided, now)
+
+    def _cancel(
+        self, answer: _open_answer.OpenAnswer, now: datetime.datetime
+    ) -> Effects:
+        """Stop the attempt under way; what still comes of it is dropped."""
+        attempt = answer.assembly.attempt
+        answer.assembly.leave_attempt(attempt, now)
+        answer.silence = None
+        answer.lost = None
+        request_id = answer.request.request_id
+        return [_effects.CancelStream(request_id, attempt)]
+
+    def _mark_failed(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> Effects:
+        failed = membership.EndpointFailed(endpoint_id)
+        line = events.ENDPOINT_SUSPECTED.line(
+            endpoint=endpoint_id, failure="not reached"
+        )
+        made: Effects = [_effects.WriteLog(line)]
+        for effect in self._around.gossip.handle(failed, now):
+            if isinstance(effect, membership.SendGossip):
+                made.append(
+                    _effects.SendMessage(
+                        effect.recipient,
+                        protocol.GossipCarried(effect.frame),
+                    )
+                )
+        return made
+
+    def _resume(
+        self,
+        answer: _open_answer.OpenAnswer,
+        avoid: frozenset[model.EndpointId],
+        after_death: bool,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Go on where the delivered tokens end."""
+        made = self._cancel(answer, now)
+        completion = answer.assembly.end_at_limit()
+        if completion is not None:
+            return made + self._generation.finish(answer, completion, now)
+        answer.avoid |= avoid
+        pipeline = answer.assembly.pipeline
+        assert pipeline is not None
+        loss = answers.StageLoss(
+            pipeline,
+            answer.assembly.attempt,
+            answer.avoid,
+            answer.prompt_tokens,
+        )
+        planned = self._policy.plan(loss, answer.assembly.resume_point)
+        if isinstance(planned, result.Err):
+            return made + self._generation.give_up(
+                answer, planned.err_value, now
+            )
+        plan = planned.ok_value
+        answer.prefer = frozenset(
+            stage.endpoint_id for stage in plan.prefer
+        )
+        return made + self._dispatch_again(answer, after_death, True, now)
+
+    def _retry_unrun(
+        self,
+        answer: _open_answer.OpenAnswer,
+        event: _events.StreamFailed,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Try another pipeline after one that nothing was run on."""
+        cancelled = self._cancel(answer, now)
+        return cancelled + self._dispatch_again(answer, False, False, now)
+
+    def _dispatch_again(
+        self,
+        answer: _open_answer.OpenAnswer,
+        after_death: bool,
+        may_have_run: bool,
+        now: datetime.datetime,
+    ) -> Effects:
+        chosen = self._generation.choose(answer, frozenset(), now)
+        if isinstance(chosen, result.Err):
+            return self._generation.give_up(answer, chosen.err_value, now)
+        pipeline = chosen.ok_value
+        wish = admission.RetryRequest(
+            service=answer.request.service,
+            idempotent=True,
+            may_have_run=may_have_run,
+            failed=answer.avoid,
+            target=pipeline.stages[0].endpoint_id,
+            resumes_after_death=after_death,
+        )
+        allowed = self._around.retries.may_retry(wish, now)
+        if isinstance(allowed, result.Err):
+            return self._generation.give_up(answer, allowed.err_value, now)
+        return self._generation.start(answer, pipeline, now)
+
+    def _resume_freely(
+        self, request_id: model.RequestId, now: datetime.datetime
+    ) -> Effects:
+        answer = self._generation.open.get(request_id)
+        if answer is None:
+            return []
+        answer.on_trial = False
+        if not answer.dispatched:
+            if not answer.is_admitted:
+                return []
+            return self._generation.dispatch(answer, now)
+        return self._resume(answer, frozenset(), True, now)
+
+    def _start_trial(
+        self, request_id: model.RequestId, now: datetime.datetime
+    ) -> Effects:
+        answer = self._generation.open.get(request_id)
+        if answer is None:
+            return []
+        quarantine = self._around.quarantine
+        answer.on_trial = True
+        completion = answer.assembly.end_at_limit()
+        if completion is not None:
+            return self._generation.finish(answer, completion, now)
+        busy = quarantine.endpoints_on_trial
+        chosen = self._generation.choose(answer, busy, now)
+        if isinstance(chosen, result.Err):
+            if not busy:
+                failure = chosen.err_value
+                return self._generation.give_up(answer, failure, now)
+            quarantine.postpone_trial(answer.fingerprint, now)
+            return []
+        pipeline = chosen.ok_value
+        quarantine.place_trial(
+            answer.fingerprint, _new_endpoints(answer, pipeline)
+        )
+        return self._generation.start(answer, pipeline, now)
+
+    def _condemn(
+        self,
+        request_id: model.RequestId,
+        failure: admission.RequestQuarantined,
+        now: datetime.datetime,
+    ) -> Effects:
+        answer = self._generation.open.get(request_id)
+        if answer is None:
+            return []
+        line = events.REQUEST_QUARANTINED.line(
+            fingerprint=answer.fingerprint.body_digest,
+            customer=answer.fingerprint.customer,
+        )
+        made: Effects = [_effects.WriteLog(line)]
+        return made + self._generation.give_up(answer, failure, now)
+
+    def _share(self, rumour: admission.Rumour) -> Effects:
+        message = protocol.SuspectRumour(rumour)
+        return [
+            _effects.SendMessage(model.VmId(peer.id), message)
+            for peer in self._around.cfg.entries
+            if peer.id != self._around.cfg.id
+        ]
+
+    def _time_out(
+        self, answer: _open_answer.OpenAnswer, now: datetime.datetime
+    ) -> Effects:
+        if not answer.dispatched:
+            failure = admission.DeadlineCannotBeMet(
+                datetime.timedelta(seconds=1)
+            )
+            return self._generation.give_up(answer, failure, now)
+        timed_out = _failures.RequestTimedOut()
+        return self._generation.give_up(answer, timed_out, now)
+
+
+def _combined(
+    event: _events.ProbeAnswered, probe: int
+) -> answers.ProbeSucceeded | answers.ProbeFailed:
+    """Return what all stages say together.
+
+    A later stage that does not know the attempt may not have been given it
+    yet, or its connection to the stage before went silent: that is not told.
+    """
+    states = [report.state for report in event.reports]
+    first = states[0]
+    if first is None or None in states:
+        return answers.ProbeFailed(probe)
+    state = first
+    if answers.StreamState.PRODUCING in states:
+        state = answers.StreamState.PRODUCING
+    elif first is not answers.StreamState.PREFILLING:
+        state = first
+    elif answers.StreamState.UNKNOWN in states:
+        state = answers.StreamState.NOT_TOLD
+    produced = max(report.produced for report in event.reports)
+    return answers.ProbeSucceeded(probe, state, produced)
+
+
+def _aboard(answer: _open_answer.OpenAnswer) -> admission.Aboard:
+    seen = answer.assembly.next_position > answer.resumed_at
+    reported = answer.lost is not None and answer.lost.crashed
+    return admission.Aboard(
+        answer.request.request_id, answer.fingerprint, seen or reported
+    )
+
+
+def _survivors(
+    answer: _open_answer.OpenAnswer, dead: model.EndpointId
+) -> frozenset[model.EndpointId]:
+    pipeline = answer.assembly.pipeline
+    if pipeline is None:
+        return frozenset()
+    return frozenset(
+        stage.endpoint_id
+        for stage in pipeline.stages
+        if stage.endpoint_id != dead
+    )
+
+
+def _new_endpoints(
+    answer: _open_answer.OpenAnswer, pipeline: model.Pipeline
+) -> frozenset[model.EndpointId]:
+    """Return the endpoints of ``pipeline`` that the request is new to."""
+    before = answer.assembly.pipeline
+    known = frozenset(
+        stage.endpoint_id for stage in (before.stages if before else ())
+    )
+    return frozenset(
+        stage.endpoint_id
+        for stage in pipeline.stages
+        if stage.endpoint_id not in known
+    )
--- /dev/null
+++ b/sedgepin/_entry/_surroundings.py
@@ -0,0 +1,49 @@
+"""What the parts of an entry VM's reducer share."""
+
+import dataclasses
+import datetime
+import random
+
+from sedgepin import _admission as admission
+from sedgepin._entry import _fleet
+from sedgepin import _membership as membership
+from sedgepin import _model as model
+from sedgepin import _routing as routing
+from sedgepin import settings
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Surroundings:
+    """The fleet, the endpoints and the policies that decisions rest on."""
+
+    cfg: settings.EntrySettings
+    follower: _fleet.FleetFollower
+    gossip: membership.GossipNode
+    router: routing.Router
+    retries: admission.RetryBudget
+    quarantine: admission.Quarantine
+    generator: random.Random
+
+    def eligible(
+        self, now: datetime.datetime
+    ) -> tuple[model.Announcement, ...]:
+        """Return the endpoints that may get new work."""
+        return self.gossip.endpoints.eligible(now)
+
+    @property
+    def entry_count(self) -> int:
+        """Return over how many entry VMs the balancer spreads requests."""
+        return max(1, len(self.cfg.entries))
+
+    def admission_settings(self) -> admission.AdmissionSettings:
+        """Return the limits of the customers in the settings."""
+        limits = {
+            customer.id: admission.CustomerLimits(
+                weight=customer.weight,
+                open_requests=customer.open_requests,
+            )
+            for customer in self.cfg.customers
+        }
+        return admission.AdmissionSettings(
+            customers=limits, queued_requests=self.cfg.limits.open_requests
+        )
--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -10,8 +10,11 @@
 from sedgepin._protocol._messages import EndpointsSeen
 from sedgepin._protocol._messages import FleetPublished
 from sedgepin._protocol._messages import FleetWanted
+from sedgepin._protocol._messages import GossipCarried
 from sedgepin._protocol._messages import Hello
 from sedgepin._protocol._messages import PeerMessage
+from sedgepin._protocol._messages import RaftCarried
+from sedgepin._protocol._messages import SuspectRumour
 from sedgepin._protocol._messages import VmHeartbeat
 from sedgepin._protocol._transport import IdentityNotProved
 from sedgepin._protocol._transport import PeerConnected
@@ -33,6 +36,7 @@
     "FleetPublished",
     "FleetWanted",
     "FrameRefused",
+    "GossipCarried",
     "Hello",
     "IdentityNotProved",
     "PeerConnected",
@@ -41,7 +45,9 @@
     "PeerMessage",
     "PeerMessageArrived",
     "PeerRefused",
+    "RaftCarried",
     "StreamTransport",
+    "SuspectRumour",
     "Transport",
     "VmHeartbeat",
     "client_context",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -8,6 +8,9 @@
 
 import msgspec
 
+from sedgepin import _admission as admission
+from sedgepin import _consensus as consensus
+from sedgepin import _membership as membership
 from sedgepin import _model as model
 
 
@@ -83,8 +86,29 @@
     announcements: tuple[model.Announcement, ...]
 
 
+class SuspectRumour(msgspec.Struct, frozen=True, tag=True):
+    """What the sender knows of a request that was aboard dying endpoints."""
+
+    rumour: admission.Rumour
+
+
+class RaftCarried(msgspec.Struct, frozen=True, tag=True):
+    """A message between the control VMs' logs."""
+
+    message: consensus.RaftMessage
+
+
+class GossipCarried(msgspec.Struct, frozen=True, tag=True):
+    """A frame between the entry VMs' endpoint directories."""
+
+    frame: membership.GossipFrame
+
+
 PeerMessage: typing.TypeAlias = (
     Hello
+    | SuspectRumour
+    | RaftCarried
+    | GossipCarried
     | VmHeartbeat
     | CommandAsked
     | CommandAnswered
