Choose pipelines by shortest path over layer boundaries

An entry needs a pipeline for each request over engines whose layer ranges may overlap, whose speeds differ and whose links differ a hundredfold. The router prices each engine by its compute time and by its load against the mean load, and searches the cheapest path over layer boundaries; an engine's cost is linear in its layers, so paths change engines only where some range begins or ends.

--- /dev/null
+++ b/sedgepin/_routing/_prices.py
@@ -0,0 +1,113 @@
+"""The price of an engine for one request, from its speed and its load."""
+
+import collections.abc
+import datetime
+import math
+import random
+
+from sedgepin._routing import _graph
+from sedgepin._routing import _links
+from sedgepin._routing import _search
+from sedgepin._routing import _settings
+
+_STEEPEST = 30.0
+
+
+class CongestionReference:
+    """The mean time of one batch step over a graph's engines.
+
+    The mean is taken afresh when it is older than a tenth of a second.
+    """
+
+    __slots__ = ("_taken_at", "step_seconds")
+
+    _FRESH = datetime.timedelta(milliseconds=100)
+
+    def __init__(self) -> None:
+        self.step_seconds = 0.0
+        self._taken_at: datetime.datetime | None = None
+
+    def refresh(
+        self,
+        holders: collections.abc.Sequence[_graph.Holder],
+        now: datetime.datetime,
+    ) -> None:
+        """Take the mean again if it is old."""
+        if self._taken_at and now - self._taken_at < self._FRESH:
+            return
+        self._taken_at = now
+        layers = 0.0
+        rate = 0.0
+        for holder in holders:
+            layers += holder.load.layers
+            rate += 1.0 / holder.seconds_per_layer_token
+        self.step_seconds = layers / rate if rate else 0.0
+
+
+class Pricing:
+    """Prices engines so that scarce layers cost more.
+
+    One more request lengthens every batch step of an engine by its layers'
+    compute time, for all that are resident there.  That slowdown is the
+    engine's price, raised exponentially with its step time over the mean
+    one.  Exponential prices steer a stream of requests to the greatest
+    flow: Garg and Koenemann (1998); online, Awerbuch, Azar and Plotkin
+    (1993).
+    """
+
+    __slots__ = ("_noise", "_rng", "_steepness")
+
+    def __init__(
+        self, settings: _settings.RoutingSettings, rng: random.Random
+    ) -> None:
+        self._steepness = settings.congestion_steepness
+        self._noise = settings.price_noise
+        self._rng = rng
+
+    def node(
+        self, holder: _graph.Holder, mean_step_seconds: float
+    ) -> _search.Node:
+        """Return the engine with its price for one layer of one token."""
+        load = holder.load
+        compute = holder.seconds_per_layer_token
+        price = compute * (1.0 + load.layers / load.layers_per_request)
+        if mean_step_seconds > 0.0:
+            relative = load.layers * compute / mean_step_seconds
+            excess = self._steepness * (relative - 1.0)
+            price *= math.exp(min(excess, _STEEPEST))
+        price *= 1.0 + self._noise * (self._rng.random() - 0.5)
+        return _search.Node(holder, price, load.prefill_seconds(compute))
+
+
+def predicted_seconds(
+    links: _links.LinkTable,
+    legs: collections.abc.Sequence[_search.Leg],
+    prefill_tokens: collections.abc.Sequence[float],
+    generated_tokens: float,
+) -> float:
+    """Return the expected time to the last token.
+
+    A token takes the sum of its stages and links, or the longest batch step
+    on its way where that is longer: an engine's step serves each resident
+    request once.
+    """
+    if not legs:
+        return 0.0
+    waiting = 0.0
+    circuit = 0.0
+    longest_step = 0.0
+    previous = legs[-1].holder
+    for leg, tokens in zip(legs, prefill_tokens, strict=True):
+        holder = leg.holder
+        compute = holder.seconds_per_layer_token
+        own = (leg.end - leg.first) * compute
+        waiting += holder.load.prefill_seconds(compute) + tokens * own
+        circuit += own + links.one_way(
+            previous.endpoint_id,
+            previous.data_centre,
+            holder.endpoint_id,
+            holder.data_centre,
+        )
+        longest_step = max(longest_step, holder.load.layers * compute)
+        previous = holder
+    return waiting + circuit + generated_tokens * max(circuit, longest_step)
