--- a/sedgepin/_control/__init__.py
+++ b/sedgepin/_control/__init__.py
@@ -1,7 +1,7 @@
-"""The control daemon."""
+"""The control VM: its reducer, and the daemon around it."""
 
-from sedgepin import settings
+from sedgepin._control._daemon import ControlDaemon
+from sedgepin._control._daemon import run
+from sedgepin._control._reducer import ControlReducer
 
-
-def run(cfg: settings.ControlSettings) -> None:
-    """Run."""
+__all__ = ["ControlDaemon", "ControlReducer", "run"]
--- /dev/null
+++ b/sedgepin/_control/_operators.py
@@ -0,0 +1,269 @@
+"""The HTTP surface of a control VM, for operators."""
+
+import collections.abc
+import datetime
+import itertools
+import typing
+import urllib.parse
+
+import msgspec
+import result
+import trio
+
+from sedgepin import _consensus as consensus
+from sedgepin._control import _effects
+from sedgepin._control import _events
+from sedgepin._control import _reducer
+from sedgepin import _http as http
+from sedgepin import _release as release
+from sedgepin import _state as state
+from sedgepin import clock
+from sedgepin import errors
+from sedgepin import settings
+
+_NOTE_LIMIT_BYTES = 1_048_576
+_ANSWER_SECONDS = 5.0
+_AUDIT_LIMIT = 1000
+_CREATED = 201
+
+Submit: typing.TypeAlias = collections.abc.Callable[
+    [_events.ControlEvent], None
+]
+
+
+class NoteStanding(msgspec.Struct, frozen=True):
+    """How far a note has come."""
+
+    number: int
+    accepted: bool
+    note_id: str | None
+    author: str | None
+    accepted_at: datetime.datetime | None
+    in_force: bool
+    in_force_on: int
+    of: int
+    lagging: tuple[str, ...]
+    seconds_since_accepted: float | None
+
+
+class VmStanding(msgspec.Struct, frozen=True):
+    """What a control VM knows of an entry VM."""
+
+    id: str
+    data_centre: str
+    state: str
+    note_number: int | None
+    ready: bool | None
+    draining: bool | None
+
+
+class SystemStanding(msgspec.Struct, frozen=True):
+    """What a control VM knows of the system."""
+
+    leader: str | None
+    term: int
+    holds_lease: bool
+    voters: tuple[str, ...]
+    learners: tuple[str, ...]
+    commit_index: int
+    note_number: int
+    write_records: int
+    vms: tuple[VmStanding, ...]
+
+
+class OperatorServer(http.HttpServer):
+    """Turns operators' requests into events, and effects into answers."""
+
+    __slots__ = (
+        "_cfg",
+        "_clock",
+        "_exchange_ids",
+        "_operators",
+        "_reducer",
+        "_submit",
+        "_waiting",
+    )
+
+    def __init__(
+        self,
+        cfg: settings.ControlSettings,
+        reducer: _reducer.ControlReducer,
+        submit: Submit,
+        own_clock: clock.Clock,
+    ) -> None:
+        super().__init__()
+        self._cfg = cfg
+        self._clock = own_clock
+        self._reducer = reducer
+        self._submit = submit
+        self._exchange_ids = itertools.count(1)
+        self._waiting: dict[
+            int, trio.MemorySendChannel[state.Reply | errors.Failure]
+        ] = {}
+        self._operators = {
+            operator.credential_sha256: operator.id
+            for operator in cfg.operators
+        }
+
+    def answer_operator(self, effect: _effects.AnswerOperator) -> None:
+        """Pass on what came of an operator's command."""
+        waiting = self._waiting.pop(effect.exchange_id, None)
+        if waiting is not None:
+            waiting.send_nowait(effect.answer)
+
+    async def answer(self, request: http.Request) -> None:
+        """Answer one request whole."""
+        if request.path == "/healthz":
+            await http.send_document(request, {"alive": True})
+            return
+        if request.path == "/readyz":
+            leads = self._reducer.raft.leader_id is not None
+            await http.send_document(
+                request, {"ready": leads}, 200 if leads else 503
+            )
+            return
+        operator = self._operators.get(http.bearer_digest(request) or "")
+        if operator is None:
+            await http.send_problem(request, http.CredentialRefused())
+            return
+        failure = await self._answer_operator(request, operator)
+        if failure is not None:
+            await http.send_problem(request, failure)
+
+    async def _answer_operator(
+        self, request: http.Request, operator: str
+    ) -> errors.Failure | None:
+        """Answer, or return the failure to report."""
+        parts = request.path.strip("/").split("/")
+        if parts == ["v1", "notes"] and request.method == "POST":
+            return await self._publish(request, operator)
+        if request.method != "GET" or parts[0] != "v1":
+            return http.NotFound()
+        if not self._reducer.raft.lease_holds(self._clock.now()):
+            return consensus.NotLeader(self._reducer.raft.leader_id)
+        if parts[1:2] == ["notes"] and len(parts) in (3, 4):
+            return await self._show_note(request, parts[2:])
+        if parts == ["v1", "status"]:
+            await http.send_document(request, self._standing())
+        elif parts == ["v1", "endpoints"]:
+            now = self._clock.now()
+            found = self._reducer.roster.endpoints(now)
+            await http.send_document(request, {"endpoints": found})
+        elif parts == ["v1", "audit"]:
+            return await self._show_audit(request)
+        else:
+            return http.NotFound()
+        return None
+
+    async def _publish(
+        self, request: http.Request, operator: str
+    ) -> errors.Failure | None:
+        body = await http.read_body(request, _NOTE_LIMIT_BYTES)
+        if isinstance(body, result.Err):
+            return body.err_value
+        parsed = release.parse_note(body.ok_value)
+        if isinstance(parsed, result.Err):
+            return parsed.err_value
+        command = state.PublishNote(
+            at=self._clock.now(), actor=operator, note=parsed.ok_value
+        )
+        match await self._propose(command):
+            case state.NoteAccepted(accepted):
+                await http.send_document(request, accepted, _CREATED)
+                return None
+            case state.NoteFaulty(failure) | state.NoteConflicted(failure):
+                return failure
+            case errors.Failure() as failure:
+                return failure
+        return consensus.LeaseLost()
+
+    async def _propose(
+        self, command: state.Command
+    ) -> state.Reply | errors.Failure:
+        """Return what came of a command, or that nobody knows yet."""
+        exchange_id = next(self._exchange_ids)
+        sender, receiver = trio.open_memory_channel[
+            state.Reply | errors.Failure
+        ](1)
+        self._waiting[exchange_id] = sender
+        self._submit(_events.OperatorProposed(exchange_id, command))
+        with trio.move_on_after(_ANSWER_SECONDS):
+            return await receiver.receive()
+        self._waiting.pop(exchange_id, None)
+        return consensus.LeaseLost()
+
+    async def _show_note(
+        self, request: http.Request, parts: list[str]
+    ) -> errors.Failure | None:
+        latest = self._reducer.state.fleet.note_number
+        if parts[0] != "latest" and not parts[0].isdigit():
+            return http.RequestNotUnderstood("a note has a number")
+        number = latest if parts[0] == "latest" else int(parts[0])
+        if parts[1:] == ["status"]:
+            await http.send_document(request, self._note_standing(number))
+            return None
+        accepted = self._reducer.state.accepted_note(number)
+        if accepted is None or len(parts) > 1:
+            return http.NotFound()
+        await http.send_document(request, accepted)
+        return None
+
+    def _note_standing(self, number: int) -> NoteStanding:
+        accepted = self._reducer.state.accepted_note(number)
+        latest = self._reducer.state.fleet.note_number
+        coverage = self._reducer.roster.liveness.coverage(number)
+        since = None
+        if accepted is not None:
+            age = self._clock.now() - accepted.accepted_at
+            since = age.total_seconds()
+        is_accepted = 0 < number <= latest
+        return NoteStanding(
+            number=number,
+            accepted=is_accepted,
+            note_id=None if accepted is None else accepted.note_id,
+            author=None if accepted is None else accepted.author,
+            accepted_at=None if accepted is None else accepted.accepted_at,
+            in_force=is_accepted and not coverage.lagging,
+            in_force_on=coverage.in_force_count,
+            of=coverage.live_count,
+            lagging=coverage.lagging,
+            seconds_since_accepted=since,
+        )
+
+    def _standing(self) -> SystemStanding:
+        raft = self._reducer.raft
+        return SystemStanding(
+            leader=raft.leader_id,
+            term=raft.term,
+            holds_lease=raft.lease_holds(self._clock.now()),
+            voters=tuple(one.vm_id for one in raft.members.voters),
+            learners=tuple(one.vm_id for one in raft.members.learners),
+            commit_index=raft.commit_index,
+            note_number=self._reducer.state.fleet.note_number,
+            write_records=self._reducer.state.write_count,
+            vms=tuple(map(self._vm_standing, self._reducer.state.vms())),
+        )
+
+    def _vm_standing(self, vm: state.VmRecord) -> VmStanding:
+        heartbeat = self._reducer.roster.liveness.find(vm.vm_id)
+        return VmStanding(
+            id=vm.vm_id,
+            data_centre=vm.data_centre,
+            state=vm.state.value,
+            note_number=None if heartbeat is None else heartbeat.note_in_force,
+            ready=None if heartbeat is None else heartbeat.is_ready,
+            draining=None if heartbeat is None else heartbeat.is_draining,
+        )
+
+    async def _show_audit(
+        self, request: http.Request
+    ) -> errors.Failure | None:
+        query = urllib.parse.parse_qs(request.query)
+        try:
+            after = int(query.get("after", ["0"])[0])
+            limit = int(query.get("limit", ["100"])[0])
+        except ValueError:
+            return http.RequestNotUnderstood("after and limit are numbers")
+        found = self._reducer.state.audit(after, min(limit, _AUDIT_LIMIT))
+        await http.send_document(request, {"records": found})
+        return None
--- /dev/null
+++ b/sedgepin/_entry/_daemon.py
@@ -0,0 +1,179 @@
+"""The entry daemon: trio tasks around the reducer."""
+
+import random
+import time
+
+import trio
+
+from sedgepin._entry import _callers
+from sedgepin._entry import _effects
+from sedgepin._entry import _endpoint_client
+from sedgepin._entry import _events
+from sedgepin._entry import _reducer
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin import _shell as shell
+from sedgepin import clock
+from sedgepin import events
+from sedgepin import logs
+from sedgepin import settings
+
+_TICK_SECONDS = 0.05
+_DRAIN_POLL_SECONDS = 0.05
+# Write records that a cut keeps from being settled do not hold up a VM for
+# ever: the control VMs mark them unknown once it is gone.
+_SETTLE_SECONDS = 10.0
+
+
+class EntryDaemon:
+    """Turns sockets and timers into events, and carries out effects."""
+
+    __slots__ = (
+        "_calls",
+        "_cfg",
+        "_client",
+        "_clock",
+        "_driver",
+        "_metrics",
+        "_nursery",
+        "_reducer",
+        "_server",
+        "_streams",
+        "_transport",
+    )
+
+    def __init__(
+        self, cfg: settings.EntrySettings, own_clock: clock.Clock
+    ) -> None:
+        self._cfg = cfg
+        self._clock = own_clock
+        now = own_clock.now()
+        incarnation = model.Incarnation(time.time_ns() // 1_000_000)
+        self._reducer = _reducer.EntryReducer(
+            cfg, incarnation, random.Random(), now
+        )
+        self._driver = shell.Driver(
+            self._reducer.handle, self._carry_out, own_clock
+        )
+        self._metrics = shell.open_sink(cfg.statsd)
+        self._client: _endpoint_client.EndpointClient = (
+            _endpoint_client.HttpEndpointClient(cfg.limits.answer_bytes)
+        )
+        self._server = _callers.EntryServer(
+            cfg,
+            self._driver.submit,
+            lambda: self._reducer.is_ready,
+            lambda: self._reducer.status(own_clock.now()),
+        )
+        hello = protocol.Hello(
+            model.VmId(cfg.id),
+            "entry",
+            model.DataCentreId(cfg.data_centre),
+            incarnation,
+        )
+        dials = (*cfg.controls, *shell.peers_to_dial(cfg.id, cfg.entries))
+        self._transport = protocol.StreamTransport(
+            hello, cfg.peer_listen, dials, cfg.tls, self._driver.submit
+        )
+        self._streams: dict[_AttemptKey, trio.CancelScope] = {}
+        self._calls: dict[_AttemptKey, trio.CancelScope] = {}
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then until nothing is in flight."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(self._transport.run)
+            nursery.start_soon(self._tick)
+            nursery.start_soon(self._wait_for_drain)
+            line = events.PROCESS_STARTED.line(
+                id=self._cfg.id, role="entry", address=self._cfg.caller_listen
+            )
+            logs.write(line)
+            await self._server.serve(
+                self._cfg.caller_listen,
+                self._cfg.caller_tls,
+                self._cfg.limits.header_bytes,
+            )
+            nursery.cancel_scope.cancel()
+        logs.write(events.PROCESS_STOPPED.line(id=self._cfg.id))
+
+    async def _tick(self) -> None:
+        while True:
+            self._driver.submit(_events.TimerFired())
+            await trio.sleep(_TICK_SECONDS)
+
+    async def _wait_for_drain(self) -> None:
+        await shell.wait_for_sigterm()
+        self._driver.submit(_events.DrainRequested())
+        await trio.sleep(self._cfg.drain.notice_seconds)
+        self._server.visit_drain()
+        await self._server.wait_idle()
+        with trio.move_on_after(_SETTLE_SECONDS):
+            while not self._reducer.is_idle:
+                await trio.sleep(_DRAIN_POLL_SECONDS)
+        await self._server.leave_drain()
+
+    def _carry_out(self, effect: _effects.EntryEffect) -> None:
+        match effect:
+            case (
+                _effects.DeliverPieces()
+                | _effects.EndAnswer()
+                | _effects.AnswerCall()
+                | _effects.RefuseCaller()
+            ):
+                self._server.carry_out(effect)
+            case _effects.SendMessage(recipient, message):
+                self._transport.send(recipient, message)
+            case _effects.StartStream():
+                self._nursery.start_soon(self._run_stream, effect)
+            case _effects.CallService():
+                self._nursery.start_soon(self._call_service, effect)
+            case _effects.ProbeStages():
+                self._nursery.start_soon(
+                    self._client.probe, effect, self._driver.submit
+                )
+            case _effects.CancelStream(request_id, attempt):
+                _cancel(self._streams, (request_id, attempt))
+            case _effects.CancelCall(request_id, attempt):
+                _cancel(self._calls, (request_id, attempt))
+            case _effects.ReplyAnnouncement() | _effects.RefuseAnnouncement():
+                self._server.reply_announcement(effect)
+            case _effects.WriteLog(line):
+                logs.write(line)
+            case _effects.CountMetric(name, count):
+                self._metrics.count(name, count)
+
+    async def _run_stream(self, effect: _effects.StartStream) -> None:
+        key = (effect.request_id, effect.attempt)
+        with trio.CancelScope() as scope:
+            self._streams[key] = scope
+            try:
+                await self._client.run_stream(effect, self._driver.submit)
+            finally:
+                self._streams.pop(key, None)
+
+    async def _call_service(self, effect: _effects.CallService) -> None:
+        key = (effect.request.request_id, effect.attempt)
+        with trio.CancelScope() as scope:
+            self._calls[key] = scope
+            try:
+                await self._client.call_service(effect, self._driver.submit)
+            finally:
+                self._calls.pop(key, None)
+
+
+_AttemptKey = tuple[model.RequestId, int]
+
+
+def _cancel(
+    scopes: dict[_AttemptKey, trio.CancelScope], key: _AttemptKey
+) -> None:
+    scope = scopes.get(key)
+    if scope is not None:
+        scope.cancel()
+
+
+def run(cfg: settings.EntrySettings) -> None:
+    """Run the daemon until it is told to leave."""
+    logs.set_up(cfg.log, cfg.id)
+    trio.run(EntryDaemon(cfg, clock.SystemClock()).run)
--- a/sedgepin/_entry/_losses.py
+++ b/sedgepin/_entry/_losses.py
@@ -173,9 +173,7 @@
             return None
         return answer
 
-    def _probe(
-        self, answer: _open_answer.OpenAnswer
-    ) -> _effects.ProbeStages:
+    def _probe(self, answer: _open_answer.OpenAnswer) -> _effects.ProbeStages:
         pipeline = answer.assembly.pipeline
         assert pipeline is not None
         answer.probe += 1
@@ -337,9 +335,7 @@
                 answer, planned.err_value, now
             )
         plan = planned.ok_value
-        answer.prefer = frozenset(
-            stage.endpoint_id for stage in plan.prefer
-        )
+        answer.prefer = frozenset(stage.endpoint_id for stage in plan.prefer)
         return made + self._dispatch_again(answer, after_death, True, now)
 
     def _retry_unrun(
--- a/sedgepin/_entry/_membership_glue.py
+++ b/sedgepin/_entry/_membership_glue.py
@@ -26,8 +26,9 @@
         "_controls",
         "_full_report_at",
         "_heartbeat_at",
-        "_incarnation",
+        "_sequence",
         "_told",
+        "incarnation",
     )
 
     def __init__(
@@ -38,7 +39,8 @@
     ) -> None:
         self._around = around
         self._controls = controls
-        self._incarnation = incarnation
+        self.incarnation = incarnation
+        self._sequence = 0
         self._heartbeat_at: datetime.datetime | None = None
         self._full_report_at: datetime.datetime | None = None
         self._told: dict[model.EndpointId, model.Announcement] = {}
@@ -76,15 +78,17 @@
         return made
 
     def _heartbeat(self, is_ready: bool, is_draining: bool) -> Effects:
-        cfg = self._around.cfg
-        message = protocol.VmHeartbeat(
-            id=model.VmId(cfg.id),
-            data_centre=model.DataCentreId(cfg.data_centre),
-            incarnation=self._incarnation,
-            note_number=self._around.follower.number,
-            ready=is_ready,
-            draining=is_draining,
+        self._sequence += 1
+        heartbeat = membership.VmHeartbeat(
+            vm_id=model.VmId(self._around.cfg.id),
+            incarnation=self.incarnation,
+            sequence=self._sequence,
+            note_in_force=self._around.follower.number,
+            is_ready=is_ready,
+            is_draining=is_draining,
         )
+        batch = membership.HeartbeatBatch((heartbeat,))
+        message = protocol.HeartbeatsCarried(batch)
         return [
             _effects.SendMessage(control, message)
             for control in self._controls
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -246,8 +246,18 @@
                 return self._around.follower.wanted(sender, message)
             case protocol.SuspectRumour(rumour):
                 return self._losses.merge_rumour(rumour, now)
+            case protocol.DeclaredLost(incarnation):
+                self._declared_lost(incarnation)
         return []
 
+    def _declared_lost(self, incarnation: model.Incarnation) -> None:
+        """Begin another life for what comes; what is under way goes on."""
+        if incarnation != self._glue.incarnation:
+            return
+        following = model.Incarnation(incarnation + 1)
+        self._glue.incarnation = following
+        self._calls.change_incarnation(following)
+
     def _tick(self, now: datetime.datetime) -> Effects:
         connected = frozenset(self._connected)
         made = self._around.follower.tick(connected, now)
@@ -267,4 +277,3 @@
         notice = datetime.timedelta(seconds=self._cfg.drain.notice_seconds)
         self._drain_ends_at = now + notice
         return [_effects.WriteLog(events.PROCESS_DRAINING.line())]
-
--- a/sedgepin/_entry/_service_calls.py
+++ b/sedgepin/_entry/_service_calls.py
@@ -57,6 +57,16 @@
         self.target: model.EndpointId | None = None
 
 
+class _Coordinated:
+    """A write coordinator and when it is due."""
+
+    __slots__ = ("due", "writes")
+
+    def __init__(self, coordinator: writes.WriteCoordinator) -> None:
+        self.writes = coordinator
+        self.due: datetime.datetime | None = None
+
+
 class ServiceCalls:
     """All calls under way on this VM.
 
@@ -67,10 +77,9 @@
     __slots__ = (
         "_around",
         "_asks",
-        "_coordinator",
+        "_coordinators",
         "_doors",
         "_open",
-        "_write_timer",
     )
 
     def __init__(
@@ -84,15 +93,27 @@
         self._doors = doors
         self._asks = asks
         self._open: dict[model.RequestId, _OpenCall] = {}
-        self._coordinator = writes.WriteCoordinator(
-            model.VmId(around.cfg.id), incarnation
-        )
-        self._write_timer: datetime.datetime | None = None
+        self._coordinators: list[_Coordinated] = []
+        self.change_incarnation(incarnation)
 
     @property
     def is_idle(self) -> bool:
         """Tell whether no call is open and no write record unsettled."""
-        return not self._open and not len(self._coordinator)
+        unsettled = any(len(one.writes) for one in self._coordinators)
+        return not self._open and not unsettled
+
+    def change_incarnation(self, incarnation: model.Incarnation) -> None:
+        """Begin new writes under another incarnation.
+
+        Those under way are settled under the one that they began with.
+        """
+        own_id = model.VmId(self._around.cfg.id)
+        self._coordinators = [
+            one for one in self._coordinators if len(one.writes)
+        ]
+        self._coordinators.append(
+            _Coordinated(writes.WriteCoordinator(own_id, incarnation))
+        )
 
     def request(
         self, request: _events.ServiceRequest, now: datetime.datetime
@@ -191,7 +212,7 @@
                 )
                 return self._drive(unreachable, now)
             case _control_asks.Replied(subject, raw):
-                reply = state.decode_reply(raw)
+                reply = state.decode_reply(raw).unwrap_or(None)
                 if not isinstance(reply, writes.WriteReply):
                     return []
                 told = writes.ControlAnswered(model.RequestId(subject), reply)
@@ -212,9 +233,10 @@
     def tick(self, now: datetime.datetime) -> Effects:
         """Let in and refuse those who wait; drive writes that are due."""
         made = self.decide(self._doors.tick_calls(now), now)
-        if self._write_timer is not None and now >= self._write_timer:
-            self._write_timer = None
-            made += self._drive(writes.TimerFired(), now)
+        for coordinated in self._coordinators:
+            if coordinated.due is not None and now >= coordinated.due:
+                coordinated.due = None
+                made += self._run(coordinated, writes.TimerFired(), now)
         for call in list(self._open.values()):
             if not call.is_write and now >= call.deadline:
                 made += self._time_out(call, now)
@@ -247,10 +269,27 @@
         return self._drive(asked, now)
 
     def _drive(
-        self, event: writes.Event, now: datetime.datetime
+        self,
+        event: writes.WriteRequested | writes.AttemptEvent,
+        now: datetime.datetime,
     ) -> Effects:
+        """Give an event to the coordinator that it concerns."""
+        newest = self._coordinators[-1]
+        if isinstance(event, writes.WriteRequested):
+            return self._run(newest, event, now)
         made: Effects = []
-        for effect in self._coordinator.handle(event, now):
+        for coordinated in tuple(self._coordinators):
+            made += self._run(coordinated, event, now)
+        return made
+
+    def _run(
+        self,
+        coordinated: _Coordinated,
+        event: writes.Event,
+        now: datetime.datetime,
+    ) -> Effects:
+        made: Effects = []
+        for effect in coordinated.writes.handle(event, now):
             match effect:
                 case writes.AskControl(request_id, command):
                     raw = state.encode_command(command)
@@ -261,7 +300,7 @@
                 case writes.AnswerCaller(request_id, answer):
                     made += self._answer_write(request_id, answer, now)
                 case writes.StartTimer(due):
-                    self._write_timer = due
+                    coordinated.due = due
         return made
 
     def _dispatch_write(
@@ -379,7 +418,9 @@
         del self._open[request_id]
         self._around.router.leave_dispatch(request_id, 1, succeeded, now)
         if call.is_admitted:
-            return self.decide(self._doors.calls.leave(request_id, 1, now), now)
+            return self.decide(
+                self._doors.calls.leave(request_id, 1, now), now
+            )
         return self.decide(self._doors.calls.withdraw(request_id, now), now)
 
     def _current(
--- a/sedgepin/_http/_server.py
+++ b/sedgepin/_http/_server.py
@@ -7,7 +7,6 @@
 import hypercorn.trio
 import trio
 
-from sedgepin._http import _failures
 from sedgepin._http import _messages
 from sedgepin import settings
 
@@ -42,11 +41,15 @@
         """Ask callers to open no further requests on their connections."""
         self._draining = True
 
-    async def leave_drain(self) -> None:
-        """Wait until nothing is in flight, then let ``serve`` return."""
+    async def wait_idle(self) -> None:
+        """Return once no request is being answered."""
         while self._open:
             self._idle = trio.Event()
             await self._idle.wait()
+
+    async def leave_drain(self) -> None:
+        """Wait until nothing is in flight, then let ``serve`` return."""
+        await self.wait_idle()
         self._stop.set()
 
     async def serve(
@@ -112,8 +115,3 @@
         await send({"type": f"{message['type']}.complete"})
         if message["type"] == "lifespan.shutdown":
             return
-
-
-async def send_not_found(request: _messages.Request) -> None:
-    """Say that nothing is served there."""
-    await _messages.send_problem(request, _failures.NotFound())
--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -7,15 +7,16 @@
 from sedgepin._protocol._messages import CommandAnswered
 from sedgepin._protocol._messages import CommandAsked
 from sedgepin._protocol._messages import CommandRefusal
+from sedgepin._protocol._messages import DeclaredLost
 from sedgepin._protocol._messages import EndpointsSeen
 from sedgepin._protocol._messages import FleetPublished
 from sedgepin._protocol._messages import FleetWanted
 from sedgepin._protocol._messages import GossipCarried
+from sedgepin._protocol._messages import HeartbeatsCarried
 from sedgepin._protocol._messages import Hello
 from sedgepin._protocol._messages import PeerMessage
 from sedgepin._protocol._messages import RaftCarried
 from sedgepin._protocol._messages import SuspectRumour
-from sedgepin._protocol._messages import VmHeartbeat
 from sedgepin._protocol._transport import IdentityNotProved
 from sedgepin._protocol._transport import PeerConnected
 from sedgepin._protocol._transport import PeerDisconnected
@@ -31,12 +32,14 @@
     "CommandAnswered",
     "CommandAsked",
     "CommandRefusal",
+    "DeclaredLost",
     "EndpointsSeen",
     "FRAME_LIMIT_BYTES",
     "FleetPublished",
     "FleetWanted",
     "FrameRefused",
     "GossipCarried",
+    "HeartbeatsCarried",
     "Hello",
     "IdentityNotProved",
     "PeerConnected",
@@ -49,7 +52,6 @@
     "StreamTransport",
     "SuspectRumour",
     "Transport",
-    "VmHeartbeat",
     "client_context",
     "decode_messages",
     "encode_messages",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -23,15 +23,16 @@
     incarnation: model.Incarnation
 
 
-class VmHeartbeat(msgspec.Struct, frozen=True, tag=True):
-    """An entry VM is alive; it says which note it follows."""
+class HeartbeatsCarried(msgspec.Struct, frozen=True, tag=True):
+    """Heartbeats of entry VMs, for the leader of the log."""
+
+    batch: membership.HeartbeatBatch
+
+
+class DeclaredLost(msgspec.Struct, frozen=True, tag=True):
+    """The receiver counts as lost in this incarnation; it needs another."""
 
-    id: model.VmId
-    data_centre: model.DataCentreId
     incarnation: model.Incarnation
-    note_number: int
-    ready: bool
-    draining: bool = False
 
 
 class CommandAsked(msgspec.Struct, frozen=True, tag=True):
@@ -109,7 +110,8 @@
     | SuspectRumour
     | RaftCarried
     | GossipCarried
-    | VmHeartbeat
+    | HeartbeatsCarried
+    | DeclaredLost
     | CommandAsked
     | CommandAnswered
     | FleetWanted
--- a/sedgepin/cli/_main.py
+++ b/sedgepin/cli/_main.py
@@ -168,7 +168,6 @@
         commands,
         argv=given,
         short={},
-        cli_options="has_default",
         argparse_kwargs={"prog": "sedgepin"},
     )
     return int(_exit.ExitCode.DONE)
--- a/sedgepin/tests/fake_engine.py
+++ b/sedgepin/tests/fake_engine.py
@@ -223,8 +223,6 @@
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
     ) -> None:
         """Serve one HTTP request."""
-        if scope["type"] != "http":
-            return
         raw = b""
         while True:
             event = await receive()
@@ -242,6 +240,8 @@
             self.leaving = True
         elif path.startswith("/v1/attempts/"):
             body = self.attempt_state(*path.split("/")[3:])
+        elif path == "/v1/produced":
+            body = {key[0]: made for key, made in self.running.items()}
         elif path == "/v1/runs":
             body = dict(self.runs)
         await reply(send, status, body)
@@ -304,7 +304,18 @@
     cfg.loglevel = "CRITICAL"
     cfg.accesslog = None
     cfg.errorlog = None
-    await hypercorn.trio.serve(app, cfg)
+
+    async def with_lifespan(
+        scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        if scope["type"] != "lifespan":
+            await app(scope, receive, send)
+            return
+        while True:
+            message = await receive()
+            await send({"type": f"{message['type']}.complete"})
+
+    await hypercorn.trio.serve(with_lifespan, cfg)
 
 
 async def run(options: Options) -> None:
--- a/sedgepin/tests/fake_service.py
+++ b/sedgepin/tests/fake_service.py
@@ -42,8 +42,6 @@
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
     ) -> None:
         """Serve one HTTP request."""
-        if scope["type"] != "http":
-            return
         path = scope["path"]
         if path == "/v1/leave":
             self.leaving = True
--- /dev/null
+++ b/sedgepin/tests/processes.py
@@ -0,0 +1,320 @@
+"""Starts the system's processes and stand-ins on loopback, and stops them.
+
+For the demonstration and the tests with real processes.  Only processes
+started here are ever signalled.
+"""
+
+import collections.abc
+import contextlib
+import hashlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+import httpcore
+import msgspec
+
+DATA_CENTRES = ("beja", "jendouba", "bousalem")
+CALLER_CREDENTIAL = "caller-secret"
+OPERATOR_CREDENTIAL = "operator-secret"
+LAYER_COUNT = 32
+STAGES = ((0, 12), (12, 22), (22, 32))
+
+_WAIT_SECONDS = 20.0
+
+
+def free_port() -> int:
+    """Return a loopback port that nobody listens on."""
+    with socket.socket() as probing:
+        probing.bind(("127.0.0.1", 0))
+        return int(probing.getsockname()[1])
+
+
+def wait_until(
+    holds: collections.abc.Callable[[], bool],
+    what: str,
+    seconds: float = _WAIT_SECONDS,
+) -> float:
+    """Return how long it took until ``holds``; fail after ``seconds``."""
+    started = time.monotonic()
+    while time.monotonic() - started < seconds:
+        with contextlib.suppress(
+            httpcore.NetworkError, httpcore.ProtocolError
+        ):
+            if holds():
+                return time.monotonic() - started
+        time.sleep(0.02)
+    raise TimeoutError(f"waited {seconds} s in vain until {what}")
+
+
+def digest_of(credential: str) -> str:
+    """Return the SHA-256 of a credential, as settings hold it."""
+    return hashlib.sha256(credential.encode()).hexdigest()
+
+
+class Answer(typing.NamedTuple):
+    """A whole HTTP answer."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+    def json(self) -> typing.Any:
+        """Return the body as JSON."""
+        return msgspec.json.decode(self.body)
+
+
+class Processes:
+    """A small system: control and entry VMs, engines and a plain service."""
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        controls: int = 3,
+        entries: int = 4,
+        replicas: int = 2,
+        notice_seconds: float = 0.3,
+        **engine_options: object,
+    ) -> None:
+        self.folder = folder
+        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        self.ports: dict[str, int] = {}
+        self.notice_seconds = notice_seconds
+        self.engine_options = engine_options
+        self.control_ids = [f"control-{n + 1}" for n in range(controls)]
+        self.entry_ids = [f"entry-{n + 1}" for n in range(entries)]
+        self.engine_ids = [
+            f"engine-{first}-{copy}"
+            for first, _end in STAGES
+            for copy in range(replicas)
+        ]
+        for name in (*self.control_ids, *self.entry_ids):
+            self.ports[name] = free_port()
+            self.ports[f"{name}/peer"] = free_port()
+        for name in (*self.engine_ids, "ledger"):
+            self.ports[name] = free_port()
+
+    def __enter__(self) -> "Processes":
+        for name in (*self.control_ids, *self.entry_ids):
+            self.start(name)
+        for name in (*self.engine_ids, "ledger"):
+            self.start(name)
+        return self
+
+    def __exit__(self, *_raised: object) -> None:
+        for process in self.running.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.running.values():
+            process.wait()
+
+    def start(self, name: str, incarnation: int = 1) -> None:
+        """Start one process; a stand-in under an incarnation."""
+        if name in self.control_ids or name in self.entry_ids:
+            role = "control" if name in self.control_ids else "entry"
+            path = self.folder / f"{name}.json"
+            path.write_bytes(msgspec.json.encode(self._settings(name)))
+            arguments = ["sedgepin", role, str(path)]
+        else:
+            kind = "fake_service" if name == "ledger" else "fake_engine"
+            options = msgspec.json.encode(self._options(name, incarnation))
+            module = f"sedgepin.tests.{kind}"
+            arguments = [module, options.decode()]
+        log = (self.folder / f"{name}.log").open("ab")
+        self.running[name] = subprocess.Popen(
+            [sys.executable, "-m", *arguments],
+            stdout=log,
+            stderr=log,
+            env={**os.environ, "PYTHONDONTWRITEBYTECODE": "1"},
+        )
+        log.close()
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a process that was started here."""
+        self.running[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process at once, and wait until it is gone."""
+        self.running[name].kill()
+        self.running[name].wait()
+
+    def address(self, name: str) -> str:
+        """Return the HTTP address of a process."""
+        return f"127.0.0.1:{self.ports[name]}"
+
+    def ask(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        body: object = None,
+        credential: str = CALLER_CREDENTIAL,
+        **headers: str,
+    ) -> Answer:
+        """Send one HTTP request and return the whole answer."""
+        content = b"" if body is None else msgspec.json.encode(body)
+        fields = [("authorization", f"Bearer {credential}")]
+        fields += [
+            (key.replace("_", "-"), value) for key, value in headers.items()
+        ]
+        response = httpcore.request(
+            method,
+            f"http://{self.address(name)}{path}",
+            headers=fields,
+            content=content,
+            extensions={"timeout": {"connect": 1.0, "read": 30.0}},
+        )
+        told = {
+            key.decode().lower(): value.decode()
+            for key, value in response.headers
+        }
+        return Answer(response.status, response.content, told)
+
+    def complete(
+        self, name: str, prompt: str, tokens: int, stream: bool = False
+    ) -> Answer:
+        """Ask for an answer from the assistant."""
+        body = {"prompt": prompt, "max_tokens": tokens, "stream": stream}
+        path = "/v1/services/assistant/completions"
+        return self.ask(name, "POST", path, body)
+
+    def environment(self) -> dict[str, str]:
+        """Return the variables that the operators' commands read."""
+        addresses = ",".join(map(self.address, self.control_ids))
+        return {
+            **os.environ,
+            "SEDGEPIN_CONTROLS": addresses,
+            "SEDGEPIN_CREDENTIAL": OPERATOR_CREDENTIAL,
+        }
+
+    def command(self, *arguments: str) -> subprocess.CompletedProcess[bytes]:
+        """Run one ``sedgepin`` command as an operator."""
+        return subprocess.run(
+            [sys.executable, "-m", "sedgepin", *arguments],
+            env=self.environment(),
+            capture_output=True,
+            check=False,
+        )
+
+    def publish(self, note: dict[str, typing.Any]) -> dict[str, typing.Any]:
+        """Publish a note and return its acceptance."""
+        path = self.folder / f"note-{note['number']}.json"
+        path.write_bytes(msgspec.json.encode(note))
+        done = self.command("note", "publish", str(path), "--output", "json")
+        if done.returncode:
+            raise RuntimeError(done.stderr.decode())
+        accepted: dict[str, typing.Any] = msgspec.json.decode(done.stdout)
+        return accepted
+
+    def wait_ready(self) -> None:
+        """Wait until a leader is there and every entry VM is ready."""
+        for name in self.entry_ids:
+            wait_until(
+                lambda name=name: self._is_ready(name),  # type: ignore[misc]
+                f"{name} is ready",
+            )
+
+    def wait_serving(self) -> None:
+        """Wait until every entry VM brings an answer."""
+        for name in self.entry_ids:
+            wait_until(
+                lambda name=name: (  # type: ignore[misc]
+                    self.complete(name, "warm", 1).status == 200
+                ),
+                f"{name} serves",
+            )
+
+    def _is_ready(self, name: str) -> bool:
+        return self.ask(name, "GET", "/readyz").status == 200
+
+    def _peers(self, names: list[str]) -> list[dict[str, str]]:
+        return [
+            {
+                "id": name,
+                "address": f"127.0.0.1:{self.ports[f'{name}/peer']}",
+                "data_centre": self._data_centre(name),
+            }
+            for name in names
+        ]
+
+    def _data_centre(self, name: str) -> str:
+        number = int(name.rsplit("-", 1)[1]) - 1
+        return DATA_CENTRES[number % len(DATA_CENTRES)]
+
+    def _settings(self, name: str) -> dict[str, object]:
+        common: dict[str, object] = {
+            "id": name,
+            "data_centre": self._data_centre(name),
+            "peer_listen": f"127.0.0.1:{self.ports[f'{name}/peer']}",
+            "controls": self._peers(self.control_ids),
+            "drain": {"notice_seconds": self.notice_seconds},
+        }
+        if name in self.control_ids:
+            operator = {
+                "id": "amel",
+                "credential_sha256": digest_of(OPERATOR_CREDENTIAL),
+            }
+            return {
+                **common,
+                "operator_listen": self.address(name),
+                "data_folder": str(self.folder / f"{name}.data"),
+                "operators": [operator],
+            }
+        customer = {
+            "id": "cooperative-1",
+            "credential_sha256": digest_of(CALLER_CREDENTIAL),
+        }
+        return {
+            **common,
+            "caller_listen": self.address(name),
+            "entries": self._peers(self.entry_ids),
+            "customers": [customer],
+        }
+
+    def _options(self, name: str, incarnation: int) -> dict[str, object]:
+        entries = [self.address(entry) for entry in self.entry_ids]
+        common: dict[str, object] = {
+            "endpoint_id": name,
+            "port": self.ports[name],
+            "entries": entries[:2],
+            "incarnation": incarnation,
+            "data_centre": DATA_CENTRES[0],
+            **self.engine_options,
+        }
+        if name == "ledger":
+            return {**common, "services": ["ledger"], "model": None}
+        first = int(name.split("-")[1])
+        end = dict(STAGES)[first]
+        return {**common, "first_layer": first, "end_layer": end}
+
+
+def first_note() -> dict[str, typing.Any]:
+    """Return the note that puts the model and both services in force."""
+    items = [
+        {
+            "type": "model",
+            "name": "beet-32",
+            "layer_count": LAYER_COUNT,
+            "version": "1",
+        },
+        {
+            "type": "service",
+            "name": "assistant",
+            "kind": "model",
+            "model": "beet-32",
+        },
+        {"type": "service", "name": "ledger", "kind": "plain"},
+    ]
+    return {
+        "number": 1,
+        "note_id": "first",
+        "author": "amel",
+        "title": "The gate assistant and the grower ledger",
+        "changes": [{"change": "added", "item": item} for item in items],
+    }
