Add VM liveness and the membership state machine

A left mark is now kept when a later incarnation joins: dropping it made the digests of entries differ for as long as one had not heard of the join. The freeze guard counted only the first message of a backlog as old; it now starts one gap for the whole of it (seen to fail before).

Planted faults in relayed ages are not all caught yet.

--- a/sedgepin/_membership/__init__.py
+++ b/sedgepin/_membership/__init__.py
@@ -26,6 +26,21 @@
 from sedgepin._membership._failures import DirectoryFull
 from sedgepin._membership._frames import GossipFrame
 from sedgepin._membership._gossip import GossipNode
+from sedgepin._membership._liveness import DeclareJoined
+from sedgepin._membership._liveness import DeclareLost
+from sedgepin._membership._liveness import HeartbeatBatch
+from sedgepin._membership._liveness import HeartbeatRelay
+from sedgepin._membership._liveness import HeartbeatsArrived
+from sedgepin._membership._liveness import LeadershipLeft
+from sedgepin._membership._liveness import LeadershipVisited
+from sedgepin._membership._liveness import LeaseTimerFired
+from sedgepin._membership._liveness import LivenessEffect
+from sedgepin._membership._liveness import LivenessEvent
+from sedgepin._membership._liveness import NoteCoverage
+from sedgepin._membership._liveness import TellLost
+from sedgepin._membership._liveness import VmHeartbeat
+from sedgepin._membership._liveness import VmLife
+from sedgepin._membership._liveness import VmLiveness
 from sedgepin._membership._rumours import RumourBook
 from sedgepin._membership._settings import MembershipSettings
 from sedgepin._membership._topology import choose_subset
@@ -35,6 +50,8 @@
     "AnnouncementHeard",
     "ApplyAnnouncement",
     "ApplyRumour",
+    "DeclareJoined",
+    "DeclareLost",
     "DirectoryFull",
     "Echo",
     "Effect",
@@ -45,8 +62,17 @@
     "GossipArrived",
     "GossipFrame",
     "GossipNode",
+    "HeartbeatBatch",
+    "HeartbeatRelay",
+    "HeartbeatsArrived",
+    "LeadershipLeft",
+    "LeadershipVisited",
+    "LeaseTimerFired",
     "LeftMark",
+    "LivenessEffect",
+    "LivenessEvent",
     "MembershipSettings",
+    "NoteCoverage",
     "PeerDown",
     "PeerUp",
     "RefuseAnnouncement",
@@ -57,7 +83,11 @@
     "RumourBook",
     "RumourStarted",
     "SendGossip",
+    "TellLost",
     "TimerFired",
+    "VmHeartbeat",
+    "VmLife",
+    "VmLiveness",
     "WakeAt",
     "choose_subset",
 ]
--- a/sedgepin/_membership/_age.py
+++ b/sedgepin/_membership/_age.py
@@ -126,17 +126,18 @@
         self._woke_at: datetime.datetime | None = None
 
     def earliest_receipt(
-        self, now: datetime.datetime, due: datetime.datetime | None
+        self, now: datetime.datetime, due: datetime.datetime
     ) -> datetime.datetime:
         """Return the earliest instant at which what is read may have come.
 
         ``due`` is when the next timer should fire: a loop that is overdue
         by more than the limit stood still since its last event.
         """
-        if due is not None and now - due > self._limit:
-            self._gap_from = self._last_handled or due
-            self._woke_at = now
+        last_handled = self._last_handled or now
         self._last_handled = now
+        if now - max(due, last_handled) > self._limit:
+            self._gap_from = last_handled
+            self._woke_at = now
         if self._woke_at is None or self._gap_from is None:
             return now
         if now - self._woke_at > self._limit:
--- a/sedgepin/_membership/_directory.py
+++ b/sedgepin/_membership/_directory.py
@@ -124,9 +124,7 @@
         if self.has_left(endpoint_id, incarnation):
             return result.Ok(AnnounceOutcome.STALE)
         record = self._records.get(endpoint_id)
-        if record and record.announcement.incarnation > incarnation:
-            return result.Ok(AnnounceOutcome.STALE)
-        if record:
+        if record and record.announcement.incarnation <= incarnation:
             self._discard(endpoint_id)
         if not self._has_room_for_mark(endpoint_id, now):
             return result.Err(
@@ -272,7 +270,6 @@
         if is_full and endpoint_id not in self._records:
             return result.Err(failures.DirectoryFull(self._cfg.endpoint_limit))
         self._records[endpoint_id] = _Record(announcement, sent, now)
-        self._unmark(endpoint_id)
         self._suspicions.pop(endpoint_id, None)
         return result.Ok(AnnounceOutcome.JOINED)
 
--- a/sedgepin/_membership/_gossip.py
+++ b/sedgepin/_membership/_gossip.py
@@ -219,7 +219,8 @@
         sender: model.VmId | None,
         now: datetime.datetime,
     ) -> None:
-        self._sender.drop(endpoint_id)
+        if self.endpoints.find(endpoint_id) is None:
+            self._sender.drop(endpoint_id)
         self._effects.append(events.ReportLeaving(endpoint_id, incarnation))
         news = frames.EndpointLeft(endpoint_id, incarnation)
         self._effects += self._sender.flood(news, sender, now)
--- /dev/null
+++ b/sedgepin/_membership/tests/network.py
@@ -0,0 +1,223 @@
+"""Entries with clocks of their own over a network that tests may break."""
+
+import collections
+import dataclasses
+import datetime
+import random
+
+import msgspec
+
+from sedgepin import _membership as membership
+from sedgepin import _model as model
+
+START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+SECOND = datetime.timedelta(seconds=1)
+STEP = 0.05 * SECOND
+ANNOUNCE_INTERVAL = 0.5 * SECOND
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Message:
+    """An encoded frame, or an announcement, on its way to an entry."""
+
+    sender: str
+    recipient: str
+    data: bytes | model.Announcement
+
+
+class Entry:
+    """One entry; its clock shows another time and runs at another rate."""
+
+    def __init__(
+        self,
+        name: str,
+        names: tuple[str, ...],
+        rate: float,
+        cfg: membership.MembershipSettings,
+        true_now: datetime.datetime,
+        incarnation: int = 1,
+    ) -> None:
+        self.name = name
+        self.rate = rate
+        self.offset = random.Random(name).uniform(-9999, 9999) * SECOND
+        self.inbox: collections.deque[Message] = collections.deque()
+        self.is_frozen = False
+        entries = tuple(model.VmId(other) for other in names)
+        self.node = membership.GossipNode(
+            model.VmId(name),
+            model.Incarnation(incarnation),
+            entries,
+            cfg,
+            random.Random(name),
+            self.clock(true_now),
+        )
+
+    def clock(self, true_now: datetime.datetime) -> datetime.datetime:
+        return START + self.offset + (true_now - START) * self.rate
+
+    def eligible(
+        self, true_now: datetime.datetime
+    ) -> tuple[model.Announcement, ...]:
+        return self.node.endpoints.eligible(self.clock(true_now))
+
+
+class Endpoint:
+    """An endpoint that announces twice a second to one entry."""
+
+    def __init__(self, name: str, entry: str) -> None:
+        self.name = name
+        self.entry = entry
+        self.incarnation = 1
+        self.sequence = 0
+        self.echo = ""
+        self.is_leaving = False
+        self.is_silent = False
+        self.announce_at = START
+
+    def announce(self) -> model.Announcement:
+        self.sequence += 1
+        return model.Announcement(
+            endpoint_id=model.EndpointId(self.name),
+            incarnation=model.Incarnation(self.incarnation),
+            sequence=self.sequence,
+            kind=model.EndpointKind.ENGINE,
+            address="http://10.0.0.1:80",
+            data_centre=model.DataCentreId("beja"),
+            services=(model.ServiceName("gate"),),
+            leaving=self.is_leaving,
+            load=model.LoadReport(running_requests=3, queued_tokens=1000),
+            echo=self.echo,
+        )
+
+
+class Network:
+    """Entries and endpoints in true time.
+
+    ``cuts`` holds ordered pairs that lose what is sent.  While ``is_held``,
+    messages stay in ``flying`` until they are delivered by hand.
+    """
+
+    def __init__(
+        self,
+        rates: tuple[float, ...],
+        cfg: membership.MembershipSettings | None = None,
+    ) -> None:
+        self.cfg = cfg or membership.MembershipSettings()
+        self.now = START
+        self.names = tuple(f"e{number}" for number in range(len(rates)))
+        self.entries = {
+            name: Entry(name, self.names, rate, self.cfg, START)
+            for name, rate in zip(self.names, rates, strict=True)
+        }
+        self.endpoints: dict[str, Endpoint] = {}
+        self.flying: list[Message] = []
+        self.cuts: set[tuple[str, str]] = set()
+        self.is_held = False
+        self.left_at: dict[tuple[str, int], datetime.datetime] = {}
+        self.joined: list[tuple[str, int]] = []
+        for name in self.names:
+            self.connect(name)
+
+    def connect(self, name: str) -> None:
+        for other in self.names:
+            if other != name:
+                self.handle(name, membership.PeerUp(model.VmId(other)))
+
+    def restart(self, name: str) -> None:
+        old = self.entries[name]
+        life = int((self.now - START) / SECOND * 1000) + 2
+        self.entries[name] = Entry(
+            name, self.names, old.rate, self.cfg, self.now, life
+        )
+        self.connect(name)
+
+    def add(self, name: str, entry: str) -> Endpoint:
+        endpoint = Endpoint(name, entry)
+        endpoint.announce_at = self.now
+        self.endpoints[name] = endpoint
+        return endpoint
+
+    def leave(self, name: str) -> None:
+        endpoint = self.endpoints[name]
+        endpoint.is_leaving = True
+        self.left_at.setdefault((name, endpoint.incarnation), self.now)
+        endpoint.announce_at = self.now
+
+    def handle(self, name: str, event: membership.Event) -> None:
+        entry = self.entries[name]
+        for effect in entry.node.handle(event, entry.clock(self.now)):
+            if isinstance(effect, membership.SendGossip):
+                data = msgspec.msgpack.encode(effect.frame)
+                self.send(Message(name, effect.recipient, data))
+            if isinstance(effect, membership.ReportEndpointJoined):
+                self.joined.append((name, effect.incarnation))
+            if isinstance(effect, membership.ReplyAnnouncement):
+                assert isinstance(event, membership.AnnouncementHeard)
+                self._reply(name, event.announcement, effect)
+
+    def _reply(
+        self,
+        name: str,
+        announcement: model.Announcement,
+        reply: membership.ReplyAnnouncement,
+    ) -> None:
+        endpoint = self.endpoints[announcement.endpoint_id]
+        if (name, endpoint.name) not in self.cuts:
+            endpoint.echo = reply.echo
+
+    def send(self, message: Message) -> None:
+        if (message.sender, message.recipient) not in self.cuts:
+            self.flying.append(message)
+
+    def deliver(self, index: int = 0, keeps: bool = False) -> None:
+        message = self.flying[index]
+        if not keeps:
+            del self.flying[index]
+        entry = self.entries[message.recipient]
+        entry.inbox.append(message)
+        self.read(entry)
+
+    def read(self, entry: Entry) -> None:
+        while entry.inbox and not entry.is_frozen:
+            message = entry.inbox.popleft()
+            if isinstance(message.data, model.Announcement):
+                heard = membership.AnnouncementHeard(message.data)
+                self.handle(entry.name, heard)
+                continue
+            frame = msgspec.msgpack.decode(
+                message.data, type=membership.GossipFrame
+            )
+            sender = model.VmId(message.sender)
+            self.handle(entry.name, membership.GossipArrived(sender, frame))
+
+    def wake(self, name: str) -> None:
+        self.entries[name].is_frozen = False
+        self.read(self.entries[name])
+
+    def run(self, seconds: float) -> None:
+        end = self.now + seconds * SECOND
+        while self.now < end:
+            self.now += STEP
+            self._announce()
+            for name, entry in self.entries.items():
+                if not entry.is_frozen:
+                    self.handle(name, membership.TimerFired())
+            while self.flying and not self.is_held:
+                self.deliver()
+
+    def _announce(self) -> None:
+        for endpoint in self.endpoints.values():
+            if endpoint.is_silent or self.now < endpoint.announce_at:
+                continue
+            endpoint.announce_at = self.now + ANNOUNCE_INTERVAL
+            announced = endpoint.announce()
+            self.send(Message(endpoint.name, endpoint.entry, announced))
+
+    def eligible(self, endpoint: str) -> list[str]:
+        """Return the entries at which an endpoint is eligible."""
+        return [
+            name
+            for name, entry in self.entries.items()
+            for found in entry.eligible(self.now)
+            if found.endpoint_id == endpoint
+        ]
--- /dev/null
+++ b/sedgepin/_membership/tests/test_directory.py
@@ -0,0 +1,136 @@
+"""Tests of the endpoint directory."""
+
+import datetime
+import typing
+
+import hypothesis
+from hypothesis import strategies
+import msgspec
+
+from sedgepin import _membership as membership
+from sedgepin._membership.tests import network
+from sedgepin import _model as model
+
+_NOW = network.START
+_G1 = model.EndpointId("g1")
+_BASE = network.Endpoint("g1", "e0").announce()
+
+_HEARD = strategies.tuples(
+    strategies.sampled_from(("g1", "g2")),
+    strategies.integers(1, 3),
+    strategies.integers(0, 3),
+    strategies.booleans(),
+    strategies.sampled_from((None, 0, 1, 2, 3)),
+)
+_Heard = tuple[str, int, int, bool, int | None]
+
+
+def _merge(
+    directory: membership.EndpointDirectory, heard: typing.Iterable[_Heard]
+) -> None:
+    for endpoint_id, incarnation, sequence, leaving, seconds in heard:
+        announcement = msgspec.structs.replace(
+            _BASE,
+            endpoint_id=endpoint_id,
+            incarnation=incarnation,
+            sequence=sequence,
+            leaving=leaving,
+        )
+        age = None if seconds is None else seconds * network.SECOND
+        directory.announce(announcement, age, _NOW)
+
+
+def _name(found: model.Announcement | membership.LeftMark) -> str:
+    return found.endpoint_id
+
+
+def _contents(directory: membership.EndpointDirectory) -> object:
+    return (
+        sorted(directory.known(_NOW), key=_name),
+        [directory.age(model.EndpointId(name), _NOW) for name in ("g1", "g2")],
+        sorted(directory.left_marks(), key=_name),
+        directory.left_digest,
+        sorted(directory.eligible(_NOW), key=_name),
+    )
+
+
+def _directory(**fields: object) -> membership.EndpointDirectory:
+    cfg = msgspec.structs.replace(membership.MembershipSettings(), **fields)
+    return membership.EndpointDirectory(cfg)
+
+
+class TestMerge:
+    @hypothesis.given(
+        strategies.lists(_HEARD, max_size=8).flatmap(
+            lambda heard: strategies.tuples(
+                strategies.just(heard), strategies.permutations(heard)
+            )
+        )
+    )
+    def test_order_and_repetition_change_nothing(
+        self, orders: tuple[list[_Heard], list[_Heard]]
+    ) -> None:
+        first, second = _directory(), _directory()
+        _merge(first, orders[0])
+        _merge(second, [*orders[1], *orders[0]])
+        assert _contents(first) == _contents(second)
+
+
+class TestLimits:
+    def test_full_directory_refuses_the_next_endpoint(self) -> None:
+        directory = _directory(endpoint_limit=1)
+        _merge(directory, [("g1", 1, 0, False, 0), ("g2", 1, 0, False, 0)])
+        assert [found.endpoint_id for found in directory.known(_NOW)] == ["g1"]
+        refused = directory.announce(
+            msgspec.structs.replace(_BASE, endpoint_id="g3"), None, _NOW
+        )
+        assert refused.unwrap_err() == membership.DirectoryFull(1)
+
+    def test_left_mark_in_use_is_never_evicted(self) -> None:
+        directory = _directory(tombstone_limit=1)
+        directory.mark_left(_G1, model.Incarnation(1), _NOW)
+        other = model.EndpointId("g2")
+        soon = _NOW + 4 * network.SECOND
+        assert directory.mark_left(other, model.Incarnation(1), soon).is_err()
+        later = _NOW + 5 * network.SECOND
+        assert directory.mark_left(other, model.Incarnation(1), later).is_ok()
+        assert len(directory.left_marks()) == 1
+
+    def test_forgotten_left_mark_lets_no_old_announcement_work(self) -> None:
+        directory = _directory()
+        directory.mark_left(_G1, model.Incarnation(1), _NOW)
+        later = _NOW + datetime.timedelta(minutes=10)
+        directory.forget(later)
+        assert directory.left_marks() == ()
+        assert directory.left_digest == 0
+        directory.announce(_BASE, later - _NOW, later)
+        assert directory.find(_G1) is not None
+        assert directory.eligible(later) == ()
+
+    def test_silent_endpoint_is_lost(self) -> None:
+        directory = _directory()
+        _merge(directory, [("g1", 1, 0, False, 0)])
+        later = _NOW + datetime.timedelta(seconds=60)
+        assert [lost.endpoint_id for lost in directory.forget(later)] == ["g1"]
+        assert directory.find(_G1) is None
+
+
+class TestSuspicion:
+    def test_later_announcement_or_backoff_clears_it(self) -> None:
+        directory = _directory()
+        _merge(directory, [("g1", 1, 0, False, 0)])
+        directory.mark_failed(_G1, _NOW)
+        assert directory.eligible(_NOW) == ()
+        assert directory.eligible(_NOW + network.SECOND) != ()
+        soon = _NOW + 0.2 * network.SECOND
+        newer = msgspec.structs.replace(_BASE, sequence=9)
+        directory.announce(newer, 0.1 * network.SECOND, soon)
+        assert directory.eligible(soon) == (newer,)
+        directory.mark_failed(_G1, soon)
+        newest = msgspec.structs.replace(_BASE, sequence=10)
+        directory.announce(newest, datetime.timedelta(), soon)
+        assert directory.eligible(soon + network.SECOND) == ()
+        assert directory.eligible(soon + 2 * network.SECOND) == (newest,)
+        directory.mark_failed(_G1, soon)
+        directory.mark_reached(_G1)
+        assert directory.eligible(soon) == (newest,)
--- a/sedgepin/_membership/tests/test_gossip.py
+++ b/sedgepin/_membership/tests/test_gossip.py
@@ -1,115 +1,235 @@
 """Tests of membership shared between entries."""
 
 import datetime
-import random
 
 import msgspec
+import pytest
 
 from sedgepin import _membership as membership
+from sedgepin._membership.tests import network
 from sedgepin import _model as model
 
-_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
-_SECOND = datetime.timedelta(seconds=1)
-_CFG = membership.MembershipSettings()
-
-
-def announce(
-    sequence: int, leaving: bool = False, echo: str = "", incarnation: int = 1
-) -> model.Announcement:
-    return model.Announcement(
-        endpoint_id=model.EndpointId("g1"),
-        incarnation=model.Incarnation(incarnation),
-        sequence=sequence,
-        kind=model.EndpointKind.ENGINE,
-        address="http://10.0.0.1:80",
-        data_centre=model.DataCentreId("beja"),
-        services=(model.ServiceName("gate"),),
-        leaving=leaving,
-        load=model.LoadReport(running_requests=3, queued_tokens=1000),
-        echo=echo,
+_GRID = membership.MembershipSettings(mesh_limit_entries=1)
+_LATEST = membership.MembershipSettings().eligible_age / 0.95
+
+
+def _settled(count: int = 3, **fields: object) -> network.Network:
+    cfg = msgspec.structs.replace(membership.MembershipSettings(), **fields)
+    net = network.Network((1.0,) * count, cfg)
+    net.add("g1", "e0")
+    net.run(4)
+    assert net.eligible("g1") == list(net.names)
+    return net
+
+
+class TestAge:
+    def test_first_announcement_is_known_and_asked_for_again(self) -> None:
+        net = network.Network((1.0,))
+        endpoint = net.add("g1", "e0")
+        entry = net.entries["e0"]
+        heard = membership.AnnouncementHeard(endpoint.announce())
+        effects = entry.node.handle(heard, entry.clock(net.now))
+        reply = next(
+            effect
+            for effect in effects
+            if isinstance(effect, membership.ReplyAnnouncement)
+        )
+        assert reply.announce_again_after == datetime.timedelta()
+        assert entry.node.endpoints.find(model.EndpointId("g1"))
+        assert net.eligible("g1") == []
+
+    def test_relayed_announcement_keeps_its_age(self) -> None:
+        """A frame held back for long brings no young announcement."""
+        net = _settled()
+        net.is_held = True
+        net.run(0.6)
+        net.endpoints["g1"].is_silent = True
+        net.run(3)
+        assert net.eligible("g1") == []
+        for _ in range(len(net.flying)):
+            net.deliver()
+        assert net.eligible("g1") == []
+
+    def test_entry_that_froze_trusts_nothing_in_its_backlog(self) -> None:
+        net = _settled()
+        net.entries["e1"].is_frozen = True
+        net.run(2)
+        net.leave("g1")
+        net.run(0.1)
+        net.endpoints["g1"].is_silent = True
+        net.cuts.update((name, "e1") for name in net.names)
+        net.run(3)
+        net.entries["e1"].is_frozen = False
+        assert net.eligible("g1") == []
+        net.wake("e1")
+        assert net.eligible("g1") == []
+
+    def test_without_echo_a_backlog_is_as_old_as_the_freeze(self) -> None:
+        net = network.Network(
+            (1.0,),
+            membership.MembershipSettings(
+                accept_announcements_without_echo=True
+            ),
+        )
+        net.add("g1", "e0")
+        net.cuts.add(("e0", "g1"))
+        net.run(2)
+        assert net.eligible("g1") == ["e0"]
+        net.entries["e0"].is_frozen = True
+        net.run(3)
+        net.endpoints["g1"].is_silent = True
+        net.wake("e0")
+        assert net.eligible("g1") == []
+
+    @pytest.mark.parametrize(
+        "text", ["", "e0", "e0/1/", "e0/1/x", "/1/1", "e0/1/" + "9" * 99]
     )
+    def test_echo_that_is_none_is_refused(self, text: str) -> None:
+        assert membership.Echo.parse(text) is None
 
+    @pytest.mark.parametrize("echo", ["e0/1/99999999", "e0/7/10", "e9/1/10"])
+    def test_echo_of_another_life_or_of_the_future_bounds_nothing(
+        self, echo: str
+    ) -> None:
+        net = network.Network((1.0,))
+        endpoint = net.add("g1", "e0")
+        endpoint.echo = echo
+        heard = membership.AnnouncementHeard(endpoint.announce())
+        net.handle("e0", heard)
+        assert net.eligible("g1") == []
 
-class Pair:
-    """Two entries, a clock for both, and whatever was done."""
-
-    def __init__(self) -> None:
-        self.now = _START
-        names = (model.VmId("e1"), model.VmId("e2"))
-        self.nodes = {
-            name: membership.GossipNode(
-                name,
-                model.Incarnation(5),
-                names,
-                _CFG,
-                random.Random(name),
-                _START,
-            )
-            for name in names
-        }
-        self.echo = ""
-        for name, other in (names, names[::-1]):
-            self.handle(name, membership.PeerUp(other))
-
-    def handle(self, name: str, event: membership.Event) -> None:
-        vm_id = model.VmId(name)
-        for effect in self.nodes[vm_id].handle(event, self.now):
-            match effect:
-                case membership.SendGossip(recipient, frame):
-                    data = msgspec.msgpack.encode(frame)
-                    decoded = msgspec.msgpack.decode(
-                        data, type=membership.GossipFrame
-                    )
-                    arrived = membership.GossipArrived(vm_id, decoded)
-                    self.handle(recipient, arrived)
-                case membership.ReplyAnnouncement(echo, _):
-                    self.echo = echo
-
-    def run(self, seconds: float) -> None:
-        end = self.now + seconds * _SECOND
-        while self.now < end:
-            self.now += _SECOND / 20
-            for name in self.nodes:
-                self.handle(name, membership.TimerFired())
-
-    def eligible(self, name: str) -> list[int]:
-        node = self.nodes[model.VmId(name)]
-        return [found.sequence for found in node.endpoints.eligible(self.now)]
-
-
-class TestGossip:
-    def test_announcement_needs_an_echo_and_reaches_the_other_entry(
+
+class TestLeaving:
+    @pytest.mark.parametrize("cfg", [_settled().cfg, _GRID])
+    def test_leaving_is_told_at_once_and_is_final(
+        self, cfg: membership.MembershipSettings
+    ) -> None:
+        net = network.Network((1.0,) * 9, cfg)
+        endpoint = net.add("g1", "e0")
+        net.run(4)
+        assert net.eligible("g1") == list(net.names)
+        endpoint.is_leaving = True
+        heard = membership.AnnouncementHeard(endpoint.announce())
+        net.handle("e0", heard)
+        while net.flying:
+            net.deliver()
+        assert net.eligible("g1") == []
+        endpoint.is_leaving = False
+        net.run(3)
+        assert net.eligible("g1") == []
+        endpoint.incarnation += 1
+        net.run(3)
+        assert net.eligible("g1") == list(net.names)
+
+    def test_lost_news_is_found_by_the_digest(self) -> None:
+        net = _settled()
+        net.cuts.add(("e0", "e1"))
+        net.cuts.add(("e2", "e1"))
+        net.leave("g1")
+        net.run(0.1)
+        assert "e1" in net.eligible("g1")
+        net.cuts.clear()
+        net.run(1)
+        assert "e1" not in net.eligible("g1")
+        assert net.entries["e1"].node.endpoints.left_marks()
+
+    def test_cut_entry_stops_by_age_alone(self) -> None:
+        net = _settled()
+        net.cuts.update((name, "e1") for name in net.names)
+        net.leave("g1")
+        net.run(_LATEST / network.SECOND)
+        assert net.eligible("g1") == []
+
+
+class TestSpread:
+    def test_partial_cut_is_bridged_by_asking_another(self) -> None:
+        net = _settled()
+        net.cuts.update({("e0", "e1"), ("e1", "e0")})
+        for _ in range(10):
+            net.run(1)
+            assert "e2" in net.eligible("g1")
+        assert "e1" in net.eligible("g1")
+
+    def test_grid_reaches_all_and_replaces_a_lost_relay(self) -> None:
+        net = network.Network((1.0,) * 16, _GRID)
+        net.add("g1", "e0")
+        net.run(4)
+        node = net.entries["e0"].node
+        assert len(node.neighbours()) == 6
+        assert net.eligible("g1") == list(net.names)
+        for lost in sorted(node.neighbours())[:3]:
+            net.entries[lost].is_frozen = True
+            for name in net.names:
+                if name != lost:
+                    down = membership.PeerDown(model.VmId(lost))
+                    net.handle(name, down)
+        net.run(4)
+        up = [name for name in net.names if not net.entries[name].is_frozen]
+        assert net.eligible("g1") == up
+
+    def test_failure_holds_an_endpoint_back_everywhere_for_a_moment(
         self,
     ) -> None:
-        pair = Pair()
-        pair.run(1)
-        pair.handle("e1", membership.AnnouncementHeard(announce(1)))
-        assert pair.eligible("e1") == []
-        pair.handle(
-            "e1", membership.AnnouncementHeard(announce(2, echo=pair.echo))
-        )
-        assert pair.eligible("e1") == [2]
-        pair.run(0.6)
-        assert pair.eligible("e2") == [2]
-        pair.run(2)
-        assert pair.eligible("e1") == pair.eligible("e2") == []
-
-    def test_leaving_is_told_at_once_and_is_final(self) -> None:
-        pair = Pair()
-        pair.run(1)
-        for sequence in (1, 2):
-            heard = announce(sequence, echo=pair.echo)
-            pair.handle("e1", membership.AnnouncementHeard(heard))
-        pair.run(1)
-        assert pair.eligible("e2") == [2]
-        leaving = announce(3, leaving=True)
-        pair.handle("e1", membership.AnnouncementHeard(leaving))
-        assert pair.eligible("e1") == pair.eligible("e2") == []
-        for name in ("e1", "e2"):
-            late = announce(9, echo=pair.echo)
-            pair.handle(name, membership.AnnouncementHeard(late))
-        assert pair.eligible("e1") == pair.eligible("e2") == []
-        again = announce(1, echo=pair.echo, incarnation=2)
-        pair.handle("e2", membership.AnnouncementHeard(again))
-        pair.run(0.6)
-        assert pair.eligible("e1") == pair.eligible("e2") == [1]
+        net = _settled()
+        failed = membership.EndpointFailed(model.EndpointId("g1"))
+        net.handle("e0", failed)
+        while net.flying:
+            net.deliver()
+        assert net.eligible("g1") == []
+        net.run(1.5)
+        assert net.eligible("g1") == list(net.names)
+        net.handle("e0", failed)
+        net.run(1.5)
+        assert net.eligible("g1") == ["e1", "e2"]
+        net.run(1)
+        assert net.eligible("g1") == list(net.names)
+
+    def test_rumour_reaches_all_and_ends_everywhere(self) -> None:
+        net = _settled()
+        net.cuts.update({("e0", "e1"), ("e2", "e1")})
+        entry = net.entries["e0"]
+        until = entry.clock(net.now) + 20 * network.SECOND
+        net.handle("e0", membership.RumourStarted("f1", until))
+        net.run(1)
+        assert self._holders(net) == ["e0", "e2"]
+        net.cuts.clear()
+        net.run(3)
+        assert self._holders(net) == list(net.names)
+        net.run(16)
+        assert self._holders(net) == []
+
+    def _holders(self, net: network.Network) -> list[str]:
+        return [
+            name
+            for name, entry in net.entries.items()
+            if entry.node.rumours.holds("f1", entry.clock(net.now))
+        ]
+
+    def test_cache_events_survive_batching_in_order(self) -> None:
+        net = _settled(2)
+        endpoint = net.endpoints["g1"]
+        endpoint.is_silent = True
+        seen: list[int] = []
+        for number in range(3):
+            announcement = msgspec.structs.replace(
+                endpoint.announce(),
+                cache_events=(model.CacheEvent(number),),
+            )
+            net.handle("e0", membership.AnnouncementHeard(announcement))
+        net.is_held = True
+        net.run(0.6)
+        entry = net.entries["e1"]
+        for message in net.flying:
+            if message.recipient != "e1" or isinstance(
+                message.data, model.Announcement
+            ):
+                continue
+            frame = msgspec.msgpack.decode(
+                message.data, type=membership.GossipFrame
+            )
+            arrived = membership.GossipArrived(model.VmId("e0"), frame)
+            for effect in entry.node.handle(arrived, entry.clock(net.now)):
+                if isinstance(effect, membership.ApplyAnnouncement):
+                    events = effect.announcement.cache_events
+                    seen += [event.sequence for event in events]
+        assert seen == [0, 1, 2]
--- /dev/null
+++ b/sedgepin/_membership/tests/test_liveness.py
@@ -0,0 +1,120 @@
+"""Tests of VM heartbeats at the control leader."""
+
+import datetime
+
+import hypothesis
+from hypothesis import strategies
+
+from sedgepin import _membership as membership
+from sedgepin import _model as model
+
+_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
+_SECOND = datetime.timedelta(seconds=1)
+_E1 = model.VmId("e1")
+_FIRST = model.Incarnation(1)
+_TIMER = membership.LeaseTimerFired()
+
+
+def _beat(
+    sequence: int, incarnation: int = 1, note: int = 0, age: int = 0
+) -> membership.HeartbeatsArrived:
+    heartbeat = membership.VmHeartbeat(
+        _E1, incarnation, sequence, note, age_milliseconds=age
+    )
+    return membership.HeartbeatsArrived(
+        membership.HeartbeatBatch((heartbeat,))
+    )
+
+
+def _leading() -> membership.VmLiveness:
+    liveness = membership.VmLiveness()
+    life = membership.VmLife(_E1, _FIRST)
+    liveness.handle(membership.LeadershipVisited((life,)), _START)
+    return liveness
+
+
+class TestLease:
+    def test_silence_loses_a_life_for_good(self) -> None:
+        liveness = _leading()
+        liveness.handle(_beat(1), _START + _SECOND)
+        assert liveness.handle(_TIMER, _START + 3.9 * _SECOND) == []
+        lost = [membership.DeclareLost(_E1, _FIRST)]
+        late = _START + 4 * _SECOND
+        assert liveness.handle(_TIMER, late) == lost
+        assert liveness.handle(_TIMER, late) == []
+        told = [membership.TellLost(_E1, _FIRST)]
+        assert liveness.handle(_beat(2), late) == told
+        second = model.Incarnation(2)
+        joined = [membership.DeclareJoined(_E1, second)]
+        assert liveness.handle(_beat(0, incarnation=2), late) == joined
+
+    def test_new_life_ends_the_one_before(self) -> None:
+        effects = _leading().handle(_beat(0, incarnation=2), _START)
+        assert effects == [
+            membership.DeclareLost(_E1, _FIRST),
+            membership.DeclareJoined(_E1, model.Incarnation(2)),
+        ]
+
+    def test_held_or_repeated_heartbeat_extends_nothing(self) -> None:
+        liveness = _leading()
+        later = _START + 2 * _SECOND
+        liveness.handle(_beat(1, age=2500), later)
+        liveness.handle(_beat(1), later)
+        lost = liveness.handle(_TIMER, _START + 3 * _SECOND)
+        assert lost == [membership.DeclareLost(_E1, _FIRST)]
+
+    def test_who_does_not_lead_declares_nothing(self) -> None:
+        liveness = _leading()
+        liveness.handle(membership.LeadershipLeft(), _START)
+        late = _START + 9 * _SECOND
+        assert liveness.handle(_beat(1), late) == []
+        assert liveness.handle(_TIMER, late) == []
+
+    @hypothesis.given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.integers(1, 3),
+                strategies.integers(0, 3),
+                strategies.integers(0, 2),
+            ),
+            max_size=12,
+        )
+    )
+    def test_incarnations_only_rise_and_are_lost_once(
+        self, beats: list[tuple[int, int, int]]
+    ) -> None:
+        liveness = _leading()
+        now = _START
+        joined, lost = [1], []
+        for incarnation, sequence, seconds in beats:
+            now += seconds * _SECOND
+            effects = liveness.handle(_TIMER, now)
+            effects += liveness.handle(_beat(sequence, incarnation), now)
+            for effect in effects:
+                if isinstance(effect, membership.DeclareJoined):
+                    joined.append(effect.incarnation)
+                if isinstance(effect, membership.DeclareLost):
+                    lost.append(effect.incarnation)
+        assert joined == sorted(set(joined))
+        assert lost == sorted(set(lost))
+        assert set(joined) - set(lost) <= {joined[-1]}
+
+
+class TestCoverage:
+    def test_lagging_vm_is_named(self) -> None:
+        liveness = _leading()
+        liveness.handle(_beat(1, note=4), _START)
+        assert liveness.coverage(4).in_force_count == 1
+        assert liveness.coverage(5).lagging == (_E1,)
+
+
+class TestRelay:
+    def test_newest_heartbeat_goes_on_with_its_age(self) -> None:
+        relay = membership.HeartbeatRelay()
+        for sequence in (2, 1):
+            relay.hear(_beat(sequence).batch.heartbeats[0], _START)
+        batch = relay.take(_START + _SECOND)
+        assert batch.heartbeats == (
+            membership.VmHeartbeat(_E1, 1, 2, age_milliseconds=1000),
+        )
+        assert relay.take(_START + _SECOND).heartbeats == ()
