Keep the entry's own work even, corrected by smoothed reports

Cause: a report leaves out requests that have not yet reached their later stages, so four entries acting on it in common overshoot and swing. An entry's own dispatches are known without delay; scaled to everyone's and corrected by the smoothed difference that reports show they carry the price instead.

--- a/sedgepin/_routing/_choice.py
+++ b/sedgepin/_routing/_choice.py
@@ -58,15 +58,13 @@
         self,
         graph: _graph.LayerGraph,
         demand: Demand,
-        mean_step_seconds: float,
+        scale: _prices.LoadScale,
     ) -> list[_search.Leg] | None:
         """Return the path to take, or None if the avoided leave a gap."""
         drawn = graph.draw(self._settings.choices_per_group, self._rng)
-        legs = self._search(graph, drawn, demand, mean_step_seconds)
+        legs = self._search(graph, drawn, demand, scale)
         if legs is None and demand.avoid:
-            legs = self._search(
-                graph, graph.holders, demand, mean_step_seconds
-            )
+            legs = self._search(graph, graph.holders, demand, scale)
         return legs
 
     def _search(
@@ -74,13 +72,13 @@
         graph: _graph.LayerGraph,
         drawn: collections.abc.Iterable[_graph.Holder],
         demand: Demand,
-        mean_step_seconds: float,
+        scale: _prices.LoadScale,
     ) -> list[_search.Leg] | None:
         warm = _warmest(graph, demand)
         avoid = demand.avoid
         candidates = dict.fromkeys([*drawn, *warm]) if warm else drawn
         nodes = [
-            self._pricing.node(holder, mean_step_seconds)
+            self._pricing.node(holder, scale)
             for holder in candidates
             if holder.endpoint_id not in avoid
         ]
--- a/sedgepin/_routing/_holders.py
+++ b/sedgepin/_routing/_holders.py
@@ -35,9 +35,9 @@
 
 
 class PricedGraph:
-    """A graph with its mean load, and the links version it was built on."""
+    """A graph with its load scale, and the links version it was built on."""
 
-    __slots__ = ("graph", "holders", "links_version", "reference")
+    __slots__ = ("graph", "holders", "links_version", "scale")
 
     def __init__(
         self,
@@ -48,7 +48,7 @@
         self.graph = graph
         self.holders = holders
         self.links_version = links_version
-        self.reference = _prices.CongestionReference()
+        self.scale = _prices.LoadScale()
 
 
 class GraphCache:
@@ -95,7 +95,7 @@
             if len(self._graphs) >= _GRAPHS_LIMIT:
                 self._graphs.clear()
             self._graphs[wanted] = known
-        known.reference.refresh(known.graph.holders, now)
+        known.scale.refresh(known.graph.holders, now)
         return known
 
     def holders(
--- a/sedgepin/_routing/_load.py
+++ b/sedgepin/_routing/_load.py
@@ -7,6 +7,9 @@
 from sedgepin import _model as model
 
 _SMOOTHING = 0.05
+# Reports come twice a second; their differences are averaged over seconds,
+# longer than a request takes to reach its last stage.
+_REPORT_SMOOTHING = 0.1
 _DELTAS_LIMIT = 1024
 _REPORT_LIFETIME = datetime.timedelta(seconds=10)
 
@@ -26,14 +29,14 @@
 
     ``layers`` is the sum, over the requests resident on the endpoint, of
     the layers that each runs there: the layer-tokens of one batch step.
-    ``prompt_tokens`` is what waits for its prefill.
+    ``prompt_tokens`` is what waits for its prefill.  ``own_layers`` and
+    ``own_requests`` count this entry's part alone; the ``usual`` figures
+    are averages over the last reports.
     """
 
     __slots__ = (
         "_deltas",
         "_order",
-        "_own_layers",
-        "_own_requests",
         "_recent_layers",
         "_recent_requests",
         "_recent_tokens",
@@ -43,8 +46,12 @@
         "layers",
         "layers_per_request",
         "measured_at",
+        "own_layers",
+        "own_requests",
         "prompt_tokens",
         "requests",
+        "usual_own_layers",
+        "usual_reported_layers",
     )
 
     def __init__(self, held_layers: int) -> None:
@@ -54,11 +61,13 @@
         self.requests = 0
         self.layers = 0.0
         self.prompt_tokens = 0
+        self.usual_own_layers = 0.0
+        self.usual_reported_layers = 0.0
         self._order = (-1, -1)
         self._reported_requests = 0
         self._reported_tokens = 0
-        self._own_requests = 0
-        self._own_layers = 0
+        self.own_requests = 0
+        self.own_layers = 0
         self._recent_requests = 0
         self._recent_layers = 0
         self._recent_tokens = 0
@@ -86,14 +95,15 @@
         self._reported_tokens = load.queued_tokens
         while self._deltas and self._deltas[0].at <= measured_at:
             self._add(self._deltas.popleft(), -1)
+        self._smooth()
         self._estimate()
 
     def visit(
         self, layers: int, prompt_tokens: int, now: datetime.datetime
     ) -> None:
         """Add a request that this entry dispatched."""
-        self._own_requests += 1
-        self._own_layers += layers
+        self.own_requests += 1
+        self.own_layers += layers
         self.layers_per_request += _SMOOTHING * (
             layers - self.layers_per_request
         )
@@ -101,15 +111,15 @@
 
     def leave(self, layers: int, now: datetime.datetime) -> None:
         """Take away a request that this entry dispatched."""
-        self._own_requests -= 1
-        self._own_layers -= layers
+        self.own_requests -= 1
+        self.own_layers -= layers
         self._change(_Delta(now, -1, -layers, 0))
 
     def requests_at(self, now: datetime.datetime) -> int:
         """Return the resident requests; an old report counts for nothing."""
         if self.measured_at and now - self.measured_at <= _REPORT_LIFETIME:
             return self.requests
-        return self._own_requests
+        return self.own_requests
 
     def prefill_seconds(self, seconds_per_layer_token: float) -> float:
         """Return how long the waiting prompts will take."""
@@ -125,6 +135,15 @@
             self._reported_requests += oldest.requests
         self._estimate()
 
+    def _smooth(self) -> None:
+        reported = self._reported_requests * self.layers_per_request
+        self.usual_reported_layers += _REPORT_SMOOTHING * (
+            reported - self.usual_reported_layers
+        )
+        self.usual_own_layers += _REPORT_SMOOTHING * (
+            self.own_layers - self.usual_own_layers
+        )
+
     def _add(self, delta: _Delta, sign: int) -> None:
         self._recent_requests += sign * delta.requests
         self._recent_layers += sign * delta.layers
@@ -134,8 +153,8 @@
         reported = self._reported_requests
         layers = reported * self.layers_per_request + self._recent_layers
         requests = reported + self._recent_requests
-        self.requests = max(requests, self._own_requests, 0)
-        self.layers = max(layers, self._own_layers, 0.0)
+        self.requests = max(requests, self.own_requests, 0)
+        self.layers = max(layers, self.own_layers, 0.0)
         self.prompt_tokens = self._reported_tokens + self._recent_tokens
 
 
