Leave waiting prompts out of the price

Reports show waiting prompts late, and the entry's own stay counted until a report covers them, so the term moved requests about for prompts long run. The load term already carries the queue.

--- a/sedgepin/_routing/_choice.py
+++ b/sedgepin/_routing/_choice.py
@@ -128,7 +128,6 @@
         node = nodes[leg.holder]
         layers = leg.end - leg.first
         total += node.price * layers * (tokens + demand.generated_tokens)
-        total += node.visit_cost
         total += demand.generated_tokens * graph.link(previous, leg.holder)
         previous = leg.holder
     return total
--- a/sedgepin/_routing/_prices.py
+++ b/sedgepin/_routing/_prices.py
@@ -110,7 +110,7 @@
             excess = self._steepness * (relative - 1.0)
             price *= math.exp(min(excess, _STEEPEST))
         price *= 1.0 + self._noise * (self._rng.random() - 0.5)
-        return _search.Node(holder, price, load.prefill_seconds(compute))
+        return _search.Node(holder, price)
 
 
 def predicted_seconds(
--- a/sedgepin/_routing/_search.py
+++ b/sedgepin/_routing/_search.py
@@ -14,12 +14,10 @@
 
     ``price`` is the cost in seconds of one token through one layer and
     ``layer_cost`` that of the whole request through one layer.
-    ``visit_cost`` is paid once, however many layers run.
     """
 
     holder: _graph.Holder
     price: float
-    visit_cost: float
     layer_cost: float = 0.0
 
 
@@ -75,8 +73,7 @@
             links = graph.link_seconds
             labels = [
                 _Label(
-                    node.visit_cost
-                    + links[node.holder.data_centre][entry_data_centre],
+                    links[node.holder.data_centre][entry_data_centre],
                     first,
                     node,
                     None,
@@ -129,7 +126,6 @@
             cost, parent = _cheapest_measured(graph, labels, node, passes)
         else:
             cost, parent = entering[holder.data_centre]
-        cost += node.visit_cost
         stay = staying.get(id(node))
         if stay is not None and stay.cost <= cost:
             advanced.append(stay)
