Condemn a crashing request after two deaths, and nobody in a rack

Cause: with several entries a request that crashes endpoints was sent again while the rumour of its first death was under way, and two such requests at the same time, or a rack found dead over some 100 ms, were mistaken for each other. Ruled out: judging at the second death (a rack's later deaths are not known yet), any death nearby as an excuse (two such requests then excuse each other), trials on any free endpoint (two entries choose the same one).

Now one VM holds the trial, endpoints belong to one VM for trials, running copies are recalled, a pair is judged one second after its last death, and a larger loss is three deaths within two seconds unless exactly two guilty requests explain it.

The tests were seen to fail with: no excuse for a larger loss, no recall, any VM starting a trial, judgement at once, unproven deaths counted, the sole claimant rule left out, the later claim kept, rumours not shared, and pairs of two requests taken for a rack.

--- a/sedgepin/_admission/__init__.py
+++ b/sedgepin/_admission/__init__.py
@@ -9,21 +9,7 @@
 from sedgepin._admission._failures import QueueFull
 from sedgepin._admission._failures import RateExceeded
 from sedgepin._admission._failures import TooManyOpenRequests
-from sedgepin._admission._quarantine import Aboard
-from sedgepin._admission._quarantine import AnswerQuarantined
-from sedgepin._admission._quarantine import EndpointDied
 from sedgepin._admission._quarantine import Quarantine
-from sedgepin._admission._quarantine import QuarantineEffect
-from sedgepin._admission._quarantine import QuarantineRefusal
-from sedgepin._admission._quarantine import QuarantineSettings
-from sedgepin._admission._quarantine import QuarantineVerdict
-from sedgepin._admission._quarantine import RequestOnTrial
-from sedgepin._admission._quarantine import RequestQuarantined
-from sedgepin._admission._quarantine import ResumeFreely
-from sedgepin._admission._quarantine import RunFreely
-from sedgepin._admission._quarantine import RunOnTrial
-from sedgepin._admission._quarantine import ShareRumour
-from sedgepin._admission._quarantine import StartTrial
 from sedgepin._admission._retries import RetryBudget
 from sedgepin._admission._retries import RetryReason
 from sedgepin._admission._retries import RetryRefused
@@ -36,10 +22,26 @@
 from sedgepin._admission._rumour import Trial
 from sedgepin._admission._settings import AdmissionSettings
 from sedgepin._admission._settings import CustomerLimits
+from sedgepin._admission._suspicion import Aboard
+from sedgepin._admission._suspicion import AnswerQuarantined
+from sedgepin._admission._suspicion import EndpointDied
+from sedgepin._admission._suspicion import QuarantineEffect
+from sedgepin._admission._suspicion import QuarantineRefusal
+from sedgepin._admission._suspicion import QuarantineSettings
+from sedgepin._admission._suspicion import QuarantineVerdict
+from sedgepin._admission._suspicion import RecallCopies
+from sedgepin._admission._suspicion import RequestOnTrial
+from sedgepin._admission._suspicion import RequestQuarantined
+from sedgepin._admission._suspicion import ResumeFreely
+from sedgepin._admission._suspicion import RunFreely
+from sedgepin._admission._suspicion import RunOnTrial
+from sedgepin._admission._suspicion import ShareRumour
+from sedgepin._admission._suspicion import StartTrial
 from sedgepin._admission._ticket import Admit
 from sedgepin._admission._ticket import Decision
 from sedgepin._admission._ticket import Refuse
 from sedgepin._admission._ticket import Ticket
+from sedgepin._admission._trial_endpoints import choose_for_trial
 
 __all__ = [
     "Aboard",
@@ -64,6 +66,7 @@
     "QuarantineVerdict",
     "QueueFull",
     "RateExceeded",
+    "RecallCopies",
     "Refuse",
     "RequestAlreadyOpen",
     "RequestOnTrial",
@@ -82,4 +85,5 @@
     "Ticket",
     "TooManyOpenRequests",
     "Trial",
+    "choose_for_trial",
 ]
--- a/sedgepin/_admission/_rumour.py
+++ b/sedgepin/_admission/_rumour.py
@@ -48,28 +48,38 @@
     """Which VM alone may run the request, and until when.
 
     A higher ``number`` replaces a lower; of two claims to one number the
-    lower VM identity wins.
+    lower VM identity wins.  ``endpoints`` run the request now and are to
+    run no other suspect.
     """
 
     number: int
     isolator: model.VmId
     until: datetime.datetime
+    endpoints: tuple[model.EndpointId, ...] = ()
 
     def merged(self, other: "Trial") -> "Trial":
         """Return the claim that holds."""
         return min(self, other, key=_claim_order)
 
 
-def _claim_order(trial: Trial) -> tuple[int, str, float]:
-    return (-trial.number, trial.isolator, -trial.until.timestamp())
+def _claim_order(
+    trial: Trial,
+) -> tuple[int, str, float, bool, tuple[model.EndpointId, ...]]:
+    return (
+        -trial.number,
+        trial.isolator,
+        -trial.until.timestamp(),
+        not trial.endpoints,
+        trial.endpoints,
+    )
 
 
 class Rumour(msgspec.Struct, frozen=True):
     """All that is known of one request that was aboard dying endpoints.
 
     ``acquitted`` deaths no longer count against it.  ``cleared`` deaths
-    still count, but the request has since run past the point of its death
-    and needs no further trial.
+    need no further trial: the request has since run past the point of its
+    death, or the death has another cause.
     """
 
     fingerprint: Fingerprint
@@ -90,9 +100,8 @@
 
     @property
     def needs_trial(self) -> bool:
-        """Tell whether some death is neither acquitted nor cleared."""
-        settled = self.acquitted | self.cleared
-        return any(mark.death not in settled for mark in self.deaths)
+        """Tell whether the request has yet to run alone after a death."""
+        return any(mark.death not in self.cleared for mark in self.deaths)
 
     def merged(self, other: "Rumour") -> "Rumour":
         """Return what both rumours of one request say together."""
--- a/sedgepin/_answers/__init__.py
+++ b/sedgepin/_answers/__init__.py
@@ -23,6 +23,7 @@
 from sedgepin._answers._progress import ProgressWatch
 from sedgepin._answers._silence import DeclareConnectionDead
 from sedgepin._answers._silence import DeclareEndpointDead
+from sedgepin._answers._silence import DeclareStreamStalled
 from sedgepin._answers._silence import HeartbeatSeen
 from sedgepin._answers._silence import ProbeEndpoint
 from sedgepin._answers._silence import ProbeFailed
@@ -49,6 +50,7 @@
     "CacheImport",
     "DeclareConnectionDead",
     "DeclareEndpointDead",
+    "DeclareStreamStalled",
     "DropReason",
     "FinishReason",
     "HELD_PIECES_LIMIT",
--- a/sedgepin/_answers/_silence.py
+++ b/sedgepin/_answers/_silence.py
@@ -3,7 +3,9 @@
 A silent stream is first asked about over a fresh connection.  Success there
 with tokens that never arrived here means that the old connection is dead;
 repeated failure means that the endpoint is.  An endpoint that says it is
-still prefilling is left to work, for as long as it says so.
+still prefilling is left to work, for as long as it says so.  One that has
+made tokens and then makes no more, while it says that it is alive, has
+stalled.
 """
 
 import dataclasses
@@ -91,7 +93,24 @@
     request_id: model.RequestId
 
 
-SilenceEffect = ProbeEndpoint | DeclareConnectionDead | DeclareEndpointDead
+@dataclasses.dataclass(slots=True, frozen=True)
+class DeclareStreamStalled:
+    """Cancel the attempt and resume over another pipeline.
+
+    The endpoint is alive but produces nothing: a stage behind it, or a link
+    between two stages, may be lost.
+    """
+
+    endpoint_id: model.EndpointId
+    request_id: model.RequestId
+
+
+SilenceEffect = (
+    ProbeEndpoint
+    | DeclareConnectionDead
+    | DeclareEndpointDead
+    | DeclareStreamStalled
+)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -101,7 +120,8 @@
     ``token_grace`` is how long tokens that the endpoint has made may be
     under way.  ``untold_probes`` bounds the patience with an endpoint that
     answers probes but cannot say how the request is doing; each such answer
-    doubles the time allowed.
+    doubles the time allowed.  ``stall_limit`` is the longest time between
+    two tokens, whatever the endpoint says.
     """
 
     probe_timeout: datetime.timedelta = datetime.timedelta(milliseconds=500)
@@ -109,6 +129,7 @@
     probe_failures: int = 2
     token_grace: datetime.timedelta = datetime.timedelta(milliseconds=250)
     untold_probes: int = 3
+    stall_limit: datetime.timedelta = datetime.timedelta(seconds=10)
     progress: _progress.ProgressSettings = dataclasses.field(
         default_factory=_progress.ProgressSettings
     )
@@ -124,8 +145,9 @@
     __slots__ = (
         "request_id",
         "endpoint_id",
-        "wake_at",
         "finished",
+        "_due_at",
+        "_stalled_at",
         "_settings",
         "_watch",
         "_next_position",
@@ -160,7 +182,15 @@
         self._untold = 0
         self._allowance = max(expected_prefill, self._settings.probe_interval)
         self._overdue_produced: int | None = None
-        self.wake_at = self._watch.silent_at
+        self._due_at = self._watch.silent_at
+        self._stalled_at: datetime.datetime | None = None
+
+    @property
+    def wake_at(self) -> datetime.datetime:
+        """Return when to feed ``TimerFired`` next."""
+        if self._stalled_at is None:
+            return self._due_at
+        return min(self._due_at, self._stalled_at)
 
     def handle(
         self, event: SilenceEvent, now: datetime.datetime
@@ -171,6 +201,7 @@
         match event:
             case ProgressSeen(next_position):
                 self._next_position = next_position
+                self._stalled_at = now + self._settings.stall_limit
                 self._watch.progress(now)
                 self._settle()
             case HeartbeatSeen():
@@ -189,10 +220,13 @@
         self._failures = 0
         self._untold = 0
         self._overdue_produced = None
-        self.wake_at = self._watch.silent_at
+        self._due_at = self._watch.silent_at
 
     def _timer_fired(self, now: datetime.datetime) -> list[SilenceEffect]:
-        if now < self.wake_at:
+        if self._stalled_at is not None and now >= self._stalled_at:
+            self.finished = True
+            return [DeclareStreamStalled(self.endpoint_id, self.request_id)]
+        if now < self._due_at:
             return []
         if self._probing:
             return self._probe_failed(self._probe, now)
@@ -202,7 +236,7 @@
         self._probe += 1
         self._probing = True
         timeout = self._settings.probe_timeout
-        self.wake_at = now + timeout
+        self._due_at = now + timeout
         return [
             ProbeEndpoint(
                 self.endpoint_id, self.request_id, self._probe, timeout
@@ -263,7 +297,7 @@
         self, allowance: datetime.timedelta, now: datetime.datetime
     ) -> None:
         self._watch.extend(allowance, now)
-        self.wake_at = now + allowance
+        self._due_at = now + allowance
 
     def _connection_dead(self) -> list[SilenceEffect]:
         self.finished = True
