--- a/sedgepin/_entry/_generation.py
+++ b/sedgepin/_entry/_generation.py
@@ -267,6 +267,8 @@
         """Forget a request; let in whoever waited for its place."""
         request_id = answer.request.request_id
         del self.open[request_id]
+        if succeeded and answer.on_trial:
+            self.follow_ups.append(TrialOutrun(answer))
         self.follow_ups.append(RequestOver(request_id))
         made: Effects = []
         if answer.dispatched and not succeeded:
--- a/sedgepin/_entry/_losses.py
+++ b/sedgepin/_entry/_losses.py
@@ -148,6 +148,8 @@
                     made += self._start_trial(request_id, now)
                 case admission.AnswerQuarantined(request_id, failure):
                     made += self._condemn(request_id, failure, now)
+                case admission.RecallCopies(fingerprint):
+                    made += self._recall(fingerprint, now)
         return made
 
     def _tell_quarantine(
@@ -246,7 +248,10 @@
                 return [self._probe(answer)]
             case answers.DeclareEndpointDead(endpoint_id):
                 return self._bury([endpoint_id], now)
-            case answers.DeclareConnectionDead():
+            case (
+                answers.DeclareConnectionDead()
+                | answers.DeclareStreamStalled()
+            ):
                 cancel = self._cancel(answer, now)
                 return cancel + self._resume(answer, frozenset(), False, now)
 
@@ -396,19 +401,40 @@
         completion = answer.assembly.end_at_limit()
         if completion is not None:
             return self._generation.finish(answer, completion, now)
-        busy = quarantine.endpoints_on_trial
+        busy = quarantine.endpoints_on_trial(now)
         chosen = self._generation.choose(answer, busy, now)
         if isinstance(chosen, result.Err):
             if not busy:
                 failure = chosen.err_value
                 return self._generation.give_up(answer, failure, now)
-            quarantine.postpone_trial(answer.fingerprint, now)
-            return []
+            postponed = quarantine.postpone_trial(
+                request_id, answer.fingerprint, now
+            )
+            return self.carry_out(postponed, now)
         pipeline = chosen.ok_value
-        quarantine.place_trial(
-            answer.fingerprint, _new_endpoints(answer, pipeline)
+        placed = quarantine.place_trial(
+            answer.fingerprint, _new_endpoints(answer, pipeline), now
         )
-        return self._generation.start(answer, pipeline, now)
+        made = self.carry_out(placed, now)
+        return made + self._generation.start(answer, pipeline, now)
+
+    def _recall(
+        self, fingerprint: admission.Fingerprint, now: datetime.datetime
+    ) -> Effects:
+        """Stop the copies of a suspect that are not on trial."""
+        made: Effects = []
+        for answer in list(self._generation.open.values()):
+            if answer.fingerprint != fingerprint or answer.on_trial:
+                continue
+            if answer.silence is None:
+                continue
+            made += self._cancel(answer, now)
+            answer.on_trial = True
+            held = self._around.quarantine.enter_trial(
+                answer.request.request_id, fingerprint, now
+            )
+            made += self.carry_out(held, now)
+        return made
 
     def _condemn(
         self,
