Hold the control VMs' state behind one deterministic reducer

Notes, write records, the VM register and the audit trail change only through commands of the log. A state machine of two entry VMs with lost, doubled and delayed messages, crashes, freezes and wrong loss declarations holds that no key runs twice. Seen to fail when a lost holder's write is granted again, when a purged key is not refused, when a second grant dispatches again, when undated records are purged and when a caller who leaves ends the attempt.

--- a/sedgepin/_release/__init__.py
+++ b/sedgepin/_release/__init__.py
@@ -28,6 +28,9 @@
 from sedgepin._release._note import WithdrawnRole
 from sedgepin._release._note import WithdrawnService
 from sedgepin._release._note import WithdrawnVersion
+from sedgepin._release._order import FencingToken
+from sedgepin._release._order import Order
+from sedgepin._release._order import OrderAction
 from sedgepin._release._parsing import parse_note
 
 __all__ = [
@@ -37,6 +40,7 @@
     "Change",
     "Changed",
     "Fleet",
+    "FencingToken",
     "Item",
     "ItemKey",
     "LedgerContents",
@@ -44,6 +48,8 @@
     "NoteConflict",
     "NoteConflictKind",
     "NoteLedger",
+    "Order",
+    "OrderAction",
     "ReleaseNote",
     "Role",
     "Selector",
--- /dev/null
+++ b/sedgepin/_state/_vms.py
@@ -0,0 +1,88 @@
+"""The register of the system's own VMs."""
+
+import enum
+
+import msgspec
+import result
+
+from sedgepin import _model as model
+from sedgepin._state import _command
+from sedgepin._state import _failures
+
+
+class VmState(enum.Enum):
+    """Whether a VM takes part."""
+
+    JOINED = "joined"
+    LEFT = "left"
+    LOST = "lost"
+
+
+class VmRecord(msgspec.Struct, frozen=True):
+    """One VM in its latest incarnation."""
+
+    vm_id: model.VmId
+    incarnation: model.Incarnation
+    data_centre: model.DataCentreId
+    roles: tuple[str, ...]
+    address: str
+    state: VmState = VmState.JOINED
+
+
+class VmRegister:
+    """Every VM that has joined, by id.
+
+    A higher incarnation replaces a lower one.  An incarnation that has left
+    or was lost never comes back.
+    """
+
+    __slots__ = ("_vms",)
+
+    def __init__(self, vms: tuple[VmRecord, ...] = ()) -> None:
+        self._vms = {vm.vm_id: vm for vm in vms}
+
+    def contents(self) -> tuple[VmRecord, ...]:
+        """Return all VMs in the order in which they first joined."""
+        return tuple(self._vms.values())
+
+    def get(self, vm_id: model.VmId) -> VmRecord | None:
+        """Return a VM, if it has ever joined."""
+        return self._vms.get(vm_id)
+
+    def register(
+        self, command: _command.RegisterVm
+    ) -> result.Result[bool, _failures.VmIncarnationStale]:
+        """Let the VM join; return whether it is new in this incarnation."""
+        known = self._vms.get(command.vm_id)
+        if known is not None and known.incarnation >= command.incarnation:
+            same = known.incarnation == command.incarnation
+            if same and known.state is VmState.JOINED:
+                return result.Ok(False)
+            return result.Err(
+                _failures.VmIncarnationStale(
+                    command.vm_id, command.incarnation, known.incarnation
+                )
+            )
+        self._vms[command.vm_id] = VmRecord(
+            vm_id=command.vm_id,
+            incarnation=command.incarnation,
+            data_centre=command.data_centre,
+            roles=command.roles,
+            address=command.address,
+        )
+        return result.Ok(True)
+
+    def end(
+        self,
+        vm_id: model.VmId,
+        incarnation: model.Incarnation,
+        state: VmState,
+    ) -> bool:
+        """Mark a joined incarnation as over; return whether that is new."""
+        known = self._vms.get(vm_id)
+        if known is None or known.incarnation != incarnation:
+            return False
+        if known.state is not VmState.JOINED:
+            return False
+        self._vms[vm_id] = msgspec.structs.replace(known, state=state)
+        return True
--- /dev/null
+++ b/sedgepin/_state/tests/test_write_machine.py
@@ -0,0 +1,432 @@
+"""Several entry VMs, one replicated state, and everything that goes wrong.
+
+Each message is a step of its own, so a crash or a freeze may fall before or
+after any of them.  Messages may be lost, doubled, delayed and overtaken.
+"""
+
+import collections.abc
+import dataclasses
+import datetime
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from sedgepin import _model as model
+from sedgepin import _state as state
+from sedgepin import _writes as writes
+from sedgepin import clock
+from sedgepin import errors
+
+_CUSTOMER = model.CustomerId("jendouba")
+_START = datetime.datetime(2026, 10, 3, tzinfo=datetime.timezone.utc)
+_DATED_KEY = f"{int(_START.timestamp())}-receipt"
+_KEYS = (_DATED_KEY, "receipt-without-date")
+_ENTRIES = ("e1", "e2")
+_ENDS = ("run", "run", "refuse", "unsent", "cut", "lost")
+_PICK = st.integers(min_value=0, max_value=10_000)
+_SECOND = datetime.timedelta(seconds=1)
+_POLICY = writes.WritePolicy(retention=60 * _SECOND, answer_limit_bytes=64)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Message:
+    """A command, a reply, a dispatch or its end, on its way."""
+
+    vm_id: str
+    incarnation: int
+    request_id: model.RequestId
+    body: object
+
+
+class _Entry:
+    """One entry VM in one incarnation, with effects not yet carried out."""
+
+    def __init__(self, vm_id: str, incarnation: int) -> None:
+        self.vm_id = model.VmId(vm_id)
+        self.incarnation = model.Incarnation(incarnation)
+        self.coordinator = writes.WriteCoordinator(
+            self.vm_id, self.incarnation
+        )
+        self.outbox: list[writes.Effect] = []
+        self.timer: datetime.datetime | None = None
+        self.frozen = False
+        self.waiting: set[model.RequestId] = set()
+
+
+class WriteMachine(stateful.RuleBasedStateMachine):
+    """Entries, control state and endpoints under every fault at once."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = clock.ManualClock(_START)
+        self.control = state.ControlState()
+        self.entries = {vm_id: _Entry(vm_id, 1) for vm_id in _ENTRIES}
+        self.keys: dict[model.RequestId, str] = {}
+        self.commands: list[_Message] = []
+        self.replies: list[_Message] = []
+        self.dispatches: list[_Message] = []
+        self.ends: list[_Message] = []
+        self.run_by: dict[str, list[model.RequestId]] = {}
+        self.not_run: set[model.RequestId] = set()
+        self.told: dict[str, set[writes.StoredAnswer]] = {}
+        self.apply(
+            state.ConfigureWrites(at=_START, actor="test", policy=_POLICY)
+        )
+        for entry in self.entries.values():
+            self.register(entry)
+
+    # What the parts do.
+
+    def apply(self, command: state.Command) -> state.Reply:
+        stamped = state.stamp(command, self.clock.now())
+        return self.control.apply(self.control.applied_index + 1, stamped)
+
+    def register(self, entry: _Entry) -> None:
+        command = state.RegisterVm(
+            at=_START,
+            actor=entry.vm_id,
+            vm_id=entry.vm_id,
+            incarnation=entry.incarnation,
+            data_centre=model.DataCentreId("beja"),
+            roles=("entry",),
+            address="127.0.0.1:1",
+        )
+        assert isinstance(self.apply(command), state.Recorded)
+
+    def handle(self, entry: _Entry, event: writes.Event) -> None:
+        for effect in entry.coordinator.handle(event, self.clock.now()):
+            if isinstance(effect, writes.StartTimer):
+                entry.timer = effect.due
+            else:
+                entry.outbox.append(effect)
+
+    def handle_message(self, message: _Message, event: writes.Event) -> None:
+        entry = self.entries[message.vm_id]
+        if entry.incarnation == message.incarnation:
+            self.handle(entry, event)
+
+    def reachable(self, message: _Message) -> bool:
+        entry = self.entries[message.vm_id]
+        return not entry.frozen or entry.incarnation != message.incarnation
+
+    def carry_out(self, entry: _Entry, effect: writes.Effect) -> None:
+        match effect:
+            case writes.AnswerCaller(request_id, answer):
+                assert request_id in entry.waiting, "answered twice"
+                entry.waiting.remove(request_id)
+                self.hear(request_id, answer)
+            case writes.AskControl(request_id, command):
+                self.commands.append(self.message(entry, request_id, command))
+            case writes.DispatchWrite(request_id):
+                self.dispatches.append(self.message(entry, request_id, None))
+
+    def message(
+        self, entry: _Entry, request_id: model.RequestId, body: object
+    ) -> _Message:
+        return _Message(entry.vm_id, entry.incarnation, request_id, body)
+
+    def hear(
+        self,
+        request_id: model.RequestId,
+        answer: writes.StoredAnswer | writes.WriteFailure,
+    ) -> None:
+        key = self.keys[request_id]
+        if isinstance(answer, writes.StoredAnswer):
+            self.told.setdefault(key, set()).add(answer)
+        elif answer.outcome is errors.Outcome.NOT_RUN:
+            self.not_run.add(request_id)
+        elif answer.outcome is errors.Outcome.RAN:
+            assert self.run_by.get(key), "told that it ran, and it did not"
+
+    def answer_of(self, request_id: model.RequestId) -> writes.StoredAnswer:
+        large = b"x" * 100 * (len(request_id) > 2)
+        return writes.StoredAnswer(201, (), request_id.encode() + large)
+
+    def ask_control(self, message: _Message) -> None:
+        assert isinstance(message.body, writes.WriteCommand)
+        reply = None
+        if isinstance(message.body, writes.BeginWrite):
+            reply = self.control.peek(message.body)
+        if reply is None:
+            reply = self.apply(message.body)
+        self.replies.append(dataclasses.replace(message, body=reply))
+
+    def run_write(self, message: _Message) -> None:
+        key = self.keys[message.request_id]
+        self.run_by.setdefault(key, []).append(message.request_id)
+        answer = self.answer_of(message.request_id)
+        event = writes.EndpointAnswered(message.request_id, answer)
+        self.ends.append(dataclasses.replace(message, body=event))
+
+    # What may happen.
+
+    @stateful.rule(
+        vm_id=st.sampled_from(_ENTRIES),
+        key=st.sampled_from(_KEYS),
+        patience=st.integers(min_value=1, max_value=8),
+        steps=st.integers(min_value=0, max_value=8),
+    )
+    def request(self, vm_id: str, key: str, patience: int, steps: int) -> None:
+        """Send a write, or send it again, and go some steps without fault."""
+        entry = self.entries[vm_id]
+        if entry.frozen:
+            return
+        request_id = model.RequestId(f"r{len(self.keys)}")
+        self.keys[request_id] = key
+        entry.waiting.add(request_id)
+        deadline = self.clock.now() + patience * _SECOND
+        event = writes.WriteRequested(
+            request_id, _CUSTOMER, key, b"digest", deadline
+        )
+        self.handle(entry, event)
+        self.flow(vm_id, steps)
+
+    @stateful.rule(
+        vm_id=st.sampled_from(_ENTRIES),
+        steps=st.integers(min_value=1, max_value=8),
+        doubled=st.booleans(),
+        end=st.sampled_from(_ENDS),
+    )
+    def flow(
+        self, vm_id: str, steps: int, doubled: bool = False, end: str = "run"
+    ) -> None:
+        """Carry out the next steps of an entry, one message each."""
+        for _ in range(steps):
+            if not self.entries[vm_id].frozen:
+                self.step(vm_id, doubled, end)
+
+    def step(self, vm_id: str, doubled: bool, end: str) -> None:
+        """Take the oldest thing that waits on or for an entry one on."""
+        entry = self.entries[vm_id]
+        if entry.outbox:
+            return self.carry_out(entry, entry.outbox.pop(0))
+        waiting: list[
+            tuple[list[_Message], collections.abc.Callable[[int], None]]
+        ] = [
+            (self.ends, lambda at: self.deliver_end(at, False)),
+            (self.replies, lambda at: self.deliver_reply(at, doubled)),
+            (self.commands, lambda at: self.deliver_command(at, False)),
+            (self.dispatches, lambda at: self.end_dispatch(at, end)),
+        ]
+        for queue, deliver in waiting:
+            for position, message in enumerate(queue):
+                if message.vm_id == vm_id:
+                    return deliver(position)
+
+    @stateful.precondition(lambda self: self.commands)
+    @stateful.rule(pick=_PICK, doubled=st.booleans())
+    def deliver_command(self, pick: int, doubled: bool) -> None:
+        """Commit a command, and leave a double of it on its way."""
+        position = pick % len(self.commands)
+        self.ask_control(self.commands[position])
+        if not doubled:
+            del self.commands[position]
+
+    @stateful.precondition(lambda self: self.replies)
+    @stateful.rule(pick=_PICK, doubled=st.booleans())
+    def deliver_reply(self, pick: int, doubled: bool) -> None:
+        """Hand a reply to its entry, and leave a double on its way."""
+        position = pick % len(self.replies)
+        message = self.replies[position]
+        if not self.reachable(message):
+            return
+        if not doubled:
+            del self.replies[position]
+        reply = message.body
+        assert isinstance(reply, writes.WriteReply)
+        event = writes.ControlAnswered(message.request_id, reply)
+        self.handle_message(message, event)
+
+    @stateful.precondition(lambda self: self.commands or self.replies)
+    @stateful.rule(pick=_PICK, told=st.booleans())
+    def lose(self, pick: int, told: bool) -> None:
+        """Lose a command or a reply; the entry may notice."""
+        queue = self.commands or self.replies
+        message = queue.pop(pick % len(queue))
+        if told and self.reachable(message):
+            event = writes.ControlUnreachable(message.request_id)
+            self.handle_message(message, event)
+
+    @stateful.precondition(lambda self: self.dispatches)
+    @stateful.rule(
+        pick=_PICK,
+        end=st.sampled_from(_ENDS),
+    )
+    def end_dispatch(self, pick: int, end: str) -> None:
+        """Let the endpoint run the write, or fail in one of the ways.
+
+        After a cut the call may still be on its way to the endpoint.
+        """
+        position = pick % len(self.dispatches)
+        message = self.dispatches[position]
+        request_id = message.request_id
+        event: writes.Event = writes.EndpointFailedAfterBytes(request_id)
+        if end != "cut":
+            del self.dispatches[position]
+        if end == "run":
+            return self.run_write(message)
+        if end == "refuse":
+            answer = writes.StoredAnswer(503)
+            event = writes.EndpointAnswered(request_id, answer, True)
+        if end == "unsent":
+            event = writes.EndpointConnectFailed(request_id)
+        self.ends.append(dataclasses.replace(message, body=event))
+
+    @stateful.precondition(lambda self: self.ends)
+    @stateful.rule(pick=_PICK, cut=st.booleans())
+    def deliver_end(self, pick: int, cut: bool) -> None:
+        """Hand an endpoint's answer to its entry, or lose it on the way."""
+        message = self.ends[pick % len(self.ends)]
+        if not self.reachable(message):
+            return
+        self.ends.remove(message)
+        event = message.body
+        assert isinstance(event, writes.AttemptEvent)
+        if cut and isinstance(event, writes.EndpointAnswered):
+            event = writes.EndpointFailedAfterBytes(message.request_id)
+        self.handle_message(message, event)
+
+    @stateful.rule(
+        milliseconds=st.sampled_from([50, 300, 700, 2100, 9000, 45_000])
+    )
+    def pass_time(self, milliseconds: int) -> None:
+        """Let time pass and fire the timers of entries that are awake."""
+        self.clock.advance(datetime.timedelta(milliseconds=milliseconds))
+        for entry in self.entries.values():
+            self.fire(entry)
+
+    def fire(self, entry: _Entry) -> None:
+        due = entry.timer is not None and entry.timer <= self.clock.now()
+        if due and not entry.frozen:
+            entry.timer = None
+            self.handle(entry, writes.TimerFired())
+
+    @stateful.rule(vm_id=st.sampled_from(_ENTRIES))
+    def leave(self, vm_id: str) -> None:
+        """Let a caller close its connection."""
+        entry = self.entries[vm_id]
+        if entry.frozen or not entry.waiting:
+            return
+        request_id = min(entry.waiting)
+        told = any(
+            isinstance(effect, writes.AnswerCaller)
+            and effect.request_id == request_id
+            for effect in entry.outbox
+        )
+        if told:
+            return
+        entry.waiting.remove(request_id)
+        self.handle(entry, writes.CallerLeft(request_id))
+
+    @stateful.precondition(lambda self: not self.frozen())
+    @stateful.rule(vm_id=st.sampled_from(_ENTRIES), lost=st.booleans())
+    def freeze(self, vm_id: str, lost: bool) -> None:
+        """Stop an entry without a word; the others may give it up."""
+        entry = self.entries[vm_id]
+        entry.frozen = True
+        if not lost:
+            return
+        self.apply(
+            state.DeclareVmLost(
+                at=_START,
+                actor="leader",
+                vm_id=entry.vm_id,
+                incarnation=entry.incarnation,
+            )
+        )
+
+    @stateful.precondition(lambda self: self.frozen())
+    @stateful.rule()
+    def wake(self) -> None:
+        """Let a frozen entry go on where it stopped."""
+        for entry in self.frozen():
+            entry.frozen = False
+            self.fire(entry)
+
+    def frozen(self) -> list[_Entry]:
+        return [each for each in self.entries.values() if each.frozen]
+
+    @stateful.rule(vm_id=st.sampled_from(_ENTRIES))
+    def crash(self, vm_id: str) -> None:
+        """Lose an entry's memory and what it has not carried out."""
+        entry = _Entry(vm_id, self.entries[vm_id].incarnation + 1)
+        self.entries[vm_id] = entry
+        self.register(entry)
+
+    @stateful.rule()
+    def restart_control(self) -> None:
+        """Bring the control state back from a snapshot."""
+        self.control = state.ControlState.load(self.control.dump()).unwrap()
+
+    # What must hold.
+
+    @stateful.invariant()
+    def each_key_runs_once_at_most(self) -> None:
+        """No key is ever run twice."""
+        assert all(len(runs) <= 1 for runs in self.run_by.values())
+
+    @stateful.invariant()
+    def not_run_was_not_run(self) -> None:
+        """A request told "not run" has itself run nothing, nor ever will."""
+        for runs in self.run_by.values():
+            assert not self.not_run.intersection(runs)
+
+    @stateful.invariant()
+    def answers_never_change(self) -> None:
+        """Whoever hears an answer hears that of the one run."""
+        for key, answers in self.told.items():
+            assert answers == {self.answer_of(self.run_by[key][0])}
+
+    def teardown(self) -> None:
+        """Once faults end, every caller hears and no attempt is left."""
+        for entry in self.entries.values():
+            entry.frozen = False
+        for _ in range(40):
+            self.settle()
+            self.clock.advance(_SECOND)
+        for entry in self.entries.values():
+            assert not entry.waiting, "a caller never heard"
+            assert not len(entry.coordinator), "an attempt never ended"
+        self.each_key_runs_once_at_most()
+        self.not_run_was_not_run()
+        self.answers_never_change()
+        for key in _KEYS:
+            self.nobody_holds(key)
+
+    def nobody_holds(self, key: str) -> None:
+        """A key held for good would leave its caller waiting for ever."""
+        begin = writes.BeginWrite(
+            at=self.clock.now(),
+            actor="test",
+            customer=_CUSTOMER,
+            key=key,
+            holder=writes.WriteHolder(
+                model.VmId("e9"), model.Incarnation(1), model.RequestId("last")
+            ),
+            digest=b"digest",
+        )
+        told = self.apply(begin)
+        assert not isinstance(told, writes.WriteInProgress)
+
+    def settle(self) -> None:
+        """Carry out all there is, without a fault."""
+        for message in self.dispatches:
+            self.run_write(message)
+        self.dispatches.clear()
+        for entry in self.entries.values():
+            self.fire(entry)
+            while entry.outbox:
+                self.carry_out(entry, entry.outbox.pop(0))
+        while self.ends:
+            self.deliver_end(0, False)
+        while self.commands:
+            self.deliver_command(0, False)
+        while self.replies:
+            self.deliver_reply(0, False)
+
+
+TestWriteMachine = WriteMachine.TestCase
+TestWriteMachine.settings = hypothesis.settings(
+    max_examples=250, stateful_step_count=40
+)
--- a/sedgepin/_writes/_records.py
+++ b/sedgepin/_writes/_records.py
@@ -128,9 +128,26 @@
         refused = self._refuse_key(key)
         if refused is not None:
             return result.Err(refused)
+        told = self.peek(customer, key, digest, holder)
+        if told is not None:
+            return told
+        return self._grant(customer, key, digest, holder)
+
+    def peek(
+        self,
+        customer: model.CustomerId,
+        key: str,
+        digest: bytes,
+        holder: _record.WriteHolder,
+    ) -> result.Result[BeginReply, _failures.WriteFailure] | None:
+        """Return what a begin would be told, if it would change nothing.
+
+        A leader that holds its lease may answer with this, without adding to
+        the log: most of what asks again is told that the write goes on.
+        """
         record = self._records.get(_RecordId(customer, key))
         if record is None or record.state is _record.WriteState.ABANDONED:
-            return self._grant(customer, key, digest, holder, record)
+            return None
         if record.digest != digest:
             return result.Err(_failures.IdempotencyKeyReused())
         if record.state is _record.WriteState.FINISHED:
@@ -240,8 +257,8 @@
         key: str,
         digest: bytes,
         holder: _record.WriteHolder,
-        record: _record.WriteRecord | None,
     ) -> result.Result[BeginReply, _failures.WriteFailure]:
+        record = self._records.get(_RecordId(customer, key))
         if self._is_lost(holder):
             return result.Err(_failures.HolderLost())
         abandoned = record.abandoned if record else ()
