--- a/sedgepin/_control/__init__.py
+++ b/sedgepin/_control/__init__.py
@@ -1,7 +1,37 @@
-"""The control VM: its reducer, and the daemon around it."""
+"""The control VM: its reducer, and the daemon around it.
+
+The reducer can be driven without the daemon: give ``ControlReducer.handle``
+events and carry out the effects that it returns, in order.
+"""
 
 from sedgepin._control._daemon import ControlDaemon
 from sedgepin._control._daemon import run
+from sedgepin._control._effects import AnswerOperator
+from sedgepin._control._effects import ControlEffect
+from sedgepin._control._effects import CountMetric
+from sedgepin._control._effects import GiveOrder
+from sedgepin._control._effects import SendMessage
+from sedgepin._control._effects import WriteLog
+from sedgepin._control._events import ControlEvent
+from sedgepin._control._events import DrainRequested
+from sedgepin._control._events import OperatorProposed
+from sedgepin._control._events import OrderAnswered
+from sedgepin._control._events import TimerFired
 from sedgepin._control._reducer import ControlReducer
 
-__all__ = ["ControlDaemon", "ControlReducer", "run"]
+__all__ = [
+    "AnswerOperator",
+    "ControlDaemon",
+    "ControlEffect",
+    "ControlEvent",
+    "ControlReducer",
+    "CountMetric",
+    "DrainRequested",
+    "GiveOrder",
+    "OperatorProposed",
+    "OrderAnswered",
+    "SendMessage",
+    "TimerFired",
+    "WriteLog",
+    "run",
+]
--- a/sedgepin/documents.py
+++ b/sedgepin/documents.py
@@ -11,6 +11,7 @@
 """
 
 import collections.abc
+import enum
 import typing
 
 import msgspec
@@ -116,3 +117,31 @@
     if typing.get_origin(expected) not in (tuple, collections.abc.Sequence):
         return None
     return _struct_of(typing.get_args(expected)[0])
+
+
+def struct_inside(expected: typing.Any) -> type[msgspec.Struct] | None:
+    """Return the struct that a field's type holds, alone or in a tuple."""
+    return _struct_inside_tuple(expected) or _struct_of(expected)
+
+
+def type_name(expected: typing.Any) -> str:
+    """Return a field's type as people read it.
+
+    >>> type_name(tuple[int, ...])
+    'list of int'
+    """
+    if typing.get_origin(expected) is typing.Annotated:
+        bare, *bounds = typing.get_args(expected)
+        shown = [str(bound) for bound in bounds]
+        limits = "; ".join(shown).replace("msgspec.Meta", "")
+        return f"{type_name(bare)} `{limits}`"
+    if typing.get_origin(expected) is tuple:
+        return f"list of {type_name(typing.get_args(expected)[0])}"
+    inner = typing.get_args(expected)
+    if inner:
+        return " or ".join(type_name(each) for each in inner)
+    if isinstance(expected, type) and issubclass(expected, enum.Enum):
+        return " or ".join(f"`{member.value}`" for member in expected)
+    if expected is type(None):
+        return "nothing"
+    return str(getattr(expected, "__name__", expected))
--- a/sedgepin/settings.py
+++ b/sedgepin/settings.py
@@ -220,3 +220,43 @@
         for value, count in counted.items()
         if count > 1
     ]
+
+
+def render_page() -> str:
+    """Return the Markdown of ``docs/SETTINGS.md``."""
+    lines = [
+        "# Settings",
+        "",
+        "Made from `sedgepin/settings.py` by `python -m sedgepin.settings`.",
+        "One JSON file a process. `sedgepin check-settings FILE` names every",
+        "fault. Addresses are `IP:port`; unknown fields are faults.",
+    ]
+    shown: list[type[msgspec.Struct]] = [EntrySettings, ControlSettings]
+    for struct_type in shown:
+        lines += _render_struct(struct_type)
+        for field in msgspec.structs.fields(struct_type):
+            inner = documents.struct_inside(field.type)
+            if inner is not None and inner not in shown:
+                shown.append(inner)
+    return "\n".join(lines) + "\n"
+
+
+def _render_struct(struct_type: type[msgspec.Struct]) -> list[str]:
+    summary = (struct_type.__doc__ or "").strip().partition("\n")[0]
+    lines = ["", f"## {struct_type.__name__}", "", summary, ""]
+    lines += ["| field | type | default |", "|---|---|---|"]
+    for field in msgspec.structs.fields(struct_type):
+        default = "required" if field.required else _default(field)
+        shown = documents.type_name(field.type).replace("|", "\\|")
+        lines.append(f"| `{field.name}` | {shown} | {default} |")
+    return lines
+
+
+def _default(field: msgspec.structs.FieldInfo) -> str:
+    if isinstance(field.default, msgspec.Struct):
+        return "all defaults"
+    return f"`{msgspec.json.encode(field.default).decode()}`"
+
+
+if __name__ == "__main__":
+    print(render_page(), end="")
--- /dev/null
+++ b/sedgepin/tests/world.py
@@ -0,0 +1,675 @@
+"""Reducers of several VMs on one clock, with a network that can fail.
+
+Everything is driven through the reducers' own interface: events in, effects
+out.  The clock, the disks, the network and the endpoints are fakes.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import datetime
+import heapq
+import itertools
+import random
+import typing
+
+import msgspec
+
+from sedgepin import _answers as answers
+from sedgepin import _consensus as consensus
+from sedgepin import _control as control
+from sedgepin import _entry as entry
+from sedgepin import _http as http
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin import _release as release
+from sedgepin import _state as state
+from sedgepin import _storage as storage
+from sedgepin import clock
+from sedgepin import errors
+from sedgepin import settings
+from sedgepin.tests import fake_engine
+from sedgepin.tests import processes
+
+_HOP = datetime.timedelta(milliseconds=0.5)
+_TICK = {"entry": 0.05, "control": 0.02}
+_TOKEN_SECONDS = 0.02
+_ANNOUNCE_SECONDS = 0.5
+_ANSWER_SECONDS = 0.02
+
+NOTE_OF_SERVICES = processes.first_note()
+
+
+def seconds(number: float) -> datetime.timedelta:
+    """Return a duration."""
+    return datetime.timedelta(seconds=number)
+
+
+class Caller:
+    """What one caller or operator has heard."""
+
+    def __init__(self, asked_at: datetime.datetime) -> None:
+        self.asked_at = asked_at
+        self.answered_at: datetime.datetime | None = None
+        self.texts: list[str] = []
+        self.ended: str | None = None
+        self.failure: errors.Failure | None = None
+        self.answer: typing.Any = None
+
+    @property
+    def text(self) -> str:
+        """Return all tokens heard."""
+        return "".join(self.texts)
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether the last word was heard."""
+        return self.answered_at is not None
+
+
+class Vm:
+    """One process: its reducer, its disk and whether it runs."""
+
+    def __init__(self, name: str, role: str, data_centre: str) -> None:
+        self.name = model.VmId(name)
+        self.role = role
+        self.data_centre = data_centre
+        self.disk = storage.MemoryDisk()
+        self.reducer: typing.Any = None
+        self.store: storage.LogStore | None = None
+        self.life = 0
+        self.is_frozen = False
+        self.backlog: list[collections.abc.Callable[[], None]] = []
+        self.callers: dict[typing.Any, Caller] = {}
+        self.cancelled: set[tuple[str, int]] = set()
+
+
+@dataclasses.dataclass
+class Endpoint:
+    """A fake engine or plain service."""
+
+    name: model.EndpointId
+    data_centre: str
+    layers: model.LayerRange | None
+    is_alive: bool = True
+    is_leaving: bool = False
+    is_silent: bool = False
+    checks_fencing: bool = True
+    incarnation: int = 1
+    sequence: int = 0
+    version: str = "1"
+    echoes: dict[str, str] = dataclasses.field(default_factory=dict)
+    given_at: list[datetime.datetime] = dataclasses.field(default_factory=list)
+    orders: list[typing.Any] = dataclasses.field(default_factory=list)
+    fence: tuple[int, int] = (0, 0)
+
+
+class World:
+    """A whole system in one process."""
+
+    def __init__(
+        self,
+        controls: int = 3,
+        entries: int = 3,
+        replicas: int = 2,
+        seed: int = 1,
+    ) -> None:
+        self.clock = clock.ManualClock()
+        self.random = random.Random(seed)
+        self.queue: list[typing.Any] = []
+        self.counter = itertools.count()
+        self.cuts: set[tuple[str, str]] = set()
+        self.links: set[tuple[str, str]] = set()
+        self.executions: collections.Counter[str] = collections.Counter()
+        self.runs: list[tuple[str, int, int, tuple[typing.Any, ...]]] = []
+        self.orders: list[tuple[str, release.Order, datetime.datetime]] = []
+        self.vms: dict[str, Vm] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.stale_pieces: list[typing.Any] = []
+        centres = processes.DATA_CENTRES
+        for number in range(controls):
+            self._add_vm(
+                f"control-{number + 1}", "control", centres[number % 3]
+            )
+        for number in range(entries):
+            self._add_vm(f"entry-{number + 1}", "entry", centres[number % 3])
+        for first, end in processes.STAGES:
+            for copy in range(replicas):
+                self.add_endpoint(
+                    f"engine-{first}-{copy}",
+                    centres[copy % 3],
+                    model.LayerRange(first, end),
+                )
+        self.add_endpoint("ledger", centres[0], None)
+        for vm in self.vms.values():
+            self.start(vm.name)
+
+    @property
+    def now(self) -> datetime.datetime:
+        """Return the true time."""
+        return self.clock.now()
+
+    def run(self, duration: float) -> None:
+        """Let time pass."""
+        until = self.now + seconds(duration)
+        while self.queue and self.queue[0][0] <= until:
+            at, _order, act = heapq.heappop(self.queue)
+            self.clock.advance(max(at - self.now, seconds(0)))
+            act()
+        self.clock.advance(until - self.now)
+
+    def run_until(
+        self,
+        holds: collections.abc.Callable[[], bool],
+        limit: float = 10.0,
+    ) -> float:
+        """Let time pass until ``holds``; return the seconds it took."""
+        started = self.now
+        while not holds():
+            assert self.now - started < seconds(limit), "waited in vain"
+            self.run(0.01)
+        return (self.now - started).total_seconds()
+
+    def start(self, name: str) -> None:
+        """Start a process from what its disk holds."""
+        vm = self.vms[name]
+        vm.life += 1
+        vm.is_frozen = False
+        vm.backlog.clear()
+        vm.callers = {}
+        generator = random.Random(self.random.random())
+        if vm.role == "control":
+            vm.store = storage.LogStore(vm.disk, generator)
+            found = vm.store.open().unwrap()
+            vm.reducer = control.ControlReducer(
+                self._settings(vm), found, generator, self.now
+            )
+        else:
+            incarnation = model.Incarnation(vm.life * 1000)
+            vm.reducer = entry.EntryReducer(
+                self._settings(vm), incarnation, generator, self.now
+            )
+        self._tick(vm, vm.life)
+
+    def kill(self, name: str) -> None:
+        """Kill a process; what its disk had not synced is lost."""
+        vm = self.vms[name]
+        vm.reducer = None
+        vm.life += 1
+        vm.disk.crash(self.random)
+        for link in [link for link in self.links if name in link]:
+            self._drop_link(*link)
+
+    def lose_disk(self, name: str) -> None:
+        """Replace the disk of a process by an empty one."""
+        self.vms[name].disk = storage.MemoryDisk()
+
+    def freeze(self, name: str) -> None:
+        """Stop a process; what is sent to it waits."""
+        self.vms[name].is_frozen = True
+
+    def wake(self, name: str) -> None:
+        """Let a frozen process go on."""
+        vm = self.vms[name]
+        vm.is_frozen = False
+        waiting, vm.backlog = vm.backlog, []
+        for act in waiting:
+            act()
+
+    def cut(self, first: str, second: str, both_ways: bool = True) -> None:
+        """Lose all that ``first`` sends to ``second``."""
+        self.cuts.add((first, second))
+        if both_ways:
+            self.cuts.add((second, first))
+
+    def cut_off(self, data_centre: str) -> None:
+        """Cut a data centre off from all others."""
+        everyone = [*self.vms.values(), *self.endpoints.values()]
+        inside = [
+            one.name for one in everyone if one.data_centre == data_centre
+        ]
+        outside = [
+            one.name for one in everyone if one.data_centre != data_centre
+        ]
+        for first, second in itertools.product(inside, outside):
+            self.cut(first, second)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cuts.clear()
+
+    def leader(self) -> str | None:
+        """Return the control VM that leads and holds its lease."""
+        for vm in self.vms.values():
+            if vm.role == "control" and vm.reducer is not None:
+                if vm.reducer.raft.lease_holds(self.now) and not vm.is_frozen:
+                    return vm.name
+        return None
+
+    def note_on(self, name: str) -> int | None:
+        """Return the note in force on an entry VM."""
+        reducer = self.vms[name].reducer
+        return (
+            None if reducer is None else reducer.status(self.now).note_number
+        )
+
+    def publish(self, name: str, note: dict[str, typing.Any]) -> Caller:
+        """Publish a note at a control VM."""
+        parsed = release.parse_note(msgspec.json.encode(note)).unwrap()
+        command = state.PublishNote(at=self.now, actor="op", note=parsed)
+        exchange_id = next(self.counter)
+        caller = Caller(self.now)
+        self.vms[name].callers[exchange_id] = caller
+        self.submit(name, control.OperatorProposed(exchange_id, command))
+        return caller
+
+    def settle(self) -> None:
+        """Wait for a leader, publish the first note, wait for it."""
+        self.run_until(lambda: self.leader() is not None)
+        leader = self.leader()
+        assert leader is not None
+        self.publish(leader, NOTE_OF_SERVICES)
+        entries = [vm.name for vm in self.vms.values() if vm.role == "entry"]
+        self.run_until(lambda: all(self.note_on(one) == 1 for one in entries))
+        self.run(2.0)
+
+    def ask(
+        self,
+        name: str,
+        prompt: str,
+        tokens: int = 20,
+        customer: str = "cooperative-1",
+        allowed: float = 30.0,
+    ) -> Caller:
+        """Ask for an answer."""
+        request_id = model.RequestId(f"r{next(self.counter)}")
+        caller = Caller(self.now)
+        self.vms[name].callers[request_id] = caller
+        request = entry.GenerateRequest(
+            request_id=request_id,
+            customer=model.CustomerId(customer),
+            service=model.ServiceName("assistant"),
+            prompt=prompt,
+            limit_tokens=tokens,
+            priority=1,
+            time_allowed=seconds(allowed),
+            body_digest=prompt,
+        )
+        self.submit(name, entry.GenerateRequested(request))
+        return caller
+
+    def record(
+        self, name: str, key: str, method: str = "POST", body: bytes = b"{}"
+    ) -> Caller:
+        """Call the plain service."""
+        request_id = model.RequestId(f"r{next(self.counter)}")
+        caller = Caller(self.now)
+        self.vms[name].callers[request_id] = caller
+        request = entry.ServiceRequest(
+            request_id=request_id,
+            customer=model.CustomerId("cooperative-1"),
+            service=model.ServiceName("ledger"),
+            method=method,
+            path="/receipts",
+            headers=(),
+            body=body,
+            body_digest=body.hex(),
+            idempotency_key=key,
+            priority=1,
+            time_allowed=seconds(10),
+        )
+        self.submit(name, entry.ServiceCallRequested(request))
+        return caller
+
+    def submit(self, name: str, event: typing.Any) -> None:
+        """Give a process an event, now or when it wakes."""
+        vm = self.vms[name]
+        if vm.reducer is None:
+            return
+        if vm.is_frozen:
+            life = vm.life
+            vm.backlog.append(
+                lambda: self.submit(name, event) if vm.life == life else None
+            )
+            return
+        for effect in vm.reducer.handle(event, self.now):
+            self._carry_out(vm, effect)
+
+    def later(
+        self, delay: float, act: collections.abc.Callable[[], None]
+    ) -> None:
+        """Do something after a delay in seconds."""
+        at = self.now + seconds(delay)
+        heapq.heappush(self.queue, (at, next(self.counter), act))
+
+    def add_endpoint(
+        self, name: str, data_centre: str, layers: model.LayerRange | None
+    ) -> Endpoint:
+        """Add an endpoint that announces itself from now on."""
+        endpoint = Endpoint(model.EndpointId(name), data_centre, layers)
+        self.endpoints[name] = endpoint
+        self.later(
+            self.random.random() * 0.1, lambda: self._announce(endpoint)
+        )
+        return endpoint
+
+    def leave(self, name: str) -> None:
+        """Let an endpoint start to leave."""
+        self.endpoints[name].is_leaving = True
+
+    def _add_vm(self, name: str, role: str, data_centre: str) -> None:
+        self.vms[name] = Vm(name, role, data_centre)
+
+    def _settings(self, vm: Vm) -> typing.Any:
+        def peers(role: str) -> tuple[settings.Peer, ...]:
+            return tuple(
+                settings.Peer(
+                    id=one.name,
+                    address="127.0.0.1:1",
+                    data_centre=one.data_centre,
+                )
+                for one in self.vms.values()
+                if one.role == role
+            )
+
+        common: dict[str, typing.Any] = {
+            "id": vm.name,
+            "data_centre": vm.data_centre,
+            "peer_listen": "127.0.0.1:1",
+            "controls": peers("control"),
+        }
+        if vm.role == "control":
+            return settings.ControlSettings(
+                **common,
+                operator_listen="127.0.0.1:1",
+                data_folder="",
+                operators=(),
+            )
+        customers = tuple(
+            settings.Customer(id=f"cooperative-{n}", credential_sha256="")
+            for n in (1, 2)
+        )
+        return settings.EntrySettings(
+            **common,
+            caller_listen="127.0.0.1:1",
+            entries=peers("entry"),
+            customers=customers,
+        )
+
+    def _tick(self, vm: Vm, life: int) -> None:
+        if vm.life != life or vm.reducer is None:
+            return
+        self.later(_TICK[vm.role], lambda: self._tick(vm, life))
+        if not vm.is_frozen:
+            self._connect(vm)
+            timer = control if vm.role == "control" else entry
+            self.submit(vm.name, timer.TimerFired())
+
+    def _connect(self, vm: Vm) -> None:
+        """Bring up and take down streams as the cuts allow."""
+        for other in self.vms.values():
+            link = (vm.name, other.name)
+            wanted = (
+                other.reducer is not None
+                and other is not vm
+                and link not in self.cuts
+                and link[::-1] not in self.cuts
+            )
+            if wanted and link not in self.links and not other.is_frozen:
+                for near, far in ((vm, other), (other, vm)):
+                    self.links.add((near.name, far.name))
+                    hello = protocol.Hello(
+                        far.name,
+                        far.role,
+                        model.DataCentreId(far.data_centre),
+                        model.Incarnation(far.life),
+                    )
+                    self.submit(near.name, protocol.PeerConnected(hello))
+
+    def _drop_link(self, near: str, far: str) -> None:
+        self.links.discard((near, far))
+        self.submit(near, protocol.PeerDisconnected(model.VmId(far)))
+
+    def _carry_out(self, vm: Vm, effect: typing.Any) -> None:
+        match effect:
+            case control.SendMessage() | entry.SendMessage():
+                self._send(vm, effect.recipient, effect.message)
+            case consensus.Persist():
+                assert vm.store is not None
+                vm.store.append(
+                    effect.hard_state, effect.truncate_from, effect.entries
+                )
+            case consensus.PersistSnapshot():
+                assert vm.store is not None
+                vm.store.save_snapshot(effect.snapshot, effect.entries)
+            case control.AnswerOperator():
+                self._hear(vm, effect.exchange_id, answer=effect.answer)
+            case control.GiveOrder():
+                self._order(vm, effect.order)
+            case entry.StartStream():
+                life = vm.life
+                self.later(0.001, lambda: self._prefill(vm, life, effect))
+            case entry.CancelStream():
+                vm.cancelled.add((effect.request_id, effect.attempt))
+            case entry.ProbeStages():
+                self.later(0.001, lambda: self._probe(vm, effect))
+            case entry.CallService():
+                life = vm.life
+                self.later(0.001, lambda: self._call(vm, life, effect))
+            case entry.DeliverPieces():
+                vm.callers[effect.request_id].texts.extend(effect.texts)
+            case entry.EndAnswer():
+                self._hear(vm, effect.request_id, ended=effect.finish_reason)
+            case entry.AnswerCall():
+                self._hear(vm, effect.request_id, answer=effect)
+            case entry.RefuseCaller():
+                self._hear(vm, effect.request_id, failure=effect.failure)
+
+    def _hear(self, vm: Vm, key: typing.Any, **heard: typing.Any) -> None:
+        caller = vm.callers.get(key)
+        if caller is None:
+            return
+        assert not caller.is_over, "answered twice"
+        caller.answered_at = self.now
+        for name, value in heard.items():
+            setattr(caller, name, value)
+
+    def _reaches(self, sender: str, recipient: str) -> bool:
+        return (sender, recipient) not in self.cuts
+
+    def _send(self, vm: Vm, recipient: str, message: typing.Any) -> None:
+        raw = protocol.encode_messages([message])
+        target = self.vms.get(recipient)
+        if target is None or not self._reaches(vm.name, recipient):
+            return
+        life = target.life
+        (copied,) = protocol.decode_messages(raw[4:]).unwrap()
+        arrived = protocol.PeerMessageArrived(vm.name, copied)
+
+        def deliver() -> None:
+            if target.life == life:
+                self.submit(recipient, arrived)
+
+        self.later(_HOP.total_seconds(), deliver)
+
+    def _announce(self, endpoint: Endpoint) -> None:
+        self.later(_ANNOUNCE_SECONDS, lambda: self._announce(endpoint))
+        if not endpoint.is_alive:
+            return
+        for vm in self.vms.values():
+            near = vm.data_centre == endpoint.data_centre
+            reached = self._reaches(endpoint.name, vm.name)
+            if vm.role == "entry" and near and reached and vm.reducer:
+                self._announce_to(endpoint, vm)
+
+    def _announce_to(self, endpoint: Endpoint, vm: Vm) -> None:
+        endpoint.sequence += 1
+        is_engine = endpoint.layers is not None
+        kind = (
+            model.EndpointKind.ENGINE
+            if is_engine
+            else (model.EndpointKind.SERVICE)
+        )
+        service = "assistant" if is_engine else "ledger"
+        told = model.Announcement(
+            endpoint_id=endpoint.name,
+            incarnation=model.Incarnation(endpoint.incarnation),
+            sequence=endpoint.sequence,
+            kind=kind,
+            address="http://127.0.0.1:1",
+            data_centre=model.DataCentreId(endpoint.data_centre),
+            services=(model.ServiceName(service),),
+            model=model.ModelName("beet-32") if is_engine else None,
+            model_version=endpoint.version if is_engine else "",
+            layers=endpoint.layers,
+            accelerator=(
+                model.AcceleratorKind("fake", 8, 8000.0) if is_engine else None
+            ),
+            checks_fencing=endpoint.checks_fencing,
+            leaving=endpoint.is_leaving,
+            echo=endpoint.echoes.get(vm.name, ""),
+        )
+        if vm.is_frozen:
+            self.submit(vm.name, entry.AnnouncementArrived(0, told))
+            return
+        for effect in vm.reducer.handle(
+            entry.AnnouncementArrived(0, told), self.now
+        ):
+            if isinstance(effect, entry.ReplyAnnouncement):
+                endpoint.echoes[vm.name] = effect.echo
+            self._carry_out(vm, effect)
+
+    def _stages(self, effect: typing.Any) -> list[Endpoint]:
+        return [
+            self.endpoints[stage.endpoint_id]
+            for stage in effect.pipeline.stages
+        ]
+
+    def _prefill(self, vm: Vm, life: int, effect: typing.Any) -> None:
+        identity = (effect.request_id, effect.attempt)
+        stages = self._stages(effect)
+        for endpoint in stages:
+            endpoint.given_at.append(self.now)
+            reached = self._reaches(vm.name, endpoint.name)
+            if not endpoint.is_alive or not reached:
+                self._fail_stream(vm, life, identity, endpoint, False)
+                return
+            if "CRASH" in effect.prompt:
+                endpoint.is_alive = False
+                self._fail_stream(vm, life, identity, endpoint, True)
+                return
+        lives = [endpoint.incarnation for endpoint in stages]
+        self._token(vm, life, effect, lives, effect.position)
+
+    def _token(
+        self,
+        vm: Vm,
+        life: int,
+        effect: typing.Any,
+        lives: list[int],
+        position: int,
+    ) -> None:
+        identity = (effect.request_id, effect.attempt)
+        if vm.life != life or identity in vm.cancelled:
+            return
+        stages = self._stages(effect)
+        for endpoint, incarnation in zip(stages, lives):
+            same = endpoint.incarnation == incarnation
+            if not endpoint.is_alive or not same:
+                self._fail_stream(vm, life, identity, endpoint, True)
+                return
+        if any(endpoint.is_silent for endpoint in stages):
+            return
+        if position >= effect.limit_tokens:
+            ended = entry.StreamEnded(*identity, position, "length")
+            self.submit(vm.name, ended)
+            return
+        lineage = tuple(
+            model.StageMark(stage.endpoint_id, stage.layers)
+            for stage in effect.pipeline.stages
+        )
+        self.runs.append((*identity, position, lineage))
+        text = fake_engine.token_text(effect.prompt, position)
+        piece = model.TokenPiece(*identity, position, text, lineage)
+        self.submit(vm.name, entry.PieceArrived(*identity, piece))
+        self.stale_pieces.append((vm.name, life, piece))
+        self.later(
+            _TOKEN_SECONDS,
+            lambda: self._token(vm, life, effect, lives, position + 1),
+        )
+
+    def _fail_stream(
+        self,
+        vm: Vm,
+        life: int,
+        identity: tuple[model.RequestId, int],
+        endpoint: Endpoint,
+        crashed: bool,
+    ) -> None:
+        if vm.life != life:
+            return
+        failure = errors.Failure()
+        failed = entry.StreamFailed(*identity, endpoint.name, failure, crashed)
+        self.submit(vm.name, failed)
+
+    def _probe(self, vm: Vm, effect: typing.Any) -> None:
+        reports = []
+        for stage in effect.stages:
+            endpoint = self.endpoints[stage.endpoint_id]
+            reached = self._reaches(vm.name, endpoint.name)
+            answers_probe = endpoint.is_alive and reached
+            reports.append(
+                entry.StageReport(
+                    endpoint.name,
+                    answers.StreamState.UNKNOWN if answers_probe else None,
+                    0,
+                    model.Incarnation(endpoint.incarnation),
+                )
+            )
+        answered = entry.ProbeAnswered(
+            effect.request_id, effect.attempt, effect.probe, tuple(reports)
+        )
+        self.submit(vm.name, answered)
+
+    def _call(self, vm: Vm, life: int, effect: typing.Any) -> None:
+        endpoint = self.endpoints["ledger"]
+        endpoint.given_at.append(self.now)
+        identity = (effect.request.request_id, effect.attempt)
+        if vm.life != life:
+            return
+        failure = errors.Failure()
+        if not endpoint.is_alive or not self._reaches(vm.name, "ledger"):
+            failed = entry.ServiceFailed(*identity, failure, False)
+            self.submit(vm.name, failed)
+            return
+        key = effect.request.idempotency_key
+        self.executions[key] += 1
+
+        def answer() -> None:
+            if vm.life != life:
+                return
+            if not endpoint.is_alive:
+                broken = entry.ServiceFailed(*identity, failure, True)
+                self.submit(vm.name, broken)
+            elif not endpoint.is_silent:
+                headers = (http.HeaderField(b"content-type", b"text/plain"),)
+                body = f"{key} {self.executions[key]}".encode()
+                answered = entry.ServiceAnswered(*identity, 201, headers, body)
+                self.submit(vm.name, answered)
+
+        self.later(_ANSWER_SECONDS, answer)
+
+    def _order(self, vm: Vm, order: release.Order) -> None:
+        endpoint = self.endpoints[order.endpoint_id]
+        self.orders.append((vm.name, order, self.now))
+        token = (order.epoch, order.sequence)
+        outcome = release.OrderOutcome.ACCEPTED
+        if not endpoint.is_alive or not self._reaches(vm.name, endpoint.name):
+            outcome = release.OrderOutcome.FAILED
+        elif endpoint.checks_fencing and token <= endpoint.fence:
+            outcome = release.OrderOutcome.REFUSED_FENCING
+        else:
+            endpoint.fence = max(endpoint.fence, token)
+            endpoint.orders.append(order)
+            endpoint.version = order.version or endpoint.version
+        self.submit(vm.name, control.OrderAnswered(order, outcome))
