--- a/sedgepin/_state/tests/test_write_machine.py
+++ b/sedgepin/_state/tests/test_write_machine.py
@@ -23,7 +23,7 @@
 _DATED_KEY = f"{int(_START.timestamp())}-receipt"
 _KEYS = (_DATED_KEY, "receipt-without-date")
 _ENTRIES = ("e1", "e2")
-_ENDS = ("run", "run", "refuse", "unsent", "cut", "lost")
+_ENDS = ("cut", "run", "refuse", "unsent", "lost", "run")
 _PICK = st.integers(min_value=0, max_value=10_000)
 _SECOND = datetime.timedelta(seconds=1)
 _POLICY = writes.WritePolicy(retention=60 * _SECOND, answer_limit_bytes=64)
@@ -165,9 +165,12 @@
         vm_id=st.sampled_from(_ENTRIES),
         key=st.sampled_from(_KEYS),
         patience=st.integers(min_value=1, max_value=8),
-        steps=st.integers(min_value=0, max_value=8),
+        steps=st.integers(min_value=0, max_value=10),
+        end=st.sampled_from(_ENDS),
     )
-    def request(self, vm_id: str, key: str, patience: int, steps: int) -> None:
+    def request(
+        self, vm_id: str, key: str, patience: int, steps: int, end: str
+    ) -> None:
         """Send a write, or send it again, and go some steps without fault."""
         entry = self.entries[vm_id]
         if entry.frozen:
@@ -180,11 +183,11 @@
             request_id, _CUSTOMER, key, b"digest", deadline
         )
         self.handle(entry, event)
-        self.flow(vm_id, steps)
+        self.flow(vm_id, steps, end=end)
 
     @stateful.rule(
         vm_id=st.sampled_from(_ENTRIES),
-        steps=st.integers(min_value=1, max_value=8),
+        steps=st.integers(min_value=1, max_value=10),
         doubled=st.booleans(),
         end=st.sampled_from(_ENDS),
     )
