Plan orders from the fleet and what endpoints announce

No order without the lease; the weight store of a data centre is paced by a token bucket that a new leader starts empty; what serves is taken away only when other copies, or the whole of the version that replaces it, serve.

--- a/sedgepin/_release/__init__.py
+++ b/sedgepin/_release/__init__.py
@@ -32,6 +32,23 @@
 from sedgepin._release._order import Order
 from sedgepin._release._order import OrderAction
 from sedgepin._release._parsing import parse_note
+from sedgepin._release._placement import Placement
+from sedgepin._release._placement import STANDBY_ROLE
+from sedgepin._release._planner import OrderPlanner
+from sedgepin._release._planning import EndpointsObserved
+from sedgepin._release._planning import FleetChanged
+from sedgepin._release._planning import GiveOrder
+from sedgepin._release._planning import LeadershipGained
+from sedgepin._release._planning import LeadershipLost
+from sedgepin._release._planning import OrderAnswered
+from sedgepin._release._planning import OrderVerdict
+from sedgepin._release._planning import PlannerEffect
+from sedgepin._release._planning import PlannerEvent
+from sedgepin._release._planning import PlannerSettings
+from sedgepin._release._planning import ReportFencingRefused
+from sedgepin._release._planning import StartTimer
+from sedgepin._release._planning import TimerFired
+from sedgepin._release._planning import Withheld
 
 __all__ = [
     "AcceptedNote",
@@ -39,10 +56,15 @@
     "Added",
     "Change",
     "Changed",
-    "Fleet",
+    "EndpointsObserved",
     "FencingToken",
+    "Fleet",
+    "FleetChanged",
+    "GiveOrder",
     "Item",
     "ItemKey",
+    "LeadershipGained",
+    "LeadershipLost",
     "LedgerContents",
     "Model",
     "NoteConflict",
@@ -50,11 +72,22 @@
     "NoteLedger",
     "Order",
     "OrderAction",
+    "OrderAnswered",
+    "OrderPlanner",
+    "OrderVerdict",
+    "Placement",
+    "PlannerEffect",
+    "PlannerEvent",
+    "PlannerSettings",
     "ReleaseNote",
+    "ReportFencingRefused",
     "Role",
+    "STANDBY_ROLE",
     "Selector",
     "Service",
     "ServiceKind",
+    "StartTimer",
+    "TimerFired",
     "Version",
     "Withdrawn",
     "WithdrawnAdapter",
@@ -63,6 +96,7 @@
     "WithdrawnRole",
     "WithdrawnService",
     "WithdrawnVersion",
+    "Withheld",
     "decode_fleet",
     "encode_fleet",
     "parse_note",
--- /dev/null
+++ b/sedgepin/_release/tests/test_planner.py
@@ -0,0 +1,344 @@
+"""Tests of the order planner."""
+
+import collections.abc
+import datetime
+import random
+
+import msgspec
+import pytest
+
+from sedgepin import _model as model
+from sedgepin import _release as release
+from sedgepin import clock
+
+_SECOND = datetime.timedelta(seconds=1)
+_ACTIONS = release.OrderAction
+_TARE = model.ModelName("tare")
+
+
+def _note(number: int, *changes: release.Change) -> release.ReleaseNote:
+    return release.ReleaseNote(
+        number=number,
+        note_id=f"n{number}",
+        author="amel",
+        title="t",
+        changes=changes,
+    )
+
+
+def _fleet(*notes: collections.abc.Sequence[release.Change]) -> release.Fleet:
+    fleet = release.Fleet()
+    for number, changes in enumerate(notes, 1):
+        fleet = fleet.with_note(_note(number, *changes)).unwrap()
+    return fleet
+
+
+def _tare(version: str, *adapters: str) -> release.Model:
+    return release.Model(
+        name=_TARE, layer_count=8, version=version, adapters=adapters
+    )
+
+
+_V1 = (release.Added(_tare("v1")),)
+_V2 = (release.Changed(_tare("v2")),)
+
+
+def _role(endpoint_id: str, role: str) -> release.Role:
+    return release.Role(
+        name=f"for-{endpoint_id}",
+        selector=release.Selector(endpoint_id=model.EndpointId(endpoint_id)),
+        role=role,
+        model=_TARE,
+    )
+
+
+def _engine(
+    endpoint_id: str,
+    version: str = "v1",
+    layers: model.LayerRange | None = model.LayerRange(0, 8),
+    **changes: object,
+) -> model.Announcement:
+    announced = model.Announcement(
+        endpoint_id=model.EndpointId(endpoint_id),
+        incarnation=model.Incarnation(1),
+        sequence=1,
+        kind=model.EndpointKind.ENGINE,
+        address="http://127.0.0.1:1",
+        data_centre=model.DataCentreId("beja"),
+        services=(),
+        model=_TARE if version else None,
+        model_version=version,
+        layers=layers if version else None,
+    )
+    return msgspec.structs.replace(announced, **changes)
+
+
+class _Leader:
+    """A planner that leads, and the orders that it gives."""
+
+    def __init__(self, fleet: release.Fleet, epoch: int = 1) -> None:
+        self.clock = clock.ManualClock()
+        settings = release.PlannerSettings(loads_per_second=1, load_burst=2)
+        self.planner = release.OrderPlanner(settings)
+        self.handle(release.FleetChanged(fleet))
+        self.handle(release.LeadershipGained(epoch))
+
+    def handle(
+        self, event: release.PlannerEvent, holds_lease: bool = True
+    ) -> list[release.Order]:
+        effects = self.planner.handle(
+            event, self.clock.now(), holds_lease=holds_lease
+        )
+        return [
+            effect.order
+            for effect in effects
+            if isinstance(effect, release.GiveOrder)
+        ]
+
+    def observe(
+        self, *seen: model.Announcement, after: float = 0, lease: bool = True
+    ) -> list[release.Order]:
+        self.clock.advance(after * _SECOND)
+        return self.handle(release.EndpointsObserved(seen), lease)
+
+
+class TestOrderPlanner:
+    """Single decisions, each with the announcements that call for it."""
+
+    def test_no_order_without_lease_or_leadership(self) -> None:
+        leader = _Leader(_fleet(_V1))
+        empty = _engine("e1", "")
+        role = _fleet(_V1, (release.Added(_role("e1", "serve")),))
+        leader.handle(release.FleetChanged(role))
+        leader.observe(empty)
+        assert leader.observe(empty, after=10, lease=False) == []
+        assert len(leader.observe(empty)) == 1
+        leader.handle(release.LeadershipLost())
+        assert leader.observe(empty, after=1000) == []
+
+    def test_a_last_copy_waits_for_its_replacement(self) -> None:
+        leader = _Leader(_fleet(_V1, _V2))
+        low, high = model.LayerRange(0, 4), model.LayerRange(4, 8)
+        old = [
+            _engine("a1", layers=low),
+            _engine("a2", layers=low),
+            _engine("b1", layers=high),
+            _engine("b2", layers=high),
+        ]
+        assert leader.observe(*old, after=1) == [], "not settled"
+        leader.observe(*old, after=5)
+        leader.observe(*old, after=5)
+        taken = leader.planner.withheld
+        assert {each.endpoint_id for each in taken} == {"a2", "b2"}
+        half = [_engine("a1", "v2", low), *old[1:]]
+        assert leader.observe(*half, after=20) == []
+        both = [half[0], old[1], _engine("b1", "v2", high), old[3]]
+        orders = leader.observe(*both, after=20)
+        assert {each.endpoint_id for each in orders} == {"a2", "b2"}
+
+    def test_an_only_copy_is_never_taken_away(self) -> None:
+        leader = _Leader(_fleet(_V1, _V2))
+        for _ in range(100):
+            assert leader.observe(_engine("e1"), after=10) == []
+        withheld = release.Withheld(model.EndpointId("e1"), _TARE, "v1")
+        assert leader.planner.withheld == (withheld,)
+
+    def test_a_withdrawn_model_is_unloaded(self) -> None:
+        withdrawn = (release.Withdrawn(release.WithdrawnModel(name="tare")),)
+        leader = _Leader(_fleet(_V1, withdrawn))
+        leader.observe(_engine("e1"))
+        orders = leader.observe(_engine("e1"), after=10)
+        assert [each.action for each in orders] == [_ACTIONS.UNLOAD_MODEL]
+
+    def test_one_note_changes_two_roles(self) -> None:
+        roles = (
+            release.Added(_role("e1", "decode")),
+            release.Added(_role("e2", "prefill")),
+        )
+        leader = _Leader(_fleet(_V1, roles))
+        seen = [_engine("e1", role="prefill"), _engine("e2", role="decode")]
+        given = {
+            each.endpoint_id: (each.action, each.role)
+            for each in leader.observe(*seen)
+        }
+        assert given == {
+            "e1": (_ACTIONS.CHANGE_ROLE, "decode"),
+            "e2": (_ACTIONS.CHANGE_ROLE, "prefill"),
+        }
+
+    def test_adapters_follow_the_note(self) -> None:
+        leader = _Leader(_fleet((release.Added(_tare("v1", "sugar")),)))
+        leader.observe(_engine("e1", adapters=("old",)))
+        (load,) = leader.observe(_engine("e1", adapters=("old",)), after=2)
+        assert (load.action, load.adapter) == (_ACTIONS.LOAD_ADAPTER, "sugar")
+        (drop,) = leader.observe(_engine("e1", adapters=("old", "sugar")))
+        assert (drop.action, drop.adapter) == (_ACTIONS.UNLOAD_ADAPTER, "old")
+
+    def test_the_bucket_bounds_every_window(self) -> None:
+        role = release.Role(
+            name="all",
+            selector=release.Selector(data_centre=model.DataCentreId("beja")),
+            model=_TARE,
+        )
+        leader = _Leader(_fleet(_V1, (release.Added(role),)))
+        empty = [_engine(f"e{number:02}", "") for number in range(60)]
+        given: list[float] = []
+        for step in range(200):
+            orders = leader.observe(*empty, after=0.1)
+            given += [step / 10] * len(orders)
+        assert len(given) >= 18
+        for first in given:
+            for last in [each for each in given if each >= first]:
+                inside = sum(first <= each <= last for each in given)
+                assert inside <= 2 + (last - first) + 1e-6
+
+    def test_unserved_then_most_demanded_first(self) -> None:
+        models = [model.ModelName(name) for name in ("calm", "busy", "gone")]
+        changes: list[release.Change] = []
+        for name in models:
+            item = release.Model(name=name, layer_count=8, version="v1")
+            selector = release.Selector(endpoint_id=model.EndpointId(name))
+            role = release.Role(name=name, selector=selector, model=name)
+            changes += [release.Added(item), release.Added(role)]
+        leader = _Leader(_fleet(changes))
+        busy = model.LoadReport(queued_tokens=900)
+        seen = [_engine(name, "") for name in models] + [
+            _engine("s1", model="calm"),
+            _engine("s2", model="busy", load=busy),
+        ]
+        leader.observe(*seen)
+        orders = leader.observe(*seen, after=2)
+        assert [each.endpoint_id for each in orders] == ["gone", "busy"]
+
+    def test_an_order_not_followed_is_given_again_later(self) -> None:
+        leader = _Leader(_fleet(_V1, (release.Added(_role("e1", "serve")),)))
+        empty = _engine("e1", "")
+        leader.observe(empty)
+        (first,) = leader.observe(empty, after=5)
+        assert leader.observe(empty, after=59) == []
+        (second,) = leader.observe(empty, after=2)
+        assert leader.observe(empty, after=100) == []
+        (third,) = leader.observe(empty, after=30)
+        assert first.token < second.token < third.token
+        refused = release.OrderVerdict.REFUSED_FENCING
+        effects = leader.planner.handle(
+            release.OrderAnswered(third, refused), leader.clock.now()
+        )
+        assert effects == [release.ReportFencingRefused(third)]
+        assert len(leader.observe(empty, after=5)) == 1
+
+    def test_after_a_takeover_tokens_are_higher(self) -> None:
+        leader = _Leader(_fleet(_V1, (release.Added(_role("e1", "serve")),)))
+        empty = _engine("e1", "")
+        leader.observe(empty)
+        (before,) = leader.observe(empty, after=5)
+        leader.handle(release.LeadershipLost())
+        assert leader.handle(release.LeadershipGained(7)) == []
+        leader.observe(empty)
+        (after,) = leader.observe(empty, after=5)
+        assert after.token > before.token
+        assert after.epoch == 7
+
+    def test_an_older_fleet_is_ignored(self) -> None:
+        leader = _Leader(_fleet(_V1, _V2))
+        leader.handle(release.FleetChanged(_fleet(_V1)))
+        spare = [_engine("e1"), _engine("e2", "v2")]
+        leader.observe(*spare)
+        orders = leader.observe(*spare, after=10)
+        assert [each.version for each in orders] == ["v2"]
+
+
+class _FakeEngine:
+    """An engine that takes its time, and may or may not check fencing."""
+
+    def __init__(self, announced: model.Announcement) -> None:
+        self.announced = announced
+        self.highest: release.FencingToken | None = None
+        self.loading: model.Announcement | None = None
+        self.ready_at = 0.0
+
+    def obey(self, order: release.Order, at: float, takes: float) -> bool:
+        checks = self.announced.checks_fencing
+        if checks and self.highest and order.token < self.highest:
+            return False
+        self.highest = order.token
+        if order.action is not _ACTIONS.LOAD_MODEL:
+            return True
+        self.loading = msgspec.structs.replace(
+            self.announced,
+            model=order.model,
+            model_version=order.version,
+            layers=order.layers,
+        )
+        self.announced = msgspec.structs.replace(
+            self.announced, model=None, model_version="", layers=None
+        )
+        self.ready_at = at + takes
+        return True
+
+    def run_to(self, at: float) -> None:
+        if self.loading is not None and at >= self.ready_at:
+            self.announced = self.loading
+            self.loading = None
+
+
+def _is_whole(engines: list[_FakeEngine]) -> bool:
+    """Tell whether some version has every layer."""
+    for version in ("v1", "v2", "v3"):
+        held: set[int] = set()
+        for engine in engines:
+            layers = engine.announced.layers
+            if engine.announced.model_version == version and layers:
+                held.update(range(layers.first, layers.end))
+        if held == set(range(8)):
+            return True
+    return False
+
+
+class TestRollOut:
+    """A whole roll-out, with late orders, lost answers and takeovers."""
+
+    @pytest.mark.parametrize("seed", range(12))
+    def test_some_version_is_whole_at_every_instant(self, seed: int) -> None:
+        rng = random.Random(seed)
+        engines = [
+            _FakeEngine(
+                _engine(
+                    f"e{number}",
+                    layers=model.LayerRange(
+                        number % 2 * 4, number % 2 * 4 + 4
+                    ),
+                    checks_fencing=rng.random() < 0.5,
+                )
+            )
+            for number in range(6)
+        ]
+        fleets = [_fleet(_V1, _V2)]
+        changed = (release.Changed(_tare("v3")),)
+        fleets.append(_fleet(_V1, _V2, changed))
+        leader = _Leader(fleets[0])
+        late: list[tuple[float, release.Order]] = []
+        seen = [engine.announced for engine in engines]
+        for step in range(2400):
+            at = step / 4
+            if step == 160:
+                leader.handle(release.FleetChanged(fleets[1]))
+            if rng.random() < 0.01:
+                leader.handle(release.LeadershipLost())
+                leader.handle(release.LeadershipGained(step + 2))
+            for order in leader.observe(*seen, after=0.25):
+                if rng.random() < 0.8:
+                    late.append((at + rng.choice([0, 0, 2]), order))
+                if rng.random() < 0.2:
+                    verdict = release.OrderVerdict.FAILED
+                    leader.handle(release.OrderAnswered(order, verdict))
+            for due, order in [each for each in late if each[0] <= at]:
+                late.remove((due, order))
+                engine = engines[int(order.endpoint_id[1:])]
+                engine.obey(order, at, rng.uniform(0, 20))
+            assert _is_whole(engines), f"no version is whole at {at} s"
+            seen = [engine.announced for engine in engines]
+            for engine in engines:
+                engine.run_to(at)
+        versions = {engine.announced.model_version for engine in engines}
+        assert versions == {"v3"}
