--- a/sedgepin/_consensus/_core.py
+++ b/sedgepin/_consensus/_core.py
@@ -72,9 +72,10 @@
         # The process that ran here before may have answered a leader just
         # now, whose lease rests on that answer.
         self.heard_leader_at: datetime.datetime | None = now
+        self.restart_election_timer(now)
         if self.log.is_empty:
             self.heard_leader_at = None
-        self.restart_election_timer(now)
+            self.election_at = now
 
     @property
     def term(self) -> int:
--- a/sedgepin/_consensus/_founding.py
+++ b/sedgepin/_consensus/_founding.py
@@ -1,4 +1,4 @@
-"""How an empty member finds its cluster, or founds it with the others."""
+"""How a member finds its cluster, or founds it with the others."""
 
 import datetime
 
@@ -11,12 +11,12 @@
 
 
 class Founding:
-    """What a member does while its log is empty.
+    """What a member does while it is no voter and hears no leader.
 
-    It asks all control VMs to let it join.  The first of them in order of
-    name founds a cluster once every other one has said that it is empty as
-    well.  A VM that comes back with an empty disk meets one that is not,
-    so it can only join.
+    It asks all control VMs to let it join.  Where its log is empty and it
+    is the first of them in order of name, it founds a cluster once every
+    other one has said that it is empty as well.  A VM that comes back with
+    an empty disk meets one that is not, so it can only join.
     """
 
     __slots__ = ("_asked_at", "_blank", "_core")
@@ -27,9 +27,9 @@
         self._blank: dict[model.VmId, storage.MemberId] = {}
 
     def tick(self, now: datetime.datetime) -> None:
-        """Ask again when it is time, as long as the log is empty."""
+        """Ask again when it is time, as long as there is need."""
         core = self._core
-        if not core.log.is_empty or not self._is_due(now):
+        if core.is_voter or now < core.election_at or not self._is_due(now):
             return
         self._asked_at = now
         self._blank.clear()
@@ -53,8 +53,6 @@
         now: datetime.datetime,
     ) -> None:
         """Note an answer, and found the cluster if it was the last."""
-        if not self._core.log.is_empty:
-            return
         if reply.is_blank:
             self._blank[sender.vm_id] = sender
         else:
@@ -68,6 +66,8 @@
 
     def _found_if_all_blank(self, now: datetime.datetime) -> None:
         core = self._core
+        if not core.log.is_empty:
+            return
         others = set(core.cfg.control_vms) - {core.cfg.vm_id}
         if core.cfg.vm_id != min(core.cfg.control_vms):
             return
--- a/sedgepin/_consensus/_leadership.py
+++ b/sedgepin/_consensus/_leadership.py
@@ -120,9 +120,11 @@
         self._handover.start(target, self._replication.progress, now)
         self._handover.go_on(self._replication.progress, now)
 
-    def note_joiner(self, member: storage.MemberId) -> None:
-        """Remember an empty member that asked to join."""
-        self._steward.note_joiner(member)
+    def note_joiner(
+        self, member: storage.MemberId, now: datetime.datetime
+    ) -> None:
+        """Remember a member that asked to join."""
+        self._steward.note_joiner(member, now)
 
     def take_append_reply(
         self,
--- a/sedgepin/_consensus/_messages.py
+++ b/sedgepin/_consensus/_messages.py
@@ -1,8 +1,8 @@
 """What members say to each other.
 
 The messages are those of the Raft algorithm (Ongaro, "Consensus: Bridging
-Theory and Practice", 2014), with pre-vote, and two by which an empty member
-finds its cluster.
+Theory and Practice", 2014), with pre-vote, and two by which a member finds
+its cluster.
 """
 
 import typing
@@ -105,7 +105,7 @@
 
 
 class JoinRequest(msgspec.Struct, frozen=True, array_like=True, tag=8):
-    """An empty member looks for a cluster."""
+    """A member that is no voter and hears no leader looks for one."""
 
     header: Header
 
--- a/sedgepin/_consensus/_node.py
+++ b/sedgepin/_consensus/_node.py
@@ -183,7 +183,7 @@
         header = message.header
         sender = storage.MemberId(sender_vm, header.sender_disk)
         if isinstance(message, _messages.JoinRequest):
-            self._take_joiner(sender)
+            self._take_joiner(sender, now)
             return
         if header.recipient_disk != self._core.me.disk_id:
             return
@@ -246,11 +246,13 @@
             )
             core.send(sender.vm_id, reply)
 
-    def _take_joiner(self, joiner: storage.MemberId) -> None:
+    def _take_joiner(
+        self, joiner: storage.MemberId, now: datetime.datetime
+    ) -> None:
         self._founding.answer(joiner)
         leadership = self._current_leadership()
         if leadership is not None:
-            leadership.note_joiner(joiner)
+            leadership.note_joiner(joiner, now)
 
     def _is_same_cluster(self, message: _messages.RaftMessage) -> bool:
         """Tell whether a message is of this cluster.
--- a/sedgepin/_consensus/_steward.py
+++ b/sedgepin/_consensus/_steward.py
@@ -1,6 +1,7 @@
 """Which change of members is due next."""
 
 import collections.abc
+import dataclasses
 import datetime
 import typing
 
@@ -21,6 +22,18 @@
 ]
 
 
+# For how many of its intervals a request to join is good.
+_JOIN_INTERVALS = 3
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Joiner:
+    """A member that asked to join, and when."""
+
+    member: storage.MemberId
+    asked_at: datetime.datetime
+
+
 class Steward:
     """Brings back VMs whose disk was lost, one change at a time.
 
@@ -33,19 +46,21 @@
 
     def __init__(self, core: _core.Core) -> None:
         self._core = core
-        self._joiners: dict[model.VmId, storage.MemberId] = {}
+        self._joiners: dict[model.VmId, _Joiner] = {}
 
-    def note_joiner(self, member: storage.MemberId) -> None:
-        """Remember an empty member that asked to join."""
+    def note_joiner(
+        self, member: storage.MemberId, now: datetime.datetime
+    ) -> None:
+        """Remember a member that asked to join."""
         if member.vm_id in self._core.cfg.control_vms:
-            self._joiners[member.vm_id] = member
+            self._joiners[member.vm_id] = _Joiner(member, now)
 
     def next_configuration(
         self, progress: ProgressMap, now: datetime.datetime
     ) -> storage.Configuration | None:
         """Return the configuration to change to, if any change is due."""
         return (
-            self._with_joiner()
+            self._with_joiner(progress, now)
             or self._with_voter(progress, now)
             or self._without_silent(progress, now)
         )
@@ -78,25 +93,48 @@
             return _refuse(reasons.TOO_MANY_VOTERS)
         return result.Ok(old.with_promoted(member))
 
-    def _with_joiner(self) -> storage.Configuration | None:
+    def _with_joiner(
+        self, progress: ProgressMap, now: datetime.datetime
+    ) -> storage.Configuration | None:
+        for joiner in tuple(self._joiners.values()):
+            changed = self._with_one_joiner(joiner, progress, now)
+            if changed is not None:
+                return changed
+            del self._joiners[joiner.member.vm_id]
+        return None
+
+    def _with_one_joiner(
+        self,
+        joiner: _Joiner,
+        progress: ProgressMap,
+        now: datetime.datetime,
+    ) -> storage.Configuration | None:
+        """Return the next step towards having the joiner as a learner.
+
+        A late request from a disk that is lost must not push out the one
+        in use: a member that is heard stays.
+        """
         old = self._core.configuration
-        for vm_id, member in sorted(self._joiners.items()):
-            if member in old.members:
-                del self._joiners[vm_id]
+        member = joiner.member
+        patience = self._core.cfg.join_interval * _JOIN_INTERVALS
+        if member in old.members or now - joiner.asked_at > patience:
+            return None
+        for other in old.members:
+            if other.vm_id != member.vm_id:
                 continue
-            for learner in old.learners:
-                if learner.vm_id == vm_id:
-                    return old.without(learner)
-            return old.with_learner(member)
-        return None
+            if not self._is_silent(other, progress, now):
+                return None
+            if other in old.learners:
+                return old.without(other)
+        return old.with_learner(member)
 
     def _with_voter(
         self, progress: ProgressMap, now: datetime.datetime
     ) -> storage.Configuration | None:
         old = self._core.configuration
         for learner in old.learners:
-            known = progress[learner]
-            if not known.is_caught_up or self._is_silent(known, now):
+            is_caught_up = progress[learner].is_caught_up
+            if not is_caught_up or self._is_silent(learner, progress, now):
                 continue
             for voter in old.voters:
                 if voter.vm_id == learner.vm_id:
@@ -121,9 +159,15 @@
         return None
 
     def _is_silent(
-        self, known: _progress.Progress, now: datetime.datetime
+        self,
+        member: storage.MemberId,
+        progress: ProgressMap,
+        now: datetime.datetime,
     ) -> bool:
-        return now - known.heard_at > self._core.cfg.election_timeout_min
+        if member == self._core.me:
+            return False
+        heard_at = progress[member].heard_at
+        return now - heard_at > self._core.cfg.election_timeout_min
 
 
 def _refuse(
--- a/sedgepin/_consensus/tests/cluster.py
+++ b/sedgepin/_consensus/tests/cluster.py
@@ -121,25 +121,36 @@
         self.start(name)
 
     def may_lose_disk(self, name: str) -> bool:
-        """Tell whether a majority of disks lives on without this one."""
-        alive = [
-            voter
-            for voter in self.configuration.voters
-            if voter.vm_id != name
-            and self.disk_id(voter.vm_id) == voter.disk_id
-        ]
-        is_founded = bool(self.configuration.voters)
-        return is_founded and len(alive) >= self.configuration.quorum
-
-    def disk_id(self, name: str) -> int:
-        node = self.vms[name].node
-        if node is not None:
-            return node.member_id.disk_id
+        """Tell whether a majority of disks lives on without this one.
+
+        It must in every configuration in effect anywhere: one that is not
+        committed yet counts from the moment it is in a log.
+        """
+        found = {vm.name: self._found_on(vm) for vm in self.vms.values()}
+        alive = {(vm_id, on.disk_id) for vm_id, on in found.items()}
+        configurations = {self.configuration}
+        for on in found.values():
+            configurations |= {
+                entry.configuration
+                for entry in on.entries
+                if entry.configuration and entry.index > self._configured_at
+            }
+        return bool(self.configuration.voters) and all(
+            sum(
+                (one.vm_id, one.disk_id) in alive and one.vm_id != name
+                for one in configuration.voters
+            )
+            >= configuration.quorum
+            for configuration in configurations
+            if configuration.voters
+        )
+
+    @staticmethod
+    def _found_on(vm: Vm) -> storage.Recovered:
         copy = storage.MemoryDisk()
-        copy.replace("log", self.vms[name].disk.read("log"))
-        if "snapshot" in self.vms[name].disk.names():
-            copy.replace("snapshot", self.vms[name].disk.read("snapshot"))
-        return storage.LogStore(copy).open().unwrap().disk_id
+        for file in vm.disk.names():
+            copy.replace(file, vm.disk.read(file))
+        return storage.LogStore(copy).open().unwrap()
 
     def isolate(self, name: str) -> None:
         for other in self.vms:
