Shrink gossip records and answer at once

At 320 nodes an entry sent 6.3 KB/s of frames: a fifth were introductions made in answer to peers that asked, since the age at which they ask lay within the usual spread of ages, and sequences took five bytes each. Sequences are now steps from the one at introduction, answers go out at once, and so the asking age could rise from 1.9 s to 2.1 s.

--- a/sedgepin/_membership/_frames.py
+++ b/sedgepin/_membership/_frames.py
@@ -22,11 +22,12 @@
     ``handle`` is the sender's number for the endpoint's unchanging part,
     never used for another in one life of the sender.  Ages are in hundredths
     of a second by the sender's clock, rounded up; the endpoint's is
-    ``UNKNOWN`` where nothing bounds it.  Load is in steps.
+    ``UNKNOWN`` where nothing bounds it.  Load is in steps.  The sequence is
+    counted from that of the introduction.
     """
 
     handle: _Count
-    sequence: _Count
+    sequence_step: int
     age_centiseconds: int
     load_age_centiseconds: _Count = 0
     running_step: _Count = 0
@@ -41,6 +42,7 @@
     """The unchanging part of an endpoint's announcement, under a handle."""
 
     handle: _Count
+    first_sequence: _Count
     announcement: model.Announcement
 
 
--- a/sedgepin/_membership/_gossip.py
+++ b/sedgepin/_membership/_gossip.py
@@ -167,6 +167,7 @@
             self._take_refresh(sender, peer, refresh, sent, now, False)
         for news in frame.news:
             self._take_news(sender, news, sent, now)
+        self._effects += self._sender.answer(sender, now)
         self._effects += self._sender.compare(sender, frame.digest, now)
 
     def _take_refresh(
@@ -178,11 +179,11 @@
         now: datetime.datetime,
         is_to_pass_on: bool,
     ) -> None:
-        base = peer.theirs.get(refresh.handle)
-        if base is None:
+        described = peer.theirs.get(refresh.handle)
+        if described is None:
             peer.wanted.add(refresh.handle)
             return
-        announcement = peers.to_announcement(base, refresh)
+        announcement = peers.to_announcement(described, refresh)
         known = peers.relayed_age(refresh, sent, now)
         announced = self.endpoints.announce(announcement, known, now)
         outcome = announced.unwrap_or(directory.AnnounceOutcome.STALE)
--- a/sedgepin/_membership/_peer.py
+++ b/sedgepin/_membership/_peer.py
@@ -16,9 +16,13 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Description:
-    """The unchanging part of an announcement, and the handle it goes by."""
+    """The unchanging part of an announcement, and the handle it goes by.
+
+    Sequences are told as steps from the first one, which are short.
+    """
 
     handle: int
+    first_sequence: int
     announcement: model.Announcement
 
 
@@ -40,7 +44,9 @@
             return known
         if known is not None:
             del self._by_handle[known.handle]
-        described = Description(self._next_handle, unchanging)
+        described = Description(
+            self._next_handle, announcement.sequence, unchanging
+        )
         self._next_handle += 1
         self._by_endpoint[announcement.endpoint_id] = described
         self._by_handle[described.handle] = described
@@ -50,12 +56,15 @@
         """Return the description of a handle that is still in use."""
         return self._by_handle.get(handle)
 
-    def share(self, announcement: model.Announcement) -> model.Announcement:
-        """Return an equal description that is already held, or this one."""
+    def share(self, introduction: frames.Introduction) -> Description:
+        """Return what a peer introduced, sharing what is already held."""
+        announcement = introduction.announcement
         known = self._by_endpoint.get(announcement.endpoint_id)
         if known is not None and known.announcement == announcement:
-            return known.announcement
-        return announcement
+            announcement = known.announcement
+        return Description(
+            introduction.handle, introduction.first_sequence, announcement
+        )
 
     def forget(self, endpoint_id: model.EndpointId) -> None:
         """Drop the description of an endpoint; its handle is not reused."""
@@ -84,7 +93,7 @@
         self.is_lost = False
         self.clock: age.PeerClock | None = None
         self.introduced: set[int] = set()
-        self.theirs: dict[int, model.Announcement] = {}
+        self.theirs: dict[int, Description] = {}
         self.to_introduce: set[int] = set()
         self.wanted: set[int] = set()
         self.answers: set[model.EndpointId] = set()
@@ -104,7 +113,9 @@
     def introduce(self, described: Description) -> frames.Introduction:
         """Return the introduction of a handle, and note that it was sent."""
         self.introduced.add(described.handle)
-        return frames.Introduction(described.handle, described.announcement)
+        return frames.Introduction(
+            described.handle, described.first_sequence, described.announcement
+        )
 
     def _reset(self, incarnation: model.Incarnation) -> None:
         self.clock = age.PeerClock(incarnation)
@@ -116,7 +127,7 @@
 
 
 def to_refresh(
-    handle: int,
+    described: Description,
     announcement: model.Announcement,
     known: datetime.timedelta | None,
 ) -> frames.Refresh:
@@ -127,8 +138,8 @@
     report = announcement.load
     measured_before = report.measured_before_milliseconds
     return frames.Refresh(
-        handle,
-        announcement.sequence,
+        described.handle,
+        announcement.sequence - described.first_sequence,
         centiseconds,
         measured_before // _CENTISECOND_MILLISECONDS,
         load.to_step(report.running_requests),
@@ -139,12 +150,12 @@
 
 
 def to_announcement(
-    base: model.Announcement, refresh: frames.Refresh
+    described: Description, refresh: frames.Refresh
 ) -> model.Announcement:
-    """Return the announcement that a refresh and its base stand for."""
+    """Return the announcement that a refresh stands for."""
     return msgspec.structs.replace(
-        base,
-        sequence=refresh.sequence,
+        described.announcement,
+        sequence=described.first_sequence + refresh.sequence_step,
         load=model.LoadReport(
             load.from_step(refresh.running_step),
             load.from_step(refresh.queued_step),
--- a/sedgepin/_membership/_sender.py
+++ b/sedgepin/_membership/_sender.py
@@ -4,13 +4,12 @@
 import datetime
 import random
 
-import msgspec
-
 from sedgepin._membership import _age as age
 from sedgepin._membership import _directory as directory
 from sedgepin._membership import _events as events
 from sedgepin._membership import _frames as frames
 from sedgepin._membership import _peer as peers
+from sedgepin._membership import _pending as pending
 from sedgepin._membership import _rumours as rumours
 from sedgepin._membership import _settings as settings
 from sedgepin._membership import _topology as topology
@@ -18,15 +17,12 @@
 
 # From this age on an endpoint is asked for at another entry, until it is so
 # old that nobody can be expected to know better.
-_ASK_FROM = datetime.timedelta(seconds=1.9)
+_ASK_FROM = datetime.timedelta(seconds=2.1)
 _ASK_UNTIL = datetime.timedelta(seconds=5)
 _ANSWER_BELOW = datetime.timedelta(seconds=1.5)
 _ASK_LIMIT = 64
 _WANTED_LIMIT = 4096
 _INVENTORY_LIMIT = 256
-_CACHE_EVENT_LIMIT = 256
-
-_Pending = dict[model.EndpointId, model.Announcement]
 
 
 class GossipSender:
@@ -69,8 +65,8 @@
         self._rumours = held
         self._descriptions = peers.Descriptions()
         self._peers: dict[model.VmId, peers.Peer] = {}
-        self._heard: _Pending = {}
-        self._relayed: _Pending = {}
+        self._heard = pending.Pending()
+        self._relayed = pending.Pending()
         self._subsets: dict[model.EndpointId, frozenset[model.VmId]] = {}
         self._entries: frozenset[model.VmId] = frozenset()
         self._near: frozenset[model.VmId] = frozenset()
@@ -128,7 +124,7 @@
         """Note what a peer introduces, and what it asks for."""
         for introduction in frame.introduced:
             peer.theirs[introduction.handle] = self._descriptions.share(
-                introduction.announcement
+                introduction
             )
             peer.wanted.discard(introduction.handle)
         peer.to_introduce.update(frame.wanted[:_WANTED_LIMIT])
@@ -136,20 +132,26 @@
             model.EndpointId(asked) for asked in frame.asked[:_ASK_LIMIT]
         )
 
+    def answer(
+        self, vm_id: model.VmId, now: datetime.datetime
+    ) -> list[events.Effect]:
+        """Send at once what a peer asked for, where this entry has it."""
+        peer = self._peers[vm_id]
+        answers = self._answers(peer, now)
+        if not answers or not peer.is_up:
+            return []
+        return [self._frame(vm_id, now, relayed=answers)]
+
     def pass_on(
         self, announcement: model.Announcement, is_heard: bool
     ) -> None:
         """Have an announcement sent, from an endpoint or from across."""
-        pending = self._heard if is_heard else self._relayed
-        before = pending.get(announcement.endpoint_id)
-        pending[announcement.endpoint_id] = _join_cache_events(
-            before, announcement
-        )
+        (self._heard if is_heard else self._relayed).put(announcement)
 
     def drop(self, endpoint_id: model.EndpointId) -> None:
         """Send nothing more of an endpoint that left or was lost."""
-        self._heard.pop(endpoint_id, None)
-        self._relayed.pop(endpoint_id, None)
+        self._heard.take(endpoint_id)
+        self._relayed.take(endpoint_id)
         self._subsets.pop(endpoint_id, None)
         self._descriptions.forget(endpoint_id)
 
@@ -170,8 +172,8 @@
         self, endpoint_id: model.EndpointId, now: datetime.datetime
     ) -> list[events.Effect]:
         """Send what is pending of one endpoint without waiting."""
-        heard = _take(self._heard, endpoint_id)
-        relayed = _take(self._relayed, endpoint_id)
+        heard = self._heard.take(endpoint_id)
+        relayed = self._relayed.take(endpoint_id)
         across = self._across()
         sent: list[events.Effect] = []
         for vm_id in self._up():
@@ -185,10 +187,8 @@
 
         Empty frames keep the bounds on the clocks tight.
         """
-        heard = list(self._heard.values())
-        relayed = list(self._relayed.values())
-        self._heard.clear()
-        self._relayed.clear()
+        heard = self._heard.take_all()
+        relayed = self._relayed.take_all()
         across = self._across()
         up = self._up()
         asked = self._ageing(now)
@@ -286,7 +286,6 @@
         peer = self._peers[vm_id]
         clock = peer.clock
         introduced = self._due_introductions(peer)
-        kept = [*relayed, *self._answers(peer, now)]
         frame = frames.GossipFrame(
             self._incarnation,
             self._life.to_milliseconds(now),
@@ -294,7 +293,7 @@
             clock.latest if clock else frames.UNKNOWN,
             self._digest(),
             self._refreshes(peer, heard, introduced, now),
-            self._refreshes(peer, kept, introduced, now),
+            self._refreshes(peer, relayed, introduced, now),
             tuple(introduced),
             tuple(sorted(peer.wanted)),
             asked,
@@ -316,9 +315,7 @@
             if described.handle not in peer.introduced:
                 introduced.append(peer.introduce(described))
             known = self._endpoints.age(announcement.endpoint_id, now)
-            refreshes.append(
-                peers.to_refresh(described.handle, announcement, known)
-            )
+            refreshes.append(peers.to_refresh(described, announcement, known))
         return tuple(refreshes)
 
     def _due_introductions(
@@ -370,28 +367,3 @@
     """Return a rumour as it goes into a frame at ``now``."""
     remaining = (until - now) // age.MILLISECOND
     return frames.Rumour(fingerprint, max(remaining, 0))
-
-
-def _take(
-    pending: _Pending, endpoint_id: model.EndpointId
-) -> list[model.Announcement]:
-    announcement = pending.pop(endpoint_id, None)
-    return [] if announcement is None else [announcement]
-
-
-def _join_cache_events(
-    before: model.Announcement | None, after: model.Announcement
-) -> model.Announcement:
-    """Keep the cache events of an announcement that was not sent yet.
-
-    Past the limit the older ones are dropped: the gap in their numbers makes
-    the reader wait for the next snapshot.
-    """
-    if before is None or not before.cache_events:
-        return after
-    if before.incarnation != after.incarnation:
-        return after
-    joined = before.cache_events + after.cache_events
-    return msgspec.structs.replace(
-        after, cache_events=joined[-_CACHE_EVENT_LIMIT:]
-    )
