Vary lengths and starts in the throughput bench

Cause: all requests started within 2 s with equal lengths, so they went round in step: prefills together, then decodes together, with stages idle in between. An even policy kept the waves, a random one broke them up. Lengths now vary by half either way and starts spread over 10 s; tokens of finished requests are counted, against the bound in tokens.

--- a/bench/_engines.py
+++ b/bench/_engines.py
@@ -46,11 +46,13 @@
     outstanding_tokens: float
     prompt_tokens: int = 64
     generated_tokens: int = 32
+    length_spread: float = 0.5
     shared_prefixes: int = 0
     entries: int = 4
     report_seconds: float = 0.5
     report_lag_seconds: float = 0.3
     step_seconds: float = 0.004
+    start_seconds: float = 10.0
     tokens_per_job: int = 4
     paging_factor: float = 3.0
     cached_prefixes: int = 8
@@ -65,7 +67,7 @@
 class Outcome:
     """What a run achieved after its warm-up."""
 
-    requests_per_second: float
+    tokens_per_second: float
     first_token_seconds: list[float]
 
 
@@ -82,19 +84,26 @@
         "entry",
         "generated",
         "legs",
+        "length",
         "number",
         "prefill",
         "work",
     )
 
     def __init__(
-        self, number: int, entry: int, work: _routing.Work, at: float
+        self,
+        number: int,
+        entry: int,
+        work: _routing.Work,
+        length: int,
+        at: float,
     ) -> None:
         self.number = number
         self.entry = entry
         self.work = work
         self.arrived_at = at
         self.generated = 0
+        self.length = length
         self.legs: list[tuple[_Engine, int]] = []
         self.prefill: list[int] = []
 
@@ -199,7 +208,7 @@
         self._sequence = 0
         self._numbers = 0
         self._now = 0.0
-        self._finished: list[float] = []
+        self._finished: list[tuple[float, int]] = []
         self._first_tokens: list[tuple[float, float]] = []
 
     def run(self, warm_up_seconds: float, seconds: float) -> Outcome:
@@ -209,7 +218,9 @@
         while self._events and self._events[0][0] <= end:
             self._now, _, action, arguments = heapq.heappop(self._events)
             action(*arguments)
-        finished = sum(1 for at in self._finished if at >= warm_up_seconds)
+        finished = sum(
+            tokens for at, tokens in self._finished if at >= warm_up_seconds
+        )
         waits = [
             wait for at, wait in self._first_tokens if at >= warm_up_seconds
         ]
@@ -235,12 +246,12 @@
         if self._arrivals is not None:
             self._at(0.0, self._arrive)
             return
-        spread = 2.0
         scenario = self._scenario
         tokens = scenario.outstanding_tokens
         for number in range(int(tokens / scenario.tokens_per_request)):
             entry = number % len(self._policies)
-            self._at(self._rng.random() * spread, self._dispatch, entry)
+            delay = self._rng.random() * scenario.start_seconds
+            self._at(delay, self._dispatch, entry)
 
     def _arrive(self) -> None:
         assert self._arrivals is not None
@@ -300,7 +311,8 @@
     def _dispatch(self, entry: int) -> None:
         self._numbers += 1
         work = self._work(self._numbers)
-        request = _Request(self._numbers, entry, work, self._now)
+        length = self._length(self._scenario.generated_tokens)
+        request = _Request(self._numbers, entry, work, length, self._now)
         pipeline = self._policies[entry].choose(
             work,
             self._announced[entry],
@@ -327,11 +339,15 @@
             request_id=model.RequestId(str(number)),
             model=model.ModelName("m"),
             service=model.ServiceName("answers"),
-            prompt_tokens=self._scenario.prompt_tokens,
+            prompt_tokens=self._length(self._scenario.prompt_tokens),
             expected_tokens=self._scenario.generated_tokens,
             prefix_hashes=hashes,
         )
 
+    def _length(self, mean: int) -> int:
+        spread = self._scenario.length_spread
+        return max(1, round(mean * self._rng.uniform(1 - spread, 1 + spread)))
+
     def _cached_tokens(self, engine: _Engine, work: _routing.Work) -> int:
         if work.prefix_hashes and work.prefix_hashes[0] in engine.cache:
             return _policies.PREFIX_BLOCK_TOKENS
@@ -401,7 +417,7 @@
             request.generated = 1
         else:
             request.generated += tokens
-        if request.generated >= self._scenario.generated_tokens:
+        if request.generated >= request.length:
             self._finish(request)
             return
         link = self._link(last, request.legs[0][0])
@@ -412,7 +428,9 @@
             engine.resident -= 1
             engine.resident_layers -= layers
             engine.note(self._now)
-        self._finished.append(self._now)
+        # The last stage's prefill makes the first token.
+        tokens = request.work.prompt_tokens + request.generated - 1
+        self._finished.append((self._now, tokens))
         self._policies[request.entry].leave(
             request.work, request.generated, self._instant()
         )
--- a/bench/_throughput.py
+++ b/bench/_throughput.py
@@ -61,7 +61,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Fleet:
-    """A scenario and its bound in requests a second."""
+    """A scenario and its bound in tokens a second, prompts included."""
 
     scenario: _engines.Scenario
     bound: float
@@ -101,8 +101,7 @@
         outstanding_tokens=_STAY_SECONDS * bound_tokens,
         shared_prefixes=40 if mix is Mix.SHARED_PREFIXES else 0,
     )
-    tokens = scenario.tokens_per_request
-    return Fleet(scenario, bound_tokens / tokens)
+    return Fleet(scenario, bound_tokens)
 
 
 def _ranges(mix: Mix, rng: random.Random) -> list[model.LayerRange]:
@@ -185,7 +184,7 @@
         random.Random(seed),
     )
     outcome = simulation.run(_WARM_UP_SECONDS, seconds)
-    return outcome.requests_per_second / drawn.bound
+    return outcome.tokens_per_second / drawn.bound
 
 
 def first_token_seconds(mix: Mix, name: PolicyName, seed: int) -> float:
@@ -195,7 +194,9 @@
         drawn.scenario,
         policies(name, drawn.scenario, seed),
         random.Random(seed),
-        arrivals_per_second=_LATENCY_LOAD * drawn.bound,
+        arrivals_per_second=_LATENCY_LOAD
+        * drawn.bound
+        / drawn.scenario.tokens_per_request,
     )
     outcome = simulation.run(_WARM_UP_SECONDS, _SECONDS)
     return statistics.quantiles(outcome.first_token_seconds, n=20)[-1]
