--- a/bench/_engines.py
+++ b/bench/_engines.py
@@ -208,23 +208,23 @@
         self._sequence = 0
         self._numbers = 0
         self._now = 0.0
-        self._finished: list[tuple[float, int]] = []
+        self._passed: list[tuple[float, int]] = []
         self._first_tokens: list[tuple[float, float]] = []
 
     def run(self, warm_up_seconds: float, seconds: float) -> Outcome:
-        """Run, and count what ends between warm-up and end."""
+        """Run, and count the tokens that pass all layers after warm-up."""
         self._begin()
         end = warm_up_seconds + seconds
         while self._events and self._events[0][0] <= end:
             self._now, _, action, arguments = heapq.heappop(self._events)
             action(*arguments)
-        finished = sum(
-            tokens for at, tokens in self._finished if at >= warm_up_seconds
+        passed = sum(
+            tokens for at, tokens in self._passed if at >= warm_up_seconds
         )
         waits = [
             wait for at, wait in self._first_tokens if at >= warm_up_seconds
         ]
-        return Outcome(finished / seconds, waits)
+        return Outcome(passed / seconds, waits)
 
     def _at(
         self,
@@ -415,8 +415,10 @@
             waited = self._now - request.arrived_at
             self._first_tokens.append((request.arrived_at, waited))
             request.generated = 1
+            self._passed.append((self._now, request.work.prompt_tokens))
         else:
             request.generated += tokens
+            self._passed.append((self._now, tokens))
         if request.generated >= request.length:
             self._finish(request)
             return
@@ -428,9 +430,6 @@
             engine.resident -= 1
             engine.resident_layers -= layers
             engine.note(self._now)
-        # The last stage's prefill makes the first token.
-        tokens = request.work.prompt_tokens + request.generated - 1
-        self._finished.append((self._now, tokens))
         self._policies[request.entry].leave(
             request.work, request.generated, self._instant()
         )
