--- a/sedgepin/_admission/_fair_share.py
+++ b/sedgepin/_admission/_fair_share.py
@@ -2,10 +2,11 @@
 
 Each customer in the ring earns ``quantum_tokens`` times its weight a round
 and starts requests while its credit is positive.  A customer that turns
-busy is served once before those that have been busy all along, so a small
+busy is visited once before those that have been busy all along, so a small
 customer does not wait a round behind large ones (the two lists of FQ-CoDel,
-RFC 8290).  One that empties its queue stays in the ring until its next
-visit, so it gains nothing by coming and going.
+RFC 8290).  A customer keeps its credit, or its debt, while it is away, and
+earns no more than its share meanwhile, so it gains nothing by coming and
+going.
 """
 
 import collections
@@ -123,7 +124,9 @@
             queue = ring[0]
             ticket = queue.head()
             if ticket is None:
-                self._visit_empty(ring, now)
+                ring.popleft()
+                del self._active[queue.customer]
+                self._idle_since[queue.customer] = now
                 continue
             if queue.credit_tokens > 0:
                 queue.credit_tokens -= ticket.cost_tokens
@@ -138,18 +141,6 @@
                 passed = 0
         return None
 
-    def _visit_empty(
-        self,
-        ring: collections.deque[_customer.CustomerQueue],
-        now: datetime.datetime,
-    ) -> None:
-        queue = ring.popleft()
-        if ring is self._fresh:
-            self._settled.append(queue)
-            return
-        del self._active[queue.customer]
-        self._idle_since[queue.customer] = now
-
     def _skip_rounds(self) -> None:
         # All are in debt: give every customer the rounds after which the
         # first is out of it, at once.
