--- a/sedgepin/_answers/tests/test_assembly.py
+++ b/sedgepin/_answers/tests/test_assembly.py
@@ -182,6 +182,12 @@
             assert failure.reason == reason
             assert assembly.drops[reason] == 1
 
+    def test_held_piece_that_comes_again(self) -> None:
+        assembly = self.start()
+        assert assembly.accept(piece(1, 5), NOW).unwrap() == ()
+        failure = assembly.accept(piece(1, 5), NOW).unwrap_err()
+        assert failure.reason == answers.DropReason.POSITION_HELD
+
     def test_pieces_held_by_an_older_attempt_are_forgotten(self) -> None:
         assembly = self.start()
         assembly.accept(piece(1, 1, "old"), NOW)
@@ -202,6 +208,14 @@
         assert assembly.completion is not None
         assert assembly.accept(piece(1, 2), NOW).is_err()
 
+    def test_marker_of_a_lost_attempt_ends_nothing(self) -> None:
+        assembly = answers.AnswerAssembly(REQUEST, 8)
+        assembly.visit_attempt(pipeline(1), NOW)
+        assembly.end(1, 1, answers.FinishReason.STOP)
+        assembly.visit_attempt(pipeline(2), NOW)
+        assembly.accept(piece(2, 0), NOW)
+        assert assembly.completion is None
+
     def test_marker_that_contradicts_the_pieces(self) -> None:
         assembly = answers.AnswerAssembly(REQUEST, 8)
         assembly.visit_attempt(pipeline(1), NOW)
--- a/sedgepin/_answers/tests/test_silence.py
+++ b/sedgepin/_answers/tests/test_silence.py
@@ -127,6 +127,7 @@
         verdict = Stream(silent, tokens(3, 0.1)).verdict(60)
         assert verdict is not None
         assert isinstance(verdict[1], answers.DeclareEndpointDead)
+        assert verdict[0] >= 1.8
 
     def test_heartbeats_that_stop(self) -> None:
         beats = tuple((i / 4, answers.HeartbeatSeen()) for i in range(8))
--- a/sedgepin/_control/_daemon.py
+++ b/sedgepin/_control/_daemon.py
@@ -11,9 +11,11 @@
 from sedgepin._control import _effects
 from sedgepin._control import _events
 from sedgepin._control import _operators
+from sedgepin._control import _order_client
 from sedgepin._control import _reducer
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
+from sedgepin import _release as release
 from sedgepin import _shell as shell
 from sedgepin import _storage as storage
 from sedgepin import clock
@@ -35,6 +37,8 @@
         "_clock",
         "_driver",
         "_metrics",
+        "_nursery",
+        "_order_client",
         "_reducer",
         "_server",
         "_store",
@@ -58,6 +62,10 @@
             self._reducer.handle, self._carry_out, own_clock
         )
         self._metrics = shell.open_sink(cfg.statsd)
+        self._order_client = _order_client.OrderClient(
+            cfg.order_credential,
+            lambda: self._reducer.raft.lease_holds(own_clock.now()),
+        )
         self._server = _operators.OperatorServer(
             cfg, self._reducer, self._driver.submit, own_clock
         )
@@ -78,6 +86,7 @@
     async def run(self) -> None:
         """Serve until SIGTERM."""
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             await nursery.start(self._transport.run)
             nursery.start_soon(self._tick)
             nursery.start_soon(self._wait_for_drain)
@@ -119,11 +128,17 @@
                 self._store.save_snapshot(snapshot, entries)
             case _effects.AnswerOperator():
                 self._server.answer_operator(effect)
+            case _effects.GiveOrder(order):
+                self._nursery.start_soon(self._give_order, order)
             case _effects.WriteLog(line):
                 logs.write(line)
             case _effects.CountMetric(name, count):
                 self._metrics.count(name, count)
 
+    async def _give_order(self, order: release.Order) -> None:
+        verdict = await self._order_client.give(order)
+        self._driver.submit(_events.OrderAnswered(order, verdict))
+
 
 def run(cfg: settings.ControlSettings) -> None:
     """Run the daemon until it is told to leave.
--- a/sedgepin/_control/_effects.py
+++ b/sedgepin/_control/_effects.py
@@ -6,6 +6,7 @@
 from sedgepin import _consensus as consensus
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
+from sedgepin import _release as release
 from sedgepin import _state as state
 from sedgepin import errors
 from sedgepin import events
@@ -27,6 +28,13 @@
     answer: state.Reply | errors.Failure
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class GiveOrder:
+    """Send an order to an endpoint, if the lease is held at that instant."""
+
+    order: release.Order
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class WriteLog:
     """Log one event."""
@@ -47,6 +55,7 @@
     | consensus.PersistSnapshot
     | SendMessage
     | AnswerOperator
+    | GiveOrder
     | WriteLog
     | CountMetric
 )
--- a/sedgepin/_control/_events.py
+++ b/sedgepin/_control/_events.py
@@ -4,6 +4,7 @@
 import typing
 
 from sedgepin import _protocol as protocol
+from sedgepin import _release as release
 from sedgepin import _state as state
 
 
@@ -15,6 +16,14 @@
     command: state.Command
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class OrderAnswered:
+    """An endpoint answered an order, or did not."""
+
+    order: release.Order
+    verdict: release.OrderVerdict
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class TimerFired:
     """A tick passed."""
--- /dev/null
+++ b/sedgepin/_control/_order_client.py
@@ -0,0 +1,70 @@
+"""Sending orders to endpoints over HTTP, through httpcore."""
+
+import collections.abc
+import typing
+
+import httpcore
+import msgspec
+import trio
+
+from sedgepin import _release as release
+
+_ORDER_TIMEOUT_SECONDS = 2.0
+_FENCED_STATUS = 409
+_FIRST_ERROR_STATUS = 400
+_BEFORE_FIRST_BYTE = "http11.send_request_headers.started"
+
+HoldsLease: typing.TypeAlias = collections.abc.Callable[[], bool]
+
+
+class _LeaseOver(Exception):
+    """The lease ran out while the connection was being made."""
+
+
+class OrderClient:
+    """Sends orders, each only while the lease is held.
+
+    The lease is looked at once more when the connection stands, just before
+    the first byte: connecting may take longer than the lease lasts.
+    """
+
+    __slots__ = ("_credential", "_holds_lease", "_pool")
+
+    def __init__(self, credential: str, holds_lease: HoldsLease) -> None:
+        self._credential = credential
+        self._holds_lease = holds_lease
+        self._pool = httpcore.AsyncConnectionPool(max_keepalive_connections=0)
+
+    async def give(self, order: release.Order) -> release.OrderVerdict:
+        """Return what became of ``order``."""
+        headers = [("content-type", "application/json")]
+        if self._credential:
+            headers.append(("authorization", f"Bearer {self._credential}"))
+        try:
+            with trio.fail_after(_ORDER_TIMEOUT_SECONDS):
+                response = await self._pool.request(
+                    "POST",
+                    f"{order.address}/v1/orders",
+                    headers=headers,
+                    content=msgspec.json.encode(order),
+                    extensions={"trace": self._check_lease},
+                )
+        except (
+            _LeaseOver,
+            trio.TooSlowError,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ):
+            return release.OrderVerdict.FAILED
+        if response.status == _FENCED_STATUS:
+            return release.OrderVerdict.REFUSED_FENCING
+        if response.status >= _FIRST_ERROR_STATUS:
+            return release.OrderVerdict.FAILED
+        return release.OrderVerdict.ACCEPTED
+
+    async def _check_lease(
+        self, event: str, _details: dict[str, typing.Any]
+    ) -> None:
+        if event == _BEFORE_FIRST_BYTE and not self._holds_lease():
+            raise _LeaseOver
--- a/sedgepin/_control/_reducer.py
+++ b/sedgepin/_control/_reducer.py
@@ -20,7 +20,7 @@
 
 Effects = list[_effects.ControlEffect]
 
-_ACTOR = "control"
+_PLAN_INTERVAL = datetime.timedelta(milliseconds=200)
 
 
 class ControlReducer:
@@ -36,6 +36,8 @@
         "_drains",
         "_entries",
         "_batch",
+        "_plan_at",
+        "_planner",
         "_proposals",
         "_raft",
         "_roster",
@@ -59,6 +61,10 @@
         )
         self._roster = _roster.Roster()
         self._proposals = _proposals.Proposals()
+        self._planner = release.OrderPlanner(
+            release.PlannerSettings(loads_per_second=cfg.loads_per_second)
+        )
+        self._plan_at = now
         self._entries: set[model.VmId] = set()
         self._batch: list[consensus.Proposal] = []
         self._drains = False
@@ -97,6 +103,9 @@
                 waiter = _proposals.OperatorWaits(exchange_id)
                 self._propose(command, waiter, now)
                 return []
+            case _events.OrderAnswered(order, verdict):
+                answered = release.OrderAnswered(order, verdict)
+                return self._plan(answered, now)
             case protocol.PeerConnected(hello):
                 return self._peer_connected(hello, now)
             case protocol.PeerDisconnected(peer_id):
@@ -134,6 +143,10 @@
     def _tick(self, now: datetime.datetime) -> Effects:
         made = self._drive(consensus.TimerFired(), now)
         made += self._watch(self._roster.tick(now), now)
+        if now >= self._plan_at:
+            self._plan_at = now + _PLAN_INTERVAL
+            seen = self._roster.endpoints(now)
+            made += self._plan(release.EndpointsObserved(seen), now)
         return made
 
     def _asked(
@@ -249,7 +262,7 @@
         made: Effects = []
         for entry in sorted(self._entries):
             made += self._fleet_for(entry, -1, now)
-        return made
+        return made + self._plan(release.FleetChanged(self.state.fleet), now)
 
     def _fleet_for(
         self, peer_id: model.VmId, have: int, now: datetime.datetime
@@ -282,7 +295,7 @@
         made: Effects = [_effects.WriteLog(line)]
         if not effect.is_self:
             self._roster.leave_leadership(now)
-            return made
+            return made + self._plan(release.LeadershipLost(), now)
         self._roster.visit_leadership(self.state.vms(), now)
         self._record(
             state.AuditKind.LEADER_ELECTED,
@@ -290,7 +303,8 @@
             f"term {effect.term}",
             now,
         )
-        return made
+        made += self._plan(release.FleetChanged(self.state.fleet), now)
+        return made + self._plan(release.LeadershipGained(effect.term), now)
 
     def _watch(
         self,
@@ -319,6 +333,39 @@
                     made.append(_effects.SendMessage(vm_id, told))
         return made
 
+    def _plan(
+        self, event: release.PlannerEvent, now: datetime.datetime
+    ) -> Effects:
+        """Give the order planner an event and carry out what follows.
+
+        Its timer is not needed: what endpoints announce is handed to it
+        often enough.
+        """
+        made: Effects = []
+        holds = self._raft.lease_holds(now)
+        for effect in self._planner.handle(event, now, holds_lease=holds):
+            match effect:
+                case release.GiveOrder(order):
+                    made += self._give(order, now)
+                case release.ReportFencingRefused(order):
+                    line = events.ORDER_FAILED.line(
+                        endpoint=order.endpoint_id,
+                        failure="a higher fencing token was seen",
+                    )
+                    made.append(_effects.WriteLog(line))
+        return made
+
+    def _give(self, order: release.Order, now: datetime.datetime) -> Effects:
+        command = state.RecordOrder(at=now, actor=self._cfg.id, order=order)
+        self._propose(command, _proposals.NobodyWaits(), now)
+        line = events.ORDER_GIVEN.line(
+            endpoint=order.endpoint_id,
+            action=order.action.value,
+            epoch=order.epoch,
+            sequence=order.sequence,
+        )
+        return [_effects.WriteLog(line), _effects.GiveOrder(order)]
+
     def _visit_drain(self, now: datetime.datetime) -> Effects:
         self._drains = True
         line = _effects.WriteLog(events.PROCESS_DRAINING.line())
--- a/sedgepin/tests/world.py
+++ b/sedgepin/tests/world.py
@@ -663,11 +663,11 @@
         endpoint = self.endpoints[order.endpoint_id]
         self.orders.append((vm.name, order, self.now))
         token = (order.epoch, order.sequence)
-        outcome = release.OrderOutcome.ACCEPTED
+        outcome = release.OrderVerdict.ACCEPTED
         if not endpoint.is_alive or not self._reaches(vm.name, endpoint.name):
-            outcome = release.OrderOutcome.FAILED
+            outcome = release.OrderVerdict.FAILED
         elif endpoint.checks_fencing and token <= endpoint.fence:
-            outcome = release.OrderOutcome.REFUSED_FENCING
+            outcome = release.OrderVerdict.REFUSED_FENCING
         else:
             endpoint.fence = max(endpoint.fence, token)
             endpoint.orders.append(order)
