--- a/sedgepin/_control/_events.py
+++ b/sedgepin/_control/_events.py
@@ -35,5 +35,9 @@
 
 
 ControlEvent: typing.TypeAlias = (
-    OperatorProposed | TimerFired | DrainRequested | protocol.PeerEvent
+    OperatorProposed
+    | OrderAnswered
+    | TimerFired
+    | DrainRequested
+    | protocol.PeerEvent
 )
--- a/sedgepin/_protocol/tests/test_framing.py
+++ b/sedgepin/_protocol/tests/test_framing.py
@@ -11,7 +11,7 @@
     """What is sent is read again; anything else is refused by type."""
 
     def test_messages_come_back(self) -> None:
-        sent = [
+        sent: list[protocol.PeerMessage] = [
             protocol.FleetWanted(3),
             protocol.Hello(
                 model.VmId("a"),
--- a/sedgepin/_protocol/tests/test_transport.py
+++ b/sedgepin/_protocol/tests/test_transport.py
@@ -96,12 +96,11 @@
         self, case: str, tmp_path: pathlib.Path
     ) -> None:
         authority = trustme.CA()
-        second_tls = _tls(tmp_path, authority, "b")
-        impostor = {
-            "other authority": lambda: _tls(tmp_path, trustme.CA(), "a"),
-            "other id": lambda: _tls(tmp_path, authority, "c"),
-            "none": lambda: None,
-        }[case]()
+        impostor: settings.Tls | None = None
+        if case == "other authority":
+            impostor = _tls(tmp_path, trustme.CA(), "a")
+        elif case == "other id":
+            impostor = _tls(tmp_path, authority, "c")
         second_tls = _tls(tmp_path, authority, "b")
         first, second = _pair(impostor, second_tls)
         async with trio.open_nursery() as nursery:
--- a/sedgepin/tests/world.py
+++ b/sedgepin/tests/world.py
@@ -224,7 +224,8 @@
 
     def cut_off(self, data_centre: str) -> None:
         """Cut a data centre off from all others."""
-        everyone = [*self.vms.values(), *self.endpoints.values()]
+        everyone: list[Vm | Endpoint] = []
+        everyone += [*self.vms.values(), *self.endpoints.values()]
         inside = [
             one.name for one in everyone if one.data_centre == data_centre
         ]
