--- a/sedgepin/_release/tests/test_planner.py
+++ b/sedgepin/_release/tests/test_planner.py
@@ -183,6 +183,8 @@
         leader = _Leader(_fleet(_V1, (release.Added(role),)))
         empty = [_engine(f"e{number:02}", "") for number in range(60)]
         given: list[float] = []
+        leader.observe(_engine("idle"))
+        leader.observe(_engine("idle"), after=30)
         for step in range(200):
             orders = leader.observe(*empty, after=0.1)
             given += [step / 10] * len(orders)
