--- a/bench/_membership.py
+++ b/bench/_membership.py
@@ -1,16 +1,6 @@
-"""What membership costs an entry, by the size of the fleet.
-
-One data centre of each fleet is run from its reducers on a manual clock;
-every frame is encoded and decoded.  Data centres share nothing of this, so
-that one of them stands for all.
-"""
+"""What membership costs an entry, by the size of the fleet."""
 
 import collections.abc
-import dataclasses
-import datetime
-import heapq
-import itertools
-import random
 import statistics
 import time
 import tracemalloc
@@ -18,291 +8,34 @@
 import msgspec
 
 from bench import _figure as figure
+from bench import _membership_fleet as fleets
 from sedgepin import _membership as membership
 from sedgepin import _model as model
 
-_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
-_SECOND = datetime.timedelta(seconds=1)
-_HOP = datetime.timedelta(milliseconds=1)
-_WARM_UP = 4 * _SECOND
-_MEASURED = 4 * _SECOND
-_SAMPLE_INTERVAL = 0.25 * _SECOND
+_WARM_UP = 8 * fleets.SECOND
+_MEASURED = 4 * fleets.SECOND
+_SAMPLE_INTERVAL = 0.25 * fleets.SECOND
 _LEAVINGS = 20
-_ENDPOINTS_PER_NODE = 1300 / 320
+_SETTLED_SHARE = 0.99
 # A TLS 1.3 record (22) and a TCP segment with timestamps over IPv4 (52).
 _HEADER_BYTES = 74
 _NODE_LIMIT_BYTES = 11_000
 _NODE_LIMIT_CPU_MILLISECONDS = 36
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Fleet:
-    """A number of nodes over a number of data centres."""
-
-    node_count: int
-    data_centre_count: int
-    subset_size: int = membership.MembershipSettings().subset_size
-
-    @property
-    def entry_count(self) -> int:
-        """Return the entries of one data centre."""
-        return -(-self.node_count // self.data_centre_count)
-
-    @property
-    def endpoint_count(self) -> int:
-        """Return the endpoints of one data centre."""
-        endpoints = self.node_count * _ENDPOINTS_PER_NODE
-        return round(endpoints / self.data_centre_count)
-
-    def __str__(self) -> str:
-        return (
-            f"{self.node_count} nodes, {self.data_centre_count} dc, "
-            f"subset {min(self.subset_size, self.entry_count)}"
-        )
-
+_BATCH_DECODER = msgspec.msgpack.Decoder(membership.HeartbeatBatch)
 
 FLEETS = (
-    Fleet(7, 1),
-    Fleet(20, 2),
-    Fleet(53, 3),
-    Fleet(107, 4),
-    Fleet(213, 5),
-    Fleet(320, 6),
+    fleets.Fleet(7, 1),
+    fleets.Fleet(20, 2),
+    fleets.Fleet(53, 3),
+    fleets.Fleet(107, 4),
+    fleets.Fleet(213, 5),
+    fleets.Fleet(320, 6),
 )
-_OTHER_SUBSETS = (Fleet(320, 6, 16), Fleet(320, 6, 53))
-
-
-@dataclasses.dataclass(slots=True, frozen=True, order=True)
-class _Due:
-    """Something that happens at an instant; ``number`` breaks ties."""
-
-    at: datetime.datetime
-    number: int
-    action: collections.abc.Callable[[], None] = dataclasses.field(
-        compare=False
-    )
-
-
-class DataCentre:
-    """The entries and endpoints of one data centre on one manual clock."""
-
-    def __init__(self, fleet: Fleet, loss: float = 0.0) -> None:
-        self.now = _START
-        self.random = random.Random(fleet.node_count)
-        self.loss = loss
-        self.message_count = 0
-        self.frame_bytes = 0
-        self.announcement_bytes = 0
-        self.cpu_seconds = 0.0
-        self.learned_at: dict[str, list[datetime.datetime]] = {}
-        self._numbers = itertools.count()
-        self._due: list[_Due] = []
-        names = tuple(
-            model.VmId(f"entry-{number:03}")
-            for number in range(fleet.entry_count)
-        )
-        cfg = membership.MembershipSettings(subset_size=fleet.subset_size)
-        self.nodes = {name: self._node(name, names, cfg) for name in names}
-        self.announcements = [
-            _announcement(number, self.random)
-            for number in range(fleet.endpoint_count)
-        ]
-        self.subsets = [
-            membership.choose_subset(found.endpoint_id, names, cfg.subset_size)
-            for found in self.announcements
-        ]
-        self.homes = [self.random.choice(names) for _ in self.announcements]
-        for name in names:
-            self._connect(name)
-        for index in range(fleet.endpoint_count):
-            self._after(self.random.random() * _SECOND / 2, index)
+_OTHER_SUBSETS = (fleets.Fleet(320, 6, 16), fleets.Fleet(320, 6, 53))
 
-    def run(self, duration: datetime.timedelta) -> None:
-        """Let time pass."""
-        end = self.now + duration
-        while self._due[0].at <= end:
-            due = heapq.heappop(self._due)
-            self.now = due.at
-            due.action()
-        self.now = end
-
-    def leave(self, index: int) -> datetime.timedelta | None:
-        """Have an endpoint leave; return when the last entry knew.
-
-        ``None``: not every entry knew within two seconds.
-        """
-        left_at = self.now
-        leaving = msgspec.structs.replace(
-            self.announcements[index],
-            leaving=True,
-            sequence=self.announcements[index].sequence + 1,
-        )
-        self.announcements[index] = leaving
-        self._handle(self.homes[index], membership.AnnouncementHeard(leaving))
-        self.run(2 * _SECOND)
-        learned = self.learned_at.get(leaving.endpoint_id, [])
-        if len(learned) < len(self.nodes):
-            return None
-        return max(learned) - left_at
-
-    def eligible_share(self) -> float:
-        """Return the share of followed endpoints that may get work."""
-        wanted = 0
-        found = 0
-        eligible = {
-            name: {
-                announcement.endpoint_id
-                for announcement in node.endpoints.eligible(self.now)
-            }
-            for name, node in self.nodes.items()
-        }
-        for announcement, subset in zip(
-            self.announcements, self.subsets, strict=True
-        ):
-            wanted += len(subset)
-            found += sum(
-                announcement.endpoint_id in eligible[name] for name in subset
-            )
-        return found / wanted
-
-    def _node(
-        self,
-        name: model.VmId,
-        names: tuple[model.VmId, ...],
-        cfg: membership.MembershipSettings,
-    ) -> membership.GossipNode:
-        started_at = _START - self.random.random() * _SECOND
-        return membership.GossipNode(
-            name,
-            model.Incarnation(1_700_000_000),
-            names,
-            cfg,
-            random.Random(name),
-            started_at,
-        )
-
-    def _connect(self, name: model.VmId) -> None:
-        for other in sorted(self.nodes[name].neighbours()):
-            self._handle(name, membership.PeerUp(other))
-        self._handle(name, membership.TimerFired())
-
-    def _after(self, wait: datetime.timedelta, index: int) -> None:
-        self._at(self.now + wait, lambda: self._announce(index))
-
-    def _at(
-        self,
-        instant: datetime.datetime,
-        action: collections.abc.Callable[[], None],
-    ) -> None:
-        due = _Due(instant, next(self._numbers), action)
-        heapq.heappush(self._due, due)
-
-    def _announce(self, index: int) -> None:
-        before = self.announcements[index]
-        if before.leaving:
-            return
-        announcement = msgspec.structs.replace(
-            before,
-            sequence=before.sequence + 1,
-            load=_load(self.random),
-        )
-        self.announcements[index] = announcement
-        self.announcement_bytes += len(msgspec.json.encode(announcement))
-        heard = membership.AnnouncementHeard(announcement)
-        effects = self._handle(self.homes[index], heard)
-        for effect in effects:
-            if isinstance(effect, membership.ReplyAnnouncement):
-                self.announcements[index] = msgspec.structs.replace(
-                    announcement, echo=effect.echo
-                )
-                wait = max(effect.announce_again_after, _HOP)
-                self._after(wait, index)
-
-    def _handle(
-        self, name: model.VmId, event: membership.Event
-    ) -> list[membership.Effect]:
-        begun = time.process_time()
-        effects = self.nodes[name].handle(event, self.now)
-        self.cpu_seconds += time.process_time() - begun
-        for effect in effects:
-            match effect:
-                case membership.SendGossip(recipient, frame):
-                    self._send(name, recipient, frame)
-                case membership.WakeAt(instant):
-                    self._wake(name, instant)
-                case membership.ReportLeaving(endpoint_id, _):
-                    learned = self.learned_at.setdefault(endpoint_id, [])
-                    learned.append(self.now)
-        return effects
-
-    def _wake(self, name: model.VmId, instant: datetime.datetime) -> None:
-        fired = membership.TimerFired()
-        self._at(instant, lambda: _ignore(self._handle(name, fired)))
-
-    def _send(
-        self,
-        sender: model.VmId,
-        recipient: model.VmId,
-        frame: membership.GossipFrame,
-    ) -> None:
-        begun = time.process_time()
-        data = msgspec.msgpack.encode(frame)
-        self.cpu_seconds += time.process_time() - begun
-        self.message_count += 1
-        self.frame_bytes += len(data)
-        if self.random.random() >= self.loss:
-            self._at(
-                self.now + _HOP,
-                lambda: self._deliver(sender, recipient, data),
-            )
 
-    def _deliver(
-        self, sender: model.VmId, recipient: model.VmId, data: bytes
-    ) -> None:
-        begun = time.process_time()
-        frame = _DECODER.decode(data)
-        self.cpu_seconds += time.process_time() - begun
-        self._handle(recipient, membership.GossipArrived(sender, frame))
-
-
-_DECODER = msgspec.msgpack.Decoder(membership.GossipFrame)
-
-
-def _ignore(effects: list[membership.Effect]) -> None:
-    """Drop effects that were carried out already."""
-
-
-def _load(generator: random.Random) -> model.LoadReport:
-    return model.LoadReport(
-        running_requests=generator.randrange(64),
-        queued_requests=generator.randrange(16),
-        queued_tokens=generator.randrange(20_000),
-        measured_before_milliseconds=generator.randrange(1000),
-    )
-
-
-def _announcement(number: int, generator: random.Random) -> model.Announcement:
-    first = number % 4 * 20
-    return model.Announcement(
-        endpoint_id=model.EndpointId(f"engine-{number:04}"),
-        incarnation=model.Incarnation(1_700_000_000),
-        sequence=100_000,
-        kind=model.EndpointKind.ENGINE,
-        address=f"http://10.1.{number // 250}.{number % 250}:8000",
-        data_centre=model.DataCentreId("ikeja"),
-        services=(model.ServiceName("editors"),),
-        model=model.ModelName(f"model-{number % 5}"),
-        model_version="2026-11",
-        adapters=("yoruba", "igbo"),
-        layers=model.LayerRange(first, first + 20),
-        accelerator=model.AcceleratorKind("kind-1", 8, 40_000.0),
-        checks_fencing=True,
-        load=_load(generator),
-    )
-
-
-def _measure_fleet(fleet: Fleet) -> list[figure.Figure]:
-    data_centre = DataCentre(fleet)
+def _measure_fleet(fleet: fleets.Fleet) -> list[figure.Figure]:
+    data_centre = fleets.DataCentre(fleet)
     data_centre.run(_WARM_UP)
     messages = data_centre.message_count
     frame_bytes = data_centre.frame_bytes
@@ -312,7 +45,7 @@
     for _ in range(round(_MEASURED / _SAMPLE_INTERVAL)):
         data_centre.run(_SAMPLE_INTERVAL)
         shares.append(data_centre.eligible_share())
-    per_node = fleet.entry_count * (_MEASURED / _SECOND)
+    per_node = fleet.entry_count * (_MEASURED / fleets.SECOND)
     # Each frame is sent by one entry and received by another.
     frames = 2 * (data_centre.message_count - messages) / per_node
     payload = 2 * (data_centre.frame_bytes - frame_bytes) / per_node
@@ -342,10 +75,10 @@
     ]
 
 
-def _measure_memory(fleet: Fleet) -> figure.Figure:
+def _measure_memory(fleet: fleets.Fleet) -> figure.Figure:
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    data_centre = DataCentre(fleet)
+    data_centre = fleets.DataCentre(fleet)
     data_centre.run(_WARM_UP)
     after = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
@@ -357,8 +90,8 @@
     )
 
 
-def _measure_leaving(fleet: Fleet, loss: float) -> list[figure.Figure]:
-    data_centre = DataCentre(fleet, loss)
+def _measure_leaving(fleet: fleets.Fleet, loss: float) -> list[figure.Figure]:
+    data_centre = fleets.DataCentre(fleet, loss)
     data_centre.run(_WARM_UP)
     took = []
     late_count = 0
@@ -367,7 +100,7 @@
         if last is None:
             late_count += 1
         else:
-            took.append(last / _HOP)
+            took.append(last / fleets.HOP)
     setting = f"{fleet}, loss {loss:.0%}"
     return [
         figure.Figure(
@@ -386,6 +119,77 @@
     ]
 
 
+def _measure_storm(fleet: fleets.Fleet) -> list[figure.Figure]:
+    """Start every entry and every endpoint of a data centre at once."""
+    data_centre = fleets.DataCentre(fleet)
+    step = 0.1 * fleets.SECOND
+    settled = None
+    first_second_bytes = 0
+    while (
+        settled is None and data_centre.now < fleets.START + 30 * fleets.SECOND
+    ):
+        data_centre.run(step)
+        if data_centre.now <= fleets.START + fleets.SECOND:
+            first_second_bytes = data_centre.frame_bytes
+        if data_centre.eligible_share() >= _SETTLED_SHARE:
+            settled = data_centre.now - fleets.START
+    per_node = 2 * first_second_bytes / fleet.entry_count
+    setting = f"{fleet}, all start at once"
+    return [
+        figure.Figure("storm_first_second", per_node, "B/node", setting),
+        figure.Figure(
+            "storm_until_99_in_100_eligible",
+            settled / fleets.SECOND if settled else float("nan"),
+            "s",
+            setting,
+        ),
+    ]
+
+
+def _measure_heartbeats(node_count: int) -> list[figure.Figure]:
+    """Have a control leader follow so many VMs, a heartbeat a second each.
+
+    Relays hand on one batch a data centre and second.
+    """
+    seconds = 20
+    lives = tuple(
+        membership.VmLife(
+            model.VmId(f"entry-{number:03}"), model.Incarnation(1_700_000_000)
+        )
+        for number in range(node_count)
+    )
+    liveness = membership.VmLiveness()
+    liveness.handle(membership.LeadershipVisited(lives), fleets.START)
+    size_bytes = 0
+    begun = time.process_time()
+    for second in range(seconds):
+        now = fleets.START + second * fleets.SECOND
+        batch = membership.HeartbeatBatch(
+            tuple(
+                membership.VmHeartbeat(
+                    life.vm_id, life.incarnation, second + 1, 5000, True
+                )
+                for life in lives
+            )
+        )
+        data = msgspec.msgpack.encode(batch)
+        size_bytes += len(data)
+        arrived = membership.HeartbeatsArrived(_BATCH_DECODER.decode(data))
+        liveness.handle(arrived, now)
+        liveness.handle(membership.LeaseTimerFired(), now)
+        liveness.coverage(5000)
+    spent = time.process_time() - begun
+    setting = f"{node_count} VMs, 1 heartbeat/s each"
+    return [
+        figure.Figure(
+            "heartbeats_to_leader", size_bytes / seconds, "B/s", setting
+        ),
+        figure.Figure(
+            "heartbeats_cpu", 1000 * spent / seconds, "ms/s", setting
+        ),
+    ]
+
+
 def _slope(
     name: str, figures: collections.abc.Iterable[figure.Figure]
 ) -> figure.Figure:
@@ -434,6 +238,10 @@
     ]
     figures += _ratios(figures)
     figures += [_measure_memory(fleet) for fleet in FLEETS]
+    for node_count in (20, 53, 107, 160, 320):
+        figures += _measure_heartbeats(node_count)
+    for fleet in FLEETS:
+        figures += _measure_storm(fleet)
     for fleet in (FLEETS[0], FLEETS[-1]):
         for loss in (0.0, 0.2):
             figures += _measure_leaving(fleet, loss)
--- a/bench/tests/test_membership.py
+++ b/bench/tests/test_membership.py
@@ -3,11 +3,12 @@
 import datetime
 
 from bench import _membership as bench
+from bench import _membership_fleet as fleets
 
 
 class TestDataCentre:
     def test_small_fleet_settles_and_tells_of_a_leaving(self) -> None:
-        data_centre = bench.DataCentre(bench.FLEETS[0])
+        data_centre = fleets.DataCentre(bench.FLEETS[0])
         data_centre.run(datetime.timedelta(seconds=4))
         assert data_centre.eligible_share() == 1
         took = data_centre.leave(0)
