Bound what is held of peers, and the hurry of endpoints

Every change of an endpoint's description left its old handle with every peer for the life of the sender. A handle now replaces the earlier one of its endpoint, and goes when the endpoint leaves or is lost. An endpoint that never returns an echo was asked to announce again at once for ever; it is now asked once. A peer that comes back after it was lost counts whatever its incarnation, so that a restart with a clock set back is not ignored.

--- a/sedgepin/_membership/_gossip.py
+++ b/sedgepin/_membership/_gossip.py
@@ -54,6 +54,7 @@
         "_cfg",
         "_effects",
         "_guard",
+        "_hurried",
         "_incarnation",
         "_life",
         "_random",
@@ -80,6 +81,7 @@
         self._life = age.LifeClock(now)
         self._guard = age.FreezeGuard(cfg.freeze_limit)
         self._effects: list[events.Effect] = []
+        self._hurried: set[model.EndpointId] = set()
         self.endpoints = directory.EndpointDirectory(cfg)
         self.rumours = rumours.RumourBook(cfg.rumour_limit)
         self._sender = senders.GossipSender(
@@ -127,6 +129,10 @@
         """
         return self._sender.neighbours()
 
+    def held_count(self) -> int:
+        """Return how many descriptions of endpoints are held, for metrics."""
+        return self._sender.held_count()
+
     def _hear(
         self,
         announcement: model.Announcement,
@@ -140,7 +146,7 @@
         if failure is not None:
             self._effects.append(events.RefuseAnnouncement(failure))
             return
-        self._reply(known is not None, now)
+        self._reply(announcement.endpoint_id, known is not None, now)
         outcome = announced.unwrap()
         if outcome in _NEWER:
             self._sender.pass_on(announcement, is_heard=True)
@@ -221,7 +227,7 @@
         now: datetime.datetime,
     ) -> None:
         if self.endpoints.find(endpoint_id) is None:
-            self._sender.drop(endpoint_id)
+            self._drop(endpoint_id)
         self._effects.append(events.ReportLeaving(endpoint_id, incarnation))
         news = frames.EndpointLeft(endpoint_id, incarnation)
         self._effects += self._sender.flood(news, sender, now)
@@ -324,13 +330,17 @@
     def _forget(self, now: datetime.datetime) -> None:
         self.rumours.forget(now)
         for announcement in self.endpoints.forget(now):
-            self._sender.drop(announcement.endpoint_id)
+            self._drop(announcement.endpoint_id)
             self._effects.append(
                 events.ReportEndpointLost(
                     announcement.endpoint_id, announcement.incarnation
                 )
             )
 
+    def _drop(self, endpoint_id: model.EndpointId) -> None:
+        self._sender.drop(endpoint_id)
+        self._hurried.discard(endpoint_id)
+
     def _earliest_sending(
         self,
         announcement: model.Announcement,
@@ -367,13 +377,25 @@
         instant = self._life.to_instant(frame.echo_milliseconds)
         return instant if instant <= now else None
 
-    def _reply(self, is_age_known: bool, now: datetime.datetime) -> None:
+    def _reply(
+        self,
+        endpoint_id: model.EndpointId,
+        is_age_known: bool,
+        now: datetime.datetime,
+    ) -> None:
+        """Ask for the next announcement at once, but once only.
+
+        An endpoint that returns no echo would never stop otherwise.
+        """
         echo = age.Echo(
             self._vm_id, self._incarnation, self._life.to_milliseconds(now)
         )
         wait = self._cfg.announce_interval * self._random.uniform(
             _SHORTEST_REPLY_RATIO, 1
         )
-        if not is_age_known:
+        if is_age_known:
+            self._hurried.discard(endpoint_id)
+        elif endpoint_id not in self._hurried:
+            self._hurried.add(endpoint_id)
             wait = datetime.timedelta()
         self._effects.append(events.ReplyAnnouncement(str(echo), wait))
--- a/sedgepin/_membership/_peer.py
+++ b/sedgepin/_membership/_peer.py
@@ -66,6 +66,11 @@
             introduction.handle, introduction.first_sequence, announcement
         )
 
+    def keep_used(self, handles: set[int]) -> None:
+        """Remove the handles that are not in use any more."""
+        if len(handles) > len(self._by_handle):
+            handles.intersection_update(self._by_handle)
+
     def forget(self, endpoint_id: model.EndpointId) -> None:
         """Drop the description of an endpoint; its handle is not reused."""
         known = self._by_endpoint.pop(endpoint_id, None)
@@ -77,6 +82,7 @@
     """One other entry: its clock, its handles and what is due to it."""
 
     __slots__ = (
+        "_handles",
         "answers",
         "clock",
         "introduced",
@@ -94,6 +100,7 @@
         self.clock: age.PeerClock | None = None
         self.introduced: set[int] = set()
         self.theirs: dict[int, Description] = {}
+        self._handles: dict[model.EndpointId, int] = {}
         self.to_introduce: set[int] = set()
         self.wanted: set[int] = set()
         self.answers: set[model.EndpointId] = set()
@@ -110,6 +117,26 @@
             return None
         return self.clock
 
+    def learn(self, described: Description) -> None:
+        """Hold what the peer introduced, one description an endpoint.
+
+        The peer's handles rise, so that the higher one is the newer.
+        """
+        endpoint_id = described.announcement.endpoint_id
+        before = self._handles.get(endpoint_id, -1)
+        if described.handle < before:
+            return
+        self.theirs.pop(before, None)
+        self.theirs[described.handle] = described
+        self._handles[endpoint_id] = described.handle
+        self.wanted.discard(described.handle)
+
+    def forget(self, endpoint_id: model.EndpointId) -> None:
+        """Drop what the peer introduced of an endpoint."""
+        handle = self._handles.pop(endpoint_id, None)
+        if handle is not None:
+            del self.theirs[handle]
+
     def introduce(self, described: Description) -> frames.Introduction:
         """Return the introduction of a handle, and note that it was sent."""
         self.introduced.add(described.handle)
@@ -120,6 +147,7 @@
     def _reset(self, incarnation: model.Incarnation) -> None:
         self.clock = age.PeerClock(incarnation)
         self.theirs.clear()
+        self._handles.clear()
         self.introduced.clear()
         self.to_introduce.clear()
         self.wanted.clear()
--- a/sedgepin/_membership/_sender.py
+++ b/sedgepin/_membership/_sender.py
@@ -97,6 +97,12 @@
         )
         return self._near | stand_ins
 
+    def held_count(self) -> int:
+        """Return the descriptions held, own ones and those of peers."""
+        theirs = sum(len(peer.theirs) for peer in self._peers.values())
+        given = sum(len(peer.introduced) for peer in self._peers.values())
+        return theirs + given
+
     def find(self, vm_id: model.VmId) -> peers.Peer | None:
         """Return the peer of that name; ``None`` outside the scope."""
         if vm_id not in self._entries or vm_id == self._vm_id:
@@ -104,12 +110,18 @@
         return self._peers.setdefault(vm_id, peers.Peer())
 
     def set_up(self, vm_id: model.VmId) -> None:
-        """Send to a peer from now on."""
+        """Send to a peer from now on.
+
+        A peer that was lost may be another life of it, with any incarnation:
+        what was known of its clock and handles is dropped.
+        """
         peer = self.find(vm_id)
-        if peer is not None:
-            peer.is_up = True
-            peer.is_lost = False
-            peer.introduced.clear()
+        if peer is None:
+            return
+        if peer.is_lost:
+            peer = self._peers[vm_id] = peers.Peer()
+        peer.is_up = True
+        peer.introduced.clear()
 
     def set_down(self, vm_id: model.VmId) -> None:
         """Send no more to a peer."""
@@ -123,10 +135,7 @@
     ) -> None:
         """Note what a peer introduces, and what it asks for."""
         for introduction in frame.introduced:
-            peer.theirs[introduction.handle] = self._descriptions.share(
-                introduction
-            )
-            peer.wanted.discard(introduction.handle)
+            peer.learn(self._descriptions.share(introduction))
         peer.to_introduce.update(frame.wanted[:_WANTED_LIMIT])
         peer.answers.update(
             model.EndpointId(asked) for asked in frame.asked[:_ASK_LIMIT]
@@ -154,6 +163,8 @@
         self._relayed.take(endpoint_id)
         self._subsets.pop(endpoint_id, None)
         self._descriptions.forget(endpoint_id)
+        for peer in self._peers.values():
+            peer.forget(endpoint_id)
 
     def flood(
         self,
@@ -285,6 +296,7 @@
     ) -> events.SendGossip:
         peer = self._peers[vm_id]
         clock = peer.clock
+        self._descriptions.keep_used(peer.introduced)
         introduced = self._due_introductions(peer)
         frame = frames.GossipFrame(
             self._incarnation,
--- a/sedgepin/_membership/tests/network.py
+++ b/sedgepin/_membership/tests/network.py
@@ -71,6 +71,7 @@
         self.incarnation = 1
         self.sequence = 0
         self.echo = ""
+        self.adapters: tuple[str, ...] = ()
         self.is_leaving = False
         self.is_silent = False
         self.announce_at = START
@@ -88,6 +89,7 @@
             leaving=self.is_leaving,
             load=model.LoadReport(running_requests=3, queued_tokens=1000),
             echo=self.echo,
+            adapters=self.adapters,
         )
 
 
--- a/sedgepin/_membership/tests/test_gossip.py
+++ b/sedgepin/_membership/tests/test_gossip.py
@@ -39,6 +39,14 @@
             if isinstance(effect, membership.ReplyAnnouncement)
         )
         assert reply.announce_again_after == datetime.timedelta()
+        again = membership.AnnouncementHeard(endpoint.announce())
+        effects = entry.node.handle(again, entry.clock(net.now))
+        waits = [
+            effect.announce_again_after
+            for effect in effects
+            if isinstance(effect, membership.ReplyAnnouncement)
+        ]
+        assert waits[0] > 0.4 * network.SECOND
         assert entry.node.endpoints.find(model.EndpointId("g1"))
         assert net.eligible("g1") == []
 
@@ -183,6 +191,35 @@
         net.run(2)
         assert net.eligible("g2") == list(net.names)
 
+    def test_what_is_held_of_a_peer_does_not_grow(self) -> None:
+        net = _settled(2)
+        endpoint = net.endpoints["g1"]
+        for number in range(30):
+            endpoint.adapters = (f"adapter-{number}",)
+            net.run(0.5)
+        assert net.eligible("g1") == list(net.names)
+        known = net.entries["e1"].node.endpoints.find(model.EndpointId("g1"))
+        assert known is not None and known.adapters[0] > "adapter-27"
+        held = [net.entries[name].node.held_count() for name in net.names]
+        assert held == [2, 1]
+        net.leave("g1")
+        net.run(1)
+        held = [net.entries[name].node.held_count() for name in net.names]
+        assert held == [0, 0]
+
+    def test_peer_that_comes_back_counts_with_any_incarnation(self) -> None:
+        net = _settled(2)
+        old = net.entries["e0"]
+        net.entries["e0"] = network.Entry(
+            "e0", net.names, old.rate, net.cfg, net.now, 0
+        )
+        down = membership.PeerDown(model.VmId("e0"))
+        net.handle("e1", down)
+        net.connect("e0")
+        net.connect("e1")
+        net.run(4)
+        assert net.eligible("g1") == list(net.names)
+
     def test_rumour_reaches_all_and_ends_everywhere(self) -> None:
         net = _settled()
         net.cuts.update({("e0", "e1"), ("e2", "e1")})
