--- a/sedgepin/_membership/_age.py
+++ b/sedgepin/_membership/_age.py
@@ -49,20 +49,42 @@
 
 
 class LifeClock:
-    """Turns instants of this process into milliseconds since its start."""
+    """Instants of this life of this VM, as milliseconds since its start."""
 
-    __slots__ = ("started_at",)
+    __slots__ = ("_started_at", "incarnation", "vm_id")
 
-    def __init__(self, started_at: datetime.datetime) -> None:
-        self.started_at = started_at
+    def __init__(
+        self,
+        vm_id: model.VmId,
+        incarnation: model.Incarnation,
+        started_at: datetime.datetime,
+    ) -> None:
+        self.vm_id = vm_id
+        self.incarnation = incarnation
+        self._started_at = started_at
 
     def to_milliseconds(self, instant: datetime.datetime) -> int:
         """Return the whole milliseconds from the start to ``instant``."""
-        return (instant - self.started_at) // MILLISECOND
+        return (instant - self._started_at) // MILLISECOND
+
+    def issue(self, now: datetime.datetime) -> Echo:
+        """Return the echo of ``now``."""
+        return Echo(self.vm_id, self.incarnation, self.to_milliseconds(now))
+
+    def returned(
+        self, incarnation: int, milliseconds: int, now: datetime.datetime
+    ) -> datetime.datetime | None:
+        """Return the instant that an echo stands for.
 
-    def to_instant(self, milliseconds: int) -> datetime.datetime:
-        """Return the instant that lies ``milliseconds`` after the start."""
-        return self.started_at + milliseconds * MILLISECOND
+        ``None`` for one of another life, and for one that cannot be: below
+        the start or after ``now``.
+        """
+        if incarnation != self.incarnation:
+            return None
+        elapsed = self.to_milliseconds(now)
+        if not 0 <= milliseconds <= elapsed:
+            return None
+        return self._started_at + milliseconds * MILLISECOND
 
 
 class PeerClock:
--- a/sedgepin/_membership/_gossip.py
+++ b/sedgepin/_membership/_gossip.py
@@ -55,11 +55,9 @@
         "_effects",
         "_guard",
         "_hurried",
-        "_incarnation",
         "_life",
         "_random",
         "_sender",
-        "_vm_id",
         "endpoints",
         "rumours",
         "wake_at",
@@ -74,19 +72,15 @@
         generator: random.Random,
         now: datetime.datetime,
     ) -> None:
-        self._vm_id = vm_id
-        self._incarnation = incarnation
         self._cfg = cfg
         self._random = generator
-        self._life = age.LifeClock(now)
+        self._life = age.LifeClock(vm_id, incarnation, now)
         self._guard = age.FreezeGuard(cfg.freeze_limit)
         self._effects: list[events.Effect] = []
         self._hurried: set[model.EndpointId] = set()
         self.endpoints = directory.EndpointDirectory(cfg)
         self.rumours = rumours.RumourBook(cfg.rumour_limit)
         self._sender = senders.GossipSender(
-            vm_id,
-            incarnation,
             self._life,
             cfg,
             generator,
@@ -164,7 +158,9 @@
         clock = peer.visit(model.Incarnation(frame.incarnation))
         if clock is None:
             return
-        returned = self._returned(frame, now)
+        returned = self._life.returned(
+            frame.echo_incarnation, frame.echo_milliseconds, now
+        )
         sent = clock.observe(frame.instant_milliseconds, returned)
         self._sender.take_requests(peer, frame)
         for refresh in frame.heard:
@@ -348,34 +344,25 @@
         now: datetime.datetime,
     ) -> datetime.datetime | None:
         echo = age.Echo.parse(announcement.echo)
-        sent = None if echo is None else self._translate(echo)
+        sent = None if echo is None else self._translate(echo, now)
         if sent is not None and sent <= now:
             return sent
         if self._cfg.accept_announcements_without_echo:
             return received_from
         return None
 
-    def _translate(self, echo: age.Echo) -> datetime.datetime | None:
-        if echo.vm_id == self._vm_id:
-            if echo.incarnation != self._incarnation:
-                return None
-            return self._life.to_instant(echo.instant_milliseconds)
+    def _translate(
+        self, echo: age.Echo, now: datetime.datetime
+    ) -> datetime.datetime | None:
+        milliseconds = echo.instant_milliseconds
+        if echo.vm_id == self._life.vm_id:
+            return self._life.returned(echo.incarnation, milliseconds, now)
         peer = self._sender.find(echo.vm_id)
         if peer is None or peer.clock is None:
             return None
         if peer.clock.incarnation != echo.incarnation:
             return None
-        return peer.clock.earliest(echo.instant_milliseconds)
-
-    def _returned(
-        self, frame: frames.GossipFrame, now: datetime.datetime
-    ) -> datetime.datetime | None:
-        if frame.echo_incarnation != self._incarnation:
-            return None
-        if frame.echo_milliseconds < 0:
-            return None
-        instant = self._life.to_instant(frame.echo_milliseconds)
-        return instant if instant <= now else None
+        return peer.clock.earliest(milliseconds)
 
     def _reply(
         self,
@@ -387,9 +374,7 @@
 
         An endpoint that returns no echo would never stop otherwise.
         """
-        echo = age.Echo(
-            self._vm_id, self._incarnation, self._life.to_milliseconds(now)
-        )
+        echo = self._life.issue(now)
         wait = self._cfg.announce_interval * self._random.uniform(
             _SHORTEST_REPLY_RATIO, 1
         )
--- a/sedgepin/_membership/_sender.py
+++ b/sedgepin/_membership/_sender.py
@@ -34,7 +34,6 @@
         "_endpoints",
         "_entries",
         "_heard",
-        "_incarnation",
         "_life",
         "_near",
         "_peers",
@@ -43,21 +42,16 @@
         "_relays",
         "_rumours",
         "_subsets",
-        "_vm_id",
     )
 
     def __init__(
         self,
-        vm_id: model.VmId,
-        incarnation: model.Incarnation,
         life: age.LifeClock,
         cfg: settings.MembershipSettings,
         generator: random.Random,
         endpoints: directory.EndpointDirectory,
         held: rumours.RumourBook,
     ) -> None:
-        self._vm_id = vm_id
-        self._incarnation = incarnation
         self._life = life
         self._cfg = cfg
         self._random = generator
@@ -78,8 +72,8 @@
         """Lay the entries out anew; peers that remain keep their state."""
         self._entries = frozenset(entries)
         grid = topology.Grid(self._entries, self._cfg.mesh_limit_entries)
-        self._relays = grid.relays(self._vm_id)
-        self._near = grid.neighbours(self._vm_id)
+        self._relays = grid.relays(self._life.vm_id)
+        self._near = grid.neighbours(self._life.vm_id)
         self._subsets.clear()
         for vm_id in self._peers.keys() - self._entries:
             del self._peers[vm_id]
@@ -105,7 +99,7 @@
 
     def find(self, vm_id: model.VmId) -> peers.Peer | None:
         """Return the peer of that name; ``None`` outside the scope."""
-        if vm_id not in self._entries or vm_id == self._vm_id:
+        if vm_id not in self._entries or vm_id == self._life.vm_id:
             return None
         return self._peers.setdefault(vm_id, peers.Peer())
 
@@ -281,7 +275,7 @@
         followed = [
             endpoint_id
             for endpoint_id in ageing
-            if self._vm_id in self._subset(endpoint_id)
+            if self._life.vm_id in self._subset(endpoint_id)
         ]
         return tuple(followed[:_ASK_LIMIT])
 
@@ -299,7 +293,7 @@
         self._descriptions.keep_used(peer.introduced)
         introduced = self._due_introductions(peer)
         frame = frames.GossipFrame(
-            self._incarnation,
+            self._life.incarnation,
             self._life.to_milliseconds(now),
             clock.incarnation if clock else frames.UNKNOWN,
             clock.latest if clock else frames.UNKNOWN,
