--- a/sedgepin/_membership/_gossip.py
+++ b/sedgepin/_membership/_gossip.py
@@ -54,11 +54,10 @@
         "_cfg",
         "_effects",
         "_guard",
-        "_incarnation",
+        "_hurried",
         "_life",
         "_random",
         "_sender",
-        "_vm_id",
         "endpoints",
         "rumours",
         "wake_at",
@@ -73,18 +72,15 @@
         generator: random.Random,
         now: datetime.datetime,
     ) -> None:
-        self._vm_id = vm_id
-        self._incarnation = incarnation
         self._cfg = cfg
         self._random = generator
-        self._life = age.LifeClock(now)
+        self._life = age.LifeClock(vm_id, incarnation, now)
         self._guard = age.FreezeGuard(cfg.freeze_limit)
         self._effects: list[events.Effect] = []
+        self._hurried: set[model.EndpointId] = set()
         self.endpoints = directory.EndpointDirectory(cfg)
         self.rumours = rumours.RumourBook(cfg.rumour_limit)
         self._sender = senders.GossipSender(
-            vm_id,
-            incarnation,
             self._life,
             cfg,
             generator,
@@ -127,6 +123,10 @@
         """
         return self._sender.neighbours()
 
+    def held_count(self) -> int:
+        """Return how many descriptions of endpoints are held, for metrics."""
+        return self._sender.held_count()
+
     def _hear(
         self,
         announcement: model.Announcement,
@@ -140,7 +140,7 @@
         if failure is not None:
             self._effects.append(events.RefuseAnnouncement(failure))
             return
-        self._reply(known is not None, now)
+        self._reply(announcement.endpoint_id, known is not None, now)
         outcome = announced.unwrap()
         if outcome in _NEWER:
             self._sender.pass_on(announcement, is_heard=True)
@@ -158,7 +158,9 @@
         clock = peer.visit(model.Incarnation(frame.incarnation))
         if clock is None:
             return
-        returned = self._returned(frame, now)
+        returned = self._life.returned(
+            frame.echo_incarnation, frame.echo_milliseconds, now
+        )
         sent = clock.observe(frame.instant_milliseconds, returned)
         self._sender.take_requests(peer, frame)
         for refresh in frame.heard:
@@ -221,7 +223,7 @@
         now: datetime.datetime,
     ) -> None:
         if self.endpoints.find(endpoint_id) is None:
-            self._sender.drop(endpoint_id)
+            self._drop(endpoint_id)
         self._effects.append(events.ReportLeaving(endpoint_id, incarnation))
         news = frames.EndpointLeft(endpoint_id, incarnation)
         self._effects += self._sender.flood(news, sender, now)
@@ -324,13 +326,17 @@
     def _forget(self, now: datetime.datetime) -> None:
         self.rumours.forget(now)
         for announcement in self.endpoints.forget(now):
-            self._sender.drop(announcement.endpoint_id)
+            self._drop(announcement.endpoint_id)
             self._effects.append(
                 events.ReportEndpointLost(
                     announcement.endpoint_id, announcement.incarnation
                 )
             )
 
+    def _drop(self, endpoint_id: model.EndpointId) -> None:
+        self._sender.drop(endpoint_id)
+        self._hurried.discard(endpoint_id)
+
     def _earliest_sending(
         self,
         announcement: model.Announcement,
@@ -338,42 +344,43 @@
         now: datetime.datetime,
     ) -> datetime.datetime | None:
         echo = age.Echo.parse(announcement.echo)
-        sent = None if echo is None else self._translate(echo)
+        sent = None if echo is None else self._translate(echo, now)
         if sent is not None and sent <= now:
             return sent
         if self._cfg.accept_announcements_without_echo:
             return received_from
         return None
 
-    def _translate(self, echo: age.Echo) -> datetime.datetime | None:
-        if echo.vm_id == self._vm_id:
-            if echo.incarnation != self._incarnation:
-                return None
-            return self._life.to_instant(echo.instant_milliseconds)
+    def _translate(
+        self, echo: age.Echo, now: datetime.datetime
+    ) -> datetime.datetime | None:
+        milliseconds = echo.instant_milliseconds
+        if echo.vm_id == self._life.vm_id:
+            return self._life.returned(echo.incarnation, milliseconds, now)
         peer = self._sender.find(echo.vm_id)
         if peer is None or peer.clock is None:
             return None
         if peer.clock.incarnation != echo.incarnation:
             return None
-        return peer.clock.earliest(echo.instant_milliseconds)
+        return peer.clock.earliest(milliseconds)
 
-    def _returned(
-        self, frame: frames.GossipFrame, now: datetime.datetime
-    ) -> datetime.datetime | None:
-        if frame.echo_incarnation != self._incarnation:
-            return None
-        if frame.echo_milliseconds < 0:
-            return None
-        instant = self._life.to_instant(frame.echo_milliseconds)
-        return instant if instant <= now else None
+    def _reply(
+        self,
+        endpoint_id: model.EndpointId,
+        is_age_known: bool,
+        now: datetime.datetime,
+    ) -> None:
+        """Ask for the next announcement at once, but once only.
 
-    def _reply(self, is_age_known: bool, now: datetime.datetime) -> None:
-        echo = age.Echo(
-            self._vm_id, self._incarnation, self._life.to_milliseconds(now)
-        )
+        An endpoint that returns no echo would never stop otherwise.
+        """
+        echo = self._life.issue(now)
         wait = self._cfg.announce_interval * self._random.uniform(
             _SHORTEST_REPLY_RATIO, 1
         )
-        if not is_age_known:
+        if is_age_known:
+            self._hurried.discard(endpoint_id)
+        elif endpoint_id not in self._hurried:
+            self._hurried.add(endpoint_id)
             wait = datetime.timedelta()
         self._effects.append(events.ReplyAnnouncement(str(echo), wait))
--- a/sedgepin/_membership/_sender.py
+++ b/sedgepin/_membership/_sender.py
@@ -34,7 +34,6 @@
         "_endpoints",
         "_entries",
         "_heard",
-        "_incarnation",
         "_life",
         "_near",
         "_peers",
@@ -43,21 +42,16 @@
         "_relays",
         "_rumours",
         "_subsets",
-        "_vm_id",
     )
 
     def __init__(
         self,
-        vm_id: model.VmId,
-        incarnation: model.Incarnation,
         life: age.LifeClock,
         cfg: settings.MembershipSettings,
         generator: random.Random,
         endpoints: directory.EndpointDirectory,
         held: rumours.RumourBook,
     ) -> None:
-        self._vm_id = vm_id
-        self._incarnation = incarnation
         self._life = life
         self._cfg = cfg
         self._random = generator
@@ -78,8 +72,8 @@
         """Lay the entries out anew; peers that remain keep their state."""
         self._entries = frozenset(entries)
         grid = topology.Grid(self._entries, self._cfg.mesh_limit_entries)
-        self._relays = grid.relays(self._vm_id)
-        self._near = grid.neighbours(self._vm_id)
+        self._relays = grid.relays(self._life.vm_id)
+        self._near = grid.neighbours(self._life.vm_id)
         self._subsets.clear()
         for vm_id in self._peers.keys() - self._entries:
             del self._peers[vm_id]
@@ -97,19 +91,31 @@
         )
         return self._near | stand_ins
 
+    def held_count(self) -> int:
+        """Return the descriptions held, own ones and those of peers."""
+        theirs = sum(len(peer.theirs) for peer in self._peers.values())
+        given = sum(len(peer.introduced) for peer in self._peers.values())
+        return theirs + given
+
     def find(self, vm_id: model.VmId) -> peers.Peer | None:
         """Return the peer of that name; ``None`` outside the scope."""
-        if vm_id not in self._entries or vm_id == self._vm_id:
+        if vm_id not in self._entries or vm_id == self._life.vm_id:
             return None
         return self._peers.setdefault(vm_id, peers.Peer())
 
     def set_up(self, vm_id: model.VmId) -> None:
-        """Send to a peer from now on."""
+        """Send to a peer from now on.
+
+        A peer that was lost may be another life of it, with any incarnation:
+        what was known of its clock and handles is dropped.
+        """
         peer = self.find(vm_id)
-        if peer is not None:
-            peer.is_up = True
-            peer.is_lost = False
-            peer.introduced.clear()
+        if peer is None:
+            return
+        if peer.is_lost:
+            peer = self._peers[vm_id] = peers.Peer()
+        peer.is_up = True
+        peer.introduced.clear()
 
     def set_down(self, vm_id: model.VmId) -> None:
         """Send no more to a peer."""
@@ -123,10 +129,7 @@
     ) -> None:
         """Note what a peer introduces, and what it asks for."""
         for introduction in frame.introduced:
-            peer.theirs[introduction.handle] = self._descriptions.share(
-                introduction
-            )
-            peer.wanted.discard(introduction.handle)
+            peer.learn(self._descriptions.share(introduction))
         peer.to_introduce.update(frame.wanted[:_WANTED_LIMIT])
         peer.answers.update(
             model.EndpointId(asked) for asked in frame.asked[:_ASK_LIMIT]
@@ -154,6 +157,8 @@
         self._relayed.take(endpoint_id)
         self._subsets.pop(endpoint_id, None)
         self._descriptions.forget(endpoint_id)
+        for peer in self._peers.values():
+            peer.forget(endpoint_id)
 
     def flood(
         self,
@@ -270,7 +275,7 @@
         followed = [
             endpoint_id
             for endpoint_id in ageing
-            if self._vm_id in self._subset(endpoint_id)
+            if self._life.vm_id in self._subset(endpoint_id)
         ]
         return tuple(followed[:_ASK_LIMIT])
 
@@ -285,9 +290,10 @@
     ) -> events.SendGossip:
         peer = self._peers[vm_id]
         clock = peer.clock
+        self._descriptions.keep_used(peer.introduced)
         introduced = self._due_introductions(peer)
         frame = frames.GossipFrame(
-            self._incarnation,
+            self._life.incarnation,
             self._life.to_milliseconds(now),
             clock.incarnation if clock else frames.UNKNOWN,
             clock.latest if clock else frames.UNKNOWN,
