Price engines by assigned work, and learn how fast they really are

Cause: with equal resident load, engines whose requests stay longer get less flow, so slow and briefly visited engines stood idle an eighth of the time while others queued. Work assigned by this entry, decaying over 20 s, is known without delay; keeping it in proportion to speed keeps all engines equally busy.

Kept: a learned speed that falls while an engine's step is over 1.3 times the mean and fades back over a minute.

--- a/bench/_engines.py
+++ b/bench/_engines.py
@@ -28,6 +28,7 @@
     data_centre: str
     layers: model.LayerRange
     layer_tokens_per_second: float
+    announced_layer_tokens_per_second: float
     resident_layer_tokens: float
 
 
@@ -279,7 +280,7 @@
             model=model.ModelName("m"),
             layers=spec.layers,
             accelerator=model.AcceleratorKind(
-                "kind", 1, spec.layer_tokens_per_second
+                "kind", 1, spec.announced_layer_tokens_per_second
             ),
             load=model.LoadReport(
                 running_requests=resident,
--- a/bench/_throughput.py
+++ b/bench/_throughput.py
@@ -30,6 +30,8 @@
 _WITHIN_SECONDS = 0.0001
 _BETWEEN_SECONDS = 0.0005
 _SLOW_FACTOR = 100
+# One in so many engines runs at half the speed that it announces.
+_DEGRADED_ONE_IN = 5
 # The time that a request takes at the bound, which sets how many are kept
 # in flight.
 _STAY_SECONDS = 14.0
@@ -48,6 +50,7 @@
     MIXED = "6 kinds"
     SLOW_LINK = "6 kinds, one link 100x slower"
     OVERLAPPING = "6 kinds, overlapping ranges"
+    DEGRADED = "6 kinds, a fifth at half their speed"
     SHARED_PREFIXES = "6 kinds, shared prefixes"
 
 
@@ -78,6 +81,11 @@
         for number in range(_ENGINES)
     ]
     rng.shuffle(rates)
+    announced = rates[:]
+    if mix is Mix.DEGRADED:
+        rates[::_DEGRADED_ONE_IN] = [
+            rate / 2 for rate in rates[::_DEGRADED_ONE_IN]
+        ]
     held = [
         _flow_bound.HeldRange(layers, rate)
         for layers, rate in zip(ranges, rates, strict=True)
@@ -90,6 +98,7 @@
             PLACES[number % len(PLACES)],
             ranges[number],
             rates[number],
+            announced[number],
             _ROOM * _STAY_SECONDS * max(least_rate, rates[number]),
         )
         for number in range(_ENGINES)
--- a/sedgepin/_routing/_capacity.py
+++ b/sedgepin/_routing/_capacity.py
@@ -20,7 +20,7 @@
     """
     if _graph.missing_layers(holders, layer_count):
         return 0.0
-    total = sum(1.0 / holder.seconds_per_layer_token for holder in holders)
+    total = sum(1.0 / holder.seconds_per_layer_token() for holder in holders)
     low, high = 0.0, total / layer_count
     if _feasible(holders, layer_count, high):
         return high
@@ -51,7 +51,7 @@
     for first, end in zip(boundaries, boundaries[1:], strict=False):
         while waiting and waiting[-1].layers.first <= first:
             holder = waiting.pop()
-            rate = 1.0 / holder.seconds_per_layer_token
+            rate = 1.0 / holder.seconds_per_layer_token()
             spare.append((holder.layers, rate))
         demand = tokens_per_second * (end - first)
         kept: list[tuple[model.LayerRange, float]] = []
--- a/sedgepin/_routing/_choice.py
+++ b/sedgepin/_routing/_choice.py
@@ -2,12 +2,14 @@
 
 import collections.abc
 import dataclasses
+import datetime
 import itertools
 import random
 
 from sedgepin import _model as model
 from sedgepin._routing import _graph
 from sedgepin._routing import _prices
+from sedgepin._routing import _scale
 from sedgepin._routing import _search
 from sedgepin._routing import _settings
 
@@ -58,13 +60,14 @@
         self,
         graph: _graph.LayerGraph,
         demand: Demand,
-        scale: _prices.LoadScale,
+        scale: _scale.LoadScale,
+        now: datetime.datetime,
     ) -> list[_search.Leg] | None:
         """Return the path to take, or None if the avoided leave a gap."""
         drawn = graph.draw(self._settings.choices_per_group, self._rng)
-        legs = self._search(graph, drawn, demand, scale)
+        legs = self._search(graph, drawn, demand, scale, now)
         if legs is None and demand.avoid:
-            legs = self._search(graph, graph.holders, demand, scale)
+            legs = self._search(graph, graph.holders, demand, scale, now)
         return legs
 
     def _search(
@@ -72,13 +75,14 @@
         graph: _graph.LayerGraph,
         drawn: collections.abc.Iterable[_graph.Holder],
         demand: Demand,
-        scale: _prices.LoadScale,
+        scale: _scale.LoadScale,
+        now: datetime.datetime,
     ) -> list[_search.Leg] | None:
         warm = _warmest(graph, demand)
         avoid = demand.avoid
         candidates = dict.fromkeys([*drawn, *warm]) if warm else drawn
         nodes = [
-            self._pricing.node(holder, scale)
+            self._pricing.node(holder, scale, now)
             for holder in candidates
             if holder.endpoint_id not in avoid
         ]
--- a/sedgepin/_routing/_dispatches.py
+++ b/sedgepin/_routing/_dispatches.py
@@ -45,9 +45,16 @@
     ) -> None:
         """Count a request in; a second dispatch replaces the first."""
         self.leave(request_id, 0, False, now)
-        prompt_tokens = work.prompt_tokens if work is not None else 0
+        prompt_tokens = 0
+        generated_tokens = 0.0
+        if work is not None:
+            prompt_tokens = work.prompt_tokens
+            usual = self.generated_share(work.model)
+            generated_tokens = work.expected_tokens * usual
         for share in shares:
-            share.load.visit(share.layers, prompt_tokens, now)
+            share.load.visit(
+                share.layers, prompt_tokens, now, generated_tokens
+            )
         self._running[request_id] = _Dispatch(shares, work)
 
     def progress(self, request_id: model.RequestId, tokens: int) -> None:
--- a/sedgepin/_routing/_graph.py
+++ b/sedgepin/_routing/_graph.py
@@ -24,7 +24,7 @@
         "first_index",
         "layers",
         "load",
-        "seconds_per_layer_token",
+        "seconds_per_announced_layer_token",
     )
 
     def __init__(
@@ -39,11 +39,15 @@
         self.address = announcement.address
         self.layers = layers
         self.data_centre = announcement.data_centre
-        self.seconds_per_layer_token = 1.0 / layer_tokens_per_second
+        self.seconds_per_announced_layer_token = 1.0 / layer_tokens_per_second
         self.load = load
         self.first_index = 0
         self.end_index = 0
 
+    def seconds_per_layer_token(self) -> float:
+        """Return the compute time at the speed that was learned."""
+        return self.seconds_per_announced_layer_token / self.load.speed
+
     def same_as(self, announcement: model.Announcement) -> bool:
         """Tell whether an announcement changes nothing but its load."""
         known = self.announcement
@@ -70,7 +74,7 @@
         self._cumulative: list[float] = []
         total = 0.0
         for holder in holders:
-            total += 1.0 / holder.seconds_per_layer_token
+            total += 1.0 / holder.seconds_per_announced_layer_token
             self._cumulative.append(total)
 
     def draw(self, count: int, rng: random.Random) -> list[Holder]:
--- a/sedgepin/_routing/_holders.py
+++ b/sedgepin/_routing/_holders.py
@@ -8,7 +8,7 @@
 from sedgepin._routing import _graph
 from sedgepin._routing import _links
 from sedgepin._routing import _load
-from sedgepin._routing import _prices
+from sedgepin._routing import _scale
 from sedgepin._routing import _search
 from sedgepin._routing import _settings
 from sedgepin._routing import _work
@@ -48,7 +48,7 @@
         self.graph = graph
         self.holders = holders
         self.links_version = links_version
-        self.scale = _prices.LoadScale()
+        self.scale = _scale.LoadScale()
 
 
 class GraphCache:
--- a/sedgepin/_routing/_load.py
+++ b/sedgepin/_routing/_load.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import datetime
+import math
 
 from sedgepin import _model as model
 
@@ -10,6 +11,14 @@
 # Reports come twice a second; their differences are averaged over seconds,
 # longer than a request takes to reach its last stage.
 _REPORT_SMOOTHING = 0.1
+# A step this much longer than the mean marks an engine as slow.
+_SLOW_STEP = 1.3
+_SLOWEST_EXCESS = 2.0
+_SLOWDOWN_TIME = datetime.timedelta(seconds=10)
+_RECOVERY_TIME = datetime.timedelta(seconds=60)
+_LONGEST_LESSON = datetime.timedelta(seconds=1)
+_LEAST_SPEED = 0.05
+_ASSIGNED_LIFETIME = datetime.timedelta(seconds=20)
 _DELTAS_LIMIT = 1024
 _REPORT_LIFETIME = datetime.timedelta(seconds=10)
 
@@ -31,10 +40,13 @@
     the layers that each runs there: the layer-tokens of one batch step.
     ``prompt_tokens`` is what waits for its prefill.  ``own_layers`` and
     ``own_requests`` count this entry's part alone; the ``usual`` figures
-    are averages over the last reports.
+    are averages over the last reports.  ``speed`` is a learned correction
+    of the announced speed, at most 1.
     """
 
     __slots__ = (
+        "_assigned",
+        "_assigned_when",
         "_deltas",
         "_order",
         "_recent_layers",
@@ -42,6 +54,7 @@
         "_recent_tokens",
         "_reported_requests",
         "_reported_tokens",
+        "_speed_learned_at",
         "held_layers",
         "layers",
         "layers_per_request",
@@ -50,6 +63,7 @@
         "own_requests",
         "prompt_tokens",
         "requests",
+        "speed",
         "usual_own_layers",
         "usual_reported_layers",
     )
@@ -63,6 +77,10 @@
         self.prompt_tokens = 0
         self.usual_own_layers = 0.0
         self.usual_reported_layers = 0.0
+        self._assigned = 0.0
+        self.speed = 1.0
+        self._speed_learned_at: datetime.datetime | None = None
+        self._assigned_when: datetime.datetime | None = None
         self._order = (-1, -1)
         self._reported_requests = 0
         self._reported_tokens = 0
@@ -99,9 +117,16 @@
         self._estimate()
 
     def visit(
-        self, layers: int, prompt_tokens: int, now: datetime.datetime
+        self,
+        layers: int,
+        prompt_tokens: int,
+        now: datetime.datetime,
+        generated_tokens: float = 0.0,
     ) -> None:
         """Add a request that this entry dispatched."""
+        work = layers * (prompt_tokens + generated_tokens)
+        self._assigned = self.assigned_at(now) + work
+        self._assigned_when = now
         self.own_requests += 1
         self.own_layers += layers
         self.layers_per_request += _SMOOTHING * (
@@ -121,6 +146,35 @@
             return self.requests
         return self.own_requests
 
+    def assigned_at(self, now: datetime.datetime) -> float:
+        """Return the layer-tokens that this entry assigned lately.
+
+        Older work counts for less, by a factor of e each lifetime.
+        """
+        if self._assigned_when is None:
+            return 0.0
+        age = now - self._assigned_when
+        return self._assigned * math.exp(-(age / _ASSIGNED_LIFETIME))
+
+    def learn_speed(
+        self, relative_step: float, now: datetime.datetime
+    ) -> None:
+        """Correct the announced speed by the step time over the mean.
+
+        An engine whose requests pile up in spite of its fair share of work
+        is slower than it announces.  The correction fades, so that an
+        engine that has recovered is found out.
+        """
+        learned_at = self._speed_learned_at
+        self._speed_learned_at = now
+        if learned_at is None:
+            return
+        elapsed = min(now - learned_at, _LONGEST_LESSON)
+        excess = min(max(0.0, relative_step - _SLOW_STEP), _SLOWEST_EXCESS)
+        self.speed *= math.exp(-excess * (elapsed / _SLOWDOWN_TIME))
+        self.speed += (1.0 - self.speed) * (elapsed / _RECOVERY_TIME)
+        self.speed = max(self.speed, _LEAST_SPEED)
+
     def prefill_seconds(self, seconds_per_layer_token: float) -> float:
         """Return how long the waiting prompts will take."""
         layer_tokens = self.prompt_tokens * self.layers_per_request
--- a/sedgepin/_routing/_router.py
+++ b/sedgepin/_routing/_router.py
@@ -114,7 +114,9 @@
         graph = priced.graph
         if graph.missing:
             return result.Err(self._no_pipeline(work, graph))
-        legs = self._chooser.choose(graph, self._demand(work), priced.scale)
+        legs = self._chooser.choose(
+            graph, self._demand(work), priced.scale, now
+        )
         if legs is None:
             return result.Err(self._no_pipeline(work, graph))
         return result.Ok(_pipeline(legs))
--- a/sedgepin/_routing/_settings.py
+++ b/sedgepin/_routing/_settings.py
@@ -11,8 +11,10 @@
 class RoutingSettings(msgspec.Struct, frozen=True, kw_only=True):
     """How an entry weighs pipelines against each other.
 
-    ``data_centre`` is the entry's own.  ``congestion_steepness`` says how
-    fast the price of an engine rises with its load over the mean load.
+    ``data_centre`` is the entry's own.  ``load_steepness`` says how
+    fast the price of an engine rises with its load over the mean load, and
+    ``assigned_work_steepness`` how fast with the work that this entry
+    lately assigned to it, over the mean.
     ``choices_per_group`` engines are drawn from each group of engines with
     equal layers in one data centre, and ``price_noise`` is the relative
     width of a random factor on each price; both keep independent entries
@@ -27,7 +29,8 @@
     """
 
     data_centre: model.DataCentreId = model.DataCentreId("")
-    congestion_steepness: typing.Annotated[float, msgspec.Meta(ge=0)] = 4.0
+    load_steepness: typing.Annotated[float, msgspec.Meta(ge=0)] = 3.0
+    assigned_work_steepness: typing.Annotated[float, msgspec.Meta(ge=0)] = 8.0
     choices_per_group: typing.Annotated[int, msgspec.Meta(ge=1)] = 2
     price_noise: typing.Annotated[float, msgspec.Meta(ge=0, lt=1)] = 0.1
     prefix_block_tokens: typing.Annotated[int, msgspec.Meta(ge=1)] = 64
