--- a/sedgepin/_control/_operators.py
+++ b/sedgepin/_control/_operators.py
@@ -57,14 +57,21 @@
     draining: bool | None
 
 
+class MemberStanding(msgspec.Struct, frozen=True):
+    """A member of the replicated log: one disk of one control VM."""
+
+    vm: str
+    disk: str
+    votes: bool
+
+
 class SystemStanding(msgspec.Struct, frozen=True):
     """What a control VM knows of the system."""
 
     leader: str | None
     term: int
     holds_lease: bool
-    voters: tuple[str, ...]
-    learners: tuple[str, ...]
+    members: tuple[MemberStanding, ...]
     commit_index: int
     note_number: int
     write_records: int
@@ -236,8 +243,14 @@
             leader=raft.leader_id,
             term=raft.term,
             holds_lease=raft.lease_holds(self._clock.now()),
-            voters=tuple(one.vm_id for one in raft.members.voters),
-            learners=tuple(one.vm_id for one in raft.members.learners),
+            members=tuple(
+                MemberStanding(
+                    one.vm_id,
+                    f"{one.disk_id:016x}",
+                    one in raft.members.voters,
+                )
+                for one in raft.members.members
+            ),
             commit_index=raft.commit_index,
             note_number=self._reducer.state.fleet.note_number,
             write_records=self._reducer.state.write_count,
--- a/sedgepin/cli/_main.py
+++ b/sedgepin/cli/_main.py
@@ -11,7 +11,15 @@
 from sedgepin.cli import _output
 from sedgepin import settings
 
-_STATUS_COLUMNS = ("id", "data_centre", "note_number", "ready", "lags_since")
+_MEMBER_COLUMNS = ("vm", "disk", "votes")
+_STATUS_COLUMNS = (
+    "id",
+    "data_centre",
+    "state",
+    "note_number",
+    "ready",
+    "draining",
+)
 _ENDPOINT_COLUMNS = (
     "endpoint_id",
     "data_centre",
@@ -23,7 +31,7 @@
     "leaving",
     "checks_fencing",
 )
-_AUDIT_COLUMNS = ("index", "at", "actor", "action", "detail")
+_AUDIT_COLUMNS = ("index", "at", "actor", "kind", "subject", "detail")
 
 
 def entry(settings_file: pathlib.Path) -> None:
@@ -117,8 +125,11 @@
         _output.print_document(found, output)
         return
     vms = found.pop("vms")
+    members = found.pop("members")
     _output.print_document(found, output)
     print()
+    _output.print_rows(members, _MEMBER_COLUMNS, output)
+    print()
     _output.print_rows(vms, _STATUS_COLUMNS, output)
 
 
--- a/sedgepin/cli/_operator_client.py
+++ b/sedgepin/cli/_operator_client.py
@@ -93,10 +93,9 @@
 ) -> httpcore.Response | None:
     base = address if "://" in address else f"http://{address}"
     credential = os.environ.get(CREDENTIAL_VARIABLE, "")
-    headers = [
-        ("authorization", f"Bearer {credential}"),
-        ("content-type", "application/json"),
-    ]
+    headers = [("content-type", "application/json")]
+    if credential:
+        headers.append(("authorization", f"Bearer {credential}"))
     try:
         return pool.request(
             method,
--- a/sedgepin/tests/fake_engine.py
+++ b/sedgepin/tests/fake_engine.py
@@ -34,6 +34,7 @@
 
     endpoint_id: str
     port: int
+    announced_port: int = 0
     entries: tuple[str, ...]
     data_centre: str = "dc1"
     services: tuple[str, ...] = ("assistant",)
@@ -69,12 +70,13 @@
         """Return the announcement for one entry."""
         options = self.options
         self.sequence += 1
+        port = options.announced_port or options.port
         told = model.Announcement(
             endpoint_id=model.EndpointId(options.endpoint_id),
             incarnation=model.Incarnation(options.incarnation),
             sequence=self.sequence,
             kind=model.EndpointKind.ENGINE,
-            address=f"http://127.0.0.1:{options.port}",
+            address=f"http://127.0.0.1:{port}",
             data_centre=model.DataCentreId(options.data_centre),
             services=tuple(model.ServiceName(s) for s in options.services),
             model=model.ModelName(options.model) if options.model else None,
--- a/sedgepin/tests/processes.py
+++ b/sedgepin/tests/processes.py
@@ -27,6 +27,13 @@
 
 _WAIT_SECONDS = 20.0
 
+# What a request to a process that is dead, frozen or cut off raises.
+UNREACHABLE = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
 
 def free_port() -> int:
     """Return a loopback port that nobody listens on."""
@@ -86,6 +93,7 @@
         self.ports: dict[str, int] = {}
         self.notice_seconds = notice_seconds
         self.engine_options = engine_options
+        self.announced_ports: dict[str, int] = {}
         self.control_ids = [f"control-{n + 1}" for n in range(controls)]
         self.entry_ids = [f"entry-{n + 1}" for n in range(entries)]
         self.engine_ids = [
@@ -155,11 +163,14 @@
         path: str,
         body: object = None,
         credential: str = CALLER_CREDENTIAL,
+        read_seconds: float = 30.0,
         **headers: str,
     ) -> Answer:
         """Send one HTTP request and return the whole answer."""
         content = b"" if body is None else msgspec.json.encode(body)
-        fields = [("authorization", f"Bearer {credential}")]
+        fields = []
+        if credential:
+            fields.append(("authorization", f"Bearer {credential}"))
         fields += [
             (key.replace("_", "-"), value) for key, value in headers.items()
         ]
@@ -168,7 +179,7 @@
             f"http://{self.address(name)}{path}",
             headers=fields,
             content=content,
-            extensions={"timeout": {"connect": 1.0, "read": 30.0}},
+            extensions={"timeout": {"connect": 1.0, "read": read_seconds}},
         )
         told = {
             key.decode().lower(): value.decode()
@@ -282,6 +293,7 @@
         common: dict[str, object] = {
             "endpoint_id": name,
             "port": self.ports[name],
+            "announced_port": self.announced_ports.get(name, 0),
             "entries": entries[:2],
             "incarnation": incarnation,
             "data_centre": DATA_CENTRES[0],
