--- a/sedgepin/_consensus/tests/test_machine.py
+++ b/sedgepin/_consensus/tests/test_machine.py
@@ -89,10 +89,12 @@
             self.cluster.isolate(leader.name)
 
     @stateful.rule(place=_NAMES, milliseconds=strategies.integers(50, 900))
-    def deafen_to_leader(self, place: int, milliseconds: int) -> None:
+    def part_from_leader(self, place: int, milliseconds: int) -> None:
+        """Cut one link both ways; the others hear both of its ends."""
         leader = self.cluster.leader()
         if leader is not None:
-            self.cluster.cuts = {(leader.name, self._name(place))}
+            ends = (leader.name, self._name(place))
+            self.cluster.cuts = {ends, (ends[1], ends[0])}
             self.cluster.run(milliseconds)
 
     @stateful.rule()
