--- a/sedgepin/_consensus/tests/test_node.py
+++ b/sedgepin/_consensus/tests/test_node.py
@@ -49,13 +49,23 @@
             storage.DiskId(recipient),
         )
 
-    def take(self, message: consensus.RaftMessage) -> list[consensus.Effect]:
-        event = consensus.PeerMessageArrived(_VMS[1], message)
+    def take(
+        self, message: consensus.RaftMessage, sender: int = 1
+    ) -> list[consensus.Effect]:
+        event = consensus.PeerMessageArrived(_VMS[sender], message)
         return self.node.handle(event, self.clock.now())
 
     def tick(self) -> list[consensus.Effect]:
         return self.node.handle(consensus.TimerFired(), self.clock.now())
 
+    def gives_vote(self, sender: int, last_index: int, last_term: int) -> bool:
+        header = self.header(5, disk_id=sender + 1)
+        request = _messages.VoteRequest(header, False, last_index, last_term)
+        effects = self.take(request, sender)
+        assert isinstance(effects[-1], consensus.SendMessage)
+        assert isinstance(effects[-1].message, _messages.VoteReply)
+        return effects[-1].message.is_granted
+
     def vote(self, term: int, is_pre: bool, disk_id: int = 2) -> None:
         header = self.header(term - is_pre, disk_id)
         self.take(_messages.VoteReply(header, is_pre, term, True))
@@ -76,6 +86,21 @@
         assert isinstance(send.message, _messages.VoteReply)
         assert send.message.is_granted
 
+    def test_one_vote_a_term(self) -> None:
+        member = Member()
+        asked = [member.gives_vote(sender, 1, 0) for sender in (1, 2, 1)]
+        assert asked == [True, False, True]
+
+    @pytest.mark.parametrize(
+        ("last_index", "last_term", "is_granted"),
+        [(9, 1, False), (2, 2, False), (3, 2, True), (1, 3, True)],
+    )
+    def test_shorter_log_gets_no_vote(
+        self, last_index: int, last_term: int, is_granted: bool
+    ) -> None:
+        member = Member(_command(2, 2), _command(3, 2), term=2)
+        assert member.gives_vote(1, last_index, last_term) == is_granted
+
     def test_message_for_a_lost_disk_is_ignored(self) -> None:
         member = Member()
         header = member.header(1, recipient=99)
