--- a/sedgepin/_release/_checking.py
+++ b/sedgepin/_release/_checking.py
@@ -5,6 +5,7 @@
 the type does not have are faults too: a misspelt one would be lost silently.
 """
 
+import functools
 import types
 import typing
 
@@ -36,6 +37,14 @@
     return _check_leaf(value, kind, path)
 
 
+@functools.cache
+def _fields_of(
+    kind: type[msgspec.Struct],
+) -> tuple[msgspec.structs.FieldInfo, ...]:
+    """Return a type's fields; reading them from its hints is slow."""
+    return msgspec.structs.fields(kind)
+
+
 def _is_struct(kind: typing.Any) -> bool:
     return isinstance(kind, type) and issubclass(kind, msgspec.Struct)
 
@@ -101,7 +110,7 @@
     prefix = f"{path}." if path else ""
     faults = []
     known = {kind.__struct_config__.tag_field}
-    for field in msgspec.structs.fields(kind):
+    for field in _fields_of(kind):
         known.add(field.encode_name)
         where = prefix + field.encode_name
         if field.encode_name in value:
--- a/sedgepin/_state/tests/test_control_state.py
+++ b/sedgepin/_state/tests/test_control_state.py
@@ -74,7 +74,10 @@
 
 
 def _command(rng: random.Random, fleet: release.Fleet) -> state.Command:
-    policy = writes.WritePolicy(retention=rng.randint(100, 200) * _SECOND)
+    policy = writes.WritePolicy(
+        retention=rng.randint(100, 200) * _SECOND,
+        undated_keys_per_customer=rng.randint(1, 3),
+    )
     event = state.AuditKind.ENDPOINT_QUARANTINED
     vm_id = rng.choice("ab")
     life = rng.randint(1, 3)
--- a/sedgepin/_writes/_key.py
+++ b/sedgepin/_writes/_key.py
@@ -7,6 +7,7 @@
 """
 
 import datetime
+import functools
 import re
 
 KEY_LIMIT_CHARACTERS = 255
@@ -26,6 +27,8 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
+# Each command asks several times for the date of one key.
+@functools.lru_cache(maxsize=64)
 def key_date_milliseconds(key: str) -> int | None:
     """Return when the key was made, in milliseconds since 1970, if it says.
 
