Leave large answers out of the log

An answer beyond the limit was proposed whole and then dropped by the record. It now reaches its caller only. Seen to fail with the answer proposed as is.

--- a/sedgepin/_writes/_attempt.py
+++ b/sedgepin/_writes/_attempt.py
@@ -25,13 +25,16 @@
     A begin that is not answered within ``begin_timeout`` is given up and the
     caller told at once.  Commands are sent again after ``ask_interval``,
     then at twice the time before, up to ``ask_interval_limit``.  A resend
-    asks how the write stands every ``poll_interval``.
+    asks how the write stands every ``poll_interval``.  Answers longer than
+    ``answer_limit_bytes`` reach their caller but are not kept for resends;
+    the replicated policy has such a limit too, and the lower one counts.
     """
 
     begin_timeout: datetime.timedelta = datetime.timedelta(seconds=2)
     ask_interval: datetime.timedelta = datetime.timedelta(milliseconds=400)
     ask_interval_limit: datetime.timedelta = datetime.timedelta(seconds=5)
     poll_interval: datetime.timedelta = datetime.timedelta(milliseconds=250)
+    answer_limit_bytes: int = 4096
 
 
 class Phase(enum.Enum):
@@ -234,6 +237,15 @@
         command = self._command(now)
         return [_events.AskControl(self._request.request_id, command)]
 
+    def _answer_to_keep(self) -> _record.StoredAnswer | None:
+        """Leave a large answer out: the log would carry it for nothing."""
+        answer = self._answer
+        if answer is None:
+            return None
+        if answer.size_bytes > self._settings.answer_limit_bytes:
+            return None
+        return answer
+
     def _due(self, now: datetime.datetime) -> datetime.datetime:
         """Return when to ask again, or sooner to answer the caller."""
         ask_at = now + self._interval
@@ -254,7 +266,7 @@
                 customer=request.customer,
                 key=request.key,
                 holder=holder,
-                answer=self._answer,
+                answer=self._answer_to_keep(),
             )
         if self.phase is Phase.ABANDONING:
             return _messages.AbandonWrite(
--- a/sedgepin/_writes/tests/test_coordinator.py
+++ b/sedgepin/_writes/tests/test_coordinator.py
@@ -149,6 +149,22 @@
         entry.request()
         assert entry.on(writes.ControlAnswered(_REQUEST, reply)) == told
 
+    def test_a_large_answer_is_heard_but_not_proposed(self) -> None:
+        entry = _Entry()
+        entry.request()
+        entry.on(_GRANTED)
+        large = writes.StoredAnswer(200, (), b"x" * 5000)
+        event = writes.EndpointAnswered(_REQUEST, large)
+        effects = entry.coordinator.handle(event, entry.clock.now())
+        proposed = [
+            effect.command
+            for effect in effects
+            if isinstance(effect, writes.AskControl)
+        ]
+        assert isinstance(proposed[0], writes.FinishWrite)
+        assert proposed[0].answer is None
+        assert entry.changed(writes.WriteState.FINISHED) == ["answered"]
+
     def test_a_grant_after_the_deadline_is_given_back(self) -> None:
         entry = _Entry()
         entry.request()
