Carry rumours between data centres

A rumour is to reach every VM, and scopes end at the data centre. Two pairs of entries, the same as seen from both sides, bridge each two scopes; only rumours cross, and the digest on a bridge covers only them, since left marks differ by design.

Seen to fail with: rumours not flooded over bridges, one digest for all, left marks crossing.

--- a/sedgepin/_membership/__init__.py
+++ b/sedgepin/_membership/__init__.py
@@ -44,6 +44,7 @@
 from sedgepin._membership._rumours import RumourBook
 from sedgepin._membership._settings import MembershipSettings
 from sedgepin._membership._topology import choose_subset
+from sedgepin._membership._topology import Scope
 
 __all__ = [
     "AnnounceOutcome",
@@ -82,6 +83,7 @@
     "ReportLeaving",
     "RumourBook",
     "RumourStarted",
+    "Scope",
     "SendGossip",
     "TellLost",
     "TimerFired",
--- a/sedgepin/_membership/_events.py
+++ b/sedgepin/_membership/_events.py
@@ -5,6 +5,7 @@
 
 from sedgepin._membership import _failures as failures
 from sedgepin._membership import _frames as frames
+from sedgepin._membership import _topology as topology
 from sedgepin import _model as model
 
 
@@ -39,9 +40,13 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EntriesChanged:
-    """The entries of the scope, this one included, are these from now on."""
+    """The entries of the scope, this one included, are these from now on.
+
+    Rumours go to the other scopes as well, over a few bridges.
+    """
 
     entries: tuple[model.VmId, ...]
+    other_scopes: tuple[topology.Scope, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_membership/_gossip.py
+++ b/sedgepin/_membership/_gossip.py
@@ -104,8 +104,8 @@
                 self._sender.set_up(vm_id)
             case events.PeerDown(vm_id):
                 self._sender.set_down(vm_id)
-            case events.EntriesChanged(entries):
-                self._sender.change_entries(entries)
+            case events.EntriesChanged(entries, other_scopes):
+                self._sender.change_entries(entries, other_scopes)
             case events.EndpointFailed(endpoint_id):
                 self._fail(endpoint_id, now)
             case events.RumourStarted(fingerprint, until):
@@ -247,7 +247,7 @@
         now: datetime.datetime,
     ) -> None:
         if self.rumours.learn(fingerprint, until, now):
-            news = senders.to_rumour(fingerprint, until, now)
+            news = rumours.to_rumour(fingerprint, until, now)
             self._effects += self._sender.flood(news, None, now)
 
     def _take_news(
@@ -312,7 +312,7 @@
         if not self.rumours.learn(fingerprint, until, now):
             return
         self._effects.append(events.ApplyRumour(fingerprint, until))
-        news = senders.to_rumour(fingerprint, until, now)
+        news = rumours.to_rumour(fingerprint, until, now)
         self._effects += self._sender.flood(news, sender, now)
 
     def _tick(self, now: datetime.datetime) -> None:
--- a/sedgepin/_membership/_rumours.py
+++ b/sedgepin/_membership/_rumours.py
@@ -3,6 +3,9 @@
 import datetime
 import zlib
 
+from sedgepin._membership import _age as age
+from sedgepin._membership import _frames as frames
+
 
 class RumourBook:
     """The rumours that one entry holds, bounded in number and time."""
@@ -43,13 +46,13 @@
         until = self._until.get(fingerprint)
         return until is not None and now < until
 
-    def held(
-        self, now: datetime.datetime
-    ) -> tuple[tuple[str, datetime.datetime], ...]:
+    def held(self, now: datetime.datetime) -> tuple[frames.Rumour, ...]:
         """Return the rumours that hold at ``now``, the longest first."""
         held = [item for item in self._until.items() if now < item[1]]
         held.sort(key=lambda item: item[1], reverse=True)
-        return tuple(held)
+        return tuple(
+            to_rumour(fingerprint, until, now) for fingerprint, until in held
+        )
 
     def forget(self, now: datetime.datetime) -> None:
         """Drop the rumours that are over."""
@@ -60,3 +63,11 @@
     def _drop(self, fingerprint: str) -> None:
         del self._until[fingerprint]
         self.digest ^= zlib.crc32(fingerprint.encode())
+
+
+def to_rumour(
+    fingerprint: str, until: datetime.datetime, now: datetime.datetime
+) -> frames.Rumour:
+    """Return a rumour as it goes into a frame at ``now``."""
+    remaining = (until - now) // age.MILLISECOND
+    return frames.Rumour(fingerprint, max(remaining, 0))
--- a/sedgepin/_membership/_sender.py
+++ b/sedgepin/_membership/_sender.py
@@ -33,6 +33,7 @@
         "_descriptions",
         "_endpoints",
         "_entries",
+        "_far",
         "_heard",
         "_life",
         "_near",
@@ -63,19 +64,25 @@
         self._relayed = pending.Pending()
         self._subsets: dict[model.EndpointId, frozenset[model.VmId]] = {}
         self._entries: frozenset[model.VmId] = frozenset()
+        self._far: frozenset[model.VmId] = frozenset()
         self._near: frozenset[model.VmId] = frozenset()
         self._relays = topology.Relays()
 
     def change_entries(
-        self, entries: collections.abc.Iterable[model.VmId]
+        self,
+        entries: tuple[model.VmId, ...],
+        other_scopes: collections.abc.Iterable[topology.Scope] = (),
     ) -> None:
         """Lay the entries out anew; peers that remain keep their state."""
         self._entries = frozenset(entries)
+        self._far = topology.choose_all_bridges(
+            self._life.vm_id, topology.Scope(entries), other_scopes
+        )
         grid = topology.Grid(self._entries, self._cfg.mesh_limit_entries)
         self._relays = grid.relays(self._life.vm_id)
         self._near = grid.neighbours(self._life.vm_id)
         self._subsets.clear()
-        for vm_id in self._peers.keys() - self._entries:
+        for vm_id in self._peers.keys() - self._entries - self._far:
             del self._peers[vm_id]
 
     def neighbours(self) -> frozenset[model.VmId]:
@@ -89,7 +96,7 @@
             for column in self._relays.across
             if len(column) > 1 and self._is_lost(column[0])
         )
-        return self._near | stand_ins
+        return self._near | self._far | stand_ins
 
     def held_count(self) -> int:
         """Return the descriptions held, own ones and those of peers."""
@@ -98,8 +105,10 @@
         return theirs + given
 
     def find(self, vm_id: model.VmId) -> peers.Peer | None:
-        """Return the peer of that name; ``None`` outside the scope."""
-        if vm_id not in self._entries or vm_id == self._life.vm_id:
+        """Return the peer of that name; ``None`` for one not to talk to."""
+        if vm_id not in self._entries | self._far:
+            return None
+        if vm_id == self._life.vm_id:
             return None
         return self._peers.setdefault(vm_id, peers.Peer())
 
@@ -166,11 +175,16 @@
         sender: model.VmId | None,
         now: datetime.datetime,
     ) -> list[events.Effect]:
-        """Send news to every peer but the one that it came from."""
+        """Send news to every peer but the one that it came from.
+
+        Only rumours leave the scope.
+        """
+        is_for_all = isinstance(news, frames.Rumour)
         return [
             self._frame(vm_id, now, news=(news,))
             for vm_id in self._up()
             if vm_id != sender
+            if is_for_all or vm_id not in self._far
         ]
 
     def push(
@@ -197,7 +211,8 @@
         across = self._across()
         up = self._up()
         asked = self._ageing(now)
-        chosen = self._random.choice(up) if asked and up else None
+        near = [vm_id for vm_id in up if vm_id not in self._far]
+        chosen = self._random.choice(near) if asked and near else None
         sent: list[events.Effect] = []
         for vm_id in up:
             to_relay, to_keep = self._shares(vm_id, across, heard, relayed)
@@ -210,12 +225,14 @@
     ) -> list[events.Effect]:
         """Send the left marks and rumours to a peer that holds others."""
         peer = self._peers[vm_id]
-        if digest in (frames.UNKNOWN, self._digest()) or not peer.is_up:
+        if digest in (frames.UNKNOWN, self._digest(vm_id)):
+            return []
+        if not peer.is_up:
             return []
         if peer.inventory_at and now < peer.inventory_at:
             return []
         peer.inventory_at = now + self._cfg.digest_interval
-        return [self._frame(vm_id, now, news=self._inventory(now))]
+        return [self._frame(vm_id, now, news=self._inventory(vm_id, now))]
 
     def _up(self) -> list[model.VmId]:
         return sorted(
@@ -297,7 +314,7 @@
             self._life.to_milliseconds(now),
             clock.incarnation if clock else frames.UNKNOWN,
             clock.latest if clock else frames.UNKNOWN,
-            self._digest(),
+            self._digest(vm_id),
             self._refreshes(peer, heard, introduced, now),
             self._refreshes(peer, relayed, introduced, now),
             tuple(introduced),
@@ -347,10 +364,17 @@
         peer.answers.clear()
         return answers
 
-    def _digest(self) -> int:
+    def _digest(self, vm_id: model.VmId) -> int:
+        if vm_id in self._far:
+            return self._rumours.digest
         return self._endpoints.left_digest ^ self._rumours.digest
 
-    def _inventory(self, now: datetime.datetime) -> tuple[frames.News, ...]:
+    def _inventory(
+        self, vm_id: model.VmId, now: datetime.datetime
+    ) -> tuple[frames.News, ...]:
+        held = self._rumours.held(now)[:_INVENTORY_LIMIT]
+        if vm_id in self._far:
+            return held
         marks = sorted(
             self._endpoints.left_marks(),
             key=lambda mark: mark.heard_at,
@@ -360,16 +384,4 @@
             frames.EndpointLeft(mark.endpoint_id, mark.incarnation)
             for mark in marks[:_INVENTORY_LIMIT]
         ]
-        held = [
-            to_rumour(fingerprint, until, now)
-            for fingerprint, until in self._rumours.held(now)
-        ]
-        return (*left, *held[:_INVENTORY_LIMIT])
-
-
-def to_rumour(
-    fingerprint: str, until: datetime.datetime, now: datetime.datetime
-) -> frames.Rumour:
-    """Return a rumour as it goes into a frame at ``now``."""
-    remaining = (until - now) // age.MILLISECOND
-    return frames.Rumour(fingerprint, max(remaining, 0))
+        return (*left, *held)
--- a/sedgepin/_membership/_topology.py
+++ b/sedgepin/_membership/_topology.py
@@ -7,11 +7,13 @@
 import collections.abc
 import dataclasses
 import hashlib
+import itertools
 import math
 
 from sedgepin import _model as model
 
 _HASH_BYTES = 8
+_BRIDGE_COUNT = 2
 
 
 def rank(key: str, vm_id: model.VmId) -> int:
@@ -54,6 +56,41 @@
     down: tuple[model.VmId, ...] = ()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Scope:
+    """The entries that share what they hear of endpoints."""
+
+    entries: tuple[model.VmId, ...]
+
+
+def choose_bridges(
+    vm_id: model.VmId, own: Scope, other: Scope
+) -> frozenset[model.VmId]:
+    """Return the entries of another scope that an entry talks to.
+
+    Both sides come to the same few pairs; other pairs of scopes get others,
+    so that no entry stands for all.
+    """
+    if not own.entries or not other.entries:
+        return frozenset()
+    key = "\n".join(sorted((min(own.entries), min(other.entries))))
+    pairs = zip(
+        sorted(own.entries, key=lambda entry: rank(key, entry)),
+        sorted(other.entries, key=lambda entry: rank(key, entry)),
+        strict=False,
+    )
+    chosen = itertools.islice(pairs, _BRIDGE_COUNT)
+    return frozenset(far for near, far in chosen if near == vm_id)
+
+
+def choose_all_bridges(
+    vm_id: model.VmId, own: Scope, others: collections.abc.Iterable[Scope]
+) -> frozenset[model.VmId]:
+    """Return the entries of all other scopes that an entry talks to."""
+    chosen = [choose_bridges(vm_id, own, other) for other in others]
+    return frozenset().union(*chosen)
+
+
 class Grid:
     """Entries laid out in rows and columns by the hash of their names.
 
--- a/sedgepin/_membership/tests/network.py
+++ b/sedgepin/_membership/tests/network.py
@@ -118,6 +118,7 @@
         self.is_held = False
         self.left_at: dict[tuple[str, int], datetime.datetime] = {}
         self.joined: list[tuple[str, int]] = []
+        self.news_count = 0
         self.check: typing.Callable[[], None] = lambda: None
         for name in self.names:
             self.connect(name)
@@ -151,6 +152,7 @@
         entry = self.entries[name]
         for effect in entry.node.handle(event, entry.clock(self.now)):
             if isinstance(effect, membership.SendGossip):
+                self.news_count += len(effect.frame.news)
                 data = msgspec.msgpack.encode(effect.frame)
                 self.send(Message(name, effect.recipient, data))
             if isinstance(effect, membership.ReportEndpointJoined):
--- a/sedgepin/_membership/tests/test_gossip.py
+++ b/sedgepin/_membership/tests/test_gossip.py
@@ -234,11 +234,52 @@
         net.run(16)
         assert self._holders(net) == []
 
-    def _holders(self, net: network.Network) -> list[str]:
+    def test_rumour_crosses_to_another_scope_and_left_marks_do_not(
+        self,
+    ) -> None:
+        net = network.Network((1.0,) * 6)
+        scopes = [
+            membership.Scope(tuple(model.VmId(name) for name in names))
+            for names in (net.names[:3], net.names[3:])
+        ]
+        for own, other in (scopes, scopes[::-1]):
+            for name in own.entries:
+                changed = membership.EntriesChanged(own.entries, (other,))
+                net.handle(name, changed)
+                net.connect(name)
+        net.add("g1", "e0")
+        net.run(3)
+        assert net.eligible("g1") == list(net.names[:3])
+        net.leave("g1")
+        net.run(0.1)
+        until = net.entries["e0"].clock(net.now) + 20 * network.SECOND
+        net.handle("e0", membership.RumourStarted("f0", until))
+        while net.flying:
+            net.deliver()
+        assert self._holders(net, "f0") == list(net.names)
+        net.cuts.update((a, b) for a in net.names[:3] for b in net.names[3:])
+        net.handle("e0", membership.RumourStarted("f1", until))
+        net.run(1)
+        assert self._holders(net) == list(net.names[:3])
+        net.cuts.clear()
+        net.run(3)
+        assert self._holders(net) == list(net.names)
+        told = net.news_count
+        net.run(3)
+        assert net.news_count == told
+        marks = [
+            len(entry.node.endpoints.left_marks())
+            for entry in net.entries.values()
+        ]
+        assert marks == [1, 1, 1, 0, 0, 0]
+
+    def _holders(
+        self, net: network.Network, fingerprint: str = "f1"
+    ) -> list[str]:
         return [
             name
             for name, entry in net.entries.items()
-            if entry.node.rumours.holds("f1", entry.clock(net.now))
+            if entry.node.rumours.holds(fingerprint, entry.clock(net.now))
         ]
 
     def test_cache_events_survive_batching_in_order(self) -> None:
