Draw engines by segment of equal holders

A choice priced and searched two engines of each group of equal ranges, which is every engine where all ranges differ. Now each segment, the layers that the same engines hold, draws three of its holders, and the search stops only at the drawn engines' boundaries.

--- a/sedgepin/_routing/_choice.py
+++ b/sedgepin/_routing/_choice.py
@@ -64,7 +64,7 @@
         now: datetime.datetime,
     ) -> list[_search.Leg] | None:
         """Return the path to take, or None if the avoided leave a gap."""
-        drawn = graph.draw(self._settings.choices_per_group, self._rng)
+        drawn = graph.draw(self._settings.choices_per_segment, self._rng)
         legs = self._search(graph, drawn, demand, scale, now)
         if legs is None and demand.avoid:
             legs = self._search(graph, graph.holders, demand, scale, now)
--- a/sedgepin/_routing/_graph.py
+++ b/sedgepin/_routing/_graph.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections.abc
+import itertools
 import random
 
 from sedgepin import _model as model
@@ -64,30 +65,30 @@
         )
 
 
-class _Group:
-    """Engines with equal layers in one data centre, drawn by their rate."""
+class _Segment:
+    """Layers that the same engines hold; engines are drawn by their rate."""
 
     __slots__ = ("_cumulative", "holders")
 
     def __init__(self, holders: list[Holder]) -> None:
         self.holders = holders
-        self._cumulative: list[float] = []
-        total = 0.0
-        for holder in holders:
-            total += 1.0 / holder.seconds_per_announced_layer_token
-            self._cumulative.append(total)
+        rates = (
+            1.0 / one.seconds_per_announced_layer_token for one in holders
+        )
+        self._cumulative = list(itertools.accumulate(rates))
 
     def draw(self, count: int, rng: random.Random) -> list[Holder]:
         """Return up to ``count`` engines, fast ones more often."""
-        if len(self.holders) <= count:
-            return self.holders
-        total = self._cumulative[-1]
-        drawn: list[Holder] = []
+        holders = self.holders
+        if len(holders) <= count:
+            return holders
+        cumulative = self._cumulative
+        total = cumulative[-1]
+        last = len(holders) - 1
+        drawn = []
         for _ in range(count):
-            at = bisect.bisect_right(self._cumulative, rng.random() * total)
-            holder = self.holders[min(at, len(self.holders) - 1)]
-            if holder not in drawn:
-                drawn.append(holder)
+            at = bisect.bisect_right(cumulative, rng.random() * total)
+            drawn.append(holders[min(at, last)])
         return drawn
 
 
@@ -101,12 +102,13 @@
     __slots__ = (
         "boundaries",
         "by_endpoint",
-        "groups",
         "holders",
         "layer_count",
         "link_seconds",
+        "measured_targets",
         "missing",
         "pair_seconds",
+        "segments",
     )
 
     def __init__(
@@ -127,7 +129,7 @@
             holder.end_index = bisect.bisect_left(
                 self.boundaries, min(end, layer_count)
             )
-        self.groups = _grouped(holders)
+        self.segments = _segments(holders, len(self.boundaries) - 1)
         places = {holder.data_centre for holder in holders}
         places.add(entry_data_centre)
         self.link_seconds = {
@@ -140,13 +142,17 @@
         self.pair_seconds = links.notable_pairs(
             {holder.endpoint_id: holder.data_centre for holder in holders}
         )
+        self.measured_targets = {target for _, target in self.pair_seconds}
 
     def draw(self, count: int, rng: random.Random) -> list[Holder]:
-        """Return some engines of each group, in order of first layer."""
-        drawn: list[Holder] = []
-        for group in self.groups:
-            drawn.extend(group.draw(count, rng))
-        return drawn
+        """Return engines that hold all layers together.
+
+        Each segment draws ``count`` from those that hold it.
+        """
+        drawn: dict[Holder, None] = {}
+        for segment in self.segments:
+            drawn.update(dict.fromkeys(segment.draw(count, rng)))
+        return list(drawn)
 
     def link(self, source: Holder, target: Holder) -> float:
         """Return the one-way seconds between two engines."""
@@ -184,11 +190,9 @@
     return sorted(point for point in points if point <= layer_count)
 
 
-def _grouped(holders: list[Holder]) -> list[_Group]:
-    grouped: dict[
-        tuple[model.LayerRange, model.DataCentreId], list[Holder]
-    ] = {}
+def _segments(holders: list[Holder], count: int) -> list[_Segment]:
+    holding: list[list[Holder]] = [[] for _ in range(count)]
     for holder in holders:
-        key = (holder.layers, holder.data_centre)
-        grouped.setdefault(key, []).append(holder)
-    return [_Group(grouped[key]) for key in sorted(grouped)]
+        for index in range(holder.first_index, holder.end_index):
+            holding[index].append(holder)
+    return [_Segment(held) for held in holding]
--- a/sedgepin/_routing/_search.py
+++ b/sedgepin/_routing/_search.py
@@ -2,13 +2,13 @@
 
 import collections.abc
 import dataclasses
+import itertools
 import math
 
 from sedgepin import _model as model
 from sedgepin._routing import _graph
 
 
-@dataclasses.dataclass(slots=True)
 class Node:
     """An engine with the prices that hold for one search.
 
@@ -16,9 +16,13 @@
     ``layer_cost`` that of the whole request through one layer.
     """
 
-    holder: _graph.Holder
-    price: float
-    layer_cost: float = 0.0
+    __slots__ = ("holder", "label", "layer_cost", "price")
+
+    def __init__(self, holder: _graph.Holder, price: float) -> None:
+        self.holder = holder
+        self.price = price
+        self.layer_cost = 0.0
+        self.label: _Label | None = None
 
 
 class _Label:
@@ -58,46 +62,38 @@
     engine's layers begin or end: the graph's boundaries.  The time is
     proportional to boundaries times nodes per boundary.
     """
-    starting = _by_first_index(nodes, len(graph.boundaries))
-    active: list[Node] = []
-    labels: list[_Label] = []
-    for index in range(len(graph.boundaries) - 1):
-        active = [
-            node for node in active if node.holder.end_index > index
-        ] + starting[index]
-        if not active:
-            return None
-        layers = graph.boundaries[index + 1] - graph.boundaries[index]
+    starting: dict[int, list[Node]] = {}
+    points = set()
+    for node in nodes:
+        node.label = None
+        holder = node.holder
+        starting.setdefault(holder.first_index, []).append(node)
+        points.add(holder.first_index)
+        points.add(holder.end_index)
+    indices = sorted(points)
+    if not indices or indices[0] != 0:
+        return None
+    active = starting[0]
+    links = graph.link_seconds
+    labels = []
+    for node in active:
+        cost = links[node.holder.data_centre][entry_data_centre]
+        node.label = _Label(cost, 0, node, None)
+        labels.append(node.label)
+    for index, following in itertools.pairwise(indices):
         first = graph.boundaries[index]
-        if index == 0:
-            links = graph.link_seconds
-            labels = [
-                _Label(
-                    links[node.holder.data_centre][entry_data_centre],
-                    first,
-                    node,
-                    None,
-                )
-                for node in active
-            ]
-        else:
+        if index:
+            active = [node for node in active if node.holder.end_index > index]
+            active += starting.get(index, ())
             labels = _advance(graph, active, labels, first, passes)
-        if not labels:
-            return None
+        layers = graph.boundaries[following] - first
         for label in labels:
             label.cost += layers * label.node.layer_cost
+    if not labels or graph.boundaries[indices[-1]] != graph.layer_count:
+        return None
     return _trace(graph, labels, passes)
 
 
-def _by_first_index(
-    nodes: collections.abc.Sequence[Node], size: int
-) -> list[list[Node]]:
-    starting: list[list[Node]] = [[] for _ in range(size)]
-    for node in nodes:
-        starting[node.holder.first_index].append(node)
-    return starting
-
-
 def _advance(
     graph: _graph.LayerGraph,
     active: list[Node],
@@ -107,30 +103,26 @@
 ) -> list[_Label]:
     """Carry labels over one boundary: stay on an engine or change."""
     best: dict[model.DataCentreId, _Label] = {}
-    staying: dict[int, _Label] = {}
     for label in labels:
         place = label.node.holder.data_centre
         known = best.get(place)
         if known is None or label.cost < known.cost:
             best[place] = label
-        staying[id(label.node)] = label
+    if not best:
+        return []
     entering = {
         place: _cheapest_entry(links, best, passes)
         for place, links in graph.link_seconds.items()
     }
-    measured_targets = {target for _, target in graph.pair_seconds}
     advanced = []
     for node in active:
-        holder = node.holder
-        if holder.endpoint_id in measured_targets:
+        if node.holder.endpoint_id in graph.measured_targets:
             cost, parent = _cheapest_measured(graph, labels, node, passes)
         else:
-            cost, parent = entering[holder.data_centre]
-        stay = staying.get(id(node))
-        if stay is not None and stay.cost <= cost:
-            advanced.append(stay)
-        else:
-            advanced.append(_Label(cost, first, node, parent))
+            cost, parent = entering[node.holder.data_centre]
+        if node.label is None or node.label.cost > cost:
+            node.label = _Label(cost, first, node, parent)
+        advanced.append(node.label)
     return advanced
 
 
--- a/sedgepin/_routing/_settings.py
+++ b/sedgepin/_routing/_settings.py
@@ -15,23 +15,24 @@
     fast the price of an engine rises with its load over the mean load, and
     ``assigned_work_steepness`` how fast with the work that this entry
     lately assigned to it, over the mean.
-    ``choices_per_group`` engines are drawn from each group of engines with
-    equal layers in one data centre, and ``price_noise`` is the relative
-    width of a random factor on each price; both keep independent entries
-    from all choosing the same engine on the same stale report.
+    Layers that the same engines hold are a segment;
+    ``choices_per_segment`` of them are drawn for each choice, and
+    ``price_noise`` is the relative width of a random factor on each price;
+    both keep independent entries from all choosing the same engine on the
+    same stale report, and the draw bounds the time of a choice.
     ``prefix_block_tokens`` is how many tokens one prefix hash stands for.
     ``unknown_layer_tokens_per_second`` is taken for an engine that does not
     announce its accelerator.  A measured link counts for
     ``measured_link_lifetime``, so that one that was avoided is tried again.
 
-    >>> RoutingSettings(data_centre="beja").choices_per_group
-    2
+    >>> RoutingSettings(data_centre="beja").choices_per_segment
+    3
     """
 
     data_centre: model.DataCentreId = model.DataCentreId("")
     load_steepness: typing.Annotated[float, msgspec.Meta(ge=0)] = 3.0
     assigned_work_steepness: typing.Annotated[float, msgspec.Meta(ge=0)] = 8.0
-    choices_per_group: typing.Annotated[int, msgspec.Meta(ge=1)] = 2
+    choices_per_segment: typing.Annotated[int, msgspec.Meta(ge=1)] = 3
     price_noise: typing.Annotated[float, msgspec.Meta(ge=0, lt=1)] = 0.1
     prefix_block_tokens: typing.Annotated[int, msgspec.Meta(ge=1)] = 64
     prefix_hashes_per_endpoint: typing.Annotated[int, msgspec.Meta(ge=1)] = (
--- a/sedgepin/_routing/tests/test_router.py
+++ b/sedgepin/_routing/tests/test_router.py
@@ -100,7 +100,7 @@
         avoid = data.draw(some)
         wanted = work(avoid=avoid, prefer=data.draw(some))
         made = router(
-            fleet, choices_per_group=data.draw(strategies.integers(1, 3))
+            fleet, choices_per_segment=data.draw(strategies.integers(1, 40))
         )
         if len(names) > 1:
             made.observe_link(
