--- a/sedgepin/_admission/_admission.py
+++ b/sedgepin/_admission/_admission.py
@@ -59,6 +59,7 @@
         "_draining",
         "_reviewed_at",
         "_forecast",
+        "_forecast_until",
     )
 
     def __init__(
@@ -78,6 +79,7 @@
         self._draining = False
         self._reviewed_at = now
         self._forecast: _forecast.Forecast | None = None
+        self._forecast_until = now
 
     @property
     def queued_requests(self) -> int:
@@ -191,9 +193,13 @@
             queue,
             queue.tokens_ahead(ticket.priority),
             self._share.credit_of(queue, self._tokens_per_second, now),
+            now,
         )
-        late = now + wait - ticket.latest_start
-        if late > datetime.timedelta():
+        slack = ticket.latest_start - now
+        late = wait - max(slack, datetime.timedelta()) * (
+            self._settings.wait_share
+        )
+        if late > datetime.timedelta() or slack < datetime.timedelta():
             return _failures.DeadlineCannotBeMet(
                 self._return_after(queue, ticket, late, now)
             )
@@ -208,19 +214,21 @@
         queue: _customer.CustomerQueue,
         tokens_ahead: float,
         credit_tokens: float,
+        now: datetime.datetime,
     ) -> datetime.timedelta:
         excess = self.in_flight_tokens - self._capacity_tokens
         if excess < 0 and not self._queued:
             return datetime.timedelta()
-        if self._forecast is None:
+        if now >= self._forecast_until or self._forecast is None:
             self._forecast = _forecast.Forecast(
                 self._share.active, max(0, excess), self._tokens_per_second
             )
-        return self._forecast.wait(queue, tokens_ahead, credit_tokens)
+            self._forecast_until = now + REVIEW_INTERVAL
+        rate = self._share.rate_of(queue, self._tokens_per_second, now)
+        return self._forecast.wait(queue, tokens_ahead, credit_tokens, rate)
 
     def _pump(self, now: datetime.datetime) -> list[_ticket.Decision]:
         decisions: list[_ticket.Decision] = []
-        self._forecast = None
         if not self._has_capacity:
             return decisions
         while self.in_flight_tokens < self._capacity_tokens:
@@ -242,7 +250,6 @@
         queue = self._share.queue_of(ticket.customer, now)
         self._share.remove(queue, ticket)
         queue.give_back_rate(ticket.cost_tokens)
-        self._forecast = None
         return queue
 
     def _shorten_queues(
@@ -263,7 +270,7 @@
         self, queue: _customer.CustomerQueue, now: datetime.datetime
     ) -> _ticket.Refuse:
         ticket = queue.last()
-        wait = self._wait(queue, queue.queued_tokens, queue.credit_tokens)
+        wait = self._wait(queue, queue.queued_tokens, queue.credit_tokens, now)
         self._unqueue(ticket, now)
         return _ticket.Refuse(
             ticket.request_id,
@@ -272,6 +279,7 @@
 
     def _review(self, now: datetime.datetime) -> list[_ticket.Decision]:
         self._reviewed_at = now
+        self._forecast = None
         decisions: list[_ticket.Decision] = []
         for queue in self._share.active:
             decisions += self._review_queue(queue, now)
@@ -290,7 +298,7 @@
                     _failures.NoCapacity(self._spread(floor)),
                 )
                 continue
-            wait = self._wait(queue, tokens_ahead, queue.credit_tokens)
+            wait = self._wait(queue, tokens_ahead, queue.credit_tokens, now)
             late = now + wait - ticket.latest_start
             if late <= datetime.timedelta():
                 tokens_ahead += ticket.cost_tokens
--- a/sedgepin/_admission/_customer.py
+++ b/sedgepin/_admission/_customer.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime
+import math
 
 from sedgepin._admission import _settings
 from sedgepin._admission import _ticket
@@ -12,6 +13,33 @@
 DEBT_LIMIT_ROUNDS = 64
 
 
+RATE_MEMORY = datetime.timedelta(seconds=4)
+
+
+class RecentRate:
+    """Tokens a second, with older ones counting exponentially less."""
+
+    __slots__ = ("_tokens", "_at")
+
+    def __init__(self) -> None:
+        self._tokens = 0.0
+        self._at: datetime.datetime | None = None
+
+    def add(self, tokens: int, now: datetime.datetime) -> None:
+        """Count tokens."""
+        self._tokens = self._decayed(now) + tokens
+        self._at = now
+
+    def per_second(self, now: datetime.datetime) -> float:
+        """Return the rate."""
+        return self._decayed(now) / RATE_MEMORY.total_seconds()
+
+    def _decayed(self, now: datetime.datetime) -> float:
+        if self._at is None:
+            return 0.0
+        return self._tokens * math.exp(-((now - self._at) / RATE_MEMORY))
+
+
 class CustomerQueue:
     """The state kept for one customer while it has anything open.
 
@@ -26,8 +54,8 @@
         "queued_requests",
         "running_requests",
         "credit_tokens",
-        "in_visit",
         "returns_at",
+        "started",
         "_by_priority",
         "_rate_tokens",
         "_rate_at",
@@ -45,8 +73,8 @@
         self.queued_requests = 0
         self.running_requests = 0
         self.credit_tokens = 0.0
-        self.in_visit = False
         self.returns_at = now
+        self.started = RecentRate()
         self._by_priority: dict[
             int, collections.OrderedDict[model.RequestId, _ticket.Ticket]
         ] = {}
--- a/sedgepin/_admission/_fair_share.py
+++ b/sedgepin/_admission/_fair_share.py
@@ -31,6 +31,7 @@
         "_settled",
         "_active",
         "_idle_since",
+        "_started",
     )
 
     def __init__(self, settings: _settings.AdmissionSettings) -> None:
@@ -46,6 +47,7 @@
         )
         self._active: dict[model.CustomerId, _customer.CustomerQueue] = {}
         self._idle_since: dict[model.CustomerId, datetime.datetime] = {}
+        self._started = _customer.RecentRate()
 
     @property
     def active(self) -> list[_customer.CustomerQueue]:
@@ -77,19 +79,40 @@
             busy += queue.limits.weight
         return queue.limits.weight / busy
 
+    def rate_of(
+        self,
+        queue: _customer.CustomerQueue,
+        tokens_per_second: float,
+        now: datetime.datetime,
+    ) -> float:
+        """Return the tokens a second that the customer can count on.
+
+        That is what the others leave over, and never less than its share
+        among all that have anything open.
+        """
+        others = self._started.per_second(now) - queue.started.per_second(now)
+        weights = sum(
+            other.limits.weight
+            for other in self.customers.values()
+            if other.open_requests and other is not queue
+        )
+        share = queue.limits.weight / (queue.limits.weight + weights)
+        return max(tokens_per_second * share, tokens_per_second - others)
+
     def credit_of(
         self,
         queue: _customer.CustomerQueue,
         tokens_per_second: float,
         now: datetime.datetime,
     ) -> float:
-        """Return the customer's credit, with debt paid back while idle."""
+        """Return the customer's credit with what it earned while idle."""
         idle_since = self._idle_since.get(queue.customer)
         if queue.customer in self._active or idle_since is None:
             return queue.credit_tokens
         seconds = (now - idle_since).total_seconds()
         earned = seconds * tokens_per_second * self.share_of(queue)
-        return min(self.round_tokens(queue), queue.credit_tokens + earned)
+        most = self._settings.saved_rounds * self.round_tokens(queue)
+        return min(most, queue.credit_tokens + earned)
 
     def push(
         self,
@@ -131,6 +154,8 @@
             if queue.credit_tokens > 0:
                 queue.credit_tokens -= ticket.cost_tokens
                 self.remove(queue, ticket)
+                queue.started.add(ticket.cost_tokens, now)
+                self._started.add(ticket.cost_tokens, now)
                 return ticket
             queue.credit_tokens += self.round_tokens(queue)
             ring.popleft()
--- a/sedgepin/_admission/_forecast.py
+++ b/sedgepin/_admission/_forecast.py
@@ -5,6 +5,9 @@
 more than it has queued.  The sum over all customers, divided by the rate at
 which tokens are worked off, is the wait.  Sorted backlogs with running sums
 answer each question in logarithmic time.
+
+Backlogs say nothing of what others will send meanwhile, so the wait is also
+no shorter than at the rate that the customer can count on.
 """
 
 import bisect
@@ -19,6 +22,7 @@
     """The backlogs at one instant."""
 
     __slots__ = (
+        "_own",
         "_backlogs",
         "_tokens_before",
         "_weights_after",
@@ -33,6 +37,7 @@
         tokens_per_second: float,
     ) -> None:
         ordered = sorted(queues, key=lambda queue: queue.backlog)
+        self._own = {queue.customer: queue.queued_tokens for queue in ordered}
         self._backlogs = [queue.backlog for queue in ordered]
         self._tokens_before = list(
             itertools.accumulate(
@@ -51,14 +56,17 @@
         queue: _customer.CustomerQueue,
         tokens_ahead: float,
         credit_tokens: float,
+        customer_rate: float,
     ) -> datetime.timedelta:
         """Return the wait behind ``tokens_ahead`` of the same customer."""
         weight = queue.limits.weight
         earned = max(0.0, tokens_ahead - credit_tokens) / weight
-        own = min(queue.queued_tokens, earned * weight)
+        own = min(self._own.get(queue.customer, 0), earned * weight)
         others = self._served(earned) - own
-        tokens = self._excess_tokens + tokens_ahead + others
-        return datetime.timedelta(seconds=tokens / self._tokens_per_second)
+        seconds = (tokens_ahead + others) / self._tokens_per_second
+        seconds = max(seconds, earned * weight / customer_rate)
+        seconds += self._excess_tokens / self._tokens_per_second
+        return datetime.timedelta(seconds=seconds)
 
     def _served(self, earned: float) -> float:
         index = bisect.bisect_left(self._backlogs, earned)
--- a/sedgepin/_admission/tests/test_admission.py
+++ b/sedgepin/_admission/tests/test_admission.py
@@ -361,14 +361,25 @@
         refused = refusals(door.submit(make_ticket(11, CUSTOMERS[0]), START))
         assert list(refused) == ["r11"]
 
+    def test_queued_no_longer_than_the_share_of_the_deadline(self) -> None:
+        # 8 s may be spent on waiting; half a second of work a request.
+        for wait_share, fitting in ((1.0, 17), (0.5, 9), (0.25, 5)):
+            settings = admission.AdmissionSettings(wait_share=wait_share)
+            door = make_admission(settings, 1)
+            for number in range(40):
+                ticket = make_ticket(number, cost_tokens=500, seconds=9)
+                door.submit(ticket, START)
+            assert abs(door.queued_requests - fitting) <= 1
+
     def test_refused_at_once_when_capacity_falls(self) -> None:
-        door = make_admission(admission.AdmissionSettings(), 1)
-        for number in range(20):
+        settings = admission.AdmissionSettings(wait_share=1.0)
+        door = make_admission(settings, 1)
+        for number in range(16):
             ticket = make_ticket(number, cost_tokens=500, seconds=9)
-            assert not refusals(door.submit(ticket, START)) or number > 15
+            assert not refusals(door.submit(ticket, START))
         before = door.queued_requests
         refused = refusals(door.set_capacity(1, TOKENS_PER_SECOND / 3, START))
-        assert before - 6 <= len(refused) + 5 and len(refused) > before / 2
+        assert 0.6 * before < len(refused) < 0.7 * before
         kinds = {type(one) for one in refused.values()}
         assert kinds == {admission.DeadlineCannotBeMet}
         gone = door.set_capacity(0, 0.0, START)
