--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,7 +6,14 @@
 
 import msgspec
 
-_NAMES = ("throughput", "recovery", "membership", "limits", "cost")
+_NAMES = (
+    "throughput",
+    "recovery",
+    "membership",
+    "limits",
+    "cost",
+    "transport",
+)
 
 
 def main() -> int:
