--- a/sedgepin/_consensus/_node.py
+++ b/sedgepin/_consensus/_node.py
@@ -109,7 +109,10 @@
     ) -> list[_effects.Effect]:
         """Take an event and return what is to be done, in order.
 
-        The first call also returns the snapshot that was found on disk.
+        ``now`` must be read after the event was received: leases count from
+        it.  The effects must be carried out before the next event is
+        handled, and the process must end if one cannot be.  The first call
+        also returns the snapshot that was found on disk.
         """
         if not self._has_started:
             self._has_started = True
--- a/sedgepin/_consensus/tests/cluster.py
+++ b/sedgepin/_consensus/tests/cluster.py
@@ -41,6 +41,10 @@
         self.burn()
         super().sync(name)
 
+    def replace(self, name: str, data: bytes) -> None:
+        self.burn()
+        super().replace(name, data)
+
 
 class Vm:
     """One VM: its disk, its clock and, while it runs, its member."""
--- a/sedgepin/_storage/_memory_disk.py
+++ b/sedgepin/_storage/_memory_disk.py
@@ -41,8 +41,9 @@
 
     def replace(self, name: str, data: bytes) -> None:
         """Make ``data`` the whole content."""
+        self.sync_count += 1
         self._written[name] = data
-        self.sync(name)
+        self._durable[name] = data
 
     def truncate(self, name: str, size_bytes: int) -> None:
         """Cut the file down to ``size_bytes``."""
