Leave a voter that is heard when another disk of its VM has caught up

Two machines with one VM name by mistake would else push each other out. Operators' changes of members are tested: refusals, one at a time, a leader that is removed.

--- a/sedgepin/_consensus/_steward.py
+++ b/sedgepin/_consensus/_steward.py
@@ -131,14 +131,19 @@
     def _with_voter(
         self, progress: ProgressMap, now: datetime.datetime
     ) -> storage.Configuration | None:
+        """Return the next step towards a caught up learner's vote."""
         old = self._core.configuration
         for learner in old.learners:
             is_caught_up = progress[learner].is_caught_up
             if not is_caught_up or self._is_silent(learner, progress, now):
                 continue
-            for voter in old.voters:
-                if voter.vm_id == learner.vm_id:
-                    return old.without(voter)
+            same_vm = [
+                voter for voter in old.voters if voter.vm_id == learner.vm_id
+            ]
+            if same_vm:
+                if self._is_silent(same_vm[0], progress, now):
+                    return old.without(same_vm[0])
+                continue
             if len(old.voters) < self._core.cfg.voter_limit:
                 return old.with_promoted(learner)
         return None
--- a/sedgepin/_consensus/tests/test_node.py
+++ b/sedgepin/_consensus/tests/test_node.py
@@ -288,3 +288,58 @@
         several.run(2000)
         several.settle()
         assert lost.applied == several.acknowledged
+
+
+class TestMemberChange:
+    @pytest.mark.parametrize(
+        ("action", "place", "reason"),
+        [
+            ("add_learner", 1, consensus.RefusalReason.ALREADY_MEMBER),
+            ("promote", 1, consensus.RefusalReason.ALREADY_MEMBER),
+            ("promote", 3, consensus.RefusalReason.NO_SUCH_MEMBER),
+            ("remove", 3, consensus.RefusalReason.NO_SUCH_MEMBER),
+        ],
+    )
+    def test_refusals(
+        self, action: str, place: int, reason: consensus.RefusalReason
+    ) -> None:
+        several = cluster.Cluster(3)
+        leader = several.elect().name
+        unknown = storage.MemberId(model.VmId("vm-9"), storage.DiskId(9))
+        member = (*several.configuration.voters, unknown)[place]
+        event = consensus.MemberChangeProposed(
+            5, consensus.MemberAction(action), member
+        )
+        several.give(leader, event)
+        failure = consensus.MemberChangeRefused(reason)
+        assert several.rejected == [consensus.RejectProposal(5, failure)]
+
+    def test_change_waits_for_the_one_before(self) -> None:
+        several = cluster.Cluster(3)
+        leader = several.elect().name
+        for number in (8, 9):
+            member = storage.MemberId(
+                model.VmId(f"vm-{number}"), storage.DiskId(number)
+            )
+            action = consensus.MemberAction.ADD_LEARNER
+            event = consensus.MemberChangeProposed(number, action, member)
+            several.give(leader, event)
+        reason = consensus.RefusalReason.CHANGE_PENDING
+        failure = consensus.MemberChangeRefused(reason)
+        assert several.rejected == [consensus.RejectProposal(9, failure)]
+        several.run(20)
+        assert len(several.configuration.learners) == 1
+
+    def test_removed_leader_steps_down(self) -> None:
+        several = cluster.Cluster(3)
+        leader = several.elect()
+        assert leader.node is not None
+        removed = leader.node.member_id
+        action = consensus.MemberAction.REMOVE
+        event = consensus.MemberChangeProposed(1, action, removed)
+        several.give(leader.name, event)
+        several.run(20)
+        assert removed not in several.configuration.members
+        assert not leader.node.is_leader
+        assert several.elect() is not leader
+        several.settle()
