Keep write records encoded and purge them by minutes

A record with a 100 B answer took 940 bytes of memory. Encoded, keyed by a short digest and listed for purging by minute it takes 451. Without the copy after encoding it took 599 to 602 bytes.

--- a/sedgepin/_state/_control_state.py
+++ b/sedgepin/_state/_control_state.py
@@ -161,12 +161,13 @@
             return result.Err(_failures.SnapshotDamaged("checksum differs"))
         try:
             snapshot = msgspec.msgpack.decode(body, type=_Snapshot)
+            records = writes.WriteRecords(snapshot.writes)
         except (msgspec.MsgspecError, RecursionError) as exc:
             return result.Err(_failures.SnapshotDamaged(str(exc)))
         state = cls()
         state._applied_index = snapshot.applied_index
         state._ledger = release.NoteLedger(snapshot.ledger)
-        state._writes = writes.WriteRecords(snapshot.writes)
+        state._writes = records
         state._vms = _vms.VmRegister(snapshot.vms)
         state._audit = _audit.AuditTrail(snapshot.audit)
         return result.Ok(state)
--- a/sedgepin/_writes/_records.py
+++ b/sedgepin/_writes/_records.py
@@ -7,7 +7,7 @@
 
 import collections
 import datetime
-import heapq
+import hashlib
 import typing
 
 import msgspec
@@ -28,6 +28,9 @@
 _CHANGED_UNKNOWN = _messages.WriteChanged(_record.WriteState.UNKNOWN)
 _NEVER = model.Incarnation(-1)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
+_MINUTE_MILLISECONDS = 60_000
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(_record.WriteRecord)
 
 BeginReply = (
     _messages.WriteGranted
@@ -43,17 +46,10 @@
     horizon_milliseconds: int
     now_milliseconds: int
     lost: dict[model.VmId, model.Incarnation]
-    records: tuple[_record.WriteRecord, ...]
+    records: tuple[msgspec.Raw, ...]
 
 
-class _RecordId(typing.NamedTuple):
-    customer: model.CustomerId
-    key: str
-
-
-class _PurgeDue(typing.NamedTuple):
-    due_milliseconds: int
-    record_id: _RecordId
+_RecordId = typing.NewType("_RecordId", bytes)
 
 
 class WriteRecords:
@@ -61,6 +57,9 @@
 
     Time comes from the commands and never goes backwards, so every replica
     purges the same records at the same place of the log.
+
+    Records are kept encoded, which takes less than half of the memory, and
+    purged by whole minutes of their keys' dates.
     """
 
     __slots__ = (
@@ -68,6 +67,7 @@
         "_lost",
         "_now",
         "_policy",
+        "_purged_minute",
         "_purges",
         "_records",
         "_undated",
@@ -78,13 +78,14 @@
         self._horizon = contents.horizon_milliseconds if contents else 0
         self._now = contents.now_milliseconds if contents else 0
         self._lost = dict(contents.lost) if contents else {}
-        self._records: dict[_RecordId, _record.WriteRecord] = {}
+        self._purged_minute = self._horizon // _MINUTE_MILLISECONDS
+        self._records: dict[_RecordId, bytes] = {}
         self._undated: collections.Counter[model.CustomerId] = (
             collections.Counter()
         )
-        self._purges: list[_PurgeDue] = []
-        for record in contents.records if contents else ():
-            self._put(record)
+        self._purges: dict[int, list[_RecordId]] = {}
+        for raw in contents.records if contents else ():
+            self._put(_DECODER.decode(raw))
 
     def __len__(self) -> int:
         return len(self._records)
@@ -101,7 +102,7 @@
             horizon_milliseconds=self._horizon,
             now_milliseconds=self._now,
             lost=dict(self._lost),
-            records=tuple(self._records.values()),
+            records=tuple(map(msgspec.Raw, self._records.values())),
         )
 
     def configure(
@@ -145,7 +146,7 @@
         A leader that holds its lease may answer with this, without adding to
         the log: most of what asks again is told that the write goes on.
         """
-        record = self._records.get(_RecordId(customer, key))
+        record = self._find(_record_id(customer, key))
         if record is None or record.state is _record.WriteState.ABANDONED:
             return None
         if record.digest != digest:
@@ -186,7 +187,7 @@
         self._advance(at)
         if self._refuse_key(key) is not None:
             return result.Ok(_CHANGED_ABANDONED)
-        record = self._records.get(_RecordId(customer, key))
+        record = self._find(_record_id(customer, key))
         if record is None:
             self._put(self._given_up(customer, key, holder))
             return result.Ok(_CHANGED_ABANDONED)
@@ -233,7 +234,7 @@
     def _held(
         self, customer: model.CustomerId, key: str, holder: _record.WriteHolder
     ) -> _record.WriteRecord | None:
-        record = self._records.get(_RecordId(customer, key))
+        record = self._find(_record_id(customer, key))
         if record is None or record.holder != holder:
             return None
         return record
@@ -258,7 +259,7 @@
         digest: bytes,
         holder: _record.WriteHolder,
     ) -> result.Result[BeginReply, _failures.WriteFailure]:
-        record = self._records.get(_RecordId(customer, key))
+        record = self._find(_record_id(customer, key))
         if self._is_lost(holder):
             return result.Err(_failures.HolderLost())
         abandoned = record.abandoned if record else ()
@@ -325,42 +326,70 @@
             )
         )
 
+    def _find(self, record_id: _RecordId) -> _record.WriteRecord | None:
+        raw = self._records.get(record_id)
+        return None if raw is None else _DECODER.decode(raw)
+
     def _put(self, record: _record.WriteRecord) -> None:
-        record_id = _RecordId(record.customer, record.key)
+        record_id = _record_id(record.customer, record.key)
         is_new = record_id not in self._records
-        self._records[record_id] = record
+        self._records[record_id] = _encoded(record)
         date = _key.key_date_milliseconds(record.key)
         if date is None:
             self._undated[record.customer] += is_new
-            due = _PurgeDue(record.changed_milliseconds, record_id)
-            heapq.heappush(self._purges, due)
+            self._purge_from(record.changed_milliseconds, record_id)
         elif is_new:
-            heapq.heappush(self._purges, _PurgeDue(date, record_id))
+            self._purge_from(date, record_id)
+
+    def _purge_from(self, milliseconds: int, record_id: _RecordId) -> None:
+        minute = milliseconds // _MINUTE_MILLISECONDS
+        self._purges.setdefault(minute, []).append(record_id)
 
     def _advance(self, at: datetime.datetime) -> None:
         """Move time forward and purge what has come to its end."""
         self._now = max(self._now, _key.to_milliseconds(at))
         retention = self._policy.retention // _MILLISECOND
         self._horizon = max(self._horizon, self._now - retention)
-        purges = self._purges
-        while purges and purges[0].due_milliseconds < self._horizon:
-            self._purge(heapq.heappop(purges).record_id)
+        horizon_minute = self._horizon // _MINUTE_MILLISECONDS
+        if horizon_minute == self._purged_minute:
+            return
+        self._purged_minute = horizon_minute
+        for minute in [each for each in self._purges if each < horizon_minute]:
+            for record_id in self._purges.pop(minute):
+                self._purge(record_id)
 
     def _purge(self, record_id: _RecordId) -> None:
-        record = self._records.get(record_id)
+        record = self._find(record_id)
         if record is None:
             return
         if _key.key_date_milliseconds(record.key) is not None:
             del self._records[record_id]
             return
-        if record.changed_milliseconds >= self._horizon:
+        changed_minute = record.changed_milliseconds // _MINUTE_MILLISECONDS
+        if changed_minute >= self._purged_minute:
             return
         if record.state is _record.WriteState.ABANDONED:
             del self._records[record_id]
             self._undated[record.customer] -= 1
         elif record.answer is not None:
             kept = msgspec.structs.replace(record, answer=None)
-            self._records[record_id] = kept
+            self._records[record_id] = _encoded(kept)
+
+
+def _encoded(record: _record.WriteRecord) -> bytes:
+    """Return the record in as many bytes as it needs.
+
+    The encoder shrinks a larger buffer in place, which leaves the rest of it
+    unusable between records; the copy does not.
+    """
+    return bytes(memoryview(_ENCODER.encode(record)))
+
+
+def _record_id(customer: model.CustomerId, key: str) -> _RecordId:
+    """Return a short name of a record; 128 bits do not collide by chance."""
+    named = f"{len(customer)} {customer} {key}"
+    raw = named.encode("utf-8", "surrogatepass")
+    return _RecordId(hashlib.blake2b(raw, digest_size=16).digest())
 
 
 def _with_abandoned(
--- a/sedgepin/_writes/tests/test_records.py
+++ b/sedgepin/_writes/tests/test_records.py
@@ -166,6 +166,9 @@
         )
         later = _NOW + day + datetime.timedelta(milliseconds=1)
         assert records.ask(_SECOND, at=later) is writes.KeyTooOld
+        assert len(records) == 1, "purged by whole minutes"
+        later += datetime.timedelta(minutes=1)
+        assert records.ask(_SECOND, at=later) is writes.KeyTooOld
         assert len(records) == 0
         records.configure(writes.WritePolicy(retention=9 * day), later)
         assert records.ask(_SECOND, at=_NOW) is writes.KeyTooOld
