Let more time pass in the write state machine

Keys are purged by whole minutes now, so a step of 130 s is needed to meet a purged key; without the refusal of old keys the machine fails again.

--- a/sedgepin/_state/tests/test_write_machine.py
+++ b/sedgepin/_state/tests/test_write_machine.py
@@ -291,7 +291,7 @@
         self.handle_message(message, event)
 
     @stateful.rule(
-        milliseconds=st.sampled_from([50, 300, 700, 2100, 9000, 45_000])
+        milliseconds=st.sampled_from([50, 300, 700, 2100, 9000, 130_000])
     )
     def pass_time(self, milliseconds: int) -> None:
         """Let time pass and fire the timers of entries that are awake."""
