--- a/sedgepin/_writes/_records.py
+++ b/sedgepin/_writes/_records.py
@@ -5,10 +5,7 @@
 that was not run: only its own holder can say so.
 """
 
-import collections
 import datetime
-import hashlib
-import typing
 
 import msgspec
 import result
@@ -18,6 +15,7 @@
 from sedgepin._writes import _key
 from sedgepin._writes import _messages
 from sedgepin._writes import _record
+from sedgepin._writes import _store
 
 # Requests remembered as having given one key up.
 _ABANDONED_LIMIT = 8
@@ -28,9 +26,6 @@
 _CHANGED_UNKNOWN = _messages.WriteChanged(_record.WriteState.UNKNOWN)
 _NEVER = model.Incarnation(-1)
 _MILLISECOND = datetime.timedelta(milliseconds=1)
-_MINUTE_MILLISECONDS = 60_000
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(_record.WriteRecord)
 
 BeginReply = (
     _messages.WriteGranted
@@ -49,17 +44,11 @@
     records: tuple[msgspec.Raw, ...]
 
 
-_RecordId = typing.NewType("_RecordId", bytes)
-
-
 class WriteRecords:
     """All writes of the last while, by customer and idempotency key.
 
     Time comes from the commands and never goes backwards, so every replica
     purges the same records at the same place of the log.
-
-    Records are kept encoded, which takes less than half of the memory, and
-    purged by whole minutes of their keys' dates.
     """
 
     __slots__ = (
@@ -67,10 +56,7 @@
         "_lost",
         "_now",
         "_policy",
-        "_purged_minute",
-        "_purges",
-        "_records",
-        "_undated",
+        "_store",
     )
 
     def __init__(self, contents: RecordsContents | None = None) -> None:
@@ -78,17 +64,12 @@
         self._horizon = contents.horizon_milliseconds if contents else 0
         self._now = contents.now_milliseconds if contents else 0
         self._lost = dict(contents.lost) if contents else {}
-        self._purged_minute = self._horizon // _MINUTE_MILLISECONDS
-        self._records: dict[_RecordId, bytes] = {}
-        self._undated: collections.Counter[model.CustomerId] = (
-            collections.Counter()
+        self._store = _store.RecordStore(
+            self._horizon, contents.records if contents else ()
         )
-        self._purges: dict[int, list[_RecordId]] = {}
-        for raw in contents.records if contents else ():
-            self._put(_DECODER.decode(raw))
 
     def __len__(self) -> int:
-        return len(self._records)
+        return len(self._store)
 
     @property
     def policy(self) -> _record.WritePolicy:
@@ -102,7 +83,7 @@
             horizon_milliseconds=self._horizon,
             now_milliseconds=self._now,
             lost=dict(self._lost),
-            records=tuple(map(msgspec.Raw, self._records.values())),
+            records=self._store.contents(),
         )
 
     def configure(
@@ -146,7 +127,7 @@
         A leader that holds its lease may answer with this, without adding to
         the log: most of what asks again is told that the write goes on.
         """
-        record = self._find(_record_id(customer, key))
+        record = self._store.find(customer, key)
         if record is None or record.state is _record.WriteState.ABANDONED:
             return None
         if record.digest != digest:
@@ -187,12 +168,12 @@
         self._advance(at)
         if self._refuse_key(key) is not None:
             return result.Ok(_CHANGED_ABANDONED)
-        record = self._find(_record_id(customer, key))
+        record = self._store.find(customer, key)
         if record is None:
-            self._put(self._given_up(customer, key, holder))
+            self._store.put(self._given_up(customer, key, holder))
             return result.Ok(_CHANGED_ABANDONED)
         if record.holder != holder:
-            self._put(_with_abandoned(record, holder))
+            self._store.put(_with_abandoned(record, holder))
             return result.Ok(_CHANGED_ABANDONED)
         if record.state in _SENT:
             return result.Err(_failures.ChangeRefused())
@@ -234,7 +215,7 @@
     def _held(
         self, customer: model.CustomerId, key: str, holder: _record.WriteHolder
     ) -> _record.WriteRecord | None:
-        record = self._find(_record_id(customer, key))
+        record = self._store.find(customer, key)
         if record is None or record.holder != holder:
             return None
         return record
@@ -259,7 +240,7 @@
         digest: bytes,
         holder: _record.WriteHolder,
     ) -> result.Result[BeginReply, _failures.WriteFailure]:
-        record = self._find(_record_id(customer, key))
+        record = self._store.find(customer, key)
         if self._is_lost(holder):
             return result.Err(_failures.HolderLost())
         abandoned = record.abandoned if record else ()
@@ -267,7 +248,7 @@
             return result.Err(_failures.WriteAbandoned())
         if record is None and self._undated_full(customer, key):
             return result.Err(_failures.UndatedKeysFull())
-        self._put(
+        self._store.put(
             _record.WriteRecord(
                 customer=customer,
                 key=key,
@@ -296,7 +277,7 @@
         if _key.key_date_milliseconds(key) is not None:
             return False
         limit = self._policy.undated_keys_per_customer
-        return self._undated[customer] >= limit
+        return self._store.undated_count(customer) >= limit
 
     def _given_up(
         self, customer: model.CustomerId, key: str, holder: _record.WriteHolder
@@ -317,7 +298,7 @@
         state: _record.WriteState,
         answer: _record.StoredAnswer | None,
     ) -> None:
-        self._put(
+        self._store.put(
             msgspec.structs.replace(
                 record,
                 state=state,
@@ -326,70 +307,12 @@
             )
         )
 
-    def _find(self, record_id: _RecordId) -> _record.WriteRecord | None:
-        raw = self._records.get(record_id)
-        return None if raw is None else _DECODER.decode(raw)
-
-    def _put(self, record: _record.WriteRecord) -> None:
-        record_id = _record_id(record.customer, record.key)
-        is_new = record_id not in self._records
-        self._records[record_id] = _encoded(record)
-        date = _key.key_date_milliseconds(record.key)
-        if date is None:
-            self._undated[record.customer] += is_new
-            self._purge_from(record.changed_milliseconds, record_id)
-        elif is_new:
-            self._purge_from(date, record_id)
-
-    def _purge_from(self, milliseconds: int, record_id: _RecordId) -> None:
-        minute = milliseconds // _MINUTE_MILLISECONDS
-        self._purges.setdefault(minute, []).append(record_id)
-
     def _advance(self, at: datetime.datetime) -> None:
         """Move time forward and purge what has come to its end."""
         self._now = max(self._now, _key.to_milliseconds(at))
         retention = self._policy.retention // _MILLISECOND
         self._horizon = max(self._horizon, self._now - retention)
-        horizon_minute = self._horizon // _MINUTE_MILLISECONDS
-        if horizon_minute == self._purged_minute:
-            return
-        self._purged_minute = horizon_minute
-        for minute in [each for each in self._purges if each < horizon_minute]:
-            for record_id in self._purges.pop(minute):
-                self._purge(record_id)
-
-    def _purge(self, record_id: _RecordId) -> None:
-        record = self._find(record_id)
-        if record is None:
-            return
-        if _key.key_date_milliseconds(record.key) is not None:
-            del self._records[record_id]
-            return
-        changed_minute = record.changed_milliseconds // _MINUTE_MILLISECONDS
-        if changed_minute >= self._purged_minute:
-            return
-        if record.state is _record.WriteState.ABANDONED:
-            del self._records[record_id]
-            self._undated[record.customer] -= 1
-        elif record.answer is not None:
-            kept = msgspec.structs.replace(record, answer=None)
-            self._records[record_id] = _encoded(kept)
-
-
-def _encoded(record: _record.WriteRecord) -> bytes:
-    """Return the record in as many bytes as it needs.
-
-    The encoder shrinks a larger buffer in place, which leaves the rest of it
-    unusable between records; the copy does not.
-    """
-    return bytes(memoryview(_ENCODER.encode(record)))
-
-
-def _record_id(customer: model.CustomerId, key: str) -> _RecordId:
-    """Return a short name of a record; 128 bits do not collide by chance."""
-    named = f"{len(customer)} {customer} {key}"
-    raw = named.encode("utf-8", "surrogatepass")
-    return _RecordId(hashlib.blake2b(raw, digest_size=16).digest())
+        self._store.purge_before(self._horizon)
 
 
 def _with_abandoned(
