Match idempotent paths by whole segments

A plain prefix took /drafts-final for /drafts, and a path that steps upwards for what it seems to start with: a write would have been free to repeat.

--- a/sedgepin/_release/_note.py
+++ b/sedgepin/_release/_note.py
@@ -19,6 +19,7 @@
 import enum
 import hashlib
 import typing
+import urllib.parse
 
 import msgspec
 
@@ -121,7 +122,8 @@
     """What customers call by name.
 
     A call may repeat when its method is listed in ``idempotent_methods`` or
-    its path starts with one of ``idempotent_paths``; any other is a write.
+    its path is, or lies below, one of ``idempotent_paths``; any other is a
+    write.
     ``deadline_milliseconds`` bounds the calls that name no deadline.
     """
 
@@ -144,10 +146,21 @@
         return ItemKey("service", self.name)
 
     def may_repeat(self, method: str, path: str) -> bool:
-        """Tell whether a call is idempotent."""
+        """Tell whether a call is idempotent.
+
+        ``path`` may carry a query.  A path that steps upwards is a write,
+        wherever it seems to start: the service may resolve it.
+        """
         if method in self.idempotent_methods:
             return True
-        return path.startswith(self.idempotent_paths)
+        bare = path.partition("?")[0]
+        if ".." in urllib.parse.unquote(bare):
+            return False
+        below = bare.rstrip("/") + "/"
+        return any(
+            below.startswith(allowed.rstrip("/") + "/")
+            for allowed in self.idempotent_paths
+        )
 
 
 class Selector(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/sedgepin/_release/tests/test_notes.py
+++ b/sedgepin/_release/tests/test_notes.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from sedgepin import _model as model
 from sedgepin import _release as release
 from sedgepin import errors
 
@@ -240,6 +241,33 @@
         assert release.decode_fleet(raw[:-3]).is_err()
 
 
+class TestService:
+    """What is not known to be idempotent is a write."""
+
+    @pytest.mark.parametrize(
+        ("method", "path", "may_repeat"),
+        [
+            ("GET", "/receipts", True),
+            ("POST", "/receipts", False),
+            ("POST", "/drafts", True),
+            ("POST", "/drafts/7?x=/..", True),
+            ("POST", "/drafts-final", False),
+            ("POST", "/drafts/../receipts", False),
+            ("POST", "/drafts/%2e%2e/receipts", False),
+            ("get", "/receipts", False),
+        ],
+    )
+    def test_may_repeat(
+        self, method: str, path: str, may_repeat: bool
+    ) -> None:
+        service = release.Service(
+            name=model.ServiceName("gate"),
+            kind=release.ServiceKind.PLAIN,
+            idempotent_paths=("/drafts",),
+        )
+        assert service.may_repeat(method, path) is may_repeat
+
+
 class TestNoteLedger:
     """The first note in the log wins its number."""
 
--- a/sedgepin/_state/tests/test_control_state.py
+++ b/sedgepin/_state/tests/test_control_state.py
@@ -136,8 +136,12 @@
         raw = bytearray(_DUMP)
         raw[position % len(raw)] ^= flip
         sealed = b"\x01" + zlib.crc32(noise).to_bytes(4, "big") + noise
+        contents = msgspec.msgpack.decode(_DUMP[5:])
+        contents["writes"]["records"] = [noise]
+        wrong = msgspec.msgpack.encode(contents)
+        wrong = b"\x01" + zlib.crc32(wrong).to_bytes(4, "big") + wrong
         cut = _DUMP[: position % len(_DUMP)]
-        for damaged in (bytes(raw), noise, sealed, cut):
+        for damaged in (bytes(raw), noise, sealed, wrong, cut):
             failure = state.ControlState.load(damaged).unwrap_err()
             assert isinstance(
                 failure, state.SnapshotDamaged | state.SnapshotVersionUnknown
