Order an engine again that a failed load has left empty

Without a role such an engine announced no model, so nothing was wanted of it and its capacity was lost. The leader that gave the load now goes on with it, at the version then in force. Seen to fail without the change. An order late past a takeover is tried too, seen to fail without the settle time.

--- a/sedgepin/_release/_bucket.py
+++ b/sedgepin/_release/_bucket.py
@@ -1,7 +1,10 @@
-"""A token bucket, refilled as time passes."""
+"""Token buckets, refilled as time passes."""
 
+import collections.abc
 import datetime
 
+from sedgepin import _model
+
 
 class TokenBucket:
     """Lets ``rate_per_second`` through, after a burst.
@@ -43,3 +46,38 @@
         self._filled_at = now
         gained = elapsed_seconds * self._rate_per_second
         self._tokens = min(float(self._burst), self._tokens + gained)
+
+
+class StoreBuckets:
+    """One bucket for the weight store of each data centre."""
+
+    __slots__ = ("_buckets", "_burst", "_rate_per_second")
+
+    def __init__(self, rate_per_second: float, burst: int) -> None:
+        self._rate_per_second = rate_per_second
+        self._burst = burst
+        self._buckets: dict[_model.DataCentreId, TokenBucket] = {}
+
+    def open(
+        self,
+        data_centres: collections.abc.Iterable[_model.DataCentreId],
+        now: datetime.datetime,
+    ) -> None:
+        """Let the buckets of data centres not seen before fill from now."""
+        for data_centre in data_centres:
+            if data_centre not in self._buckets:
+                self._buckets[data_centre] = TokenBucket(
+                    self._rate_per_second, self._burst, now
+                )
+
+    def take(
+        self, data_centre: _model.DataCentreId, now: datetime.datetime
+    ) -> bool:
+        """Take one token of an open bucket, if there is one."""
+        return self._buckets[data_centre].take(now)
+
+    def next_at(
+        self, data_centre: _model.DataCentreId, now: datetime.datetime
+    ) -> datetime.datetime:
+        """Return when an open bucket will have a token."""
+        return self._buckets[data_centre].next_at(now)
--- a/sedgepin/_release/_planner.py
+++ b/sedgepin/_release/_planner.py
@@ -3,6 +3,8 @@
 import dataclasses
 import datetime
 
+import msgspec
+
 from sedgepin import _model
 from sedgepin._release import _bucket
 from sedgepin._release import _coverage
@@ -43,7 +45,6 @@
     """
 
     __slots__ = (
-        "_buckets",
         "_epoch",
         "_gained_at",
         "_given",
@@ -52,6 +53,7 @@
         "_placer",
         "_sequence",
         "_settings",
+        "_stores",
         "_wake_at",
         "_withheld",
     )
@@ -66,7 +68,7 @@
         self._gained_at: datetime.datetime | None = None
         self._observed: tuple[_model.Announcement, ...] = ()
         self._given: dict[_model.EndpointId, _Given] = {}
-        self._buckets: dict[_model.DataCentreId, _bucket.TokenBucket] = {}
+        self._stores = self._new_stores()
         self._incomplete_since: dict[_coverage.Copy, datetime.datetime] = {}
         self._wake_at: list[datetime.datetime] = []
         self._withheld: list[_planning.Withheld] = []
@@ -103,6 +105,12 @@
             return reports
         return reports + self._plan(now)
 
+    def _new_stores(self) -> _bucket.StoreBuckets:
+        settings = self._settings
+        return _bucket.StoreBuckets(
+            settings.loads_per_second, settings.load_burst
+        )
+
     def _change_fleet(self, fleet: _fleet.Fleet) -> None:
         if fleet.note_number > self._placer.fleet.note_number:
             self._placer = _placement.Placer(fleet)
@@ -120,7 +128,7 @@
         self._epoch = None
         self._observed = ()
         self._given.clear()
-        self._buckets.clear()
+        self._stores = self._new_stores()
         self._incomplete_since.clear()
         self._withheld.clear()
 
@@ -152,7 +160,7 @@
         return min(first * factor, self._settings.follow_limit)
 
     def _plan(self, now: datetime.datetime) -> list[_planning.PlannerEffect]:
-        self._open_buckets(now)
+        self._stores.open({each.data_centre for each in self._observed}, now)
         self._forget_given(now)
         needs = self._needs()
         coverage = self._count_coverage()
@@ -171,7 +179,7 @@
     def _needs(self) -> dict[_model.EndpointId, _placement.Need]:
         needs = {}
         for announced in self._observed:
-            need = self._placer.next_need(announced)
+            need = self._next_need(announced)
             if need is not None:
                 needs[announced.endpoint_id] = need
         return needs
@@ -187,11 +195,35 @@
             announced = observed.get(endpoint_id)
             if announced is None or _placement.follows(announced, given.need):
                 del self._given[endpoint_id]
-            elif now >= given.again_at and given.need != (
-                self._placer.next_need(announced)
-            ):
+            elif now < given.again_at:
+                continue
+            elif given.need != self._next_need(announced):
                 del self._given[endpoint_id]
 
+    def _next_need(
+        self, announced: _model.Announcement
+    ) -> _placement.Need | None:
+        need = self._placer.next_need(announced)
+        return self._unfinished_load(announced) if need is None else need
+
+    def _unfinished_load(
+        self, announced: _model.Announcement
+    ) -> _placement.Need | None:
+        """Return the load that left an engine without a role empty."""
+        given = self._given.get(announced.endpoint_id)
+        if given is None or announced.model or announced.leaving:
+            return None
+        need = given.need
+        found = self._placer.model(need.model)
+        loading = need.action is _order.OrderAction.LOAD_MODEL
+        if found is None or not loading:
+            return None
+        if need.incarnation != announced.incarnation:
+            return None
+        if self._placer.wants_version(found.name, need.version):
+            return need
+        return msgspec.structs.replace(need, version=found.version)
+
     def _count_coverage(self) -> _coverage.Coverage:
         """Count what serves and has not been ordered to stop serving."""
         return _coverage.Coverage(
@@ -293,23 +325,12 @@
         )
         return False
 
-    def _open_buckets(self, now: datetime.datetime) -> None:
-        """Let the bucket of every data centre seen fill from now on."""
-        for data_centre in {each.data_centre for each in self._observed}:
-            if data_centre not in self._buckets:
-                self._buckets[data_centre] = _bucket.TokenBucket(
-                    self._settings.loads_per_second,
-                    self._settings.load_burst,
-                    now,
-                )
-
     def _take_load(
         self, data_centre: _model.DataCentreId, now: datetime.datetime
     ) -> bool:
-        bucket = self._buckets[data_centre]
-        if bucket.take(now):
+        if self._stores.take(data_centre, now):
             return True
-        self._wake_at.append(bucket.next_at(now))
+        self._wake_at.append(self._stores.next_at(data_centre, now))
         return False
 
     def _give(
--- a/sedgepin/_release/tests/test_planner.py
+++ b/sedgepin/_release/tests/test_planner.py
@@ -229,6 +229,20 @@
         assert effects == [release.ReportFencingRefused(third)]
         assert len(leader.observe(empty, after=5)) == 1
 
+    def test_an_engine_that_comes_up_empty_is_ordered_again(self) -> None:
+        leader = _Leader(_fleet(_V1, _V2))
+        pair = [_engine("e1"), _engine("e2")]
+        leader.observe(*pair)
+        (first,) = leader.observe(*pair, after=5)
+        empty = [_engine("e1", ""), pair[1]]
+        failed = release.OrderVerdict.FAILED
+        leader.handle(release.OrderAnswered(first, failed))
+        (again,) = leader.observe(*empty, after=2)
+        assert (again.endpoint_id, again.version) == ("e1", "v2")
+        v3 = _fleet(_V1, _V2, (release.Changed(_tare("v3")),))
+        (newer,) = leader.handle(release.FleetChanged(v3))
+        assert (newer.endpoint_id, newer.version) == ("e1", "v3")
+
     def test_after_a_takeover_tokens_are_higher(self) -> None:
         leader = _Leader(_fleet(_V1, (release.Added(_role("e1", "serve")),)))
         empty = _engine("e1", "")
@@ -241,6 +255,22 @@
         assert after.token > before.token
         assert after.epoch == 7
 
+    def test_an_order_delayed_past_a_takeover(self) -> None:
+        leader = _Leader(_fleet(_V1, _V2))
+        pair = [_engine("e1"), _engine("e2")]
+        leader.observe(*pair)
+        (late,) = leader.observe(*pair, after=5)
+        assert late.endpoint_id == "e1"
+        leader.handle(release.LeadershipLost())
+        leader.handle(release.LeadershipGained(2))
+        for _ in range(5):
+            assert leader.observe(*pair, after=0.5) == []
+        obeyed = [_engine("e1", ""), pair[1]]
+        assert leader.observe(*obeyed, after=60) == []
+        loaded = [_engine("e1", "v2"), pair[1]]
+        (last,) = leader.observe(*loaded, after=10)
+        assert last.endpoint_id == "e2"
+
     def test_an_older_fleet_is_ignored(self) -> None:
         leader = _Leader(_fleet(_V1, _V2))
         leader.handle(release.FleetChanged(_fleet(_V1)))
