Part the guard of last copies from the order planner

That a version lacking a layer for 30 s is no longer protected is now tested; seen to fail without it, and with no wait at all.

--- a/sedgepin/_release/_planner.py
+++ b/sedgepin/_release/_planner.py
@@ -9,6 +9,7 @@
 from sedgepin._release import _bucket
 from sedgepin._release import _coverage
 from sedgepin._release import _fleet
+from sedgepin._release import _guard
 from sedgepin._release import _order
 from sedgepin._release import _placement
 from sedgepin._release import _planning
@@ -48,7 +49,7 @@
         "_epoch",
         "_gained_at",
         "_given",
-        "_incomplete_since",
+        "_guard",
         "_observed",
         "_placer",
         "_sequence",
@@ -69,7 +70,7 @@
         self._observed: tuple[_model.Announcement, ...] = ()
         self._given: dict[_model.EndpointId, _Given] = {}
         self._stores = self._new_stores()
-        self._incomplete_since: dict[_coverage.Copy, datetime.datetime] = {}
+        self._guard = self._new_guard()
         self._wake_at: list[datetime.datetime] = []
         self._withheld: list[_planning.Withheld] = []
 
@@ -111,6 +112,9 @@
             settings.loads_per_second, settings.load_burst
         )
 
+    def _new_guard(self) -> _guard.CopyGuard:
+        return _guard.CopyGuard(self._settings.incomplete_time)
+
     def _change_fleet(self, fleet: _fleet.Fleet) -> None:
         if fleet.note_number > self._placer.fleet.note_number:
             self._placer = _placement.Placer(fleet)
@@ -129,7 +133,7 @@
         self._observed = ()
         self._given.clear()
         self._stores = self._new_stores()
-        self._incomplete_since.clear()
+        self._guard = self._new_guard()
         self._withheld.clear()
 
     def _note_verdict(
@@ -164,7 +168,7 @@
         self._forget_given(now)
         needs = self._needs()
         coverage = self._count_coverage()
-        self._note_incomplete(coverage, now)
+        self._guard.observe(coverage, self._placer, now)
         self._withheld.clear()
         self._wake_at.clear()
         effects: list[_planning.PlannerEffect] = []
@@ -239,17 +243,6 @@
             return False
         return _placement.takes_away(given.need, announced)
 
-    def _note_incomplete(
-        self, coverage: _coverage.Coverage, now: datetime.datetime
-    ) -> None:
-        incomplete = {}
-        for copy in coverage.copies():
-            found = self._placer.model(copy.model)
-            if found is None or coverage.is_complete(copy, found.layer_count):
-                continue
-            incomplete[copy] = self._incomplete_since.get(copy, now)
-        self._incomplete_since = incomplete
-
     def _by_urgency(
         self,
         needs: dict[_model.EndpointId, _placement.Need],
@@ -306,20 +299,12 @@
         if now < settled_at:
             self._wake_at.append(settled_at)
             return False
-        copy = _coverage.copy_of(announced)
-        found = self._placer.model(copy.model)
-        if found is None or coverage.has_others(announced):
+        if self._guard.may_go(announced, coverage, self._placer, now):
             return True
-        if not self._placer.wants_version(copy.model, copy.version):
-            successor = _coverage.Copy(found.name, found.version)
-            if coverage.is_complete(successor, found.layer_count):
-                return True
-        since = self._incomplete_since.get(copy)
-        if since is not None:
-            unprotected_at = since + self._settings.incomplete_time
-            if now >= unprotected_at:
-                return True
+        unprotected_at = self._guard.unprotected_at(announced)
+        if unprotected_at is not None:
             self._wake_at.append(unprotected_at)
+        copy = _coverage.copy_of(announced)
         self._withheld.append(
             _planning.Withheld(announced.endpoint_id, copy.model, copy.version)
         )
--- a/sedgepin/_release/tests/test_planner.py
+++ b/sedgepin/_release/tests/test_planner.py
@@ -143,6 +143,14 @@
         withheld = release.Withheld(model.EndpointId("e1"), _TARE, "v1")
         assert leader.planner.withheld == (withheld,)
 
+    def test_what_cannot_serve_is_not_protected_for_long(self) -> None:
+        leader = _Leader(_fleet(_V1, _V2))
+        half = _engine("e1", layers=model.LayerRange(0, 4))
+        leader.observe(half)
+        assert leader.observe(half, after=29) == []
+        (order,) = leader.observe(half, after=2)
+        assert (order.version, order.layers) == ("v2", half.layers)
+
     def test_a_withdrawn_model_is_unloaded(self) -> None:
         withdrawn = (release.Withdrawn(release.WithdrawnModel(name="tare")),)
         leader = _Leader(_fleet(_V1, withdrawn))
