--- a/sedgepin/_release/_planner.py
+++ b/sedgepin/_release/_planner.py
@@ -3,10 +3,13 @@
 import dataclasses
 import datetime
 
+import msgspec
+
 from sedgepin import _model
 from sedgepin._release import _bucket
 from sedgepin._release import _coverage
 from sedgepin._release import _fleet
+from sedgepin._release import _guard
 from sedgepin._release import _order
 from sedgepin._release import _placement
 from sedgepin._release import _planning
@@ -43,15 +46,15 @@
     """
 
     __slots__ = (
-        "_buckets",
         "_epoch",
         "_gained_at",
         "_given",
-        "_incomplete_since",
+        "_guard",
         "_observed",
         "_placer",
         "_sequence",
         "_settings",
+        "_stores",
         "_wake_at",
         "_withheld",
     )
@@ -66,8 +69,8 @@
         self._gained_at: datetime.datetime | None = None
         self._observed: tuple[_model.Announcement, ...] = ()
         self._given: dict[_model.EndpointId, _Given] = {}
-        self._buckets: dict[_model.DataCentreId, _bucket.TokenBucket] = {}
-        self._incomplete_since: dict[_coverage.Copy, datetime.datetime] = {}
+        self._stores = self._new_stores()
+        self._guard = self._new_guard()
         self._wake_at: list[datetime.datetime] = []
         self._withheld: list[_planning.Withheld] = []
 
@@ -103,6 +106,15 @@
             return reports
         return reports + self._plan(now)
 
+    def _new_stores(self) -> _bucket.StoreBuckets:
+        settings = self._settings
+        return _bucket.StoreBuckets(
+            settings.loads_per_second, settings.load_burst
+        )
+
+    def _new_guard(self) -> _guard.CopyGuard:
+        return _guard.CopyGuard(self._settings.incomplete_time)
+
     def _change_fleet(self, fleet: _fleet.Fleet) -> None:
         if fleet.note_number > self._placer.fleet.note_number:
             self._placer = _placement.Placer(fleet)
@@ -120,8 +132,8 @@
         self._epoch = None
         self._observed = ()
         self._given.clear()
-        self._buckets.clear()
-        self._incomplete_since.clear()
+        self._stores = self._new_stores()
+        self._guard = self._new_guard()
         self._withheld.clear()
 
     def _note_verdict(
@@ -152,11 +164,11 @@
         return min(first * factor, self._settings.follow_limit)
 
     def _plan(self, now: datetime.datetime) -> list[_planning.PlannerEffect]:
-        self._open_buckets(now)
+        self._stores.open({each.data_centre for each in self._observed}, now)
         self._forget_given(now)
         needs = self._needs()
         coverage = self._count_coverage()
-        self._note_incomplete(coverage, now)
+        self._guard.observe(coverage, self._placer, now)
         self._withheld.clear()
         self._wake_at.clear()
         effects: list[_planning.PlannerEffect] = []
@@ -171,7 +183,7 @@
     def _needs(self) -> dict[_model.EndpointId, _placement.Need]:
         needs = {}
         for announced in self._observed:
-            need = self._placer.next_need(announced)
+            need = self._next_need(announced)
             if need is not None:
                 needs[announced.endpoint_id] = need
         return needs
@@ -187,11 +199,35 @@
             announced = observed.get(endpoint_id)
             if announced is None or _placement.follows(announced, given.need):
                 del self._given[endpoint_id]
-            elif now >= given.again_at and given.need != (
-                self._placer.next_need(announced)
-            ):
+            elif now < given.again_at:
+                continue
+            elif given.need != self._next_need(announced):
                 del self._given[endpoint_id]
 
+    def _next_need(
+        self, announced: _model.Announcement
+    ) -> _placement.Need | None:
+        need = self._placer.next_need(announced)
+        return self._unfinished_load(announced) if need is None else need
+
+    def _unfinished_load(
+        self, announced: _model.Announcement
+    ) -> _placement.Need | None:
+        """Return the load that left an engine without a role empty."""
+        given = self._given.get(announced.endpoint_id)
+        if given is None or announced.model or announced.leaving:
+            return None
+        need = given.need
+        found = self._placer.model(need.model)
+        loading = need.action is _order.OrderAction.LOAD_MODEL
+        if found is None or not loading:
+            return None
+        if need.incarnation != announced.incarnation:
+            return None
+        if self._placer.wants_version(found.name, need.version):
+            return need
+        return msgspec.structs.replace(need, version=found.version)
+
     def _count_coverage(self) -> _coverage.Coverage:
         """Count what serves and has not been ordered to stop serving."""
         return _coverage.Coverage(
@@ -207,17 +243,6 @@
             return False
         return _placement.takes_away(given.need, announced)
 
-    def _note_incomplete(
-        self, coverage: _coverage.Coverage, now: datetime.datetime
-    ) -> None:
-        incomplete = {}
-        for copy in coverage.copies():
-            found = self._placer.model(copy.model)
-            if found is None or coverage.is_complete(copy, found.layer_count):
-                continue
-            incomplete[copy] = self._incomplete_since.get(copy, now)
-        self._incomplete_since = incomplete
-
     def _by_urgency(
         self,
         needs: dict[_model.EndpointId, _placement.Need],
@@ -274,42 +299,23 @@
         if now < settled_at:
             self._wake_at.append(settled_at)
             return False
-        copy = _coverage.copy_of(announced)
-        found = self._placer.model(copy.model)
-        if found is None or coverage.has_others(announced):
+        if self._guard.may_go(announced, coverage, self._placer, now):
             return True
-        if not self._placer.wants_version(copy.model, copy.version):
-            successor = _coverage.Copy(found.name, found.version)
-            if coverage.is_complete(successor, found.layer_count):
-                return True
-        since = self._incomplete_since.get(copy)
-        if since is not None:
-            unprotected_at = since + self._settings.incomplete_time
-            if now >= unprotected_at:
-                return True
+        unprotected_at = self._guard.unprotected_at(announced)
+        if unprotected_at is not None:
             self._wake_at.append(unprotected_at)
+        copy = _coverage.copy_of(announced)
         self._withheld.append(
             _planning.Withheld(announced.endpoint_id, copy.model, copy.version)
         )
         return False
 
-    def _open_buckets(self, now: datetime.datetime) -> None:
-        """Let the bucket of every data centre seen fill from now on."""
-        for data_centre in {each.data_centre for each in self._observed}:
-            if data_centre not in self._buckets:
-                self._buckets[data_centre] = _bucket.TokenBucket(
-                    self._settings.loads_per_second,
-                    self._settings.load_burst,
-                    now,
-                )
-
     def _take_load(
         self, data_centre: _model.DataCentreId, now: datetime.datetime
     ) -> bool:
-        bucket = self._buckets[data_centre]
-        if bucket.take(now):
+        if self._stores.take(data_centre, now):
             return True
-        self._wake_at.append(bucket.next_at(now))
+        self._wake_at.append(self._stores.next_at(data_centre, now))
         return False
 
     def _give(
