Refuse numbers that stop an entry

An announcement with a number past 64 bits could not be encoded for the peers, an echo or a frame with an instant far off overflowed the dates: both ended the entry's loop. Frames bound their fields, an announcement is refused with NumberTooLarge, an echo out of range bounds nothing. An incarnation in nanoseconds has 19 digits, and echoes of it were taken for none: the tests now use such incarnations.

--- a/sedgepin/_membership/__init__.py
+++ b/sedgepin/_membership/__init__.py
@@ -24,6 +24,7 @@
 from sedgepin._membership._events import TimerFired
 from sedgepin._membership._events import WakeAt
 from sedgepin._membership._failures import DirectoryFull
+from sedgepin._membership._failures import NumberTooLarge
 from sedgepin._membership._frames import GossipFrame
 from sedgepin._membership._gossip import GossipNode
 from sedgepin._membership._liveness import DeclareJoined
@@ -74,6 +75,7 @@
     "LivenessEvent",
     "MembershipSettings",
     "NoteCoverage",
+    "NumberTooLarge",
     "PeerDown",
     "PeerUp",
     "RefuseAnnouncement",
--- a/sedgepin/_membership/_age.py
+++ b/sedgepin/_membership/_age.py
@@ -9,6 +9,7 @@
 import dataclasses
 import datetime
 
+from sedgepin._membership import _frames as frames
 from sedgepin import _model as model
 
 # The rate of one clock as another sees it: 0.95/1.05 and 1.05/0.95, rounded
@@ -16,6 +17,8 @@
 SLOWEST_RATE = 0.904
 FASTEST_RATE = 1.106
 
+_LONGEST_NUMBER = 19
+
 MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -41,11 +44,13 @@
         vm_id, _, life = vm_id.rpartition("/")
         if not (vm_id and _is_number(life) and _is_number(rest)):
             return None
+        if int(rest) > frames.LARGEST_MILLISECONDS:
+            return None
         return cls(model.VmId(vm_id), model.Incarnation(int(life)), int(rest))
 
 
 def _is_number(text: str) -> bool:
-    return len(text) <= 18 and text.isascii() and text.isdigit()
+    return len(text) <= _LONGEST_NUMBER and text.isascii() and text.isdigit()
 
 
 class LifeClock:
--- a/sedgepin/_membership/_events.py
+++ b/sedgepin/_membership/_events.py
@@ -101,7 +101,7 @@
 class RefuseAnnouncement:
     """Answer the endpoint that it is not taken in."""
 
-    failure: failures.DirectoryFull
+    failure: failures.DirectoryFull | failures.NumberTooLarge
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_membership/_failures.py
+++ b/sedgepin/_membership/_failures.py
@@ -9,6 +9,22 @@
 _FULL_RETRY = datetime.timedelta(seconds=5)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class NumberTooLarge(errors.Failure):
+    """An announcement holds a number that no peer message can carry."""
+
+    code: typing.ClassVar[str] = "number_too_large"
+    title: typing.ClassVar[str] = "A number in the announcement is too large"
+    http_status: typing.ClassVar[int] = 422
+
+    field: str
+    limit: int
+
+    def detail(self) -> str:
+        """Return the field and what is accepted."""
+        return f"{self.field}: accepted up to {self.limit}"
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class DirectoryFull(errors.Failure):
     """The directory holds as many endpoints as it may."""
--- a/sedgepin/_membership/_frames.py
+++ b/sedgepin/_membership/_frames.py
@@ -10,7 +10,24 @@
 
 from sedgepin import _model as model
 
-_Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+LARGEST_NUMBER = 2**63 - 1
+# Some 34 years: within what instants and durations can hold.
+LARGEST_MILLISECONDS = 2**40
+LARGEST_CENTISECONDS = 2**36
+
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=LARGEST_NUMBER)]
+_Step = typing.Annotated[
+    int, msgspec.Meta(ge=-LARGEST_NUMBER, le=LARGEST_NUMBER)
+]
+_Milliseconds = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=LARGEST_MILLISECONDS)
+]
+_Centiseconds = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=LARGEST_CENTISECONDS)
+]
+_MaybeCentiseconds = typing.Annotated[
+    int, msgspec.Meta(ge=-1, le=LARGEST_CENTISECONDS)
+]
 _Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 
 UNKNOWN = -1
@@ -27,9 +44,9 @@
     """
 
     handle: _Count
-    sequence_step: int
-    age_centiseconds: int
-    load_age_centiseconds: _Count = 0
+    sequence_step: _Step
+    age_centiseconds: _MaybeCentiseconds
+    load_age_centiseconds: _Centiseconds = 0
     running_step: _Count = 0
     queued_step: _Count = 0
     queued_tokens_step: _Count = 0
@@ -66,7 +83,7 @@
     """A fingerprint that holds for a time yet, such as a quarantine."""
 
     fingerprint: _Name
-    remaining_milliseconds: _Count
+    remaining_milliseconds: _Milliseconds
 
 
 News = EndpointLeft | EndpointUnreachable | Rumour
@@ -82,7 +99,7 @@
     """
 
     incarnation: _Count
-    instant_milliseconds: _Count
+    instant_milliseconds: _Milliseconds
     echo_incarnation: int = UNKNOWN
     echo_milliseconds: int = UNKNOWN
     digest: int = UNKNOWN
--- a/sedgepin/_membership/_gossip.py
+++ b/sedgepin/_membership/_gossip.py
@@ -14,6 +14,7 @@
 from sedgepin._membership import _directory as directory
 from sedgepin._membership import _events as events
 from sedgepin._membership import _frames as frames
+from sedgepin._membership import _load as load
 from sedgepin._membership import _peer as peers
 from sedgepin._membership import _rumours as rumours
 from sedgepin._membership import _sender as senders
@@ -133,6 +134,10 @@
         received_from: datetime.datetime,
         now: datetime.datetime,
     ) -> None:
+        too_large = load.find_too_large(announcement)
+        if too_large is not None:
+            self._effects.append(events.RefuseAnnouncement(too_large))
+            return
         sent = self._earliest_sending(announcement, received_from, now)
         known = None if sent is None else now - sent
         announced = self.endpoints.announce(announcement, known, now)
--- a/sedgepin/_membership/_liveness.py
+++ b/sedgepin/_membership/_liveness.py
@@ -9,11 +9,19 @@
 import collections.abc
 import dataclasses
 import datetime
+import typing
 
 import msgspec
 
 from sedgepin import _model as model
 
+_LARGEST_NUMBER = 2**63 - 1
+_LARGEST_MILLISECONDS = 2**40
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=_LARGEST_NUMBER)]
+_Milliseconds = typing.Annotated[
+    int, msgspec.Meta(ge=0, le=_LARGEST_MILLISECONDS)
+]
+
 _LEASE = datetime.timedelta(seconds=3)
 _REMEMBER_LOST = datetime.timedelta(hours=1)
 
@@ -26,12 +34,12 @@
     """
 
     vm_id: model.VmId
-    incarnation: int
+    incarnation: _Count
     sequence: int
-    note_in_force: int = 0
+    note_in_force: _Count = 0
     is_ready: bool = False
     is_draining: bool = False
-    age_milliseconds: int = 0
+    age_milliseconds: _Milliseconds = 0
 
 
 class HeartbeatBatch(
--- a/sedgepin/_membership/_load.py
+++ b/sedgepin/_membership/_load.py
@@ -1,7 +1,12 @@
-"""Load figures in few bytes: exact while small, 5% steps beyond."""
+"""What frames can carry of an announcement, and in how few bytes.
+
+Load figures are exact while small, and in 5% steps beyond.
+"""
 
 import math
 
+from sedgepin._membership import _failures as failures
+from sedgepin._membership import _frames as frames
 from sedgepin import _model as model
 
 _EXACT_LIMIT = 16
@@ -32,6 +37,28 @@
     return round(_EXACT_LIMIT * math.exp2(doublings))
 
 
+def find_too_large(
+    announcement: model.Announcement,
+) -> failures.NumberTooLarge | None:
+    """Return which number of an announcement no frame can carry, if any."""
+    numbers = [
+        ("incarnation", announcement.incarnation),
+        ("sequence", announcement.sequence),
+    ]
+    if announcement.layers is not None:
+        numbers.append(("layers", announcement.layers.first))
+        numbers.append(("layers", announcement.layers.end))
+    if announcement.accelerator is not None:
+        numbers.append(("accelerator", announcement.accelerator.count))
+    numbers += [
+        ("cache_events", event.sequence) for event in announcement.cache_events
+    ]
+    for field, number in numbers:
+        if number > frames.LARGEST_NUMBER:
+            return failures.NumberTooLarge(field, frames.LARGEST_NUMBER)
+    return None
+
+
 def without_changing_parts(
     announcement: model.Announcement,
 ) -> model.Announcement:
--- a/sedgepin/_membership/_peer.py
+++ b/sedgepin/_membership/_peer.py
@@ -169,7 +169,10 @@
         described.handle,
         announcement.sequence - described.first_sequence,
         centiseconds,
-        measured_before // _CENTISECOND_MILLISECONDS,
+        min(
+            measured_before // _CENTISECOND_MILLISECONDS,
+            frames.LARGEST_CENTISECONDS,
+        ),
         load.to_step(report.running_requests),
         load.to_step(report.queued_requests),
         load.to_step(report.queued_tokens),
--- a/sedgepin/_membership/tests/network.py
+++ b/sedgepin/_membership/tests/network.py
@@ -14,6 +14,8 @@
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
 SECOND = datetime.timedelta(seconds=1)
 STEP = 0.05 * SECOND
+# As large as nanoseconds since 1970 are.
+FIRST_LIFE = 1_700_000_000_000_000_001
 ANNOUNCE_INTERVAL = 0.5 * SECOND
 
 
@@ -36,7 +38,7 @@
         rate: float,
         cfg: membership.MembershipSettings,
         true_now: datetime.datetime,
-        incarnation: int = 1,
+        incarnation: int = FIRST_LIFE,
     ) -> None:
         self.name = name
         self.rate = rate
@@ -130,7 +132,7 @@
 
     def restart(self, name: str) -> None:
         old = self.entries[name]
-        life = int((self.now - START) / SECOND * 1000) + 2
+        life = FIRST_LIFE + int((self.now - START) / SECOND * 1000) + 1
         self.entries[name] = Entry(
             name, self.names, old.rate, self.cfg, self.now, life
         )
--- a/sedgepin/_membership/tests/test_gossip.py
+++ b/sedgepin/_membership/tests/test_gossip.py
@@ -85,20 +85,20 @@
     def test_echo_that_is_none_is_refused(self, text: str) -> None:
         assert membership.Echo.parse(text) is None
 
-    @pytest.mark.parametrize("echo", ["e0/1/99999999", "e0/7/0", "e9/1/10"])
+    @pytest.mark.parametrize("echo", ["e0/{}/99999999", "e0/7/0", "e9/{}/10"])
     def test_echo_of_another_life_or_of_the_future_bounds_nothing(
         self, echo: str
     ) -> None:
         net = network.Network((1.0,))
         endpoint = net.add("g1", "e0")
-        endpoint.echo = echo
+        endpoint.echo = echo.format(network.FIRST_LIFE)
         heard = membership.AnnouncementHeard(endpoint.announce())
         net.handle("e0", heard)
         assert net.eligible("g1") == []
 
 
 class TestLeaving:
-    @pytest.mark.parametrize("cfg", [_settled().cfg, _GRID])
+    @pytest.mark.parametrize("cfg", [membership.MembershipSettings(), _GRID])
     def test_leaving_is_told_at_once_and_is_final(
         self, cfg: membership.MembershipSettings
     ) -> None:
