Lend no age of a later incarnation to an earlier one

A report put by for the tick went out with the age known for its endpoint. When another entry had told of a later incarnation meanwhile, the report of the earlier one left with the later one's age, and a third entry could hold the earlier one, which may have left, for young. Reports of another incarnation than the current one are not sent.

Found by reading; the test failed before the change.

--- a/sedgepin/_membership/_sender.py
+++ b/sedgepin/_membership/_sender.py
@@ -334,6 +334,8 @@
     ) -> tuple[frames.Refresh, ...]:
         refreshes = []
         for announcement in announcements:
+            if not self._is_current(announcement):
+                continue
             described = self._descriptions.describe(announcement)
             if described.handle not in peer.introduced:
                 introduced.append(peer.introduce(described))
@@ -341,6 +343,17 @@
             refreshes.append(peers.to_refresh(described, announcement, known))
         return tuple(refreshes)
 
+    def _is_current(self, announcement: model.Announcement) -> bool:
+        """Tell whether the age that is known is that of this incarnation.
+
+        Another entry may have told of a later one, or of a leaving, since
+        the announcement was put by.
+        """
+        known = self._endpoints.find(announcement.endpoint_id)
+        if known is None:
+            return False
+        return known.incarnation == announcement.incarnation
+
     def _due_introductions(
         self, peer: peers.Peer
     ) -> list[frames.Introduction]:
--- a/sedgepin/_membership/tests/test_gossip.py
+++ b/sedgepin/_membership/tests/test_gossip.py
@@ -62,6 +62,32 @@
         assert len(net.entries["e1"].inbox) > 10
         net.wake("e1")
 
+    def test_age_of_a_later_incarnation_is_not_lent_to_the_earlier(
+        self,
+    ) -> None:
+        net = network.Network((1.0,) * 3)
+        net.run(1)
+        endpoint = net.add("g1", "e0")
+        for _ in range(2):
+            heard = membership.AnnouncementHeard(endpoint.announce())
+            net.handle("e0", heard)
+        while net.flying:
+            net.deliver()
+        endpoint.incarnation = 2
+        for _ in range(2):
+            heard = membership.AnnouncementHeard(endpoint.announce())
+            net.handle("e1", heard)
+        net.flying = [
+            message for message in net.flying if message.recipient == "e0"
+        ]
+        net.cuts.add(("e1", "e2"))
+        endpoint.is_silent = True
+        net.run(1)
+        e0, e2 = (net.entries[name].node.endpoints for name in ("e0", "e2"))
+        g1 = model.EndpointId("g1")
+        assert e0.age(g1, net.entries["e0"].clock(net.now)) is not None
+        assert e2.age(g1, net.entries["e2"].clock(net.now)) is None
+
     def test_without_echo_a_backlog_is_as_old_as_the_freeze(self) -> None:
         net = network.Network(
             (1.0,),
