--- a/sedgepin/_membership/_sender.py
+++ b/sedgepin/_membership/_sender.py
@@ -13,6 +13,7 @@
 from sedgepin._membership import _rumours as rumours
 from sedgepin._membership import _settings as settings
 from sedgepin._membership import _topology as topology
+from sedgepin._membership import _writer as writers
 from sedgepin import _model as model
 
 # From this age on an endpoint is asked for at another entry, until it is so
@@ -22,7 +23,6 @@
 _ANSWER_BELOW = datetime.timedelta(seconds=1.5)
 _ASK_LIMIT = 64
 _WANTED_LIMIT = 4096
-_INVENTORY_LIMIT = 256
 
 
 class GossipSender:
@@ -30,7 +30,6 @@
 
     __slots__ = (
         "_cfg",
-        "_descriptions",
         "_endpoints",
         "_entries",
         "_far",
@@ -41,8 +40,8 @@
         "_random",
         "_relayed",
         "_relays",
-        "_rumours",
         "_subsets",
+        "_writer",
     )
 
     def __init__(
@@ -57,8 +56,7 @@
         self._cfg = cfg
         self._random = generator
         self._endpoints = endpoints
-        self._rumours = held
-        self._descriptions = peers.Descriptions()
+        self._writer = writers.FrameWriter(life, endpoints, held)
         self._peers: dict[model.VmId, peers.Peer] = {}
         self._heard = pending.Pending()
         self._relayed = pending.Pending()
@@ -138,7 +136,7 @@
     ) -> None:
         """Note what a peer introduces, and what it asks for."""
         for introduction in frame.introduced:
-            peer.learn(self._descriptions.share(introduction))
+            peer.learn(self._writer.descriptions.share(introduction))
         peer.to_introduce.update(frame.wanted[:_WANTED_LIMIT])
         peer.answers.update(
             model.EndpointId(asked) for asked in frame.asked[:_ASK_LIMIT]
@@ -165,7 +163,7 @@
         self._heard.take(endpoint_id)
         self._relayed.take(endpoint_id)
         self._subsets.pop(endpoint_id, None)
-        self._descriptions.forget(endpoint_id)
+        self._writer.descriptions.forget(endpoint_id)
         for peer in self._peers.values():
             peer.forget(endpoint_id)
 
@@ -225,14 +223,17 @@
     ) -> list[events.Effect]:
         """Send the left marks and rumours to a peer that holds others."""
         peer = self._peers[vm_id]
-        if digest in (frames.UNKNOWN, self._digest(vm_id)):
+        is_far = vm_id in self._far
+        if digest in (frames.UNKNOWN, self._writer.digest(is_far)):
             return []
         if not peer.is_up:
             return []
         if peer.inventory_at and now < peer.inventory_at:
             return []
         peer.inventory_at = now + self._cfg.digest_interval
-        return [self._frame(vm_id, now, news=self._inventory(vm_id, now))]
+        return [
+            self._frame(vm_id, now, news=self._writer.inventory(is_far, now))
+        ]
 
     def _up(self) -> list[model.VmId]:
         return sorted(
@@ -305,66 +306,17 @@
         asked: tuple[str, ...] = (),
         news: tuple[frames.News, ...] = (),
     ) -> events.SendGossip:
-        peer = self._peers[vm_id]
-        clock = peer.clock
-        self._descriptions.keep_used(peer.introduced)
-        introduced = self._due_introductions(peer)
-        frame = frames.GossipFrame(
-            self._life.incarnation,
-            self._life.to_milliseconds(now),
-            clock.incarnation if clock else frames.UNKNOWN,
-            clock.latest if clock else frames.UNKNOWN,
-            self._digest(vm_id),
-            self._refreshes(peer, heard, introduced, now),
-            self._refreshes(peer, relayed, introduced, now),
-            tuple(introduced),
-            tuple(sorted(peer.wanted)),
+        frame = self._writer.write(
+            self._peers[vm_id],
+            vm_id in self._far,
+            now,
+            heard,
+            relayed,
             asked,
             news,
         )
-        peer.wanted.clear()
         return events.SendGossip(vm_id, frame)
 
-    def _refreshes(
-        self,
-        peer: peers.Peer,
-        announcements: collections.abc.Iterable[model.Announcement],
-        introduced: list[frames.Introduction],
-        now: datetime.datetime,
-    ) -> tuple[frames.Refresh, ...]:
-        refreshes = []
-        for announcement in announcements:
-            if not self._is_current(announcement):
-                continue
-            described = self._descriptions.describe(announcement)
-            if described.handle not in peer.introduced:
-                introduced.append(peer.introduce(described))
-            known = self._endpoints.age(announcement.endpoint_id, now)
-            refreshes.append(peers.to_refresh(described, announcement, known))
-        return tuple(refreshes)
-
-    def _is_current(self, announcement: model.Announcement) -> bool:
-        """Tell whether the age that is known is that of this incarnation.
-
-        Another entry may have told of a later one, or of a leaving, since
-        the announcement was put by.
-        """
-        known = self._endpoints.find(announcement.endpoint_id)
-        if known is None:
-            return False
-        return known.incarnation == announcement.incarnation
-
-    def _due_introductions(
-        self, peer: peers.Peer
-    ) -> list[frames.Introduction]:
-        due = []
-        for handle in sorted(peer.to_introduce):
-            described = self._descriptions.find(handle)
-            if described is not None:
-                due.append(peer.introduce(described))
-        peer.to_introduce.clear()
-        return due
-
     def _answers(
         self, peer: peers.Peer, now: datetime.datetime
     ) -> list[model.Announcement]:
@@ -376,25 +328,3 @@
                 answers.append(announcement)
         peer.answers.clear()
         return answers
-
-    def _digest(self, vm_id: model.VmId) -> int:
-        if vm_id in self._far:
-            return self._rumours.digest
-        return self._endpoints.left_digest ^ self._rumours.digest
-
-    def _inventory(
-        self, vm_id: model.VmId, now: datetime.datetime
-    ) -> tuple[frames.News, ...]:
-        held = self._rumours.held(now)[:_INVENTORY_LIMIT]
-        if vm_id in self._far:
-            return held
-        marks = sorted(
-            self._endpoints.left_marks(),
-            key=lambda mark: mark.heard_at,
-            reverse=True,
-        )
-        left = [
-            frames.EndpointLeft(mark.endpoint_id, mark.incarnation)
-            for mark in marks[:_INVENTORY_LIMIT]
-        ]
-        return (*left, *held)
