--- a/sedgepin/_membership/tests/network.py
+++ b/sedgepin/_membership/tests/network.py
@@ -119,7 +119,6 @@
         self.cuts: set[tuple[str, str]] = set()
         self.is_held = False
         self.left_at: dict[tuple[str, int], datetime.datetime] = {}
-        self.joined: list[tuple[str, int]] = []
         self.news_count = 0
         self.check: typing.Callable[[], None] = lambda: None
         for name in self.names:
@@ -157,8 +156,6 @@
                 self.news_count += len(effect.frame.news)
                 data = msgspec.msgpack.encode(effect.frame)
                 self.send(Message(name, effect.recipient, data))
-            if isinstance(effect, membership.ReportEndpointJoined):
-                self.joined.append((name, effect.incarnation))
             if isinstance(effect, membership.ReplyAnnouncement):
                 assert isinstance(event, membership.AnnouncementHeard)
                 self._reply(name, event.announcement, effect)
