--- a/sedgepin/_membership/tests/network.py
+++ b/sedgepin/_membership/tests/network.py
@@ -14,6 +14,8 @@
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
 SECOND = datetime.timedelta(seconds=1)
 STEP = 0.05 * SECOND
+# As large as nanoseconds since 1970 are.
+FIRST_LIFE = 1_700_000_000_000_000_001
 ANNOUNCE_INTERVAL = 0.5 * SECOND
 
 
@@ -36,7 +38,7 @@
         rate: float,
         cfg: membership.MembershipSettings,
         true_now: datetime.datetime,
-        incarnation: int = 1,
+        incarnation: int = FIRST_LIFE,
     ) -> None:
         self.name = name
         self.rate = rate
@@ -117,7 +119,6 @@
         self.cuts: set[tuple[str, str]] = set()
         self.is_held = False
         self.left_at: dict[tuple[str, int], datetime.datetime] = {}
-        self.joined: list[tuple[str, int]] = []
         self.news_count = 0
         self.check: typing.Callable[[], None] = lambda: None
         for name in self.names:
@@ -130,7 +131,7 @@
 
     def restart(self, name: str) -> None:
         old = self.entries[name]
-        life = int((self.now - START) / SECOND * 1000) + 2
+        life = FIRST_LIFE + int((self.now - START) / SECOND * 1000) + 1
         self.entries[name] = Entry(
             name, self.names, old.rate, self.cfg, self.now, life
         )
@@ -155,8 +156,6 @@
                 self.news_count += len(effect.frame.news)
                 data = msgspec.msgpack.encode(effect.frame)
                 self.send(Message(name, effect.recipient, data))
-            if isinstance(effect, membership.ReportEndpointJoined):
-                self.joined.append((name, effect.incarnation))
             if isinstance(effect, membership.ReplyAnnouncement):
                 assert isinstance(event, membership.AnnouncementHeard)
                 self._reply(name, event.announcement, effect)
