--- a/bench/_throughput.py
+++ b/bench/_throughput.py
@@ -38,8 +38,8 @@
 # Room for KV cache, over what the engine needs at its full rate; engines
 # slower than the mean have the mean one's.
 _ROOM = 2.0
-_WARM_UP_SECONDS = 20.0
-_SECONDS = 30.0
+_WARM_UP_SECONDS = 22.0
+_SECONDS = 20.0
 _LATENCY_LOAD = 0.7
 
 
@@ -70,15 +70,15 @@
     bound: float
 
 
-def fleet(mix: Mix, seed: int) -> Fleet:
+def fleet(mix: Mix, seed: int, engine_count: int = _ENGINES) -> Fleet:
     """Return the fleet of a mix, drawn with a seed."""
     rng = random.Random(f"{mix.value} {seed}")
-    ranges = _ranges(mix, rng)
+    ranges = _ranges(mix, rng, engine_count)
     rates = [
         _UNIFORM_RATE
         if mix is Mix.UNIFORM
         else _KIND_RATES[number % len(_KIND_RATES)]
-        for number in range(_ENGINES)
+        for number in range(engine_count)
     ]
     rng.shuffle(rates)
     announced = rates[:]
@@ -101,7 +101,7 @@
             announced[number],
             _ROOM * _STAY_SECONDS * max(least_rate, rates[number]),
         )
-        for number in range(_ENGINES)
+        for number in range(engine_count)
     )
     scenario = _engines.Scenario(
         specs,
@@ -113,15 +113,19 @@
     return Fleet(scenario, bound_tokens)
 
 
-def _ranges(mix: Mix, rng: random.Random) -> list[model.LayerRange]:
+def _ranges(
+    mix: Mix, rng: random.Random, engine_count: int
+) -> list[model.LayerRange]:
     even = [
         model.LayerRange(first, first + _LAYERS_HELD)
         for first in range(0, _LAYERS, _LAYERS_HELD)
     ]
     if mix is not Mix.OVERLAPPING:
-        return [even[number // 3 % len(even)] for number in range(_ENGINES)]
+        return [
+            even[number // 3 % len(even)] for number in range(engine_count)
+        ]
     ranges = even[:]
-    while len(ranges) < _ENGINES:
+    while len(ranges) < engine_count:
         width = rng.choice(_WIDTHS)
         # Ranges that would pass either end are moved inside, so that the
         # outer layers are held as often as the inner ones.
@@ -183,16 +187,19 @@
 
 
 def throughput_over_bound(
-    mix: Mix, name: PolicyName, seed: int, seconds: float = _SECONDS
+    drawn: Fleet,
+    name: PolicyName,
+    seed: int,
+    warm_up_seconds: float = _WARM_UP_SECONDS,
+    seconds: float = _SECONDS,
 ) -> float:
-    """Return the rate of finished requests over the bound."""
-    drawn = fleet(mix, seed)
+    """Return the rate of tokens through all layers over the bound."""
     simulation = _engines.Simulation(
         drawn.scenario,
         policies(name, drawn.scenario, seed),
         random.Random(seed),
     )
-    outcome = simulation.run(_WARM_UP_SECONDS, seconds)
+    outcome = simulation.run(warm_up_seconds, seconds)
     return outcome.tokens_per_second / drawn.bound
 
 
@@ -216,7 +223,9 @@
     figures = []
     for mix in Mix:
         for name in PolicyName:
-            shares = [throughput_over_bound(mix, name, s) for s in SEEDS]
+            shares = [
+                throughput_over_bound(fleet(mix, s), name, s) for s in SEEDS
+            ]
             figures.append(
                 _spread_figure("throughput over bound", shares, "", mix, name)
             )
--- a/sedgepin/_routing/_holders.py
+++ b/sedgepin/_routing/_holders.py
@@ -95,7 +95,7 @@
             if len(self._graphs) >= _GRAPHS_LIMIT:
                 self._graphs.clear()
             self._graphs[wanted] = known
-        known.scale.refresh(known.graph.holders, now)
+        known.scale.refresh(known.graph, now)
         return known
 
     def holders(
--- a/sedgepin/_routing/_scale.py
+++ b/sedgepin/_routing/_scale.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import datetime
+import statistics
 
 from sedgepin._routing import _graph
 from sedgepin._routing import _load
@@ -20,7 +21,7 @@
     its own leans on the reports.
 
     The sums are taken afresh twice a second; on the same occasion each
-    engine's speed is learned from its load against the mean.
+    engine's speed is learned from its load against its neighbours'.
     """
 
     __slots__ = (
@@ -39,14 +40,13 @@
         self._taken_at: datetime.datetime | None = None
 
     def refresh(
-        self,
-        holders: collections.abc.Sequence[_graph.Holder],
-        now: datetime.datetime,
+        self, graph: _graph.LayerGraph, now: datetime.datetime
     ) -> None:
         """Take the sums again if they are old."""
         if self._taken_at and now - self._taken_at < _REFRESH_INTERVAL:
             return
         self._taken_at = now
+        holders = graph.holders
         self._weigh_own(holders)
         layers = 0.0
         assigned = 0.0
@@ -59,8 +59,7 @@
             return
         self.mean_step_seconds = layers / rate
         self.mean_assigned_seconds = assigned / rate
-        if self.mean_step_seconds:
-            self._learn_speeds(holders, now)
+        self._learn_speeds(graph, now)
 
     def layers(self, load: _load.EndpointLoad) -> float:
         """Return the layers that everyone's requests run on an engine."""
@@ -87,11 +86,25 @@
         self._own_weight = known / (known + 1.0)
 
     def _learn_speeds(
-        self,
-        holders: collections.abc.Sequence[_graph.Holder],
-        now: datetime.datetime,
+        self, graph: _graph.LayerGraph, now: datetime.datetime
     ) -> None:
-        for holder in holders:
+        """Compare each engine with those that hold the same layers.
+
+        Engines of scarce layers are loaded above the mean, and rightly so.
+        """
+        steps = [self._mean_step(one.holders) for one in graph.segments]
+        for holder in graph.holders:
             load = holder.load
+            usual = statistics.fmean(
+                steps[holder.first_index : holder.end_index]
+            )
             step = self.layers(load) * holder.seconds_per_layer_token()
-            load.learn_speed(step / self.mean_step_seconds, now)
+            if usual:
+                load.learn_speed(step / usual, now)
+
+    def _mean_step(
+        self, holders: collections.abc.Sequence[_graph.Holder]
+    ) -> float:
+        layers = sum(self.layers(one.load) for one in holders)
+        rate = sum(1.0 / one.seconds_per_layer_token() for one in holders)
+        return layers / rate if rate else 0.0
