--- a/bench/_engines.py
+++ b/bench/_engines.py
@@ -14,55 +14,10 @@
 import random
 
 from bench import _policies
+from bench import _scenario
 from sedgepin import _model as model
 from sedgepin import _routing
 
-START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class EngineSpec:
-    """One engine: where it is, what it holds, how fast it is."""
-
-    name: str
-    data_centre: str
-    layers: model.LayerRange
-    layer_tokens_per_second: float
-    announced_layer_tokens_per_second: float
-    resident_layer_tokens: float
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Scenario:
-    """A fleet and its work.
-
-    ``resident_layer_tokens`` of an engine is how much KV cache it holds;
-    with more, ``paging_factor`` multiplies the work of the share that does
-    not fit.  ``one_way_seconds`` is keyed by ordered data-centre pairs.
-    """
-
-    engines: tuple[EngineSpec, ...]
-    layer_count: int
-    one_way_seconds: dict[tuple[str, str], float]
-    outstanding_tokens: float
-    prompt_tokens: int = 64
-    generated_tokens: int = 32
-    length_spread: float = 0.5
-    shared_prefixes: int = 0
-    entries: int = 4
-    report_seconds: float = 0.5
-    report_lag_seconds: float = 0.3
-    step_seconds: float = 0.004
-    start_seconds: float = 10.0
-    tokens_per_job: int = 4
-    paging_factor: float = 3.0
-    cached_prefixes: int = 8
-
-    @property
-    def tokens_per_request(self) -> int:
-        """Return the tokens that each layer runs for one request."""
-        return self.prompt_tokens + self.generated_tokens
-
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Outcome:
@@ -72,11 +27,6 @@
     first_token_seconds: list[float]
 
 
-def timedelta(seconds: float) -> datetime.timedelta:
-    """Return simulated seconds as a duration."""
-    return datetime.timedelta(seconds=seconds)
-
-
 class _Request:
     """A request on its way round its pipeline."""
 
@@ -126,7 +76,7 @@
         "waiting_prompts",
     )
 
-    def __init__(self, spec: EngineSpec) -> None:
+    def __init__(self, spec: _scenario.EngineSpec) -> None:
         self.spec = spec
         self.waiting: list[tuple[_Request, int, int]] = []
         self.stepping: list[tuple[_Request, int, int]] = []
@@ -183,7 +133,7 @@
 
     def __init__(
         self,
-        scenario: Scenario,
+        scenario: _scenario.Scenario,
         policies: collections.abc.Sequence[_policies.Policy],
         rng: random.Random,
         arrivals_per_second: float | None = None,
@@ -240,7 +190,7 @@
     def _begin(self) -> None:
         for entry, policy in enumerate(self._policies):
             for announcement in self._announced[entry]:
-                policy.observe(announcement, START)
+                policy.observe(announcement, _scenario.START)
         for engine in self._engines:
             delay = self._rng.random() * self._scenario.report_seconds
             self._at(delay, self._report, engine)
@@ -260,38 +210,20 @@
         self._at(self._rng.expovariate(self._arrivals), self._arrive)
 
     def _instant(self) -> datetime.datetime:
-        return START + timedelta(self._now)
+        return _scenario.START + _scenario.timedelta(self._now)
 
     def _announcement(self, engine: _Engine, at: float) -> model.Announcement:
         lag = self._scenario.report_lag_seconds
         resident, waiting = engine.load_before(at - lag)
-        spec = engine.spec
         engine.announced += 1
         changes = tuple(engine.changes)
         engine.changes.clear()
-        return model.Announcement(
-            endpoint_id=model.EndpointId(spec.name),
-            incarnation=model.Incarnation(1),
-            sequence=engine.announced,
-            kind=model.EndpointKind.ENGINE,
-            address="http://127.0.0.1:1",
-            data_centre=model.DataCentreId(spec.data_centre),
-            services=(model.ServiceName("answers"),),
-            model=model.ModelName("m"),
-            layers=spec.layers,
-            accelerator=model.AcceleratorKind(
-                "kind", 1, spec.announced_layer_tokens_per_second
-            ),
-            load=model.LoadReport(
-                running_requests=resident,
-                queued_tokens=waiting,
-                measured_before_milliseconds=int(lag * 1000),
-            ),
-            cache_events=changes,
+        return _scenario.announcement(
+            engine.spec, engine.announced, resident, waiting, lag, changes
         )
 
     def _report(self, engine: _Engine) -> None:
-        announcement = self._announcement(engine, self._now)
+        announced = self._announcement(engine, self._now)
         index = self._engines.index(engine)
         for entry in range(len(self._policies)):
             self._at(
@@ -299,7 +231,7 @@
                 self._hear,
                 entry,
                 index,
-                announcement,
+                announced,
             )
         self._at(self._scenario.report_seconds, self._report, engine)
 
@@ -311,11 +243,11 @@
 
     def _dispatch(self, entry: int) -> None:
         self._numbers += 1
-        work = self._work(self._numbers)
+        asked = self._work(self._numbers)
         length = self._length(self._scenario.generated_tokens)
-        request = _Request(self._numbers, entry, work, length, self._now)
+        request = _Request(self._numbers, entry, asked, length, self._now)
         pipeline = self._policies[entry].choose(
-            work,
+            asked,
             self._announced[entry],
             self._scenario.layer_count,
             self._instant(),
@@ -326,8 +258,8 @@
             layers = stage.layers.count
             request.legs.append((engine, layers))
         for engine, _ in reversed(request.legs):
-            held = min(held, self._cached_tokens(engine, work))
-            request.prefill.append(int(work.prompt_tokens - held))
+            held = min(held, self._cached_tokens(engine, asked))
+            request.prefill.append(int(asked.prompt_tokens - held))
         request.prefill.reverse()
         self._join(request, 0)
 
@@ -336,21 +268,18 @@
         if self._scenario.shared_prefixes:
             skew = self._rng.random() ** 2
             hashes = (f"p{int(skew * self._scenario.shared_prefixes)}",)
-        return _routing.Work(
-            request_id=model.RequestId(str(number)),
-            model=model.ModelName("m"),
-            service=model.ServiceName("answers"),
-            prompt_tokens=self._length(self._scenario.prompt_tokens),
-            expected_tokens=self._scenario.generated_tokens,
-            prefix_hashes=hashes,
+        request_id = model.RequestId(str(number))
+        prompt_tokens = self._length(self._scenario.prompt_tokens)
+        return _scenario.work(
+            self._scenario, request_id, prompt_tokens, hashes
         )
 
     def _length(self, mean: int) -> int:
         spread = self._scenario.length_spread
         return max(1, round(mean * self._rng.uniform(1 - spread, 1 + spread)))
 
-    def _cached_tokens(self, engine: _Engine, work: _routing.Work) -> int:
-        if work.prefix_hashes and work.prefix_hashes[0] in engine.cache:
+    def _cached_tokens(self, engine: _Engine, asked: _routing.Work) -> int:
+        if asked.prefix_hashes and asked.prefix_hashes[0] in engine.cache:
             return _policies.PREFIX_BLOCK_TOKENS
         return 0
 
@@ -372,11 +301,11 @@
     def _step(self, engine: _Engine) -> None:
         engine.stepping = engine.waiting
         engine.waiting = []
-        work = 0
+        layer_tokens = 0
         for request, stage, tokens in engine.stepping:
-            work += request.legs[stage][1] * tokens
+            layer_tokens += request.legs[stage][1] * tokens
         scenario = self._scenario
-        seconds = work / engine.spec.layer_tokens_per_second
+        seconds = layer_tokens / engine.spec.layer_tokens_per_second
         resident = engine.resident_layers * scenario.tokens_per_request
         over = resident - engine.spec.resident_layer_tokens
         if over > 0:
--- a/bench/_throughput.py
+++ b/bench/_throughput.py
@@ -11,16 +11,19 @@
 import random
 import statistics
 
+from bench import _choice_cost
 from bench import _engines
 from bench import _figure
 from bench import _flow_bound
 from bench import _policies
+from bench import _scenario
 from sedgepin import _model as model
 from sedgepin import _routing
 
 SEEDS = (1, 2, 3, 4, 5)
 PLACES = ("beja", "jendouba", "bousalem")
 _ENGINES = 40
+_CHOICE_ENGINES = (40, 217)
 _LAYERS = 32
 _LAYERS_HELD = 8
 _WIDTHS = (6, 8, 10, 12, 16)
@@ -66,7 +69,7 @@
 class Fleet:
     """A scenario and its bound in tokens a second, prompts included."""
 
-    scenario: _engines.Scenario
+    scenario: _scenario.Scenario
     bound: float
 
 
@@ -93,7 +96,7 @@
     bound_tokens = _flow_bound.flow_bound(held, _LAYERS)
     least_rate = statistics.mean(rates)
     specs = tuple(
-        _engines.EngineSpec(
+        _scenario.EngineSpec(
             f"engine-{number}",
             PLACES[number % len(PLACES)],
             ranges[number],
@@ -103,7 +106,7 @@
         )
         for number in range(engine_count)
     )
-    scenario = _engines.Scenario(
+    scenario = _scenario.Scenario(
         specs,
         _LAYERS,
         _links(mix),
@@ -151,7 +154,7 @@
 
 
 def policies(
-    name: PolicyName, scenario: _engines.Scenario, seed: int
+    name: PolicyName, scenario: _scenario.Scenario, seed: int
 ) -> list[_policies.Policy]:
     """Return one policy for each entry."""
     made: list[_policies.Policy] = []
@@ -167,7 +170,7 @@
 
 
 def _routed(
-    scenario: _engines.Scenario, entry: int, rng: random.Random
+    scenario: _scenario.Scenario, entry: int, rng: random.Random
 ) -> _policies.Policy:
     settings = _routing.RoutingSettings(
         data_centre=model.DataCentreId(PLACES[entry % len(PLACES)]),
@@ -178,7 +181,7 @@
         _routing.LinkCost(
             model.DataCentreId(source),
             model.DataCentreId(target),
-            _engines.timedelta(seconds),
+            _scenario.timedelta(seconds),
         )
         for (source, target), seconds in scenario.one_way_seconds.items()
         if source <= target
@@ -240,6 +243,28 @@
                 name,
             )
         )
+    return figures + _choice_figures()
+
+
+def _choice_figures() -> list[_figure.Figure]:
+    seed = SEEDS[0]
+    figures = []
+    for mix in (Mix.MIXED, Mix.OVERLAPPING):
+        for engine_count in _CHOICE_ENGINES:
+            scenario = fleet(mix, seed, engine_count).scenario
+            policy = policies(PolicyName.ROUTER, scenario, seed)[0]
+            value = _choice_cost.microseconds_per_request(
+                scenario, policy, seed
+            )
+            figures.append(
+                _figure.Figure(
+                    f"choose, dispatch and end, {engine_count} engines",
+                    value,
+                    "us of one core",
+                    mix.value,
+                    "least mean of 40 rounds",
+                )
+            )
     return figures
 
 
