--- a/sedgepin/_admission/_quarantine.py
+++ b/sedgepin/_admission/_quarantine.py
@@ -12,42 +12,12 @@
 import result
 
 from sedgepin._admission import _attribution
+from sedgepin._admission import _case
 from sedgepin._admission import _rumour
 from sedgepin._admission import _suspicion
 from sedgepin import _model as model
 
 
-class _Case:
-    """One suspect: what is known of it, and its copies on this VM."""
-
-    __slots__ = (
-        "rumour",
-        "shared",
-        "waiting",
-        "on_trial",
-        "endpoints",
-        "starts_at",
-        "condemned",
-        "judged_death_at",
-        "recalled_deaths",
-    )
-
-    def __init__(self, rumour: _rumour.Rumour) -> None:
-        self.rumour = rumour
-        self.shared: _rumour.Rumour | None = None
-        self.waiting: list[model.RequestId] = []
-        self.on_trial: model.RequestId | None = None
-        self.endpoints: frozenset[model.EndpointId] = frozenset()
-        self.starts_at = rumour.until
-        self.condemned = False
-        self.judged_death_at: datetime.datetime | None = None
-        self.recalled_deaths = 0
-
-    def leave_trial(self) -> None:
-        self.on_trial = None
-        self.endpoints = frozenset()
-
-
 class Quarantine:
     """The reducer for suspects on one entry VM.
 
@@ -63,7 +33,7 @@
     ) -> None:
         self._vm_id = vm_id
         self._settings = settings
-        self._cases: dict[_rumour.Fingerprint, _Case] = {}
+        self._cases: dict[_rumour.Fingerprint, _case.Case] = {}
         self._ledger = _attribution.DeathLedger()
 
     def endpoints_on_trial(
@@ -102,7 +72,7 @@
         if case.condemned:
             remaining = case.rumour.until - now
             return result.Err(_suspicion.RequestQuarantined(remaining))
-        if self._awaits_judgement(case):
+        if case.awaits_judgement:
             return result.Err(self._judgement_pending(case, now))
         if not case.rumour.needs_trial:
             return result.Ok(_suspicion.RunFreely())
@@ -202,7 +172,7 @@
         """Take a rumour from another VM."""
         if now >= rumour.until:
             return []
-        case = self._cases.setdefault(rumour.fingerprint, _Case(rumour))
+        case = self._cases.setdefault(rumour.fingerprint, _case.Case(rumour))
         self._change(case, case.rumour.merged(rumour))
         case.shared = case.rumour
         return self._advance_all(now)
@@ -228,7 +198,7 @@
     ) -> None:
         until = now + self._settings.suspicion_period
         fresh = _rumour.Rumour(aboard.fingerprint, until)
-        case = self._cases.setdefault(aboard.fingerprint, _Case(fresh))
+        case = self._cases.setdefault(aboard.fingerprint, _case.Case(fresh))
         if now >= case.rumour.until:
             self._change(case, fresh)
         if case.on_trial == aboard.request_id:
@@ -254,10 +224,10 @@
         return effects
 
     def _advance(
-        self, case: _Case, now: datetime.datetime
+        self, case: _case.Case, now: datetime.datetime
     ) -> list[_suspicion.QuarantineEffect]:
         effects = self._decide(case, now)
-        if self._has_new_death(case):
+        if case.note_deaths():
             effects.append(_suspicion.RecallCopies(case.rumour.fingerprint))
         if case.rumour != case.shared:
             case.shared = case.rumour
@@ -265,14 +235,14 @@
         return effects
 
     def _decide(
-        self, case: _Case, now: datetime.datetime
+        self, case: _case.Case, now: datetime.datetime
     ) -> list[_suspicion.QuarantineEffect]:
         if case.condemned:
             return self._answer_waiting(case, now)
-        if self._awaits_judgement(case):
+        if case.awaits_judgement:
             if now < self._judged_at(case):
                 return []
-            case.judged_death_at = self._last_death_at(case)
+            case.judged_death_at = case.last_death_at
         self._change(case, self._ledger.excused(case.rumour))
         if self._ledger.is_guilty(case.rumour):
             return self._condemn(case, now)
@@ -280,40 +250,26 @@
             return self._advance_trial(case, now)
         return self._release(case)
 
-    def _has_new_death(self, case: _Case) -> bool:
-        deaths = len(case.rumour.deaths)
-        known = case.recalled_deaths
-        case.recalled_deaths = deaths
-        return deaths > known and case.rumour.needs_trial
-
-    def _awaits_judgement(self, case: _Case) -> bool:
-        if case.condemned or not _attribution.has_two_deaths(case.rumour):
-            return False
-        return case.judged_death_at != self._last_death_at(case)
-
-    def _release(self, case: _Case) -> list[_suspicion.QuarantineEffect]:
+    def _release(self, case: _case.Case) -> list[_suspicion.QuarantineEffect]:
         case.leave_trial()
         released = case.waiting
         case.waiting = []
         return [_suspicion.ResumeFreely(request_id) for request_id in released]
 
-    def _change(self, case: _Case, rumour: _rumour.Rumour) -> None:
+    def _change(self, case: _case.Case, rumour: _rumour.Rumour) -> None:
         case.rumour = rumour
         self._ledger.update(rumour)
         if not _attribution.has_two_deaths(rumour):
             case.condemned = False
 
-    def _judged_at(self, case: _Case) -> datetime.datetime:
-        return self._last_death_at(case) + self._settings.judgement_period
+    def _judged_at(self, case: _case.Case) -> datetime.datetime:
+        return case.last_death_at + self._settings.judgement_period
 
-    def _quarantined_until(self, case: _Case) -> datetime.datetime:
-        return self._last_death_at(case) + self._settings.quarantine_period
-
-    def _last_death_at(self, case: _Case) -> datetime.datetime:
-        return max(mark.at for mark in case.rumour.effective.values())
+    def _quarantined_until(self, case: _case.Case) -> datetime.datetime:
+        return case.last_death_at + self._settings.quarantine_period
 
     def _judgement_pending(
-        self, case: _Case, now: datetime.datetime
+        self, case: _case.Case, now: datetime.datetime
     ) -> _suspicion.RequestOnTrial:
         remaining = self._judged_at(case) - now
         return _suspicion.RequestOnTrial(
@@ -321,7 +277,7 @@
         )
 
     def _condemn(
-        self, case: _Case, now: datetime.datetime
+        self, case: _case.Case, now: datetime.datetime
     ) -> list[_suspicion.QuarantineEffect]:
         case.condemned = True
         case.leave_trial()
@@ -333,7 +289,10 @@
         return effects
 
     def _acquit_others(
-        self, guilty: _Case, death: _rumour.DeathId, now: datetime.datetime
+        self,
+        guilty: _case.Case,
+        death: _rumour.DeathId,
+        now: datetime.datetime,
     ) -> list[_suspicion.QuarantineEffect]:
         effects: list[_suspicion.QuarantineEffect] = []
         for fingerprint in self._ledger.aboard(death):
@@ -349,7 +308,7 @@
         return effects
 
     def _answer_waiting(
-        self, case: _Case, now: datetime.datetime
+        self, case: _case.Case, now: datetime.datetime
     ) -> list[_suspicion.QuarantineEffect]:
         failure = _suspicion.RequestQuarantined(
             self._quarantined_until(case) - now
@@ -362,7 +321,7 @@
         ]
 
     def _advance_trial(
-        self, case: _Case, now: datetime.datetime
+        self, case: _case.Case, now: datetime.datetime
     ) -> list[_suspicion.QuarantineEffect]:
         trial = case.rumour.trial
         if case.on_trial is not None:
@@ -378,19 +337,19 @@
         case.on_trial = case.waiting.pop(0)
         return [_suspicion.StartTrial(case.on_trial, case.rumour.fingerprint)]
 
-    def _claim_trial(self, case: _Case, now: datetime.datetime) -> None:
+    def _claim_trial(self, case: _case.Case, now: datetime.datetime) -> None:
         number = case.rumour.trial.number if case.rumour.trial else 0
         until = now + self._settings.trial_period
         claim = _rumour.Trial(number + 1, self._vm_id, until)
         case.starts_at = now + self._settings.settle_period
         self._change(case, case.rumour.with_changes(trial=claim))
 
-    def _renew_trial(self, case: _Case, now: datetime.datetime) -> None:
+    def _renew_trial(self, case: _case.Case, now: datetime.datetime) -> None:
         trial = case.rumour.trial
         if trial is not None and now >= self._renews_at(trial):
             self._extend_trial(case, now)
 
-    def _extend_trial(self, case: _Case, now: datetime.datetime) -> None:
+    def _extend_trial(self, case: _case.Case, now: datetime.datetime) -> None:
         trial = case.rumour.trial
         if trial is None or trial.isolator != self._vm_id:
             return
@@ -402,7 +361,7 @@
         self._change(case, case.rumour.with_changes(trial=extended))
 
     def _endpoints_of(
-        self, case: _Case, now: datetime.datetime
+        self, case: _case.Case, now: datetime.datetime
     ) -> frozenset[model.EndpointId]:
         trial = case.rumour.trial
         if trial is None or trial.isolator == self._vm_id:
@@ -415,7 +374,7 @@
         return trial.until - self._settings.trial_period / 2
 
     def _end_trial(
-        self, case: _Case, now: datetime.datetime
+        self, case: _case.Case, now: datetime.datetime
     ) -> list[_suspicion.QuarantineEffect]:
         trial = case.rumour.trial
         if trial is not None and not case.waiting:
@@ -424,12 +383,12 @@
             self._change(case, case.rumour.with_changes(trial=released))
         return self._advance(case, now)
 
-    def _trial_holds(self, case: _Case, now: datetime.datetime) -> bool:
+    def _trial_holds(self, case: _case.Case, now: datetime.datetime) -> bool:
         trial = case.rumour.trial
         return trial is not None and now < trial.until
 
-    def _case_wakes_at(self, case: _Case) -> datetime.datetime | None:
-        if self._awaits_judgement(case):
+    def _case_wakes_at(self, case: _case.Case) -> datetime.datetime | None:
+        if case.awaits_judgement:
             return self._judged_at(case)
         trial = case.rumour.trial
         if trial is None:
