Advance only the suspect that a rumour is about

Ruled out: never advancing the others (a new death may make theirs part of a larger loss). Now the others are advanced only when the rumour names a death that is new here.

--- a/bench/_limits.py
+++ b/bench/_limits.py
@@ -10,6 +10,8 @@
 import time
 import typing
 
+import msgspec
+
 from bench import _figure
 from bench import _limits_models as models
 from sedgepin import _admission as admission
@@ -19,6 +21,7 @@
 SEEDS = (1, 2, 3, 4, 5)
 PIECES = 20_000
 DECISIONS = 2_000
+SUSPECTS = 30
 
 
 def measure() -> list[_figure.Figure]:
@@ -28,6 +31,7 @@
         *measure_endpoint_loss(),
         measure_accept(),
         *(measure_decision(count) for count in (10, 270)),
+        *measure_rumours(),
     ]
 
 
@@ -148,6 +152,44 @@
     )
 
 
+def measure_rumours() -> list[_figure.Figure]:
+    """Time a death with suspects aboard, and the rumours on another VM."""
+    settings = admission.QuarantineSettings()
+    aboard = tuple(
+        admission.Aboard(
+            model.RequestId(f"r{number}"),
+            admission.Fingerprint(model.CustomerId("c0"), f"{number:032x}"),
+            True,
+        )
+        for number in range(SUSPECTS)
+    )
+    died = admission.EndpointDied(
+        model.EndpointId("engine-17"), model.Incarnation(3), aboard
+    )
+    deaths, merges, sizes = [], [], []
+    for _ in range(5):
+        here = admission.Quarantine(model.VmId("v1"), settings)
+        there = admission.Quarantine(model.VmId("v2"), settings)
+        started = time.process_time()
+        here.endpoint_died(died, models.START)
+        deaths.append((time.process_time() - started) / SUSPECTS * 1e6)
+        started = time.process_time()
+        for rumour in here.rumours:
+            there.merge(rumour, models.START)
+        merges.append((time.process_time() - started) / SUSPECTS * 1e6)
+        sizes.append(
+            statistics.mean(
+                len(msgspec.msgpack.encode(rumour)) for rumour in here.rumours
+            )
+        )
+    setting = f"{SUSPECTS} suspects aboard"
+    return [
+        _over_seeds("CPU of a death, each suspect", deaths, "us", setting),
+        _over_seeds("CPU of one merged rumour", merges, "us", setting),
+        _over_seeds("size of one rumour", sizes, "bytes", setting),
+    ]
+
+
 def _over_seeds(
     name: str, values: typing.Sequence[float], unit: str, setting: str
 ) -> _figure.Figure:
--- a/sedgepin/_admission/_attribution.py
+++ b/sedgepin/_admission/_attribution.py
@@ -47,6 +47,10 @@
             self.record(mark.death, mark.at)
             self._aboard[mark.death][rumour.fingerprint] = None
 
+    def tells_of_new_deaths(self, rumour: _rumour.Rumour) -> bool:
+        """Tell whether a rumour names a death that is not known here."""
+        return any(mark.death not in self._died_at for mark in rumour.deaths)
+
     def aboard(
         self, death: _rumour.DeathId
     ) -> tuple[_rumour.Fingerprint, ...]:
--- a/sedgepin/_admission/_quarantine.py
+++ b/sedgepin/_admission/_quarantine.py
@@ -173,9 +173,13 @@
         if now >= rumour.until:
             return []
         case = self._cases.setdefault(rumour.fingerprint, _case.Case(rumour))
+        is_news = self._ledger.tells_of_new_deaths(rumour)
         self._change(case, case.rumour.merged(rumour))
         case.shared = case.rumour
-        return self._advance_all(now)
+        if is_news:
+            # A new death may make the deaths of others a larger loss.
+            return self._advance_all(now)
+        return self._advance(case, now)
 
     def tick(
         self, now: datetime.datetime
