Wake for every suspect, and never in a loop

Cause: rumours were forgotten only if something else called for a tick, and a VM whose claim was lost after its trial began was woken without end. Now wake_at also names the end of a suspicion, and such a trial runs on without a renewal. Customers that were only refused are forgotten too. The margin that ends a trial has a name, TRIAL_MARGIN_TOKENS.

The new test was seen to fail with the renewal kept for a lost claim.

--- a/sedgepin/_admission/__init__.py
+++ b/sedgepin/_admission/__init__.py
@@ -37,6 +37,7 @@
 from sedgepin._admission._suspicion import RunOnTrial
 from sedgepin._admission._suspicion import ShareRumour
 from sedgepin._admission._suspicion import StartTrial
+from sedgepin._admission._suspicion import TRIAL_MARGIN_TOKENS
 from sedgepin._admission._ticket import Admit
 from sedgepin._admission._ticket import Decision
 from sedgepin._admission._ticket import Refuse
@@ -83,6 +84,7 @@
     "ShareRumour",
     "StartTrial",
     "Ticket",
+    "TRIAL_MARGIN_TOKENS",
     "TooManyOpenRequests",
     "Trial",
     "choose_for_trial",
--- a/sedgepin/_admission/_fair_share.py
+++ b/sedgepin/_admission/_fair_share.py
@@ -66,6 +66,7 @@
             queue = _customer.CustomerQueue(customer, limits, now)
             queue.credit_tokens = self.round_tokens(queue)
             self.customers[customer] = queue
+            self._idle_since[customer] = now
         return queue
 
     def round_tokens(self, queue: _customer.CustomerQueue) -> float:
--- a/sedgepin/_admission/_quarantine.py
+++ b/sedgepin/_admission/_quarantine.py
@@ -53,10 +53,7 @@
     def wake_at(self) -> datetime.datetime | None:
         """Return when to call ``tick`` next."""
         instants = map(self._case_wakes_at, self._cases.values())
-        return min(
-            (instant for instant in instants if instant is not None),
-            default=None,
-        )
+        return min(filter(None, instants), default=None)
 
     def verdict(
         self, fingerprint: _rumour.Fingerprint, now: datetime.datetime
@@ -103,6 +100,7 @@
     ) -> list[_suspicion.QuarantineEffect]:
         """Take the death of an endpoint."""
         death = _rumour.DeathId(event.endpoint_id, event.incarnation)
+        self._ledger.forget_deaths(now)
         self._ledger.record(death, now)
         for aboard in event.aboard:
             self._note_death(aboard, death, now)
@@ -396,11 +394,11 @@
             return self._judged_at(case)
         trial = case.rumour.trial
         if trial is None:
-            return None
+            return case.rumour.until
+        is_isolator = trial.isolator == self._vm_id
         if case.on_trial is not None:
-            return self._renews_at(trial)
+            # A trial whose claim was lost runs on, but is not renewed.
+            return self._renews_at(trial) if is_isolator else None
         if not case.waiting:
-            return None
-        if trial.isolator == self._vm_id:
-            return case.starts_at
-        return trial.until
+            return case.rumour.until
+        return case.starts_at if is_isolator else trial.until
--- a/sedgepin/_admission/_suspicion.py
+++ b/sedgepin/_admission/_suspicion.py
@@ -11,6 +11,11 @@
 from sedgepin import errors
 
 
+# A request on trial has survived when it has delivered this many tokens past
+# the point of its death, or has ended.
+TRIAL_MARGIN_TOKENS = 8
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RequestQuarantined(errors.Failure):
     """A request that two endpoints died running.
--- a/sedgepin/_admission/tests/test_admission.py
+++ b/sedgepin/_admission/tests/test_admission.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 
 from sedgepin import _admission as admission
+from sedgepin._admission import _fair_share
 from sedgepin import _model as model
 
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
@@ -297,6 +298,18 @@
                 names.discard(model.RequestId(running))
         assert served[True] <= 1.25 * served[False]
 
+    def test_idle_customers_are_forgotten(self) -> None:
+        share = _fair_share.FairShare(SETTINGS)
+        kept = share.queue_of(CUSTOMERS[0], START)
+        share.push(kept, make_ticket(0), 1.0, START)
+        share.queue_of(CUSTOMERS[1], START)
+        share.forget_idle(START + SECOND)
+        assert list(share.customers) == [CUSTOMERS[0]]
+        assert share.take(START) == make_ticket(0)
+        assert share.take(START) is None
+        share.forget_idle(START + SECOND)
+        assert not share.customers
+
     def test_priorities_inside_a_customer(self) -> None:
         door = make_admission()
         for number, priority in enumerate((0, 0, 0, 1, 2)):
--- a/sedgepin/_admission/tests/test_quarantine.py
+++ b/sedgepin/_admission/tests/test_quarantine.py
@@ -105,6 +105,8 @@
                 wake_at = quarantine.wake_at
                 if wake_at is not None and wake_at <= self.now:
                     self._perform(vm, quarantine.tick(self.now))
+                    wake_at = quarantine.wake_at
+                    assert wake_at is None or wake_at > self.now
             self._work()
 
     def _work(self) -> None:
@@ -244,6 +246,22 @@
         fleet.advance(400)
         assert {fleet.outcomes[one] for one in sent} == {"answered"}
 
+    def test_claim_lost_after_the_trial_began(self) -> None:
+        fleet = Fleet(vms=2)
+        for vm in (0, 1):
+            fleet.send(vm, "good", fleet.endpoints[0])
+        fleet.kill(fleet.endpoints[0])
+        claim_of_v0 = fleet.post[0][1]
+        fleet.post = []
+        fleet.advance(3)
+        loser = fleet.vms[1]
+        loser.merge(claim_of_v0, fleet.now)
+        # It runs on, needs no waking, and clears the request for both.
+        loser.tick(fleet.now + 60 * SECOND)
+        assert loser.wake_at is None
+        fleet.advance(60)
+        assert set(fleet.outcomes.values()) == {"answered"}
+
     def test_two_at_the_same_time_do_not_excuse_each_other(self) -> None:
         fleet = Fleet(crashers={"bad1", "bad2"})
         fleet.send(0, "bad1", fleet.endpoints[0])
@@ -289,7 +307,9 @@
         wait = refusal.unwrap_err().retry_after
         assert wait is not None
         after = fleet.now + wait
+        assert fleet.vms[1].wake_at == after
         fleet.vms[1].tick(after)
+        assert fleet.vms[1].wake_at is None
         verdict = fleet.vms[1].verdict(fingerprint("bad"), after)
         assert verdict.unwrap() == admission.RunFreely()
 
