Keep the patience with an endpoint that cannot tell from growing

Cause: each unanswered question doubled the time allowed, and tokens did not set it back, so after 20 slow tokens a dead connection was found 10 s after the last one. Ruled out: a fixed allowance, which cuts long prefills. Now a token sets the allowance back to the probe interval.

--- a/sedgepin/_answers/_silence.py
+++ b/sedgepin/_answers/_silence.py
@@ -155,6 +155,7 @@
         "_probing",
         "_failures",
         "_untold",
+        "_first_allowance",
         "_allowance",
         "_overdue_produced",
     )
@@ -180,7 +181,10 @@
         self._probing = False
         self._failures = 0
         self._untold = 0
-        self._allowance = max(expected_prefill, self._settings.probe_interval)
+        self._first_allowance = max(
+            expected_prefill, self._settings.probe_interval
+        )
+        self._allowance = self._first_allowance
         self._overdue_produced: int | None = None
         self._due_at = self._watch.silent_at
         self._stalled_at: datetime.datetime | None = None
@@ -202,6 +206,7 @@
             case ProgressSeen(next_position):
                 self._next_position = next_position
                 self._stalled_at = now + self._settings.stall_limit
+                self._first_allowance = self._settings.probe_interval
                 self._watch.progress(now)
                 self._settle()
             case HeartbeatSeen():
@@ -219,6 +224,7 @@
         self._probing = False
         self._failures = 0
         self._untold = 0
+        self._allowance = self._first_allowance
         self._overdue_produced = None
         self._due_at = self._watch.silent_at
 
--- a/sedgepin/_answers/tests/test_silence.py
+++ b/sedgepin/_answers/tests/test_silence.py
@@ -142,6 +142,16 @@
         assert stream.verdict(1.2) is None
         assert stream.probes == 1
 
+    def test_patience_does_not_grow_over_a_stream(self) -> None:
+        # Slow tokens, each of them waited for, and then no more.
+        stream = Stream(
+            says(answers.StreamState.NOT_TOLD), tokens(20, 1.2), 5 * SECOND
+        )
+        verdict = stream.verdict(60)
+        assert verdict is not None
+        assert 24 < verdict[0] < 24 + 5
+        assert isinstance(verdict[1], answers.DeclareConnectionDead)
+
     def test_nothing_after_the_verdict(self) -> None:
         stream = Stream(failed)
         assert stream.verdict(60) is not None
