Part resumption and trials from losses; read documents in one place

The checks of settings and of release notes stood twice; they are one now. What programs send (announcements) may carry fields of a later version, so only what people write is refused for them.

--- a/sedgepin/_entry/_callers.py
+++ b/sedgepin/_entry/_callers.py
@@ -133,7 +133,7 @@
         if isinstance(body, result.Err):
             await _send_unless_gone(request, body.err_value)
             return
-        decoded = documents.decode(
+        decoded = documents.decode_message(
             body.ok_value, model.Announcement, "announcement"
         )
         if isinstance(decoded, result.Err):
--- a/sedgepin/_entry/_losses.py
+++ b/sedgepin/_entry/_losses.py
@@ -2,8 +2,6 @@
 
 import datetime
 
-import result
-
 from sedgepin import _admission as admission
 from sedgepin import _answers as answers
 from sedgepin._entry import _effects
@@ -11,7 +9,9 @@
 from sedgepin._entry import _failures
 from sedgepin._entry import _generation
 from sedgepin._entry import _open_answer
+from sedgepin._entry import _resumption
 from sedgepin._entry import _surroundings
+from sedgepin._entry import _trials
 from sedgepin import _membership as membership
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
@@ -32,16 +32,19 @@
     process refuses at once, before anything is held against anyone.
     """
 
-    __slots__ = ("_around", "_generation", "_policy")
+    __slots__ = ("_around", "_generation", "_resumption", "_trials")
 
     def __init__(
         self,
         around: _surroundings.Surroundings,
         generation: _generation.Generation,
+        resumption: _resumption.Resumption,
+        trials: _trials.Trials,
     ) -> None:
         self._around = around
         self._generation = generation
-        self._policy = answers.ImportOrPrefill()
+        self._resumption = resumption
+        self._trials = trials
 
     def stream_ended(
         self, event: _events.StreamEnded, now: datetime.datetime
@@ -58,7 +61,7 @@
         if ended.is_ok() and answer.assembly.completion is not None:
             completion = answer.assembly.completion
             return self._generation.finish(answer, completion, now)
-        return self._resume(answer, frozenset(), False, now)
+        return self._resumption.resume(answer, frozenset(), False, now)
 
     def stream_failed(
         self, event: _events.StreamFailed, now: datetime.datetime
@@ -83,7 +86,7 @@
             return [*made, self._probe(answer)]
         made += self._mark_failed(event.at_fault, now)
         answer.avoid |= {event.at_fault}
-        return made + self._retry_unrun(answer, event, now)
+        return made + self._resumption.retry_unrun(answer, now)
 
     def probe_answered(
         self, event: _events.ProbeAnswered, now: datetime.datetime
@@ -112,61 +115,11 @@
                 made += self._carry_out(answer, effect, now)
         wake_at = self._around.quarantine.wake_at
         if wake_at is not None and now >= wake_at:
-            made += self.carry_out(self._around.quarantine.tick(now), now)
-        return made
-
-    def follow_up(self, now: datetime.datetime) -> Effects:
-        """Tell the quarantine what the last event meant for suspects."""
-        made: Effects = []
-        while self._generation.follow_ups:
-            told = self._tell_quarantine(
-                self._generation.follow_ups.pop(0), now
+            made += self._trials.carry_out(
+                self._around.quarantine.tick(now), now
             )
-            made += self.carry_out(told, now)
         return made
 
-    def merge_rumour(
-        self, rumour: admission.Rumour, now: datetime.datetime
-    ) -> Effects:
-        """Take in what another VM tells of a suspect."""
-        return self.carry_out(self._around.quarantine.merge(rumour, now), now)
-
-    def carry_out(
-        self,
-        effects: list[admission.QuarantineEffect],
-        now: datetime.datetime,
-    ) -> Effects:
-        """Carry out what the quarantine decided."""
-        made: Effects = []
-        for effect in effects:
-            match effect:
-                case admission.ShareRumour(rumour):
-                    made += self._share(rumour)
-                case admission.ResumeFreely(request_id):
-                    made += self._resume_freely(request_id, now)
-                case admission.StartTrial(request_id):
-                    made += self._start_trial(request_id, now)
-                case admission.AnswerQuarantined(request_id, failure):
-                    made += self._condemn(request_id, failure, now)
-                case admission.RecallCopies(fingerprint):
-                    made += self._recall(fingerprint, now)
-        return made
-
-    def _tell_quarantine(
-        self, follow_up: _generation.FollowUp, now: datetime.datetime
-    ) -> list[admission.QuarantineEffect]:
-        quarantine = self._around.quarantine
-        match follow_up:
-            case _generation.TrialDue(answer):
-                return quarantine.enter_trial(
-                    answer.request.request_id, answer.fingerprint, now
-                )
-            case _generation.TrialOutrun(answer):
-                answer.on_trial = False
-                return quarantine.trial_survived(answer.fingerprint, now)
-            case _generation.RequestOver(request_id):
-                return quarantine.leave(request_id, now)
-
     def _current(
         self, request_id: model.RequestId, attempt: int
     ) -> _open_answer.OpenAnswer | None:
@@ -203,7 +156,9 @@
         ]
         if dead:
             return self._bury(dead, now)
-        return self._resume(answer, frozenset((lost.at_fault,)), True, now)
+        return self._resumption.resume(
+            answer, frozenset((lost.at_fault,)), True, now
+        )
 
     def _has_died(self, report: _events.StageReport) -> bool:
         if report.state is None:
@@ -224,7 +179,7 @@
             return []
         before, answer.stuck = answer.stuck, _stuck(event.reports)
         if answer.stuck and answer.stuck == before:
-            return self._resume(answer, answer.stuck, True, now)
+            return self._resumption.resume(answer, answer.stuck, True, now)
         made: Effects = []
         heard = _combined(event, answer.silence_probe)
         for effect in watch.handle(heard, now):
@@ -256,10 +211,10 @@
                 # warm, unless that has been tried.
                 if answer.has_tried_afresh:
                     answer.doubt_pipeline()
-                return self._resume(answer, frozenset(), True, now)
+                return self._resumption.resume(answer, frozenset(), True, now)
             case answers.DeclareStreamStalled():
                 answer.doubt_pipeline()
-                return self._resume(answer, frozenset(), True, now)
+                return self._resumption.resume(answer, frozenset(), True, now)
 
     def _bury(
         self, dead: list[model.EndpointId], now: datetime.datetime
@@ -283,23 +238,12 @@
             if not answer.runs_on(endpoint_id):
                 continue
             aboard.append(_aboard(answer))
-            made += self._cancel(answer, now)
+            made += self._resumption.cancel(answer, now)
             answer.avoid |= {endpoint_id}
             answer.prefer = _survivors(answer, endpoint_id)
         died = admission.EndpointDied(endpoint_id, incarnation, tuple(aboard))
         decided = self._around.quarantine.endpoint_died(died, now)
-        return made + self.carry_out(decided, now)
-
-    def _cancel(
-        self, answer: _open_answer.OpenAnswer, now: datetime.datetime
-    ) -> Effects:
-        """Stop the attempt under way; what still comes of it is dropped."""
-        attempt = answer.assembly.attempt
-        answer.assembly.leave_attempt(attempt, now)
-        answer.silence = None
-        answer.lost = None
-        request_id = answer.request.request_id
-        return [_effects.CancelStream(request_id, attempt)]
+        return made + self._trials.carry_out(decided, now)
 
     def _mark_failed(
         self, endpoint_id: model.EndpointId, now: datetime.datetime
@@ -319,153 +263,6 @@
                 )
         return made
 
-    def _resume(
-        self,
-        answer: _open_answer.OpenAnswer,
-        avoid: frozenset[model.EndpointId],
-        after_death: bool,
-        now: datetime.datetime,
-    ) -> Effects:
-        """Go on where the delivered tokens end."""
-        made = self._cancel(answer, now)
-        completion = answer.assembly.end_at_limit()
-        if completion is not None:
-            return made + self._generation.finish(answer, completion, now)
-        answer.avoid |= avoid
-        pipeline = answer.assembly.pipeline
-        assert pipeline is not None
-        loss = answers.StageLoss(
-            pipeline,
-            answer.assembly.attempt,
-            answer.avoid,
-            answer.prompt_tokens,
-        )
-        planned = self._policy.plan(loss, answer.assembly.resume_point)
-        if isinstance(planned, result.Err):
-            return made + self._generation.give_up(
-                answer, planned.err_value, now
-            )
-        plan = planned.ok_value
-        answer.prefer = frozenset(stage.endpoint_id for stage in plan.prefer)
-        return made + self._dispatch_again(answer, after_death, True, now)
-
-    def _retry_unrun(
-        self,
-        answer: _open_answer.OpenAnswer,
-        event: _events.StreamFailed,
-        now: datetime.datetime,
-    ) -> Effects:
-        """Try another pipeline after one that nothing was run on."""
-        cancelled = self._cancel(answer, now)
-        return cancelled + self._dispatch_again(answer, False, False, now)
-
-    def _dispatch_again(
-        self,
-        answer: _open_answer.OpenAnswer,
-        after_death: bool,
-        may_have_run: bool,
-        now: datetime.datetime,
-    ) -> Effects:
-        chosen = self._generation.choose(answer, frozenset(), now)
-        if isinstance(chosen, result.Err):
-            return self._generation.give_up(answer, chosen.err_value, now)
-        pipeline = chosen.ok_value
-        wish = admission.RetryRequest(
-            service=answer.request.service,
-            idempotent=True,
-            may_have_run=may_have_run,
-            failed=answer.avoid,
-            target=pipeline.stages[0].endpoint_id,
-            resumes_after_death=after_death,
-        )
-        allowed = self._around.retries.may_retry(wish, now)
-        if isinstance(allowed, result.Err):
-            return self._generation.give_up(answer, allowed.err_value, now)
-        return self._generation.start(answer, pipeline, now)
-
-    def _resume_freely(
-        self, request_id: model.RequestId, now: datetime.datetime
-    ) -> Effects:
-        answer = self._generation.open.get(request_id)
-        if answer is None:
-            return []
-        answer.on_trial = False
-        if not answer.dispatched:
-            if not answer.is_admitted:
-                return []
-            return self._generation.dispatch(answer, now)
-        return self._resume(answer, frozenset(), True, now)
-
-    def _start_trial(
-        self, request_id: model.RequestId, now: datetime.datetime
-    ) -> Effects:
-        answer = self._generation.open.get(request_id)
-        if answer is None:
-            return []
-        quarantine = self._around.quarantine
-        answer.on_trial = True
-        completion = answer.assembly.end_at_limit()
-        if completion is not None:
-            return self._generation.finish(answer, completion, now)
-        busy = quarantine.endpoints_on_trial(now)
-        chosen = self._generation.choose(answer, busy, now)
-        if isinstance(chosen, result.Err):
-            if not busy:
-                failure = chosen.err_value
-                return self._generation.give_up(answer, failure, now)
-            postponed = quarantine.postpone_trial(
-                request_id, answer.fingerprint, now
-            )
-            return self.carry_out(postponed, now)
-        pipeline = chosen.ok_value
-        placed = quarantine.place_trial(
-            answer.fingerprint, _new_endpoints(answer, pipeline), now
-        )
-        made = self.carry_out(placed, now)
-        return made + self._generation.start(answer, pipeline, now)
-
-    def _recall(
-        self, fingerprint: admission.Fingerprint, now: datetime.datetime
-    ) -> Effects:
-        """Stop the copies of a suspect that are not on trial."""
-        made: Effects = []
-        for answer in list(self._generation.open.values()):
-            if answer.fingerprint != fingerprint or answer.on_trial:
-                continue
-            if answer.silence is None:
-                continue
-            made += self._cancel(answer, now)
-            answer.on_trial = True
-            held = self._around.quarantine.enter_trial(
-                answer.request.request_id, fingerprint, now
-            )
-            made += self.carry_out(held, now)
-        return made
-
-    def _condemn(
-        self,
-        request_id: model.RequestId,
-        failure: admission.RequestQuarantined,
-        now: datetime.datetime,
-    ) -> Effects:
-        answer = self._generation.open.get(request_id)
-        if answer is None:
-            return []
-        line = events.REQUEST_QUARANTINED.line(
-            fingerprint=answer.fingerprint.body_digest,
-            customer=answer.fingerprint.customer,
-        )
-        made: Effects = [_effects.WriteLog(line)]
-        return made + self._generation.give_up(answer, failure, now)
-
-    def _share(self, rumour: admission.Rumour) -> Effects:
-        message = protocol.SuspectRumour(rumour)
-        return [
-            _effects.SendMessage(model.VmId(peer.id), message)
-            for peer in self._around.cfg.entries
-            if peer.id != self._around.cfg.id
-        ]
-
     def _time_out(
         self, answer: _open_answer.OpenAnswer, now: datetime.datetime
     ) -> Effects:
@@ -544,18 +341,3 @@
         for stage in pipeline.stages
         if stage.endpoint_id != dead
     )
-
-
-def _new_endpoints(
-    answer: _open_answer.OpenAnswer, pipeline: model.Pipeline
-) -> frozenset[model.EndpointId]:
-    """Return the endpoints of ``pipeline`` that the request is new to."""
-    before = answer.assembly.pipeline
-    known = frozenset(
-        stage.endpoint_id for stage in (before.stages if before else ())
-    )
-    return frozenset(
-        stage.endpoint_id
-        for stage in pipeline.stages
-        if stage.endpoint_id not in known
-    )
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -14,8 +14,10 @@
 from sedgepin._entry import _generation
 from sedgepin._entry import _losses
 from sedgepin._entry import _membership_glue
+from sedgepin._entry import _resumption
 from sedgepin._entry import _service_calls
 from sedgepin._entry import _surroundings
+from sedgepin._entry import _trials
 from sedgepin import _membership as membership
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
@@ -61,6 +63,7 @@
         "_generation",
         "_glue",
         "_losses",
+        "_trials",
     )
 
     def __init__(
@@ -105,7 +108,13 @@
         self._asks = _control_asks.ControlAsks(controls)
         self._doors = _doors.Doors(self._around, now)
         self._generation = _generation.Generation(self._around, self._doors)
-        self._losses = _losses.Losses(self._around, self._generation)
+        resumption = _resumption.Resumption(self._around, self._generation)
+        self._trials = _trials.Trials(
+            self._around, self._generation, resumption
+        )
+        self._losses = _losses.Losses(
+            self._around, self._generation, resumption, self._trials
+        )
         self._calls = _service_calls.ServiceCalls(
             self._around, self._doors, self._asks, incarnation
         )
@@ -143,7 +152,7 @@
         """Take in one event and return what is to be done, in order."""
         made = self._handle(event, now)
         if self._generation.follow_ups:
-            made += self._losses.follow_up(now)
+            made += self._trials.follow_up(now)
         return made
 
     def _handle(
@@ -245,7 +254,7 @@
             case protocol.FleetWanted():
                 return self._around.follower.wanted(sender, message)
             case protocol.SuspectRumour(rumour):
-                return self._losses.merge_rumour(rumour, now)
+                return self._trials.merge_rumour(rumour, now)
             case protocol.DeclaredLost(incarnation):
                 self._declared_lost(incarnation)
         return []
--- a/sedgepin/_release/_checking.py
+++ b/sedgepin/checking.py
@@ -55,7 +55,8 @@
     try:
         msgspec.convert(value, kind)
     except msgspec.ValidationError as exc:
-        return [errors.FieldFault(path, str(exc))]
+        problem = str(exc).replace(" - at `$`", "")
+        return [errors.FieldFault(path, problem)]
     return []
 
 
@@ -91,7 +92,7 @@
     value: object, members: list[typing.Any], path: str
 ) -> list[errors.FieldFault]:
     if not isinstance(value, dict):
-        return [errors.FieldFault(path, "is not an object")]
+        return [errors.FieldFault(path or "$", "is not an object")]
     tag_field = members[0].__struct_config__.tag_field
     by_tag = {each.__struct_config__.tag: each for each in members}
     tag = value.get(tag_field)
@@ -106,7 +107,7 @@
     value: object, kind: type[msgspec.Struct], path: str
 ) -> list[errors.FieldFault]:
     if not isinstance(value, dict):
-        return [errors.FieldFault(path, "is not an object")]
+        return [errors.FieldFault(path or "$", "is not an object")]
     prefix = f"{path}." if path else ""
     faults = []
     known = {kind.__struct_config__.tag_field}
