--- a/sedgepin/_routing/_load.py
+++ b/sedgepin/_routing/_load.py
@@ -100,6 +100,8 @@
             return
         restarted = announcement.incarnation != self._order[0]
         self._order = order
+        if restarted:
+            self.speed = 1.0
         load = announcement.load
         age = datetime.timedelta(
             milliseconds=load.measured_before_milliseconds
--- a/sedgepin/_routing/tests/test_load.py
+++ b/sedgepin/_routing/tests/test_load.py
@@ -2,6 +2,8 @@
 
 import datetime
 
+import msgspec
+
 from sedgepin import _model as model
 from sedgepin import _routing
 from sedgepin._routing.tests import test_router
@@ -46,6 +48,17 @@
         load.report(report(6, running=60, age_seconds=1.0), at(2.2))
         assert load.requests == 5
 
+    def test_new_life_starts_at_the_announced_speed(self) -> None:
+        load = _routing.EndpointLoad(8)
+        load.report(report(1, running=5), at(1.0))
+        load.speed = 0.5
+        again = report(2, running=5)
+        load.report(again, at(2.0))
+        assert load.speed == 0.5
+        restarted = msgspec.structs.replace(again, incarnation=2, sequence=0)
+        load.report(restarted, at(3.0))
+        assert load.speed == 1.0
+
     def test_own_dispatches_are_a_floor(self) -> None:
         load = _routing.EndpointLoad(8)
         for _ in range(3):
