--- a/sedgepin/_routing/_load.py
+++ b/sedgepin/_routing/_load.py
@@ -55,7 +55,6 @@
         "_reported_requests",
         "_reported_tokens",
         "_speed_learned_at",
-        "held_layers",
         "layers",
         "layers_per_request",
         "measured_at",
@@ -69,7 +68,6 @@
     )
 
     def __init__(self, held_layers: int) -> None:
-        self.held_layers = held_layers
         self.layers_per_request = float(held_layers)
         self.measured_at: datetime.datetime | None = None
         self.requests = 0
