--- a/sedgepin/_control/_daemon.py
+++ b/sedgepin/_control/_daemon.py
@@ -63,7 +63,7 @@
         )
         self._metrics = shell.open_sink(cfg.statsd)
         self._order_client = _order_client.OrderClient(
-            cfg.order_credential,
+            _order_credential(cfg),
             lambda: self._reducer.raft.lease_holds(own_clock.now()),
         )
         self._server = _operators.OperatorServer(
@@ -140,6 +140,13 @@
         self._driver.submit(_events.OrderAnswered(order, verdict))
 
 
+def _order_credential(cfg: settings.ControlSettings) -> str:
+    """Return the secret that orders carry, or nothing."""
+    if cfg.order_credential_file is None:
+        return ""
+    return pathlib.Path(cfg.order_credential_file).read_text().strip()
+
+
 def run(cfg: settings.ControlSettings) -> None:
     """Run the daemon until it is told to leave.
 
--- a/sedgepin/_control/_reducer.py
+++ b/sedgepin/_control/_reducer.py
@@ -4,9 +4,13 @@
 import datetime
 import random
 
+import msgspec
+import result
+
 from sedgepin import _consensus as consensus
 from sedgepin._control import _effects
 from sedgepin._control import _events
+from sedgepin._control import _failures
 from sedgepin._control import _proposals
 from sedgepin._control import _roster
 from sedgepin import _membership as membership
@@ -15,6 +19,8 @@
 from sedgepin import _release as release
 from sedgepin import _state as state
 from sedgepin import _storage as storage
+from sedgepin import _writes as writes
+from sedgepin import errors
 from sedgepin import events
 from sedgepin import settings
 
@@ -162,8 +168,15 @@
                 sender, message.ask_id, failure
             )
             return [refusal]
+        command = decoded.unwrap()
+        if not _may_ask(sender, command):
+            not_allowed = _failures.CommandNotAllowed(type(command).__name__)
+            refusal = _proposals.refusal_to_peer(
+                sender, message.ask_id, not_allowed
+            )
+            return [refusal]
         waiter = _proposals.PeerWaits(sender, message.ask_id)
-        self._propose(decoded.unwrap(), waiter, now)
+        self._propose(command, waiter, now)
         return []
 
     def _propose(
@@ -243,8 +256,11 @@
         self, effect: consensus.ApplyEntry, now: datetime.datetime
     ) -> Effects:
         decoded = state.decode_command(effect.command)
-        # Only commands that were decoded before are ever proposed.
-        command = decoded.unwrap()
+        if isinstance(decoded, result.Err):
+            # A command of a later version: passing over it would let this
+            # replica's state part from the others'.
+            raise errors.FailureRaised(decoded.err_value)
+        command = decoded.ok_value
         before = self.state.fleet.note_number
         reply = self.state.apply(effect.index, command)
         made = self._proposals.leave(effect.proposal_id, reply)
@@ -254,6 +270,7 @@
                 number=fleet.note_number, author=fleet.author
             )
             made.append(_effects.WriteLog(line))
+            made.append(_effects.CountMetric("notes_accepted"))
             made += self._publish_fleet(now)
         return made
 
@@ -296,7 +313,9 @@
         if not effect.is_self:
             self._roster.leave_leadership(now)
             return made + self._plan(release.LeadershipLost(), now)
+        made.append(_effects.CountMetric("elections_won"))
         self._roster.visit_leadership(self.state.vms(), now)
+        self._configure_writes(now)
         self._record(
             state.AuditKind.LEADER_ELECTED,
             self._cfg.id,
@@ -306,6 +325,20 @@
         made += self._plan(release.FleetChanged(self.state.fleet), now)
         return made + self._plan(release.LeadershipGained(effect.term), now)
 
+    def _configure_writes(self, now: datetime.datetime) -> None:
+        """Put this VM's retention of write records in force."""
+        policy = self.state.write_policy
+        hours = self._cfg.write_retention_hours
+        retention = datetime.timedelta(hours=hours)
+        if policy.retention == retention:
+            return
+        command = state.ConfigureWrites(
+            at=now,
+            actor=self._cfg.id,
+            policy=msgspec.structs.replace(policy, retention=retention),
+        )
+        self._propose(command, _proposals.NobodyWaits(), now)
+
     def _watch(
         self,
         effects: collections.abc.Iterable[membership.LivenessEffect],
@@ -364,7 +397,11 @@
             epoch=order.epoch,
             sequence=order.sequence,
         )
-        return [_effects.WriteLog(line), _effects.GiveOrder(order)]
+        return [
+            _effects.WriteLog(line),
+            _effects.CountMetric("orders_given"),
+            _effects.GiveOrder(order),
+        ]
 
     def _visit_drain(self, now: datetime.datetime) -> Effects:
         self._drains = True
@@ -373,6 +410,16 @@
         return [line, *handed]
 
 
+def _may_ask(sender: model.VmId, command: state.Command) -> bool:
+    """Tell whether an entry VM may have a command put into the log.
+
+    Only those about writes that it holds itself.
+    """
+    if not isinstance(command, writes.WriteCommand):
+        return False
+    return command.holder.vm_id == sender
+
+
 def _members(configuration: storage.Configuration) -> str:
     voters = ", ".join(one.vm_id for one in configuration.voters)
     learners = ", ".join(one.vm_id for one in configuration.learners)
--- /dev/null
+++ b/sedgepin/_control/tests/test_reducer.py
@@ -0,0 +1,73 @@
+"""Tests of the control reducer beside the scenarios."""
+
+import msgspec
+
+from sedgepin import _control as control
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin import _release as release
+from sedgepin import _state as state
+from sedgepin import _writes as writes
+from sedgepin.tests import processes
+from sedgepin.tests import world
+
+
+def _refusals(system: world.World, command: state.Command) -> list[str]:
+    """Return the codes with which the leader refuses a peer's command."""
+    leader = system.leader()
+    assert leader is not None
+    asked = protocol.CommandAsked(1, state.encode_command(command))
+    arrived = protocol.PeerMessageArrived(model.VmId("entry-1"), asked)
+    effects = system.vms[leader].reducer.handle(arrived, system.now)
+    return [
+        effect.message.refusal.code
+        for effect in effects
+        if isinstance(effect, control.SendMessage)
+        and isinstance(effect.message, protocol.CommandAnswered)
+        and effect.message.refusal is not None
+    ]
+
+
+class TestCommandsOfPeers:
+    """An entry VM may ask only for commands about its own writes."""
+
+    def test_a_note_is_refused(self) -> None:
+        system = world.World()
+        system.settle()
+        note = {**processes.first_note(), "number": 2, "note_id": "x"}
+        parsed = release.parse_note(msgspec.json.encode(note)).unwrap()
+        command = state.PublishNote(at=system.now, actor="amel", note=parsed)
+        assert _refusals(system, command) == ["command_not_allowed"]
+
+    def test_only_its_own_writes_are_taken(self) -> None:
+        system = world.World()
+        system.settle()
+        refusals = []
+        for holder_vm in ("entry-1", "entry-2"):
+            holder = writes.WriteHolder(
+                model.VmId(holder_vm),
+                model.Incarnation(1000),
+                model.RequestId("r"),
+            )
+            command = writes.BeginWrite(
+                at=system.now,
+                actor="x",
+                customer=model.CustomerId("c"),
+                key="1767225600-k",
+                holder=holder,
+                digest=b"d",
+            )
+            refusals.append(_refusals(system, command))
+        assert refusals == [[], ["command_not_allowed"]]
+
+
+class TestRetention:
+    """The leader puts its settings for write records in force."""
+
+    def test_retention_of_the_settings_is_in_force(self) -> None:
+        system = world.World()
+        system.settle()
+        leader = system.leader()
+        assert leader is not None
+        policy = system.vms[leader].reducer.state.write_policy
+        assert policy.retention == world.seconds(24 * 3600)
--- a/sedgepin/_protocol/_framing.py
+++ b/sedgepin/_protocol/_framing.py
@@ -25,6 +25,12 @@
 _decoder: msgspec.msgpack.Decoder[tuple[_messages.PeerMessage, ...]] = (
     msgspec.msgpack.Decoder(tuple[_messages.PeerMessage, ...])
 )
+_raw_decoder: msgspec.msgpack.Decoder[tuple[msgspec.Raw, ...]] = (
+    msgspec.msgpack.Decoder(tuple[msgspec.Raw, ...])
+)
+_one_decoder: msgspec.msgpack.Decoder[_messages.PeerMessage] = (
+    msgspec.msgpack.Decoder(_messages.PeerMessage)
+)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -65,7 +71,31 @@
     """Return the messages of a frame, given all that follows its length."""
     if not body or body[0] != VERSION:
         return result.Err(FrameRefused("its version is not known"))
+    content = memoryview(body)[1:]
+    try:
+        return result.Ok(_decoder.decode(content))
+    except msgspec.ValidationError:
+        return _decode_known(content)
+    except (msgspec.DecodeError, RecursionError) as exc:
+        return result.Err(FrameRefused(str(exc)))
+
+
+def _decode_known(
+    content: memoryview,
+) -> result.Result[tuple[_messages.PeerMessage, ...], FrameRefused]:
+    """Return the messages that this version knows, passing over others.
+
+    A peer of a later version may send kinds that are not known here; they
+    count as lost, like any message.
+    """
+    known: list[_messages.PeerMessage] = []
     try:
-        return result.Ok(_decoder.decode(memoryview(body)[1:]))
+        raws = _raw_decoder.decode(content)
     except (msgspec.DecodeError, RecursionError) as exc:
         return result.Err(FrameRefused(str(exc)))
+    for raw in raws:
+        try:
+            known.append(_one_decoder.decode(raw))
+        except (msgspec.DecodeError, RecursionError):
+            continue
+    return result.Ok(tuple(known))
--- a/sedgepin/_protocol/tests/test_framing.py
+++ b/sedgepin/_protocol/tests/test_framing.py
@@ -2,6 +2,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import msgspec
 
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
@@ -24,6 +25,13 @@
         read = protocol.decode_messages(frame[4:]).unwrap()
         assert list(read) == sent
 
+    def test_a_kind_of_a_later_version_is_passed_over(self) -> None:
+        known = protocol.FleetWanted(3)
+        later = {"type": "LaterKind", "field": 1}
+        body = b"\x01" + msgspec.msgpack.encode([known, later, known])
+        read = protocol.decode_messages(body).unwrap()
+        assert list(read) == [known, known]
+
     @hypothesis.given(strategies.binary(max_size=300))
     def test_any_bytes_are_read_or_refused(self, raw: bytes) -> None:
         for body in (raw, b"\x01" + raw):
--- a/sedgepin/settings.py
+++ b/sedgepin/settings.py
@@ -156,9 +156,9 @@
     operators: typing.Annotated[
         tuple[Operator, ...], msgspec.Meta(min_length=1)
     ]
-    order_credential: str = ""
+    order_credential_file: str | None = None
     loads_per_second: _PositiveFloat = 2.0
-    write_retention_days: _PositiveInt = 400
+    write_retention_hours: _PositiveInt = 24
 
 
 Settings: typing.TypeAlias = EntrySettings | ControlSettings
