--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -13,6 +13,7 @@
     "limits",
     "cost",
     "transport",
+    "system",
 )
 
 
--- a/sedgepin/_entry/_generation.py
+++ b/sedgepin/_entry/_generation.py
@@ -3,7 +3,6 @@
 import collections.abc
 import dataclasses
 import datetime
-import typing
 
 import result
 
@@ -13,7 +12,9 @@
 from sedgepin._entry import _effects
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
+from sedgepin._entry import _follow_ups
 from sedgepin._entry import _open_answer
+from sedgepin._entry import _refusals
 from sedgepin._entry import _surroundings
 from sedgepin import _model as model
 from sedgepin import _release as release
@@ -29,30 +30,6 @@
 _MIXES_TRIED = 8
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class TrialDue:
-    """A suspect was let in and has to run alone."""
-
-    answer: _open_answer.OpenAnswer
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class TrialOutrun:
-    """A suspect ran past the point of its last death."""
-
-    answer: _open_answer.OpenAnswer
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class RequestOver:
-    """A request is closed."""
-
-    request_id: model.RequestId
-
-
-FollowUp: typing.TypeAlias = TrialDue | TrialOutrun | RequestOver
-
-
 class Generation:
     """All answers under way on this VM.
 
@@ -70,7 +47,7 @@
         self._doors = doors
         self._token_seconds: dict[model.ModelName, float] = {}
         self.open: dict[model.RequestId, _open_answer.OpenAnswer] = {}
-        self.follow_ups: list[FollowUp] = []
+        self.follow_ups: list[_follow_ups.FollowUp] = []
 
     def request(
         self, request: _events.GenerateRequest, now: datetime.datetime
@@ -78,13 +55,13 @@
         """Take in a caller's request."""
         opened = self._open(request, now)
         if isinstance(opened, result.Err):
-            return refuse_and_log(
+            return _refusals.refuse_and_log(
                 request.request_id, request.customer, opened.err_value
             )
         answer = opened.ok_value
         verdict = self._around.quarantine.verdict(answer.fingerprint, now)
         if isinstance(verdict, result.Err):
-            return refuse_and_log(
+            return _refusals.refuse_and_log(
                 request.request_id, request.customer, verdict.err_value
             )
         self.open[request.request_id] = answer
@@ -105,7 +82,7 @@
                 continue
             if isinstance(decision, admission.Refuse):
                 del self.open[decision.request_id]
-                made += refuse_and_log(
+                made += _refusals.refuse_and_log(
                     decision.request_id,
                     answer.request.customer,
                     decision.failure,
@@ -113,7 +90,7 @@
                 continue
             answer.is_admitted = True
             if answer.on_trial:
-                self.follow_ups.append(TrialDue(answer))
+                self.follow_ups.append(_follow_ups.TrialDue(answer))
             else:
                 made += self.dispatch(answer, now)
         return made
@@ -288,7 +265,9 @@
         if answer.dispatched and is_not_run:
             told = _failures.AnswerInterrupted(failure.detail())
         request = answer.request
-        refused = refuse_and_log(request.request_id, request.customer, told)
+        refused = _refusals.refuse_and_log(
+            request.request_id, request.customer, told
+        )
         return refused + self.close(answer, False, now)
 
     def close(
@@ -301,8 +280,8 @@
         request_id = answer.request.request_id
         del self.open[request_id]
         if succeeded and answer.on_trial:
-            self.follow_ups.append(TrialOutrun(answer))
-        self.follow_ups.append(RequestOver(request_id))
+            self.follow_ups.append(_follow_ups.TrialOutrun(answer))
+        self.follow_ups.append(_follow_ups.RequestOver(request_id))
         made: Effects = []
         if answer.dispatched and not succeeded:
             attempt = answer.assembly.attempt
@@ -329,7 +308,9 @@
         served = fleet.model_named(service.model or "")
         if service.kind is not release.ServiceKind.MODEL or served is None:
             return result.Err(_failures.WrongKindOfService())
-        allowed = allowed_time(self._around, service, request.time_allowed)
+        allowed = _refusals.allowed_time(
+            self._around, service, request.time_allowed
+        )
         return result.Ok(
             _open_answer.OpenAnswer(request, service, served, now + allowed)
         )
@@ -367,7 +348,7 @@
         if completion is not None:
             return made + self.finish(answer, completion, now)
         if answer.may_be_cleared:
-            self.follow_ups.append(TrialOutrun(answer))
+            self.follow_ups.append(_follow_ups.TrialOutrun(answer))
         return made
 
     def _learn_speed(
@@ -384,36 +365,6 @@
         )
 
 
-def refuse_and_log(
-    request_id: model.RequestId,
-    customer: model.CustomerId,
-    failure: errors.Failure,
-) -> Effects:
-    """Return the effects that give a caller its final failure."""
-    line = events.REQUEST_REFUSED.line(
-        request=request_id,
-        customer=customer,
-        code=failure.code,
-        outcome=failure.outcome.value,
-    )
-    return [
-        _effects.RefuseCaller(request_id, failure),
-        _effects.WriteLog(line),
-        _effects.CountMetric("requests_refused"),
-    ]
-
-
-def allowed_time(
-    around: _surroundings.Surroundings,
-    service: release.Service,
-    asked: datetime.timedelta | None,
-) -> datetime.timedelta:
-    """Return how long a request may take."""
-    limit = datetime.timedelta(seconds=around.cfg.limits.request_seconds)
-    usual = datetime.timedelta(milliseconds=service.deadline_milliseconds)
-    return min(limit, usual if asked is None else asked)
-
-
 def _versions(
     served: release.Model,
     eligible: collections.abc.Iterable[model.Announcement],
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -230,7 +230,7 @@
         self._connected.discard(peer_id)
         made = self._glue.gossip_event(membership.PeerDown(peer_id), now)
         for progress in self._asks.disconnected(peer_id):
-            made += self._calls.control_progress(progress, now)
+            made += self._calls.write_calls.control_progress(progress, now)
         line = events.PEER_DISCONNECTED.line(peer=peer_id)
         return [_effects.WriteLog(line), *made]
 
@@ -248,7 +248,7 @@
                 progress = self._asks.answered(message)
                 if progress is None:
                     return []
-                return self._calls.control_progress(progress, now)
+                return self._calls.write_calls.control_progress(progress, now)
             case protocol.FleetPublished():
                 return self._around.follower.published(message, now)
             case protocol.FleetWanted():
@@ -265,7 +265,7 @@
             return
         following = model.Incarnation(incarnation + 1)
         self._glue.incarnation = following
-        self._calls.change_incarnation(following)
+        self._calls.write_calls.change_incarnation(following)
 
     def _tick(self, now: datetime.datetime) -> Effects:
         connected = frozenset(self._connected)
--- /dev/null
+++ b/sedgepin/_entry/_refusals.py
@@ -0,0 +1,40 @@
+"""Final failures, and how long a request may take before one."""
+
+import datetime
+
+from sedgepin._entry import _effects
+from sedgepin._entry import _surroundings
+from sedgepin import _model as model
+from sedgepin import _release as release
+from sedgepin import errors
+from sedgepin import events
+
+
+def refuse_and_log(
+    request_id: model.RequestId,
+    customer: model.CustomerId,
+    failure: errors.Failure,
+) -> list[_effects.EntryEffect]:
+    """Return the effects that give a caller its final failure."""
+    line = events.REQUEST_REFUSED.line(
+        request=request_id,
+        customer=customer,
+        code=failure.code,
+        outcome=failure.outcome.value,
+    )
+    return [
+        _effects.RefuseCaller(request_id, failure),
+        _effects.WriteLog(line),
+        _effects.CountMetric("requests_refused"),
+    ]
+
+
+def allowed_time(
+    around: _surroundings.Surroundings,
+    service: release.Service,
+    asked: datetime.timedelta | None,
+) -> datetime.timedelta:
+    """Return how long a request may take."""
+    limit = datetime.timedelta(seconds=around.cfg.limits.request_seconds)
+    usual = datetime.timedelta(milliseconds=service.deadline_milliseconds)
+    return min(limit, usual if asked is None else asked)
--- a/sedgepin/_entry/_service_calls.py
+++ b/sedgepin/_entry/_service_calls.py
@@ -11,12 +11,12 @@
 from sedgepin._entry import _effects
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
-from sedgepin._entry import _generation
+from sedgepin._entry import _refusals
 from sedgepin._entry import _surroundings
+from sedgepin._entry import _write_calls
 from sedgepin import _http as http
 from sedgepin import _model as model
 from sedgepin import _release as release
-from sedgepin import _state as state
 from sedgepin import _writes as writes
 from sedgepin import errors
 
@@ -57,17 +57,7 @@
         self.target: model.EndpointId | None = None
 
 
-class _Coordinated:
-    """A write coordinator and when it is due."""
-
-    __slots__ = ("due", "writes")
-
-    def __init__(self, coordinator: writes.WriteCoordinator) -> None:
-        self.writes = coordinator
-        self.due: datetime.datetime | None = None
-
-
-class ServiceCalls:
+class ServiceCalls(_write_calls.WriteHost):
     """All calls under way on this VM.
 
     A call that may repeat is retried on another endpoint, within the retry
@@ -76,10 +66,9 @@
 
     __slots__ = (
         "_around",
-        "_asks",
-        "_coordinators",
         "_doors",
         "_open",
+        "_writes",
     )
 
     def __init__(
@@ -91,29 +80,20 @@
     ) -> None:
         self._around = around
         self._doors = doors
-        self._asks = asks
         self._open: dict[model.RequestId, _OpenCall] = {}
-        self._coordinators: list[_Coordinated] = []
-        self.change_incarnation(incarnation)
+        self._writes = _write_calls.WriteCalls(
+            model.VmId(around.cfg.id), incarnation, asks, self
+        )
+
+    @property
+    def write_calls(self) -> _write_calls.WriteCalls:
+        """Return the writes under way."""
+        return self._writes
 
     @property
     def is_idle(self) -> bool:
         """Tell whether no call is open and no write record unsettled."""
-        unsettled = any(len(one.writes) for one in self._coordinators)
-        return not self._open and not unsettled
-
-    def change_incarnation(self, incarnation: model.Incarnation) -> None:
-        """Begin new writes under another incarnation.
-
-        Those under way are settled under the one that they began with.
-        """
-        own_id = model.VmId(self._around.cfg.id)
-        self._coordinators = [
-            one for one in self._coordinators if len(one.writes)
-        ]
-        self._coordinators.append(
-            _Coordinated(writes.WriteCoordinator(own_id, incarnation))
-        )
+        return not self._open and self._writes.are_settled
 
     def request(
         self, request: _events.ServiceRequest, now: datetime.datetime
@@ -126,7 +106,7 @@
         may_repeat = service.ok_value.may_repeat(request.method, path)
         if not may_repeat and request.idempotency_key is None:
             return self._refuse(request, _failures.IdempotencyKeyMissing())
-        allowed = _generation.allowed_time(
+        allowed = _refusals.allowed_time(
             self._around, service.ok_value, request.time_allowed
         )
         call = _OpenCall(request, not may_repeat, now + allowed)
@@ -180,7 +160,7 @@
             event.status, _stored_headers(event.headers), event.body
         )
         heard = writes.EndpointAnswered(event.request_id, stored, not_run)
-        return self._drive(heard, now)
+        return self._writes.drive(heard, now)
 
     def failed(
         self, event: _events.ServiceFailed, now: datetime.datetime
@@ -192,32 +172,13 @@
         if call.is_write:
             if event.bytes_were_sent:
                 broken = writes.EndpointFailedAfterBytes(event.request_id)
-                return self._drive(broken, now)
-            return self._drive(
+                return self._writes.drive(broken, now)
+            return self._writes.drive(
                 writes.EndpointConnectFailed(event.request_id), now
             )
         call.may_have_run = call.may_have_run or event.bytes_were_sent
         return self._retry(call, event.failure, now)
 
-    def control_progress(
-        self, progress: _control_asks.Progress, now: datetime.datetime
-    ) -> Effects:
-        """Take in what became of a command about a write."""
-        match progress:
-            case _control_asks.Asked(effect):
-                return [effect]
-            case _control_asks.Unreachable(subject):
-                unreachable = writes.ControlUnreachable(
-                    model.RequestId(subject)
-                )
-                return self._drive(unreachable, now)
-            case _control_asks.Replied(subject, raw):
-                reply = state.decode_reply(raw).unwrap_or(None)
-                if not isinstance(reply, writes.WriteReply):
-                    return []
-                told = writes.ControlAnswered(model.RequestId(subject), reply)
-                return self._drive(told, now)
-
     def caller_left(
         self, request_id: model.RequestId, now: datetime.datetime
     ) -> Effects:
@@ -226,17 +187,14 @@
         if call is None:
             return []
         if call.is_write and call.is_admitted:
-            return self._drive(writes.CallerLeft(request_id), now)
+            return self._writes.drive(writes.CallerLeft(request_id), now)
         cancel = _effects.CancelCall(request_id, call.attempt)
         return [cancel, *self._close(call, False, now)]
 
     def tick(self, now: datetime.datetime) -> Effects:
         """Let in and refuse those who wait; drive writes that are due."""
         made = self.decide(self._doors.tick_calls(now), now)
-        for coordinated in self._coordinators:
-            if coordinated.due is not None and now >= coordinated.due:
-                coordinated.due = None
-                made += self._run(coordinated, writes.TimerFired(), now)
+        made += self._writes.tick(now)
         for call in list(self._open.values()):
             if not call.is_write and now >= call.deadline:
                 made += self._time_out(call, now)
@@ -266,61 +224,32 @@
             digest=bytes.fromhex(request.body_digest),
             deadline=call.deadline,
         )
-        return self._drive(asked, now)
+        return self._writes.drive(asked, now)
 
-    def _drive(
-        self,
-        event: writes.WriteRequested | writes.AttemptEvent,
-        now: datetime.datetime,
-    ) -> Effects:
-        """Give an event to the coordinator that it concerns."""
-        newest = self._coordinators[-1]
-        if isinstance(event, writes.WriteRequested):
-            return self._run(newest, event, now)
-        made: Effects = []
-        for coordinated in tuple(self._coordinators):
-            made += self._run(coordinated, event, now)
-        return made
-
-    def _run(
-        self,
-        coordinated: _Coordinated,
-        event: writes.Event,
-        now: datetime.datetime,
-    ) -> Effects:
-        made: Effects = []
-        for effect in coordinated.writes.handle(event, now):
-            match effect:
-                case writes.AskControl(request_id, command):
-                    raw = state.encode_command(command)
-                    progress = self._asks.ask(request_id, raw)
-                    made += self.control_progress(progress, now)
-                case writes.DispatchWrite(request_id):
-                    made += self._dispatch_write(request_id, now)
-                case writes.AnswerCaller(request_id, answer):
-                    made += self._answer_write(request_id, answer, now)
-                case writes.StartTimer(due):
-                    coordinated.due = due
-        return made
-
-    def _dispatch_write(
+    def dispatch_write(
         self, request_id: model.RequestId, now: datetime.datetime
     ) -> Effects:
+        """Send the call to one endpoint, once."""
         call = self._open.get(request_id)
         if call is None:
             # The caller left before the grant: nothing was sent.
-            return self._drive(writes.EndpointConnectFailed(request_id), now)
+            return self._writes.drive(
+                writes.EndpointConnectFailed(request_id), now
+            )
         chosen = self._choose(call, now)
         if isinstance(chosen, result.Err):
-            return self._drive(writes.EndpointConnectFailed(request_id), now)
+            return self._writes.drive(
+                writes.EndpointConnectFailed(request_id), now
+            )
         return self._send(call, chosen.ok_value, now)
 
-    def _answer_write(
+    def answer_write(
         self,
         request_id: model.RequestId,
         answer: writes.StoredAnswer | writes.WriteFailure,
         now: datetime.datetime,
     ) -> Effects:
+        """Tell the caller how its call ended."""
         call = self._open.get(request_id)
         if call is None:
             return []
@@ -434,7 +363,7 @@
     def _refuse(
         self, request: _events.ServiceRequest, failure: errors.Failure
     ) -> Effects:
-        return _generation.refuse_and_log(
+        return _refusals.refuse_and_log(
             request.request_id, request.customer, failure
         )
 
--- a/sedgepin/_entry/_trials.py
+++ b/sedgepin/_entry/_trials.py
@@ -6,6 +6,7 @@
 
 from sedgepin import _admission as admission
 from sedgepin._entry import _effects
+from sedgepin._entry import _follow_ups
 from sedgepin._entry import _generation
 from sedgepin._entry import _open_answer
 from sedgepin._entry import _resumption
@@ -70,18 +71,18 @@
         return made
 
     def _tell_quarantine(
-        self, follow_up: _generation.FollowUp, now: datetime.datetime
+        self, follow_up: _follow_ups.FollowUp, now: datetime.datetime
     ) -> list[admission.QuarantineEffect]:
         quarantine = self._around.quarantine
         match follow_up:
-            case _generation.TrialDue(answer):
+            case _follow_ups.TrialDue(answer):
                 return quarantine.enter_trial(
                     answer.request.request_id, answer.fingerprint, now
                 )
-            case _generation.TrialOutrun(answer):
+            case _follow_ups.TrialOutrun(answer):
                 answer.on_trial = False
                 return quarantine.trial_survived(answer.fingerprint, now)
-            case _generation.RequestOver(request_id):
+            case _follow_ups.RequestOver(request_id):
                 return quarantine.leave(request_id, now)
 
     def _resume_freely(
