--- a/sedgepin/_control/_reducer.py
+++ b/sedgepin/_control/_reducer.py
@@ -11,15 +11,16 @@
 from sedgepin._control import _effects
 from sedgepin._control import _events
 from sedgepin._control import _failures
+from sedgepin._control import _ordering
 from sedgepin._control import _proposals
 from sedgepin._control import _roster
+from sedgepin._control import _rules
 from sedgepin import _membership as membership
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin import _release as release
 from sedgepin import _state as state
 from sedgepin import _storage as storage
-from sedgepin import _writes as writes
 from sedgepin import errors
 from sedgepin import events
 from sedgepin import settings
@@ -42,8 +43,8 @@
         "_drains",
         "_entries",
         "_batch",
+        "_ordering",
         "_plan_at",
-        "_planner",
         "_proposals",
         "_raft",
         "_roster",
@@ -67,9 +68,7 @@
         )
         self._roster = _roster.Roster()
         self._proposals = _proposals.Proposals()
-        self._planner = release.OrderPlanner(
-            release.PlannerSettings(loads_per_second=cfg.loads_per_second)
-        )
+        self._ordering = _ordering.Ordering(cfg)
         self._plan_at = now
         self._entries: set[model.VmId] = set()
         self._batch: list[consensus.Proposal] = []
@@ -169,7 +168,7 @@
             )
             return [refusal]
         command = decoded.unwrap()
-        if not _may_ask(sender, command):
+        if not _rules.may_ask(sender, command):
             not_allowed = _failures.CommandNotAllowed(type(command).__name__)
             refusal = _proposals.refusal_to_peer(
                 sender, message.ask_id, not_allowed
@@ -247,7 +246,7 @@
                     self._record(
                         state.AuditKind.MEMBER_CHANGED,
                         "log",
-                        _members(effect.configuration),
+                        _rules.describe_members(effect.configuration),
                         now,
                     )
                 return []
@@ -369,58 +368,15 @@
     def _plan(
         self, event: release.PlannerEvent, now: datetime.datetime
     ) -> Effects:
-        """Give the order planner an event and carry out what follows.
-
-        Its timer is not needed: what endpoints announce is handed to it
-        often enough.
-        """
-        made: Effects = []
+        """Give the order planner an event and carry out what follows."""
         holds = self._raft.lease_holds(now)
-        for effect in self._planner.handle(event, now, holds_lease=holds):
-            match effect:
-                case release.GiveOrder(order):
-                    made += self._give(order, now)
-                case release.ReportFencingRefused(order):
-                    line = events.ORDER_FAILED.line(
-                        endpoint=order.endpoint_id,
-                        failure="a higher fencing token was seen",
-                    )
-                    made.append(_effects.WriteLog(line))
-        return made
-
-    def _give(self, order: release.Order, now: datetime.datetime) -> Effects:
-        command = state.RecordOrder(at=now, actor=self._cfg.id, order=order)
-        self._propose(command, _proposals.NobodyWaits(), now)
-        line = events.ORDER_GIVEN.line(
-            endpoint=order.endpoint_id,
-            action=order.action.value,
-            epoch=order.epoch,
-            sequence=order.sequence,
-        )
-        return [
-            _effects.WriteLog(line),
-            _effects.CountMetric("orders_given"),
-            _effects.GiveOrder(order),
-        ]
+        planned = self._ordering.handle(event, holds, now)
+        for command in planned.records:
+            self._propose(command, _proposals.NobodyWaits(), now)
+        return planned.effects
 
     def _visit_drain(self, now: datetime.datetime) -> Effects:
         self._drains = True
         line = _effects.WriteLog(events.PROCESS_DRAINING.line())
         handed = self._drive(consensus.LeadershipTransferRequested(), now)
         return [line, *handed]
-
-
-def _may_ask(sender: model.VmId, command: state.Command) -> bool:
-    """Tell whether an entry VM may have a command put into the log.
-
-    Only those about writes that it holds itself.
-    """
-    if not isinstance(command, writes.WriteCommand):
-        return False
-    return command.holder.vm_id == sender
-
-
-def _members(configuration: storage.Configuration) -> str:
-    voters = ", ".join(one.vm_id for one in configuration.voters)
-    learners = ", ".join(one.vm_id for one in configuration.learners)
-    return f"voters {voters}; learners {learners or 'none'}"
--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -142,6 +142,8 @@
                 logs.write(line)
             case _effects.CountMetric(name, count):
                 self._metrics.count(name, count)
+            case _effects.TimeMetric(name, took):
+                self._metrics.time(name, took)
 
     async def _run_stream(self, effect: _effects.StartStream) -> None:
         key = (effect.request_id, effect.attempt)
--- a/sedgepin/_entry/_effects.py
+++ b/sedgepin/_entry/_effects.py
@@ -143,6 +143,14 @@
     count: int = 1
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class TimeMetric:
+    """Tell how long something took."""
+
+    name: str
+    took: datetime.timedelta
+
+
 EntryEffect: typing.TypeAlias = (
     StartStream
     | CancelStream
@@ -158,4 +166,5 @@
     | SendMessage
     | WriteLog
     | CountMetric
+    | TimeMetric
 )
--- a/sedgepin/_entry/_generation.py
+++ b/sedgepin/_entry/_generation.py
@@ -250,6 +250,7 @@
                 request.request_id, completion.finish_reason.value
             ),
             _effects.CountMetric("answers_whole"),
+            _effects.TimeMetric("answer", now - answer.asked_at),
         ]
         return made + self.close(answer, True, now)
 
@@ -312,7 +313,9 @@
             self._around, service, request.time_allowed
         )
         return result.Ok(
-            _open_answer.OpenAnswer(request, service, served, now + allowed)
+            _open_answer.OpenAnswer(
+                request, service, served, now + allowed, now
+            )
         )
 
     def _submit(
@@ -344,6 +347,9 @@
             answer.silence.handle(answers.ProgressSeen(position), now)
         texts = tuple(piece.text for piece in pieces)
         made: Effects = [_effects.DeliverPieces(request_id, texts)]
+        if pieces[0].position == 0:
+            waited = now - answer.asked_at
+            made.append(_effects.TimeMetric("first_token", waited))
         completion = answer.assembly.completion
         if completion is not None:
             return made + self.finish(answer, completion, now)
--- a/sedgepin/_entry/_open_answer.py
+++ b/sedgepin/_entry/_open_answer.py
@@ -18,6 +18,7 @@
     """A request, its answer so far and the attempt under way."""
 
     __slots__ = (
+        "asked_at",
         "assembly",
         "avoid",
         "deadline",
@@ -45,7 +46,9 @@
         service: release.Service,
         served_model: release.Model,
         deadline: datetime.datetime,
+        now: datetime.datetime,
     ) -> None:
+        self.asked_at = now
         self.request = request
         self.service = service
         self.model = served_model
--- a/sedgepin/_shell/_metrics.py
+++ b/sedgepin/_shell/_metrics.py
@@ -1,6 +1,7 @@
 """Metrics, sent by statsd over UDP where settings name a collector."""
 
 import abc
+import datetime
 
 import statsd
 
@@ -8,15 +9,15 @@
 
 
 class MetricSink(abc.ABC):
-    """Takes counters and gauges."""
+    """Takes counters and durations."""
 
     @abc.abstractmethod
     def count(self, name: str, count: int) -> None:
         """Add ``count`` to the counter ``name``."""
 
     @abc.abstractmethod
-    def gauge(self, name: str, value: float) -> None:
-        """Set the gauge ``name``."""
+    def time(self, name: str, took: datetime.timedelta) -> None:
+        """Tell how long something took."""
 
 
 class SilentSink(MetricSink):
@@ -25,8 +26,8 @@
     def count(self, name: str, count: int) -> None:
         """Drop a count."""
 
-    def gauge(self, name: str, value: float) -> None:
-        """Drop a gauge."""
+    def time(self, name: str, took: datetime.timedelta) -> None:
+        """Drop a duration."""
 
 
 class StatsdSink(MetricSink):
@@ -42,9 +43,9 @@
         """Add ``count`` to the counter ``name``."""
         self._client.incr(name, count)
 
-    def gauge(self, name: str, value: float) -> None:
-        """Set the gauge ``name``."""
-        self._client.gauge(name, value)
+    def time(self, name: str, took: datetime.timedelta) -> None:
+        """Tell how long something took; statsd takes milliseconds."""
+        self._client.timing(name, took)
 
 
 def open_sink(cfg: settings.Statsd | None) -> MetricSink:
