--- a/sedgepin/_control/tests/test_reducer.py
+++ b/sedgepin/_control/tests/test_reducer.py
@@ -8,6 +8,7 @@
 from sedgepin import _release as release
 from sedgepin import _state as state
 from sedgepin import _writes as writes
+from sedgepin.tests import parts
 from sedgepin.tests import processes
 from sedgepin.tests import world
 
@@ -70,7 +71,7 @@
         leader = system.leader()
         assert leader is not None
         policy = system.vms[leader].reducer.state.write_policy
-        assert policy.retention == world.seconds(24 * 3600)
+        assert policy.retention == parts.seconds(24 * 3600)
 
 
 class TestConfirmation:
--- /dev/null
+++ b/sedgepin/tests/outside.py
@@ -0,0 +1,225 @@
+"""The endpoints of a world: engines that stream, a service that counts."""
+
+import typing
+
+from sedgepin import _answers as answers
+from sedgepin import _control as control
+from sedgepin import _entry as entry
+from sedgepin import _http as http
+from sedgepin import _model as model
+from sedgepin import _release as release
+from sedgepin import errors
+from sedgepin.tests import fake_engine
+from sedgepin.tests import parts
+
+if typing.TYPE_CHECKING:
+    from sedgepin.tests import world
+
+_TOKEN_SECONDS = 0.02
+_ANNOUNCE_SECONDS = 0.5
+_ANSWER_SECONDS = 0.02
+
+
+class Outside:
+    """Plays all endpoints of a world."""
+
+    def __init__(self, own_world: "world.World") -> None:
+        self._world = own_world
+
+    def announce(self, endpoint: parts.Endpoint) -> None:
+        """Announce an endpoint, now and for ever."""
+        self._world.later(_ANNOUNCE_SECONDS, lambda: self.announce(endpoint))
+        if not endpoint.is_alive:
+            return
+        for vm in self._world.vms.values():
+            near = vm.data_centre == endpoint.data_centre
+            reached = self._world.reaches(endpoint.name, vm.name)
+            if vm.role == "entry" and near and reached and vm.reducer:
+                self._announce_to(endpoint, vm)
+
+    def _announce_to(self, endpoint: parts.Endpoint, vm: parts.Vm) -> None:
+        endpoint.sequence += 1
+        is_engine = endpoint.layers is not None
+        kind = (
+            model.EndpointKind.ENGINE
+            if is_engine
+            else (model.EndpointKind.SERVICE)
+        )
+        service = "assistant" if is_engine else "ledger"
+        told = model.Announcement(
+            endpoint_id=endpoint.name,
+            incarnation=model.Incarnation(endpoint.incarnation),
+            sequence=endpoint.sequence,
+            kind=kind,
+            address="http://127.0.0.1:1",
+            data_centre=model.DataCentreId(endpoint.data_centre),
+            services=(model.ServiceName(service),),
+            model=model.ModelName("beet-32") if is_engine else None,
+            model_version=endpoint.version if is_engine else "",
+            layers=endpoint.layers,
+            accelerator=(
+                model.AcceleratorKind("fake", 8, 8000.0) if is_engine else None
+            ),
+            checks_fencing=endpoint.checks_fencing,
+            leaving=endpoint.is_leaving,
+            echo=endpoint.echoes.get(vm.name, ""),
+        )
+        if vm.is_frozen:
+            self._world.submit(vm.name, entry.AnnouncementArrived(0, told))
+            return
+        for effect in vm.reducer.handle(
+            entry.AnnouncementArrived(0, told), self._world.now
+        ):
+            if isinstance(effect, entry.ReplyAnnouncement):
+                endpoint.echoes[vm.name] = effect.echo
+            self._world.carry_out(vm, effect)
+
+    def _stages(self, effect: typing.Any) -> list[parts.Endpoint]:
+        return [
+            self._world.endpoints[stage.endpoint_id]
+            for stage in effect.pipeline.stages
+        ]
+
+    def prefill(self, vm: parts.Vm, life: int, effect: typing.Any) -> None:
+        """Let a pipeline begin an attempt."""
+        identity = (effect.request_id, effect.attempt)
+        stages = self._stages(effect)
+        heard = tuple(vm.callers[effect.request_id].texts)
+        if effect.delivered != heard or effect.position != len(heard):
+            self._world.wrong_resumptions.append(effect)
+        for endpoint in stages:
+            endpoint.given_at.append(self._world.now)
+            reached = self._world.reaches(vm.name, endpoint.name)
+            if not endpoint.is_alive or not reached:
+                self._fail_stream(vm, life, identity, endpoint, False)
+                return
+            if "CRASH" in effect.prompt:
+                endpoint.is_alive = False
+                self._fail_stream(vm, life, identity, endpoint, True)
+                return
+        lives = [endpoint.incarnation for endpoint in stages]
+        self._token(vm, life, effect, lives, effect.position)
+
+    def _token(
+        self,
+        vm: parts.Vm,
+        life: int,
+        effect: typing.Any,
+        lives: list[int],
+        position: int,
+    ) -> None:
+        identity = (effect.request_id, effect.attempt)
+        if vm.life != life or identity in vm.cancelled:
+            return
+        stages = self._stages(effect)
+        for endpoint, incarnation in zip(stages, lives):
+            same = endpoint.incarnation == incarnation
+            if not endpoint.is_alive or not same:
+                self._fail_stream(vm, life, identity, endpoint, True)
+                return
+        if any(endpoint.is_silent for endpoint in stages):
+            return
+        if position >= effect.limit_tokens:
+            ended = entry.StreamEnded(*identity, position, "length")
+            self._world.submit(vm.name, ended)
+            return
+        lineage = tuple(
+            model.StageMark(stage.endpoint_id, stage.layers)
+            for stage in effect.pipeline.stages
+        )
+        self._world.runs.append((*identity, position, lineage))
+        text = fake_engine.token_text(effect.prompt, position)
+        piece = model.TokenPiece(*identity, position, text, lineage)
+        self._world.submit(vm.name, entry.PieceArrived(*identity, piece))
+        self._world.pieces.append((vm.name, piece))
+        self._world.produced[identity] = position + 1
+        self._world.later(
+            _TOKEN_SECONDS,
+            lambda: self._token(vm, life, effect, lives, position + 1),
+        )
+
+    def _fail_stream(
+        self,
+        vm: parts.Vm,
+        life: int,
+        identity: tuple[model.RequestId, int],
+        endpoint: parts.Endpoint,
+        crashed: bool,
+    ) -> None:
+        if vm.life != life:
+            return
+        failure = errors.Failure()
+        failed = entry.StreamFailed(*identity, endpoint.name, failure, crashed)
+        self._world.submit(vm.name, failed)
+
+    def probe(self, vm: parts.Vm, effect: typing.Any) -> None:
+        """Answer for the stages that are asked."""
+        reports = []
+        for stage in effect.stages:
+            endpoint = self._world.endpoints[stage.endpoint_id]
+            reached = self._world.reaches(vm.name, endpoint.name)
+            answers_probe = endpoint.is_alive and reached
+            made = self._world.produced.get(
+                (effect.request_id, effect.attempt), 0
+            )
+            reports.append(
+                entry.StageReport(
+                    endpoint.name,
+                    answers.StreamState.PRODUCING if answers_probe else None,
+                    made,
+                    model.Incarnation(endpoint.incarnation),
+                    made + endpoint.is_silent,
+                )
+            )
+        answered = entry.ProbeAnswered(
+            effect.request_id, effect.attempt, effect.probe, tuple(reports)
+        )
+        self._world.submit(vm.name, answered)
+
+    def call(self, vm: parts.Vm, life: int, effect: typing.Any) -> None:
+        """Let the plain service run a call."""
+        endpoint = self._world.endpoints["ledger"]
+        endpoint.given_at.append(self._world.now)
+        identity = (effect.request.request_id, effect.attempt)
+        if vm.life != life:
+            return
+        failure = errors.Failure()
+        if not endpoint.is_alive or not self._world.reaches(vm.name, "ledger"):
+            failed = entry.ServiceFailed(*identity, failure, False)
+            self._world.submit(vm.name, failed)
+            return
+        key = effect.request.idempotency_key
+        self._world.executions[key] += 1
+        self._world.executed_requests.add(effect.request.request_id)
+
+        def answer() -> None:
+            if vm.life != life:
+                return
+            if not endpoint.is_alive:
+                broken = entry.ServiceFailed(*identity, failure, True)
+                self._world.submit(vm.name, broken)
+            elif not endpoint.is_silent:
+                headers = (http.HeaderField(b"content-type", b"text/plain"),)
+                body = f"{key} {self._world.executions[key]}".encode()
+                answered = entry.ServiceAnswered(*identity, 201, headers, body)
+                self._world.submit(vm.name, answered)
+
+        self._world.later(_ANSWER_SECONDS, answer)
+
+    def order(self, vm: parts.Vm, order: release.Order) -> None:
+        """Take an order to an endpoint."""
+        endpoint = self._world.endpoints[order.endpoint_id]
+        self._world.orders.append((vm.name, order, self._world.now))
+        token = (order.epoch, order.sequence)
+        outcome = release.OrderVerdict.ACCEPTED
+        if not endpoint.is_alive or not self._world.reaches(
+            vm.name, endpoint.name
+        ):
+            outcome = release.OrderVerdict.FAILED
+        elif endpoint.checks_fencing and token <= endpoint.fence:
+            outcome = release.OrderVerdict.REFUSED_FENCING
+        else:
+            endpoint.fence = max(endpoint.fence, token)
+            endpoint.orders.append(order)
+            endpoint.version = order.version or endpoint.version
+        self._world.submit(vm.name, control.OrderAnswered(order, outcome))
--- /dev/null
+++ b/sedgepin/tests/parts.py
@@ -0,0 +1,75 @@
+"""What a world is made of: callers, processes and endpoints."""
+
+import collections.abc
+import dataclasses
+import datetime
+import typing
+
+from sedgepin import _model as model
+from sedgepin import _storage as storage
+from sedgepin import errors
+
+
+def seconds(number: float) -> datetime.timedelta:
+    """Return a duration."""
+    return datetime.timedelta(seconds=number)
+
+
+class Caller:
+    """What one caller or operator has heard."""
+
+    def __init__(self, asked_at: datetime.datetime) -> None:
+        self.asked_at = asked_at
+        self.answered_at: datetime.datetime | None = None
+        self.heard_at: list[datetime.datetime] = []
+        self.texts: list[str] = []
+        self.ended: str | None = None
+        self.failure: errors.Failure | None = None
+        self.answer: typing.Any = None
+
+    @property
+    def text(self) -> str:
+        """Return all tokens heard."""
+        return "".join(self.texts)
+
+    @property
+    def is_over(self) -> bool:
+        """Tell whether the last word was heard."""
+        return self.answered_at is not None
+
+
+class Vm:
+    """One process: its reducer, its disk and whether it runs."""
+
+    def __init__(self, name: str, role: str, data_centre: str) -> None:
+        self.name = model.VmId(name)
+        self.role = role
+        self.data_centre = data_centre
+        self.disk = storage.MemoryDisk()
+        self.reducer: typing.Any = None
+        self.store: storage.LogStore | None = None
+        self.life = 0
+        self.is_frozen = False
+        self.backlog: list[collections.abc.Callable[[], None]] = []
+        self.callers: dict[typing.Any, Caller] = {}
+        self.cancelled: set[tuple[str, int]] = set()
+
+
+@dataclasses.dataclass
+class Endpoint:
+    """A fake engine or plain service."""
+
+    name: model.EndpointId
+    data_centre: str
+    layers: model.LayerRange | None
+    is_alive: bool = True
+    is_leaving: bool = False
+    is_silent: bool = False
+    checks_fencing: bool = True
+    incarnation: int = 1
+    sequence: int = 0
+    version: str = "1"
+    echoes: dict[str, str] = dataclasses.field(default_factory=dict)
+    given_at: list[datetime.datetime] = dataclasses.field(default_factory=list)
+    orders: list[typing.Any] = dataclasses.field(default_factory=list)
+    fence: tuple[int, int] = (0, 0)
--- /dev/null
+++ b/sedgepin/tests/scenarios/stage.py
@@ -0,0 +1,48 @@
+"""What a scenario plays on, and the names it gives to what is there."""
+
+import dataclasses
+import typing
+
+from sedgepin.tests import parts
+from sedgepin.tests import world as worlds
+
+
+@dataclasses.dataclass
+class Stage:
+    """A world and the names that a scenario gives to what is in it."""
+
+    world: worlds.World
+    names: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+    orders_after_loss: int = 0
+
+    def vm(self, name: str) -> str:
+        """Return the VM that a scenario calls by a role or by its name."""
+        if name == "the leader":
+            leader = self.world.leader()
+            assert leader is not None
+            self.names["the old leader"] = leader
+            return leader
+        if name == "another control VM":
+            leader = self.world.leader()
+            return next(
+                vm.name
+                for vm in self.world.vms.values()
+                if vm.role == "control"
+                and vm.reducer is not None
+                and vm.name != leader
+            )
+        return str(self.names.get(name, name))
+
+    def caller(self, name: str) -> parts.Caller:
+        """Return what a caller has heard."""
+        caller = self.names[name]
+        assert isinstance(caller, parts.Caller)
+        return caller
+
+    def running(self, role: str) -> list[str]:
+        """Return the VMs of a role that run."""
+        return [
+            vm.name
+            for vm in self.world.vms.values()
+            if vm.role == role and vm.reducer is not None and not vm.is_frozen
+        ]
--- a/sedgepin/tests/world.py
+++ b/sedgepin/tests/world.py
@@ -6,7 +6,6 @@
 
 import collections
 import collections.abc
-import dataclasses
 import datetime
 import heapq
 import itertools
@@ -15,96 +14,26 @@
 
 import msgspec
 
-from sedgepin import _answers as answers
 from sedgepin import _consensus as consensus
 from sedgepin import _control as control
 from sedgepin import _entry as entry
-from sedgepin import _http as http
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin import _release as release
 from sedgepin import _state as state
 from sedgepin import _storage as storage
 from sedgepin import clock
-from sedgepin import errors
 from sedgepin import settings
-from sedgepin.tests import fake_engine
+from sedgepin.tests import outside
+from sedgepin.tests import parts
 from sedgepin.tests import processes
 
 _HOP = datetime.timedelta(milliseconds=0.5)
 _TICK = {"entry": 0.05, "control": 0.02}
-_TOKEN_SECONDS = 0.02
-_ANNOUNCE_SECONDS = 0.5
-_ANSWER_SECONDS = 0.02
 
 NOTE_OF_SERVICES = processes.first_note()
 
 
-def seconds(number: float) -> datetime.timedelta:
-    """Return a duration."""
-    return datetime.timedelta(seconds=number)
-
-
-class Caller:
-    """What one caller or operator has heard."""
-
-    def __init__(self, asked_at: datetime.datetime) -> None:
-        self.asked_at = asked_at
-        self.answered_at: datetime.datetime | None = None
-        self.heard_at: list[datetime.datetime] = []
-        self.texts: list[str] = []
-        self.ended: str | None = None
-        self.failure: errors.Failure | None = None
-        self.answer: typing.Any = None
-
-    @property
-    def text(self) -> str:
-        """Return all tokens heard."""
-        return "".join(self.texts)
-
-    @property
-    def is_over(self) -> bool:
-        """Tell whether the last word was heard."""
-        return self.answered_at is not None
-
-
-class Vm:
-    """One process: its reducer, its disk and whether it runs."""
-
-    def __init__(self, name: str, role: str, data_centre: str) -> None:
-        self.name = model.VmId(name)
-        self.role = role
-        self.data_centre = data_centre
-        self.disk = storage.MemoryDisk()
-        self.reducer: typing.Any = None
-        self.store: storage.LogStore | None = None
-        self.life = 0
-        self.is_frozen = False
-        self.backlog: list[collections.abc.Callable[[], None]] = []
-        self.callers: dict[typing.Any, Caller] = {}
-        self.cancelled: set[tuple[str, int]] = set()
-
-
-@dataclasses.dataclass
-class Endpoint:
-    """A fake engine or plain service."""
-
-    name: model.EndpointId
-    data_centre: str
-    layers: model.LayerRange | None
-    is_alive: bool = True
-    is_leaving: bool = False
-    is_silent: bool = False
-    checks_fencing: bool = True
-    incarnation: int = 1
-    sequence: int = 0
-    version: str = "1"
-    echoes: dict[str, str] = dataclasses.field(default_factory=dict)
-    given_at: list[datetime.datetime] = dataclasses.field(default_factory=list)
-    orders: list[typing.Any] = dataclasses.field(default_factory=list)
-    fence: tuple[int, int] = (0, 0)
-
-
 class World:
     """A whole system in one process."""
 
@@ -116,6 +45,7 @@
         seed: int = 1,
     ) -> None:
         self.clock = clock.ManualClock()
+        self.outside = outside.Outside(self)
         self.random = random.Random(seed)
         self.queue: list[typing.Any] = []
         self.counter = itertools.count()
@@ -124,8 +54,8 @@
         self.executions: collections.Counter[str] = collections.Counter()
         self.runs: list[tuple[str, int, int, tuple[typing.Any, ...]]] = []
         self.orders: list[tuple[str, release.Order, datetime.datetime]] = []
-        self.vms: dict[str, Vm] = {}
-        self.endpoints: dict[str, Endpoint] = {}
+        self.vms: dict[str, parts.Vm] = {}
+        self.endpoints: dict[str, parts.Endpoint] = {}
         self.pieces: list[tuple[str, model.TokenPiece]] = []
         self.produced: dict[tuple[str, int], int] = {}
         self.executed_requests: set[str] = set()
@@ -158,10 +88,10 @@
 
     def run(self, duration: float) -> None:
         """Let time pass."""
-        until = self.now + seconds(duration)
+        until = self.now + parts.seconds(duration)
         while self.queue and self.queue[0][0] <= until:
             at, _order, act = heapq.heappop(self.queue)
-            self.clock.advance(max(at - self.now, seconds(0)))
+            self.clock.advance(max(at - self.now, parts.seconds(0)))
             act()
         self.clock.advance(until - self.now)
 
@@ -173,7 +103,7 @@
         """Let time pass until ``holds``; return the seconds it took."""
         started = self.now
         while not holds():
-            assert self.now - started < seconds(limit), "waited in vain"
+            assert self.now - started < parts.seconds(limit), "waited in vain"
             self.run(0.01)
         return (self.now - started).total_seconds()
 
@@ -232,7 +162,7 @@
 
     def cut_off(self, data_centre: str) -> None:
         """Cut a data centre off from all others."""
-        everyone: list[Vm | Endpoint] = []
+        everyone: list[parts.Vm | parts.Endpoint] = []
         everyone += [*self.vms.values(), *self.endpoints.values()]
         inside = [
             one.name for one in everyone if one.data_centre == data_centre
@@ -266,12 +196,12 @@
             None if reducer is None else reducer.status(self.now).note_number
         )
 
-    def publish(self, name: str, note: dict[str, typing.Any]) -> Caller:
+    def publish(self, name: str, note: dict[str, typing.Any]) -> parts.Caller:
         """Publish a note at a control VM."""
         parsed = release.parse_note(msgspec.json.encode(note)).unwrap()
         command = state.PublishNote(at=self.now, actor="op", note=parsed)
         exchange_id = next(self.counter)
-        caller = Caller(self.now)
+        caller = parts.Caller(self.now)
         self.vms[name].callers[exchange_id] = caller
         self.submit(name, control.OperatorProposed(exchange_id, command))
         return caller
@@ -293,10 +223,10 @@
         tokens: int = 20,
         customer: str = "cooperative-1",
         allowed: float = 30.0,
-    ) -> Caller:
+    ) -> parts.Caller:
         """Ask for an answer."""
         request_id = model.RequestId(f"r{next(self.counter)}")
-        caller = Caller(self.now)
+        caller = parts.Caller(self.now)
         self.vms[name].callers[request_id] = caller
         request = entry.GenerateRequest(
             request_id=request_id,
@@ -305,7 +235,7 @@
             prompt=prompt,
             limit_tokens=tokens,
             priority=1,
-            time_allowed=seconds(allowed),
+            time_allowed=parts.seconds(allowed),
             body_digest=prompt,
         )
         self.submit(name, entry.GenerateRequested(request))
@@ -313,10 +243,10 @@
 
     def record(
         self, name: str, key: str, method: str = "POST", body: bytes = b"{}"
-    ) -> Caller:
+    ) -> parts.Caller:
         """Call the plain service."""
         request_id = model.RequestId(f"r{next(self.counter)}")
-        caller = Caller(self.now)
+        caller = parts.Caller(self.now)
         self.vms[name].callers[request_id] = caller
         request = entry.ServiceRequest(
             request_id=request_id,
@@ -329,7 +259,7 @@
             body_digest=body.hex(),
             idempotency_key=key,
             priority=1,
-            time_allowed=seconds(10),
+            time_allowed=parts.seconds(10),
         )
         self.submit(name, entry.ServiceCallRequested(request))
         return caller
@@ -346,7 +276,7 @@
             )
             return
         for effect in vm.reducer.handle(event, self.now):
-            self._carry_out(vm, effect)
+            self.carry_out(vm, effect)
 
     def replay_pieces(self) -> None:
         """Let every piece so far come again, on every stream."""
@@ -363,17 +293,17 @@
         self, delay: float, act: collections.abc.Callable[[], None]
     ) -> None:
         """Do something after a delay in seconds."""
-        at = self.now + seconds(delay)
+        at = self.now + parts.seconds(delay)
         heapq.heappush(self.queue, (at, next(self.counter), act))
 
     def add_endpoint(
         self, name: str, data_centre: str, layers: model.LayerRange | None
-    ) -> Endpoint:
+    ) -> parts.Endpoint:
         """Add an endpoint that announces itself from now on."""
-        endpoint = Endpoint(model.EndpointId(name), data_centre, layers)
+        endpoint = parts.Endpoint(model.EndpointId(name), data_centre, layers)
         self.endpoints[name] = endpoint
         self.later(
-            self.random.random() * 0.1, lambda: self._announce(endpoint)
+            self.random.random() * 0.1, lambda: self.outside.announce(endpoint)
         )
         return endpoint
 
@@ -382,9 +312,9 @@
         self.endpoints[name].is_leaving = True
 
     def _add_vm(self, name: str, role: str, data_centre: str) -> None:
-        self.vms[name] = Vm(name, role, data_centre)
+        self.vms[name] = parts.Vm(name, role, data_centre)
 
-    def _settings(self, vm: Vm) -> typing.Any:
+    def _settings(self, vm: parts.Vm) -> typing.Any:
         def peers(role: str) -> tuple[settings.Peer, ...]:
             return tuple(
                 settings.Peer(
@@ -420,7 +350,7 @@
             customers=customers,
         )
 
-    def _tick(self, vm: Vm, life: int) -> None:
+    def _tick(self, vm: parts.Vm, life: int) -> None:
         if vm.life != life or vm.reducer is None:
             return
         self.later(_TICK[vm.role], lambda: self._tick(vm, life))
@@ -430,7 +360,7 @@
             self.submit(vm.name, timer.TimerFired())
             self._watch_note(vm)
 
-    def _watch_note(self, vm: Vm) -> None:
+    def _watch_note(self, vm: parts.Vm) -> None:
         """Note it when a VM that is ready follows an older note."""
         if vm.role != "entry" or not vm.reducer.is_ready:
             return
@@ -439,7 +369,7 @@
             self.notes_gone_back.append((vm.name, number))
         self.notes_seen[vm.name] = number
 
-    def _connect(self, vm: Vm) -> None:
+    def _connect(self, vm: parts.Vm) -> None:
         """Bring up and take down streams as the cuts allow."""
         for other in self.vms.values():
             link = (vm.name, other.name)
@@ -464,7 +394,8 @@
         self.links.discard((near, far))
         self.submit(near, protocol.PeerDisconnected(model.VmId(far)))
 
-    def _carry_out(self, vm: Vm, effect: typing.Any) -> None:
+    def carry_out(self, vm: parts.Vm, effect: typing.Any) -> None:
+        """Carry out one effect of a process."""
         match effect:
             case control.SendMessage() | entry.SendMessage():
                 self._send(vm, effect.recipient, effect.message)
@@ -479,17 +410,19 @@
             case control.AnswerOperator():
                 self._hear(vm, effect.exchange_id, answer=effect.answer)
             case control.GiveOrder():
-                self._order(vm, effect.order)
+                self.outside.order(vm, effect.order)
             case entry.StartStream():
                 life = vm.life
-                self.later(0.001, lambda: self._prefill(vm, life, effect))
+                self.later(
+                    0.001, lambda: self.outside.prefill(vm, life, effect)
+                )
             case entry.CancelStream():
                 vm.cancelled.add((effect.request_id, effect.attempt))
             case entry.ProbeStages():
-                self.later(0.001, lambda: self._probe(vm, effect))
+                self.later(0.001, lambda: self.outside.probe(vm, effect))
             case entry.CallService():
                 life = vm.life
-                self.later(0.001, lambda: self._call(vm, life, effect))
+                self.later(0.001, lambda: self.outside.call(vm, life, effect))
             case entry.DeliverPieces():
                 caller = vm.callers[effect.request_id]
                 caller.texts.extend(effect.texts)
@@ -501,7 +434,9 @@
             case entry.RefuseCaller():
                 self._hear(vm, effect.request_id, failure=effect.failure)
 
-    def _hear(self, vm: Vm, key: typing.Any, **heard: typing.Any) -> None:
+    def _hear(
+        self, vm: parts.Vm, key: typing.Any, **heard: typing.Any
+    ) -> None:
         caller = vm.callers.get(key)
         if caller is None:
             return
@@ -510,13 +445,14 @@
         for name, value in heard.items():
             setattr(caller, name, value)
 
-    def _reaches(self, sender: str, recipient: str) -> bool:
+    def reaches(self, sender: str, recipient: str) -> bool:
+        """Tell whether what one sends gets to the other."""
         return (sender, recipient) not in self.cuts
 
-    def _send(self, vm: Vm, recipient: str, message: typing.Any) -> None:
+    def _send(self, vm: parts.Vm, recipient: str, message: typing.Any) -> None:
         raw = protocol.encode_messages([message])
         target = self.vms.get(recipient)
-        if target is None or not self._reaches(vm.name, recipient):
+        if target is None or not self.reaches(vm.name, recipient):
             return
         life = target.life
         (copied,) = protocol.decode_messages(raw[4:]).unwrap()
@@ -527,192 +463,3 @@
                 self.submit(recipient, arrived)
 
         self.later(_HOP.total_seconds(), deliver)
-
-    def _announce(self, endpoint: Endpoint) -> None:
-        self.later(_ANNOUNCE_SECONDS, lambda: self._announce(endpoint))
-        if not endpoint.is_alive:
-            return
-        for vm in self.vms.values():
-            near = vm.data_centre == endpoint.data_centre
-            reached = self._reaches(endpoint.name, vm.name)
-            if vm.role == "entry" and near and reached and vm.reducer:
-                self._announce_to(endpoint, vm)
-
-    def _announce_to(self, endpoint: Endpoint, vm: Vm) -> None:
-        endpoint.sequence += 1
-        is_engine = endpoint.layers is not None
-        kind = (
-            model.EndpointKind.ENGINE
-            if is_engine
-            else (model.EndpointKind.SERVICE)
-        )
-        service = "assistant" if is_engine else "ledger"
-        told = model.Announcement(
-            endpoint_id=endpoint.name,
-            incarnation=model.Incarnation(endpoint.incarnation),
-            sequence=endpoint.sequence,
-            kind=kind,
-            address="http://127.0.0.1:1",
-            data_centre=model.DataCentreId(endpoint.data_centre),
-            services=(model.ServiceName(service),),
-            model=model.ModelName("beet-32") if is_engine else None,
-            model_version=endpoint.version if is_engine else "",
-            layers=endpoint.layers,
-            accelerator=(
-                model.AcceleratorKind("fake", 8, 8000.0) if is_engine else None
-            ),
-            checks_fencing=endpoint.checks_fencing,
-            leaving=endpoint.is_leaving,
-            echo=endpoint.echoes.get(vm.name, ""),
-        )
-        if vm.is_frozen:
-            self.submit(vm.name, entry.AnnouncementArrived(0, told))
-            return
-        for effect in vm.reducer.handle(
-            entry.AnnouncementArrived(0, told), self.now
-        ):
-            if isinstance(effect, entry.ReplyAnnouncement):
-                endpoint.echoes[vm.name] = effect.echo
-            self._carry_out(vm, effect)
-
-    def _stages(self, effect: typing.Any) -> list[Endpoint]:
-        return [
-            self.endpoints[stage.endpoint_id]
-            for stage in effect.pipeline.stages
-        ]
-
-    def _prefill(self, vm: Vm, life: int, effect: typing.Any) -> None:
-        identity = (effect.request_id, effect.attempt)
-        stages = self._stages(effect)
-        heard = tuple(vm.callers[effect.request_id].texts)
-        if effect.delivered != heard or effect.position != len(heard):
-            self.wrong_resumptions.append(effect)
-        for endpoint in stages:
-            endpoint.given_at.append(self.now)
-            reached = self._reaches(vm.name, endpoint.name)
-            if not endpoint.is_alive or not reached:
-                self._fail_stream(vm, life, identity, endpoint, False)
-                return
-            if "CRASH" in effect.prompt:
-                endpoint.is_alive = False
-                self._fail_stream(vm, life, identity, endpoint, True)
-                return
-        lives = [endpoint.incarnation for endpoint in stages]
-        self._token(vm, life, effect, lives, effect.position)
-
-    def _token(
-        self,
-        vm: Vm,
-        life: int,
-        effect: typing.Any,
-        lives: list[int],
-        position: int,
-    ) -> None:
-        identity = (effect.request_id, effect.attempt)
-        if vm.life != life or identity in vm.cancelled:
-            return
-        stages = self._stages(effect)
-        for endpoint, incarnation in zip(stages, lives):
-            same = endpoint.incarnation == incarnation
-            if not endpoint.is_alive or not same:
-                self._fail_stream(vm, life, identity, endpoint, True)
-                return
-        if any(endpoint.is_silent for endpoint in stages):
-            return
-        if position >= effect.limit_tokens:
-            ended = entry.StreamEnded(*identity, position, "length")
-            self.submit(vm.name, ended)
-            return
-        lineage = tuple(
-            model.StageMark(stage.endpoint_id, stage.layers)
-            for stage in effect.pipeline.stages
-        )
-        self.runs.append((*identity, position, lineage))
-        text = fake_engine.token_text(effect.prompt, position)
-        piece = model.TokenPiece(*identity, position, text, lineage)
-        self.submit(vm.name, entry.PieceArrived(*identity, piece))
-        self.pieces.append((vm.name, piece))
-        self.produced[identity] = position + 1
-        self.later(
-            _TOKEN_SECONDS,
-            lambda: self._token(vm, life, effect, lives, position + 1),
-        )
-
-    def _fail_stream(
-        self,
-        vm: Vm,
-        life: int,
-        identity: tuple[model.RequestId, int],
-        endpoint: Endpoint,
-        crashed: bool,
-    ) -> None:
-        if vm.life != life:
-            return
-        failure = errors.Failure()
-        failed = entry.StreamFailed(*identity, endpoint.name, failure, crashed)
-        self.submit(vm.name, failed)
-
-    def _probe(self, vm: Vm, effect: typing.Any) -> None:
-        reports = []
-        for stage in effect.stages:
-            endpoint = self.endpoints[stage.endpoint_id]
-            reached = self._reaches(vm.name, endpoint.name)
-            answers_probe = endpoint.is_alive and reached
-            made = self.produced.get((effect.request_id, effect.attempt), 0)
-            reports.append(
-                entry.StageReport(
-                    endpoint.name,
-                    answers.StreamState.PRODUCING if answers_probe else None,
-                    made,
-                    model.Incarnation(endpoint.incarnation),
-                    made + endpoint.is_silent,
-                )
-            )
-        answered = entry.ProbeAnswered(
-            effect.request_id, effect.attempt, effect.probe, tuple(reports)
-        )
-        self.submit(vm.name, answered)
-
-    def _call(self, vm: Vm, life: int, effect: typing.Any) -> None:
-        endpoint = self.endpoints["ledger"]
-        endpoint.given_at.append(self.now)
-        identity = (effect.request.request_id, effect.attempt)
-        if vm.life != life:
-            return
-        failure = errors.Failure()
-        if not endpoint.is_alive or not self._reaches(vm.name, "ledger"):
-            failed = entry.ServiceFailed(*identity, failure, False)
-            self.submit(vm.name, failed)
-            return
-        key = effect.request.idempotency_key
-        self.executions[key] += 1
-        self.executed_requests.add(effect.request.request_id)
-
-        def answer() -> None:
-            if vm.life != life:
-                return
-            if not endpoint.is_alive:
-                broken = entry.ServiceFailed(*identity, failure, True)
-                self.submit(vm.name, broken)
-            elif not endpoint.is_silent:
-                headers = (http.HeaderField(b"content-type", b"text/plain"),)
-                body = f"{key} {self.executions[key]}".encode()
-                answered = entry.ServiceAnswered(*identity, 201, headers, body)
-                self.submit(vm.name, answered)
-
-        self.later(_ANSWER_SECONDS, answer)
-
-    def _order(self, vm: Vm, order: release.Order) -> None:
-        endpoint = self.endpoints[order.endpoint_id]
-        self.orders.append((vm.name, order, self.now))
-        token = (order.epoch, order.sequence)
-        outcome = release.OrderVerdict.ACCEPTED
-        if not endpoint.is_alive or not self._reaches(vm.name, endpoint.name):
-            outcome = release.OrderVerdict.FAILED
-        elif endpoint.checks_fencing and token <= endpoint.fence:
-            outcome = release.OrderVerdict.REFUSED_FENCING
-        else:
-            endpoint.fence = max(endpoint.fence, token)
-            endpoint.orders.append(order)
-            endpoint.version = order.version or endpoint.version
-        self.submit(vm.name, control.OrderAnswered(order, outcome))
