Take an engine's refusal as final, and a busy one as well

Found by reading: an engine that answered 400 was marked as failed at every VM, and the next tried, so that one faulty request put three engines under suspicion. Now 4xx is the caller's final answer at once (outcome unknown), 408, 425, 429 and 503 pass the engine over without suspicion, anything else marks it.

--- a/sedgepin/_control/_reducer.py
+++ b/sedgepin/_control/_reducer.py
@@ -40,7 +40,6 @@
 
     __slots__ = (
         "_cfg",
-        "_drains",
         "_entries",
         "_batch",
         "_ordering",
@@ -72,7 +71,6 @@
         self._plan_at = now
         self._entries: set[model.VmId] = set()
         self._batch: list[consensus.Proposal] = []
-        self._drains = False
         self.state = state.ControlState()
 
     @property
@@ -376,7 +374,6 @@
         return planned.effects
 
     def _visit_drain(self, now: datetime.datetime) -> Effects:
-        self._drains = True
         line = _effects.WriteLog(events.PROCESS_DRAINING.line())
         handed = self._drive(consensus.LeadershipTransferRequested(), now)
         return [line, *handed]
--- a/sedgepin/_entry/_endpoint_client.py
+++ b/sedgepin/_entry/_endpoint_client.py
@@ -20,8 +20,11 @@
 from sedgepin._entry import _failures
 from sedgepin import _http as http
 from sedgepin import _model as model
+from sedgepin import errors
 
 _CONNECT_TIMEOUT_SECONDS = 1.0
+_BUSY_STATUSES = frozenset((408, 425, 429, 503))
+_CLIENT_ERRORS = range(400, 500)
 _LINE_LIMIT_BYTES = 1_048_576
 
 Emit: typing.TypeAlias = collections.abc.Callable[[_events.EntryEvent], None]
@@ -151,6 +154,7 @@
         """Run an attempt to its end or failure."""
         first = effect.pipeline.stages[0]
         connected = False
+        refusal: errors.Failure | None = None
         reason = "the stream ended without an end marker"
         try:
             async with self._pool.stream(
@@ -163,7 +167,7 @@
                 connected = True
                 if response.status != 200:
                     connected = False
-                    reason = f"it answered {response.status}"
+                    refusal = _refusal(response.status)
                 elif await _emit_lines(response, effect, emit):
                     return
         except _NOT_CONNECTED as exc:
@@ -173,7 +177,7 @@
             reason = type(exc).__name__
         except msgspec.DecodeError as exc:
             reason = f"a line cannot be read: {exc}"
-        failure = _failures.EndpointFailed(reason)
+        failure = refusal or _failures.EndpointFailed(reason)
         emit(
             _events.StreamFailed(
                 effect.request_id,
@@ -302,6 +306,15 @@
     )
 
 
+def _refusal(status: int) -> errors.Failure:
+    """Return what an engine's status says where it is not 200."""
+    if status in _BUSY_STATUSES:
+        return _failures.EndpointBusy()
+    if _CLIENT_ERRORS.start <= status < _CLIENT_ERRORS.stop:
+        return _failures.EndpointRefused(status)
+    return _failures.EndpointFailed(f"it answered {status}")
+
+
 def _timeouts() -> dict[str, typing.Any]:
     return {"timeout": {"connect": _CONNECT_TIMEOUT_SECONDS}}
 
--- a/sedgepin/_entry/_failures.py
+++ b/sedgepin/_entry/_failures.py
@@ -73,6 +73,36 @@
         return self.reason
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndpointRefused(errors.Failure):
+    """An engine answered that it does not take such a request."""
+
+    code: typing.ClassVar[str] = "endpoint_refused"
+    title: typing.ClassVar[str] = "An engine does not take the request"
+    http_status: typing.ClassVar[int] = 422
+    outcome: typing.ClassVar[errors.Outcome] = errors.Outcome.UNKNOWN
+
+    status: int
+
+    def detail(self) -> str:
+        """Return the engine's HTTP status."""
+        return f"the engine answered {self.status}"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndpointBusy(errors.Failure):
+    """An engine is alive and takes nothing more at present."""
+
+    code: typing.ClassVar[str] = "endpoint_busy"
+    title: typing.ClassVar[str] = "An engine takes nothing more at present"
+    http_status: typing.ClassVar[int] = 503
+
+    @property
+    def retry_after(self) -> datetime.timedelta:
+        """Return how long to wait before asking again."""
+        return _COME_BACK_SOON
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class EndpointUnreachable(errors.Failure):
     """No connection to the endpoint came about; nothing was sent."""
--- a/sedgepin/_entry/_losses.py
+++ b/sedgepin/_entry/_losses.py
@@ -84,7 +84,11 @@
         if event.crashed:
             answer.lost = event
             return [*made, self._probe(answer)]
-        made += self._mark_failed(event.at_fault, now)
+        if isinstance(event.failure, _failures.EndpointRefused):
+            # Another engine would say the same; the endpoint is well.
+            return made + self._generation.give_up(answer, event.failure, now)
+        if not isinstance(event.failure, _failures.EndpointBusy):
+            made += self._mark_failed(event.at_fault, now)
         answer.avoid |= {event.at_fault}
         return made + self._resumption.retry_unrun(answer, now)
 
--- a/sedgepin/tests/scenarios/stage.py
+++ b/sedgepin/tests/scenarios/stage.py
@@ -13,7 +13,6 @@
 
     world: worlds.World
     names: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
-    orders_after_loss: int = 0
 
     def vm(self, name: str) -> str:
         """Return the VM that a scenario calls by a role or by its name."""
