--- a/sedgepin/_control/_rules.py
+++ b/sedgepin/_control/_rules.py
@@ -9,8 +9,12 @@
 def may_ask(sender: model.VmId, command: state.Command) -> bool:
     """Tell whether an entry VM may have a command put into the log.
 
-    Only those about writes that it holds itself.
+    Only those about writes that it holds itself, and the record of a request
+    that it quarantined.
     """
+    if isinstance(command, state.RecordEvent):
+        is_quarantine = command.kind is state.AuditKind.REQUEST_QUARANTINED
+        return is_quarantine and command.actor == sender
     if not isinstance(command, writes.WriteCommand):
         return False
     return command.holder.vm_id == sender
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -110,7 +110,7 @@
         self._generation = _generation.Generation(self._around, self._doors)
         resumption = _resumption.Resumption(self._around, self._generation)
         self._trials = _trials.Trials(
-            self._around, self._generation, resumption
+            self._around, self._generation, resumption, self._asks
         )
         self._losses = _losses.Losses(
             self._around, self._generation, resumption, self._trials
--- a/sedgepin/_entry/_trials.py
+++ b/sedgepin/_entry/_trials.py
@@ -5,6 +5,7 @@
 import result
 
 from sedgepin import _admission as admission
+from sedgepin._entry import _control_asks
 from sedgepin._entry import _effects
 from sedgepin._entry import _follow_ups
 from sedgepin._entry import _generation
@@ -13,6 +14,7 @@
 from sedgepin._entry import _surroundings
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
+from sedgepin import _state as state
 from sedgepin import events
 
 Effects = list[_effects.EntryEffect]
@@ -21,15 +23,17 @@
 class Trials:
     """Runs suspects alone, resumes the acquitted, answers the condemned."""
 
-    __slots__ = ("_around", "_generation", "_resumption")
+    __slots__ = ("_around", "_asks", "_generation", "_resumption")
 
     def __init__(
         self,
         around: _surroundings.Surroundings,
         generation: _generation.Generation,
         resumption: _resumption.Resumption,
+        asks: _control_asks.ControlAsks,
     ) -> None:
         self._around = around
+        self._asks = asks
         self._generation = generation
         self._resumption = resumption
 
@@ -185,8 +189,27 @@
             customer=answer.fingerprint.customer,
         )
         made: Effects = [_effects.WriteLog(line)]
+        made += self._record(answer, now)
         return made + self._generation.give_up(answer, failure, now)
 
+    def _record(
+        self, answer: _open_answer.OpenAnswer, now: datetime.datetime
+    ) -> Effects:
+        """Put a condemned request into the audit trail."""
+        fingerprint = answer.fingerprint
+        command = state.RecordEvent(
+            at=now,
+            actor=self._around.cfg.id,
+            kind=state.AuditKind.REQUEST_QUARANTINED,
+            subject=fingerprint.customer,
+            detail=fingerprint.body_digest,
+        )
+        subject = f"quarantine {answer.request.request_id}"
+        asked = self._asks.ask(subject, state.encode_command(command))
+        if isinstance(asked, _control_asks.Asked):
+            return [asked.effect]
+        return []
+
     def _share(self, rumour: admission.Rumour) -> Effects:
         message = protocol.SuspectRumour(rumour)
         return [
--- a/sedgepin/_entry/tests/test_callers.py
+++ b/sedgepin/_entry/tests/test_callers.py
@@ -163,3 +163,11 @@
         surface.ask(_scope("POST", path, []), outside)
         assert outside.sent[0]["status"] in {422, 500}
         assert not surface.submitted or outside.sent[0]["status"] == 500
+
+    def test_headers_over_the_limit_are_refused_by_type(self) -> None:
+        surface = _Surface()
+        outside = _Outside([b""], False)
+        headers = [(b"x", b"y" * 16_400), (b"authorization", _BEARER)]
+        surface.ask(_scope("GET", "/healthz", headers), outside)
+        assert outside.sent[0]["status"] == 431
+        assert b"headers_too_large" in outside.sent[1]["body"]
--- a/sedgepin/_http/__init__.py
+++ b/sedgepin/_http/__init__.py
@@ -3,6 +3,7 @@
 from sedgepin._http._failures import BodyTooLarge
 from sedgepin._http._failures import CallerGone
 from sedgepin._http._failures import CredentialRefused
+from sedgepin._http._failures import HeadersTooLarge
 from sedgepin._http._failures import NotFound
 from sedgepin._http._failures import RequestNotUnderstood
 from sedgepin._http._messages import bearer_digest
@@ -22,6 +23,7 @@
     "CallerGone",
     "CredentialRefused",
     "HeaderField",
+    "HeadersTooLarge",
     "HttpServer",
     "NotFound",
     "Receive",
--- a/sedgepin/_http/_failures.py
+++ b/sedgepin/_http/_failures.py
@@ -39,6 +39,21 @@
         return f"the limit is {self.limit_bytes} bytes"
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class HeadersTooLarge(errors.Failure):
+    """The header fields are over the limit in the settings."""
+
+    code: typing.ClassVar[str] = "headers_too_large"
+    title: typing.ClassVar[str] = "The header fields are too large"
+    http_status: typing.ClassVar[int] = 431
+
+    limit_bytes: int
+
+    def detail(self) -> str:
+        """Return the limit."""
+        return f"the limit is {self.limit_bytes} bytes"
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RequestNotUnderstood(errors.Failure):
     """The request has a fault that the caller can mend."""
--- a/sedgepin/_http/_server.py
+++ b/sedgepin/_http/_server.py
@@ -7,6 +7,7 @@
 import hypercorn.trio
 import trio
 
+from sedgepin._http import _failures
 from sedgepin._http import _messages
 from sedgepin import settings
 
@@ -15,15 +16,23 @@
 # only for the last bytes on their way out.
 _LAST_BYTES_SECONDS = 3.0
 _KEEP_ALIVE_SECONDS = 30.0
+_HEADER_LIMIT_BYTES = 16_384
 
 
 class HttpServer(abc.ABC):
     """An HTTP server that knows how many requests are open."""
 
-    __slots__ = ("_draining", "_idle", "_open", "_stop")
+    __slots__ = (
+        "_draining",
+        "_header_limit_bytes",
+        "_idle",
+        "_open",
+        "_stop",
+    )
 
     def __init__(self) -> None:
         self._open = 0
+        self._header_limit_bytes = _HEADER_LIMIT_BYTES
         self._draining = False
         self._idle = trio.Event()
         self._stop = trio.Event()
@@ -67,7 +76,10 @@
         cfg.backlog = _BACKLOG_CONNECTIONS
         cfg.graceful_timeout = _LAST_BYTES_SECONDS
         cfg.keep_alive_timeout = _KEEP_ALIVE_SECONDS
-        cfg.h11_max_incomplete_size = header_limit_bytes
+        # Heads far over the limit are cut off by the library, which knows no
+        # problem documents.
+        self._header_limit_bytes = header_limit_bytes
+        cfg.h11_max_incomplete_size = 4 * header_limit_bytes
         if tls is not None:
             cfg.certfile = tls.certificate
             cfg.keyfile = tls.key
@@ -89,6 +101,10 @@
         request = _messages.Request.from_scope(scope, receive, closing_send)
         self._open += 1
         try:
+            if _header_bytes(request) > self._header_limit_bytes:
+                refusal = _failures.HeadersTooLarge(self._header_limit_bytes)
+                await _messages.send_problem(request, refusal)
+                return
             await self.answer(request)
         finally:
             self._open -= 1
@@ -107,6 +123,14 @@
         return send_closing
 
 
+def _header_bytes(request: _messages.Request) -> int:
+    """Return the size of all header fields, and of path and query."""
+    fields = sum(
+        len(field.name) + len(field.value) for field in request.headers
+    )
+    return fields + len(request.path) + len(request.query)
+
+
 async def _serve_lifespan(
     receive: _messages.Receive, send: _messages.Send
 ) -> None:
--- a/sedgepin/cli/_operations.py
+++ b/sedgepin/cli/_operations.py
@@ -3,8 +3,10 @@
 import pathlib
 
 from sedgepin.cli import _daemons
+from sedgepin.cli import _exit
 from sedgepin.cli import _operator_client
 from sedgepin.cli import _output
+from sedgepin import settings
 
 _MEMBER_COLUMNS = ("vm", "disk", "votes")
 _STATUS_COLUMNS = (
@@ -29,16 +31,34 @@
 _AUDIT_COLUMNS = ("index", "at", "actor", "kind", "subject", "detail")
 
 
-def check_settings(settings_file: pathlib.Path) -> None:
+def check_settings(
+    settings_file: pathlib.Path, *, output: _output.Output = "table"
+) -> None:
     """Check a settings file and name every fault in it.
 
     :param settings_file: JSON settings of a daemon
+    :param output: table or json
     """
+    if output == "json":
+        _check_as_document(settings_file)
+        return
     cfg = _daemons.read_settings(settings_file)
     role = type(cfg).__name__.removesuffix("Settings").lower()
     print(f"{settings_file}: settings of {role} {cfg.id} are in order")
 
 
+def _check_as_document(settings_file: pathlib.Path) -> None:
+    read = settings.read(settings_file)
+    faults = () if read.is_ok() else read.unwrap_err().faults
+    listed = [
+        {"field": fault.field, "problem": fault.problem} for fault in faults
+    ]
+    document = {"file": str(settings_file), "faults": listed}
+    _output.print_document(document, "json")
+    if faults:
+        raise SystemExit(int(_exit.ExitCode.FAULTY_DOCUMENT))
+
+
 def publish(
     note_file: pathlib.Path,
     *,
--- a/sedgepin/tests/fake_engine.py
+++ b/sedgepin/tests/fake_engine.py
@@ -24,9 +24,12 @@
 import msgspec
 import trio
 
+from sedgepin._entry._prefixes import prefix_hashes
 from sedgepin import _model as model
 
 _FORWARD_TIMEOUT_SECONDS = 60.0
+_HEARTBEAT_SECONDS = 0.2
+_CACHE_EVENTS_SENT = 16
 
 
 class Options(msgspec.Struct, frozen=True, kw_only=True):
@@ -60,6 +63,10 @@
         self.echoes: dict[str, str] = {}
         self.leaving = False
         self.running: dict[tuple[str, int], int] = {}
+        self.reported_running = 0
+        self.cached: set[str] = set()
+        self.cache_sequence = 0
+        self.cache_events: list[model.CacheEvent] = []
         self.runs: collections.Counter[str] = collections.Counter()
         self.fence = (0, 0)
         self.orders: list[dict[str, typing.Any]] = []
@@ -85,9 +92,16 @@
             accelerator=model.AcceleratorKind("fake", 8, 8000.0),
             checks_fencing=options.checks_fencing,
             leaving=self.leaving,
-            load=model.LoadReport(running_requests=len(self.running)),
+            load=model.LoadReport(
+                running_requests=self.reported_running,
+                measured_before_milliseconds=int(
+                    1000 * options.announce_seconds
+                ),
+            ),
+            cache_events=tuple(self.cache_events[-_CACHE_EVENTS_SENT:]),
             echo=self.echoes.get(entry, ""),
         )
+        self.reported_running = len(self.running)
         return msgspec.json.encode(told)
 
     async def announce(self, entry: str) -> None:
@@ -133,7 +147,8 @@
             "layers": stage["layers"],
         }
         try:
-            await trio.sleep(self.options.prefill_seconds)
+            async for line in self.prefill(body["prompt"]):
+                yield line
             last = body["index"] + 1 == len(body["stages"])
             made = self.generate(body) if last else self.forward(body)
             async for line in made:
@@ -144,6 +159,24 @@
         finally:
             self.running.pop(attempt, None)
 
+    async def prefill(
+        self, prompt: str
+    ) -> collections.abc.AsyncIterator[dict[str, typing.Any]]:
+        """Prefill, with a heartbeat now and then; remember the prefixes."""
+        left = self.options.prefill_seconds
+        while left > 0:
+            await trio.sleep(min(left, _HEARTBEAT_SECONDS))
+            left -= _HEARTBEAT_SECONDS
+            yield {"type": "heartbeat"}
+        fresh = tuple(
+            name for name in prefix_hashes(prompt) if name not in self.cached
+        )
+        if fresh:
+            self.cached.update(fresh)
+            event = model.CacheEvent(self.cache_sequence, added=fresh)
+            self.cache_sequence += 1
+            self.cache_events.append(event)
+
     async def generate(
         self, body: dict[str, typing.Any]
     ) -> collections.abc.AsyncIterator[dict[str, typing.Any]]:
--- a/sedgepin/tests/scenarios/test_scenarios.py
+++ b/sedgepin/tests/scenarios/test_scenarios.py
@@ -246,6 +246,14 @@
     stage.world.run_until(lambda: stage.world.leader() is not None, limit)
 
 
+@pytest_bdd.then("the audit trail tells of a quarantined request")
+def audited_quarantine(stage: stages.Stage) -> None:
+    leader = stage.vm("the leader")
+    trail = stage.world.vms[leader].reducer.state.audit(0, 1000)
+    kinds = [record.kind for record in trail]
+    assert state.AuditKind.REQUEST_QUARANTINED in kinds
+
+
 @pytest_bdd.then("the audit trail tells of an election, a note and a join")
 def audited(stage: stages.Stage) -> None:
     leader = stage.vm("the leader")
--- a/sedgepin/tests/scenarios/what_fails.feature
+++ b/sedgepin/tests/scenarios/what_fails.feature
@@ -51,6 +51,7 @@
     And "clerk once more" is refused as request_quarantined, unknown
     And "clerk once more" is told when to come back
     And at most 2 endpoints are dead
+    And the audit trail tells of a quarantined request
 
   Scenario: It is sent to three VMs at once while control has no leader
     Given a system with 3 control VMs, 3 entry VMs and 4 copies of each stage
