--- a/sedgepin/_control/_operators.py
+++ b/sedgepin/_control/_operators.py
@@ -46,6 +46,13 @@
     seconds_since_accepted: float | None
 
 
+class ShownNote(msgspec.Struct, frozen=True):
+    """An accepted note; with the latest, the fleet that it led to."""
+
+    accepted: release.AcceptedNote
+    fleet: release.Fleet | None
+
+
 class VmStanding(msgspec.Struct, frozen=True):
     """What a control VM knows of an entry VM."""
 
@@ -212,7 +219,8 @@
         accepted = self._reducer.state.accepted_note(number)
         if accepted is None or len(parts) > 1:
             return http.NotFound()
-        await http.send_document(request, accepted)
+        fleet = self._reducer.state.fleet if number == latest else None
+        await http.send_document(request, ShownNote(accepted, fleet))
         return None
 
     def _note_standing(self, number: int) -> NoteStanding:
--- a/sedgepin/cli/_operations.py
+++ b/sedgepin/cli/_operations.py
@@ -94,7 +94,7 @@
     *,
     output: _output.Output = "json",
 ) -> None:
-    """Show an accepted note.
+    """Show an accepted note; with the latest, the fleet in force.
 
     :param number: the note's number; the latest if none is given
     :param output: table or json
--- a/sedgepin/tests/test_processes.py
+++ b/sedgepin/tests/test_processes.py
@@ -235,6 +235,8 @@
         assert b"engine-12-1" in endpoints.stdout
         note = system.command("note", "status", "1")
         assert b"in_force_on" in note.stdout
+        shown = system.command("note", "show", "1")
+        assert b'"name": "beet-32"' in shown.stdout
         faulty = system.folder / "faulty.json"
         faulty.write_text('{"number": 0, "note_id": "a", "zip": 1}')
         refused = system.command("note", "publish", str(faulty))
