Take test ports that no outgoing connection is given

Cause: a port was found free and listened on a moment later; in between the kernel may give it to an outgoing connection. Not seen to happen; found by reading. Ports now lie below the kernel's own range.

--- a/sedgepin/tests/processes.py
+++ b/sedgepin/tests/processes.py
@@ -7,6 +7,7 @@
 import collections.abc
 import contextlib
 import hashlib
+import itertools
 import os
 import pathlib
 import signal
@@ -26,6 +27,13 @@
 STAGES = ((0, 12), (12, 22), (22, 32))
 
 _WAIT_SECONDS = 20.0
+_FIRST_PORT = 12_000
+_PORTS = 20_000
+# Processes that run side by side begin far from each other.
+_ports = (
+    _FIRST_PORT + (os.getpid() * 211 + number) % _PORTS
+    for number in itertools.count()
+)
 
 # What a request to a process that is dead, frozen or cut off raises.
 UNREACHABLE = (
@@ -36,10 +44,18 @@
 
 
 def free_port() -> int:
-    """Return a loopback port that nobody listens on."""
-    with socket.socket() as probing:
-        probing.bind(("127.0.0.1", 0))
-        return int(probing.getsockname()[1])
+    """Return a loopback port that nobody uses.
+
+    It lies below the ports that the kernel gives to outgoing connections
+    (``ip_local_port_range``, from 32768), so that none of those takes it
+    before it is listened on.
+    """
+    for port in _ports:
+        with socket.socket() as probing, contextlib.suppress(OSError):
+            probing.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probing.bind(("127.0.0.1", port))
+            return port
+    raise AssertionError("the ports never end")
 
 
 def wait_until(
