Drop a lookup that stood twice, and build one refusal in one place

Fleet.role_for was called by nobody: the planner's placer looks roles up in an index of its own. The failure of a request whose time ended before it ran was built alike in two modules.

--- a/sedgepin/_entry/_losses.py
+++ b/sedgepin/_entry/_losses.py
@@ -9,6 +9,7 @@
 from sedgepin._entry import _failures
 from sedgepin._entry import _generation
 from sedgepin._entry import _open_answer
+from sedgepin._entry import _refusals
 from sedgepin._entry import _resumption
 from sedgepin._entry import _surroundings
 from sedgepin._entry import _trials
@@ -271,9 +272,7 @@
         self, answer: _open_answer.OpenAnswer, now: datetime.datetime
     ) -> Effects:
         if not answer.dispatched:
-            failure = admission.DeadlineCannotBeMet(
-                datetime.timedelta(seconds=1)
-            )
+            failure = _refusals.never_started()
             return self._generation.give_up(answer, failure, now)
         timed_out = _failures.RequestTimedOut()
         return self._generation.give_up(answer, timed_out, now)
--- a/sedgepin/_entry/_refusals.py
+++ b/sedgepin/_entry/_refusals.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from sedgepin import _admission as admission
 from sedgepin._entry import _effects
 from sedgepin._entry import _surroundings
 from sedgepin import _model as model
@@ -9,6 +10,8 @@
 from sedgepin import errors
 from sedgepin import events
 
+_COME_BACK_SOON = datetime.timedelta(seconds=1)
+
 
 def refuse_and_log(
     request_id: model.RequestId,
@@ -29,6 +32,11 @@
     ]
 
 
+def never_started() -> admission.DeadlineCannotBeMet:
+    """Return the failure of a request whose time ended before it ran."""
+    return admission.DeadlineCannotBeMet(_COME_BACK_SOON)
+
+
 def allowed_time(
     around: _surroundings.Surroundings,
     service: release.Service,
--- a/sedgepin/_entry/_service_calls.py
+++ b/sedgepin/_entry/_service_calls.py
@@ -333,9 +333,7 @@
     def _time_out(self, call: _OpenCall, now: datetime.datetime) -> Effects:
         failure: errors.Failure = _failures.EndpointTooSlow()
         if not call.attempt:
-            failure = admission.DeadlineCannotBeMet(
-                datetime.timedelta(seconds=1)
-            )
+            failure = _refusals.never_started()
         cancel = _effects.CancelCall(call.request.request_id, call.attempt)
         refused = self._refuse(call.request, failure)
         return [cancel, *refused, *self._close(call, False, now)]
--- a/sedgepin/_release/_fleet.py
+++ b/sedgepin/_release/_fleet.py
@@ -6,7 +6,6 @@
 import msgspec
 import result
 
-from sedgepin import _model
 from sedgepin._release import _draft
 from sedgepin._release import _note
 from sedgepin import errors
@@ -58,17 +57,6 @@
         """Return the service of that name."""
         return _first_named(self.services, name)
 
-    def role_for(self, announced: _model.Announcement) -> _note.Role | None:
-        """Return the role that counts for an endpoint."""
-        selecting = (
-            role for role in self.roles if role.selector.matches(announced)
-        )
-        return min(
-            selecting,
-            key=lambda role: (-role.selector.specificity, role.name),
-            default=None,
-        )
-
     def _items(self) -> collections.abc.Iterator[_note.Item]:
         yield from self.models
         yield from self.versions
