--- /dev/null
+++ b/sedgepin/_catalog/_registry.py
@@ -0,0 +1,186 @@
+"""The endpoints that have registered, as one process knows them."""
+
+import dataclasses
+import datetime
+import typing
+
+import msgspec
+
+from sedgepin._catalog import _registration
+from sedgepin import _model as model
+
+# A word that arrives this long after its endpoint left cannot bring it back.
+_GONE_MEMORY = datetime.timedelta(seconds=60)
+
+# An endpoint whose control VM dies asks the next one after a second, at most
+# twice; one that misses this many heartbeats has had the time.
+_MISSED_HEARTBEATS = 3.4
+
+
+def endpoint_silence(heartbeat_interval: datetime.timedelta) -> datetime.timedelta:
+    """Return how long an endpoint may go unheard before it counts as lost."""
+    return heartbeat_interval * _MISSED_HEARTBEATS
+
+
+@dataclasses.dataclass(slots=True)
+class Known:
+    """An endpoint's latest word and when it was last heard."""
+
+    registration: _registration.Registration
+    heard_at: datetime.datetime
+
+
+class Registry:
+    """Takes in registrations in any order; the latest of each wins.
+
+    Two endpoints never share an address: the one that started later has it.
+
+    >>> registry = Registry()
+    >>> registry.take(registration, now)
+    True
+    """
+
+    __slots__ = ("_by_address", "_known")
+
+    def __init__(self) -> None:
+        self._known: dict[model.EndpointId, Known] = {}
+        self._by_address: dict[str, model.EndpointId] = {}
+
+    def __iter__(self) -> typing.Iterator[Known]:
+        return iter(self._known.values())
+
+    def find(self, endpoint_id: model.EndpointId) -> Known | None:
+        """Return what is known of an endpoint."""
+        return self._known.get(endpoint_id)
+
+    def at_address(self, address: str) -> Known | None:
+        """Return the endpoint that has an address now."""
+        endpoint_id = self._by_address.get(address)
+        return None if endpoint_id is None else self._known.get(endpoint_id)
+
+    def take(
+        self, word: _registration.Registration, now: datetime.datetime
+    ) -> bool:
+        """Take in a word; return whether it says anything new."""
+        known = self._known.get(word.endpoint_id)
+        if known is not None and word.order <= known.registration.order:
+            if word.order == known.registration.order:
+                known.heard_at = now
+            return False
+        if known is not None and _stays_gone(known.registration, word):
+            return False
+        holder = self.at_address(word.address)
+        if holder is not None and not _may_hold(word, holder.registration):
+            return False
+        self._put(word, now)
+        return known is None or _differs(known.registration, word)
+
+    def mark_gone(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> _registration.Registration | None:
+        """Note that an endpoint said farewell; return its last word."""
+        known = self._known.get(endpoint_id)
+        if known is None:
+            return None
+        last = known.registration
+        known.registration = _with_state(
+            last, _registration.EndpointState.GONE
+        )
+        known.heard_at = now
+        return known.registration
+
+    def correct_layers(
+        self,
+        endpoint_id: model.EndpointId,
+        incarnation: int,
+        layers: model.LayerRange | None,
+    ) -> _registration.Registration | None:
+        """Take over what an engine said it holds when it was asked.
+
+        Return its registration if that is news.
+        """
+        known = self._known.get(endpoint_id)
+        if known is None or known.registration.incarnation != incarnation:
+            return None
+        if known.registration.layers == layers:
+            return None
+        known.registration = msgspec.structs.replace(
+            known.registration, layers=layers
+        )
+        return known.registration
+
+    def hear(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> None:
+        """Note that an endpoint was heard without news."""
+        known = self._known.get(endpoint_id)
+        if known is not None:
+            known.heard_at = max(known.heard_at, now)
+
+    def forget(
+        self, silent_for: datetime.timedelta, now: datetime.datetime
+    ) -> None:
+        """Drop endpoints that were not heard for a long time."""
+        limit = max(silent_for, _GONE_MEMORY)
+        for endpoint_id, known in tuple(self._known.items()):
+            if now - known.heard_at > limit:
+                del self._known[endpoint_id]
+                address = known.registration.address
+                if self._by_address.get(address) == endpoint_id:
+                    del self._by_address[address]
+
+    def _put(
+        self, word: _registration.Registration, now: datetime.datetime
+    ) -> None:
+        holder = self.at_address(word.address)
+        if holder is not None:
+            other = holder.registration
+            if other.endpoint_id != word.endpoint_id:
+                holder.registration = _with_state(
+                    other, _registration.EndpointState.GONE
+                )
+        self._known[word.endpoint_id] = Known(word, now)
+        self._by_address[word.address] = word.endpoint_id
+
+
+def _stays_gone(
+    known: _registration.Registration, word: _registration.Registration
+) -> bool:
+    gone = _registration.EndpointState.GONE
+    return known.state is gone and word.incarnation <= known.incarnation
+
+
+def _may_hold(
+    word: _registration.Registration, holder: _registration.Registration
+) -> bool:
+    """Tell whether a word is from the address's present endpoint.
+
+    A word that was held up on its way may arrive after another endpoint has
+    started at the same address.
+    """
+    if word.endpoint_id == holder.endpoint_id:
+        return True
+    return word.incarnation >= holder.incarnation
+
+
+def _with_state(
+    word: _registration.Registration, state: _registration.EndpointState
+) -> _registration.Registration:
+    return msgspec.structs.replace(word, state=state)
+
+
+def _differs(
+    old: _registration.Registration, new: _registration.Registration
+) -> bool:
+    return _comparable(old) != _comparable(new)
+
+
+def _comparable(word: _registration.Registration) -> tuple[object, ...]:
+    return (
+        word.incarnation,
+        word.service,
+        word.address,
+        word.state,
+        word.layers,
+        word.weights_version,
+    )
--- a/sedgepin/_consensus/_founding.py
+++ b/sedgepin/_consensus/_founding.py
@@ -29,11 +29,15 @@
     def tick(self, now: datetime.datetime) -> None:
         """Ask again when it is time, as long as there is need."""
         core = self._core
-        if core.is_voter or now < core.election_at or not self._is_due(now):
+        # Where members come and go, a voter by its own log may have been
+        # removed meanwhile, and only asking brings it back.
+        is_settled = core.is_voter and not core.cfg.open_membership
+        if is_settled or now < core.election_at or not self._is_due(now):
             return
         self._asked_at = now
         self._blank.clear()
-        for vm_id in core.cfg.control_vms:
+        members = {one.vm_id for one in core.configuration.members}
+        for vm_id in sorted(members.union(core.cfg.control_vms)):
             if vm_id == core.cfg.vm_id:
                 continue
             header = core.header(storage.MemberId(vm_id, _ANY_DISK))
@@ -66,7 +70,7 @@
 
     def _found_if_all_blank(self, now: datetime.datetime) -> None:
         core = self._core
-        if not core.log.is_empty:
+        if not core.log.is_empty or not core.cfg.may_found:
             return
         others = set(core.cfg.control_vms) - {core.cfg.vm_id}
         if core.cfg.vm_id != min(core.cfg.control_vms):
--- a/sedgepin/_consensus/_steward.py
+++ b/sedgepin/_consensus/_steward.py
@@ -52,7 +52,8 @@
         self, member: storage.MemberId, now: datetime.datetime
     ) -> None:
         """Remember a member that asked to join."""
-        if member.vm_id in self._core.cfg.control_vms:
+        cfg = self._core.cfg
+        if cfg.open_membership or member.vm_id in cfg.control_vms:
             self._joiners[member.vm_id] = _Joiner(member, now)
 
     def next_configuration(
@@ -144,10 +145,29 @@
                 if self._is_silent(same_vm[0], progress, now):
                     return old.without(same_vm[0])
                 continue
+            replaced = self._silent_voter(progress, now)
+            if replaced is not None:
+                return old.without(replaced)
             if len(old.voters) < self._core.cfg.voter_limit:
                 return old.with_promoted(learner)
         return None
 
+    def _silent_voter(
+        self, progress: ProgressMap, now: datetime.datetime
+    ) -> storage.MemberId | None:
+        """Return a voter that a newcomer may replace, if there is one."""
+        core = self._core
+        if not core.cfg.open_membership:
+            return None
+        for voter in core.configuration.voters:
+            if voter == core.me:
+                continue
+            known = progress[voter]
+            last_sign_at = max(known.heard_at, known.known_since)
+            if now - last_sign_at > core.cfg.voter_patience:
+                return voter
+        return None
+
     def _without_silent(
         self, progress: ProgressMap, now: datetime.datetime
     ) -> storage.Configuration | None:
--- /dev/null
+++ b/sedgepin/_gateway/_calls.py
@@ -0,0 +1,99 @@
+"""A caller's request and an endpoint's answer, as the gateway sees them."""
+
+import dataclasses
+import datetime
+import typing
+
+from sedgepin import _model as model
+from sedgepin import _placement as placement
+from sedgepin import _web as web
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TokenUsage:
+    """How many tokens a request to a model has and may write.
+
+    ``answer_hint`` is the caller's guess of what will be written.
+    """
+
+    prompt_tokens: int
+    answer_limit: int
+    answer_hint: int | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallerRequest:
+    """A caller's request, read once.
+
+    ``time_left`` counts from the arrival.  ``usage`` is known for requests
+    to a model.  ``resume_after`` is the last event of a stream that the
+    caller has already.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    message: web.Request
+    time_left: datetime.timedelta | None = None
+    key: str | None = None
+    usage: TokenUsage | None = None
+    resume_after: int | None = None
+
+    @property
+    def size(self) -> placement.Size | None:
+        """Return the size that the request is taken to have."""
+        if self.usage is None:
+            return None
+        answer = self.usage.answer_limit
+        if self.usage.answer_hint is not None:
+            answer = min(answer, self.usage.answer_hint)
+        return placement.Size(self.usage.prompt_tokens, answer)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Dispatch:
+    """What an endpoint is told beside the caller's own words.
+
+    ``pipeline`` names the engines of a request to a model; the request goes
+    to the first of them.
+    """
+
+    endpoint_id: model.EndpointId
+    address: str
+    time_left: datetime.timedelta | None
+    customer: model.CustomerId | None
+    pipeline: model.Pipeline | None = None
+    resume_after: int | None = None
+    weights_version: int | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerMarks:
+    """What the head of an endpoint's answer says beside its status.
+
+    ``is_not_run`` is the endpoint's word that it did not run the request.
+    ``at_fault`` is the address of the engine that was to blame.
+    ``running`` and ``waiting`` are the endpoint's load, of ``slots``.
+    """
+
+    request_id: str | None
+    is_sealed: bool
+    is_not_run: bool
+    at_fault: str | None = None
+    running: int | None = None
+    waiting: int | None = None
+    slots: int | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StallReport:
+    """What a first engine says of a request that makes no progress.
+
+    ``at_fault`` is the address of the engine that it waits for.
+    """
+
+    at_fault: str | None
+    slowness: float = 1.0
+
+
+Answer: typing.TypeAlias = tuple[web.AnswerHead, bytes]
--- /dev/null
+++ b/sedgepin/_gateway/_daemon.py
@@ -0,0 +1,250 @@
+"""The gateway daemon: trio tasks around the reducer."""
+
+import datetime
+import itertools
+import random
+import time
+
+import trio
+
+from sedgepin._gateway import _dialect
+from sedgepin._gateway import _effects
+from sedgepin._gateway import _events
+from sedgepin._gateway import _reducer
+from sedgepin._gateway import _relay
+from sedgepin._gateway import _settings
+from sedgepin import _catalog as catalog
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin import _shell as shell
+from sedgepin import _web as web
+from sedgepin import clock
+from sedgepin import errors
+from sedgepin import events
+from sedgepin import logs
+from sedgepin import settings
+
+_TICK_SECONDS = 0.05
+# Engines answer a report or an order within milliseconds.
+_ENGINE_TIMEOUT = datetime.timedelta(milliseconds=300)
+# The balancer asks each second and takes a VM out after two misses; what it
+# sends until then is still served.
+_NOTICE_SECONDS = 2.6
+# What is left of the grace for the process to end by itself.
+_EXIT_MARGIN_SECONDS = 0.3
+
+
+class _Callers(web.Handler):
+    """Hands callers' requests to relays."""
+
+    __slots__ = ("_daemon",)
+
+    def __init__(self, daemon: "GatewayDaemon") -> None:
+        self._daemon = daemon
+
+    async def handle(self, exchange: web.Exchange) -> None:
+        """Answer one request."""
+        await self._daemon.relay(exchange)
+
+    def refuse(
+        self, failure: errors.Failure
+    ) -> tuple[web.AnswerHead, bytes]:
+        """Return the answer to a request that could not be read."""
+        return self._daemon.refusal(failure)
+
+    def limits(self) -> web.ServerLimits:
+        """Return the limits of the configuration in force."""
+        table = self._daemon.reducer.table
+        limits = catalog.CallerLimits()
+        if table is not None:
+            limits = table.configuration.limits
+        return web.ServerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout.total_seconds(),
+            limits.idle_timeout.total_seconds(),
+        )
+
+
+class _Readiness(web.Handler):
+    """Tells the balancer whether to send callers here."""
+
+    __slots__ = ("_reducer",)
+
+    def __init__(self, reducer: _reducer.GatewayReducer) -> None:
+        self._reducer = reducer
+
+    async def handle(self, exchange: web.Exchange) -> None:
+        """Answer 200 or 503, whatever the path."""
+        status = 200 if self._reducer.is_ready else 503
+        await exchange.answer(web.AnswerHead(status), b"")
+
+    def refuse(
+        self, failure: errors.Failure
+    ) -> tuple[web.AnswerHead, bytes]:
+        """Return the answer to a request that could not be read."""
+        return web.AnswerHead(failure.http_status), b""
+
+    def limits(self) -> web.ServerLimits:
+        """Return limits that fit the balancer's short requests."""
+        return web.ServerLimits(16_384, 1024, 3.0, 30.0)
+
+
+class GatewayDaemon:
+    """Turns sockets and timers into events, and carries out effects."""
+
+    __slots__ = (
+        "_cfg",
+        "_clock",
+        "_dialect",
+        "_driver",
+        "_numbers",
+        "_nursery",
+        "_readiness",
+        "_relays",
+        "_server",
+        "_transport",
+        "reducer",
+    )
+
+    def __init__(
+        self,
+        cfg: _settings.GatewaySettings,
+        dialect: _dialect.GatewayDialect,
+        own_clock: clock.Clock,
+    ) -> None:
+        self._cfg = cfg
+        self._dialect = dialect
+        self._clock = own_clock
+        self.reducer = _reducer.GatewayReducer(
+            cfg, random.Random(), own_clock.now()
+        )
+        self._driver = shell.Driver(
+            self.reducer.handle, self._carry_out, own_clock
+        )
+        self._numbers = itertools.count(1)
+        self._relays: dict[int, _relay.Relay] = {}
+        self._server = web.Server(_Callers(self))
+        self._readiness = web.Server(_Readiness(self.reducer))
+        hello = protocol.Hello(
+            cfg.vm_id,
+            "entry",
+            cfg.data_centre,
+            model.Incarnation(time.time_ns() // 1_000_000),
+        )
+        self._transport = protocol.StreamTransport(
+            hello,
+            cfg.vm_id,
+            [_peer(one) for one in cfg.controls],
+            None,
+            self._driver.submit,
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(self._transport.run)
+            await nursery.start(self._readiness.serve, self._cfg.ready_listen)
+            await nursery.start(self._server.serve, self._cfg.listen)
+            nursery.start_soon(self._tick)
+            logs.write(
+                events.PROCESS_STARTED.line(
+                    id=self._cfg.vm_id,
+                    role="entry",
+                    address=self._cfg.listen,
+                )
+            )
+            await shell.wait_for_sigterm()
+            await self._drain()
+            nursery.cancel_scope.cancel()
+        logs.write(events.PROCESS_STOPPED.line(id=self._cfg.vm_id))
+
+    async def relay(self, exchange: web.Exchange) -> None:
+        """Bring one caller's request to its end."""
+        read = self._dialect.read_request(exchange.request)
+        if read.is_err():
+            head, body = self.refusal(read.unwrap_err())
+            await exchange.answer(head, body)
+            return
+        exchange_id = next(self._numbers)
+        relay = _relay.Relay(
+            exchange_id,
+            exchange,
+            read.unwrap(),
+            self._dialect,
+            self._driver.submit,
+        )
+        self._relays[exchange_id] = relay
+        try:
+            await relay.run()
+        finally:
+            del self._relays[exchange_id]
+
+    def refusal(
+        self, failure: errors.Failure
+    ) -> tuple[web.AnswerHead, bytes]:
+        """Return the answer to a request that was not understood."""
+        line = events.REQUEST_UNREADABLE.line(
+            code=failure.code, detail=failure.detail()
+        )
+        logs.write(line)
+        return self._dialect.refusal(None, failure)
+
+    async def _tick(self) -> None:
+        while True:
+            self._driver.submit(_events.TimerFired())
+            await trio.sleep(_TICK_SECONDS)
+
+    async def _drain(self) -> None:
+        """Serve what still comes, then what is open, then end."""
+        grace = self._cfg.grace.total_seconds() - _EXIT_MARGIN_SECONDS
+        with trio.move_on_after(grace):
+            self._driver.submit(_events.DrainRequested())
+            self._server.visit_drain()
+            await trio.sleep(_NOTICE_SECONDS)
+            self._server.leave_drain()
+            while self._server.open_exchanges:
+                await trio.sleep(_TICK_SECONDS)
+
+    def _carry_out(self, effect: _effects.GatewayEffect) -> None:
+        match effect:
+            case _effects.SendMessage(recipient, message):
+                self._transport.send(recipient, message)
+            case _effects.DialPeer(vm_id):
+                self._transport.dial(_peer(vm_id))
+            case _effects.InspectStall():
+                self._nursery.start_soon(self._inspect, effect)
+            case _effects.Reroute():
+                self._nursery.start_soon(self._reroute, effect)
+            case _effects.WriteLog(line):
+                logs.write(line)
+            case _effects.CountMetric():
+                pass
+            case _:
+                relay = self._relays.get(effect.exchange_id)
+                if relay is not None:
+                    relay.take(effect)
+
+    async def _inspect(self, effect: _effects.InspectStall) -> None:
+        self._driver.submit(
+            await _relay.inspect_stall(effect, self._dialect, _ENGINE_TIMEOUT)
+        )
+
+    async def _reroute(self, effect: _effects.Reroute) -> None:
+        self._driver.submit(
+            await _relay.reroute(effect, self._dialect, _ENGINE_TIMEOUT)
+        )
+
+
+def _peer(vm_id: model.VmId) -> settings.Peer:
+    """Return a control VM; its id is its address among peers."""
+    return settings.Peer(id=vm_id, address=vm_id, data_centre="")
+
+
+def run(
+    cfg: _settings.GatewaySettings, dialect: _dialect.GatewayDialect
+) -> None:
+    """Run the daemon until it is told to leave."""
+    daemon = GatewayDaemon(cfg, dialect, clock.SystemClock())
+    trio.run(daemon.run)
--- /dev/null
+++ b/sedgepin/_gateway/_events.py
@@ -0,0 +1,132 @@
+"""Everything that can happen to a gateway."""
+
+import dataclasses
+import enum
+import typing
+
+from sedgepin._gateway import _calls
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+
+
+class AttemptOutcome(enum.Enum):
+    """How an attempt at an answer ended.
+
+    ``NOT_SENT``: no byte reached the endpoint.  ``NOT_RUN``: the endpoint
+    said that it did not run the request.  ``FAILED``: it answered with a
+    failure of its own.  ``UNKNOWN``: the request may have run.
+    ``CANCELLED``: the gateway ended the attempt.
+    """
+
+    ANSWERED = "answered"
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TimerFired:
+    """A tick passed."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestArrived:
+    """A caller's request was read whole."""
+
+    exchange_id: int
+    request: _calls.CallerRequest
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class AttemptEnded:
+    """An attempt came to its end.
+
+    ``position`` is the last event that the caller was sent.  ``at_fault``
+    is the address that the endpoint blames.
+    """
+
+    exchange_id: int
+    outcome: AttemptOutcome
+    detail: str
+    position: int | None = None
+    at_fault: str | None = None
+    endpoint_id: model.EndpointId | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OutputBegan:
+    """The first event of a stream reached the caller."""
+
+    exchange_id: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LoadTold:
+    """An endpoint told its load with an answer."""
+
+    endpoint_id: model.EndpointId
+    marks: _calls.AnswerMarks
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StreamStalled:
+    """No event came from the engines for longer than usual."""
+
+    exchange_id: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StallInspected:
+    """The first engine was asked why; ``report`` is empty if it is gone."""
+
+    exchange_id: int
+    report: _calls.StallReport | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Rerouted:
+    """The first engine answered an order to use another pipeline.
+
+    ``refused_by`` is the address of the engine that could not take part.
+    """
+
+    exchange_id: int
+    is_accepted: bool
+    refused_by: str | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallerLeft:
+    """The caller closed its connection."""
+
+    exchange_id: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DeadlineReached:
+    """The time of a request is over."""
+
+    exchange_id: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DrainRequested:
+    """The VM is told to leave."""
+
+
+GatewayEvent: typing.TypeAlias = (
+    TimerFired
+    | RequestArrived
+    | AttemptEnded
+    | OutputBegan
+    | LoadTold
+    | StreamStalled
+    | StallInspected
+    | Rerouted
+    | CallerLeft
+    | DeadlineReached
+    | DrainRequested
+    | protocol.PeerEvent
+)
--- /dev/null
+++ b/sedgepin/_gateway/_settings.py
@@ -0,0 +1,43 @@
+"""What a gateway is told at its start."""
+
+import dataclasses
+import datetime
+
+from sedgepin import _catalog as catalog
+from sedgepin import _model as model
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RetrySettings:
+    """The retries that all entry VMs together may spend on a service.
+
+    In any ``window`` these are ``ratio`` times its requests and ``reserve``
+    more.
+    """
+
+    ratio: float
+    reserve: int
+    window: datetime.timedelta
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class GatewaySettings:
+    """Addresses, peers and bounds of one entry VM.
+
+    Endpoints register every ``heartbeat_interval``; ``grace`` is the time
+    from SIGTERM to SIGKILL.
+    """
+
+    vm_id: model.VmId
+    data_centre: model.DataCentreId
+    listen: str
+    ready_listen: str
+    controls: tuple[model.VmId, ...]
+    retries: RetrySettings
+    heartbeat_interval: datetime.timedelta
+    grace: datetime.timedelta
+
+    @property
+    def endpoint_silence(self) -> datetime.timedelta:
+        """Return how long an endpoint may go unheard and get new work."""
+        return catalog.endpoint_silence(self.heartbeat_interval)
--- /dev/null
+++ b/sedgepin/_placement/_paths.py
@@ -0,0 +1,187 @@
+"""The engines that a request runs on, chosen by shortest path.
+
+Layer boundaries are the nodes of a graph, and an engine that runs the layers
+between two of them an edge.  The cheapest path from the first layer to the
+last is the pipeline with the least expected time, as far as known load
+tells.
+"""
+
+import collections.abc
+import dataclasses
+
+import result
+
+from sedgepin import _catalog as catalog
+from sedgepin import _model as model
+from sedgepin._placement import _engines
+
+# What a hop to another data centre adds to each token's time, in ms: the
+# delay of 0.3 ms and the share of a link that other requests use as well.
+_CROSSING_MILLISECONDS = 2.0
+# What each hop adds within a data centre, in ms.
+_HOP_MILLISECONDS = 0.2
+# An engine this full of cached tokens is taken only where no other is left.
+_FULL_SHARE = 0.9
+# How many ms of a token's time an engine costs more when it is full.
+_FULL_PENALTY_MILLISECONDS = 50.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Size:
+    """How large a request is, as far as it is known before it runs."""
+
+    prompt_tokens: float
+    answer_tokens: float
+
+    @property
+    def total(self) -> float:
+        """Return the tokens that the request holds at its end."""
+        return self.prompt_tokens + self.answer_tokens
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PathEngine:
+    """An engine that may run part of a request, and its known load.
+
+    ``slowness`` is how many times longer than usual it takes.
+    """
+
+    endpoint_id: model.EndpointId
+    address: str
+    data_centre: model.DataCentreId
+    layers: model.LayerRange
+    accelerator: catalog.AcceleratorProfile
+    running_requests: float = 0.0
+    held_tokens: float = 0.0
+    slowness: float = 1.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Priced:
+    """An engine, and what a request costs on each layer and in all, in ms."""
+
+    engine: PathEngine
+    per_layer: float
+    once: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Reached:
+    """The cheapest known way to a layer boundary, ending in one place."""
+
+    cost: float
+    stages: tuple[model.Stage, ...]
+
+
+class PathFinder:
+    """Finds pipelines through engines that hold layers of one model.
+
+    >>> finder = PathFinder(profile, engines)
+    >>> finder.find(Size(800, 200), home).unwrap().stages
+    """
+
+    __slots__ = ("_engines", "_profile")
+
+    def __init__(
+        self,
+        profile: catalog.EngineProfile,
+        engines: collections.abc.Iterable[PathEngine],
+    ) -> None:
+        self._profile = profile
+        self._engines = tuple(engines)
+
+    def find(
+        self,
+        size: Size,
+        home: model.DataCentreId,
+        first: model.Stage | None = None,
+        kept: frozenset[model.EndpointId] = frozenset(),
+    ) -> result.Result[model.Pipeline, model.LayersNotTiled]:
+        """Return the pipeline with the least expected time.
+
+        With ``first`` the pipeline begins with that stage.  Engines in
+        ``kept`` have read the request already.
+        """
+        priced = [self._price(one, size, kept) for one in self._engines]
+        ends = sorted({one.layers.end for one in self._engines})
+        ends = sorted({*ends, *(one.layers.first for one in self._engines)})
+        hop = _HOP_MILLISECONDS * size.answer_tokens
+        crossing = _CROSSING_MILLISECONDS * size.answer_tokens
+        start = 0 if first is None else first.layers.end
+        stages = () if first is None else (first,)
+        ways: dict[int, dict[model.DataCentreId, _Reached]] = {
+            start: {home: _Reached(0.0, stages)}
+        }
+        for boundary in ends:
+            for place, way in ways.get(boundary, {}).items():
+                for one in priced:
+                    layers = one.engine.layers
+                    if not layers.first <= boundary < layers.end:
+                        continue
+                    at = one.engine.data_centre
+                    cost = way.cost + one.once + hop
+                    if at != place:
+                        cost += crossing
+                    _extend(ways, way, one, boundary, cost, ends)
+        last = self._profile.layer_count
+        found = ways.get(last)
+        if not found:
+            return result.Err(model.LayersNotTiled(last, max(ways)))
+        best = min(found.values(), key=lambda way: way.cost)
+        return model.Pipeline.tile(best.stages, last)
+
+    def _price(
+        self,
+        engine: PathEngine,
+        size: Size,
+        kept: frozenset[model.EndpointId],
+    ) -> _Priced:
+        """Return what a request costs on an engine."""
+        profile = self._profile
+        room = _engines.cache_room_tokens(
+            profile, engine.accelerator, engine.layers.count
+        )
+        context = engine.held_tokens / 1000
+        step = (
+            profile.step_milliseconds
+            + profile.sequence_milliseconds * (engine.running_requests + 1)
+            + profile.context_milliseconds_per_thousand * context
+        )
+        token = engine.accelerator.step_factor * step * size.answer_tokens
+        read = 0.0
+        if engine.endpoint_id not in kept:
+            seconds = size.prompt_tokens / profile.read_tokens_per_second
+            read = engine.accelerator.read_factor * seconds * 1000
+        per_layer = engine.slowness * (token + read) / profile.layer_count
+        once = 0.0
+        wanted = engine.held_tokens + size.total
+        if wanted > _FULL_SHARE * room:
+            overflow = wanted / max(room, 1.0)
+            once = _FULL_PENALTY_MILLISECONDS * overflow * size.answer_tokens
+        return _Priced(engine, per_layer, once)
+
+
+def _extend(
+    ways: dict[int, dict[model.DataCentreId, _Reached]],
+    way: _Reached,
+    priced: _Priced,
+    start: int,
+    cost: float,
+    ends: collections.abc.Sequence[int],
+) -> None:
+    """Go on from a boundary over one engine, to every end it can reach."""
+    engine = priced.engine
+    if any(one.endpoint_id == engine.endpoint_id for one in way.stages):
+        return
+    for end in ends:
+        if not start < end <= engine.layers.end:
+            continue
+        total = cost + priced.per_layer * (end - start)
+        at_end = ways.setdefault(end, {})
+        known = at_end.get(engine.data_centre)
+        if known is not None and known.cost <= total:
+            continue
+        stage = model.Stage(
+            engine.endpoint_id, engine.address, model.LayerRange(start, end)
+        )
+        at_end[engine.data_centre] = _Reached(total, (*way.stages, stage))
--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -7,6 +7,9 @@
 from sedgepin._protocol._messages import CommandAnswered
 from sedgepin._protocol._messages import CommandAsked
 from sedgepin._protocol._messages import CommandRefusal
+from sedgepin._protocol._messages import ConfigurationPublished
+from sedgepin._protocol._messages import ConfigurationWanted
+from sedgepin._protocol._messages import ControlsKnown
 from sedgepin._protocol._messages import DeclaredLost
 from sedgepin._protocol._messages import EndpointsSeen
 from sedgepin._protocol._messages import FleetPublished
@@ -16,6 +19,9 @@
 from sedgepin._protocol._messages import Hello
 from sedgepin._protocol._messages import PeerMessage
 from sedgepin._protocol._messages import RaftCarried
+from sedgepin._protocol._messages import ReadIndexAnswered
+from sedgepin._protocol._messages import ReadIndexAsked
+from sedgepin._protocol._messages import RegistrationsSeen
 from sedgepin._protocol._messages import SuspectRumour
 from sedgepin._protocol._transport import IdentityNotProved
 from sedgepin._protocol._transport import PeerConnected
@@ -32,6 +38,9 @@
     "CommandAnswered",
     "CommandAsked",
     "CommandRefusal",
+    "ConfigurationPublished",
+    "ConfigurationWanted",
+    "ControlsKnown",
     "DeclaredLost",
     "EndpointsSeen",
     "FRAME_LIMIT_BYTES",
@@ -49,6 +58,9 @@
     "PeerMessageArrived",
     "PeerRefused",
     "RaftCarried",
+    "ReadIndexAnswered",
+    "ReadIndexAsked",
+    "RegistrationsSeen",
     "StreamTransport",
     "SuspectRumour",
     "Transport",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from sedgepin import _admission as admission
+from sedgepin import _catalog as catalog
 from sedgepin import _consensus as consensus
 from sedgepin import _membership as membership
 from sedgepin import _model as model
@@ -87,6 +88,56 @@
     announcements: tuple[model.Announcement, ...]
 
 
+class ConfigurationWanted(msgspec.Struct, frozen=True, tag=True):
+    """Please send the configuration if it is newer than version ``have``."""
+
+    have: int
+
+
+class ConfigurationPublished(msgspec.Struct, frozen=True, tag=True):
+    """The configuration in force, as of a version.
+
+    ``confirmed`` is true when a leader that holds its lease sent it.
+    ``configuration`` is empty when the receiver holds this version already.
+    """
+
+    version: int
+    confirmed: bool
+    configuration: bytes = b""
+
+
+class RegistrationsSeen(msgspec.Struct, frozen=True, tag=True):
+    """Endpoints that registered with the sender.
+
+    ``changed`` holds what is new, or all with ``is_complete``; ``heard``
+    those that were only heard again.
+    """
+
+    changed: tuple[catalog.Registration, ...] = ()
+    heard: tuple[model.EndpointId, ...] = ()
+    is_complete: bool = False
+
+
+class ControlsKnown(msgspec.Struct, frozen=True, tag=True):
+    """The control VMs that the sender knows, and how many entries."""
+
+    controls: tuple[model.VmId, ...]
+    entry_count: int
+
+
+class ReadIndexAsked(msgspec.Struct, frozen=True, tag=True):
+    """Please tell up to which index the log is committed."""
+
+    ask_id: int
+
+
+class ReadIndexAnswered(msgspec.Struct, frozen=True, tag=True):
+    """Up to where the log is committed, if the sender holds its lease."""
+
+    ask_id: int
+    index: int | None
+
+
 class SuspectRumour(msgspec.Struct, frozen=True, tag=True):
     """What the sender knows of a request that was aboard dying endpoints."""
 
@@ -117,4 +168,10 @@
     | FleetWanted
     | FleetPublished
     | EndpointsSeen
+    | ConfigurationWanted
+    | ConfigurationPublished
+    | RegistrationsSeen
+    | ControlsKnown
+    | ReadIndexAsked
+    | ReadIndexAnswered
 )
--- a/sedgepin/_protocol/_transport.py
+++ b/sedgepin/_protocol/_transport.py
@@ -120,6 +120,7 @@
         "_dials",
         "_hello",
         "_listen",
+        "_nursery",
         "_on_event",
         "_outboxes",
         "_server_tls",
@@ -135,17 +136,30 @@
     ) -> None:
         self._hello = hello
         self._listen = listen
-        self._dials = tuple(dials)
+        self._dials = {peer.id: peer for peer in dials}
+        self._nursery: trio.Nursery | None = None
         self._on_event = on_event
-        self._outboxes: dict[VmId, _Outbox] = {}
+        self._outboxes: dict[VmId, list[_Outbox]] = {}
         self._server_tls = _trust.server_context(tls) if tls else None
         self._client_tls = _trust.client_context(tls) if tls else None
 
     def send(self, recipient: VmId, message: _messages.PeerMessage) -> None:
         """Queue ``message`` on the stream to ``recipient``, if one is up."""
-        outbox = self._outboxes.get(recipient)
-        if outbox is not None:
-            outbox.put(message)
+        outboxes = self._outboxes.get(recipient)
+        if outboxes:
+            outboxes[-1].put(message)
+
+    def dial(self, peer: settings.Peer) -> None:
+        """Keep a stream to one more peer; one dialled already stays."""
+        if peer.id in self._dials:
+            return
+        self._dials[peer.id] = peer
+        if self._nursery is not None:
+            self._nursery.start_soon(self._keep_dialling, peer)
+
+    def hang_up(self, peer_id: str) -> None:
+        """Dial a peer no more; a stream that is up stays."""
+        self._dials.pop(peer_id, None)
 
     async def run(
         self,
@@ -158,7 +172,8 @@
                 trio.serve_tcp, self._welcome, port, host=host
             )
             await nursery.start(serve)
-            for peer in self._dials:
+            self._nursery = nursery
+            for peer in tuple(self._dials.values()):
                 nursery.start_soon(self._keep_dialling, peer)
             task_status.started()
 
@@ -174,7 +189,7 @@
         await self._converse_secured(secured, address)
 
     async def _keep_dialling(self, peer: settings.Peer) -> None:
-        while True:
+        while self._dials.get(peer.id) is peer:
             try:
                 await self._dial(peer)
             except OSError:
@@ -264,12 +279,15 @@
                     self._on_event(PeerRefused(address, refusal))
                     return
                 sender = message.id
-                self._outboxes[sender] = outbox
+                self._outboxes.setdefault(sender, []).append(outbox)
                 self._on_event(PeerConnected(message))
 
     def _forget(self, outbox: _Outbox) -> None:
         for peer_id, known in list(self._outboxes.items()):
-            if known is outbox:
+            if outbox not in known:
+                continue
+            known.remove(outbox)
+            if not known:
                 del self._outboxes[peer_id]
                 self._on_event(PeerDisconnected(peer_id))
 
--- /dev/null
+++ b/sedgepin/_registrar/_daemon.py
@@ -0,0 +1,307 @@
+"""The registrar daemon: trio tasks around the reducer, and the disk."""
+
+import itertools
+import pathlib
+import random
+import sys
+import time
+import typing
+
+import trio
+
+from sedgepin import _consensus as consensus
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin._registrar import _dialect
+from sedgepin._registrar import _effects
+from sedgepin._registrar import _events
+from sedgepin._registrar import _failures
+from sedgepin._registrar import _reducer
+from sedgepin._registrar import _settings
+from sedgepin import _shell as shell
+from sedgepin import _storage as storage
+from sedgepin import _web as web
+from sedgepin import clock
+from sedgepin import errors
+from sedgepin import events
+from sedgepin import logs
+from sedgepin import settings
+
+_TICK_SECONDS = 0.05
+# Longer than the reducer lets any call wait.
+_CALL_TIMEOUT_SECONDS = 1.5
+# Engines answer their report within milliseconds; one that hangs must not
+# hold up the orders for others.
+_ENGINE_TIMEOUT_SECONDS = 1.0
+_HANDOVER_SECONDS = 1.0
+_DATA_FOLDER_REFUSED = 4
+_LIMITS = web.ServerLimits(
+    header_bytes=16_384,
+    body_bytes=4_194_304,
+    header_timeout_seconds=5.0,
+    idle_timeout_seconds=15.0,
+)
+
+_Answer: typing.TypeAlias = tuple[web.AnswerHead, bytes]
+
+
+class _Calls(web.Handler):
+    """Hands calls of endpoints and operators to the reducer."""
+
+    __slots__ = ("_dialect", "_numbers", "_submit", "_waiting")
+
+    def __init__(
+        self,
+        dialect: _dialect.ControlDialect,
+        submit: typing.Callable[[_events.RegistrarEvent], None],
+    ) -> None:
+        self._dialect = dialect
+        self._submit = submit
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, trio.MemorySendChannel[_Answer]] = {}
+
+    async def handle(self, exchange: web.Exchange) -> None:
+        """Answer one call."""
+        read = self._dialect.read_call(exchange.request)
+        if read.is_err():
+            failure = read.unwrap_err()
+            line = events.CONTROL_CALL_REFUSED.line(
+                method=exchange.request.method.decode("ascii"),
+                target=exchange.request.target.decode("ascii", "replace"),
+                failure=failure.detail(),
+            )
+            logs.write(line)
+            await exchange.answer(*self.refuse(failure))
+            return
+        head, body = await self._ask(read.unwrap())
+        await exchange.answer(head, body)
+
+    def refuse(self, failure: errors.Failure) -> _Answer:
+        """Return the answer that tells a failure."""
+        return self._dialect.refusal(failure)
+
+    def limits(self) -> web.ServerLimits:
+        """Return the limits on operators' and endpoints' calls."""
+        return _LIMITS
+
+    def settle(self, exchange_id: int, answer: _Answer) -> None:
+        """Give a waiting call its answer."""
+        waiting = self._waiting.pop(exchange_id, None)
+        if waiting is not None:
+            waiting.send_nowait(answer)
+
+    async def _ask(self, call: _dialect.Call) -> _Answer:
+        exchange_id = next(self._numbers)
+        sender, receiver = trio.open_memory_channel[_Answer](1)
+        self._waiting[exchange_id] = sender
+        try:
+            self._submit(_event_of(exchange_id, call))
+            with trio.move_on_after(_CALL_TIMEOUT_SECONDS):
+                return await receiver.receive()
+            return self.refuse(_failures.FateUnknown())
+        finally:
+            self._waiting.pop(exchange_id, None)
+
+
+def _event_of(
+    exchange_id: int, call: _dialect.Call
+) -> _events.RegistrarEvent:
+    match call:
+        case _dialect.PublishCall(version, document):
+            return _events.ConfigurationSubmitted(
+                exchange_id, version, document
+            )
+        case _dialect.ReadCall():
+            return _events.ConfigurationRead(exchange_id)
+        case _dialect.RegisterCall(registration):
+            return _events.EndpointRegistered(exchange_id, registration)
+        case _dialect.FarewellCall(endpoint_id):
+            return _events.EndpointLeft(exchange_id, endpoint_id)
+
+
+class RegistrarDaemon:
+    """Turns sockets and timers into events, and carries out effects."""
+
+    __slots__ = (
+        "_calls",
+        "_cfg",
+        "_dialect",
+        "_driver",
+        "_nursery",
+        "_reducer",
+        "_server",
+        "_store",
+        "_transport",
+    )
+
+    def __init__(
+        self,
+        cfg: _settings.RegistrarSettings,
+        dialect: _dialect.ControlDialect,
+        store: storage.LogStore,
+        recovered: storage.Recovered,
+        own_clock: clock.Clock,
+    ) -> None:
+        self._cfg = cfg
+        self._dialect = dialect
+        self._store = store
+        self._reducer = _reducer.RegistrarReducer(
+            cfg, dialect, recovered, random.Random(), own_clock.now()
+        )
+        self._driver = shell.Driver(
+            self._reducer.handle, self._carry_out, own_clock
+        )
+        self._calls = _Calls(dialect, self._driver.submit)
+        self._server = web.Server(self._calls)
+        hello = protocol.Hello(
+            cfg.vm_id,
+            "control",
+            cfg.data_centre,
+            model.Incarnation(time.time_ns() // 1_000_000),
+        )
+        # Of two seeds the lower dials; a later VM dials all it knows of.
+        is_seed = cfg.vm_id in cfg.seeds
+        self._transport = protocol.StreamTransport(
+            hello,
+            cfg.vm_id,
+            [
+                self._peer(one)
+                for one in cfg.seeds
+                if one != cfg.vm_id and (not is_seed or cfg.vm_id < one)
+            ],
+            None,
+            self._driver.submit,
+        )
+
+    async def run(self) -> None:
+        """Serve until SIGTERM."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(self._transport.run)
+            await nursery.start(self._server.serve, self._cfg.listen)
+            nursery.start_soon(self._tick)
+            logs.write(
+                events.PROCESS_STARTED.line(
+                    id=self._cfg.vm_id,
+                    role="control",
+                    address=self._cfg.listen,
+                )
+            )
+            await shell.wait_for_sigterm()
+            await self._drain()
+            nursery.cancel_scope.cancel()
+        logs.write(events.PROCESS_STOPPED.line(id=self._cfg.vm_id))
+
+    async def _tick(self) -> None:
+        while True:
+            self._driver.submit(_events.TimerFired())
+            await trio.sleep(_TICK_SECONDS)
+
+    async def _drain(self) -> None:
+        logs.write(events.PROCESS_DRAINING.line())
+        self._server.visit_drain()
+        self._driver.submit(_events.DrainRequested())
+        with trio.move_on_after(_HANDOVER_SECONDS):
+            while self._reducer.raft.is_leader:
+                await trio.sleep(_TICK_SECONDS)
+        self._server.leave_drain()
+        with trio.move_on_after(_CALL_TIMEOUT_SECONDS):
+            while self._server.open_exchanges:
+                await trio.sleep(_TICK_SECONDS)
+
+    def _carry_out(self, effect: _effects.RegistrarEffect) -> None:
+        match effect:
+            case _effects.SendMessage(recipient, message):
+                self._transport.send(recipient, message)
+            case consensus.Persist(hard_state, truncate_from, entries):
+                self._store.append(hard_state, truncate_from, entries)
+            case consensus.PersistSnapshot(snapshot, entries):
+                self._store.save_snapshot(snapshot, entries)
+            case _effects.Acknowledge(exchange_id):
+                answer = self._dialect.acknowledgement()
+                self._calls.settle(exchange_id, answer)
+            case _effects.ShowConfiguration(exchange_id, document):
+                shown = self._dialect.shown_configuration(document)
+                self._calls.settle(exchange_id, shown)
+            case _effects.Refuse(exchange_id, failure):
+                refused = self._calls.refuse(failure)
+                self._calls.settle(exchange_id, refused)
+            case _effects.InspectEngine():
+                self._nursery.start_soon(self._inspect, effect)
+            case _effects.OrderLayers():
+                self._nursery.start_soon(self._order, effect)
+            case _effects.DialPeer(vm_id):
+                self._transport.dial(self._peer(vm_id))
+            case _effects.WriteLog(line):
+                logs.write(line)
+
+    async def _inspect(self, effect: _effects.InspectEngine) -> None:
+        request = self._dialect.report_request(effect.address)
+        asked = await web.ask(effect.address, request, _ENGINE_TIMEOUT_SECONDS)
+        report: _events.EngineReport | None = None
+        failure: errors.Failure | None = None
+        if asked.is_err():
+            failure = asked.unwrap_err()
+        else:
+            read = self._dialect.read_report(*asked.unwrap())
+            failure = read.err()
+            report = read.ok()
+        if failure is not None:
+            line = events.ENDPOINT_SUSPECTED.line(
+                endpoint=effect.endpoint_id, failure=failure.detail()
+            )
+            logs.write(line)
+        self._driver.submit(
+            _events.EngineInspected(
+                effect.endpoint_id, effect.incarnation, report
+            )
+        )
+
+    async def _order(self, order: _effects.OrderLayers) -> None:
+        if not self._reducer.raft.is_leader:
+            return
+        request = self._dialect.layer_order(order)
+        asked = await web.ask(order.address, request, _ENGINE_TIMEOUT_SECONDS)
+        if asked.is_err():
+            failure = asked.unwrap_err()
+            line = events.ORDER_FAILED.line(
+                endpoint=order.endpoint_id, failure=failure.detail()
+            )
+            logs.write(line)
+            answered = _events.LayersOrdered(
+                order.endpoint_id, order.incarnation, False, False
+            )
+        else:
+            head, _body = asked.unwrap()
+            answered = self._dialect.read_order_answer(order, head)
+        self._driver.submit(answered)
+
+    def _peer(self, vm_id: model.VmId) -> settings.Peer:
+        """Return a control VM; its id is its address among peers."""
+        return settings.Peer(id=vm_id, address=vm_id, data_centre="")
+
+
+def run(
+    cfg: _settings.RegistrarSettings, dialect: _dialect.ControlDialect
+) -> None:
+    """Run the daemon until it is told to leave.
+
+    Ends the process with a typed failure in the log where the data folder
+    is in use, damaged, or of a later version.
+    """
+    opened = storage.FolderDisk.open(pathlib.Path(cfg.data_folder))
+    if opened.is_err():
+        _refuse(opened.unwrap_err().detail())
+    store = storage.LogStore(opened.unwrap())
+    found = store.open()
+    if found.is_err():
+        _refuse(found.unwrap_err().detail())
+    daemon = RegistrarDaemon(
+        cfg, dialect, store, found.unwrap(), clock.SystemClock()
+    )
+    trio.run(daemon.run)
+
+
+def _refuse(reason: str) -> typing.NoReturn:
+    logs.write(events.LOG_REFUSED.line(failure=reason))
+    sys.exit(_DATA_FOLDER_REFUSED)
--- /dev/null
+++ b/sedgepin/_registrar/_failures.py
@@ -0,0 +1,52 @@
+"""Why a registrar did not do what it was asked."""
+
+import dataclasses
+import datetime
+import typing
+
+from sedgepin import errors
+
+# About one election: the next answer may come from another VM.
+_COME_BACK_AFTER = datetime.timedelta(milliseconds=500)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NoQuorum(errors.Failure):
+    """This VM cannot reach a leader, so it can neither write nor read."""
+
+    code: typing.ClassVar[str] = "no_quorum"
+    title: typing.ClassVar[str] = "No leader with a quorum is known here"
+    http_status: typing.ClassVar[int] = 503
+
+    @property
+    def retry_after(self) -> datetime.timedelta | None:
+        """Return when an election may be over."""
+        return _COME_BACK_AFTER
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class FateUnknown(errors.Failure):
+    """The change was handed to the log; whether it stays is not known."""
+
+    code: typing.ClassVar[str] = "fate_unknown"
+    title: typing.ClassVar[str] = "The change may or may not be accepted"
+    http_status: typing.ClassVar[int] = 504
+    outcome: typing.ClassVar[errors.Outcome] = errors.Outcome.UNKNOWN
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NothingPublished(errors.Failure):
+    """No configuration was published yet."""
+
+    code: typing.ClassVar[str] = "nothing_published"
+    title: typing.ClassVar[str] = "No configuration was published yet"
+    http_status: typing.ClassVar[int] = 503
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NotFound(errors.Failure):
+    """There is nothing under this path."""
+
+    code: typing.ClassVar[str] = "not_found"
+    title: typing.ClassVar[str] = "There is nothing under this path"
+    http_status: typing.ClassVar[int] = 404
--- /dev/null
+++ b/sedgepin/_web/__init__.py
@@ -0,0 +1,45 @@
+"""HTTP/1.1 over trio with the parser of ``h11``.
+
+A request that must not run twice needs more than a client library tells:
+whether a byte was sent, whether an answer ended where it should, and whether
+its connection is free of other bytes.  Hence this thin layer over the parser
+that ``httpcore`` and ``hypercorn`` are built on.
+"""
+
+from sedgepin._web._client import ask
+from sedgepin._web._client import ClientConnection
+from sedgepin._web._failures import AnswerBroken
+from sedgepin._web._failures import BodyTooLarge
+from sedgepin._web._failures import ConnectFailed
+from sedgepin._web._failures import HeadTooLarge
+from sedgepin._web._failures import RequestTooSlow
+from sedgepin._web._failures import RequestUnreadable
+from sedgepin._web._server import Exchange
+from sedgepin._web._server import Handler
+from sedgepin._web._server import Server
+from sedgepin._web._server import ServerLimits
+from sedgepin._web._types import AnswerHead
+from sedgepin._web._types import end_to_end
+from sedgepin._web._types import find_field
+from sedgepin._web._types import Headers
+from sedgepin._web._types import Request
+
+__all__ = [
+    "AnswerBroken",
+    "AnswerHead",
+    "BodyTooLarge",
+    "ClientConnection",
+    "ConnectFailed",
+    "Exchange",
+    "Handler",
+    "HeadTooLarge",
+    "Headers",
+    "Request",
+    "RequestTooSlow",
+    "RequestUnreadable",
+    "Server",
+    "ServerLimits",
+    "ask",
+    "end_to_end",
+    "find_field",
+]
--- /dev/null
+++ b/sedgepin/_web/_client.py
@@ -0,0 +1,208 @@
+"""One request to an endpoint, over a connection of its own."""
+
+import socket
+import typing
+
+import h11
+import result
+import trio
+
+from sedgepin._web import _failures
+from sedgepin._web import _types
+
+_READ_BYTES = 65_536
+_HEAD_LIMIT_BYTES = 65_536
+# A body of this size fits the socket's buffer, so that sending it cannot
+# wait for an endpoint that answers before it has read everything.
+_ONE_SEND_BYTES = 8_192
+# Keepalive probes tell a vanished endpoint from a slow one after about 3 s.
+_KEEPALIVE_IDLE_SECONDS = 1
+_KEEPALIVE_INTERVAL_SECONDS = 1
+_KEEPALIVE_PROBES = 2
+
+_Head: typing.TypeAlias = result.Result[
+    _types.AnswerHead, _failures.AnswerBroken
+]
+_Data: typing.TypeAlias = result.Result[bytes | None, _failures.AnswerBroken]
+
+
+class ClientConnection:
+    """A connection that carries one request and its answer.
+
+    >>> opened = await ClientConnection.open("127.0.0.1:80", 0.5)
+    >>> conn = opened.unwrap()
+    >>> await conn.send(request)
+    >>> head = (await conn.read_head()).unwrap()
+    >>> data = (await conn.read_data()).unwrap()  # None at the end
+    """
+
+    __slots__ = ("_address", "_conn", "_stream")
+
+    def __init__(self, address: str, stream: trio.SocketStream) -> None:
+        self._address = address
+        self._stream = stream
+        self._conn = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=_HEAD_LIMIT_BYTES
+        )
+
+    @classmethod
+    async def open(
+        cls, address: str, timeout_seconds: float
+    ) -> result.Result["ClientConnection", _failures.ConnectFailed]:
+        """Connect within a time limit."""
+        host, _, port = address.rpartition(":")
+        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            with trio.fail_after(timeout_seconds):
+                await sock.connect((host, int(port)))
+        except (OSError, trio.TooSlowError) as exc:
+            sock.close()
+            reason = type(exc).__name__
+            return result.Err(_failures.ConnectFailed(address, reason))
+        except BaseException:
+            sock.close()
+            raise
+        _watch_for_silence(sock)
+        return result.Ok(cls(address, trio.SocketStream(sock)))
+
+    async def send(
+        self, request: _types.Request, nursery: trio.Nursery | None = None
+    ) -> result.Result[None, _failures.AnswerBroken]:
+        """Send a request; a long body goes out beside the answer.
+
+        ``nursery`` is where a long body is sent from, so that an answer
+        that comes before all was sent can be read.
+        """
+        headers = [*request.headers]
+        if request.body or request.method not in (b"GET", b"HEAD"):
+            length = b"%d" % len(request.body)
+            headers.append((b"Content-Length", length))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        data = self._conn.send(head)
+        data += self._conn.send(h11.Data(data=request.body))
+        data += self._conn.send(h11.EndOfMessage())
+        if nursery is not None and len(data) > _ONE_SEND_BYTES:
+            nursery.start_soon(self._send_quietly, data)
+            return result.Ok(None)
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            return result.Err(self._broken(exc))
+        return result.Ok(None)
+
+    async def read_head(self) -> _Head:
+        """Return the head of the final answer."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, result.Err):
+                return event
+            found = event.ok_value
+            if isinstance(found, h11.Response):
+                headers = tuple(found.headers.raw_items())
+                return result.Ok(
+                    _types.AnswerHead(found.status_code, headers)
+                )
+            if not isinstance(found, h11.InformationalResponse):
+                return result.Err(self._broken("no answer"))
+
+    async def read_data(self) -> _Data:
+        """Return the next bytes of the body, or ``None`` at its end."""
+        event = await self._next_event()
+        if isinstance(event, result.Err):
+            return event
+        found = event.ok_value
+        if isinstance(found, h11.Data):
+            return result.Ok(bytes(found.data))
+        if isinstance(found, h11.EndOfMessage):
+            return result.Ok(None)
+        return result.Err(self._broken("the connection closed"))
+
+    async def read_body(
+        self, limit_bytes: int
+    ) -> result.Result[bytes, _failures.AnswerBroken]:
+        """Return the whole body."""
+        body = bytearray()
+        while True:
+            data = await self.read_data()
+            if isinstance(data, result.Err):
+                return data
+            if data.ok_value is None:
+                return result.Ok(bytes(body))
+            body += data.ok_value
+            if len(body) > limit_bytes:
+                return result.Err(self._broken("the body is too large"))
+
+    def close(self) -> None:
+        """Close at once; what the endpoint still does is cut off."""
+        self._stream.socket.close()
+
+    async def _next_event(
+        self,
+    ) -> result.Result[typing.Any, _failures.AnswerBroken]:
+        while True:
+            try:
+                event = self._conn.next_event()
+                if event is not h11.NEED_DATA:
+                    return result.Ok(event)
+                received = await self._stream.receive_some(_READ_BYTES)
+                self._conn.receive_data(received)
+            except (
+                h11.RemoteProtocolError,
+                trio.BrokenResourceError,
+                trio.ClosedResourceError,
+            ) as exc:
+                return result.Err(self._broken(exc))
+
+    async def _send_quietly(self, data: bytes) -> None:
+        try:
+            await self._stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The reading side meets the same end and reports it.
+            return
+
+    def _broken(self, reason: Exception | str) -> _failures.AnswerBroken:
+        text = reason if isinstance(reason, str) else type(reason).__name__
+        return _failures.AnswerBroken(self._address, text)
+
+
+def _watch_for_silence(sock: trio.socket.SocketType) -> None:
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_SECONDS)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+
+
+async def ask(
+    address: str,
+    request: _types.Request,
+    timeout_seconds: float,
+    limit_bytes: int = _READ_BYTES,
+) -> result.Result[
+    tuple[_types.AnswerHead, bytes],
+    _failures.ConnectFailed | _failures.AnswerBroken,
+]:
+    """Send one small request and return its whole answer."""
+    opened = await ClientConnection.open(address, timeout_seconds)
+    if isinstance(opened, result.Err):
+        return opened
+    conn = opened.ok_value
+    try:
+        with trio.fail_after(timeout_seconds):
+            sent = await conn.send(request)
+            if isinstance(sent, result.Err):
+                return sent
+            head = await conn.read_head()
+            if isinstance(head, result.Err):
+                return head
+            body = await conn.read_body(limit_bytes)
+            if isinstance(body, result.Err):
+                return body
+            return result.Ok((head.ok_value, body.ok_value))
+    except trio.TooSlowError:
+        return result.Err(_failures.AnswerBroken(address, "no answer in time"))
+    finally:
+        conn.close()
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -68,6 +68,20 @@
 PROCESS_STOPPED = _define(
     102, "INFO", "process_stopped", "Nothing was in flight any more.", "id"
 )
+SETTINGS_REFUSED = _define(
+    103,
+    "ERROR",
+    "settings_refused",
+    "The settings file cannot be used.",
+    "failure",
+)
+LOG_LINES_DROPPED = _define(
+    104,
+    "WARNING",
+    "log_lines_dropped",
+    "Nobody read the log fast enough; this many lines are missing.",
+    "count",
+)
 PEER_CONNECTED = _define(
     110, "INFO", "peer_connected", "A stream to a peer is up.", "peer"
 )
@@ -124,6 +138,19 @@
     "failure",
 )
 
+ENDPOINT_CHANGED = _define(
+    205,
+    "INFO",
+    "endpoint_changed",
+    "An endpoint registered, changed, leaves or is gone.",
+    "endpoint",
+    "incarnation",
+    "sequence",
+    "state",
+    "address",
+    "layers",
+)
+
 # 300 to 399: requests.
 REQUEST_REFUSED = _define(
     300,
@@ -171,7 +198,105 @@
     "customer",
 )
 
-# 400 to 499: release notes and orders.
+REQUEST_TURNED_AWAY = _define(
+    310,
+    "INFO",
+    "request_turned_away",
+    "A request was refused before an endpoint was chosen.",
+    "request",
+    "host",
+    "path",
+    "code",
+    "configuration",
+)
+REQUEST_DISPATCHED = _define(
+    311,
+    "INFO",
+    "request_dispatched",
+    "A request is sent to an endpoint.",
+    "request",
+    "route",
+    "endpoint",
+    "pipeline",
+    "attempt",
+    "resume_after",
+    "milliseconds_left",
+)
+REQUEST_ANSWERED = _define(
+    312,
+    "INFO",
+    "request_answered",
+    "The caller has the endpoint's whole answer.",
+    "request",
+    "endpoint",
+    "attempts",
+    "milliseconds",
+)
+REQUEST_FAILED = _define(
+    313,
+    "WARNING",
+    "request_failed",
+    "A request that was let in got no whole answer.",
+    "request",
+    "route",
+    "code",
+    "detail",
+    "attempts",
+    "may_have_run",
+    "position",
+    "milliseconds",
+)
+ATTEMPT_ENDED = _define(
+    314,
+    "WARNING",
+    "attempt_ended",
+    "An attempt brought no answer for the caller.",
+    "request",
+    "attempt",
+    "endpoint",
+    "outcome",
+    "detail",
+    "at_fault",
+    "position",
+)
+CALLER_LEFT = _define(
+    315,
+    "INFO",
+    "caller_left",
+    "The caller closed its connection before its answer was whole.",
+    "request",
+    "position",
+    "milliseconds",
+)
+STALL_INSPECTED = _define(
+    316,
+    "INFO",
+    "stall_inspected",
+    "The first engine was asked why a stream makes no progress.",
+    "request",
+    "endpoint",
+    "answered",
+    "at_fault",
+)
+REQUEST_REROUTED = _define(
+    317,
+    "INFO",
+    "request_rerouted",
+    "A running request goes on over other engines.",
+    "request",
+    "before",
+    "after",
+)
+REQUEST_UNREADABLE = _define(
+    318,
+    "INFO",
+    "request_unreadable",
+    "Bytes from a caller were refused.",
+    "code",
+    "detail",
+)
+
+# 400 to 499: release notes, configurations and orders.
 NOTE_IN_FORCE = _define(
     400, "INFO", "note_in_force", "This VM follows a newer note.", "number"
 )
@@ -197,6 +322,63 @@
     "failure",
 )
 
+LAYERS_ORDERED = _define(
+    412,
+    "INFO",
+    "layers_ordered",
+    "An engine was ordered to hold layers.",
+    "endpoint",
+    "incarnation",
+    "first",
+    "end",
+    "fencing_token",
+    "held",
+)
+LAYERS_ORDER_REFUSED = _define(
+    413,
+    "WARNING",
+    "layers_order_refused",
+    "An engine refused an order to hold layers, or did not answer.",
+    "endpoint",
+    "incarnation",
+    "is_fenced",
+)
+CONFIGURATION_FOLLOWED = _define(
+    420,
+    "INFO",
+    "configuration_followed",
+    "This control VM holds a newer configuration.",
+    "version",
+    "index",
+    "routes",
+)
+CONFIGURATION_IN_FORCE = _define(
+    421,
+    "INFO",
+    "configuration_in_force",
+    "This entry VM follows a newer configuration.",
+    "version",
+    "before",
+    "confirmed",
+)
+CONFIGURATION_REFUSED = _define(
+    422,
+    "ERROR",
+    "configuration_refused",
+    "A configuration in the log cannot be read here.",
+    "version",
+    "failure",
+)
+CONTROL_CALL_REFUSED = _define(
+    423,
+    "WARNING",
+    "control_call_refused",
+    "A call to a control VM was not understood or not valid.",
+    "method",
+    "target",
+    "failure",
+)
+
 # 500 to 599: the replicated log.
 LEADER_CHANGED = _define(
     500,
--- a/sedgepin/logs.py
+++ b/sedgepin/logs.py
@@ -1,5 +1,8 @@
 """Writing log lines through loguru, as text or as JSON lines."""
 
+import enum
+import os
+import stat
 import sys
 import typing
 
@@ -13,12 +16,74 @@
     Message = loguru.Message
 
 
-def set_up(cfg: settings.Log, process_id: str) -> None:
-    """Send log lines to standard error in the form that ``cfg`` asks for."""
+# Lines that wait for a reader; some seconds of them at the highest load.
+_WAITING_LIMIT_BYTES = 1_048_576
+
+
+class Output(enum.Enum):
+    """Where log lines go."""
+
+    STDOUT = "stdout"
+    STDERR = "stderr"
+
+
+class _BoundedOutput:
+    """A file descriptor that is written to without ever waiting.
+
+    What a slow reader leaves behind waits here up to a limit; lines beyond
+    it are dropped, and their number is logged when there is room again.
+    """
+
+    __slots__ = ("_dropped", "_fd", "_waiting")
+
+    def __init__(self, fd: int) -> None:
+        self._fd = fd
+        self._waiting = b""
+        self._dropped = 0
+        if stat.S_ISFIFO(os.fstat(fd).st_mode):
+            os.set_blocking(fd, False)
+
+    def write(self, line: bytes) -> None:
+        if len(self._waiting) + len(line) > _WAITING_LIMIT_BYTES:
+            self._flush()
+        if len(self._waiting) + len(line) > _WAITING_LIMIT_BYTES:
+            self._dropped += 1
+            return
+        self._waiting += line
+        self._flush()
+        if self._dropped and not self._waiting:
+            dropped, self._dropped = self._dropped, 0
+            write(events.LOG_LINES_DROPPED.line(count=dropped))
+
+    def _flush(self) -> None:
+        try:
+            while self._waiting:
+                written = os.write(self._fd, self._waiting)
+                self._waiting = self._waiting[written:]
+        except BlockingIOError:
+            return
+        except OSError:
+            # Nobody will ever read: counting is all that is left to do.
+            self._waiting = b""
+            self._dropped += 1
+
+
+def set_up(
+    cfg: settings.Log, process_id: str, output: Output = Output.STDERR
+) -> None:
+    """Send log lines out in the form that ``cfg`` asks for."""
     loguru.logger.remove()
-    write = _write_json if cfg.format is settings.LogFormat.JSON else _write
+    write_line = _as_text
+    if cfg.format is settings.LogFormat.JSON:
+        write_line = _as_json
     loguru.logger.configure(extra={"process": process_id})
-    loguru.logger.add(write, level=cfg.level.value, format="{message}")
+    stream = sys.stdout if output is Output.STDOUT else sys.stderr
+    bounded = _BoundedOutput(stream.fileno())
+    loguru.logger.add(
+        lambda message: bounded.write(write_line(message)),
+        level=cfg.level.value,
+        format="{message}",
+    )
 
 
 def write(line: events.LogLine) -> None:
@@ -27,7 +92,7 @@
     loguru.logger.bind(line=line).log(definition.level, definition.name)
 
 
-def _write(message: "Message") -> None:
+def _as_text(message: "Message") -> bytes:
     record = message.record
     line = record["extra"].get("line")
     fields = ""
@@ -35,13 +100,13 @@
     if isinstance(line, events.LogLine):
         number = line.definition.number
         fields = " ".join(f"{one.name}={one.value}" for one in line.fields)
-    sys.stderr.write(
+    return (
         f"{record['time']:YYYY-MM-DDTHH:mm:ss.SSS} {record['level'].name:<7} "
         f"{record['extra']['process']} {number} {record['message']} {fields}\n"
-    )
+    ).encode()
 
 
-def _write_json(message: "Message") -> None:
+def _as_json(message: "Message") -> bytes:
     record = message.record
     line = record["extra"].get("line")
     body: dict[str, object] = {
@@ -53,5 +118,4 @@
     if isinstance(line, events.LogLine):
         body["number"] = line.definition.number
         body.update({one.name: one.value for one in line.fields})
-    encoded = msgspec.json.encode(body, enc_hook=str)
-    sys.stderr.write(encoded.decode() + "\n")
+    return msgspec.json.encode(body, enc_hook=str) + b"\n"
--- /dev/null
+++ b/sedgepin/platform/_settings.py
@@ -0,0 +1,108 @@
+"""The platform's settings file."""
+
+import datetime
+import pathlib
+import typing
+
+import msgspec
+import result
+
+from sedgepin import _gateway as gateway
+from sedgepin import _model as model
+from sedgepin import _registrar as registrar
+from sedgepin import errors
+
+SETTINGS_VARIABLE = "SEDGEPIN_NODE_FILE"
+
+_Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
+
+
+class _Listen(msgspec.Struct, frozen=True):
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+class _Bounds(msgspec.Struct, frozen=True, rename="camel"):
+    retry_budget_ratio: float = 0.0
+    budget_min_retries: int = 0
+    budget_window_s: typing.Annotated[float, msgspec.Meta(gt=0)] = (
+        msgspec.field(default=10.0, name="budgetWindowS")
+    )
+    grace_s: typing.Annotated[float, msgspec.Meta(gt=0)] = msgspec.field(
+        default=8.0, name="graceS"
+    )
+
+
+class Node(msgspec.Struct, frozen=True, rename="camel"):
+    """The fields of the settings file that sedgepin uses.
+
+    ``seeds`` are addresses where control VMs take calls from outside; among
+    themselves processes talk on the first of ``internal_ports``.
+    """
+
+    node_name: str
+    ip: str
+    zone: str
+    internal_ports: typing.Annotated[
+        tuple[_Port, ...], msgspec.Meta(min_length=2)
+    ]
+    seeds: tuple[str, ...]
+    heartbeat_ms: typing.Annotated[int, msgspec.Meta(gt=0)]
+    listen: _Listen
+    bounds: _Bounds = _Bounds()
+    bootstrap: bool = False
+    data_dir: str = ""
+
+    @property
+    def _vm_id(self) -> model.VmId:
+        return model.VmId(f"{self.ip}:{self.internal_ports[0]}")
+
+    @property
+    def _controls(self) -> tuple[model.VmId, ...]:
+        port = self.internal_ports[0]
+        hosts = (seed.rpartition(":")[0] for seed in self.seeds)
+        return tuple(model.VmId(f"{host}:{port}") for host in hosts)
+
+    @property
+    def _heartbeat(self) -> datetime.timedelta:
+        return datetime.timedelta(milliseconds=self.heartbeat_ms)
+
+    def registrar(self) -> registrar.RegistrarSettings:
+        """Return the settings of a control VM."""
+        return registrar.RegistrarSettings(
+            vm_id=self._vm_id,
+            data_centre=model.DataCentreId(self.zone),
+            listen=self.listen.control,
+            data_folder=self.data_dir,
+            seeds=self._controls,
+            is_new_system=self.bootstrap,
+            heartbeat_interval=self._heartbeat,
+        )
+
+    def gateway(self) -> gateway.GatewaySettings:
+        """Return the settings of an entry VM."""
+        bounds = self.bounds
+        return gateway.GatewaySettings(
+            vm_id=self._vm_id,
+            data_centre=model.DataCentreId(self.zone),
+            listen=self.listen.front,
+            ready_listen=self.listen.ready,
+            controls=self._controls,
+            retries=gateway.RetrySettings(
+                bounds.retry_budget_ratio,
+                bounds.budget_min_retries,
+                datetime.timedelta(seconds=bounds.budget_window_s),
+            ),
+            heartbeat_interval=self._heartbeat,
+            grace=datetime.timedelta(seconds=bounds.grace_s),
+        )
+
+
+def read(path: pathlib.Path) -> result.Result[Node, errors.DocumentRefused]:
+    """Return the settings, or what is wrong with the file."""
+    try:
+        return result.Ok(msgspec.toml.decode(path.read_bytes(), type=Node))
+    except (OSError, msgspec.MsgspecError) as exc:
+        fault = errors.FieldFault(str(path), str(exc))
+        return result.Err(errors.DocumentRefused("settings", (fault,)))
