--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -17,7 +17,9 @@
 _MISSED_HEARTBEATS = 3.4
 
 
-def endpoint_silence(heartbeat_interval: datetime.timedelta) -> datetime.timedelta:
+def endpoint_silence(
+    heartbeat_interval: datetime.timedelta,
+) -> datetime.timedelta:
     """Return how long an endpoint may go unheard before it counts as lost."""
     return heartbeat_interval * _MISSED_HEARTBEATS
 
--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -46,9 +46,7 @@
         """Answer one request."""
         await self._daemon.relay(exchange)
 
-    def refuse(
-        self, failure: errors.Failure
-    ) -> tuple[web.AnswerHead, bytes]:
+    def refuse(self, failure: errors.Failure) -> tuple[web.AnswerHead, bytes]:
         """Return the answer to a request that could not be read."""
         return self._daemon.refusal(failure)
 
@@ -79,9 +77,7 @@
         status = 200 if self._reducer.is_ready else 503
         await exchange.answer(web.AnswerHead(status), b"")
 
-    def refuse(
-        self, failure: errors.Failure
-    ) -> tuple[web.AnswerHead, bytes]:
+    def refuse(self, failure: errors.Failure) -> tuple[web.AnswerHead, bytes]:
         """Return the answer to a request that could not be read."""
         return web.AnswerHead(failure.http_status), b""
 
@@ -181,9 +177,7 @@
         finally:
             del self._relays[exchange_id]
 
-    def refusal(
-        self, failure: errors.Failure
-    ) -> tuple[web.AnswerHead, bytes]:
+    def refusal(self, failure: errors.Failure) -> tuple[web.AnswerHead, bytes]:
         """Return the answer to a request that was not understood."""
         line = events.REQUEST_UNREADABLE.line(
             code=failure.code, detail=failure.detail()
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -5,21 +5,25 @@
 import dataclasses
 import datetime
 
-import result
-
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _suspicions
 from sedgepin import _model as model
 from sedgepin import _placement as placement
+from sedgepin import _protocol as protocol
 
 # A pipeline is good for this long: within it load shifts by a few requests.
 _PATH_LIFE = datetime.timedelta(milliseconds=100)
 # An endpoint's word on its load is believed for this long.
 _LOAD_LIFE = datetime.timedelta(milliseconds=1000)
+# By which share of its time a pipeline of another data centre must be
+# faster; a choice between equals should not cross a link that may be cut.
+_HOME_ADVANTAGE = 0.05
 # What one waiting request counts against one in another data centre.
 _CROSSING_REQUESTS = 2.0
 
+_Loads = dict[model.EndpointId, protocol.EndpointLoad]
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _ToldLoad:
@@ -38,16 +42,17 @@
 class Fleet:
     """Chooses endpoints and pipelines for new work.
 
-    Work that this VM gave is known exactly; that of the other VMs is taken
-    to be alike, since the balancer spreads callers over all of them.
+    Work that this VM gave is known exactly; that of the other VMs as of
+    their last report, a few hundred milliseconds ago.
     """
 
     __slots__ = (
         "_data_centre",
         "_paths",
+        "_reported",
         "_running",
-        "_share",
         "_silence",
+        "_summed",
         "_suspicions",
         "_told",
         "_tokens",
@@ -70,12 +75,35 @@
         )
         self._told: dict[model.EndpointId, _ToldLoad] = {}
         self._paths: dict[model.ServiceName, _KnownPath] = {}
-        self._share = 1.0
+        self._reported: _Loads = {}
+        self._summed: _Loads = {}
         self._version = 0
 
-    def set_neighbours(self, count: float) -> None:
-        """Note how many entry VMs use the same endpoints, this one too."""
-        self._share = max(1.0, count)
+    def own_loads(self) -> tuple[protocol.EndpointLoad, ...]:
+        """Return the load that this VM puts on endpoints, to be reported."""
+        loads = tuple(
+            protocol.EndpointLoad(one, count, self._tokens[one])
+            for one, count in self._running.items()
+        )
+        self._reported = {one.endpoint_id: one for one in loads}
+        return loads
+
+    def take_sum(
+        self, loads: collections.abc.Iterable[protocol.EndpointLoad]
+    ) -> None:
+        """Take in the load that all entry VMs put on endpoints.
+
+        What this VM last reported is in the sum; it is taken out, since its
+        own load is known better.
+        """
+        self._summed = {}
+        for one in loads:
+            own = self._reported.get(one.endpoint_id)
+            running = one.running - (own.running if own else 0)
+            tokens = one.tokens - (own.tokens if own else 0)
+            self._summed[one.endpoint_id] = protocol.EndpointLoad(
+                one.endpoint_id, max(0, running), max(0, tokens)
+            )
 
     def note_change(self) -> None:
         """Forget pipelines that rest on what has changed."""
@@ -196,19 +224,39 @@
         first: model.Stage | None,
         kept: frozenset[model.EndpointId],
     ) -> model.Pipeline | None:
-        """Search at home, and everywhere if home does not suffice."""
+        """Search within each data centre, and across if none suffices.
+
+        A pipeline within one data centre sends no activations over the links
+        between them.
+        """
         if service.engine is None:
             return None
         engines = self._engines(service, service.engine, now)
-        at_home = [
-            one for one in engines if one.data_centre == self._data_centre
-        ]
-        for candidates in (at_home, engines):
-            finder = placement.PathFinder(service.engine, candidates)
-            found = finder.find(size, self._data_centre, first, kept)
-            if isinstance(found, result.Ok):
-                return found.ok_value
-        return None
+        groups: dict[model.DataCentreId, list[placement.PathEngine]] = {}
+        for one in engines:
+            groups.setdefault(one.data_centre, []).append(one)
+        best: placement.Found | None = None
+        for home, members in sorted(groups.items()):
+            finder = placement.PathFinder(service.engine, members)
+            found = finder.find(size, home, first, kept).ok()
+            if found is None:
+                continue
+            if best is None or self._is_better(home, found, best):
+                best = found
+        if best is None:
+            finder = placement.PathFinder(service.engine, engines)
+            best = finder.find(size, self._data_centre, first, kept).ok()
+        return None if best is None else best.pipeline
+
+    def _is_better(
+        self,
+        home: model.DataCentreId,
+        found: placement.Found,
+        best: placement.Found,
+    ) -> bool:
+        if home == self._data_centre:
+            return found.cost <= best.cost * (1 + _HOME_ADVANTAGE)
+        return found.cost < best.cost * (1 - _HOME_ADVANTAGE)
 
     def _engines(
         self,
@@ -221,6 +269,8 @@
             accelerator = profile.accelerator(word.accelerator)
             if word.layers is None or accelerator is None:
                 continue
+            idle = protocol.EndpointLoad(word.endpoint_id, 0, 0)
+            other = self._summed.get(word.endpoint_id, idle)
             found.append(
                 placement.PathEngine(
                     word.endpoint_id,
@@ -228,8 +278,8 @@
                     word.data_centre,
                     word.layers,
                     accelerator,
-                    self._running[word.endpoint_id] * self._share,
-                    self._tokens[word.endpoint_id] * self._share,
+                    self._running[word.endpoint_id] + other.running,
+                    self._tokens[word.endpoint_id] + other.tokens,
                 )
             )
         return found
@@ -244,9 +294,7 @@
             and self._is_usable(known, now)
         ]
 
-    def _is_usable(
-        self, known: catalog.Known, now: datetime.datetime
-    ) -> bool:
+    def _is_usable(self, known: catalog.Known, now: datetime.datetime) -> bool:
         word = known.registration
         return (
             word.state is catalog.EndpointState.READY
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -30,6 +30,8 @@
 _RESUME_PATIENCE = datetime.timedelta(milliseconds=1500)
 # The configuration is asked for this often, in case a push was lost.
 _ASK_INTERVAL = datetime.timedelta(seconds=1)
+# Within this time the load of a data centre changes by a few requests.
+_REPORT_INTERVAL = datetime.timedelta(milliseconds=200)
 # A VM that cannot reach a leader takes what any control VM holds after this
 # long: older than the newest perhaps, but better than none.
 _UNCONFIRMED_AFTER = datetime.timedelta(seconds=3)
@@ -51,7 +53,9 @@
         "_controls",
         "_exchanges",
         "_fleet",
+        "_has_reported_none",
         "_is_draining",
+        "_report_at",
         "_rng",
         "_started_at",
         "_table",
@@ -67,6 +71,8 @@
         self._rng = rng
         self._started_at = now
         self._ask_at = now
+        self._report_at = now
+        self._has_reported_none = True
         self._table: catalog.RouteTable | None = None
         self._fleet = _fleet.Fleet(cfg.data_centre, cfg.endpoint_silence)
         self._budget = _retry_budget.RetryBudget(cfg.retries)
@@ -145,6 +151,8 @@
                 return self._merge(message, now)
             case protocol.ControlsKnown(controls, entry_count):
                 return self._meet(controls, entry_count)
+            case protocol.LoadSummed(loads):
+                self._fleet.take_sum(loads)
         return []
 
     def _follow(
@@ -196,10 +204,6 @@
         self, controls: tuple[model.VmId, ...], entry_count: int
     ) -> Effects:
         self._budget.set_entry_count(entry_count)
-        places = {
-            known.registration.data_centre for known in self._fleet.registry
-        }
-        self._fleet.set_neighbours(entry_count / max(1, len(places)))
         new = set(controls) - self._controls
         self._controls |= new
         return [_effects.DialPeer(one) for one in sorted(new)]
@@ -214,11 +218,24 @@
                 have = self._table.configuration.version
             wanted = protocol.ConfigurationWanted(have)
             made.append(_effects.SendMessage(asked, wanted))
+        if now >= self._report_at and self._connected:
+            self._report_at = now + _REPORT_INTERVAL
+            made += self._report_load()
         for exchange in list(self._exchanges.values()):
             if exchange.waits_since is not None:
                 made += self._try_next(exchange, now)
         return made
 
+    def _report_load(self) -> Effects:
+        """Report this VM's load to the VM that sums it for all entries."""
+        loads = self._fleet.own_loads()
+        if not loads and self._has_reported_none:
+            return []
+        self._has_reported_none = not loads
+        summing = min(self._connected)
+        message = protocol.LoadReported(loads)
+        return [_effects.SendMessage(summing, message)]
+
     # Requests.
 
     def _arrived(
@@ -351,9 +368,7 @@
                 pipeline,
                 exchange.position,
             )
-        chosen = self._fleet.choose(
-            exchange.service.name, exchange.tried, now
-        )
+        chosen = self._fleet.choose(exchange.service.name, exchange.tried, now)
         if chosen is None:
             return None
         return _calls.Dispatch(
@@ -584,9 +599,7 @@
 
     # Streams that make no progress.
 
-    def _stalled(
-        self, exchange_id: int, now: datetime.datetime
-    ) -> Effects:
+    def _stalled(self, exchange_id: int, now: datetime.datetime) -> Effects:
         exchange = self._exchanges.get(exchange_id)
         if exchange is None or exchange.dispatch is None:
             return []
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -79,9 +79,7 @@
         self._held: _calls.Answer | None = None
         self._scope = trio.CancelScope()
         self._attempt_scope: trio.CancelScope | None = None
-        sender, receiver = trio.open_memory_channel[
-            _effects.GatewayEffect
-        ](8)
+        sender, receiver = trio.open_memory_channel[_effects.GatewayEffect](8)
         self._inbox = (sender, receiver)
 
     def take(self, effect: _effects.GatewayEffect) -> None:
--- a/sedgepin/_gateway/_retry_budget.py
+++ b/sedgepin/_gateway/_retry_budget.py
@@ -63,9 +63,7 @@
         """Count a request that is sent for the first time."""
         self._window(service).add_first(now)
 
-    def take(
-        self, service: model.ServiceName, now: datetime.datetime
-    ) -> bool:
+    def take(self, service: model.ServiceName, now: datetime.datetime) -> bool:
         """Take one repeat out of the budget; return whether there was one."""
         window = self._window(service)
         firsts, repeats = window.counts(now)
--- a/sedgepin/_placement/_paths.py
+++ b/sedgepin/_placement/_paths.py
@@ -20,10 +20,14 @@
 _CROSSING_MILLISECONDS = 2.0
 # What each hop adds within a data centre, in ms.
 _HOP_MILLISECONDS = 0.2
-# An engine this full of cached tokens is taken only where no other is left.
-_FULL_SHARE = 0.9
-# How many ms of a token's time an engine costs more when it is full.
-_FULL_PENALTY_MILLISECONDS = 50.0
+# Up to this share of its cache an engine costs no more than an empty one.
+_RELAXED_SHARE = 0.5
+# What an engine with a full cache adds to each token's time, in ms; as much
+# as the slowest pipeline of the first deployments takes by itself.
+_FULL_MILLISECONDS = 10.0
+# An engine without room preempts its newest request, which then waits for
+# seconds.
+_OVERFULL_MILLISECONDS = 100.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -56,6 +60,14 @@
     slowness: float = 1.0
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Found:
+    """A pipeline and its expected time in ms, load and all."""
+
+    pipeline: model.Pipeline
+    cost: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Priced:
     """An engine, and what a request costs on each layer and in all, in ms."""
@@ -77,7 +89,7 @@
     """Finds pipelines through engines that hold layers of one model.
 
     >>> finder = PathFinder(profile, engines)
-    >>> finder.find(Size(800, 200), home).unwrap().stages
+    >>> finder.find(Size(800, 200), home).unwrap().pipeline
     """
 
     __slots__ = ("_engines", "_profile")
@@ -96,7 +108,7 @@
         home: model.DataCentreId,
         first: model.Stage | None = None,
         kept: frozenset[model.EndpointId] = frozenset(),
-    ) -> result.Result[model.Pipeline, model.LayersNotTiled]:
+    ) -> result.Result["Found", model.LayersNotTiled]:
         """Return the pipeline with the least expected time.
 
         With ``first`` the pipeline begins with that stage.  Engines in
@@ -109,8 +121,12 @@
         crossing = _CROSSING_MILLISECONDS * size.answer_tokens
         start = 0 if first is None else first.layers.end
         stages = () if first is None else (first,)
+        # The first engine may be anywhere: only events travel back from it.
+        origins = (
+            {home} if first else {one.data_centre for one in self._engines}
+        )
         ways: dict[int, dict[model.DataCentreId, _Reached]] = {
-            start: {home: _Reached(0.0, stages)}
+            start: {one: _Reached(0.0, stages) for one in sorted(origins)}
         }
         for boundary in ends:
             for place, way in ways.get(boundary, {}).items():
@@ -128,7 +144,8 @@
         if not found:
             return result.Err(model.LayersNotTiled(last, max(ways)))
         best = min(found.values(), key=lambda way: way.cost)
-        return model.Pipeline.tile(best.stages, last)
+        tiled = model.Pipeline.tile(best.stages, last)
+        return tiled.map(lambda pipeline: Found(pipeline, best.cost))
 
     def _price(
         self,
@@ -153,14 +170,21 @@
             seconds = size.prompt_tokens / profile.read_tokens_per_second
             read = engine.accelerator.read_factor * seconds * 1000
         per_layer = engine.slowness * (token + read) / profile.layer_count
-        once = 0.0
-        wanted = engine.held_tokens + size.total
-        if wanted > _FULL_SHARE * room:
-            overflow = wanted / max(room, 1.0)
-            once = _FULL_PENALTY_MILLISECONDS * overflow * size.answer_tokens
+        share = (engine.held_tokens + size.total) / max(room, 1.0)
+        once = _fullness_milliseconds(share) * size.answer_tokens
         return _Priced(engine, per_layer, once)
 
 
+def _fullness_milliseconds(share: float) -> float:
+    """Return what a cache filled to a share adds to each token's time."""
+    if share <= _RELAXED_SHARE:
+        return 0.0
+    if share > 1.0:
+        return _OVERFULL_MILLISECONDS * share
+    over = (share - _RELAXED_SHARE) / (1.0 - _RELAXED_SHARE)
+    return _FULL_MILLISECONDS * over * over
+
+
 def _extend(
     ways: dict[int, dict[model.DataCentreId, _Reached]],
     way: _Reached,
--- a/sedgepin/_placement/_plan.py
+++ b/sedgepin/_placement/_plan.py
@@ -13,9 +13,9 @@
 from sedgepin._placement import _engines
 
 # Requests of usual length that each layer should have room for at once.
-# Twice the 25 that a data centre of the first deployments has open on a calm
+# Twice the 30 that a data centre of the first deployments has open on a calm
 # day, so that it can carry those of another one as well.
-_ROOM_REQUESTS = 50
+_ROOM_REQUESTS = 60
 # The room is halved at most this often where the memory does not suffice.
 _HALVINGS = 5
 
--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -11,12 +11,15 @@
 from sedgepin._protocol._messages import ConfigurationWanted
 from sedgepin._protocol._messages import ControlsKnown
 from sedgepin._protocol._messages import DeclaredLost
+from sedgepin._protocol._messages import EndpointLoad
 from sedgepin._protocol._messages import EndpointsSeen
 from sedgepin._protocol._messages import FleetPublished
 from sedgepin._protocol._messages import FleetWanted
 from sedgepin._protocol._messages import GossipCarried
 from sedgepin._protocol._messages import HeartbeatsCarried
 from sedgepin._protocol._messages import Hello
+from sedgepin._protocol._messages import LoadReported
+from sedgepin._protocol._messages import LoadSummed
 from sedgepin._protocol._messages import PeerMessage
 from sedgepin._protocol._messages import RaftCarried
 from sedgepin._protocol._messages import ReadIndexAnswered
@@ -42,6 +45,7 @@
     "ConfigurationWanted",
     "ControlsKnown",
     "DeclaredLost",
+    "EndpointLoad",
     "EndpointsSeen",
     "FRAME_LIMIT_BYTES",
     "FleetPublished",
@@ -51,6 +55,8 @@
     "HeartbeatsCarried",
     "Hello",
     "IdentityNotProved",
+    "LoadReported",
+    "LoadSummed",
     "PeerConnected",
     "PeerDisconnected",
     "PeerEvent",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -125,6 +125,26 @@
     entry_count: int
 
 
+class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
+    """The requests on an endpoint, and the tokens that they will hold."""
+
+    endpoint_id: model.EndpointId
+    running: int
+    tokens: int
+
+
+class LoadReported(msgspec.Struct, frozen=True, tag=True):
+    """The load that the sender put on endpoints."""
+
+    loads: tuple[EndpointLoad, ...]
+
+
+class LoadSummed(msgspec.Struct, frozen=True, tag=True):
+    """The load that all entry VMs put on endpoints, as last reported."""
+
+    loads: tuple[EndpointLoad, ...]
+
+
 class ReadIndexAsked(msgspec.Struct, frozen=True, tag=True):
     """Please tell up to which index the log is committed."""
 
@@ -172,6 +192,8 @@
     | ConfigurationPublished
     | RegistrationsSeen
     | ControlsKnown
+    | LoadReported
+    | LoadSummed
     | ReadIndexAsked
     | ReadIndexAnswered
 )
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -103,9 +103,7 @@
             self._waiting.pop(exchange_id, None)
 
 
-def _event_of(
-    exchange_id: int, call: _dialect.Call
-) -> _events.RegistrarEvent:
+def _event_of(exchange_id: int, call: _dialect.Call) -> _events.RegistrarEvent:
     match call:
         case _dialect.PublishCall(version, document):
             return _events.ConfigurationSubmitted(
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -1,5 +1,6 @@
 """The reducer of a registrar: every event in, every effect out."""
 
+import collections
 import dataclasses
 import datetime
 import random
@@ -19,6 +20,7 @@
 from sedgepin import events
 
 Effects = list[_effects.RegistrarEffect]
+_Loads = tuple[protocol.EndpointLoad, ...]
 
 # How long an operator's call waits for the log; operators ask the next VM
 # after a second without an answer.
@@ -26,6 +28,8 @@
 # What was heard of endpoints is told to peers this often; what changed is
 # told at once.
 _HEARD_INTERVAL = datetime.timedelta(milliseconds=500)
+# Entries report their load at the same rate.
+_LOAD_INTERVAL = datetime.timedelta(milliseconds=200)
 _HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=100)
 _ELECTION_TIMEOUT_MIN = datetime.timedelta(milliseconds=600)
 _ELECTION_TIMEOUT_MAX = datetime.timedelta(milliseconds=1000)
@@ -72,6 +76,8 @@
         "_heard",
         "_heard_at",
         "_ledger",
+        "_loads",
+        "_loads_told_at",
         "_next_number",
         "_orders",
         "_proposed",
@@ -111,6 +117,8 @@
         self._controls: set[model.VmId] = set(cfg.seeds) - {cfg.vm_id}
         self._heard: set[model.EndpointId] = set()
         self._heard_at = now
+        self._loads: dict[model.VmId, _Loads] = {}
+        self._loads_told_at = now
         self._next_number = 1
         self._proposed: dict[int, _Waiting] = {}
         self._asked: dict[int, _Waiting] = {}
@@ -151,6 +159,7 @@
                 return self._peer_connected(hello, now)
             case protocol.PeerDisconnected(peer_id):
                 self._entries.discard(peer_id)
+                self._loads.pop(peer_id, None)
                 return [_log(events.PEER_DISCONNECTED.line(peer=peer_id))]
             case protocol.PeerRefused(address, failure):
                 line = events.PEER_REFUSED.line(
@@ -168,13 +177,32 @@
             self._heard_at = now
             self._registry.forget(self._cfg.endpoint_silence, now)
             made += self._tell_heard()
+        if self._loads and now - self._loads_told_at >= _LOAD_INTERVAL:
+            self._loads_told_at = now
+            made += self._tell_loads()
         if self._raft.lease_holds(now):
             live = self._live(now)
-            made += self._orders.tick(
-                live, self._table, self._raft.term, now
-            )
+            made += self._orders.tick(live, self._table, self._raft.term, now)
         return made
 
+    def _tell_loads(self) -> Effects:
+        """Tell the entries what all of them together put on endpoints."""
+        running: collections.Counter[model.EndpointId] = collections.Counter()
+        tokens: collections.Counter[model.EndpointId] = collections.Counter()
+        for loads in self._loads.values():
+            for one in loads:
+                running[one.endpoint_id] += one.running
+                tokens[one.endpoint_id] += one.tokens
+        summed = tuple(
+            protocol.EndpointLoad(endpoint_id, count, tokens[endpoint_id])
+            for endpoint_id, count in running.items()
+        )
+        message = protocol.LoadSummed(summed)
+        return [
+            _effects.SendMessage(entry, message)
+            for entry in sorted(self._loads)
+        ]
+
     def _live(self, now: datetime.datetime) -> list[catalog.Registration]:
         """Return the endpoints that were heard of lately."""
         gone = catalog.EndpointState.GONE
@@ -206,6 +234,9 @@
                 return self._propose(command, waiting, now)
             case protocol.CommandAnswered():
                 return self._command_answered(message)
+            case protocol.LoadReported(loads):
+                self._loads[sender] = loads
+                return []
             case protocol.ReadIndexAsked(ask_id):
                 return [self._read_index_for(sender, ask_id, now)]
             case protocol.ReadIndexAnswered(ask_id, index):
@@ -273,9 +304,7 @@
         for endpoint_id in message.heard:
             self._registry.hear(endpoint_id, now)
         news = tuple(
-            word
-            for word in message.changed
-            if self._registry.take(word, now)
+            word for word in message.changed if self._registry.take(word, now)
         )
         if not news:
             return []
--- a/sedgepin/_web/_client.py
+++ b/sedgepin/_web/_client.py
@@ -101,9 +101,7 @@
             found = event.ok_value
             if isinstance(found, h11.Response):
                 headers = tuple(found.headers.raw_items())
-                return result.Ok(
-                    _types.AnswerHead(found.status_code, headers)
-                )
+                return result.Ok(_types.AnswerHead(found.status_code, headers))
             if not isinstance(found, h11.InformationalResponse):
                 return result.Err(self._broken("no answer"))
 
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -83,9 +83,9 @@
         """Answer one request; cancelled when its caller has left."""
 
     @abc.abstractmethod
-    def refuse(self, failure: errors.Failure) -> tuple[
-        _types.AnswerHead, bytes
-    ]:
+    def refuse(
+        self, failure: errors.Failure
+    ) -> tuple[_types.AnswerHead, bytes]:
         """Return the answer to a request that could not be read."""
 
     @abc.abstractmethod
--- a/sedgepin/platform/_answers.py
+++ b/sedgepin/platform/_answers.py
@@ -27,9 +27,7 @@
     return web.AnswerHead(failure.http_status, tuple(headers)), body
 
 
-def document(
-    body: bytes, status: int = 200
-) -> tuple[web.AnswerHead, bytes]:
+def document(body: bytes, status: int = 200) -> tuple[web.AnswerHead, bytes]:
     """Return an answer that holds a JSON document."""
     return web.AnswerHead(status, (_JSON,)), body
 
--- a/sedgepin/platform/_configuration.py
+++ b/sedgepin/platform/_configuration.py
@@ -208,9 +208,7 @@
         usual_answer_tokens=found.usual.answer,
         report_lag=_span(found.report_lag_ms),
         accelerators=tuple(
-            catalog.AcceleratorProfile(
-                one.name, one.mb, one.pace, one.read_x
-            )
+            catalog.AcceleratorProfile(one.name, one.mb, one.pace, one.read_x)
             for one in found.kinds
         ),
     )
--- a/sedgepin/platform/_control.py
+++ b/sedgepin/platform/_control.py
@@ -17,7 +17,6 @@
 _STALE_FENCE = 412
 
 
-
 class ControlDialect(registrar.ControlDialect):
     """What operators and endpoints of the platform say to control VMs."""
 
--- a/sedgepin/platform/_gateway.py
+++ b/sedgepin/platform/_gateway.py
@@ -105,8 +105,7 @@
         return gateway.AnswerMarks(
             request_id=_text(request_id),
             is_sealed=head.find(b"x-response-seal") is not None,
-            is_not_run=not_executed is not None
-            or head.status == _MISDIRECTED,
+            is_not_run=not_executed is not None or head.status == _MISDIRECTED,
             at_fault=_text(at_fault),
             running=running,
             waiting=waiting,
