--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -16,6 +16,10 @@
 # twice; one that misses this many heartbeats has had the time.
 _MISSED_HEARTBEATS = 3.4
 
+# What control VMs heard before an endpoint was lost reaches the others up to
+# this long after.
+_ECHO_TIME = datetime.timedelta(milliseconds=700)
+
 
 def endpoint_silence(
     heartbeat_interval: datetime.timedelta,
@@ -30,6 +34,13 @@
 
     registration: _registration.Registration
     heard_at: datetime.datetime
+    lost_at: datetime.datetime | None = None
+
+    def is_live(
+        self, silence: datetime.timedelta, now: datetime.datetime
+    ) -> bool:
+        """Tell whether the endpoint counts as alive."""
+        return self.lost_at is None and now - self.heard_at <= silence
 
 
 class Registry:
@@ -67,7 +78,7 @@
         known = self._known.get(word.endpoint_id)
         if known is not None and word.order <= known.registration.order:
             if word.order == known.registration.order:
-                known.heard_at = now
+                self.hear(word.endpoint_id, now)
             return False
         if known is not None and _stays_gone(known.registration, word):
             return False
@@ -116,8 +127,29 @@
     ) -> None:
         """Note that an endpoint was heard without news."""
         known = self._known.get(endpoint_id)
-        if known is not None:
-            known.heard_at = max(known.heard_at, now)
+        if known is None:
+            return
+        if known.lost_at is not None and now - known.lost_at < _ECHO_TIME:
+            return
+        known.lost_at = None
+        known.heard_at = max(known.heard_at, now)
+
+    def lose(
+        self,
+        endpoint_id: model.EndpointId,
+        incarnation: int,
+        now: datetime.datetime,
+    ) -> bool:
+        """Count an endpoint as lost until it is heard again.
+
+        Return whether that is news.
+        """
+        known = self._known.get(endpoint_id)
+        if known is None or known.registration.incarnation != incarnation:
+            return False
+        is_news = known.lost_at is None
+        known.lost_at = now
+        return is_news
 
     def forget(
         self, silent_for: datetime.timedelta, now: datetime.datetime
--- a/sedgepin/_gateway/__init__.py
+++ b/sedgepin/_gateway/__init__.py
@@ -8,6 +8,7 @@
 from sedgepin._gateway._calls import AnswerMarks
 from sedgepin._gateway._calls import CallerRequest
 from sedgepin._gateway._calls import Dispatch
+from sedgepin._gateway._calls import Stall
 from sedgepin._gateway._calls import StallReport
 from sedgepin._gateway._calls import TokenUsage
 from sedgepin._gateway._daemon import run
@@ -24,6 +25,7 @@
     "GatewaySettings",
     "RequestRefused",
     "RetrySettings",
+    "Stall",
     "StallReport",
     "TokenUsage",
     "run",
--- a/sedgepin/_gateway/_calls.py
+++ b/sedgepin/_gateway/_calls.py
@@ -86,13 +86,18 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class StallReport:
-    """What a first engine says of a request that makes no progress.
+class Stall:
+    """A request that waits, and the address of the engine it waits for."""
 
-    ``at_fault`` is the address of the engine that it waits for.
-    """
+    request_id: str
+    at_fault: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StallReport:
+    """What a first engine says of requests that make no progress."""
 
-    at_fault: str | None
+    stalls: tuple[Stall, ...]
     slowness: float = 1.0
 
 
--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -7,13 +7,13 @@
 
 import trio
 
+from sedgepin import _catalog as catalog
 from sedgepin._gateway import _dialect
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _events
 from sedgepin._gateway import _reducer
 from sedgepin._gateway import _relay
 from sedgepin._gateway import _settings
-from sedgepin import _catalog as catalog
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin import _shell as shell
@@ -99,17 +99,20 @@
         "_readiness",
         "_relays",
         "_server",
+        "_source",
         "_transport",
         "reducer",
     )
 
     def __init__(
         self,
-        cfg: _settings.GatewaySettings,
+        source: shell.SettingsSource[_settings.GatewaySettings],
         dialect: _dialect.GatewayDialect,
         own_clock: clock.Clock,
     ) -> None:
+        cfg = source.current
         self._cfg = cfg
+        self._source = source
         self._dialect = dialect
         self._clock = own_clock
         self.reducer = _reducer.GatewayReducer(
@@ -144,6 +147,9 @@
             await nursery.start(self._readiness.serve, self._cfg.ready_listen)
             await nursery.start(self._server.serve, self._cfg.listen)
             nursery.start_soon(self._tick)
+            await nursery.start(
+                shell.watch_settings, self._source, self._reload
+            )
             logs.write(
                 events.PROCESS_STARTED.line(
                     id=self._cfg.vm_id,
@@ -185,6 +191,9 @@
         logs.write(line)
         return self._dialect.refusal(None, failure)
 
+    def _reload(self, cfg: _settings.GatewaySettings) -> None:
+        self._driver.submit(_events.SettingsReloaded(cfg))
+
     async def _tick(self) -> None:
         while True:
             self._driver.submit(_events.TimerFired())
@@ -207,7 +216,7 @@
                 self._transport.send(recipient, message)
             case _effects.DialPeer(vm_id):
                 self._transport.dial(_peer(vm_id))
-            case _effects.InspectStall():
+            case _effects.InspectStalls():
                 self._nursery.start_soon(self._inspect, effect)
             case _effects.Reroute():
                 self._nursery.start_soon(self._reroute, effect)
@@ -220,9 +229,9 @@
                 if relay is not None:
                     relay.take(effect)
 
-    async def _inspect(self, effect: _effects.InspectStall) -> None:
+    async def _inspect(self, effect: _effects.InspectStalls) -> None:
         self._driver.submit(
-            await _relay.inspect_stall(effect, self._dialect, _ENGINE_TIMEOUT)
+            await _relay.inspect_stalls(effect, self._dialect, _ENGINE_TIMEOUT)
         )
 
     async def _reroute(self, effect: _effects.Reroute) -> None:
@@ -237,8 +246,9 @@
 
 
 def run(
-    cfg: _settings.GatewaySettings, dialect: _dialect.GatewayDialect
+    source: shell.SettingsSource[_settings.GatewaySettings],
+    dialect: _dialect.GatewayDialect,
 ) -> None:
     """Run the daemon until it is told to leave."""
-    daemon = GatewayDaemon(cfg, dialect, clock.SystemClock())
+    daemon = GatewayDaemon(source, dialect, clock.SystemClock())
     trio.run(daemon.run)
--- a/sedgepin/_gateway/_dialect.py
+++ b/sedgepin/_gateway/_dialect.py
@@ -43,10 +43,10 @@
         """Return the request for an engine's report."""
 
     @abc.abstractmethod
-    def read_stall(
-        self, request_id: str, head: web.AnswerHead, body: bytes
+    def read_stalls(
+        self, head: web.AnswerHead, body: bytes
     ) -> result.Result[_calls.StallReport, errors.Failure]:
-        """Return what an engine's report says of a request."""
+        """Return what an engine's report says of stalled requests."""
 
     @abc.abstractmethod
     def reroute_request(
--- a/sedgepin/_gateway/_effects.py
+++ b/sedgepin/_gateway/_effects.py
@@ -78,11 +78,10 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class InspectStall:
-    """Ask the first engine what a request waits for."""
+class InspectStalls:
+    """Ask a first engine which requests wait, and for what."""
 
-    exchange_id: int
-    request_id: str
+    endpoint_id: model.EndpointId
     address: str
 
 
@@ -120,7 +119,7 @@
     | Fail
     | Deliver
     | Finish
-    | InspectStall
+    | InspectStalls
     | Reroute
     | WriteLog
     | CountMetric
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -5,6 +5,7 @@
 import typing
 
 from sedgepin._gateway import _calls
+from sedgepin._gateway import _settings
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 
@@ -78,10 +79,10 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class StallInspected:
-    """The first engine was asked why; ``report`` is empty if it is gone."""
+class StallsInspected:
+    """A first engine was asked for stalls, or is gone without a ``report``."""
 
-    exchange_id: int
+    endpoint_id: model.EndpointId
     report: _calls.StallReport | None
 
 
@@ -111,6 +112,13 @@
     exchange_id: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class SettingsReloaded:
+    """The settings file has changed and was read."""
+
+    cfg: _settings.GatewaySettings
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class DrainRequested:
     """The VM is told to leave."""
@@ -123,7 +131,8 @@
     | OutputBegan
     | LoadTold
     | StreamStalled
-    | StallInspected
+    | StallsInspected
+    | SettingsReloaded
     | Rerouted
     | CallerLeft
     | DeadlineReached
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -31,11 +31,17 @@
     position: int | None = None
     has_output: bool = False
     is_rerouting: bool = False
-    is_inspecting: bool = False
     has_ended: bool = False
     waits_since: datetime.datetime | None = None
     tried: set[model.EndpointId] = dataclasses.field(default_factory=set)
 
+    @property
+    def priority(self) -> int:
+        """Return the rank of the request; 0 is the most urgent."""
+        if self.customer is not None and self.customer.priority is not None:
+            return self.customer.priority
+        return self.route.priority
+
     @property
     def tokens(self) -> int:
         """Return how many tokens the request will hold."""
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -14,6 +14,8 @@
 
 # A pipeline is good for this long: within it load shifts by a few requests.
 _PATH_LIFE = datetime.timedelta(milliseconds=100)
+# From this fullness on every request is placed by the load as it is then.
+_EXACT_FROM = 0.7
 # An endpoint's word on its load is believed for this long.
 _LOAD_LIFE = datetime.timedelta(milliseconds=1000)
 # By which share of its time a pipeline of another data centre must be
@@ -34,7 +36,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _KnownPath:
-    pipeline: model.Pipeline
+    found: placement.Found
     at: datetime.datetime
     version: int
 
@@ -183,7 +185,7 @@
         service: catalog.Service,
         size: placement.Size,
         now: datetime.datetime,
-    ) -> model.Pipeline | None:
+    ) -> placement.Found | None:
         """Return the pipeline for a new request, or none if there is none."""
         known = self._paths.get(service.name)
         if (
@@ -191,9 +193,9 @@
             and known.version == self._version
             and now - known.at < _PATH_LIFE
         ):
-            return known.pipeline
+            return known.found
         found = self._search(service, size, now, None, frozenset())
-        if found is not None:
+        if found is not None and found.fullness < _EXACT_FROM:
             self._paths[service.name] = _KnownPath(found, now, self._version)
         return found
 
@@ -207,7 +209,40 @@
         """Return a pipeline with the same first stage, for a running one."""
         first = pipeline.stages[0]
         kept = frozenset(one.endpoint_id for one in pipeline.stages)
-        return self._search(service, size, now, first, kept)
+        found = self._search(service, size, now, first, kept)
+        return None if found is None else found.pipeline
+
+    def is_suspected(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> bool:
+        """Tell whether an endpoint failed lately or is lost."""
+        known = self.registry.find(endpoint_id)
+        if known is None:
+            return True
+        return known.lost_at is not None or self._suspicions.covers(
+            endpoint_id, known.registration.incarnation, now
+        )
+
+    def fullness(
+        self, service: catalog.Service, endpoint_id: model.EndpointId
+    ) -> float:
+        """Return which share of its cache an engine has given away."""
+        known = self.registry.find(endpoint_id)
+        profile = service.engine
+        if known is None or profile is None:
+            return 0.0
+        word = known.registration
+        accelerator = profile.accelerator(word.accelerator)
+        if accelerator is None or word.layers is None:
+            return 0.0
+        room = placement.cache_room_tokens(
+            profile, accelerator, word.layers.count
+        )
+        tokens = self._tokens[endpoint_id]
+        other = self._summed.get(endpoint_id)
+        if other is not None:
+            tokens += other.tokens
+        return tokens / max(1.0, room)
 
     def is_usable(
         self, endpoint_id: model.EndpointId, now: datetime.datetime
@@ -223,7 +258,7 @@
         now: datetime.datetime,
         first: model.Stage | None,
         kept: frozenset[model.EndpointId],
-    ) -> model.Pipeline | None:
+    ) -> placement.Found | None:
         """Search within each data centre, and across if none suffices.
 
         A pipeline within one data centre sends no activations over the links
@@ -246,7 +281,7 @@
         if best is None:
             finder = placement.PathFinder(service.engine, engines)
             best = finder.find(size, self._data_centre, first, kept).ok()
-        return None if best is None else best.pipeline
+        return best
 
     def _is_better(
         self,
@@ -298,7 +333,7 @@
         word = known.registration
         return (
             word.state is catalog.EndpointState.READY
-            and now - known.heard_at <= self._silence
+            and known.is_live(self._silence, now)
             and not self._suspicions.covers(
                 word.endpoint_id, word.incarnation, now
             )
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -214,7 +214,7 @@
         head = await self._watched(conn.read_head, _FIRST_EVENT_SECONDS)
         if isinstance(head, result.Err):
             return _Ended(_Outcome.UNKNOWN, head.err_value.detail())
-        return head.ok_value
+        return typing.cast(web.AnswerHead, head.ok_value)
 
     async def _watched(
         self,
@@ -278,22 +278,29 @@
     async def _pass_events(
         self, head: web.AnswerHead, found: list[_event_stream.StreamEvent]
     ) -> str | None:
-        """Send events on; return what is wrong with them, if anything."""
+        """Send events on; return what is wrong with them, if anything.
+
+        An attempt is given up only between sends: its successor goes on
+        after the last event that the caller was sent whole.
+        """
         passed = bytearray()
         problem: str | None = None
+        position = self._position
         for event in found:
-            if event.event_id is not None and self._position is not None:
-                if event.event_id <= self._position:
+            if event.event_id is not None and position is not None:
+                if event.event_id <= position:
                     continue
-                if event.event_id != self._position + 1:
+                if event.event_id != position + 1:
                     problem = f"event {event.event_id} is out of order"
                     break
             if event.event_id is not None:
-                self._position = event.event_id
+                position = event.event_id
             passed += event.data
         if passed:
-            await self._begin(head)
-            await self._exchange.send(bytes(passed))
+            with trio.CancelScope(shield=True):
+                await self._begin(head)
+                await self._exchange.send(bytes(passed))
+                self._position = position
         return problem
 
     async def _begin(self, head: web.AnswerHead) -> None:
@@ -304,21 +311,18 @@
         self._submit(_events.OutputBegan(self.exchange_id))
 
 
-async def inspect_stall(
-    effect: _effects.InspectStall,
+async def inspect_stalls(
+    effect: _effects.InspectStalls,
     dialect: _dialect.GatewayDialect,
     timeout: datetime.timedelta,
-) -> _events.StallInspected:
-    """Ask a first engine what a request waits for."""
+) -> _events.StallsInspected:
+    """Ask a first engine which requests wait, and for what."""
     request = dialect.report_request(effect.address)
     asked = await web.ask(effect.address, request, timeout.total_seconds())
-    if isinstance(asked, result.Err):
-        return _events.StallInspected(effect.exchange_id, None)
-    head, body = asked.ok_value
-    read = dialect.read_stall(effect.request_id, head, body)
-    if isinstance(read, result.Err):
-        return _events.StallInspected(effect.exchange_id, None)
-    return _events.StallInspected(effect.exchange_id, read.ok_value)
+    report: _calls.StallReport | None = None
+    if isinstance(asked, result.Ok):
+        report = dialect.read_stalls(*asked.ok_value).ok()
+    return _events.StallsInspected(effect.endpoint_id, report)
 
 
 async def reroute(
--- /dev/null
+++ b/sedgepin/_gateway/_requests.py
@@ -0,0 +1,445 @@
+"""The life of a request: let in, sent, sent again, answered or refused."""
+
+import datetime
+
+from sedgepin import _catalog as catalog
+from sedgepin._gateway import _calls
+from sedgepin._gateway import _core
+from sedgepin._gateway import _effects
+from sedgepin._gateway import _events
+from sedgepin._gateway import _exchange
+from sedgepin._gateway import _failures
+from sedgepin import _model as model
+from sedgepin import errors
+from sedgepin import events
+
+_Outcome = _events.AttemptOutcome
+
+# Endpoints that say they did not run a request are tried this many times.
+_SEND_LIMIT = 4
+# An engine this full that refuses is short of memory, not broken.
+_FULL_SHARE = 0.6
+
+
+class Requests:
+    """Lets requests in, chooses their endpoints and ends them."""
+
+    __slots__ = ("_core",)
+
+    def __init__(self, core: _core.Core) -> None:
+        self._core = core
+
+    def arrived(
+        self, event: _events.RequestArrived, now: datetime.datetime
+    ) -> _core.Effects:
+        """Let a request in, or turn it away."""
+        request = event.request
+        table = self._core.table
+        if table is None:
+            return self._turn_away(event, _failures.NoConfiguration())
+        route = table.find(request.host, request.path)
+        if route is None:
+            return self._turn_away(event, _failures.RouteUnknown())
+        customer: catalog.Customer | None = None
+        if request.key is not None:
+            customer = table.customer(request.key)
+        if table.configuration.customers and not route.is_public:
+            if customer is None:
+                return self._turn_away(event, _failures.KeyUnknown())
+        service = self._choose_service(table, route)
+        if service is None:
+            return self._turn_away(event, _failures.RouteUnknown())
+        time_left = route.timeout
+        if request.time_left is not None:
+            time_left = min(time_left, request.time_left)
+        exchange = _exchange.Exchange(
+            event.exchange_id,
+            request,
+            route,
+            service,
+            customer,
+            now,
+            now + time_left,
+            position=request.resume_after,
+        )
+        self._core.exchanges[event.exchange_id] = exchange
+        set_time = _effects.SetTimeLeft(event.exchange_id, time_left)
+        return [set_time, *self.try_next(exchange, now)]
+
+    def try_next(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> _core.Effects:
+        """Send a request to the best endpoint, let it wait, or refuse it."""
+        line = self._core.lines.line(exchange.service.name)
+        if exchange.service.engine is None or exchange.request.size is None:
+            return self._try_plain(exchange, now)
+        found = self._core.fleet.find_pipeline(
+            exchange.service, exchange.request.size, now
+        )
+        if found is None:
+            return self._without_pipeline(exchange, now)
+        must_wait = found.fullness > 1.0
+        if len(line) and exchange.waits_since is None:
+            must_wait = must_wait or not exchange.has_output
+        if must_wait:
+            return self._wait(exchange, found.fullness, now)
+        line.leave(exchange)
+        first = found.pipeline.stages[0]
+        return self._send(
+            exchange, first.endpoint_id, first.address, found.pipeline, now
+        )
+
+    def serve_lines(self, now: datetime.datetime) -> _core.Effects:
+        """Send what waits and has room now; refuse what waited too long."""
+        made: _core.Effects = []
+        for line in self._core.lines:
+            for exchange in line.in_order():
+                sent = self.try_next(exchange, now)
+                made += sent
+                if not sent:
+                    break
+            for exchange in line.overdue(now):
+                line.leave(exchange)
+                failure: errors.Failure = _failures.NoEndpoint(
+                    exchange.service.name,
+                    line.comes_back_after(exchange, now),
+                )
+                made += self.fail(
+                    exchange, self._honest(exchange, failure), now
+                )
+        return made
+
+    def output_began(self, exchange_id: int) -> _core.Effects:
+        """Note that the caller has the first event."""
+        exchange = self._core.exchanges.get(exchange_id)
+        if exchange is not None:
+            exchange.has_output = True
+            for endpoint_id in exchange.endpoint_ids:
+                self._core.fleet.clear(endpoint_id)
+        return []
+
+    def attempt_ended(
+        self, event: _events.AttemptEnded, now: datetime.datetime
+    ) -> _core.Effects:
+        """Finish the request, try another endpoint, or tell the failure."""
+        exchange = self._core.exchanges.get(event.exchange_id)
+        if exchange is None or exchange.dispatch is None:
+            return []
+        dispatch = exchange.dispatch
+        if event.position is not None:
+            exchange.position = event.position
+        if exchange.service.engine is not None:
+            self._core.lines.line(exchange.service.name).record_departure(now)
+        if event.outcome is _Outcome.ANSWERED:
+            self._forget(exchange)
+            self._core.fleet.clear(dispatch.endpoint_id)
+            return [_answered_line(exchange, dispatch, now)]
+        line = events.ATTEMPT_ENDED.line(
+            request=exchange.request.request_id,
+            attempt=exchange.send_count,
+            endpoint=dispatch.endpoint_id,
+            outcome=event.outcome.value,
+            detail=event.detail,
+            at_fault=event.at_fault,
+            position=exchange.position,
+        )
+        made: _core.Effects = [_core.log(line)]
+        made += self._blame(event, exchange, dispatch, now)
+        self._core.release(exchange)
+        exchange.tried.add(dispatch.endpoint_id)
+        return made + self._after_attempt(exchange, event, now)
+
+    def caller_left(
+        self, exchange_id: int, now: datetime.datetime
+    ) -> _core.Effects:
+        """Give up a request whose caller is gone."""
+        exchange = self._core.exchanges.get(exchange_id)
+        if exchange is None:
+            return []
+        line = events.CALLER_LEFT.line(
+            request=exchange.request.request_id,
+            position=exchange.position,
+            milliseconds=_core.milliseconds(now - exchange.arrived_at),
+        )
+        self._forget(exchange)
+        return [_core.log(line)]
+
+    def deadline_reached(
+        self, exchange_id: int, now: datetime.datetime
+    ) -> _core.Effects:
+        """End a request whose time is over."""
+        exchange = self._core.exchanges.get(exchange_id)
+        if exchange is None:
+            return []
+        failure: errors.Failure = _failures.DeadlinePassed()
+        if exchange.send_count == 0:
+            failure = _failures.NoEndpoint(exchange.service.name)
+        return self.fail(exchange, failure, now)
+
+    def fail(
+        self,
+        exchange: _exchange.Exchange,
+        failure: errors.Failure,
+        now: datetime.datetime,
+    ) -> _core.Effects:
+        """Tell the caller of a failure."""
+        self._forget(exchange)
+        line = events.REQUEST_FAILED.line(
+            request=exchange.request.request_id,
+            route=exchange.route.name,
+            code=failure.code,
+            detail=failure.detail(),
+            attempts=exchange.send_count,
+            may_have_run=exchange.run_count,
+            position=exchange.position,
+            milliseconds=_core.milliseconds(now - exchange.arrived_at),
+        )
+        return [_core.log(line), _effects.Fail(exchange.exchange_id, failure)]
+
+    def _turn_away(
+        self, event: _events.RequestArrived, failure: errors.Failure
+    ) -> _core.Effects:
+        """Refuse a request that was not let in."""
+        table = self._core.table
+        version = 0 if table is None else table.configuration.version
+        line = events.REQUEST_TURNED_AWAY.line(
+            request=event.request.request_id,
+            host=event.request.host,
+            path=event.request.path,
+            code=failure.code,
+            configuration=version,
+        )
+        return [_core.log(line), _effects.Fail(event.exchange_id, failure)]
+
+    def _choose_service(
+        self, table: catalog.RouteTable, route: catalog.Route
+    ) -> catalog.Service | None:
+        """Return a service of the route, as its weights ask."""
+        weights = [one.weight for one in route.targets]
+        chosen = route.targets[0]
+        if len(route.targets) > 1:
+            chosen = self._core.rng.choices(route.targets, weights)[0]
+        return table.service(chosen.service)
+
+    def _try_plain(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> _core.Effects:
+        chosen = self._core.fleet.choose(
+            exchange.service.name, exchange.tried, now
+        )
+        if chosen is None:
+            failure = _failures.NoEndpoint(exchange.service.name)
+            return self.fail(exchange, self._honest(exchange, failure), now)
+        return self._send(
+            exchange, chosen.endpoint_id, chosen.address, None, now
+        )
+
+    def _without_pipeline(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> _core.Effects:
+        """Let a started stream wait; refuse all else at once."""
+        if exchange.has_output:
+            return self._wait(exchange, 0.0, now)
+        failure = _failures.NoEndpoint(exchange.service.name)
+        return self.fail(exchange, self._honest(exchange, failure), now)
+
+    def _wait(
+        self,
+        exchange: _exchange.Exchange,
+        fullness: float,
+        now: datetime.datetime,
+    ) -> _core.Effects:
+        """Let a request wait for room if that can lead to an answer."""
+        line = self._core.lines.line(exchange.service.name)
+        if exchange.waits_since is not None:
+            return []
+        if not line.may_join(exchange, now):
+            failure = _failures.NoEndpoint(
+                exchange.service.name, line.comes_back_after(exchange, now)
+            )
+            return self.fail(exchange, self._honest(exchange, failure), now)
+        entry = events.REQUEST_WAITS.line(
+            request=exchange.request.request_id,
+            service=exchange.service.name,
+            fullness=round(fullness, 2),
+            ahead=len(line),
+            expected_milliseconds=_core.milliseconds(
+                line.expected_wait(exchange, now)
+            ),
+        )
+        line.join(exchange, now)
+        return [_core.log(entry)]
+
+    def _send(
+        self,
+        exchange: _exchange.Exchange,
+        endpoint_id: model.EndpointId,
+        address: str,
+        pipeline: model.Pipeline | None,
+        now: datetime.datetime,
+    ) -> _core.Effects:
+        customer = exchange.customer
+        time_left: datetime.timedelta | None = None
+        if exchange.request.time_left is not None:
+            time_left = exchange.time_left(now)
+        dispatch = _calls.Dispatch(
+            endpoint_id,
+            address,
+            time_left,
+            None if customer is None else customer.name,
+            pipeline,
+            exchange.position,
+        )
+        exchange.dispatch = dispatch
+        if exchange.send_count == 0:
+            self._core.budget.record_first(exchange.service.name, now)
+        exchange.send_count += 1
+        exchange.reroute_count = 0
+        exchange.is_rerouting = False
+        self._core.fleet.take(exchange.endpoint_ids, exchange.tokens)
+        line = events.REQUEST_DISPATCHED.line(
+            request=exchange.request.request_id,
+            route=exchange.route.name,
+            endpoint=endpoint_id,
+            pipeline=_core.shown(pipeline),
+            attempt=exchange.send_count,
+            resume_after=exchange.position,
+            milliseconds_left=_core.milliseconds(exchange.time_left(now)),
+        )
+        start = _effects.StartAttempt(
+            exchange.exchange_id,
+            dispatch,
+            exchange.route.kind is catalog.CallKind.STREAM,
+            _answer_within(exchange),
+        )
+        return [_core.log(line), start]
+
+    def _forget(self, exchange: _exchange.Exchange) -> None:
+        self._core.release(exchange)
+        self._core.lines.line(exchange.service.name).leave(exchange)
+        self._core.exchanges.pop(exchange.exchange_id, None)
+
+    def _blame(
+        self,
+        event: _events.AttemptEnded,
+        exchange: _exchange.Exchange,
+        dispatch: _calls.Dispatch,
+        now: datetime.datetime,
+    ) -> _core.Effects:
+        """Leave the endpoint alone that an attempt failed on."""
+        blamed = dispatch.endpoint_id
+        if event.at_fault is not None:
+            known = self._core.fleet.registry.at_address(event.at_fault)
+            if known is not None:
+                blamed = known.registration.endpoint_id
+        if event.outcome is _Outcome.NOT_SENT:
+            self._core.failed.append(blamed)
+        if event.outcome is _Outcome.NOT_RUN:
+            full = self._core.fleet.fullness(exchange.service, blamed)
+            if full > _FULL_SHARE:
+                return []
+        if event.outcome in (_Outcome.FAILED, _Outcome.CANCELLED):
+            return []
+        return self._core.suspect(blamed, event.detail, now)
+
+    def _after_attempt(
+        self,
+        exchange: _exchange.Exchange,
+        event: _events.AttemptEnded,
+        now: datetime.datetime,
+    ) -> _core.Effects:
+        """Try another endpoint if that is safe and the budget allows."""
+        match event.outcome:
+            case _Outcome.CANCELLED:
+                return self._after_cancelled(exchange, event, now)
+            case _Outcome.NOT_SENT:
+                if exchange.send_count < _SEND_LIMIT:
+                    return self.try_next(exchange, now)
+                failure = _failures.NoEndpoint(exchange.service.name)
+                return self.fail(
+                    exchange, self._honest(exchange, failure), now
+                )
+            case _Outcome.NOT_RUN:
+                return self._after_refusal(exchange, now)
+        exchange.run_count += 1
+        may_retry = exchange.may_run_again and self._core.budget.take(
+            exchange.service.name, now
+        )
+        if may_retry:
+            return self.try_next(exchange, now)
+        if event.outcome is _Outcome.FAILED:
+            self._forget(exchange)
+            return [_effects.Deliver(exchange.exchange_id)]
+        unknown = _failures.OutcomeUnknown(event.detail)
+        return self.fail(exchange, unknown, now)
+
+    def _after_refusal(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> _core.Effects:
+        """Try again after an endpoint that did not run a request."""
+        has_sends = exchange.send_count < _SEND_LIMIT
+        if has_sends and self._core.budget.take(exchange.service.name, now):
+            return self.try_next(exchange, now)
+        refused = _failures.RefusedByEndpoints(exchange.send_count)
+        return self.fail(exchange, self._honest(exchange, refused), now)
+
+    def _after_cancelled(
+        self,
+        exchange: _exchange.Exchange,
+        event: _events.AttemptEnded,
+        now: datetime.datetime,
+    ) -> _core.Effects:
+        """Go on elsewhere with a request whose engines stopped.
+
+        An engine that is gone does not count as one that ran it.
+        """
+        endpoint_id = event.endpoint_id
+        if endpoint_id is None or not self._core.fleet.is_suspected(
+            endpoint_id, now
+        ):
+            exchange.run_count += 1
+        if exchange.may_run_again and self._core.budget.take(
+            exchange.service.name, now
+        ):
+            return self.try_next(exchange, now)
+        unknown = _failures.OutcomeUnknown(event.detail)
+        return self.fail(exchange, unknown, now)
+
+    def _honest(
+        self, exchange: _exchange.Exchange, failure: errors.Failure
+    ) -> errors.Failure:
+        """Return a failure that promises nothing once a request may have run.
+
+        An earlier attempt may have run although the last one did not.
+        """
+        if exchange.run_count == 0 and not exchange.has_output:
+            return failure
+        return _failures.OutcomeUnknown(failure.detail())
+
+
+def _answer_within(
+    exchange: _exchange.Exchange,
+) -> datetime.timedelta | None:
+    """Return how long an endpoint may be silent before another is asked.
+
+    Only a call that may run again is worth giving up.
+    """
+    if exchange.route.kind is not catalog.CallKind.IDEMPOTENT:
+        return None
+    if exchange.run_count + 1 >= exchange.route.max_attempts:
+        return None
+    return exchange.route.first_output_target
+
+
+def _answered_line(
+    exchange: _exchange.Exchange,
+    dispatch: _calls.Dispatch,
+    now: datetime.datetime,
+) -> _effects.WriteLog:
+    line = events.REQUEST_ANSWERED.line(
+        request=exchange.request.request_id,
+        endpoint=dispatch.endpoint_id,
+        attempts=exchange.send_count,
+        milliseconds=_core.milliseconds(now - exchange.arrived_at),
+    )
+    return _core.log(line)
--- a/sedgepin/_placement/_paths.py
+++ b/sedgepin/_placement/_paths.py
@@ -62,10 +62,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Found:
-    """A pipeline and its expected time in ms, load and all."""
+    """A pipeline and its expected time in ms, load and all.
+
+    ``fullness`` is the share of its cache that the fullest engine would have
+    given away with this request; above 1 there is no room.
+    """
 
     pipeline: model.Pipeline
     cost: float
+    fullness: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -75,6 +80,7 @@
     engine: PathEngine
     per_layer: float
     once: float
+    fullness: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,6 +88,7 @@
     """The cheapest known way to a layer boundary, ending in one place."""
 
     cost: float
+    fullness: float
     stages: tuple[model.Stage, ...]
 
 
@@ -126,7 +133,7 @@
             {home} if first else {one.data_centre for one in self._engines}
         )
         ways: dict[int, dict[model.DataCentreId, _Reached]] = {
-            start: {one: _Reached(0.0, stages) for one in sorted(origins)}
+            start: {one: _Reached(0.0, 0.0, stages) for one in sorted(origins)}
         }
         for boundary in ends:
             for place, way in ways.get(boundary, {}).items():
@@ -145,7 +152,9 @@
             return result.Err(model.LayersNotTiled(last, max(ways)))
         best = min(found.values(), key=lambda way: way.cost)
         tiled = model.Pipeline.tile(best.stages, last)
-        return tiled.map(lambda pipeline: Found(pipeline, best.cost))
+        return tiled.map(
+            lambda pipeline: Found(pipeline, best.cost, best.fullness)
+        )
 
     def _price(
         self,
@@ -172,7 +181,7 @@
         per_layer = engine.slowness * (token + read) / profile.layer_count
         share = (engine.held_tokens + size.total) / max(room, 1.0)
         once = _fullness_milliseconds(share) * size.answer_tokens
-        return _Priced(engine, per_layer, once)
+        return _Priced(engine, per_layer, once, share)
 
 
 def _fullness_milliseconds(share: float) -> float:
@@ -208,4 +217,7 @@
         stage = model.Stage(
             engine.endpoint_id, engine.address, model.LayerRange(start, end)
         )
-        at_end[engine.data_centre] = _Reached(total, (*way.stages, stage))
+        fullness = max(way.fullness, priced.fullness)
+        at_end[engine.data_centre] = _Reached(
+            total, fullness, (*way.stages, stage)
+        )
--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -11,7 +11,9 @@
 from sedgepin._protocol._messages import ConfigurationWanted
 from sedgepin._protocol._messages import ControlsKnown
 from sedgepin._protocol._messages import DeclaredLost
+from sedgepin._protocol._messages import EndpointFailed
 from sedgepin._protocol._messages import EndpointLoad
+from sedgepin._protocol._messages import EndpointLost
 from sedgepin._protocol._messages import EndpointsSeen
 from sedgepin._protocol._messages import FleetPublished
 from sedgepin._protocol._messages import FleetWanted
@@ -45,7 +47,9 @@
     "ConfigurationWanted",
     "ControlsKnown",
     "DeclaredLost",
+    "EndpointFailed",
     "EndpointLoad",
+    "EndpointLost",
     "EndpointsSeen",
     "FRAME_LIMIT_BYTES",
     "FleetPublished",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -145,6 +145,20 @@
     loads: tuple[EndpointLoad, ...]
 
 
+class EndpointFailed(msgspec.Struct, frozen=True, tag=True):
+    """An endpoint does not answer the sender any more."""
+
+    endpoint_id: model.EndpointId
+    incarnation: int
+
+
+class EndpointLost(msgspec.Struct, frozen=True, tag=True):
+    """An endpoint answers neither an entry VM nor the leader."""
+
+    endpoint_id: model.EndpointId
+    incarnation: int
+
+
 class ReadIndexAsked(msgspec.Struct, frozen=True, tag=True):
     """Please tell up to which index the log is committed."""
 
@@ -193,6 +207,8 @@
     | RegistrationsSeen
     | ControlsKnown
     | LoadReported
+    | EndpointFailed
+    | EndpointLost
     | LoadSummed
     | ReadIndexAsked
     | ReadIndexAnswered
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -128,19 +128,22 @@
         "_nursery",
         "_reducer",
         "_server",
+        "_source",
         "_store",
         "_transport",
     )
 
     def __init__(
         self,
-        cfg: _settings.RegistrarSettings,
+        source: shell.SettingsSource[_settings.RegistrarSettings],
         dialect: _dialect.ControlDialect,
         store: storage.LogStore,
         recovered: storage.Recovered,
         own_clock: clock.Clock,
     ) -> None:
+        cfg = source.current
         self._cfg = cfg
+        self._source = source
         self._dialect = dialect
         self._store = store
         self._reducer = _reducer.RegistrarReducer(
@@ -178,6 +181,9 @@
             await nursery.start(self._transport.run)
             await nursery.start(self._server.serve, self._cfg.listen)
             nursery.start_soon(self._tick)
+            await nursery.start(
+                shell.watch_settings, self._source, self._reload
+            )
             logs.write(
                 events.PROCESS_STARTED.line(
                     id=self._cfg.vm_id,
@@ -190,6 +196,9 @@
             nursery.cancel_scope.cancel()
         logs.write(events.PROCESS_STOPPED.line(id=self._cfg.vm_id))
 
+    def _reload(self, cfg: _settings.RegistrarSettings) -> None:
+        self._driver.submit(_events.SettingsReloaded(cfg))
+
     async def _tick(self) -> None:
         while True:
             self._driver.submit(_events.TimerFired())
@@ -280,14 +289,15 @@
 
 
 def run(
-    cfg: _settings.RegistrarSettings, dialect: _dialect.ControlDialect
+    source: shell.SettingsSource[_settings.RegistrarSettings],
+    dialect: _dialect.ControlDialect,
 ) -> None:
     """Run the daemon until it is told to leave.
 
     Ends the process with a typed failure in the log where the data folder
     is in use, damaged, or of a later version.
     """
-    opened = storage.FolderDisk.open(pathlib.Path(cfg.data_folder))
+    opened = storage.FolderDisk.open(pathlib.Path(source.current.data_folder))
     if opened.is_err():
         _refuse(opened.unwrap_err().detail())
     store = storage.LogStore(opened.unwrap())
@@ -295,7 +305,7 @@
     if found.is_err():
         _refuse(found.unwrap_err().detail())
     daemon = RegistrarDaemon(
-        cfg, dialect, store, found.unwrap(), clock.SystemClock()
+        source, dialect, store, found.unwrap(), clock.SystemClock()
     )
     trio.run(daemon.run)
 
--- a/sedgepin/_registrar/_events.py
+++ b/sedgepin/_registrar/_events.py
@@ -6,6 +6,7 @@
 from sedgepin import _catalog as catalog
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
+from sedgepin._registrar import _settings
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -78,6 +79,13 @@
     is_fenced: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class SettingsReloaded:
+    """The settings file has changed and was read."""
+
+    cfg: _settings.RegistrarSettings
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class DrainRequested:
     """The VM is told to leave."""
@@ -91,6 +99,7 @@
     | EndpointLeft
     | EngineInspected
     | LayersOrdered
+    | SettingsReloaded
     | DrainRequested
     | protocol.PeerEvent
 )
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -28,6 +28,8 @@
 # What was heard of endpoints is told to peers this often; what changed is
 # told at once.
 _HEARD_INTERVAL = datetime.timedelta(milliseconds=500)
+# Several entries lose an endpoint at the same moment; one check serves all.
+_CHECK_INTERVAL = datetime.timedelta(milliseconds=500)
 # Entries report their load at the same rate.
 _LOAD_INTERVAL = datetime.timedelta(milliseconds=200)
 _HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=100)
@@ -69,6 +71,7 @@
     __slots__ = (
         "_asked",
         "_cfg",
+        "_checked_at",
         "_controls",
         "_dialect",
         "_encoded",
@@ -85,6 +88,7 @@
         "_reading",
         "_registry",
         "_table",
+        "_told_by",
     )
 
     def __init__(
@@ -116,6 +120,8 @@
         self._entries: set[model.VmId] = set()
         self._controls: set[model.VmId] = set(cfg.seeds) - {cfg.vm_id}
         self._heard: set[model.EndpointId] = set()
+        self._checked_at: dict[model.EndpointId, datetime.datetime] = {}
+        self._told_by: dict[model.EndpointId, model.VmId] = {}
         self._heard_at = now
         self._loads: dict[model.VmId, _Loads] = {}
         self._loads_told_at = now
@@ -166,6 +172,8 @@
                     address=address, failure=failure.detail()
                 )
                 return [_log(line)]
+            case _events.SettingsReloaded(cfg):
+                return self._meet(cfg.seeds)
             case _events.DrainRequested():
                 handed = consensus.LeadershipTransferRequested()
                 return self._drive(handed, now)
@@ -210,7 +218,7 @@
             known.registration
             for known in self._registry
             if known.registration.state is not gone
-            and now - known.heard_at <= self._cfg.endpoint_silence
+            and known.is_live(self._cfg.endpoint_silence, now)
         ]
 
     def _message(
@@ -234,6 +242,11 @@
                 return self._propose(command, waiting, now)
             case protocol.CommandAnswered():
                 return self._command_answered(message)
+            case protocol.EndpointFailed(endpoint_id, incarnation):
+                return self._check(sender, endpoint_id, incarnation, now)
+            case protocol.EndpointLost(endpoint_id, incarnation):
+                self._registry.lose(endpoint_id, incarnation, now)
+                return []
             case protocol.LoadReported(loads):
                 self._loads[sender] = loads
                 return []
@@ -314,13 +327,51 @@
             for entry in sorted(self._entries)
         ]
 
+    def _check(
+        self,
+        sender: model.VmId,
+        endpoint_id: model.EndpointId,
+        incarnation: int,
+        now: datetime.datetime,
+    ) -> Effects:
+        """See for oneself whether an endpoint that an entry lost answers."""
+        known = self._registry.find(endpoint_id)
+        if known is None or known.registration.incarnation != incarnation:
+            return []
+        if not self._raft.lease_holds(now) or known.lost_at is not None:
+            return []
+        checked_at = self._checked_at.get(endpoint_id)
+        if checked_at is not None and now - checked_at < _CHECK_INTERVAL:
+            return []
+        self._checked_at[endpoint_id] = now
+        self._told_by[endpoint_id] = sender
+        address = known.registration.address
+        return [_effects.InspectEngine(endpoint_id, incarnation, address)]
+
+    def _lose(
+        self, event: _events.EngineInspected, now: datetime.datetime
+    ) -> Effects:
+        """Tell everyone that an endpoint which was checked is lost."""
+        told_by = self._told_by.pop(event.endpoint_id, None)
+        if told_by is None or event.report is not None:
+            return []
+        if not self._registry.lose(event.endpoint_id, event.incarnation, now):
+            return []
+        line = events.ENDPOINT_FAILED.line(
+            endpoint=event.endpoint_id,
+            incarnation=event.incarnation,
+            told_by=told_by,
+        )
+        lost = protocol.EndpointLost(event.endpoint_id, event.incarnation)
+        return [_log(line), *self._tell_all(lost)]
+
     def _inspected(
         self, event: _events.EngineInspected, now: datetime.datetime
     ) -> Effects:
         known = self._registry.find(event.endpoint_id)
         if known is None or not self._raft.lease_holds(now):
             return []
-        made: Effects = []
+        made = self._lose(event, now)
         if event.report is not None and not event.report.is_busy:
             news = self._registry.correct_layers(
                 event.endpoint_id, event.incarnation, event.report.layers
--- a/sedgepin/_shell/__init__.py
+++ b/sedgepin/_shell/__init__.py
@@ -7,13 +7,17 @@
 from sedgepin._shell._metrics import open_sink
 from sedgepin._shell._metrics import SilentSink
 from sedgepin._shell._metrics import StatsdSink
+from sedgepin._shell._reload import SettingsSource
+from sedgepin._shell._reload import watch_settings
 
 __all__ = [
     "Driver",
     "MetricSink",
+    "SettingsSource",
     "SilentSink",
     "StatsdSink",
     "open_sink",
     "peers_to_dial",
     "wait_for_sigterm",
+    "watch_settings",
 ]
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -75,6 +75,13 @@
     "The settings file cannot be used.",
     "failure",
 )
+SETTINGS_RELOADED = _define(
+    105,
+    "INFO",
+    "settings_reloaded",
+    "The settings file was read again; what can change while running did.",
+    "reason",
+)
 LOG_LINES_DROPPED = _define(
     104,
     "WARNING",
@@ -138,6 +145,15 @@
     "failure",
 )
 
+ENDPOINT_FAILED = _define(
+    206,
+    "WARNING",
+    "endpoint_failed",
+    "An endpoint that an entry VM found dead did not answer either.",
+    "endpoint",
+    "incarnation",
+    "told_by",
+)
 ENDPOINT_CHANGED = _define(
     205,
     "INFO",
@@ -268,15 +284,27 @@
     "position",
     "milliseconds",
 )
-STALL_INSPECTED = _define(
+STALLS_INSPECTED = _define(
     316,
     "INFO",
-    "stall_inspected",
-    "The first engine was asked why a stream makes no progress.",
-    "request",
+    "stalls_inspected",
+    "A first engine was asked why its streams make no progress.",
     "endpoint",
     "answered",
+    "stalls",
     "at_fault",
+    "slowness",
+)
+REQUEST_WAITS = _define(
+    319,
+    "INFO",
+    "request_waits",
+    "A request waits for room in the engines' caches.",
+    "request",
+    "service",
+    "fullness",
+    "ahead",
+    "expected_milliseconds",
 )
 REQUEST_REROUTED = _define(
     317,
--- a/sedgepin/platform/__main__.py
+++ b/sedgepin/platform/__main__.py
@@ -2,18 +2,20 @@
 
 import os
 import pathlib
+import signal
 import sys
 
 import result
 
 from sedgepin import _gateway as gateway
 from sedgepin import _registrar as registrar
+from sedgepin import _shell as shell
 from sedgepin import events
 from sedgepin import logs
-from sedgepin import settings
 from sedgepin.platform import _control
 from sedgepin.platform import _gateway
 from sedgepin.platform import _settings
+from sedgepin import settings
 
 _USAGE_ERROR = 2
 _SETTINGS_REFUSED = 3
@@ -21,6 +23,7 @@
 
 def main(arguments: list[str]) -> int:
     """Run one daemon until it is told to leave; return its exit code."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if arguments not in (["entry"], ["control"]):
         sys.stderr.write("usage: python -m sedgepin.platform entry|control\n")
         return _USAGE_ERROR
@@ -35,9 +38,19 @@
     node = read.ok_value
     logs.set_up(log_cfg, node.node_name, logs.Output.STDOUT)
     if arguments == ["entry"]:
-        gateway.run(node.gateway(), _gateway.GatewayDialect())
+        entry = shell.SettingsSource(
+            path,
+            node.gateway(),
+            lambda path: _settings.read(path).map(_settings.Node.gateway),
+        )
+        gateway.run(entry, _gateway.GatewayDialect())
     else:
-        registrar.run(node.registrar(), _control.ControlDialect())
+        control = shell.SettingsSource(
+            path,
+            node.registrar(),
+            lambda path: _settings.read(path).map(_settings.Node.registrar),
+        )
+        registrar.run(control, _control.ControlDialect())
     return 0
 
 
--- a/sedgepin/platform/_gateway.py
+++ b/sedgepin/platform/_gateway.py
@@ -122,19 +122,18 @@
         """Return the request for an engine's report."""
         return _answers.report_request(address)
 
-    def read_stall(
-        self, request_id: str, head: web.AnswerHead, body: bytes
+    def read_stalls(
+        self, head: web.AnswerHead, body: bytes
     ) -> result.Result[gateway.StallReport, errors.Failure]:
-        """Return what an engine's report says of a request."""
+        """Return what an engine's report says of stalled requests."""
         read = _answers.read_report(head, body)
         if isinstance(read, result.Err):
             return read
         report = read.ok_value
-        for stalled in report.stalled:
-            if stalled.id == request_id:
-                found = gateway.StallReport(stalled.address, report.pace)
-                return result.Ok(found)
-        return result.Ok(gateway.StallReport(None, report.pace))
+        stalls = tuple(
+            gateway.Stall(one.id, one.address) for one in report.stalled
+        )
+        return result.Ok(gateway.StallReport(stalls, report.pace))
 
     def reroute_request(
         self, request_id: str, pipeline: model.Pipeline
