--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -197,6 +197,9 @@
     async def _tick(self) -> None:
         while True:
             self._driver.submit(_events.TimerFired())
+            time_now = trio.current_time()
+            for relay in tuple(self._relays.values()):
+                relay.check_progress(time_now)
             await trio.sleep(_TICK_SECONDS)
 
     async def _drain(self) -> None:
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -12,8 +12,10 @@
 from sedgepin import _placement as placement
 from sedgepin import _protocol as protocol
 
-# A pipeline is good for this long: within it load shifts by a few requests.
+# A pipeline is good for this long and for so many requests: within them load
+# shifts by a few hundredths of the engines' caches.
 _PATH_LIFE = datetime.timedelta(milliseconds=100)
+_PATH_USES = 3
 # From this fullness on every request is placed by the load as it is then.
 _EXACT_FROM = 0.7
 # An endpoint's word on its load is believed for this long.
@@ -34,11 +36,12 @@
     at: datetime.datetime
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
+@dataclasses.dataclass(slots=True)
 class _KnownPath:
     found: placement.Found
     at: datetime.datetime
     version: int
+    uses: int = 1
 
 
 class Fleet:
@@ -192,9 +195,12 @@
             known is not None
             and known.version == self._version
             and now - known.at < _PATH_LIFE
+            and known.uses < _PATH_USES
         ):
+            known.uses += 1
             return known.found
         found = self._search(service, size, now, None, frozenset())
+        self._paths.pop(service.name, None)
         if found is not None and found.fullness < _EXACT_FROM:
             self._paths[service.name] = _KnownPath(found, now, self._version)
         return found
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -7,7 +7,7 @@
 import collections.abc
 import dataclasses
 import datetime
-import typing
+import math
 
 import result
 import trio
@@ -55,6 +55,9 @@
         "_exchange",
         "_held",
         "_inbox",
+        "_is_given_up",
+        "_is_sending",
+        "_overdue_at",
         "_position",
         "_request",
         "_scope",
@@ -79,6 +82,10 @@
         self._held: _calls.Answer | None = None
         self._scope = trio.CancelScope()
         self._attempt_scope: trio.CancelScope | None = None
+        self._is_given_up = False
+        self._is_sending = False
+        # When the next bytes of a stream are late, by trio's clock.
+        self._overdue_at = math.inf
         sender, receiver = trio.open_memory_channel[_effects.GatewayEffect](8)
         self._inbox = (sender, receiver)
 
@@ -89,11 +96,28 @@
                 seconds = time_left.total_seconds()
                 self._scope.deadline = trio.current_time() + seconds
             case _effects.CancelAttempt():
-                if self._attempt_scope is not None:
-                    self._attempt_scope.cancel()
+                self._give_up_attempt()
             case _:
                 self._inbox[0].send_nowait(effect)
 
+    def check_progress(self, time: float) -> None:
+        """Tell the reducer if a stream has made no progress for too long.
+
+        One check for all streams costs less than a timer for every event.
+        """
+        if time >= self._overdue_at:
+            self._overdue_at = time + _NEXT_EVENT_SECONDS
+            self._submit(_events.StreamStalled(self.exchange_id))
+
+    def _give_up_attempt(self) -> None:
+        """End the attempt, but not in the middle of an event's sending.
+
+        Its successor goes on after the last event that was sent whole.
+        """
+        self._is_given_up = True
+        if self._attempt_scope is not None and not self._is_sending:
+            self._attempt_scope.cancel()
+
     async def run(self) -> None:
         """Bring the request to its end."""
         arrived = _events.RequestArrived(self.exchange_id, self._request)
@@ -136,10 +160,12 @@
     async def _attempt(self, start: _effects.StartAttempt) -> None:
         """Run one attempt and tell the reducer how it ended."""
         ended = _Ended(_Outcome.CANCELLED, "it was given up")
+        self._is_given_up = False
         with trio.CancelScope() as scope:
             self._attempt_scope = scope
             ended = await self._send(start)
         self._attempt_scope = None
+        self._overdue_at = math.inf
         self._submit(
             _events.AttemptEnded(
                 self.exchange_id,
@@ -197,10 +223,10 @@
     async def _read_head(
         self, conn: web.ClientConnection, start: _effects.StartAttempt
     ) -> web.AnswerHead | _Ended:
-        if start.dispatch.pipeline is not None:
-            return await self._read_stream_head(conn)
         limit = start.answer_within
-        seconds = float("inf") if limit is None else limit.total_seconds()
+        seconds = math.inf if limit is None else limit.total_seconds()
+        if start.dispatch.pipeline is not None:
+            self._overdue_at = trio.current_time() + _FIRST_EVENT_SECONDS
         with trio.move_on_after(seconds):
             head = await conn.read_head()
             if isinstance(head, result.Err):
@@ -208,28 +234,6 @@
             return head.ok_value
         return _Ended(_Outcome.UNKNOWN, "no answer within its target")
 
-    async def _read_stream_head(
-        self, conn: web.ClientConnection
-    ) -> web.AnswerHead | _Ended:
-        head = await self._watched(conn.read_head, _FIRST_EVENT_SECONDS)
-        if isinstance(head, result.Err):
-            return _Ended(_Outcome.UNKNOWN, head.err_value.detail())
-        return typing.cast(web.AnswerHead, head.ok_value)
-
-    async def _watched(
-        self,
-        read: collections.abc.Callable[
-            [], collections.abc.Awaitable[typing.Any]
-        ],
-        seconds: float,
-    ) -> typing.Any:
-        """Wait for bytes, and tell the reducer each time they are late."""
-        while True:
-            with trio.move_on_after(seconds):
-                return await read()
-            self._submit(_events.StreamStalled(self.exchange_id))
-            seconds = _NEXT_EVENT_SECONDS
-
     async def _take_whole(
         self,
         conn: web.ClientConnection,
@@ -259,7 +263,8 @@
         """Pass on whole events, each once and in order."""
         splitter = _event_stream.EventSplitter()
         while True:
-            data = await self._watched(conn.read_data, _NEXT_EVENT_SECONDS)
+            self._overdue_at = trio.current_time() + _NEXT_EVENT_SECONDS
+            data = await conn.read_data()
             if isinstance(data, result.Err):
                 return _Ended(_Outcome.UNKNOWN, data.err_value.detail())
             if data.ok_value is None:
@@ -278,11 +283,7 @@
     async def _pass_events(
         self, head: web.AnswerHead, found: list[_event_stream.StreamEvent]
     ) -> str | None:
-        """Send events on; return what is wrong with them, if anything.
-
-        An attempt is given up only between sends: its successor goes on
-        after the last event that the caller was sent whole.
-        """
+        """Send events on; return what is wrong with them, if anything."""
         passed = bytearray()
         problem: str | None = None
         position = self._position
@@ -297,10 +298,13 @@
                 position = event.event_id
             passed += event.data
         if passed:
-            with trio.CancelScope(shield=True):
-                await self._begin(head)
-                await self._exchange.send(bytes(passed))
-                self._position = position
+            self._is_sending = True
+            await self._begin(head)
+            await self._exchange.send(bytes(passed))
+            self._is_sending = False
+            self._position = position
+            if self._is_given_up:
+                self._give_up_attempt()
         return problem
 
     async def _begin(self, head: web.AnswerHead) -> None:
--- /dev/null
+++ b/sedgepin/_gateway/tests/test_requests.py
@@ -0,0 +1,200 @@
+"""Tests of what becomes of a request, attempt by attempt."""
+
+import pytest
+
+from sedgepin._gateway import _effects
+from sedgepin._gateway import _events
+from sedgepin._gateway.tests import parts
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin import errors
+
+_Outcome = _events.AttemptOutcome
+
+
+class TestArrival:
+    @pytest.mark.parametrize(
+        ("path", "key", "code"),
+        [
+            ("/nowhere/x", "key", "route_unknown"),
+            ("/draft/x", None, "key_unknown"),
+            ("/draft/x", "other", "key_unknown"),
+        ],
+    )
+    def test_turned_away(self, path: str, key: str | None, code: str) -> None:
+        _, effects = parts.Gateway().arrive(path, key)
+        assert parts.only(effects, _effects.Fail).failure.code == code
+
+    def test_without_a_configuration_nothing_is_denied(self) -> None:
+        gateway = parts.Gateway()
+        gateway.reducer._core.table = None
+        _, effects = gateway.arrive("/draft/x")
+        failure = parts.only(effects, _effects.Fail).failure
+        assert failure.http_status == 503
+        assert failure.outcome is errors.Outcome.NOT_RUN
+
+    def test_a_model_runs_on_a_pipeline_of_one_data_centre(self) -> None:
+        _, effects = parts.Gateway().arrive("/draft/x")
+        start = parts.only(effects, _effects.StartAttempt)
+        assert start.dispatch.pipeline is not None
+        stages = start.dispatch.pipeline.stages
+        assert [one.endpoint_id for one in stages] == ["low", "high"]
+        assert start.dispatch.customer == "c"
+
+    def test_without_a_pipeline_refused_at_once_as_not_run(self) -> None:
+        gateway = parts.Gateway((parts.endpoint("low", "model", parts.LOW),))
+        _, effects = gateway.arrive("/draft/x")
+        failure = parts.only(effects, _effects.Fail).failure
+        assert failure.outcome is errors.Outcome.NOT_RUN
+        assert failure.retry_after is not None
+
+    def test_two_data_centres_complete_each_other(self) -> None:
+        gateway = parts.Gateway(
+            (
+                parts.endpoint("low", "model", parts.LOW),
+                parts.endpoint("far", "model", parts.HIGH, "far"),
+            )
+        )
+        _, effects = gateway.arrive("/draft/x")
+        start = parts.only(effects, _effects.StartAttempt)
+        assert start.dispatch.pipeline is not None
+
+
+class TestWrites:
+    """A call that must not run twice."""
+
+    def test_sent_elsewhere_only_if_nothing_was_sent(self) -> None:
+        gateway = parts.Gateway()
+        one, effects = gateway.arrive("/post/x")
+        first = parts.only(effects, _effects.StartAttempt).dispatch
+        effects = gateway.end(one, _Outcome.NOT_SENT)
+        second = parts.only(effects, _effects.StartAttempt).dispatch
+        assert first.endpoint_id != second.endpoint_id
+
+    def test_sent_elsewhere_if_the_endpoint_did_not_run_it(self) -> None:
+        gateway = parts.Gateway()
+        one, _ = gateway.arrive("/post/x")
+        effects = gateway.end(one, _Outcome.NOT_RUN)
+        parts.only(effects, _effects.StartAttempt)
+
+    def test_unknown_outcome_is_final_and_promises_nothing(self) -> None:
+        gateway = parts.Gateway()
+        one, _ = gateway.arrive("/post/x")
+        effects = gateway.end(one, _Outcome.UNKNOWN)
+        failure = parts.only(effects, _effects.Fail).failure
+        assert failure.http_status == 502
+        assert failure.outcome is errors.Outcome.UNKNOWN
+
+    def test_own_failure_of_the_endpoint_is_passed_on(self) -> None:
+        gateway = parts.Gateway()
+        one, _ = gateway.arrive("/post/x")
+        effects = gateway.end(one, _Outcome.FAILED)
+        parts.only(effects, _effects.Deliver)
+
+    def test_deadline_after_sending_promises_nothing(self) -> None:
+        gateway = parts.Gateway()
+        one, _ = gateway.arrive("/post/x")
+        effects = gateway.handle(_events.DeadlineReached(one))
+        failure = parts.only(effects, _effects.Fail).failure
+        assert failure.outcome is errors.Outcome.UNKNOWN
+
+    def test_refused_after_every_endpoint_refused(self) -> None:
+        gateway = parts.Gateway()
+        one, effects = gateway.arrive("/post/x")
+        for _attempt in range(4):
+            if parts.none(effects, _effects.StartAttempt):
+                break
+            effects = gateway.end(one, _Outcome.NOT_RUN)
+        failure = parts.only(effects, _effects.Fail).failure
+        assert failure.outcome is errors.Outcome.NOT_RUN
+
+
+class TestReads:
+    """A call that may run twice."""
+
+    def test_runs_again_elsewhere_after_an_unknown_outcome(self) -> None:
+        gateway = parts.Gateway()
+        one, effects = gateway.arrive("/read/x")
+        first = parts.only(effects, _effects.StartAttempt).dispatch
+        effects = gateway.end(one, _Outcome.UNKNOWN)
+        second = parts.only(effects, _effects.StartAttempt).dispatch
+        assert first.endpoint_id != second.endpoint_id
+
+    def test_runs_on_no_more_endpoints_than_allowed(self) -> None:
+        gateway = parts.Gateway()
+        one, _ = gateway.arrive("/read/x")
+        gateway.end(one, _Outcome.UNKNOWN)
+        effects = gateway.end(one, _Outcome.UNKNOWN)
+        parts.only(effects, _effects.Fail)
+
+    def test_not_run_is_not_said_after_an_earlier_attempt_ran(self) -> None:
+        gateway = parts.Gateway()
+        one, _ = gateway.arrive("/read/x")
+        gateway.end(one, _Outcome.UNKNOWN)
+        effects = gateway.end(one, _Outcome.NOT_RUN)
+        while parts.none(effects, _effects.Fail):
+            effects = gateway.end(one, _Outcome.NOT_RUN)
+        failure = parts.only(effects, _effects.Fail).failure
+        assert failure.outcome is errors.Outcome.UNKNOWN
+
+    def test_the_budget_ends_a_storm_of_retries(self) -> None:
+        gateway = parts.Gateway()
+        retries = 0
+        for _request in range(200):
+            one, _ = gateway.arrive("/read/x")
+            effects = gateway.end(one, _Outcome.FAILED)
+            retries += not parts.none(effects, _effects.StartAttempt)
+        assert retries <= 0.2 * 200 + 50
+
+
+class TestStreams:
+    def test_goes_on_after_the_last_event(self) -> None:
+        gateway = parts.Gateway()
+        one, _ = gateway.arrive("/draft/x")
+        gateway.handle(_events.OutputBegan(one))
+        effects = gateway.end(one, _Outcome.UNKNOWN, position=7)
+        start = parts.only(effects, _effects.StartAttempt)
+        assert start.dispatch.resume_after == 7
+        assert start.dispatch.endpoint_id == "far-low"
+
+    def test_waits_for_an_engine_but_not_for_ever(self) -> None:
+        gateway = parts.Gateway(parts.fleet()[:2])
+        one, _ = gateway.arrive("/draft/x")
+        gateway.handle(_events.OutputBegan(one))
+        effects = gateway.end(one, _Outcome.UNKNOWN, position=7)
+        assert parts.none(effects, _effects.Fail)
+        effects = gateway.advance(600)
+        start = parts.only(effects, _effects.StartAttempt)
+        assert start.dispatch.resume_after == 7
+
+    def test_first_engine_that_died_does_not_count_as_one_that_ran(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        one, _ = gateway.arrive("/draft/x")
+        gateway.handle(_events.OutputBegan(one))
+        for first in ("low", "far-low"):
+            known = model.EndpointId(first)
+            effects = gateway.tell(protocol.EndpointLost(known, 1))
+            parts.only(effects, _effects.CancelAttempt)
+            gateway.end(one, _Outcome.CANCELLED, endpoint_id=known)
+        exchange = gateway.reducer._core.exchanges[one]
+        assert exchange.run_count == 0
+
+
+class TestConfiguration:
+    def test_never_goes_back(self) -> None:
+        gateway = parts.Gateway()
+        gateway.publish(5)
+        gateway.publish(4)
+        table = gateway.reducer.table
+        assert table is not None and table.configuration.version == 5
+
+    def test_first_one_must_be_confirmed_for_a_while(self) -> None:
+        gateway = parts.Gateway()
+        gateway.reducer._core.table = None
+        gateway.publish(3, confirmed=False)
+        assert not gateway.reducer.is_ready
+        gateway.advance(3000)
+        gateway.publish(3, confirmed=False)
+        assert gateway.reducer.is_ready
--- /dev/null
+++ b/sedgepin/_gateway/tests/test_waiting.py
@@ -0,0 +1,101 @@
+"""Replays of loads that come faster than the engines bear.
+
+Each test names the pattern that it replays; the figures are those of the
+small engines in ``parts``: a cache of 1000 tokens on each of two copies.
+"""
+
+from sedgepin._gateway import _effects
+from sedgepin._gateway import _events
+from sedgepin._gateway.tests import parts
+
+_Outcome = _events.AttemptOutcome
+
+
+def _fill(gateway: parts.Gateway, tokens: int = 100) -> list[int]:
+    """Send requests until no engine has room; return those that run."""
+    running: list[int] = []
+    for _request in range(100):
+        one, effects = gateway.arrive("/draft/x", tokens=tokens)
+        if parts.none(effects, _effects.StartAttempt):
+            gateway.handle(_events.CallerLeft(one))
+            return running
+        running.append(one)
+    raise AssertionError("the engines never filled up")
+
+
+class TestBurst:
+    """Twice as many requests at once as the caches hold."""
+
+    def test_caches_are_filled_and_never_over_filled(self) -> None:
+        gateway = parts.Gateway()
+        running = _fill(gateway)
+        assert 16 <= len(running) <= 20
+
+    def test_turned_away_at_once_while_nothing_leaves(self) -> None:
+        gateway = parts.Gateway()
+        _fill(gateway)
+        _, effects = gateway.arrive("/draft/x", tokens=100)
+        failure = parts.only(effects, _effects.Fail).failure
+        assert failure.http_status == 503
+        assert failure.retry_after is not None
+
+    def test_waits_while_others_leave_fast_enough(self) -> None:
+        gateway = parts.Gateway()
+        running = _fill(gateway)
+        for _turn in range(15):
+            gateway.now += parts.milliseconds(100)
+            gateway.end(running.pop(0), _Outcome.ANSWERED)
+            one, effects = gateway.arrive("/draft/x", tokens=100)
+            parts.only(effects, _effects.StartAttempt)
+            running.append(one)
+        waiting, effects = gateway.arrive("/draft/x", tokens=100)
+        assert parts.none(effects, _effects.Fail)
+        effects = gateway.end(running.pop(0), _Outcome.ANSWERED)
+        start = parts.only(effects, _effects.StartAttempt)
+        assert start.exchange_id == waiting
+
+    def test_refused_once_waiting_cannot_help(self) -> None:
+        gateway = parts.Gateway()
+        running = _fill(gateway)
+        for _turn in range(15):
+            gateway.now += parts.milliseconds(100)
+            gateway.end(running.pop(0), _Outcome.ANSWERED)
+            one, _ = gateway.arrive("/draft/x", tokens=100)
+            running.append(one)
+        waiting, _ = gateway.arrive("/draft/x", tokens=100)
+        effects = gateway.advance(450)
+        assert parts.only(effects, _effects.Fail).exchange_id == waiting
+
+
+class TestRefusalForMemory:
+    """An engine that refuses because it is full is not taken for broken."""
+
+    def test_full_engine_keeps_its_work(self) -> None:
+        gateway = parts.Gateway()
+        running = _fill(gateway)
+        gateway.end(running[-1], _Outcome.NOT_RUN, at_fault="high:80")
+        fleet = gateway.reducer._core.fleet
+        assert not fleet.is_suspected("high", gateway.now)
+
+    def test_empty_engine_that_refuses_is_left_alone(self) -> None:
+        gateway = parts.Gateway()
+        one, _ = gateway.arrive("/draft/x")
+        gateway.end(one, _Outcome.NOT_RUN, at_fault="high:80")
+        fleet = gateway.reducer._core.fleet
+        assert fleet.is_suspected("high", gateway.now)
+
+
+class TestOtherEntries:
+    """Load that other VMs put on the same engines counts as well."""
+
+    def test_goes_where_the_others_are_not(self) -> None:
+        gateway = parts.Gateway()
+        loads = tuple(
+            parts.protocol.EndpointLoad(name, 9, 950)
+            for name in ("low", "high")
+        )
+        gateway.tell(parts.protocol.LoadSummed(loads))
+        gateway.advance(200)
+        _, effects = gateway.arrive("/draft/x", tokens=100)
+        start = parts.only(effects, _effects.StartAttempt)
+        assert start.dispatch.endpoint_id == "far-low"
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -3,6 +3,7 @@
 import abc
 import dataclasses
 import functools
+import math
 import socket
 import typing
 
@@ -17,6 +18,7 @@
 _READ_BYTES = 65_536
 # A caller that does not read is given up after this long without progress.
 _SEND_TIMEOUT_SECONDS = 20.0
+_STUCK_CHECK_SECONDS = 1.0
 _LISTEN_BACKLOG = 512
 
 
@@ -126,8 +128,18 @@
                 listeners,
                 handler_nursery=nursery,
             )
+            nursery.start_soon(self._end_stuck_connections)
             with self._scope:
                 await serve(task_status=_Forward(task_status))
+            while self._connections:
+                await trio.sleep(_STUCK_CHECK_SECONDS)
+            nursery.cancel_scope.cancel()
+
+    async def _end_stuck_connections(self) -> None:
+        while True:
+            await trio.sleep(_STUCK_CHECK_SECONDS)
+            for connection in tuple(self._connections):
+                connection.end_if_stuck(trio.current_time())
 
     def visit_drain(self) -> None:
         """Say with each answer that the connection ends after it."""
@@ -172,6 +184,8 @@
         "_handler",
         "_idle_scope",
         "_is_over",
+        "_scope",
+        "_sending_since",
         "_server",
         "_stream",
         "is_busy",
@@ -184,6 +198,8 @@
         self._handler = handler
         self._server = server
         self._idle_scope = trio.CancelScope()
+        self._scope = trio.CancelScope()
+        self._sending_since = math.inf
         self._is_over = False
         self.is_busy = False
         self._conn = h11.Connection(
@@ -204,16 +220,21 @@
     async def run(self) -> None:
         """Answer requests until the connection ends."""
         try:
-            while not self._is_over and await self._serve_one():
-                self._conn.start_next_cycle()
+            with self._scope:
+                while not self._is_over and await self._serve_one():
+                    self._conn.start_next_cycle()
         except (
             trio.BrokenResourceError,
             trio.ClosedResourceError,
-            trio.TooSlowError,
             h11.LocalProtocolError,
         ):
             return
 
+    def end_if_stuck(self, time: float) -> None:
+        """End the connection if its caller does not read what is sent."""
+        if time - self._sending_since > _SEND_TIMEOUT_SECONDS:
+            self._scope.cancel()
+
     async def write(self, *parts: h11.Event) -> None:
         """Send parts of an answer."""
         data = bytearray()
@@ -222,8 +243,9 @@
             if sent:
                 data += sent
         if data:
-            with trio.fail_after(_SEND_TIMEOUT_SECONDS):
-                await self._stream.send_all(data)
+            self._sending_since = trio.current_time()
+            await self._stream.send_all(data)
+            self._sending_since = math.inf
 
     async def _serve_one(self) -> bool:
         """Read and answer one request; return whether to go on."""
--- /dev/null
+++ b/sedgepin/_web/tests/test_types.py
@@ -0,0 +1,28 @@
+"""Tests of header fields."""
+
+import pytest
+
+from sedgepin import _web as web
+
+
+class TestEndToEnd:
+    @pytest.mark.parametrize(
+        ("headers", "kept"),
+        [
+            (((b"A", b"1"),), [b"A"]),
+            (((b"Transfer-Encoding", b"chunked"), (b"A", b"1")), [b"A"]),
+            (((b"connection", b"a, B"), (b"A", b"1"), (b"b", b"2")), []),
+            (((b"Keep-Alive", b"timeout=5"),), []),
+        ],
+    )
+    def test_drops_what_concerns_one_connection(
+        self, headers: web.Headers, kept: list[bytes]
+    ) -> None:
+        assert [name for name, _ in web.end_to_end(headers)] == kept
+
+
+class TestFindField:
+    def test_ignores_case_and_takes_the_first(self) -> None:
+        headers = ((b"X-A", b"1"), (b"x-a", b"2"))
+        assert web.find_field(headers, b"x-a") == b"1"
+        assert web.find_field(headers, b"x-b") is None
