--- a/sedgepin/_protocol/_transport.py
+++ b/sedgepin/_protocol/_transport.py
@@ -178,7 +178,12 @@
             task_status.started()
 
     async def _welcome(self, stream: trio.SocketStream) -> None:
-        peername = stream.socket.getpeername()
+        try:
+            peername = stream.socket.getpeername()
+        except OSError:
+            # The peer reset the connection before it was looked at.
+            await trio.aclose_forcefully(stream)
+            return
         address = f"{peername[0]}:{peername[1]}"
         if self._server_tls is None:
             await self._converse(stream, address, None)
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -98,13 +98,20 @@
 class Server:
     """Listens for callers and hands their requests to a handler."""
 
-    __slots__ = ("_connections", "_handler", "_scope", "is_draining")
+    __slots__ = (
+        "_connections",
+        "_handler",
+        "_scope",
+        "has_left",
+        "is_draining",
+    )
 
     def __init__(self, handler: Handler) -> None:
         self._handler = handler
         self._connections: set[_Connection] = set()
         self._scope = trio.CancelScope()
         self.is_draining = False
+        self.has_left = False
 
     @property
     def open_exchanges(self) -> int:
@@ -146,13 +153,23 @@
         self.is_draining = True
 
     def leave_drain(self) -> None:
-        """Take no new connection, and close those that are idle."""
+        """Take no new connection or request, and close what is idle.
+
+        A connection whose answer began before the drain was not told that it
+        ends; it is closed after that answer.
+        """
+        self.has_left = True
         self._scope.cancel()
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
     async def _converse(self, stream: trio.SocketStream) -> None:
-        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            # The caller reset the connection before it was looked at.
+            await trio.aclose_forcefully(stream)
+            return
         connection = _Connection(stream, self._handler, self)
         self._connections.add(connection)
         try:
@@ -221,7 +238,7 @@
         """Answer requests until the connection ends."""
         try:
             with self._scope:
-                while not self._is_over and await self._serve_one():
+                while await self._serve_one() and not self._must_end():
                     self._conn.start_next_cycle()
         except (
             trio.BrokenResourceError,
@@ -230,6 +247,9 @@
         ):
             return
 
+    def _must_end(self) -> bool:
+        return self._is_over or self._server.has_left
+
     def end_if_stuck(self, time: float) -> None:
         """End the connection if its caller does not read what is sent."""
         if time - self._sending_since > _SEND_TIMEOUT_SECONDS:
--- a/sedgepin/_web/tests/test_connections.py
+++ b/sedgepin/_web/tests/test_connections.py
@@ -1,5 +1,8 @@
 """Tests of HTTP connections against raw sockets."""
 
+import socket
+import struct
+
 import pytest
 import result
 import trio
@@ -24,6 +27,11 @@
             except trio.Cancelled:
                 self.left += 1
                 raise
+        if exchange.request.target == b"/started":
+            await exchange.start(web.AnswerHead(200))
+            await self.release.wait()
+            await exchange.finish()
+            return
         if exchange.request.target == b"/cut":
             await exchange.start(web.AnswerHead(200))
             await exchange.send(b"part")
@@ -159,6 +167,37 @@
         read = await _read_all(busy)
         assert b"200" in read and b"close" in read
 
+    async def test_no_request_is_taken_after_the_drain(
+        self, nursery: trio.Nursery
+    ) -> None:
+        """The answer under way had begun before the drain."""
+        served = _Served(nursery)
+        await served.start()
+        stream = await served.connect()
+        await stream.send_all(b"GET /started HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert b"200" in await stream.receive_some(65_536)
+        served.server.visit_drain()
+        served.server.leave_drain()
+        served.handler.release.set()
+        await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        read = await _read_all(stream)
+        assert read.endswith(b"0\r\n\r\n")
+        assert b"HTTP/1.1" not in read
+
+    async def test_survives_connections_that_are_reset_at_once(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = _Served(nursery)
+        await served.start()
+        for _attempt in range(20):
+            stream = await served.connect()
+            linger = struct.pack("ii", 1, 0)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            stream.socket.close()
+        stream = await served.connect()
+        await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert b"200" in await stream.receive_some(65_536)
+
 
 class _Raw:
     """Answers one connection with fixed bytes."""
