Run no more what crashed three endpoints; keep endpoints that lose answers in use

Found by its test: one lost answer took a plain service's endpoint out of use for half a second, and with all of them out every request was refused.

--- a/sedgepin/_gateway/_calls.py
+++ b/sedgepin/_gateway/_calls.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import hashlib
 import typing
 
 from sedgepin import _model as model
@@ -39,6 +40,15 @@
     usage: TokenUsage | None = None
     resume_after: int | None = None
 
+    @property
+    def fingerprint(self) -> str:
+        """Return what is the same each time a caller sends a request."""
+        digest = hashlib.blake2b(digest_size=12)
+        for part in (self.key or "", self.host, self.path):
+            digest.update(part.encode("latin-1") + b"\0")
+        digest.update(self.message.body)
+        return digest.hexdigest()
+
     @property
     def size(self) -> placement.Size | None:
         """Return the size that the request is taken to have."""
--- a/sedgepin/_gateway/_core.py
+++ b/sedgepin/_gateway/_core.py
@@ -4,6 +4,7 @@
 import random
 
 from sedgepin import _catalog as catalog
+from sedgepin._gateway import _crashes
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _exchange
 from sedgepin._gateway import _fleet
@@ -21,6 +22,7 @@
 
     __slots__ = (
         "budget",
+        "crashes",
         "exchanges",
         "failed",
         "fleet",
@@ -36,6 +38,7 @@
         self.table: catalog.RouteTable | None = None
         self.fleet = _fleet.Fleet(cfg.data_centre, cfg.endpoint_silence)
         self.budget = _retry_budget.RetryBudget(cfg.retries)
+        self.crashes = _crashes.Crashes()
         self.lines = _waiting.WaitingLines()
         self.exchanges: dict[int, _exchange.Exchange] = {}
         # Endpoints that no connection reaches; the control VMs are told.
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -179,6 +179,16 @@
             for word in self._usable(service, now)
             if word.endpoint_id not in avoided
         ]
+        if not usable:
+            # An endpoint that failed a moment ago is better than none.
+            usable = [
+                known.registration
+                for known in self.registry
+                if known.registration.service == service
+                and known.registration.state is catalog.EndpointState.READY
+                and known.is_live(self._silence, now)
+                and known.registration.endpoint_id not in avoided
+            ]
         if not usable:
             return None
         return min(usable, key=lambda word: self._load(word, now))
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -144,6 +144,8 @@
                 return self._meet(controls)
             case protocol.LoadSummed(loads):
                 self._core.fleet.take_sum(loads)
+            case protocol.CrashWitnessed(fingerprint, endpoint_id, life):
+                self._core.crashes.witness(fingerprint, endpoint_id, life, now)
             case protocol.EndpointLost(endpoint_id, incarnation):
                 return self._lose(endpoint_id, incarnation, now)
         return []
@@ -191,6 +193,9 @@
             self._core.fleet.note_change()
             if before is not None and before.incarnation != word.incarnation:
                 made += self._detours.endpoint_died(word.endpoint_id, now)
+                made += self._name_aboard(
+                    word.endpoint_id, before.incarnation, now
+                )
         return made
 
     def _lose(
@@ -204,7 +209,25 @@
         if not registry.lose(endpoint_id, incarnation, now):
             return []
         self._core.fleet.note_change()
-        return self._detours.endpoint_died(endpoint_id, now)
+        made = self._detours.endpoint_died(endpoint_id, now)
+        return made + self._name_aboard(endpoint_id, incarnation, now)
+
+    def _name_aboard(
+        self,
+        endpoint_id: model.EndpointId,
+        incarnation: int,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Tell the other entries which requests an endpoint died running."""
+        made: Effects = []
+        named = self._core.crashes.died(endpoint_id, incarnation, now)
+        for fingerprint in named if self._connected else ():
+            message = protocol.CrashWitnessed(
+                fingerprint, endpoint_id, incarnation
+            )
+            passing_on = min(self._connected)
+            made.append(_effects.SendMessage(passing_on, message))
+        return made
 
     def _tell_failed(self) -> Effects:
         """Tell the control VMs of endpoints that do not answer."""
--- a/sedgepin/_gateway/_requests.py
+++ b/sedgepin/_gateway/_requests.py
@@ -49,6 +49,8 @@
         service = self._choose_service(table, route)
         if service is None:
             return self._turn_away(event, _failures.RouteUnknown())
+        if self._core.crashes.is_barred(request.fingerprint, now):
+            return self._turn_away(event, _failures.RequestQuarantined())
         time_left = route.timeout
         if request.time_left is not None:
             time_left = min(time_left, request.time_left)
@@ -332,15 +334,32 @@
             known = self._core.fleet.registry.at_address(event.at_fault)
             if known is not None:
                 blamed = known.registration.endpoint_id
-        if event.outcome is _Outcome.NOT_SENT:
+        if event.outcome in (_Outcome.UNKNOWN, _Outcome.CANCELLED):
+            self._note_aboard(exchange, now)
+        if event.outcome in (_Outcome.NOT_SENT, _Outcome.UNKNOWN):
             self._core.failed.append(blamed)
         if event.outcome is _Outcome.NOT_RUN:
             full = self._core.fleet.fullness(exchange.service, blamed)
             if full > _FULL_SHARE:
                 return []
-        if event.outcome in (_Outcome.FAILED, _Outcome.CANCELLED):
-            return []
-        return self._core.suspect(blamed, event.detail, now)
+        if event.outcome in (_Outcome.NOT_SENT, _Outcome.NOT_RUN):
+            return self._core.suspect(blamed, event.detail, now)
+        # A lost answer does not make an endpoint a dead one: the leader
+        # looks, and a new connection shows it as well.
+        return []
+
+    def _note_aboard(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> None:
+        """Remember a broken request in case one of its endpoints has died."""
+        fingerprint = exchange.request.fingerprint
+        for endpoint_id in exchange.endpoint_ids:
+            known = self._core.fleet.registry.find(endpoint_id)
+            if known is not None:
+                incarnation = known.registration.incarnation
+                self._core.crashes.broke_off(
+                    fingerprint, endpoint_id, incarnation, now
+                )
 
     def _after_attempt(
         self,
--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -10,6 +10,7 @@
 from sedgepin._protocol._messages import ConfigurationPublished
 from sedgepin._protocol._messages import ConfigurationWanted
 from sedgepin._protocol._messages import ControlsKnown
+from sedgepin._protocol._messages import CrashWitnessed
 from sedgepin._protocol._messages import DeclaredLost
 from sedgepin._protocol._messages import EndpointFailed
 from sedgepin._protocol._messages import EndpointLoad
@@ -46,6 +47,7 @@
     "ConfigurationPublished",
     "ConfigurationWanted",
     "ControlsKnown",
+    "CrashWitnessed",
     "DeclaredLost",
     "EndpointFailed",
     "EndpointLoad",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -159,6 +159,14 @@
     incarnation: int
 
 
+class CrashWitnessed(msgspec.Struct, frozen=True, tag=True):
+    """An endpoint died with a request aboard."""
+
+    fingerprint: str
+    endpoint_id: model.EndpointId
+    incarnation: int
+
+
 class ReadIndexAsked(msgspec.Struct, frozen=True, tag=True):
     """Please tell up to which index the log is committed."""
 
@@ -206,6 +214,7 @@
     | ConfigurationPublished
     | RegistrationsSeen
     | ControlsKnown
+    | CrashWitnessed
     | LoadReported
     | EndpointFailed
     | EndpointLost
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -247,6 +247,11 @@
             case protocol.EndpointLost(endpoint_id, incarnation):
                 self._registry.lose(endpoint_id, incarnation, now)
                 return []
+            case protocol.CrashWitnessed():
+                return [
+                    _effects.SendMessage(entry, message)
+                    for entry in sorted(self._entries - {sender})
+                ]
             case protocol.LoadReported(loads):
                 self._loads[sender] = loads
                 return []
