--- a/sedgepin/_consensus/_steward.py
+++ b/sedgepin/_consensus/_steward.py
@@ -24,6 +24,8 @@
 
 # For how many of its intervals a request to join is good.
 _JOIN_INTERVALS = 3
+# Below this many voters none can be lost without losing the quorum.
+_FEWEST_VOTERS = 3
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -64,6 +66,7 @@
             self._with_joiner(progress, now)
             or self._with_voter(progress, now)
             or self._without_silent(progress, now)
+            or self._without_spare_voter(progress, now)
         )
 
     def check(
@@ -152,6 +155,20 @@
                 return old.with_promoted(learner)
         return None
 
+    def _without_spare_voter(
+        self, progress: ProgressMap, now: datetime.datetime
+    ) -> storage.Configuration | None:
+        """Drop a silent voter where enough others are left.
+
+        It was replaced before it counted as silent, and would otherwise
+        count in every quorum for good.
+        """
+        old = self._core.configuration
+        if len(old.voters) <= _FEWEST_VOTERS:
+            return None
+        silent = self._silent_voter(progress, now)
+        return None if silent is None else old.without(silent)
+
     def _silent_voter(
         self, progress: ProgressMap, now: datetime.datetime
     ) -> storage.MemberId | None:
--- a/sedgepin/_placement/_plan.py
+++ b/sedgepin/_placement/_plan.py
@@ -16,6 +16,9 @@
 # Twice the 30 that a data centre of the first deployments has open on a calm
 # day, so that it can carry those of another one as well.
 _ROOM_REQUESTS = 60
+# Where an engine is lost, a neighbour that takes over some of its layers may
+# be left with this share of the usual room.
+_TIGHT_SHARE = 0.4
 # The room is halved at most this often where the memory does not suffice.
 _HALVINGS = 5
 
@@ -117,19 +120,69 @@
         return made
 
     def _fill_gaps(self, made: Plan, room: float) -> Plan:
-        """Give layers that nobody holds to engines that can be spared."""
+        """Give layers that nobody holds to engines that can be spared.
+
+        Engines that hold nothing come first, then neighbours that can hold
+        a few layers more, then engines whose layers others hold as well.
+        Only if all that does not suffice is everything spread anew, which
+        interrupts every request of the group.
+        """
         filled = dict(made)
         while True:
             gap = _first_gap(self._copies(filled), 0)
             if gap is None:
                 return filled
-            spare = self._spare(filled, gap)
+            spare = self._spare(filled, gap, has_layers=False)
+            if spare is None:
+                extended = self._extend(filled, gap, room * _TIGHT_SHARE)
+                if extended is not None:
+                    filled = extended
+                    continue
+                spare = self._spare(filled, gap, has_layers=True)
             if spare is None:
                 return self._first(room)
             count = min(gap.count, self._limit(spare, room))
             end = gap.first + max(1, count)
             filled[spare.endpoint_id] = model.LayerRange(gap.first, end)
 
+    def _extend(
+        self, made: Plan, gap: model.LayerRange, least_room: float
+    ) -> Plan | None:
+        """Let the neighbours of a gap close it, layer by layer."""
+        extended = dict(made)
+        first, end = gap.first, gap.end
+        while first < end:
+            wider = [
+                (one, model.LayerRange(held.first, held.end + 1))
+                for one in self.engines
+                if (held := extended.get(one.endpoint_id)) is not None
+                and held.end == first
+            ]
+            wider += [
+                (one, model.LayerRange(held.first - 1, held.end))
+                for one in self.engines
+                if (held := extended.get(one.endpoint_id)) is not None
+                and held.first == end
+            ]
+            if not wider:
+                return None
+            engine, layers = max(
+                wider, key=lambda pair: self._room_of(pair[0], pair[1].count)
+            )
+            if self._room_of(engine, layers.count) < least_room:
+                return None
+            extended[engine.endpoint_id] = layers
+            if layers.end > first and layers.first < first:
+                first += 1
+            else:
+                end -= 1
+        return extended
+
+    def _room_of(self, engine: _engines.Engine, layer_count: int) -> float:
+        return _engines.cache_room_tokens(
+            self.profile, engine.accelerator, layer_count
+        )
+
     def _back_up(self, made: Plan, room: float) -> Plan:
         """Let engines that hold nothing copy layers held only once."""
         filled = dict(made)
@@ -146,25 +199,28 @@
         return filled
 
     def _spare(
-        self, made: Plan, gap: model.LayerRange
+        self, made: Plan, gap: model.LayerRange, has_layers: bool
     ) -> _engines.Engine | None:
-        """Return the engine whose layers are missed least, if any is free."""
+        """Return the engine that can best be given layers of a gap.
+
+        With ``has_layers`` it is one whose layers others hold as well.
+        """
         copies = self._copies(made)
-        free: list[tuple[bool, int, _engines.Engine]] = []
+        free: list[_engines.Engine] = []
         for engine in self.engines:
             held = made.get(engine.endpoint_id)
             if self._limit(engine, 0.0) <= 0:
                 continue
-            if held is None:
-                free.append((False, -self._limit(engine, 0.0), engine))
-                continue
-            if min(copies[held.first : held.end], default=0) > 1:
-                free.append((True, -held.count, engine))
+            if held is None and not has_layers:
+                free.append(engine)
+            if held is not None and has_layers:
+                if min(copies[held.first : held.end], default=0) > 1:
+                    free.append(engine)
         if not free:
             return None
-        return min(free, key=lambda one: (one[0], one[1], one[2].endpoint_id))[
-            2
-        ]
+        return max(
+            free, key=lambda one: (self._limit(one, 0.0), one.endpoint_id)
+        )
 
     def _copies(self, made: Plan) -> list[int]:
         """Return how many engines hold each layer."""
--- /dev/null
+++ b/sedgepin/_registrar/tests/test_cluster.py
@@ -0,0 +1,207 @@
+"""Tests of configurations and endpoints over several control VMs."""
+
+import pytest
+
+from sedgepin import _catalog as catalog
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin._registrar import _effects
+from sedgepin._registrar import _events
+from sedgepin._registrar.tests import cluster as clusters
+
+_READ = _events.ConfigurationRead
+
+
+def _registration(**changes: object) -> catalog.Registration:
+    values: dict[str, object] = {
+        "endpoint_id": model.EndpointId("e"),
+        "incarnation": 1,
+        "sequence": 1,
+        "service": model.ServiceName("s"),
+        "address": "127.0.0.1:80",
+        "data_centre": model.DataCentreId("dc"),
+        "state": catalog.EndpointState.READY,
+    }
+    return catalog.Registration(**{**values, **changes})  # type: ignore
+
+
+@pytest.fixture
+def cluster() -> clusters.Cluster:
+    made = clusters.Cluster()
+    made.run(2)
+    return made
+
+
+class TestConfiguration:
+    @pytest.mark.parametrize("written_at", "abc")
+    @pytest.mark.parametrize("read_at", "abc")
+    def test_written_and_read_at_any_vm(
+        self, cluster: clusters.Cluster, written_at: str, read_at: str
+    ) -> None:
+        written = cluster.publish(model.VmId(written_at), 7)
+        cluster.run(0.2)
+        assert isinstance(cluster.outcomes[written], _effects.Acknowledge)
+        read = cluster.ask(model.VmId(read_at), _READ)
+        cluster.run(0.3)
+        shown = cluster.outcomes[read]
+        assert isinstance(shown, _effects.ShowConfiguration)
+        assert shown.document == clusters.document(7)
+
+    def test_lower_version_is_acknowledged_and_changes_nothing(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        cluster.publish(cluster.leader(), 7)
+        late = cluster.publish(cluster.leader(), 6)
+        read = cluster.ask(cluster.leader(), _READ)
+        cluster.run(0.2)
+        assert isinstance(cluster.outcomes[late], _effects.Acknowledge)
+        shown = cluster.outcomes[read]
+        assert isinstance(shown, _effects.ShowConfiguration)
+        assert shown.document == clusters.document(7)
+
+    def test_isolated_vm_neither_writes_nor_reads(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        cluster.publish(cluster.leader(), 7)
+        cut_off = cluster.leader()
+        cluster.isolate(cut_off)
+        cluster.run(2)
+        for asked in (
+            cluster.ask(cut_off, _READ),
+            cluster.publish(cut_off, 8),
+        ):
+            cluster.run(1.2)
+            refused = cluster.outcomes[asked]
+            assert isinstance(refused, _effects.Refuse)
+            assert refused.failure.http_status in (503, 504)
+        assert cluster.leader() != cut_off
+
+    def test_survives_the_loss_of_a_disk_and_of_all_power(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        written = cluster.publish(cluster.leader(), 7)
+        cluster.run(0.1)
+        assert isinstance(cluster.outcomes[written], _effects.Acknowledge)
+        for one in cluster.seeds:
+            cluster.stop(one, loses_disk=one == "b")
+        for one in cluster.seeds:
+            cluster.start(one)
+        cluster.run(5)
+        for one in cluster.seeds:
+            read = cluster.ask(one, _READ)
+            cluster.run(0.3)
+            shown = cluster.outcomes[read]
+            assert isinstance(shown, _effects.ShowConfiguration)
+            assert shown.document == clusters.document(7)
+
+    def test_vm_without_a_disk_founds_no_second_system(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        cluster.publish(cluster.leader(), 7)
+        for one in cluster.seeds:
+            cluster.stop(one, loses_disk=True)
+        for one in cluster.seeds:
+            cluster.start(one)
+        cluster.run(5)
+        read = cluster.ask(model.VmId("a"), _READ)
+        cluster.run(1.2)
+        assert isinstance(cluster.outcomes[read], _effects.Refuse)
+
+
+class TestMembers:
+    def test_newcomer_takes_the_place_of_a_vm_that_is_gone(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        cluster.publish(cluster.leader(), 7)
+        gone = cluster.leader()
+        cluster.stop(gone, loses_disk=True)
+        newcomer = model.VmId("d")
+        cluster.start(newcomer)
+        cluster.run(15)
+        members = cluster.up[cluster.leader()].raft.members
+        voters = {one.vm_id for one in members.voters}
+        assert voters == {*cluster.seeds, newcomer} - {gone}
+        read = cluster.ask(newcomer, _READ)
+        cluster.run(0.3)
+        shown = cluster.outcomes[read]
+        assert isinstance(shown, _effects.ShowConfiguration)
+
+    def test_vm_that_was_replaced_comes_back(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        gone = cluster.leader()
+        cluster.stop(gone)
+        cluster.start(model.VmId("d"))
+        cluster.run(15)
+        cluster.start(gone)
+        cluster.run(5)
+        members = cluster.up[cluster.leader()].raft.members
+        assert gone in {one.vm_id for one in members.voters}
+
+
+class TestEndpoints:
+    def test_entries_hear_of_a_leaving_endpoint_before_it_does(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        cluster.listen(model.VmId("a"))
+        cluster.register(model.VmId("a"), _registration())
+        draining = _registration(
+            sequence=2, state=catalog.EndpointState.DRAINING
+        )
+        asked = cluster.register(model.VmId("a"), draining)
+        assert isinstance(cluster.outcomes[asked], _effects.Acknowledge)
+        changes = [
+            word
+            for message in cluster.entry
+            if isinstance(message, protocol.RegistrationsSeen)
+            for word in message.changed
+        ]
+        assert changes[-1] == draining
+
+    def test_heard_at_another_vm(self, cluster: clusters.Cluster) -> None:
+        cluster.listen(model.VmId("a"))
+        cluster.register(model.VmId("b"), _registration())
+        known = cluster.up[model.VmId("a")].registry.find(
+            model.EndpointId("e")
+        )
+        assert known is not None
+        changes = [
+            message.changed
+            for message in cluster.entry
+            if isinstance(message, protocol.RegistrationsSeen)
+        ]
+        assert (_registration(),) in changes
+
+    def test_isolated_vm_sends_a_leaving_endpoint_elsewhere(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        cut_off = model.VmId("c")
+        cluster.register(cut_off, _registration())
+        cluster.isolate(cut_off)
+        cluster.run(2)
+        draining = _registration(
+            sequence=2, state=catalog.EndpointState.DRAINING
+        )
+        asked = cluster.register(cut_off, draining)
+        assert isinstance(cluster.outcomes[asked], _effects.Refuse)
+
+    def test_endpoint_is_lost_when_the_leader_finds_it_dead_too(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        leader = cluster.leader()
+        cluster.listen(leader)
+        cluster.register(leader, _registration())
+        failed = protocol.EndpointFailed(model.EndpointId("e"), 1)
+        arrived = protocol.PeerMessageArrived(model.VmId("entry"), failed)
+        cluster.handle(leader, arrived)
+        cluster.handle(leader, arrived)
+        checks = [
+            one
+            for one in cluster.engine_calls
+            if isinstance(one, _effects.InspectEngine)
+        ]
+        assert len(checks) == 1
+        inspected = _events.EngineInspected(model.EndpointId("e"), 1, None)
+        cluster.handle(leader, inspected)
+        cluster.run(0.1)
+        assert protocol.EndpointLost(model.EndpointId("e"), 1) in cluster.entry
--- /dev/null
+++ b/sedgepin/platform/tests/test_gateway.py
@@ -0,0 +1,117 @@
+"""Tests of the headers between callers, entry VMs and engines."""
+
+import datetime
+
+import pytest
+
+from sedgepin import _gateway as gateway
+from sedgepin import _model as model
+from sedgepin import _web as web
+from sedgepin.platform import _gateway
+
+_DIALECT = _gateway.GatewayDialect()
+_STAGES = (
+    model.Stage(
+        model.EndpointId("i-1"), "10.0.0.1:80", model.LayerRange(0, 5)
+    ),
+    model.Stage(
+        model.EndpointId("i-2"), "10.0.0.2:80", model.LayerRange(5, 9)
+    ),
+)
+
+
+def _request(*extra: tuple[bytes, bytes]) -> web.Request:
+    headers = ((b"Host", b"One.Example:80"), (b"X-Request-Id", b"r1"), *extra)
+    return web.Request(b"POST", b"/a/b?c=d", headers, b"body")
+
+
+class TestCallerRequest:
+    def test_is_read_once(self) -> None:
+        found = _DIALECT.read_request(
+            _request(
+                (b"X-Deadline-Ms", b"600"),
+                (b"Authorization", b"Token secret"),
+                (b"X-Token-Usage", b"700,300"),
+                (b"X-Length-Hint", b"120"),
+                (b"Last-Event-Id", b"12"),
+            )
+        ).unwrap()
+        assert (found.host, found.path) == ("one.example", "/a/b")
+        assert found.time_left == datetime.timedelta(milliseconds=600)
+        assert found.key == "secret"
+        assert found.size is not None and found.size.total == 820
+        assert found.resume_after == 12
+
+    @pytest.mark.parametrize(
+        "extra",
+        [
+            (b"X-Deadline-Ms", b"soon"),
+            (b"X-Token-Usage", b"700"),
+            (b"Last-Event-Id", b"x"),
+        ],
+    )
+    def test_unreadable_fields_are_refused(
+        self, extra: tuple[bytes, bytes]
+    ) -> None:
+        read = _DIALECT.read_request(_request(extra))
+        assert read.unwrap_err().http_status == 400
+
+    def test_without_an_id_refused(self) -> None:
+        read = _DIALECT.read_request(web.Request(b"GET", b"/", ()))
+        assert read.is_err()
+
+
+class TestEndpointRequest:
+    def test_only_the_system_sets_its_fields(self) -> None:
+        forged = _request(
+            (b"X-Tenant", b"other"),
+            (b"X-Hop-Count", b"1.2.3.4:5=0-80"),
+            (b"X-Expect-Instance", b"forged"),
+            (b"Authorization", b"Token secret"),
+            (b"X-Prompt-Prefix", b"a:1"),
+        )
+        caller = _DIALECT.read_request(forged).unwrap()
+        dispatch = gateway.Dispatch(
+            model.EndpointId("i-1"),
+            "10.0.0.1:80",
+            datetime.timedelta(milliseconds=400),
+            model.CustomerId("t"),
+            model.Pipeline(_STAGES),
+            7,
+        )
+        sent = _DIALECT.endpoint_request(caller, dispatch)
+        fields = {name.lower(): value for name, value in sent.headers}
+        assert b"authorization" not in fields
+        assert fields[b"x-tenant"] == b"t"
+        assert fields[b"x-expect-instance"] == b"i-1"
+        assert fields[b"x-deadline-ms"] == b"400"
+        assert fields[b"last-event-id"] == b"7"
+        assert fields[b"x-prompt-prefix"] == b"a:1"
+        assert fields[b"x-hop-count"] == b"10.0.0.1:80=0-5,10.0.0.2:80=5-9"
+        assert (sent.method, sent.target, sent.body) == (
+            b"POST",
+            b"/a/b?c=d",
+            b"body",
+        )
+
+
+class TestAnswerMarks:
+    @pytest.mark.parametrize(
+        ("status", "headers", "is_not_run"),
+        [
+            (503, ((b"X-Not-Executed", b"1"),), True),
+            (421, (), True),
+            (503, (), False),
+            (500, (), False),
+        ],
+    )
+    def test_only_the_engines_word_says_not_run(
+        self, status: int, headers: web.Headers, is_not_run: bool
+    ) -> None:
+        marks = _DIALECT.read_answer(web.AnswerHead(status, headers))
+        assert marks.is_not_run is is_not_run
+
+    @pytest.mark.parametrize("value", [b"3,0", b"a,b,c", b"", b"1,2,3,4"])
+    def test_odd_load_is_no_load(self, value: bytes) -> None:
+        head = web.AnswerHead(200, ((b"X-Instance-Load", value),))
+        assert _DIALECT.read_answer(head).running is None
