--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -95,6 +95,7 @@
         "_dialect",
         "_driver",
         "_numbers",
+        "_metrics",
         "_nursery",
         "_readiness",
         "_relays",
@@ -118,6 +119,7 @@
         self.reducer = _reducer.GatewayReducer(
             cfg, random.Random(), own_clock.now()
         )
+        self._metrics = shell.ServedSink()
         self._driver = shell.Driver(
             self.reducer.handle, self._carry_out, own_clock
         )
@@ -146,6 +148,9 @@
             await nursery.start(self._transport.run)
             await nursery.start(self._readiness.serve, self._cfg.ready_listen)
             await nursery.start(self._server.serve, self._cfg.listen)
+            if self._cfg.metrics_listen is not None:
+                served = web.Server(web.MetricsHandler(self._metrics.text))
+                await nursery.start(served.serve, self._cfg.metrics_listen)
             nursery.start_soon(self._tick)
             await nursery.start(
                 shell.watch_settings, self._source, self._reload
@@ -225,8 +230,9 @@
                 self._nursery.start_soon(self._reroute, effect)
             case _effects.WriteLog(line):
                 logs.write(line)
-            case _effects.CountMetric():
-                pass
+                self._metrics.count(line.definition.name, 1)
+            case _effects.TimeMetric(name, took):
+                self._metrics.time(name, took)
             case _:
                 relay = self._relays.get(effect.exchange_id)
                 if relay is not None:
--- a/sedgepin/_gateway/_effects.py
+++ b/sedgepin/_gateway/_effects.py
@@ -103,11 +103,11 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class CountMetric:
-    """Add to a counter."""
+class TimeMetric:
+    """Put a duration into its histogram."""
 
     name: str
-    count: int = 1
+    took: datetime.timedelta
 
 
 GatewayEffect: typing.TypeAlias = (
@@ -122,5 +122,5 @@
     | InspectStalls
     | Reroute
     | WriteLog
-    | CountMetric
+    | TimeMetric
 )
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -94,7 +94,7 @@
                 made = self._requests.attempt_ended(event, now)
                 return made + self._requests.serve_lines(now)
             case _events.OutputBegan(exchange_id):
-                return self._requests.output_began(exchange_id)
+                return self._requests.output_began(exchange_id, now)
             case _events.LoadTold(endpoint_id, marks):
                 self._core.fleet.tell_load(endpoint_id, marks, now)
                 return []
--- a/sedgepin/_gateway/_requests.py
+++ b/sedgepin/_gateway/_requests.py
@@ -111,14 +111,18 @@
                 )
         return made
 
-    def output_began(self, exchange_id: int) -> _core.Effects:
+    def output_began(
+        self, exchange_id: int, now: datetime.datetime
+    ) -> _core.Effects:
         """Note that the caller has the first event."""
         exchange = self._core.exchanges.get(exchange_id)
-        if exchange is not None:
-            exchange.has_output = True
-            for endpoint_id in exchange.endpoint_ids:
-                self._core.fleet.clear(endpoint_id)
-        return []
+        if exchange is None:
+            return []
+        exchange.has_output = True
+        for endpoint_id in exchange.endpoint_ids:
+            self._core.fleet.clear(endpoint_id)
+        took = now - exchange.arrived_at
+        return [_effects.TimeMetric("first_output", took)]
 
     def attempt_ended(
         self, event: _events.AttemptEnded, now: datetime.datetime
@@ -135,7 +139,8 @@
         if event.outcome is _Outcome.ANSWERED:
             self._forget(exchange)
             self._core.fleet.clear(dispatch.endpoint_id)
-            return [_answered_line(exchange, dispatch, now)]
+            took = _effects.TimeMetric("answer", now - exchange.arrived_at)
+            return [_answered_line(exchange, dispatch, now), took]
         line = events.ATTEMPT_ENDED.line(
             request=exchange.request.request_id,
             attempt=exchange.send_count,
--- a/sedgepin/_gateway/_settings.py
+++ b/sedgepin/_gateway/_settings.py
@@ -36,6 +36,7 @@
     retries: RetrySettings
     heartbeat_interval: datetime.timedelta
     grace: datetime.timedelta
+    metrics_listen: str | None = None
 
     @property
     def endpoint_silence(self) -> datetime.timedelta:
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -125,6 +125,7 @@
         "_cfg",
         "_dialect",
         "_driver",
+        "_metrics",
         "_nursery",
         "_reducer",
         "_server",
@@ -149,6 +150,7 @@
         self._reducer = _reducer.RegistrarReducer(
             cfg, dialect, recovered, random.Random(), own_clock.now()
         )
+        self._metrics = shell.ServedSink()
         self._driver = shell.Driver(
             self._reducer.handle, self._carry_out, own_clock
         )
@@ -180,6 +182,9 @@
             self._nursery = nursery
             await nursery.start(self._transport.run)
             await nursery.start(self._server.serve, self._cfg.listen)
+            if self._cfg.metrics_listen is not None:
+                served = web.Server(web.MetricsHandler(self._metrics.text))
+                await nursery.start(served.serve, self._cfg.metrics_listen)
             nursery.start_soon(self._tick)
             await nursery.start(
                 shell.watch_settings, self._source, self._reload
@@ -241,6 +246,7 @@
                 self._transport.dial(self._peer(vm_id))
             case _effects.WriteLog(line):
                 logs.write(line)
+                self._metrics.count(line.definition.name, 1)
 
     async def _inspect(self, effect: _effects.InspectEngine) -> None:
         request = self._dialect.report_request(effect.address)
--- a/sedgepin/_registrar/_settings.py
+++ b/sedgepin/_registrar/_settings.py
@@ -23,6 +23,7 @@
     seeds: tuple[model.VmId, ...]
     is_new_system: bool
     heartbeat_interval: datetime.timedelta
+    metrics_listen: str | None = None
 
     @property
     def endpoint_silence(self) -> datetime.timedelta:
--- a/sedgepin/_shell/__init__.py
+++ b/sedgepin/_shell/__init__.py
@@ -5,6 +5,7 @@
 from sedgepin._shell._driver import Driver
 from sedgepin._shell._metrics import MetricSink
 from sedgepin._shell._metrics import open_sink
+from sedgepin._shell._metrics import ServedSink
 from sedgepin._shell._metrics import SilentSink
 from sedgepin._shell._metrics import StatsdSink
 from sedgepin._shell._reload import SettingsSource
@@ -13,6 +14,7 @@
 __all__ = [
     "Driver",
     "MetricSink",
+    "ServedSink",
     "SettingsSource",
     "SilentSink",
     "StatsdSink",
--- a/sedgepin/_shell/_metrics.py
+++ b/sedgepin/_shell/_metrics.py
@@ -1,8 +1,9 @@
-"""Metrics, sent by statsd over UDP where settings name a collector."""
+"""Metrics: sent by statsd over UDP, or served as text for a collector."""
 
 import abc
 import datetime
 
+import prometheus_client
 import statsd
 
 from sedgepin import settings
@@ -48,6 +49,66 @@
         self._client.timing(name, took)
 
 
+# Upper bounds in seconds, from a fast call of a plain service to the longest
+# that callers wait.
+_BUCKETS = (
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.2,
+    0.35,
+    0.5,
+    0.75,
+    1.0,
+    2.0,
+    3.5,
+    5.0,
+    10.0,
+    20.0,
+)
+
+
+class ServedSink(MetricSink):
+    """Keeps counters and histograms, to be read as text.
+
+    >>> sink = ServedSink()
+    >>> sink.count("request_answered", 1)
+    >>> b'sedgepin_events_total{event="request_answered"} 1.0' in sink.text()
+    True
+    """
+
+    __slots__ = ("_durations", "_events", "_registry")
+
+    def __init__(self) -> None:
+        self._registry = prometheus_client.CollectorRegistry()
+        self._events = prometheus_client.Counter(
+            "sedgepin_events",
+            "Log events by name.",
+            ["event"],
+            registry=self._registry,
+        )
+        self._durations = prometheus_client.Histogram(
+            "sedgepin_duration_seconds",
+            "How long something took, by name.",
+            ["name"],
+            buckets=_BUCKETS,
+            registry=self._registry,
+        )
+
+    def count(self, name: str, count: int) -> None:
+        """Add ``count`` to the counter of an event."""
+        self._events.labels(name).inc(count)
+
+    def time(self, name: str, took: datetime.timedelta) -> None:
+        """Put a duration into its histogram."""
+        self._durations.labels(name).observe(took.total_seconds())
+
+    def text(self) -> bytes:
+        """Return all metrics in the text format of Prometheus."""
+        return prometheus_client.generate_latest(self._registry)
+
+
 def open_sink(cfg: settings.Statsd | None) -> MetricSink:
     """Return the sink that settings ask for."""
     return SilentSink() if cfg is None else StatsdSink(cfg)
--- a/sedgepin/_web/__init__.py
+++ b/sedgepin/_web/__init__.py
@@ -14,6 +14,7 @@
 from sedgepin._web._failures import HeadTooLarge
 from sedgepin._web._failures import RequestTooSlow
 from sedgepin._web._failures import RequestUnreadable
+from sedgepin._web._metrics import MetricsHandler
 from sedgepin._web._server import Exchange
 from sedgepin._web._server import Handler
 from sedgepin._web._server import Server
@@ -34,6 +35,7 @@
     "Handler",
     "HeadTooLarge",
     "Headers",
+    "MetricsHandler",
     "Request",
     "RequestTooSlow",
     "RequestUnreadable",
--- /dev/null
+++ b/sedgepin/_web/_metrics.py
@@ -0,0 +1,34 @@
+"""Serving metrics as text."""
+
+import collections.abc
+
+from sedgepin._web import _server
+from sedgepin._web import _types
+from sedgepin import errors
+
+_CONTENT_TYPE = (b"Content-Type", b"text/plain; version=0.0.4")
+_LIMITS = _server.ServerLimits(16_384, 1024, 3.0, 30.0)
+
+
+class MetricsHandler(_server.Handler):
+    """Answers every request with what a function returns."""
+
+    __slots__ = ("_text",)
+
+    def __init__(self, text: collections.abc.Callable[[], bytes]) -> None:
+        self._text = text
+
+    async def handle(self, exchange: _server.Exchange) -> None:
+        """Answer with the metrics as they are now."""
+        head = _types.AnswerHead(200, (_CONTENT_TYPE,))
+        await exchange.answer(head, self._text())
+
+    def refuse(
+        self, failure: errors.Failure
+    ) -> tuple[_types.AnswerHead, bytes]:
+        """Return the answer to a request that could not be read."""
+        return _types.AnswerHead(failure.http_status), b""
+
+    def limits(self) -> _server.ServerLimits:
+        """Return limits that fit a collector's short requests."""
+        return _LIMITS
--- a/sedgepin/platform/__main__.py
+++ b/sedgepin/platform/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m sedgepin.platform entry`` or ``control``."""
+"""``python -m sedgepin.platform entry|control [METRICS_PORT]``."""
 
 import os
 import pathlib
@@ -10,6 +10,7 @@
 from sedgepin import _gateway as gateway
 from sedgepin import _registrar as registrar
 from sedgepin import _shell as shell
+from sedgepin import errors
 from sedgepin import events
 from sedgepin import logs
 from sedgepin.platform import _control
@@ -17,42 +18,65 @@
 from sedgepin.platform import _settings
 from sedgepin import settings
 
+_USAGE = "usage: python -m sedgepin.platform entry|control [METRICS_PORT]\n"
 _USAGE_ERROR = 2
 _SETTINGS_REFUSED = 3
 
 
 def main(arguments: list[str]) -> int:
     """Run one daemon until it is told to leave; return its exit code."""
+    # Until the daemon watches for it, SIGHUP would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    if arguments not in (["entry"], ["control"]):
-        sys.stderr.write("usage: python -m sedgepin.platform entry|control\n")
+    role = arguments[0] if arguments else ""
+    ports = arguments[1:]
+    if role not in ("entry", "control") or len(ports) > 1:
+        sys.stderr.write(_USAGE)
         return _USAGE_ERROR
+    if not all(one.isdigit() for one in ports):
+        sys.stderr.write(_USAGE)
+        return _USAGE_ERROR
+    metrics_port = int(ports[0]) if ports else None
     path = pathlib.Path(os.environ.get(_settings.SETTINGS_VARIABLE, ""))
     log_cfg = settings.Log(format=settings.LogFormat.JSON)
     read = _settings.read(path)
     if isinstance(read, result.Err):
-        logs.set_up(log_cfg, arguments[0], logs.Output.STDOUT)
+        logs.set_up(log_cfg, role, logs.Output.STDOUT)
         failure = read.err_value.detail()
         logs.write(events.SETTINGS_REFUSED.line(failure=failure))
         return _SETTINGS_REFUSED
-    node = read.ok_value
-    logs.set_up(log_cfg, node.node_name, logs.Output.STDOUT)
-    if arguments == ["entry"]:
-        entry = shell.SettingsSource(
-            path,
-            node.gateway(),
-            lambda path: _settings.read(path).map(_settings.Node.gateway),
-        )
-        gateway.run(entry, _gateway.GatewayDialect())
+    logs.set_up(log_cfg, read.ok_value.node_name, logs.Output.STDOUT)
+    if role == "entry":
+        _run_entry(path, read.ok_value, metrics_port)
     else:
-        control = shell.SettingsSource(
-            path,
-            node.registrar(),
-            lambda path: _settings.read(path).map(_settings.Node.registrar),
-        )
-        registrar.run(control, _control.ControlDialect())
+        _run_control(path, read.ok_value, metrics_port)
     return 0
 
 
+def _run_entry(
+    path: pathlib.Path, node: _settings.Node, metrics_port: int | None
+) -> None:
+    def read(
+        path: pathlib.Path,
+    ) -> result.Result[gateway.GatewaySettings, errors.DocumentRefused]:
+        found = _settings.read(path)
+        return found.map(lambda node: node.gateway(metrics_port))
+
+    source = shell.SettingsSource(path, node.gateway(metrics_port), read)
+    gateway.run(source, _gateway.GatewayDialect())
+
+
+def _run_control(
+    path: pathlib.Path, node: _settings.Node, metrics_port: int | None
+) -> None:
+    def read(
+        path: pathlib.Path,
+    ) -> result.Result[registrar.RegistrarSettings, errors.DocumentRefused]:
+        found = _settings.read(path)
+        return found.map(lambda node: node.registrar(metrics_port))
+
+    source = shell.SettingsSource(path, node.registrar(metrics_port), read)
+    registrar.run(source, _control.ControlDialect())
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:]))
--- a/sedgepin/platform/_settings.py
+++ b/sedgepin/platform/_settings.py
@@ -68,7 +68,12 @@
     def _heartbeat(self) -> datetime.timedelta:
         return datetime.timedelta(milliseconds=self.heartbeat_ms)
 
-    def registrar(self) -> registrar.RegistrarSettings:
+    def _metrics_listen(self, port: int | None) -> str | None:
+        return None if port is None else f"{self.ip}:{port}"
+
+    def registrar(
+        self, metrics_port: int | None = None
+    ) -> registrar.RegistrarSettings:
         """Return the settings of a control VM."""
         return registrar.RegistrarSettings(
             vm_id=self._vm_id,
@@ -78,9 +83,12 @@
             seeds=self._controls,
             is_new_system=self.bootstrap,
             heartbeat_interval=self._heartbeat,
+            metrics_listen=self._metrics_listen(metrics_port),
         )
 
-    def gateway(self) -> gateway.GatewaySettings:
+    def gateway(
+        self, metrics_port: int | None = None
+    ) -> gateway.GatewaySettings:
         """Return the settings of an entry VM."""
         bounds = self.bounds
         return gateway.GatewaySettings(
@@ -96,6 +104,7 @@
             ),
             heartbeat_interval=self._heartbeat,
             grace=datetime.timedelta(seconds=bounds.grace_s),
+            metrics_listen=self._metrics_listen(metrics_port),
         )
 
 
