An endpoint that answers anything is alive; a stream may go on where it broke off; sedgepin explain

Found by the new test with real processes: a plain service has no report, so the leader took it for dead; and a service with one endpoint could not resume a stream.

--- a/sedgepin/_gateway/_requests.py
+++ b/sedgepin/_gateway/_requests.py
@@ -234,6 +234,11 @@
         chosen = self._core.fleet.choose(
             exchange.service.name, exchange.tried, now
         )
+        if chosen is None and exchange.has_output:
+            # The endpoint that broke the stream off may go on with it.
+            chosen = self._core.fleet.choose(
+                exchange.service.name, frozenset(), now
+            )
         if chosen is None:
             failure = _failures.NoEndpoint(exchange.service.name)
             return self.fail(exchange, self._honest(exchange, failure), now)
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -266,7 +266,7 @@
             logs.write(line)
         self._driver.submit(
             _events.EngineInspected(
-                effect.endpoint_id, effect.incarnation, report
+                effect.endpoint_id, effect.incarnation, report, asked.is_ok()
             )
         )
 
--- a/sedgepin/_registrar/_events.py
+++ b/sedgepin/_registrar/_events.py
@@ -62,11 +62,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineInspected:
-    """An engine answered with its report, or did not answer."""
+    """An endpoint was asked for its report.
+
+    ``has_answered`` is true for any answer: plain services know no report.
+    """
 
     endpoint_id: model.EndpointId
     incarnation: int
     report: EngineReport | None
+    has_answered: bool
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -358,7 +358,7 @@
     ) -> Effects:
         """Tell everyone that an endpoint which was checked is lost."""
         told_by = self._told_by.pop(event.endpoint_id, None)
-        if told_by is None or event.report is not None:
+        if told_by is None or event.has_answered:
             return []
         if not self._registry.lose(event.endpoint_id, event.incarnation, now):
             return []
--- a/sedgepin/_registrar/tests/test_cluster.py
+++ b/sedgepin/_registrar/tests/test_cluster.py
@@ -201,7 +201,28 @@
             if isinstance(one, _effects.InspectEngine)
         ]
         assert len(checks) == 1
-        inspected = _events.EngineInspected(model.EndpointId("e"), 1, None)
+        inspected = _events.EngineInspected(
+            model.EndpointId("e"), 1, None, False
+        )
         cluster.handle(leader, inspected)
         cluster.run(0.1)
         assert protocol.EndpointLost(model.EndpointId("e"), 1) in cluster.entry
+
+    def test_plain_service_without_a_report_is_alive(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        leader = cluster.leader()
+        cluster.listen(leader)
+        cluster.register(leader, _registration())
+        failed = protocol.EndpointFailed(model.EndpointId("e"), 1)
+        arrived = protocol.PeerMessageArrived(model.VmId("entry"), failed)
+        cluster.handle(leader, arrived)
+        inspected = _events.EngineInspected(
+            model.EndpointId("e"), 1, None, True
+        )
+        cluster.handle(leader, inspected)
+        cluster.run(0.1)
+        assert not any(
+            isinstance(message, protocol.EndpointLost)
+            for message in cluster.entry
+        )
--- a/sedgepin/cli/_main.py
+++ b/sedgepin/cli/_main.py
@@ -22,6 +22,7 @@
 def _parse(given: list[str]) -> int:
     import defopt
 
+    from sedgepin.cli import _explain
     from sedgepin.cli import _operations
 
     commands: dict[str, typing.Any] = {
@@ -35,6 +36,7 @@
         "status": _operations.status,
         "endpoints": _operations.endpoints,
         "audit": _operations.audit,
+        "explain": _explain.explain,
     }
     defopt.run(
         commands,
--- /dev/null
+++ b/sedgepin/cli/tests/test_explain.py
@@ -0,0 +1,50 @@
+"""Tests of the story of one request."""
+
+import pathlib
+
+import pytest
+
+from sedgepin import cli
+from sedgepin.cli import _explain
+
+_LOG = """\
+built in 9.7 s
+  1.0 edge-1 {"time":"1","process":"edge-1","event":"request_dispatched",\
+"request":"r1","endpoint":"a","pipeline":"a=0-2,b=2-4"}
+  3.0 edge-1 {"time":"3","process":"edge-1","event":"request_failed",\
+"request":"r1","code":"outcome_unknown"}
+{"time":"2","process":"core-1","event":"endpoint_failed","endpoint":"b"}
+{"time":"2","process":"core-1","event":"endpoint_failed","endpoint":"z"}
+{"time":"9","process":"core-1","event":"endpoint_failed","endpoint":"a"}
+{"time":"2","process":"edge-1","event":"request_failed","request":"r2"}
+{"time":"2","event":
+"""
+
+
+class TestExplain:
+    def test_tells_the_request_and_its_endpoints_in_order(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        path = tmp_path / "log"
+        path.write_text(_LOG)
+        told = _explain.tell("r1", _explain.read_lines([path]))
+        assert [one["event"] for one in told] == [
+            "request_dispatched",
+            "endpoint_failed",
+            "request_failed",
+        ]
+
+    def test_command_prints_it(
+        self, tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        path = tmp_path / "log"
+        path.write_text(_LOG)
+        assert cli.main(["explain", "r1", str(path)]) == 0
+        assert "code=outcome_unknown" in capsys.readouterr().out
+
+    def test_unknown_request_is_refused(self, tmp_path: pathlib.Path) -> None:
+        path = tmp_path / "log"
+        path.write_text(_LOG)
+        with pytest.raises(SystemExit) as raised:
+            cli.main(["explain", "r9", str(path)])
+        assert raised.value.code == 1
--- /dev/null
+++ b/sedgepin/platform/tests/test_processes.py
@@ -0,0 +1,243 @@
+"""Both daemons as processes, before an engine that this test plays."""
+
+import itertools
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import typing
+
+import pytest
+import trio
+
+from sedgepin import _web as web
+from sedgepin import errors
+
+_CONTROL = "127.0.71.1"
+_ENTRY = "127.0.71.2"
+_ENGINE = "127.0.71.3"
+_PEER_PORT = 27340
+_CALL_PORT = 28229
+_READY_PORT = 28220
+_METRICS_PORT = 29464
+_ENGINE_PORT = 28080
+_PATIENCE_SECONDS = 15.0
+
+_MANIFEST = {
+    "version": 1,
+    "routes": [
+        {
+            "host": "one.example",
+            "pathPrefix": "/post/",
+            "kind": "non_idempotent",
+            "timeoutMs": 4000,
+            "service": "s",
+            "public": True,
+        },
+        {
+            "host": "one.example",
+            "pathPrefix": "/draft/",
+            "kind": "streaming",
+            "timeoutMs": 4000,
+            "service": "s",
+            "public": True,
+            "maxAttempts": 2,
+            "resumable": True,
+        },
+    ],
+    "services": [{"name": "s"}],
+}
+
+
+def _settings(folder: pathlib.Path, ip: str) -> str:
+    return f"""
+nodeName = "{ip}"
+ip = "{ip}"
+zone = "one"
+internalPorts = [{_PEER_PORT}, {_PEER_PORT + 15}]
+seeds = ["{_CONTROL}:{_CALL_PORT}"]
+bootstrap = true
+dataDir = "{folder / "data"}"
+heartbeatMs = 1200
+[listen]
+control = "{ip}:{_CALL_PORT}"
+front = "{ip}:{_CALL_PORT}"
+ready = "{ip}:{_READY_PORT}"
+[bounds]
+graceS = 6
+retryBudgetRatio = 0.2
+budgetMinRetries = 100
+"""
+
+
+class _Engine(web.Handler):
+    """Answers calls, and breaks streams off once in their middle."""
+
+    def __init__(self) -> None:
+        self.runs: list[tuple[bytes, bytes | None]] = []
+
+    async def handle(self, exchange: web.Exchange) -> None:
+        request = exchange.request
+        after = request.find(b"last-event-id")
+        self.runs.append((request.target, after))
+        headers = (
+            (b"X-Request-Id", request.find(b"x-request-id") or b""),
+            (b"X-Response-Seal", b"seal"),
+        )
+        if not request.target.startswith(b"/draft/"):
+            await exchange.answer(web.AnswerHead(200, headers), b"done")
+            return
+        first = int(after or b"0") + 1
+        await exchange.start(web.AnswerHead(200, headers))
+        for number in range(first, 7):
+            if number == 4 and after is None:
+                await exchange.send(b"id: 4\ndata: half")
+                return
+            await exchange.send(b"id: %d\ndata: x\n\n" % number)
+        await exchange.finish()
+
+    def refuse(self, failure: errors.Failure) -> tuple[web.AnswerHead, bytes]:
+        return web.AnswerHead(failure.http_status), b""
+
+    def limits(self) -> web.ServerLimits:
+        return web.ServerLimits(16_384, 65_536, 3.0, 15.0)
+
+
+class _System:
+    """The processes, and calls to them."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._folder = folder
+
+    def start(self, role: str, ip: str) -> None:
+        folder = self._folder / role
+        folder.mkdir()
+        path = folder / "settings.toml"
+        path.write_text(_settings(folder, ip))
+        self.processes[role] = subprocess.Popen(
+            [sys.executable, "-m", "sedgepin.platform", role]
+            + [str(_METRICS_PORT)],
+            env={**os.environ, "SEDGEPIN_NODE_FILE": str(path)},
+            stdout=(folder / "log").open("wb"),
+        )
+
+    def log(self, role: str) -> list[dict[str, typing.Any]]:
+        text = (self._folder / role / "log").read_text()
+        return [json.loads(line) for line in text.splitlines()]
+
+    def stop(self) -> None:
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+
+async def _call(
+    ip: str, port: int, method: bytes, target: bytes, body: object = None
+) -> tuple[int, bytes]:
+    headers = (
+        (b"Host", b"one.example"),
+        (b"X-Request-Id", b"r%d" % trio.current_time()),
+        (b"X-Deadline-Ms", b"4000"),
+    )
+    encoded = b"" if body is None else json.dumps(body).encode()
+    request = web.Request(method, target, headers, encoded)
+    asked = await web.ask(f"{ip}:{port}", request, 4.0)
+    if asked.is_err():
+        return 0, b""
+    head, answer = asked.unwrap()
+    return head.status, answer
+
+
+async def _until(
+    status: int,
+    ip: str,
+    port: int,
+    method: bytes,
+    target: bytes,
+    **body: object,
+) -> bytes:
+    with trio.fail_after(_PATIENCE_SECONDS):
+        while True:
+            found, answer = await _call(ip, port, method, target, **body)
+            if found == status:
+                return answer
+            await trio.sleep(0.1)
+
+
+@pytest.fixture
+def system(tmp_path: pathlib.Path) -> typing.Iterator[_System]:
+    made = _System(tmp_path)
+    yield made
+    made.stop()
+
+
+async def _check_in(body: dict[str, object]) -> None:
+    """Check in again and again, as an engine does."""
+    for sequence in itertools.count(1):
+        await _call(
+            _CONTROL,
+            _CALL_PORT,
+            b"PUT",
+            b"/v1/instances/i",
+            {**body, "sequence": sequence},
+        )
+        await trio.sleep(0.5)
+
+
+async def _bring_up(system: _System, nursery: trio.Nursery) -> _Engine:
+    engine = _Engine()
+    address = f"{_ENGINE}:{_ENGINE_PORT}"
+    await nursery.start(web.Server(engine).serve, address)
+    system.start("control", _CONTROL)
+    system.start("entry", _ENTRY)
+    await _until(
+        200, _CONTROL, _CALL_PORT, b"PUT", b"/v1/config", body=_MANIFEST
+    )
+    check_in = {
+        "service": "s",
+        "address": address,
+        "zone": "one",
+        "state": "ready",
+        "born": 1,
+    }
+    nursery.start_soon(_check_in, check_in)
+    await _until(200, _ENTRY, _READY_PORT, b"GET", b"/ready")
+    return engine
+
+
+class TestProcesses:
+    async def test_serve_and_resume_and_reload_and_drain(
+        self, system: _System, nursery: trio.Nursery
+    ) -> None:
+        engine = await _bring_up(system, nursery)
+        answer = await _until(200, _ENTRY, _CALL_PORT, b"POST", b"/post/x")
+        assert answer == b"done"
+        stream = await _until(200, _ENTRY, _CALL_PORT, b"POST", b"/draft/x")
+        expected = b"".join(
+            b"id: %d\ndata: x\n\n" % number for number in range(1, 7)
+        )
+        assert stream == expected
+        assert (b"/draft/x", b"3") in engine.runs
+        read = await _until(200, _CONTROL, _CALL_PORT, b"GET", b"/v1/config")
+        assert json.loads(read) == _MANIFEST
+        entry = system.processes["entry"]
+        entry.send_signal(signal.SIGHUP)
+        with trio.fail_after(_PATIENCE_SECONDS):
+            while "settings_reloaded" not in str(system.log("entry")):
+                await trio.sleep(0.1)
+        metrics = await _until(200, _ENTRY, _METRICS_PORT, b"GET", b"/metrics")
+        assert b'sedgepin_events_total{event="request_answered"} 2' in metrics
+        assert b'sedgepin_duration_seconds_bucket{le="1.0"' in metrics
+        entry.send_signal(signal.SIGTERM)
+        await _until(503, _ENTRY, _READY_PORT, b"GET", b"/ready")
+        await _until(200, _ENTRY, _CALL_PORT, b"POST", b"/post/x")
+        with trio.fail_after(_PATIENCE_SECONDS):
+            while entry.poll() is None:
+                await trio.sleep(0.1)
+        assert entry.returncode == 0
+        names = [line["event"] for line in system.log("entry")]
+        assert names[0] == "process_started"
+        assert names[-1] == "process_stopped"
