--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -145,7 +145,6 @@
         """Serve until SIGTERM."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await nursery.start(self._transport.run)
             await nursery.start(self._readiness.serve, self._cfg.ready_listen)
             await nursery.start(self._server.serve, self._cfg.listen)
             if self._cfg.metrics_listen is not None:
@@ -162,6 +161,7 @@
                     address=self._cfg.listen,
                 )
             )
+            await nursery.start(self._transport.run)
             await shell.wait_for_sigterm()
             await self._drain()
             nursery.cancel_scope.cancel()
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -180,7 +180,6 @@
         """Serve until SIGTERM."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await nursery.start(self._transport.run)
             await nursery.start(self._server.serve, self._cfg.listen)
             if self._cfg.metrics_listen is not None:
                 served = web.Server(web.MetricsHandler(self._metrics.text))
@@ -196,6 +195,7 @@
                     address=self._cfg.listen,
                 )
             )
+            await nursery.start(self._transport.run)
             await shell.wait_for_sigterm()
             await self._drain()
             nursery.cancel_scope.cancel()
