--- a/sedgepin/_consensus/_settings.py
+++ b/sedgepin/_consensus/_settings.py
@@ -43,7 +43,7 @@
     voter_limit: int = 5
     may_found: bool = True
     open_membership: bool = False
-    voter_patience: datetime.timedelta = datetime.timedelta(seconds=10)
+    voter_patience: datetime.timedelta = datetime.timedelta(seconds=2)
     batch_limit_bytes: int = 256 * _KIB
     in_flight_limit_entries: int = 4096
     uncommitted_limit_entries: int = 4096
--- a/sedgepin/_consensus/_steward.py
+++ b/sedgepin/_consensus/_steward.py
@@ -135,7 +135,12 @@
     def _with_voter(
         self, progress: ProgressMap, now: datetime.datetime
     ) -> storage.Configuration | None:
-        """Return the next step towards a caught up learner's vote."""
+        """Return the next step towards a caught up learner's vote.
+
+        With open membership a newcomer waits while a voter is silent that
+        it may replace: with both as voters a further loss could leave no
+        quorum.
+        """
         old = self._core.configuration
         for learner in old.learners:
             is_caught_up = progress[learner].is_caught_up
@@ -151,10 +156,20 @@
             replaced = self._silent_voter(progress, now)
             if replaced is not None:
                 return old.without(replaced)
+            if self._has_silent_voter(progress, now):
+                continue
             if len(old.voters) < self._core.cfg.voter_limit:
                 return old.with_promoted(learner)
         return None
 
+    def _has_silent_voter(
+        self, progress: ProgressMap, now: datetime.datetime
+    ) -> bool:
+        return self._core.cfg.open_membership and any(
+            self._is_silent(voter, progress, now)
+            for voter in self._core.configuration.voters
+        )
+
     def _without_spare_voter(
         self, progress: ProgressMap, now: datetime.datetime
     ) -> storage.Configuration | None:
--- a/sedgepin/_registrar/tests/test_cluster.py
+++ b/sedgepin/_registrar/tests/test_cluster.py
@@ -126,6 +126,25 @@
         shown = cluster.outcomes[read]
         assert isinstance(shown, _effects.ShowConfiguration)
 
+    def test_a_disk_may_be_lost_soon_after_a_replacement(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        """Day file ``control``: nobody led after the second loss."""
+        cluster.publish(cluster.leader(), 7)
+        gone = cluster.leader()
+        cluster.stop(gone, loses_disk=True)
+        cluster.run(1)
+        cluster.start(model.VmId("d"))
+        cluster.run(5)
+        second = cluster.leader()
+        cluster.stop(second, loses_disk=True)
+        cluster.start(second)
+        cluster.run(4)
+        read = cluster.ask(cluster.leader(), _READ)
+        cluster.run(0.3)
+        shown = cluster.outcomes[read]
+        assert isinstance(shown, _effects.ShowConfiguration)
+
     def test_vm_that_was_replaced_comes_back(
         self, cluster: clusters.Cluster
     ) -> None:
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -285,10 +285,14 @@
 
     async def _handle(self, request: _types.Request) -> None:
         exchange = Exchange(self, request)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_caller, nursery.cancel_scope)
-            await self._handler.handle(exchange)
-            nursery.cancel_scope.cancel()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+                await self._handler.handle(exchange)
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The caller reset its connection while it was sent an answer.
+            self._is_over = True
 
     async def _watch_caller(self, scope: trio.CancelScope) -> None:
         """Cancel the exchange once the caller has closed its connection."""
--- a/sedgepin/_web/tests/test_connections.py
+++ b/sedgepin/_web/tests/test_connections.py
@@ -32,6 +32,12 @@
             await self.release.wait()
             await exchange.finish()
             return
+        if exchange.request.target == b"/broken":
+            raise trio.BrokenResourceError
+        if exchange.request.target == b"/endless":
+            await exchange.start(web.AnswerHead(200))
+            while True:
+                await exchange.send(b"x" * 100_000)
         if exchange.request.target == b"/cut":
             await exchange.start(web.AnswerHead(200))
             await exchange.send(b"part")
@@ -184,6 +190,34 @@
         assert read.endswith(b"0\r\n\r\n")
         assert b"HTTP/1.1" not in read
 
+    async def test_survives_a_broken_connection_in_a_handler(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = _Served(nursery)
+        await served.start()
+        stream = await served.connect()
+        await stream.send_all(b"GET /broken HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert await _read_all(stream) == b""
+        assert served.server.open_exchanges == 0
+
+    async def test_survives_a_reset_while_it_sends(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = _Served(nursery)
+        await served.start()
+        stream = await served.connect()
+        await stream.send_all(b"GET /endless HTTP/1.1\r\nHost: x\r\n\r\n")
+        await stream.receive_some(65_536)
+        linger = struct.pack("ii", 1, 0)
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        stream.socket.close()
+        with trio.fail_after(2):
+            while served.server.open_exchanges:
+                await trio.sleep(0.01)
+        again = await served.connect()
+        await again.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert b"200" in await again.receive_some(65_536)
+
     async def test_survives_connections_that_are_reset_at_once(
         self, nursery: trio.Nursery
     ) -> None:
