--- a/sedgepin/cli/_explain.py
+++ b/sedgepin/cli/_explain.py
@@ -13,6 +13,8 @@
 from sedgepin import errors
 
 _OWN_FIELDS = ("time", "level", "process", "event", "number")
+# What other VMs note about an endpoint for the sake of their own requests.
+_OF_OTHERS_REQUESTS = ("stalls_inspected", "endpoint_suspected")
 # Log collectors put their own words before a line.
 _LINE = re.compile(r"\{.*\}\s*$")
 
@@ -95,6 +97,7 @@
     if not own:
         return []
     endpoints = {name for line in own for name in _endpoints(line)}
+    processes = {line.get("process") for line in own}
     first, last = str(own[0].get("time")), str(own[-1].get("time"))
     return [
         line
@@ -104,6 +107,10 @@
             "request" not in line
             and first <= str(line.get("time")) <= last
             and line.get("endpoint") in endpoints
+            and (
+                line.get("process") in processes
+                or line.get("event") not in _OF_OTHERS_REQUESTS
+            )
         )
     ]
 
--- a/sedgepin/cli/tests/test_explain.py
+++ b/sedgepin/cli/tests/test_explain.py
@@ -17,6 +17,7 @@
 {"time":"2","process":"core-1","event":"endpoint_failed","endpoint":"z"}
 {"time":"9","process":"core-1","event":"endpoint_failed","endpoint":"a"}
 {"time":"2","process":"edge-1","event":"request_failed","request":"r2"}
+{"time":"2","process":"edge-2","event":"stalls_inspected","endpoint":"a"}
 {"time":"2","event":
 """
 
