--- /dev/null
+++ b/sedgepin/_shell/tests/test_reload.py
@@ -0,0 +1,61 @@
+"""Tests of settings that are read again."""
+
+import os
+import pathlib
+import signal
+
+import pytest
+import result
+import trio
+
+from sedgepin import _shell as shell
+from sedgepin import errors
+
+
+def _read(path: pathlib.Path) -> result.Result[str, errors.DocumentRefused]:
+    text = path.read_text()
+    if text.startswith("bad"):
+        fault = errors.FieldFault("text", "is bad")
+        return result.Err(errors.DocumentRefused("settings", (fault,)))
+    return result.Ok(text)
+
+
+class _Watched:
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.path = folder / "settings"
+        self.path.write_text("one")
+        self.source = shell.SettingsSource(self.path, "one", _read)
+        self.applied: list[str] = []
+
+    async def until(self, count: int) -> None:
+        with trio.fail_after(5):
+            while len(self.applied) < count:
+                await trio.sleep(0.02)
+
+
+@pytest.fixture
+async def watched(tmp_path: pathlib.Path, nursery: trio.Nursery) -> _Watched:
+    made = _Watched(tmp_path)
+    await nursery.start(shell.watch_settings, made.source, made.applied.append)
+    return made
+
+
+class TestWatchSettings:
+    async def test_on_a_signal(self, watched: _Watched) -> None:
+        os.kill(os.getpid(), signal.SIGHUP)
+        await watched.until(1)
+        assert watched.applied == ["one"]
+
+    async def test_without_a_signal(self, watched: _Watched) -> None:
+        watched.path.write_text("two and more")
+        await watched.until(1)
+        assert watched.source.current == "two and more"
+
+    async def test_faulty_file_changes_nothing(
+        self, watched: _Watched
+    ) -> None:
+        watched.path.write_text("bad")
+        os.kill(os.getpid(), signal.SIGHUP)
+        await trio.sleep(0.2)
+        assert watched.applied == []
+        assert watched.source.current == "one"
--- a/sedgepin/logs.py
+++ b/sedgepin/logs.py
@@ -1,5 +1,7 @@
 """Writing log lines through loguru, as text or as JSON lines."""
 
+import collections.abc
+import datetime
 import enum
 import os
 import stat
@@ -32,12 +34,16 @@
 
     What a slow reader leaves behind waits here up to a limit; lines beyond
     it are dropped, and their number is logged when there is room again.
+    That line does not go through loguru, whose handlers must not log.
     """
 
-    __slots__ = ("_dropped", "_fd", "_waiting")
+    __slots__ = ("_describe_dropped", "_dropped", "_fd", "_waiting")
 
-    def __init__(self, fd: int) -> None:
+    def __init__(
+        self, fd: int, describe_dropped: collections.abc.Callable[[int], bytes]
+    ) -> None:
         self._fd = fd
+        self._describe_dropped = describe_dropped
         self._waiting = b""
         self._dropped = 0
         if stat.S_ISFIFO(os.fstat(fd).st_mode):
@@ -49,11 +55,11 @@
         if len(self._waiting) + len(line) > _WAITING_LIMIT_BYTES:
             self._dropped += 1
             return
+        if self._dropped:
+            line = self._describe_dropped(self._dropped) + line
+            self._dropped = 0
         self._waiting += line
         self._flush()
-        if self._dropped and not self._waiting:
-            dropped, self._dropped = self._dropped, 0
-            write(events.LOG_LINES_DROPPED.line(count=dropped))
 
     def _flush(self) -> None:
         try:
@@ -78,7 +84,19 @@
         write_line = _as_json
     loguru.logger.configure(extra={"process": process_id})
     stream = sys.stdout if output is Output.STDOUT else sys.stderr
-    bounded = _BoundedOutput(stream.fileno())
+
+    def describe_dropped(count: int) -> bytes:
+        fields = {
+            "time": datetime.datetime.now(datetime.timezone.utc).isoformat(),
+            "level": events.LOG_LINES_DROPPED.level,
+            "process": process_id,
+            "event": events.LOG_LINES_DROPPED.name,
+            "number": events.LOG_LINES_DROPPED.number,
+            "count": count,
+        }
+        return msgspec.json.encode(fields) + b"\n"
+
+    bounded = _BoundedOutput(stream.fileno(), describe_dropped)
     loguru.logger.add(
         lambda message: bounded.write(write_line(message)),
         level=cfg.level.value,
