Part the registrar's and the gateway's reducers by job

Calls on the configuration, endpoints and peers each have a module; what follows from an attempt stands apart from letting requests in. No behaviour changes.

--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -4,6 +4,7 @@
 import random
 
 from sedgepin import _catalog as catalog
+from sedgepin._gateway import _attempts
 from sedgepin._gateway import _core
 from sedgepin._gateway import _detours
 from sedgepin._gateway import _effects
@@ -35,6 +36,7 @@
 
     __slots__ = (
         "_ask_at",
+        "_attempts",
         "_connected",
         "_controls",
         "_core",
@@ -54,6 +56,7 @@
     ) -> None:
         self._core = _core.Core(cfg, rng)
         self._requests = _requests.Requests(self._core)
+        self._attempts = _attempts.Attempts(self._core, self._requests)
         self._detours = _detours.Detours(self._core)
         self._started_at = now
         self._ask_at = now
@@ -91,7 +94,7 @@
             case _events.RequestArrived():
                 return self._requests.arrived(event, now)
             case _events.AttemptEnded():
-                made = self._requests.attempt_ended(event, now)
+                made = self._attempts.attempt_ended(event, now)
                 return made + self._requests.serve_lines(now)
             case _events.OutputBegan(exchange_id):
                 return self._requests.output_began(exchange_id, now)
--- a/sedgepin/_gateway/_requests.py
+++ b/sedgepin/_gateway/_requests.py
@@ -1,4 +1,4 @@
-"""The life of a request: let in, sent, sent again, answered or refused."""
+"""Letting requests in, choosing their endpoints, and refusing them."""
 
 import datetime
 
@@ -13,16 +13,9 @@
 from sedgepin import errors
 from sedgepin import events
 
-_Outcome = _events.AttemptOutcome
-
-# Endpoints that say they did not run a request are tried this many times.
-_SEND_LIMIT = 4
-# An engine this full that refuses is short of memory, not broken.
-_FULL_SHARE = 0.6
-
 
 class Requests:
-    """Lets requests in, chooses their endpoints and ends them."""
+    """Lets requests in, sends them, lets them wait, and ends them."""
 
     __slots__ = ("_core",)
 
@@ -107,7 +100,7 @@
                     line.comes_back_after(exchange, now),
                 )
                 made += self.fail(
-                    exchange, self._honest(exchange, failure), now
+                    exchange, self.honest(exchange, failure), now
                 )
         return made
 
@@ -124,38 +117,6 @@
         took = now - exchange.arrived_at
         return [_effects.TimeMetric("first_output", took)]
 
-    def attempt_ended(
-        self, event: _events.AttemptEnded, now: datetime.datetime
-    ) -> _core.Effects:
-        """Finish the request, try another endpoint, or tell the failure."""
-        exchange = self._core.exchanges.get(event.exchange_id)
-        if exchange is None or exchange.dispatch is None:
-            return []
-        dispatch = exchange.dispatch
-        if event.position is not None:
-            exchange.position = event.position
-        if exchange.service.engine is not None:
-            self._core.lines.line(exchange.service.name).record_departure(now)
-        if event.outcome is _Outcome.ANSWERED:
-            self._forget(exchange)
-            self._core.fleet.clear(dispatch.endpoint_id)
-            took = _effects.TimeMetric("answer", now - exchange.arrived_at)
-            return [_answered_line(exchange, dispatch, now), took]
-        line = events.ATTEMPT_ENDED.line(
-            request=exchange.request.request_id,
-            attempt=exchange.send_count,
-            endpoint=dispatch.endpoint_id,
-            outcome=event.outcome.value,
-            detail=event.detail,
-            at_fault=event.at_fault,
-            position=exchange.position,
-        )
-        made: _core.Effects = [_core.log(line)]
-        made += self._blame(event, exchange, dispatch, now)
-        self._core.release(exchange)
-        exchange.tried.add(dispatch.endpoint_id)
-        return made + self._after_attempt(exchange, event, now)
-
     def caller_left(
         self, exchange_id: int, now: datetime.datetime
     ) -> _core.Effects:
@@ -168,7 +129,7 @@
             position=exchange.position,
             milliseconds=_core.milliseconds(now - exchange.arrived_at),
         )
-        self._forget(exchange)
+        self.forget(exchange)
         return [_core.log(line)]
 
     def deadline_reached(
@@ -190,7 +151,7 @@
         now: datetime.datetime,
     ) -> _core.Effects:
         """Tell the caller of a failure."""
-        self._forget(exchange)
+        self.forget(exchange)
         line = events.REQUEST_FAILED.line(
             request=exchange.request.request_id,
             route=exchange.route.name,
@@ -241,7 +202,7 @@
             )
         if chosen is None:
             failure = _failures.NoEndpoint(exchange.service.name)
-            return self.fail(exchange, self._honest(exchange, failure), now)
+            return self.fail(exchange, self.honest(exchange, failure), now)
         return self._send(
             exchange, chosen.endpoint_id, chosen.address, None, now
         )
@@ -253,7 +214,7 @@
         if exchange.has_output:
             return self._wait(exchange, 0.0, now)
         failure = _failures.NoEndpoint(exchange.service.name)
-        return self.fail(exchange, self._honest(exchange, failure), now)
+        return self.fail(exchange, self.honest(exchange, failure), now)
 
     def _wait(
         self,
@@ -269,7 +230,7 @@
             failure = _failures.NoEndpoint(
                 exchange.service.name, line.comes_back_after(exchange, now)
             )
-            return self.fail(exchange, self._honest(exchange, failure), now)
+            return self.fail(exchange, self.honest(exchange, failure), now)
         entry = events.REQUEST_WAITS.line(
             request=exchange.request.request_id,
             service=exchange.service.name,
@@ -326,115 +287,13 @@
         )
         return [_core.log(line), start]
 
-    def _forget(self, exchange: _exchange.Exchange) -> None:
+    def forget(self, exchange: _exchange.Exchange) -> None:
+        """Count a request no more, whatever became of it."""
         self._core.release(exchange)
         self._core.lines.line(exchange.service.name).leave(exchange)
         self._core.exchanges.pop(exchange.exchange_id, None)
 
-    def _blame(
-        self,
-        event: _events.AttemptEnded,
-        exchange: _exchange.Exchange,
-        dispatch: _calls.Dispatch,
-        now: datetime.datetime,
-    ) -> _core.Effects:
-        """Leave the endpoint alone that an attempt failed on."""
-        blamed = dispatch.endpoint_id
-        if event.at_fault is not None:
-            known = self._core.fleet.registry.at_address(event.at_fault)
-            if known is not None:
-                blamed = known.registration.endpoint_id
-        if event.outcome in (_Outcome.UNKNOWN, _Outcome.CANCELLED):
-            self._note_aboard(exchange, now)
-        if event.outcome in (_Outcome.NOT_SENT, _Outcome.UNKNOWN):
-            self._core.failed.append(blamed)
-        if event.outcome is _Outcome.NOT_RUN:
-            full = self._core.fleet.fullness(exchange.service, blamed)
-            if full > _FULL_SHARE:
-                return []
-        if event.outcome in (_Outcome.NOT_SENT, _Outcome.NOT_RUN):
-            return self._core.suspect(blamed, event.detail, now)
-        # A lost answer does not make an endpoint a dead one: the leader
-        # looks, and a new connection shows it as well.
-        return []
-
-    def _note_aboard(
-        self, exchange: _exchange.Exchange, now: datetime.datetime
-    ) -> None:
-        """Remember a broken request in case one of its endpoints has died."""
-        fingerprint = exchange.request.fingerprint
-        for endpoint_id in exchange.endpoint_ids:
-            known = self._core.fleet.registry.find(endpoint_id)
-            if known is not None:
-                incarnation = known.registration.incarnation
-                self._core.crashes.broke_off(
-                    fingerprint, endpoint_id, incarnation, now
-                )
-
-    def _after_attempt(
-        self,
-        exchange: _exchange.Exchange,
-        event: _events.AttemptEnded,
-        now: datetime.datetime,
-    ) -> _core.Effects:
-        """Try another endpoint if that is safe and the budget allows."""
-        match event.outcome:
-            case _Outcome.CANCELLED:
-                return self._after_cancelled(exchange, event, now)
-            case _Outcome.NOT_SENT:
-                if exchange.send_count < _SEND_LIMIT:
-                    return self.try_next(exchange, now)
-                failure = _failures.NoEndpoint(exchange.service.name)
-                return self.fail(
-                    exchange, self._honest(exchange, failure), now
-                )
-            case _Outcome.NOT_RUN:
-                return self._after_refusal(exchange, now)
-        exchange.run_count += 1
-        may_retry = exchange.may_run_again and self._core.budget.take(
-            exchange.service.name, now
-        )
-        if may_retry:
-            return self.try_next(exchange, now)
-        if event.outcome is _Outcome.FAILED:
-            self._forget(exchange)
-            return [_effects.Deliver(exchange.exchange_id)]
-        unknown = _failures.OutcomeUnknown(event.detail)
-        return self.fail(exchange, unknown, now)
-
-    def _after_refusal(
-        self, exchange: _exchange.Exchange, now: datetime.datetime
-    ) -> _core.Effects:
-        """Try again after an endpoint that did not run a request."""
-        has_sends = exchange.send_count < _SEND_LIMIT
-        if has_sends and self._core.budget.take(exchange.service.name, now):
-            return self.try_next(exchange, now)
-        refused = _failures.RefusedByEndpoints(exchange.send_count)
-        return self.fail(exchange, self._honest(exchange, refused), now)
-
-    def _after_cancelled(
-        self,
-        exchange: _exchange.Exchange,
-        event: _events.AttemptEnded,
-        now: datetime.datetime,
-    ) -> _core.Effects:
-        """Go on elsewhere with a request whose engines stopped.
-
-        An engine that is gone does not count as one that ran it.
-        """
-        endpoint_id = event.endpoint_id
-        if endpoint_id is None or not self._core.fleet.is_suspected(
-            endpoint_id, now
-        ):
-            exchange.run_count += 1
-        if exchange.may_run_again and self._core.budget.take(
-            exchange.service.name, now
-        ):
-            return self.try_next(exchange, now)
-        unknown = _failures.OutcomeUnknown(event.detail)
-        return self.fail(exchange, unknown, now)
-
-    def _honest(
+    def honest(
         self, exchange: _exchange.Exchange, failure: errors.Failure
     ) -> errors.Failure:
         """Return a failure that promises nothing once a request may have run.
@@ -458,17 +317,3 @@
     if exchange.run_count + 1 >= exchange.route.max_attempts:
         return None
     return exchange.route.first_output_target
-
-
-def _answered_line(
-    exchange: _exchange.Exchange,
-    dispatch: _calls.Dispatch,
-    now: datetime.datetime,
-) -> _effects.WriteLog:
-    line = events.REQUEST_ANSWERED.line(
-        request=exchange.request.request_id,
-        endpoint=dispatch.endpoint_id,
-        attempts=exchange.send_count,
-        milliseconds=_core.milliseconds(now - exchange.arrived_at),
-    )
-    return _core.log(line)
--- /dev/null
+++ b/sedgepin/_registrar/_peers.py
@@ -0,0 +1,52 @@
+"""The VMs that a registrar talks to."""
+
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin._registrar import _effects
+
+Effects = list[_effects.RegistrarEffect]
+
+
+class Peers:
+    """The entry VMs that are connected, and the control VMs that are known."""
+
+    __slots__ = ("_vm_id", "controls", "entries")
+
+    def __init__(
+        self, vm_id: model.VmId, controls: tuple[model.VmId, ...]
+    ) -> None:
+        self._vm_id = vm_id
+        self.entries: set[model.VmId] = set()
+        self.controls: set[model.VmId] = set(controls) - {vm_id}
+
+    def tell_all(self, message: protocol.PeerMessage) -> Effects:
+        """Send a message to every peer."""
+        peers = sorted(self.entries | self.controls)
+        return [_effects.SendMessage(peer, message) for peer in peers]
+
+    def tell_entries(
+        self,
+        message: protocol.PeerMessage,
+        but: model.VmId | None = None,
+    ) -> Effects:
+        """Send a message to every entry VM that is connected."""
+        return [
+            _effects.SendMessage(entry, message)
+            for entry in sorted(self.entries)
+            if entry != but
+        ]
+
+    def meet(self, controls: tuple[model.VmId, ...]) -> Effects:
+        """Note control VMs, and dial those that are new."""
+        new = set(controls) - self.controls - {self._vm_id}
+        if not new:
+            return []
+        self.controls |= new
+        made: Effects = [_effects.DialPeer(one) for one in sorted(new)]
+        return made + self.tell_controls()
+
+    def tell_controls(self) -> Effects:
+        """Tell every peer which control VMs there are."""
+        known = tuple(sorted(self.controls | {self._vm_id}))
+        message = protocol.ControlsKnown(known, len(self.entries))
+        return self.tell_all(message)
