--- a/sedgepin/_placement/_plan.py
+++ b/sedgepin/_placement/_plan.py
@@ -203,25 +203,53 @@
     ) -> _engines.Engine | None:
         """Return the engine that can best be given layers of a gap.
 
-        With ``has_layers`` it is one whose layers others hold as well.
+        With ``has_layers`` it is one whose layers others hold as well, and
+        of these the one that is missed least.
         """
-        copies = self._copies(made)
-        free: list[_engines.Engine] = []
-        for engine in self.engines:
-            held = made.get(engine.endpoint_id)
-            if self._limit(engine, 0.0) <= 0:
-                continue
-            if held is None and not has_layers:
-                free.append(engine)
-            if held is not None and has_layers:
-                if min(copies[held.first : held.end], default=0) > 1:
-                    free.append(engine)
-        if not free:
-            return None
-        return max(
-            free, key=lambda one: (self._limit(one, 0.0), one.endpoint_id)
+        fit = [one for one in self.engines if self._limit(one, 0.0) > 0]
+        if not has_layers:
+            free = [one for one in fit if one.endpoint_id not in made]
+            return max(
+                free,
+                key=lambda one: (self._limit(one, 0.0), one.endpoint_id),
+                default=None,
+            )
+        losses = {one.endpoint_id: self._loss(made, one) for one in fit}
+        free = [one for one in fit if losses[one.endpoint_id] is not None]
+        return min(
+            free,
+            key=lambda one: (
+                losses[one.endpoint_id],
+                one.accelerator.step_factor,
+                one.accelerator.memory_megabytes,
+                one.endpoint_id,
+            ),
+            default=None,
         )
 
+    def _loss(self, made: Plan, engine: _engines.Engine) -> float | None:
+        """Return how much slower its layers run on those who copy them.
+
+        Nothing if one of its layers has no other holder.
+        """
+        held = made.get(engine.endpoint_id)
+        if held is None:
+            return None
+        loss = 0.0
+        for layer in range(held.first, held.end):
+            factors = [
+                one.accelerator.step_factor
+                for one in self.engines
+                if one is not engine
+                and (other := made.get(one.endpoint_id)) is not None
+                and other.first <= layer < other.end
+            ]
+            if not factors:
+                return None
+            slower = min(factors) - engine.accelerator.step_factor
+            loss += max(0.0, slower)
+        return loss
+
     def _copies(self, made: Plan) -> list[int]:
         """Return how many engines hold each layer."""
         copies = [0] * self.profile.layer_count
--- a/sedgepin/_placement/tests/test_plan.py
+++ b/sedgepin/_placement/tests/test_plan.py
@@ -138,3 +138,37 @@
         there[0] = dataclasses.replace(there[0], layers=None)
         second = placement.plan(there, make_profile())
         assert there[0].endpoint_id in second
+
+    @pytest.mark.parametrize("newcomers", [1, 2])
+    def test_fast_engine_is_not_spent_on_a_small_gap(
+        self, newcomers: int
+    ) -> None:
+        """Seen on a release: an a100 gave up 27 layers for 5.
+
+        New engines come first and copy what was held once; then an old one
+        leaves, and the a100's layers are all held by others as well.
+        """
+        engines = make_engines()
+        there = apply(engines, placement.plan(engines, make_profile()))
+        for number in range(newcomers):
+            there.append(
+                placement.Engine(
+                    model.EndpointId(f"new-{number}"),
+                    model.DataCentreId("one"),
+                    _V100,
+                )
+            )
+            there = apply(there, placement.plan(there, make_profile()))
+        drained = next(
+            one
+            for one in there
+            if one.data_centre == "one"
+            and one.layers is not None
+            and one.layers.first == 59
+        )
+        left = [one for one in there if one is not drained]
+        plan = placement.plan(left, make_profile())
+        for one in left:
+            if one.accelerator is _A100:
+                assert one.layers is not None
+                assert plan[one.endpoint_id].holds(one.layers)
