Pass over an engine that is lost between two plans

Found in reading: an engine whose loss became known between two plans was looked up among the live ones, which would have ended the leader's process.

--- a/sedgepin/_registrar/_layer_orders.py
+++ b/sedgepin/_registrar/_layer_orders.py
@@ -77,12 +77,14 @@
             self._plan(words, configuration, now)
         made: list[_effects.RegistrarEffect] = []
         for endpoint_id, task in self._tasks.items():
-            if task.is_waiting or now < task.next_at:
+            word = words.get(endpoint_id)
+            if word is None or task.is_waiting or now < task.next_at:
                 continue
             task.is_waiting = True
-            address = words[endpoint_id].address
             made.append(
-                _effects.InspectEngine(endpoint_id, task.incarnation, address)
+                _effects.InspectEngine(
+                    endpoint_id, task.incarnation, word.address
+                )
             )
         return made
 
--- a/sedgepin/_registrar/tests/test_layer_orders.py
+++ b/sedgepin/_registrar/tests/test_layer_orders.py
@@ -118,6 +118,24 @@
         fleet.tick(3000)
         assert fleet.given == []
 
+    def test_engine_lost_between_two_plans_is_passed_over(self) -> None:
+        fleet = _Fleet()
+        orders = fleet.orders
+        orders.visit_leadership(_START)
+        words = list(fleet.words.values())
+        orders.tick(words, _table(), 1, _START)
+        settled = _START + datetime.timedelta(seconds=3)
+        asked = orders.tick(words, _table(), 1, settled)[0]
+        assert isinstance(asked, _effects.InspectEngine)
+        name = asked.endpoint_id
+        silent = _events.EngineInspected(name, 1, None, False)
+        orders.inspected(silent, fleet.words[name], 7, settled)
+        planned = settled + datetime.timedelta(milliseconds=900)
+        orders.tick(words, _table(), 1, planned)
+        left = [one for one in words if one.endpoint_id != name]
+        due = settled + datetime.timedelta(milliseconds=1050)
+        assert orders.tick(left, _table(), 1, due) == []
+
     def test_refused_order_is_not_repeated_at_once(self) -> None:
         fleet = _Fleet()
         fleet.orders.visit_leadership(_START)
