Refuse times that no clock can hold instead of ending the process

Found in reading: a deadline of infinity from a caller, or a timeout of 1e300 in a configuration, overflows and would have ended the daemon.

--- a/sedgepin/platform/_configuration.py
+++ b/sedgepin/platform/_configuration.py
@@ -116,7 +116,12 @@
     try:
         found = _DECODER.decode(document)
         configuration = _configuration(found)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+    except (
+        msgspec.MsgspecError,
+        OverflowError,
+        RecursionError,
+        ValueError,
+    ) as exc:
         fault = errors.FieldFault("document", str(exc))
         return result.Err(_refused((fault,)))
     faults = catalog.find_faults(configuration)
--- a/sedgepin/platform/_gateway.py
+++ b/sedgepin/platform/_gateway.py
@@ -65,7 +65,7 @@
                     resume_after=_number(fields.get(b"last-event-id")),
                 )
             )
-        except ValueError as exc:
+        except (OverflowError, ValueError) as exc:
             return result.Err(gateway.RequestRefused(str(exc)))
 
     def endpoint_request(
--- a/sedgepin/platform/tests/test_documents.py
+++ b/sedgepin/platform/tests/test_documents.py
@@ -121,6 +121,7 @@
         [
             {"routes": [{**_ROUTE, "timeoutMs": 0}]},
             {"routes": [{**_ROUTE, "kind": "odd"}]},
+            {"routes": [{**_ROUTE, "timeoutMs": 1e300}]},
             {"routes": [_ROUTE, _ROUTE]},
             {"routes": [{**_ROUTE, "trafficSplit": []}]},
             {"services": [{"name": "m"}]},
--- a/sedgepin/platform/tests/test_gateway.py
+++ b/sedgepin/platform/tests/test_gateway.py
@@ -46,6 +46,8 @@
         "extra",
         [
             (b"X-Deadline-Ms", b"soon"),
+            (b"X-Deadline-Ms", b"inf"),
+            (b"X-Deadline-Ms", b"nan"),
             (b"X-Token-Usage", b"700"),
             (b"Last-Event-Id", b"x"),
         ],
