--- a/sedgepin/_gateway/_calls.py
+++ b/sedgepin/_gateway/_calls.py
@@ -74,7 +74,6 @@
     customer: model.CustomerId | None
     pipeline: model.Pipeline | None = None
     resume_after: int | None = None
-    weights_version: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -31,7 +31,6 @@
     position: int | None = None
     has_output: bool = False
     is_rerouting: bool = False
-    has_ended: bool = False
     waits_since: datetime.datetime | None = None
     tried: set[model.EndpointId] = dataclasses.field(default_factory=set)
 
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -76,11 +76,6 @@
         """Return the configuration in force here."""
         return self._core.table
 
-    @property
-    def open_count(self) -> int:
-        """Return how many requests are on their way."""
-        return len(self._core.exchanges)
-
     def handle(
         self, event: _events.GatewayEvent, now: datetime.datetime
     ) -> Effects:
--- a/sedgepin/_protocol/_transport.py
+++ b/sedgepin/_protocol/_transport.py
@@ -157,10 +157,6 @@
         if self._nursery is not None:
             self._nursery.start_soon(self._keep_dialling, peer)
 
-    def hang_up(self, peer_id: str) -> None:
-        """Dial a peer no more; a stream that is up stays."""
-        self._dials.pop(peer_id, None)
-
     async def run(
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
@@ -194,7 +190,7 @@
         await self._converse_secured(secured, address)
 
     async def _keep_dialling(self, peer: settings.Peer) -> None:
-        while self._dials.get(peer.id) is peer:
+        while True:
             try:
                 await self._dial(peer)
             except OSError:
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -128,7 +128,7 @@
             sequence=word.sequence,
             state=word.state.value,
             address=word.address,
-            layers=_shown(word.layers),
+            layers=_layer_orders.shown(word.layers),
         )
         message = protocol.RegistrationsSeen(changed=(word,))
         return [_effects.WriteLog(line), *self._peers.tell_all(message)]
@@ -227,7 +227,3 @@
             _effects.SendMessage(entry, message)
             for entry in sorted(self.loads)
         ]
-
-
-def _shown(layers: model.LayerRange | None) -> str:
-    return "none" if layers is None else f"{layers.first}-{layers.end}"
--- a/sedgepin/_registrar/_layer_orders.py
+++ b/sedgepin/_registrar/_layer_orders.py
@@ -125,7 +125,7 @@
             first=task.layers.first,
             end=task.layers.end,
             fencing_token=fencing_token,
-            held=_shown(report.layers),
+            held=shown(report.layers),
         )
         return [_effects.WriteLog(line), order]
 
@@ -218,5 +218,6 @@
         return found
 
 
-def _shown(layers: model.LayerRange | None) -> str:
+def shown(layers: model.LayerRange | None) -> str:
+    """Return layers as log lines have them."""
     return "none" if layers is None else f"{layers.first}-{layers.end}"
