Let idle engines copy the layers held least often

Cause: after a second copy of every layer, engines that were left over held nothing. Ruled out: memory; the idle engines can hold 80 layers more. Change: further copies go to the layers that are held least often. The small fleets have no idle engine and keep their plan.

--- a/sedgepin/_placement/_plan.py
+++ b/sedgepin/_placement/_plan.py
@@ -2,7 +2,7 @@
 
 Every data centre that can holds the whole model once, on its fastest
 engines, so that a request need not leave it.  Engines that are left over
-hold a second copy of some layers, and take over what a lost engine held.
+hold further copies of some layers, and take over what a lost engine held.
 """
 
 import collections.abc
@@ -184,12 +184,17 @@
         )
 
     def _back_up(self, made: Plan, room: float) -> Plan:
-        """Let engines that hold nothing copy layers held only once."""
+        """Let engines that hold nothing copy the layers held least often.
+
+        Copies beyond the second are for load: caches and time are shared
+        among all that hold a layer.
+        """
         filled = dict(made)
         for engine in sorted(self.engines, key=_speed_order):
             if engine.endpoint_id in filled:
                 continue
-            gap = _first_gap(self._copies(filled), 1)
+            copies = self._copies(filled)
+            gap = _first_gap(copies, min(copies))
             count = self._limit(engine, room)
             if gap is None or count <= 0:
                 continue
--- a/sedgepin/_placement/tests/test_plan.py
+++ b/sedgepin/_placement/tests/test_plan.py
@@ -14,6 +14,7 @@
 _L4 = catalog.AcceleratorProfile("l4", 21_600.0, 16.0, 8.2)
 # Cards in each data centre: a100, v100, l4.
 _CARDS = {"one": (2, 4, 4), "two": (1, 6, 6), "three": (1, 10, 4)}
+_GROWN_CARDS = {"one": (4, 10, 11), "two": (3, 14, 16), "three": (2, 24, 9)}
 
 
 def make_profile() -> catalog.EngineProfile:
@@ -97,6 +98,35 @@
             room = placement.cache_room_tokens(profile, one.accelerator, count)
             assert room >= 60 * 995
 
+    @pytest.mark.parametrize("place", list(_GROWN_CARDS))
+    def test_no_engine_is_left_idle_on_the_grown_fleet(
+        self, place: str
+    ) -> None:
+        """Seen under load: caches full while ten engines held nothing."""
+        engines = make_engines(_GROWN_CARDS)
+        plan = placement.plan(engines, make_profile())
+        idle = [
+            one.endpoint_id
+            for one in engines
+            if one.data_centre == place and one.endpoint_id not in plan
+        ]
+        assert idle == []
+
+    @pytest.mark.parametrize("place", list(_GROWN_CARDS))
+    def test_copies_are_spread_over_the_layers(self, place: str) -> None:
+        engines = make_engines(_GROWN_CARDS)
+        plan = placement.plan(engines, make_profile())
+        copies = [
+            sum(
+                plan[one.endpoint_id].holds(model.LayerRange(at, at + 1))
+                for one in engines
+                if one.data_centre == place
+            )
+            for at in range(80)
+        ]
+        assert min(copies) >= 2
+        assert max(copies) - min(copies) <= 2
+
     def test_small_data_centres_hold_the_model_together(self) -> None:
         cards = {"one": (1, 0, 0), "two": (1, 2, 0), "three": (0, 3, 2)}
         engines = make_engines(cards)
