Pass over an engine that refused for lack of room

Change: an engine that refuses by itself, or tells that its slots are taken, counts as full for 250 ms; other pipelines are chosen, or the request waits. Ruled out: suspicion, which is for engines that do not answer.

--- a/sedgepin/_gateway/_attempts.py
+++ b/sedgepin/_gateway/_attempts.py
@@ -81,9 +81,11 @@
             self._note_aboard(exchange, now)
         if event.outcome in (_Outcome.NOT_SENT, _Outcome.UNKNOWN):
             self._core.failed.append(blamed)
-        if event.outcome is _Outcome.NOT_RUN:
+        if event.outcome is _Outcome.NOT_RUN and dispatch.pipeline is not None:
             full = self._core.fleet.fullness(exchange.service, blamed)
-            if full > _FULL_SHARE:
+            # A first engine that blames no other one answers, so it lives.
+            if full > _FULL_SHARE or blamed == dispatch.endpoint_id:
+                self._core.fleet.note_refusal(blamed, now)
                 return []
         if event.outcome in (_Outcome.NOT_SENT, _Outcome.NOT_RUN):
             return self._core.suspect(blamed, event.detail, now)
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -20,6 +20,9 @@
 _EXACT_FROM = 0.7
 # An endpoint's word on its load is believed for this long.
 _LOAD_LIFE = datetime.timedelta(milliseconds=1000)
+# An engine that refused is taken to be full for this long: some of its
+# requests end within it, and another refusal costs little.
+_REFUSAL_LIFE = datetime.timedelta(milliseconds=250)
 # By which share of its time a pipeline of another data centre must be
 # faster; a choice between equals should not cross a link that may be cut.
 _HOME_ADVANTAGE = 0.05
@@ -33,8 +36,16 @@
 class _ToldLoad:
     running: int
     waiting: int
+    slots: int | None
     at: datetime.datetime
 
+    @property
+    def is_full(self) -> bool:
+        """Tell whether the endpoint has no slot free."""
+        if self.slots is None:
+            return False
+        return self.running + self.waiting >= self.slots
+
 
 @dataclasses.dataclass(slots=True)
 class _KnownPath:
@@ -54,6 +65,7 @@
     __slots__ = (
         "_data_centre",
         "_paths",
+        "_refused",
         "_reported",
         "_running",
         "_silence",
@@ -79,6 +91,7 @@
             collections.Counter()
         )
         self._told: dict[model.EndpointId, _ToldLoad] = {}
+        self._refused: dict[model.EndpointId, datetime.datetime] = {}
         self._paths: dict[model.ServiceName, _KnownPath] = {}
         self._reported: _Loads = {}
         self._summed: _Loads = {}
@@ -141,9 +154,16 @@
         """Take in what an endpoint said of its load."""
         if marks.running is not None and marks.waiting is not None:
             self._told[endpoint_id] = _ToldLoad(
-                marks.running, marks.waiting, now
+                marks.running, marks.waiting, marks.slots, now
             )
 
+    def note_refusal(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> None:
+        """Take an engine that has no room for one request as full."""
+        self._refused[endpoint_id] = now
+        self._version += 1
+
     def take(
         self,
         endpoint_ids: collections.abc.Iterable[model.EndpointId],
@@ -331,10 +351,22 @@
                     accelerator,
                     self._running[word.endpoint_id] + other.running,
                     self._tokens[word.endpoint_id] + other.tokens,
+                    has_refused=self._has_refused(word.endpoint_id, now),
                 )
             )
         return found
 
+    def _has_refused(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> bool:
+        refused_at = self._refused.get(endpoint_id)
+        if refused_at is not None and now - refused_at < _REFUSAL_LIFE:
+            return True
+        told = self._told.get(endpoint_id)
+        return (
+            told is not None and told.is_full and now - told.at < _REFUSAL_LIFE
+        )
+
     def _usable(
         self, service: model.ServiceName, now: datetime.datetime
     ) -> list[catalog.Registration]:
--- a/sedgepin/_gateway/tests/test_waiting.py
+++ b/sedgepin/_gateway/tests/test_waiting.py
@@ -4,6 +4,7 @@
 small engines in ``parts``: a cache of 1000 tokens on each of two copies.
 """
 
+from sedgepin._gateway import _calls
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _events
 from sedgepin._gateway.tests import parts
@@ -79,6 +80,46 @@
         fleet = gateway.reducer._core.fleet
         assert not fleet.is_suspected(model.EndpointId("high"), gateway.now)
 
+    def test_the_same_engine_is_not_asked_again_at_once(self) -> None:
+        """Seen on the grown fleet: four refusals within 30 ms."""
+        gateway = parts.Gateway()
+        one, effects = gateway.arrive("/draft/x")
+        first = parts.only(effects, _effects.StartAttempt).dispatch
+        effects = gateway.end(one, _Outcome.NOT_RUN)
+        second = parts.only(effects, _effects.StartAttempt).dispatch
+        assert {first.endpoint_id, second.endpoint_id} == {"low", "far-low"}
+
+    def test_first_engine_that_refuses_is_used_again_soon(self) -> None:
+        gateway = parts.Gateway()
+        one, effects = gateway.arrive("/draft/x")
+        gateway.end(one, _Outcome.NOT_RUN)
+        fleet = gateway.reducer._core.fleet
+        assert not fleet.is_suspected(model.EndpointId("low"), gateway.now)
+        gateway.advance(300)
+        _, effects = gateway.arrive("/draft/x")
+        start = parts.only(effects, _effects.StartAttempt)
+        assert start.dispatch.endpoint_id == "low"
+
+    def test_when_every_first_engine_refuses_the_caller_is_told(self) -> None:
+        gateway = parts.Gateway()
+        one, _ = gateway.arrive("/draft/x")
+        gateway.end(one, _Outcome.NOT_RUN)
+        effects = gateway.end(one, _Outcome.NOT_RUN)
+        failure = parts.only(effects, _effects.Fail).failure
+        assert failure.http_status == 503
+        assert failure.retry_after is not None
+
+    def test_engine_whose_slots_are_taken_is_passed_over(self) -> None:
+        gateway = parts.Gateway()
+        marks = _calls.AnswerMarks(
+            None, True, False, running=8, waiting=1, slots=8
+        )
+        told = _events.LoadTold(model.EndpointId("low"), marks)
+        gateway.handle(told)
+        _, effects = gateway.arrive("/draft/x")
+        start = parts.only(effects, _effects.StartAttempt)
+        assert start.dispatch.endpoint_id == "far-low"
+
     def test_empty_engine_that_refuses_is_left_alone(self) -> None:
         gateway = parts.Gateway()
         one, _ = gateway.arrive("/draft/x")
--- a/sedgepin/_placement/_paths.py
+++ b/sedgepin/_placement/_paths.py
@@ -28,6 +28,8 @@
 # An engine without room preempts its newest request, which then waits for
 # seconds.
 _OVERFULL_MILLISECONDS = 100.0
+# The share of its cache that an engine which refused has given away at least.
+_REFUSED_SHARE = 1.05
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -47,7 +49,8 @@
 class PathEngine:
     """An engine that may run part of a request, and its known load.
 
-    ``slowness`` is how many times longer than usual it takes.
+    ``slowness`` is how many times longer than usual it takes.  One that
+    ``has_refused`` just now is full, whatever is known of its load.
     """
 
     endpoint_id: model.EndpointId
@@ -58,6 +61,7 @@
     running_requests: float = 0.0
     held_tokens: float = 0.0
     slowness: float = 1.0
+    has_refused: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -180,6 +184,8 @@
             read = engine.accelerator.read_factor * seconds * 1000
         per_layer = engine.slowness * (token + read) / profile.layer_count
         share = (engine.held_tokens + size.total) / max(room, 1.0)
+        if engine.has_refused:
+            share = max(share, _REFUSED_SHARE)
         once = _fullness_milliseconds(share) * size.answer_tokens
         return _Priced(engine, per_layer, once, share)
 
