--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -135,7 +135,7 @@
         )
         self._transport = protocol.StreamTransport(
             hello,
-            cfg.vm_id,
+            cfg.peer_listen or cfg.vm_id,
             [_peer(one) for one in cfg.controls],
             None,
             self._driver.submit,
--- a/sedgepin/_gateway/_settings.py
+++ b/sedgepin/_gateway/_settings.py
@@ -37,6 +37,7 @@
     heartbeat_interval: datetime.timedelta
     grace: datetime.timedelta
     metrics_listen: str | None = None
+    peer_listen: str | None = None
 
     @property
     def endpoint_silence(self) -> datetime.timedelta:
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -166,7 +166,7 @@
         is_seed = cfg.vm_id in cfg.seeds
         self._transport = protocol.StreamTransport(
             hello,
-            cfg.vm_id,
+            cfg.peer_listen or cfg.vm_id,
             [
                 self._peer(one)
                 for one in cfg.seeds
--- a/sedgepin/_registrar/_settings.py
+++ b/sedgepin/_registrar/_settings.py
@@ -24,6 +24,7 @@
     is_new_system: bool
     heartbeat_interval: datetime.timedelta
     metrics_listen: str | None = None
+    peer_listen: str | None = None
 
     @property
     def endpoint_silence(self) -> datetime.timedelta:
--- a/sedgepin/platform/_settings.py
+++ b/sedgepin/platform/_settings.py
@@ -21,6 +21,9 @@
     front: str = ""
     ready: str = ""
     control: str = ""
+    # Ours: where peers are listened for, if not at the address that they
+    # know, as behind a translation of addresses.
+    peers: str | None = None
 
 
 class _Bounds(msgspec.Struct, frozen=True, rename="camel"):
@@ -84,6 +87,7 @@
             is_new_system=self.bootstrap,
             heartbeat_interval=self._heartbeat,
             metrics_listen=self._metrics_listen(metrics_port),
+            peer_listen=self.listen.peers,
         )
 
     def gateway(
@@ -105,6 +109,7 @@
             heartbeat_interval=self._heartbeat,
             grace=datetime.timedelta(seconds=bounds.grace_s),
             metrics_listen=self._metrics_listen(metrics_port),
+            peer_listen=self.listen.peers,
         )
 
 
