Never call a request not run after an engine may have run it

Cause: an attempt that is given up because its first engine died does not count against the route's attempts; the same count decided whether a refusal may say that nothing has run. Change: what may have run is kept apart from what counts as an attempt. Ruled out: counting the attempt, which would end requests whose engines die one after the other. Before / after: the test fails / passes.

--- a/sedgepin/_gateway/_attempts.py
+++ b/sedgepin/_gateway/_attempts.py
@@ -62,6 +62,8 @@
         made += self._blame(event, exchange, dispatch, now)
         self._core.release(exchange)
         exchange.tried.add(dispatch.endpoint_id)
+        if event.outcome not in (_Outcome.NOT_SENT, _Outcome.NOT_RUN):
+            exchange.may_have_run = True
         return made + self._after_attempt(exchange, event, now)
 
     def _blame(
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -12,9 +12,10 @@
 class Exchange:
     """A request that was let in, and what became of it so far.
 
-    ``run_count`` counts the attempts that may have run; ``tried`` holds the
-    endpoints that failed it.  ``waits_since`` is set while it waits for an
-    endpoint.
+    ``run_count`` counts the attempts that may have run, but for those on
+    endpoints that are gone; ``may_have_run`` is about all of them.  ``tried``
+    holds the endpoints that failed it.  ``waits_since`` is set while it waits
+    for an endpoint.
     """
 
     exchange_id: int
@@ -27,6 +28,7 @@
     dispatch: _calls.Dispatch | None = None
     send_count: int = 0
     run_count: int = 0
+    may_have_run: bool = False
     reroute_count: int = 0
     position: int | None = None
     has_output: bool = False
--- a/sedgepin/_gateway/_requests.py
+++ b/sedgepin/_gateway/_requests.py
@@ -158,7 +158,7 @@
             code=failure.code,
             detail=failure.detail(),
             attempts=exchange.send_count,
-            may_have_run=exchange.run_count,
+            may_have_run=exchange.may_have_run,
             position=exchange.position,
             milliseconds=_core.milliseconds(now - exchange.arrived_at),
         )
@@ -300,7 +300,7 @@
 
         An earlier attempt may have run although the last one did not.
         """
-        if exchange.run_count == 0 and not exchange.has_output:
+        if not exchange.may_have_run and not exchange.has_output:
             return failure
         return _failures.OutcomeUnknown(failure.detail())
 
--- a/sedgepin/_gateway/tests/test_requests.py
+++ b/sedgepin/_gateway/tests/test_requests.py
@@ -167,6 +167,24 @@
         parts.only(effects, _effects.StartAttempt)
 
 
+class TestNotRun:
+    """A refusal says that nothing has run, so nothing may have."""
+
+    def test_given_up_at_an_engine_that_then_died(self) -> None:
+        """Soak seed 103: a stream was answered 503 after it had run."""
+        gateway = parts.Gateway()
+        one, effects = gateway.arrive("/draft/x")
+        dispatch = parts.only(effects, _effects.StartAttempt).dispatch
+        for name in ("low", "far-low"):
+            lost = protocol.EndpointLost(model.EndpointId(name), 1)
+            gateway.tell(lost)
+        effects = gateway.end(
+            one, _Outcome.CANCELLED, endpoint_id=dispatch.endpoint_id
+        )
+        failure = parts.only(effects, _effects.Fail).failure
+        assert failure.http_status == 502
+
+
 class TestStreams:
     def test_goes_on_after_the_last_event(self) -> None:
         gateway = parts.Gateway()
