Reckon with requests that other entries sent since the last sum

Cause: between two sums of the load every entry VM sees the same idle engines. Change: an entry takes the others to send as much as itself, places a random part of that on the best pipelines first and then its own request.

--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -4,10 +4,12 @@
 import collections.abc
 import dataclasses
 import datetime
+import random
 
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _suspicions
+from sedgepin._gateway import _unseen
 from sedgepin import _model as model
 from sedgepin import _placement as placement
 from sedgepin import _protocol as protocol
@@ -20,6 +22,8 @@
 _EXACT_FROM = 0.7
 # An endpoint's word on its load is believed for this long.
 _LOAD_LIFE = datetime.timedelta(milliseconds=1000)
+# Searches for one request beside unseen ones; each takes about 1 ms.
+_UNSEEN_ROUNDS = 4
 # An engine that refused is taken to be full for this long: some of its
 # requests end within it, and another refusal costs little.
 _REFUSAL_LIFE = datetime.timedelta(milliseconds=250)
@@ -75,10 +79,14 @@
         "_tokens",
         "_version",
         "registry",
+        "unseen",
     )
 
     def __init__(
-        self, data_centre: model.DataCentreId, silence: datetime.timedelta
+        self,
+        data_centre: model.DataCentreId,
+        silence: datetime.timedelta,
+        rng: random.Random,
     ) -> None:
         self._data_centre = data_centre
         self._silence = silence
@@ -96,6 +104,7 @@
         self._reported: _Loads = {}
         self._summed: _Loads = {}
         self._version = 0
+        self.unseen = _unseen.UnseenLoad(rng)
 
     def own_loads(self) -> tuple[protocol.EndpointLoad, ...]:
         """Return the load that this VM puts on endpoints, to be reported."""
@@ -107,13 +116,16 @@
         return loads
 
     def take_sum(
-        self, loads: collections.abc.Iterable[protocol.EndpointLoad]
+        self,
+        loads: collections.abc.Iterable[protocol.EndpointLoad],
+        now: datetime.datetime,
     ) -> None:
         """Take in the load that all entry VMs put on endpoints.
 
         What this VM last reported is in the sum; it is taken out, since its
         own load is known better.
         """
+        self.unseen.record_sum(now)
         self._summed = {}
         for one in loads:
             own = self._reported.get(one.endpoint_id)
@@ -229,12 +241,45 @@
         ):
             known.uses += 1
             return known.found
-        found = self._search(service, size, now, None, frozenset())
+        found = self._search_beside_others(service, size, now)
         self._paths.pop(service.name, None)
         if found is not None and found.fullness < _EXACT_FROM:
             self._paths[service.name] = _KnownPath(found, now, self._version)
         return found
 
+    def _search_beside_others(
+        self,
+        service: catalog.Service,
+        size: placement.Size,
+        now: datetime.datetime,
+    ) -> placement.Found | None:
+        """Search as if some requests of other entries had been placed.
+
+        They are taken to fill the best pipelines first, as this VM would.
+        Where they fill all of them, any one may be the right one.
+        """
+        if service.engine is None:
+            return None
+        engines = self._engines(service, service.engine, now)
+        found = self._best(service.engine, size, engines)
+        before = self.unseen.draw(now)
+        passed: list[placement.Found] = []
+        while found is not None and before >= 1.0 and found.fullness <= 1.0:
+            passed.append(found)
+            if len(passed) > _UNSEEN_ROUNDS:
+                break
+            count = min(before, max(1.0, found.spare_requests))
+            before -= count
+            taken = {one.endpoint_id for one in found.pipeline.stages}
+            engines = [
+                one.with_more(count, size) if one.endpoint_id in taken else one
+                for one in engines
+            ]
+            found = self._best(service.engine, size, engines)
+        if passed and (found is None or found.fullness > 1.0):
+            return self.unseen.choose(passed)
+        return found
+
     def find_detour(
         self,
         service: catalog.Service,
@@ -243,9 +288,12 @@
         now: datetime.datetime,
     ) -> model.Pipeline | None:
         """Return a pipeline with the same first stage, for a running one."""
+        if service.engine is None:
+            return None
         first = pipeline.stages[0]
         kept = frozenset(one.endpoint_id for one in pipeline.stages)
-        found = self._search(service, size, now, first, kept)
+        engines = self._engines(service, service.engine, now)
+        found = self._best(service.engine, size, engines, first, kept)
         return None if found is None else found.pipeline
 
     def is_suspected(
@@ -287,35 +335,32 @@
         known = self.registry.find(endpoint_id)
         return known is not None and self._is_usable(known, now)
 
-    def _search(
+    def _best(
         self,
-        service: catalog.Service,
+        profile: catalog.EngineProfile,
         size: placement.Size,
-        now: datetime.datetime,
-        first: model.Stage | None,
-        kept: frozenset[model.EndpointId],
+        engines: list[placement.PathEngine],
+        first: model.Stage | None = None,
+        kept: frozenset[model.EndpointId] = frozenset(),
     ) -> placement.Found | None:
         """Search within each data centre, and across if none suffices.
 
         A pipeline within one data centre sends no activations over the links
         between them.
         """
-        if service.engine is None:
-            return None
-        engines = self._engines(service, service.engine, now)
         groups: dict[model.DataCentreId, list[placement.PathEngine]] = {}
         for one in engines:
             groups.setdefault(one.data_centre, []).append(one)
         best: placement.Found | None = None
         for home, members in sorted(groups.items()):
-            finder = placement.PathFinder(service.engine, members)
+            finder = placement.PathFinder(profile, members)
             found = finder.find(size, home, first, kept).ok()
             if found is None:
                 continue
             if best is None or self._is_better(home, found, best):
                 best = found
         if best is None:
-            finder = placement.PathFinder(service.engine, engines)
+            finder = placement.PathFinder(profile, engines)
             best = finder.find(size, self._data_centre, first, kept).ok()
         return best
 
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -150,10 +150,11 @@
                 return self._merge(message, now)
             case protocol.ControlsKnown(controls, entry_count):
                 self._core.budget.set_entry_count(entry_count)
+                self._core.fleet.unseen.set_entry_count(entry_count)
                 return self._meet(controls)
             case protocol.LoadSummed(loads):
                 if self._load_exchange.hear(sender, now):
-                    self._core.fleet.take_sum(loads)
+                    self._core.fleet.take_sum(loads, now)
             case protocol.CrashWitnessed(fingerprint, endpoint_id, life):
                 self._core.crashes.witness(fingerprint, endpoint_id, life, now)
             case protocol.EndpointLost(endpoint_id, incarnation):
--- a/sedgepin/_gateway/_requests.py
+++ b/sedgepin/_gateway/_requests.py
@@ -270,6 +270,8 @@
         exchange.reroute_count = 0
         exchange.is_rerouting = False
         self._core.fleet.take(exchange.endpoint_ids, exchange.tokens)
+        if pipeline is not None:
+            self._core.fleet.unseen.record_sent(now)
         line = events.REQUEST_DISPATCHED.line(
             request=exchange.request.request_id,
             route=exchange.route.name,
--- a/sedgepin/_placement/_paths.py
+++ b/sedgepin/_placement/_paths.py
@@ -63,18 +63,28 @@
     slowness: float = 1.0
     has_refused: bool = False
 
+    def with_more(self, requests: float, size: Size) -> "PathEngine":
+        """Return the engine with more requests of a size on it."""
+        return dataclasses.replace(
+            self,
+            running_requests=self.running_requests + requests,
+            held_tokens=self.held_tokens + requests * size.total,
+        )
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Found:
     """A pipeline and its expected time in ms, load and all.
 
     ``fullness`` is the share of its cache that the fullest engine would have
-    given away with this request; above 1 there is no room.
+    given away with this request; above 1 there is no room.  ``spare_requests``
+    is how many more of the same size there is room for.
     """
 
     pipeline: model.Pipeline
     cost: float
     fullness: float
+    spare_requests: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -85,6 +95,7 @@
     per_layer: float
     once: float
     fullness: float
+    spare_requests: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -155,9 +166,11 @@
         if not found:
             return result.Err(model.LayersNotTiled(last, max(ways)))
         best = min(found.values(), key=lambda way: way.cost)
+        spares = {one.engine.endpoint_id: one.spare_requests for one in priced}
+        spare = min(spares.get(one.endpoint_id, 0.0) for one in best.stages)
         tiled = model.Pipeline.tile(best.stages, last)
         return tiled.map(
-            lambda pipeline: Found(pipeline, best.cost, best.fullness)
+            lambda pipeline: Found(pipeline, best.cost, best.fullness, spare)
         )
 
     def _price(
@@ -187,7 +200,8 @@
         if engine.has_refused:
             share = max(share, _REFUSED_SHARE)
         once = _fullness_milliseconds(share) * size.answer_tokens
-        return _Priced(engine, per_layer, once, share)
+        spare = room * (1.0 - share) / max(size.total, 1.0)
+        return _Priced(engine, per_layer, once, share, max(0.0, spare))
 
 
 def _fullness_milliseconds(share: float) -> float:
