Ask engines how slow they are, and avoid the slow ones

Change: the leader asks each engine for its report once a second, a few in each tick, and tells every VM when one becomes slower or faster by a fifth; the search multiplies its times. Ruled out: judging by the pauses of streams, which do not tell which stage is slow, and asking only first engines, as a stall does.

--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -30,11 +30,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Known:
-    """An endpoint's latest word and when it was last heard."""
+    """An endpoint's latest word and when it was last heard.
+
+    ``slowness`` is how many times longer than usual it takes, by its report.
+    """
 
     registration: _registration.Registration
     heard_at: datetime.datetime
     lost_at: datetime.datetime | None = None
+    slowness: float = 1.0
 
     def is_live(
         self, silence: datetime.timedelta, now: datetime.datetime
@@ -122,6 +126,19 @@
         )
         return known.registration
 
+    def set_slowness(
+        self,
+        endpoint_id: model.EndpointId,
+        incarnation: int,
+        slowness: float,
+    ) -> bool:
+        """Note how slow an engine says it is; return whether it is known."""
+        known = self._known.get(endpoint_id)
+        if known is None or known.registration.incarnation != incarnation:
+            return False
+        known.slowness = slowness
+        return True
+
     def hear(
         self, endpoint_id: model.EndpointId, now: datetime.datetime
     ) -> None:
@@ -173,7 +190,12 @@
                 holder.registration = _with_state(
                     other, _registration.EndpointState.GONE
                 )
-        self._known[word.endpoint_id] = Known(word, now)
+        known = self._known.get(word.endpoint_id)
+        slowness = 1.0
+        if known is not None:
+            if known.registration.incarnation == word.incarnation:
+                slowness = known.slowness
+        self._known[word.endpoint_id] = Known(word, now, slowness=slowness)
         self._by_address[word.address] = word.endpoint_id
 
 
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -8,6 +8,7 @@
 
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _calls
+from sedgepin._gateway import _pipelines
 from sedgepin._gateway import _suspicions
 from sedgepin._gateway import _unseen
 from sedgepin import _model as model
@@ -22,14 +23,9 @@
 _EXACT_FROM = 0.7
 # An endpoint's word on its load is believed for this long.
 _LOAD_LIFE = datetime.timedelta(milliseconds=1000)
-# Searches for one request beside unseen ones; each takes about 1 ms.
-_UNSEEN_ROUNDS = 4
 # An engine that refused is taken to be full for this long: some of its
 # requests end within it, and another refusal costs little.
 _REFUSAL_LIFE = datetime.timedelta(milliseconds=250)
-# By which share of its time a pipeline of another data centre must be
-# faster; a choice between equals should not cross a link that may be cut.
-_HOME_ADVANTAGE = 0.05
 # What one waiting request counts against one in another data centre.
 _CROSSING_REQUESTS = 2.0
 
@@ -207,9 +203,9 @@
     ) -> catalog.Registration | None:
         """Return the least loaded endpoint of a plain service."""
         usable = [
-            word
-            for word in self._usable(service, now)
-            if word.endpoint_id not in avoided
+            known.registration
+            for known in self._usable(service, now)
+            if known.registration.endpoint_id not in avoided
         ]
         if not usable:
             # An endpoint that failed a moment ago is better than none.
@@ -241,43 +237,17 @@
         ):
             known.uses += 1
             return known.found
-        found = self._search_beside_others(service, size, now)
-        self._paths.pop(service.name, None)
-        if found is not None and found.fullness < _EXACT_FROM:
-            self._paths[service.name] = _KnownPath(found, now, self._version)
-        return found
-
-    def _search_beside_others(
-        self,
-        service: catalog.Service,
-        size: placement.Size,
-        now: datetime.datetime,
-    ) -> placement.Found | None:
-        """Search as if some requests of other entries had been placed.
-
-        They are taken to fill the best pipelines first, as this VM would.
-        Where they fill all of them, any one may be the right one.
-        """
         if service.engine is None:
             return None
         engines = self._engines(service, service.engine, now)
-        found = self._best(service.engine, size, engines)
+        search = _pipelines.PipelineSearch(
+            self._data_centre, service.engine, size
+        )
         before = self.unseen.draw(now)
-        passed: list[placement.Found] = []
-        while found is not None and before >= 1.0 and found.fullness <= 1.0:
-            passed.append(found)
-            if len(passed) > _UNSEEN_ROUNDS:
-                break
-            count = min(before, max(1.0, found.spare_requests))
-            before -= count
-            taken = {one.endpoint_id for one in found.pipeline.stages}
-            engines = [
-                one.with_more(count, size) if one.endpoint_id in taken else one
-                for one in engines
-            ]
-            found = self._best(service.engine, size, engines)
-        if passed and (found is None or found.fullness > 1.0):
-            return self.unseen.choose(passed)
+        found = search.best_beside(engines, self.unseen, before)
+        self._paths.pop(service.name, None)
+        if found is not None and found.fullness < _EXACT_FROM:
+            self._paths[service.name] = _KnownPath(found, now, self._version)
         return found
 
     def find_detour(
@@ -293,7 +263,10 @@
         first = pipeline.stages[0]
         kept = frozenset(one.endpoint_id for one in pipeline.stages)
         engines = self._engines(service, service.engine, now)
-        found = self._best(service.engine, size, engines, first, kept)
+        search = _pipelines.PipelineSearch(
+            self._data_centre, service.engine, size
+        )
+        found = search.best(engines, first, kept)
         return None if found is None else found.pipeline
 
     def is_suspected(
@@ -335,45 +308,6 @@
         known = self.registry.find(endpoint_id)
         return known is not None and self._is_usable(known, now)
 
-    def _best(
-        self,
-        profile: catalog.EngineProfile,
-        size: placement.Size,
-        engines: list[placement.PathEngine],
-        first: model.Stage | None = None,
-        kept: frozenset[model.EndpointId] = frozenset(),
-    ) -> placement.Found | None:
-        """Search within each data centre, and across if none suffices.
-
-        A pipeline within one data centre sends no activations over the links
-        between them.
-        """
-        groups: dict[model.DataCentreId, list[placement.PathEngine]] = {}
-        for one in engines:
-            groups.setdefault(one.data_centre, []).append(one)
-        best: placement.Found | None = None
-        for home, members in sorted(groups.items()):
-            finder = placement.PathFinder(profile, members)
-            found = finder.find(size, home, first, kept).ok()
-            if found is None:
-                continue
-            if best is None or self._is_better(home, found, best):
-                best = found
-        if best is None:
-            finder = placement.PathFinder(profile, engines)
-            best = finder.find(size, self._data_centre, first, kept).ok()
-        return best
-
-    def _is_better(
-        self,
-        home: model.DataCentreId,
-        found: placement.Found,
-        best: placement.Found,
-    ) -> bool:
-        if home == self._data_centre:
-            return found.cost <= best.cost * (1 + _HOME_ADVANTAGE)
-        return found.cost < best.cost * (1 - _HOME_ADVANTAGE)
-
     def _engines(
         self,
         service: catalog.Service,
@@ -381,7 +315,8 @@
         now: datetime.datetime,
     ) -> list[placement.PathEngine]:
         found: list[placement.PathEngine] = []
-        for word in self._usable(service.name, now):
+        for known in self._usable(service.name, now):
+            word = known.registration
             accelerator = profile.accelerator(word.accelerator)
             if word.layers is None or accelerator is None:
                 continue
@@ -396,6 +331,7 @@
                     accelerator,
                     self._running[word.endpoint_id] + other.running,
                     self._tokens[word.endpoint_id] + other.tokens,
+                    known.slowness,
                     has_refused=self._has_refused(word.endpoint_id, now),
                 )
             )
@@ -414,9 +350,9 @@
 
     def _usable(
         self, service: model.ServiceName, now: datetime.datetime
-    ) -> list[catalog.Registration]:
+    ) -> list[catalog.Known]:
         return [
-            known.registration
+            known
             for known in self.registry
             if known.registration.service == service
             and self._is_usable(known, now)
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -155,6 +155,11 @@
             case protocol.LoadSummed(loads):
                 if self._load_exchange.hear(sender, now):
                     self._core.fleet.take_sum(loads, now)
+            case protocol.EndpointPaced(endpoint_id, incarnation, slowness):
+                self._core.fleet.registry.set_slowness(
+                    endpoint_id, incarnation, slowness
+                )
+                self._core.fleet.note_change()
             case protocol.CrashWitnessed(fingerprint, endpoint_id, life):
                 self._core.crashes.witness(fingerprint, endpoint_id, life, now)
             case protocol.EndpointLost(endpoint_id, incarnation):
--- a/sedgepin/_gateway/tests/test_waiting.py
+++ b/sedgepin/_gateway/tests/test_waiting.py
@@ -128,6 +128,26 @@
         assert fleet.is_suspected(model.EndpointId("high"), gateway.now)
 
 
+class TestSlowEngines:
+    """A slow third of the engines: work goes to the others."""
+
+    def test_slow_engine_is_avoided_until_it_is_fast(self) -> None:
+        gateway = parts.Gateway()
+        low = model.EndpointId("low")
+        for slowness, expected in ((12.0, "far-low"), (1.0, "low")):
+            gateway.tell(protocol.EndpointPaced(low, 1, slowness))
+            _, effects = gateway.arrive("/draft/x")
+            start = parts.only(effects, _effects.StartAttempt)
+            assert start.dispatch.endpoint_id == expected
+
+    def test_slow_engine_is_better_than_none(self) -> None:
+        gateway = parts.Gateway(parts.fleet()[:2])
+        paced = protocol.EndpointPaced(model.EndpointId("low"), 1, 12.0)
+        gateway.tell(paced)
+        _, effects = gateway.arrive("/draft/x")
+        parts.only(effects, _effects.StartAttempt)
+
+
 class TestOtherEntries:
     """Load that other VMs put on the same engines counts as well."""
 
--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -15,6 +15,7 @@
 from sedgepin._protocol._messages import EndpointFailed
 from sedgepin._protocol._messages import EndpointLoad
 from sedgepin._protocol._messages import EndpointLost
+from sedgepin._protocol._messages import EndpointPaced
 from sedgepin._protocol._messages import EndpointsSeen
 from sedgepin._protocol._messages import FleetPublished
 from sedgepin._protocol._messages import FleetWanted
@@ -52,6 +53,7 @@
     "EndpointFailed",
     "EndpointLoad",
     "EndpointLost",
+    "EndpointPaced",
     "EndpointsSeen",
     "FRAME_LIMIT_BYTES",
     "FleetPublished",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -159,6 +159,14 @@
     incarnation: int
 
 
+class EndpointPaced(msgspec.Struct, frozen=True, tag=True):
+    """How many times longer than usual an engine takes, as it reports."""
+
+    endpoint_id: model.EndpointId
+    incarnation: int
+    slowness: float
+
+
 class CrashWitnessed(msgspec.Struct, frozen=True, tag=True):
     """An endpoint died with a request aboard."""
 
@@ -218,6 +226,7 @@
     | LoadReported
     | EndpointFailed
     | EndpointLost
+    | EndpointPaced
     | LoadSummed
     | ReadIndexAsked
     | ReadIndexAnswered
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -23,6 +23,14 @@
 _HEARD_INTERVAL = datetime.timedelta(milliseconds=500)
 # Several entries lose an endpoint at the same moment; one check serves all.
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=500)
+# Engines are asked for their report this often; it lags by 200 ms itself.
+_REPORT_INTERVAL = datetime.timedelta(seconds=1)
+# An engine that became this much slower or faster is worth a message.
+_SLOWNESS_STEP = 1.2
+# Ticks in which all engines are asked once.
+_REPORT_SHARES = 20
+_LEAST_SLOWNESS = 0.01
+_LONG_AGO = datetime.datetime.min.replace(tzinfo=datetime.timezone.utc)
 # Entries report their load at the same rate.
 _LOAD_INTERVAL = datetime.timedelta(milliseconds=200)
 # An entry that missed five reports is gone, or reports to another VM.
@@ -48,6 +56,7 @@
         "_loads_told_at",
         "_peers",
         "_raft",
+        "_report_asked_at",
         "_told_by",
         "_reported",
         "orders",
@@ -72,6 +81,7 @@
         self._heard_at = now
         self._checked_at: dict[model.EndpointId, datetime.datetime] = {}
         self._told_by: dict[model.EndpointId, model.VmId] = {}
+        self._report_asked_at: dict[model.EndpointId, datetime.datetime] = {}
 
     def tick(
         self, table: catalog.RouteTable | None, now: datetime.datetime
@@ -88,8 +98,81 @@
         if self._raft.lease_holds(now):
             live = self.live(now)
             made += self.orders.tick(live, table, self._raft.term, now)
+            made += self._ask_for_reports(live, table, now)
         return made
 
+    def _ask_for_reports(
+        self,
+        live: list[catalog.Registration],
+        table: catalog.RouteTable | None,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Ask the engines whose last report is the oldest."""
+        if table is None:
+            return []
+        engines = [one for one in live if _runs_model(one, table)]
+        asked_at = {
+            one.endpoint_id: self._report_asked_at[one.endpoint_id]
+            for one in engines
+            if one.endpoint_id in self._report_asked_at
+        }
+        self._report_asked_at = asked_at
+        due = [
+            one
+            for one in engines
+            if now - asked_at.get(one.endpoint_id, _LONG_AGO)
+            >= _REPORT_INTERVAL
+        ]
+        due.sort(key=lambda one: asked_at.get(one.endpoint_id, _LONG_AGO))
+        # A few in each tick, so that they are spread over the interval.
+        share = len(engines) // _REPORT_SHARES + 1
+        made: Effects = []
+        for one in due[:share]:
+            asked_at[one.endpoint_id] = now
+            made.append(
+                _effects.InspectEngine(
+                    one.endpoint_id, one.incarnation, one.address
+                )
+            )
+        return made
+
+    def _note_slowness(
+        self,
+        event: _events.EngineInspected,
+        known: catalog.Known,
+    ) -> Effects:
+        """Tell everyone of an engine that became slow, or fast again."""
+        if event.report is None:
+            return []
+        before, after = known.slowness, event.report.slowness
+        factor = max(before, after) / max(min(before, after), _LEAST_SLOWNESS)
+        is_news = factor >= _SLOWNESS_STEP
+        if not is_news or known.registration.incarnation != event.incarnation:
+            return []
+        known.slowness = after
+        line = events.ENDPOINT_PACED.line(
+            endpoint=event.endpoint_id,
+            incarnation=event.incarnation,
+            slowness=after,
+            before=before,
+        )
+        message = protocol.EndpointPaced(
+            event.endpoint_id, event.incarnation, after
+        )
+        return [_effects.WriteLog(line), *self._peers.tell_all(message)]
+
+    def slow_ones(self) -> list[protocol.EndpointPaced]:
+        """Return what a peer must be told that has just connected."""
+        return [
+            protocol.EndpointPaced(
+                known.registration.endpoint_id,
+                known.registration.incarnation,
+                known.slowness,
+            )
+            for known in self.registry
+            if known.slowness != 1.0
+        ]
+
     def live(self, now: datetime.datetime) -> list[catalog.Registration]:
         """Return the endpoints that were heard of lately."""
         gone = catalog.EndpointState.GONE
@@ -209,7 +292,7 @@
         known = self.registry.find(event.endpoint_id)
         if known is None or not self._raft.lease_holds(now):
             return []
-        made = self._lose(event, now)
+        made = self._lose(event, now) + self._note_slowness(event, known)
         if event.report is not None and not event.report.is_busy:
             news = self.registry.correct_layers(
                 event.endpoint_id, event.incarnation, event.report.layers
@@ -253,3 +336,9 @@
             _effects.SendMessage(entry, message)
             for entry in sorted(self._reported)
         ]
+
+
+def _runs_model(word: catalog.Registration, table: catalog.RouteTable) -> bool:
+    """Tell whether an endpoint runs a part of a model."""
+    service = table.service(word.service)
+    return service is not None and service.engine is not None
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -145,6 +145,11 @@
             case protocol.EndpointLost(endpoint_id, incarnation):
                 self._endpoints.registry.lose(endpoint_id, incarnation, now)
                 return []
+            case protocol.EndpointPaced(endpoint_id, incarnation, slowness):
+                self._endpoints.registry.set_slowness(
+                    endpoint_id, incarnation, slowness
+                )
+                return []
             case protocol.CrashWitnessed():
                 return self._peers.tell_entries(message, but=sender)
             case protocol.LoadReported(loads):
@@ -170,6 +175,10 @@
         words = tuple(known.registration for known in self._endpoints.registry)
         complete = protocol.RegistrationsSeen(words, (), True)
         made.append(_effects.SendMessage(hello.id, complete))
+        made += [
+            _effects.SendMessage(hello.id, one)
+            for one in self._endpoints.slow_ones()
+        ]
         return made + self._peers.tell_controls()
 
     def _drive(
--- a/sedgepin/_registrar/tests/cluster.py
+++ b/sedgepin/_registrar/tests/cluster.py
@@ -8,6 +8,7 @@
 from sedgepin import _catalog as catalog
 from sedgepin import _consensus as consensus
 from sedgepin import _model as model
+from sedgepin._placement.tests import test_plan
 from sedgepin import _protocol as protocol
 from sedgepin._registrar import _dialect
 from sedgepin._registrar import _effects
@@ -67,6 +68,14 @@
     return catalog.encode(catalog.Configuration(version, (), ()))
 
 
+def model_document(version: int) -> bytes:
+    """Return a configuration whose service ``s`` runs a model."""
+    service = catalog.Service(
+        model.ServiceName("s"), "/", 8, test_plan.make_profile()
+    )
+    return catalog.encode(catalog.Configuration(version, (), (service,)))
+
+
 class Cluster:
     """Control VMs ``a``, ``b``, ``c`` and one entry VM that listens."""
 
@@ -154,10 +163,13 @@
 
     def publish(self, vm_id: model.VmId, version: int) -> int:
         """Publish a configuration at a VM."""
+        return self.publish_document(vm_id, document(version))
+
+    def publish_document(self, vm_id: model.VmId, content: bytes) -> int:
+        """Publish a configuration, as it is encoded, at a VM."""
         self._next_id += 1
-        event = _events.ConfigurationSubmitted(
-            self._next_id, version, document(version)
-        )
+        version = catalog.decode(content).version
+        event = _events.ConfigurationSubmitted(self._next_id, version, content)
         self.handle(vm_id, event)
         self._deliver()
         return self._next_id
--- a/sedgepin/_registrar/tests/test_cluster.py
+++ b/sedgepin/_registrar/tests/test_cluster.py
@@ -334,3 +334,95 @@
             isinstance(message, protocol.EndpointLost)
             for message in cluster.entry
         )
+
+
+class TestReports:
+    """The leader asks engines how fast they are, and tells everyone."""
+
+    @pytest.fixture
+    def engines(self, cluster: clusters.Cluster) -> clusters.Cluster:
+        leader = cluster.leader()
+        cluster.publish_document(leader, clusters.model_document(7))
+        cluster.listen(leader)
+        for number in range(40):
+            word = _registration(
+                endpoint_id=model.EndpointId(f"e{number}"),
+                address=f"127.0.0.1:{number + 80}",
+            )
+            cluster.register(leader, word)
+        cluster.engine_calls.clear()
+        return cluster
+
+    def _asked(self, cluster: clusters.Cluster) -> list[str]:
+        return [
+            one.endpoint_id
+            for one in cluster.engine_calls
+            if isinstance(one, _effects.InspectEngine)
+        ]
+
+    def _report(self, cluster: clusters.Cluster, slowness: float) -> None:
+        report = _events.EngineReport(1, None, False, 0, slowness)
+        inspected = _events.EngineInspected(
+            model.EndpointId("e0"), 1, report, True
+        )
+        cluster.handle(cluster.leader(), inspected)
+        cluster.run(0.05)
+
+    def _told(self, cluster: clusters.Cluster) -> list[protocol.EndpointPaced]:
+        return [
+            one
+            for one in cluster.entry
+            if isinstance(one, protocol.EndpointPaced)
+        ]
+
+    def test_each_engine_is_asked_once_a_second_and_not_at_once(
+        self, engines: clusters.Cluster
+    ) -> None:
+        engines.run(0.05)
+        assert 0 < len(self._asked(engines)) <= 4
+        engines.run(0.95)
+        asked = self._asked(engines)
+        assert len(set(asked)) == 40
+        engines.run(1)
+        assert len(self._asked(engines)) <= 84
+
+    def test_slow_engine_is_told_of_once(
+        self, engines: clusters.Cluster
+    ) -> None:
+        self._report(engines, 12.0)
+        self._report(engines, 12.5)
+        paced = protocol.EndpointPaced(model.EndpointId("e0"), 1, 12.0)
+        assert self._told(engines) == [paced]
+        self._report(engines, 1.0)
+        assert self._told(engines)[-1].slowness == 1.0
+
+    def test_entry_that_comes_later_hears_of_it(
+        self, engines: clusters.Cluster
+    ) -> None:
+        self._report(engines, 12.0)
+        engines.entry.clear()
+        engines.listen(engines.leader())
+        engines.run(0.05)
+        assert [one.slowness for one in self._told(engines)] == [12.0]
+
+    def test_its_heartbeats_do_not_make_it_fast(
+        self, engines: clusters.Cluster
+    ) -> None:
+        self._report(engines, 12.0)
+        word = _registration(
+            endpoint_id=model.EndpointId("e0"),
+            address="127.0.0.1:80",
+            sequence=2,
+        )
+        engines.register(engines.leader(), word)
+        registry = engines.up[engines.leader()].registry
+        known = registry.find(model.EndpointId("e0"))
+        assert known is not None and known.slowness == 12.0
+
+    def test_endpoints_without_a_model_are_not_asked(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        cluster.publish(cluster.leader(), 7)
+        cluster.register(cluster.leader(), _registration())
+        cluster.run(2)
+        assert self._asked(cluster) == []
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -154,6 +154,16 @@
     "incarnation",
     "told_by",
 )
+ENDPOINT_PACED = _define(
+    207,
+    "INFO",
+    "endpoint_paced",
+    "An engine reports that it takes longer than usual, or no longer.",
+    "endpoint",
+    "incarnation",
+    "slowness",
+    "before",
+)
 ENDPOINT_CHANGED = _define(
     205,
     "INFO",
