Share the retry budget by what all entries spent

Cause: each entry VM could spend its own equal part of the reserve: 4.8 repeats in 10 s with 66 entries. Change: reports and sums of the load carry first sends and repeats; with each sum an entry may spend an equal part of half of what is left, so that sums two intervals old cannot lead past the whole. Without sums, the old rule. Before / after in the test: 2 / more than 20 repeats of one entry of 50; all together stay within the budget for 1, 7 and 66 entries.

--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -152,9 +152,10 @@
                 self._core.budget.set_entry_count(entry_count)
                 self._core.fleet.unseen.set_entry_count(entry_count)
                 return self._meet(controls)
-            case protocol.LoadSummed(loads):
+            case protocol.LoadSummed(loads, retries):
                 if self._load_exchange.hear(sender, now):
                     self._core.fleet.take_sum(loads, now)
+                    self._core.budget.take_sum(retries, now)
             case protocol.EndpointPaced(endpoint_id, incarnation, slowness):
                 self._core.fleet.registry.set_slowness(
                     endpoint_id, incarnation, slowness
@@ -308,5 +309,6 @@
             return []
         loads = self._core.fleet.own_loads()
         self._report_at = now + _load_exchange.REPORT_INTERVAL
-        message = protocol.LoadReported(loads)
+        retries = self._core.budget.counts(now)
+        message = protocol.LoadReported(loads, retries)
         return [_effects.SendMessage(summing, message)]
--- a/sedgepin/_gateway/tests/test_small_parts.py
+++ b/sedgepin/_gateway/tests/test_small_parts.py
@@ -12,6 +12,7 @@
 from sedgepin._gateway import _suspicions
 from sedgepin._gateway.tests import parts
 from sedgepin import _model as model
+from sedgepin import _protocol as protocol
 
 _ENDPOINT = model.EndpointId("e")
 _SERVICE = model.ServiceName("s")
@@ -56,6 +57,58 @@
         assert budget.take(_SERVICE, later)
 
 
+class TestSharedRetryBudget:
+    """A crash breaks the requests of a few entries; the others need none."""
+
+    _CFG = _settings.RetrySettings(0.2, 200, parts.milliseconds(10_000))
+
+    def _sum(self, firsts: int, repeats: int) -> list[protocol.RetryCount]:
+        return [protocol.RetryCount(_SERVICE, firsts, repeats)]
+
+    def _taken(
+        self, budget: _retry_budget.RetryBudget, now: datetime.datetime
+    ) -> int:
+        return sum(budget.take(_SERVICE, now) for _ in range(1000))
+
+    def test_one_entry_may_spend_more_than_its_own_part(self) -> None:
+        budget = _retry_budget.RetryBudget(self._CFG)
+        budget.set_entry_count(50)
+        spent = 0
+        for number in range(20):
+            now = parts.START + parts.milliseconds(200 * number)
+            budget.take_sum(self._sum(1000, spent), now)
+            spent += self._taken(budget, now)
+        # Its own part would be 0.7 * 200 / 50, which is 2.
+        assert spent > 20
+
+    @pytest.mark.parametrize("entries", [1, 7, 66])
+    @pytest.mark.parametrize("delay", [1, 2])
+    def test_all_together_never_spend_more(
+        self, entries: int, delay: int
+    ) -> None:
+        """Every entry repeats as often as it may, on sums that are old."""
+        budgets = [
+            _retry_budget.RetryBudget(self._CFG) for _ in range(entries)
+        ]
+        spent = [0]
+        for number in range(40):
+            now = parts.START + parts.milliseconds(200 * number)
+            known = spent[max(0, len(spent) - delay)]
+            taken = 0
+            for budget in budgets:
+                budget.set_entry_count(entries)
+                budget.take_sum(self._sum(1000, known), now)
+                taken += self._taken(budget, now)
+            spent.append(spent[-1] + taken)
+        assert 0.9 * 280 <= spent[-1] <= 400
+
+    def test_without_sums_little_is_spent(self) -> None:
+        budget = _retry_budget.RetryBudget(self._CFG)
+        budget.take_sum(self._sum(0, 0), parts.START)
+        later = parts.START + parts.milliseconds(2000)
+        assert self._taken(budget, later) == 60
+
+
 class TestSuspicions:
     @pytest.mark.parametrize(
         ("failures", "milliseconds"),
--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -29,6 +29,7 @@
 from sedgepin._protocol._messages import ReadIndexAnswered
 from sedgepin._protocol._messages import ReadIndexAsked
 from sedgepin._protocol._messages import RegistrationsSeen
+from sedgepin._protocol._messages import RetryCount
 from sedgepin._protocol._messages import SuspectRumour
 from sedgepin._protocol._transport import IdentityNotProved
 from sedgepin._protocol._transport import PeerConnected
@@ -75,6 +76,7 @@
     "ReadIndexAnswered",
     "ReadIndexAsked",
     "RegistrationsSeen",
+    "RetryCount",
     "StreamTransport",
     "SuspectRumour",
     "Transport",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -133,16 +133,26 @@
     tokens: int
 
 
+class RetryCount(msgspec.Struct, frozen=True, array_like=True):
+    """First sends and repeats to a service within the budget's window."""
+
+    service: model.ServiceName
+    firsts: int
+    repeats: int
+
+
 class LoadReported(msgspec.Struct, frozen=True, tag=True):
-    """The load that the sender put on endpoints."""
+    """The load that the sender put on endpoints and services."""
 
     loads: tuple[EndpointLoad, ...]
+    retries: tuple[RetryCount, ...] = ()
 
 
 class LoadSummed(msgspec.Struct, frozen=True, tag=True):
-    """The load that all entry VMs put on endpoints, as last reported."""
+    """What all entry VMs put on endpoints and services, as last reported."""
 
     loads: tuple[EndpointLoad, ...]
+    retries: tuple[RetryCount, ...] = ()
 
 
 class EndpointFailed(msgspec.Struct, frozen=True, tag=True):
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -1,7 +1,5 @@
 """The endpoints that register, leave, die and hold layers."""
 
-import collections
-import dataclasses
 import datetime
 
 from sedgepin import _catalog as catalog
@@ -31,18 +29,6 @@
 _REPORT_SHARES = 20
 _LEAST_SLOWNESS = 0.01
 _LONG_AGO = datetime.datetime.min.replace(tzinfo=datetime.timezone.utc)
-# Entries report their load at the same rate.
-_LOAD_INTERVAL = datetime.timedelta(milliseconds=200)
-# An entry that missed five reports is gone, or reports to another VM.
-_LOAD_LIFE = 5 * _LOAD_INTERVAL
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class _ReportedLoad:
-    """What one entry VM put on endpoints, and when it said so."""
-
-    loads: tuple[protocol.EndpointLoad, ...]
-    at: datetime.datetime
 
 
 class Endpoints:
@@ -53,12 +39,10 @@
         "_checked_at",
         "_heard",
         "_heard_at",
-        "_loads_told_at",
         "_peers",
         "_raft",
         "_report_asked_at",
         "_told_by",
-        "_reported",
         "orders",
         "registry",
     )
@@ -75,8 +59,6 @@
         self._raft = raft
         self.registry = catalog.Registry()
         self.orders = _layer_orders.LayerOrders()
-        self._reported: dict[model.VmId, _ReportedLoad] = {}
-        self._loads_told_at = now
         self._heard: set[model.EndpointId] = set()
         self._heard_at = now
         self._checked_at: dict[model.EndpointId, datetime.datetime] = {}
@@ -92,9 +74,6 @@
             self._heard_at = now
             self.registry.forget(self._cfg.endpoint_silence, now)
             made += self._tell_heard()
-        if now - self._loads_told_at >= _LOAD_INTERVAL:
-            self._loads_told_at = now
-            made += self._tell_loads(now)
         if self._raft.lease_holds(now):
             live = self.live(now)
             made += self.orders.tick(live, table, self._raft.term, now)
@@ -303,40 +282,6 @@
         token = self._raft.term
         return made + self.orders.inspected(event, word, token, now)
 
-    def take_load(
-        self,
-        sender: model.VmId,
-        loads: tuple[protocol.EndpointLoad, ...],
-        now: datetime.datetime,
-    ) -> None:
-        """Note the load that an entry VM puts on endpoints."""
-        self._reported[sender] = _ReportedLoad(loads, now)
-
-    def forget_load(self, entry: model.VmId) -> None:
-        """Count the load of an entry VM no more."""
-        self._reported.pop(entry, None)
-
-    def _tell_loads(self, now: datetime.datetime) -> Effects:
-        """Tell the entries what all of them together put on endpoints."""
-        for entry, reported in tuple(self._reported.items()):
-            if now - reported.at > _LOAD_LIFE:
-                del self._reported[entry]
-        running: collections.Counter[model.EndpointId] = collections.Counter()
-        tokens: collections.Counter[model.EndpointId] = collections.Counter()
-        for reported in self._reported.values():
-            for one in reported.loads:
-                running[one.endpoint_id] += one.running
-                tokens[one.endpoint_id] += one.tokens
-        summed = tuple(
-            protocol.EndpointLoad(endpoint_id, count, tokens[endpoint_id])
-            for endpoint_id, count in running.items()
-        )
-        message = protocol.LoadSummed(summed)
-        return [
-            _effects.SendMessage(entry, message)
-            for entry in sorted(self._reported)
-        ]
-
 
 def _runs_model(word: catalog.Registration, table: catalog.RouteTable) -> bool:
     """Tell whether an endpoint runs a part of a model."""
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -12,6 +12,7 @@
 from sedgepin._registrar import _effects
 from sedgepin._registrar import _endpoints
 from sedgepin._registrar import _events
+from sedgepin._registrar import _load_sums
 from sedgepin._registrar import _peers
 from sedgepin._registrar import _settings
 from sedgepin import _storage as storage
@@ -34,7 +35,13 @@
     [Persist(...), SendMessage(...), ...]
     """
 
-    __slots__ = ("_configurations", "_endpoints", "_peers", "_raft")
+    __slots__ = (
+        "_configurations",
+        "_endpoints",
+        "_load_sums",
+        "_peers",
+        "_raft",
+    )
 
     def __init__(
         self,
@@ -59,6 +66,7 @@
         self._endpoints = _endpoints.Endpoints(
             cfg, self._peers, self._raft, now
         )
+        self._load_sums = _load_sums.LoadSums(now)
         self._configurations = _configurations.Configurations(
             dialect, self._peers, self._raft, self._drive
         )
@@ -98,7 +106,7 @@
                 return self._peer_connected(hello, now)
             case protocol.PeerDisconnected(peer_id):
                 self._peers.entries.pop(peer_id, None)
-                self._endpoints.forget_load(peer_id)
+                self._load_sums.forget(peer_id)
                 return [_log(events.PEER_DISCONNECTED.line(peer=peer_id))]
             case protocol.PeerRefused(address, failure):
                 line = events.PEER_REFUSED.line(
@@ -114,6 +122,7 @@
     def _tick(self, now: datetime.datetime) -> Effects:
         made = self._drive(consensus.TimerFired(), now)
         made += self._configurations.expire(now)
+        made += self._load_sums.tick(now)
         return made + self._endpoints.tick(self._configurations.table, now)
 
     def _message(
@@ -152,8 +161,8 @@
                 return []
             case protocol.CrashWitnessed():
                 return self._peers.tell_entries(message, but=sender)
-            case protocol.LoadReported(loads):
-                self._endpoints.take_load(sender, loads, now)
+            case protocol.LoadReported():
+                self._load_sums.take(sender, message, now)
                 return []
             case protocol.ReadIndexAsked(ask_id):
                 return [
