Never send the end of an answer twice

Cause: an attempt could be given up while the end of its answer was being sent. A sending that the deadline cancelled left the same state, and a request that was over by then was held until its caller left. Change: an answer whose end is being sent is not given up; after a cancelled sending the connection counts as closed; a request that is over is let go.

--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -112,7 +112,8 @@
     def _give_up_attempt(self) -> None:
         """End the attempt, but not in the middle of an event's sending.
 
-        Its successor goes on after the last event that was sent whole.
+        Its successor goes on after the last event that was sent whole.  An
+        answer whose end is being sent needs none.
         """
         self._is_given_up = True
         if self._attempt_scope is not None and not self._is_sending:
@@ -161,6 +162,7 @@
         """Run one attempt and tell the reducer how it ended."""
         ended = _Ended(_Outcome.CANCELLED, "it was given up")
         self._is_given_up = False
+        self._is_sending = False
         with trio.CancelScope() as scope:
             self._attempt_scope = scope
             ended = await self._send(start)
@@ -254,6 +256,7 @@
             self._held = (passed, body.ok_value)
             detail = f"the endpoint answered {head.status}"
             return _Ended(_Outcome.FAILED, detail, marks.at_fault)
+        self._is_sending = True
         await self._exchange.answer(passed, body.ok_value)
         return _Ended(_Outcome.ANSWERED)
 
@@ -277,6 +280,7 @@
                 return _Ended(_Outcome.UNKNOWN, problem)
         if splitter.has_rest or not self._exchange.has_started:
             return _Ended(_Outcome.UNKNOWN, "the stream ended in an event")
+        self._is_sending = True
         await self._exchange.finish()
         return _Ended(_Outcome.ANSWERED)
 
--- a/sedgepin/_gateway/_requests.py
+++ b/sedgepin/_gateway/_requests.py
@@ -138,7 +138,8 @@
         """End a request whose time is over."""
         exchange = self._core.exchanges.get(exchange_id)
         if exchange is None:
-            return []
+            # It is over, but its answer could not be sent in time.
+            return [_effects.Finish(exchange_id)]
         failure: errors.Failure = _failures.DeadlinePassed()
         if exchange.send_count == 0:
             failure = _failures.NoEndpoint(exchange.service.name)
--- a/sedgepin/_gateway/tests/test_requests.py
+++ b/sedgepin/_gateway/tests/test_requests.py
@@ -109,6 +109,17 @@
         assert failure.outcome is errors.Outcome.NOT_RUN
 
 
+class TestDeadline:
+    def test_request_that_is_over_already_is_let_go(self) -> None:
+        """Its caller would else be held until it left by itself."""
+        gateway = parts.Gateway()
+        one, _ = gateway.arrive("/read/x")
+        gateway.end(one, _Outcome.UNKNOWN)
+        gateway.end(one, _Outcome.UNKNOWN)
+        effects = gateway.handle(_events.DeadlineReached(one))
+        parts.only(effects, _effects.Finish)
+
+
 class TestReads:
     """A call that may run twice."""
 
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -200,6 +200,7 @@
         "_conn",
         "_handler",
         "_idle_scope",
+        "_is_cut_off",
         "_is_over",
         "_scope",
         "_sending_since",
@@ -218,6 +219,7 @@
         self._scope = trio.CancelScope()
         self._sending_since = math.inf
         self._is_over = False
+        self._is_cut_off = False
         self.is_busy = False
         self._conn = h11.Connection(
             h11.SERVER,
@@ -248,7 +250,7 @@
             return
 
     def _must_end(self) -> bool:
-        return self._is_over or self._server.has_left
+        return self._is_over or self._is_cut_off or self._server.has_left
 
     def end_if_stuck(self, time: float) -> None:
         """End the connection if its caller does not read what is sent."""
@@ -256,16 +258,26 @@
             self._scope.cancel()
 
     async def write(self, *parts: h11.Event) -> None:
-        """Send parts of an answer."""
+        """Send parts of an answer.
+
+        After a sending that was cancelled nothing more can be sent; the
+        connection counts as closed.
+        """
+        if self._is_cut_off:
+            raise trio.ClosedResourceError
         data = bytearray()
         for part in parts:
             sent = self._conn.send(part)
             if sent:
                 data += sent
-        if data:
-            self._sending_since = trio.current_time()
-            await self._stream.send_all(data)
-            self._sending_since = math.inf
+        if not data:
+            return
+        # What is cancelled from here on is sent in part or not at all.
+        self._is_cut_off = True
+        self._sending_since = trio.current_time()
+        await self._stream.send_all(data)
+        self._sending_since = math.inf
+        self._is_cut_off = False
 
     async def _serve_one(self) -> bool:
         """Read and answer one request; return whether to go on."""
--- a/sedgepin/_web/tests/test_connections.py
+++ b/sedgepin/_web/tests/test_connections.py
@@ -34,6 +34,14 @@
             return
         if exchange.request.target == b"/broken":
             raise trio.BrokenResourceError
+        if exchange.request.target == b"/cancelled":
+            await exchange.start(web.AnswerHead(200))
+            with trio.CancelScope() as scope:
+                scope.cancel()
+                await exchange.finish()
+            await exchange.send(b"more")
+            await exchange.finish()
+            return
         if exchange.request.target == b"/endless":
             await exchange.start(web.AnswerHead(200))
             while True:
@@ -200,6 +208,21 @@
         assert await _read_all(stream) == b""
         assert served.server.open_exchanges == 0
 
+    async def test_answer_whose_sending_was_cancelled_is_cut_off(
+        self, nursery: trio.Nursery
+    ) -> None:
+        """Grown day trouble-1: a second end of an answer ended the VM."""
+        served = _Served(nursery)
+        await served.start()
+        stream = await served.connect()
+        await stream.send_all(b"GET /cancelled HTTP/1.1\r\nHost: a\r\n\r\n")
+        answer = await _read_all(stream)
+        assert b"more" not in answer
+        assert not answer.endswith(b"0\r\n\r\n")
+        again = await served.connect()
+        await again.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        assert (await again.receive_some(100)).startswith(b"HTTP/1.1 200")
+
     async def test_survives_a_reset_while_it_sends(
         self, nursery: trio.Nursery
     ) -> None:
--- a/sedgepin/platform/tests/test_relay.py
+++ b/sedgepin/platform/tests/test_relay.py
@@ -33,7 +33,9 @@
         self.has_started = False
         self.taken = b""
         self.is_sending = trio.Event()
+        self.is_finishing = trio.Event()
         self.go_on = trio.Event()
+        self.finish_count = 0
 
     async def start(self, head: web.AnswerHead) -> None:
         self.has_started = True
@@ -44,7 +46,9 @@
         self.taken += data
 
     async def finish(self) -> None:
-        pass
+        self.is_finishing.set()
+        await self.go_on.wait()
+        self.finish_count += 1
 
 
 class TestRelay:
@@ -77,6 +81,35 @@
         assert ended[0].position == 1
         nursery.cancel_scope.cancel()
 
+    async def test_attempt_given_up_while_finishing_has_ended_well(
+        self, nursery: trio.Nursery
+    ) -> None:
+        """Grown day trouble-1: a finished answer was sent once more."""
+
+        async def engine(stream: trio.SocketStream) -> None:
+            await stream.receive_some(65_536)
+            await stream.send_all(_HEAD + b"0\r\n\r\n")
+            await trio.sleep(5)
+
+        listeners = await nursery.start(trio.serve_tcp, engine, 0)
+        port = listeners[0].socket.getsockname()[1]
+        ended: list[_events.AttemptEnded] = []
+        caller = _SlowCaller()
+        caller.has_started = True
+        relay = self._relay(caller, port, ended)
+        nursery.start_soon(relay.run)
+        with trio.fail_after(2):
+            await caller.is_finishing.wait()
+            relay.take(_effects.CancelAttempt(1))
+            await trio.sleep(0.05)
+            assert ended == []
+            caller.go_on.set()
+            while not ended:
+                await trio.sleep(0.01)
+        assert caller.finish_count == 1
+        assert ended[0].outcome is _events.AttemptOutcome.ANSWERED
+        nursery.cancel_scope.cancel()
+
     def _relay(
         self,
         caller: _SlowCaller,
