--- a/sedgepin/_registrar/tests/cluster.py
+++ b/sedgepin/_registrar/tests/cluster.py
@@ -18,6 +18,7 @@
 from sedgepin import _storage as storage
 from sedgepin import _web as web
 from sedgepin import errors
+from sedgepin import events
 
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
 _STEP = datetime.timedelta(milliseconds=50)
@@ -26,6 +27,9 @@
 class PlainDialect(_dialect.ControlDialect):
     """Documents are encoded configurations; calls are not needed."""
 
+    def __init__(self) -> None:
+        self.refuses_documents = False
+
     def read_call(
         self, request: web.Request
     ) -> result.Result[_dialect.Call, errors.Failure]:
@@ -34,6 +38,8 @@
     def read_configuration(
         self, document: bytes
     ) -> result.Result[catalog.Configuration, errors.Failure]:
+        if self.refuses_documents:
+            return result.Err(errors.DocumentRefused("configuration", ()))
         return result.Ok(catalog.decode(document))
 
     def acknowledgement(self) -> tuple[web.AnswerHead, bytes]:
@@ -89,6 +95,8 @@
         self.outcomes: dict[int, _effects.RegistrarEffect] = {}
         self.entry: list[protocol.PeerMessage] = []
         self.engine_calls: list[_effects.RegistrarEffect] = []
+        self.lines: list[events.LogLine] = []
+        self.dialect = PlainDialect()
         self._next_id = 0
         self._mail: list[
             tuple[model.VmId, model.VmId, protocol.PeerMessage]
@@ -112,7 +120,7 @@
             heartbeat_interval=datetime.timedelta(milliseconds=1200),
         )
         reducer = _reducer.RegistrarReducer(
-            cfg, PlainDialect(), recovered, rng, self.now
+            cfg, self.dialect, recovered, rng, self.now
         )
         self.up[vm_id] = reducer
         for other in list(self.up):
@@ -214,6 +222,8 @@
                     self.outcomes[exchange_id] = effect
                 case _effects.InspectEngine() | _effects.OrderLayers():
                     self.engine_calls.append(effect)
+                case _effects.WriteLog(line):
+                    self.lines.append(line)
 
     def _connect(self, vm_id: model.VmId, other: model.VmId) -> None:
         hello = protocol.Hello(
--- a/sedgepin/platform/tests/test_processes.py
+++ b/sedgepin/platform/tests/test_processes.py
@@ -1,5 +1,6 @@
 """Both daemons as processes, before an engine that this test plays."""
 
+import functools
 import itertools
 import json
 import os
@@ -50,6 +51,28 @@
     "services": [{"name": "s"}],
 }
 
+_MODEL_MANIFEST = {
+    "services": [
+        {"name": "s"},
+        {
+            "name": "m",
+            "engine": {
+                "slots": 8,
+                "step_ms": 1.0,
+                "per_seq_ms": 0.01,
+                "context_per_k": 0.01,
+                "read_per_s": 1000.0,
+                "kvTokenBytes": 1000,
+                "kinds": [
+                    {"name": "card", "mb": 100, "pace": 1.0, "readX": 1.0}
+                ],
+                "layers": 4,
+                "layerMb": 1.0,
+            },
+        },
+    ],
+}
+
 
 def _settings(folder: pathlib.Path, ip: str) -> str:
     return f"""
@@ -113,8 +136,8 @@
         self._folder = folder
 
     def start(self, role: str, ip: str) -> None:
-        folder = self._folder / role
-        folder.mkdir()
+        folder = self.folder(role)
+        folder.mkdir(exist_ok=True)
         path = folder / "settings.toml"
         path.write_text(_settings(folder, ip))
         self.processes[role] = subprocess.Popen(
@@ -124,6 +147,12 @@
             stdout=(folder / "log").open("wb"),
         )
 
+    def folder(self, role: str) -> pathlib.Path:
+        return self._folder / role
+
+    def text(self, role: str) -> str:
+        return (self.folder(role) / "log").read_text()
+
     def log(self, role: str) -> list[dict[str, typing.Any]]:
         text = (self._folder / role / "log").read_text()
         return [json.loads(line) for line in text.splitlines()]
@@ -174,14 +203,14 @@
     made.stop()
 
 
-async def _check_in(body: dict[str, object]) -> None:
+async def _check_in(body: dict[str, object], name: bytes = b"i") -> None:
     """Check in again and again, as an engine does."""
     for sequence in itertools.count(1):
         await _call(
             _CONTROL,
             _CALL_PORT,
             b"PUT",
-            b"/v1/instances/i",
+            b"/v1/instances/" + name,
             {**body, "sequence": sequence},
         )
         await trio.sleep(0.5)
@@ -241,3 +270,85 @@
         names = [line["event"] for line in system.log("entry")]
         assert names[0] == "process_started"
         assert names[-1] == "process_stopped"
+
+
+async def _until_logged(system: _System, role: str, event: str) -> None:
+    with trio.fail_after(_PATIENCE_SECONDS):
+        while f'"event":"{event}"' not in system.text(role):
+            await trio.sleep(0.1)
+
+
+class TestDaemonLines:
+    """Lines that the daemons write themselves, each for a planted cause."""
+
+    async def test_calls_and_requests_that_are_not_understood(
+        self, system: _System, nursery: trio.Nursery
+    ) -> None:
+        await _bring_up(system, nursery)
+        stream = await trio.open_tcp_stream(_ENTRY, _CALL_PORT)
+        await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await _until_logged(system, "entry", "request_unreadable")
+        await _call(_CONTROL, _CALL_PORT, b"PUT", b"/v1/config", {})
+        await _until_logged(system, "control", "control_call_refused")
+        nursery.cancel_scope.cancel()
+
+    async def test_engine_that_takes_no_order_and_gives_no_report(
+        self, system: _System, nursery: trio.Nursery
+    ) -> None:
+        """One engine has no report; the other resets an order."""
+
+        async def engine(stream: trio.SocketStream) -> None:
+            asked = await stream.receive_some(65_536)
+            if asked.startswith(b"GET"):
+                report = b'{"born": 1, "sequence": 0}'
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+                await stream.send_all(head % len(report) + report)
+
+        await _bring_up(system, nursery)
+        port = _ENGINE_PORT + 1
+        serve = functools.partial(trio.serve_tcp, engine, port, host=_ENGINE)
+        await nursery.start(serve)
+        model = {
+            **_MODEL_MANIFEST,
+            "version": 2,
+            "routes": _MANIFEST["routes"],
+        }
+        await _until(
+            200, _CONTROL, _CALL_PORT, b"PUT", b"/v1/config", body=model
+        )
+        check_in = {
+            "service": "m",
+            "address": f"{_ENGINE}:{port}",
+            "zone": "one",
+            "state": "ready",
+            "born": 1,
+            "kind": "card",
+        }
+        nursery.start_soon(_check_in, check_in, b"m1")
+        await _until_logged(system, "control", "order_failed")
+        gone = {**check_in, "address": f"{_ENGINE}:{port + 1}"}
+        nursery.start_soon(_check_in, gone, b"m2")
+        await _until_logged(system, "control", "endpoint_suspected")
+        nursery.cancel_scope.cancel()
+
+    async def test_wrong_settings_are_refused_and_the_old_ones_kept(
+        self, system: _System, nursery: trio.Nursery
+    ) -> None:
+        await _bring_up(system, nursery)
+        path = system.folder("entry") / "settings.toml"
+        path.write_text("heartbeatMs = -1")
+        system.processes["entry"].send_signal(signal.SIGHUP)
+        await _until_logged(system, "entry", "settings_refused")
+        await _until(200, _ENTRY, _CALL_PORT, b"POST", b"/post/x")
+        nursery.cancel_scope.cancel()
+
+    async def test_damaged_log_is_refused(self, system: _System) -> None:
+        data = system.folder("control") / "data"
+        data.mkdir(parents=True)
+        (data / "log").write_bytes(b"damaged" * 100)
+        system.start("control", _CONTROL)
+        await _until_logged(system, "control", "log_refused")
+        with trio.fail_after(_PATIENCE_SECONDS):
+            while system.processes["control"].poll() is None:
+                await trio.sleep(0.1)
+        assert system.processes["control"].returncode == 4
