Tell callers to come back when a started VM can serve them

Change: 1 s where no configuration or no endpoint is known. Waiting lines keep their forecast. Ruled out: holding the requests, which would be refusals that come late.

--- a/sedgepin/_gateway/_failures.py
+++ b/sedgepin/_gateway/_failures.py
@@ -8,6 +8,9 @@
 
 # Another entry VM may be better off; asking again at once finds out.
 _COME_BACK_SOON = datetime.timedelta(milliseconds=250)
+# From the start of a VM, or of all, until the configuration is in force and
+# the endpoints are heard: 0.5 to 1 s after a loss of power.
+_COME_BACK_AFTER_START = datetime.timedelta(seconds=1)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -21,7 +24,7 @@
     @property
     def retry_after(self) -> datetime.timedelta | None:
         """Return when one may be known."""
-        return _COME_BACK_SOON
+        return _COME_BACK_AFTER_START
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -51,7 +54,7 @@
     http_status: typing.ClassVar[int] = 503
 
     service: str
-    come_back_after: datetime.timedelta = _COME_BACK_SOON
+    come_back_after: datetime.timedelta = _COME_BACK_AFTER_START
 
     @property
     def retry_after(self) -> datetime.timedelta | None:
--- a/sedgepin/_gateway/tests/test_requests.py
+++ b/sedgepin/_gateway/tests/test_requests.py
@@ -32,6 +32,17 @@
         failure = parts.only(effects, _effects.Fail).failure
         assert failure.http_status == 503
         assert failure.outcome is errors.Outcome.NOT_RUN
+        assert failure.retry_after == parts.milliseconds(1000)
+
+    def test_without_any_endpoint_the_caller_comes_back_when_one_is_heard(
+        self,
+    ) -> None:
+        """After a loss of power 744 callers came back too soon."""
+        gateway = parts.Gateway(())
+        for path in ("/draft/x", "/read/x"):
+            _, effects = gateway.arrive(path)
+            failure = parts.only(effects, _effects.Fail).failure
+            assert failure.retry_after == parts.milliseconds(1000)
 
     def test_a_model_runs_on_a_pipeline_of_one_data_centre(self) -> None:
         _, effects = parts.Gateway().arrive("/draft/x")
