Let refused callers come back one after the other

Change: each gets a turn after the one before, at the rate at which requests leave, up to what callers heed, three tenths of the time that they have left. Ruled out: knowing callers that return by their request; they come to another entry VM.

--- a/sedgepin/_gateway/_waiting.py
+++ b/sedgepin/_gateway/_waiting.py
@@ -24,8 +24,9 @@
 # a few times the length of an answer.
 _RATE_SPAN = datetime.timedelta(seconds=4)
 _SHORTEST_RETURN = datetime.timedelta(milliseconds=250)
-# Callers wait at most a third of their time; at 2 s they still have most.
-_LONGEST_RETURN = datetime.timedelta(seconds=2)
+# Callers heed up to a third of the time that they have left; a little less
+# is asked, as some of it passes on the way.
+_RETURN_SHARE = 0.3
 
 
 class WaitingLine:
@@ -37,13 +38,14 @@
     >>> line.join(exchange, now)
     """
 
-    __slots__ = ("_departures", "_waiting")
+    __slots__ = ("_departures", "_last_return_at", "_waiting")
 
     def __init__(self) -> None:
         self._waiting: dict[int, _exchange.Exchange] = {}
         self._departures: collections.deque[datetime.datetime] = (
             collections.deque()
         )
+        self._last_return_at: datetime.datetime | None = None
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -59,11 +61,14 @@
         ahead = sum(
             _rank(other) <= _rank(exchange) for other in self._waiting.values()
         )
+        return self._turn(now) * (ahead + 1)
+
+    def _turn(self, now: datetime.datetime) -> datetime.timedelta:
+        """Return how long it takes until one more request leaves."""
         while self._departures and now - self._departures[0] > _RATE_SPAN:
             self._departures.popleft()
         # Where nothing has left yet, one departure is expected in the span.
-        departures = max(1, len(self._departures))
-        return _RATE_SPAN / departures * (ahead + 1)
+        return _RATE_SPAN / max(1, len(self._departures))
 
     def may_join(
         self, exchange: _exchange.Exchange, now: datetime.datetime
@@ -76,9 +81,19 @@
     def comes_back_after(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> datetime.timedelta:
-        """Return when a request that is turned away should come again."""
-        wait = self.expected_wait(exchange, now)
-        return min(_LONGEST_RETURN, max(_SHORTEST_RETURN, wait))
+        """Return when a request that is turned away should come again.
+
+        Each gets a turn after the one before, so that they come back at the
+        rate at which others leave; most callers come back only once.
+        """
+        wait = max(_SHORTEST_RETURN, self.expected_wait(exchange, now))
+        return_at = now + wait
+        if self._last_return_at is not None:
+            turn_at = self._last_return_at + self._turn(now)
+            return_at = max(return_at, turn_at)
+        longest = now + exchange.time_left(now) * _RETURN_SHARE
+        self._last_return_at = min(return_at, longest)
+        return self._last_return_at - now
 
     def join(
         self, exchange: _exchange.Exchange, now: datetime.datetime
--- a/sedgepin/_gateway/tests/test_waiting.py
+++ b/sedgepin/_gateway/tests/test_waiting.py
@@ -70,6 +70,69 @@
         assert parts.only(effects, _effects.Fail).exchange_id == waiting
 
 
+class _Busy:
+    """A full gateway whose engines answer 10 requests a second."""
+
+    def __init__(self) -> None:
+        self.gateway = parts.Gateway()
+        self._running = _fill(self.gateway)
+        self.serve(20)
+        while self._arrive() is None:
+            continue
+
+    def serve(self, turns: int) -> None:
+        for _turn in range(turns):
+            self.gateway.now += parts.milliseconds(100)
+            self.gateway.end(self._running.pop(0), _Outcome.ANSWERED)
+            one, _ = self.gateway.arrive("/draft/x", tokens=100)
+            self._running.append(one)
+
+    def refusals(self, count: int) -> list[float]:
+        """Return after which milliseconds refused callers may come back."""
+        found: list[float] = []
+        while len(found) < count:
+            after = self._arrive()
+            if after is not None:
+                found.append(after)
+        return found
+
+    def _arrive(self) -> float | None:
+        _, effects = self.gateway.arrive("/draft/x", tokens=100)
+        if parts.none(effects, _effects.Fail):
+            return None
+        failure = parts.only(effects, _effects.Fail).failure
+        assert failure.retry_after is not None
+        return failure.retry_after.total_seconds() * 1000
+
+
+class TestReturns:
+    """Day ``callers``: most refusals were of callers that had come back.
+
+    They had been told to come back within 2 s of a burst that lasted 5 s,
+    and callers come back once.
+    """
+
+    def test_callers_return_one_after_the_other(self) -> None:
+        times = _Busy().refusals(3)
+        steps = [
+            later - earlier
+            for earlier, later in zip(times, times[1:], strict=False)
+        ]
+        assert all(step >= 100 for step in steps), times
+
+    def test_nobody_is_told_to_wait_longer_than_callers_do(self) -> None:
+        times = _Busy().refusals(60)
+        # Callers wait up to a third of the time that they have left, 4 s.
+        assert max(times) <= 4000 / 3
+        assert times[-1] > 1000
+
+    def test_later_refusals_are_told_shorter_times_again(self) -> None:
+        busy = _Busy()
+        busy.refusals(60)
+        busy.serve(30)
+        assert busy.refusals(1)[0] < 1000
+
+
 class TestRefusalForMemory:
     """An engine that refuses because it is full is not taken for broken."""
 
