--- a/sedgepin/_control/_daemon.py
+++ b/sedgepin/_control/_daemon.py
@@ -162,7 +162,7 @@
     if found.is_err():
         _refuse(found.unwrap_err().detail())
     daemon = ControlDaemon(cfg, store, found.unwrap(), clock.SystemClock())
-    trio.run(daemon.run)
+    shell.run_daemon(daemon.run)
 
 
 def _refuse(reason: str) -> None:
--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -178,4 +178,4 @@
 def run(cfg: settings.EntrySettings) -> None:
     """Run the daemon until it is told to leave."""
     logs.set_up(cfg.log, cfg.id)
-    trio.run(EntryDaemon(cfg, clock.SystemClock()).run)
+    shell.run_daemon(EntryDaemon(cfg, clock.SystemClock()).run)
--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -260,4 +260,4 @@
 ) -> None:
     """Run the daemon until it is told to leave."""
     daemon = GatewayDaemon(source, dialect, clock.SystemClock())
-    trio.run(daemon.run)
+    shell.run_daemon(daemon.run)
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -313,7 +313,7 @@
     daemon = RegistrarDaemon(
         source, dialect, store, found.unwrap(), clock.SystemClock()
     )
-    trio.run(daemon.run)
+    shell.run_daemon(daemon.run)
 
 
 def _refuse(reason: str) -> typing.NoReturn:
--- a/sedgepin/_shell/__init__.py
+++ b/sedgepin/_shell/__init__.py
@@ -10,6 +10,7 @@
 from sedgepin._shell._metrics import StatsdSink
 from sedgepin._shell._reload import SettingsSource
 from sedgepin._shell._reload import watch_settings
+from sedgepin._shell._run import run_daemon
 
 __all__ = [
     "Driver",
@@ -20,6 +21,7 @@
     "StatsdSink",
     "open_sink",
     "peers_to_dial",
+    "run_daemon",
     "wait_for_sigterm",
     "watch_settings",
 ]
--- /dev/null
+++ b/sedgepin/_shell/tests/test_run.py
@@ -0,0 +1,45 @@
+"""Tests of what the log says when a daemon fails."""
+
+import json
+
+import pytest
+import trio
+
+from sedgepin import _shell as shell
+from sedgepin import logs
+from sedgepin import settings
+
+
+async def _fail() -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.sleep_forever)
+        raise ValueError("the end was sent twice")
+
+
+async def _end() -> None:
+    await trio.lowlevel.checkpoint()
+
+
+class TestRunDaemon:
+    @pytest.fixture(autouse=True)
+    def _log(self, capfd: pytest.CaptureFixture[str]) -> None:
+        cfg = settings.Log(format=settings.LogFormat.JSON)
+        logs.set_up(cfg, "vm-1", logs.Output.STDOUT)
+
+    def test_failure_is_logged_and_goes_on(
+        self, capfd: pytest.CaptureFixture[str]
+    ) -> None:
+        """Day trouble-1: an entry VM ended, and its log did not say why."""
+        with pytest.raises(BaseExceptionGroup):
+            shell.run_daemon(_fail)
+        line = json.loads(capfd.readouterr().out)
+        assert line["event"] == "process_failed"
+        assert line["failure"] == "ValueError"
+        assert line["detail"] == "the end was sent twice"
+        assert "test_run.py:" in line["place"]
+
+    def test_ordinary_end_is_not(
+        self, capfd: pytest.CaptureFixture[str]
+    ) -> None:
+        shell.run_daemon(_end)
+        assert capfd.readouterr().out == ""
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -82,6 +82,15 @@
     "The settings file was read again; what can change while running did.",
     "reason",
 )
+PROCESS_FAILED = _define(
+    106,
+    "ERROR",
+    "process_failed",
+    "An exception that nothing handled ends the process.",
+    "failure",
+    "detail",
+    "place",
+)
 LOG_LINES_DROPPED = _define(
     104,
     "WARNING",
