--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     "membership",
     "limits",
     "cost",
+    "load",
     "logs",
     "transport",
     "system",
--- a/sedgepin/_gateway/__init__.py
+++ b/sedgepin/_gateway/__init__.py
@@ -13,20 +13,42 @@
 from sedgepin._gateway._calls import TokenUsage
 from sedgepin._gateway._daemon import run
 from sedgepin._gateway._dialect import GatewayDialect
+from sedgepin._gateway._effects import CancelAttempt
+from sedgepin._gateway._effects import Fail
+from sedgepin._gateway._effects import SendMessage
+from sedgepin._gateway._effects import StartAttempt
+from sedgepin._gateway._events import AttemptEnded
+from sedgepin._gateway._events import AttemptOutcome
+from sedgepin._gateway._events import GatewayEvent
+from sedgepin._gateway._events import OutputBegan
+from sedgepin._gateway._events import RequestArrived
+from sedgepin._gateway._events import TimerFired
 from sedgepin._gateway._failures import RequestRefused
+from sedgepin._gateway._reducer import GatewayReducer
 from sedgepin._gateway._settings import GatewaySettings
 from sedgepin._gateway._settings import RetrySettings
 
 __all__ = [
     "AnswerMarks",
+    "AttemptEnded",
+    "AttemptOutcome",
     "CallerRequest",
+    "CancelAttempt",
     "Dispatch",
+    "Fail",
     "GatewayDialect",
+    "GatewayEvent",
+    "GatewayReducer",
     "GatewaySettings",
+    "OutputBegan",
+    "RequestArrived",
     "RequestRefused",
     "RetrySettings",
+    "SendMessage",
     "Stall",
     "StallReport",
+    "StartAttempt",
+    "TimerFired",
     "TokenUsage",
     "run",
 ]
--- a/sedgepin/_registrar/__init__.py
+++ b/sedgepin/_registrar/__init__.py
@@ -13,9 +13,11 @@
 from sedgepin._registrar._dialect import ReadCall
 from sedgepin._registrar._dialect import RegisterCall
 from sedgepin._registrar._effects import OrderLayers
+from sedgepin._registrar._effects import SendMessage
 from sedgepin._registrar._events import EngineReport
 from sedgepin._registrar._events import LayersOrdered
 from sedgepin._registrar._failures import NotFound
+from sedgepin._registrar._load_sums import LoadSums
 from sedgepin._registrar._settings import RegistrarSettings
 
 __all__ = [
@@ -24,11 +26,13 @@
     "EngineReport",
     "FarewellCall",
     "LayersOrdered",
+    "LoadSums",
     "NotFound",
     "OrderLayers",
     "PublishCall",
     "ReadCall",
     "RegisterCall",
     "RegistrarSettings",
+    "SendMessage",
     "run",
 ]
