--- a/bench/_emulated_engines.py
+++ b/bench/_emulated_engines.py
@@ -297,7 +297,9 @@
             after = dataclasses.replace(visit, stage=visit.stage + 1)
             here = self.engines[stages[visit.stage].endpoint_id]
             there = self.engines[stages[visit.stage + 1].endpoint_id]
-            delay = _TRANSFER_MS * max(1, visit.read_tokens)
+            # Chunks of one prompt must not overtake each other.
+            tokens = _CHUNK_TOKENS if visit.read_tokens else _STRIDE
+            delay = _TRANSFER_MS * tokens
             if here.word.data_centre != there.word.data_centre:
                 delay += _CROSSING_MS
             self.timeline.after(delay, there.visit, after)
