--- a/sedgepin/platform/tests/test_relay.py
+++ b/sedgepin/platform/tests/test_relay.py
@@ -114,6 +114,42 @@
         assert ended[0].outcome is _events.AttemptOutcome.ANSWERED
         nursery.cancel_scope.cancel()
 
+    @pytest.mark.parametrize(
+        ("numbers", "passed", "outcome"),
+        [
+            ((1, 2, 3), (1, 2, 3), _events.AttemptOutcome.ANSWERED),
+            ((1, 1, 2), (1, 2), _events.AttemptOutcome.ANSWERED),
+            ((1, 3), (1,), _events.AttemptOutcome.UNKNOWN),
+            ((2, 3), (), _events.AttemptOutcome.UNKNOWN),
+        ],
+    )
+    async def test_events_reach_the_caller_once_and_in_order(
+        self,
+        nursery: trio.Nursery,
+        numbers: tuple[int, ...],
+        passed: tuple[int, ...],
+        outcome: _events.AttemptOutcome,
+    ) -> None:
+        async def engine(stream: trio.SocketStream) -> None:
+            await stream.receive_some(65_536)
+            chunks = b"".join(_chunk(number) for number in numbers)
+            await stream.send_all(_HEAD + chunks + b"0\r\n\r\n")
+
+        listeners = await nursery.start(trio.serve_tcp, engine, 0)
+        port = listeners[0].socket.getsockname()[1]
+        ended: list[_events.AttemptEnded] = []
+        caller = _SlowCaller()
+        caller.go_on.set()
+        relay = self._relay(caller, port, ended, resume_after=0)
+        nursery.start_soon(relay.run)
+        with trio.fail_after(2):
+            while not ended:
+                await trio.sleep(0.01)
+        expected = b"".join(b"id: %d\ndata: x\n\n" % one for one in passed)
+        assert caller.taken == expected
+        assert ended[0].outcome is outcome
+        nursery.cancel_scope.cancel()
+
     @pytest.mark.parametrize(
         "head",
         [
@@ -151,9 +187,14 @@
         port: int,
         ended: list[_events.AttemptEnded],
         is_stream: bool = True,
+        resume_after: int | None = None,
     ) -> _relay.Relay:
         request = _calls.CallerRequest(
-            "r1", "one.example", "/draft/x", caller.request
+            "r1",
+            "one.example",
+            "/draft/x",
+            caller.request,
+            resume_after=resume_after,
         )
         dispatch = _calls.Dispatch(
             model.EndpointId("e"), f"127.0.0.1:{port}", None, None
