--- a/sedgepin/platform/tests/test_processes.py
+++ b/sedgepin/platform/tests/test_processes.py
@@ -262,7 +262,14 @@
         assert b'sedgepin_duration_seconds_bucket{le="1.0"' in metrics
         entry.send_signal(signal.SIGTERM)
         await _until(503, _ENTRY, _READY_PORT, b"GET", b"/ready")
-        await _until(200, _ENTRY, _CALL_PORT, b"POST", b"/post/x")
+        request = web.Request(
+            b"POST",
+            b"/post/x",
+            ((b"Host", b"one.example"), (b"X-Request-Id", b"last")),
+        )
+        asked = await web.ask(f"{_ENTRY}:{_CALL_PORT}", request, 4.0)
+        head, _ = asked.unwrap()
+        assert (head.status, head.find(b"connection")) == (200, b"close")
         with trio.fail_after(_PATIENCE_SECONDS):
             while entry.poll() is None:
                 await trio.sleep(0.1)
