--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -11,6 +11,7 @@
 from sedgepin._registrar import _failures
 from sedgepin._registrar import _layer_orders
 from sedgepin._registrar import _peers
+from sedgepin._registrar import _report_schedule
 from sedgepin._registrar import _settings
 from sedgepin import events
 
@@ -21,14 +22,8 @@
 _HEARD_INTERVAL = datetime.timedelta(milliseconds=500)
 # Several entries lose an endpoint at the same moment; one check serves all.
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=500)
-# Engines are asked for their report this often; it lags by 200 ms itself.
-_REPORT_INTERVAL = datetime.timedelta(seconds=1)
 # An engine that became this much slower or faster is worth a message.
 _SLOWNESS_STEP = 1.2
-# Ticks in which all engines are asked once.
-_REPORT_SHARES = 20
-_LEAST_SLOWNESS = 0.01
-_LONG_AGO = datetime.datetime.min.replace(tzinfo=datetime.timezone.utc)
 
 
 class Endpoints:
@@ -41,7 +36,7 @@
         "_heard_at",
         "_peers",
         "_raft",
-        "_report_asked_at",
+        "_reports",
         "_told_by",
         "orders",
         "registry",
@@ -63,7 +58,7 @@
         self._heard_at = now
         self._checked_at: dict[model.EndpointId, datetime.datetime] = {}
         self._told_by: dict[model.EndpointId, model.VmId] = {}
-        self._report_asked_at: dict[model.EndpointId, datetime.datetime] = {}
+        self._reports = _report_schedule.ReportSchedule()
 
     def tick(
         self, table: catalog.RouteTable | None, now: datetime.datetime
@@ -86,34 +81,16 @@
         table: catalog.RouteTable | None,
         now: datetime.datetime,
     ) -> Effects:
-        """Ask the engines whose last report is the oldest."""
+        """Ask the engines that are due how slow they are."""
         if table is None:
             return []
         engines = [one for one in live if _runs_model(one, table)]
-        asked_at = {
-            one.endpoint_id: self._report_asked_at[one.endpoint_id]
-            for one in engines
-            if one.endpoint_id in self._report_asked_at
-        }
-        self._report_asked_at = asked_at
-        due = [
-            one
-            for one in engines
-            if now - asked_at.get(one.endpoint_id, _LONG_AGO)
-            >= _REPORT_INTERVAL
-        ]
-        due.sort(key=lambda one: asked_at.get(one.endpoint_id, _LONG_AGO))
-        # A few in each tick, so that they are spread over the interval.
-        share = len(engines) // _REPORT_SHARES + 1
-        made: Effects = []
-        for one in due[:share]:
-            asked_at[one.endpoint_id] = now
-            made.append(
-                _effects.InspectEngine(
-                    one.endpoint_id, one.incarnation, one.address
-                )
+        return [
+            _effects.InspectEngine(
+                one.endpoint_id, one.incarnation, one.address
             )
-        return made
+            for one in self._reports.due(engines, now)
+        ]
 
     def _note_slowness(
         self,
@@ -123,9 +100,10 @@
         """Tell everyone of an engine that became slow, or fast again."""
         if event.report is None:
             return []
-        before, after = known.slowness, event.report.slowness
-        factor = max(before, after) / max(min(before, after), _LEAST_SLOWNESS)
-        is_news = factor >= _SLOWNESS_STEP
+        # None is taken to be faster than its kind, whatever it reports: work
+        # would rush to an engine that takes no time.
+        before, after = known.slowness, max(1.0, event.report.slowness)
+        is_news = max(before, after) / min(before, after) >= _SLOWNESS_STEP
         if not is_news or known.registration.incarnation != event.incarnation:
             return []
         known.slowness = after
--- a/sedgepin/_registrar/tests/test_cluster.py
+++ b/sedgepin/_registrar/tests/test_cluster.py
@@ -416,6 +416,13 @@
         self._report(engines, 1.0)
         assert self._told(engines)[-1].slowness == 1.0
 
+    @pytest.mark.parametrize("reported", [0.0, -3.0, 0.4])
+    def test_no_engine_is_taken_to_be_faster_than_its_kind(
+        self, engines: clusters.Cluster, reported: float
+    ) -> None:
+        self._report(engines, reported)
+        assert self._told(engines) == []
+
     def test_entry_that_comes_later_hears_of_it(
         self, engines: clusters.Cluster
     ) -> None:
