--- a/sedgepin/_registrar/tests/test_log_lines.py
+++ b/sedgepin/_registrar/tests/test_log_lines.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import pathlib
-import re
 
 import pytest
 
@@ -12,7 +11,7 @@
 from sedgepin._registrar import _events
 from sedgepin._registrar.tests import cluster as clusters
 from sedgepin import errors
-from sedgepin import events
+from sedgepin.tests import log_lines
 
 _ENGINE = model.EndpointId("e")
 _ENTRY = model.VmId("entry")
@@ -152,10 +151,6 @@
         assert expected.items() <= lines[-1].items()
 
     def test_no_kind_is_left_out(self) -> None:
-        sources = pathlib.Path(__file__).parents[1].glob("*.py")
-        text = "".join(one.read_text() for one in sources)
-        names = {
-            getattr(events, one).name
-            for one in re.findall(r"\bevents\.([A-Z_]{3,})", text)
-        }
-        assert names == _SCENES.keys() | _OF_THE_DAEMON
+        package = pathlib.Path(__file__).parents[1]
+        named = log_lines.kinds_named_in(package)
+        assert named == _SCENES.keys() | _OF_THE_DAEMON
--- a/sedgepin/platform/tests/test_relay.py
+++ b/sedgepin/platform/tests/test_relay.py
@@ -1,5 +1,6 @@
 """Tests of the way of the bytes, against an engine on loopback."""
 
+import collections.abc
 import typing
 
 import pytest
@@ -24,6 +25,18 @@
     return b"%x\r\n%s\r\n" % (len(event), event)
 
 
+async def _listen(
+    nursery: trio.Nursery,
+    engine: collections.abc.Callable[
+        [trio.SocketStream], collections.abc.Awaitable[None]
+    ],
+) -> int:
+    """Serve as an engine, and return the port."""
+    listeners = await nursery.start(trio.serve_tcp, engine, 0)
+    port: int = listeners[0].socket.getsockname()[1]
+    return port
+
+
 class _SlowCaller(web.Exchange):
     """A caller that takes each event only when the test lets it."""
 
@@ -66,8 +79,7 @@
             await stream.send_all(_HEAD + _chunk(1))
             await trio.sleep(5)
 
-        listeners = await nursery.start(trio.serve_tcp, engine, 0)
-        port = listeners[0].socket.getsockname()[1]
+        port = await _listen(nursery, engine)
         ended: list[_events.AttemptEnded] = []
         caller = _SlowCaller()
         relay = self._relay(caller, port, ended)
@@ -95,8 +107,7 @@
             await stream.send_all(_HEAD + b"0\r\n\r\n")
             await trio.sleep(5)
 
-        listeners = await nursery.start(trio.serve_tcp, engine, 0)
-        port = listeners[0].socket.getsockname()[1]
+        port = await _listen(nursery, engine)
         ended: list[_events.AttemptEnded] = []
         caller = _SlowCaller()
         caller.has_started = True
@@ -135,8 +146,7 @@
             chunks = b"".join(_chunk(number) for number in numbers)
             await stream.send_all(_HEAD + chunks + b"0\r\n\r\n")
 
-        listeners = await nursery.start(trio.serve_tcp, engine, 0)
-        port = listeners[0].socket.getsockname()[1]
+        port = await _listen(nursery, engine)
         ended: list[_events.AttemptEnded] = []
         caller = _SlowCaller()
         caller.go_on.set()
@@ -167,8 +177,7 @@
             chunked = b"Transfer-Encoding: chunked\r\n\r\n"
             await stream.send_all(head + chunked + _chunk(1) + b"0\r\n\r\n")
 
-        listeners = await nursery.start(trio.serve_tcp, engine, 0)
-        port = listeners[0].socket.getsockname()[1]
+        port = await _listen(nursery, engine)
         ended: list[_events.AttemptEnded] = []
         caller = _SlowCaller()
         caller.go_on.set()
