Wait for room on a full disk instead of ending

Nothing is acknowledged meanwhile, and peers take the VM for frozen. Ruled out: retrying a failed sync, after which nobody knows what the disk holds; going on without the disk.

--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -306,7 +306,11 @@
     opened = storage.FolderDisk.open(pathlib.Path(source.current.data_folder))
     if opened.is_err():
         _refuse(opened.unwrap_err().detail())
-    store = storage.LogStore(opened.unwrap())
+    store = storage.LogStore(
+        storage.PatientDisk(
+            opened.unwrap(), time.sleep, _note_full, _note_room
+        )
+    )
     found = store.open()
     if found.is_err():
         _refuse(found.unwrap_err().detail())
@@ -316,6 +320,14 @@
     shell.run_daemon(daemon.run)
 
 
+def _note_full(failure: str) -> None:
+    logs.write(events.DISK_FULL.line(failure=failure))
+
+
+def _note_room(seconds: float) -> None:
+    logs.write(events.DISK_HAS_ROOM.line(seconds=round(seconds, 1)))
+
+
 def _refuse(reason: str) -> typing.NoReturn:
     logs.write(events.LOG_REFUSED.line(failure=reason))
     sys.exit(_DATA_FOLDER_REFUSED)
--- a/sedgepin/_registrar/tests/test_log_lines.py
+++ b/sedgepin/_registrar/tests/test_log_lines.py
@@ -126,6 +126,8 @@
 # Written by the daemon; the tests of processes see them.
 _OF_THE_DAEMON = {
     "control_call_refused",
+    "disk_full",
+    "disk_has_room",
     "endpoint_suspected",
     "log_refused",
     "order_failed",
--- a/sedgepin/_storage/__init__.py
+++ b/sedgepin/_storage/__init__.py
@@ -8,6 +8,7 @@
 from sedgepin._storage._folder_disk import FolderDisk
 from sedgepin._storage._log_store import LogStore
 from sedgepin._storage._memory_disk import MemoryDisk
+from sedgepin._storage._patient_disk import PatientDisk
 from sedgepin._storage._records import Configuration
 from sedgepin._storage._records import DiskId
 from sedgepin._storage._records import EntryKind
@@ -32,6 +33,7 @@
     "MemberId",
     "MemoryDisk",
     "OpenFailure",
+    "PatientDisk",
     "Recovered",
     "Snapshot",
 ]
--- a/sedgepin/_storage/_disk.py
+++ b/sedgepin/_storage/_disk.py
@@ -8,8 +8,9 @@
 
     Bytes that were appended or cut off survive a crash only after ``sync``
     of the same name.  ``replace`` and ``remove`` are durable on return.  An
-    I/O error is raised as ``OSError``, and the process must then end: after
-    a failed sync nobody knows what the disk holds.
+    I/O error is raised as ``OSError``.  A write that found no room may be
+    tried again; after any other error the process must end, as nobody knows
+    what the disk holds.
     """
 
     @abc.abstractmethod
--- a/sedgepin/_storage/_folder_disk.py
+++ b/sedgepin/_storage/_folder_disk.py
@@ -62,9 +62,14 @@
         os.close(self._lock_fd)
 
     def append(self, name: str, data: bytes) -> None:
-        """Add ``data`` to the end of a file."""
+        """Add ``data`` to the end of a file, all of it or nothing."""
         fd = self._open_file(name)
-        _write_all(fd, data)
+        size_bytes = os.fstat(fd).st_size
+        try:
+            _write_all(fd, data)
+        except OSError:
+            os.ftruncate(fd, size_bytes)
+            raise
 
     def sync(self, name: str) -> None:
         """Return once all that was written to the file is durable."""
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -435,6 +435,20 @@
     "leader",
     "term",
 )
+DISK_FULL = _define(
+    502,
+    "ERROR",
+    "disk_full",
+    "The disk takes no more bytes; the process waits for room.",
+    "failure",
+)
+DISK_HAS_ROOM = _define(
+    503,
+    "INFO",
+    "disk_has_room",
+    "What waited for room is on the disk.",
+    "seconds",
+)
 LOG_REFUSED = _define(
     501,
     "ERROR",
