--- a/sedgepin/platform/tests/soak/_engines.py
+++ b/sedgepin/platform/tests/soak/_engines.py
@@ -297,7 +297,8 @@
         self, exchange: web.Exchange, status: int, at_fault: str | None
     ) -> None:
         request_id = exchange.request.find(b"x-request-id") or b""
-        self._record.turned_away.append(request_id.decode())
+        now = trio.current_time()
+        self._record.turned_away.append((request_id.decode(), now))
         headers = [(b"X-Not-Executed", b"1"), (b"X-Request-Id", request_id)]
         if at_fault is not None:
             headers.append((b"At-Server", at_fault.encode()))
--- a/sedgepin/platform/tests/soak/_promises.py
+++ b/sedgepin/platform/tests/soak/_promises.py
@@ -157,12 +157,14 @@
 
 
 def _budget_holds(record: _record.Record) -> _Findings:
-    firsts: dict[str, float] = {}
+    arrivals = [(run.request_id, run.at) for run in record.runs]
+    arrivals += record.turned_away
+    seen: set[str] = set()
     repeats: list[float] = []
-    for run in sorted(record.runs, key=lambda one: one.at):
-        if run.request_id in firsts:
-            repeats.append(run.at)
-        firsts.setdefault(run.request_id, run.at)
+    for request_id, at in sorted(arrivals, key=lambda one: one[1]):
+        if request_id in seen:
+            repeats.append(at)
+        seen.add(request_id)
     for start in repeats:
         end = start + BUDGET_SECONDS
         count = sum(start <= one <= end for one in repeats)
--- a/sedgepin/platform/tests/soak/_record.py
+++ b/sedgepin/platform/tests/soak/_record.py
@@ -77,8 +77,10 @@
     sent: dict[str, Sent] = dataclasses.field(default_factory=dict)
     answers: dict[str, Answer] = dataclasses.field(default_factory=dict)
     runs: list[Run] = dataclasses.field(default_factory=list)
-    # Arrivals that engines turned away without running them.
-    turned_away: list[str] = dataclasses.field(default_factory=list)
+    # Requests that engines turned away without running them, and when.
+    turned_away: list[tuple[str, float]] = dataclasses.field(
+        default_factory=list
+    )
     acknowledged: list[Acknowledged] = dataclasses.field(default_factory=list)
     refused_configurations: list[str] = dataclasses.field(default_factory=list)
     accepted_invalid: list[str] = dataclasses.field(default_factory=list)
--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -147,6 +147,13 @@
             record.runs.append(run)
 
 
+def _ask_full_engines_again(record: _record.Record) -> None:
+    for number in range(25):
+        request_id = f"x{number}"
+        record.sent[request_id] = _sent("read", request_id)
+        record.turned_away += [(request_id, 1.2)] * 3
+
+
 def _serve_too_few(record: _record.Record) -> None:
     for number in range(9):
         request_id = f"x{number}"
@@ -186,6 +193,7 @@
             ("read", _end_by_itself, "ended by itself"),
             ("read", _order_too_much, "too much"),
             ("read", _spend_the_budget, "50 retries"),
+            ("read", _ask_full_engines_again, "50 retries"),
             ("read", _serve_too_few, "1 of 10 requests"),
         ],
     )
