--- a/sedgepin/_registrar/_peers.py
+++ b/sedgepin/_registrar/_peers.py
@@ -1,5 +1,7 @@
 """The VMs that a registrar talks to."""
 
+import collections.abc
+
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin._registrar import _effects
@@ -33,8 +35,7 @@
 
     def tell_all(self, message: protocol.PeerMessage) -> Effects:
         """Send a message to every peer."""
-        peers = sorted(self.entries.keys() | self.controls)
-        return [_effects.SendMessage(peer, message) for peer in peers]
+        return _send(self.entries.keys() | self.controls, message)
 
     def tell_entries(
         self,
@@ -42,22 +43,14 @@
         but: model.VmId | None = None,
     ) -> Effects:
         """Send a message to every entry VM that is connected."""
-        return [
-            _effects.SendMessage(entry, message)
-            for entry in sorted(self.entries)
-            if entry != but
-        ]
+        return _send((one for one in self.entries if one != but), message)
 
     def pass_on(self, message: protocol.PeerMessage) -> Effects:
         """Send what another control VM told to the entry VMs near this one.
 
         The other one tells every entry VM that it reaches by itself.
         """
-        return [
-            _effects.SendMessage(entry, message)
-            for entry in sorted(self.entries)
-            if self.is_near(entry)
-        ]
+        return _send(filter(self.is_near, self.entries), message)
 
     def meet(self, controls: tuple[model.VmId, ...]) -> Effects:
         """Note control VMs, and dial those that are new."""
@@ -73,3 +66,9 @@
         known = tuple(sorted(self.controls | {self._vm_id}))
         message = protocol.ControlsKnown(known, len(self.entries))
         return self.tell_all(message)
+
+
+def _send(
+    peers: collections.abc.Iterable[model.VmId], message: protocol.PeerMessage
+) -> Effects:
+    return [_effects.SendMessage(peer, message) for peer in sorted(peers)]
