--- a/bench/_emulated_day.py
+++ b/bench/_emulated_day.py
@@ -4,12 +4,11 @@
 sockets and control VMs are left out.  The load is summed as control VMs do.
 """
 
-import collections.abc
-import dataclasses
 import datetime
 import functools
 import random
 
+from bench import _emulated_callers
 from bench import _emulated_engines
 from sedgepin import _catalog as catalog
 from sedgepin import _gateway as gateway
@@ -30,73 +29,13 @@
 _RETRIES = 1
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Span:
-    """A factor that holds for part of a day, in ms."""
-
-    start: float
-    end: float
-    factor: float
-
-    def covers(self, time: float) -> bool:
-        """Tell whether a time is in the span."""
-        return self.start <= time < self.end
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Day:
-    """A fleet, its callers, and what troubles them.
-
-    ``cards`` are the numbers of a100, v100 and l4 of each data centre;
-    ``rates`` the requests a second there.  ``slow`` engines take ``factor``
-    times as long; ``silent`` is when no sums of the load come.
-    """
-
-    cards: dict[str, tuple[int, int, int]]
-    rates: dict[str, float]
-    entries: int
-    seconds: float = 20.0
-    prompt_tokens: int = 760
-    answer_tokens: tuple[int, int] = (80, 360)
-    target_ms: float = 500.0
-    pause_ms: float = 250.0
-    time_left_ms: float = 20_000.0
-    bursts: tuple[Span, ...] = ()
-    slow: Span | None = None
-    slow_share: float = 0.3
-    is_slowness_told: bool = True
-    silent: Span | None = None
-    seed: int = 1
-
-
-@dataclasses.dataclass(slots=True)
-class Outcome:
-    """What became of one caller's request, over all its attempts."""
-
-    asked_at: float
-    first_at: float | None = None
-    last_at: float = 0.0
-    longest_pause: float = 0.0
-    is_complete: bool = False
-    refusals: int = 0
-
-    def is_in_time(self, day: Day) -> bool:
-        """Tell whether the answer was whole, and its parts came in time."""
-        return (
-            self.is_complete
-            and self.first_at is not None
-            and self.first_at - self.asked_at <= day.target_ms
-            and self.longest_pause <= day.pause_ms
-        )
-
-
 class _Attempt(_emulated_engines.Listener):
     """One attempt of a caller at one entry VM."""
 
     def __init__(
         self,
         entry: "_Entry",
-        outcome: Outcome,
+        outcome: _emulated_callers.Outcome,
         answer_tokens: int,
         number: int,
     ) -> None:
@@ -219,11 +158,13 @@
 class Emulation:
     """Plays a day."""
 
-    def __init__(self, day: Day, profile: catalog.EngineProfile) -> None:
+    def __init__(
+        self, day: _emulated_callers.Day, profile: catalog.EngineProfile
+    ) -> None:
         self.day = day
         self.timeline = _emulated_engines.Timeline()
         self.fleet = _emulated_engines.EngineFleet(self.timeline, profile)
-        self.outcomes: list[Outcome] = []
+        self.outcomes: list[_emulated_callers.Outcome] = []
         self._rng = random.Random(day.seed)
         self._next_number = 0
         self._sums = registrar.LoadSums(_START)
@@ -235,7 +176,7 @@
         words = self._place(profile)
         self._introduce(words, profile)
 
-    def run(self) -> list[Outcome]:
+    def run(self) -> list[_emulated_callers.Outcome]:
         """Play the day to its end, and return what callers got."""
         end = self.day.seconds * 1000
         for place, rate in self.day.rates.items():
@@ -321,7 +262,7 @@
         service = catalog.Service(_SERVICE, "/", 1000, profile)
         configuration = catalog.Configuration(1, (route,), (service,))
         told: tuple[protocol.PeerMessage, ...] = (
-            protocol.RegistrationsSeen(tuple(words), (), True),
+            protocol.RegistrationsSeen(tuple(words)),
             protocol.ConfigurationPublished(
                 1, True, catalog.encode(configuration)
             ),
@@ -346,13 +287,16 @@
             return
         self.timeline.after(pause, self._arrive, place, rate, end)
         if self.timeline.now > 0:
-            outcome = Outcome(self.timeline.now)
+            outcome = _emulated_callers.Outcome(self.timeline.now)
             self.outcomes.append(outcome)
             tokens = self._rng.randint(*self.day.answer_tokens)
             self._send(model.DataCentreId(place), outcome, tokens)
 
     def _send(
-        self, place: model.DataCentreId, outcome: Outcome, answer_tokens: int
+        self,
+        place: model.DataCentreId,
+        outcome: _emulated_callers.Outcome,
+        answer_tokens: int,
     ) -> None:
         near = [one for one in self._entries if one.place == place]
         entry = self._rng.choice(near or self._entries)
@@ -381,7 +325,7 @@
                 arrived = protocol.PeerMessageArrived(_CONTROL, effect.message)
                 entry.give(arrived)
 
-    def _slow_down(self, span: Span) -> None:
+    def _slow_down(self, span: _emulated_callers.Span) -> None:
         engines = list(self.fleet.engines.values())
         count = int(len(engines) * self.day.slow_share)
         for engine in self._rng.sample(engines, count):
@@ -399,13 +343,3 @@
         )
         for entry in self._entries:
             entry.give(protocol.PeerMessageArrived(_CONTROL, message))
-
-
-def shares(
-    day: Day, outcomes: collections.abc.Sequence[Outcome]
-) -> tuple[float, float, float]:
-    """Return the shares that were in time, late, and not served."""
-    count = max(1, len(outcomes))
-    in_time = sum(one.is_in_time(day) for one in outcomes)
-    served = sum(one.is_complete for one in outcomes)
-    return in_time / count, (served - in_time) / count, 1 - served / count
--- a/bench/tests/test_load.py
+++ b/bench/tests/test_load.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bench import _emulated_callers
 from bench import _emulated_day
 from bench import _emulated_engines
 from bench import _load
@@ -126,7 +127,7 @@
         day = dataclasses.replace(_load.DAYS[name], seconds=3.0)
         emulation = _emulated_day.Emulation(day, test_plan.make_profile())
         outcomes = emulation.run()
-        shares = _emulated_day.shares(day, outcomes)
+        shares = _emulated_callers.shares(day, outcomes)
         assert sum(shares) == pytest.approx(1.0)
         assert all(
             one.is_complete or one.refusals or one.first_at is not None
@@ -136,7 +137,9 @@
     def test_a_calm_day_is_served(self) -> None:
         day = dataclasses.replace(_load.DAYS["calm"], seconds=4.0)
         emulation = _emulated_day.Emulation(day, test_plan.make_profile())
-        in_time, _late, _unserved = _emulated_day.shares(day, emulation.run())
+        in_time, _late, _unserved = _emulated_callers.shares(
+            day, emulation.run()
+        )
         assert in_time > 0.99
 
     def test_slowness_that_is_told_helps(self) -> None:
--- a/sedgepin/_gateway/tests/parts.py
+++ b/sedgepin/_gateway/tests/parts.py
@@ -138,7 +138,7 @@
         )
         self.handle(protocol.PeerConnected(hello))
         words = fleet() if registrations is None else registrations
-        self.tell(protocol.RegistrationsSeen(words, (), True))
+        self.tell(protocol.RegistrationsSeen(words))
         self.publish(1)
 
     def handle(
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -109,13 +109,12 @@
 class RegistrationsSeen(msgspec.Struct, frozen=True, tag=True):
     """Endpoints that registered with the sender.
 
-    ``changed`` holds what is new, or all with ``is_complete``; ``heard``
-    those that were only heard again.
+    ``changed`` holds what is new, or all to a peer that has just connected;
+    ``heard`` those that were only heard again.
     """
 
     changed: tuple[catalog.Registration, ...] = ()
     heard: tuple[model.EndpointId, ...] = ()
-    is_complete: bool = False
 
 
 class ControlsKnown(msgspec.Struct, frozen=True, tag=True):
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -182,7 +182,7 @@
         else:
             made += self._peers.meet((hello.id,))
         words = tuple(known.registration for known in self._endpoints.registry)
-        complete = protocol.RegistrationsSeen(words, (), True)
+        complete = protocol.RegistrationsSeen(words)
         made.append(_effects.SendMessage(hello.id, complete))
         made += [
             _effects.SendMessage(hello.id, one)
