--- a/sedgepin/_web/__init__.py
+++ b/sedgepin/_web/__init__.py
@@ -18,12 +18,12 @@
 from sedgepin._web._server import Exchange
 from sedgepin._web._server import Handler
 from sedgepin._web._server import Server
-from sedgepin._web._server import ServerLimits
 from sedgepin._web._types import AnswerHead
 from sedgepin._web._types import end_to_end
 from sedgepin._web._types import find_field
 from sedgepin._web._types import Headers
 from sedgepin._web._types import Request
+from sedgepin._web._types import ServerLimits
 
 __all__ = [
     "AnswerBroken",
--- a/sedgepin/_web/_metrics.py
+++ b/sedgepin/_web/_metrics.py
@@ -7,7 +7,7 @@
 from sedgepin import errors
 
 _CONTENT_TYPE = (b"Content-Type", b"text/plain; version=0.0.4")
-_LIMITS = _server.ServerLimits(16_384, 1024, 3.0, 30.0)
+_LIMITS = _types.ServerLimits(16_384, 1024, 3.0, 30.0)
 
 
 class MetricsHandler(_server.Handler):
@@ -29,6 +29,6 @@
         """Return the answer to a request that could not be read."""
         return _types.AnswerHead(failure.http_status), b""
 
-    def limits(self) -> _server.ServerLimits:
+    def limits(self) -> _types.ServerLimits:
         """Return limits that fit a collector's short requests."""
         return _LIMITS
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 connections from callers: reading requests, sending answers."""
 
 import abc
-import dataclasses
 import functools
 import math
 import socket
@@ -22,16 +21,6 @@
 _LISTEN_BACKLOG = 512
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ServerLimits:
-    """What a caller may send, and how long it may take."""
-
-    header_bytes: int
-    body_bytes: int
-    header_timeout_seconds: float
-    idle_timeout_seconds: float
-
-
 class Exchange:
     """One request of a caller, and the way back for its answer."""
 
@@ -91,7 +80,7 @@
         """Return the answer to a request that could not be read."""
 
     @abc.abstractmethod
-    def limits(self) -> ServerLimits:
+    def limits(self) -> _types.ServerLimits:
         """Return the limits in force."""
 
 
@@ -363,7 +352,7 @@
         return await self._read_body(head, limits)
 
     async def _read_body(
-        self, head: h11.Request, limits: ServerLimits
+        self, head: h11.Request, limits: _types.ServerLimits
     ) -> result.Result[_types.Request, errors.Failure] | None:
         body = bytearray()
         if self._conn.they_are_waiting_for_100_continue:
--- a/sedgepin/_web/_types.py
+++ b/sedgepin/_web/_types.py
@@ -74,3 +74,13 @@
     return tuple(
         (name, value) for name, value in headers if name.lower() not in dropped
     )
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ServerLimits:
+    """What a caller may send, and how long it may take."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_seconds: float
+    idle_timeout_seconds: float
