--- a/sedgepin/_registrar/tests/cluster.py
+++ b/sedgepin/_registrar/tests/cluster.py
@@ -82,6 +82,20 @@
     return catalog.encode(catalog.Configuration(version, (), (service,)))
 
 
+def registration(**changes: object) -> catalog.Registration:
+    """Return the word of a plain endpoint, with some fields changed."""
+    values: dict[str, object] = {
+        "endpoint_id": model.EndpointId("e"),
+        "incarnation": 1,
+        "sequence": 1,
+        "service": model.ServiceName("s"),
+        "address": "127.0.0.1:80",
+        "data_centre": model.DataCentreId("dc"),
+        "state": catalog.EndpointState.READY,
+    }
+    return catalog.Registration(**{**values, **changes})  # type: ignore
+
+
 class Cluster:
     """Control VMs ``a``, ``b``, ``c`` and one entry VM that listens."""
 
--- a/sedgepin/_registrar/tests/test_log_lines.py
+++ b/sedgepin/_registrar/tests/test_log_lines.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from sedgepin import _catalog as catalog
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin._registrar import _events
@@ -18,25 +17,12 @@
 _Scene = collections.abc.Callable[[clusters.Cluster], None]
 
 
-def _word(accelerator: str = "") -> catalog.Registration:
-    return catalog.Registration(
-        endpoint_id=_ENGINE,
-        incarnation=1,
-        sequence=1,
-        service=model.ServiceName("s"),
-        address="127.0.0.1:80",
-        data_centre=model.DataCentreId("dc"),
-        state=catalog.EndpointState.READY,
-        accelerator=accelerator,
-    )
-
-
 def _nothing(cluster: clusters.Cluster) -> None:
     """Leave it at the start, in which a leader was elected."""
 
 
 def _register(cluster: clusters.Cluster) -> None:
-    cluster.register(cluster.leader(), _word())
+    cluster.register(cluster.leader(), clusters.registration())
 
 
 def _follow(cluster: clusters.Cluster) -> None:
@@ -83,20 +69,12 @@
     leader = cluster.leader()
     cluster.publish_document(leader, clusters.model_document(7))
     for number in range(20):
-        word = _word("a100")
-        cluster.register(
-            leader,
-            catalog.Registration(
-                model.EndpointId(f"e{number}"),
-                1,
-                1,
-                word.service,
-                f"127.0.0.1:{number + 80}",
-                word.data_centre,
-                word.state,
-                accelerator="a100",
-            ),
+        word = clusters.registration(
+            endpoint_id=model.EndpointId(f"e{number}"),
+            address=f"127.0.0.1:{number + 80}",
+            accelerator="a100",
         )
+        cluster.register(leader, word)
     cluster.run(2.5)
     report = _events.EngineReport(1, None, False, 0)
     engine = model.EndpointId("e0")
