--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -17,10 +17,10 @@
 # at most.  This many heartbeat intervals leave time for both retries.
 _TIMEOUT_INTERVALS = 3.4
 
-# Heartbeats that control VMs received before an endpoint failed reach their
-# peers up to this much later.  Until then a heartbeat does not count as a
-# recovery.
-_MAX_HEARTBEAT_DELAY = datetime.timedelta(milliseconds=700)
+# Heartbeats that control VMs received before an endpoint failed reach entry
+# VMs up to this much later, over two relays.  Until then a heartbeat does not
+# count as a recovery.
+_MAX_HEARTBEAT_DELAY = datetime.timedelta(milliseconds=900)
 
 
 def heartbeat_timeout(
--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -235,6 +235,8 @@
                 self._transport.send(recipient, message)
             case _effects.DialPeer(vm_id):
                 self._transport.dial(_peer(vm_id))
+            case _effects.HangUpPeer(vm_id):
+                self._transport.hang_up(vm_id)
             case _effects.InspectStalls():
                 self._nursery.start_soon(self._inspect, effect)
             case _effects.Reroute():
--- a/sedgepin/_gateway/_effects.py
+++ b/sedgepin/_gateway/_effects.py
@@ -26,6 +26,13 @@
     vm_id: model.VmId
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class HangUpPeer:
+    """Disconnect from a peer, and do not connect to it again."""
+
+    vm_id: model.VmId
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class SetDeadline:
     """Set the time after which ``DeadlineReached`` follows."""
@@ -113,6 +120,7 @@
 GatewayEffect: typing.TypeAlias = (
     SendMessage
     | DialPeer
+    | HangUpPeer
     | SetDeadline
     | StartAttempt
     | CancelAttempt
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -74,6 +74,7 @@
         "_suspicions",
         "_tokens",
         "_version",
+        "has_unreported_changes",
         "registry",
         "unreported_load",
     )
@@ -100,6 +101,8 @@
         self._last_report: _Loads = {}
         self._other_loads: _Loads = {}
         self._version = 0
+        # Whether the load from this VM has changed since its last report.
+        self.has_unreported_changes = True
         self.unreported_load = _unreported_load.UnreportedLoad(rng)
 
     def make_load_report(self) -> tuple[protocol.EndpointLoad, ...]:
@@ -114,6 +117,7 @@
             for endpoint_id, count in self._running.items()
         )
         self._last_report = {load.endpoint_id: load for load in loads}
+        self.has_unreported_changes = False
         return loads
 
     def set_aggregated_load(
@@ -186,6 +190,7 @@
         tokens: int,
     ) -> None:
         """Add a request to the load of its endpoints."""
+        self.has_unreported_changes = True
         for endpoint_id in endpoint_ids:
             self._running[endpoint_id] += 1
             self._tokens[endpoint_id] += tokens
@@ -196,6 +201,7 @@
         tokens: int,
     ) -> None:
         """Remove a request from the load of its endpoints."""
+        self.has_unreported_changes = True
         for endpoint_id in endpoint_ids:
             self._running[endpoint_id] -= 1
             self._tokens[endpoint_id] -= tokens
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -6,6 +6,7 @@
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _aggregator_selector
 from sedgepin._gateway import _attempt_handler
+from sedgepin._gateway import _control_connections
 from sedgepin._gateway import _dispatcher
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _events
@@ -18,8 +19,13 @@
 
 Effects = list[_effects.GatewayEffect]
 
-# Configurations are pushed by the control VMs; polling recovers lost pushes.
+# Configurations are pushed by the control VMs, and aggregated loads tell the
+# version in force; polling recovers from the loss of both.
 _CONFIGURATION_POLL_INTERVAL = datetime.timedelta(seconds=1)
+_INFORMED_POLL_INTERVAL = datetime.timedelta(seconds=3)
+# A load report that repeats the one before is sent only this often.  Control
+# VMs forget the load of an entry VM after 1 s without a report.
+_UNCHANGED_REPORT_INTERVAL = datetime.timedelta(milliseconds=400)
 # After the announcement of a newer version, the control VMs of the same data
 # centre have this long to push it before it is requested from another one.
 _PUSH_TIMEOUT = datetime.timedelta(milliseconds=150)
@@ -39,12 +45,12 @@
     __slots__ = (
         "_aggregator_selector",
         "_attempt_handler",
-        "_connected",
-        "_controls",
+        "_connections",
         "_dispatcher",
         "_is_draining",
         "_newer_version_holder",
         "_next_report_at",
+        "_reported_at",
         "_request_configuration_at",
         "_started_at",
         "_state",
@@ -68,9 +74,13 @@
         # A control VM that announced a newer version than the one in force.
         self._newer_version_holder: model.VmId | None = None
         self._next_report_at = now
-        self._aggregator_selector = _aggregator_selector.AggregatorSelector()
-        self._controls: set[model.VmId] = set(cfg.controls)
-        self._connected: set[model.VmId] = set()
+        self._reported_at = now
+        self._connections = _control_connections.ControlConnections(
+            cfg.vm_id, cfg.data_centre, cfg.controls, now
+        )
+        self._aggregator_selector = _aggregator_selector.AggregatorSelector(
+            self._connections.rank
+        )
         self._is_draining = False
 
     @property
@@ -118,7 +128,8 @@
             case _events.DeadlineReached(exchange_id):
                 return self._dispatcher.handle_deadline(exchange_id, now)
             case _events.SettingsReloaded(cfg):
-                return self._add_controls(cfg.controls)
+                self._connections.add(dict.fromkeys(cfg.controls))
+                return []
             case _events.TimerFired():
                 return self._tick(now)
             case _events.DrainRequested():
@@ -127,7 +138,7 @@
             case protocol.PeerMessageReceived(sender, message):
                 return self._handle_message(sender, message, now)
             case protocol.PeerConnected(hello):
-                self._connected.add(hello.id)
+                self._connections.record_connected(hello.id, hello.data_centre)
                 self._aggregator_selector.record_reconnect(hello.id)
                 return [
                     _shared_state.log(
@@ -135,7 +146,7 @@
                     )
                 ]
             case protocol.PeerDisconnected(peer_id):
-                self._connected.discard(peer_id)
+                self._connections.record_disconnected(peer_id, now)
                 return [
                     _shared_state.log(
                         events.PEER_DISCONNECTED.line(peer=peer_id)
@@ -156,22 +167,19 @@
         now: datetime.datetime,
     ) -> Effects:
         match message:
-            case protocol.ConfigurationPublished(configuration=b""):
-                self._record_version(sender, message, now)
+            case protocol.ConfigurationPublished(
+                version, confirmed, configuration=b""
+            ):
+                self._record_version(sender, version, confirmed, now)
             case protocol.ConfigurationPublished():
                 return self._apply_configuration(message, now)
             case protocol.RegistrationsSeen():
                 return self._merge_registrations(message, now)
-            case protocol.ControlsKnown(controls, entry_count):
-                self._state.retry_budget.set_entry_count(entry_count)
-                self._state.fleet.unreported_load.set_entry_count(entry_count)
-                return self._add_controls(controls)
-            case protocol.LoadSummed(loads, retries):
-                if self._aggregator_selector.record_aggregate(sender, now):
-                    self._state.fleet.set_aggregated_load(loads, now)
-                    self._state.retry_budget.set_aggregated_counts(
-                        retries, now
-                    )
+            case protocol.ControlsKnown():
+                self._set_entry_count(message.entry_count)
+                self._connections.add(_data_centres(message))
+            case protocol.LoadSummed():
+                self._apply_aggregate(sender, message, now)
             case protocol.EndpointPaced(endpoint_id, incarnation, slowdown):
                 self._state.fleet.registry.set_slowdown(
                     endpoint_id, incarnation, slowdown
@@ -189,6 +197,29 @@
                 )
         return []
 
+    def _apply_aggregate(
+        self,
+        sender: model.VmId,
+        message: protocol.LoadSummed,
+        now: datetime.datetime,
+    ) -> None:
+        """Use the aggregated load, unless another sender is selected."""
+        if not self._aggregator_selector.record_aggregate(
+            sender, now, message.knows_leader
+        ):
+            return
+        if message.entry_count:
+            self._set_entry_count(message.entry_count)
+        self._state.fleet.set_aggregated_load(message.loads, now)
+        self._state.retry_budget.set_aggregated_counts(message.retries, now)
+        self._record_version(
+            sender, message.configuration_version, message.knows_leader, now
+        )
+
+    def _set_entry_count(self, entry_count: int) -> None:
+        self._state.retry_budget.set_entry_count(entry_count)
+        self._state.fleet.unreported_load.set_entry_count(entry_count)
+
     def _apply_configuration(
         self,
         message: protocol.ConfigurationPublished,
@@ -222,13 +253,14 @@
     def _record_version(
         self,
         sender: model.VmId,
-        message: protocol.ConfigurationPublished,
+        version: int,
+        confirmed: bool,
         now: datetime.datetime,
     ) -> None:
         """Schedule a request for a newer version that may not be pushed."""
-        if message.version <= max(0, self._version()):
+        if version <= max(0, self._version()):
             return
-        if message.confirmed or self._newer_version_holder is None:
+        if confirmed or self._newer_version_holder is None:
             self._newer_version_holder = sender
         self._request_configuration_at = min(
             self._request_configuration_at, now + _PUSH_TIMEOUT
@@ -301,11 +333,17 @@
         fingerprints = self._state.crash_tracker.record_endpoint_crash(
             endpoint_id, incarnation, now
         )
-        for fingerprint in fingerprints if self._connected else ():
+        recipient = min(
+            self._connections.connected,
+            key=self._connections.rank,
+            default=None,
+        )
+        if recipient is None:
+            return effects
+        for fingerprint in fingerprints:
             message = protocol.CrashWitnessed(
                 fingerprint, endpoint_id, incarnation
             )
-            recipient = min(self._connected)
             effects.append(_effects.SendMessage(recipient, message))
         return effects
 
@@ -323,38 +361,81 @@
             message = protocol.EndpointFailed(endpoint_id, incarnation)
             effects += [
                 _effects.SendMessage(vm_id, message)
-                for vm_id in sorted(self._connected)
+                for vm_id in sorted(self._connections.connected)
             ]
         self._state.unreachable_endpoints.clear()
         return effects
 
-    def _add_controls(self, controls: tuple[model.VmId, ...]) -> Effects:
-        """Add control VMs, and connect to those that are new."""
-        new = set(controls) - self._controls
-        self._controls |= new
-        return [_effects.DialPeer(vm_id) for vm_id in sorted(new)]
+    def _update_connections(self, now: datetime.datetime) -> Effects:
+        """Connect to the control VMs chosen now, and leave the others."""
+        changes = self._connections.plan(
+            lambda vm_id: self._aggregator_selector.is_unresponsive(
+                vm_id, now
+            ),
+            now,
+        )
+        effects: Effects = [
+            _effects.DialPeer(vm_id) for vm_id in changes.dialled
+        ]
+        return effects + [
+            _effects.HangUpPeer(vm_id) for vm_id in changes.hung_up
+        ]
 
     def _tick(self, now: datetime.datetime) -> Effects:
         effects: Effects = []
-        if now >= self._request_configuration_at and self._connected:
-            self._request_configuration_at = now + _CONFIGURATION_POLL_INTERVAL
-            recipient = self._state.rng.choice(sorted(self._connected))
-            if self._newer_version_holder in self._connected:
+        connected = self._connections.connected
+        if now >= self._request_configuration_at and connected:
+            is_informed = (
+                self._state.table is not None
+                and self._aggregator_selector.has_recent_aggregate(now)
+            )
+            self._request_configuration_at = now + (
+                _INFORMED_POLL_INTERVAL
+                if is_informed
+                else _CONFIGURATION_POLL_INTERVAL
+            )
+            recipient = self._state.rng.choice(sorted(connected))
+            if self._newer_version_holder in connected:
                 recipient = self._newer_version_holder
             self._newer_version_holder = None
             request = protocol.ConfigurationWanted(self._version())
             effects.append(_effects.SendMessage(recipient, request))
         if now >= self._next_report_at:
             effects += self._report_load(now)
+            effects += self._update_connections(now)
         return effects + self._dispatcher.serve_queues(now)
 
     def _report_load(self, now: datetime.datetime) -> Effects:
         """Report the load from this VM to the selected aggregator."""
-        aggregator = self._aggregator_selector.select(self._connected, now)
+        self._next_report_at = now + _aggregator_selector.REPORT_INTERVAL
+        connected = self._connections.connected
+        previous = self._aggregator_selector.selected
+        aggregator = self._aggregator_selector.select(connected, now)
+        effects: Effects = []
+        if previous != aggregator and previous in connected:
+            # Otherwise the load would count twice until this report expires.
+            withdrawal = protocol.LoadReported(())
+            effects.append(_effects.SendMessage(previous, withdrawal))
         if aggregator is None:
-            return []
+            return effects
+        has_changed = self._state.fleet.has_unreported_changes
+        if (
+            aggregator == previous
+            and not has_changed
+            and now - self._reported_at < _UNCHANGED_REPORT_INTERVAL
+        ):
+            return effects
+        self._reported_at = now
         loads = self._state.fleet.make_load_report()
-        self._next_report_at = now + _aggregator_selector.REPORT_INTERVAL
         retries = self._state.retry_budget.counts(now)
         message = protocol.LoadReported(loads, retries)
-        return [_effects.SendMessage(aggregator, message)]
+        return [*effects, _effects.SendMessage(aggregator, message)]
+
+
+def _data_centres(
+    message: protocol.ControlsKnown,
+) -> dict[model.VmId, model.DataCentreId | None]:
+    """Return the data centre of each control VM, if the sender knows it."""
+    if len(message.data_centres) != len(message.controls):
+        return dict.fromkeys(message.controls)
+    return dict(zip(message.controls, message.data_centres, strict=True))
--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -23,6 +23,7 @@
 from sedgepin._protocol._messages import HeartbeatsCarried
 from sedgepin._protocol._messages import Hello
 from sedgepin._protocol._messages import LoadReported
+from sedgepin._protocol._messages import LoadShared
 from sedgepin._protocol._messages import LoadSummed
 from sedgepin._protocol._messages import PeerMessage
 from sedgepin._protocol._messages import RaftCarried
@@ -65,6 +66,7 @@
     "Hello",
     "IdentityNotProved",
     "LoadReported",
+    "LoadShared",
     "LoadSummed",
     "PeerConnected",
     "PeerDisconnected",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -122,10 +122,15 @@
 
 
 class ControlsKnown(msgspec.Struct, frozen=True, tag=True):
-    """The control VMs that the sender knows and the number of entry VMs."""
+    """The control VMs that the sender knows and the number of entry VMs.
+
+    ``data_centres`` names the data centre of each control VM, in the same
+    order; it is empty for one that the sender has not met.
+    """
 
     controls: tuple[model.VmId, ...]
     entry_count: int
+    data_centres: tuple[model.DataCentreId, ...] = ()
 
 
 class EndpointLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -152,10 +157,32 @@
 
 
 class LoadSummed(msgspec.Struct, frozen=True, tag=True):
-    """The aggregated load of all entry VMs, from their last reports."""
+    """The aggregated load of all entry VMs, from their last reports.
+
+    ``entry_count`` is the number of these entry VMs; 0 if the sender does not
+    state it.  ``knows_leader`` is false if the sender has known no leader for
+    a while, so that what it holds may be outdated.
+    ``configuration_version`` is the version that the sender holds; -1 if it
+    does not state it.
+    """
+
+    loads: tuple[EndpointLoad, ...]
+    retries: tuple[RetryCount, ...] = ()
+    entry_count: int = 0
+    knows_leader: bool = True
+    configuration_version: int = -1
+
+
+class LoadShared(msgspec.Struct, frozen=True, tag=True):
+    """The summed load of the entry VMs that report to the sender.
+
+    Control VMs exchange these sums, so that each can tell its entry VMs the
+    load of the whole fleet.
+    """
 
     loads: tuple[EndpointLoad, ...]
     retries: tuple[RetryCount, ...] = ()
+    entry_count: int = 0
 
 
 class EndpointFailed(msgspec.Struct, frozen=True, tag=True):
@@ -240,6 +267,7 @@
     | EndpointFailed
     | EndpointLost
     | EndpointPaced
+    | LoadShared
     | LoadSummed
     | ReadIndexAsked
     | ReadIndexAnswered
--- a/sedgepin/_protocol/_transport.py
+++ b/sedgepin/_protocol/_transport.py
@@ -17,6 +17,7 @@
 import trio
 
 from sedgepin._model import VmId
+from sedgepin._protocol import _frame_cache
 from sedgepin._protocol import _framing
 from sedgepin._protocol import _messages
 from sedgepin._protocol import _tls
@@ -133,7 +134,9 @@
 
     __slots__ = (
         "_client_tls",
+        "_dial_scopes",
         "_dialled_peers",
+        "_frame_cache",
         "_hello",
         "_listen",
         "_nursery",
@@ -153,6 +156,8 @@
         self._hello = hello
         self._listen = listen
         self._dialled_peers = {peer.id: peer for peer in dials}
+        self._dial_scopes: dict[str, trio.CancelScope] = {}
+        self._frame_cache = _frame_cache.FrameCache()
         self._nursery: trio.Nursery | None = None
         self._on_event = on_event
         self._outboxes: dict[VmId, list[_Outbox]] = {}
@@ -180,6 +185,16 @@
         if self._nursery is not None:
             self._nursery.start_soon(self._maintain_connection, peer)
 
+    def hang_up(self, peer_id: VmId) -> None:
+        """Close the stream to a dialled peer and do not connect to it again.
+
+        Streams that the peer itself has opened stay.
+        """
+        self._dialled_peers.pop(peer_id, None)
+        scope = self._dial_scopes.pop(peer_id, None)
+        if scope is not None:
+            scope.cancel()
+
     async def run(
         self,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
@@ -213,12 +228,17 @@
         await self._run_tls_stream(tls_stream, address)
 
     async def _maintain_connection(self, peer: settings.Peer) -> None:
-        while True:
-            try:
-                await self._dial(peer)
-            except OSError:
-                pass
-            await trio.sleep(_REDIAL_INTERVAL_SECONDS)
+        with trio.CancelScope() as scope:
+            if self._dialled_peers.get(peer.id) is not peer:
+                # Hung up before this task started.
+                return
+            self._dial_scopes[peer.id] = scope
+            while True:
+                try:
+                    await self._dial(peer)
+                except OSError:
+                    pass
+                await trio.sleep(_REDIAL_INTERVAL_SECONDS)
 
     async def _dial(self, peer: settings.Peer) -> None:
         host, port = split_address(peer.address)
@@ -269,7 +289,7 @@
         outbox.put(self._hello)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
-                _send_messages, stream, outbox, nursery.cancel_scope
+                self._send_messages, stream, outbox, nursery.cancel_scope
             )
             try:
                 await self._receive_messages(
@@ -318,6 +338,25 @@
                 self._outboxes.setdefault(sender, []).append(outbox)
                 self._on_event(PeerConnected(message))
 
+    async def _send_messages(
+        self,
+        stream: trio.abc.Stream,
+        outbox: _Outbox,
+        scope: trio.CancelScope,
+    ) -> None:
+        try:
+            while True:
+                messages = await outbox.drain()
+                frame = self._frame_cache.encode(messages)
+                with trio.fail_after(_STREAM_TIMEOUT_SECONDS):
+                    await stream.send_all(frame)
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.TooSlowError,
+        ):
+            scope.cancel()
+
     def _remove_outbox(self, outbox: _Outbox) -> None:
         for peer_id, outboxes in list(self._outboxes.items()):
             if outbox not in outboxes:
@@ -338,22 +377,6 @@
     return host.strip("[]"), int(port)
 
 
-async def _send_messages(
-    stream: trio.abc.Stream, outbox: _Outbox, scope: trio.CancelScope
-) -> None:
-    try:
-        while True:
-            messages = await outbox.drain()
-            with trio.fail_after(_STREAM_TIMEOUT_SECONDS):
-                await stream.send_all(_framing.encode_messages(messages))
-    except (
-        trio.BrokenResourceError,
-        trio.ClosedResourceError,
-        trio.TooSlowError,
-    ):
-        scope.cancel()
-
-
 async def _receive_frames(
     stream: trio.abc.Stream,
 ) -> collections.abc.AsyncIterator[bytes]:
--- a/sedgepin/_registrar/_configurations.py
+++ b/sedgepin/_registrar/_configurations.py
@@ -49,6 +49,18 @@
     deadline: datetime.datetime
 
 
+@dataclasses.dataclass(slots=True)
+class _PendingConfirmation:
+    """An entry VM without a configuration that waits for a confirmed one.
+
+    ``index`` is the leader's read index once it is known.
+    """
+
+    entry: model.VmId
+    deadline: datetime.datetime
+    index: int | None = None
+
+
 class ConfigurationManager:
     """The configuration in force, and the calls that wait for the log.
 
@@ -56,6 +68,7 @@
     """
 
     __slots__ = (
+        "_confirmations",
         "_dialect",
         "_encoded_configuration",
         "_forwarded_calls",
@@ -87,6 +100,7 @@
         self._proposed_calls: dict[int, _PendingCall] = {}
         self._forwarded_calls: dict[int, _PendingCall] = {}
         self._pending_reads: list[_PendingRead] = []
+        self._confirmations: dict[int, _PendingConfirmation] = {}
 
     def submit(
         self, event: _events.ConfigurationSubmitted, now: datetime.datetime
@@ -188,6 +202,13 @@
 
         Without an index the read fails with ``NoQuorum``.
         """
+        confirmation = self._confirmations.get(ask_id)
+        if confirmation is not None:
+            if index is None:
+                del self._confirmations[ask_id]
+                return [self._send(confirmation.entry, False)]
+            confirmation.index = index
+            return self.serve_reads()
         call = self._forwarded_calls.pop(ask_id, None)
         if call is None:
             return []
@@ -201,16 +222,24 @@
 
     def serve_reads(self) -> Effects:
         """Respond to the reads whose read index has been committed here."""
-        if not self._pending_reads:
-            return []
         committed = self._raft.commit_index
+        effects: Effects = []
+        for ask_id, confirmation in list(self._confirmations.items()):
+            if confirmation.index is None or confirmation.index > committed:
+                continue
+            del self._confirmations[ask_id]
+            effects.append(self._send(confirmation.entry, True))
+        if not self._pending_reads:
+            return effects
         ready = [
             read for read in self._pending_reads if read.index <= committed
         ]
         self._pending_reads = [
             read for read in self._pending_reads if read.index > committed
         ]
-        return [self._answer_read(read.exchange_id) for read in ready]
+        return effects + [
+            self._answer_read(read.exchange_id) for read in ready
+        ]
 
     def _answer_read(self, exchange_id: int) -> _effects.RegistrarEffect:
         if self.ledger.is_empty:
@@ -236,8 +265,42 @@
             effects.append(
                 _effects.RespondWithFailure(read.exchange_id, failure)
             )
+        for ask_id, confirmation in list(self._confirmations.items()):
+            if now >= confirmation.deadline:
+                del self._confirmations[ask_id]
+                effects.append(self._send(confirmation.entry, False))
         return effects
 
+    def answer_wanted(
+        self, entry: model.VmId, entry_version: int, now: datetime.datetime
+    ) -> Effects:
+        """Answer an entry VM that asked for a configuration.
+
+        One that has none yet needs a confirmed configuration to start with.
+        It may be connected to no leader, so a follower asks the leader
+        whether its configuration is the latest.
+        """
+        leader = self._raft.leader_id
+        if entry_version >= 0 or self._raft.is_leader or leader is None:
+            return [self.configuration_message(entry, entry_version, now)]
+        ask_id = self._allocate_number()
+        self._confirmations[ask_id] = _PendingConfirmation(
+            entry, now + _LOG_TIMEOUT
+        )
+        message = protocol.ReadIndexAsked(ask_id)
+        return [_effects.SendMessage(leader, message)]
+
+    def _send(
+        self, entry: model.VmId, is_confirmed: bool
+    ) -> _effects.RegistrarEffect:
+        """Return the message with the whole configuration, if there is one."""
+        message = protocol.ConfigurationPublished(
+            self.ledger.version,
+            is_confirmed and not self.ledger.is_empty,
+            self._encoded_configuration,
+        )
+        return _effects.SendMessage(entry, message)
+
     def configuration_message(
         self, peer_id: model.VmId, peer_version: int, now: datetime.datetime
     ) -> _effects.RegistrarEffect:
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -17,11 +17,15 @@
 
 Effects = list[_effects.RegistrarEffect]
 
-# Heartbeats are relayed to peers in batches at this interval; changed
-# registrations are sent at once.
-_HEARTBEAT_RELAY_INTERVAL = datetime.timedelta(milliseconds=500)
+# Heartbeats are relayed in batches: to the other control VMs at the first
+# interval, and by each of them to its entry VMs at the second one, which is a
+# multiple of the interval of aggregated loads and so shares their frames.
+# Changed registrations are sent at once.
+_CONTROL_RELAY_INTERVAL = datetime.timedelta(milliseconds=300)
+_ENTRY_RELAY_INTERVAL = datetime.timedelta(milliseconds=400)
+_REMOVAL_INTERVAL = datetime.timedelta(seconds=1)
 # Several entry VMs report a failed endpoint at about the same time; a single
-# check serves all of them.
+# check, or a single message to the leader, serves all of them.
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=500)
 # Changes of an engine's slowdown by a smaller ratio are not sent to peers.
 _SLOWDOWN_RATIO_MIN = 1.2
@@ -30,8 +34,9 @@
 class EndpointManager:
     """The endpoints known to this VM, and the messages and orders about them.
 
-    Every control VM accepts registrations and relays them to its peers.  Only
-    the leader checks endpoints, requests engine reports and orders layers.
+    Every control VM accepts registrations and relays them to its peers, and
+    requests the reports of the engines in its data centre.  Only the leader
+    checks endpoints that entry VMs reported, and orders layers.
     """
 
     __slots__ = (
@@ -39,10 +44,13 @@
         "_checked_at",
         "_peers",
         "_raft",
-        "_relayed_at",
+        "_relayed_to_controls_at",
+        "_relayed_to_entries_at",
+        "_removed_at",
         "_reported_by",
         "_reports",
-        "_unrelayed_heartbeats",
+        "_unrelayed_to_controls",
+        "_unrelayed_to_entries",
         "orders",
         "registry",
     )
@@ -59,8 +67,12 @@
         self._raft = raft
         self.registry = catalog.Registry()
         self.orders = _layer_orders.LayerOrders()
-        self._unrelayed_heartbeats: set[model.EndpointId] = set()
-        self._relayed_at = now
+        # Heartbeats received here, and those received by any control VM.
+        self._unrelayed_to_controls: set[model.EndpointId] = set()
+        self._unrelayed_to_entries: set[model.EndpointId] = set()
+        self._relayed_to_controls_at = now
+        self._relayed_to_entries_at = now
+        self._removed_at = now
         self._checked_at: dict[model.EndpointId, datetime.datetime] = {}
         self._reported_by: dict[model.EndpointId, model.VmId] = {}
         self._reports = _report_schedule.ReportSchedule()
@@ -68,31 +80,34 @@
     def tick(
         self, table: catalog.RouteTable | None, now: datetime.datetime
     ) -> Effects:
-        """Relay heartbeats; as leader, send orders and report requests too."""
-        effects: Effects = []
-        if now - self._relayed_at >= _HEARTBEAT_RELAY_INTERVAL:
-            self._relayed_at = now
+        """Relay heartbeats and request reports; as leader, send orders too."""
+        if now - self._removed_at >= _REMOVAL_INTERVAL:
+            self._removed_at = now
             self.registry.remove_expired(self._cfg.heartbeat_timeout, now)
-            effects += self._relay_heartbeats()
-        if self._raft.holds_lease(now):
-            live = self.live_registrations(now)
+        effects = self._relay_heartbeats(now)
+        live = self.live_registrations(now)
+        is_leader = self._raft.holds_lease(now)
+        if is_leader:
             effects += self.orders.tick(live, table, self._raft.term, now)
-            effects += self._request_reports(live, table, now)
-        return effects
+        return effects + self._request_reports(live, table, is_leader, now)
 
     def _request_reports(
         self,
         live: list[catalog.Registration],
         table: catalog.RouteTable | None,
+        is_leader: bool,
         now: datetime.datetime,
     ) -> Effects:
-        """Request the reports of the engines that are due."""
+        """Request the reports of this VM's engines that are due."""
         if table is None:
             return []
         engines = [
             registration
             for registration in live
             if _runs_model(registration, table)
+            and self._peers.is_responsible(
+                registration.data_centre, registration.endpoint_id, is_leader
+            )
         ]
         return [
             _effects.InspectEngine(
@@ -173,7 +188,8 @@
             # retry at another control VM.
             failure = _failures.NoQuorum()
             return [_effects.RespondWithFailure(event.exchange_id, failure)]
-        self._unrelayed_heartbeats.add(registration.endpoint_id)
+        self._unrelayed_to_controls.add(registration.endpoint_id)
+        self._unrelayed_to_entries.add(registration.endpoint_id)
         effects: Effects = []
         if self.registry.update(registration, now):
             effects += self._broadcast_change(registration)
@@ -205,33 +221,77 @@
         message = protocol.RegistrationsSeen(changed=(registration,))
         return [_effects.WriteLog(line), *self._peers.send_to_all(message)]
 
-    def _relay_heartbeats(self) -> Effects:
-        if not self._unrelayed_heartbeats:
-            return []
-        message = protocol.RegistrationsSeen(
-            heard=tuple(sorted(self._unrelayed_heartbeats))
-        )
-        self._unrelayed_heartbeats.clear()
-        return self._peers.send_to_all(message)
+    def _relay_heartbeats(self, now: datetime.datetime) -> Effects:
+        """Relay the heartbeats that are due to control VMs and entry VMs."""
+        effects: Effects = []
+        if now - self._relayed_to_controls_at >= _CONTROL_RELAY_INTERVAL:
+            self._relayed_to_controls_at = now
+            if self._unrelayed_to_controls:
+                effects += self._peers.send_to_controls(
+                    _heartbeats(self._unrelayed_to_controls)
+                )
+            self._unrelayed_to_controls.clear()
+        if now - self._relayed_to_entries_at >= _ENTRY_RELAY_INTERVAL:
+            self._relayed_to_entries_at = now
+            if self._unrelayed_to_entries:
+                effects += self._peers.send_to_homed_entries(
+                    _heartbeats(self._unrelayed_to_entries)
+                )
+            self._unrelayed_to_entries.clear()
+        return effects
 
     def merge(
         self, message: protocol.RegistrationsSeen, now: datetime.datetime
     ) -> Effects:
         """Merge the heartbeats and registrations that a control VM relayed.
 
-        Changes are forwarded to the entry VMs of this data centre.
+        Changes are forwarded to the entry VMs of this VM.  That an endpoint
+        leaves is forwarded to all that are connected, because nothing may be
+        sent there soon after its acknowledgement.
         """
         for endpoint_id in message.heard:
             self.registry.record_heartbeat(endpoint_id, now)
-        changed = tuple(
-            registration
-            for registration in message.changed
-            if self.registry.update(registration, now)
+        self._unrelayed_to_entries.update(message.heard)
+        staying: list[catalog.Registration] = []
+        leaving: list[catalog.Registration] = []
+        for registration in message.changed:
+            if not self._merge_registration(registration, now):
+                continue
+            is_ready = registration.state is catalog.EndpointState.READY
+            (staying if is_ready else leaving).append(registration)
+        effects: Effects = []
+        if leaving:
+            effects += self._peers.send_to_entries(
+                protocol.RegistrationsSeen(changed=tuple(leaving))
+            )
+        if staying:
+            effects += self._peers.forward_to_own_entries(
+                protocol.RegistrationsSeen(changed=tuple(staying))
+            )
+        return effects
+
+    def _merge_registration(
+        self, registration: catalog.Registration, now: datetime.datetime
+    ) -> bool:
+        """Merge a relayed registration; return whether it was a change.
+
+        One that repeats the latest one with other layers is a correction by
+        the engine's own report.
+        """
+        if self.registry.update(registration, now):
+            return True
+        record = self.registry.find(registration.endpoint_id)
+        if (
+            record is None
+            or record.registration.ordering_key != registration.ordering_key
+        ):
+            return False
+        corrected = self.registry.correct_layers(
+            registration.endpoint_id,
+            registration.incarnation,
+            registration.layers,
         )
-        if not changed:
-            return []
-        forwarded = protocol.RegistrationsSeen(changed=changed)
-        return self._peers.forward_to_local_entries(forwarded)
+        return corrected is not None
 
     def check_endpoint(
         self,
@@ -242,16 +302,24 @@
     ) -> Effects:
         """Check an endpoint that an entry VM reported as failed.
 
-        Only the leader checks, each endpoint at most every 0.5 s.
+        Only the leader checks, each endpoint at most every 0.5 s.  Other
+        control VMs pass the report on to it.
         """
         record = self.registry.find(endpoint_id)
         if record is None or record.registration.incarnation != incarnation:
             return []
-        if not self._raft.holds_lease(now) or record.lost_at is not None:
+        if record.lost_at is not None:
             return []
         checked_at = self._checked_at.get(endpoint_id)
         if checked_at is not None and now - checked_at < _CHECK_INTERVAL:
             return []
+        if not self._raft.holds_lease(now):
+            leader = self._raft.leader_id
+            if leader is None or sender not in self._peers.entries:
+                return []
+            self._checked_at[endpoint_id] = now
+            message = protocol.EndpointFailed(endpoint_id, incarnation)
+            return [_effects.SendMessage(leader, message)]
         self._checked_at[endpoint_id] = now
         self._reported_by[endpoint_id] = sender
         address = record.registration.address
@@ -281,20 +349,23 @@
     ) -> Effects:
         """Process the response of an endpoint, or the lack of one.
 
-        The event is ignored unless this VM is a leader with a valid lease.
+        Only a leader with a valid lease declares endpoints lost and orders
+        layers.
         """
         record = self.registry.find(event.endpoint_id)
-        if record is None or not self._raft.holds_lease(now):
+        if record is None:
             return []
-        effects = self._declare_lost(event, now) + self._update_slowdown(
-            event, record
-        )
+        is_leader = self._raft.holds_lease(now)
+        effects = self._declare_lost(event, now) if is_leader else []
+        effects += self._update_slowdown(event, record)
         if event.report is not None and not event.report.is_busy:
             corrected = self.registry.correct_layers(
                 event.endpoint_id, event.incarnation, event.report.layers
             )
             if corrected is not None:
                 effects += self._broadcast_change(corrected)
+        if not is_leader:
+            return effects
         registration = record.registration
         fencing_token = self._raft.term
         return effects + self.orders.handle_inspection(
@@ -302,6 +373,12 @@
         )
 
 
+def _heartbeats(
+    endpoint_ids: set[model.EndpointId],
+) -> protocol.RegistrationsSeen:
+    return protocol.RegistrationsSeen(heard=tuple(sorted(endpoint_ids)))
+
+
 def _runs_model(
     registration: catalog.Registration, table: catalog.RouteTable
 ) -> bool:
--- a/sedgepin/_registrar/_load_aggregation.py
+++ b/sedgepin/_registrar/_load_aggregation.py
@@ -1,4 +1,10 @@
-"""Aggregation of the loads that entry VMs report."""
+"""Aggregation of the loads that entry VMs report.
+
+Each entry VM reports to one control VM.  The control VMs send each other the
+sums of their own entry VMs, so that each can send the load of the whole fleet
+to its entry VMs.  So the work of a control VM grows with its share of the
+fleet, and little is sent between data centres.
+"""
 
 import collections
 import collections.abc
@@ -13,6 +19,9 @@
 
 # Entry VMs report their load at the same interval.
 _SEND_INTERVAL = datetime.timedelta(milliseconds=200)
+# The sums of other control VMs are part of what entry VMs are sent.  So they
+# are exchanged more often, to be less out of date.
+_SHARE_INTERVAL = datetime.timedelta(milliseconds=100)
 # An entry VM that has missed five reports has failed, or reports to another
 # control VM.
 _REPORT_TTL = 5 * _SEND_INTERVAL
@@ -20,9 +29,9 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _StoredReport:
-    """The latest load report of an entry VM, and its arrival time."""
+    """The latest load of an entry VM or control VM, and its arrival time."""
 
-    message: protocol.LoadReported
+    message: protocol.LoadReported | protocol.LoadShared
     received_at: datetime.datetime
 
 
@@ -35,11 +44,27 @@
     [SendMessage(entry, LoadSummed(...))]
     """
 
-    __slots__ = ("_reports", "_sent_at")
+    __slots__ = ("_reports", "_sent_at", "_shared_at", "_shares")
 
     def __init__(self, now: datetime.datetime) -> None:
         self._reports: dict[model.VmId, _StoredReport] = {}
+        self._shares: dict[model.VmId, _StoredReport] = {}
         self._sent_at = now
+        self._shared_at = now
+
+    @property
+    def entry_count(self) -> int:
+        """Return the number of entry VMs that report, here or elsewhere."""
+        return len(self._reports) + sum(
+            stored.message.entry_count
+            for stored in self._shares.values()
+            if isinstance(stored.message, protocol.LoadShared)
+        )
+
+    @property
+    def entries(self) -> collections.abc.Set[model.VmId]:
+        """Return the entry VMs that report here."""
+        return self._reports.keys()
 
     def record_report(
         self,
@@ -50,32 +75,86 @@
         """Store the latest report of an entry VM."""
         self._reports[sender] = _StoredReport(message, now)
 
-    def remove_entry(self, entry: model.VmId) -> None:
-        """Remove the report of an entry VM that has disconnected."""
-        self._reports.pop(entry, None)
+    def record_share(
+        self,
+        sender: model.VmId,
+        message: protocol.LoadShared,
+        now: datetime.datetime,
+    ) -> None:
+        """Store the latest sum of another control VM."""
+        self._shares[sender] = _StoredReport(message, now)
+
+    def remove_peer(self, peer_id: model.VmId) -> None:
+        """Remove the report of an entry VM that has disconnected.
 
-    def tick(self, now: datetime.datetime) -> Effects:
+        The sum of a control VM stays until it expires, since its entry VMs go
+        on for longer than that.
+        """
+        self._reports.pop(peer_id, None)
+
+    def tick(
+        self,
+        now: datetime.datetime,
+        controls: collections.abc.Iterable[model.VmId] = (),
+        knows_leader: bool = True,
+        configuration_version: int = -1,
+    ) -> Effects:
         """Send the aggregated load to all reporting entry VMs if it is due.
 
-        Reports that have expired are left out.
+        ``controls`` are sent the sum of this VM's own entry VMs.  Reports
+        that have expired are left out.
         """
+        effects: Effects = []
+        if now - self._shared_at >= _SHARE_INTERVAL:
+            self._shared_at = now
+            effects += self._share(sorted(controls), now)
         if now - self._sent_at < _SEND_INTERVAL:
-            return []
+            return effects
         self._sent_at = now
-        for entry, stored in tuple(self._reports.items()):
-            if now - stored.received_at > _REPORT_TTL:
-                del self._reports[entry]
-        reports = [stored.message for stored in self._reports.values()]
+        _remove_expired(self._reports, now)
+        _remove_expired(self._shares, now)
+        if not self._reports:
+            return effects
+        reports = [
+            stored.message
+            for stored in (*self._reports.values(), *self._shares.values())
+        ]
         message = protocol.LoadSummed(
-            _sum_loads(reports), _sum_retries(reports)
+            _sum_loads(reports),
+            _sum_retries(reports),
+            self.entry_count,
+            knows_leader,
+            configuration_version,
         )
-        return [
+        return effects + [
             _effects.SendMessage(entry, message)
             for entry in sorted(self._reports)
         ]
 
+    def _share(
+        self, controls: list[model.VmId], now: datetime.datetime
+    ) -> Effects:
+        if not controls:
+            return []
+        _remove_expired(self._reports, now)
+        reports = [stored.message for stored in self._reports.values()]
+        message = protocol.LoadShared(
+            _sum_loads(reports), _sum_retries(reports), len(reports)
+        )
+        return [_effects.SendMessage(control, message) for control in controls]
+
+
+def _remove_expired(
+    reports: dict[model.VmId, _StoredReport], now: datetime.datetime
+) -> None:
+    for sender, stored in tuple(reports.items()):
+        if now - stored.received_at > _REPORT_TTL:
+            del reports[sender]
+
 
-_Reports = collections.abc.Iterable[protocol.LoadReported]
+_Reports = collections.abc.Iterable[
+    protocol.LoadReported | protocol.LoadShared
+]
 
 
 def _sum_loads(reports: _Reports) -> tuple[protocol.EndpointLoad, ...]:
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -23,6 +23,9 @@
 _HEARTBEAT_INTERVAL = datetime.timedelta(milliseconds=100)
 _ELECTION_TIMEOUT_MIN = datetime.timedelta(milliseconds=600)
 _ELECTION_TIMEOUT_MAX = datetime.timedelta(milliseconds=1000)
+# Entry VMs leave a control VM that has known no leader for this long.  An
+# election takes less.
+_LEADERLESS_TIMEOUT = datetime.timedelta(milliseconds=1500)
 # Larger than the number of control VMs of any known deployment, so that all of
 # them are voters.
 _VOTER_LIMIT = 15
@@ -42,6 +45,7 @@
     __slots__ = (
         "_configurations",
         "_endpoints",
+        "_led_at",
         "_load_aggregator",
         "_peers",
         "_raft",
@@ -66,7 +70,8 @@
             open_membership=True,
         )
         self._raft = consensus.RaftNode(raft_cfg, recovered, rng, now)
-        self._peers = _peers.Peers(cfg.vm_id, cfg.data_centre, cfg.seeds)
+        self._led_at = now
+        self._peers = _peers.Peers(cfg.vm_id, cfg.data_centre, cfg.seeds, now)
         self._endpoints = _endpoints.EndpointManager(
             cfg, self._peers, self._raft, now
         )
@@ -109,8 +114,8 @@
             case protocol.PeerConnected(hello):
                 return self._peer_connected(hello, now)
             case protocol.PeerDisconnected(peer_id):
-                self._peers.entries.pop(peer_id, None)
-                self._load_aggregator.remove_entry(peer_id)
+                self._peers.disconnect(peer_id)
+                self._load_aggregator.remove_peer(peer_id)
                 return [_log(events.PEER_DISCONNECTED.line(peer=peer_id))]
             case protocol.PeerRefused(address, failure):
                 line = events.PEER_REFUSED.line(
@@ -126,7 +131,16 @@
     def _tick(self, now: datetime.datetime) -> Effects:
         effects = self._step_raft(consensus.TimerFired(), now)
         effects += self._configurations.expire(now)
-        effects += self._load_aggregator.tick(now)
+        if self._raft.leader_id is not None:
+            self._led_at = now
+        effects += self._load_aggregator.tick(
+            now,
+            self._peers.connected_controls,
+            now - self._led_at < _LEADERLESS_TIMEOUT,
+            self._configurations.ledger.version,
+        )
+        self._peers.homed_entries = self._load_aggregator.entries
+        effects += self._peers.tick(self._load_aggregator.entry_count, now)
         return effects + self._endpoints.tick(self._configurations.table, now)
 
     def _handle_message(
@@ -142,11 +156,9 @@
             case protocol.RegistrationsSeen():
                 return self._endpoints.merge(message, now)
             case protocol.ConfigurationWanted(peer_version):
-                return [
-                    self._configurations.configuration_message(
-                        sender, peer_version, now
-                    )
-                ]
+                return self._configurations.answer_wanted(
+                    sender, peer_version, now
+                )
             case protocol.ControlsKnown(controls):
                 return self._peers.add_controls(controls)
             case protocol.CommandAsked():
@@ -163,14 +175,20 @@
                 self._endpoints.registry.mark_lost(
                     endpoint_id, incarnation, now
                 )
-                return []
+                return self._peers.send_to_entries(message)
             case protocol.EndpointPaced(endpoint_id, incarnation, slowdown):
                 self._endpoints.registry.set_slowdown(
                     endpoint_id, incarnation, slowdown
                 )
-                return []
+                return self._peers.forward_to_own_entries(message)
             case protocol.CrashWitnessed():
-                return self._peers.send_to_entries(message, excluded=sender)
+                effects = self._peers.send_to_entries(message, sender)
+                if sender in self._peers.entries:
+                    effects += self._peers.send_to_controls(message)
+                return effects
+            case protocol.LoadShared():
+                self._load_aggregator.record_share(sender, message, now)
+                return []
             case protocol.LoadReported():
                 self._load_aggregator.record_report(sender, message, now)
                 return []
@@ -186,8 +204,8 @@
         self, hello: protocol.Hello, now: datetime.datetime
     ) -> Effects:
         effects: Effects = [_log(events.PEER_CONNECTED.line(peer=hello.id))]
+        effects += self._peers.connect(hello)
         if hello.role == "entry":
-            self._peers.entries[hello.id] = hello.data_centre
             effects.append(self._configurations.announcement(hello.id, now))
         else:
             effects += self._peers.add_controls((hello.id,))
@@ -200,7 +218,7 @@
             _effects.SendMessage(hello.id, slowdown_message)
             for slowdown_message in self._endpoints.slowdown_messages()
         ]
-        return effects + self._peers.announce_controls()
+        return effects
 
     def _step_raft(
         self, event: consensus.Event, now: datetime.datetime
