--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -2,6 +2,7 @@
 
 import datetime
 import itertools
+import math
 import random
 import time
 
@@ -24,7 +25,14 @@
 from sedgepin import logs
 from sedgepin import settings
 
-_TICK_SECONDS = 0.05
+# While requests wait for capacity; otherwise while any is open, and while none
+# is.  Each tick of an idle fleet costs as much as one under load.
+_QUEUED_TICK_SECONDS = 0.05
+_BUSY_TICK_SECONDS = 0.1
+_IDLE_TICK_SECONDS = 0.2
+# Stalls that fall due in this time are reported together.
+_MIN_TICK_SECONDS = 0.02
+_DRAIN_POLL_SECONDS = 0.05
 # Engines usually answer report requests and orders within milliseconds.
 _ENGINE_TIMEOUT = datetime.timedelta(milliseconds=300)
 # The load balancer checks readiness each second and removes a VM after two
@@ -99,6 +107,7 @@
         "_dialect",
         "_driver",
         "_exchange_ids",
+        "_has_work",
         "_metrics",
         "_nursery",
         "_readiness",
@@ -129,6 +138,8 @@
         )
         self._exchange_ids = itertools.count(1)
         self._relays: dict[int, _relay.Relay] = {}
+        # Set when the first of the open relays starts.
+        self._has_work = trio.Event()
         self._server = web.Server(_CallerHandler(self))
         self._readiness = web.Server(_ReadinessHandler(self.reducer))
         hello = protocol.Hello(
@@ -187,6 +198,7 @@
             self._driver.submit,
         )
         self._relays[exchange_id] = relay
+        self._has_work.set()
         try:
             await relay.run()
         finally:
@@ -209,9 +221,20 @@
         while True:
             self._driver.submit(_events.TimerFired())
             now = trio.current_time()
+            stalled_at = math.inf
             for relay in tuple(self._relays.values()):
                 relay.check_progress(now)
-            await trio.sleep(_TICK_SECONDS)
+                stalled_at = min(stalled_at, relay.stalled_at)
+            if not self._relays:
+                self._has_work = trio.Event()
+                with trio.move_on_after(_IDLE_TICK_SECONDS):
+                    await self._has_work.wait()
+                continue
+            longest = _BUSY_TICK_SECONDS
+            if self.reducer.has_queued_requests:
+                longest = _QUEUED_TICK_SECONDS
+            seconds = max(_MIN_TICK_SECONDS, stalled_at - now)
+            await trio.sleep(min(longest, seconds))
 
     async def _drain(self) -> None:
         """Stop being ready, serve until callers are redirected, then finish.
@@ -227,7 +250,7 @@
             await trio.sleep(_READINESS_LOSS_SECONDS)
             self._server.finish_draining()
             while self._server.open_exchanges:
-                await trio.sleep(_TICK_SECONDS)
+                await trio.sleep(_DRAIN_POLL_SECONDS)
 
     def _apply_effect(self, effect: _effects.GatewayEffect) -> None:
         match effect:
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -88,6 +88,11 @@
         """Return whether the load balancer should send callers to this VM."""
         return self._state.table is not None and not self._is_draining
 
+    @property
+    def has_queued_requests(self) -> bool:
+        """Return whether requests wait for capacity."""
+        return any(len(queue) for queue in self._state.queues)
+
     @property
     def table(self) -> catalog.RouteTable | None:
         """Return the routes of the configuration in force."""
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -60,9 +60,9 @@
         "_is_sending",
         "_position",
         "_request",
-        "_stalled_at",
         "_submit",
         "exchange_id",
+        "stalled_at",
     )
 
     def __init__(
@@ -85,7 +85,7 @@
         self._is_cancelled = False
         self._is_sending = False
         # When the next bytes of a stream count as late, by trio's clock.
-        self._stalled_at = math.inf
+        self.stalled_at = math.inf
         sender, receiver = trio.open_memory_channel[_effects.GatewayEffect](8)
         self._effect_channel = (sender, receiver)
 
@@ -106,8 +106,8 @@
         The daemon calls this for all streams at each tick, which costs less
         than a timer for each event.
         """
-        if time >= self._stalled_at:
-            self._stalled_at = time + _NEXT_EVENT_TIMEOUT_SECONDS
+        if time >= self.stalled_at:
+            self.stalled_at = time + _NEXT_EVENT_TIMEOUT_SECONDS
             self._submit(_events.StreamStalled(self.exchange_id))
 
     def _cancel_attempt(self) -> None:
@@ -171,7 +171,7 @@
             self._attempt_scope = scope
             attempt_result = await self._send_request(start)
         self._attempt_scope = None
-        self._stalled_at = math.inf
+        self.stalled_at = math.inf
         self._submit(
             _events.AttemptEnded(
                 self.exchange_id,
@@ -245,7 +245,7 @@
         limit = start.answer_timeout
         seconds = math.inf if limit is None else limit.total_seconds()
         if start.dispatch.pipeline is not None:
-            self._stalled_at = (
+            self.stalled_at = (
                 trio.current_time() + _FIRST_EVENT_TIMEOUT_SECONDS
             )
         with trio.move_on_after(seconds):
@@ -293,9 +293,7 @@
         """Forward complete events to the caller, each once and in order."""
         splitter = _event_stream.EventSplitter()
         while True:
-            self._stalled_at = (
-                trio.current_time() + _NEXT_EVENT_TIMEOUT_SECONDS
-            )
+            self.stalled_at = trio.current_time() + _NEXT_EVENT_TIMEOUT_SECONDS
             data = await connection.read_data()
             if isinstance(data, result.Err):
                 return _AttemptResult(
--- a/sedgepin/_protocol/_transport.py
+++ b/sedgepin/_protocol/_transport.py
@@ -21,6 +21,7 @@
 from sedgepin._protocol import _framing
 from sedgepin._protocol import _messages
 from sedgepin._protocol import _tls
+from sedgepin import _sockets as sockets
 from sedgepin import errors
 from sedgepin import settings
 
@@ -220,7 +221,8 @@
             return
         address = f"{peername[0]}:{peername[1]}"
         if self._server_tls is None:
-            await self._run_stream(stream, address, None)
+            direct = sockets.DirectStream.adopt(stream)
+            await self._run_stream(direct, address, None)
             return
         tls_stream = trio.SSLStream(
             stream, self._server_tls, server_side=True, https_compatible=True
@@ -248,7 +250,8 @@
         if stream is None:
             return
         if self._client_tls is None:
-            await self._run_stream(stream, peer.address, None)
+            direct = sockets.DirectStream.adopt(stream)
+            await self._run_stream(direct, peer.address, None)
             return
         tls_stream = trio.SSLStream(
             stream,
--- a/sedgepin/_web/_client.py
+++ b/sedgepin/_web/_client.py
@@ -7,6 +7,7 @@
 import result
 import trio
 
+from sedgepin import _sockets as sockets
 from sedgepin._web import _failures
 from sedgepin._web import _types
 
@@ -41,7 +42,7 @@
 
     __slots__ = ("_address", "_conn", "_stream")
 
-    def __init__(self, address: str, stream: trio.SocketStream) -> None:
+    def __init__(self, address: str, stream: sockets.DirectStream) -> None:
         self._address = address
         self._stream = stream
         self._conn = h11.Connection(
@@ -54,19 +55,14 @@
     ) -> result.Result["ClientConnection", _failures.ConnectFailed]:
         """Connect to an IPv4 ``address`` of the form ``host:port``."""
         host, _, port = address.rpartition(":")
-        sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             with trio.fail_after(timeout_seconds):
-                await sock.connect((host, int(port)))
+                stream = await sockets.DirectStream.connect(host, int(port))
         except (OSError, trio.TooSlowError) as exc:
-            sock.close()
             reason = type(exc).__name__
             return result.Err(_failures.ConnectFailed(address, reason))
-        except BaseException:
-            sock.close()
-            raise
-        _enable_keepalive(sock)
-        return result.Ok(cls(address, trio.SocketStream(sock)))
+        _enable_keepalive(stream.socket)
+        return result.Ok(cls(address, stream))
 
     async def send(
         self, request: _types.Request, nursery: trio.Nursery | None = None
@@ -147,7 +143,7 @@
 
     def close(self) -> None:
         """Close the connection at once, also during an answer."""
-        self._stream.socket.close()
+        self._stream.close()
 
     async def _next_event(
         self,
@@ -180,7 +176,7 @@
         return _failures.AnswerBroken(self._address, text)
 
 
-def _enable_keepalive(sock: trio.socket.SocketType) -> None:
+def _enable_keepalive(sock: socket.socket) -> None:
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -10,6 +10,7 @@
 import result
 import trio
 
+from sedgepin import _sockets as sockets
 from sedgepin._web import _failures
 from sedgepin._web import _types
 from sedgepin import errors
@@ -167,12 +168,13 @@
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
-    async def _handle_connection(self, stream: trio.SocketStream) -> None:
+    async def _handle_connection(self, accepted: trio.SocketStream) -> None:
+        stream = sockets.DirectStream.adopt(accepted)
         try:
-            stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
             # The caller reset the connection before this task started.
-            await trio.aclose_forcefully(stream)
+            stream.close()
             return
         connection = _Connection(stream, self._handler, self)
         self._connections.add(connection)
@@ -180,8 +182,7 @@
             await connection.run()
         finally:
             self._connections.discard(connection)
-            with trio.CancelScope(shield=True):
-                await trio.aclose_forcefully(stream)
+            stream.close()
 
 
 class _StartedForwarder(trio.TaskStatus[typing.Any]):
@@ -218,7 +219,10 @@
     )
 
     def __init__(
-        self, stream: trio.SocketStream, handler: Handler, server: Server
+        self,
+        stream: sockets.DirectStream,
+        handler: Handler,
+        server: Server,
     ) -> None:
         self._stream = stream
         self._handler = handler
