--- a/sedgepin/_catalog/__init__.py
+++ b/sedgepin/_catalog/__init__.py
@@ -17,6 +17,8 @@
 from sedgepin._catalog._registry import EndpointRecord
 from sedgepin._catalog._registry import heartbeat_timeout
 from sedgepin._catalog._registry import Registry
+from sedgepin._catalog._restrictions import EndpointNotice
+from sedgepin._catalog._restrictions import EndpointRestrictions
 from sedgepin._catalog._validation import validate
 
 __all__ = [
@@ -24,7 +26,9 @@
     "CallerLimits",
     "Configuration",
     "Customer",
+    "EndpointNotice",
     "EndpointRecord",
+    "EndpointRestrictions",
     "EndpointState",
     "EngineProfile",
     "Registration",
--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -36,13 +36,15 @@
 
     ``lost_at`` is set while the endpoint counts as failed.  ``slowdown`` is
     the factor by which its reported durations exceed those of its accelerator
-    type; 1.0 is normal.
+    type; 1.0 is normal.  ``is_leaving`` is set once the endpoint has said in
+    an answer that it is leaving.
     """
 
     registration: _registration.Registration
     last_seen_at: datetime.datetime
     lost_at: datetime.datetime | None = None
     slowdown: float = 1.0
+    is_leaving: bool = False
 
     def is_live(
         self, timeout: datetime.timedelta, now: datetime.datetime
@@ -105,6 +107,15 @@
             registration, holder.registration
         ):
             return False
+        if (
+            record is not None
+            and record.is_leaving
+            and record.registration.incarnation == registration.incarnation
+            and registration.state is _registration.EndpointState.READY
+        ):
+            registration = _with_state(
+                registration, _registration.EndpointState.DRAINING
+            )
         self._put(registration, now)
         return record is None or _differs(record.registration, registration)
 
@@ -125,6 +136,25 @@
         record.last_seen_at = now
         return record.registration
 
+    def mark_leaving(
+        self, endpoint_id: model.EndpointId, incarnation: int
+    ) -> bool:
+        """Set the state of an endpoint that says it leaves to ``DRAINING``.
+
+        It stays so for this incarnation, even if the endpoint registers as
+        ready.  Return whether that is new.
+        """
+        record = self._records.get(endpoint_id)
+        if record is None or record.registration.incarnation != incarnation:
+            return False
+        is_new = not record.is_leaving
+        record.is_leaving = True
+        if record.registration.state is _registration.EndpointState.READY:
+            record.registration = _with_state(
+                record.registration, _registration.EndpointState.DRAINING
+            )
+        return is_new
+
     def correct_layers(
         self,
         endpoint_id: model.EndpointId,
@@ -226,11 +256,13 @@
                 )
         record = self._records.get(registration.endpoint_id)
         slowdown = 1.0
+        is_leaving = False
         if record is not None:
             if record.registration.incarnation == registration.incarnation:
                 slowdown = record.slowdown
+                is_leaving = record.is_leaving
         self._records[registration.endpoint_id] = EndpointRecord(
-            registration, now, slowdown=slowdown
+            registration, now, slowdown=slowdown, is_leaving=is_leaving
         )
         self._by_address[registration.address] = registration.endpoint_id
 
--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -95,6 +95,11 @@
             self._record_in_flight(exchange, now)
         if event.outcome in (_Outcome.NOT_SENT, _Outcome.UNKNOWN):
             self._state.unreachable_endpoints.append(failed_id)
+        if event.outcome is _Outcome.NOT_RUN and (
+            self._state.fleet.is_restricted(failed_id, now)
+        ):
+            # It has said itself when it wants requests again, if at all.
+            return []
         if event.outcome is _Outcome.NOT_RUN and dispatch.pipeline is not None:
             utilization = self._state.fleet.cache_utilization(
                 exchange.service, failed_id
--- a/sedgepin/_gateway/_calls.py
+++ b/sedgepin/_gateway/_calls.py
@@ -5,6 +5,7 @@
 import hashlib
 import typing
 
+from sedgepin import _catalog as catalog
 from sedgepin import _model as model
 from sedgepin import _placement as placement
 from sedgepin import _web as web
@@ -67,7 +68,8 @@
     """What the gateway adds to a caller's request for an endpoint.
 
     ``pipeline`` lists the stages of a request to a model; the request is sent
-    to the engine of the first stage.
+    to the engine of the first stage.  ``incarnation`` is that of the endpoint
+    at the time.
     """
 
     endpoint_id: model.EndpointId
@@ -76,6 +78,7 @@
     customer: model.CustomerId | None
     pipeline: model.Pipeline | None = None
     resume_after: int | None = None
+    incarnation: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -86,7 +89,7 @@
     ``is_not_run`` is set when the endpoint states that it did not run the
     request.  ``faulty_address`` is the address of the engine that failed.
     ``running`` and ``waiting`` count the requests on the endpoint, which runs
-    up to ``slots`` at a time.
+    up to ``slots`` at a time.  ``notice`` is what it asks of this VM.
     """
 
     request_id: str | None
@@ -96,6 +99,7 @@
     running: int | None = None
     waiting: int | None = None
     slots: int | None = None
+    notice: catalog.EndpointNotice = catalog.EndpointNotice()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -276,12 +276,16 @@
 
     async def _inspect(self, effect: _effects.InspectStalls) -> None:
         self._driver.submit(
-            await _relay.inspect_stalls(effect, self._dialect, _ENGINE_TIMEOUT)
+            await _relay.inspect_stalls(
+                effect, self._dialect, self._driver.submit, _ENGINE_TIMEOUT
+            )
         )
 
     async def _reroute(self, effect: _effects.Reroute) -> None:
         self._driver.submit(
-            await _relay.reroute(effect, self._dialect, _ENGINE_TIMEOUT)
+            await _relay.reroute(
+                effect, self._dialect, self._driver.submit, _ENGINE_TIMEOUT
+            )
         )
 
 
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -13,6 +13,9 @@
 from sedgepin import errors
 from sedgepin import events
 
+# Callers retry no sooner after a pause that is about to end.
+_MIN_RETRY_AFTER = datetime.timedelta(milliseconds=250)
+
 
 class RequestDispatcher:
     """Admits, dispatches, queues and fails requests."""
@@ -215,7 +218,7 @@
                 exchange.service.name, frozenset(), now
             )
         if registration is None:
-            failure = _failures.NoEndpoint(exchange.service.name)
+            failure = self._no_endpoint(exchange, now)
             return self.fail(
                 exchange, self.adjust_outcome(exchange, failure), now
             )
@@ -233,9 +236,25 @@
         """Queue a stream that has started; fail any other request."""
         if exchange.has_output:
             return self._enqueue_or_fail(exchange, 0.0, now)
-        failure = _failures.NoEndpoint(exchange.service.name)
+        failure = self._no_endpoint(exchange, now)
         return self.fail(exchange, self.adjust_outcome(exchange, failure), now)
 
+    def _no_endpoint(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> errors.Failure:
+        """Return the failure of a request that no endpoint may get now.
+
+        If endpoints have asked for a pause, the caller may retry after the
+        first of them has ended.
+        """
+        service = exchange.service.name
+        paused_until = self._state.fleet.end_of_pauses(service, now)
+        if paused_until is None:
+            return _failures.NoEndpoint(service)
+        return _failures.NoEndpoint(
+            service, max(paused_until - now, _MIN_RETRY_AFTER)
+        )
+
     def _enqueue_or_fail(
         self,
         exchange: _exchange.Exchange,
@@ -277,6 +296,7 @@
         time_left: datetime.timedelta | None = None
         if exchange.request.time_left is not None:
             time_left = exchange.time_left(now)
+        record = self._state.fleet.registry.find(endpoint_id)
         dispatch = _calls.Dispatch(
             endpoint_id,
             address,
@@ -284,6 +304,7 @@
             None if customer is None else customer.name,
             pipeline,
             exchange.position,
+            None if record is None else record.registration.incarnation,
         )
         exchange.dispatch = dispatch
         if exchange.send_count == 0:
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -65,11 +65,16 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class EndpointLoadReported:
-    """An endpoint reported its load in the headers of an answer."""
+class AnswerHeadReceived:
+    """An endpoint told its state in the head of an answer.
+
+    ``incarnation`` is the one that the request was sent to; ``None`` if it is
+    the latest one.
+    """
 
     endpoint_id: model.EndpointId
     metadata: _calls.AnswerMetadata
+    incarnation: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -133,7 +138,7 @@
     | RequestArrived
     | AttemptEnded
     | OutputStarted
-    | EndpointLoadReported
+    | AnswerHeadReceived
     | StreamStalled
     | StallsInspected
     | SettingsReloaded
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -76,6 +76,7 @@
         "_version",
         "has_unreported_changes",
         "registry",
+        "restrictions",
         "unreported_load",
     )
 
@@ -88,6 +89,7 @@
         self._data_centre = data_centre
         self._heartbeat_timeout = heartbeat_timeout
         self.registry = catalog.Registry()
+        self.restrictions = catalog.EndpointRestrictions()
         self._suspicions = _suspicions.Suspicions()
         self._running: collections.Counter[model.EndpointId] = (
             collections.Counter()
@@ -232,6 +234,7 @@
                 if record.registration.service == service
                 and record.registration.state is catalog.EndpointState.READY
                 and record.is_live(self._heartbeat_timeout, now)
+                and not self._is_restricted(record.registration, now)
                 and record.registration.endpoint_id not in excluded
             ]
         if not usable:
@@ -407,11 +410,51 @@
         return (
             registration.state is catalog.EndpointState.READY
             and record.is_live(self._heartbeat_timeout, now)
+            and not self._is_restricted(registration, now)
             and not self._suspicions.is_suspected(
                 registration.endpoint_id, registration.incarnation, now
             )
         )
 
+    def is_restricted(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> bool:
+        """Return whether an endpoint has said that it wants no requests."""
+        record = self.registry.find(endpoint_id)
+        return record is not None and self._is_restricted(
+            record.registration, now
+        )
+
+    def _is_restricted(
+        self, registration: catalog.Registration, now: datetime.datetime
+    ) -> bool:
+        return self.restrictions.is_restricted(
+            registration.endpoint_id, registration.incarnation, now
+        )
+
+    def end_of_pauses(
+        self, service: model.ServiceName, now: datetime.datetime
+    ) -> datetime.datetime | None:
+        """Return when the first endpoint of a service ends its pause.
+
+        ``None`` if none of them has asked for one.
+        """
+        ends = [
+            until
+            for record in self.registry
+            if record.registration.service == service
+            and record.registration.state is catalog.EndpointState.READY
+            and record.is_live(self._heartbeat_timeout, now)
+            and (
+                until := self.restrictions.paused_until(
+                    record.registration.endpoint_id,
+                    record.registration.incarnation,
+                    now,
+                )
+            )
+        ]
+        return min(ends, default=None)
+
     def _load_key(
         self, registration: catalog.Registration, now: datetime.datetime
     ) -> tuple[float, str]:
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -115,11 +115,8 @@
                 return effects + self._dispatcher.serve_queues(now)
             case _events.OutputStarted(exchange_id):
                 return self._dispatcher.record_output_started(exchange_id, now)
-            case _events.EndpointLoadReported(endpoint_id, metadata):
-                self._state.fleet.record_reported_load(
-                    endpoint_id, metadata, now
-                )
-                return []
+            case _events.AnswerHeadReceived():
+                return self._handle_answer_head(event, now)
             case _events.StreamStalled(exchange_id):
                 return self._stream_failover.handle_stall(exchange_id, now)
             case _events.StallsInspected():
@@ -185,6 +182,8 @@
                 self._connections.add(_data_centres(message))
             case protocol.LoadSummed():
                 self._apply_aggregate(sender, message, now)
+            case protocol.EndpointLeaving(endpoint_id, incarnation):
+                return self._record_leaving(endpoint_id, incarnation)
             case protocol.EndpointPaced(endpoint_id, incarnation, slowdown):
                 self._state.fleet.registry.set_slowdown(
                     endpoint_id, incarnation, slowdown
@@ -352,6 +351,64 @@
             effects.append(_effects.SendMessage(recipient, message))
         return effects
 
+    def _handle_answer_head(
+        self, event: _events.AnswerHeadReceived, now: datetime.datetime
+    ) -> Effects:
+        """Record the load of an endpoint, and what it asks of this VM."""
+        fleet = self._state.fleet
+        endpoint_id, metadata = event.endpoint_id, event.metadata
+        fleet.record_reported_load(endpoint_id, metadata, now)
+        incarnation = event.incarnation
+        if incarnation is None:
+            record = fleet.registry.find(endpoint_id)
+            if record is None:
+                return []
+            incarnation = record.registration.incarnation
+        notice = metadata.notice
+        effects: Effects = []
+        if notice.is_leaving:
+            effects += self._record_leaving(endpoint_id, incarnation)
+            if effects:
+                message = protocol.EndpointLeaving(endpoint_id, incarnation)
+                effects += [
+                    _effects.SendMessage(vm_id, message)
+                    for vm_id in sorted(self._connections.connected)
+                ]
+        if notice.pause is not None and fleet.restrictions.record_pause(
+            endpoint_id, incarnation, notice.pause, now
+        ):
+            fleet.invalidate_pipelines()
+            line = events.ENDPOINT_PAUSED.line(
+                endpoint=endpoint_id,
+                incarnation=incarnation,
+                milliseconds=_shared_state.milliseconds(notice.pause),
+            )
+            effects.append(_shared_state.log(line))
+        if notice.malformed_pause is not None and (
+            fleet.restrictions.record_malformed(endpoint_id, incarnation)
+        ):
+            line = events.PAUSE_UNREADABLE.line(
+                endpoint=endpoint_id,
+                incarnation=incarnation,
+                value=notice.malformed_pause,
+            )
+            effects.append(_shared_state.log(line))
+        return effects
+
+    def _record_leaving(
+        self, endpoint_id: model.EndpointId, incarnation: int
+    ) -> Effects:
+        """Give a leaving endpoint no more requests; log it the first time."""
+        fleet = self._state.fleet
+        fleet.registry.mark_leaving(endpoint_id, incarnation)
+        if not fleet.restrictions.record_leaving(endpoint_id, incarnation):
+            return []
+        fleet.invalidate_pipelines()
+        line = events.ENDPOINT_LEAVING.line(
+            endpoint=endpoint_id, incarnation=incarnation
+        )
+        return [_shared_state.log(line)]
+
     def _report_unreachable(self) -> Effects:
         """Report unresponsive endpoints to the control VMs."""
         if not self._state.unreachable_endpoints:
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -220,8 +220,12 @@
         if isinstance(head, _AttemptResult):
             return head
         metadata = self._dialect.parse_answer(head)
-        endpoint_id = start.dispatch.endpoint_id
-        self._submit(_events.EndpointLoadReported(endpoint_id, metadata))
+        dispatch = start.dispatch
+        self._submit(
+            _events.AnswerHeadReceived(
+                dispatch.endpoint_id, metadata, dispatch.incarnation
+            )
+        )
         if metadata.is_not_run:
             detail = f"the endpoint answered with status {head.status}"
             return _AttemptResult(
@@ -361,15 +365,21 @@
 async def inspect_stalls(
     effect: _effects.InspectStalls,
     dialect: _dialect.GatewayDialect,
+    submit: _Submit,
     timeout: datetime.timedelta,
 ) -> _events.StallsInspected:
-    """Request a stall report from a first engine."""
+    """Request a stall report from a first engine.
+
+    What its answer's head tells is submitted apart.
+    """
     request = dialect.report_request(effect.address)
     response = await web.send_request(
         effect.address, request, timeout.total_seconds()
     )
     report: _calls.StallReport | None = None
     if isinstance(response, result.Ok):
+        metadata = dialect.parse_answer(response.ok_value[0])
+        submit(_events.AnswerHeadReceived(effect.endpoint_id, metadata))
         report = dialect.parse_stall_report(*response.ok_value).ok()
     return _events.StallsInspected(effect.endpoint_id, report)
 
@@ -377,6 +387,7 @@
 async def reroute(
     effect: _effects.Reroute,
     dialect: _dialect.GatewayDialect,
+    submit: _Submit,
     timeout: datetime.timedelta,
 ) -> _events.Rerouted:
     """Order a first engine to continue a request on another pipeline."""
@@ -386,6 +397,9 @@
     )
     if isinstance(response, result.Err):
         return _events.Rerouted(effect.exchange_id, False)
+    first_id = effect.pipeline.stages[0].endpoint_id
+    metadata = dialect.parse_answer(response.ok_value[0])
+    submit(_events.AnswerHeadReceived(first_id, metadata))
     reroute_result = dialect.parse_reroute_answer(*response.ok_value)
     if isinstance(reroute_result, result.Err):
         return _events.Rerouted(
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -152,6 +152,7 @@
             dispatch.customer,
             failover_pipeline,
             dispatch.resume_after,
+            dispatch.incarnation,
         )
         self._state.fleet.add_load(exchange.endpoint_ids, exchange.tokens)
         line = events.REQUEST_REROUTED.line(
--- a/sedgepin/_gateway/tests/test_log_lines.py
+++ b/sedgepin/_gateway/tests/test_log_lines.py
@@ -98,6 +98,26 @@
     return gateway.handle(protocol.PeerRefused("127.0.0.1:1", failure))
 
 
+def _notice(
+    gateway: parts.Gateway, notice: catalog.EndpointNotice
+) -> _Effects:
+    metadata = _calls.AnswerMetadata(None, True, False, notice=notice)
+    return gateway.handle(_events.AnswerHeadReceived(_LOW, metadata))
+
+
+def _endpoint_leaving(gateway: parts.Gateway) -> _Effects:
+    return _notice(gateway, catalog.EndpointNotice(is_leaving=True))
+
+
+def _endpoint_paused(gateway: parts.Gateway) -> _Effects:
+    pause = parts.milliseconds(1500)
+    return _notice(gateway, catalog.EndpointNotice(pause=pause))
+
+
+def _pause_unreadable(gateway: parts.Gateway) -> _Effects:
+    return _notice(gateway, catalog.EndpointNotice(malformed_pause="soon"))
+
+
 def _process_draining(gateway: parts.Gateway) -> _Effects:
     return gateway.handle(_events.DrainRequested())
 
@@ -139,6 +159,15 @@
     "peer_disconnected": (_peer_disconnected, {"peer": "control:1"}),
     "peer_refused": (_peer_refused, {"address": "127.0.0.1:1"}),
     "process_draining": (_process_draining, {}),
+    "endpoint_leaving": (
+        _endpoint_leaving,
+        {"endpoint": "low", "incarnation": 1},
+    ),
+    "endpoint_paused": (
+        _endpoint_paused,
+        {"endpoint": "low", "milliseconds": 1500},
+    ),
+    "pause_unreadable": (_pause_unreadable, {"value": "soon"}),
 }
 # Logged by the daemon and covered by the process tests.
 _LOGGED_BY_DAEMON = {
--- a/sedgepin/_gateway/tests/test_request_queue.py
+++ b/sedgepin/_gateway/tests/test_request_queue.py
@@ -193,7 +193,7 @@
         metadata = _calls.AnswerMetadata(
             None, True, False, running=8, waiting=1, slots=8
         )
-        reported = _events.EndpointLoadReported(
+        reported = _events.AnswerHeadReceived(
             model.EndpointId("low"), metadata
         )
         gateway.handle(reported)
--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -13,6 +13,7 @@
 from sedgepin._protocol._messages import CrashWitnessed
 from sedgepin._protocol._messages import DeclaredLost
 from sedgepin._protocol._messages import EndpointFailed
+from sedgepin._protocol._messages import EndpointLeaving
 from sedgepin._protocol._messages import EndpointLoad
 from sedgepin._protocol._messages import EndpointLost
 from sedgepin._protocol._messages import EndpointPaced
@@ -53,6 +54,7 @@
     "CrashWitnessed",
     "DeclaredLost",
     "EndpointFailed",
+    "EndpointLeaving",
     "EndpointLoad",
     "EndpointLost",
     "EndpointPaced",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -199,6 +199,13 @@
     incarnation: int
 
 
+class EndpointLeaving(msgspec.Struct, frozen=True, tag=True):
+    """Reports that an endpoint said in an answer that it is leaving."""
+
+    endpoint_id: model.EndpointId
+    incarnation: int
+
+
 class EndpointPaced(msgspec.Struct, frozen=True, tag=True):
     """The slowdown factor that an engine reports, 1.0 at its usual speed."""
 
@@ -265,6 +272,7 @@
     | CrashWitnessed
     | LoadReported
     | EndpointFailed
+    | EndpointLeaving
     | EndpointLost
     | EndpointPaced
     | LoadShared
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from sedgepin import _catalog as catalog
 from sedgepin import _consensus as consensus
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
@@ -263,6 +264,7 @@
         if response.is_err():
             failure = response.unwrap_err()
         else:
+            self._submit_notice(effect, response.unwrap()[0])
             parsed = self._dialect.parse_report(*response.unwrap())
             failure = parsed.err()
             report = parsed.ok()
@@ -298,9 +300,24 @@
             )
         else:
             head, _body = response.unwrap()
+            self._submit_notice(order, head)
             order_answer = self._dialect.parse_order_answer(order, head)
         self._driver.submit(order_answer)
 
+    def _submit_notice(
+        self,
+        effect: _effects.InspectEngine | _effects.OrderLayers,
+        head: web.AnswerHead,
+    ) -> None:
+        """Submit what an engine's answer asks of this VM, if anything."""
+        notice = self._dialect.parse_notice(head)
+        if notice != catalog.EndpointNotice():
+            self._driver.submit(
+                _events.NoticeReceived(
+                    effect.endpoint_id, effect.incarnation, notice
+                )
+            )
+
     def _peer(self, vm_id: model.VmId) -> settings.Peer:
         """Return the peer entry of a control VM, whose id is its address."""
         return settings.Peer(id=vm_id, address=vm_id, data_centre="")
--- a/sedgepin/_registrar/_dialect.py
+++ b/sedgepin/_registrar/_dialect.py
@@ -88,6 +88,10 @@
     ) -> result.Result[_events.EngineReport, errors.Failure]:
         """Parse an engine's response to a report request."""
 
+    @abc.abstractmethod
+    def parse_notice(self, head: web.AnswerHead) -> catalog.EndpointNotice:
+        """Parse what an engine says of itself in the head of an answer."""
+
     @abc.abstractmethod
     def layer_order_request(self, order: _effects.OrderLayers) -> web.Request:
         """Return the request that orders an engine to load layers."""
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -49,6 +49,7 @@
         "_removed_at",
         "_reported_by",
         "_reports",
+        "_restrictions",
         "_unrelayed_to_controls",
         "_unrelayed_to_entries",
         "orders",
@@ -76,6 +77,7 @@
         self._checked_at: dict[model.EndpointId, datetime.datetime] = {}
         self._reported_by: dict[model.EndpointId, model.VmId] = {}
         self._reports = _report_schedule.ReportSchedule()
+        self._restrictions = catalog.EndpointRestrictions()
 
     def tick(
         self, table: catalog.RouteTable | None, now: datetime.datetime
@@ -86,10 +88,24 @@
             self.registry.remove_expired(self._cfg.heartbeat_timeout, now)
         effects = self._relay_heartbeats(now)
         live = self.live_registrations(now)
+        paused = {
+            registration.endpoint_id
+            for registration in live
+            if self._restrictions.paused_until(
+                registration.endpoint_id, registration.incarnation, now
+            )
+        }
         is_leader = self._raft.holds_lease(now)
         if is_leader:
-            effects += self.orders.tick(live, table, self._raft.term, now)
-        return effects + self._request_reports(live, table, is_leader, now)
+            effects += self.orders.tick(
+                live, table, self._raft.term, now, paused
+            )
+        return effects + self._request_reports(
+            [engine for engine in live if engine.endpoint_id not in paused],
+            table,
+            is_leader,
+            now,
+        )
 
     def _request_reports(
         self,
@@ -320,6 +336,8 @@
             self._checked_at[endpoint_id] = now
             message = protocol.EndpointFailed(endpoint_id, incarnation)
             return [_effects.SendMessage(leader, message)]
+        if not self._restrictions.take_probe(endpoint_id, incarnation, now):
+            return []
         self._checked_at[endpoint_id] = now
         self._reported_by[endpoint_id] = sender
         address = record.registration.address
@@ -344,6 +362,59 @@
         lost = protocol.EndpointLost(event.endpoint_id, event.incarnation)
         return [_effects.WriteLog(line), *self._peers.send_to_all(lost)]
 
+    def handle_notice(
+        self, event: _events.NoticeReceived, now: datetime.datetime
+    ) -> Effects:
+        """Heed what an endpoint asked of this VM in the head of an answer.
+
+        An endpoint in a pause is alive and keeps its layers.
+        """
+        endpoint_id, incarnation = event.endpoint_id, event.incarnation
+        effects: Effects = []
+        pause = event.notice.pause
+        if pause is not None and self._restrictions.record_pause(
+            endpoint_id, incarnation, pause, now
+        ):
+            line = events.ENDPOINT_PAUSED.line(
+                endpoint=endpoint_id,
+                incarnation=incarnation,
+                milliseconds=int(pause.total_seconds() * 1000),
+            )
+            effects.append(_effects.WriteLog(line))
+        malformed = event.notice.malformed_pause
+        if malformed is not None and self._restrictions.record_malformed(
+            endpoint_id, incarnation
+        ):
+            line = events.PAUSE_UNREADABLE.line(
+                endpoint=endpoint_id, incarnation=incarnation, value=malformed
+            )
+            effects.append(_effects.WriteLog(line))
+        if event.notice.is_leaving:
+            message = protocol.EndpointLeaving(endpoint_id, incarnation)
+            effects += self.record_leaving(None, message)
+        return effects
+
+    def record_leaving(
+        self, sender: model.VmId | None, message: protocol.EndpointLeaving
+    ) -> Effects:
+        """Mark an endpoint that says it leaves; tell peers the first time.
+
+        ``sender`` is the peer that told this VM, or ``None`` if the endpoint
+        itself did.
+        """
+        if not self.registry.mark_leaving(
+            message.endpoint_id, message.incarnation
+        ):
+            return []
+        line = events.ENDPOINT_LEAVING.line(
+            endpoint=message.endpoint_id, incarnation=message.incarnation
+        )
+        effects: Effects = [_effects.WriteLog(line)]
+        effects += self._peers.send_to_entries(message, sender)
+        if sender is None or sender in self._peers.entries:
+            effects += self._peers.send_to_controls(message)
+        return effects
+
     def handle_inspection(
         self, event: _events.EngineInspected, now: datetime.datetime
     ) -> Effects:
--- a/sedgepin/_registrar/_events.py
+++ b/sedgepin/_registrar/_events.py
@@ -76,6 +76,15 @@
     has_answered: bool
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class NoticeReceived:
+    """An endpoint asked something of this VM in the head of an answer."""
+
+    endpoint_id: model.EndpointId
+    incarnation: int
+    notice: catalog.EndpointNotice
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class LayerOrderAnswered:
     """An engine accepted or refused an order, or did not respond.
@@ -108,6 +117,7 @@
     | EndpointRegistered
     | EndpointLeft
     | EngineInspected
+    | NoticeReceived
     | LayerOrderAnswered
     | SettingsReloaded
     | DrainRequested
--- a/sedgepin/_registrar/_layer_orders.py
+++ b/sedgepin/_registrar/_layer_orders.py
@@ -78,8 +78,12 @@
         table: catalog.RouteTable | None,
         fencing_token: int,
         now: datetime.datetime,
+        paused: collections.abc.Container[model.EndpointId] = (),
     ) -> list[_effects.RegistrarEffect]:
-        """Update the plan if it is due; inspect the engines that are due."""
+        """Update the plan if it is due; inspect the engines that are due.
+
+        Engines in ``paused`` want no requests now; they stay in the plan.
+        """
         registrations = {
             registration.endpoint_id: registration for registration in live
         }
@@ -97,6 +101,7 @@
             if (
                 registration is None
                 or task.is_waiting
+                or endpoint_id in paused
                 or now < task.next_inspection_at
             ):
                 continue
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -109,6 +109,8 @@
                 return self._configurations.read(exchange_id, now)
             case _events.EngineInspected():
                 return self._endpoints.handle_inspection(event, now)
+            case _events.NoticeReceived():
+                return self._endpoints.handle_notice(event, now)
             case _events.LayerOrderAnswered():
                 return self._endpoints.orders.handle_order_answer(event, now)
             case protocol.PeerConnected(hello):
@@ -176,6 +178,8 @@
                     endpoint_id, incarnation, now
                 )
                 return self._peers.send_to_entries(message)
+            case protocol.EndpointLeaving():
+                return self._endpoints.record_leaving(sender, message)
             case protocol.EndpointPaced(endpoint_id, incarnation, slowdown):
                 self._endpoints.registry.set_slowdown(
                     endpoint_id, incarnation, slowdown
--- a/sedgepin/_registrar/tests/cluster.py
+++ b/sedgepin/_registrar/tests/cluster.py
@@ -63,6 +63,9 @@
     ) -> result.Result[_events.EngineReport, errors.Failure]:
         raise NotImplementedError
 
+    def parse_notice(self, head: web.AnswerHead) -> catalog.EndpointNotice:
+        raise NotImplementedError
+
     def layer_order_request(self, order: _effects.OrderLayers) -> web.Request:
         raise NotImplementedError
 
--- a/sedgepin/_registrar/tests/test_dissemination.py
+++ b/sedgepin/_registrar/tests/test_dissemination.py
@@ -1,5 +1,7 @@
 """Tests of the messages that control VMs send to their peers."""
 
+import datetime
+
 import pytest
 
 from sedgepin import _catalog as catalog
@@ -302,3 +304,89 @@
         cluster.register(cluster.leader(), clusters.registration())
         cluster.run(2)
         assert self._requested(cluster) == []
+
+
+class TestNotices:
+    """What engines ask of a control VM in their answers."""
+
+    def _notify(
+        self, cluster: clusters.Cluster, notice: catalog.EndpointNotice
+    ) -> None:
+        cluster.handle(
+            cluster.leader(),
+            _events.NoticeReceived(model.EndpointId("e"), 1, notice),
+        )
+        cluster.run(0.05)
+
+    def _states(self, cluster: clusters.Cluster) -> set[catalog.EndpointState]:
+        return {
+            record.registration.state
+            for reducer in cluster.running.values()
+            for record in reducer.registry
+        }
+
+    def test_leaving_engine_is_draining_at_all_and_stays_so(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        cluster.connect_entry(cluster.leader())
+        cluster.register(cluster.leader(), clusters.registration())
+        self._notify(cluster, catalog.EndpointNotice(is_leaving=True))
+        told = protocol.EndpointLeaving(model.EndpointId("e"), 1)
+        assert cluster.entry_messages.count(told) == 1
+        assert self._states(cluster) == {catalog.EndpointState.DRAINING}
+        cluster.register(cluster.leader(), clusters.registration(sequence=2))
+        assert self._states(cluster) == {catalog.EndpointState.DRAINING}
+        cluster.register(
+            cluster.leader(), clusters.registration(incarnation=2)
+        )
+        assert self._states(cluster) == {catalog.EndpointState.READY}
+
+    def test_word_of_an_entry_vm_reaches_all_control_vms(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        cluster.connect_entry(model.VmId("a"))
+        cluster.register(cluster.leader(), clusters.registration())
+        told = protocol.EndpointLeaving(model.EndpointId("e"), 1)
+        cluster.handle(
+            model.VmId("a"),
+            protocol.PeerMessageReceived(model.VmId("entry"), told),
+        )
+        cluster.run(0.05)
+        assert self._states(cluster) == {catalog.EndpointState.DRAINING}
+
+    def test_paused_engine_is_asked_nothing_and_stays_registered(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        leader = cluster.leader()
+        cluster.publish_document(leader, clusters.model_document(7))
+        cluster.register(leader, clusters.registration())
+        cluster.run(1.5)
+        pause = datetime.timedelta(seconds=3)
+        notice = catalog.EndpointNotice(pause=pause)
+        for vm_id in cluster.running:
+            received = _events.NoticeReceived(model.EndpointId("e"), 1, notice)
+            cluster.handle(vm_id, received)
+        cluster.engine_calls.clear()
+        cluster.run(2.8)
+        assert cluster.engine_calls == []
+        assert self._states(cluster) == {catalog.EndpointState.READY}
+        cluster.register(leader, clusters.registration(sequence=2))
+        cluster.run(1.5)
+        assert cluster.engine_calls != []
+
+    def test_paused_engine_that_is_reported_lost_is_checked_twice_at_most(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        leader = cluster.leader()
+        cluster.connect_entry(leader)
+        cluster.register(leader, clusters.registration())
+        pause = datetime.timedelta(seconds=20)
+        self._notify(cluster, catalog.EndpointNotice(pause=pause))
+        failed = protocol.EndpointFailed(model.EndpointId("e"), 1)
+        for _report in range(6):
+            cluster.handle(
+                leader,
+                protocol.PeerMessageReceived(model.VmId("entry"), failed),
+            )
+            cluster.run(1)
+        assert len(cluster.engine_calls) == 2
--- a/sedgepin/_registrar/tests/test_log_lines.py
+++ b/sedgepin/_registrar/tests/test_log_lines.py
@@ -1,10 +1,12 @@
 """Tests that a control VM logs each of its events with its fields."""
 
 import collections.abc
+import datetime
 import pathlib
 
 import pytest
 
+from sedgepin import _catalog as catalog
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin._registrar import _events
@@ -90,6 +92,25 @@
     cluster.handle(cluster.leader(), refused)
 
 
+def _notify(cluster: clusters.Cluster, notice: catalog.EndpointNotice) -> None:
+    _register_endpoint(cluster)
+    received = _events.NoticeReceived(_ENGINE, 1, notice)
+    cluster.handle(cluster.leader(), received)
+
+
+def _leave(cluster: clusters.Cluster) -> None:
+    _notify(cluster, catalog.EndpointNotice(is_leaving=True))
+
+
+def _pause(cluster: clusters.Cluster) -> None:
+    pause = datetime.timedelta(seconds=1.5)
+    _notify(cluster, catalog.EndpointNotice(pause=pause))
+
+
+def _pause_unreadably(cluster: clusters.Cluster) -> None:
+    _notify(cluster, catalog.EndpointNotice(malformed_pause="soon"))
+
+
 _SCENARIOS: dict[str, tuple[_Scenario, dict[str, object]]] = {
     "leader_changed": (_start, {"term": 1}),
     "endpoint_changed": (
@@ -104,6 +125,9 @@
     "endpoint_failed": (_fail_endpoint, {"endpoint": "e", "told_by": "entry"}),
     "endpoint_paced": (_slow_engine_down, {"slowness": 4.0, "before": 1.0}),
     "layers_ordered": (_order_layers, {"endpoint": "e0", "held": "none"}),
+    "endpoint_leaving": (_leave, {"endpoint": "e", "incarnation": 1}),
+    "endpoint_paused": (_pause, {"endpoint": "e", "milliseconds": 1500}),
+    "pause_unreadable": (_pause_unreadably, {"value": "soon"}),
     "layers_order_refused": (_refuse_order, {"is_fenced": True}),
 }
 # Logged by the daemon, not the reducer; covered by tests of whole processes.
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -186,6 +186,24 @@
     "slowness",
     "before",
 )
+ENDPOINT_PAUSED = _define(
+    208,
+    "INFO",
+    "endpoint_paused",
+    "An endpoint wants no requests from this VM for a while.",
+    "endpoint",
+    "incarnation",
+    "milliseconds",
+)
+PAUSE_UNREADABLE = _define(
+    209,
+    "WARNING",
+    "pause_unreadable",
+    "An endpoint asked for a pause whose length cannot be read.",
+    "endpoint",
+    "incarnation",
+    "value",
+)
 ENDPOINT_CHANGED = _define(
     205,
     "INFO",
--- a/sedgepin/platform/_answers.py
+++ b/sedgepin/platform/_answers.py
@@ -1,13 +1,22 @@
 """HTTP answers built by sedgepin itself, and its requests to engines."""
 
+import datetime
+import math
+
 import msgspec
 import result
 
+from sedgepin import _catalog as catalog
 from sedgepin import _web as web
 from sedgepin import errors
 from sedgepin.platform import _endpoints
 
 _JSON_HEADER = (b"Content-Type", b"application/json")
+# Statuses of an engine that turns a request away, and may say for how long.
+_TURNED_AWAY_STATUSES = (429, 503)
+# A longer pause outlasts any engine.
+_MAX_PAUSE_SECONDS = 30 * 86_400.0
+_MAX_LOGGED_CHARACTERS = 60
 
 
 def error_response(
@@ -55,6 +64,24 @@
     return web.Request(b"POST", b"/v1/order", tuple(headers), encoded)
 
 
+def parse_notice(head: web.AnswerHead) -> catalog.EndpointNotice:
+    """Parse what an engine says of itself in the head of any answer."""
+    is_leaving = (head.find_header(b"server-leaving") or b"").strip() == b"1"
+    retry_after = head.find_header(b"retry-after")
+    if retry_after is None or head.status not in _TURNED_AWAY_STATUSES:
+        return catalog.EndpointNotice(is_leaving)
+    text = retry_after.decode("latin-1").strip()
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if math.isnan(seconds) or seconds < 0:
+        logged = text[:_MAX_LOGGED_CHARACTERS]
+        return catalog.EndpointNotice(is_leaving, None, logged)
+    pause = datetime.timedelta(seconds=min(seconds, _MAX_PAUSE_SECONDS))
+    return catalog.EndpointNotice(is_leaving, pause)
+
+
 def parse_report(
     head: web.AnswerHead, body: bytes
 ) -> result.Result[_endpoints.Report, errors.Failure]:
--- a/sedgepin/platform/_control.py
+++ b/sedgepin/platform/_control.py
@@ -99,6 +99,10 @@
             )
         )
 
+    def parse_notice(self, head: web.AnswerHead) -> catalog.EndpointNotice:
+        """Parse what an engine says of itself in the head of an answer."""
+        return _answers.parse_notice(head)
+
     def layer_order_request(self, order: registrar.OrderLayers) -> web.Request:
         """Return the request that orders an engine to load layers."""
         body: dict[str, object] = {
--- a/sedgepin/platform/_gateway.py
+++ b/sedgepin/platform/_gateway.py
@@ -121,6 +121,7 @@
             running=running,
             waiting=waiting,
             slots=slots,
+            notice=_answers.parse_notice(head),
         )
 
     def error_response(
--- a/sedgepin/platform/tests/test_gateway.py
+++ b/sedgepin/platform/tests/test_gateway.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sedgepin import _catalog as catalog
 from sedgepin import _gateway as gateway
 from sedgepin import _model as model
 from sedgepin import _web as web
@@ -131,6 +132,61 @@
         metadata = _DIALECT.parse_answer(web.AnswerHead(status, headers))
         assert metadata.is_not_run is is_not_run
 
+    @pytest.mark.parametrize(
+        ("status", "headers", "expected"),
+        [
+            (200, (), catalog.EndpointNotice()),
+            (
+                200,
+                ((b"Server-Leaving", b"1"),),
+                catalog.EndpointNotice(is_leaving=True),
+            ),
+            (
+                503,
+                ((b"server-leaving", b" 1 "),),
+                catalog.EndpointNotice(is_leaving=True),
+            ),
+            (200, ((b"Server-Leaving", b"0"),), catalog.EndpointNotice()),
+            (200, ((b"Server-Leaving", b""),), catalog.EndpointNotice()),
+        ],
+    )
+    def test_leaving_only_if_header_states_it(
+        self,
+        status: int,
+        headers: web.Headers,
+        expected: catalog.EndpointNotice,
+    ) -> None:
+        metadata = _DIALECT.parse_answer(web.AnswerHead(status, headers))
+        assert metadata.notice == expected
+
+    @pytest.mark.parametrize(
+        ("value", "seconds"),
+        [
+            (b"2", 2),
+            (b"0", 0),
+            (b"0.75", 0.75),
+            (b"1e9", 30 * 86_400),
+            (b"1e400", 30 * 86_400),
+        ],
+    )
+    def test_pause_of_an_engine_that_turns_away(
+        self, value: bytes, seconds: float
+    ) -> None:
+        head = web.AnswerHead(503, ((b"Retry-After", value),))
+        pause = datetime.timedelta(seconds=seconds)
+        assert _DIALECT.parse_answer(head).notice.pause == pause
+        success = web.AnswerHead(200, ((b"Retry-After", value),))
+        assert _DIALECT.parse_answer(success).notice.pause is None
+
+    @pytest.mark.parametrize(
+        "value", [b"-1", b"", b"nan", b"soon", b"Fri, 04 Dec 2026 05:00 GMT"]
+    )
+    def test_malformed_pause_counts_as_none(self, value: bytes) -> None:
+        head = web.AnswerHead(503, ((b"Retry-After", value),))
+        notice = _DIALECT.parse_answer(head).notice
+        assert notice.pause is None
+        assert notice.malformed_pause == value.decode()
+
     @pytest.mark.parametrize("value", [b"3,0", b"a,b,c", b"", b"1,2,3,4"])
     def test_malformed_load_header_is_ignored(self, value: bytes) -> None:
         head = web.AnswerHead(200, ((b"X-Instance-Load", value),))
