--- a/sedgepin/_gateway/_settings.py
+++ b/sedgepin/_gateway/_settings.py
@@ -16,7 +16,7 @@
     """
 
     ratio: float
-    reserve: int
+    reserve: float
     window: datetime.timedelta
 
 
--- a/sedgepin/platform/_settings.py
+++ b/sedgepin/platform/_settings.py
@@ -28,7 +28,7 @@
 
 class _Bounds(msgspec.Struct, frozen=True, rename="camel"):
     retry_budget_ratio: float = 0.0
-    budget_min_retries: int = 0
+    budget_min_retries: float = 0.0
     budget_window_s: typing.Annotated[float, msgspec.Meta(gt=0)] = (
         msgspec.field(default=10.0, name="budgetWindowS")
     )
@@ -52,7 +52,7 @@
         tuple[_Port, ...], msgspec.Meta(min_length=2)
     ]
     seeds: tuple[str, ...]
-    heartbeat_ms: typing.Annotated[int, msgspec.Meta(gt=0)]
+    heartbeat_ms: typing.Annotated[float, msgspec.Meta(gt=0)]
     listen: _Listen
     bounds: _Bounds = _Bounds()
     bootstrap: bool = False
--- a/sedgepin/platform/tests/test_documents.py
+++ b/sedgepin/platform/tests/test_documents.py
@@ -88,6 +88,15 @@
         assert control.seeds == ("10.0.0.1:7340", "10.0.0.2:7340")
         assert control.is_new_system
 
+    def test_numbers_may_have_fractions(self, tmp_path: pathlib.Path) -> None:
+        """Each process of a small deployment once refused its settings."""
+        path = tmp_path / "settings.toml"
+        text = _SETTINGS.replace("= 198", "= 47.8").replace("1200", "1200.5")
+        path.write_text(text)
+        entry = _settings.read(path).unwrap().gateway_settings()
+        assert entry.retries.reserve == 47.8
+        assert entry.heartbeat_interval.total_seconds() == 1.2005
+
     @pytest.mark.parametrize(
         ("old", "new"),
         [
