--- a/sedgepin/_shell/_metrics.py
+++ b/sedgepin/_shell/_metrics.py
@@ -1,9 +1,11 @@
 """Metric sinks: statsd over UDP, and Prometheus text for scraping."""
 
 import abc
+import bisect
+import collections
 import datetime
+import itertools
 
-import prometheus_client
 import statsd
 
 from sedgepin import settings
@@ -69,44 +71,87 @@
 )
 
 
+class _Histogram:
+    """Counts of durations by the upper bounds of ``_BUCKETS``."""
+
+    __slots__ = ("counts", "sum_seconds")
+
+    def __init__(self) -> None:
+        # The last count is that of durations above all bounds.
+        self.counts = [0] * (len(_BUCKETS) + 1)
+        self.sum_seconds = 0.0
+
+    def add(self, seconds: float) -> None:
+        self.counts[bisect.bisect_left(_BUCKETS, seconds)] += 1
+        self.sum_seconds += seconds
+
+    def cumulative(self) -> list[tuple[str, float]]:
+        """Return the upper bounds with the counts up to each of them."""
+        bounds = [*map(str, _BUCKETS), "+Inf"]
+        totals = itertools.accumulate(self.counts)
+        return [
+            (bound, float(total))
+            for bound, total in zip(bounds, totals, strict=True)
+        ]
+
+
 class PrometheusSink(MetricSink):
     """Keeps counters and histograms for a Prometheus scrape.
 
+    The client library is imported by the first scrape.  Its import takes a
+    tenth of the time in which a daemon starts, and most processes are
+    restarted more often than scraped.
+
     >>> sink = PrometheusSink()
     >>> sink.increment("request_answered", 1)
     >>> b'sedgepin_events_total{event="request_answered"} 1.0' in sink.text()
     True
     """
 
-    __slots__ = ("_durations", "_events", "_registry")
+    __slots__ = ("_durations", "_events")
 
     def __init__(self) -> None:
-        self._registry = prometheus_client.CollectorRegistry()
-        self._events = prometheus_client.Counter(
-            "sedgepin_events",
-            "Log events by name.",
-            ["event"],
-            registry=self._registry,
-        )
-        self._durations = prometheus_client.Histogram(
-            "sedgepin_duration_seconds",
-            "How long something took, by name.",
-            ["name"],
-            buckets=_BUCKETS,
-            registry=self._registry,
+        self._events: collections.Counter[str] = collections.Counter()
+        self._durations: collections.defaultdict[str, _Histogram] = (
+            collections.defaultdict(_Histogram)
         )
 
     def increment(self, name: str, count: int) -> None:
         """Add ``count`` to the counter of the log event ``name``."""
-        self._events.labels(name).inc(count)
+        self._events[name] += count
 
     def record_duration(self, name: str, duration: datetime.timedelta) -> None:
         """Add a duration to the histogram ``name``."""
-        self._durations.labels(name).observe(duration.total_seconds())
+        self._durations[name].add(duration.total_seconds())
 
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return prometheus_client.generate_latest(self._registry)
+        # Deferred to keep it out of the start of the daemons.
+        import prometheus_client
+        from prometheus_client import core
+
+        counters = core.CounterMetricFamily(
+            "sedgepin_events", "Log events by name.", labels=["event"]
+        )
+        for name, count in self._events.items():
+            counters.add_metric([name], count)
+        durations = core.HistogramMetricFamily(
+            "sedgepin_duration_seconds",
+            "How long something took, by name.",
+            labels=["name"],
+        )
+        for name, histogram in self._durations.items():
+            durations.add_metric(
+                [name], histogram.cumulative(), histogram.sum_seconds
+            )
+
+        class Collector:
+            def collect(self) -> list[core.Metric]:
+                return [counters, durations]
+
+        registry = prometheus_client.CollectorRegistry()
+        registry.register(Collector())
+        return prometheus_client.generate_latest(registry)
 
 
 def create_sink(cfg: settings.Statsd | None) -> MetricSink:
--- a/sedgepin/platform/__main__.py
+++ b/sedgepin/platform/__main__.py
@@ -3,6 +3,7 @@
 Usage: ``python -m sedgepin.platform entry|control [METRICS_PORT]``.
 """
 
+import gc
 import os
 import pathlib
 import signal
@@ -10,14 +11,10 @@
 
 import result
 
-from sedgepin import _gateway as gateway
-from sedgepin import _registrar as registrar
 from sedgepin import _shell as shell
 from sedgepin import errors
 from sedgepin import events
 from sedgepin import logs
-from sedgepin.platform import _control
-from sedgepin.platform import _gateway
 from sedgepin.platform import _settings
 from sedgepin import settings
 
@@ -30,7 +27,11 @@
     """Run a daemon until it is asked to stop, and return the exit code.
 
     The code is 2 for wrong arguments and 3 for an invalid settings file.
+
+    Each role imports its own package only, without garbage collection, since
+    callers of a VM that restarts wait for it.
     """
+    gc.disable()
     # SIGHUP reloads the settings.  Before the daemon installs its handler the
     # default action would end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -59,9 +60,20 @@
     return 0
 
 
+def _finish_imports() -> None:
+    """Turn on garbage collection, for what is allocated from now on."""
+    gc.freeze()
+    gc.enable()
+
+
 def _run_entry(
     path: pathlib.Path, node: _settings.NodeSettings, metrics_port: int | None
 ) -> None:
+    from sedgepin import _gateway as gateway
+    from sedgepin.platform import _gateway
+
+    _finish_imports()
+
     def read_settings(
         path: pathlib.Path,
     ) -> result.Result[gateway.GatewaySettings, errors.DocumentRefused]:
@@ -77,6 +89,11 @@
 def _run_control(
     path: pathlib.Path, node: _settings.NodeSettings, metrics_port: int | None
 ) -> None:
+    from sedgepin import _registrar as registrar
+    from sedgepin.platform import _control
+
+    _finish_imports()
+
     def read_settings(
         path: pathlib.Path,
     ) -> result.Result[registrar.RegistrarSettings, errors.DocumentRefused]:
--- a/sedgepin/platform/_settings.py
+++ b/sedgepin/platform/_settings.py
@@ -7,11 +7,14 @@
 import msgspec
 import result
 
-from sedgepin import _gateway as gateway
 from sedgepin import _model as model
-from sedgepin import _registrar as registrar
 from sedgepin import errors
 
+# A process needs only the package of its role, and loads only that.
+if typing.TYPE_CHECKING:
+    from sedgepin import _gateway as gateway
+    from sedgepin import _registrar as registrar
+
 SETTINGS_VARIABLE = "SEDGEPIN_NODE_FILE"
 
 _Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
@@ -77,8 +80,10 @@
 
     def registrar_settings(
         self, metrics_port: int | None = None
-    ) -> registrar.RegistrarSettings:
+    ) -> "registrar.RegistrarSettings":
         """Return the settings of a control VM."""
+        from sedgepin import _registrar as registrar
+
         return registrar.RegistrarSettings(
             vm_id=self._vm_id,
             data_centre=model.DataCentreId(self.zone),
@@ -93,8 +98,10 @@
 
     def gateway_settings(
         self, metrics_port: int | None = None
-    ) -> gateway.GatewaySettings:
+    ) -> "gateway.GatewaySettings":
         """Return the settings of an entry VM."""
+        from sedgepin import _gateway as gateway
+
         bounds = self.bounds
         return gateway.GatewaySettings(
             vm_id=self._vm_id,
--- a/sedgepin/platform/tests/test_processes.py
+++ b/sedgepin/platform/tests/test_processes.py
@@ -387,3 +387,32 @@
             while system.processes["control"].poll() is None:
                 await trio.sleep(0.1)
         assert system.processes["control"].returncode == 4
+
+
+class TestImports:
+    """Each VM starts its role's package only; a restart costs callers."""
+
+    @pytest.mark.parametrize(
+        ("role", "other"),
+        [("entry", "sedgepin._registrar"), ("control", "sedgepin._gateway")],
+    )
+    def test_role_does_not_import_the_other_role(
+        self, role: str, other: str
+    ) -> None:
+        package = {"entry": "_gateway", "control": "_registrar"}[role]
+        dialect = {"entry": "_gateway", "control": "_control"}[role]
+        script = (
+            "import sys\n"
+            "import sedgepin.platform.__main__\n"
+            f"import sedgepin.{package}\n"
+            f"import sedgepin.platform.{dialect}\n"
+            f"print({other!r} in sys.modules,"
+            " 'prometheus_client' in sys.modules)"
+        )
+        output = subprocess.run(
+            [sys.executable, "-c", script],
+            check=True,
+            capture_output=True,
+            text=True,
+        ).stdout
+        assert output.split() == ["False", "False"]
