--- a/sedgepin/_registrar/tests/test_dissemination.py
+++ b/sedgepin/_registrar/tests/test_dissemination.py
@@ -61,6 +61,42 @@
         last = self._published(cluster)[-1]
         assert catalog.decode(last.configuration).version == 7
 
+    def _wanted(
+        self, cluster: clusters.Cluster, vm_id: model.VmId
+    ) -> protocol.ConfigurationPublished:
+        """Ask as an entry VM without a configuration; return the answer."""
+        cluster.connect_entry(vm_id, "far")
+        cluster.entry_messages.clear()
+        wanted = protocol.PeerMessageReceived(
+            model.VmId("entry"), protocol.ConfigurationWanted(-1)
+        )
+        cluster.handle(vm_id, wanted)
+        cluster.run(1.2)
+        return self._published(cluster)[-1]
+
+    def test_follower_confirms_a_configuration_by_the_read_index(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        """An entry VM that starts may be connected to no leader."""
+        leader = cluster.leader()
+        cluster.publish(leader, 7)
+        cluster.run(0.2)
+        follower = next(vm for vm in cluster.running if vm != leader)
+        answer = self._wanted(cluster, follower)
+        assert (answer.version, answer.confirmed) == (7, True)
+        assert catalog.decode(answer.configuration).version == 7
+
+    def test_isolated_follower_confirms_nothing(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        leader = cluster.leader()
+        cluster.publish(leader, 7)
+        cluster.run(0.2)
+        follower = next(vm for vm in cluster.running if vm != leader)
+        cluster.isolate(follower)
+        answer = self._wanted(cluster, follower)
+        assert (answer.version, answer.confirmed) == (7, False)
+
     @pytest.mark.parametrize(
         ("data_centre", "copies"), [("dc", 3), ("far", 1)]
     )
