--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -26,12 +26,21 @@
         self._state = state
 
     def admit(
-        self, event: _events.RequestArrived, now: datetime.datetime
+        self,
+        event: _events.RequestArrived,
+        arrived_at: datetime.datetime,
+        now: datetime.datetime,
     ) -> _shared_state.Effects:
-        """Admit and dispatch a request, or reject it."""
+        """Admit and dispatch a request, or reject it.
+
+        A VM that has just started holds a request that it cannot serve yet.
+        """
         request = event.request
         table = self._state.table
         if table is None:
+            effects = self._hold(event, arrived_at, now)
+            if effects is not None:
+                return effects
             return self._reject(event, _failures.NoConfiguration())
         route = table.find(request.host, request.path)
         if route is None:
@@ -47,6 +56,12 @@
             return self._reject(event, _failures.RouteUnknown())
         if self._state.crash_tracker.is_quarantined(request.fingerprint, now):
             return self._reject(event, _failures.RequestQuarantined())
+        if self._state.startup_queue.is_open(now) and (
+            not self._state.fleet.knows_endpoints(service, request.size, now)
+        ):
+            effects = self._hold(event, arrived_at, now)
+            if effects is not None:
+                return effects
         time_left = route.timeout
         if request.time_left is not None:
             time_left = min(time_left, request.time_left)
@@ -56,12 +71,14 @@
             route,
             service,
             customer,
-            now,
-            now + time_left,
+            arrived_at,
+            arrived_at + time_left,
             position=request.resume_after,
         )
         self._state.exchanges[event.exchange_id] = exchange
-        set_deadline = _effects.SetDeadline(event.exchange_id, time_left)
+        set_deadline = _effects.SetDeadline(
+            event.exchange_id, exchange.time_left(now)
+        )
         return [set_deadline, *self.dispatch_or_queue(exchange, now)]
 
     def dispatch_or_queue(
@@ -97,6 +114,8 @@
     def serve_queues(self, now: datetime.datetime) -> _shared_state.Effects:
         """Dispatch queued requests while capacity lasts; fail overdue ones."""
         effects: _shared_state.Effects = []
+        for held in self._state.startup_queue.take_all():
+            effects += self.admit(held.event, held.arrived_at, now)
         for queue in self._state.queues:
             for exchange in queue.in_order():
                 request_effects = self.dispatch_or_queue(exchange, now)
@@ -131,6 +150,7 @@
         self, exchange_id: int, now: datetime.datetime
     ) -> _shared_state.Effects:
         """Remove a request whose caller disconnected."""
+        self._state.startup_queue.discard(exchange_id)
         exchange = self._state.exchanges.get(exchange_id)
         if exchange is None:
             return []
@@ -178,6 +198,25 @@
             _effects.FailExchange(exchange.exchange_id, failure),
         ]
 
+    def _hold(
+        self,
+        event: _events.RequestArrived,
+        arrived_at: datetime.datetime,
+        now: datetime.datetime,
+    ) -> _shared_state.Effects | None:
+        """Hold a request, or return ``None`` if it must not wait."""
+        if not self._state.startup_queue.try_hold(event, arrived_at, now):
+            return None
+        if now > arrived_at:
+            # It was held before, and logged.
+            return []
+        line = events.REQUEST_HELD.line(
+            request=event.request.request_id,
+            host=event.request.host,
+            path=event.request.path,
+        )
+        return [_shared_state.log(line)]
+
     def _reject(
         self, event: _events.RequestArrived, failure: errors.Failure
     ) -> _shared_state.Effects:
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -243,6 +243,32 @@
             usable, key=lambda registration: self._load_key(registration, now)
         )
 
+    def knows_endpoints(
+        self,
+        service: catalog.Service,
+        size: placement.RequestSize | None,
+        now: datetime.datetime,
+    ) -> bool:
+        """Return whether endpoints are known that together make a service.
+
+        They may be suspected, or want no requests at the moment.
+        """
+        registrations = [
+            record.registration
+            for record in self.registry
+            if record.registration.service == service.name
+            and record.registration.state is catalog.EndpointState.READY
+            and record.is_live(self._heartbeat_timeout, now)
+        ]
+        if service.engine is None or size is None:
+            return bool(registrations)
+        missing = set(range(service.engine.layer_count))
+        for registration in registrations:
+            if registration.layers is not None:
+                layers = registration.layers
+                missing.difference_update(range(layers.first, layers.end))
+        return not missing
+
     def find_pipeline(
         self,
         service: catalog.Service,
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -63,7 +63,7 @@
         rng: random.Random,
         now: datetime.datetime,
     ) -> None:
-        self._state = _shared_state.SharedState(cfg, rng)
+        self._state = _shared_state.SharedState(cfg, rng, now)
         self._dispatcher = _dispatcher.RequestDispatcher(self._state)
         self._attempt_handler = _attempt_handler.AttemptHandler(
             self._state, self._dispatcher
@@ -91,7 +91,9 @@
     @property
     def has_queued_requests(self) -> bool:
         """Return whether requests wait for capacity."""
-        return any(len(queue) for queue in self._state.queues)
+        return bool(len(self._state.startup_queue)) or any(
+            len(queue) for queue in self._state.queues
+        )
 
     @property
     def table(self) -> catalog.RouteTable | None:
@@ -109,7 +111,7 @@
     ) -> Effects:
         match event:
             case _events.RequestArrived():
-                return self._dispatcher.admit(event, now)
+                return self._dispatcher.admit(event, now, now)
             case _events.AttemptEnded():
                 effects = self._attempt_handler.handle_attempt_end(event, now)
                 return effects + self._dispatcher.serve_queues(now)
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -11,6 +11,7 @@
 from sedgepin._gateway import _request_queue
 from sedgepin._gateway import _retry_budget
 from sedgepin._gateway import _settings
+from sedgepin._gateway import _startup_queue
 from sedgepin import _model as model
 from sedgepin import events
 
@@ -27,18 +28,23 @@
         "queues",
         "retry_budget",
         "rng",
+        "startup_queue",
         "table",
         "unreachable_endpoints",
     )
 
     def __init__(
-        self, cfg: _settings.GatewaySettings, rng: random.Random
+        self,
+        cfg: _settings.GatewaySettings,
+        rng: random.Random,
+        now: datetime.datetime,
     ) -> None:
         self.rng = rng
         self.table: catalog.RouteTable | None = None
         self.fleet = _fleet.Fleet(cfg.data_centre, cfg.heartbeat_timeout, rng)
         self.retry_budget = _retry_budget.RetryBudget(cfg.retries)
         self.crash_tracker = _crashes.CrashTracker()
+        self.startup_queue = _startup_queue.StartupQueue(now)
         self.queues = _request_queue.RequestQueues()
         self.exchanges: dict[int, _exchange.Exchange] = {}
         # Endpoints that did not respond, not yet reported to control VMs.
--- a/sedgepin/_gateway/tests/test_log_lines.py
+++ b/sedgepin/_gateway/tests/test_log_lines.py
@@ -118,6 +118,11 @@
     return _notice(gateway, catalog.EndpointNotice(malformed_pause="soon"))
 
 
+def _request_held(gateway: parts.Gateway) -> _Effects:
+    gateway.reducer._state.table = None
+    return gateway.send_request("/read/x")[1]
+
+
 def _process_draining(gateway: parts.Gateway) -> _Effects:
     return gateway.handle(_events.DrainRequested())
 
@@ -159,6 +164,7 @@
     "peer_disconnected": (_peer_disconnected, {"peer": "control:1"}),
     "peer_refused": (_peer_refused, {"address": "127.0.0.1:1"}),
     "process_draining": (_process_draining, {}),
+    "request_held": (_request_held, {"request": "r1", "path": "/read/x"}),
     "endpoint_leaving": (
         _endpoint_leaving,
         {"endpoint": "low", "incarnation": 1},
--- a/sedgepin/_gateway/tests/test_requests.py
+++ b/sedgepin/_gateway/tests/test_requests.py
@@ -35,6 +35,7 @@
     def test_request_fails_as_not_run_without_a_configuration(self) -> None:
         gateway = parts.Gateway()
         gateway.reducer._state.table = None
+        gateway.advance(4000)
         _, effects = gateway.send_request("/draft/x")
         failure = parts.get_effect(effects, _effects.FailExchange).failure
         assert failure.http_status == 503
@@ -46,6 +47,7 @@
     ) -> None:
         """After a power loss, 744 callers once retried too soon."""
         gateway = parts.Gateway(())
+        gateway.advance(4000)
         for path in ("/draft/x", "/read/x"):
             _, effects = gateway.send_request(path)
             failure = parts.get_effect(effects, _effects.FailExchange).failure
@@ -63,6 +65,7 @@
         gateway = parts.Gateway(
             (parts.make_registration("low", "model", parts.LOW),)
         )
+        gateway.advance(4000)
         _, effects = gateway.send_request("/draft/x")
         failure = parts.get_effect(effects, _effects.FailExchange).failure
         assert failure.outcome is errors.Outcome.NOT_RUN
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -356,6 +356,15 @@
     "ahead",
     "expected_milliseconds",
 )
+REQUEST_HELD = _define(
+    320,
+    "INFO",
+    "request_held",
+    "A request waits until a VM that is starting can route it.",
+    "request",
+    "host",
+    "path",
+)
 REQUEST_REROUTED = _define(
     317,
     "INFO",
