--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -6,9 +6,11 @@
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _aggregator_selector
 from sedgepin._gateway import _attempt_handler
+from sedgepin._gateway import _configuration
 from sedgepin._gateway import _control_connections
 from sedgepin._gateway import _dispatcher
 from sedgepin._gateway import _effects
+from sedgepin._gateway import _endpoint_notices
 from sedgepin._gateway import _events
 from sedgepin._gateway import _settings
 from sedgepin._gateway import _shared_state
@@ -19,19 +21,9 @@
 
 Effects = list[_effects.GatewayEffect]
 
-# Configurations are pushed by the control VMs, and aggregated loads tell the
-# version in force; polling recovers from the loss of both.
-_CONFIGURATION_POLL_INTERVAL = datetime.timedelta(seconds=1)
-_INFORMED_POLL_INTERVAL = datetime.timedelta(seconds=3)
 # A load report that repeats the one before is sent only this often.  Control
 # VMs forget the load of an entry VM after 1 s without a report.
 _UNCHANGED_REPORT_INTERVAL = datetime.timedelta(milliseconds=400)
-# After the announcement of a newer version, the control VMs of the same data
-# centre have this long to push it before it is requested from another one.
-_PUSH_TIMEOUT = datetime.timedelta(milliseconds=150)
-# After this long without a configuration, one that no leader has confirmed is
-# accepted.  It may be outdated, but is better than none.
-_UNCONFIRMED_ACCEPTED_AFTER = datetime.timedelta(seconds=3)
 
 
 class GatewayReducer:
@@ -45,14 +37,13 @@
     __slots__ = (
         "_aggregator_selector",
         "_attempt_handler",
+        "_configuration",
         "_connections",
         "_dispatcher",
         "_is_draining",
-        "_newer_version_holder",
         "_next_report_at",
+        "_notices",
         "_reported_at",
-        "_request_configuration_at",
-        "_started_at",
         "_state",
         "_stream_failover",
     )
@@ -69,15 +60,17 @@
             self._state, self._dispatcher
         )
         self._stream_failover = _stream_failover.StreamFailover(self._state)
-        self._started_at = now
-        self._request_configuration_at = now
-        # A control VM that announced a newer version than the one in force.
-        self._newer_version_holder: model.VmId | None = None
+        self._configuration = _configuration.ConfigurationFollower(
+            self._state, now
+        )
         self._next_report_at = now
         self._reported_at = now
         self._connections = _control_connections.ControlConnections(
             cfg.vm_id, cfg.data_centre, cfg.controls, now
         )
+        self._notices = _endpoint_notices.EndpointNotices(
+            self._state, self._connections
+        )
         self._aggregator_selector = _aggregator_selector.AggregatorSelector(
             self._connections.rank
         )
@@ -118,7 +111,7 @@
             case _events.OutputStarted(exchange_id):
                 return self._dispatcher.record_output_started(exchange_id, now)
             case _events.AnswerHeadReceived():
-                return self._handle_answer_head(event, now)
+                return self._notices.handle_answer_head(event, now)
             case _events.StreamStalled(exchange_id):
                 return self._stream_failover.handle_stall(exchange_id, now)
             case _events.StallsInspected():
@@ -174,9 +167,11 @@
             case protocol.ConfigurationPublished(
                 version, confirmed, configuration=b""
             ):
-                self._record_version(sender, version, confirmed, now)
+                self._configuration.record_version(
+                    sender, version, confirmed, now
+                )
             case protocol.ConfigurationPublished():
-                return self._apply_configuration(message, now)
+                return self._configuration.apply(message, now)
             case protocol.RegistrationsSeen():
                 return self._merge_registrations(message, now)
             case protocol.ControlsKnown():
@@ -185,7 +180,7 @@
             case protocol.LoadSummed():
                 self._apply_aggregate(sender, message, now)
             case protocol.EndpointLeaving(endpoint_id, incarnation):
-                return self._record_leaving(endpoint_id, incarnation)
+                return self._notices.record_leaving(endpoint_id, incarnation)
             case protocol.EndpointPaced(endpoint_id, incarnation, slowdown):
                 self._state.fleet.registry.set_slowdown(
                     endpoint_id, incarnation, slowdown
@@ -218,7 +213,7 @@
             self._set_entry_count(message.entry_count)
         self._state.fleet.set_aggregated_load(message.loads, now)
         self._state.retry_budget.set_aggregated_counts(message.retries, now)
-        self._record_version(
+        self._configuration.record_version(
             sender, message.configuration_version, message.knows_leader, now
         )
 
@@ -226,58 +221,6 @@
         self._state.retry_budget.set_entry_count(entry_count)
         self._state.fleet.unreported_load.set_entry_count(entry_count)
 
-    def _apply_configuration(
-        self,
-        message: protocol.ConfigurationPublished,
-        now: datetime.datetime,
-    ) -> Effects:
-        """Put a newer configuration in force; ignore an older one."""
-        accepts_unconfirmed = (
-            now - self._started_at >= _UNCONFIRMED_ACCEPTED_AFTER
-        )
-        if (
-            self._state.table is None
-            and not message.confirmed
-            and not accepts_unconfirmed
-        ):
-            return []
-        if self._state.table is not None:
-            if message.version <= self._state.table.configuration.version:
-                return []
-        previous_version = 0
-        if self._state.table is not None:
-            previous_version = self._state.table.configuration.version
-        configuration = catalog.decode(message.configuration)
-        self._state.table = catalog.RouteTable(configuration)
-        line = events.CONFIGURATION_IN_FORCE.line(
-            version=configuration.version,
-            before=previous_version,
-            confirmed=message.confirmed,
-        )
-        return [_shared_state.log(line)]
-
-    def _record_version(
-        self,
-        sender: model.VmId,
-        version: int,
-        confirmed: bool,
-        now: datetime.datetime,
-    ) -> None:
-        """Schedule a request for a newer version that may not be pushed."""
-        if version <= max(0, self._version()):
-            return
-        if confirmed or self._newer_version_holder is None:
-            self._newer_version_holder = sender
-        self._request_configuration_at = min(
-            self._request_configuration_at, now + _PUSH_TIMEOUT
-        )
-
-    def _version(self) -> int:
-        """Return the version in force, or -1 without one."""
-        if self._state.table is None:
-            return -1
-        return self._state.table.configuration.version
-
     def _merge_registrations(
         self, message: protocol.RegistrationsSeen, now: datetime.datetime
     ) -> Effects:
@@ -353,64 +296,6 @@
             effects.append(_effects.SendMessage(recipient, message))
         return effects
 
-    def _handle_answer_head(
-        self, event: _events.AnswerHeadReceived, now: datetime.datetime
-    ) -> Effects:
-        """Record the load of an endpoint, and what it asks of this VM."""
-        fleet = self._state.fleet
-        endpoint_id, metadata = event.endpoint_id, event.metadata
-        fleet.record_reported_load(endpoint_id, metadata, now)
-        incarnation = event.incarnation
-        if incarnation is None:
-            record = fleet.registry.find(endpoint_id)
-            if record is None:
-                return []
-            incarnation = record.registration.incarnation
-        notice = metadata.notice
-        effects: Effects = []
-        if notice.is_leaving:
-            effects += self._record_leaving(endpoint_id, incarnation)
-            if effects:
-                message = protocol.EndpointLeaving(endpoint_id, incarnation)
-                effects += [
-                    _effects.SendMessage(vm_id, message)
-                    for vm_id in sorted(self._connections.connected)
-                ]
-        if notice.pause is not None and fleet.restrictions.record_pause(
-            endpoint_id, incarnation, notice.pause, now
-        ):
-            fleet.invalidate_pipelines()
-            line = events.ENDPOINT_PAUSED.line(
-                endpoint=endpoint_id,
-                incarnation=incarnation,
-                milliseconds=_shared_state.milliseconds(notice.pause),
-            )
-            effects.append(_shared_state.log(line))
-        if notice.malformed_pause is not None and (
-            fleet.restrictions.record_malformed(endpoint_id, incarnation)
-        ):
-            line = events.PAUSE_UNREADABLE.line(
-                endpoint=endpoint_id,
-                incarnation=incarnation,
-                value=notice.malformed_pause,
-            )
-            effects.append(_shared_state.log(line))
-        return effects
-
-    def _record_leaving(
-        self, endpoint_id: model.EndpointId, incarnation: int
-    ) -> Effects:
-        """Give a leaving endpoint no more requests; log it the first time."""
-        fleet = self._state.fleet
-        fleet.registry.mark_leaving(endpoint_id, incarnation)
-        if not fleet.restrictions.record_leaving(endpoint_id, incarnation):
-            return []
-        fleet.invalidate_pipelines()
-        line = events.ENDPOINT_LEAVING.line(
-            endpoint=endpoint_id, incarnation=incarnation
-        )
-        return [_shared_state.log(line)]
-
     def _report_unreachable(self) -> Effects:
         """Report unresponsive endpoints to the control VMs."""
         if not self._state.unreachable_endpoints:
@@ -446,24 +331,11 @@
         ]
 
     def _tick(self, now: datetime.datetime) -> Effects:
-        effects: Effects = []
-        connected = self._connections.connected
-        if now >= self._request_configuration_at and connected:
-            is_informed = (
-                self._state.table is not None
-                and self._aggregator_selector.has_recent_aggregate(now)
-            )
-            self._request_configuration_at = now + (
-                _INFORMED_POLL_INTERVAL
-                if is_informed
-                else _CONFIGURATION_POLL_INTERVAL
-            )
-            recipient = self._state.rng.choice(sorted(connected))
-            if self._newer_version_holder in connected:
-                recipient = self._newer_version_holder
-            self._newer_version_holder = None
-            request = protocol.ConfigurationWanted(self._version())
-            effects.append(_effects.SendMessage(recipient, request))
+        effects = self._configuration.poll(
+            self._connections.connected,
+            self._aggregator_selector.has_recent_aggregate(now),
+            now,
+        )
         if now >= self._next_report_at:
             effects += self._report_load(now)
             effects += self._update_connections(now)
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -11,22 +11,13 @@
 from sedgepin._registrar import _failures
 from sedgepin._registrar import _layer_orders
 from sedgepin._registrar import _peers
+from sedgepin._registrar import _registration_relay
 from sedgepin._registrar import _report_schedule
 from sedgepin._registrar import _settings
 from sedgepin import events
 
 Effects = list[_effects.RegistrarEffect]
 
-# Heartbeats are relayed in batches: to the other control VMs at the first
-# interval, and by each of them to its entry VMs at the second one, which is a
-# multiple of the interval of aggregated loads and so shares their frames.
-# Changed registrations are sent at once.
-_CONTROL_RELAY_INTERVAL = datetime.timedelta(milliseconds=300)
-_ENTRY_RELAY_INTERVAL = datetime.timedelta(milliseconds=400)
-# After the start of a system, or of its control VMs, all endpoints register
-# within a heartbeat interval.  Changes that follow another one this soon are
-# sent together.
-_CHANGE_INTERVAL = datetime.timedelta(milliseconds=50)
 _REMOVAL_INTERVAL = datetime.timedelta(seconds=1)
 # Several entry VMs report a failed endpoint at about the same time; a single
 # check, or a single message to the leader, serves all of them.
@@ -45,19 +36,14 @@
 
     __slots__ = (
         "_cfg",
-        "_changes_sent_at",
         "_checked_at",
         "_peers",
         "_raft",
-        "_relayed_to_controls_at",
-        "_relayed_to_entries_at",
+        "_relay",
         "_removed_at",
         "_reported_by",
         "_reports",
         "_restrictions",
-        "_unrelayed_to_controls",
-        "_unsent_changes",
-        "_unrelayed_to_entries",
         "orders",
         "registry",
     )
@@ -74,15 +60,8 @@
         self._raft = raft
         self.registry = catalog.Registry()
         self.orders = _layer_orders.LayerOrders()
-        # Heartbeats received here, and those received by any control VM.
-        self._unrelayed_to_controls: set[model.EndpointId] = set()
-        self._unrelayed_to_entries: set[model.EndpointId] = set()
-        self._relayed_to_controls_at = now
-        self._relayed_to_entries_at = now
+        self._relay = _registration_relay.RegistrationRelay(peers, now)
         self._removed_at = now
-        # The latest change of each endpoint that has not been sent to peers.
-        self._unsent_changes: dict[model.EndpointId, catalog.Registration] = {}
-        self._changes_sent_at = now - _CHANGE_INTERVAL
         self._checked_at: dict[model.EndpointId, datetime.datetime] = {}
         self._reported_by: dict[model.EndpointId, model.VmId] = {}
         self._reports = _report_schedule.ReportSchedule()
@@ -95,7 +74,7 @@
         if now - self._removed_at >= _REMOVAL_INTERVAL:
             self._removed_at = now
             self.registry.remove_expired(self._cfg.heartbeat_timeout, now)
-        effects = self._send_changes(now) + self._relay_heartbeats(now)
+        effects = self._relay.tick(now)
         live = self.live_registrations(now)
         paused = {
             registration.endpoint_id
@@ -213,8 +192,7 @@
             # retry at another control VM.
             failure = _failures.NoQuorum()
             return [_effects.RespondWithFailure(event.exchange_id, failure)]
-        self._unrelayed_to_controls.add(registration.endpoint_id)
-        self._unrelayed_to_entries.add(registration.endpoint_id)
+        self._relay.add_heartbeat(registration.endpoint_id)
         effects: Effects = []
         if self.registry.update(registration, now):
             effects += self._broadcast_change(registration, now)
@@ -236,11 +214,7 @@
     def _broadcast_change(
         self, registration: catalog.Registration, now: datetime.datetime
     ) -> Effects:
-        """Log a changed registration and send it to all peers.
-
-        It is sent a little later if another one has just been sent, unless
-        the endpoint leaves.
-        """
+        """Log a changed registration and send it to all peers soon."""
         line = events.ENDPOINT_CHANGED.line(
             endpoint=registration.endpoint_id,
             incarnation=registration.incarnation,
@@ -249,41 +223,8 @@
             address=registration.address,
             layers=_layer_orders.format_layers(registration.layers),
         )
-        self._unsent_changes[registration.endpoint_id] = registration
-        effects: Effects = [_effects.WriteLog(line)]
-        is_leaving = registration.state is not catalog.EndpointState.READY
-        if is_leaving or now - self._changes_sent_at >= _CHANGE_INTERVAL:
-            effects += self._send_changes(now)
-        return effects
-
-    def _send_changes(self, now: datetime.datetime) -> Effects:
-        """Send all changes that have not been sent to all peers."""
-        if not self._unsent_changes:
-            return []
-        self._changes_sent_at = now
-        changes = tuple(self._unsent_changes.values())
-        self._unsent_changes.clear()
-        message = protocol.RegistrationsSeen(changed=changes)
-        return self._peers.send_to_all(message)
-
-    def _relay_heartbeats(self, now: datetime.datetime) -> Effects:
-        """Relay the heartbeats that are due to control VMs and entry VMs."""
-        effects: Effects = []
-        if now - self._relayed_to_controls_at >= _CONTROL_RELAY_INTERVAL:
-            self._relayed_to_controls_at = now
-            if self._unrelayed_to_controls:
-                effects += self._peers.send_to_controls(
-                    _heartbeats(self._unrelayed_to_controls)
-                )
-            self._unrelayed_to_controls.clear()
-        if now - self._relayed_to_entries_at >= _ENTRY_RELAY_INTERVAL:
-            self._relayed_to_entries_at = now
-            if self._unrelayed_to_entries:
-                effects += self._peers.send_to_homed_entries(
-                    _heartbeats(self._unrelayed_to_entries)
-                )
-            self._unrelayed_to_entries.clear()
-        return effects
+        changes = self._relay.add_change(registration, now)
+        return [_effects.WriteLog(line), *changes]
 
     def merge(
         self, message: protocol.RegistrationsSeen, now: datetime.datetime
@@ -296,7 +237,7 @@
         """
         for endpoint_id in message.heard:
             self.registry.record_heartbeat(endpoint_id, now)
-        self._unrelayed_to_entries.update(message.heard)
+        self._relay.add_relayed_heartbeats(message.heard)
         staying: list[catalog.Registration] = []
         leaving: list[catalog.Registration] = []
         for registration in message.changed:
@@ -473,12 +414,6 @@
         )
 
 
-def _heartbeats(
-    endpoint_ids: set[model.EndpointId],
-) -> protocol.RegistrationsSeen:
-    return protocol.RegistrationsSeen(heard=tuple(sorted(endpoint_ids)))
-
-
 def _runs_model(
     registration: catalog.Registration, table: catalog.RouteTable
 ) -> bool:
