--- a/sedgepin/_gateway/tests/parts.py
+++ b/sedgepin/_gateway/tests/parts.py
@@ -116,24 +116,29 @@
     )
 
 
+def make_settings() -> _settings.GatewaySettings:
+    return _settings.GatewaySettings(
+        vm_id=model.VmId("entry:1"),
+        data_centre=HOME,
+        listen="127.0.0.1:1",
+        ready_listen="127.0.0.1:2",
+        controls=(model.VmId("control:1"),),
+        retries=_settings.RetrySettings(0.2, 50, milliseconds(10_000)),
+        heartbeat_interval=milliseconds(1200),
+        grace_period=milliseconds(8000),
+    )
+
+
 class Gateway:
     """A gateway reducer with a clock that the test advances."""
 
     def __init__(
         self, registrations: tuple[catalog.Registration, ...] | None = None
     ) -> None:
-        cfg = _settings.GatewaySettings(
-            vm_id=model.VmId("entry:1"),
-            data_centre=HOME,
-            listen="127.0.0.1:1",
-            ready_listen="127.0.0.1:2",
-            controls=(model.VmId("control:1"),),
-            retries=_settings.RetrySettings(0.2, 50, milliseconds(10_000)),
-            heartbeat_interval=milliseconds(1200),
-            grace_period=milliseconds(8000),
-        )
         self.now = START
-        self.reducer = _reducer.GatewayReducer(cfg, random.Random(1), START)
+        self.reducer = _reducer.GatewayReducer(
+            make_settings(), random.Random(1), START
+        )
         self._next_id = 0
         hello = protocol.Hello(
             model.VmId("control:1"), "control", HOME, model.Incarnation(1)
--- a/sedgepin/_gateway/tests/test_restrictions.py
+++ b/sedgepin/_gateway/tests/test_restrictions.py
@@ -99,15 +99,15 @@
         assert endpoint_id not in _endpoints_of(gateway, path)
 
     @_PATHS
-    def test_it_stays_closed_out_of_touch_and_after_a_reload(
+    def test_it_stays_closed_without_control_vms_and_after_a_reload(
         self, path: str, endpoint_id: model.EndpointId
     ) -> None:
         gateway = parts.Gateway()
         _notify(gateway, endpoint_id, _LEAVING)
         control = model.VmId("control:1")
         gateway.handle(protocol.PeerDisconnected(control))
-        cfg = gateway.reducer._connections
-        assert cfg.connected == set()
+        assert gateway.reducer._connections.connected == set()
+        gateway.handle(_events.SettingsReloaded(parts.make_settings()))
         gateway.advance(3500)
         assert endpoint_id not in _endpoints_of(gateway, path)
 
@@ -153,7 +153,7 @@
         )
         _notify(gateway, model.EndpointId(other), _LEAVING)
         effects = gateway.end_attempt(exchange_id, _Outcome.NOT_SENT)
-        parts.has_no_effect(effects, _effects.StartAttempt)
+        assert parts.has_no_effect(effects, _effects.StartAttempt)
         parts.get_effect(effects, _effects.FailExchange)
 
     def test_stream_under_way_goes_on(self) -> None:
