Log which requests and parts of prompts a lost engine ran

The gateway now reads the ids of X-Prompt-Prefix (bounded: 64 parts, ids of 32 characters) and logs crash_attributed with requests, their fingerprints and their parts for each engine that was lost while it ran requests of this VM. No decision has changed.

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -122,13 +122,12 @@
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> None:
         """Record the attempt for each endpoint, in case one has crashed."""
-        fingerprint = exchange.request.fingerprint
         for endpoint_id in exchange.endpoint_ids:
             record = self._state.fleet.registry.find(endpoint_id)
             if record is not None:
                 incarnation = record.registration.incarnation
                 self._state.crash_tracker.record_failed_attempt(
-                    fingerprint, endpoint_id, incarnation, now
+                    exchange.request, endpoint_id, incarnation, now
                 )
 
     def _retry_or_fail(
--- a/sedgepin/_gateway/_calls.py
+++ b/sedgepin/_gateway/_calls.py
@@ -30,6 +30,8 @@
     ``time_left`` is the time until the caller's deadline, measured from the
     arrival.  ``usage`` is set for requests to a model.  ``resume_after`` is
     the id of the last event of a stream that the caller has received.
+    ``shared_parts`` identifies the parts of the prompt that other requests
+    may contain too.
     """
 
     request_id: str
@@ -40,6 +42,7 @@
     api_key: str | None = None
     usage: TokenUsage | None = None
     resume_after: int | None = None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def fingerprint(self) -> str:
--- a/sedgepin/_gateway/_crashes.py
+++ b/sedgepin/_gateway/_crashes.py
@@ -10,6 +10,7 @@
 import dataclasses
 import datetime
 
+from sedgepin._gateway import _calls
 from sedgepin import _model as model
 
 # A request that has crashed this many endpoints is rejected, because the
@@ -25,7 +26,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _InFlightRequest:
-    fingerprint: str
+    request: _calls.CallerRequest
     incarnation: int
     failed_at: datetime.datetime
 
@@ -43,9 +44,9 @@
     of the same request share one record.
 
     >>> tracker = CrashTracker()
-    >>> tracker.record_failed_attempt("f", endpoint_id, 1, now)
+    >>> tracker.record_failed_attempt(request, endpoint_id, 1, now)
     >>> tracker.record_endpoint_crash(endpoint_id, 1, now)
-    ('f',)
+    [CallerRequest(...)]
     """
 
     __slots__ = ("_in_flight", "_records")
@@ -56,37 +57,36 @@
 
     def record_failed_attempt(
         self,
-        fingerprint: str,
+        request: _calls.CallerRequest,
         endpoint_id: model.EndpointId,
         incarnation: int,
         now: datetime.datetime,
     ) -> None:
         """Record a failed attempt, in case its endpoint has crashed."""
         requests = self._in_flight.setdefault(endpoint_id, [])
-        requests.append(_InFlightRequest(fingerprint, incarnation, now))
+        requests.append(_InFlightRequest(request, incarnation, now))
 
     def record_endpoint_crash(
         self,
         endpoint_id: model.EndpointId,
         incarnation: int,
         now: datetime.datetime,
-    ) -> tuple[str, ...]:
+    ) -> list[_calls.CallerRequest]:
         """Record a crash for all requests that were in flight on an endpoint.
 
-        Return the fingerprints of these requests.
+        Return these requests.
         """
-        requests = self._in_flight.pop(endpoint_id, [])
-        fingerprints = tuple(
-            dict.fromkeys(
-                request.fingerprint
-                for request in requests
-                if request.incarnation == incarnation
-                and now - request.failed_at <= _CRASH_ATTRIBUTION_WINDOW
+        requests = [
+            in_flight.request
+            for in_flight in self._in_flight.pop(endpoint_id, [])
+            if in_flight.incarnation == incarnation
+            and now - in_flight.failed_at <= _CRASH_ATTRIBUTION_WINDOW
+        ]
+        for request in requests:
+            self.record_crash(
+                request.fingerprint, endpoint_id, incarnation, now
             )
-        )
-        for fingerprint in fingerprints:
-            self.record_crash(fingerprint, endpoint_id, incarnation, now)
-        return fingerprints
+        return requests
 
     def record_crash(
         self,
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -6,6 +6,7 @@
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _aggregator_selector
 from sedgepin._gateway import _attempt_handler
+from sedgepin._gateway import _calls
 from sedgepin._gateway import _configuration
 from sedgepin._gateway import _control_connections
 from sedgepin._gateway import _dispatcher
@@ -278,10 +279,15 @@
 
         A control VM passes the reports on to the other entry VMs.
         """
-        effects: Effects = []
-        fingerprints = self._state.crash_tracker.record_endpoint_crash(
+        requests = self._state.crash_tracker.record_endpoint_crash(
             endpoint_id, incarnation, now
         )
+        if not requests:
+            return []
+        fingerprints = tuple(
+            dict.fromkeys(request.fingerprint for request in requests)
+        )
+        effects = [_log_attribution(endpoint_id, incarnation, requests)]
         recipient = min(
             self._connections.connected,
             key=self._connections.rank,
@@ -368,6 +374,24 @@
         return [*effects, _effects.SendMessage(aggregator, message)]
 
 
+def _log_attribution(
+    endpoint_id: model.EndpointId,
+    incarnation: int,
+    requests: list[_calls.CallerRequest],
+) -> _effects.GatewayEffect:
+    parts = {part for request in requests for part in request.shared_parts}
+    line = events.CRASH_ATTRIBUTED.line(
+        endpoint=endpoint_id,
+        incarnation=incarnation,
+        requests=",".join(request.request_id for request in requests),
+        fingerprints=",".join(
+            sorted({request.fingerprint for request in requests})
+        ),
+        parts=",".join(sorted(parts)),
+    )
+    return _shared_state.log(line)
+
+
 def _data_centres(
     message: protocol.ControlsKnown,
 ) -> dict[model.VmId, model.DataCentreId | None]:
--- a/sedgepin/_gateway/tests/parts.py
+++ b/sedgepin/_gateway/tests/parts.py
@@ -169,7 +169,12 @@
         return self.handle(_events.TimerFired())
 
     def send_request(
-        self, path: str, key: str | None = "key", tokens: int = 10
+        self,
+        path: str,
+        key: str | None = "key",
+        tokens: int = 10,
+        shared_parts: tuple[str, ...] = (),
+        body: bytes = b"",
     ) -> tuple[int, list[_effects.GatewayEffect]]:
         """Send a request; return its exchange id and the effects."""
         self._next_id += 1
@@ -180,10 +185,11 @@
             request_id=f"r{self._next_id}",
             host="one.example",
             path=path,
-            message=web.Request(b"POST", path.encode(), ()),
+            message=web.Request(b"POST", path.encode(), (), body),
             time_left=milliseconds(4000),
             api_key=key,
             usage=usage,
+            shared_parts=shared_parts,
         )
         event = _events.RequestArrived(self._next_id, request)
         return self._next_id, self.handle(event)
--- a/sedgepin/_gateway/tests/test_log_lines.py
+++ b/sedgepin/_gateway/tests/test_log_lines.py
@@ -36,6 +36,12 @@
     return gateway.end_attempt(exchange_id, _Outcome.UNKNOWN, detail="reset")
 
 
+def _crash_attributed(gateway: parts.Gateway) -> _Effects:
+    exchange_id, _ = gateway.send_request("/draft/x", shared_parts=("p", "q"))
+    gateway.end_attempt(exchange_id, _Outcome.UNKNOWN)
+    return gateway.receive(protocol.EndpointLost(_LOW, 1))
+
+
 def _request_failed(gateway: parts.Gateway) -> _Effects:
     exchange_id, _ = gateway.send_request("/post/x")
     return gateway.end_attempt(exchange_id, _Outcome.UNKNOWN, detail="reset")
@@ -137,6 +143,10 @@
         _attempt_ended,
         {"request": "r1", "outcome": "unknown", "detail": "reset"},
     ),
+    "crash_attributed": (
+        _crash_attributed,
+        {"endpoint": "low", "requests": "r1", "parts": "p,q"},
+    ),
     "request_failed": (
         _request_failed,
         {"request": "r1", "code": "outcome_unknown", "may_have_run": True},
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -365,6 +365,18 @@
     "host",
     "path",
 )
+CRASH_ATTRIBUTED = _define(
+    322,
+    "WARNING",
+    "crash_attributed",
+    "An endpoint was lost while it ran requests of this VM; the crash counts"
+    " against each of them.",
+    "endpoint",
+    "incarnation",
+    "requests",
+    "fingerprints",
+    "parts",
+)
 REQUEST_REROUTED = _define(
     317,
     "INFO",
--- a/sedgepin/platform/_gateway.py
+++ b/sedgepin/platform/_gateway.py
@@ -1,6 +1,7 @@
 """HTTP messages that entry VMs exchange with callers and engines."""
 
 import datetime
+import hashlib
 
 import msgspec
 import result
@@ -29,6 +30,10 @@
 _ACCEPTED_STATUSES = (200, 202)
 # The engine at the address is not the one in X-Expect-Instance.
 _MISDIRECTED_STATUS = 421
+# Bounds for what is kept of X-Prompt-Prefix, which callers may fill as they
+# like.
+_MAX_SHARED_PARTS = 64
+_MAX_PART_ID_CHARACTERS = 32
 
 
 class _RerouteRefusal(msgspec.Struct, frozen=True):
@@ -69,6 +74,9 @@
                     api_key=_parse_api_key(headers.get(b"authorization", "")),
                     usage=_parse_usage(headers),
                     resume_after=_parse_int(headers.get(b"last-event-id")),
+                    shared_parts=_parse_shared_parts(
+                        headers.get(b"x-prompt-prefix", "")
+                    ),
                 )
             )
         except (OverflowError, ValueError) as exc:
@@ -218,6 +226,29 @@
     )
 
 
+def _parse_shared_parts(value: str) -> tuple[str, ...]:
+    """Return the ids of the parts but the last, which no other request has.
+
+    Entries without an id are left out.  Of a long list, the parts from both
+    ends are returned, and a long id is replaced by its digest.
+    """
+    entries = value.split(",")[:-1]
+    if len(entries) > _MAX_SHARED_PARTS:
+        half = _MAX_SHARED_PARTS // 2
+        entries = entries[:half] + entries[-half:]
+    ids = (entry.partition(":")[0].strip() for entry in entries)
+    return tuple(
+        dict.fromkeys(_shorten(part_id) for part_id in ids if part_id)
+    )
+
+
+def _shorten(part_id: str) -> str:
+    if len(part_id) <= _MAX_PART_ID_CHARACTERS:
+        return part_id
+    digest = hashlib.blake2b(part_id.encode("latin-1"), digest_size=12)
+    return digest.hexdigest()
+
+
 def _parse_load(
     value: bytes | None,
 ) -> tuple[int | None, int | None, int | None]:
--- a/sedgepin/platform/tests/test_gateway.py
+++ b/sedgepin/platform/tests/test_gateway.py
@@ -35,14 +35,46 @@
                 (b"X-Token-Usage", b"700,300"),
                 (b"X-Length-Hint", b"120"),
                 (b"Last-Event-Id", b"12"),
+                (b"X-Prompt-Prefix", b"5c1e07a2:800,91bd3f06:410,e4402b7d:25"),
             )
         ).unwrap()
+        assert parsed.shared_parts == ("5c1e07a2", "91bd3f06")
         assert (parsed.host, parsed.path) == ("one.example", "/a/b")
         assert parsed.time_left == datetime.timedelta(milliseconds=600)
         assert parsed.api_key == "secret"
         assert parsed.size is not None and parsed.size.total_tokens == 820
         assert parsed.resume_after == 12
 
+    @pytest.mark.parametrize(
+        ("value", "expected"),
+        [
+            (b"", ()),
+            (b"only:800", ()),
+            (b"a:1,a:2,b:3", ("a",)),
+            (b":5,,a,b:x:y, c :1,last:1", ("a", "b", "c")),
+            (b"\xff\x00:1,last:1", ("\xff\x00",)),
+        ],
+    )
+    def test_unusual_lists_of_parts_are_read(
+        self, value: bytes, expected: tuple[str, ...]
+    ) -> None:
+        parsed = _DIALECT.parse_request(_request((b"X-Prompt-Prefix", value)))
+        assert parsed.unwrap().shared_parts == expected
+
+    def test_long_list_of_parts_keeps_those_at_both_ends(self) -> None:
+        value = b",".join(b"%d:1" % number for number in range(10_000))
+        parsed = _DIALECT.parse_request(_request((b"X-Prompt-Prefix", value)))
+        shared_parts = parsed.unwrap().shared_parts
+        assert len(shared_parts) == 64
+        assert (shared_parts[0], shared_parts[-1]) == ("0", "9998")
+
+    def test_long_ids_of_parts_are_shortened_to_distinct_ones(self) -> None:
+        value = b"%s:1,%s:1,last:1" % (b"x" * 8192, b"x" * 8191)
+        parsed = _DIALECT.parse_request(_request((b"X-Prompt-Prefix", value)))
+        first, second = parsed.unwrap().shared_parts
+        assert first != second
+        assert len(first) == len(second) <= 32
+
     @pytest.mark.parametrize(
         "extra",
         [
