Hold back the part of a prompt under which engines are lost

Cause: the gateway counted crashes by the whole request. Requests that share only the harmful part each count for themselves and are gone after two crashes. Evidence: crash_attributed shows 36 of 36 losses attributed, at most 2 for any fingerprint, 36 for the part, and nearly as many for what sound requests share.

Fix: _crash_causes keeps evidence by trait (a whole request or a part of a prompt but the last) and merges that of all VMs. A trait that was answered is cleared of its crashes; the never-answered trait with the most separate crashes is held to cause them, and these count against no other. It is held back on all VMs, also for queued requests and those without much output; control VMs keep the evidence for VMs that start later. A request whose parts had two crashes isn't retried. Losses at one time, and endpoints that fall silent one after the other, count once. The leader says whether a lost endpoint was silent or refused connections.

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -91,8 +91,6 @@
             )
             if record is not None:
                 failed_id = record.registration.endpoint_id
-        if event.outcome in (_Outcome.UNKNOWN, _Outcome.CANCELLED):
-            self._record_in_flight(exchange, now)
         if event.outcome in (_Outcome.NOT_SENT, _Outcome.UNKNOWN):
             self._state.unreachable_endpoints.append(failed_id)
         if event.outcome is _Outcome.NOT_RUN and (
@@ -118,18 +116,6 @@
         # as well and makes it suspected.
         return []
 
-    def _record_in_flight(
-        self, exchange: _exchange.Exchange, now: datetime.datetime
-    ) -> None:
-        """Record the attempt for each endpoint, in case one has crashed."""
-        for endpoint_id in exchange.endpoint_ids:
-            record = self._state.fleet.registry.find(endpoint_id)
-            if record is not None:
-                incarnation = record.registration.incarnation
-                self._state.crash_tracker.record_failed_attempt(
-                    exchange.request, endpoint_id, incarnation, now
-                )
-
     def _retry_or_fail(
         self,
         exchange: _exchange.Exchange,
@@ -154,6 +140,7 @@
         exchange.run_count += 1
         may_retry = (
             exchange.may_run_again
+            and not self._state.may_crash_another(exchange)
             and self._state.retry_budget.try_spend(exchange.service.name, now)
         )
         if may_retry:
@@ -196,8 +183,10 @@
             endpoint_id, now
         ):
             exchange.run_count += 1
-        if exchange.may_run_again and self._state.retry_budget.try_spend(
-            exchange.service.name, now
+        if (
+            exchange.may_run_again
+            and not self._state.may_crash_another(exchange)
+            and self._state.retry_budget.try_spend(exchange.service.name, now)
         ):
             return self._dispatcher.dispatch_or_queue(exchange, now)
         outcome_unknown = _failures.OutcomeUnknown(event.detail)
--- a/sedgepin/_gateway/_calls.py
+++ b/sedgepin/_gateway/_calls.py
@@ -6,6 +6,7 @@
 import typing
 
 from sedgepin import _catalog as catalog
+from sedgepin import _crash_causes as crash_causes
 from sedgepin import _model as model
 from sedgepin import _placement as placement
 from sedgepin import _web as web
@@ -31,7 +32,7 @@
     arrival.  ``usage`` is set for requests to a model.  ``resume_after`` is
     the id of the last event of a stream that the caller has received.
     ``shared_parts`` identifies the parts of the prompt that other requests
-    may contain too.
+    may contain too, and ``prompt_digest`` all parts of it.
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     usage: TokenUsage | None = None
     resume_after: int | None = None
     shared_parts: tuple[str, ...] = ()
+    prompt_digest: str = ""
 
     @property
     def fingerprint(self) -> str:
@@ -53,6 +55,21 @@
         digest.update(self.message.body)
         return digest.hexdigest()
 
+    @property
+    def digest(self) -> str:
+        """Return a hash that also tells requests with equal bodies apart."""
+        return f"{self.fingerprint}{self.prompt_digest}"
+
+    @property
+    def traits(self) -> frozenset[crash_causes.Trait]:
+        """Return what the request may have in common with others."""
+        return frozenset(
+            (
+                crash_causes.request_trait(self.fingerprint),
+                *map(crash_causes.part_trait, self.shared_parts),
+            )
+        )
+
     @property
     def size(self) -> placement.RequestSize | None:
         """Return the expected token counts, or ``None`` without ``usage``."""
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -3,6 +3,7 @@
 import datetime
 
 from sedgepin import _catalog as catalog
+from sedgepin import _crash_causes as crash_causes
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _events
@@ -54,8 +55,14 @@
         service = self._choose_service(table, route)
         if service is None:
             return self._reject(event, _failures.RouteUnknown())
-        if self._state.crash_tracker.is_quarantined(request.fingerprint, now):
-            return self._reject(event, _failures.RequestQuarantined())
+        cause = self._state.find_cause(request, now)
+        if cause is not None:
+            held_back = crash_causes.held_back_line(request.request_id, cause)
+            failure = _failures.RequestQuarantined(str(cause))
+            return [
+                _shared_state.log(held_back),
+                *self._reject(event, failure),
+            ]
         if self._state.startup_queue.is_open(now) and (
             not self._state.fleet.knows_endpoints(service, request.size, now)
         ):
@@ -88,6 +95,9 @@
 
         Return no effects if a queued request must keep waiting.
         """
+        cause = self._state.find_cause(exchange.request, now)
+        if cause is not None:
+            return self._hold_back(exchange, cause, now)
         queue = self._state.queues.for_service(exchange.service.name)
         if exchange.service.engine is None or exchange.request.size is None:
             return self._dispatch_to_endpoint(exchange, now)
@@ -205,6 +215,36 @@
             _effects.FailExchange(exchange.exchange_id, failure),
         ]
 
+    def enforce_causes(self, now: datetime.datetime) -> _shared_state.Effects:
+        """Stop the requests that may crash an endpoint, as is known now.
+
+        One whose output goes on is no danger.
+        """
+        effects: _shared_state.Effects = []
+        for exchange in list(self._state.exchanges.values()):
+            cause = self._state.find_cause(exchange.request, now)
+            if cause is None or exchange.is_sustained:
+                continue
+            if exchange.dispatch is None:
+                effects += self._hold_back(exchange, cause, now)
+            else:
+                effects.append(_effects.CancelAttempt(exchange.exchange_id))
+        return effects
+
+    def _hold_back(
+        self,
+        exchange: _exchange.Exchange,
+        cause: crash_causes.Cause,
+        now: datetime.datetime,
+    ) -> _shared_state.Effects:
+        """Fail a request that contains what crashes endpoints."""
+        line = crash_causes.held_back_line(exchange.request.request_id, cause)
+        failure = _failures.RequestQuarantined(str(cause))
+        return [
+            _shared_state.log(line),
+            *self.fail(exchange, self.adjust_outcome(exchange, failure), now),
+        ]
+
     def _hold(
         self,
         event: _events.RequestArrived,
@@ -360,6 +400,7 @@
         exchange.send_count += 1
         exchange.reroute_count = 0
         exchange.is_rerouting = False
+        exchange.is_sustained = False
         self._state.fleet.add_load(exchange.endpoint_ids, exchange.tokens)
         if pipeline is not None:
             self._state.fleet.unreported_load.record_sent(now)
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -46,7 +46,8 @@
 
     ``position`` is the id of the last event that was sent to the caller.
     ``faulty_address`` is the address of the engine that failed, if the
-    endpoint named one.
+    endpoint named one.  ``is_success`` tells whether an answer reports a
+    success.
     """
 
     exchange_id: int
@@ -55,6 +56,14 @@
     position: int | None = None
     faulty_address: str | None = None
     endpoint_id: model.EndpointId | None = None
+    is_success: bool = True
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class OutputSustained:
+    """A stream has sent so many events that it can't crash its engine."""
+
+    exchange_id: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -138,6 +147,7 @@
     | RequestArrived
     | AttemptEnded
     | OutputStarted
+    | OutputSustained
     | AnswerHeadReceived
     | StreamStalled
     | StallsInspected
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -17,6 +17,8 @@
     covers these as well.  ``tried_endpoints`` holds the endpoints on which an
     attempt failed.  ``position`` is the id of the last event that the caller
     received.  ``queued_at`` is set while the request waits for capacity.
+    ``is_sustained`` is set once an attempt has sent so many events that the
+    request cannot crash its engine.
     """
 
     exchange_id: int
@@ -35,6 +37,7 @@
     has_output: bool = False
     is_rerouting: bool = False
     queued_at: datetime.datetime | None = None
+    is_sustained: bool = False
     tried_endpoints: set[model.EndpointId] = dataclasses.field(
         default_factory=set
     )
--- a/sedgepin/_gateway/_failures.py
+++ b/sedgepin/_gateway/_failures.py
@@ -113,12 +113,21 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RequestQuarantined(errors.Failure):
-    """The request was on several endpoints that crashed and is rejected."""
+    """The request contains what crashes endpoints, and has not run.
+
+    Coming back does not help.
+    """
 
     code: typing.ClassVar[str] = "request_quarantined"
     title: typing.ClassVar[str] = "The request crashes its endpoints"
     http_status: typing.ClassVar[int] = 500
 
+    cause: str
+
+    def detail(self) -> str:
+        """Return the title and what crashes the endpoints."""
+        return f"{self.title}: {self.cause}"
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RequestRefused(errors.Failure):
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -6,9 +6,9 @@
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _aggregator_selector
 from sedgepin._gateway import _attempt_handler
-from sedgepin._gateway import _calls
 from sedgepin._gateway import _configuration
 from sedgepin._gateway import _control_connections
+from sedgepin._gateway import _crash_quarantine
 from sedgepin._gateway import _dispatcher
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _endpoint_notices
@@ -44,6 +44,7 @@
         "_is_draining",
         "_next_report_at",
         "_notices",
+        "_quarantine",
         "_reported_at",
         "_state",
         "_stream_failover",
@@ -72,6 +73,12 @@
         self._notices = _endpoint_notices.EndpointNotices(
             self._state, self._connections
         )
+        self._quarantine = _crash_quarantine.CrashQuarantine(
+            self._state,
+            self._connections,
+            self._dispatcher,
+            cfg.heartbeat_timeout,
+        )
         self._aggregator_selector = _aggregator_selector.AggregatorSelector(
             self._connections.rank
         )
@@ -107,10 +114,15 @@
             case _events.RequestArrived():
                 return self._dispatcher.admit(event, now, now)
             case _events.AttemptEnded():
-                effects = self._attempt_handler.handle_attempt_end(event, now)
+                effects = self._quarantine.record_attempt_end(event, now)
+                effects += self._attempt_handler.handle_attempt_end(event, now)
                 return effects + self._dispatcher.serve_queues(now)
             case _events.OutputStarted(exchange_id):
                 return self._dispatcher.record_output_started(exchange_id, now)
+            case _events.OutputSustained(exchange_id):
+                return self._quarantine.record_sustained_output(
+                    exchange_id, now
+                )
             case _events.AnswerHeadReceived():
                 return self._notices.handle_answer_head(event, now)
             case _events.StreamStalled(exchange_id):
@@ -138,11 +150,9 @@
             case protocol.PeerConnected(hello):
                 self._connections.record_connected(hello.id, hello.data_centre)
                 self._aggregator_selector.record_reconnect(hello.id)
-                return [
-                    _shared_state.log(
-                        events.PEER_CONNECTED.line(peer=hello.id)
-                    )
-                ]
+                line = events.PEER_CONNECTED.line(peer=hello.id)
+                effects = [_shared_state.log(line)]
+                return effects + self._quarantine.snapshot(hello.id)
             case protocol.PeerDisconnected(peer_id):
                 self._connections.record_disconnected(peer_id, now)
                 return [
@@ -187,16 +197,12 @@
                     endpoint_id, incarnation, slowdown
                 )
                 self._state.fleet.invalidate_pipelines()
-            case protocol.CrashWitnessed(
-                fingerprint, endpoint_id, incarnation
-            ):
-                self._state.crash_tracker.record_crash(
-                    fingerprint, endpoint_id, incarnation, now
-                )
-            case protocol.EndpointLost(endpoint_id, incarnation):
-                return self._handle_endpoint_lost(
-                    endpoint_id, incarnation, now
-                )
+            case protocol.CrashesReported(evidence):
+                return self._quarantine.merge(evidence, now)
+            case protocol.CrashWitnessed():
+                return self._quarantine.merge_witnessed(message, sender, now)
+            case protocol.EndpointLost():
+                return self._handle_endpoint_lost(message, now)
         return []
 
     def _apply_aggregate(
@@ -230,77 +236,74 @@
         for endpoint_id in message.heard:
             registry.record_heartbeat(endpoint_id, now)
         for registration in message.changed:
-            record = registry.find(registration.endpoint_id)
-            previous = None if record is None else record.registration
-            if not registry.update(registration, now):
-                registry.correct_layers(
-                    registration.endpoint_id,
-                    registration.incarnation,
-                    registration.layers,
-                )
-            self._state.fleet.invalidate_pipelines()
-            if (
-                previous is not None
-                and previous.incarnation != registration.incarnation
-            ):
-                effects += self._stream_failover.handle_endpoint_failure(
-                    registration.endpoint_id, now
-                )
-                effects += self._report_crashed_requests(
-                    registration.endpoint_id, previous.incarnation, now
-                )
+            effects += self._merge_registration(registration, now)
         return effects
 
-    def _handle_endpoint_lost(
-        self,
-        endpoint_id: model.EndpointId,
-        incarnation: int,
-        now: datetime.datetime,
+    def _merge_registration(
+        self, registration: catalog.Registration, now: datetime.datetime
     ) -> Effects:
-        """Fail over from an endpoint that the leader declared lost."""
+        """Merge a registration; it may show that an incarnation has ended."""
         registry = self._state.fleet.registry
-        if not registry.mark_lost(endpoint_id, incarnation, now):
-            return []
+        ended = self._replaced_by(registration)
+        if not registry.update(registration, now):
+            registry.correct_layers(
+                registration.endpoint_id,
+                registration.incarnation,
+                registration.layers,
+            )
         self._state.fleet.invalidate_pipelines()
-        effects = self._stream_failover.handle_endpoint_failure(
-            endpoint_id, now
-        )
-        return effects + self._report_crashed_requests(
-            endpoint_id, incarnation, now
-        )
+        effects: Effects = []
+        for before in ended:
+            effects += self._quarantine.record_loss(
+                before.endpoint_id, before.incarnation, False, now
+            )
+            effects += self._stream_failover.handle_endpoint_failure(
+                before.endpoint_id, now
+            )
+        return effects
 
-    def _report_crashed_requests(
-        self,
-        endpoint_id: model.EndpointId,
-        incarnation: int,
-        now: datetime.datetime,
-    ) -> Effects:
-        """Report which requests were in flight on a crashed endpoint.
+    def _replaced_by(
+        self, registration: catalog.Registration
+    ) -> list[catalog.Registration]:
+        """Return the incarnations in whose place a new one has started.
 
-        A control VM passes the reports on to the other entry VMs.
+        One has the same endpoint id, the other the same address and has not
+        said that it leaves.
         """
-        requests = self._state.crash_tracker.record_endpoint_crash(
-            endpoint_id, incarnation, now
-        )
-        if not requests:
+        registry = self._state.fleet.registry
+        ended: list[catalog.Registration] = []
+        record = registry.find(registration.endpoint_id)
+        if record is not None:
+            before = record.registration
+            if before.incarnation != registration.incarnation:
+                ended.append(before)
+        holder = registry.at_address(registration.address)
+        if holder is None or holder.is_leaving or holder.lost_at is not None:
+            return ended
+        before = holder.registration
+        if (
+            before.endpoint_id != registration.endpoint_id
+            and before.state is catalog.EndpointState.READY
+            and before.incarnation < registration.incarnation
+        ):
+            ended.append(before)
+        return ended
+
+    def _handle_endpoint_lost(
+        self, message: protocol.EndpointLost, now: datetime.datetime
+    ) -> Effects:
+        """Fail over from an endpoint that the leader declared lost."""
+        endpoint_id, incarnation = message.endpoint_id, message.incarnation
+        registry = self._state.fleet.registry
+        if not registry.mark_lost(endpoint_id, incarnation, now):
             return []
-        fingerprints = tuple(
-            dict.fromkeys(request.fingerprint for request in requests)
+        self._state.fleet.invalidate_pipelines()
+        effects = self._quarantine.record_loss(
+            endpoint_id, incarnation, message.is_silent, now
         )
-        effects = [_log_attribution(endpoint_id, incarnation, requests)]
-        recipient = min(
-            self._connections.connected,
-            key=self._connections.rank,
-            default=None,
+        return effects + self._stream_failover.handle_endpoint_failure(
+            endpoint_id, now
         )
-        if recipient is None:
-            return effects
-        for fingerprint in fingerprints:
-            message = protocol.CrashWitnessed(
-                fingerprint, endpoint_id, incarnation
-            )
-            effects.append(_effects.SendMessage(recipient, message))
-        return effects
 
     def _report_unreachable(self) -> Effects:
         """Report unresponsive endpoints to the control VMs."""
@@ -345,6 +348,7 @@
         if now >= self._next_report_at:
             effects += self._report_load(now)
             effects += self._update_connections(now)
+        effects += self._quarantine.tick(now)
         return effects + self._dispatcher.serve_queues(now)
 
     def _report_load(self, now: datetime.datetime) -> Effects:
@@ -374,24 +378,6 @@
         return [*effects, _effects.SendMessage(aggregator, message)]
 
 
-def _log_attribution(
-    endpoint_id: model.EndpointId,
-    incarnation: int,
-    requests: list[_calls.CallerRequest],
-) -> _effects.GatewayEffect:
-    parts = {part for request in requests for part in request.shared_parts}
-    line = events.CRASH_ATTRIBUTED.line(
-        endpoint=endpoint_id,
-        incarnation=incarnation,
-        requests=",".join(request.request_id for request in requests),
-        fingerprints=",".join(
-            sorted({request.fingerprint for request in requests})
-        ),
-        parts=",".join(sorted(parts)),
-    )
-    return _shared_state.log(line)
-
-
 def _data_centres(
     message: protocol.ControlsKnown,
 ) -> dict[model.VmId, model.DataCentreId | None]:
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -31,7 +31,10 @@
 # Events arrive every 20 to 60 ms; the next one is late after 200 ms.  Stalls
 # are checked every 50 ms, so they are reported by then.
 _NEXT_EVENT_TIMEOUT_SECONDS = 0.15
+_FIRST_REDIRECT = 300
 _FIRST_SERVER_ERROR = 500
+# A request that crashes its engine does so at the start of its output.
+_SUSTAINED_EVENTS = 16
 
 _Outcome = _events.AttemptOutcome
 _Submit = collections.abc.Callable[[_events.GatewayEvent], None]
@@ -44,6 +47,7 @@
     outcome: _events.AttemptOutcome
     detail: str = ""
     faulty_address: str | None = None
+    is_success: bool = True
 
 
 class Relay:
@@ -53,11 +57,13 @@
         "_attempt_scope",
         "_dialect",
         "_effect_channel",
+        "_event_count",
         "_exchange",
         "_exchange_scope",
         "_held_answer",
         "_is_cancelled",
         "_is_sending",
+        "_is_sustained",
         "_position",
         "_request",
         "_submit",
@@ -84,6 +90,9 @@
         self._attempt_scope: trio.CancelScope | None = None
         self._is_cancelled = False
         self._is_sending = False
+        # The events that the attempt has sent.
+        self._event_count = 0
+        self._is_sustained = False
         # When the next bytes of a stream count as late, by trio's clock.
         self.stalled_at = math.inf
         sender, receiver = trio.open_memory_channel[_effects.GatewayEffect](8)
@@ -167,6 +176,8 @@
         )
         self._is_cancelled = False
         self._is_sending = False
+        self._event_count = 0
+        self._is_sustained = False
         with trio.CancelScope() as scope:
             self._attempt_scope = scope
             attempt_result = await self._send_request(start)
@@ -180,6 +191,7 @@
                 self._position,
                 attempt_result.faulty_address,
                 start.dispatch.endpoint_id,
+                attempt_result.is_success,
             )
         )
         if attempt_result.outcome is _Outcome.ANSWERED:
@@ -236,7 +248,7 @@
                 _Outcome.UNKNOWN,
                 "the answer is for another request",
             )
-        is_success = head.status < 300
+        is_success = head.status < _FIRST_REDIRECT
         if not is_success or not start.is_stream:
             return await self._forward_whole_answer(connection, head, metadata)
         if not metadata.is_signed:
@@ -273,7 +285,7 @@
         body = await connection.read_body(_MAX_WHOLE_ANSWER_BYTES)
         if isinstance(body, result.Err):
             return _AttemptResult(_Outcome.UNKNOWN, body.err_value.detail())
-        if head.status < 300 and not metadata.is_signed:
+        if head.status < _FIRST_REDIRECT and not metadata.is_signed:
             return _AttemptResult(_Outcome.UNKNOWN, "the answer is not signed")
         forwarded = web.AnswerHead(
             head.status, web.end_to_end_headers(head.headers)
@@ -289,7 +301,8 @@
             )
         self._is_sending = True
         await self._exchange.answer(forwarded, body.ok_value)
-        return _AttemptResult(_Outcome.ANSWERED)
+        is_success = head.status < _FIRST_REDIRECT
+        return _AttemptResult(_Outcome.ANSWERED, is_success=is_success)
 
     async def _forward_stream(
         self, connection: web.ClientConnection, head: web.AnswerHead
@@ -342,16 +355,24 @@
             if event.event_id is not None:
                 position = event.event_id
             forwarded += event.data
+            self._event_count += 1
         if forwarded:
             self._is_sending = True
             await self._start_answer(head)
             await self._exchange.send(bytes(forwarded))
             self._is_sending = False
             self._position = position
+            self._report_sustained_output()
             if self._is_cancelled:
                 self._cancel_attempt()
         return problem
 
+    def _report_sustained_output(self) -> None:
+        """Report once for each attempt that it has sent many events."""
+        if self._event_count >= _SUSTAINED_EVENTS and not self._is_sustained:
+            self._is_sustained = True
+            self._submit(_events.OutputSustained(self.exchange_id))
+
     async def _start_answer(self, head: web.AnswerHead) -> None:
         if self._exchange.has_started:
             return
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -4,7 +4,8 @@
 import random
 
 from sedgepin import _catalog as catalog
-from sedgepin._gateway import _crashes
+from sedgepin import _crash_causes as crash_causes
+from sedgepin._gateway import _calls
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _exchange
 from sedgepin._gateway import _fleet
@@ -22,7 +23,7 @@
     """The state of one gateway, without its timers and connections."""
 
     __slots__ = (
-        "crash_tracker",
+        "crash_causes",
         "exchanges",
         "fleet",
         "queues",
@@ -43,7 +44,7 @@
         self.table: catalog.RouteTable | None = None
         self.fleet = _fleet.Fleet(cfg.data_centre, cfg.heartbeat_timeout, rng)
         self.retry_budget = _retry_budget.RetryBudget(cfg.retries)
-        self.crash_tracker = _crashes.CrashTracker()
+        self.crash_causes = crash_causes.CrashCauseTracker(cfg.vm_id, now)
         self.startup_queue = _startup_queue.StartupQueue(now)
         self.queues = _request_queue.RequestQueues()
         self.exchanges: dict[int, _exchange.Exchange] = {}
@@ -64,6 +65,22 @@
         )
         return [log(line)]
 
+    def find_cause(
+        self, request: _calls.CallerRequest, now: datetime.datetime
+    ) -> crash_causes.Cause | None:
+        """Return why a request must not be sent to an endpoint, if at all."""
+        if not self.crash_causes.held_causes:
+            return None
+        return self.crash_causes.find_cause(request.traits, now)
+
+    def may_crash_another(self, exchange: _exchange.Exchange) -> bool:
+        """Return whether a request without output may end one more engine."""
+        return (
+            not exchange.has_output
+            and self.crash_causes.has_evidence
+            and self.crash_causes.is_suspected(exchange.request.traits)
+        )
+
     def release(self, exchange: _exchange.Exchange) -> None:
         """Remove a request's load from its endpoints and end its dispatch."""
         self.fleet.remove_load(exchange.endpoint_ids, exchange.tokens)
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -136,7 +136,11 @@
         if exchange.is_rerouting:
             return []
         failover_pipeline: model.Pipeline | None = None
-        if exchange.reroute_count < _MAX_REROUTES:
+        may_reroute = (
+            exchange.reroute_count < _MAX_REROUTES
+            and not self._state.may_crash_another(exchange)
+        )
+        if may_reroute:
             failover_pipeline = self._state.fleet.find_failover_pipeline(
                 exchange.service, size, dispatch.pipeline, now
             )
--- a/sedgepin/_gateway/tests/test_crashes.py
+++ b/sedgepin/_gateway/tests/test_crashes.py
@@ -43,6 +43,7 @@
         fingerprint = exchange.request.fingerprint
         for name in ("a", "b", "c"):
             endpoint_id = model.EndpointId(name)
+            gateway.advance(200)
             gateway.receive(
                 protocol.CrashWitnessed(fingerprint, endpoint_id, 1)
             )
--- a/sedgepin/_gateway/tests/test_log_lines.py
+++ b/sedgepin/_gateway/tests/test_log_lines.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sedgepin import _catalog as catalog
+from sedgepin import _crash_causes as crash_causes
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _events
@@ -42,6 +43,34 @@
     return gateway.receive(protocol.EndpointLost(_LOW, 1))
 
 
+def _lose_under_part(gateway: parts.Gateway, count: int) -> _Effects:
+    """Lose an engine under each of so many requests with one part."""
+    effects: _Effects = []
+    for number in range(count):
+        gateway.advance(200)
+        death = crash_causes.Death(model.EndpointId(f"e{number}"), 1)
+        mark = crash_causes.CrashMark(
+            death, gateway.now, model.VmId("entry:2"), f"r{number}"
+        )
+        evidence = crash_causes.Evidence(crash_causes.part_trait("p"), (mark,))
+        effects = gateway.receive(protocol.CrashesReported((evidence,)))
+    return effects
+
+
+def _cause_held_back(gateway: parts.Gateway) -> _Effects:
+    return _lose_under_part(gateway, 3)
+
+
+def _cause_freed(gateway: parts.Gateway) -> _Effects:
+    _lose_under_part(gateway, 3)
+    return gateway.advance(120_000)
+
+
+def _request_held_back(gateway: parts.Gateway) -> _Effects:
+    _lose_under_part(gateway, 3)
+    return gateway.send_request("/draft/x", shared_parts=("s", "p"))[1]
+
+
 def _request_failed(gateway: parts.Gateway) -> _Effects:
     exchange_id, _ = gateway.send_request("/post/x")
     return gateway.end_attempt(exchange_id, _Outcome.UNKNOWN, detail="reset")
@@ -147,6 +176,22 @@
         _crash_attributed,
         {"endpoint": "low", "requests": "r1", "parts": "p,q"},
     ),
+    "cause_held_back": (_cause_held_back, {"cause": "part:p"}),
+    "cause_freed": (
+        _cause_freed,
+        {"cause": "part:p", "reason": "its time is over"},
+    ),
+    "request_held_back": (
+        _request_held_back,
+        {
+            "request": "r1",
+            "cause": "part:p",
+            "crashes": "e0@1,2026-01-01T00:00:00.200+00:00,entry:2"
+            " e1@1,2026-01-01T00:00:00.400+00:00,entry:2"
+            " e2@1,2026-01-01T00:00:00.600+00:00,entry:2",
+            "held_until": "2026-01-01T00:01:00.600+00:00",
+        },
+    ),
     "request_failed": (
         _request_failed,
         {"request": "r1", "code": "outcome_unknown", "may_have_run": True},
@@ -209,4 +254,6 @@
     def test_every_logged_event_is_covered(self) -> None:
         package = pathlib.Path(__file__).parents[1]
         logged = log_lines.find_event_names(package)
+        shared = package.parent / "_crash_causes"
+        logged |= log_lines.find_event_names(shared)
         assert logged == _SCENARIOS.keys() | _LOGGED_BY_DAEMON
--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -10,6 +10,7 @@
 from sedgepin._protocol._messages import ConfigurationPublished
 from sedgepin._protocol._messages import ConfigurationWanted
 from sedgepin._protocol._messages import ControlsKnown
+from sedgepin._protocol._messages import CrashesReported
 from sedgepin._protocol._messages import CrashWitnessed
 from sedgepin._protocol._messages import DeclaredLost
 from sedgepin._protocol._messages import EndpointFailed
@@ -52,6 +53,7 @@
     "ConfigurationWanted",
     "ControlsKnown",
     "CrashWitnessed",
+    "CrashesReported",
     "DeclaredLost",
     "EndpointFailed",
     "EndpointLeaving",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -11,6 +11,7 @@
 from sedgepin import _admission as admission
 from sedgepin import _catalog as catalog
 from sedgepin import _consensus as consensus
+from sedgepin import _crash_causes as crash_causes
 from sedgepin import _membership as membership
 from sedgepin import _model as model
 
@@ -193,10 +194,15 @@
 
 
 class EndpointLost(msgspec.Struct, frozen=True, tag=True):
-    """Reports that an endpoint answers neither an entry VM nor the leader."""
+    """Reports that an endpoint answers neither an entry VM nor the leader.
+
+    ``is_silent`` is set if no connection to it was refused, so that it may
+    only be cut off.
+    """
 
     endpoint_id: model.EndpointId
     incarnation: int
+    is_silent: bool = False
 
 
 class EndpointLeaving(msgspec.Struct, frozen=True, tag=True):
@@ -215,13 +221,25 @@
 
 
 class CrashWitnessed(msgspec.Struct, frozen=True, tag=True):
-    """Reports that an endpoint crashed while it ran a request."""
+    """Reports that an endpoint crashed while it ran a request.
+
+    Sent by earlier versions only; ``CrashesReported`` has replaced it.
+    """
 
     fingerprint: str
     endpoint_id: model.EndpointId
     incarnation: int
 
 
+class CrashesReported(msgspec.Struct, frozen=True, tag=True):
+    """Evidence on what lost endpoints have in common.
+
+    A VM that has just connected is sent all that the sender knows.
+    """
+
+    evidence: tuple[crash_causes.Evidence, ...]
+
+
 class ReadIndexAsked(msgspec.Struct, frozen=True, tag=True):
     """Asks for the index up to which the log is committed."""
 
@@ -269,6 +287,7 @@
     | ConfigurationPublished
     | RegistrationsSeen
     | ControlsKnown
+    | CrashesReported
     | CrashWitnessed
     | LoadReported
     | EndpointFailed
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+import result
 import trio
 
 from sedgepin import _catalog as catalog
@@ -279,6 +280,8 @@
                 effect.incarnation,
                 report,
                 response.is_ok(),
+                isinstance(response, result.Err)
+                and response.err_value.is_timeout,
             )
         )
 
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -334,7 +334,9 @@
             incarnation=event.incarnation,
             told_by=reported_by,
         )
-        lost = protocol.EndpointLost(event.endpoint_id, event.incarnation)
+        lost = protocol.EndpointLost(
+            event.endpoint_id, event.incarnation, event.is_silent
+        )
         return [_effects.WriteLog(line), *self._peers.send_to_all(lost)]
 
     def handle_notice(
--- a/sedgepin/_registrar/_events.py
+++ b/sedgepin/_registrar/_events.py
@@ -67,13 +67,15 @@
     """A report request to an endpoint was answered, or has failed.
 
     ``has_answered`` is true for any response: plain services are alive but
-    provide no report.
+    provide no report.  ``is_silent`` is true if nothing came back, not even a
+    refused connection.
     """
 
     endpoint_id: model.EndpointId
     incarnation: int
     report: EngineReport | None
     has_answered: bool
+    is_silent: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -5,6 +5,7 @@
 
 from sedgepin import _catalog as catalog
 from sedgepin import _consensus as consensus
+from sedgepin import _crash_causes as crash_causes
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin._registrar import _configurations
@@ -44,6 +45,7 @@
 
     __slots__ = (
         "_configurations",
+        "_crash_causes",
         "_endpoints",
         "_led_at",
         "_load_aggregator",
@@ -75,6 +77,7 @@
         self._endpoints = _endpoints.EndpointManager(
             cfg, self._peers, self._raft, now
         )
+        self._crash_causes = crash_causes.CrashCauseTracker(cfg.vm_id, now)
         self._load_aggregator = _load_aggregation.LoadAggregator(now)
         self._configurations = _configurations.ConfigurationManager(
             dialect, self._peers, self._raft, self._step_raft
@@ -133,6 +136,8 @@
     def _tick(self, now: datetime.datetime) -> Effects:
         effects = self._step_raft(consensus.TimerFired(), now)
         effects += self._configurations.expire(now)
+        self._crash_causes.tick(now)
+        effects += self._log_cause_changes()
         if self._raft.leader_id is not None:
             self._led_at = now
         effects += self._load_aggregator.tick(
@@ -185,6 +190,8 @@
                     endpoint_id, incarnation, slowdown
                 )
                 return self._peers.forward_to_own_entries(message)
+            case protocol.CrashesReported(evidence):
+                return self._merge_crash_evidence(sender, evidence, now)
             case protocol.CrashWitnessed():
                 effects = self._peers.send_to_entries(message, sender)
                 if sender in self._peers.entries:
@@ -222,8 +229,35 @@
             _effects.SendMessage(hello.id, slowdown_message)
             for slowdown_message in self._endpoints.slowdown_messages()
         ]
+        evidence = self._crash_causes.snapshot()
+        if evidence:
+            report = protocol.CrashesReported(evidence)
+            effects.append(_effects.SendMessage(hello.id, report))
         return effects
 
+    def _merge_crash_evidence(
+        self,
+        sender: model.VmId,
+        evidence: tuple[crash_causes.Evidence, ...],
+        now: datetime.datetime,
+    ) -> Effects:
+        """Pass on what is new here, and keep it for VMs that start later."""
+        fresh = self._crash_causes.merge(evidence, now)
+        if not fresh:
+            return []
+        effects = self._log_cause_changes()
+        message = protocol.CrashesReported(fresh)
+        effects += self._peers.send_to_entries(message, sender)
+        if sender in self._peers.entries:
+            effects += self._peers.send_to_controls(message)
+        return effects
+
+    def _log_cause_changes(self) -> Effects:
+        return [
+            _log(crash_causes.change_line(change))
+            for change in self._crash_causes.take_changes()
+        ]
+
     def _step_raft(
         self, event: consensus.Event, now: datetime.datetime
     ) -> Effects:
--- a/sedgepin/_web/_client.py
+++ b/sedgepin/_web/_client.py
@@ -60,7 +60,11 @@
                 stream = await sockets.DirectStream.connect(host, int(port))
         except (OSError, trio.TooSlowError) as exc:
             reason = type(exc).__name__
-            return result.Err(_failures.ConnectFailed(address, reason))
+            # The kernel's own time limit is an OSError.
+            is_timeout = isinstance(exc, (TimeoutError, trio.TooSlowError))
+            return result.Err(
+                _failures.ConnectFailed(address, reason, is_timeout)
+            )
         _enable_keepalive(stream.socket)
         return result.Ok(cls(address, stream))
 
@@ -218,7 +222,7 @@
     except trio.TooSlowError:
         return result.Err(
             _failures.AnswerBroken(
-                address, f"no answer within {timeout_seconds} s"
+                address, f"no answer within {timeout_seconds} s", True
             )
         )
     finally:
--- a/sedgepin/_web/_failures.py
+++ b/sedgepin/_web/_failures.py
@@ -58,6 +58,7 @@
 
     address: str
     reason: str
+    is_timeout: bool = False
 
     def detail(self) -> str:
         """Return the address and the class name of the exception."""
@@ -78,6 +79,7 @@
 
     address: str
     reason: str
+    is_timeout: bool = False
 
     def detail(self) -> str:
         """Return the address and the reason."""
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -377,6 +377,36 @@
     "fingerprints",
     "parts",
 )
+CAUSE_HELD_BACK = _define(
+    323,
+    "WARNING",
+    "cause_held_back",
+    "Endpoints were lost under a request or a part of prompts again and"
+    " again; this VM sends it to none of them from now on.",
+    "cause",
+    "crashes",
+    "held_until",
+)
+CAUSE_FREED = _define(
+    324,
+    "WARNING",
+    "cause_freed",
+    "What was held back may run again: it was answered, its crashes have"
+    " another cause, or its time is over.",
+    "cause",
+    "reason",
+)
+REQUEST_HELD_BACK = _define(
+    325,
+    "WARNING",
+    "request_held_back",
+    "A request is not sent to an endpoint, because it contains what crashes"
+    " them.",
+    "request",
+    "cause",
+    "crashes",
+    "held_until",
+)
 REQUEST_REROUTED = _define(
     317,
     "INFO",
--- a/sedgepin/platform/_gateway.py
+++ b/sedgepin/platform/_gateway.py
@@ -63,6 +63,7 @@
             )
         path = message.target.decode("latin-1").partition("?")[0]
         host = headers.get(b"host", "").lower().partition(":")[0]
+        prompt_parts = headers.get(b"x-prompt-prefix", "")
         try:
             return result.Ok(
                 gateway.CallerRequest(
@@ -74,9 +75,8 @@
                     api_key=_parse_api_key(headers.get(b"authorization", "")),
                     usage=_parse_usage(headers),
                     resume_after=_parse_int(headers.get(b"last-event-id")),
-                    shared_parts=_parse_shared_parts(
-                        headers.get(b"x-prompt-prefix", "")
-                    ),
+                    shared_parts=_parse_shared_parts(prompt_parts),
+                    prompt_digest=_digest(prompt_parts),
                 )
             )
         except (OverflowError, ValueError) as exc:
@@ -245,8 +245,13 @@
 def _shorten(part_id: str) -> str:
     if len(part_id) <= _MAX_PART_ID_CHARACTERS:
         return part_id
-    digest = hashlib.blake2b(part_id.encode("latin-1"), digest_size=12)
-    return digest.hexdigest()
+    return _digest(part_id)
+
+
+def _digest(text: str) -> str:
+    if not text:
+        return ""
+    return hashlib.blake2b(text.encode("latin-1"), digest_size=12).hexdigest()
 
 
 def _parse_load(
--- a/sedgepin/tests/crash_day.py
+++ b/sedgepin/tests/crash_day.py
@@ -41,11 +41,11 @@
 _STALL_SECONDS = 0.2
 _RESTART_SECONDS = 5.0
 _SETTLE_SECONDS = 3.0
+_SUSTAINED_EVENTS = 16
 _STREAM_EVENTS = 24
 _CALLER_RETRY_SECONDS = 0.1
 
 
-@functools.total_ordering
 @dataclasses.dataclass(slots=True, frozen=True, eq=False)
 class _Due:
     """Something to do at an instant; ``order`` breaks ties."""
@@ -438,6 +438,9 @@
         if run.events == 1:
             started = gateway_events.OutputStarted(run.exchange_id)
             self._handle_entry(run.vm_id, started)
+        if run.events == _SUSTAINED_EVENTS:
+            sustained = gateway_events.OutputSustained(run.exchange_id)
+            self._handle_entry(run.vm_id, sustained)
         if run.events == _STREAM_EVENTS:
             self._end_run(run.vm_id, run.exchange_id, _Outcome.ANSWERED)
             return
