An answer without a length is complete only if its engine outlives it

An answer may have neither a length nor chunks and end with its connection.

When such an answer ends, its engine is asked for its report; one that refuses the connection has ended, and the answer counts as broken off: a stream is resumed after its last event, a request that may not repeat ends as unknown. One that is silent or answers anything has finished it. Answers with a length or chunks cost nothing more.

--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -36,6 +36,8 @@
 # A request that crashes its engine does so at the start of its output.
 _SUSTAINED_EVENTS = 16
 
+_ENDED_BY_CRASH = "the answer has no length and its engine has ended"
+
 _Outcome = _events.AttemptOutcome
 _Submit = collections.abc.Callable[[_events.GatewayEvent], None]
 
@@ -250,10 +252,12 @@
             )
         is_success = head.status < _FIRST_REDIRECT
         if not is_success or not start.is_stream:
-            return await self._forward_whole_answer(connection, head, metadata)
+            return await self._forward_whole_answer(
+                connection, head, metadata, start
+            )
         if not metadata.is_signed:
             return _AttemptResult(_Outcome.UNKNOWN, "the answer is not signed")
-        return await self._forward_stream(connection, head)
+        return await self._forward_stream(connection, head, start)
 
     async def _read_head(
         self, connection: web.ClientConnection, start: _effects.StartAttempt
@@ -280,6 +284,7 @@
         connection: web.ClientConnection,
         head: web.AnswerHead,
         metadata: _calls.AnswerMetadata,
+        start: _effects.StartAttempt,
     ) -> _AttemptResult:
         """Read the complete answer, then send it to the caller."""
         body = await connection.read_body(_MAX_WHOLE_ANSWER_BYTES)
@@ -287,6 +292,8 @@
             return _AttemptResult(_Outcome.UNKNOWN, body.err_value.detail())
         if head.status < _FIRST_REDIRECT and not metadata.is_signed:
             return _AttemptResult(_Outcome.UNKNOWN, "the answer is not signed")
+        if await self._ended_by_crash(head, start):
+            return _AttemptResult(_Outcome.UNKNOWN, _ENDED_BY_CRASH)
         forwarded = web.AnswerHead(
             head.status, web.end_to_end_headers(head.headers)
         )
@@ -305,7 +312,10 @@
         return _AttemptResult(_Outcome.ANSWERED, is_success=is_success)
 
     async def _forward_stream(
-        self, connection: web.ClientConnection, head: web.AnswerHead
+        self,
+        connection: web.ClientConnection,
+        head: web.AnswerHead,
+        start: _effects.StartAttempt,
     ) -> _AttemptResult:
         """Forward complete events to the caller, each once and in order."""
         splitter = _event_stream.EventSplitter()
@@ -332,10 +342,34 @@
                 _Outcome.UNKNOWN,
                 "the stream ended with an incomplete event or none",
             )
+        if await self._ended_by_crash(head, start):
+            return _AttemptResult(_Outcome.UNKNOWN, _ENDED_BY_CRASH)
         self._is_sending = True
         await self._exchange.finish()
         return _AttemptResult(_Outcome.ANSWERED)
 
+    async def _ended_by_crash(
+        self, head: web.AnswerHead, start: _effects.StartAttempt
+    ) -> bool:
+        """Return whether an answer without a length was broken off.
+
+        The connections of an engine that crashes are closed like those of one
+        that has finished, but the former refuses a new one.
+        """
+        if not head.ends_with_connection:
+            return False
+        self.stalled_at = math.inf
+        address = start.dispatch.address
+        response = await web.send_request(
+            address,
+            self._dialect.report_request(address),
+            _CONNECT_TIMEOUT_SECONDS,
+        )
+        failure = response.err()
+        return (
+            isinstance(failure, web.ConnectFailed) and not failure.is_timeout
+        )
+
     async def _forward_events(
         self, head: web.AnswerHead, events: list[_event_stream.StreamEvent]
     ) -> str | None:
--- a/sedgepin/_web/_types.py
+++ b/sedgepin/_web/_types.py
@@ -46,6 +46,12 @@
         """Return the value of the first field called ``name`` (lower case)."""
         return find_header(self.headers, name)
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether the body has neither a length nor chunks."""
+        has_end = (b"content-length", b"transfer-encoding")
+        return not any(map(self.find_header, has_end))
+
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the value of the first field called ``name`` (lower case).
--- a/sedgepin/platform/tests/test_relay.py
+++ b/sedgepin/platform/tests/test_relay.py
@@ -1,6 +1,8 @@
 """Tests of the relay with an engine on the loopback interface."""
 
 import collections.abc
+import socket
+import struct
 import typing
 
 import pytest
@@ -68,6 +70,156 @@
         self.finish_count += 1
 
 
+def _make_relay(
+    caller: _SlowCaller,
+    port: int,
+    ended: list[_events.AttemptEnded],
+    is_stream: bool = True,
+    resume_after: int | None = None,
+) -> _relay.Relay:
+    request = _calls.CallerRequest(
+        "r1",
+        "one.example",
+        "/draft/x",
+        caller.request,
+        resume_after=resume_after,
+    )
+    dispatch = _calls.Dispatch(
+        model.EndpointId("e"), f"127.0.0.1:{port}", None, None
+    )
+
+    def submit(event: typing.Any) -> None:
+        if isinstance(event, _events.RequestArrived):
+            relay.handle_effect(_effects.StartAttempt(1, dispatch, is_stream))
+        if isinstance(event, _events.AttemptEnded):
+            ended.append(event)
+
+    relay = _relay.Relay(
+        1, caller, request, platform_gateway.GatewayDialect(), submit
+    )
+    return relay
+
+
+class _UnframedEngine:
+    """An engine whose answers end with their connection.
+
+    ``end`` tells how: ``closed``, ``reset``, or ``dead`` with the engine.
+    """
+
+    def __init__(self, body: bytes, end: str) -> None:
+        self._body = body
+        self._end = end
+        self._scope = trio.CancelScope()
+        self.port = 0
+
+    async def serve(self, task_status: trio.TaskStatus[None]) -> None:
+        """Accept connections until the engine dies."""
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                self.port = await _serve_engine(nursery, self._handle)
+                task_status.started()
+
+    async def _handle(self, stream: trio.SocketStream) -> None:
+        request = await stream.receive_some(65_536)
+        if b"GET /v1/report" in request:
+            await stream.send_all(
+                b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+            )
+            return
+        head = _HEAD.replace(b"Transfer-Encoding: chunked\r\n", b"")
+        await stream.send_all(head + self._body)
+        await trio.sleep(0.05)
+        if self._end == "reset":
+            # Closing with a linger time of zero resets the connection.
+            linger = struct.pack("ii", 1, 0)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if self._end == "dead":
+            self._scope.cancel()
+
+
+class TestAnswerWithoutLength:
+    @pytest.mark.parametrize(
+        ("event_count", "tail", "end", "outcome"),
+        [
+            (3, b"", "closed", _events.AttemptOutcome.ANSWERED),
+            (3, b"", "dead", _events.AttemptOutcome.UNKNOWN),
+            (3, b"", "reset", _events.AttemptOutcome.UNKNOWN),
+            (3, b"id: 4\ndata", "closed", _events.AttemptOutcome.UNKNOWN),
+            (0, b"", "closed", _events.AttemptOutcome.UNKNOWN),
+        ],
+    )
+    async def test_stream_is_complete_only_if_its_engine_outlives_it(
+        self,
+        nursery: trio.Nursery,
+        event_count: int,
+        tail: bytes,
+        end: str,
+        outcome: _events.AttemptOutcome,
+    ) -> None:
+        """An engine that crashes closes its connections as well."""
+        events = b"".join(
+            b"id: %d\ndata: x\n\n" % (number + 1)
+            for number in range(event_count)
+        )
+        engine = _UnframedEngine(events + tail, end)
+        caller, ended = await self._relay(nursery, engine, True)
+        assert ended.outcome is outcome
+        assert caller.received == events
+        is_answered = outcome is _events.AttemptOutcome.ANSWERED
+        assert caller.finish_count == int(is_answered)
+
+    @pytest.mark.parametrize(
+        ("end", "outcome"),
+        [
+            ("closed", _events.AttemptOutcome.ANSWERED),
+            ("dead", _events.AttemptOutcome.UNKNOWN),
+            ("reset", _events.AttemptOutcome.UNKNOWN),
+        ],
+    )
+    async def test_whole_answer_is_complete_only_if_its_engine_outlives_it(
+        self,
+        nursery: trio.Nursery,
+        end: str,
+        outcome: _events.AttemptOutcome,
+    ) -> None:
+        engine = _UnframedEngine(b"a body", end)
+        caller, ended = await self._relay(nursery, engine, False)
+        assert ended.outcome is outcome
+        is_answered = outcome is _events.AttemptOutcome.ANSWERED
+        assert caller.has_started is is_answered
+
+    async def test_stream_that_the_caller_resumes_goes_on(
+        self, nursery: trio.Nursery
+    ) -> None:
+        body = b"id: 3\ndata: x\n\nid: 4\ndata: x\n\n"
+        engine = _UnframedEngine(body, "closed")
+        caller, ended = await self._relay(nursery, engine, True, 2)
+        assert ended.outcome is _events.AttemptOutcome.ANSWERED
+        assert ended.position == 4
+        assert caller.received == body
+
+    async def _relay(
+        self,
+        nursery: trio.Nursery,
+        engine: _UnframedEngine,
+        is_stream: bool,
+        resume_after: int = 0,
+    ) -> tuple[_SlowCaller, _events.AttemptEnded]:
+        await nursery.start(engine.serve)
+        ended: list[_events.AttemptEnded] = []
+        caller = _SlowCaller()
+        caller.may_receive.set()
+        relay = _make_relay(
+            caller, engine.port, ended, is_stream, resume_after
+        )
+        nursery.start_soon(relay.run)
+        with trio.fail_after(2):
+            while not ended:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+        return caller, ended[0]
+
+
 class TestRelay:
     async def test_attempt_cancelled_during_send_delivers_the_event(
         self, nursery: trio.Nursery
@@ -82,7 +234,7 @@
         port = await _serve_engine(nursery, engine)
         ended: list[_events.AttemptEnded] = []
         caller = _SlowCaller()
-        relay = self._make_relay(caller, port, ended)
+        relay = _make_relay(caller, port, ended)
         nursery.start_soon(relay.run)
         with trio.fail_after(2):
             await caller.send_started.wait()
@@ -111,7 +263,7 @@
         ended: list[_events.AttemptEnded] = []
         caller = _SlowCaller()
         caller.has_started = True
-        relay = self._make_relay(caller, port, ended)
+        relay = _make_relay(caller, port, ended)
         nursery.start_soon(relay.run)
         with trio.fail_after(2):
             await caller.finish_started.wait()
@@ -150,7 +302,7 @@
         ended: list[_events.AttemptEnded] = []
         caller = _SlowCaller()
         caller.may_receive.set()
-        relay = self._make_relay(caller, port, ended, resume_after=0)
+        relay = _make_relay(caller, port, ended, resume_after=0)
         nursery.start_soon(relay.run)
         with trio.fail_after(2):
             while not ended:
@@ -185,7 +337,7 @@
         ended: list[_events.AttemptEnded] = []
         caller = _SlowCaller()
         caller.may_receive.set()
-        relay = self._make_relay(caller, port, ended, is_stream)
+        relay = _make_relay(caller, port, ended, is_stream)
         nursery.start_soon(relay.run)
         with trio.fail_after(2):
             while not ended:
@@ -193,35 +345,3 @@
         assert ended[0].outcome is _events.AttemptOutcome.UNKNOWN
         assert not caller.has_started
         nursery.cancel_scope.cancel()
-
-    def _make_relay(
-        self,
-        caller: _SlowCaller,
-        port: int,
-        ended: list[_events.AttemptEnded],
-        is_stream: bool = True,
-        resume_after: int | None = None,
-    ) -> _relay.Relay:
-        request = _calls.CallerRequest(
-            "r1",
-            "one.example",
-            "/draft/x",
-            caller.request,
-            resume_after=resume_after,
-        )
-        dispatch = _calls.Dispatch(
-            model.EndpointId("e"), f"127.0.0.1:{port}", None, None
-        )
-
-        def submit(event: typing.Any) -> None:
-            if isinstance(event, _events.RequestArrived):
-                relay.handle_effect(
-                    _effects.StartAttempt(1, dispatch, is_stream)
-                )
-            if isinstance(event, _events.AttemptEnded):
-                ended.append(event)
-
-        relay = _relay.Relay(
-            1, caller, request, platform_gateway.GatewayDialect(), submit
-        )
-        return relay
