Tell peers that connect which engines have said that they leave

Reported by operators of similar systems: after a restart of one process, a server that had left was in use again. It could happen here: that an engine leaves, said in its answers only, was kept by the running control VMs but not told to one that starts. The engine still registers as ready, and a restarted control VM passed that on as a change; an entry VM that had started after the word used the engine.

A control VM now tells each peer that connects.

--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -169,6 +169,21 @@
             if record.slowdown != 1.0
         ]
 
+    def leaving_messages(self) -> list[protocol.EndpointLeaving]:
+        """Return what a peer that has just connected must know.
+
+        An endpoint that has said in an answer that it leaves may still
+        register as ready.
+        """
+        return [
+            protocol.EndpointLeaving(
+                record.registration.endpoint_id,
+                record.registration.incarnation,
+            )
+            for record in self.registry
+            if record.is_leaving
+        ]
+
     def live_registrations(
         self, now: datetime.datetime
     ) -> list[catalog.Registration]:
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -229,6 +229,10 @@
             _effects.SendMessage(hello.id, slowdown_message)
             for slowdown_message in self._endpoints.slowdown_messages()
         ]
+        effects += [
+            _effects.SendMessage(hello.id, leaving_message)
+            for leaving_message in self._endpoints.leaving_messages()
+        ]
         evidence = self._crash_causes.snapshot()
         if evidence:
             report = protocol.CrashesReported(evidence)
--- a/sedgepin/_registrar/tests/test_dissemination.py
+++ b/sedgepin/_registrar/tests/test_dissemination.py
@@ -377,6 +377,30 @@
         )
         assert self._states(cluster) == {catalog.EndpointState.READY}
 
+    def test_control_vm_that_starts_again_keeps_leaving_engines_closed(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        """It said so in answers only, and still registers as ready."""
+        cluster.register(cluster.leader(), clusters.registration())
+        self._notify(cluster, catalog.EndpointNotice(is_leaving=True))
+        restarted = min(set(cluster.running) - {cluster.leader()})
+        cluster.stop(restarted)
+        cluster.run(1)
+        cluster.start(restarted)
+        cluster.run(1)
+        cluster.register(restarted, clusters.registration(sequence=2))
+        assert self._states(cluster) == {catalog.EndpointState.DRAINING}
+
+    def test_entry_vm_that_starts_again_is_told_of_leaving_engines(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        cluster.register(cluster.leader(), clusters.registration())
+        self._notify(cluster, catalog.EndpointNotice(is_leaving=True))
+        cluster.connect_entry(cluster.leader())
+        cluster.run(0.05)
+        told = protocol.EndpointLeaving(model.EndpointId("e"), 1)
+        assert told in cluster.entry_messages
+
     def test_word_of_an_entry_vm_reaches_all_control_vms(
         self, cluster: clusters.Cluster
     ) -> None:
