Soak: let a part of some prompts crash engines

Judged by the users' rules: three requests at most later than 3 s after the fifth crash, and half of the sound streams served from 6 s after the last counted crash.

--- a/sedgepin/platform/tests/soak/_callers.py
+++ b/sedgepin/platform/tests/soak/_callers.py
@@ -16,6 +16,8 @@
 # Route: share of the traffic and time budget in milliseconds.
 _TRAFFIC = {"write": (0.35, 3000), "read": (0.25, 3000), "stream": (0.4, 6000)}
 _STREAM_EVENT_COUNTS = (3, 40)
+# Share of the streams whose prompts contain the part that crashes engines.
+_CRASHING_SHARE = 0.15
 # Share of callers that disconnect early, and how early at the latest.
 _DISCONNECT_SHARE = 0.03
 _MAX_DISCONNECT_SECONDS = 0.2
@@ -40,6 +42,8 @@
         ]
         if sent.route == "stream":
             headers.append(("X-Token-Usage", "10,10"))
+            entries = ",".join(f"{part}:2" for part in sent.parts)
+            headers.append(("X-Prompt-Prefix", entries))
         request = h11.Request(
             method="POST", target=sent.target, headers=headers
         )
@@ -113,6 +117,8 @@
         self._rng = rng
         self._numbers = itertools.count(1)
         self._idle_connections: dict[int, list[_Connection]] = {}
+        # A part that some prompts contain and that crashes engines.
+        self.crashing_part: str | None = None
         # Entry VMs that passed their last readiness checks.
         self.ready: set[int] = set()
 
@@ -149,7 +155,14 @@
         route = self._rng.choices(routes, weights)[0]
         number = next(self._numbers)
         target = f"/{_operator.PREFIXES[route]}/{number}"
+        parts: tuple[str, ...] = ()
+        crashing_part: str | None = None
         if route == "stream":
+            parts = ("shared", f"document-{number % 4}", f"own-{number}")
+            if self._rng.random() < _CRASHING_SHARE:
+                crashing_part = self.crashing_part
+            if crashing_part is not None:
+                parts = (parts[0], crashing_part, *parts[1:])
             event_count = self._rng.randint(*_STREAM_EVENT_COUNTS)
             target = f"/{_operator.PREFIXES[route]}/{number}/{event_count}"
         return _record.SentRequest(
@@ -160,6 +173,8 @@
             key=self._rng.choice(_operator.KEYS),
             at=trio.current_time(),
             time_left_ms=_TRAFFIC[route][1],
+            parts=parts,
+            crashing_part=crashing_part,
         )
 
     async def _send_request(self) -> None:
--- a/sedgepin/platform/tests/soak/_engines.py
+++ b/sedgepin/platform/tests/soak/_engines.py
@@ -289,10 +289,24 @@
             await trio.sleep(_EVENT_INTERVAL_SECONDS * self.slowdown)
             if not await self._wait_for_path(incarnation, run.request_id):
                 return
+            if self._crashes_under(run.request_id):
+                return
             data = _invariants.event_data(run.request_id, number)
             await exchange.send(b"id: %d\ndata: %s\n\n" % (number, data))
         await exchange.finish()
 
+    def _crashes_under(self, request_id: str) -> bool:
+        """Crash if the prompt contains a part that crashes engines."""
+        sent = self._record.sent.get(request_id)
+        if sent is not None and sent.crashing_part is not None:
+            crashed_at = self._record.crashed_at
+            crashed_at.setdefault(sent.crashing_part, []).append(
+                trio.current_time()
+            )
+            self.crash()
+            return True
+        return False
+
     async def _wait_for_path(
         self, incarnation: _Incarnation, request_id: str
     ) -> bool:
--- a/sedgepin/platform/tests/soak/_invariants.py
+++ b/sedgepin/platform/tests/soak/_invariants.py
@@ -18,6 +18,12 @@
 RETRY_BUDGET_RATIO = 0.2
 RETRY_BUDGET_MIN = 30
 RETRY_BUDGET_WINDOW_SECONDS = 10.0
+# ``stabilityWindowMs``, and the crashes from which a part must be known.
+STABILITY_SECONDS = 3.0
+_CRASHES_TO_KNOW = 5
+_MAX_REACHED_LATE = 3
+# Share of the requests that share the other parts and must be answered.
+_MIN_SOUND_SHARE = 0.5
 # Tolerance for the time left that engines are given.
 _DEADLINE_SLACK_MS = 500
 _EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
@@ -232,6 +238,47 @@
                 )
 
 
+def _check_crashing_parts(record: _record.Record) -> _Findings:
+    for part, (start, end) in record.crashing_spans.items():
+        crashes = sorted(record.crashed_at.get(part, ()))
+        if not crashes:
+            yield f"no engine crashed under part {part!r}"
+            continue
+        known = crashes[min(len(crashes), _CRASHES_TO_KNOW) - 1]
+        reached = [
+            run.request_id
+            for run in record.runs
+            if record.sent[run.request_id].crashing_part == part
+            and record.sent[run.request_id].at > known + STABILITY_SECONDS
+        ]
+        if len(crashes) >= _CRASHES_TO_KNOW and (
+            len(reached) > _MAX_REACHED_LATE
+        ):
+            yield (
+                f"part {part!r} reached engines {len(reached)} times too late,"
+                f" after {len(crashes)} crashes: {reached[:5]}"
+            )
+        sound = [
+            sent.request_id
+            for sent in record.sent.values()
+            if sent.parts
+            and sent.crashing_part is None
+            and known + 2 * STABILITY_SECONDS < sent.at < end
+            and sent.request_id not in record.disconnected
+        ]
+        served = sum(
+            request_id in record.answers
+            and record.answers[request_id].status == 200
+            for request_id in sound
+        )
+        if served < _MIN_SOUND_SHARE * len(sound):
+            yield (
+                f"{served} of {len(sound)} sound streams served beside part"
+                f" {part!r}, which crashed {len(crashes)} engines since"
+                f" {start:.1f} s"
+            )
+
+
 def _check_retry_after(record: _record.Record) -> _Findings:
     for request_id, answer in record.answers.items():
         if answer.status in (429, 503) and not answer.has_retry_after:
@@ -259,6 +306,7 @@
     _check_configurations,
     _check_retry_budget,
     _check_calm_spans,
+    _check_crashing_parts,
     _check_retry_after,
     _check_processes,
 )
--- a/sedgepin/platform/tests/soak/_record.py
+++ b/sedgepin/platform/tests/soak/_record.py
@@ -18,6 +18,9 @@
     key: str
     at: float
     time_left_ms: int
+    # Ids of the parts of its prompt; empty for plain requests.
+    parts: tuple[str, ...] = ()
+    crashing_part: str | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -108,6 +111,14 @@
         default_factory=list
     )
     faults: list[str] = dataclasses.field(default_factory=list)
+    # When engines crashed under a part of a prompt, and while no other fault
+    # was active.
+    crashed_at: dict[str, list[float]] = dataclasses.field(
+        default_factory=dict
+    )
+    crashing_spans: dict[str, tuple[float, float]] = dataclasses.field(
+        default_factory=dict
+    )
 
     def is_calm(self, start: float, end: float) -> bool:
         """Return whether a time span lies within a calm span."""
--- a/sedgepin/platform/tests/soak/_seed_run.py
+++ b/sedgepin/platform/tests/soak/_seed_run.py
@@ -21,6 +21,8 @@
 _CALM_SECONDS = 3.0
 # ``recoveryS``: a calm span starts this long after the last fault.
 _RECOVERY_SECONDS = 8.0
+# Longer than twice ``stabilityWindowMs`` and the first crashes.
+_CRASHING_SECONDS = 12.0
 # Time for requests in flight at the end of a calm span to finish.
 _SETTLE_SECONDS = 6.5
 _FINAL_READ_TIMEOUT_SECONDS = 10.0
@@ -72,6 +74,7 @@
                     async with trio.open_nursery() as traffic_nursery:
                         traffic_nursery.start_soon(callers.run)
                         await _record_calm_span(record)
+                        await _record_crashing_span(record, callers)
                         context = _faults.FaultContext(
                             programs, proxies, engines, record, rng
                         )
@@ -124,6 +127,19 @@
     await trio.sleep(_SETTLE_SECONDS)
 
 
+async def _record_crashing_span(
+    record: _record.Record, callers: _callers.Callers
+) -> None:
+    """Let a part of some prompts crash engines, without other faults."""
+    part = "crashing"
+    start = trio.current_time()
+    callers.crashing_part = part
+    await trio.sleep(_CRASHING_SECONDS)
+    callers.crashing_part = None
+    record.crashing_spans[part] = (start, trio.current_time())
+    await trio.sleep(_RECOVERY_SECONDS / 2)
+
+
 async def _read_final_configuration(operator: _operator.Operator) -> None:
     with trio.move_on_after(_FINAL_READ_TIMEOUT_SECONDS):
         while not await operator.read():
--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import dataclasses
 import pathlib
 
 import pytest
@@ -177,6 +178,33 @@
         record.sent[request_id] = _sent("read", request_id, 2.0)
 
 
+def _crash_on(record: _record.Record) -> None:
+    record.crashing_spans["p"] = (0.0, 30.0)
+    record.crashed_at["p"] = [1.0, 2.0, 3.0, 4.0, 5.0]
+    for number in range(4):
+        request_id = f"x{number}"
+        sent = _sent("stream", request_id, 9.0)
+        record.sent[request_id] = dataclasses.replace(
+            sent, parts=("s", "p", "x"), crashing_part="p"
+        )
+        run = _run("stream")
+        run.request_id = request_id
+        record.runs.append(run)
+
+
+def _hold_back_sound_streams(record: _record.Record) -> None:
+    record.crashing_spans["p"] = (0.0, 30.0)
+    record.crashed_at["p"] = [1.0]
+    for number in range(4):
+        request_id = f"x{number}"
+        sent = _sent("stream", request_id, 20.0)
+        record.sent[request_id] = dataclasses.replace(sent, parts=("s", "x"))
+
+
+def _crash_no_engine(record: _record.Record) -> None:
+    record.crashing_spans["p"] = (0.0, 30.0)
+
+
 _Mutation = collections.abc.Callable[[_record.Record], None]
 
 
@@ -212,6 +240,9 @@
             ("read", _exceed_retry_budget, "50 retries"),
             ("read", _retry_rejected_requests, "50 retries"),
             ("read", _lose_answers, "1 of 10 requests"),
+            ("stream", _crash_on, "reached engines 4 times too late"),
+            ("stream", _hold_back_sound_streams, "0 of 4 sound streams"),
+            ("stream", _crash_no_engine, "no engine crashed"),
         ],
     )
     def test_injected_violation_is_found(
