--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
     "membership",
     "limits",
     "cost",
+    "crashes",
     "load",
     "logs",
     "placement",
--- a/sedgepin/_registrar/tests/test_dissemination.py
+++ b/sedgepin/_registrar/tests/test_dissemination.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sedgepin import _catalog as catalog
+from sedgepin import _crash_causes as crash_causes
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin._registrar import _effects
@@ -450,3 +451,59 @@
             )
             cluster.run(1)
         assert len(cluster.engine_calls) == 2
+
+
+class TestCrashEvidence:
+    """Control VMs pass evidence on once, and keep it for late ones."""
+
+    def _message(self) -> protocol.CrashesReported:
+        death = crash_causes.Death(model.EndpointId("e"), 1)
+        mark = crash_causes.CrashMark(
+            death, clusters.START, model.VmId("entry"), "r"
+        )
+        trait = crash_causes.part_trait("p")
+        return protocol.CrashesReported(
+            (crash_causes.Evidence(trait, (mark,)),)
+        )
+
+    def _report(self, cluster: clusters.Cluster, vm_id: str) -> None:
+        cluster.connect_entry(model.VmId(vm_id))
+        cluster.handle(
+            model.VmId(vm_id),
+            protocol.PeerMessageReceived(model.VmId("entry"), self._message()),
+        )
+        cluster.run(0.1)
+
+    def test_entry_vm_of_another_control_vm_is_told_once(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        cluster.connect_entry(model.VmId("b"))
+        for _repeat in range(2):
+            message = protocol.PeerMessageReceived(
+                model.VmId("c"), self._message()
+            )
+            cluster.handle(model.VmId("b"), message)
+            cluster.run(0.1)
+        assert cluster.entry_messages.count(self._message()) == 1
+
+    def test_entry_vm_that_connects_later_is_told(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        self._report(cluster, "a")
+        cluster.entry_messages.clear()
+        cluster.connect_entry(model.VmId("c"))
+        cluster.run(0.1)
+        assert self._message() in cluster.entry_messages
+
+    def test_control_vm_that_starts_again_learns_it_from_the_others(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        self._report(cluster, "a")
+        cluster.stop(model.VmId("b"), loses_disk=True)
+        cluster.run(0.5)
+        cluster.start(model.VmId("b"))
+        cluster.run(0.5)
+        cluster.entry_messages.clear()
+        cluster.connect_entry(model.VmId("b"))
+        cluster.run(0.1)
+        assert self._message() in cluster.entry_messages
--- a/sedgepin/platform/tests/soak/_callers.py
+++ b/sedgepin/platform/tests/soak/_callers.py
@@ -17,7 +17,7 @@
 _TRAFFIC = {"write": (0.35, 3000), "read": (0.25, 3000), "stream": (0.4, 6000)}
 _STREAM_EVENT_COUNTS = (3, 40)
 # Share of the streams whose prompts contain the part that crashes engines.
-_CRASHING_SHARE = 0.15
+_CRASHING_SHARE = 0.3
 # Share of callers that disconnect early, and how early at the latest.
 _DISCONNECT_SHARE = 0.03
 _MAX_DISCONNECT_SECONDS = 0.2
--- a/sedgepin/tests/crash_day.py
+++ b/sedgepin/tests/crash_day.py
@@ -14,6 +14,8 @@
 import random
 import typing
 
+import msgspec
+
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _effects as gateway_effects
@@ -132,6 +134,9 @@
         self.plan = plan
         self.attempts: list[CallerAttempt] = []
         self.log_lines: list[events.LogLine] = []
+        # When each entry VM first held something back.
+        self.held_at: dict[model.VmId, float] = {}
+        self.report_bytes = 0
         self.crashed_at: dict[str, list[float]] = {
             part: [] for part in plan.crashing_parts
         }
@@ -271,6 +276,8 @@
         if frozenset((sender, recipient)) not in self._links:
             return
         self.counts[type(message).__name__] += 1
+        if isinstance(message, protocol.CrashesReported):
+            self.report_bytes += len(msgspec.msgpack.encode(message))
         self._handle(recipient, protocol.PeerMessageReceived(sender, message))
 
     def _schedule_arrivals(
@@ -356,6 +363,8 @@
                     self._fail(vm_id, effect)
                 case gateway_effects.WriteLog(line):
                     self.log_lines.append(line)
+                    if line.definition is events.CAUSE_HELD_BACK:
+                        self.held_at.setdefault(vm_id, self.elapsed())
                 case gateway_effects.InspectStalls():
                     self._inspect_stalls(vm_id, effect)
                 case gateway_effects.Reroute():
