--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -11,6 +11,7 @@
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _dialect
 from sedgepin._gateway import _effects
+from sedgepin._gateway import _engine_calls
 from sedgepin._gateway import _events
 from sedgepin._gateway import _reducer
 from sedgepin._gateway import _relay
@@ -276,14 +277,14 @@
 
     async def _inspect(self, effect: _effects.InspectStalls) -> None:
         self._driver.submit(
-            await _relay.inspect_stalls(
+            await _engine_calls.inspect_stalls(
                 effect, self._dialect, self._driver.submit, _ENGINE_TIMEOUT
             )
         )
 
     async def _reroute(self, effect: _effects.Reroute) -> None:
         self._driver.submit(
-            await _relay.reroute(
+            await _engine_calls.reroute(
                 effect, self._dialect, self._driver.submit, _ENGINE_TIMEOUT
             )
         )
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -14,6 +14,7 @@
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _dialect
 from sedgepin._gateway import _effects
+from sedgepin._gateway import _engine_calls
 from sedgepin._gateway import _event_stream
 from sedgepin._gateway import _events
 from sedgepin import _web as web
@@ -31,6 +32,7 @@
 # Events arrive every 20 to 60 ms; the next one is late after 200 ms.  Stalls
 # are checked every 50 ms, so they are reported by then.
 _NEXT_EVENT_TIMEOUT_SECONDS = 0.15
+_ENGINE_TIMEOUT = datetime.timedelta(seconds=_CONNECT_TIMEOUT_SECONDS)
 _FIRST_REDIRECT = 300
 _FIRST_SERVER_ERROR = 500
 # A request that crashes its engine does so at the start of its output.
@@ -359,15 +361,8 @@
         if not head.ends_with_connection:
             return False
         self.stalled_at = math.inf
-        address = start.dispatch.address
-        response = await web.send_request(
-            address,
-            self._dialect.report_request(address),
-            _CONNECT_TIMEOUT_SECONDS,
-        )
-        failure = response.err()
-        return (
-            isinstance(failure, web.ConnectFailed) and not failure.is_timeout
+        return await _engine_calls.refuses_connections(
+            start.dispatch.address, self._dialect, _ENGINE_TIMEOUT
         )
 
     async def _forward_events(
@@ -415,49 +410,3 @@
         )
         await self._exchange.start(forwarded)
         self._submit(_events.OutputStarted(self.exchange_id))
-
-
-async def inspect_stalls(
-    effect: _effects.InspectStalls,
-    dialect: _dialect.GatewayDialect,
-    submit: _Submit,
-    timeout: datetime.timedelta,
-) -> _events.StallsInspected:
-    """Request a stall report from a first engine.
-
-    What its answer's head tells is submitted apart.
-    """
-    request = dialect.report_request(effect.address)
-    response = await web.send_request(
-        effect.address, request, timeout.total_seconds()
-    )
-    report: _calls.StallReport | None = None
-    if isinstance(response, result.Ok):
-        metadata = dialect.parse_answer(response.ok_value[0])
-        submit(_events.AnswerHeadReceived(effect.endpoint_id, metadata))
-        report = dialect.parse_stall_report(*response.ok_value).ok()
-    return _events.StallsInspected(effect.endpoint_id, report)
-
-
-async def reroute(
-    effect: _effects.Reroute,
-    dialect: _dialect.GatewayDialect,
-    submit: _Submit,
-    timeout: datetime.timedelta,
-) -> _events.Rerouted:
-    """Order a first engine to continue a request on another pipeline."""
-    request = dialect.reroute_request(effect.request_id, effect.pipeline)
-    response = await web.send_request(
-        effect.address, request, timeout.total_seconds()
-    )
-    if isinstance(response, result.Err):
-        return _events.Rerouted(effect.exchange_id, False)
-    first_id = effect.pipeline.stages[0].endpoint_id
-    metadata = dialect.parse_answer(response.ok_value[0])
-    submit(_events.AnswerHeadReceived(first_id, metadata))
-    reroute_result = dialect.parse_reroute_answer(*response.ok_value)
-    if isinstance(reroute_result, result.Err):
-        return _events.Rerouted(
-            effect.exchange_id, False, reroute_result.err_value or None
-        )
-    return _events.Rerouted(effect.exchange_id, True)
