Bound the work of a verdict on what crashes engines

A verdict looks at the 128 strongest traits, and only when news can change it: in a fleet of 195 each loss brings some 30 reports. With 400 traits on record a report took 3.9 ms on average on a busy machine before.

--- a/sedgepin/_crash_causes/_tracker.py
+++ b/sedgepin/_crash_causes/_tracker.py
@@ -144,6 +144,7 @@
         This is the evidence that was new here, for VMs that pass it on.
         """
         fresh: list[_evidence.Evidence] = []
+        is_decisive = False
         for item in news:
             if not item.marks and not item.cleared:
                 continue
@@ -155,8 +156,14 @@
             if merged != known:
                 self._evidence[item.trait] = merged
                 fresh.append(item)
+                is_decisive = (
+                    is_decisive
+                    or len(merged.counted_marks) >= _verdicts.CRASHES_TO_HOLD
+                    or bool(item.cleared and self._held)
+                )
         if fresh:
             self._limit()
+        if is_decisive:
             self._update_causes(now)
         return tuple(fresh)
 
--- a/sedgepin/_crash_causes/_verdicts.py
+++ b/sedgepin/_crash_causes/_verdicts.py
@@ -10,6 +10,7 @@
 import collections.abc
 import dataclasses
 import datetime
+import heapq
 
 from sedgepin._crash_causes import _evidence
 from sedgepin._crash_causes import _losses
@@ -31,6 +32,8 @@
 _CRASHES_TO_TRY_AGAIN = 4
 _SHORT_HOLD = datetime.timedelta(minutes=1)
 HOLD = datetime.timedelta(minutes=10)
+# Bounds the work of a verdict; the strongest are looked at.
+_MAX_CANDIDATES = 128
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -58,9 +61,11 @@
 ) -> list[Cause]:
     """Return the causes that explain the crashes, the strongest first."""
     known = list(evidence)
-    candidates = [
-        item for item in known if len(item.counted_marks) >= CRASHES_TO_HOLD
-    ]
+    candidates = heapq.nlargest(
+        _MAX_CANDIDATES,
+        (item for item in known if _may_be_cause(item)),
+        key=lambda item: (not item.is_sound, len(item.counted_marks)),
+    )
     if not candidates:
         return []
     losses = _losses.Losses(known)
@@ -81,6 +86,13 @@
         causes += [Cause(unit, marks, held_until) for unit in units]
 
 
+def _may_be_cause(item: _evidence.Evidence) -> bool:
+    return (
+        len(item.marks) >= CRASHES_TO_HOLD
+        and len(item.counted_marks) >= CRASHES_TO_HOLD
+    )
+
+
 def _find_strongest(
     candidates: list[_evidence.Evidence],
     explained: collections.abc.Set[_evidence.Death],
