--- a/bench/_crashes.py
+++ b/bench/_crashes.py
@@ -10,6 +10,7 @@
 
 from bench import _figure as figure
 from sedgepin.tests import crash_day
+from sedgepin.tests import crash_plan
 
 _SEEDS = (1, 2, 3)
 _SIZES = (7, 85, 195, 320)
@@ -18,9 +19,9 @@
 
 def _make_plan(
     entry_count: int, rack_lost_at: float | None, seed: int
-) -> crash_day.Plan:
+) -> crash_plan.Plan:
     control_count = max(3, min(18, entry_count // _ENTRIES_PER_CONTROL + 1))
-    return crash_day.Plan(
+    return crash_plan.Plan(
         entry_count=entry_count,
         control_count=control_count,
         data_centre_count=min(6, control_count),
@@ -49,30 +50,32 @@
             f"{min(values):.4g} to {max(values):.4g}",
         )
 
-    yield make("engines_crashed", "engines", lambda day: day.crash_count)
+    yield make(
+        "engines_crashed", "engines", lambda day: day.record.crash_count
+    )
     yield make(
         "reached_after_fifth_crash",
         "requests",
-        lambda day: day.reached_after_fifth_crash(),
+        lambda day: day.record.reached_after_fifth_crash(),
     )
     yield make(
         "sound_begun_while_held",
         "ratio",
-        lambda day: day.sound_share_while_held,
+        lambda day: day.record.sound_share_while_held,
     )
     yield make("sound_failed", "requests", _sound_failures)
     yield make("known_everywhere_after", "s", _seconds_until_known)
     yield make(
         "reports_per_entry_vm",
         "B",
-        lambda day: day.report_bytes / len(day.entries),
+        lambda day: day.record.report_bytes / len(day.entries),
     )
 
 
 def _sound_failures(day: crash_day.CrashDay) -> float:
     return sum(
         attempt.failure_code is not None
-        for attempt in day.attempts
+        for attempt in day.record.attempts
         if attempt.crashing_part is None
     )
 
@@ -82,10 +85,10 @@
 
     It is infinite if some VM never does.
     """
-    crashes = sorted(itertools.chain(*day.crashed_at.values()))
-    if len(crashes) < 3 or len(day.held_at) < len(day.entries):
+    crashes = sorted(itertools.chain(*day.record.crashed_at.values()))
+    if len(crashes) < 3 or len(day.record.held_at) < len(day.entries):
         return float("inf")
-    return max(day.held_at.values()) - crashes[2]
+    return max(day.record.held_at.values()) - crashes[2]
 
 
 def measure() -> list[figure.Figure]:
--- a/sedgepin/tests/crash_day.py
+++ b/sedgepin/tests/crash_day.py
@@ -27,13 +27,9 @@
 from sedgepin._registrar import _events as registrar_events
 from sedgepin import _web as web
 from sedgepin import events
+from sedgepin.tests import crash_plan
 from sedgepin.tests import deployment
 
-STABILITY_WINDOW_SECONDS = 3.0
-CRASHES_UNTIL_HELD = 5
-SHARED_PART = "shared"
-CRASHING_PART = "crashing"
-
 _Outcome = gateway_events.AttemptOutcome
 _TICK_SECONDS = 0.05
 _MESSAGE_SECONDS = 0.003
@@ -60,53 +56,6 @@
         return (self.at, self.order) < (other.at, other.order)
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Plan:
-    """What happens on a day; times are seconds after the day's start.
-
-    ``crashing_parts`` come with equal shares.  A crash hits the first stage
-    or, with ``is_last_stage``, the last one, after ``pieces`` events.
-    ``place`` is the index of the crashing part among the shared ones.  At
-    ``rack_lost_at``, ``rack_engines`` engines fail together, and at
-    ``restarts`` an entry VM starts again.
-    """
-
-    entry_count: int = 7
-    control_count: int = 3
-    data_centre_count: int = 3
-    engine_pairs: int = 12
-    seconds: float = 24.0
-    sound_per_second: float = 40.0
-    crashing_per_second: float = 2.0
-    crashing_from: float = 4.0
-    crashing_until: float = 20.0
-    crashing_parts: tuple[str, ...] = (CRASHING_PART,)
-    place: int = 1
-    pieces: int = 0
-    is_last_stage: bool = False
-    rack_lost_at: float | None = None
-    rack_engines: int = 8
-    restarts: tuple[float, ...] = ()
-    seed: int = 1
-
-
-@dataclasses.dataclass(slots=True)
-class CallerAttempt:
-    """One attempt of a caller, and what came of it.
-
-    ``reached`` counts the engines that got it.
-    """
-
-    sent_at: float
-    number: int
-    shared_parts: tuple[str, ...]
-    crashing_part: str | None
-    is_retry: bool = False
-    reached: int = 0
-    has_begun: bool = False
-    failure_code: str | None = None
-
-
 @dataclasses.dataclass(slots=True)
 class _Engine:
     registration: catalog.Registration
@@ -120,7 +69,7 @@
 
     vm_id: model.VmId
     exchange_id: int
-    attempt: CallerAttempt
+    attempt: crash_plan.CallerAttempt
     dispatch: _calls.Dispatch
     engines: list[_Engine]
     events: int = 0
@@ -130,23 +79,16 @@
 class CrashDay(deployment.Deployment):
     """Plays a plan and records the attempts and the crashes."""
 
-    def __init__(self, plan: Plan) -> None:
+    def __init__(self, plan: crash_plan.Plan) -> None:
         self.plan = plan
-        self.attempts: list[CallerAttempt] = []
-        self.log_lines: list[events.LogLine] = []
-        # When each entry VM first held something back.
-        self.held_at: dict[model.VmId, float] = {}
-        self.report_bytes = 0
-        self.crashed_at: dict[str, list[float]] = {
-            part: [] for part in plan.crashing_parts
-        }
+        self.record = crash_plan.DayRecord(plan)
         self._rng = random.Random(plan.seed)
         self._timeline: list[_Due] = []
         self._order = itertools.count()
         self._numbers = itertools.count(1)
         self._engines: dict[str, _Engine] = {}
         self._runs: dict[tuple[model.VmId, int], _Run] = {}
-        self._open: dict[tuple[model.VmId, int], CallerAttempt] = {}
+        self._open: dict[tuple[model.VmId, int], crash_plan.CallerAttempt] = {}
         super().__init__(
             plan.entry_count,
             plan.control_count,
@@ -188,53 +130,6 @@
             self._deliver()
         self.now = end
 
-    # Figures.
-
-    @property
-    def crash_count(self) -> int:
-        """Return how many engines crashing requests ended."""
-        return sum(len(instants) for instants in self.crashed_at.values())
-
-    def reached_after_fifth_crash(self, part: str = CRASHING_PART) -> int:
-        """Return how many engines got the part when it was to be held back.
-
-        Counted are requests sent later than the stability window after the
-        fifth crash.
-        """
-        crashes = self.crashed_at[part]
-        if len(crashes) < CRASHES_UNTIL_HELD:
-            return 0
-        held_from = crashes[CRASHES_UNTIL_HELD - 1] + STABILITY_WINDOW_SECONDS
-        return sum(
-            attempt.reached
-            for attempt in self.attempts
-            if attempt.crashing_part == part and attempt.sent_at > held_from
-        )
-
-    def sound_share(self, start: float, end: float) -> float:
-        """Return which share of the sound requests of a time began.
-
-        Counted are first attempts that share a part with a crashing request.
-        """
-        sent = [
-            attempt
-            for attempt in self.attempts
-            if attempt.crashing_part is None
-            and not attempt.is_retry
-            and start <= attempt.sent_at < end
-        ]
-        return sum(attempt.has_begun for attempt in sent) / max(1, len(sent))
-
-    @property
-    def sound_share_while_held(self) -> float:
-        """Return the share that began from two windows after the crashes."""
-        crashes = sorted(itertools.chain(*self.crashed_at.values()))
-        if not crashes:
-            return 1.0
-        last = crashes[min(len(crashes), CRASHES_UNTIL_HELD) - 1]
-        start = last + 2 * STABILITY_WINDOW_SECONDS
-        return self.sound_share(start, self.plan.crashing_until)
-
     def elapsed(self) -> float:
         """Return the seconds since the day's start."""
         return (self.now - self._starts_at).total_seconds()
@@ -277,7 +172,7 @@
             return
         self.counts[type(message).__name__] += 1
         if isinstance(message, protocol.CrashesReported):
-            self.report_bytes += len(msgspec.msgpack.encode(message))
+            self.record.report_bytes += len(msgspec.msgpack.encode(message))
         self._handle(recipient, protocol.PeerMessageReceived(sender, message))
 
     def _schedule_arrivals(
@@ -299,13 +194,13 @@
         self, crashing_part: str | None, vm_id: model.VmId, is_retry: bool
     ) -> None:
         number = next(self._numbers)
-        shared = [SHARED_PART, f"document-{number % 5}"]
+        shared = [crash_plan.SHARED_PART, f"document-{number % 5}"]
         if crashing_part is not None:
             shared.insert(self.plan.place, crashing_part)
-        attempt = CallerAttempt(
+        attempt = crash_plan.CallerAttempt(
             self.elapsed(), number, tuple(shared), crashing_part, is_retry
         )
-        self.attempts.append(attempt)
+        self.record.attempts.append(attempt)
         path = f"/draft/{number}"
         request = _calls.CallerRequest(
             request_id=f"r{number}",
@@ -346,15 +241,8 @@
     ) -> None:
         if vm_id in self.stopped:
             return
-        for effect in self.entries[vm_id].handle(event, self.now):
+        for effect in self._carry_out_entry(vm_id, event):
             match effect:
-                case gateway_effects.SendMessage(recipient, message):
-                    self._in_transit.append((vm_id, recipient, message))
-                case gateway_effects.DialPeer(peer):
-                    self._dials.add((vm_id, peer))
-                case gateway_effects.HangUpPeer(peer):
-                    self._dials.discard((vm_id, peer))
-                    self._disconnect(frozenset((vm_id, peer)))
                 case gateway_effects.StartAttempt():
                     self._start_run(vm_id, effect)
                 case gateway_effects.CancelAttempt(exchange_id):
@@ -362,9 +250,10 @@
                 case gateway_effects.FailExchange():
                     self._fail(vm_id, effect)
                 case gateway_effects.WriteLog(line):
-                    self.log_lines.append(line)
+                    self.record.log_lines.append(line)
                     if line.definition is events.CAUSE_HELD_BACK:
-                        self.held_at.setdefault(vm_id, self.elapsed())
+                        held_at = self.record.held_at
+                        held_at.setdefault(vm_id, self.elapsed())
                 case gateway_effects.InspectStalls():
                     self._inspect_stalls(vm_id, effect)
                 case gateway_effects.Reroute():
@@ -489,7 +378,7 @@
     def _crash(self, run: _Run, part: str) -> None:
         engine = run.engines[-1 if self.plan.is_last_stage else 0]
         if engine.is_up and not run.is_over:
-            self.crashed_at[part].append(self.elapsed())
+            self.record.crashed_at[part].append(self.elapsed())
             self._lose(engine)
 
     def _lose(self, engine: _Engine) -> None:
--- a/sedgepin/tests/deployment.py
+++ b/sedgepin/tests/deployment.py
@@ -244,9 +244,18 @@
     def _handle_entry(
         self, vm_id: model.VmId, event: gateway_events.GatewayEvent
     ) -> None:
-        if vm_id in self.stopped:
-            return
-        for effect in self.entries[vm_id].handle(event, self.now):
+        if vm_id not in self.stopped:
+            self._carry_out_entry(vm_id, event)
+
+    def _carry_out_entry(
+        self, vm_id: model.VmId, event: gateway_events.GatewayEvent
+    ) -> list[gateway_effects.GatewayEffect]:
+        """Pass an event to an entry VM; return the effects, carried out.
+
+        What concerns requests is left to the caller.
+        """
+        effects = self.entries[vm_id].handle(event, self.now)
+        for effect in effects:
             match effect:
                 case gateway_effects.SendMessage(recipient, message):
                     self._in_transit.append((vm_id, recipient, message))
@@ -255,6 +264,7 @@
                 case gateway_effects.HangUpPeer(peer):
                     self._dials.discard((vm_id, peer))
                     self._disconnect(frozenset((vm_id, peer)))
+        return effects
 
     def _handle_control(
         self, vm_id: model.VmId, event: registrar_events.RegistrarEvent
