Retry requests on several lost engines, unless others crashed under a part

With a zone cut off, several engines of one pipeline are lost under one request, which then counted against itself: sound callers lost their second attempt (found in reading the change; a unit test shows it). What counts now are losses under other requests with one of its parts, not all at one time.

Also groups traits by the requests of the crashes at hand only, not of those that are explained already.

--- a/sedgepin/_crash_causes/_losses.py
+++ b/sedgepin/_crash_causes/_losses.py
@@ -7,7 +7,7 @@
 from sedgepin._crash_causes import _trait
 
 # Losses closer together have one cause, such as a rack that lost its power.
-_SAME_CAUSE = datetime.timedelta(milliseconds=100)
+SAME_CAUSE = datetime.timedelta(milliseconds=100)
 # Silent endpoints are found one after the other, and a single request runs
 # into the losses of a rack one after the other.
 _SAME_SLOW_CAUSE = datetime.timedelta(seconds=2)
@@ -41,7 +41,7 @@
         count = 0
         counted_at: datetime.datetime | None = None
         for mark in marks:
-            pause = _SAME_CAUSE
+            pause = SAME_CAUSE
             if mark.is_silent or item.trait.kind is _trait.TraitKind.REQUEST:
                 pause = _SAME_SLOW_CAUSE
             if (
--- a/sedgepin/_crash_causes/_tracker.py
+++ b/sedgepin/_crash_causes/_tracker.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sedgepin._crash_causes import _evidence
+from sedgepin._crash_causes import _losses
 from sedgepin._crash_causes import _trait
 from sedgepin._crash_causes import _verdicts
 from sedgepin import _model as model
@@ -178,18 +179,26 @@
                 return cause
         return None
 
-    def is_suspected(
-        self, traits: collections.abc.Iterable[_trait.Trait]
-    ) -> bool:
+    def is_suspected(self, request: SuspectRequest) -> bool:
         """Return whether a request may soon be held back.
 
-        It may run, but not on another endpoint after one was lost.
+        Other requests with one of its parts were on two lost endpoints, and
+        none was answered.  It may run, but not on another endpoint after one
+        was lost.
         """
-        for trait in traits:
+        for trait in request.traits:
             known = self._evidence.get(trait)
             if known is None or known.is_sound:
                 continue
-            if len(known.counted_marks) >= _verdicts.CRASHES_TO_SUSPECT:
+            instants = [
+                mark.at
+                for mark in known.counted_marks
+                if mark.request != request.digest
+            ]
+            if (
+                len(instants) >= _verdicts.CRASHES_TO_SUSPECT
+                and max(instants) - min(instants) >= _losses.SAME_CAUSE
+            ):
                 return True
         return False
 
--- a/sedgepin/_crash_causes/_verdicts.py
+++ b/sedgepin/_crash_causes/_verdicts.py
@@ -77,8 +77,9 @@
             return causes
         marks = _unexplained(alike[0], explained)
         count = losses.count_crashes(alike[0], marks)
-        explained.update(mark.death for mark in marks)
-        units = _group_by_request(alike, explained)
+        deaths = {mark.death for mark in marks}
+        explained |= deaths
+        units = _group_by_request(alike, deaths)
         if len(units) > 1 and count < _CRASHES_TO_HOLD_ALL:
             continue
         hold = _SHORT_HOLD if count <= _CRASHES_TO_TRY_AGAIN else HOLD
--- a/sedgepin/_crash_causes/tests/test_tracker.py
+++ b/sedgepin/_crash_causes/tests/test_tracker.py
@@ -335,4 +335,22 @@
         vm = _Vm()
         for _crash in range(crashes):
             vm.crash("p")
-        assert vm.tracker.is_suspected(_traits("p")) is expected
+        request = crash_causes.SuspectRequest("r", _traits("p"))
+        assert vm.tracker.is_suspected(request) is expected
+
+    def test_request_is_not_suspected_for_its_own_losses(self) -> None:
+        """Several engines of its pipeline may be lost, as with a zone."""
+        vm = _Vm()
+        request = crash_causes.SuspectRequest("r", _traits("p"))
+        for number in range(4):
+            vm.wait(0.3)
+            death = crash_causes.Death(model.EndpointId(f"e{number}"), 1)
+            vm.tracker.record_crash(death, [request], True, vm.now)
+        assert not vm.tracker.is_suspected(request)
+
+    def test_losses_at_one_time_make_no_suspect(self) -> None:
+        vm = _Vm()
+        for _loss in range(4):
+            vm.crash("p", pause=0.01)
+        request = crash_causes.SuspectRequest("r", _traits("p"))
+        assert not vm.tracker.is_suspected(request)
--- a/sedgepin/_gateway/_calls.py
+++ b/sedgepin/_gateway/_calls.py
@@ -70,6 +70,10 @@
             )
         )
 
+    def as_suspect(self) -> crash_causes.SuspectRequest:
+        """Return what may have crashed an endpoint with the request."""
+        return crash_causes.SuspectRequest(self.digest, self.traits)
+
     @property
     def size(self) -> placement.RequestSize | None:
         """Return the expected token counts, or ``None`` without ``usage``."""
--- a/sedgepin/_gateway/_crash_quarantine.py
+++ b/sedgepin/_gateway/_crash_quarantine.py
@@ -188,10 +188,7 @@
         )
         if not requests:
             return []
-        suspects = [
-            crash_causes.SuspectRequest(request.digest, request.traits)
-            for request in requests
-        ]
+        suspects = [request.as_suspect() for request in requests]
         news = self._state.crash_causes.record_crash(
             death, suspects, is_silent, now
         )
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -78,7 +78,7 @@
         return (
             not exchange.has_output
             and self.crash_causes.has_evidence
-            and self.crash_causes.is_suspected(exchange.request.traits)
+            and self.crash_causes.is_suspected(exchange.request.as_suspect())
         )
 
     def release(self, exchange: _exchange.Exchange) -> None:
--- a/sedgepin/_gateway/tests/test_crash_quarantine.py
+++ b/sedgepin/_gateway/tests/test_crash_quarantine.py
@@ -224,6 +224,16 @@
         failure = parts.get_effect(effects, _effects.FailExchange).failure
         assert failure.code == "outcome_unknown"
 
+    def test_request_on_several_lost_engines_is_retried(self) -> None:
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request("/draft/x", shared_parts=("p",))
+        for name in ("low", "high"):
+            gateway.advance(300)
+            lost = protocol.EndpointLost(model.EndpointId(name), 1, True)
+            gateway.receive(lost)
+        effects = gateway.end_attempt(exchange_id, _Outcome.CANCELLED)
+        parts.get_effect(effects, _effects.StartAttempt)
+
     def test_request_that_shares_other_parts_runs(self) -> None:
         gateway = parts.Gateway()
         _hold_back(gateway)
