A late registration of an earlier incarnation ends nothing

A registration with another incarnation counted as a restart of its endpoint, also one that was older and had been delayed: the running engine was suspected, its attempts were cancelled and sent elsewhere, and its loss counted against their requests. Only a newer incarnation ends one now. The new test failed before; operators of similar systems report the like (running work started again elsewhere for a machine that was slow to report).

--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -275,7 +275,7 @@
         record = registry.find(registration.endpoint_id)
         if record is not None:
             before = record.registration
-            if before.incarnation != registration.incarnation:
+            if before.incarnation < registration.incarnation:
                 ended.append(before)
         holder = registry.at_address(registration.address)
         if holder is None or holder.is_leaving or holder.lost_at is not None:
--- a/sedgepin/_gateway/tests/test_crash_quarantine.py
+++ b/sedgepin/_gateway/tests/test_crash_quarantine.py
@@ -234,6 +234,21 @@
         effects = gateway.end_attempt(exchange_id, _Outcome.CANCELLED)
         parts.get_effect(effects, _effects.StartAttempt)
 
+    def test_late_registration_of_an_earlier_incarnation_ends_nothing(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        restarted = parts.make_registration(
+            "low", "model", parts.LOW, incarnation=2
+        )
+        gateway.receive(protocol.RegistrationsSeen((restarted,)))
+        gateway.advance(1000)
+        gateway.send_request("/draft/x", shared_parts=("p",))
+        late = parts.make_registration("low", "model", parts.LOW, sequence=9)
+        effects = gateway.receive(protocol.RegistrationsSeen((late,)))
+        assert not _reported(effects)
+        assert parts.has_no_effect(effects, _effects.CancelAttempt)
+
     def test_request_that_shares_other_parts_runs(self) -> None:
         gateway = parts.Gateway()
         _hold_back(gateway)
