--- a/sedgepin/_entry/_failure_handler.py
+++ b/sedgepin/_entry/_failure_handler.py
@@ -5,11 +5,11 @@
 from sedgepin import _admission as admission
 from sedgepin import _answers as answers
 from sedgepin._entry import _context
-from sedgepin._entry import _crash_causes
 from sedgepin._entry import _effects
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
 from sedgepin._entry import _generation
+from sedgepin._entry import _held_prompts
 from sedgepin._entry import _open_answer
 from sedgepin._entry import _refusals
 from sedgepin._entry import _resumption
@@ -36,7 +36,7 @@
 
     __slots__ = (
         "_context",
-        "_crash_causes",
+        "_held_prompts",
         "_generation",
         "_resumption",
         "_trials",
@@ -48,9 +48,9 @@
         generation: _generation.Generation,
         resumption: _resumption.Resumption,
         trials: _trials.TrialRunner,
-        causes: _crash_causes.CrashCauses,
+        held_prompts: _held_prompts.HeldPrompts,
     ) -> None:
-        self._crash_causes = causes
+        self._held_prompts = held_prompts
         self._context = context
         self._generation = generation
         self._resumption = resumption
@@ -281,7 +281,7 @@
             for answer in self._generation.open_answers.values()
             if answer.runs_on(endpoint_id)
         ]
-        effects += self._crash_causes.record_death(
+        effects += self._held_prompts.record_death(
             endpoint_id, incarnation, on_endpoint, now
         )
         for answer in on_endpoint:
@@ -305,7 +305,7 @@
         """
         effects: Effects = []
         for answer in list(self._generation.open_answers.values()):
-            failure = self._crash_causes.find_failure(answer, now)
+            failure = self._held_prompts.find_failure(answer, now)
             if failure is not None and not answer.is_sustained:
                 effects += self._generation.fail_request(answer, failure, now)
         return effects
--- a/sedgepin/_entry/_generation.py
+++ b/sedgepin/_entry/_generation.py
@@ -10,10 +10,10 @@
 from sedgepin import _answers as answers
 from sedgepin._entry import _admission_controllers
 from sedgepin._entry import _context
-from sedgepin._entry import _crash_causes
 from sedgepin._entry import _effects
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
+from sedgepin._entry import _held_prompts
 from sedgepin._entry import _open_answer
 from sedgepin._entry import _quarantine_updates
 from sedgepin._entry import _refusals
@@ -44,7 +44,7 @@
     __slots__ = (
         "_admission_controllers",
         "_context",
-        "_crash_causes",
+        "_held_prompts",
         "_mean_answer_seconds",
         "open_answers",
         "quarantine_updates",
@@ -54,10 +54,10 @@
         self,
         context: _context.ReducerContext,
         controllers: _admission_controllers.AdmissionControllers,
-        causes: _crash_causes.CrashCauses,
+        held_prompts: _held_prompts.HeldPrompts,
     ) -> None:
         self._context = context
-        self._crash_causes = causes
+        self._held_prompts = held_prompts
         self._admission_controllers = controllers
         self._mean_answer_seconds: dict[model.ModelName, float] = {}
         self.open_answers: dict[model.RequestId, _open_answer.OpenAnswer] = {}
@@ -80,7 +80,7 @@
             return _refusals.refuse_and_log(
                 request.request_id, request.customer, decision.err_value
             )
-        held_back = self._crash_causes.find_failure(answer, now)
+        held_back = self._held_prompts.find_failure(answer, now)
         if held_back is not None:
             return _refusals.refuse_and_log(
                 request.request_id, request.customer, held_back
@@ -141,7 +141,7 @@
         Deprioritized engines are used only if no other pipeline is possible.
         A request that may crash engines gets none.
         """
-        held_back = self._crash_causes.find_failure(answer, now)
+        held_back = self._held_prompts.find_failure(answer, now)
         if held_back is not None and not answer.is_sustained:
             return result.Err(held_back)
         for deprioritized in self._soft_exclusions(answer):
@@ -295,7 +295,7 @@
             _effects.CountMetric("answers_whole"),
             _effects.RecordDuration("answer", now - answer.received_at),
         ]
-        effects += self._crash_causes.record_survival(answer, now)
+        effects += self._held_prompts.record_survival(answer, now)
         return effects + self.close(answer, True, now)
 
     def fail_request(
@@ -416,7 +416,7 @@
             return effects + self.finish(answer, completion, now)
         if answer.is_sustained and not answer.has_survived:
             answer.has_survived = True
-            effects += self._crash_causes.record_survival(answer, now)
+            effects += self._held_prompts.record_survival(answer, now)
         if answer.has_passed_trial:
             self.quarantine_updates.append(
                 _quarantine_updates.TrialPassed(answer)
--- a/sedgepin/_entry/_crash_causes.py
+++ b/sedgepin/_entry/_held_prompts.py
@@ -19,7 +19,7 @@
 Effects = list[_effects.EntryEffect]
 
 
-class CrashCauses:
+class HeldPrompts:
     """Reports deaths and answers to the other entry VMs, and their causes."""
 
     __slots__ = ("_context",)
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -10,12 +10,12 @@
 from sedgepin._entry import _admission_controllers
 from sedgepin._entry import _command_client
 from sedgepin._entry import _context
-from sedgepin._entry import _crash_causes
 from sedgepin._entry import _effects
 from sedgepin._entry import _events
 from sedgepin._entry import _failure_handler
 from sedgepin._entry import _fleet
 from sedgepin._entry import _generation
+from sedgepin._entry import _held_prompts
 from sedgepin._entry import _membership_adapter
 from sedgepin._entry import _resumption
 from sedgepin._entry import _service_calls
@@ -60,7 +60,7 @@
         "_command_client",
         "_connected",
         "_context",
-        "_crash_causes",
+        "_held_prompts",
         "_draining",
         "_failure_handler",
         "_generation",
@@ -109,13 +109,13 @@
             crash_causes=crash_causes.CrashCauseTracker(own_id, now),
             generator=generator,
         )
-        self._crash_causes = _crash_causes.CrashCauses(self._context)
+        self._held_prompts = _held_prompts.HeldPrompts(self._context)
         self._command_client = _command_client.CommandClient(controls)
         self._admission_controllers = (
             _admission_controllers.AdmissionControllers(self._context, now)
         )
         self._generation = _generation.Generation(
-            self._context, self._admission_controllers, self._crash_causes
+            self._context, self._admission_controllers, self._held_prompts
         )
         resumption = _resumption.Resumption(self._context, self._generation)
         self._trials = _trials.TrialRunner(
@@ -126,7 +126,7 @@
             self._generation,
             resumption,
             self._trials,
-            self._crash_causes,
+            self._held_prompts,
         )
         self._calls = _service_calls.ServiceCalls(
             self._context,
@@ -239,7 +239,7 @@
         for rumour in self._context.quarantine.rumours:
             message = protocol.SuspectRumour(rumour)
             effects.append(_effects.SendMessage(peer_id, message))
-        effects += self._crash_causes.snapshot(peer_id)
+        effects += self._held_prompts.snapshot(peer_id)
         line = events.PEER_CONNECTED.line(peer=peer_id)
         return [_effects.WriteLog(line), *effects]
 
@@ -279,7 +279,7 @@
             case protocol.SuspectRumour(rumour):
                 return self._trials.merge_rumour(rumour, now)
             case protocol.CrashesReported(evidence):
-                effects = self._crash_causes.merge(evidence, now)
+                effects = self._held_prompts.merge(evidence, now)
                 return effects + self._failure_handler.enforce_causes(now)
             case protocol.DeclaredLost(incarnation):
                 self._start_new_incarnation(incarnation)
@@ -307,7 +307,7 @@
             self._admission_controllers.tick(now), now
         )
         effects += self._failure_handler.tick(now)
-        effects += self._crash_causes.tick(now)
+        effects += self._held_prompts.tick(now)
         effects += self._calls.tick(now)
         if self._notice_ends_at is not None and now >= self._notice_ends_at:
             self._notice_ends_at = None
