--- a/sedgepin/_crash_causes/_verdicts.py
+++ b/sedgepin/_crash_causes/_verdicts.py
@@ -16,7 +16,7 @@
 from sedgepin._crash_causes import _losses
 from sedgepin._crash_causes import _trait
 
-# The users' rules allow three crashes to a request and five to a part.
+# Fewer crashes may be chance: sound requests run into some as well.
 CRASHES_TO_HOLD = 3
 # A trait that requests were answered with shortly before is rarely at fault.
 CRASHES_TO_HOLD_SOUND = 6
