Count attempts on silent engines towards the limit of the route

What callers saw: a request ran on more engines than its route allows; one that may not be sent again was ended with 502 while its engine was sound.

Cause: an engine that does not answer an inspection within 0.3 s counted as failed, and a cancelled attempt on a failed engine did not count. The class of fault: silence taken for a proof of failure. A reroute that got no answer, and a stage without a replacement, cancelled attempts in the same way.

Change: an attempt counts unless its engine is proven to have ended, which is decided when the next one is chosen: the leader was refused a connection, or a later incarnation has registered. A reset connection is no such proof, since engines reset connections above their limit. An attempt is cancelled for silence only if the request may run elsewhere, and the retry is taken from the budget at that moment; otherwise it goes on (request_kept).

Losses of engines that end move their requests at once, as before (test_requests, test_crashing_parts).

--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -34,15 +34,18 @@
 class EndpointRecord:
     """Registry entry of one endpoint.
 
-    ``lost_at`` is set while the endpoint counts as failed.  ``slowdown`` is
-    the factor by which its reported durations exceed those of its accelerator
-    type; 1.0 is normal.  ``is_leaving`` is set once the endpoint has said in
-    an answer that it is leaving.
+    ``lost_at`` is set while the endpoint counts as failed.  ``has_ended`` is
+    set while there is proof that its process has ended; an endpoint that only
+    fell silent may go on.  ``slowdown`` is the factor by which its reported
+    durations exceed those of its accelerator type; 1.0 is normal.
+    ``is_leaving`` is set once the endpoint has said in an answer that it is
+    leaving.
     """
 
     registration: _registration.Registration
     last_seen_at: datetime.datetime
     lost_at: datetime.datetime | None = None
+    has_ended: bool = False
     slowdown: float = 1.0
     is_leaving: bool = False
 
@@ -209,6 +212,7 @@
         ):
             return
         record.lost_at = None
+        record.has_ended = False
         record.last_seen_at = max(record.last_seen_at, now)
 
     def mark_lost(
@@ -216,9 +220,11 @@
         endpoint_id: model.EndpointId,
         incarnation: int,
         now: datetime.datetime,
+        has_ended: bool = False,
     ) -> bool:
         """Count an endpoint as failed until its next heartbeat.
 
+        ``has_ended`` tells whether there is proof that its process has ended.
         Return whether it was alive before.  A loss of another incarnation is
         ignored.
         """
@@ -227,8 +233,25 @@
             return False
         was_alive = record.lost_at is None
         record.lost_at = now
+        record.has_ended = record.has_ended or has_ended
         return was_alive
 
+    def has_ended(
+        self, endpoint_id: model.EndpointId, incarnation: int | None
+    ) -> bool:
+        """Return whether there is proof that an incarnation has ended.
+
+        The proof is a refused connection that the leader has confirmed, or a
+        later incarnation of the endpoint or at its address.
+        """
+        record = self._records.get(endpoint_id)
+        if record is None or incarnation is None:
+            return False
+        current = record.registration.incarnation
+        return incarnation < current or (
+            incarnation == current and record.has_ended
+        )
+
     def remove_expired(
         self, timeout: datetime.timedelta, now: datetime.datetime
     ) -> None:
@@ -254,6 +277,7 @@
                 holder.registration = _with_state(
                     replaced, _registration.EndpointState.GONE
                 )
+                holder.has_ended = True
         record = self._records.get(registration.endpoint_id)
         slowdown = 1.0
         is_leaving = False
--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -70,10 +70,12 @@
         )
         effects: _shared_state.Effects = [_shared_state.log(line)]
         effects += self._mark_failed_endpoint(event, exchange, dispatch, now)
+        if event.outcome not in (_Outcome.NOT_SENT, _Outcome.NOT_RUN):
+            exchange.runs.append(
+                _exchange.Run(dispatch.endpoint_id, dispatch.incarnation)
+            )
         self._state.release(exchange)
         exchange.tried_endpoints.add(dispatch.endpoint_id)
-        if event.outcome not in (_Outcome.NOT_SENT, _Outcome.NOT_RUN):
-            exchange.may_have_run = True
         return effects + self._retry_or_fail(exchange, event, now)
 
     def _mark_failed_endpoint(
@@ -124,8 +126,6 @@
     ) -> _shared_state.Effects:
         """Retry if the route and the retry budget allow it, else fail."""
         match event.outcome:
-            case _Outcome.CANCELLED:
-                return self._retry_cancelled(exchange, event, now)
             case _Outcome.NOT_SENT:
                 if exchange.send_count < _MAX_SENDS:
                     return self._dispatcher.dispatch_or_queue(exchange, now)
@@ -137,10 +137,8 @@
                 )
             case _Outcome.NOT_RUN:
                 return self._retry_refused(exchange, now)
-        exchange.run_count += 1
-        may_retry = (
-            exchange.may_run_again
-            and not self._state.may_crash_another(exchange)
+        may_retry = exchange.has_reserved_retry or (
+            self._state.may_run_again(exchange)
             and self._state.retry_budget.try_spend(exchange.service.name, now)
         )
         if may_retry:
@@ -167,31 +165,6 @@
             now,
         )
 
-    def _retry_cancelled(
-        self,
-        exchange: _exchange.Exchange,
-        event: _events.AttemptEnded,
-        now: datetime.datetime,
-    ) -> _shared_state.Effects:
-        """Retry a request whose attempt the gateway cancelled, or fail it.
-
-        An attempt on an endpoint that failed does not count towards the
-        attempts that ran.
-        """
-        endpoint_id = event.endpoint_id
-        if endpoint_id is None or not self._state.fleet.is_suspected(
-            endpoint_id, now
-        ):
-            exchange.run_count += 1
-        if (
-            exchange.may_run_again
-            and not self._state.may_crash_another(exchange)
-            and self._state.retry_budget.try_spend(exchange.service.name, now)
-        ):
-            return self._dispatcher.dispatch_or_queue(exchange, now)
-        outcome_unknown = _failures.OutcomeUnknown(event.detail)
-        return self._dispatcher.fail(exchange, outcome_unknown, now)
-
 
 def _log_answered(
     exchange: _exchange.Exchange,
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -401,6 +401,8 @@
         exchange.reroute_count = 0
         exchange.is_rerouting = False
         exchange.is_sustained = False
+        exchange.has_reserved_retry = False
+        exchange.is_kept = False
         self._state.fleet.add_load(exchange.endpoint_ids, exchange.tokens)
         if pipeline is not None:
             self._state.fleet.unreported_load.record_sent(now)
@@ -419,7 +421,7 @@
             exchange.exchange_id,
             dispatch,
             exchange.route.kind is catalog.RetrySemantics.STREAM,
-            _answer_timeout(exchange),
+            self._answer_timeout(exchange),
         )
         return [_shared_state.log(line), start]
 
@@ -441,17 +443,16 @@
             return failure
         return _failures.OutcomeUnknown(failure.detail())
 
+    def _answer_timeout(
+        self, exchange: _exchange.Exchange
+    ) -> datetime.timedelta | None:
+        """Return how long to wait for an answer head; ``None`` for no limit.
 
-def _answer_timeout(
-    exchange: _exchange.Exchange,
-) -> datetime.timedelta | None:
-    """Return how long to wait for an answer head, or ``None`` for no limit.
-
-    There is a limit only if the request may run on another endpoint after
-    this one.
-    """
-    if exchange.route.kind is not catalog.RetrySemantics.IDEMPOTENT:
-        return None
-    if exchange.run_count + 1 >= exchange.route.max_attempts:
-        return None
-    return exchange.route.first_output_target
+        There is a limit only if the request may run on another endpoint after
+        this one.
+        """
+        if exchange.route.kind is not catalog.RetrySemantics.IDEMPOTENT:
+            return None
+        if not self._state.may_run_again(exchange):
+            return None
+        return exchange.route.first_output_target
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -8,15 +8,26 @@
 from sedgepin import _model as model
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Run:
+    """An endpoint that may have run a request."""
+
+    endpoint_id: model.EndpointId
+    incarnation: int | None
+
+
 @dataclasses.dataclass(slots=True)
 class Exchange:
     """An admitted request and the progress of its attempts.
 
-    ``send_count`` counts all attempts.  ``run_count`` counts those that may
-    have run, except on endpoints that have failed since; ``may_have_run``
-    covers these as well.  ``tried_endpoints`` holds the endpoints on which an
-    attempt failed.  ``position`` is the id of the last event that the caller
-    received.  ``queued_at`` is set while the request waits for capacity.
+    ``send_count`` counts all attempts.  ``runs`` holds those that have ended
+    and may have run.  ``has_reserved_retry`` is set while an attempt is being
+    cancelled whose successor is in the retry budget already.
+    ``is_kept`` is set once an attempt without progress has been left alone,
+    because the request may run nowhere else.
+    ``tried_endpoints`` holds the endpoints on which an attempt failed.
+    ``position`` is the id of the last event that the caller received.
+    ``queued_at`` is set while the request waits for capacity.
     ``is_sustained`` is set once an attempt has sent so many events that the
     request cannot crash its engine.
     """
@@ -30,9 +41,10 @@
     deadline: datetime.datetime
     dispatch: _calls.Dispatch | None = None
     send_count: int = 0
-    run_count: int = 0
-    may_have_run: bool = False
+    runs: list[Run] = dataclasses.field(default_factory=list)
+    has_reserved_retry: bool = False
     reroute_count: int = 0
+    is_kept: bool = False
     position: int | None = None
     has_output: bool = False
     is_rerouting: bool = False
@@ -68,12 +80,16 @@
         return tuple(stage.endpoint_id for stage in stages)
 
     @property
-    def may_run_again(self) -> bool:
-        """Return whether one more endpoint may run the request."""
-        return (
-            self.route.is_retryable
-            and self.run_count < self.route.max_attempts
-        )
+    def may_have_run(self) -> bool:
+        """Return whether an attempt that has ended may have run."""
+        return bool(self.runs)
+
+    @property
+    def current_run(self) -> Run | None:
+        """Return the endpoint of the attempt in progress."""
+        if self.dispatch is None:
+            return None
+        return Run(self.dispatch.endpoint_id, self.dispatch.incarnation)
 
     def time_left(self, now: datetime.datetime) -> datetime.timedelta:
         """Return the time until the deadline; negative after it."""
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -295,7 +295,9 @@
         """Fail over from an endpoint that the leader declared lost."""
         endpoint_id, incarnation = message.endpoint_id, message.incarnation
         registry = self._state.fleet.registry
-        if not registry.mark_lost(endpoint_id, incarnation, now):
+        if not registry.mark_lost(
+            endpoint_id, incarnation, now, not message.is_silent
+        ):
             return []
         self._state.fleet.invalidate_pipelines()
         effects = self._quarantine.record_loss(
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -81,6 +81,32 @@
             and self.crash_causes.is_suspected(exchange.request.as_suspect())
         )
 
+    def run_count(self, exchange: _exchange.Exchange) -> int:
+        """Return how many attempts count towards the limit of the route.
+
+        Those on endpoints that have ended since do not.
+        """
+        return sum(not self.has_ended(run) for run in exchange.runs)
+
+    def may_run_again(self, exchange: _exchange.Exchange) -> bool:
+        """Return whether one more endpoint may get the request.
+
+        The attempt in progress, if there is one, is taken as lost.
+        """
+        run_count = self.run_count(exchange)
+        current = exchange.current_run
+        if current is not None and not self.has_ended(current):
+            run_count += 1
+        return (
+            exchange.route.is_retryable
+            and run_count < exchange.route.max_attempts
+            and not self.may_crash_another(exchange)
+        )
+
+    def has_ended(self, run: _exchange.Run) -> bool:
+        """Return whether the endpoint of a run is known to have ended."""
+        return self.fleet.registry.has_ended(run.endpoint_id, run.incarnation)
+
     def release(self, exchange: _exchange.Exchange) -> None:
         """Remove a request's load from its endpoints and end its dispatch."""
         self.fleet.remove_load(exchange.endpoint_ids, exchange.tokens)
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -89,7 +89,11 @@
     def handle_endpoint_failure(
         self, endpoint_id: model.EndpointId, now: datetime.datetime
     ) -> _shared_state.Effects:
-        """Move all requests of a failed endpoint to other endpoints."""
+        """Move requests of an endpoint that failed, or fell silent, elsewhere.
+
+        A silent one may go on, so that requests which may run nowhere else
+        stay.
+        """
         effects = self._state.suspect(
             endpoint_id, "its requests make no progress", now
         )
@@ -101,7 +105,7 @@
             if dispatch is None or dispatch.pipeline is None:
                 continue
             if dispatch.endpoint_id == endpoint_id:
-                effects.append(_effects.CancelAttempt(exchange.exchange_id))
+                effects += self._cancel_or_keep(exchange, endpoint_id, now)
             else:
                 effects += self._reroute(exchange, now)
         return effects
@@ -123,7 +127,7 @@
                 reason = "it refused to join a failover pipeline"
                 effects = self._state.suspect(endpoint_id, reason, now)
                 return effects + self._reroute(exchange, now)
-        return [_effects.CancelAttempt(exchange.exchange_id)]
+        return self._cancel_or_keep(exchange, None, now)
 
     def _reroute(
         self, exchange: _exchange.Exchange, now: datetime.datetime
@@ -145,7 +149,7 @@
                 exchange.service, size, dispatch.pipeline, now
             )
         if failover_pipeline is None:
-            return [_effects.CancelAttempt(exchange.exchange_id)]
+            return self._cancel_or_keep(exchange, None, now)
         exchange.is_rerouting = True
         exchange.reroute_count += 1
         self._state.fleet.remove_load(exchange.endpoint_ids, exchange.tokens)
@@ -171,3 +175,45 @@
             failover_pipeline,
         )
         return [_shared_state.log(line), reroute]
+
+    def _cancel_or_keep(
+        self,
+        exchange: _exchange.Exchange,
+        silent_id: model.EndpointId | None,
+        now: datetime.datetime,
+    ) -> _shared_state.Effects:
+        """Cancel an attempt that makes no progress, if that serves the caller.
+
+        It does if the request may run on another endpoint.  Otherwise the
+        attempt goes on, unless one of its endpoints is known to have ended.
+        ``silent_id`` names the first engine if it did not answer.
+        """
+        if exchange.has_reserved_retry:
+            return []
+        has_retry = self._state.may_run_again(
+            exchange
+        ) and self._state.retry_budget.try_spend(exchange.service.name, now)
+        if has_retry or self._has_ended_stage(exchange):
+            exchange.has_reserved_retry = has_retry
+            return [_effects.CancelAttempt(exchange.exchange_id)]
+        if exchange.is_kept:
+            return []
+        exchange.is_kept = True
+        line = events.REQUEST_KEPT.line(
+            request=exchange.request.request_id,
+            endpoint=silent_id or exchange.endpoint_ids[0],
+            attempts=exchange.send_count,
+            counted=self._state.run_count(exchange) + 1,
+            allowed=exchange.route.max_attempts,
+        )
+        return [_shared_state.log(line)]
+
+    def _has_ended_stage(self, exchange: _exchange.Exchange) -> bool:
+        """Return whether an endpoint of the attempt is known to have ended."""
+        current = exchange.current_run
+        if current is not None and self._state.has_ended(current):
+            return True
+        records = map(self._state.fleet.registry.find, exchange.endpoint_ids)
+        return any(
+            record is not None and record.has_ended for record in records
+        )
--- a/sedgepin/_gateway/tests/test_log_lines.py
+++ b/sedgepin/_gateway/tests/test_log_lines.py
@@ -71,6 +71,14 @@
     return gateway.send_request("/draft/x", shared_parts=("s", "p"))[1]
 
 
+def _request_kept(gateway: parts.Gateway) -> _Effects:
+    exchange_id, _ = gateway.send_request("/draft/x")
+    gateway.handle(_events.StallsInspected(_LOW, None))
+    far = model.EndpointId("far-low")
+    gateway.end_attempt(exchange_id, _Outcome.CANCELLED, endpoint_id=_LOW)
+    return gateway.handle(_events.StallsInspected(far, None))
+
+
 def _request_failed(gateway: parts.Gateway) -> _Effects:
     exchange_id, _ = gateway.send_request("/post/x")
     return gateway.end_attempt(exchange_id, _Outcome.UNKNOWN, detail="reset")
@@ -210,6 +218,10 @@
         _stalls_inspected,
         {"request": "r1", "after": "low=0-2,far-high=2-4"},
     ),
+    "request_kept": (
+        _request_kept,
+        {"request": "r1", "endpoint": "far-low", "counted": 2, "allowed": 2},
+    ),
     "endpoint_suspected": (_endpoint_suspected, {"failure": "refused"}),
     "configuration_in_force": (
         _configuration_in_force,
--- a/sedgepin/_gateway/tests/test_requests.py
+++ b/sedgepin/_gateway/tests/test_requests.py
@@ -281,7 +281,7 @@
                 exchange_id, _Outcome.CANCELLED, endpoint_id=endpoint_id
             )
         exchange = gateway.reducer._state.exchanges[exchange_id]
-        assert exchange.run_count == 0
+        assert gateway.reducer._state.run_count(exchange) == 0
 
 
 def _configuration_requests(
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -7,7 +7,6 @@
 import time
 import typing
 
-import result
 import trio
 
 from sedgepin import _catalog as catalog
@@ -280,8 +279,7 @@
                 effect.incarnation,
                 report,
                 response.is_ok(),
-                isinstance(response, result.Err)
-                and response.err_value.is_timeout,
+                not _is_refusal(response.err()),
             )
         )
 
@@ -326,6 +324,14 @@
         return settings.Peer(id=vm_id, address=vm_id, data_centre="")
 
 
+def _is_refusal(failure: errors.Failure | None) -> bool:
+    """Return whether no process serves at the address that was called.
+
+    A connection that is accepted and then reset may only be one too many.
+    """
+    return isinstance(failure, web.ConnectFailed) and not failure.is_timeout
+
+
 def run(
     source: shell.SettingsSource[_settings.RegistrarSettings],
     dialect: _dialect.ControlDialect,
--- a/sedgepin/_registrar/_events.py
+++ b/sedgepin/_registrar/_events.py
@@ -67,8 +67,8 @@
     """A report request to an endpoint was answered, or has failed.
 
     ``has_answered`` is true for any response: plain services are alive but
-    provide no report.  ``is_silent`` is true if nothing came back, not even a
-    refused connection.
+    provide no report.  ``is_silent`` is true unless the connection was
+    refused, which proves that the endpoint has ended.
     """
 
     endpoint_id: model.EndpointId
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -416,6 +416,19 @@
     "before",
     "after",
 )
+REQUEST_KEPT = _define(
+    326,
+    "INFO",
+    "request_kept",
+    "A request stays with an engine that is silent or makes no progress,"
+    " because it may run on no other; attempts on engines that have ended"
+    " are not counted.",
+    "request",
+    "endpoint",
+    "attempts",
+    "counted",
+    "allowed",
+)
 REQUEST_UNREADABLE = _define(
     318,
     "INFO",
