--- /dev/null
+++ b/sedgepin/platform/tests/test_unproven_silence.py
@@ -0,0 +1,177 @@
+"""Tests of calls to engines that answer, though not with a report."""
+
+import collections.abc
+import datetime
+import socket
+import struct
+
+import pytest
+import trio
+
+from sedgepin._gateway import _calls
+from sedgepin._gateway import _effects as gateway_effects
+from sedgepin._gateway import _engine_calls
+from sedgepin._gateway import _events as gateway_events
+from sedgepin._gateway import _relay
+from sedgepin._gateway.tests import parts
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin._registrar import _daemon
+from sedgepin._registrar import _effects
+from sedgepin._registrar import _events
+from sedgepin._registrar.tests import cluster as clusters
+from sedgepin import _shell as shell
+from sedgepin import _web as web
+from sedgepin import clock
+from sedgepin.platform import _control
+from sedgepin.platform import _gateway
+
+_Engine = collections.abc.Callable[
+    [trio.SocketStream], collections.abc.Awaitable[None]
+]
+
+
+async def _reset(stream: trio.SocketStream) -> None:
+    """Reset a connection, as an engine does with one too many."""
+    await stream.receive_some(65_536)
+    linger = struct.pack("ii", 1, 0)
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+async def _refuse(stream: trio.SocketStream) -> None:
+    await stream.receive_some(65_536)
+    await stream.send_all(
+        b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+    )
+
+
+async def _serve(nursery: trio.Nursery, engine: _Engine) -> str:
+    """Accept connections for an emulated engine; return its address."""
+    listeners = await nursery.start(trio.serve_tcp, engine, 0)
+    return f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+
+
+class TestStallInspection:
+    @pytest.mark.parametrize("engine", [_reset, _refuse])
+    async def test_engine_that_answers_without_a_report_is_not_silent(
+        self, nursery: trio.Nursery, engine: _Engine
+    ) -> None:
+        address = await _serve(nursery, engine)
+        low = model.EndpointId("low")
+        inspected = await _engine_calls.inspect_stalls(
+            gateway_effects.InspectStalls(low, address),
+            _gateway.GatewayDialect(),
+            lambda event: None,
+            parts.milliseconds(1000),
+        )
+        gateway = parts.Gateway()
+        gateway.send_request("/draft/x")
+        effects = gateway.handle(inspected)
+        assert parts.has_no_effect(effects, gateway_effects.CancelAttempt)
+        nursery.cancel_scope.cancel()
+
+
+class TestCheckOfTheLeader:
+    async def test_engine_that_resets_a_connection_is_not_lost(
+        self, nursery: trio.Nursery
+    ) -> None:
+        """It may have as many connections as it accepts."""
+        address = await _serve(nursery, _reset)
+        cluster = clusters.Cluster()
+        cluster.run(2)
+        leader = cluster.leader()
+        cluster.connect_entry(leader)
+        cluster.register(leader, clusters.registration(address=address))
+        endpoint_id = model.EndpointId("e")
+        failed = protocol.EndpointFailed(endpoint_id, 1)
+        entry = model.VmId("entry")
+        cluster.handle(leader, protocol.PeerMessageReceived(entry, failed))
+        check = cluster.engine_calls[-1]
+        assert isinstance(check, _effects.InspectEngine)
+        cluster.handle(leader, await self._inspect(check))
+        cluster.run(0.1)
+        assert not any(
+            isinstance(message, protocol.EndpointLost)
+            for message in cluster.entry_messages
+        )
+        nursery.cancel_scope.cancel()
+
+    async def _inspect(
+        self, check: _effects.InspectEngine
+    ) -> _events.RegistrarEvent:
+        """Carry out a check as the daemon does, and return its event."""
+        inspected: list[_events.RegistrarEvent] = []
+
+        def handle(
+            event: _events.RegistrarEvent, now: datetime.datetime
+        ) -> list[_effects.RegistrarEffect]:
+            inspected.append(event)
+            return []
+
+        daemon = _daemon.RegistrarDaemon.__new__(_daemon.RegistrarDaemon)
+        daemon._dialect = _control.ControlDialect()
+        daemon._driver = shell.Driver(
+            handle,
+            lambda effect: None,
+            clock.SystemClock(),
+        )
+        await daemon._inspect_engine(check)
+        return inspected[-1]
+
+
+class _Caller(web.Exchange):
+    """A caller that waits for its answer."""
+
+    def __init__(self) -> None:
+        self.request = web.Request(
+            b"POST", b"/draft/x", ((b"Host", b"one.example"),)
+        )
+        self.has_started = False
+
+    async def start(self, head: web.AnswerHead) -> None:
+        self.has_started = True
+
+    async def answer(self, head: web.AnswerHead, body: bytes) -> None:
+        self.has_started = True
+
+    async def send(self, data: bytes) -> None:
+        raise NotImplementedError
+
+    async def finish(self) -> None:
+        raise NotImplementedError
+
+
+class TestCancelledBeforeItBegan:
+    async def test_attempt_ends(self, nursery: trio.Nursery) -> None:
+        """The reducer may cancel an attempt before its task has begun it."""
+
+        async def engine(stream: trio.SocketStream) -> None:
+            await trio.sleep(5)
+
+        address = await _serve(nursery, engine)
+        dispatch = _calls.Dispatch(model.EndpointId("e"), address, None, None)
+        caller = _Caller()
+        ended: list[gateway_events.AttemptEnded] = []
+
+        def submit(event: gateway_events.GatewayEvent) -> None:
+            if isinstance(event, gateway_events.RequestArrived):
+                start = gateway_effects.StartAttempt(1, dispatch, True)
+                relay.handle_effect(start)
+                relay.handle_effect(gateway_effects.CancelAttempt(1))
+            if isinstance(event, gateway_events.AttemptEnded):
+                ended.append(event)
+
+        relay = _relay.Relay(
+            1,
+            caller,
+            _calls.CallerRequest(
+                "r1", "one.example", "/draft/x", caller.request
+            ),
+            _gateway.GatewayDialect(),
+            submit,
+        )
+        nursery.start_soon(relay.run)
+        await trio.sleep(0.5)
+        outcomes = [event.outcome for event in ended]
+        assert outcomes == [gateway_events.AttemptOutcome.CANCELLED]
+        nursery.cancel_scope.cancel()
