--- a/sedgepin/tests/fake_endpoints.py
+++ b/sedgepin/tests/fake_endpoints.py
@@ -31,7 +31,7 @@
         self._simulation.schedule(
             _ANNOUNCE_INTERVAL_SECONDS, lambda: self.announce(endpoint)
         )
-        if not endpoint.is_alive:
+        if not endpoint.is_alive or endpoint.is_paused:
             return
         for vm in self._simulation.vms.values():
             is_local = vm.data_centre == endpoint.data_centre
@@ -133,6 +133,14 @@
                 return
         if any(endpoint.is_silent for endpoint in endpoints):
             return
+        if any(endpoint.is_paused for endpoint in endpoints):
+            self._simulation.schedule(
+                _TOKEN_INTERVAL_SECONDS,
+                lambda: self._send_token(
+                    vm, vm_incarnation, effect, incarnations, position
+                ),
+            )
+            return
         if position >= effect.limit_tokens:
             ended = entry.StreamEnded(*identity, position, "length")
             self._simulation.submit(vm.name, ended)
@@ -171,13 +179,18 @@
     def answer_probe(self, vm: fakes.Vm, effect: typing.Any) -> None:
         """Report the state of each probed stage.
 
-        A silent stage reports one token more received than sent on.
+        A silent stage reports one token more received than sent on.  The
+        probe of a paused stage times out.
         """
         reports = []
+        delay = 0.0
         for stage in effect.stages:
             endpoint = self._simulation.endpoints[stage.endpoint_id]
             is_reachable = self._simulation.can_reach(vm.name, endpoint.name)
             answers_probe = endpoint.is_alive and is_reachable
+            if endpoint.is_paused:
+                answers_probe = False
+                delay = effect.timeout.total_seconds()
             produced = self._simulation.produced_counts.get(
                 (effect.request_id, effect.attempt), 0
             )
@@ -193,7 +206,9 @@
         answered = entry.ProbeAnswered(
             effect.request_id, effect.attempt, effect.probe, tuple(reports)
         )
-        self._simulation.submit(vm.name, answered)
+        self._simulation.schedule(
+            delay, lambda: self._simulation.submit(vm.name, answered)
+        )
 
     def execute_call(
         self, vm: fakes.Vm, vm_incarnation: int, effect: typing.Any
--- a/sedgepin/tests/fakes.py
+++ b/sedgepin/tests/fakes.py
@@ -63,7 +63,8 @@
 class Endpoint:
     """A fake engine, or a plain service if ``layers`` is ``None``.
 
-    A silent endpoint accepts work and never answers.  ``fence`` is the
+    A silent endpoint accepts work and never answers.  A paused one, like a
+    stopped process, says nothing at all until it goes on.  ``fence`` is the
     highest fencing token that it has accepted.
     """
 
@@ -73,6 +74,7 @@
     is_alive: bool = True
     is_leaving: bool = False
     is_silent: bool = False
+    is_paused: bool = False
     checks_fencing: bool = True
     incarnation: int = 1
     sequence: int = 0
