--- a/sedgepin/_entry/_generation.py
+++ b/sedgepin/_entry/_generation.py
@@ -130,6 +130,23 @@
             return self.fail_request(answer, chosen.err_value, now)
         return self.start(answer, chosen.ok_value, now)
 
+    def find_refusal(
+        self, answer: _open_answer.OpenAnswer, now: datetime.datetime
+    ) -> errors.Failure | None:
+        """Return why no attempt may follow on any pipeline, if so.
+
+        The limit holds for all attempts, whatever ended those before: an
+        engine that refused or fell silent has had the request, too.
+        """
+        attempts = answer.assembly.attempt
+        if attempts >= answers.MAX_ATTEMPTS:
+            return answers.AttemptsExhausted(
+                attempts, answer.assembly.next_position
+            )
+        if answer.is_sustained:
+            return None
+        return self._held_prompts.find_failure(answer, now)
+
     def choose(
         self,
         answer: _open_answer.OpenAnswer,
@@ -139,11 +156,11 @@
         """Choose a pipeline of one version, the one in force if possible.
 
         Deprioritized engines are used only if no other pipeline is possible.
-        A request that may crash engines gets none.
+        A request that ``find_refusal`` refuses gets none.
         """
-        held_back = self._held_prompts.find_failure(answer, now)
-        if held_back is not None and not answer.is_sustained:
-            return result.Err(held_back)
+        refusal = self.find_refusal(answer, now)
+        if refusal is not None:
+            return result.Err(refusal)
         for deprioritized in self._soft_exclusions(answer):
             chosen = self._choose(answer, excluded | deprioritized, now)
             if chosen.is_ok():
--- a/sedgepin/_entry/_trials.py
+++ b/sedgepin/_entry/_trials.py
@@ -126,6 +126,9 @@
         completion = answer.assembly.complete_at_limit()
         if completion is not None:
             return self._generation.finish(answer, completion, now)
+        refusal = self._generation.find_refusal(answer, now)
+        if refusal is not None:
+            return self._generation.fail_request(answer, refusal, now)
         busy = quarantine.trial_endpoints(now)
         excluded = busy | self._reserved_for_others(answer, busy, now)
         chosen = self._generation.choose(answer, excluded, now)
