Count no engine that was silent and goes on against a request

Callers saw request_quarantined (422) for sound requests, and so did all their repeats for ten minutes: each of two engines was silent for 1.3 s in the middle of the answer, was declared dead, and went on. A quarantine takes two deaths, and took silence for one.

A death that no broken stream shows is now marked as silent, and the verdict on a pair waits until 4 s after it. An announcement that the same incarnation sent after its death disproves it: the request runs on at once, on every VM, and a quarantine that rests on it ends. A crash breaks its streams and is judged as before; an engine that is silent for good counts as before, 4 s after its death instead of 1 s.

Ruled out: not to count silence at all, which would let a request that ends whole machines go on to its eighth.

--- a/sedgepin/_admission/_quarantine.py
+++ b/sedgepin/_admission/_quarantine.py
@@ -109,9 +109,26 @@
         self._deaths.remove_expired_deaths(now)
         self._deaths.record(death, now)
         for request in event.in_flight:
-            self._record_death(request, death, now)
+            self._record_death(request, death, event.is_silent, now)
         return self._advance_all(now)
 
+    def death_disproved(
+        self, death: _rumour.DeathId, now: datetime.datetime
+    ) -> list[_quarantine_types.QuarantineEffect]:
+        """Discount the death of an endpoint that was silent and goes on."""
+        effects: list[_quarantine_types.QuarantineEffect] = []
+        for suspect in list(self._suspects.values()):
+            rumour = suspect.rumour
+            if death not in rumour.counted_deaths:
+                continue
+            discounted = rumour.with_changes(
+                disproved=rumour.disproved | {death},
+                cleared=rumour.cleared | {death},
+            )
+            self._set_rumour(suspect, discounted)
+            effects += self._advance(suspect, now)
+        return effects
+
     def trial_placed(
         self,
         fingerprint: _rumour.Fingerprint,
@@ -209,6 +226,7 @@
         self,
         request: _quarantine_types.InFlightRequest,
         death: _rumour.DeathId,
+        is_silent: bool,
         now: datetime.datetime,
     ) -> None:
         until = now + self._settings.suspicion_period
@@ -226,7 +244,9 @@
         # death is no further evidence.
         if suspect.rumour.counted_deaths and not request.endpoint_seen_alive:
             return
-        mark = _rumour.DeathMark(death, now, request.endpoint_seen_alive)
+        mark = _rumour.DeathMark(
+            death, now, request.endpoint_seen_alive, is_silent
+        )
         self._set_rumour(
             suspect,
             suspect.rumour.merged(new_rumour.with_changes(deaths=(mark,))),
@@ -295,7 +315,15 @@
             suspect.quarantined = False
 
     def _verdict_due_at(self, suspect: _suspect.Suspect) -> datetime.datetime:
-        return suspect.last_death_at + self._settings.judgement_period
+        return max(
+            mark.at
+            + (
+                self._settings.silence_period
+                if mark.is_silent
+                else self._settings.judgement_period
+            )
+            for mark in suspect.rumour.counted_deaths.values()
+        )
 
     def _quarantined_until(
         self, suspect: _suspect.Suspect
--- a/sedgepin/_admission/_quarantine_types.py
+++ b/sedgepin/_admission/_quarantine_types.py
@@ -92,8 +92,9 @@
     ``trial_period``; the trial starts ``settle_period`` after the claim, so
     that the claim reaches the other VMs first.  The verdict after a second
     death is delayed by ``judgement_period``, in which further deaths may show
-    a correlated failure.  Copies refused during a trial are told to retry
-    after ``retry_after_trial``.
+    a correlated failure, and until ``silence_period`` after each death of an
+    endpoint that only fell silent, in which it may go on.  Copies refused
+    during a trial are told to retry after ``retry_after_trial``.
     """
 
     suspicion_period: datetime.timedelta = datetime.timedelta(minutes=1)
@@ -101,6 +102,7 @@
     trial_period: datetime.timedelta = datetime.timedelta(seconds=10)
     settle_period: datetime.timedelta = datetime.timedelta(milliseconds=20)
     judgement_period: datetime.timedelta = datetime.timedelta(seconds=1)
+    silence_period: datetime.timedelta = datetime.timedelta(seconds=4)
     retry_after_trial: datetime.timedelta = datetime.timedelta(seconds=1)
 
 
@@ -119,11 +121,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EndpointDied:
-    """An endpoint died while running this VM's requests ``in_flight``."""
+    """An endpoint died while running this VM's requests ``in_flight``.
+
+    ``is_silent`` is set if it only stopped answering.  If it goes on, call
+    ``Quarantine.death_disproved``.
+    """
 
     endpoint_id: model.EndpointId
     incarnation: model.Incarnation
     in_flight: tuple[InFlightRequest, ...] = ()
+    is_silent: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_admission/_rumour.py
+++ b/sedgepin/_admission/_rumour.py
@@ -30,17 +30,25 @@
     """An endpoint death while the request was in flight.
 
     ``proven`` is set if the endpoint was seen alive after it received the
-    request.
+    request, and ``is_silent`` if it only stopped answering, so that it may
+    go on.
     """
 
     death: DeathId
     at: datetime.datetime
     proven: bool
+    is_silent: bool = False
 
     def merged(self, other: "DeathMark") -> "DeathMark":
-        """Return one mark: the earlier time, and proven if either is."""
+        """Return one mark: the earlier time, proven if either is.
+
+        It is silent only if both are.
+        """
         return DeathMark(
-            self.death, min(self.at, other.at), self.proven or other.proven
+            self.death,
+            min(self.at, other.at),
+            self.proven or other.proven,
+            self.is_silent and other.is_silent,
         )
 
 
@@ -82,7 +90,8 @@
 
     ``acquitted`` deaths no longer count against the request.  ``cleared``
     deaths need no further trial: the request has since run past the point at
-    which the endpoint died, or the death had another cause.
+    which the endpoint died, or the death had another cause.  The endpoints of
+    ``disproved`` deaths were silent and went on.
     """
 
     fingerprint: Fingerprint
@@ -91,6 +100,7 @@
     acquitted: frozenset[DeathId] = frozenset()
     cleared: frozenset[DeathId] = frozenset()
     trial: Trial | None = None
+    disproved: frozenset[DeathId] = frozenset()
 
     @property
     def counted_deaths(self) -> dict[DeathId, DeathMark]:
@@ -99,6 +109,7 @@
             mark.death: mark
             for mark in self.deaths
             if mark.death not in self.acquitted
+            and mark.death not in self.disproved
         }
 
     @property
@@ -115,6 +126,7 @@
             self.acquitted | other.acquitted,
             self.cleared | other.cleared,
             _merged_trials(self.trial, other.trial),
+            self.disproved | other.disproved,
         )
 
     def with_changes(self, **changes: object) -> "Rumour":
--- a/sedgepin/_entry/_failure_handler.py
+++ b/sedgepin/_entry/_failure_handler.py
@@ -13,6 +13,7 @@
 from sedgepin._entry import _open_answer
 from sedgepin._entry import _refusals
 from sedgepin._entry import _resumption
+from sedgepin._entry import _silent_deaths
 from sedgepin._entry import _trials
 from sedgepin import _membership as membership
 from sedgepin import _model as model
@@ -39,6 +40,7 @@
         "_held_prompts",
         "_generation",
         "_resumption",
+        "_silent_deaths",
         "_trials",
     )
 
@@ -54,6 +56,9 @@
         self._context = context
         self._generation = generation
         self._resumption = resumption
+        self._silent_deaths = _silent_deaths.SilentDeaths(
+            context.gossip.endpoints
+        )
         self._trials = trials
 
     def handle_stream_ended(
@@ -144,6 +149,10 @@
                 continue
             for effect in detector.handle(answers.TimerFired(), now):
                 effects += self._apply_effect(answer, effect, now)
+        for death in self._silent_deaths.take_disproved(now):
+            effects += self._trials.apply_effects(
+                self._context.quarantine.death_disproved(death, now), now
+            )
         wake_at = self._context.quarantine.wake_at
         if wake_at is not None and now >= wake_at:
             effects += self._trials.apply_effects(
@@ -281,6 +290,10 @@
             for answer in self._generation.open_answers.values()
             if answer.runs_on(endpoint_id)
         ]
+        # A process that ends breaks its streams.
+        is_silent = not any(answer.failed_stream for answer in on_endpoint)
+        if is_silent:
+            self._silent_deaths.record(endpoint_id, incarnation, now)
         effects += self._held_prompts.record_death(
             endpoint_id, incarnation, on_endpoint, now
         )
@@ -292,7 +305,7 @@
                 answer, endpoint_id
             )
         death = admission.EndpointDied(
-            endpoint_id, incarnation, tuple(in_flight)
+            endpoint_id, incarnation, tuple(in_flight), is_silent
         )
         quarantine_effects = self._context.quarantine.endpoint_died(death, now)
         effects += self._trials.apply_effects(quarantine_effects, now)
