Send no repeatable call after its deadline

Callers lose their entry VM, with all its open requests: a service endpoint that is silent until a call's deadline makes the client report the call as too slow, mostly before the reducer's timer fires. The reducer sent the call to another endpoint, with what was left of the time, less than nothing. The client passes this to trio.fail_after, which raises ValueError, and the daemon's nursery has no handler for it. A queued call that is admitted late, between two checks of the deadlines, took the same way.

Neither is sent now. The caller gets the failure at hand, or that the deadline passed before the start.

That the client raises was seen in a trial of the client alone; that the daemon ends is read from its code and was not run. Ruled out: writes, whose coordinator checks the deadline when it is granted one.

--- a/sedgepin/_entry/_service_calls.py
+++ b/sedgepin/_entry/_service_calls.py
@@ -290,6 +290,9 @@
         return [answer_call, *self._close(call, True, now)]
 
     def _dispatch(self, call: _OpenCall, now: datetime.datetime) -> Effects:
+        # A call can leave the queue late, between two checks of deadlines.
+        if now >= call.deadline:
+            return self._time_out(call, now)
         chosen = self._choose_endpoint(call, now)
         if isinstance(chosen, result.Err):
             failure: errors.Failure = chosen.err_value
@@ -341,7 +344,8 @@
             call.excluded_endpoints |= {call.target}
             self._context.gossip.endpoints.mark_failed(call.target, now)
         chosen = self._choose_endpoint(call, now)
-        if isinstance(chosen, result.Ok):
+        # Silence shows itself at the deadline, often before the timer fires.
+        if now < call.deadline and isinstance(chosen, result.Ok):
             retry = admission.RetryRequest(
                 service=call.request.service,
                 idempotent=True,
