Test that an answer finds an engine after others were silent and went on

Fails: with two engines for a stage, each silent for 1.5 s in turn, the answer is interrupted for lack of an engine; with twelve, silent before the first token, after five attempts.

--- a/sedgepin/_entry/tests/test_silent_engines.py
+++ b/sedgepin/_entry/tests/test_silent_engines.py
@@ -28,9 +28,9 @@
         (self.answer,) = reducer._generation.open_answers.values()
         self.silenced: list[model.EndpointId] = []
 
-    def silence(self, seconds: float) -> None:
-        """Pause the first engine until the attempt is given up or it ends."""
-        self.system.run(0.2)
+    def silence(self, seconds: float, after_seconds: float = 0.2) -> None:
+        """Pause the first engine, and run until its attempt is replaced."""
+        self.system.run(after_seconds)
         attempt = self.answer.assembly.attempt
         pipeline = self.answer.assembly.pipeline
         assert pipeline is not None
@@ -74,3 +74,24 @@
         run.finish()
         assert isinstance(run.caller.failure, admission.RequestQuarantined)
         assert len(set(run.silenced)) == 2
+
+
+class TestNextAttempt:
+    def test_answer_returns_to_an_engine_that_went_on(self) -> None:
+        run = _SilentRun(replicas=2)
+        run.silence(1.5)
+        run.silence(1.5)
+        run.finish()
+        assert run.caller.failure is None
+        assert run.caller.texts == _EXPECTED_TEXTS
+        assert len(set(run.silenced)) == 2
+
+    def test_trial_runs_after_all_engines_of_its_vm_were_silent(self) -> None:
+        """Engines that are silent before the first token lead to trials."""
+        run = _SilentRun(replicas=12)
+        for _ in range(7):
+            run.silence(1.5, after_seconds=0.0)
+        run.finish()
+        assert run.caller.failure is None
+        assert run.caller.texts == _EXPECTED_TEXTS
+        assert len(set(run.silenced)) == 7
