Place a trial although all engines of its VM were silent before

Callers saw answer_interrupted, no engine for layers, with sound engines unused: for isolated trials each engine belongs to one entry VM. An engine that the request must not use again counted as this VM's while it was eligible, so that the trial was kept from the engines of all others and found none. A silent engine is eligible again a second later; with a third of twelve engines the fifth attempt was the last.

Engines that the request should not use again no longer count, so the trial falls back to all engines where its VM has no other, as it does where none belongs to it.

--- a/sedgepin/_entry/_trials.py
+++ b/sedgepin/_entry/_trials.py
@@ -157,13 +157,16 @@
 
         For trials each engine belongs to one entry VM, so that two suspects
         never run on the same engine.  Engines that the request already used
-        are not excluded.
+        are not excluded.  Those that it should not use again don't count as
+        this VM's: there would be none for the trial if all had been silent.
         """
+        avoided = answer.excluded_endpoints | answer.deprioritized
         own_id = model.VmId(self._context.cfg.id)
         vm_ids = [model.VmId(peer.id) for peer in self._context.cfg.entries]
         groups: dict[model.LayerRange | None, list[model.EndpointId]] = {}
         for announcement in self._context.eligible(now):
-            if announcement.model == answer.model.name:
+            is_avoided = announcement.endpoint_id in avoided
+            if announcement.model == answer.model.name and not is_avoided:
                 group = groups.setdefault(announcement.layers, [])
                 group.append(announcement.endpoint_id)
         excluded: set[model.EndpointId] = set()
