Let an answer return to an engine that was silent and goes on

Callers saw answer_interrupted, no engine for layers, where an engine was sound: an engine that was silent for 1.3 s was excluded from the answer for good, so two silences in turn left none of two engines for a stage.

An engine declared dead without a broken stream is now used only if no other pipeline is possible, as those of stalled streams are. Membership still keeps it from work until its backoff ends or it announces itself, so an engine that does not go on isn't tried again in between, and a stage without any engine is refused as before. The limit of eight attempts bounds the returns.

--- a/sedgepin/_entry/_failure_handler.py
+++ b/sedgepin/_entry/_failure_handler.py
@@ -300,7 +300,10 @@
         for answer in on_endpoint:
             in_flight.append(_in_flight_request(answer))
             effects += self._resumption.cancel(answer, now)
-            answer.excluded_endpoints |= {endpoint_id}
+            if is_silent:
+                answer.deprioritized |= {endpoint_id}
+            else:
+                answer.excluded_endpoints |= {endpoint_id}
             answer.preferred_endpoints = _surviving_endpoints(
                 answer, endpoint_id
             )
--- a/sedgepin/_entry/_open_answer.py
+++ b/sedgepin/_entry/_open_answer.py
@@ -75,9 +75,9 @@
         self.on_trial = False
         self.resume_position = 0
         self.excluded_endpoints: frozenset[model.EndpointId] = frozenset()
-        # The engines of attempts whose streams stalled.  One of them, or a
-        # link between them, hangs, but no report shows which, so they are
-        # used only if no other pipeline is possible.
+        # The engines of attempts whose streams stalled, and engines that fell
+        # silent.  One of them, or a link between them, may hang, but no report
+        # shows which, so they are used only if no other pipeline is possible.
         self.deprioritized: frozenset[model.EndpointId] = frozenset()
         # The stages that hold tokens back according to the last reports.
         self.stalled_stages: frozenset[model.EndpointId] = frozenset()
