Tests of entry VMs that lose their paths to endpoints, failing

A plan says which VMs lose which endpoints, when, and how: silently, with resets, refused for new connections, or in one direction. Callers keep their connections, so that requests go on arriving.

--- a/sedgepin/tests/crash_day.py
+++ b/sedgepin/tests/crash_day.py
@@ -5,14 +5,10 @@
 and sound requests share its caller, path and other parts.
 """
 
-import collections.abc
 import dataclasses
 import datetime
-import functools
-import heapq
 import itertools
 import random
-import typing
 
 import msgspec
 
@@ -23,17 +19,12 @@
 from sedgepin._gateway.tests import parts
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
-from sedgepin._registrar import _effects as registrar_effects
-from sedgepin._registrar import _events as registrar_events
 from sedgepin import _web as web
 from sedgepin import events
 from sedgepin.tests import crash_plan
-from sedgepin.tests import deployment
+from sedgepin.tests import timed_deployment
 
 _Outcome = gateway_events.AttemptOutcome
-_TICK_SECONDS = 0.05
-_MESSAGE_SECONDS = 0.003
-_ENGINE_SECONDS = 0.002
 _EVENT_SECONDS = 0.05
 _CRASH_SECONDS = 0.04
 _STALL_SECONDS = 0.2
@@ -44,18 +35,6 @@
 _CALLER_RETRY_SECONDS = 0.1
 
 
-@dataclasses.dataclass(slots=True, frozen=True, eq=False)
-class _Due:
-    """Something to do at an instant; ``order`` breaks ties."""
-
-    at: datetime.datetime
-    order: int
-    action: collections.abc.Callable[[], None]
-
-    def __lt__(self, other: "_Due") -> bool:
-        return (self.at, self.order) < (other.at, other.order)
-
-
 @dataclasses.dataclass(slots=True)
 class _Engine:
     registration: catalog.Registration
@@ -76,15 +55,13 @@
     is_over: bool = False
 
 
-class CrashDay(deployment.Deployment):
+class CrashDay(timed_deployment.TimedDeployment):
     """Plays a plan and records the attempts and the crashes."""
 
     def __init__(self, plan: crash_plan.Plan) -> None:
         self.plan = plan
         self.record = crash_plan.DayRecord(plan)
         self._rng = random.Random(plan.seed)
-        self._timeline: list[_Due] = []
-        self._order = itertools.count()
         self._numbers = itertools.count(1)
         self._engines: dict[str, _Engine] = {}
         self._runs: dict[tuple[model.VmId, int], _Run] = {}
@@ -92,20 +69,15 @@
         super().__init__(
             plan.entry_count,
             plan.control_count,
-            0,
             plan.data_centre_count,
         )
-        self._starts_at = self.now
         for number in range(2 * plan.engine_pairs):
             self._add_engine(number)
         self._tick()
 
     def play(self) -> None:
         """Play the whole plan."""
-        self.run(2.0)
-        self._publish_routes()
-        self.run(_SETTLE_SECONDS)
-        self._starts_at = self.now
+        self._start_day(_SETTLE_SECONDS)
         plan = self.plan
         self._schedule_arrivals(plan.sound_per_second, 0, plan.seconds, False)
         self._schedule_arrivals(
@@ -120,60 +92,9 @@
             self._after(second, self._restart_entry, number % plan.entry_count)
         self.run(plan.seconds + _SETTLE_SECONDS)
 
-    def run(self, seconds: float) -> None:
-        """Advance the clock and process what is due."""
-        end = self.now + datetime.timedelta(seconds=seconds)
-        while self._timeline and self._timeline[0].at <= end:
-            due = heapq.heappop(self._timeline)
-            self.now = due.at
-            due.action()
-            self._deliver()
-        self.now = end
-
-    def elapsed(self) -> float:
-        """Return the seconds since the day's start."""
-        return (self.now - self._starts_at).total_seconds()
-
-    # The timeline.
-
-    def _after(
-        self,
-        seconds: float,
-        action: collections.abc.Callable[..., None],
-        *arguments: typing.Any,
-    ) -> None:
-        at = self.now + datetime.timedelta(seconds=seconds)
-        bound = functools.partial(action, *arguments)
-        heapq.heappush(self._timeline, _Due(at, next(self._order), bound))
-
-    def _tick(self) -> None:
-        self._after(_TICK_SECONDS, self._tick)
-        self._redial()
-        for vm_id in self.controls:
-            self._handle_control(vm_id, registrar_events.TimerFired())
-        for vm_id in self.entries:
-            self._handle_entry(vm_id, gateway_events.TimerFired())
-        self._send_heartbeats()
-
-    def _deliver(self) -> None:
-        while self._in_transit:
-            sender, recipient, message = self._in_transit.popleft()
-            self._after(
-                _MESSAGE_SECONDS, self._receive, sender, recipient, message
-            )
-
-    def _receive(
-        self,
-        sender: model.VmId,
-        recipient: model.VmId,
-        message: protocol.PeerMessage,
-    ) -> None:
-        if frozenset((sender, recipient)) not in self._links:
-            return
-        self.counts[type(message).__name__] += 1
+    def _record_message(self, message: protocol.PeerMessage) -> None:
         if isinstance(message, protocol.CrashesReported):
             self.record.report_bytes += len(msgspec.msgpack.encode(message))
-        self._handle(recipient, protocol.PeerMessageReceived(sender, message))
 
     def _schedule_arrivals(
         self, per_second: float, start: float, end: float, is_crashing: bool
@@ -281,16 +202,6 @@
         self._engines[registration.address] = _Engine(registration)
         self.endpoints.append(registration)
 
-    def _publish_routes(self) -> None:
-        self._exchange_id += 1
-        document = catalog.encode(parts.make_configuration(1))
-        self._handle_control(
-            self.leader(),
-            registrar_events.ConfigurationSubmitted(
-                self._exchange_id, 1, document
-            ),
-        )
-
     def _start_run(
         self, vm_id: model.VmId, effect: gateway_effects.StartAttempt
     ) -> None:
@@ -309,7 +220,7 @@
             or first.registration.endpoint_id != dispatch.endpoint_id
         ):
             self._after(
-                _ENGINE_SECONDS,
+                timed_deployment.ENGINE_SECONDS,
                 self._end_run,
                 vm_id,
                 effect.exchange_id,
@@ -373,7 +284,9 @@
             run.events or None,
             endpoint_id=run.dispatch.endpoint_id,
         )
-        self._after(_ENGINE_SECONDS, self._handle_entry, vm_id, ended)
+        self._after(
+            timed_deployment.ENGINE_SECONDS, self._handle_entry, vm_id, ended
+        )
 
     def _crash(self, run: _Run, part: str) -> None:
         engine = run.engines[-1 if self.plan.is_last_stage else 0]
@@ -428,7 +341,12 @@
             ]
             report = _calls.StallReport(tuple(stalls))
         inspected = gateway_events.StallsInspected(effect.endpoint_id, report)
-        self._after(_ENGINE_SECONDS, self._handle_entry, vm_id, inspected)
+        self._after(
+            timed_deployment.ENGINE_SECONDS,
+            self._handle_entry,
+            vm_id,
+            inspected,
+        )
 
     def _reroute(
         self, vm_id: model.VmId, effect: gateway_effects.Reroute
@@ -441,31 +359,13 @@
                 for stage in effect.pipeline.stages
             ]
         rerouted = gateway_events.Rerouted(effect.exchange_id, is_accepted)
-        self._after(_ENGINE_SECONDS, self._handle_entry, vm_id, rerouted)
-
-    # Control VMs.
+        self._after(
+            timed_deployment.ENGINE_SECONDS,
+            self._handle_entry,
+            vm_id,
+            rerouted,
+        )
 
-    def _handle_control(
-        self, vm_id: model.VmId, event: registrar_events.RegistrarEvent
-    ) -> None:
-        if vm_id in self.stopped:
-            return
-        for effect in self._carry_out(vm_id, event):
-            if not isinstance(effect, registrar_effects.InspectEngine):
-                continue
-            engine = self._engines[effect.address]
-            registration = engine.registration
-            has_answered = (
-                engine.is_up and registration.endpoint_id == effect.endpoint_id
-            )
-            report = None
-            if has_answered:
-                report = registrar_events.EngineReport(
-                    registration.incarnation, registration.layers, False, 0
-                )
-            inspected = registrar_events.EngineInspected(
-                effect.endpoint_id, effect.incarnation, report, has_answered
-            )
-            self._after(
-                _ENGINE_SECONDS, self._handle_control, vm_id, inspected
-            )
+    def _find_running(self, address: str) -> catalog.Registration | None:
+        engine = self._engines[address]
+        return engine.registration if engine.is_up else None
--- /dev/null
+++ b/sedgepin/tests/cut_day.py
@@ -0,0 +1,375 @@
+"""A day on which entry VMs lose their paths to endpoints.
+
+Gateways and registrars are the real reducers on a simulated clock; callers,
+endpoints and the paths to them are emulated.  Callers keep their connections,
+so that requests go on arriving at VMs that are cut off.  All endpoints stay
+up and reachable from the control VMs.
+"""
+
+import datetime
+import random
+
+from sedgepin import _catalog as catalog
+from sedgepin._gateway import _calls
+from sedgepin._gateway import _effects as gateway_effects
+from sedgepin._gateway import _events as gateway_events
+from sedgepin._gateway.tests import parts
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin import _web as web
+from sedgepin import errors
+from sedgepin.tests import cut_paths
+from sedgepin.tests import cut_plan
+from sedgepin.tests import cut_record
+from sedgepin.tests import cut_run
+from sedgepin.tests import timed_deployment
+
+_Kind = cut_record.Kind
+_Outcome = gateway_events.AttemptOutcome
+_SETTLE_SECONDS = 3.0
+# Requests that were sent last end by their deadline.
+_LAST_SECONDS = 5.0
+_CALLER_RETRY_SECONDS = 0.1
+_STREAM_SHARE = 0.8
+_READ_SHARE = 0.1
+
+
+class CutDay(timed_deployment.TimedDeployment):
+    """Plays a plan and records what callers got."""
+
+    def __init__(self, plan: cut_plan.Plan) -> None:
+        self.plan = plan
+        self.record = cut_record.DayRecord(plan)
+        self._rng = random.Random(plan.seed)
+        self._open: dict[tuple[model.VmId, int], cut_record.Request] = {}
+        self._runs: dict[tuple[model.VmId, int], cut_run.Run] = {}
+        self._thaws_at: dict[model.VmId, float] = {}
+        self._by_address: dict[str, catalog.Registration] = {}
+        super().__init__(
+            plan.entry_count, plan.control_count, plan.data_centre_count
+        )
+        self._paths = cut_paths.Paths(plan, self.stopped, self._thaws_at)
+        for number in range(2 * plan.engine_pairs):
+            layers = parts.HIGH if number % 2 else parts.LOW
+            self._add_endpoint(
+                f"engine-{number}", "model", layers, number // 2
+            )
+        for number in range(plan.ledger_count):
+            self._add_endpoint(f"ledger-{number}", "ledger", None, number)
+        self._tick()
+
+    def play(self) -> None:
+        """Play the whole plan."""
+        self._start_day(_SETTLE_SECONDS)
+        plan = self.plan
+        cut = [n for n in range(plan.entry_count) if plan.cuts_of(n)]
+        others = [n for n in range(plan.entry_count) if n not in cut]
+        self._schedule_arrivals(cut, plan.cut_per_second)
+        self._schedule_arrivals(others, plan.other_per_second)
+        for one in plan.cuts:
+            if one.mode is cut_plan.CutMode.RESET:
+                self._after(one.start, self._reset_connections)
+        for fault in plan.faults:
+            self._after(fault.start, self._start_fault, fault)
+        self.run(plan.seconds + _LAST_SECONDS)
+
+    # Callers.
+
+    def _schedule_arrivals(
+        self, numbers: list[int], per_second: float
+    ) -> None:
+        at = 0.0
+        while (
+            numbers
+            and (at := at + self._rng.expovariate(per_second))
+            < self.plan.seconds
+        ):
+            draw = self._rng.random()
+            kind = _Kind.WRITE
+            if draw < _STREAM_SHARE:
+                kind = _Kind.STREAM
+            elif draw < _STREAM_SHARE + _READ_SHARE:
+                kind = _Kind.READ
+            number = self._rng.choice(numbers)
+            operation = cut_record.Operation(kind)
+            self._after(at, self._send, operation, number, False)
+
+    def _send(
+        self, operation: cut_record.Operation, vm_number: int, is_retry: bool
+    ) -> None:
+        vm_id = _entry_id(vm_number)
+        if vm_id in self.stopped:
+            return
+        number = len(self.record.requests) + 1
+        request = cut_record.Request(
+            number, operation, vm_number, self.elapsed(), is_retry
+        )
+        self.record.requests.append(request)
+        path = f"/{operation.kind.value}/{number}"
+        is_stream = operation.kind is _Kind.STREAM
+        self._open[vm_id, number] = request
+        arrived = gateway_events.RequestArrived(
+            number,
+            _calls.CallerRequest(
+                request_id=f"r{number}",
+                host="one.example",
+                path=path,
+                message=web.Request(b"POST", path.encode(), ()),
+                time_left=datetime.timedelta(seconds=4),
+                api_key="key",
+                usage=_calls.TokenUsage(5, 5) if is_stream else None,
+            ),
+        )
+        self._handle_entry(vm_id, arrived)
+
+    def _answer(
+        self, vm_id: model.VmId, number: int, failure: errors.Failure | None
+    ) -> None:
+        """Give the caller its answer; a request that did not run returns.
+
+        What is reported of a request that is over reaches nobody.
+        """
+        request = self._open.pop((vm_id, number), None)
+        if request is None:
+            return
+        request.answers += 1
+        request.failure = failure
+        if failure is None:
+            request.is_complete = True
+            request.completed_at = self.elapsed()
+            return
+        if request.is_retry or failure.outcome is not errors.Outcome.NOT_RUN:
+            return
+        other = self._rng.randrange(self.plan.entry_count)
+        self._after(
+            _CALLER_RETRY_SECONDS, self._send, request.operation, other, True
+        )
+
+    # Entry VMs.
+
+    def _handle_entry(
+        self, vm_id: model.VmId, event: gateway_events.GatewayEvent
+    ) -> None:
+        if vm_id in self._thaws_at:
+            if not isinstance(event, gateway_events.TimerFired):
+                seconds = self._thaws_at[vm_id] - self.elapsed()
+                self._after(seconds, self._handle_entry, vm_id, event)
+            return
+        if vm_id in self.stopped:
+            return
+        for effect in self._carry_out_entry(vm_id, event):
+            match effect:
+                case gateway_effects.SetDeadline(number, time_left):
+                    seconds = time_left.total_seconds()
+                    self._after(seconds, self._reach_deadline, vm_id, number)
+                case gateway_effects.StartAttempt():
+                    self._start_run(vm_id, effect)
+                case gateway_effects.CancelAttempt(number):
+                    self._after(0.0, self._cancel, self._find(vm_id, number))
+                case gateway_effects.FailExchange(number, failure):
+                    self._answer(vm_id, number, failure)
+                case gateway_effects.InspectStalls():
+                    self._inspect_stalls(vm_id, effect)
+                case gateway_effects.Reroute(number):
+                    rerouted = gateway_events.Rerouted(number, False)
+                    self._after(
+                        timed_deployment.ENGINE_SECONDS,
+                        self._handle_entry,
+                        vm_id,
+                        rerouted,
+                    )
+
+    def _reach_deadline(self, vm_id: model.VmId, number: int) -> None:
+        if (vm_id, number) not in self._open or vm_id in self.stopped:
+            return
+        run = self._runs.pop((vm_id, number), None)
+        if run is not None:
+            run.is_over = True
+        self._handle_entry(vm_id, gateway_events.DeadlineReached(number))
+
+    def _record_message(self, message: protocol.PeerMessage) -> None:
+        second = self.elapsed()
+        name = type(message).__name__
+        first = min(cut.start for cut in self.plan.cuts)
+        if 0 <= second < first:
+            self.record.calm_messages[name] += 1
+        elif any(cut.start <= second < cut.end for cut in self.plan.cuts):
+            self.record.cut_messages[name] += 1
+
+    # Faults of forwarders.
+
+    def _start_fault(self, fault: cut_plan.ForwarderFault) -> None:
+        vm_id = self._choose_faulty()
+        number = _number(vm_id)
+        for (owner, _), request in self._open.items():
+            request.is_disturbed |= owner == vm_id
+        if fault.mode is cut_plan.FaultMode.FREEZES:
+            self._thaws_at[vm_id] = fault.end
+            self._after(fault.end - fault.start, self._thaw, vm_id)
+            self.stop(vm_id)
+            return
+        for key in [key for key in self._open if key[0] == vm_id]:
+            self._open.pop(key).is_lost = True
+        for key in [key for key in self._runs if key[0] == vm_id]:
+            self._runs.pop(key).is_over = True
+        self.stop(vm_id)
+        for run in list(self._runs.values()):
+            if run.forwarder == vm_id:
+                outcome = _Outcome.UNKNOWN
+                if not run.is_reached:
+                    outcome = _Outcome.NOT_SENT
+                self._end_run(run, outcome, "the forwarder has ended")
+        self._after(fault.end - fault.start, self._restart, number)
+
+    def _choose_faulty(self) -> model.VmId:
+        """Return the VM that carries most requests of others, if any does."""
+        carriers = [
+            run.forwarder
+            for run in self._runs.values()
+            if run.forwarder is not None
+        ]
+        if carriers:
+            return max(sorted(set(carriers)), key=carriers.count)
+        sound = [
+            number
+            for number in range(self.plan.entry_count)
+            if not self.plan.cuts_of(number)
+        ]
+        return _entry_id(self._rng.choice(sound))
+
+    def _thaw(self, vm_id: model.VmId) -> None:
+        del self._thaws_at[vm_id]
+        self.stopped.discard(vm_id)
+
+    def _restart(self, number: int) -> None:
+        self.stopped.discard(_entry_id(number))
+        self.start_entry(number)
+
+    # Endpoints.
+
+    def _add_endpoint(
+        self,
+        name: str,
+        service: str,
+        layers: model.LayerRange | None,
+        number: int,
+    ) -> None:
+        registration = parts.make_registration(
+            name,
+            service,
+            layers,
+            self.data_centre(number),
+            address=f"{name}.example:80",
+        )
+        self._by_address[registration.address] = registration
+        self.endpoints.append(registration)
+
+    def _find_running(self, address: str) -> catalog.Registration | None:
+        return self._by_address.get(address)
+
+    # Attempts.
+
+    def _find(self, vm_id: model.VmId, number: int) -> cut_run.Run | None:
+        return self._runs.get((vm_id, number))
+
+    def _start_run(
+        self, vm_id: model.VmId, effect: gateway_effects.StartAttempt
+    ) -> None:
+        number = effect.exchange_id
+        request = self._open.get((vm_id, number))
+        if request is None:
+            return
+        run = cut_run.Run(vm_id, request, effect, self.elapsed(), self._rng)
+        self._runs[vm_id, number] = run
+        if run.forwarder is not None:
+            request.forwards += 1
+        opening = self._paths.open(
+            vm_id, run.forwarder, run.endpoint_id, self.elapsed()
+        )
+        if opening.is_open:
+            self._after(opening.seconds, self._continue_run, run)
+            return
+        request.unsent += 1
+        self._after(
+            opening.seconds, self._end_run, run, _Outcome.NOT_SENT, "unreached"
+        )
+
+    def _continue_run(self, run: cut_run.Run) -> None:
+        """Deliver what the endpoint has sent by now, step by step.
+
+        What does not arrive is sent again, until the path is whole.
+        """
+        if run.is_over:
+            return
+        now = self.elapsed()
+        if not run.is_reached and self._paths.can_send(run, now):
+            run.reach_endpoint(now)
+        if self._paths.can_receive(run, now):
+            self._deliver_output(run, now)
+        if run.is_over:
+            return
+        if run.is_late(now):
+            stalled = gateway_events.StreamStalled(run.exchange_id)
+            self._handle_entry(run.vm_id, stalled)
+        if run.has_timed_out(now):
+            self._end_run(run, _Outcome.UNKNOWN, "no answer head")
+        if not run.is_over:
+            seconds = run.seconds_until_step(now)
+            self._after(seconds, self._continue_run, run)
+
+    def _deliver_output(self, run: cut_run.Run, now: float) -> None:
+        had_output = run.request.first_output_at is not None
+        run.deliver(now)
+        if run.request.first_output_at is not None and not had_output:
+            started = gateway_events.OutputStarted(run.exchange_id)
+            self._handle_entry(run.vm_id, started)
+        if run.is_complete:
+            self._end_run(run, _Outcome.ANSWERED, "answered")
+
+    def _cancel(self, run: cut_run.Run | None) -> None:
+        if run is not None:
+            self._end_run(run, _Outcome.CANCELLED, "cancelled")
+
+    def _end_run(
+        self,
+        run: cut_run.Run,
+        outcome: gateway_events.AttemptOutcome,
+        why: str,
+    ) -> None:
+        if run.is_over:
+            return
+        run.is_over = True
+        self._runs.pop((run.vm_id, run.exchange_id), None)
+        ended = gateway_events.AttemptEnded(
+            run.exchange_id,
+            outcome,
+            why,
+            run.position,
+            endpoint_id=run.endpoint_id,
+        )
+        self._handle_entry(run.vm_id, ended)
+        if outcome is _Outcome.ANSWERED:
+            self._answer(run.vm_id, run.exchange_id, None)
+
+    def _reset_connections(self) -> None:
+        """End the connections whose paths a cut resets now."""
+        now = self.elapsed()
+        for run in list(self._runs.values()):
+            if self._paths.resets(run, now):
+                self._end_run(run, _Outcome.UNKNOWN, "connection reset")
+
+    def _inspect_stalls(
+        self, vm_id: model.VmId, effect: gateway_effects.InspectStalls
+    ) -> None:
+        opening = self._paths.report(vm_id, effect.endpoint_id, self.elapsed())
+        report = _calls.StallReport(()) if opening.is_open else None
+        inspected = gateway_events.StallsInspected(effect.endpoint_id, report)
+        self._after(opening.seconds, self._handle_entry, vm_id, inspected)
+
+
+def _entry_id(number: int) -> model.VmId:
+    return model.VmId(f"entry:{number:03}")
+
+
+def _number(vm_id: model.VmId) -> int:
+    return int(vm_id.rpartition(":")[2])
--- /dev/null
+++ b/sedgepin/tests/cut_paths.py
@@ -0,0 +1,139 @@
+"""The paths between entry VMs and endpoints on a day of ``cut_day``."""
+
+import collections.abc
+import dataclasses
+import enum
+
+from sedgepin import _model as model
+from sedgepin.tests import cut_plan
+from sedgepin.tests import cut_run
+
+# What one more entry VM on the way adds: a connection, the opening of a
+# forward and the transfer take a round trip each.
+HOP_SECONDS = 0.006
+_REACHED_SECONDS = 0.002
+# The relay's limit for a connection, and the daemon's for a report.
+_CONNECT_TIMEOUT_SECONDS = 0.25
+_REPORT_TIMEOUT_SECONDS = 0.3
+# Events that an endpoint sends without an acknowledgement.
+_MAX_UNACKNOWLEDGED = 10
+
+
+class Failing(enum.Enum):
+    """Which part of a way could not be opened."""
+
+    DIRECT = "direct"
+    FORWARDER = "forwarder"
+    BEYOND = "beyond"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Opening:
+    """How an attempt to open a connection ends, and after what time."""
+
+    seconds: float
+    failing: Failing | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection was made."""
+        return self.failing is None
+
+
+class Paths:
+    """Tells which connections can be made and which carry data.
+
+    ``stopped`` holds the entry VMs that have died or are frozen, and
+    ``frozen`` the latter.
+    """
+
+    def __init__(
+        self,
+        plan: cut_plan.Plan,
+        stopped: collections.abc.Container[model.VmId],
+        frozen: collections.abc.Container[model.VmId],
+    ) -> None:
+        self._cuts = {
+            model.VmId(f"entry:{number:03}"): plan.cuts_of(number)
+            for number in range(plan.entry_count)
+        }
+        self._stopped = stopped
+        self._frozen = frozen
+
+    def open(
+        self,
+        vm_id: model.VmId,
+        forwarder: model.VmId | None,
+        endpoint_id: model.EndpointId,
+        second: float,
+    ) -> Opening:
+        """Return how opening a way for a request ends."""
+        if forwarder is None:
+            return self._open_direct(
+                vm_id, endpoint_id, second, _CONNECT_TIMEOUT_SECONDS
+            )
+        if forwarder in self._frozen:
+            return Opening(_CONNECT_TIMEOUT_SECONDS, Failing.FORWARDER)
+        if forwarder in self._stopped:
+            return Opening(_REACHED_SECONDS, Failing.FORWARDER)
+        opening = self._open_direct(
+            forwarder, endpoint_id, second, _CONNECT_TIMEOUT_SECONDS
+        )
+        return Opening(
+            opening.seconds + HOP_SECONDS,
+            None if opening.is_open else Failing.BEYOND,
+        )
+
+    def report(
+        self, vm_id: model.VmId, endpoint_id: model.EndpointId, second: float
+    ) -> Opening:
+        """Return how a report call over the direct path ends."""
+        return self._open_direct(
+            vm_id, endpoint_id, second, _REPORT_TIMEOUT_SECONDS
+        )
+
+    def can_send(self, run: cut_run.Run, second: float) -> bool:
+        """Return whether what is sent now on a connection arrives."""
+        cut = self._find(run.forwarder or run.vm_id, run.endpoint_id, second)
+        return run.forwarder not in self._stopped and (
+            cut is None or not cut.mode.is_silent
+        )
+
+    def can_receive(self, run: cut_run.Run, second: float) -> bool:
+        """Return whether what the endpoint of a run sends now arrives."""
+        if run.forwarder in self._stopped:
+            return False
+        cut = self._find(run.forwarder or run.vm_id, run.endpoint_id, second)
+        if cut is None:
+            run.unacknowledged = 0
+            return True
+        if cut.mode is cut_plan.CutMode.ONE_WAY:
+            return run.unacknowledged < _MAX_UNACKNOWLEDGED
+        return not cut.mode.is_silent
+
+    def resets(self, run: cut_run.Run, second: float) -> bool:
+        """Return whether the connection to the endpoint of a run is reset."""
+        cut = self._find(run.forwarder or run.vm_id, run.endpoint_id, second)
+        return cut is not None and cut.mode is cut_plan.CutMode.RESET
+
+    def _open_direct(
+        self,
+        vm_id: model.VmId,
+        endpoint_id: model.EndpointId,
+        second: float,
+        timeout_seconds: float,
+    ) -> Opening:
+        cut = self._find(vm_id, endpoint_id, second)
+        if cut is None:
+            return Opening(_REACHED_SECONDS)
+        if cut.mode.is_silent:
+            return Opening(timeout_seconds, Failing.DIRECT)
+        return Opening(_REACHED_SECONDS, Failing.DIRECT)
+
+    def _find(
+        self, vm_id: model.VmId, endpoint_id: model.EndpointId, second: float
+    ) -> cut_plan.Cut | None:
+        for cut in self._cuts[vm_id]:
+            if cut.severs(endpoint_id, second):
+                return cut
+        return None
--- a/sedgepin/tests/deployment.py
+++ b/sedgepin/tests/deployment.py
@@ -220,15 +220,17 @@
     def _connect(self, dialler: model.VmId, peer: model.VmId) -> None:
         self._links.add(frozenset((dialler, peer)))
         for vm_id, other in ((dialler, peer), (peer, dialler)):
-            is_entry = other in self.entries
-            hello = protocol.Hello(
-                other,
-                "entry" if is_entry else "control",
-                self.data_centre(int(other.rpartition(":")[2])),
-                model.Incarnation(1),
-            )
+            hello = self._make_hello(other)
             self._handle(vm_id, protocol.PeerConnected(hello))
 
+    def _make_hello(self, vm_id: model.VmId) -> protocol.Hello:
+        return protocol.Hello(
+            vm_id,
+            "entry" if vm_id in self.entries else "control",
+            self.data_centre(int(vm_id.rpartition(":")[2])),
+            model.Incarnation(1),
+        )
+
     def _disconnect(self, link: _Link) -> None:
         self._links.discard(link)
         for vm_id in sorted(link):
