Take a reset for an answer of a checked engine

What callers saw: an engine at its connection limit resets one connection too many. The leader took a reset of its check for a lost engine and told all entry VMs, which moved the streams of a sound engine.

Cause: only a complete answer counted as one. The class of fault: a reset taken for the end of an engine.

Change: any byte, and a connection closed or reset after it was accepted, shows that a process serves at the address. A process that is just ending resets its connections too; the check is therefore sent once more 20 ms after a reset, and finds its end by the refusal.

The new tests of an engine that ends after a reset and of one that begins its answer failed with the daemon of before; the former also fails without the second call.

--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+import result
 import trio
 
 from sedgepin import _catalog as catalog
@@ -34,6 +35,8 @@
 # Engines respond to a report request within milliseconds.  An engine that does
 # not respond must not delay orders to other engines.
 _ENGINE_TIMEOUT_SECONDS = 1.0
+# In this time a process that has begun to end closes its listening socket.
+_REPEAT_DELAY_SECONDS = 0.02
 _LEADERSHIP_TRANSFER_TIMEOUT_SECONDS = 1.0
 _DATA_FOLDER_EXIT_CODE = 4
 _LIMITS = web.ServerLimits(
@@ -44,6 +47,9 @@
 )
 
 _Answer: typing.TypeAlias = tuple[web.AnswerHead, bytes]
+_Inspection: typing.TypeAlias = result.Result[
+    _Answer, web.ConnectFailed | web.AnswerBroken
+]
 
 
 class _CallHandler(web.Handler):
@@ -256,9 +262,7 @@
 
     async def _inspect_engine(self, effect: _effects.InspectEngine) -> None:
         request = self._dialect.report_request(effect.address)
-        response = await web.send_request(
-            effect.address, request, _ENGINE_TIMEOUT_SECONDS
-        )
+        response = await _send_inspection(effect.address, request)
         report: _events.EngineReport | None = None
         failure: errors.Failure | None = None
         if response.is_err():
@@ -278,7 +282,7 @@
                 effect.endpoint_id,
                 effect.incarnation,
                 report,
-                response.is_ok(),
+                _has_answered(response.err()),
                 not _is_refusal(response.err()),
             )
         )
@@ -324,6 +328,46 @@
         return settings.Peer(id=vm_id, address=vm_id, data_centre="")
 
 
+async def _send_inspection(address: str, request: web.Request) -> _Inspection:
+    """Send a report request; repeat it if the connection was only closed.
+
+    An engine that is ending may close it, and then refuses the next one.  One
+    that goes on may have had as many connections as it accepts.
+    """
+    response = await web.send_request(
+        address, request, _ENGINE_TIMEOUT_SECONDS
+    )
+    if not _was_closed(response.err()):
+        return response
+    await trio.sleep(_REPEAT_DELAY_SECONDS)
+    repeated = await web.send_request(
+        address, request, _ENGINE_TIMEOUT_SECONDS
+    )
+    is_decided = repeated.is_ok() or _is_refusal(repeated.err())
+    return repeated if is_decided else response
+
+
+def _has_answered(failure: errors.Failure | None) -> bool:
+    """Return whether a process serves at the address that was called.
+
+    It does if it sent a byte, or has closed or reset the connection.
+    """
+    if isinstance(failure, web.AnswerBroken) and failure.has_data:
+        return True
+    return failure is None or _was_closed(failure)
+
+
+def _was_closed(failure: errors.Failure | None) -> bool:
+    """Return whether a connection was closed or reset without an answer."""
+    if isinstance(failure, web.ConnectFailed):
+        return failure.is_reset
+    return (
+        isinstance(failure, web.AnswerBroken)
+        and not failure.is_timeout
+        and not failure.has_data
+    )
+
+
 def _is_refusal(failure: errors.Failure | None) -> bool:
     """Return whether no process serves at the address that was called.
 
--- a/sedgepin/_registrar/_events.py
+++ b/sedgepin/_registrar/_events.py
@@ -66,9 +66,10 @@
 class EngineInspected:
     """A report request to an endpoint was answered, or has failed.
 
-    ``has_answered`` is true for any response: plain services are alive but
-    provide no report.  ``is_silent`` is true unless the connection was
-    refused, which proves that the endpoint has ended.
+    ``has_answered`` is true for any response, since plain services are alive
+    but provide no report, and for a connection that was closed or reset, since
+    an engine may have as many as it accepts.  ``is_silent`` is true unless the
+    connection was refused, which proves that the endpoint has ended.
     """
 
     endpoint_id: model.EndpointId
--- a/sedgepin/_registrar/tests/test_unproven_losses.py
+++ b/sedgepin/_registrar/tests/test_unproven_losses.py
@@ -13,6 +13,7 @@
 from sedgepin._registrar import _events
 from sedgepin._registrar.tests import cluster as clusters
 from sedgepin import _web as web
+from sedgepin import errors
 
 _ENTRY = model.VmId("entry")
 _ENGINE = model.EndpointId("e")
@@ -66,6 +67,24 @@
         """An ``OSError`` may be an unreachable network, or no free socket."""
         assert not _daemon._is_refusal(failure)
 
+    @pytest.mark.parametrize(
+        ("failure", "has_answered"),
+        [
+            (None, True),
+            (web.AnswerBroken("e", "BrokenResourceError"), True),
+            (web.AnswerBroken("e", "", is_timeout=True), False),
+            (web.AnswerBroken("e", "", is_timeout=True, has_data=True), True),
+            (web.ConnectFailed("e", "ConnectionResetError"), True),
+            (web.ConnectFailed("e", "ConnectionRefusedError"), False),
+            (web.ConnectFailed("e", "TooSlowError", True), False),
+            (web.ConnectFailed("e", "OSError"), False),
+        ],
+    )
+    def test_any_byte_or_a_reset_is_an_answer(
+        self, failure: errors.Failure | None, has_answered: bool
+    ) -> None:
+        assert _daemon._has_answered(failure) is has_answered
+
     def test_refused_connection_proves_an_end(self) -> None:
         refused = web.ConnectFailed("e", "ConnectionRefusedError")
         assert _daemon._is_refusal(refused)
--- a/sedgepin/_web/_client.py
+++ b/sedgepin/_web/_client.py
@@ -40,11 +40,12 @@
     >>> data = (await conn.read_data()).unwrap()  # None at the end
     """
 
-    __slots__ = ("_address", "_conn", "_stream")
+    __slots__ = ("_address", "_conn", "_has_data", "_stream")
 
     def __init__(self, address: str, stream: sockets.DirectStream) -> None:
         self._address = address
         self._stream = stream
+        self._has_data = False
         self._conn = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_HEAD_LIMIT_BYTES
         )
@@ -145,6 +146,13 @@
                     )
                 )
 
+    def timed_out(self, timeout_seconds: float) -> _failures.AnswerBroken:
+        """Return the failure of an exchange that took too long."""
+        reason = f"no answer within {timeout_seconds} s"
+        return _failures.AnswerBroken(
+            self._address, reason, True, self._has_data
+        )
+
     def close(self) -> None:
         """Close the connection at once, also during an answer."""
         self._stream.close()
@@ -158,6 +166,7 @@
                 if event is not h11.NEED_DATA:
                     return result.Ok(event)
                 received = await self._stream.receive_some(_READ_BYTES)
+                self._has_data = self._has_data or bool(received)
                 self._conn.receive_data(received)
             except (
                 h11.RemoteProtocolError,
@@ -177,7 +186,9 @@
         self, reason: Exception | str
     ) -> _failures.AnswerBroken:
         text = reason if isinstance(reason, str) else type(reason).__name__
-        return _failures.AnswerBroken(self._address, text)
+        return _failures.AnswerBroken(
+            self._address, text, has_data=self._has_data
+        )
 
 
 def _enable_keepalive(sock: socket.socket) -> None:
@@ -220,10 +231,6 @@
                 return body
             return result.Ok((head.ok_value, body.ok_value))
     except trio.TooSlowError:
-        return result.Err(
-            _failures.AnswerBroken(
-                address, f"no answer within {timeout_seconds} s", True
-            )
-        )
+        return result.Err(conn.timed_out(timeout_seconds))
     finally:
         conn.close()
--- a/sedgepin/_web/_failures.py
+++ b/sedgepin/_web/_failures.py
@@ -60,6 +60,11 @@
     reason: str
     is_timeout: bool = False
 
+    @property
+    def is_reset(self) -> bool:
+        """Whether a process accepted the connection and reset it at once."""
+        return self.reason == ConnectionResetError.__name__
+
     def detail(self) -> str:
         """Return the address and the class name of the exception."""
         return f"{self.address}: {self.reason}"
@@ -69,7 +74,8 @@
 class AnswerBroken(errors.Failure):
     """The endpoint's answer is incomplete or not valid HTTP.
 
-    The endpoint may have run the request.
+    The endpoint may have run the request.  ``has_data`` is set if any byte of
+    an answer has arrived.
     """
 
     code: typing.ClassVar[str] = "answer_broken"
@@ -80,6 +86,7 @@
     address: str
     reason: str
     is_timeout: bool = False
+    has_data: bool = False
 
     def detail(self) -> str:
         """Return the address and the reason."""
--- a/sedgepin/platform/tests/test_unproven_silence.py
+++ b/sedgepin/platform/tests/test_unproven_silence.py
@@ -96,6 +96,41 @@
         )
         nursery.cancel_scope.cancel()
 
+    async def test_engine_that_ends_after_a_reset_is_lost(
+        self, nursery: trio.Nursery
+    ) -> None:
+        """Its end is found by the same check, and proven."""
+        listener = (await trio.open_tcp_listeners(0, host="127.0.0.1"))[0]
+
+        async def end() -> None:
+            async with await listener.accept() as stream:
+                await _reset(stream)
+                await listener.aclose()
+
+        nursery.start_soon(end)
+        address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
+        check = _effects.InspectEngine(model.EndpointId("e"), 1, address)
+        inspected = await self._inspect(check)
+        assert isinstance(inspected, _events.EngineInspected)
+        assert not inspected.has_answered
+        assert not inspected.is_silent
+        nursery.cancel_scope.cancel()
+
+    async def test_engine_that_begins_its_answer_is_not_silent(
+        self, nursery: trio.Nursery
+    ) -> None:
+        async def begin(stream: trio.SocketStream) -> None:
+            await stream.receive_some(65_536)
+            await stream.send_all(b"HTTP/1.1 200 OK\r\n")
+            await trio.sleep_forever()
+
+        address = await _serve(nursery, begin)
+        check = _effects.InspectEngine(model.EndpointId("e"), 1, address)
+        inspected = await self._inspect(check)
+        assert isinstance(inspected, _events.EngineInspected)
+        assert inspected.has_answered
+        nursery.cancel_scope.cancel()
+
     async def _inspect(
         self, check: _effects.InspectEngine
     ) -> _events.RegistrarEvent:
