Keep what is known of a loss when a control VM connects

What callers saw: after a control VM had connected, the run of a request on an ended engine counted again towards the limit of its route, and new requests were sent to the lost engine.

Cause: a control VM sends a new peer all registrations, also those of lost endpoints, and one that the peer had already, or one with a later sequence, counted as a heartbeat. The class of fault: the word of another VM, which may be from before the loss, taken for a sign of life.

Change: lost endpoints are told apart, in the new field lost. A peer that does not know them adds them as failed, to use them once heard. Telling EndpointLost after the registrations was ruled out: a control VM that was cut off would declare engines lost that have long gone on.

--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -86,19 +86,27 @@
         return None if endpoint_id is None else self._records.get(endpoint_id)
 
     def update(
-        self, registration: _registration.Registration, now: datetime.datetime
+        self,
+        registration: _registration.Registration,
+        now: datetime.datetime,
+        is_relayed: bool = False,
     ) -> bool:
         """Merge a registration; return whether it changed the entry.
 
         A registration that only renews an earlier one counts as a heartbeat.
-        One that is outdated is ignored.
+        One that is outdated is ignored.  One that ``is_relayed`` may be long
+        past, as a VM sends all that it has to a new peer; an endpoint that was
+        lost stays so, until its heartbeats are relayed.
         """
         record = self._records.get(registration.endpoint_id)
         if (
             record is not None
             and registration.ordering_key <= record.registration.ordering_key
         ):
-            if registration.ordering_key == record.registration.ordering_key:
+            is_renewal = (
+                registration.ordering_key == record.registration.ordering_key
+            )
+            if is_renewal and not (is_relayed and record.lost_at is not None):
                 self.record_heartbeat(registration.endpoint_id, now)
             return False
         if record is not None and _stays_gone(
@@ -119,9 +127,38 @@
             registration = _with_state(
                 registration, _registration.EndpointState.DRAINING
             )
-        self._put(registration, now)
+        self._put(registration, now, is_relayed)
         return record is None or _differs(record.registration, registration)
 
+    def update_lost(
+        self, registration: _registration.Registration, now: datetime.datetime
+    ) -> bool:
+        """Merge a registration that counts as failed where it comes from.
+
+        An incarnation that is new here counts as failed until it is heard; of
+        one that is known, nothing is taken for a failure or a heartbeat.
+        Return whether it changed the entry.
+        """
+        before = self.find(registration.endpoint_id)
+        if (
+            before is not None
+            and registration.ordering_key <= before.registration.ordering_key
+        ):
+            return False
+        is_changed = self.update(registration, now, is_relayed=True)
+        record = self.find(registration.endpoint_id)
+        if record is None or record is before:
+            return False
+        incarnation = registration.incarnation
+        if (
+            before is not None
+            and before.registration.incarnation == incarnation
+        ):
+            record.last_seen_at = before.last_seen_at
+        else:
+            record.lost_at = now
+        return is_changed
+
     def mark_gone(
         self, endpoint_id: model.EndpointId, now: datetime.datetime
     ) -> _registration.Registration | None:
@@ -268,7 +305,10 @@
                     del self._by_address[address]
 
     def _put(
-        self, registration: _registration.Registration, now: datetime.datetime
+        self,
+        registration: _registration.Registration,
+        now: datetime.datetime,
+        keeps_loss: bool,
     ) -> None:
         holder = self.at_address(registration.address)
         if holder is not None:
@@ -279,15 +319,16 @@
                 )
                 holder.has_ended = True
         record = self._records.get(registration.endpoint_id)
-        slowdown = 1.0
-        is_leaving = False
+        renewed = EndpointRecord(registration, now)
         if record is not None:
             if record.registration.incarnation == registration.incarnation:
-                slowdown = record.slowdown
-                is_leaving = record.is_leaving
-        self._records[registration.endpoint_id] = EndpointRecord(
-            registration, now, slowdown=slowdown, is_leaving=is_leaving
-        )
+                renewed.slowdown = record.slowdown
+                renewed.is_leaving = record.is_leaving
+                if keeps_loss and record.lost_at is not None:
+                    renewed.last_seen_at = record.last_seen_at
+                    renewed.lost_at = record.lost_at
+                    renewed.has_ended = record.has_ended
+        self._records[registration.endpoint_id] = renewed
         self._by_address[registration.address] = registration.endpoint_id
 
 
--- a/sedgepin/_catalog/tests/test_catalog.py
+++ b/sedgepin/_catalog/tests/test_catalog.py
@@ -154,6 +154,35 @@
         registry.record_heartbeat(model.EndpointId("a"), _NOW + _SECOND)
         assert record.is_live(_SECOND * 4, _NOW + _SECOND)
 
+    def test_relayed_registration_does_not_revive_a_lost_endpoint(
+        self,
+    ) -> None:
+        """Whatever the sequence, it may be from before the loss."""
+        registry = catalog.Registry()
+        registry.update(make_registration(), _NOW)
+        registry.mark_lost(model.EndpointId("a"), 1, _NOW, True)
+        later = _NOW + _SECOND
+        for sequence in (1, 2):
+            relayed = make_registration(sequence=sequence)
+            registry.update(relayed, later, is_relayed=True)
+            assert registry.has_ended(model.EndpointId("a"), 1)
+        assert registry.update(make_registration(sequence=3), later) is False
+        assert not registry.has_ended(model.EndpointId("a"), 1)
+
+    def test_lost_registration_of_a_peer_changes_no_known_loss(self) -> None:
+        registry = catalog.Registry()
+        registry.update(make_registration(), _NOW)
+        later = _NOW + _SECOND
+        registry.update_lost(make_registration(sequence=2), later)
+        record = registry.find(model.EndpointId("a"))
+        assert record is not None and record.lost_at is None
+        assert record.last_seen_at == _NOW
+        assert registry.update_lost(make_registration(incarnation=2), later)
+        record = registry.find(model.EndpointId("a"))
+        assert record is not None and record.lost_at == later
+        registry.record_heartbeat(model.EndpointId("a"), later + _SECOND)
+        assert record.is_live(_SECOND, later + _SECOND)
+
     def test_loss_of_an_earlier_incarnation_is_ignored(self) -> None:
         registry = catalog.Registry()
         registry.update(make_registration(incarnation=2), _NOW)
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -236,16 +236,26 @@
         for endpoint_id in message.heard:
             registry.record_heartbeat(endpoint_id, now)
         for registration in message.changed:
-            effects += self._merge_registration(registration, now)
+            effects += self._merge_registration(registration, False, now)
+        for registration in message.lost:
+            effects += self._merge_registration(registration, True, now)
         return effects
 
     def _merge_registration(
-        self, registration: catalog.Registration, now: datetime.datetime
+        self,
+        registration: catalog.Registration,
+        is_lost: bool,
+        now: datetime.datetime,
     ) -> Effects:
         """Merge a registration; it may show that an incarnation has ended."""
         registry = self._state.fleet.registry
         ended = self._replaced_by(registration)
-        if not registry.update(registration, now):
+        is_changed = (
+            registry.update_lost(registration, now)
+            if is_lost
+            else registry.update(registration, now, is_relayed=True)
+        )
+        if not is_changed:
             registry.correct_layers(
                 registration.endpoint_id,
                 registration.incarnation,
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -114,12 +114,14 @@
     """Registrations and heartbeats that the sender received from endpoints.
 
     ``changed`` holds the new and changed registrations, or all of them after
-    a peer has connected.  ``heard`` lists endpoints that only renewed an
-    unchanged registration.
+    a peer has connected, except those in ``lost``, whose endpoints count as
+    failed.  ``heard`` lists endpoints that only renewed an unchanged
+    registration.
     """
 
     changed: tuple[catalog.Registration, ...] = ()
     heard: tuple[model.EndpointId, ...] = ()
+    lost: tuple[catalog.Registration, ...] = ()
 
 
 class ControlsKnown(msgspec.Struct, frozen=True, tag=True):
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -169,6 +169,20 @@
             if record.slowdown != 1.0
         ]
 
+    def registrations_message(self) -> protocol.RegistrationsSeen:
+        """Return the registrations, for a peer that has just connected."""
+        lost = tuple(
+            record.registration
+            for record in self.registry
+            if record.lost_at is not None
+        )
+        others = tuple(
+            record.registration
+            for record in self.registry
+            if record.lost_at is None
+        )
+        return protocol.RegistrationsSeen(others, lost=lost)
+
     def leaving_messages(self) -> list[protocol.EndpointLeaving]:
         """Return what a peer that has just connected must know.
 
@@ -265,6 +279,8 @@
                 continue
             is_ready = registration.state is catalog.EndpointState.READY
             (staying if is_ready else leaving).append(registration)
+        for registration in message.lost:
+            self.registry.update_lost(registration, now)
         effects: Effects = []
         if leaving:
             effects += self._peers.send_to_entries(
@@ -284,7 +300,7 @@
         One that repeats the latest one with other layers is a correction by
         the engine's own report.
         """
-        if self.registry.update(registration, now):
+        if self.registry.update(registration, now, is_relayed=True):
             return True
         record = self.registry.find(registration.endpoint_id)
         if (
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -220,10 +220,7 @@
             effects.append(self._configurations.announcement(hello.id, now))
         else:
             effects += self._peers.add_controls((hello.id,))
-        registrations = tuple(
-            record.registration for record in self._endpoints.registry
-        )
-        message = protocol.RegistrationsSeen(registrations)
+        message = self._endpoints.registrations_message()
         effects.append(_effects.SendMessage(hello.id, message))
         effects += [
             _effects.SendMessage(hello.id, slowdown_message)
--- a/sedgepin/_registrar/tests/test_unproven_losses.py
+++ b/sedgepin/_registrar/tests/test_unproven_losses.py
@@ -110,6 +110,24 @@
         ]
         assert told == [] or _lost(cluster) != []
 
+    def test_lost_endpoint_is_told_to_be_used_once_heard(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        leader = cluster.leader()
+        cluster.register(leader, clusters.registration())
+        _report_failed(cluster, _ENGINE)
+        inspected = _events.EngineInspected(_ENGINE, 1, None, False)
+        cluster.handle(leader, inspected)
+        cluster.connect_entry(leader)
+        cluster.run(0.1)
+        told = [
+            registration
+            for message in cluster.entry_messages
+            if isinstance(message, protocol.RegistrationsSeen)
+            for registration in message.lost
+        ]
+        assert told == [clusters.registration()]
+
 
 class _Engines:
     """Engines that hold the planned layers and answer each call at once."""
