Keep the proof of an end when a heartbeat comes late

What callers saw: a request counted again on an engine whose address another one had taken over, and could not be sent to a further one.

Cause: heartbeats are relayed up to 0.7 s late; one from before the takeover cleared the proof. The class of fault: the word of another VM taken for a sign of life.

Change: a heartbeat of an endpoint whose address another one holds is ignored. A later incarnation of it at another address is heard as before.

--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -238,11 +238,15 @@
         """Renew the entry of an endpoint that sent a heartbeat.
 
         A lost endpoint recovers, unless it was lost so recently that the
-        heartbeat may be older than its failure.
+        heartbeat may be older than its failure.  One whose address another
+        endpoint has taken over has ended; its heartbeat is older.
         """
         record = self._records.get(endpoint_id)
         if record is None:
             return
+        holder = self.at_address(record.registration.address)
+        if holder is not None and holder is not record:
+            return
         if (
             record.lost_at is not None
             and now - record.lost_at < _MAX_HEARTBEAT_DELAY
--- a/sedgepin/_catalog/tests/test_catalog.py
+++ b/sedgepin/_catalog/tests/test_catalog.py
@@ -183,6 +183,24 @@
         registry.record_heartbeat(model.EndpointId("a"), later + _SECOND)
         assert record.is_live(_SECOND, later + _SECOND)
 
+    def test_heartbeat_does_not_revive_an_endpoint_that_was_replaced(
+        self,
+    ) -> None:
+        registry = catalog.Registry()
+        registry.update(make_registration(), _NOW)
+        newer = make_registration(
+            endpoint_id=model.EndpointId("b"), incarnation=2
+        )
+        registry.update(newer, _NOW)
+        registry.record_heartbeat(model.EndpointId("a"), _NOW + _SECOND)
+        assert registry.has_ended(model.EndpointId("a"), 1)
+        moved = make_registration(incarnation=3, address="127.0.0.1:81")
+        registry.update(moved, _NOW + _SECOND)
+        registry.record_heartbeat(model.EndpointId("a"), _NOW + _SECOND * 2)
+        record = registry.find(model.EndpointId("a"))
+        assert record is not None and not record.has_ended
+        assert record.last_seen_at == _NOW + _SECOND * 2
+
     def test_loss_of_an_earlier_incarnation_is_ignored(self) -> None:
         registry = catalog.Registry()
         registry.update(make_registration(incarnation=2), _NOW)
