Take only a refused connection for the proof of an end

What callers saw: a request ran on more engines than its route allows after the leader, or the entry VM, could not connect to one of them for another reason.

Cause: every OSError but a timeout counted as a refusal, so also an unreachable network, a reset while connecting, and a process without free descriptors. A leader of the version before also clears is_silent after a reset. The class of fault: another failure taken for the end of an engine.

Change: ConnectFailed.is_refused is true only for a connection refused, and both sides ask it; is_timeout had no other use. EndpointLost says has_ended, false by default, so that the word of the version before is no proof. Control VMs keep the proof that the leader tells them.

Tests that gave no or a false is_silent for a proof now say has_ended; they check the same as before, and fail without the field. So the one of a lost first engine in test_requests, three in test_silent_engines, three in test_unproven_losses and the one of the message itself in test_dissemination.

Ends that are refused are found as before (test_crashing_parts, TestCheckOfTheLeader).

--- a/sedgepin/_gateway/_engine_calls.py
+++ b/sedgepin/_gateway/_engine_calls.py
@@ -25,7 +25,7 @@
         address, dialect.report_request(address), timeout.total_seconds()
     )
     failure = response.err()
-    return isinstance(failure, web.ConnectFailed) and not failure.is_timeout
+    return isinstance(failure, web.ConnectFailed) and failure.is_refused
 
 
 async def inspect_stalls(
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -306,7 +306,7 @@
         endpoint_id, incarnation = message.endpoint_id, message.incarnation
         registry = self._state.fleet.registry
         if not registry.mark_lost(
-            endpoint_id, incarnation, now, not message.is_silent
+            endpoint_id, incarnation, now, message.has_ended
         ):
             return []
         self._state.fleet.invalidate_pipelines()
--- a/sedgepin/_gateway/tests/test_requests.py
+++ b/sedgepin/_gateway/tests/test_requests.py
@@ -275,7 +275,8 @@
         gateway.handle(_events.OutputStarted(exchange_id))
         for name in ("low", "far-low"):
             endpoint_id = model.EndpointId(name)
-            effects = gateway.receive(protocol.EndpointLost(endpoint_id, 1))
+            lost = protocol.EndpointLost(endpoint_id, 1, has_ended=True)
+            effects = gateway.receive(lost)
             parts.get_effect(effects, _effects.CancelAttempt)
             gateway.end_attempt(
                 exchange_id, _Outcome.CANCELLED, endpoint_id=endpoint_id
--- a/sedgepin/_gateway/tests/test_silent_engines.py
+++ b/sedgepin/_gateway/tests/test_silent_engines.py
@@ -89,7 +89,7 @@
     def test_engine_that_has_ended_does_not_count(self) -> None:
         stream = _Stream(2)
         stream.silence()
-        lost = protocol.EndpointLost(stream.engines[0], 1, False)
+        lost = protocol.EndpointLost(stream.engines[0], 1, has_ended=True)
         stream.gateway.receive(lost)
         stream.silence()
         assert len(stream.engines) == 3
@@ -110,7 +110,7 @@
         stream = _Stream(2)
         stream.silence()
         first = stream.engines[0]
-        stream.gateway.receive(protocol.EndpointLost(first, 1, False))
+        stream.gateway.receive(protocol.EndpointLost(first, 1, has_ended=True))
         stream.gateway.advance(1000)
         stream.gateway.receive(protocol.RegistrationsSeen(heard=(first,)))
         stream.silence()
@@ -135,6 +135,6 @@
 
     def test_it_ends_if_its_engine_has_ended(self) -> None:
         stream = _Stream(2, is_resumable=False)
-        lost = protocol.EndpointLost(stream.engines[0], 1, False)
+        lost = protocol.EndpointLost(stream.engines[0], 1, has_ended=True)
         effects = stream.record(stream.gateway.receive(lost))
         parts.get_effect(effects, _effects.FailExchange)
--- a/sedgepin/_gateway/tests/test_unproven_losses.py
+++ b/sedgepin/_gateway/tests/test_unproven_losses.py
@@ -229,7 +229,7 @@
     def test_connection_of_a_control_vm_is_no_sign_of_life(self) -> None:
         gateway = parts.Gateway()
         exchange_id = self._run_on_low(gateway)
-        gateway.receive(protocol.EndpointLost(_LOW, 1, False))
+        gateway.receive(protocol.EndpointLost(_LOW, 1, has_ended=True))
         assert self._run_count(gateway, exchange_id) == 0
         gateway.advance(1000)
         # A control VM sends all registrations that it has, once connected.
@@ -274,7 +274,9 @@
         gateway = _make_gateway(resumable=False)
         gateway.send_request("/draft/x")
         gateway.receive(protocol.EndpointLost(_LOW, 1, True))
-        effects = gateway.receive(protocol.EndpointLost(_LOW, 1, False))
+        effects = gateway.receive(
+            protocol.EndpointLost(_LOW, 1, has_ended=True)
+        )
         parts.get_effect(effects, _effects.CancelAttempt)
 
     def test_loss_told_by_the_version_before_is_no_proof(self) -> None:
@@ -298,7 +300,9 @@
     def test_refused_retry_goes_to_no_further_engine(self) -> None:
         gateway = _make_gateway(max_attempts=1)
         exchange_id, _ = gateway.send_request("/draft/x")
-        effects = gateway.receive(protocol.EndpointLost(_LOW, 1, False))
+        effects = gateway.receive(
+            protocol.EndpointLost(_LOW, 1, has_ended=True)
+        )
         effects = _end_cancelled(gateway, exchange_id, effects)
         assert _first_engine(effects) == "far-low"
         gateway.advance(1000)
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -198,13 +198,16 @@
 class EndpointLost(msgspec.Struct, frozen=True, tag=True):
     """Reports that an endpoint answers neither an entry VM nor the leader.
 
-    ``is_silent`` is set if no connection to it was refused, so that it may
-    only be cut off.
+    ``has_ended`` is set if a connection to it was refused, which proves that
+    its process has ended; otherwise it may only be cut off, and ``is_silent``
+    is set.  Earlier versions do not set ``has_ended``, and clear ``is_silent``
+    also if a connection was reset.
     """
 
     endpoint_id: model.EndpointId
     incarnation: int
     is_silent: bool = False
+    has_ended: bool = False
 
 
 class EndpointLeaving(msgspec.Struct, frozen=True, tag=True):
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -373,7 +373,7 @@
 
     A connection that is accepted and then reset may only be one too many.
     """
-    return isinstance(failure, web.ConnectFailed) and not failure.is_timeout
+    return isinstance(failure, web.ConnectFailed) and failure.is_refused
 
 
 def run(
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -356,8 +356,9 @@
         reported_by = self._reported_by.pop(event.endpoint_id, None)
         if reported_by is None or event.has_answered:
             return []
+        has_ended = not event.is_silent
         if not self.registry.mark_lost(
-            event.endpoint_id, event.incarnation, now
+            event.endpoint_id, event.incarnation, now, has_ended
         ):
             return []
         line = events.ENDPOINT_FAILED.line(
@@ -366,7 +367,7 @@
             told_by=reported_by,
         )
         lost = protocol.EndpointLost(
-            event.endpoint_id, event.incarnation, event.is_silent
+            event.endpoint_id, event.incarnation, event.is_silent, has_ended
         )
         return [_effects.WriteLog(line), *self._peers.send_to_all(lost)]
 
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -180,7 +180,7 @@
                 )
             case protocol.EndpointLost(endpoint_id, incarnation):
                 self._endpoints.registry.mark_lost(
-                    endpoint_id, incarnation, now
+                    endpoint_id, incarnation, now, message.has_ended
                 )
                 return self._peers.send_to_entries(message)
             case protocol.EndpointLeaving():
--- a/sedgepin/_registrar/tests/test_dissemination.py
+++ b/sedgepin/_registrar/tests/test_dissemination.py
@@ -216,7 +216,7 @@
         cluster.handle(leader, inspected)
         cluster.run(0.1)
         assert (
-            protocol.EndpointLost(model.EndpointId("e"), 1)
+            protocol.EndpointLost(model.EndpointId("e"), 1, has_ended=True)
             in cluster.entry_messages
         )
 
--- a/sedgepin/_registrar/tests/test_unproven_losses.py
+++ b/sedgepin/_registrar/tests/test_unproven_losses.py
@@ -76,7 +76,7 @@
             (web.AnswerBroken("e", "", is_timeout=True, has_data=True), True),
             (web.ConnectFailed("e", "ConnectionResetError"), True),
             (web.ConnectFailed("e", "ConnectionRefusedError"), False),
-            (web.ConnectFailed("e", "TooSlowError", True), False),
+            (web.ConnectFailed("e", "TooSlowError"), False),
             (web.ConnectFailed("e", "OSError"), False),
         ],
     )
--- a/sedgepin/_web/_client.py
+++ b/sedgepin/_web/_client.py
@@ -61,11 +61,7 @@
                 stream = await sockets.DirectStream.connect(host, int(port))
         except (OSError, trio.TooSlowError) as exc:
             reason = type(exc).__name__
-            # The kernel's own time limit is an OSError.
-            is_timeout = isinstance(exc, (TimeoutError, trio.TooSlowError))
-            return result.Err(
-                _failures.ConnectFailed(address, reason, is_timeout)
-            )
+            return result.Err(_failures.ConnectFailed(address, reason))
         _enable_keepalive(stream.socket)
         return result.Ok(cls(address, stream))
 
--- a/sedgepin/_web/_failures.py
+++ b/sedgepin/_web/_failures.py
@@ -58,7 +58,14 @@
 
     address: str
     reason: str
-    is_timeout: bool = False
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether no process serves at the address.
+
+        Any other failure may be one of the network or of this process.
+        """
+        return self.reason == ConnectionRefusedError.__name__
 
     @property
     def is_reset(self) -> bool:
