Count only the check of a reported engine as the check

What callers saw: an engine that was silent for a moment was declared lost while it still had time to answer the check, and its streams moved.

Cause: any failed report request that ended after the report of an entry VM counted as the check of the leader, also one sent a second before. The class of fault: silence taken for the end of an engine.

Change: a check is marked, from its request to its result, and nothing else declares an engine lost. Only a check is sent once more after a reset. What is asked is forgotten when another VM leads.

--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -262,7 +262,7 @@
 
     async def _inspect_engine(self, effect: _effects.InspectEngine) -> None:
         request = self._dialect.report_request(effect.address)
-        response = await _send_inspection(effect.address, request)
+        response = await _send_inspection(effect, request)
         report: _events.EngineReport | None = None
         failure: errors.Failure | None = None
         if response.is_err():
@@ -284,6 +284,7 @@
                 report,
                 _has_answered(response.err()),
                 not _is_refusal(response.err()),
+                effect.is_check,
             )
         )
 
@@ -328,20 +329,22 @@
         return settings.Peer(id=vm_id, address=vm_id, data_centre="")
 
 
-async def _send_inspection(address: str, request: web.Request) -> _Inspection:
-    """Send a report request; repeat it if the connection was only closed.
+async def _send_inspection(
+    effect: _effects.InspectEngine, request: web.Request
+) -> _Inspection:
+    """Send a report request; repeat a check if the connection was only closed.
 
     An engine that is ending may close it, and then refuses the next one.  One
     that goes on may have had as many connections as it accepts.
     """
     response = await web.send_request(
-        address, request, _ENGINE_TIMEOUT_SECONDS
+        effect.address, request, _ENGINE_TIMEOUT_SECONDS
     )
-    if not _was_closed(response.err()):
+    if not effect.is_check or not _was_closed(response.err()):
         return response
     await trio.sleep(_REPEAT_DELAY_SECONDS)
     repeated = await web.send_request(
-        address, request, _ENGINE_TIMEOUT_SECONDS
+        effect.address, request, _ENGINE_TIMEOUT_SECONDS
     )
     is_decided = repeated.is_ok() or _is_refusal(repeated.err())
     return repeated if is_decided else response
--- a/sedgepin/_registrar/_effects.py
+++ b/sedgepin/_registrar/_effects.py
@@ -43,11 +43,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class InspectEngine:
-    """Request an engine's report."""
+    """Request an engine's report.
+
+    ``is_check`` is set if that is to find out whether it has failed.
+    """
 
     endpoint_id: model.EndpointId
     incarnation: int
     address: str
+    is_check: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -67,6 +67,15 @@
         self._reports = _report_schedule.ReportSchedule()
         self._restrictions = catalog.EndpointRestrictions()
 
+    def gain_leadership(self, now: datetime.datetime) -> None:
+        """Start to check endpoints and to order layers."""
+        self.orders.start_leading(now)
+
+    def lose_leadership(self) -> None:
+        """Leave checks and orders to another VM."""
+        self.orders.stop_leading()
+        self._reported_by.clear()
+
     def tick(
         self, table: catalog.RouteTable | None, now: datetime.datetime
     ) -> Effects:
@@ -347,12 +356,19 @@
         self._checked_at[endpoint_id] = now
         self._reported_by[endpoint_id] = sender
         address = record.registration.address
-        return [_effects.InspectEngine(endpoint_id, incarnation, address)]
+        return [
+            _effects.InspectEngine(endpoint_id, incarnation, address, True)
+        ]
 
     def _declare_lost(
         self, event: _events.EngineInspected, now: datetime.datetime
     ) -> Effects:
-        """Declare a checked endpoint lost if it did not respond."""
+        """Declare a checked endpoint lost if it did not respond.
+
+        Another report request may have been sent long before the check.
+        """
+        if not event.is_check:
+            return []
         reported_by = self._reported_by.pop(event.endpoint_id, None)
         if reported_by is None or event.has_answered:
             return []
--- a/sedgepin/_registrar/_events.py
+++ b/sedgepin/_registrar/_events.py
@@ -70,6 +70,7 @@
     but provide no report, and for a connection that was closed or reset, since
     an engine may have as many as it accepts.  ``is_silent`` is true unless the
     connection was refused, which proves that the endpoint has ended.
+    ``is_check`` is that of the request.
     """
 
     endpoint_id: model.EndpointId
@@ -77,6 +78,7 @@
     report: EngineReport | None
     has_answered: bool
     is_silent: bool = False
+    is_check: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -307,9 +307,9 @@
         self, effect: consensus.NotifyLeaderChange, now: datetime.datetime
     ) -> Effects:
         if effect.is_self:
-            self._endpoints.orders.start_leading(now)
+            self._endpoints.gain_leadership(now)
         else:
-            self._endpoints.orders.stop_leading()
+            self._endpoints.lose_leadership()
         line = events.LEADER_CHANGED.line(
             leader=effect.leader_id, term=effect.term
         )
--- a/sedgepin/_registrar/tests/test_dissemination.py
+++ b/sedgepin/_registrar/tests/test_dissemination.py
@@ -211,7 +211,7 @@
         ]
         assert len(checks) == 1
         inspected = _events.EngineInspected(
-            model.EndpointId("e"), 1, None, False
+            model.EndpointId("e"), 1, None, False, is_check=True
         )
         cluster.handle(leader, inspected)
         cluster.run(0.1)
@@ -230,7 +230,7 @@
         arrived = protocol.PeerMessageReceived(model.VmId("entry"), failed)
         cluster.handle(leader, arrived)
         inspected = _events.EngineInspected(
-            model.EndpointId("e"), 1, None, True
+            model.EndpointId("e"), 1, None, True, is_check=True
         )
         cluster.handle(leader, inspected)
         cluster.run(0.1)
--- a/sedgepin/_registrar/tests/test_log_lines.py
+++ b/sedgepin/_registrar/tests/test_log_lines.py
@@ -56,7 +56,7 @@
     failed = protocol.EndpointFailed(_ENGINE, 1)
     arrived = protocol.PeerMessageReceived(_ENTRY, failed)
     cluster.handle(cluster.leader(), arrived)
-    inspected = _events.EngineInspected(_ENGINE, 1, None, False)
+    inspected = _events.EngineInspected(_ENGINE, 1, None, False, is_check=True)
     cluster.handle(cluster.leader(), inspected)
 
 
--- a/sedgepin/_registrar/tests/test_unproven_losses.py
+++ b/sedgepin/_registrar/tests/test_unproven_losses.py
@@ -53,6 +53,10 @@
         cluster.handle(leader, before)
         cluster.run(0.1)
         assert _lost(cluster) == []
+        check = _events.EngineInspected(_ENGINE, 1, None, False, True, True)
+        cluster.handle(leader, check)
+        cluster.run(0.1)
+        assert _lost(cluster) == [protocol.EndpointLost(_ENGINE, 1, True)]
 
     @pytest.mark.parametrize(
         "failure",
@@ -97,7 +101,9 @@
         leader = cluster.leader()
         cluster.register(leader, clusters.registration())
         _report_failed(cluster, _ENGINE)
-        inspected = _events.EngineInspected(_ENGINE, 1, None, False)
+        inspected = _events.EngineInspected(
+            _ENGINE, 1, None, False, is_check=True
+        )
         cluster.handle(leader, inspected)
         cluster.run(2)
         cluster.connect_entry(leader)
@@ -116,7 +122,9 @@
         leader = cluster.leader()
         cluster.register(leader, clusters.registration())
         _report_failed(cluster, _ENGINE)
-        inspected = _events.EngineInspected(_ENGINE, 1, None, False)
+        inspected = _events.EngineInspected(
+            _ENGINE, 1, None, False, is_check=True
+        )
         cluster.handle(leader, inspected)
         cluster.connect_entry(leader)
         cluster.run(0.1)
@@ -183,11 +191,11 @@
             held = self.registrations[call.endpoint_id].layers
             report = _events.EngineReport(1, held, False, 0)
             inspected = _events.EngineInspected(
-                call.endpoint_id, 1, report, True
+                call.endpoint_id, 1, report, True, is_check=call.is_check
             )
             if call.endpoint_id in self.silent:
                 inspected = _events.EngineInspected(
-                    call.endpoint_id, 1, None, False, True
+                    call.endpoint_id, 1, None, False, True, call.is_check
                 )
             self.cluster.handle(leader, inspected)
 
--- a/sedgepin/platform/tests/test_unproven_silence.py
+++ b/sedgepin/platform/tests/test_unproven_silence.py
@@ -109,7 +109,7 @@
 
         nursery.start_soon(end)
         address = f"127.0.0.1:{listener.socket.getsockname()[1]}"
-        check = _effects.InspectEngine(model.EndpointId("e"), 1, address)
+        check = _effects.InspectEngine(model.EndpointId("e"), 1, address, True)
         inspected = await self._inspect(check)
         assert isinstance(inspected, _events.EngineInspected)
         assert not inspected.has_answered
--- a/sedgepin/tests/timed_deployment.py
+++ b/sedgepin/tests/timed_deployment.py
@@ -138,7 +138,11 @@
                     registration.incarnation, registration.layers, False, 0
                 )
             inspected = registrar_events.EngineInspected(
-                effect.endpoint_id, effect.incarnation, report, has_answered
+                effect.endpoint_id,
+                effect.incarnation,
+                report,
+                has_answered,
+                is_check=effect.is_check,
             )
             self._after(ENGINE_SECONDS, self._handle_control, vm_id, inspected)
 
