Leave the layers of a silent engine until its end is proven

What callers saw: an engine silent for one check lost its layers to others, which stopped serving theirs while they loaded them, and got them back when it went on a second later.

Cause: the plan left out every engine that counted as failed. The class of fault: silence taken for the end of an engine.

The new tests bound the times of both cases; each failed with its condition taken out.

--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -55,6 +55,16 @@
         """Whether the endpoint is not lost and was seen within ``timeout``."""
         return self.lost_at is None and now - self.last_seen_at <= timeout
 
+    def may_go_on(
+        self, timeout: datetime.timedelta, now: datetime.datetime
+    ) -> bool:
+        """Whether it is lost by silence only, and was seen in ``timeout``."""
+        return (
+            self.lost_at is not None
+            and not self.has_ended
+            and now - self.last_seen_at <= timeout
+        )
+
 
 class Registry:
     """The latest registration of each endpoint, regardless of arrival order.
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -99,8 +99,10 @@
         }
         is_leader = self._raft.holds_lease(now)
         if is_leader:
+            silent = self._silent_registrations(now)
+            waiting = paused.union(engine.endpoint_id for engine in silent)
             effects += self.orders.tick(
-                live, table, self._raft.term, now, paused
+                live + silent, table, self._raft.term, now, waiting
             )
         return effects + self._request_reports(
             [engine for engine in live if engine.endpoint_id not in paused],
@@ -219,6 +221,22 @@
             and record.is_live(self._cfg.heartbeat_timeout, now)
         ]
 
+    def _silent_registrations(
+        self, now: datetime.datetime
+    ) -> list[catalog.Registration]:
+        """Return the registrations of endpoints lost by silence only.
+
+        They keep their layers until they are heard, proven to have ended, or
+        without a heartbeat for too long.
+        """
+        gone = catalog.EndpointState.GONE
+        return [
+            record.registration
+            for record in self.registry
+            if record.registration.state is not gone
+            and record.may_go_on(self._cfg.heartbeat_timeout, now)
+        ]
+
     def register(
         self, event: _events.EndpointRegistered, now: datetime.datetime
     ) -> Effects:
--- a/sedgepin/_registrar/_layer_orders.py
+++ b/sedgepin/_registrar/_layer_orders.py
@@ -82,7 +82,8 @@
     ) -> list[_effects.RegistrarEffect]:
         """Update the plan if it is due; inspect the engines that are due.
 
-        Engines in ``paused`` want no requests now; they stay in the plan.
+        Engines in ``paused`` want no requests now, or are silent; they stay in
+        the plan.
         """
         registrations = {
             registration.endpoint_id: registration for registration in live
--- a/sedgepin/_registrar/tests/test_unproven_losses.py
+++ b/sedgepin/_registrar/tests/test_unproven_losses.py
@@ -143,6 +143,7 @@
     def __init__(self, cluster: clusters.Cluster) -> None:
         self.cluster = cluster
         self.silent: set[model.EndpointId] = set()
+        self.ended: set[model.EndpointId] = set()
         self.orders: list[_effects.OrderLayers] = []
         self._sequence = 1
         self._beat_at = cluster.now
@@ -176,7 +177,7 @@
     def _send_heartbeats(self) -> None:
         self._beat_at += datetime.timedelta(milliseconds=1200)
         for endpoint_id, registration in self.registrations.items():
-            if endpoint_id not in self.silent:
+            if endpoint_id not in self.silent | self.ended:
                 self.cluster.register(self.cluster.leader(), registration)
 
     def _answer(self, call: _effects.RegistrarEffect) -> None:
@@ -193,9 +194,10 @@
             inspected = _events.EngineInspected(
                 call.endpoint_id, 1, report, True, is_check=call.is_check
             )
-            if call.endpoint_id in self.silent:
+            if call.endpoint_id in self.silent | self.ended:
+                is_silent = call.endpoint_id in self.silent
                 inspected = _events.EngineInspected(
-                    call.endpoint_id, 1, None, False, True, call.is_check
+                    call.endpoint_id, 1, None, False, is_silent, call.is_check
                 )
             self.cluster.handle(leader, inspected)
 
@@ -218,3 +220,23 @@
             for order in engines.orders
         }
         assert sorted(ordered) == []
+
+    def test_they_are_given_to_others_once_it_has_ended(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        engines = _Engines(cluster)
+        endpoint_id = model.EndpointId("one-a100-0")
+        engines.ended = {endpoint_id}
+        _report_failed(cluster, endpoint_id)
+        engines.run(0.35)
+        assert engines.orders != []
+
+    def test_they_are_given_to_others_after_the_heartbeat_timeout(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        engines = _Engines(cluster)
+        endpoint_id = model.EndpointId("one-a100-0")
+        engines.silent = {endpoint_id}
+        _report_failed(cluster, endpoint_id)
+        engines.run(4.5)
+        assert engines.orders != []
