Check engines lost by silence until their end is proven

What callers saw: a stream that may not move waited for an engine that had ended, or its run counted towards the limit of the route, since the proof never came.

Cause: the leader checks what entry VMs report, and they do not report an endpoint that counts as failed. One silent check was the last.

Change: the leader checks endpoints lost by silence each second until they are heard, refuse a connection, or leave the registry 60 s after their last heartbeat; so does the next leader. At a refusal it logs endpoint_ended and sends EndpointLost once more, with has_ended. A check that began before the endpoint was heard declares nothing, and a silent one does not put off its return. Entry VMs do not act on the second message yet.

Cost: a rack of 40 that is gone costs 40 calls a second for a minute, without a log line each.

Evidence: the tests of TestSilentLoss failed with the fields but without the logic, and some do with each of its conditions taken out.

--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -55,16 +55,6 @@
         """Whether the endpoint is not lost and was seen within ``timeout``."""
         return self.lost_at is None and now - self.last_seen_at <= timeout
 
-    def may_go_on(
-        self, timeout: datetime.timedelta, now: datetime.datetime
-    ) -> bool:
-        """Whether it is lost by silence only, and was seen in ``timeout``."""
-        return (
-            self.lost_at is not None
-            and not self.has_ended
-            and now - self.last_seen_at <= timeout
-        )
-
 
 class Registry:
     """The latest registration of each endpoint, regardless of arrival order.
@@ -86,6 +76,17 @@
     def __iter__(self) -> typing.Iterator[EndpointRecord]:
         return iter(self._records.values())
 
+    def silent(self) -> list[EndpointRecord]:
+        """Return the entries that were lost without proof of an end."""
+        gone = _registration.EndpointState.GONE
+        return [
+            record
+            for record in self._records.values()
+            if record.lost_at is not None
+            and not record.has_ended
+            and record.registration.state is not gone
+        ]
+
     def find(self, endpoint_id: model.EndpointId) -> EndpointRecord | None:
         """Return the entry of an endpoint, if it has one."""
         return self._records.get(endpoint_id)
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -272,7 +272,7 @@
             parsed = self._dialect.parse_report(*response.unwrap())
             failure = parsed.err()
             report = parsed.ok()
-        if failure is not None:
+        if failure is not None and not effect.is_repeated:
             line = events.ENDPOINT_SUSPECTED.line(
                 endpoint=effect.endpoint_id, failure=failure.detail()
             )
@@ -285,6 +285,7 @@
                 _has_answered(response.err()),
                 not _is_refusal(response.err()),
                 effect.is_check,
+                effect.is_repeated,
             )
         )
 
--- a/sedgepin/_registrar/_effects.py
+++ b/sedgepin/_registrar/_effects.py
@@ -45,13 +45,15 @@
 class InspectEngine:
     """Request an engine's report.
 
-    ``is_check`` is set if that is to find out whether it has failed.
+    ``is_check`` is set if that is to find out whether it has failed, and
+    ``is_repeated`` if it counts as failed already, by its silence.
     """
 
     endpoint_id: model.EndpointId
     incarnation: int
     address: str
     is_check: bool = False
+    is_repeated: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -14,6 +14,7 @@
 from sedgepin._registrar import _registration_relay
 from sedgepin._registrar import _report_schedule
 from sedgepin._registrar import _settings
+from sedgepin._registrar import _silent_losses
 from sedgepin import events
 
 Effects = list[_effects.RegistrarEffect]
@@ -44,6 +45,7 @@
         "_reported_by",
         "_reports",
         "_restrictions",
+        "_silent_losses",
         "orders",
         "registry",
     )
@@ -66,6 +68,9 @@
         self._reported_by: dict[model.EndpointId, model.VmId] = {}
         self._reports = _report_schedule.ReportSchedule()
         self._restrictions = catalog.EndpointRestrictions()
+        self._silent_losses = _silent_losses.SilentLossChecks(
+            self.registry, self._restrictions, peers
+        )
 
     def gain_leadership(self, now: datetime.datetime) -> None:
         """Start to check endpoints and to order layers."""
@@ -99,10 +104,18 @@
         }
         is_leader = self._raft.holds_lease(now)
         if is_leader:
-            silent = self._silent_registrations(now)
-            waiting = paused.union(engine.endpoint_id for engine in silent)
+            silent = self.registry.silent()
+            effects += self._silent_losses.start_due(silent, now)
+            # They keep their layers until they are heard, proven to have
+            # ended, or without a heartbeat for too long.
+            kept = [
+                record.registration
+                for record in silent
+                if now - record.last_seen_at <= self._cfg.heartbeat_timeout
+            ]
+            waiting = paused.union(engine.endpoint_id for engine in kept)
             effects += self.orders.tick(
-                live + silent, table, self._raft.term, now, waiting
+                live + kept, table, self._raft.term, now, waiting
             )
         return effects + self._request_reports(
             [engine for engine in live if engine.endpoint_id not in paused],
@@ -221,22 +234,6 @@
             and record.is_live(self._cfg.heartbeat_timeout, now)
         ]
 
-    def _silent_registrations(
-        self, now: datetime.datetime
-    ) -> list[catalog.Registration]:
-        """Return the registrations of endpoints lost by silence only.
-
-        They keep their layers until they are heard, proven to have ended, or
-        without a heartbeat for too long.
-        """
-        gone = catalog.EndpointState.GONE
-        return [
-            record.registration
-            for record in self.registry
-            if record.registration.state is not gone
-            and record.may_go_on(self._cfg.heartbeat_timeout, now)
-        ]
-
     def register(
         self, event: _events.EndpointRegistered, now: datetime.datetime
     ) -> Effects:
@@ -385,6 +382,8 @@
 
         Another report request may have been sent long before the check.
         """
+        if event.is_repeated:
+            return self._silent_losses.handle_inspection(event, now)
         if not event.is_check:
             return []
         reported_by = self._reported_by.pop(event.endpoint_id, None)
--- a/sedgepin/_registrar/_events.py
+++ b/sedgepin/_registrar/_events.py
@@ -70,7 +70,7 @@
     but provide no report, and for a connection that was closed or reset, since
     an engine may have as many as it accepts.  ``is_silent`` is true unless the
     connection was refused, which proves that the endpoint has ended.
-    ``is_check`` is that of the request.
+    ``is_check`` and ``is_repeated`` are those of the request.
     """
 
     endpoint_id: model.EndpointId
@@ -79,6 +79,7 @@
     has_answered: bool
     is_silent: bool = False
     is_check: bool = False
+    is_repeated: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_registrar/tests/test_log_lines.py
+++ b/sedgepin/_registrar/tests/test_log_lines.py
@@ -60,6 +60,18 @@
     cluster.handle(cluster.leader(), inspected)
 
 
+def _end_silent_endpoint(cluster: clusters.Cluster) -> None:
+    _register_endpoint(cluster)
+    failed = protocol.EndpointFailed(_ENGINE, 1)
+    arrived = protocol.PeerMessageReceived(_ENTRY, failed)
+    cluster.handle(cluster.leader(), arrived)
+    for is_repeated in (False, True):
+        inspected = _events.EngineInspected(
+            _ENGINE, 1, None, False, not is_repeated, True, is_repeated
+        )
+        cluster.handle(cluster.leader(), inspected)
+
+
 def _slow_engine_down(cluster: clusters.Cluster) -> None:
     _register_endpoint(cluster)
     report = _events.EngineReport(1, None, False, 0, 4.0)
@@ -123,6 +135,10 @@
     "peer_disconnected": (_disconnect_entry, {"peer": "entry"}),
     "peer_refused": (_refuse_peer, {"address": "127.0.0.1:1"}),
     "endpoint_failed": (_fail_endpoint, {"endpoint": "e", "told_by": "entry"}),
+    "endpoint_ended": (
+        _end_silent_endpoint,
+        {"endpoint": "e", "incarnation": 1},
+    ),
     "endpoint_paced": (_slow_engine_down, {"slowness": 4.0, "before": 1.0}),
     "layers_ordered": (_order_layers, {"endpoint": "e0", "held": "none"}),
     "endpoint_leaving": (_leave, {"endpoint": "e", "incarnation": 1}),
--- a/sedgepin/_registrar/tests/test_unproven_losses.py
+++ b/sedgepin/_registrar/tests/test_unproven_losses.py
@@ -137,6 +137,124 @@
         assert told == [clusters.registration()]
 
 
+class TestSilentLoss:
+    """The leader looks for the proof that the first check did not bring."""
+
+    def _lose(self, cluster: clusters.Cluster, count: int = 1) -> None:
+        """Let engines be lost by silence."""
+        leader = cluster.leader()
+        cluster.connect_entry(leader)
+        for number in range(count):
+            endpoint_id = model.EndpointId(f"e{number}")
+            registration = clusters.registration(
+                endpoint_id=endpoint_id, address=f"{endpoint_id}:80"
+            )
+            cluster.register(leader, registration)
+            _report_failed(cluster, endpoint_id)
+        assert len(self._checks(cluster, False)) == count
+        assert len(_lost(cluster)) == count
+
+    def _checks(
+        self, cluster: clusters.Cluster, is_refused: bool
+    ) -> list[model.EndpointId]:
+        """Fail the checks that were sent; return what they were sent to."""
+        checks = [
+            call
+            for call in cluster.engine_calls
+            if isinstance(call, _effects.InspectEngine) and call.is_check
+        ]
+        cluster.engine_calls.clear()
+        for check in checks:
+            inspected = _events.EngineInspected(
+                check.endpoint_id,
+                check.incarnation,
+                None,
+                False,
+                not is_refused,
+                check.is_check,
+                check.is_repeated,
+            )
+            cluster.handle(cluster.leader(), inspected)
+        cluster.run(0.05)
+        return [check.endpoint_id for check in checks]
+
+    def test_its_end_is_told_when_it_refuses_a_later_check(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        self._lose(cluster)
+        cluster.run(1.1)
+        assert self._checks(cluster, False) == ["e0"]
+        cluster.run(1.1)
+        assert self._checks(cluster, True) == ["e0"]
+        proven = protocol.EndpointLost(model.EndpointId("e0"), 1, False, True)
+        # From the leader, and nothing after it.
+        assert _lost(cluster)[1:] == [proven]
+        for reducer in cluster.running.values():
+            assert reducer.registry.has_ended(model.EndpointId("e0"), 1)
+        cluster.run(3)
+        assert self._checks(cluster, True) == []
+
+    def test_one_that_is_heard_is_alive_and_not_checked(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        self._lose(cluster)
+        cluster.run(1.1)
+        late_check = cluster.engine_calls[-1]
+        assert isinstance(late_check, _effects.InspectEngine)
+        registration = clusters.registration(
+            endpoint_id=model.EndpointId("e0"), address="e0:80"
+        )
+        cluster.register(cluster.leader(), registration)
+        # What a check found before that is outdated.
+        for is_refused in (False, True):
+            cluster.engine_calls = [late_check]
+            assert self._checks(cluster, is_refused) == ["e0"]
+        cluster.run(3)
+        assert self._checks(cluster, True) == []
+        assert len(_lost(cluster)) == 1
+        record = cluster.running[cluster.leader()].registry.find(
+            model.EndpointId("e0")
+        )
+        assert record is not None and record.lost_at is None
+
+    def test_silent_check_does_not_put_off_its_return(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        self._lose(cluster)
+        cluster.run(1.1)
+        assert self._checks(cluster, False) == ["e0"]
+        registration = clusters.registration(
+            endpoint_id=model.EndpointId("e0"), address="e0:80"
+        )
+        cluster.register(cluster.leader(), registration)
+        record = cluster.running[cluster.leader()].registry.find(
+            model.EndpointId("e0")
+        )
+        assert record is not None and record.lost_at is None
+
+    def test_rack_costs_a_call_a_second_for_each_until_they_expire(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        self._lose(cluster, 40)
+        call_count = 0
+        for _second in range(58):
+            cluster.run(0.95)
+            calls = self._checks(cluster, False)
+            assert len(calls) == len(set(calls)) <= 40
+            call_count += len(calls)
+        assert call_count > 40 * 50
+        cluster.run(5)
+        cluster.engine_calls.clear()
+        cluster.run(5)
+        assert self._checks(cluster, False) == []
+
+    def test_next_leader_checks_it(self, cluster: clusters.Cluster) -> None:
+        self._lose(cluster)
+        cluster.stop(cluster.leader())
+        cluster.run(3)
+        assert "e0" in self._checks(cluster, False)
+
+
 class _Engines:
     """Engines that hold the planned layers and answer each call at once."""
 
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -176,6 +176,14 @@
     "incarnation",
     "told_by",
 )
+ENDPOINT_ENDED = _define(
+    210,
+    "WARNING",
+    "endpoint_ended",
+    "An endpoint that had failed by its silence refused a later connection.",
+    "endpoint",
+    "incarnation",
+)
 ENDPOINT_PACED = _define(
     207,
     "INFO",
--- a/sedgepin/tests/timed_deployment.py
+++ b/sedgepin/tests/timed_deployment.py
@@ -143,6 +143,7 @@
                 report,
                 has_answered,
                 is_check=effect.is_check,
+                is_repeated=effect.is_repeated,
             )
             self._after(ENGINE_SECONDS, self._handle_control, vm_id, inspected)
 
