Keep a stream on a silent engine if no other can take it

What callers saw: a stream whose engine, or a later stage, fell silent was cancelled though no other engine was free, and ended with 502 (or was broken off after 1.5 s in the queue if it had started); the engine was sound.

Cause: _cancel_or_keep asked whether the route and the budget allow one more attempt, and not whether an endpoint can take it.

Change: an attempt is cancelled only if a pipeline with room begins with another engine; no retry is spent otherwise. A kept stream is looked at again at each of its stalls. After a refused reroute the gateway knows that the request is still on the pipeline before, so that a proof of the end of a stage there reaches it. request_kept says why (reason): the route, no free endpoint or the budget.

--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -24,7 +24,8 @@
     and may have run.  ``has_reserved_retry`` is set while an attempt is being
     cancelled whose successor is in the retry budget already.
     ``is_kept`` is set once an attempt without progress has been left alone,
-    because the request may run nowhere else.
+    because the request can run nowhere else.  ``pipeline_before`` is the one
+    before the last reroute.
     ``tried_endpoints`` holds the endpoints on which an attempt failed.
     ``position`` is the id of the last event that the caller received.
     ``queued_at`` is set while the request waits for capacity.
@@ -44,6 +45,7 @@
     runs: list[Run] = dataclasses.field(default_factory=list)
     has_reserved_retry: bool = False
     reroute_count: int = 0
+    pipeline_before: model.Pipeline | None = None
     is_kept: bool = False
     position: int | None = None
     has_output: bool = False
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -1,5 +1,6 @@
 """Failover of running requests whose engines fail or stall."""
 
+import dataclasses
 import datetime
 
 from sedgepin._gateway import _calls
@@ -121,6 +122,7 @@
         if event.is_accepted:
             return []
         if event.refused_by is not None:
+            self._undo_reroute(exchange)
             record = self._state.fleet.registry.at_address(event.refused_by)
             if record is not None:
                 endpoint_id = record.registration.endpoint_id
@@ -152,17 +154,8 @@
             return self._cancel_or_keep(exchange, None, now)
         exchange.is_rerouting = True
         exchange.reroute_count += 1
-        self._state.fleet.remove_load(exchange.endpoint_ids, exchange.tokens)
-        exchange.dispatch = _calls.Dispatch(
-            dispatch.endpoint_id,
-            dispatch.address,
-            dispatch.time_left,
-            dispatch.customer,
-            failover_pipeline,
-            dispatch.resume_after,
-            dispatch.incarnation,
-        )
-        self._state.fleet.add_load(exchange.endpoint_ids, exchange.tokens)
+        exchange.pipeline_before = dispatch.pipeline
+        self._set_pipeline(exchange, dispatch, failover_pipeline)
         line = events.REQUEST_REROUTED.line(
             request=exchange.request.request_id,
             before=_shared_state.format_pipeline(dispatch.pipeline),
@@ -176,6 +169,24 @@
         )
         return [_shared_state.log(line), reroute]
 
+    def _undo_reroute(self, exchange: _exchange.Exchange) -> None:
+        """Record that a request is on the pipeline from before a reroute."""
+        if exchange.dispatch is None or exchange.pipeline_before is None:
+            return
+        self._set_pipeline(
+            exchange, exchange.dispatch, exchange.pipeline_before
+        )
+
+    def _set_pipeline(
+        self,
+        exchange: _exchange.Exchange,
+        dispatch: _calls.Dispatch,
+        pipeline: model.Pipeline,
+    ) -> None:
+        self._state.fleet.remove_load(exchange.endpoint_ids, exchange.tokens)
+        exchange.dispatch = dataclasses.replace(dispatch, pipeline=pipeline)
+        self._state.fleet.add_load(exchange.endpoint_ids, exchange.tokens)
+
     def _cancel_or_keep(
         self,
         exchange: _exchange.Exchange,
@@ -184,17 +195,16 @@
     ) -> _shared_state.Effects:
         """Cancel an attempt that makes no progress, if that serves the caller.
 
-        It does if the request may run on another endpoint.  Otherwise the
-        attempt goes on, unless one of its endpoints is known to have ended.
-        ``silent_id`` names the first engine if it did not answer.
+        It does if the request may run on another endpoint, and one is free.
+        Otherwise the attempt goes on, unless one of its endpoints is known to
+        have ended.  ``silent_id`` names the first engine if it did not answer.
         """
         if exchange.has_reserved_retry:
             return []
-        has_retry = self._state.may_run_again(
-            exchange
-        ) and self._state.retry_budget.try_spend(exchange.service.name, now)
-        if has_retry or self._has_ended_stage(exchange):
-            exchange.has_reserved_retry = has_retry
+        has_ended = self._has_ended_stage(exchange)
+        obstacle = self._reserve_retry(exchange, has_ended, now)
+        if has_ended or obstacle is None:
+            exchange.has_reserved_retry = obstacle is None
             return [_effects.CancelAttempt(exchange.exchange_id)]
         if exchange.is_kept:
             return []
@@ -205,9 +215,50 @@
             attempts=exchange.send_count,
             counted=self._state.run_count(exchange) + 1,
             allowed=exchange.route.max_attempts,
+            reason=obstacle,
         )
         return [_shared_state.log(line)]
 
+    def _reserve_retry(
+        self,
+        exchange: _exchange.Exchange,
+        has_ended: bool,
+        now: datetime.datetime,
+    ) -> str | None:
+        """Take a retry from the budget, or return what stands against it.
+
+        If the attempt has ended, the retry may wait for an endpoint.
+        """
+        if not self._state.may_run_again(exchange):
+            return "the route allows no further endpoint"
+        if not has_ended and not self._has_destination(exchange, now):
+            return "no other endpoint is free"
+        service = exchange.service.name
+        if not self._state.retry_budget.try_spend(service, now):
+            return "the retry budget is spent"
+        return None
+
+    def _has_destination(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> bool:
+        """Return whether a pipeline has room that begins with another engine.
+
+        After the last reroute it may begin with the same one.
+        """
+        size = exchange.request.size
+        if size is None:
+            return False
+        candidate = self._state.fleet.find_pipeline(
+            exchange.service, size, now
+        )
+        if candidate is None or candidate.cache_utilization > 1.0:
+            return False
+        first_id = candidate.pipeline.stages[0].endpoint_id
+        return (
+            first_id != exchange.endpoint_ids[0]
+            or exchange.reroute_count >= _MAX_REROUTES
+        )
+
     def _has_ended_stage(self, exchange: _exchange.Exchange) -> bool:
         """Return whether an endpoint of the attempt is known to have ended."""
         current = exchange.current_run
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -429,13 +429,14 @@
     "INFO",
     "request_kept",
     "A request stays with an engine that is silent or makes no progress,"
-    " because it may run on no other; attempts on engines that have ended"
+    " because it can run on no other now; attempts on engines that have ended"
     " are not counted.",
     "request",
     "endpoint",
     "attempts",
     "counted",
     "allowed",
+    "reason",
 )
 REQUEST_UNREADABLE = _define(
     318,
