Set no answer timeout for a call that cannot be sent again

What callers saw: a plain idempotent call ended with 502 after the first output target, though its endpoint was only slow and no other endpoint, or no retry in the budget, was there to repeat it.

Cause: the time limit of the answer head depended on the route's attempts alone.

Change: a limit is set only if, when the request is sent, another endpoint of the service may get it and the budget allows a retry. Both can still change until the limit; that is not covered.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -421,7 +421,7 @@
             exchange.exchange_id,
             dispatch,
             exchange.route.kind is catalog.RetrySemantics.STREAM,
-            self._answer_timeout(exchange),
+            self._answer_timeout(exchange, now),
         )
         return [_shared_state.log(line), start]
 
@@ -444,15 +444,21 @@
         return _failures.OutcomeUnknown(failure.detail())
 
     def _answer_timeout(
-        self, exchange: _exchange.Exchange
+        self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> datetime.timedelta | None:
         """Return how long to wait for an answer head; ``None`` for no limit.
 
-        There is a limit only if the request may run on another endpoint after
+        There is a limit only if the request can run on another endpoint after
         this one.
         """
         if exchange.route.kind is not catalog.RetrySemantics.IDEMPOTENT:
             return None
         if not self._state.may_run_again(exchange):
             return None
+        service = exchange.service.name
+        tried = exchange.tried_endpoints.union(exchange.endpoint_ids)
+        if self._state.fleet.choose_endpoint(service, tried, now) is None:
+            return None
+        if not self._state.retry_budget.may_spend(service, now):
+            return None
         return exchange.route.first_output_target
