Tell an engine that gives no stall report from a silent one

What callers saw: a stream was cancelled and started on another engine though its first engine had just reset the connection of the inspection, as engines do above their limit of connections, or had answered it with 503.

Cause: inspect_stalls gave no report for all of these, and the reducer takes no report for no answer.

Change: StallsInspected.has_answered says whether anything came from the engine. Only an inspection without it (a refused connection, none, or no bytes in time) counts as a failure; stalls_inspected logs it as "answered". The stream's next stall inspects the engine again.

--- a/sedgepin/_gateway/_engine_calls.py
+++ b/sedgepin/_gateway/_engine_calls.py
@@ -36,18 +36,23 @@
 ) -> _events.StallsInspected:
     """Request a stall report from a first engine.
 
-    What its answer's head tells is submitted apart.
+    What its answer's head tells is submitted apart.  An engine that resets
+    the connection, or answers without a report, is not silent.
     """
     request = dialect.report_request(effect.address)
     response = await web.send_request(
         effect.address, request, timeout.total_seconds()
     )
     report: _calls.StallReport | None = None
+    failure = response.err()
+    has_answered = isinstance(response, result.Ok) or (
+        isinstance(failure, web.AnswerBroken) and not failure.is_timeout
+    )
     if isinstance(response, result.Ok):
         metadata = dialect.parse_answer(response.ok_value[0])
         submit(_events.AnswerHeadReceived(effect.endpoint_id, metadata))
         report = dialect.parse_stall_report(*response.ok_value).ok()
-    return _events.StallsInspected(effect.endpoint_id, report)
+    return _events.StallsInspected(effect.endpoint_id, report, has_answered)
 
 
 async def reroute(
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -97,11 +97,20 @@
 class StallsInspected:
     """The stall inspection of a first engine ended.
 
-    ``report`` is ``None`` if the engine did not answer.
+    ``report`` is ``None`` if the engine gave none.  Even so it may have
+    answered: ``has_answered`` is set then, and follows ``report`` by default.
     """
 
     endpoint_id: model.EndpointId
     report: _calls.StallReport | None
+    has_answered: bool | None = None
+
+    @property
+    def is_silent(self) -> bool:
+        """Return whether nothing came from the engine."""
+        if self.has_answered is None:
+            return self.report is None
+        return not self.has_answered
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -63,13 +63,13 @@
         faulty_addresses = sorted({stall.faulty_address for stall in stalls})
         line = events.STALLS_INSPECTED.line(
             endpoint=event.endpoint_id,
-            answered=report is not None,
+            answered=not event.is_silent,
             stalls=len(stalls),
             at_fault=",".join(faulty_addresses),
             slowness=None if report is None else report.slowdown,
         )
         effects: _shared_state.Effects = [_shared_state.log(line)]
-        if report is None:
+        if event.is_silent:
             return effects + self.handle_endpoint_failure(
                 event.endpoint_id, now
             )
