Do not count a silence as a crash once the engine goes on

What callers saw: request_quarantined for a sound request, or for others that share a part with it, after three of their engines had been silent for a while and gone on.

Cause: a silent loss leaves a crash mark on all requests of the engine, and nothing takes it back.

Change: an entry VM that hears an incarnation again that it had lost withdraws its silent marks (Evidence.withdrawn, a new field with a default, passed on as other evidence is). Marks of a proven end stay, and a withdrawn one counts again if the end is proven later. Ruled out: to count silent marks only once an end is proven, since a request that makes engines hang would be found much later.

--- a/sedgepin/_crash_causes/_evidence.py
+++ b/sedgepin/_crash_causes/_evidence.py
@@ -59,19 +59,23 @@
 
     Deaths in ``cleared`` do not count, because a request with the trait has
     been answered since.  ``is_sound`` is set if some VM has seen such an
-    answer lately.
+    answer lately.  Silent endpoints in ``withdrawn`` were heard again, so that
+    they count only if their end is proven later.
     """
 
     trait: _trait.Trait
     marks: tuple[CrashMark, ...] = ()
     cleared: frozenset[Death] = frozenset()
     is_sound: bool = False
+    withdrawn: frozenset[Death] = frozenset()
 
     @property
     def counted_marks(self) -> tuple[CrashMark, ...]:
-        """Return the marks that are not cleared, in order of time."""
+        """Return the marks that count, in order of time."""
         return tuple(
-            mark for mark in self.marks if mark.death not in self.cleared
+            mark
+            for mark in self.marks
+            if _counts(mark, self.cleared, self.withdrawn)
         )
 
     def merged(self, other: "Evidence") -> "Evidence":
@@ -83,19 +87,36 @@
                 mark if known is None else mark.merged(known)
             )
         cleared = self.cleared | other.cleared
-        marks = _limit_marks(by_death, cleared)
+        withdrawn = self.withdrawn | other.withdrawn
+        marks = _limit_marks(by_death, cleared, withdrawn)
         if len(cleared) > _MAX_CLEARED:
             cleared &= {mark.death for mark in marks}
+        if len(withdrawn) > _MAX_CLEARED:
+            withdrawn &= {mark.death for mark in marks}
         return Evidence(
-            self.trait, marks, cleared, self.is_sound or other.is_sound
+            self.trait,
+            marks,
+            cleared,
+            self.is_sound or other.is_sound,
+            withdrawn,
         )
 
 
+def _counts(
+    mark: CrashMark, cleared: frozenset[Death], withdrawn: frozenset[Death]
+) -> bool:
+    if mark.death in cleared:
+        return False
+    return not (mark.is_silent and mark.death in withdrawn)
+
+
 def _limit_marks(
-    by_death: dict[Death, CrashMark], cleared: frozenset[Death]
+    by_death: dict[Death, CrashMark],
+    cleared: frozenset[Death],
+    withdrawn: frozenset[Death],
 ) -> tuple[CrashMark, ...]:
     """Return the marks in order of time, of many only those that count."""
     marks = sorted(by_death.values(), key=_witness)
     if len(marks) > _MAX_MARKS:
-        marks = [mark for mark in marks if mark.death not in cleared]
+        marks = [mark for mark in marks if _counts(mark, cleared, withdrawn)]
     return tuple(marks[-_MAX_MARKS:])
--- a/sedgepin/_crash_causes/_tracker.py
+++ b/sedgepin/_crash_causes/_tracker.py
@@ -135,6 +135,24 @@
         self.merge(news, now)
         return tuple(news)
 
+    def record_recovery(
+        self,
+        deaths: collections.abc.Set[_evidence.Death],
+        now: datetime.datetime,
+    ) -> _News:
+        """Withdraw silent endpoints that were heard again."""
+        news: list[_evidence.Evidence] = []
+        for trait, known in self._evidence.items():
+            withdrawn = frozenset(
+                mark.death
+                for mark in known.counted_marks
+                if mark.is_silent and mark.death in deaths
+            )
+            if withdrawn:
+                news.append(_evidence.Evidence(trait, withdrawn=withdrawn))
+        self.merge(news, now)
+        return tuple(news)
+
     def merge(
         self,
         news: collections.abc.Iterable[_evidence.Evidence],
@@ -147,7 +165,8 @@
         fresh: list[_evidence.Evidence] = []
         is_decisive = False
         for item in news:
-            if not item.marks and not item.cleared:
+            clears = bool(item.cleared or item.withdrawn)
+            if not item.marks and not clears:
                 continue
             known = self._evidence.get(item.trait)
             merged = item if known is None else known.merged(item)
@@ -160,7 +179,7 @@
                 is_decisive = (
                     is_decisive
                     or len(merged.counted_marks) >= _verdicts.CRASHES_TO_HOLD
-                    or bool(item.cleared and self._held)
+                    or (clears and bool(self._held))
                 )
         if fresh:
             self._limit()
@@ -267,6 +286,8 @@
             item = self._evidence.get(trait)
             if item is not None and item.cleared:
                 return f"a request with {trait} was answered"
+            if item is not None and item.withdrawn:
+                return f"an endpoint that was silent with {trait} goes on"
         return "its crashes have another cause"
 
     def _limit(self) -> None:
--- a/sedgepin/_crash_causes/tests/test_tracker.py
+++ b/sedgepin/_crash_causes/tests/test_tracker.py
@@ -208,6 +208,35 @@
         assert not change.is_held
         assert change.reason == "a request with part:p was answered"
 
+    def test_part_is_free_once_silent_endpoints_are_heard_again(
+        self,
+    ) -> None:
+        vm = _Vm()
+        deaths = {
+            mark.death
+            for name in "abcd"
+            for item in vm.crash("sp", name=name, is_silent=True, pause=3)
+            for mark in item.marks
+        }
+        vm.answer("s")
+        assert vm.holds("sp")
+        assert vm.tracker.record_recovery(deaths, vm.now)
+        assert not vm.holds("sp")
+        # They end after all.
+        for name in "abcd":
+            vm.crash("sp", name=name, pause=3)
+        assert vm.holds("sp")
+
+    def test_crash_is_not_withdrawn_if_its_end_is_proven(self) -> None:
+        vm = _Vm()
+        deaths = {
+            mark.death
+            for name in "abc"
+            for item in vm.crash("sp", name=name, is_silent=False)
+            for mark in item.marks
+        }
+        assert not vm.tracker.record_recovery(deaths, vm.now)
+
     @pytest.mark.parametrize(("crashes", "seconds"), [(3, 60), (5, 600)])
     def test_part_is_free_after_a_time(
         self, crashes: int, seconds: float
@@ -266,6 +295,22 @@
             outcomes.add(tuple(_causes(vm)))
         assert outcomes == {("part:p",)}
 
+    def test_withdrawal_may_come_before_the_loss(self) -> None:
+        vm = _Vm("a")
+        losses = [
+            item
+            for name in "abcd"
+            for item in vm.crash("sp", name=name, is_silent=True, pause=3)
+        ]
+        deaths = {mark.death for item in losses for mark in item.marks}
+        withdrawals = vm.tracker.record_recovery(deaths, vm.now)
+        other = _Vm("b")
+        other.now = vm.now
+        other.tracker.merge(withdrawals, vm.now)
+        other.tracker.merge(losses, vm.now)
+        assert not other.holds("sp")
+        assert other.tracker.snapshot() == ()
+
     def test_known_evidence_is_not_passed_on(self) -> None:
         vm = _Vm()
         vm.wait(4)
--- a/sedgepin/_gateway/_crash_quarantine.py
+++ b/sedgepin/_gateway/_crash_quarantine.py
@@ -112,6 +112,17 @@
         death = crash_causes.Death(endpoint_id, incarnation)
         return self._record_crash(death, is_silent, requests, now)
 
+    def record_recovery(
+        self,
+        deaths: collections.abc.Set[crash_causes.Death],
+        now: datetime.datetime,
+    ) -> _shared_state.Effects:
+        """Withdraw the losses of endpoints that were only silent."""
+        if not deaths or not self._state.crash_causes.has_evidence:
+            return []
+        news = self._state.crash_causes.record_recovery(deaths, now)
+        return self._send(news) + self._apply_changes(now)
+
     def record_sustained_output(
         self, exchange_id: int, now: datetime.datetime
     ) -> _shared_state.Effects:
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -4,6 +4,7 @@
 import random
 
 from sedgepin import _catalog as catalog
+from sedgepin import _crash_causes as crash_causes
 from sedgepin._gateway import _aggregator_selector
 from sedgepin._gateway import _attempt_handler
 from sedgepin._gateway import _configuration
@@ -233,13 +234,39 @@
     ) -> Effects:
         effects: Effects = []
         registry = self._state.fleet.registry
+        lost = self._lost_among(
+            {
+                *message.heard,
+                *(changed.endpoint_id for changed in message.changed),
+            }
+        )
         for endpoint_id in message.heard:
             registry.record_heartbeat(endpoint_id, now)
         for registration in message.changed:
             effects += self._merge_registration(registration, False, now)
         for registration in message.lost:
             effects += self._merge_registration(registration, True, now)
-        return effects
+        still_lost = self._lost_among({death.endpoint_id for death in lost})
+        recovered = {
+            death
+            for death in lost - still_lost
+            if not registry.has_ended(death.endpoint_id, death.incarnation)
+        }
+        return effects + self._quarantine.record_recovery(recovered, now)
+
+    def _lost_among(
+        self, endpoint_ids: set[model.EndpointId]
+    ) -> set[crash_causes.Death]:
+        """Return those of the endpoints that count as lost."""
+        records = map(self._state.fleet.registry.find, endpoint_ids)
+        return {
+            crash_causes.Death(
+                record.registration.endpoint_id,
+                record.registration.incarnation,
+            )
+            for record in records
+            if record is not None and record.lost_at is not None
+        }
 
     def _merge_registration(
         self,
