End kept streams once the end of an engine is proven

What callers saw: a stream that had been left on an engine stayed there without progress until its deadline, although the engine was known to have ended.

Causes: the proof was sought in the registry's current entries, where a restarted later stage has a new incarnation; an engine that counted as lost by silence was not looked at again when a refused connection, or a successor at its address, proved its end.

Change: an exchange keeps the incarnations of all its stages, so that the registry's has_ended answers for each, also while a reroute is under way. A loss is acted upon whenever it is new or the first proof, and a successor at an address proves the end of a holder that was lost by silence too.

A new test of test_stream_failover has the proof come during a reroute that is refused.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -393,6 +393,7 @@
             None if record is None else record.registration.incarnation,
         )
         exchange.dispatch = dispatch
+        exchange.stages = self._state.runs_on(exchange.endpoint_ids)
         if exchange.send_count == 0:
             self._state.retry_budget.record_first_attempt(
                 exchange.service.name, now
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -24,8 +24,10 @@
     and may have run.  ``has_reserved_retry`` is set while an attempt is being
     cancelled whose successor is in the retry budget already.
     ``is_kept`` is set once an attempt without progress has been left alone,
-    because the request can run nowhere else.  ``pipeline_before`` is the one
-    before the last reroute.
+    because the request can run nowhere else.
+    ``stages`` holds the endpoints of the attempt as they were when it was
+    sent to them; ``pipeline_before`` and ``stages_before`` are those before
+    the last reroute.
     ``tried_endpoints`` holds the endpoints on which an attempt failed.
     ``position`` is the id of the last event that the caller received.
     ``queued_at`` is set while the request waits for capacity.
@@ -45,7 +47,9 @@
     runs: list[Run] = dataclasses.field(default_factory=list)
     has_reserved_retry: bool = False
     reroute_count: int = 0
+    stages: tuple[Run, ...] = ()
     pipeline_before: model.Pipeline | None = None
+    stages_before: tuple[Run, ...] = ()
     is_kept: bool = False
     position: int | None = None
     has_output: bool = False
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -315,7 +315,7 @@
             if before.incarnation < registration.incarnation:
                 ended.append(before)
         holder = registry.at_address(registration.address)
-        if holder is None or holder.is_leaving or holder.lost_at is not None:
+        if holder is None or holder.is_leaving or holder.has_ended:
             return ended
         before = holder.registration
         if (
@@ -329,12 +329,21 @@
     def _handle_endpoint_lost(
         self, message: protocol.EndpointLost, now: datetime.datetime
     ) -> Effects:
-        """Fail over from an endpoint that the leader declared lost."""
+        """Fail over from an endpoint that the leader declared lost.
+
+        A proof of its end may follow a loss by silence, and ends what was kept
+        on it.
+        """
         endpoint_id, incarnation = message.endpoint_id, message.incarnation
         registry = self._state.fleet.registry
-        if not registry.mark_lost(
+        had_ended = registry.has_ended(endpoint_id, incarnation)
+        is_new = registry.mark_lost(
             endpoint_id, incarnation, now, message.has_ended
-        ):
+        )
+        is_proof = not had_ended and registry.has_ended(
+            endpoint_id, incarnation
+        )
+        if not is_new and not is_proof:
             return []
         self._state.fleet.invalidate_pipelines()
         effects = self._quarantine.record_loss(
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -107,6 +107,19 @@
         """Return whether the endpoint of a run is known to have ended."""
         return self.fleet.registry.has_ended(run.endpoint_id, run.incarnation)
 
+    def runs_on(
+        self, endpoint_ids: tuple[model.EndpointId, ...]
+    ) -> tuple[_exchange.Run, ...]:
+        """Return the endpoints with their incarnations of now."""
+        records = map(self.fleet.registry.find, endpoint_ids)
+        return tuple(
+            _exchange.Run(
+                endpoint_id,
+                None if record is None else record.registration.incarnation,
+            )
+            for endpoint_id, record in zip(endpoint_ids, records, strict=True)
+        )
+
     def release(self, exchange: _exchange.Exchange) -> None:
         """Remove a request's load from its endpoints and end its dispatch."""
         self.fleet.remove_load(exchange.endpoint_ids, exchange.tokens)
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -155,7 +155,13 @@
         exchange.is_rerouting = True
         exchange.reroute_count += 1
         exchange.pipeline_before = dispatch.pipeline
+        exchange.stages_before = exchange.stages
         self._set_pipeline(exchange, dispatch, failover_pipeline)
+        # The first engine is still the one that the request was sent to.
+        exchange.stages = (
+            exchange.stages[:1]
+            + self._state.runs_on(exchange.endpoint_ids)[1:]
+        )
         line = events.REQUEST_REROUTED.line(
             request=exchange.request.request_id,
             before=_shared_state.format_pipeline(dispatch.pipeline),
@@ -176,6 +182,7 @@
         self._set_pipeline(
             exchange, exchange.dispatch, exchange.pipeline_before
         )
+        exchange.stages = exchange.stages_before
 
     def _set_pipeline(
         self,
@@ -261,10 +268,4 @@
 
     def _has_ended_stage(self, exchange: _exchange.Exchange) -> bool:
         """Return whether an endpoint of the attempt is known to have ended."""
-        current = exchange.current_run
-        if current is not None and self._state.has_ended(current):
-            return True
-        records = map(self._state.fleet.registry.find, exchange.endpoint_ids)
-        return any(
-            record is not None and record.has_ended for record in records
-        )
+        return any(map(self._state.has_ended, exchange.stages))
--- a/sedgepin/_gateway/tests/test_stream_failover.py
+++ b/sedgepin/_gateway/tests/test_stream_failover.py
@@ -104,6 +104,21 @@
         cancel = parts.get_effect(effects, _effects.CancelAttempt)
         assert cancel.exchange_id == exchange_id
 
+    def test_attempt_is_cancelled_if_its_stage_ended_during_the_reroute(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        exchange_id = _start_stream(gateway)
+        report = _calls.StallReport((_calls.Stall("r1", "high:80"),))
+        gateway.handle(_events.StallsInspected(_LOW, report))
+        restarted = parts.make_registration(
+            "high", "model", None, incarnation=2, sequence=0
+        )
+        gateway.receive(protocol.RegistrationsSeen((restarted,)))
+        refused = _events.Rerouted(exchange_id, False, "far-high:80")
+        effects = gateway.handle(refused)
+        parts.get_effect(effects, _effects.CancelAttempt)
+
     def test_attempt_is_cancelled_after_the_last_refused_reroute(
         self,
     ) -> None:
