Heed a cancellation that comes before its attempt has begun

What callers saw: an attempt that was cancelled at once, as by a loss in the same tick, ran on without progress until the deadline, since the reducer does not repeat a cancellation.

Cause: the relay forgot cancellations when its task began the attempt, and the reducer may cancel an attempt that is still in the relay's channel.

Change: they are forgotten when the order to start is queued, which is after the end of the attempt before, and a cancelled attempt ends as it begins, without a connection.

--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -110,6 +110,10 @@
                 self._exchange_scope.deadline = trio.current_time() + seconds
             case _effects.CancelAttempt():
                 self._cancel_attempt()
+            case _effects.StartAttempt():
+                # A cancellation may come before the attempt begins.
+                self._is_cancelled = False
+                self._effect_channel[0].send_nowait(effect)
             case _:
                 self._effect_channel[0].send_nowait(effect)
 
@@ -178,12 +182,13 @@
         attempt_result = _AttemptResult(
             _Outcome.CANCELLED, "the gateway cancelled the attempt"
         )
-        self._is_cancelled = False
         self._is_sending = False
         self._event_count = 0
         self._is_sustained = False
         with trio.CancelScope() as scope:
             self._attempt_scope = scope
+            if self._is_cancelled:
+                scope.cancel()
             attempt_result = await self._send_request(start)
         self._attempt_scope = None
         self.stalled_at = math.inf
