Use the reserved retry of a cancelled attempt, or give it back

What callers saw: a cancelled attempt that its engine refused in the meantime ended with 503 if the budget was spent, though its retry was in the budget; requests answered after all used up the retries of others.

Cause: the retry after a refusal asked the budget anew, and a reserved retry that was not sent stayed counted.

Change: SharedState.reserve_retry takes one retry for the next attempt at most, whatever ends the one before. It is given back if the request ends without it (answered, failed, its caller left), or if the attempt was not sent, which has always been free.

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -127,6 +127,7 @@
         """Retry if the route and the retry budget allow it, else fail."""
         match event.outcome:
             case _Outcome.NOT_SENT:
+                self._state.return_retry(exchange)
                 if exchange.send_count < _MAX_SENDS:
                     return self._dispatcher.dispatch_or_queue(exchange, now)
                 failure = _failures.NoEndpoint(exchange.service.name)
@@ -139,7 +140,7 @@
                 return self._retry_refused(exchange, now)
         may_retry = exchange.has_reserved_retry or (
             self._state.may_run_again(exchange)
-            and self._state.retry_budget.try_spend(exchange.service.name, now)
+            and self._state.reserve_retry(exchange, now)
         )
         if may_retry:
             return self._dispatcher.dispatch_or_queue(exchange, now)
@@ -154,9 +155,7 @@
     ) -> _shared_state.Effects:
         """Retry a request that an endpoint did not run, or fail it."""
         may_send = exchange.send_count < _MAX_SENDS
-        if may_send and self._state.retry_budget.try_spend(
-            exchange.service.name, now
-        ):
+        if may_send and self._state.reserve_retry(exchange, now):
             return self._dispatcher.dispatch_or_queue(exchange, now)
         failure = _failures.RefusedByEndpoints(exchange.send_count)
         return self._dispatcher.fail(
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -429,6 +429,7 @@
     def remove(self, exchange: _exchange.Exchange) -> None:
         """Remove a request from its endpoints, its queue and the exchanges."""
         self._state.release(exchange)
+        self._state.return_retry(exchange)
         self._state.queues.for_service(exchange.service.name).dequeue(exchange)
         self._state.exchanges.pop(exchange.exchange_id, None)
 
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -21,8 +21,8 @@
     """An admitted request and the progress of its attempts.
 
     ``send_count`` counts all attempts.  ``runs`` holds those that have ended
-    and may have run.  ``has_reserved_retry`` is set while an attempt is being
-    cancelled whose successor is in the retry budget already.
+    and may have run.  ``has_reserved_retry`` is set while the next attempt
+    is in the retry budget already and has not been sent.
     ``is_kept`` is set once an attempt without progress has been left alone,
     because the request can run nowhere else.
     ``stages`` holds the endpoints of the attempt as they were when it was
--- a/sedgepin/_gateway/_retry_budget.py
+++ b/sedgepin/_gateway/_retry_budget.py
@@ -39,6 +39,10 @@
     def add_retry(self, now: datetime.datetime) -> None:
         self._retries.append(now)
 
+    def remove_retry(self) -> None:
+        if self._retries:
+            self._retries.pop()
+
     def counts(self, now: datetime.datetime) -> tuple[int, int]:
         for attempts in (self._first_attempts, self._retries):
             while attempts and now - attempts[0] > self._length:
@@ -122,6 +126,13 @@
         self._window(service).add_retry(now)
         return True
 
+    def give_back(self, service: model.ServiceName) -> None:
+        """Return a retry that was spent and not sent."""
+        allowance = self._allowances.get(service)
+        if allowance is not None:
+            allowance.retries += 1.0
+        self._window(service).remove_retry()
+
     def may_spend(
         self, service: model.ServiceName, now: datetime.datetime
     ) -> bool:
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -103,6 +103,22 @@
             and not self.may_crash_another(exchange)
         )
 
+    def reserve_retry(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> bool:
+        """Take a retry from the budget, unless the request has one."""
+        if not exchange.has_reserved_retry:
+            exchange.has_reserved_retry = self.retry_budget.try_spend(
+                exchange.service.name, now
+            )
+        return exchange.has_reserved_retry
+
+    def return_retry(self, exchange: _exchange.Exchange) -> None:
+        """Give back the retry of a request that does not need it."""
+        if exchange.has_reserved_retry:
+            exchange.has_reserved_retry = False
+            self.retry_budget.give_back(exchange.service.name)
+
     def has_ended(self, run: _exchange.Run) -> bool:
         """Return whether the endpoint of a run is known to have ended."""
         return self.fleet.registry.has_ended(run.endpoint_id, run.incarnation)
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -211,7 +211,6 @@
         has_ended = self._has_ended_stage(exchange)
         obstacle = self._reserve_retry(exchange, has_ended, now)
         if has_ended or obstacle is None:
-            exchange.has_reserved_retry = obstacle is None
             return [_effects.CancelAttempt(exchange.exchange_id)]
         if exchange.is_kept:
             return []
@@ -240,8 +239,7 @@
             return "the route allows no further endpoint"
         if not has_ended and not self._has_destination(exchange, now):
             return "no other endpoint is free"
-        service = exchange.service.name
-        if not self._state.retry_budget.try_spend(service, now):
+        if not self._state.reserve_retry(exchange, now):
             return "the retry budget is spent"
         return None
 
--- a/sedgepin/_gateway/tests/test_unproven_losses.py
+++ b/sedgepin/_gateway/tests/test_unproven_losses.py
@@ -159,6 +159,14 @@
         counts = gateway.reducer._state.retry_budget.counts(gateway.now)
         assert [count.repeats for count in counts] == [0]
 
+    def test_it_is_returned_if_the_caller_leaves(self) -> None:
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request("/draft/x")
+        parts.get_effect(_silence(gateway, "low"), _effects.CancelAttempt)
+        gateway.handle(_events.CallerDisconnected(exchange_id))
+        counts = gateway.reducer._state.retry_budget.counts(gateway.now)
+        assert [count.repeats for count in counts] == [0]
+
 
 class TestWordOfAnotherEngine:
     def test_stream_of_an_accused_first_engine_is_not_cancelled(self) -> None:
