Heed the result of a reroute for its own attempt only

What callers saw: a sound stream was cancelled and started once more, on one more engine, or ended if its attempts were used up.

Cause: the first engine of an earlier attempt answered its reroute late (or its time ran out), while the later attempt was rerouting, and was taken for that one's answer.

Change: Reroute and Rerouted carry the number of the attempt; another one's result is ignored.

It now also has the result of the later attempt take effect.

--- a/sedgepin/_gateway/_effects.py
+++ b/sedgepin/_gateway/_effects.py
@@ -94,12 +94,16 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Reroute:
-    """Order the first engine to continue a request on another pipeline."""
+    """Order the first engine to continue a request on another pipeline.
+
+    ``attempt`` is the number of the attempt, which ``Rerouted`` repeats.
+    """
 
     exchange_id: int
     request_id: str
     address: str
     pipeline: model.Pipeline
+    attempt: int = 1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_engine_calls.py
+++ b/sedgepin/_gateway/_engine_calls.py
@@ -67,13 +67,18 @@
         effect.address, request, timeout.total_seconds()
     )
     if isinstance(response, result.Err):
-        return _events.Rerouted(effect.exchange_id, False)
+        return _events.Rerouted(
+            effect.exchange_id, False, attempt=effect.attempt
+        )
     first_id = effect.pipeline.stages[0].endpoint_id
     metadata = dialect.parse_answer(response.ok_value[0])
     submit(_events.AnswerHeadReceived(first_id, metadata))
     reroute_result = dialect.parse_reroute_answer(*response.ok_value)
     if isinstance(reroute_result, result.Err):
         return _events.Rerouted(
-            effect.exchange_id, False, reroute_result.err_value or None
+            effect.exchange_id,
+            False,
+            reroute_result.err_value or None,
+            effect.attempt,
         )
-    return _events.Rerouted(effect.exchange_id, True)
+    return _events.Rerouted(effect.exchange_id, True, attempt=effect.attempt)
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -117,12 +117,14 @@
 class Rerouted:
     """The first engine answered an order to switch to another pipeline.
 
-    ``refused_by`` is the address of the engine that rejected the order.
+    ``refused_by`` is the address of the engine that rejected the order, and
+    ``attempt`` the number of the attempt that the order was for, from 1.
     """
 
     exchange_id: int
     is_accepted: bool
     refused_by: str | None = None
+    attempt: int = 1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -118,6 +118,8 @@
         exchange = self._state.exchanges.get(event.exchange_id)
         if exchange is None or not exchange.is_rerouting:
             return []
+        if event.attempt != exchange.send_count:
+            return []
         exchange.is_rerouting = False
         if event.is_accepted:
             return []
@@ -172,6 +174,7 @@
             exchange.request.request_id,
             dispatch.address,
             failover_pipeline,
+            exchange.send_count,
         )
         return [_shared_state.log(line), reroute]
 
--- a/sedgepin/_gateway/tests/test_unproven_losses.py
+++ b/sedgepin/_gateway/tests/test_unproven_losses.py
@@ -208,14 +208,20 @@
         effects = _end_cancelled(gateway, exchange_id, effects)
         assert _first_engine(effects) == "far-low"
         gateway.advance(501)
-        gateway.handle(
+        effects = gateway.handle(
             _events.StallsInspected(
                 model.EndpointId("far-low"),
                 _calls.StallReport((_calls.Stall("r1", "far-high:80"),)),
             )
         )
+        reroute = parts.get_effect(effects, _effects.Reroute)
         effects = gateway.handle(_events.Rerouted(exchange_id, False))
         assert parts.has_no_effect(effects, _effects.CancelAttempt)
+        # The result for the later one still counts.
+        rerouted = _events.Rerouted(
+            exchange_id, False, attempt=reroute.attempt
+        )
+        parts.get_effect(gateway.handle(rerouted), _effects.CancelAttempt)
 
 
 class TestProofOfAnEnd:
--- a/sedgepin/tests/crash_day.py
+++ b/sedgepin/tests/crash_day.py
@@ -358,7 +358,9 @@
                 self._engines[stage.address]
                 for stage in effect.pipeline.stages
             ]
-        rerouted = gateway_events.Rerouted(effect.exchange_id, is_accepted)
+        rerouted = gateway_events.Rerouted(
+            effect.exchange_id, is_accepted, attempt=effect.attempt
+        )
         self._after(
             timed_deployment.ENGINE_SECONDS,
             self._handle_entry,
--- a/sedgepin/tests/cut_day.py
+++ b/sedgepin/tests/cut_day.py
@@ -171,7 +171,9 @@
                 case gateway_effects.InspectStalls():
                     self._inspect_stalls(vm_id, effect)
                 case gateway_effects.Reroute(number):
-                    rerouted = gateway_events.Rerouted(number, False)
+                    rerouted = gateway_events.Rerouted(
+                        number, False, attempt=effect.attempt
+                    )
                     self._after(
                         timed_deployment.ENGINE_SECONDS,
                         self._handle_entry,
