Move only its own requests on one engine's word on another

What callers saw: streams that ran well on an engine were cancelled, all of them, because another engine reported that it waits for this one, as when only the link between the two is cut.

Cause: a stall report was handled for the accused engine as if it had not answered this VM.

Change: the accused engine gets no new work for a while and is reported to the leader, as before. Only the requests of the reporting engine leave it; if it is the first engine of others, it is inspected itself, and its silence then counts. Other streams on it are handled at their own stalls.

--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime
 
+from sedgepin import _catalog as catalog
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _events
@@ -53,7 +54,9 @@
     ) -> _shared_state.Effects:
         """Move the stalled requests of a first engine off the failed engines.
 
-        A first engine that did not answer counts as failed itself.
+        A first engine that did not answer counts as failed itself.  What it
+        says of another one may be due to the link between them, so that only
+        its own requests move.
         """
         report = event.report
         stalls = () if report is None else report.stalls
@@ -76,8 +79,9 @@
         for address in faulty_addresses:
             record = self._state.fleet.registry.at_address(address)
             if record is not None:
-                endpoint_id = record.registration.endpoint_id
-                effects += self.handle_endpoint_failure(endpoint_id, now)
+                effects += self._handle_accusation(
+                    record.registration, event.endpoint_id, now
+                )
         stalled_ids = {stall.request_id for stall in stalls}
         for exchange in list(self._state.exchanges.values()):
             dispatch = exchange.dispatch
@@ -87,6 +91,43 @@
                 effects += self._reroute(exchange, now)
         return effects
 
+    def _handle_accusation(
+        self,
+        accused: catalog.Registration,
+        reporter_id: model.EndpointId,
+        now: datetime.datetime,
+    ) -> _shared_state.Effects:
+        """Replace a stage in all requests of the first engine that says so.
+
+        The accused engine is asked itself if it is the first one of others.
+        """
+        accused_id = accused.endpoint_id
+        effects = self._suspect_unresponsive(accused_id, now)
+        is_first = False
+        for exchange in list(self._state.exchanges.values()):
+            dispatch = exchange.dispatch
+            if dispatch is None or dispatch.pipeline is None:
+                continue
+            if dispatch.endpoint_id == accused_id:
+                is_first = accused_id != reporter_id
+            elif (
+                dispatch.endpoint_id == reporter_id
+                and accused_id in exchange.endpoint_ids
+            ):
+                effects += self._reroute(exchange, now)
+        if is_first and self._stall_inspections.try_start(accused_id, now):
+            effects.append(_effects.InspectStalls(accused_id, accused.address))
+        return effects
+
+    def _suspect_unresponsive(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> _shared_state.Effects:
+        """Give an endpoint no new work for a while, and have it checked."""
+        self._state.unreachable_endpoints.append(endpoint_id)
+        return self._state.suspect(
+            endpoint_id, "its requests make no progress", now
+        )
+
     def handle_endpoint_failure(
         self, endpoint_id: model.EndpointId, now: datetime.datetime
     ) -> _shared_state.Effects:
@@ -95,10 +136,7 @@
         A silent one may go on, so that requests which may run nowhere else
         stay.
         """
-        effects = self._state.suspect(
-            endpoint_id, "its requests make no progress", now
-        )
-        self._state.unreachable_endpoints.append(endpoint_id)
+        effects = self._suspect_unresponsive(endpoint_id, now)
         for exchange in list(self._state.exchanges.values()):
             if endpoint_id not in exchange.endpoint_ids:
                 continue
--- a/sedgepin/_gateway/tests/test_unproven_losses.py
+++ b/sedgepin/_gateway/tests/test_unproven_losses.py
@@ -191,6 +191,12 @@
             if isinstance(effect, _effects.CancelAttempt)
         ]
         assert exchange_id not in cancelled
+        inspect = parts.get_effect(effects, _effects.InspectStalls)
+        assert inspect.endpoint_id == "larger"
+        # It does not answer this VM either.
+        effects = _silence(gateway, "larger")
+        cancel = parts.get_effect(effects, _effects.CancelAttempt)
+        assert cancel.exchange_id == exchange_id
 
 
 class TestLateRerouteResult:
