Hold the limit of the route for a retry whose grant is out of date

What callers saw: a request ran on more engines than its route allows.

Cause: an engine taken to have ended does not count, and counts again if it is heard again. A refused attempt, one that was not sent, a reserved retry and a request in the queue went on without asking for the count again.

Change: dispatch_or_queue, which all of these pass, ends a request whose runs have reached the limit, with 502 since it may have run.

A new test has the retry wait in the queue, and was seen to fail without the check.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -98,6 +98,10 @@
         cause = self._state.find_cause(exchange.request, now)
         if cause is not None:
             return self._hold_back(exchange, cause, now)
+        if self._state.has_used_up_attempts(exchange):
+            # Since the retry was granted, an endpoint has turned out to go on.
+            used_up = _failures.OutcomeUnknown("its attempts are used up")
+            return self.fail(exchange, used_up, now)
         queue = self._state.queues.for_service(exchange.service.name)
         if exchange.service.engine is None or exchange.request.size is None:
             return self._dispatch_to_endpoint(exchange, now)
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -88,6 +88,12 @@
         """
         return sum(not self.has_ended(run) for run in exchange.runs)
 
+    def has_used_up_attempts(self, exchange: _exchange.Exchange) -> bool:
+        """Return whether the limit of the route forbids one more attempt."""
+        if not exchange.runs:
+            return False
+        return self.run_count(exchange) >= exchange.route.max_attempts
+
     def may_run_again(self, exchange: _exchange.Exchange) -> bool:
         """Return whether one more endpoint may get the request.
 
--- a/sedgepin/_gateway/tests/test_unproven_losses.py
+++ b/sedgepin/_gateway/tests/test_unproven_losses.py
@@ -330,6 +330,25 @@
         effects = gateway.end_attempt(exchange_id, _Outcome.NOT_RUN)
         assert parts.has_no_effect(effects, _effects.StartAttempt)
 
+    def test_queued_retry_goes_to_no_further_engine(self) -> None:
+        gateway = _make_gateway(max_attempts=1)
+        exchange_id, _ = gateway.send_request("/draft/x")
+        gateway.handle(_events.OutputStarted(exchange_id))
+        full = tuple(
+            protocol.EndpointLoad(model.EndpointId(name), 50, 5000)
+            for name in ("far-low", "far-high")
+        )
+        gateway.receive(protocol.LoadSummed(full, knows_leader=True))
+        gateway.receive(protocol.EndpointLost(_LOW, 1, False))
+        effects = gateway.end_attempt(exchange_id, _Outcome.CANCELLED)
+        assert parts.has_no_effect(effects, _effects.FailExchange)
+        gateway.advance(1000)
+        gateway.receive(protocol.RegistrationsSeen(heard=(_LOW, _HIGH)))
+        gateway.receive(protocol.LoadSummed((), knows_leader=True))
+        effects = gateway.advance(100)
+        assert parts.has_no_effect(effects, _effects.StartAttempt)
+        parts.get_effect(effects, _effects.FailExchange)
+
 
 class TestSilenceIsNoCrash:
     """Engines that go on after a silence were crashed by no request."""
