--- a/sedgepin/_gateway/tests/test_stream_failover.py
+++ b/sedgepin/_gateway/tests/test_stream_failover.py
@@ -100,7 +100,9 @@
         assert exchange.endpoint_ids == ("low", "high")
         loads = gateway.reducer._state.fleet.make_load_report()
         assert [load.endpoint_id for load in loads] == ["low", "high"]
-        effects = gateway.receive(protocol.EndpointLost(_HIGH, 1, False))
+        effects = gateway.receive(
+            protocol.EndpointLost(_HIGH, 1, has_ended=True)
+        )
         cancel = parts.get_effect(effects, _effects.CancelAttempt)
         assert cancel.exchange_id == exchange_id
 
--- a/sedgepin/_gateway/tests/test_unproven_losses.py
+++ b/sedgepin/_gateway/tests/test_unproven_losses.py
@@ -339,7 +339,7 @@
             for name in ("far-low", "far-high")
         )
         gateway.receive(protocol.LoadSummed(full, knows_leader=True))
-        gateway.receive(protocol.EndpointLost(_LOW, 1, False))
+        gateway.receive(protocol.EndpointLost(_LOW, 1, has_ended=True))
         effects = gateway.end_attempt(exchange_id, _Outcome.CANCELLED)
         assert parts.has_no_effect(effects, _effects.FailExchange)
         gateway.advance(1000)
