End attempts whose answers never end

Cause: the client limited the size of a head but neither its time nor the number of interim answers, and the relay took any bytes of a stream for progress, also those that completed no event. Such an attempt held its connection until the caller's deadline. Besides, each piece of a long event copied and searched all of it again, and a read full of tiny chunks was parsed without a pause, so that one engine held up the whole process for seconds.

Ruled out: memory without bound; the parser and the relay limit heads, events and whole answers.

Now a head, chunk length, trailer or event that grows for 5 s, a pause counting as one second at most, or in more than 16384 pieces, ends the attempt with an unknown outcome, as do more than 100 interim answers and a whole answer in more than 32768 pieces. Silence alone is judged as before. Only complete events put off the check for stalls. The connection is closed in each case. A whole answer that goes on slowly is ended by its deadline only, since its bytes are progress. Bytes after the length of an answer are dropped with its connection.

--- a/sedgepin/_gateway/_event_stream.py
+++ b/sedgepin/_gateway/_event_stream.py
@@ -5,6 +5,7 @@
 
 _EVENT_ID = re.compile(rb"^id: ?([0-9]{1,18})\r?$", re.MULTILINE)
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
+_LONGEST_EVENT_END = 4
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -14,6 +15,11 @@
     data: bytes
     event_id: int | None
 
+    @property
+    def has_content(self) -> bool:
+        """Return whether the event is more than blank lines."""
+        return not self.data.isspace()
+
 
 class EventSplitter:
     """Splits a byte stream into events and buffers incomplete ones.
@@ -28,7 +34,7 @@
     __slots__ = ("_buffer",)
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
 
     @property
     def has_incomplete_event(self) -> bool:
@@ -42,14 +48,18 @@
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete."""
-        buffer = self._buffer + data if self._buffer else data
+        # The end of an event may have begun in the last bytes.  Searching all
+        # of the buffer again would take time that grows with its square.
+        searched = max(0, len(self._buffer) - _LONGEST_EVENT_END + 1)
+        self._buffer += data
         events: list[StreamEvent] = []
         start = 0
-        for separator in _EVENT_END.finditer(buffer):
-            event = buffer[start : separator.end()]
+        for separator in _EVENT_END.finditer(self._buffer, searched):
+            event = bytes(self._buffer[start : separator.end()])
             id_match = _EVENT_ID.search(event)
             event_id = int(id_match.group(1)) if id_match else None
             events.append(StreamEvent(event, event_id))
             start = separator.end()
-        self._buffer = buffer[start:]
+        if start:
+            self._buffer = self._buffer[start:]
         return events
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -47,7 +47,7 @@
     ``position`` is the id of the last event that was sent to the caller.
     ``faulty_address`` is the address of the engine that failed, if the
     endpoint named one.  ``is_success`` tells whether an answer reports a
-    success.
+    success, ``is_invalid_answer`` that the endpoint sent what is no answer.
     """
 
     exchange_id: int
@@ -57,6 +57,7 @@
     faulty_address: str | None = None
     endpoint_id: model.EndpointId | None = None
     is_success: bool = True
+    is_invalid_answer: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -52,6 +52,7 @@
     detail: str = ""
     faulty_address: str | None = None
     is_success: bool = True
+    is_invalid_answer: bool = False
 
 
 class Relay:
@@ -201,6 +202,7 @@
                 attempt_result.faulty_address,
                 start.dispatch.endpoint_id,
                 attempt_result.is_success,
+                attempt_result.is_invalid_answer,
             )
         )
         if attempt_result.outcome is _Outcome.ANSWERED:
@@ -278,9 +280,7 @@
         with trio.move_on_after(seconds):
             head = await connection.read_head()
             if isinstance(head, result.Err):
-                return _AttemptResult(
-                    _Outcome.UNKNOWN, head.err_value.detail()
-                )
+                return _broken(head.err_value)
             return head.ok_value
         return _AttemptResult(
             _Outcome.UNKNOWN, f"no answer head within {seconds} s"
@@ -296,7 +296,7 @@
         """Read the complete answer, then send it to the caller."""
         body = await connection.read_body(_MAX_WHOLE_ANSWER_BYTES)
         if isinstance(body, result.Err):
-            return _AttemptResult(_Outcome.UNKNOWN, body.err_value.detail())
+            return _broken(body.err_value)
         if head.status < _FIRST_REDIRECT and not metadata.is_signed:
             return _AttemptResult(_Outcome.UNKNOWN, "the answer is not signed")
         if await self._ended_by_crash(head, start):
@@ -326,24 +326,27 @@
     ) -> _AttemptResult:
         """Forward complete events to the caller, each once and in order."""
         splitter = _event_stream.EventSplitter()
+        timer = web.PartTimer()
+        self.stalled_at = trio.current_time() + _NEXT_EVENT_TIMEOUT_SECONDS
         while True:
-            self.stalled_at = trio.current_time() + _NEXT_EVENT_TIMEOUT_SECONDS
             data = await connection.read_data()
             if isinstance(data, result.Err):
-                return _AttemptResult(
-                    _Outcome.UNKNOWN, data.err_value.detail()
-                )
+                return _broken(data.err_value)
             if data.ok_value is None:
                 break
             events = splitter.feed(data.ok_value)
             if splitter.buffered_bytes > _MAX_EVENT_BYTES:
-                return _AttemptResult(
-                    _Outcome.UNKNOWN,
-                    f"an event exceeds {_MAX_EVENT_BYTES} bytes",
-                )
+                return _invalid(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
             problem = await self._forward_events(head, events)
             if problem is not None:
                 return _AttemptResult(_Outcome.UNKNOWN, problem)
+            # Bytes that complete no event are no progress.
+            time = trio.current_time()
+            if any(event.has_content for event in events):
+                timer.reset()
+                self.stalled_at = time + _NEXT_EVENT_TIMEOUT_SECONDS
+            elif timer.add_bytes(time):
+                return _invalid("an event has no end")
         if splitter.has_incomplete_event or not self._exchange.has_started:
             return _AttemptResult(
                 _Outcome.UNKNOWN,
@@ -415,3 +418,15 @@
         )
         await self._exchange.start(forwarded)
         self._submit(_events.OutputStarted(self.exchange_id))
+
+
+def _broken(failure: web.AnswerBroken) -> _AttemptResult:
+    return _AttemptResult(
+        _Outcome.UNKNOWN,
+        failure.detail(),
+        is_invalid_answer=failure.is_invalid,
+    )
+
+
+def _invalid(detail: str) -> _AttemptResult:
+    return _AttemptResult(_Outcome.UNKNOWN, detail, is_invalid_answer=True)
--- a/sedgepin/_web/__init__.py
+++ b/sedgepin/_web/__init__.py
@@ -15,6 +15,7 @@
 from sedgepin._web._failures import RequestTooSlow
 from sedgepin._web._failures import RequestUnreadable
 from sedgepin._web._metrics import MetricsHandler
+from sedgepin._web._part_timer import PartTimer
 from sedgepin._web._server import Exchange
 from sedgepin._web._server import Handler
 from sedgepin._web._server import Server
@@ -36,6 +37,7 @@
     "HeadTooLarge",
     "Headers",
     "MetricsHandler",
+    "PartTimer",
     "Request",
     "RequestTooSlow",
     "RequestUnreadable",
--- a/sedgepin/_web/_client.py
+++ b/sedgepin/_web/_client.py
@@ -9,10 +9,16 @@
 
 from sedgepin import _sockets as sockets
 from sedgepin._web import _failures
+from sedgepin._web import _part_timer
 from sedgepin._web import _types
 
 _READ_BYTES = 65_536
 _HEAD_LIMIT_BYTES = 65_536
+_MAX_INTERIM_ANSWERS = 100
+# Each piece of a body costs some 10 us, however small it is.
+_MAX_BODY_PIECES = 32_768
+# Tiny chunks would otherwise hold up all other connections.
+_EVENTS_BETWEEN_CHECKPOINTS = 64
 # A request up to this size fits into the socket's send buffer.  Sending it
 # cannot block on an endpoint that answers before it has read everything.
 _INLINE_SEND_LIMIT_BYTES = 8_192
@@ -40,12 +46,23 @@
     >>> data = (await conn.read_data()).unwrap()  # None at the end
     """
 
-    __slots__ = ("_address", "_conn", "_has_data", "_stream")
+    __slots__ = (
+        "_address",
+        "_conn",
+        "_event_count",
+        "_has_data",
+        "_has_ended",
+        "_part_timer",
+        "_stream",
+    )
 
     def __init__(self, address: str, stream: sockets.DirectStream) -> None:
         self._address = address
         self._stream = stream
         self._has_data = False
+        self._event_count = 0
+        self._has_ended = False
+        self._part_timer = _part_timer.PartTimer()
         self._conn = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_HEAD_LIMIT_BYTES
         )
@@ -98,7 +115,7 @@
 
     async def read_head(self) -> _HeadResult:
         """Return the head of the final answer, skipping 1xx responses."""
-        while True:
+        for _interim in range(_MAX_INTERIM_ANSWERS + 1):
             outcome = await self._next_event()
             if isinstance(outcome, result.Err):
                 return outcome
@@ -108,6 +125,11 @@
                 return result.Ok(_types.AnswerHead(event.status_code, headers))
             if not isinstance(event, h11.InformationalResponse):
                 return result.Err(self._answer_broken("no answer"))
+        return result.Err(
+            self._answer_broken(
+                f"more than {_MAX_INTERIM_ANSWERS} interim answers", True
+            )
+        )
 
     async def read_data(self) -> _DataResult:
         """Return the next bytes of the body, or ``None`` at its end."""
@@ -128,7 +150,7 @@
     ) -> result.Result[bytes, _failures.AnswerBroken]:
         """Return the whole body, or a failure if it is over the limit."""
         body = bytearray()
-        while True:
+        for _piece in range(_MAX_BODY_PIECES):
             data = await self.read_data()
             if isinstance(data, result.Err):
                 return data
@@ -138,9 +160,14 @@
             if len(body) > limit_bytes:
                 return result.Err(
                     self._answer_broken(
-                        f"the body is over {limit_bytes} bytes"
+                        f"the body is over {limit_bytes} bytes", True
                     )
                 )
+        return result.Err(
+            self._answer_broken(
+                f"the body is in more than {_MAX_BODY_PIECES} pieces", True
+            )
+        )
 
     def timed_out(self, timeout_seconds: float) -> _failures.AnswerBroken:
         """Return the failure of an exchange that took too long."""
@@ -156,20 +183,28 @@
     async def _next_event(
         self,
     ) -> result.Result[typing.Any, _failures.AnswerBroken]:
-        while True:
-            try:
+        self._event_count += 1
+        if self._event_count % _EVENTS_BETWEEN_CHECKPOINTS == 0:
+            await trio.lowlevel.checkpoint()
+        try:
+            while True:
                 event = self._conn.next_event()
                 if event is not h11.NEED_DATA:
+                    self._part_timer.reset()
                     return result.Ok(event)
                 received = await self._stream.receive_some(_READ_BYTES)
                 self._has_data = self._has_data or bool(received)
+                self._has_ended = not received
                 self._conn.receive_data(received)
-            except (
-                h11.RemoteProtocolError,
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-            ) as exc:
-                return result.Err(self._answer_broken(exc))
+                if self._part_timer.add_bytes(trio.current_time()):
+                    return result.Err(
+                        self._answer_broken("a part has no end", True)
+                    )
+        except h11.RemoteProtocolError as exc:
+            # An answer that its connection cut short may have been valid.
+            return result.Err(self._answer_broken(exc, not self._has_ended))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            return result.Err(self._answer_broken(exc))
 
     async def _send_in_background(self, data: bytes) -> None:
         try:
@@ -179,11 +214,14 @@
             return
 
     def _answer_broken(
-        self, reason: Exception | str
+        self, reason: Exception | str, is_invalid: bool = False
     ) -> _failures.AnswerBroken:
         text = reason if isinstance(reason, str) else type(reason).__name__
         return _failures.AnswerBroken(
-            self._address, text, has_data=self._has_data
+            self._address,
+            text,
+            has_data=self._has_data,
+            is_invalid=is_invalid,
         )
 
 
--- a/sedgepin/_web/_failures.py
+++ b/sedgepin/_web/_failures.py
@@ -82,7 +82,8 @@
     """The endpoint's answer is incomplete or not valid HTTP.
 
     The endpoint may have run the request.  ``has_data`` is set if any byte of
-    an answer has arrived.
+    an answer has arrived.  ``is_invalid`` tells that it sent bytes that are
+    no answer, rather than too few.
     """
 
     code: typing.ClassVar[str] = "answer_broken"
@@ -94,6 +95,7 @@
     reason: str
     is_timeout: bool = False
     has_data: bool = False
+    is_invalid: bool = False
 
     def detail(self) -> str:
         """Return the address and the reason."""
