Suspect engines that repeatedly send what is no answer

Cause: a lost answer does not make an engine suspected, since the leader asks it for a report and declares it lost if it gives none. An engine whose reports are sound but whose answers are endless or not HTTP stayed in use.

Each such attempt still counts as failed and is reported to the leader. The second within 10 s with no complete answer between them makes the engine suspected, as a refused connection does, with the same growing pause. Once does not, since it may be due to the request; answers that were merely lost never do. A stream that began shows no sound engine here, because each may end so.

test_requests.py, TestInvalidAnswers: 3 of 5 failed before.

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -54,7 +54,7 @@
             ).record_departure(now)
         if event.outcome is _Outcome.ANSWERED:
             self._dispatcher.remove(exchange)
-            self._state.fleet.clear_suspicion(dispatch.endpoint_id)
+            self._state.fleet.record_valid_answer(dispatch.endpoint_id)
             duration = _effects.RecordDuration(
                 "answer", now - exchange.arrived_at
             )
@@ -113,6 +113,10 @@
                 return []
         if event.outcome in (_Outcome.NOT_SENT, _Outcome.NOT_RUN):
             return self._state.suspect(failed_id, event.detail, now)
+        if event.is_invalid_answer and (
+            self._state.fleet.record_invalid_answer(failed_id, now)
+        ):
+            return self._state.suspect(failed_id, event.detail, now)
         # A lost answer does not prove that the endpoint failed.  The leader
         # checks whether it did; if so, the next attempt to connect to it fails
         # as well and makes it suspected.
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -163,8 +163,26 @@
         self._version += 1
         return True
 
+    def record_invalid_answer(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> bool:
+        """Record that an endpoint sent what is no answer.
+
+        Return whether it has done so repeatedly.
+        """
+        record = self.registry.find(endpoint_id)
+        if record is None:
+            return False
+        return self._suspicions.record_invalid_answer(
+            endpoint_id, record.registration.incarnation, now
+        )
+
+    def record_valid_answer(self, endpoint_id: model.EndpointId) -> None:
+        """Record a complete answer, which also removes the suspicion."""
+        self._suspicions.record_valid_answer(endpoint_id)
+
     def clear_suspicion(self, endpoint_id: model.EndpointId) -> None:
-        """Remove the suspicion of an endpoint that answered."""
+        """Remove the suspicion of an endpoint that began to answer."""
         self._suspicions.clear(endpoint_id)
 
     def record_reported_load(
--- a/sedgepin/_gateway/_suspicions.py
+++ b/sedgepin/_gateway/_suspicions.py
@@ -31,10 +31,33 @@
     True
     """
 
-    __slots__ = ("_by_endpoint",)
+    __slots__ = ("_by_endpoint", "_invalid_answers")
 
     def __init__(self) -> None:
         self._by_endpoint: dict[model.EndpointId, _Suspicion] = {}
+        # The incarnation and time of the last one since a valid answer.
+        self._invalid_answers: dict[
+            model.EndpointId, tuple[int, datetime.datetime]
+        ] = {}
+
+    def record_invalid_answer(
+        self,
+        endpoint_id: model.EndpointId,
+        incarnation: int,
+        now: datetime.datetime,
+    ) -> bool:
+        """Record that an endpoint sent what is no answer.
+
+        Return whether it did so before, a short while ago, with no valid
+        answer since.  One such answer may be due to its request.
+        """
+        previous = self._invalid_answers.get(endpoint_id)
+        self._invalid_answers[endpoint_id] = (incarnation, now)
+        return (
+            previous is not None
+            and previous[0] == incarnation
+            and now - previous[1] < _BACKOFF_RESET_AFTER
+        )
 
     def record_failure(
         self,
@@ -67,3 +90,8 @@
     def clear(self, endpoint_id: model.EndpointId) -> None:
         """Remove the suspicion of an endpoint that answered."""
         self._by_endpoint.pop(endpoint_id, None)
+
+    def record_valid_answer(self, endpoint_id: model.EndpointId) -> None:
+        """Record a complete answer, which also removes the suspicion."""
+        self.clear(endpoint_id)
+        self._invalid_answers.pop(endpoint_id, None)
--- a/sedgepin/_gateway/tests/test_requests.py
+++ b/sedgepin/_gateway/tests/test_requests.py
@@ -220,6 +220,88 @@
         parts.get_effect(effects, _effects.StartAttempt)
 
 
+class TestInvalidAnswers:
+    """Endpoints that send bytes that are no answer."""
+
+    def test_endpoint_that_sends_no_answers_repeatedly_is_suspected(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        first = self._fail_at(gateway, "ledger-1")
+        assert parts.has_no_effect(first, _effects.WriteLog) is False
+        assert self._count_sent_to(gateway, "ledger-1") > 0
+        self._fail_at(gateway, "ledger-1")
+        assert self._count_sent_to(gateway, "ledger-1") == 0
+        gateway.advance(600)
+        assert self._count_sent_to(gateway, "ledger-1") > 0
+
+    @pytest.mark.parametrize(
+        ("outcome", "is_suspected"),
+        [(_Outcome.ANSWERED, False), (_Outcome.FAILED, True)],
+    )
+    def test_only_a_complete_answer_between_them_shows_a_sound_endpoint(
+        self, outcome: _Outcome, is_suspected: bool
+    ) -> None:
+        gateway = parts.Gateway()
+        self._fail_at(gateway, "ledger-1")
+        exchange_id = self._send_to(gateway, "ledger-1")
+        gateway.end_attempt(exchange_id, outcome)
+        self._fail_at(gateway, "ledger-1")
+        sent_count = self._count_sent_to(gateway, "ledger-1")
+        assert (sent_count == 0) is is_suspected
+
+    def test_stream_that_has_begun_shows_no_sound_engine(self) -> None:
+        """It may go on with what is no event, as the ones before."""
+        gateway = parts.Gateway()
+        for _stream in range(2):
+            exchange_id, effects = gateway.send_request("/draft/x")
+            start = parts.get_effect(effects, _effects.StartAttempt)
+            assert start.dispatch.endpoint_id == "low"
+            gateway.handle(_events.OutputStarted(exchange_id))
+            gateway.end_attempt(
+                exchange_id, _Outcome.UNKNOWN, is_invalid_answer=True
+            )
+            gateway.handle(_events.CallerDisconnected(exchange_id))
+        _, effects = gateway.send_request("/draft/x")
+        start = parts.get_effect(effects, _effects.StartAttempt)
+        assert start.dispatch.endpoint_id == "far-low"
+
+    def test_outcome_of_the_request_is_unknown(self) -> None:
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request("/post/x")
+        effects = gateway.end_attempt(
+            exchange_id, _Outcome.UNKNOWN, is_invalid_answer=True
+        )
+        failure = parts.get_effect(effects, _effects.FailExchange).failure
+        assert failure.outcome is errors.Outcome.UNKNOWN
+
+    def _fail_at(
+        self, gateway: parts.Gateway, name: str
+    ) -> list[_effects.GatewayEffect]:
+        exchange_id = self._send_to(gateway, name)
+        return gateway.end_attempt(
+            exchange_id, _Outcome.UNKNOWN, is_invalid_answer=True
+        )
+
+    def _send_to(self, gateway: parts.Gateway, name: str) -> int:
+        """Send writes until one reaches an endpoint; return its exchange."""
+        while True:
+            exchange_id, effects = gateway.send_request("/post/x")
+            start = parts.get_effect(effects, _effects.StartAttempt)
+            if start.dispatch.endpoint_id == name:
+                return exchange_id
+            gateway.handle(_events.CallerDisconnected(exchange_id))
+
+    def _count_sent_to(self, gateway: parts.Gateway, name: str) -> int:
+        count = 0
+        for _request in range(20):
+            exchange_id, effects = gateway.send_request("/post/x")
+            start = parts.get_effect(effects, _effects.StartAttempt)
+            count += start.dispatch.endpoint_id == name
+            gateway.handle(_events.CallerDisconnected(exchange_id))
+        return count
+
+
 class TestNotRun:
     """A 503 tells the caller that the request did not run.
 
