Limit endless answers in the product's own entry

Cause: httpcore limits neither the time of a head nor the number of interim answers, so a head that trickled, or interim answers at full speed, were received until the caller's deadline. The answer to a probe was kept whole, however much came within its 0.4 s. Each piece of a long line copied and searched all of it again, and a read full of tiny chunks was handled without a pause, which held up the whole process.

Ruled out: a connection that stays open; httpcore closes it when its request is cancelled or fails, also during the answer.

Now connections to endpoints have a limit on the bytes of the head, and on the time of one that comes in pieces. Streams then go the way of all broken ones: the stages are probed, and the answer is resumed without the engine at fault.

--- /dev/null
+++ b/sedgepin/_entry/_answer_limits.py
@@ -0,0 +1,155 @@
+"""Limits on endpoints' answers that httpcore leaves open."""
+
+import ssl
+import typing
+
+import httpcore
+import trio
+
+from sedgepin import _web as web
+
+_READ_BYTES = 16_384
+# All interim answers and the head of the final one.
+_MAX_HEAD_BYTES = 131_072
+_MAX_BODY_PIECES = 32_768
+# Tiny chunks would otherwise hold up all other connections.
+_PIECES_BETWEEN_CHECKPOINTS = 64
+_HEAD_COMPLETE = "http11.receive_response_headers.complete"
+_STREAM_EVENTS = (
+    "connection.connect_tcp.complete",
+    "connection.start_tls.complete",
+)
+
+
+class _LimitedStream(httpcore.AsyncNetworkStream):
+    """A connection that fails if the head of its answer has no end."""
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        self._stream = stream
+        self._head_timer: web.PartTimer | None = web.PartTimer()
+        self._head_bytes = 0
+
+    def record_head(self) -> None:
+        """Lift the limits after the head was received."""
+        self._head_timer = None
+
+    async def read(
+        self, max_bytes: int, timeout: float | None = None
+    ) -> bytes:
+        """Return some bytes.
+
+        Raises ``httpcore.RemoteProtocolError`` if the head has no end.
+        """
+        data = await self._stream.read(min(max_bytes, _READ_BYTES), timeout)
+        timer = self._head_timer
+        if timer is None:
+            return data
+        self._head_bytes += len(data)
+        is_endless = timer.add_bytes(trio.current_time())
+        if data.endswith(b"\r\n\r\n"):
+            timer.reset()
+        if is_endless or self._head_bytes > _MAX_HEAD_BYTES:
+            raise httpcore.RemoteProtocolError("the head has no end")
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Send bytes."""
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Return the connection under TLS, with the same limits."""
+        stream = await self._stream.start_tls(
+            ssl_context, server_hostname, timeout
+        )
+        return _LimitedStream(stream)
+
+    def get_extra_info(self, info: str) -> typing.Any:
+        """Return what the connection under this one tells."""
+        return self._stream.get_extra_info(info)
+
+
+class LimitedBackend(httpcore.AsyncNetworkBackend):
+    """Connects to endpoints with limits on the heads of their answers.
+
+    A request on such a connection must have ``HeadLimit.trace`` as its
+    extension ``trace``, which lifts the limits after the head.
+    """
+
+    def __init__(self) -> None:
+        self._backend = httpcore.TrioBackend()
+
+    async def connect_tcp(
+        self,
+        host: str,
+        port: int,
+        timeout: float | None = None,
+        local_address: str | None = None,
+        socket_options: typing.Iterable[httpcore.SOCKET_OPTION] | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Open a connection."""
+        return _LimitedStream(
+            await self._backend.connect_tcp(
+                host, port, timeout, local_address, socket_options
+            )
+        )
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait between two attempts to connect."""
+        await trio.sleep(seconds)
+
+
+class HeadLimit:
+    """Follows one request, to lift the limits on the head after it."""
+
+    def __init__(self) -> None:
+        self._stream: _LimitedStream | None = None
+
+    async def trace(self, event: str, details: dict[str, typing.Any]) -> None:
+        """Handle an event of httpcore."""
+        if event in _STREAM_EVENTS:
+            self._stream = details["return_value"]
+        if event == _HEAD_COMPLETE and self._stream is not None:
+            self._stream.record_head()
+
+
+class PieceCounter:
+    """Lets other tasks run while a body of many pieces is read."""
+
+    __slots__ = ("_count",)
+
+    def __init__(self) -> None:
+        self._count = 0
+
+    async def record_piece(self) -> None:
+        """Count a piece, and now and then let other tasks run."""
+        self._count += 1
+        if self._count % _PIECES_BETWEEN_CHECKPOINTS == 0:
+            await trio.lowlevel.checkpoint()
+
+    @property
+    def is_over_limit(self) -> bool:
+        """Return whether no whole answer has that many pieces."""
+        return self._count > _MAX_BODY_PIECES
+
+
+async def read_body(
+    response: httpcore.Response, limit_bytes: int
+) -> bytes | None:
+    """Return the whole body, or ``None`` if it is over a limit."""
+    body = bytearray()
+    counter = PieceCounter()
+    async for piece in response.aiter_stream():
+        body += piece
+        await counter.record_piece()
+        if len(body) > limit_bytes or counter.is_over_limit:
+            return None
+    return bytes(body)
--- a/sedgepin/_entry/_endpoint_client.py
+++ b/sedgepin/_entry/_endpoint_client.py
@@ -16,17 +16,20 @@
 import trio
 
 from sedgepin import _answers as answers
+from sedgepin._entry import _answer_limits
 from sedgepin._entry import _effects
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
 from sedgepin import _http as http
 from sedgepin import _model as model
+from sedgepin import _web as web
 from sedgepin import errors
 
 _CONNECT_TIMEOUT_SECONDS = 1.0
 _BUSY_STATUSES = frozenset((408, 425, 429, 503))
 _CLIENT_ERRORS = range(400, 500)
 _MAX_LINE_BYTES = 1_048_576
+_MAX_PROBE_BYTES = 16_384
 
 Emit: typing.TypeAlias = collections.abc.Callable[[_events.EntryEvent], None]
 
@@ -149,7 +152,9 @@
     def __init__(self, answer_limit_bytes: int) -> None:
         self._answer_limit_bytes = answer_limit_bytes
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=None, max_keepalive_connections=0
+            max_connections=None,
+            max_keepalive_connections=0,
+            network_backend=_answer_limits.LimitedBackend(),
         )
 
     async def run_stream(
@@ -166,7 +171,7 @@
                 f"{first.address}/v1/pipeline",
                 headers=[(b"content-type", b"application/json")],
                 content=msgspec.json.encode(_pipeline_run(effect)),
-                extensions=_timeouts(),
+                extensions=_extensions(),
             ) as response:
                 crashed = True
                 if response.status != 200:
@@ -238,12 +243,16 @@
         path = f"/v1/attempts/{effect.request_id}/{effect.attempt}"
         try:
             with trio.fail_after(effect.timeout.total_seconds()):
-                response = await self._pool.request(
-                    "GET", stage.address + path, extensions=_timeouts()
-                )
+                async with self._pool.stream(
+                    "GET", stage.address + path, extensions=_extensions()
+                ) as response:
+                    body = await _answer_limits.read_body(
+                        response, _MAX_PROBE_BYTES
+                    )
         except (trio.TooSlowError, *_CONNECTION_ERRORS):
             return
-        reports[endpoint_id] = _stage_report(endpoint_id, response)
+        if body is not None:
+            reports[endpoint_id] = _stage_report(endpoint_id, body)
 
     async def _exchange(
         self, effect: _effects.CallService
@@ -254,19 +263,19 @@
             f"{effect.address}{request.path}",
             headers=_end_to_end_headers(request.headers),
             content=request.body,
-            extensions=_timeouts(),
+            extensions=_extensions(),
         ) as response:
-            body = bytearray()
-            async for chunk in response.aiter_stream():
-                body += chunk
-                if len(body) > self._answer_limit_bytes:
-                    failure = _failures.EndpointFailed(
-                        "the answer is longer than "
-                        f"{self._answer_limit_bytes} bytes"
-                    )
-                    return _events.ServiceFailed(
-                        request.request_id, effect.attempt, failure, True
-                    )
+            body = await _answer_limits.read_body(
+                response, self._answer_limit_bytes
+            )
+        if body is None:
+            failure = _failures.EndpointFailed(
+                "the answer is longer than "
+                f"{self._answer_limit_bytes} bytes or in too many pieces"
+            )
+            return _events.ServiceFailed(
+                request.request_id, effect.attempt, failure, True
+            )
         headers = tuple(
             http.HeaderField(name.lower(), value)
             for name, value in response.headers
@@ -277,7 +286,7 @@
             effect.attempt,
             response.status,
             headers,
-            bytes(body),
+            body,
         )
 
 
@@ -297,10 +306,10 @@
 
 
 def _stage_report(
-    endpoint_id: model.EndpointId, response: httpcore.Response
+    endpoint_id: model.EndpointId, body: bytes
 ) -> _events.StageReport:
     try:
-        attempt = msgspec.json.decode(response.content, type=AttemptState)
+        attempt = msgspec.json.decode(body, type=AttemptState)
     except msgspec.DecodeError:
         # The stage is alive but does not implement this request.
         attempt = AttemptState(answers.StreamState.UNREPORTED)
@@ -322,8 +331,11 @@
     return _failures.EndpointFailed(f"the engine answered {status}")
 
 
-def _timeouts() -> dict[str, typing.Any]:
-    return {"timeout": {"connect": _CONNECT_TIMEOUT_SECONDS}}
+def _extensions() -> dict[str, typing.Any]:
+    return {
+        "timeout": {"connect": _CONNECT_TIMEOUT_SECONDS},
+        "trace": _answer_limits.HeadLimit().trace,
+    }
 
 
 def _end_to_end_headers(
@@ -345,9 +357,23 @@
     response: httpcore.Response, effect: _effects.StartStream, emit: Emit
 ) -> bool:
     """Emit an event for each line; return whether an end line was received."""
-    partial = b""
-    async for chunk in response.aiter_stream():
-        *lines, partial = (partial + chunk).split(b"\n")
+    counter = _answer_limits.PieceCounter()
+    timer = web.PartTimer()
+    partial = bytearray()
+    async for piece in response.aiter_stream():
+        await counter.record_piece()
+        # Only new bytes are searched, so that the cost of a long line does
+        # not grow with its square.
+        if b"\n" not in piece:
+            partial += piece
+            lines: list[bytes] = []
+            if timer.add_bytes(trio.current_time()):
+                raise msgspec.DecodeError("the line has no end")
+        else:
+            timer.reset()
+            first, *others, rest = piece.split(b"\n")
+            lines = [bytes(partial) + first, *others]
+            partial = bytearray(rest)
         if len(partial) > _MAX_LINE_BYTES:
             raise msgspec.DecodeError(
                 f"the line is longer than {_MAX_LINE_BYTES} bytes"
