Read no endless answers to orders

Cause: the control VM kept the whole body of an engine's answer to an order, however much came within the 2 s that an order may take.

An answer over 64 KiB now counts as failed, as it did after 2 s before.

--- a/sedgepin/_control/_order_client.py
+++ b/sedgepin/_control/_order_client.py
@@ -10,6 +10,7 @@
 from sedgepin import _release as release
 
 _ORDER_TIMEOUT_SECONDS = 2.0
+_MAX_ANSWER_BYTES = 65_536
 _CONFLICT_STATUS = 409
 _FIRST_ERROR_STATUS = 400
 _BEFORE_FIRST_BYTE = "http11.send_request_headers.started"
@@ -39,21 +40,27 @@
         """Send ``order`` and return its outcome.
 
         Status 409 means that the engine has seen a higher fencing token.
-        Other error statuses, timeouts, connection errors and an expired
-        lease count as failed.
+        Other error statuses, timeouts, connection errors, an expired lease
+        and an answer without end count as failed.
         """
         headers = [("content-type", "application/json")]
         if self._credential:
             headers.append(("authorization", f"Bearer {self._credential}"))
         try:
             with trio.fail_after(_ORDER_TIMEOUT_SECONDS):
-                response = await self._pool.request(
+                async with self._pool.stream(
                     "POST",
                     f"{order.address}/v1/orders",
                     headers=headers,
                     content=msgspec.json.encode(order),
                     extensions={"trace": self._check_lease},
-                )
+                ) as response:
+                    status = response.status
+                    received_bytes = 0
+                    async for piece in response.aiter_stream():
+                        received_bytes += len(piece)
+                        if received_bytes > _MAX_ANSWER_BYTES:
+                            return release.OrderOutcome.FAILED
         except (
             _LeaseExpired,
             trio.TooSlowError,
@@ -62,9 +69,9 @@
             httpcore.TimeoutException,
         ):
             return release.OrderOutcome.FAILED
-        if response.status == _CONFLICT_STATUS:
+        if status == _CONFLICT_STATUS:
             return release.OrderOutcome.REFUSED_FENCING
-        if response.status >= _FIRST_ERROR_STATUS:
+        if status >= _FIRST_ERROR_STATUS:
             return release.OrderOutcome.FAILED
         return release.OrderOutcome.ACCEPTED
 
