Find an engine that vanishes before it has a request

Cause: Linux sends keep-alive probes only while all sent bytes are acknowledged. A request sent to a host that had just vanished was retransmitted until the caller's deadline, for up to 15 minutes, though the code states 3 s.

Ruled out: that something sets TCP_USER_TIMEOUT; neither trio, httpcore, hypercorn nor h11 does.

TCP_USER_TIMEOUT of 2.9 s is now set for requests of up to 8 KiB. It is not for longer ones, since it also ends a connection whose peer runs but reads nothing.

--- a/sedgepin/_registrar/tests/test_endless_answers.py
+++ b/sedgepin/_registrar/tests/test_endless_answers.py
@@ -36,7 +36,7 @@
             await engine.wait_closed()
         nursery.cancel_scope.cancel()
 
-    async def test_refused_connection_is_not_silent(self) -> None:
+    async def test_refused_connection_proves_the_end(self) -> None:
         response = await web.send_request(
             "127.0.0.1:1", _REPORT_REQUEST, _TIMEOUT_SECONDS
         )
--- a/sedgepin/_sockets/__init__.py
+++ b/sedgepin/_sockets/__init__.py
@@ -1,5 +1,11 @@
-"""TCP connections that cost few system calls."""
+"""TCP connections that cost few system calls, and their options."""
 
 from sedgepin._sockets._direct_stream import DirectStream
+from sedgepin._sockets._options import enable_keepalive
+from sedgepin._sockets._options import limit_unacknowledged_time
 
-__all__ = ["DirectStream"]
+__all__ = [
+    "DirectStream",
+    "enable_keepalive",
+    "limit_unacknowledged_time",
+]
--- /dev/null
+++ b/sedgepin/_sockets/_options.py
@@ -0,0 +1,36 @@
+"""Options of TCP sockets that decide when a vanished peer is found.
+
+On Linux, keep-alive probes are sent only while all sent bytes are
+acknowledged.  Otherwise the retransmission decides, which gives up after some
+15 minutes, or after ``TCP_USER_TIMEOUT`` if that is set.  If it is set, it
+also decides when probes give up, whatever their count, and it ends a
+connection whose peer runs but reads nothing for as long.
+"""
+
+import socket
+
+
+def enable_keepalive(
+    sock: socket.socket,
+    idle_seconds: int,
+    interval_seconds: int,
+    probe_count: int,
+) -> None:
+    """Find a vanished peer while all sent bytes are acknowledged.
+
+    It takes ``idle_seconds`` and ``probe_count`` intervals, unless
+    ``limit_unacknowledged_time`` is called with more.
+    """
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, idle_seconds)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, interval_seconds)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, probe_count)
+
+
+def limit_unacknowledged_time(sock: socket.socket, milliseconds: int) -> None:
+    """Find a vanished peer while sent bytes are not acknowledged.
+
+    Only for connections on which a running peer takes all bytes at once.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
--- a/sedgepin/_web/_client.py
+++ b/sedgepin/_web/_client.py
@@ -22,11 +22,13 @@
 # A request up to this size fits into the socket's send buffer.  Sending it
 # cannot block on an endpoint that answers before it has read everything.
 _INLINE_SEND_LIMIT_BYTES = 8_192
-# TCP keepalive detects a vanished host after about 3 s, while an endpoint that
-# is only slow keeps its connection.
+# A vanished host is detected after about 3 s, while an endpoint that is only
+# slow keeps its connection.
 _KEEPALIVE_IDLE_SECONDS = 1
 _KEEPALIVE_INTERVAL_SECONDS = 1
 _KEEPALIVE_PROBES = 2
+# It also decides when probes give up; at 3 s sharp, most would do so at 4 s.
+_UNACKNOWLEDGED_LIMIT_MILLISECONDS = 2_900
 
 _HeadResult: typing.TypeAlias = result.Result[
     _types.AnswerHead, _failures.AnswerBroken
@@ -79,7 +81,13 @@
         except (OSError, trio.TooSlowError) as exc:
             reason = type(exc).__name__
             return result.Err(_failures.ConnectFailed(address, reason))
-        _enable_keepalive(stream.socket)
+        stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sockets.enable_keepalive(
+            stream.socket,
+            _KEEPALIVE_IDLE_SECONDS,
+            _KEEPALIVE_INTERVAL_SECONDS,
+            _KEEPALIVE_PROBES,
+        )
         return result.Ok(cls(address, stream))
 
     async def send(
@@ -104,7 +112,12 @@
             data += self._conn.send(h11.EndOfMessage())
         except h11.LocalProtocolError as exc:
             return result.Err(self._answer_broken(exc))
-        if nursery is not None and len(data) > _INLINE_SEND_LIMIT_BYTES:
+        if len(data) <= _INLINE_SEND_LIMIT_BYTES:
+            # An endpoint may be slow to read a long body.
+            sockets.limit_unacknowledged_time(
+                self._stream.socket, _UNACKNOWLEDGED_LIMIT_MILLISECONDS
+            )
+        elif nursery is not None:
             nursery.start_soon(self._send_in_background, data)
             return result.Ok(None)
         try:
@@ -225,15 +238,6 @@
         )
 
 
-def _enable_keepalive(sock: socket.socket) -> None:
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_SECONDS)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_SECONDS)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
-
-
 async def send_request(
     address: str,
     request: _types.Request,
