Keep streams between processes over a silence of 1.5 s

Cause: a stream failed after 2 s without a frame, and frames are 0.5 s apart. A peer that stopped for 1.5 s just before its next frame was given up, and so was one behind a cut of 1.5 s: bytes lost in it come with the next retransmission, 0.4, 0.8 and 1.65 s after they were first sent.

Ruled out: the sockets' options. Trio sets TCP_NODELAY and TCP_NOTSENT_LOWAT and neither keep-alive nor TCP_USER_TIMEOUT; the frames decide.

A stream now fails after 2.5 s, five intervals. A vanished host is found half a second later, a process that ends as before, since its sockets are closed.

--- a/sedgepin/_protocol/_transport.py
+++ b/sedgepin/_protocol/_transport.py
@@ -29,9 +29,10 @@
 _CONNECT_TIMEOUT_SECONDS = 1.0
 _REDIAL_INTERVAL_SECONDS = 0.25
 _KEEPALIVE_INTERVAL_SECONDS = 0.5
-# A stream fails when nothing arrives for four keepalive intervals, or when
-# sending one frame takes as long.
-_STREAM_TIMEOUT_SECONDS = 2.0
+# A stream fails when nothing arrives for five keepalive intervals, or when
+# sending one frame takes as long.  A peer that stops for 1.5 s just before its
+# next frame, or bytes lost in such a cut, come later than four intervals.
+_STREAM_TIMEOUT_SECONDS = 2.5
 _READ_BYTES = 65_536
 
 
--- a/sedgepin/_protocol/tests/test_transport.py
+++ b/sedgepin/_protocol/tests/test_transport.py
@@ -1,6 +1,7 @@
 """Tests of streams between processes, with mutual TLS."""
 
 import pathlib
+import socket
 import typing
 
 import pytest
@@ -9,8 +10,10 @@
 
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
+from sedgepin._protocol import _transport
 from sedgepin import settings
 from sedgepin.tests import processes
+from sedgepin.tests import vanished_peer
 
 
 def _issue_tls(
@@ -113,3 +116,109 @@
             await listener.wait_for(protocol.PeerRefused)
             assert not listener.has_received(protocol.PeerConnected)
             nursery.cancel_scope.cancel()
+
+
+class _Link:
+    """Passes bytes between a dialler and a listener, on sockets of its own.
+
+    The end towards the listener can vanish.
+    """
+
+    def __init__(self, listener_address: str) -> None:
+        self._target = _transport.split_address(listener_address)
+        self.outer: trio.SocketStream | None = None
+        self.connection_count = 0
+
+    async def pass_on(self, inner: trio.SocketStream) -> None:
+        """Serve one connection of the dialler."""
+        self.connection_count += 1
+        self.outer = await trio.open_tcp_stream(*self._target)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._copy, inner, self.outer)
+            await self._copy(self.outer, inner)
+            nursery.cancel_scope.cancel()
+
+    async def _copy(
+        self, source: trio.SocketStream, target: trio.SocketStream
+    ) -> None:
+        try:
+            async for data in source:
+                await target.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+
+
+class TestSilence:
+    """A peer that is silent for 1.5 s is no vanished one."""
+
+    @pytest.mark.parametrize("phase_seconds", [0.0, 0.25, 0.45])
+    async def test_stream_survives_a_cut_of_1500_milliseconds(
+        self, nursery: trio.Nursery, phase_seconds: float
+    ) -> None:
+        listener = _Node("b", f"127.0.0.1:{processes.free_port()}", (), None)
+        link = _Link(listener.transport._listen)
+        listeners = await nursery.start(trio.serve_tcp, link.pass_on, 0)
+        port = listeners[0].socket.getsockname()[1]
+        peer = settings.Peer(
+            id="b", address=f"127.0.0.1:{port}", data_centre="beja"
+        )
+        address = f"127.0.0.1:{processes.free_port()}"
+        dialler = _Node("a", address, (peer,), None)
+        await nursery.start(listener.transport.run)
+        await nursery.start(dialler.transport.run)
+        await listener.wait_for(protocol.PeerConnected)
+        await trio.sleep(1.0 + phase_seconds)
+        assert link.outer is not None
+        with socket.fromfd(link.outer.socket.fileno(), 0, 0) as sock:
+            vanished_peer.vanish(sock)
+            await trio.sleep(1.5)
+            vanished_peer.reappear(sock)
+        await trio.sleep(2.6)
+        for node in (listener, dialler):
+            assert not node.has_received(protocol.PeerDisconnected)
+        assert link.connection_count == 1
+        nursery.cancel_scope.cancel()
+
+    async def test_stream_survives_a_pause_beside_the_interval(
+        self, nursery: trio.Nursery
+    ) -> None:
+        """The peer stops for 1.5 s just before its next frame is due."""
+        listener = _Node("b", f"127.0.0.1:{processes.free_port()}", (), None)
+        await nursery.start(listener.transport.run)
+        hello = protocol.Hello(
+            model.VmId("a"),
+            "entry",
+            model.DataCentreId("beja"),
+            model.Incarnation(1),
+        )
+        target = _transport.split_address(listener.transport._listen)
+        stream = await trio.open_tcp_stream(*target)
+        await stream.send_all(protocol.encode_messages([hello]))
+        await trio.sleep(0.5 + 1.5 + 0.1)
+        await stream.send_all(protocol.encode_messages([]))
+        await trio.sleep(0.1)
+        assert listener.has_received(protocol.PeerConnected)
+        assert not listener.has_received(protocol.PeerDisconnected)
+        nursery.cancel_scope.cancel()
+
+    async def test_vanished_peer_is_found_in_the_stated_time(
+        self, nursery: trio.Nursery
+    ) -> None:
+        listener = _Node("b", f"127.0.0.1:{processes.free_port()}", (), None)
+        link = _Link(listener.transport._listen)
+        listeners = await nursery.start(trio.serve_tcp, link.pass_on, 0)
+        port = listeners[0].socket.getsockname()[1]
+        peer = settings.Peer(
+            id="b", address=f"127.0.0.1:{port}", data_centre="beja"
+        )
+        address = f"127.0.0.1:{processes.free_port()}"
+        dialler = _Node("a", address, (peer,), None)
+        await nursery.start(listener.transport.run)
+        await nursery.start(dialler.transport.run)
+        await listener.wait_for(protocol.PeerConnected)
+        assert link.outer is not None
+        with socket.fromfd(link.outer.socket.fileno(), 0, 0) as sock:
+            vanished_peer.vanish(sock)
+        with trio.fail_after(3.5):
+            await dialler.wait_for(protocol.PeerDisconnected)
+        nursery.cancel_scope.cancel()
