Find callers that vanish while they await their answer

Cause: accepted connections had no keep-alive, so the request of a caller whose host vanished ran on its engines until its deadline.

They now have keep-alive that gives up after 20 s, the time after which a caller that does not read is disconnected. TCP_USER_TIMEOUT is not set: it would also end the connection of a caller that reads nothing for a while though its answer fits into the buffers. So while an answer is being sent to a vanished caller, the deadline and the limit of 20 s on a send decide as before.

test_vanished_peers.py, TestCallerConnection: 2 of 3 failed before.

--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -19,6 +19,10 @@
 # A caller that does not read its answer is disconnected when one send blocks
 # for longer.
 _SEND_TIMEOUT_SECONDS = 20.0
+# A vanished caller is detected after 20 s too, while its answer is awaited.
+_KEEPALIVE_IDLE_SECONDS = 5
+_KEEPALIVE_INTERVAL_SECONDS = 5
+_KEEPALIVE_PROBES = 3
 _STALL_CHECK_INTERVAL_SECONDS = 1.0
 _LISTEN_BACKLOG = 512
 
@@ -172,6 +176,12 @@
         stream = sockets.DirectStream.adopt(accepted)
         try:
             stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sockets.enable_keepalive(
+                stream.socket,
+                _KEEPALIVE_IDLE_SECONDS,
+                _KEEPALIVE_INTERVAL_SECONDS,
+                _KEEPALIVE_PROBES,
+            )
         except OSError:
             # The caller reset the connection before this task started.
             stream.close()
--- a/sedgepin/_web/tests/test_vanished_peers.py
+++ b/sedgepin/_web/tests/test_vanished_peers.py
@@ -8,6 +8,9 @@
 import trio
 
 from sedgepin import _web as web
+from sedgepin._web import _server
+from sedgepin import errors
+from sedgepin.tests import processes
 from sedgepin.tests import vanished_peer
 
 _STATED_SECONDS = 3.0
@@ -156,3 +159,86 @@
         # A probe must give up at its third time, not at the one after.
         assert idle + interval < user_timeout < _STATED_SECONDS
         nursery.cancel_scope.cancel()
+
+
+class _WaitingHandler(web.Handler):
+    """Never answers; records when its caller was found to be gone."""
+
+    def __init__(self) -> None:
+        self.has_request = trio.Event()
+        self.is_abandoned = trio.Event()
+
+    async def handle(self, exchange: web.Exchange) -> None:
+        self.has_request.set()
+        try:
+            await trio.sleep_forever()
+        finally:
+            self.is_abandoned.set()
+
+    def error_response(
+        self, failure: errors.Failure
+    ) -> tuple[web.AnswerHead, bytes]:
+        return web.AnswerHead(failure.http_status), b""
+
+    def limits(self) -> web.ServerLimits:
+        return web.ServerLimits(2_048, 64, 1.0, 1.0)
+
+
+class TestCallerConnection:
+    async def test_vanished_caller_is_found_while_it_awaits_its_answer(
+        self, nursery: trio.Nursery, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Its request once ran to the deadline.  Shortened from 20 s."""
+        monkeypatch.setattr(_server, "_KEEPALIVE_IDLE_SECONDS", 1)
+        monkeypatch.setattr(_server, "_KEEPALIVE_INTERVAL_SECONDS", 1)
+        handler, stream = await self._send_request(nursery)
+        await trio.sleep(0.1)
+        _vanish(stream)
+        with trio.fail_after(6):
+            await handler.is_abandoned.wait()
+        nursery.cancel_scope.cancel()
+
+    async def test_silent_caller_keeps_its_connection(
+        self, nursery: trio.Nursery
+    ) -> None:
+        handler, stream = await self._send_request(nursery)
+        _vanish(stream)
+        await trio.sleep(_SILENT_SECONDS)
+        _reappear(stream)
+        await trio.sleep(1.0)
+        assert not handler.is_abandoned.is_set()
+        nursery.cancel_scope.cancel()
+
+    async def test_options_agree_with_the_stated_time(self) -> None:
+        """Slow callers may not read for longer, so no user timeout is set."""
+        seconds = _server._KEEPALIVE_IDLE_SECONDS
+        seconds += (
+            _server._KEEPALIVE_INTERVAL_SECONDS * _server._KEEPALIVE_PROBES
+        )
+        assert seconds == _server._SEND_TIMEOUT_SECONDS
+        async with trio.open_nursery() as nursery:
+            _handler, stream = await self._send_request(nursery)
+            accepted = [
+                connection._stream.socket
+                for connection in self._server._connections
+            ]
+            assert len(accepted) == 1
+            sock = accepted[0]
+            tcp = socket.IPPROTO_TCP
+            assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+            assert sock.getsockopt(tcp, socket.TCP_USER_TIMEOUT) == 0
+            assert stream.socket.fileno() >= 0
+            nursery.cancel_scope.cancel()
+
+    async def _send_request(
+        self, nursery: trio.Nursery
+    ) -> tuple[_WaitingHandler, trio.SocketStream]:
+        handler = _WaitingHandler()
+        self._server = web.Server(handler)
+        address = f"127.0.0.1:{processes.free_port()}"
+        await nursery.start(self._server.serve, address)
+        port = int(address.rpartition(":")[2])
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await handler.has_request.wait()
+        return handler, stream
