--- a/sedgepin/_entry/_answer_limits.py
+++ b/sedgepin/_entry/_answer_limits.py
@@ -9,9 +9,11 @@
 from sedgepin import _web as web
 
 _READ_BYTES = 16_384
+# All interim answers in a read are parsed without a pause.
+_HEAD_READ_BYTES = 4_096
 # All interim answers and the head of the final one.
-_MAX_HEAD_BYTES = 131_072
-_MAX_BODY_PIECES = 32_768
+_MAX_HEAD_BYTES = 65_536
+_MAX_BODY_PIECES = 16_384
 # Tiny chunks would otherwise hold up all other connections.
 _PIECES_BETWEEN_CHECKPOINTS = 64
 _HEAD_COMPLETE = "http11.receive_response_headers.complete"
@@ -40,8 +42,9 @@
 
         Raises ``httpcore.RemoteProtocolError`` if the head has no end.
         """
-        data = await self._stream.read(min(max_bytes, _READ_BYTES), timeout)
         timer = self._head_timer
+        limit = _READ_BYTES if timer is None else _HEAD_READ_BYTES
+        data = await self._stream.read(min(max_bytes, limit), timeout)
         if timer is None:
             return data
         self._head_bytes += len(data)
@@ -145,11 +148,14 @@
     response: httpcore.Response, limit_bytes: int
 ) -> bytes | None:
     """Return the whole body, or ``None`` if it is over a limit."""
-    body = bytearray()
+    # A single buffer would be moved as it grows, and take twice the memory.
+    pieces: list[bytes] = []
+    size_bytes = 0
     counter = PieceCounter()
     async for piece in response.aiter_stream():
-        body += piece
+        pieces.append(piece)
+        size_bytes += len(piece)
         await counter.record_piece()
-        if len(body) > limit_bytes or counter.is_over_limit:
+        if size_bytes > limit_bytes or counter.is_over_limit:
             return None
-    return bytes(body)
+    return b"".join(pieces)
--- a/sedgepin/_entry/tests/test_endpoint_client.py
+++ b/sedgepin/_entry/tests/test_endpoint_client.py
@@ -13,8 +13,13 @@
 from sedgepin._web import _part_timer
 from sedgepin import errors
 from sedgepin.tests import endless_engine
+from sedgepin.tests import memory
 
 _ANSWER_LIMIT_BYTES = 1_000_000
+_AT_ONCE = 200
+# The limit of an answer or a line, an eighth that its buffer grows by ahead,
+# and one read in the hands of the socket, the parser, httpcore and the client.
+_HELD_BYTES = 1_048_576 * 9 // 8 + 4 * 65_536
 _LIMIT_SECONDS = 0.3
 _PAUSE_SECONDS = 0.02
 _TIMEOUT = datetime.timedelta(seconds=1)
@@ -70,6 +75,15 @@
         )
         await self.client.probe(effect, self.emitted.append)
 
+    async def run(self, call: str) -> None:
+        """Make a call by the name of its method."""
+        if call == "call_service":
+            await self.call_service(datetime.timedelta(seconds=30))
+        elif call == "run_stream":
+            await self.run_stream()
+        else:
+            await self.probe()
+
     def _stage(self) -> model.Stage:
         return model.Stage(
             model.EndpointId("e"),
@@ -207,3 +221,33 @@
         (event,) = endpoint.emitted
         assert isinstance(event, _events.ServiceAnswered)
         nursery.cancel_scope.cancel()
+
+
+class TestManyAtOnce:
+    @pytest.mark.parametrize(
+        "kind",
+        ["headers", "interim answers", "tiny chunks", "body without length"],
+    )
+    @pytest.mark.parametrize("call", ["call_service", "run_stream", "probe"])
+    async def test_200_at_once_take_bounded_memory_and_time(
+        self, nursery: trio.Nursery, kind: str, call: str
+    ) -> None:
+        meter = memory.Meter()
+        with memory.endless_engine_process(kind) as address:
+            endpoints = [_Endpoint(kind, None) for _number in range(_AT_ONCE)]
+            nursery.start_soon(meter.sample)
+            before = trio.current_time()
+            with trio.fail_after(60):
+                async with trio.open_nursery() as calling:
+                    for endpoint in endpoints:
+                        endpoint.engine._port_address = address
+                        calling.start_soon(endpoint.run, call)
+            seconds = trio.current_time() - before
+        growth = meter.growth_bytes
+        print(
+            f"{kind}, {call}: {growth / 1e6:.1f} MB, {seconds:.1f} s,"
+            f" longest pause {meter.longest_pause_seconds:.2f} s"
+        )
+        assert all(len(endpoint.emitted) == 1 for endpoint in endpoints)
+        assert growth < _AT_ONCE * _HELD_BYTES
+        nursery.cancel_scope.cancel()
--- a/sedgepin/_web/_client.py
+++ b/sedgepin/_web/_client.py
@@ -16,7 +16,7 @@
 _HEAD_LIMIT_BYTES = 65_536
 _MAX_INTERIM_ANSWERS = 100
 # Each piece of a body costs some 10 us, however small it is.
-_MAX_BODY_PIECES = 32_768
+_MAX_BODY_PIECES = 16_384
 # Tiny chunks would otherwise hold up all other connections.
 _EVENTS_BETWEEN_CHECKPOINTS = 64
 # A request up to this size fits into the socket's send buffer.  Sending it
@@ -162,15 +162,18 @@
         self, limit_bytes: int
     ) -> result.Result[bytes, _failures.AnswerBroken]:
         """Return the whole body, or a failure if it is over the limit."""
-        body = bytearray()
+        # One buffer would be moved as it grows, and take twice the memory.
+        pieces: list[bytes] = []
+        size_bytes = 0
         for _piece in range(_MAX_BODY_PIECES):
             data = await self.read_data()
             if isinstance(data, result.Err):
                 return data
             if data.ok_value is None:
-                return result.Ok(bytes(body))
-            body += data.ok_value
-            if len(body) > limit_bytes:
+                return result.Ok(b"".join(pieces))
+            pieces.append(data.ok_value)
+            size_bytes += len(data.ok_value)
+            if size_bytes > limit_bytes:
                 return result.Err(
                     self._answer_broken(
                         f"the body is over {limit_bytes} bytes", True
--- a/sedgepin/platform/tests/test_relay_endless.py
+++ b/sedgepin/platform/tests/test_relay_endless.py
@@ -15,9 +15,15 @@
 from sedgepin._web import _part_timer
 from sedgepin.platform import _gateway as platform_gateway
 from sedgepin.tests import endless_engine
+from sedgepin.tests import memory
 
 _UNKNOWN = _events.AttemptOutcome.UNKNOWN
 _ANSWERED = _events.AttemptOutcome.ANSWERED
+_NOT_SENT = _events.AttemptOutcome.NOT_SENT
+_AT_ONCE = 200
+# The limit of an answer, an eighth that its buffer grows by ahead, and one
+# read in the hands of the socket, the parser, the client and the relay.
+_HELD_BYTES = 1_048_576 * 9 // 8 + 4 * 65_536
 _LIMIT_SECONDS = 0.3
 _PAUSE_SECONDS = 0.02
 _ANSWERS = {**endless_engine.HEADS, **endless_engine.BODIES}
@@ -207,3 +213,38 @@
                 longest_pause = max(longest_pause, pause)
         assert longest_pause < 0.1
         nursery.cancel_scope.cancel()
+
+
+class TestManyAtOnce:
+    @pytest.mark.parametrize(
+        "kind",
+        ["headers", "interim answers", "tiny chunks", "body without length"],
+    )
+    @pytest.mark.parametrize("is_stream", [True, False])
+    async def test_200_at_once_take_bounded_memory_and_time(
+        self, nursery: trio.Nursery, kind: str, is_stream: bool
+    ) -> None:
+        """Whatever is sent, an attempt holds an answer or an event at most."""
+        meter = memory.Meter()
+        with memory.endless_engine_process(kind) as address:
+            attempts = [
+                _Attempt(address, is_stream) for _number in range(_AT_ONCE)
+            ]
+            nursery.start_soon(meter.sample)
+            before = trio.current_time()
+            with trio.fail_after(60):
+                async with trio.open_nursery() as waiting:
+                    for attempt in attempts:
+                        waiting.start_soon(attempt.wait_ended, nursery)
+            seconds = trio.current_time() - before
+        growth = meter.growth_bytes
+        print(
+            f"{kind}, stream {is_stream}: {growth / 1e6:.1f} MB,"
+            f" {seconds:.1f} s,"
+            f" longest pause {meter.longest_pause_seconds:.2f} s"
+        )
+        for attempt in attempts:
+            assert attempt.ended is not None
+            assert attempt.ended.outcome in (_UNKNOWN, _NOT_SENT)
+        assert growth < _AT_ONCE * _HELD_BYTES
+        nursery.cancel_scope.cancel()
--- a/sedgepin/tests/endless_engine.py
+++ b/sedgepin/tests/endless_engine.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import sys
 
 import trio
 
@@ -93,3 +94,15 @@
             pass
         finally:
             self.open_connections -= 1
+
+
+async def _serve(kind: str) -> None:
+    """Run an engine that sends as fast as it can, and print its address."""
+    engine = EndlessEngine({**HEADS, **BODIES}[kind], None)
+    async with trio.open_nursery() as nursery:
+        await engine.start(nursery)
+        print(engine.address, flush=True)
+
+
+if __name__ == "__main__":
+    trio.run(_serve, sys.argv[1])
