Hold only a verdict of guilty for engines that may go on

The verdict on a pair is due after 1 s again. Only if it would be guilty, and rests on a silence of less than 4 s, does the request wait on; so nobody waits longer than before who was not refused before.

--- a/sedgepin/_admission/_quarantine.py
+++ b/sedgepin/_admission/_quarantine.py
@@ -278,16 +278,22 @@
     def _decide(
         self, suspect: _suspect.Suspect, now: datetime.datetime
     ) -> list[_quarantine_types.QuarantineEffect]:
+        suspect.awaits_silent = False
         if suspect.quarantined:
             return self._answer_waiting(suspect, now)
         if suspect.awaits_verdict:
             if now < self._verdict_due_at(suspect):
                 return []
-            suspect.decided_death_at = suspect.last_death_at
         self._set_rumour(
             suspect, self._deaths.without_correlated_deaths(suspect.rumour)
         )
-        if self._deaths.causes_crashes(suspect.rumour):
+        is_open = self._may_be_disproved(suspect, now)
+        if suspect.awaits_verdict:
+            suspect.awaits_silent = is_open
+            if is_open:
+                return []
+            suspect.decided_death_at = suspect.last_death_at
+        if not is_open and self._deaths.causes_crashes(suspect.rumour):
             return self._start_quarantine(suspect, now)
         if suspect.rumour.needs_trial:
             return self._advance_trial(suspect, now)
@@ -315,14 +321,27 @@
             suspect.quarantined = False
 
     def _verdict_due_at(self, suspect: _suspect.Suspect) -> datetime.datetime:
+        if suspect.awaits_silent:
+            return self._silence_ends_at(suspect)
+        return suspect.last_death_at + self._settings.judgement_period
+
+    def _silence_ends_at(self, suspect: _suspect.Suspect) -> datetime.datetime:
+        """Return until when an endpoint that is silent may go on."""
         return max(
-            mark.at
-            + (
-                self._settings.silence_period
-                if mark.is_silent
-                else self._settings.judgement_period
-            )
+            mark.at + self._settings.silence_period
             for mark in suspect.rumour.counted_deaths.values()
+            if mark.is_silent
+        )
+
+    def _may_be_disproved(
+        self, suspect: _suspect.Suspect, now: datetime.datetime
+    ) -> bool:
+        """Return whether a quarantine would rest on a recent silence."""
+        counted = suspect.rumour.counted_deaths.values()
+        return (
+            any(mark.is_silent for mark in counted)
+            and now < self._silence_ends_at(suspect)
+            and self._deaths.causes_crashes(suspect.rumour)
         )
 
     def _quarantined_until(
--- a/sedgepin/_admission/_quarantine_types.py
+++ b/sedgepin/_admission/_quarantine_types.py
@@ -92,9 +92,9 @@
     ``trial_period``; the trial starts ``settle_period`` after the claim, so
     that the claim reaches the other VMs first.  The verdict after a second
     death is delayed by ``judgement_period``, in which further deaths may show
-    a correlated failure, and until ``silence_period`` after each death of an
-    endpoint that only fell silent, in which it may go on.  Copies refused
-    during a trial are told to retry after ``retry_after_trial``.
+    a correlated failure.  A quarantine waits until ``silence_period`` after
+    each death of an endpoint that only fell silent and may go on.  Copies
+    refused during a trial are told to retry after ``retry_after_trial``.
     """
 
     suspicion_period: datetime.timedelta = datetime.timedelta(minutes=1)
--- a/sedgepin/_admission/_suspect.py
+++ b/sedgepin/_admission/_suspect.py
@@ -15,7 +15,8 @@
     period is over.  ``endpoints`` run the trial of this VM.
     ``trial_starts_at`` is when a trial that this VM has claimed may start.
     ``decided_death_at`` is the instant of the last death on which a verdict
-    was reached.
+    was reached; ``awaits_silent`` is set while it waits for endpoints that may
+    only be silent.
     """
 
     __slots__ = (
@@ -26,6 +27,7 @@
         "endpoints",
         "trial_starts_at",
         "quarantined",
+        "awaits_silent",
         "decided_death_at",
         "_seen_death_count",
     )
@@ -39,6 +41,7 @@
         self.trial_starts_at = rumour.until
         self.quarantined = False
         self.decided_death_at: datetime.datetime | None = None
+        self.awaits_silent = False
         self._seen_death_count = 0
 
     @property
