Ask an engine again that resets the check of its end

Cause: an engine that is ending resets what waits to be accepted, and refuses connections only after that. The reset had counted as a refusal; then it counted as an answer.

Change: as the check of the leader, that of the entry VM is sent once more 20 ms after a reset.

--- a/sedgepin/_gateway/_engine_calls.py
+++ b/sedgepin/_gateway/_engine_calls.py
@@ -4,6 +4,7 @@
 import datetime
 
 import result
+import trio
 
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _dialect
@@ -11,6 +12,9 @@
 from sedgepin._gateway import _events
 from sedgepin import _web as web
 
+# In this time a process that has begun to end closes its listening socket.
+_REPEAT_DELAY_SECONDS = 0.02
+
 _Submit = collections.abc.Callable[[_events.GatewayEvent], None]
 
 
@@ -19,12 +23,15 @@
 ) -> bool:
     """Return whether no process serves at an engine's address any more.
 
-    An engine that does not answer may be cut off only.
+    An engine that does not answer may be cut off only.  One that is ending may
+    reset a connection, and refuses the next one.
     """
-    response = await web.send_request(
-        address, dialect.report_request(address), timeout.total_seconds()
-    )
-    failure = response.err()
+    request = dialect.report_request(address)
+    seconds = timeout.total_seconds()
+    failure = (await web.send_request(address, request, seconds)).err()
+    if failure is not None and failure.is_reset:
+        await trio.sleep(_REPEAT_DELAY_SECONDS)
+        failure = (await web.send_request(address, request, seconds)).err()
     return isinstance(failure, web.ConnectFailed) and failure.is_refused
 
 
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -363,12 +363,9 @@
 
 def _was_closed(failure: errors.Failure | None) -> bool:
     """Return whether a connection was closed or reset without an answer."""
-    if isinstance(failure, web.ConnectFailed):
-        return failure.is_reset
     return (
-        isinstance(failure, web.AnswerBroken)
-        and not failure.is_timeout
-        and not failure.has_data
+        isinstance(failure, (web.ConnectFailed, web.AnswerBroken))
+        and failure.is_reset
     )
 
 
--- a/sedgepin/_web/_failures.py
+++ b/sedgepin/_web/_failures.py
@@ -97,6 +97,11 @@
     has_data: bool = False
     is_invalid: bool = False
 
+    @property
+    def is_reset(self) -> bool:
+        """Whether the connection was closed or reset without an answer."""
+        return not self.is_timeout and not self.has_data
+
     def detail(self) -> str:
         """Return the address and the reason."""
         return f"{self.address}: {self.reason}"
