Ask for a retry when the head of an answer is late, not before

What callers saw: a plain idempotent call whose retry had become impossible since it was sent (the other endpoint gone, the budget spent) was still cut off at the first output target and ended with 502.

Cause: the relay ended the attempt on its own, by a limit that was decided at the send.

Change: the relay reports AnswerHeadLate and goes on reading. The reducer then cancels the attempt with a retry in the budget and another endpoint at hand, as it does with silent streams, or keeps it (request_kept) and looks again at the next such event. The check at the send is gone, so that an endpoint that comes up later helps too. attempt_ended of such a call says cancelled instead of unknown; its endpoint is reported to the leader as before.

New tests: the budget is spent after the send; the relay goes on after the event.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -426,7 +426,7 @@
             exchange.exchange_id,
             dispatch,
             exchange.route.kind is catalog.RetrySemantics.STREAM,
-            self._answer_timeout(exchange, now),
+            self._answer_timeout(exchange),
         )
         return [_shared_state.log(line), start]
 
@@ -450,21 +450,15 @@
         return _failures.OutcomeUnknown(failure.detail())
 
     def _answer_timeout(
-        self, exchange: _exchange.Exchange, now: datetime.datetime
+        self, exchange: _exchange.Exchange
     ) -> datetime.timedelta | None:
-        """Return how long to wait for an answer head; ``None`` for no limit.
+        """Return when an answer head is late; ``None`` for never.
 
-        There is a limit only if the request can run on another endpoint after
-        this one.
+        It matters only if the request may run on another endpoint after this
+        one.
         """
         if exchange.route.kind is not catalog.RetrySemantics.IDEMPOTENT:
             return None
         if not self._state.may_run_again(exchange):
             return None
-        service = exchange.service.name
-        tried = exchange.tried_endpoints.union(exchange.endpoint_ids)
-        if self._state.fleet.choose_endpoint(service, tried, now) is None:
-            return None
-        if not self._state.retry_budget.may_spend(service, now):
-            return None
         return exchange.route.first_output_target
--- a/sedgepin/_gateway/_effects.py
+++ b/sedgepin/_gateway/_effects.py
@@ -45,8 +45,9 @@
 class StartAttempt:
     """Send a request to an endpoint and forward its answer to the caller.
 
-    ``is_stream`` tells whether the answer is a stream of events.  The attempt
-    fails if no answer head arrives within ``answer_timeout``.
+    ``is_stream`` tells whether the answer is a stream of events.
+    ``AnswerHeadLate`` follows if no answer head arrives within
+    ``answer_timeout``.
     """
 
     exchange_id: int
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -87,6 +87,16 @@
     incarnation: int | None = None
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerHeadLate:
+    """No answer head has come within the attempt's ``answer_timeout``.
+
+    The attempt goes on, and the event comes again after as long.
+    """
+
+    exchange_id: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class StreamStalled:
     """The engines of a stream have sent nothing for longer than usual."""
@@ -161,6 +171,7 @@
     | OutputStarted
     | OutputSustained
     | AnswerHeadReceived
+    | AnswerHeadLate
     | StreamStalled
     | StallsInspected
     | SettingsReloaded
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -126,6 +126,10 @@
                 )
             case _events.AnswerHeadReceived():
                 return self._notices.handle_answer_head(event, now)
+            case _events.AnswerHeadLate(exchange_id):
+                return self._stream_failover.handle_late_answer(
+                    exchange_id, now
+                )
             case _events.StreamStalled(exchange_id):
                 return self._stream_failover.handle_stall(exchange_id, now)
             case _events.StallsInspected():
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -277,14 +277,13 @@
             self.stalled_at = (
                 trio.current_time() + _FIRST_EVENT_TIMEOUT_SECONDS
             )
-        with trio.move_on_after(seconds):
-            head = await connection.read_head()
-            if isinstance(head, result.Err):
-                return _broken(head.err_value)
-            return head.ok_value
-        return _AttemptResult(
-            _Outcome.UNKNOWN, f"no answer head within {seconds} s"
-        )
+        while True:
+            with trio.move_on_after(seconds):
+                head = await connection.read_head()
+                if isinstance(head, result.Err):
+                    return _broken(head.err_value)
+                return head.ok_value
+            self._submit(_events.AnswerHeadLate(self.exchange_id))
 
     async def _forward_whole_answer(
         self,
--- a/sedgepin/_gateway/_retry_budget.py
+++ b/sedgepin/_gateway/_retry_budget.py
@@ -118,12 +118,26 @@
         self, service: model.ServiceName, now: datetime.datetime
     ) -> bool:
         """Spend one retry if the budget allows it; return whether it does."""
-        if not self.may_spend(service, now):
-            return False
-        allowance = self._current_allowance(service, now)
-        if allowance is not None:
+        window = self._window(service)
+        allowance = self._allowances.get(service)
+        if (
+            allowance is not None
+            and now - allowance.granted_at < _AGGREGATE_TTL
+        ):
+            if allowance.retries < 1.0:
+                return False
             allowance.retries -= 1.0
-        self._window(service).add_retry(now)
+            window.add_retry(now)
+            return True
+        share = (
+            _SPENDABLE_SHARE if allowance is None else _STALE_SPENDABLE_SHARE
+        )
+        first_attempts, retries = window.counts(now)
+        reserve = self._cfg.reserve / self._entry_count
+        allowed = share * (self._cfg.ratio * first_attempts + reserve)
+        if retries + 1 > allowed:
+            return False
+        window.add_retry(now)
         return True
 
     def give_back(self, service: model.ServiceName) -> None:
@@ -133,30 +147,6 @@
             allowance.retries += 1.0
         self._window(service).remove_retry()
 
-    def may_spend(
-        self, service: model.ServiceName, now: datetime.datetime
-    ) -> bool:
-        """Return whether the budget allows one retry now."""
-        current = self._current_allowance(service, now)
-        if current is not None:
-            return current.retries >= 1.0
-        share = _SPENDABLE_SHARE
-        if service in self._allowances:
-            share = _STALE_SPENDABLE_SHARE
-        first_attempts, retries = self._window(service).counts(now)
-        reserve = self._cfg.reserve / self._entry_count
-        allowed = share * (self._cfg.ratio * first_attempts + reserve)
-        return retries + 1 <= allowed
-
-    def _current_allowance(
-        self, service: model.ServiceName, now: datetime.datetime
-    ) -> _Allowance | None:
-        """Return the allowance unless aggregated counts stopped arriving."""
-        allowance = self._allowances.get(service)
-        if allowance is None or now - allowance.granted_at >= _AGGREGATE_TTL:
-            return None
-        return allowance
-
     def _window(self, service: model.ServiceName) -> _AttemptWindow:
         window = self._windows.get(service)
         if window is None:
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -30,6 +30,18 @@
         self._state = state
         self._stall_inspections = _stalls.StallInspections()
 
+    def handle_late_answer(
+        self, exchange_id: int, now: datetime.datetime
+    ) -> _shared_state.Effects:
+        """Move a call of a plain service whose answer head is late."""
+        exchange = self._state.exchanges.get(exchange_id)
+        if exchange is None or exchange.dispatch is None:
+            return []
+        endpoint_id = exchange.dispatch.endpoint_id
+        if not exchange.is_kept:
+            self._state.unreachable_endpoints.append(endpoint_id)
+        return self._cancel_or_keep(exchange, endpoint_id, now)
+
     def handle_stall(
         self, exchange_id: int, now: datetime.datetime
     ) -> _shared_state.Effects:
@@ -289,8 +301,15 @@
     ) -> bool:
         """Return whether a pipeline has room that begins with another engine.
 
-        After the last reroute it may begin with the same one.
+        After the last reroute it may begin with the same one.  A call of a
+        plain service needs an endpoint on which it has not been.
         """
+        dispatch = exchange.dispatch
+        if dispatch is not None and dispatch.pipeline is None:
+            tried = exchange.tried_endpoints.union(exchange.endpoint_ids)
+            service = exchange.service.name
+            endpoint = self._state.fleet.choose_endpoint(service, tried, now)
+            return endpoint is not None
         size = exchange.request.size
         if size is None:
             return False
--- a/sedgepin/_gateway/tests/test_unproven_losses.py
+++ b/sedgepin/_gateway/tests/test_unproven_losses.py
@@ -114,22 +114,35 @@
 
     def test_call_waits_for_the_only_endpoint_of_a_service(self) -> None:
         gateway = parts.Gateway((parts.make_registration("one", "ledger"),))
-        exchange_id, effects = gateway.send_request("/read/x")
-        start = parts.get_effect(effects, _effects.StartAttempt)
-        if start.answer_timeout is not None:
-            effects = gateway.end_attempt(exchange_id, _Outcome.UNKNOWN)
+        exchange_id, _ = gateway.send_request("/read/x")
+        effects = gateway.handle(_events.AnswerHeadLate(exchange_id))
+        assert parts.has_no_effect(effects, _effects.CancelAttempt)
         assert parts.has_no_effect(effects, _effects.FailExchange)
+        # Another endpoint comes up, and the answer is late still.
+        other = parts.make_registration("two", "ledger")
+        gateway.receive(protocol.RegistrationsSeen((other,)))
+        effects = gateway.handle(_events.AnswerHeadLate(exchange_id))
+        effects = _end_cancelled(gateway, exchange_id, effects)
+        assert _first_engine(effects) == "two"
 
 
 class TestNoRetryInTheBudget:
     def test_call_waits_for_its_endpoint(self) -> None:
         gateway = parts.Gateway()
         _spend_budget(gateway, "/read/x")
+        exchange_id, _ = gateway.send_request("/read/x")
+        effects = gateway.handle(_events.AnswerHeadLate(exchange_id))
+        assert parts.has_no_effect(effects, _effects.CancelAttempt)
+        assert parts.has_no_effect(effects, _effects.FailExchange)
+
+    def test_budget_is_asked_when_the_answer_is_late(self) -> None:
+        gateway = parts.Gateway()
         exchange_id, effects = gateway.send_request("/read/x")
         start = parts.get_effect(effects, _effects.StartAttempt)
-        if start.answer_timeout is not None:
-            effects = gateway.end_attempt(exchange_id, _Outcome.UNKNOWN)
-        assert parts.has_no_effect(effects, _effects.FailExchange)
+        assert start.answer_timeout is not None
+        _spend_budget(gateway, "/read/x")
+        effects = gateway.handle(_events.AnswerHeadLate(exchange_id))
+        assert parts.has_no_effect(effects, _effects.CancelAttempt)
 
     def test_stream_waits_for_its_engine(self) -> None:
         gateway = parts.Gateway()
--- a/sedgepin/platform/tests/test_unproven_silence.py
+++ b/sedgepin/platform/tests/test_unproven_silence.py
@@ -176,6 +176,49 @@
         raise NotImplementedError
 
 
+class TestLateAnswerHead:
+    async def test_attempt_goes_on(self, nursery: trio.Nursery) -> None:
+        async def engine(stream: trio.SocketStream) -> None:
+            await stream.receive_some(65_536)
+            await trio.sleep(0.25)
+            await stream.send_all(
+                b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+            )
+
+        address = await _serve(nursery, engine)
+        dispatch = _calls.Dispatch(model.EndpointId("e"), address, None, None)
+        caller = _Caller()
+        submitted: list[gateway_events.GatewayEvent] = []
+
+        def submit(event: gateway_events.GatewayEvent) -> None:
+            submitted.append(event)
+            if isinstance(event, gateway_events.RequestArrived):
+                relay.handle_effect(
+                    gateway_effects.StartAttempt(
+                        1, dispatch, False, parts.milliseconds(100)
+                    )
+                )
+
+        relay = _relay.Relay(
+            1,
+            caller,
+            _calls.CallerRequest(
+                "r1", "one.example", "/read/x", caller.request
+            ),
+            _gateway.GatewayDialect(),
+            submit,
+        )
+        with trio.fail_after(2):
+            await relay.run()
+        late = gateway_events.AnswerHeadLate(1)
+        assert submitted.count(late) == 2
+        ended = submitted[-1]
+        assert isinstance(ended, gateway_events.AttemptEnded)
+        assert ended.outcome is gateway_events.AttemptOutcome.ANSWERED
+        assert caller.has_started
+        nursery.cancel_scope.cancel()
+
+
 class TestCancelledBeforeItBegan:
     async def test_attempt_ends(self, nursery: trio.Nursery) -> None:
         """The reducer may cancel an attempt before its task has begun it."""
