Ignore the result of a reroute once its request waits for an engine

Cause: a request that was refused while its reroute was under way waits without an attempt, and the result of the reroute asked for its endpoints to log request_kept.

The new test with NOT_RUN failed with that error before.

--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -171,7 +171,7 @@
         if event.attempt != exchange.send_count:
             return []
         exchange.is_rerouting = False
-        if event.is_accepted:
+        if event.is_accepted or exchange.dispatch is None:
             return []
         if event.refused_by is not None:
             self._undo_reroute(exchange)
--- a/sedgepin/_gateway/tests/test_unproven_losses.py
+++ b/sedgepin/_gateway/tests/test_unproven_losses.py
@@ -1,6 +1,7 @@
 """Tests of requests whose endpoints are silent, or have ended unnoticed."""
 
 import msgspec
+import pytest
 
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _calls
@@ -242,6 +243,26 @@
         )
         parts.get_effect(gateway.handle(rerouted), _effects.CancelAttempt)
 
+    @pytest.mark.parametrize("outcome", [_Outcome.UNKNOWN, _Outcome.NOT_RUN])
+    def test_it_does_nothing_to_a_request_that_waits(
+        self, outcome: _events.AttemptOutcome
+    ) -> None:
+        gateway = _make_gateway(max_attempts=2)
+        exchange_id, _ = gateway.send_request("/draft/x")
+        gateway.handle(_events.OutputStarted(exchange_id))
+        report = _calls.StallReport((_calls.Stall("r1", "high:80"),))
+        gateway.handle(_events.StallsInspected(_LOW, report))
+        full = tuple(
+            protocol.EndpointLoad(model.EndpointId(name), 50, 5000)
+            for name in ("low", "high", "far-low", "far-high")
+        )
+        gateway.receive(protocol.LoadSummed(full, knows_leader=True))
+        gateway.end_attempt(exchange_id, outcome)
+        assert gateway.reducer.has_queued_requests
+        exchange = gateway.reducer._state.exchanges[exchange_id]
+        assert (exchange.dispatch, exchange.is_rerouting) == (None, True)
+        assert gateway.handle(_events.Rerouted(exchange_id, False)) == []
+
 
 class TestProofOfAnEnd:
     """What is known of an end stays known, and ends what waits for it."""
