Hold a long event in pieces; keep platform names out of shared tests

The emulated engine and a registrar test had names of the platform, which test_boundary.py found in the full run.

--- a/sedgepin/_gateway/_event_stream.py
+++ b/sedgepin/_gateway/_event_stream.py
@@ -31,35 +31,48 @@
     True
     """
 
-    __slots__ = ("_buffer",)
+    __slots__ = ("_pieces", "_size_bytes", "_tail")
 
     def __init__(self) -> None:
-        self._buffer = bytearray()
+        # The incomplete event; one buffer would be moved as it grows.
+        self._pieces: list[bytes] = []
+        self._size_bytes = 0
+        # Its last bytes, in which the end of an event may have begun.
+        self._tail = b""
 
     @property
     def has_incomplete_event(self) -> bool:
         """Return whether an incomplete event is buffered."""
-        return bool(self._buffer.strip())
+        return any(piece.strip() for piece in self._pieces)
 
     @property
     def buffered_bytes(self) -> int:
         """Return the size of the buffered, incomplete event."""
-        return len(self._buffer)
+        return self._size_bytes
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete."""
-        # The end of an event may have begun in the last bytes.  Searching all
-        # of the buffer again would take time that grows with its square.
-        searched = max(0, len(self._buffer) - _LONGEST_EVENT_END + 1)
-        self._buffer += data
+        recent = self._tail + data
+        if _EVENT_END.search(recent) is None:
+            self._keep(data, recent)
+            return []
+        buffer = b"".join((*self._pieces, data))
         events: list[StreamEvent] = []
         start = 0
-        for separator in _EVENT_END.finditer(self._buffer, searched):
-            event = bytes(self._buffer[start : separator.end()])
+        for separator in _EVENT_END.finditer(buffer):
+            event = buffer[start : separator.end()]
             id_match = _EVENT_ID.search(event)
             event_id = int(id_match.group(1)) if id_match else None
             events.append(StreamEvent(event, event_id))
             start = separator.end()
-        if start:
-            self._buffer = self._buffer[start:]
+        rest = buffer[start:]
+        self._pieces.clear()
+        self._size_bytes = 0
+        self._keep(rest, rest)
         return events
+
+    def _keep(self, piece: bytes, recent: bytes) -> None:
+        if piece:
+            self._pieces.append(piece)
+        self._size_bytes += len(piece)
+        self._tail = recent[1 - _LONGEST_EVENT_END :]
--- a/sedgepin/_registrar/tests/test_endless_answers.py
+++ b/sedgepin/_registrar/tests/test_endless_answers.py
@@ -7,7 +7,7 @@
 from sedgepin import _web as web
 from sedgepin.tests import endless_engine
 
-_REPORT_REQUEST = web.Request(b"GET", b"/v1/report", ((b"Host", b"x"),))
+_REPORT_REQUEST = web.Request(b"GET", b"/status", ((b"Host", b"x"),))
 _TIMEOUT_SECONDS = 0.5
 _ANSWERS = {**endless_engine.HEADS, **endless_engine.BODIES}
 
--- a/sedgepin/platform/tests/test_relay_endless.py
+++ b/sedgepin/platform/tests/test_relay_endless.py
@@ -26,7 +26,12 @@
 _HELD_BYTES = 1_048_576 * 9 // 8 + 4 * 65_536
 _LIMIT_SECONDS = 0.3
 _PAUSE_SECONDS = 0.02
-_ANSWERS = {**endless_engine.HEADS, **endless_engine.BODIES}
+_SIGNATURE = b"X-Request-Id: r1\r\nX-Response-Seal: s\r\n"
+_BODIES = {
+    kind: answer.with_headers(_SIGNATURE)
+    for kind, answer in endless_engine.BODIES.items()
+}
+_ANSWERS = {**endless_engine.HEADS, **_BODIES}
 
 
 class _Caller(web.Exchange):
@@ -151,7 +156,7 @@
         self, nursery: trio.Nursery, is_stream: bool
     ) -> None:
         """The answer is complete; its connection is never used again."""
-        start = endless_engine.SIGNED_HEAD
+        start = b"HTTP/1.1 200 OK\r\n" + _SIGNATURE
         start += b"Content-Length: 9\r\n\r\ndata: x\n\n"
         answer = endless_engine.EndlessAnswer(start, b"garbage")
         engine = endless_engine.EndlessEngine(answer, None)
@@ -168,7 +173,7 @@
         self, nursery: trio.Nursery
     ) -> None:
         """A byte now and then once kept a stalled stream from showing."""
-        answer = endless_engine.BODIES["tiny chunks"]
+        answer = _BODIES["tiny chunks"]
         engine = endless_engine.EndlessEngine(answer, _PAUSE_SECONDS)
         await engine.start(nursery)
         attempt = _Attempt(engine.address, True)
@@ -182,7 +187,7 @@
     ) -> None:
         """Each event takes less than the limit, and all of them more."""
         monkeypatch.setattr(_part_timer, "_LIMIT_SECONDS", _LIMIT_SECONDS)
-        answer = endless_engine.BODIES["chunks"]
+        answer = _BODIES["chunks"]
         pieces = (b"da", b"ta: ", b"x\n", b"\n")
         unit = b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in pieces)
         engine = endless_engine.EndlessEngine(
@@ -199,7 +204,7 @@
     async def test_quick_tiny_chunks_hold_up_no_other_task(
         self, nursery: trio.Nursery
     ) -> None:
-        answer = endless_engine.BODIES["tiny chunks"]
+        answer = _BODIES["tiny chunks"]
         engine = endless_engine.EndlessEngine(answer, None)
         await engine.start(nursery)
         attempt = _Attempt(engine.address, True)
@@ -226,7 +231,7 @@
     ) -> None:
         """Whatever is sent, an attempt holds an answer or an event at most."""
         meter = memory.Meter()
-        with memory.endless_engine_process(kind) as address:
+        with memory.endless_engine_process(kind, _SIGNATURE) as address:
             attempts = [
                 _Attempt(address, is_stream) for _number in range(_AT_ONCE)
             ]
--- a/sedgepin/tests/endless_engine.py
+++ b/sedgepin/tests/endless_engine.py
@@ -7,8 +7,7 @@
 import trio
 
 _OK = b"HTTP/1.1 200 OK\r\n"
-SIGNED_HEAD = _OK + b"X-Request-Id: r1\r\nX-Response-Seal: s\r\n"
-_CHUNKED = SIGNED_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+_CHUNKED = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
 _QUICK_BYTES = 262_144
 
 
@@ -19,6 +18,13 @@
     start: bytes
     unit: bytes
 
+    def with_headers(self, headers: bytes) -> "EndlessAnswer":
+        """Return the answer with more headers, if its head is complete."""
+        if b"\r\n\r\n" not in self.start:
+            return self
+        start = self.start.replace(_OK, _OK + headers)
+        return EndlessAnswer(start, self.unit)
+
 
 # Engines whose heads never end.
 HEADS = {
@@ -38,9 +44,9 @@
     "garbage for chunks": EndlessAnswer(_CHUNKED, b"\xff"),
     "one chunk length": EndlessAnswer(_CHUNKED + b"1;", b"a"),
     "trailers": EndlessAnswer(_CHUNKED + b"0\r\n", b"X-A: b\r\n"),
-    "body without length": EndlessAnswer(SIGNED_HEAD + b"\r\n", b"x"),
+    "body without length": EndlessAnswer(_OK + b"\r\n", b"x"),
     "body of a great length": EndlessAnswer(
-        SIGNED_HEAD + b"Content-Length: 99999999999\r\n\r\n", b"x"
+        _OK + b"Content-Length: 99999999999\r\n\r\n", b"x"
     ),
 }
 
@@ -96,13 +102,14 @@
             self.open_connections -= 1
 
 
-async def _serve(kind: str) -> None:
+async def _serve(kind: str, headers: bytes) -> None:
     """Run an engine that sends as fast as it can, and print its address."""
-    engine = EndlessEngine({**HEADS, **BODIES}[kind], None)
+    answer = {**HEADS, **BODIES}[kind].with_headers(headers)
+    engine = EndlessEngine(answer, None)
     async with trio.open_nursery() as nursery:
         await engine.start(nursery)
         print(engine.address, flush=True)
 
 
 if __name__ == "__main__":
-    trio.run(_serve, sys.argv[1])
+    trio.run(_serve, sys.argv[1], sys.argv[2].encode())
--- a/sedgepin/tests/memory.py
+++ b/sedgepin/tests/memory.py
@@ -43,12 +43,15 @@
 
 
 @contextlib.contextmanager
-def endless_engine_process(kind: str) -> collections.abc.Iterator[str]:
+def endless_engine_process(
+    kind: str, headers: bytes = b""
+) -> collections.abc.Iterator[str]:
     """Run an endless engine in a process, so that only clients are measured.
 
     Yields its address.
     """
-    command = [sys.executable, "-m", "sedgepin.tests.endless_engine", kind]
+    module = "sedgepin.tests.endless_engine"
+    command = [sys.executable, "-m", module, kind, headers.decode()]
     environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
     with subprocess.Popen(
         command, stdout=subprocess.PIPE, text=True, env=environment
