--- a/sedgepin/_entry/tests/test_endpoint_client.py
+++ b/sedgepin/_entry/tests/test_endpoint_client.py
@@ -17,9 +17,8 @@
 
 _ANSWER_LIMIT_BYTES = 1_000_000
 _AT_ONCE = 200
-# The limit of an answer or a line, an eighth that its buffer grows by ahead,
-# and one read in the hands of the socket, the parser, httpcore and the client.
-_HELD_BYTES = 1_048_576 * 9 // 8 + 4 * 65_536
+# The limit of an answer or a line, an eighth more, and two reads.
+_HELD_BYTES = 1_048_576 * 9 // 8 + 2 * 65_536
 _LIMIT_SECONDS = 0.3
 _PAUSE_SECONDS = 0.02
 _TIMEOUT = datetime.timedelta(seconds=1)
--- a/sedgepin/platform/tests/test_relay_endless.py
+++ b/sedgepin/platform/tests/test_relay_endless.py
@@ -21,9 +21,8 @@
 _ANSWERED = _events.AttemptOutcome.ANSWERED
 _NOT_SENT = _events.AttemptOutcome.NOT_SENT
 _AT_ONCE = 200
-# The limit of an answer, an eighth that its buffer grows by ahead, and one
-# read in the hands of the socket, the parser, the client and the relay.
-_HELD_BYTES = 1_048_576 * 9 // 8 + 4 * 65_536
+# The limit of an answer, an eighth more, and two reads.
+_HELD_BYTES = 1_048_576 * 9 // 8 + 2 * 65_536
 _LIMIT_SECONDS = 0.3
 _PAUSE_SECONDS = 0.02
 _SIGNATURE = b"X-Request-Id: r1\r\nX-Response-Seal: s\r\n"
