--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -21,6 +21,9 @@
 from sedgepin._protocol._messages import EndpointsSeen
 from sedgepin._protocol._messages import FleetPublished
 from sedgepin._protocol._messages import FleetWanted
+from sedgepin._protocol._messages import Forwarder
+from sedgepin._protocol._messages import ForwardersAsked
+from sedgepin._protocol._messages import ForwardersOffered
 from sedgepin._protocol._messages import GossipCarried
 from sedgepin._protocol._messages import HeartbeatsCarried
 from sedgepin._protocol._messages import Hello
@@ -64,6 +67,9 @@
     "FRAME_LIMIT_BYTES",
     "FleetPublished",
     "FleetWanted",
+    "Forwarder",
+    "ForwardersAsked",
+    "ForwardersOffered",
     "FrameRefused",
     "GossipCarried",
     "HeartbeatsCarried",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -17,12 +17,18 @@
 
 
 class Hello(msgspec.Struct, frozen=True, tag=True):
-    """The first message on every stream: identifies the sender."""
+    """The first message on every stream: identifies the sender.
+
+    An entry VM that forwards requests of others gives the address at which it
+    does so, and a key that it expects of them.
+    """
 
     id: model.VmId
     role: str
     data_centre: model.DataCentreId
     incarnation: model.Incarnation
+    forward_address: str = ""
+    forward_key: str = ""
 
 
 class HeartbeatsCarried(msgspec.Struct, frozen=True, tag=True):
@@ -245,6 +251,24 @@
     evidence: tuple[crash_causes.Evidence, ...]
 
 
+class Forwarder(msgspec.Struct, frozen=True):
+    """An entry VM that carries requests of others to endpoints."""
+
+    vm_id: model.VmId
+    address: str
+    key: str
+
+
+class ForwardersAsked(msgspec.Struct, frozen=True, tag=True):
+    """Asks a control VM for forwarders, by a VM that fails to connect."""
+
+
+class ForwardersOffered(msgspec.Struct, frozen=True, tag=True):
+    """Some entry VMs that may have paths to the endpoints."""
+
+    forwarders: tuple[Forwarder, ...]
+
+
 class ReadIndexAsked(msgspec.Struct, frozen=True, tag=True):
     """Asks for the index up to which the log is committed."""
 
@@ -299,6 +323,8 @@
     | EndpointLeaving
     | EndpointLost
     | EndpointPaced
+    | ForwardersAsked
+    | ForwardersOffered
     | LoadShared
     | LoadSummed
     | ReadIndexAsked
--- a/sedgepin/_web/__init__.py
+++ b/sedgepin/_web/__init__.py
@@ -8,6 +8,7 @@
 
 from sedgepin._web._client import ClientConnection
 from sedgepin._web._client import send_request
+from sedgepin._web._connection import AnswerConnection
 from sedgepin._web._failures import AnswerBroken
 from sedgepin._web._failures import BodyTooLarge
 from sedgepin._web._failures import ConnectFailed
@@ -28,6 +29,7 @@
 
 __all__ = [
     "AnswerBroken",
+    "AnswerConnection",
     "AnswerHead",
     "BodyTooLarge",
     "ClientConnection",
--- a/sedgepin/_web/_client.py
+++ b/sedgepin/_web/_client.py
@@ -8,6 +8,7 @@
 import trio
 
 from sedgepin import _sockets as sockets
+from sedgepin._web import _connection
 from sedgepin._web import _failures
 from sedgepin._web import _part_timer
 from sedgepin._web import _types
@@ -38,7 +39,7 @@
 ]
 
 
-class ClientConnection:
+class ClientConnection(_connection.AnswerConnection):
     """A connection for a single request and its answer.
 
     >>> connected = await ClientConnection.open("127.0.0.1:80", 0.5)
