Offer entry VMs as forwarders to those that ask

A control VM names up to eight of the entry VMs that are connected to it and forward, those of the asker's data centre first and without those that have asked themselves in the last 3 s.

--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -13,6 +13,7 @@
 from sedgepin._registrar import _effects
 from sedgepin._registrar import _endpoints
 from sedgepin._registrar import _events
+from sedgepin._registrar import _forwarders
 from sedgepin._registrar import _load_aggregation
 from sedgepin._registrar import _peers
 from sedgepin._registrar import _settings
@@ -47,6 +48,7 @@
         "_configurations",
         "_crash_causes",
         "_endpoints",
+        "_forwarders",
         "_led_at",
         "_load_aggregator",
         "_peers",
@@ -79,6 +81,7 @@
         )
         self._crash_causes = crash_causes.CrashCauseTracker(cfg.vm_id, now)
         self._load_aggregator = _load_aggregation.LoadAggregator(now)
+        self._forwarders = _forwarders.ForwarderDirectory()
         self._configurations = _configurations.ConfigurationManager(
             dialect, self._peers, self._raft, self._step_raft
         )
@@ -120,6 +123,7 @@
                 return self._peer_connected(hello, now)
             case protocol.PeerDisconnected(peer_id):
                 self._peers.disconnect(peer_id)
+                self._forwarders.remove(peer_id)
                 self._load_aggregator.remove_peer(peer_id)
                 return [_log(events.PEER_DISCONNECTED.line(peer=peer_id))]
             case protocol.PeerRefused(address, failure):
@@ -185,6 +189,9 @@
                 return self._peers.send_to_entries(message)
             case protocol.EndpointLeaving():
                 return self._endpoints.record_leaving(sender, message)
+            case protocol.ForwardersAsked():
+                offer = self._forwarders.offer(sender, now)
+                return [_effects.SendMessage(sender, offer)]
             case protocol.EndpointPaced(endpoint_id, incarnation, slowdown):
                 self._endpoints.registry.set_slowdown(
                     endpoint_id, incarnation, slowdown
@@ -217,6 +224,7 @@
         effects: Effects = [_log(events.PEER_CONNECTED.line(peer=hello.id))]
         effects += self._peers.connect(hello)
         if hello.role == "entry":
+            self._forwarders.add(hello)
             effects.append(self._configurations.announcement(hello.id, now))
         else:
             effects += self._peers.add_controls((hello.id,))
