Forward requests of an entry VM that has lost its paths to endpoints

Cause: an entry VM reaches endpoints over its own links only, and takes their loss for failures of the endpoints. The class of fault: a single path, and the blame for it laid on its far end.

Change: connections to two endpoints in a row that fail, with none made in between, are taken for a cut. The suspicions of these endpoints are withdrawn, and requests, stall inspections and reroute orders go through other entry VMs that control VMs name. The VM that has the caller keeps all decisions, so that attempts, budgets, limits and quarantine count once. A stream that stalls on a broken path moves; one that lives on stays. Direct probes find the end of the cut. Without a forwarder the VM refuses as before, and reports itself not ready. request_dispatched names the forwarder; links_cut, links_restored, forwarder_failed, forward_opened and forward_refused tell the rest.

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -8,14 +8,18 @@
 from sedgepin._gateway import _events
 from sedgepin._gateway import _exchange
 from sedgepin._gateway import _failures
+from sedgepin._gateway import _paths
 from sedgepin._gateway import _shared_state
 from sedgepin import events
 
 _Outcome = _events.AttemptOutcome
 
-# Limits the attempts of a request that the last endpoint did not receive or
-# run.  ``max_attempts`` limits only the attempts that may have run it.
+# Limits the attempts of a request that the last endpoint did not run.
+# ``max_attempts`` limits only the attempts that may have run it.
 _MAX_SENDS = 4
+# Limits those of a request that the last endpoint did not receive: two that
+# show that this VM is cut off may precede those through forwarders.
+_MAX_SENDS_IF_UNSENT = 6
 # An engine that refuses a request above this cache utilization is overloaded,
 # not broken.
 _FULL_CACHE_UTILIZATION = 0.6
@@ -28,15 +32,17 @@
     or the endpoint stated that it did not run the request.
     """
 
-    __slots__ = ("_dispatcher", "_state")
+    __slots__ = ("_dispatcher", "_paths", "_state")
 
     def __init__(
         self,
         state: _shared_state.SharedState,
         dispatcher: _dispatcher.RequestDispatcher,
+        paths: _paths.PathFollower,
     ) -> None:
         self._state = state
         self._dispatcher = dispatcher
+        self._paths = paths
 
     def handle_attempt_end(
         self, event: _events.AttemptEnded, now: datetime.datetime
@@ -69,15 +75,41 @@
             position=exchange.position,
         )
         effects: _shared_state.Effects = [_shared_state.log(line)]
-        effects += self._mark_failed_endpoint(event, exchange, dispatch, now)
+        is_to_blame, link_effects = self._record_link_failure(
+            event, dispatch, now
+        )
+        effects += link_effects
+        if is_to_blame:
+            effects += self._mark_failed_endpoint(
+                event, exchange, dispatch, now
+            )
+            exchange.tried_endpoints.add(dispatch.endpoint_id)
         if event.outcome not in (_Outcome.NOT_SENT, _Outcome.NOT_RUN):
             exchange.runs.append(
                 _exchange.Run(dispatch.endpoint_id, dispatch.incarnation)
             )
         self._state.release(exchange)
-        exchange.tried_endpoints.add(dispatch.endpoint_id)
         return effects + self._retry_or_fail(exchange, event, now)
 
+    def _record_link_failure(
+        self,
+        event: _events.AttemptEnded,
+        dispatch: _calls.Dispatch,
+        now: datetime.datetime,
+    ) -> tuple[bool, _shared_state.Effects]:
+        """Record a broken path.
+
+        Return whether the endpoint may be to blame, and the effects.
+        """
+        failure = event.link_failure
+        if failure is None and event.outcome is _Outcome.NOT_SENT:
+            failure = _events.LinkFailure.DIRECT
+        if failure is None:
+            return True, []
+        return self._paths.record_failure(
+            dispatch.endpoint_id, failure, dispatch.forwarder, now
+        )
+
     def _mark_failed_endpoint(
         self,
         event: _events.AttemptEnded,
@@ -132,7 +164,7 @@
         match event.outcome:
             case _Outcome.NOT_SENT:
                 self._state.return_retry(exchange)
-                if exchange.send_count < _MAX_SENDS:
+                if exchange.send_count < _MAX_SENDS_IF_UNSENT:
                     return self._dispatcher.dispatch_or_queue(exchange, now)
                 failure = _failures.NoEndpoint(exchange.service.name)
                 return self._dispatcher.fail(
--- a/sedgepin/_gateway/_calls.py
+++ b/sedgepin/_gateway/_calls.py
@@ -9,6 +9,7 @@
 from sedgepin import _crash_causes as crash_causes
 from sedgepin import _model as model
 from sedgepin import _placement as placement
+from sedgepin import _protocol as protocol
 from sedgepin import _web as web
 
 
@@ -93,7 +94,8 @@
 
     ``pipeline`` lists the stages of a request to a model; the request is sent
     to the engine of the first stage.  ``incarnation`` is that of the endpoint
-    at the time.
+    at the time.  ``forwarder`` is the entry VM through which the request is
+    sent, or ``None`` if it is sent directly.
     """
 
     endpoint_id: model.EndpointId
@@ -103,6 +105,7 @@
     pipeline: model.Pipeline | None = None
     resume_after: int | None = None
     incarnation: int | None = None
+    forwarder: protocol.Forwarder | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -4,15 +4,18 @@
 import itertools
 import math
 import random
+import secrets
 import time
 
 import trio
 
 from sedgepin import _catalog as catalog
+from sedgepin import _forwarding as forwarding
 from sedgepin._gateway import _dialect
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _engine_calls
 from sedgepin._gateway import _events
+from sedgepin._gateway import _forwarding_policy
 from sedgepin._gateway import _reducer
 from sedgepin._gateway import _relay
 from sedgepin._gateway import _settings
@@ -108,6 +111,7 @@
         "_dialect",
         "_driver",
         "_exchange_ids",
+        "_forwarding",
         "_has_work",
         "_metrics",
         "_nursery",
@@ -143,11 +147,24 @@
         self._has_work = trio.Event()
         self._server = web.Server(_CallerHandler(self))
         self._readiness = web.Server(_ReadinessHandler(self.reducer))
+        forward_key = secrets.token_hex(16)
+        self._forwarding = forwarding.ForwardingServer(
+            forward_key,
+            _forwarding_policy.GatewayForwardingPolicy(
+                self.reducer,
+                dialect,
+                own_clock,
+                self._driver.submit,
+                self._write_log,
+            ),
+        )
         hello = protocol.Hello(
             cfg.vm_id,
             "entry",
             cfg.data_centre,
             model.Incarnation(time.time_ns() // 1_000_000),
+            cfg.forward_address,
+            forward_key,
         )
         self._transport = protocol.StreamTransport(
             hello,
@@ -163,6 +180,10 @@
             self._nursery = nursery
             await nursery.start(self._readiness.serve, self._cfg.ready_listen)
             await nursery.start(self._server.serve, self._cfg.listen)
+            if self._cfg.forward_address:
+                await nursery.start(
+                    self._forwarding.serve, self._cfg.forward_address
+                )
             if self._cfg.metrics_listen is not None:
                 server = web.Server(web.MetricsHandler(self._metrics.text))
                 await nursery.start(server.serve, self._cfg.metrics_listen)
@@ -248,9 +269,12 @@
         with trio.move_on_after(drain_seconds):
             self._driver.submit(_events.DrainRequested())
             self._server.start_draining()
+            self._forwarding.is_draining = True
             await trio.sleep(_READINESS_LOSS_SECONDS)
             self._server.finish_draining()
-            while self._server.open_exchanges:
+            while (
+                self._server.open_exchanges or self._forwarding.open_forwards
+            ):
                 await trio.sleep(_DRAIN_POLL_SECONDS)
 
     def _apply_effect(self, effect: _effects.GatewayEffect) -> None:
@@ -263,11 +287,12 @@
                 self._transport.hang_up(vm_id)
             case _effects.InspectStalls():
                 self._nursery.start_soon(self._inspect, effect)
+            case _effects.ProbeEndpoint():
+                self._nursery.start_soon(self._probe, effect)
             case _effects.Reroute():
                 self._nursery.start_soon(self._reroute, effect)
             case _effects.WriteLog(line):
-                logs.write(line)
-                self._metrics.increment(line.definition.name, 1)
+                self._write_log(line)
             case _effects.RecordDuration(name, duration):
                 self._metrics.record_duration(name, duration)
             case _:
@@ -275,6 +300,15 @@
                 if relay is not None:
                     relay.handle_effect(effect)
 
+    def _write_log(self, line: events.LogLine) -> None:
+        logs.write(line)
+        self._metrics.increment(line.definition.name, 1)
+
+    async def _probe(self, effect: _effects.ProbeEndpoint) -> None:
+        self._driver.submit(
+            await _engine_calls.probe(effect, self._dialect, _ENGINE_TIMEOUT)
+        )
+
     async def _inspect(self, effect: _effects.InspectStalls) -> None:
         self._driver.submit(
             await _engine_calls.inspect_stalls(
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -102,6 +102,9 @@
             # Since the retry was granted, an endpoint has turned out to go on.
             used_up = _failures.OutcomeUnknown("its attempts are used up")
             return self.fail(exchange, used_up, now)
+        if self._state.must_await_path(now):
+            self._state.awaiting_path[exchange.exchange_id] = exchange
+            return []
         queue = self._state.queues.for_service(exchange.service.name)
         if exchange.service.engine is None or exchange.request.size is None:
             return self._dispatch_to_endpoint(exchange, now)
@@ -130,6 +133,11 @@
         effects: _shared_state.Effects = []
         for held in self._state.startup_queue.take_all():
             effects += self.admit(held.event, held.arrived_at, now)
+        if not self._state.must_await_path(now):
+            waiting = list(self._state.awaiting_path.values())
+            self._state.awaiting_path.clear()
+            for exchange in waiting:
+                effects += self.dispatch_or_queue(exchange, now)
         for queue in self._state.queues:
             for exchange in queue.in_order():
                 request_effects = self.dispatch_or_queue(exchange, now)
@@ -395,6 +403,7 @@
             pipeline,
             exchange.position,
             None if record is None else record.registration.incarnation,
+            self._state.choose_forwarder(endpoint_id, now),
         )
         exchange.dispatch = dispatch
         exchange.stages = self._state.runs_on(exchange.endpoint_ids)
@@ -418,6 +427,7 @@
             pipeline=_shared_state.format_pipeline(pipeline),
             attempt=exchange.send_count,
             resume_after=exchange.position,
+            forwarder=_forwarder_id(dispatch),
             milliseconds_left=_shared_state.milliseconds(
                 exchange.time_left(now)
             ),
@@ -435,6 +445,7 @@
         self._state.release(exchange)
         self._state.return_retry(exchange)
         self._state.queues.for_service(exchange.service.name).dequeue(exchange)
+        self._state.awaiting_path.pop(exchange.exchange_id, None)
         self._state.exchanges.pop(exchange.exchange_id, None)
 
     def adjust_outcome(
@@ -462,3 +473,7 @@
         if not self._state.may_run_again(exchange):
             return None
         return exchange.route.first_output_target
+
+
+def _forwarder_id(dispatch: _calls.Dispatch) -> model.VmId | None:
+    return None if dispatch.forwarder is None else dispatch.forwarder.vm_id
--- a/sedgepin/_gateway/_effects.py
+++ b/sedgepin/_gateway/_effects.py
@@ -91,6 +91,16 @@
 
     endpoint_id: model.EndpointId
     address: str
+    incarnation: int | None = None
+    forwarder: protocol.Forwarder | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ProbeEndpoint:
+    """Call an endpoint directly; ``EndpointProbed`` follows."""
+
+    endpoint_id: model.EndpointId
+    address: str
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -105,6 +115,8 @@
     address: str
     pipeline: model.Pipeline
     attempt: int = 1
+    incarnation: int | None = None
+    forwarder: protocol.Forwarder | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -133,6 +145,7 @@
     | DeliverHeldAnswer
     | FinishExchange
     | InspectStalls
+    | ProbeEndpoint
     | Reroute
     | WriteLog
     | RecordDuration
--- a/sedgepin/_gateway/_engine_calls.py
+++ b/sedgepin/_gateway/_engine_calls.py
@@ -6,9 +6,11 @@
 import result
 import trio
 
+from sedgepin import _forwarding as forwarding
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _dialect
 from sedgepin._gateway import _effects
+from sedgepin._gateway import _engine_connection
 from sedgepin._gateway import _events
 from sedgepin import _web as web
 
@@ -19,20 +21,56 @@
 
 
 async def refuses_connections(
-    address: str, dialect: _dialect.GatewayDialect, timeout: datetime.timedelta
+    dispatch: _calls.Dispatch,
+    dialect: _dialect.GatewayDialect,
+    timeout: datetime.timedelta,
 ) -> bool:
     """Return whether no process serves at an engine's address any more.
 
     An engine that does not answer may be cut off only.  One that is ending may
     reset a connection, and refuses the next one.
     """
-    request = dialect.report_request(address)
-    seconds = timeout.total_seconds()
-    failure = (await web.send_request(address, request, seconds)).err()
-    if failure is not None and failure.is_reset:
+    failure = await _find_failure(dispatch, dialect, timeout)
+    if isinstance(failure, web.AnswerBroken | web.ConnectFailed) and (
+        failure.is_reset
+    ):
         await trio.sleep(_REPEAT_DELAY_SECONDS)
-        failure = (await web.send_request(address, request, seconds)).err()
-    return isinstance(failure, web.ConnectFailed) and failure.is_refused
+        failure = await _find_failure(dispatch, dialect, timeout)
+    return (
+        isinstance(failure, web.ConnectFailed | forwarding.ForwardFailed)
+        and failure.is_refused
+    )
+
+
+async def _find_failure(
+    dispatch: _calls.Dispatch,
+    dialect: _dialect.GatewayDialect,
+    timeout: datetime.timedelta,
+) -> web.ConnectFailed | forwarding.ForwardFailed | web.AnswerBroken | None:
+    """Return why an engine that was called does not answer, if so."""
+    response = await _engine_connection.call(
+        dispatch.endpoint_id,
+        dispatch.incarnation,
+        dispatch.address,
+        dispatch.forwarder,
+        dialect.report_request(dispatch.address),
+        timeout,
+    )
+    return response.err()
+
+
+async def probe(
+    effect: _effects.ProbeEndpoint,
+    dialect: _dialect.GatewayDialect,
+    timeout: datetime.timedelta,
+) -> _events.EndpointProbed:
+    """Call an engine directly, to learn whether it can be reached again."""
+    response = await web.send_request(
+        effect.address,
+        dialect.report_request(effect.address),
+        timeout.total_seconds(),
+    )
+    return _events.EndpointProbed(effect.endpoint_id, response.is_ok())
 
 
 async def inspect_stalls(
@@ -46,20 +84,27 @@
     What its answer's head tells is submitted apart.  An engine that resets
     the connection, or answers without a report, is not silent.
     """
-    request = dialect.report_request(effect.address)
-    response = await web.send_request(
-        effect.address, request, timeout.total_seconds()
-    )
-    report: _calls.StallReport | None = None
-    failure = response.err()
-    has_answered = isinstance(response, result.Ok) or (
-        isinstance(failure, web.AnswerBroken) and not failure.is_timeout
+    response = await _engine_connection.call(
+        effect.endpoint_id,
+        effect.incarnation,
+        effect.address,
+        effect.forwarder,
+        dialect.report_request(effect.address),
+        timeout,
     )
-    if isinstance(response, result.Ok):
-        metadata = dialect.parse_answer(response.ok_value[0])
-        submit(_events.AnswerHeadReceived(effect.endpoint_id, metadata))
-        report = dialect.parse_stall_report(*response.ok_value).ok()
-    return _events.StallsInspected(effect.endpoint_id, report, has_answered)
+    if isinstance(response, result.Err):
+        failure = response.err_value
+        return _events.StallsInspected(
+            effect.endpoint_id,
+            None,
+            isinstance(failure, web.AnswerBroken) and not failure.is_timeout,
+            effect.forwarder,
+            _engine_connection.link_failure(failure),
+        )
+    metadata = dialect.parse_answer(response.ok_value[0])
+    submit(_events.AnswerHeadReceived(effect.endpoint_id, metadata))
+    report = dialect.parse_stall_report(*response.ok_value).ok()
+    return _events.StallsInspected(effect.endpoint_id, report, True)
 
 
 async def reroute(
@@ -69,15 +114,19 @@
     timeout: datetime.timedelta,
 ) -> _events.Rerouted:
     """Order a first engine to continue a request on another pipeline."""
-    request = dialect.reroute_request(effect.request_id, effect.pipeline)
-    response = await web.send_request(
-        effect.address, request, timeout.total_seconds()
+    first_id = effect.pipeline.stages[0].endpoint_id
+    response = await _engine_connection.call(
+        first_id,
+        effect.incarnation,
+        effect.address,
+        effect.forwarder,
+        dialect.reroute_request(effect.request_id, effect.pipeline),
+        timeout,
     )
     if isinstance(response, result.Err):
         return _events.Rerouted(
             effect.exchange_id, False, attempt=effect.attempt
         )
-    first_id = effect.pipeline.stages[0].endpoint_id
     metadata = dialect.parse_answer(response.ok_value[0])
     submit(_events.AnswerHeadReceived(first_id, metadata))
     reroute_result = dialect.parse_reroute_answer(*response.ok_value)
--- /dev/null
+++ b/sedgepin/_gateway/_engine_connection.py
@@ -0,0 +1,97 @@
+"""Connections to endpoints, direct or through a forwarder."""
+
+import datetime
+
+import result
+import trio
+
+from sedgepin import _forwarding as forwarding
+from sedgepin._gateway import _events
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin import _web as web
+
+_Answer = tuple[web.AnswerHead, bytes]
+
+# The round trip to an engine takes less than a millisecond.  A connection that
+# takes this long leads to a VM that is down or over a link that is cut.
+CONNECT_TIMEOUT = datetime.timedelta(milliseconds=250)
+# A forwarder waits as long for the endpoint.
+_FORWARD_TIMEOUT_SECONDS = 0.4
+_ANSWER_LIMIT_BYTES = 65_536
+
+
+async def connect(
+    endpoint_id: model.EndpointId,
+    incarnation: int | None,
+    address: str,
+    forwarder: protocol.Forwarder | None,
+    request_id: str = "",
+) -> result.Result[
+    web.AnswerConnection, web.ConnectFailed | forwarding.ForwardFailed
+]:
+    """Connect to an endpoint on the path that the reducer has chosen."""
+    if forwarder is None:
+        direct = await web.ClientConnection.open(
+            address, CONNECT_TIMEOUT.total_seconds()
+        )
+        return direct.map(lambda conn: conn)
+    forwarded = await forwarding.ForwardedConnection.open(
+        forwarder,
+        endpoint_id,
+        incarnation,
+        address,
+        _FORWARD_TIMEOUT_SECONDS,
+        request_id,
+    )
+    return forwarded.map(lambda conn: conn)
+
+
+async def call(
+    endpoint_id: model.EndpointId,
+    incarnation: int | None,
+    address: str,
+    forwarder: protocol.Forwarder | None,
+    request: web.Request,
+    timeout: datetime.timedelta,
+) -> result.Result[
+    _Answer, web.ConnectFailed | forwarding.ForwardFailed | web.AnswerBroken
+]:
+    """Send a request of this VM's own and return the whole answer.
+
+    ``timeout`` limits the exchange after the connection was made.
+    """
+    connected = await connect(endpoint_id, incarnation, address, forwarder)
+    if isinstance(connected, result.Err):
+        return connected
+    conn = connected.ok_value
+    try:
+        with trio.move_on_after(timeout.total_seconds()):
+            sent = await conn.send(request)
+            if isinstance(sent, result.Err):
+                return sent
+            head = await conn.read_head()
+            if isinstance(head, result.Err):
+                return head
+            body = await conn.read_body(_ANSWER_LIMIT_BYTES)
+            if isinstance(body, result.Err):
+                return body
+            return result.Ok((head.ok_value, body.ok_value))
+    finally:
+        conn.close()
+    reason = f"no answer within {timeout.total_seconds()} s"
+    return result.Err(web.AnswerBroken(address, reason, True))
+
+
+def link_failure(
+    failure: web.ConnectFailed | forwarding.ForwardFailed | web.AnswerBroken,
+) -> _events.LinkFailure | None:
+    """Return where the path to an endpoint was broken, if it was."""
+    match failure:
+        case web.ConnectFailed():
+            return _events.LinkFailure.DIRECT
+        case forwarding.ForwardFailed(is_beyond=True):
+            return _events.LinkFailure.BEYOND
+        case forwarding.ForwardFailed():
+            return _events.LinkFailure.FORWARDER
+    return None
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -27,6 +27,19 @@
     CANCELLED = "cancelled"
 
 
+class LinkFailure(enum.Enum):
+    """Where the path to an endpoint was broken.
+
+    ``DIRECT``: this VM could not connect to the endpoint.  ``FORWARDER``: it
+    could not connect to the forwarder, or lost the connection, or was turned
+    away.  ``BEYOND``: the forwarder could not connect to the endpoint.
+    """
+
+    DIRECT = "direct"
+    FORWARDER = "forwarder"
+    BEYOND = "beyond"
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class TimerFired:
     """The periodic tick of the daemon."""
@@ -48,6 +61,7 @@
     ``faulty_address`` is the address of the engine that failed, if the
     endpoint named one.  ``is_success`` tells whether an answer reports a
     success, ``is_invalid_answer`` that the endpoint sent what is no answer.
+    ``link_failure`` is set if the path was broken.
     """
 
     exchange_id: int
@@ -58,6 +72,7 @@
     endpoint_id: model.EndpointId | None = None
     is_success: bool = True
     is_invalid_answer: bool = False
+    link_failure: LinkFailure | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -110,11 +125,15 @@
 
     ``report`` is ``None`` if the engine gave none.  Even so it may have
     answered: ``has_answered`` is set then, and follows ``report`` by default.
+    ``link_failure`` is set if the path was broken, through ``forwarder`` if
+    there was one.
     """
 
     endpoint_id: model.EndpointId
     report: _calls.StallReport | None
     has_answered: bool | None = None
+    forwarder: protocol.Forwarder | None = None
+    link_failure: LinkFailure | None = None
 
     @property
     def is_silent(self) -> bool:
@@ -124,6 +143,22 @@
         return not self.has_answered
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndpointReached:
+    """A connection to an endpoint was made, directly or by a forwarder."""
+
+    endpoint_id: model.EndpointId
+    forwarder: protocol.Forwarder | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndpointProbed:
+    """A direct probe of an endpoint has ended."""
+
+    endpoint_id: model.EndpointId
+    is_reached: bool
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Rerouted:
     """The first engine answered an order to switch to another pipeline.
@@ -174,6 +209,8 @@
     | AnswerHeadLate
     | StreamStalled
     | StallsInspected
+    | EndpointReached
+    | EndpointProbed
     | SettingsReloaded
     | Rerouted
     | CallerDisconnected
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -14,6 +14,7 @@
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _endpoint_notices
 from sedgepin._gateway import _events
+from sedgepin._gateway import _paths
 from sedgepin._gateway import _settings
 from sedgepin._gateway import _shared_state
 from sedgepin._gateway import _stream_failover
@@ -45,6 +46,7 @@
         "_is_draining",
         "_next_report_at",
         "_notices",
+        "_paths",
         "_quarantine",
         "_reported_at",
         "_state",
@@ -59,18 +61,21 @@
     ) -> None:
         self._state = _shared_state.SharedState(cfg, rng, now)
         self._dispatcher = _dispatcher.RequestDispatcher(self._state)
+        self._connections = _control_connections.ControlConnections(
+            cfg.vm_id, cfg.data_centre, cfg.controls, now
+        )
+        self._paths = _paths.PathFollower(self._state, self._connections)
         self._attempt_handler = _attempt_handler.AttemptHandler(
-            self._state, self._dispatcher
+            self._state, self._dispatcher, self._paths
+        )
+        self._stream_failover = _stream_failover.StreamFailover(
+            self._state, self._paths
         )
-        self._stream_failover = _stream_failover.StreamFailover(self._state)
         self._configuration = _configuration.ConfigurationFollower(
             self._state, now
         )
         self._next_report_at = now
         self._reported_at = now
-        self._connections = _control_connections.ControlConnections(
-            cfg.vm_id, cfg.data_centre, cfg.controls, now
-        )
         self._notices = _endpoint_notices.EndpointNotices(
             self._state, self._connections
         )
@@ -88,13 +93,42 @@
     @property
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers to this VM."""
-        return self._state.table is not None and not self._is_draining
+        return (
+            self._state.table is not None
+            and not self._is_draining
+            and not self._paths.is_isolated
+        )
+
+    def forwarding_refusal(
+        self,
+        endpoint_id: model.EndpointId,
+        incarnation: int | None,
+        address: str,
+        now: datetime.datetime,
+    ) -> str | None:
+        """Return why this VM sends nothing to an endpoint for another VM."""
+        record = self._state.fleet.registry.find(endpoint_id)
+        if record is None:
+            return "the endpoint is unknown"
+        registration = record.registration
+        if (registration.address, registration.incarnation) != (
+            address,
+            incarnation,
+        ):
+            return "the endpoint has another address or incarnation"
+        if registration.state is not catalog.EndpointState.READY:
+            return f"the endpoint is {registration.state.value}"
+        if self._state.fleet.is_restricted(endpoint_id, now):
+            return "the endpoint wants no requests"
+        return None
 
     @property
     def has_queued_requests(self) -> bool:
         """Return whether requests wait for capacity."""
-        return bool(len(self._state.startup_queue)) or any(
-            len(queue) for queue in self._state.queues
+        return (
+            bool(len(self._state.startup_queue))
+            or bool(self._state.awaiting_path)
+            or any(len(queue) for queue in self._state.queues)
         )
 
     @property
@@ -132,6 +166,12 @@
                 )
             case _events.StreamStalled(exchange_id):
                 return self._stream_failover.handle_stall(exchange_id, now)
+            case _events.EndpointReached(endpoint_id, forwarder):
+                return self._paths.record_reached(endpoint_id, forwarder)
+            case _events.EndpointProbed(endpoint_id, is_reached):
+                if is_reached:
+                    return self._paths.record_reached(endpoint_id, None)
+                return []
             case _events.StallsInspected():
                 return self._stream_failover.handle_stall_report(event, now)
             case _events.Rerouted():
@@ -206,6 +246,9 @@
                 return self._quarantine.merge(evidence, now)
             case protocol.CrashWitnessed():
                 return self._quarantine.merge_witnessed(message, sender, now)
+            case protocol.ForwardersOffered(forwarders):
+                self._state.links.record_offer(sender, forwarders, now)
+                return self._dispatcher.serve_queues(now)
             case protocol.EndpointLost():
                 return self._handle_endpoint_lost(message, now)
         return []
@@ -350,7 +393,8 @@
         if not is_new and not is_proof:
             return []
         self._state.fleet.invalidate_pipelines()
-        effects = self._quarantine.record_loss(
+        effects = self._paths.record_lost(endpoint_id)
+        effects += self._quarantine.record_loss(
             endpoint_id, incarnation, message.is_silent, now
         )
         return effects + self._stream_failover.handle_endpoint_failure(
@@ -401,6 +445,7 @@
             effects += self._report_load(now)
             effects += self._update_connections(now)
         effects += self._quarantine.tick(now)
+        effects += self._paths.tick(now)
         return effects + self._dispatcher.serve_queues(now)
 
     def _report_load(self, now: datetime.datetime) -> Effects:
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -11,17 +11,16 @@
 import result
 import trio
 
+from sedgepin import _forwarding as forwarding
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _dialect
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _engine_calls
+from sedgepin._gateway import _engine_connection
 from sedgepin._gateway import _event_stream
 from sedgepin._gateway import _events
 from sedgepin import _web as web
 
-# The round trip to an engine takes less than a millisecond.  A connection that
-# takes this long leads to a VM that is down or over a link that is cut.
-_CONNECT_TIMEOUT_SECONDS = 0.25
 # Answers that are not streams are read completely before they are forwarded,
 # so that the request can be retried if one breaks off.  Longer ones fail.
 _MAX_WHOLE_ANSWER_BYTES = 1_048_576
@@ -32,7 +31,7 @@
 # Events arrive every 20 to 60 ms; the next one is late after 200 ms.  Stalls
 # are checked every 50 ms, so they are reported by then.
 _NEXT_EVENT_TIMEOUT_SECONDS = 0.15
-_ENGINE_TIMEOUT = datetime.timedelta(seconds=_CONNECT_TIMEOUT_SECONDS)
+_ENGINE_TIMEOUT = datetime.timedelta(milliseconds=250)
 _FIRST_REDIRECT = 300
 _FIRST_SERVER_ERROR = 500
 # A request that crashes its engine does so at the start of its output.
@@ -40,6 +39,7 @@
 
 _ENDED_BY_CRASH = "the answer has no length and its engine has ended"
 
+_LinkFailure = _events.LinkFailure
 _Outcome = _events.AttemptOutcome
 _Submit = collections.abc.Callable[[_events.GatewayEvent], None]
 
@@ -53,6 +53,7 @@
     faulty_address: str | None = None
     is_success: bool = True
     is_invalid_answer: bool = False
+    link_failure: _events.LinkFailure | None = None
 
 
 class Relay:
@@ -203,6 +204,7 @@
                 start.dispatch.endpoint_id,
                 attempt_result.is_success,
                 attempt_result.is_invalid_answer,
+                attempt_result.link_failure,
             )
         )
         if attempt_result.outcome is _Outcome.ANSWERED:
@@ -214,13 +216,23 @@
         self, start: _effects.StartAttempt
     ) -> _AttemptResult:
         dispatch = start.dispatch
-        connect_result = await web.ClientConnection.open(
-            dispatch.address, _CONNECT_TIMEOUT_SECONDS
+        connect_result = await _engine_connection.connect(
+            dispatch.endpoint_id,
+            dispatch.incarnation,
+            dispatch.address,
+            dispatch.forwarder,
+            self._request.request_id,
         )
         if isinstance(connect_result, result.Err):
+            failure = connect_result.err_value
             return _AttemptResult(
-                _Outcome.NOT_SENT, connect_result.err_value.detail()
+                _Outcome.NOT_SENT,
+                failure.detail(),
+                link_failure=_engine_connection.link_failure(failure),
             )
+        self._submit(
+            _events.EndpointReached(dispatch.endpoint_id, dispatch.forwarder)
+        )
         connection = connect_result.ok_value
         message = self._dialect.endpoint_request(self._request, dispatch)
         try:
@@ -232,12 +244,14 @@
                     )
                 attempt_result = await self._receive_answer(connection, start)
                 nursery.cancel_scope.cancel()
+                if _has_lost_forwarder(connection):
+                    attempt_result.link_failure = _LinkFailure.FORWARDER
                 return attempt_result
         finally:
             connection.close()
 
     async def _receive_answer(
-        self, connection: web.ClientConnection, start: _effects.StartAttempt
+        self, connection: web.AnswerConnection, start: _effects.StartAttempt
     ) -> _AttemptResult:
         head = await self._read_head(connection, start)
         if isinstance(head, _AttemptResult):
@@ -269,7 +283,7 @@
         return await self._forward_stream(connection, head, start)
 
     async def _read_head(
-        self, connection: web.ClientConnection, start: _effects.StartAttempt
+        self, connection: web.AnswerConnection, start: _effects.StartAttempt
     ) -> web.AnswerHead | _AttemptResult:
         limit = start.answer_timeout
         seconds = math.inf if limit is None else limit.total_seconds()
@@ -287,7 +301,7 @@
 
     async def _forward_whole_answer(
         self,
-        connection: web.ClientConnection,
+        connection: web.AnswerConnection,
         head: web.AnswerHead,
         metadata: _calls.AnswerMetadata,
         start: _effects.StartAttempt,
@@ -319,7 +333,7 @@
 
     async def _forward_stream(
         self,
-        connection: web.ClientConnection,
+        connection: web.AnswerConnection,
         head: web.AnswerHead,
         start: _effects.StartAttempt,
     ) -> _AttemptResult:
@@ -369,7 +383,7 @@
             return False
         self.stalled_at = math.inf
         return await _engine_calls.refuses_connections(
-            start.dispatch.address, self._dialect, _ENGINE_TIMEOUT
+            start.dispatch, self._dialect, _ENGINE_TIMEOUT
         )
 
     async def _forward_events(
@@ -429,3 +443,10 @@
 
 def _invalid(detail: str) -> _AttemptResult:
     return _AttemptResult(_Outcome.UNKNOWN, detail, is_invalid_answer=True)
+
+
+def _has_lost_forwarder(connection: web.AnswerConnection) -> bool:
+    return (
+        isinstance(connection, forwarding.ForwardedConnection)
+        and connection.is_lost
+    )
--- a/sedgepin/_gateway/_settings.py
+++ b/sedgepin/_gateway/_settings.py
@@ -26,6 +26,8 @@
 
     Endpoints renew their registration every ``heartbeat_interval``.
     ``grace_period`` is the time between SIGTERM and SIGKILL.
+    ``forward_address`` is where other entry VMs reach this one to have
+    requests forwarded; without one, it forwards none.
     """
 
     vm_id: model.VmId
@@ -38,6 +40,7 @@
     grace_period: datetime.timedelta
     metrics_listen: str | None = None
     peer_listen: str | None = None
+    forward_address: str = ""
 
     @property
     def heartbeat_timeout(self) -> datetime.timedelta:
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -5,6 +5,7 @@
 
 from sedgepin import _catalog as catalog
 from sedgepin import _crash_causes as crash_causes
+from sedgepin import _forwarding as forwarding
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _exchange
@@ -14,6 +15,7 @@
 from sedgepin._gateway import _settings
 from sedgepin._gateway import _startup_queue
 from sedgepin import _model as model
+from sedgepin import _protocol as protocol
 from sedgepin import events
 
 Effects = list[_effects.GatewayEffect]
@@ -23,9 +25,11 @@
     """The state of one gateway, without its timers and connections."""
 
     __slots__ = (
+        "awaiting_path",
         "crash_causes",
         "exchanges",
         "fleet",
+        "links",
         "queues",
         "retry_budget",
         "rng",
@@ -48,6 +52,9 @@
         self.startup_queue = _startup_queue.StartupQueue(now)
         self.queues = _request_queue.RequestQueues()
         self.exchanges: dict[int, _exchange.Exchange] = {}
+        self.links = forwarding.EndpointLinks(rng)
+        # Requests for which forwarders have been asked for.
+        self.awaiting_path: dict[int, _exchange.Exchange] = {}
         # Endpoints that did not respond, not yet reported to control VMs.
         self.unreachable_endpoints: list[model.EndpointId] = []
 
@@ -65,6 +72,30 @@
         )
         return [log(line)]
 
+    def choose_forwarder(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> protocol.Forwarder | None:
+        """Return who is to forward to an endpoint; ``None`` for nobody."""
+        if not self.links.is_unreachable(endpoint_id):
+            return None
+        return self.links.choose_forwarder(now)
+
+    def has_detour(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> bool:
+        """Return whether a broken path can be, or may soon be, replaced."""
+        return self.links.is_unreachable(endpoint_id) and (
+            self.links.has_forwarder(now) or self.links.awaits_forwarders(now)
+        )
+
+    def must_await_path(self, now: datetime.datetime) -> bool:
+        """Return whether requests are to wait for an offer of forwarders."""
+        return (
+            self.links.is_cut_off
+            and self.links.awaits_forwarders(now)
+            and not self.links.has_forwarder(now)
+        )
+
     def find_cause(
         self, request: _calls.CallerRequest, now: datetime.datetime
     ) -> crash_causes.Cause | None:
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -8,6 +8,7 @@
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _events
 from sedgepin._gateway import _exchange
+from sedgepin._gateway import _paths
 from sedgepin._gateway import _shared_state
 from sedgepin._gateway import _stalls
 from sedgepin import _model as model
@@ -24,10 +25,15 @@
     switches to a failover pipeline.  Otherwise the attempt is cancelled.
     """
 
-    __slots__ = ("_stall_inspections", "_state")
+    __slots__ = ("_paths", "_stall_inspections", "_state")
 
-    def __init__(self, state: _shared_state.SharedState) -> None:
+    def __init__(
+        self,
+        state: _shared_state.SharedState,
+        paths: _paths.PathFollower,
+    ) -> None:
         self._state = state
+        self._paths = paths
         self._stall_inspections = _stalls.StallInspections()
 
     def handle_late_answer(
@@ -52,6 +58,8 @@
         dispatch = exchange.dispatch
         if dispatch.pipeline is None or exchange.is_rerouting:
             return []
+        if self._is_on_broken_path(exchange, now):
+            return self._cancel_or_keep(exchange, None, now)
         if any(
             self._state.fleet.is_suspected(stage.endpoint_id, now)
             for stage in dispatch.pipeline.stages[1:]
@@ -59,7 +67,14 @@
             return self._reroute(exchange, now)
         if not self._stall_inspections.try_start(dispatch.endpoint_id, now):
             return []
-        return [_effects.InspectStalls(dispatch.endpoint_id, dispatch.address)]
+        return [
+            _effects.InspectStalls(
+                dispatch.endpoint_id,
+                dispatch.address,
+                dispatch.incarnation,
+                dispatch.forwarder,
+            )
+        ]
 
     def handle_stall_report(
         self, event: _events.StallsInspected, now: datetime.datetime
@@ -85,9 +100,7 @@
         )
         effects: _shared_state.Effects = [_shared_state.log(line)]
         if event.is_silent:
-            return effects + self.handle_endpoint_failure(
-                event.endpoint_id, now
-            )
+            return effects + self._handle_missing_report(event, now)
         for address in faulty_addresses:
             record = self._state.fleet.registry.at_address(address)
             if record is not None:
@@ -128,7 +141,14 @@
             ):
                 effects += self._reroute(exchange, now)
         if is_first and self._stall_inspections.try_start(accused_id, now):
-            effects.append(_effects.InspectStalls(accused_id, accused.address))
+            effects.append(
+                _effects.InspectStalls(
+                    accused_id,
+                    accused.address,
+                    accused.incarnation,
+                    self._state.choose_forwarder(accused_id, now),
+                )
+            )
         return effects
 
     def _suspect_unresponsive(
@@ -140,6 +160,36 @@
             endpoint_id, "its requests make no progress", now
         )
 
+    def _handle_missing_report(
+        self, event: _events.StallsInspected, now: datetime.datetime
+    ) -> _shared_state.Effects:
+        """Move the requests of a first engine, unless its path is broken.
+
+        In that case each moves when it stalls the next time.
+        """
+        effects: _shared_state.Effects = []
+        if event.link_failure is not None:
+            is_to_blame, effects = self._paths.record_failure(
+                event.endpoint_id, event.link_failure, event.forwarder, now
+            )
+            if not is_to_blame:
+                return effects
+        return effects + self.handle_endpoint_failure(event.endpoint_id, now)
+
+    def _is_on_broken_path(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> bool:
+        """Return whether an attempt's path is broken and another is known."""
+        dispatch = exchange.dispatch
+        if dispatch is None:
+            return False
+        if not self._state.has_detour(dispatch.endpoint_id, now):
+            return False
+        forwarder = dispatch.forwarder
+        return forwarder is None or self._state.links.has_failed(
+            forwarder, now
+        )
+
     def handle_endpoint_failure(
         self, endpoint_id: model.EndpointId, now: datetime.datetime
     ) -> _shared_state.Effects:
@@ -225,6 +275,8 @@
             dispatch.address,
             failover_pipeline,
             exchange.send_count,
+            dispatch.incarnation,
+            dispatch.forwarder,
         )
         return [_shared_state.log(line), reroute]
 
@@ -301,15 +353,18 @@
     ) -> bool:
         """Return whether a pipeline has room that begins with another engine.
 
-        After the last reroute it may begin with the same one.  A call of a
-        plain service needs an endpoint on which it has not been.
+        After the last reroute, or on another path, it may begin with the same
+        one.  A call of a plain service needs an endpoint on which it has not
+        been.
         """
         dispatch = exchange.dispatch
         if dispatch is not None and dispatch.pipeline is None:
             tried = exchange.tried_endpoints.union(exchange.endpoint_ids)
             service = exchange.service.name
             endpoint = self._state.fleet.choose_endpoint(service, tried, now)
-            return endpoint is not None
+            return endpoint is not None or self._is_on_broken_path(
+                exchange, now
+            )
         size = exchange.request.size
         if size is None:
             return False
@@ -322,6 +377,7 @@
         return (
             first_id != exchange.endpoint_ids[0]
             or exchange.reroute_count >= _MAX_REROUTES
+            or self._is_on_broken_path(exchange, now)
         )
 
     def _has_ended_stage(self, exchange: _exchange.Exchange) -> bool:
--- a/sedgepin/_gateway/tests/test_log_lines.py
+++ b/sedgepin/_gateway/tests/test_log_lines.py
@@ -79,6 +79,33 @@
     return gateway.handle(_events.StallsInspected(far, None))
 
 
+def _lose_links(gateway: parts.Gateway) -> _Effects:
+    """Fail to connect to two engines in turn."""
+    exchange_id, effects = gateway.send_request("/draft/x")
+    for name in ("low", "far-low"):
+        effects = gateway.end_attempt(
+            exchange_id,
+            _Outcome.NOT_SENT,
+            endpoint_id=model.EndpointId(name),
+            link_failure=_events.LinkFailure.DIRECT,
+        )
+    return effects
+
+
+def _links_restored(gateway: parts.Gateway) -> _Effects:
+    _lose_links(gateway)
+    return gateway.handle(_events.EndpointProbed(_LOW, True))
+
+
+def _forwarder_failed(gateway: parts.Gateway) -> _Effects:
+    _lose_links(gateway)
+    forwarder = protocol.Forwarder(model.VmId("entry:2"), "e2:1", "secret")
+    gateway.receive(protocol.ForwardersOffered((forwarder,)))
+    return gateway.end_attempt(
+        1, _Outcome.NOT_SENT, link_failure=_events.LinkFailure.FORWARDER
+    )
+
+
 def _request_failed(gateway: parts.Gateway) -> _Effects:
     exchange_id, _ = gateway.send_request("/post/x")
     return gateway.end_attempt(exchange_id, _Outcome.UNKNOWN, detail="reset")
@@ -228,6 +255,9 @@
             "reason": "the route allows no further endpoint",
         },
     ),
+    "links_cut": (_lose_links, {"endpoints": "far-low,low"}),
+    "links_restored": (_links_restored, {"endpoint": "low"}),
+    "forwarder_failed": (_forwarder_failed, {"forwarder": "entry:2"}),
     "endpoint_suspected": (_endpoint_suspected, {"failure": "refused"}),
     "configuration_in_force": (
         _configuration_in_force,
@@ -250,6 +280,8 @@
 }
 # Logged by the daemon and covered by the process tests.
 _LOGGED_BY_DAEMON = {
+    "forward_opened",
+    "forward_refused",
     "process_started",
     "process_stopped",
     "request_unreadable",
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -287,13 +287,14 @@
     311,
     "INFO",
     "request_dispatched",
-    "A request is sent to an endpoint.",
+    "A request is sent to an endpoint, directly or by a forwarder.",
     "request",
     "route",
     "endpoint",
     "pipeline",
     "attempt",
     "resume_after",
+    "forwarder",
     "milliseconds_left",
 )
 REQUEST_ANSWERED = _define(
@@ -438,6 +439,50 @@
     "allowed",
     "reason",
 )
+LINKS_CUT = _define(
+    327,
+    "WARNING",
+    "links_cut",
+    "Connections to several endpoints in a row have failed: this VM's own"
+    " links are taken for broken, and other entry VMs forward its requests.",
+    "endpoints",
+)
+LINKS_RESTORED = _define(
+    328,
+    "INFO",
+    "links_restored",
+    "This VM sends requests directly again.",
+    "endpoint",
+)
+FORWARDER_FAILED = _define(
+    329,
+    "WARNING",
+    "forwarder_failed",
+    "An entry VM does not forward requests of this VM now; it is passed over"
+    " for a while.",
+    "forwarder",
+)
+FORWARD_OPENED = _define(
+    330,
+    "INFO",
+    "forward_opened",
+    "This VM has connected to an endpoint for another entry VM.",
+    "request",
+    "endpoint",
+    "incarnation",
+    "open",
+)
+FORWARD_REFUSED = _define(
+    331,
+    "WARNING",
+    "forward_refused",
+    "This VM does not forward a request of another entry VM.",
+    "request",
+    "endpoint",
+    "incarnation",
+    "reason",
+    "beyond",
+)
 REQUEST_UNREADABLE = _define(
     318,
     "INFO",
--- a/sedgepin/platform/_settings.py
+++ b/sedgepin/platform/_settings.py
@@ -45,7 +45,7 @@
 
     ``seeds`` are the addresses at which control VMs accept calls from
     operators and endpoints.  Entry and control VMs connect to each other at
-    the first of ``internal_ports``.
+    the first of ``internal_ports``, and entry VMs to each other at the second.
     """
 
     node_name: str
@@ -118,6 +118,7 @@
             grace_period=datetime.timedelta(seconds=bounds.grace_s),
             metrics_listen=self._metrics_listen(metrics_port),
             peer_listen=self.listen.peers,
+            forward_address=f"{self.ip}:{self.internal_ports[1]}",
         )
 
 
