--- a/sedgepin/tests/timed_deployment.py
+++ b/sedgepin/tests/timed_deployment.py
@@ -24,6 +24,8 @@
 _TICK_SECONDS = 0.05
 _MESSAGE_SECONDS = 0.003
 ENGINE_SECONDS = 0.002
+# How long a control VM waits for the answer to a call.
+_REGISTRAR_CALL_SECONDS = 1.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True, eq=False)
@@ -38,6 +40,18 @@
         return (self.at, self.order) < (other.at, other.order)
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Call:
+    """When a VM's call of an endpoint ends, and which process answers it.
+
+    ``is_silent`` is set if nothing answers, and nothing refuses it either.
+    """
+
+    seconds: float
+    answered_by: catalog.Registration | None
+    is_silent: bool = False
+
+
 class TimedDeployment(deployment.Deployment, abc.ABC):
     """Plays the reducers of a deployment on a timeline of actions."""
 
@@ -67,7 +81,7 @@
         """Let the VMs start and publish routes; the day starts after it."""
         self.run(2.0)
         self._exchange_id += 1
-        document = catalog.encode(parts.make_configuration(1))
+        document = catalog.encode(self._make_configuration())
         self._handle_control(
             self.leader(),
             registrar_events.ConfigurationSubmitted(
@@ -77,6 +91,9 @@
         self.run(settle_seconds)
         self._starts_at = self.now
 
+    def _make_configuration(self) -> catalog.Configuration:
+        return parts.make_configuration(1)
+
     def _after(
         self,
         seconds: float,
@@ -125,27 +142,37 @@
         if vm_id in self.stopped:
             return
         for effect in self._carry_out(vm_id, event):
-            if not isinstance(effect, registrar_effects.InspectEngine):
-                continue
-            registration = self._find_running(effect.address)
-            has_answered = (
-                registration is not None
-                and registration.endpoint_id == effect.endpoint_id
-            )
-            report = None
-            if registration is not None and has_answered:
-                report = registrar_events.EngineReport(
-                    registration.incarnation, registration.layers, False, 0
-                )
-            inspected = registrar_events.EngineInspected(
-                effect.endpoint_id,
-                effect.incarnation,
-                report,
-                has_answered,
-                is_check=effect.is_check,
-                is_repeated=effect.is_repeated,
+            if isinstance(effect, registrar_effects.InspectEngine):
+                self._inspect_engine(vm_id, effect)
+
+    def _inspect_engine(
+        self, vm_id: model.VmId, effect: registrar_effects.InspectEngine
+    ) -> None:
+        call = self._call(effect.address, _REGISTRAR_CALL_SECONDS)
+        registration = call.answered_by
+        has_answered = (
+            registration is not None
+            and registration.endpoint_id == effect.endpoint_id
+        )
+        report = None
+        if registration is not None and has_answered:
+            report = registrar_events.EngineReport(
+                registration.incarnation, registration.layers, False, 0
             )
-            self._after(ENGINE_SECONDS, self._handle_control, vm_id, inspected)
+        inspected = registrar_events.EngineInspected(
+            effect.endpoint_id,
+            effect.incarnation,
+            report,
+            has_answered,
+            call.is_silent,
+            effect.is_check,
+            effect.is_repeated,
+        )
+        self._after(call.seconds, self._handle_control, vm_id, inspected)
+
+    def _call(self, address: str, limit_seconds: float) -> Call:
+        """Return how a VM's call of an endpoint ends."""
+        return Call(ENGINE_SECONDS, self._find_running(address))
 
     @abc.abstractmethod
     def _find_running(self, address: str) -> catalog.Registration | None:
