--- a/sedgepin/tests/engine_day.py
+++ b/sedgepin/tests/engine_day.py
@@ -184,15 +184,18 @@
     # Engines.
 
     def _add_engine(self, number: int) -> None:
-        layers = parts.HIGH if number % 2 else parts.LOW
-        registration = parts.make_registration(
-            f"engine-{number}",
-            "model",
-            layers,
-            self.data_centre(number // 2),
-            address=f"10.1.0.{number}:80",
-            accelerator=self._accelerator(number),
+        self._add(
+            parts.make_registration(
+                f"engine-{number}",
+                "model",
+                parts.HIGH if number % 2 else parts.LOW,
+                self.data_centre(number // 2),
+                address=f"10.1.0.{number}:80",
+                accelerator=self._accelerator(number),
+            )
         )
+
+    def _add(self, registration: catalog.Registration) -> None:
         self._engines[registration.address] = Engine(registration)
         self.endpoints.append(registration)
 
@@ -223,7 +226,7 @@
         name = before.endpoint_id.partition("+")[0]
         engine.registration = parts.make_registration(
             f"{name}+{engine.boots}",
-            "model",
+            before.service,
             before.layers,
             before.data_centre,
             address=before.address,
--- a/sedgepin/tests/silence_day.py
+++ b/sedgepin/tests/silence_day.py
@@ -5,19 +5,21 @@
 emulated; see ``engine_day``.
 """
 
+import collections.abc
 import dataclasses
 import datetime
 import itertools
+import typing
 
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _effects as gateway_effects
 from sedgepin._gateway import _events as gateway_events
 from sedgepin import _model as model
-from sedgepin import _web as web
 from sedgepin import errors
 from sedgepin.tests import engine_day
 from sedgepin.tests import silence_plan
+from sedgepin.tests import silence_routes
 
 _Outcome = gateway_events.AttemptOutcome
 _EVENT_SECONDS = 0.05
@@ -64,21 +66,25 @@
 
     def play(self) -> None:
         """Play the whole plan, until each request has had its time."""
-        self._start_day(engine_day.SETTLE_SECONDS)
         plan = self.plan
+        for number in range(plan.plain_endpoints):
+            data_centre = self.data_centre(number)
+            self._add(silence_routes.make_plain_endpoint(number, data_centre))
+        self._start_day(engine_day.SETTLE_SECONDS)
         at = 0.0
-        kinds = list(silence_plan.Kind)
         while (at := at + self._rng.expovariate(plan.per_second)) < (
             plan.seconds
         ):
             vm_id = self._rng.choice(list(self.entries))
-            self._after(at, self._send, self._rng.choice(kinds), vm_id, None)
+            self._after(
+                at, self._send, self._rng.choice(plan.kinds), vm_id, None
+            )
         for silence in plan.silences:
             self._after(silence.at, self._silence, silence)
         for crash in plan.crashes:
             self._after(crash.at, self._crash, crash)
         self.run(plan.seconds)
-        for _ in range(int(3 * silence_plan.TIME_LEFT_SECONDS)):
+        for _ in range(int(3 * silence_routes.TIME_LEFT_SECONDS)):
             if all(item.answer_count for item in self.record.attempts):
                 break
             self.run(1.0)
@@ -92,27 +98,21 @@
         engine = self._engines[registration.address]
         if registration is not engine.registration:
             return
-        if self._is_silent(engine):
-            self._after(
-                self._silent_seconds(engine),
-                self.register,
-                control,
-                registration,
-            )
+        if self._put_off(engine, self.register, control, registration):
             return
         super().register(control, registration)
 
     def _make_configuration(self) -> catalog.Configuration:
-        return silence_plan.make_configuration(self.plan)
+        return silence_routes.make_configuration(self.plan.max_attempts)
 
     def _accelerator(self, number: int) -> str:
-        return silence_plan.accelerator(number)
+        return silence_routes.accelerator(number)
 
     # Callers.
 
     def _send(
         self,
-        kind: silence_plan.Kind,
+        kind: silence_routes.Kind,
         vm_id: model.VmId,
         first: int | None,
     ) -> None:
@@ -121,21 +121,10 @@
             number, number if first is None else first, kind, self.elapsed()
         )
         self.record.attempts.append(attempt)
-        path = f"/{kind.value}/{number}"
-        request = _calls.CallerRequest(
-            request_id=f"r{number}",
-            host="one.example",
-            path=path,
-            message=web.Request(b"POST", path.encode(), ()),
-            time_left=datetime.timedelta(
-                seconds=silence_plan.TIME_LEFT_SECONDS
-            ),
-            api_key="key",
-            usage=_calls.TokenUsage(5, 5),
-        )
         self._attempts[vm_id, number] = attempt
         self._handle_entry(
-            vm_id, gateway_events.RequestArrived(number, request)
+            vm_id,
+            gateway_events.RequestArrived(number, attempt.make_request()),
         )
 
     def _fail(
@@ -194,11 +183,14 @@
     ) -> None:
         exchange_id, dispatch = effect.exchange_id, effect.dispatch
         attempt = self._attempts[vm_id, exchange_id]
+        engines = [self._engines[dispatch.address]]
+        if dispatch.pipeline is not None:
+            engines = self._stages(dispatch.pipeline)
         run = _Run(
             vm_id,
             exchange_id,
             dispatch,
-            self._stages(dispatch.pipeline),
+            engines,
             events=dispatch.resume_after or 0,
             attempt=attempt,
             late_at=self.now + _FIRST_EVENT_TIMEOUT,
@@ -207,7 +199,8 @@
         if not self._add_run(run):
             return
         attempt.reached.add(dispatch.endpoint_id)
-        self._watch(run)
+        if dispatch.pipeline is not None:
+            self._watch(run)
         if effect.answer_timeout is not None:
             seconds = effect.answer_timeout.total_seconds()
             self._after(seconds, self._time_out, run)
@@ -244,9 +237,18 @@
         until = engine.silent_until
         return until is not None and self.now < until
 
-    def _silent_seconds(self, engine: engine_day.Engine) -> float:
-        assert engine.silent_until is not None
-        return (engine.silent_until - self.now).total_seconds()
+    def _put_off(
+        self,
+        engine: engine_day.Engine,
+        action: collections.abc.Callable[..., None],
+        *arguments: typing.Any,
+    ) -> bool:
+        """Do something after an engine's silence; return whether it is on."""
+        if engine.silent_until is None or not self._is_silent(engine):
+            return False
+        seconds = (engine.silent_until - self.now).total_seconds()
+        self._after(seconds, action, *arguments)
+        return True
 
     def _accept(self, run: _Run) -> None:
         """Begin a request, once its engine is not silent any more.
@@ -256,9 +258,7 @@
         """
         if not self._is_first_up(run):
             return
-        if self._is_silent(run.engines[0]):
-            seconds = self._silent_seconds(run.engines[0])
-            self._after(seconds, self._accept, run)
+        if self._put_off(run.engines[0], self._accept, run):
             return
         if run.is_over and self._rng.random() >= self.plan.begun_share:
             return
--- a/sedgepin/tests/silence_plan.py
+++ b/sedgepin/tests/silence_plan.py
@@ -3,53 +3,20 @@
 import collections.abc
 import dataclasses
 import datetime
-import enum
 import random
 
-import msgspec
-
-from sedgepin import _catalog as catalog
-from sedgepin._gateway.tests import parts
+from sedgepin._gateway import _calls
 from sedgepin import _model as model
+from sedgepin import _web as web
+from sedgepin.tests import silence_routes
 
 SPANS = (0.3, 1.0, 1.5, 3.0)
-# Each silence ends before a request's time does.
-TIME_LEFT_SECONDS = 10.0
-_ACCELERATORS = ("fast", "other")
 _STARTS = (1.0, 3.5, 7.0, 11.0)
 _RACK_ENGINES = 8
 _TURNS_SHARE = 0.1
 _AGAIN_GAP_SECONDS = 0.7
 
 
-class Kind(enum.Enum):
-    """The kinds of requests, by their routes' names."""
-
-    RESUMABLE = "draft"
-    STREAM = "cast"
-    IDEMPOTENT = "read"
-    AT_MOST_ONCE = "post"
-
-    @property
-    def is_stream(self) -> bool:
-        """Whether the answer is a stream of events."""
-        return self in (Kind.RESUMABLE, Kind.STREAM)
-
-    @property
-    def semantics(self) -> catalog.RetrySemantics:
-        """The kind of the route."""
-        if self.is_stream:
-            return catalog.RetrySemantics.STREAM
-        if self is Kind.AT_MOST_ONCE:
-            return catalog.RetrySemantics.AT_MOST_ONCE
-        return catalog.RetrySemantics.IDEMPOTENT
-
-    @property
-    def is_repeatable(self) -> bool:
-        """Whether a request may run more than once."""
-        return self in (Kind.RESUMABLE, Kind.IDEMPOTENT)
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Silence:
     """Engines that say and handle nothing for a while, then go on."""
@@ -73,7 +40,8 @@
     """What happens on a day; times are seconds after the day's start.
 
     Engines with even numbers run the first layers, and two numbers in
-    sequence have the same kind of accelerator, each second pair another.  A
+    sequence have the same kind of accelerator, each second pair another.  The
+    numbers of the plain endpoints follow.  A
     silent engine begins ``begun_share`` of the requests that it accepted and
     whose connections were closed before it went on.  An answer that is not a
     stream takes as long as ``whole_answer_events`` events.  A caller leaves
@@ -84,6 +52,8 @@
     control_count: int = 3
     data_centre_count: int = 3
     engine_pairs: int = 12
+    plain_endpoints: int = 0
+    kinds: tuple[silence_routes.Kind, ...] = silence_routes.MODEL_KINDS
     seconds: float = 16.0
     per_second: float = 60.0
     max_attempts: int = 2
@@ -122,9 +92,12 @@
 def first_engines_in_turn(plan: Plan) -> tuple[Silence, ...]:
     """Return silences of the first engines, a third of them at a time.
 
-    Requests that are moved meet the next silence.
+    Requests that are moved meet the next silence.  Plain endpoints are first
+    ones too.
     """
-    engines = list(range(0, 2 * plan.engine_pairs, 2))
+    plain_from = 2 * plan.engine_pairs
+    engines = list(range(0, plain_from, 2))
+    engines += range(plain_from, plain_from + plan.plain_endpoints)
     random.Random(plan.seed).shuffle(engines)
     thirds = [tuple(engines[number::3]) for number in range(3)]
     return _one_by_one(thirds * 4, [1.0, 0.3, 1.5] * 4, 0.0)
@@ -196,40 +169,6 @@
     return tuple(crashes)
 
 
-def accelerator(number: int) -> str:
-    """Return the accelerator of an engine by its number."""
-    return _ACCELERATORS[number // 2 % len(_ACCELERATORS)]
-
-
-def make_configuration(plan: Plan) -> catalog.Configuration:
-    """Return a route for each kind of requests, and two accelerators."""
-    before = parts.make_configuration(1)
-    timeout = datetime.timedelta(seconds=TIME_LEFT_SECONDS)
-    routes = tuple(
-        msgspec.structs.replace(
-            before.routes[0],
-            name=kind.value,
-            path_prefix=f"/{kind.value}/",
-            kind=kind.semantics,
-            timeout=timeout,
-            max_attempts=plan.max_attempts,
-            resumable=kind is Kind.RESUMABLE,
-        )
-        for kind in Kind
-    )
-    service = before.services[0]
-    profile = service.engine
-    assert profile is not None
-    accelerators = tuple(
-        msgspec.structs.replace(profile.accelerators[0], name=name)
-        for name in _ACCELERATORS
-    )
-    engine = msgspec.structs.replace(profile, accelerators=accelerators)
-    service = msgspec.structs.replace(service, engine=engine)
-    services = (service, *before.services[1:])
-    return msgspec.structs.replace(before, routes=routes, services=services)
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class CallerAttempt:
     """One attempt of a caller, and what came of it.
@@ -242,7 +181,7 @@
 
     number: int
     request: int
-    kind: Kind
+    kind: silence_routes.Kind
     sent_at: float
     reached: set[model.EndpointId] = dataclasses.field(default_factory=set)
     position: int = 0
@@ -253,6 +192,21 @@
     answered_at: float | None = None
     failure_code: str | None = None
 
+    def make_request(self) -> _calls.CallerRequest:
+        """Return the request that is sent."""
+        path = f"/{self.kind.value}/{self.number}"
+        return _calls.CallerRequest(
+            request_id=f"r{self.number}",
+            host="one.example",
+            path=path,
+            message=web.Request(b"POST", path.encode(), ()),
+            time_left=datetime.timedelta(
+                seconds=silence_routes.TIME_LEFT_SECONDS
+            ),
+            api_key="key",
+            usage=None if self.kind.is_plain else _calls.TokenUsage(5, 5),
+        )
+
     @property
     def is_first(self) -> bool:
         """Whether the caller sent it for the first time."""
@@ -287,7 +241,7 @@
         self.runs: dict[int, list[model.EndpointId]] = {}
         self.found_after: list[float] = []
 
-    def of_kind(self, kind: Kind) -> list[CallerAttempt]:
+    def of_kind(self, kind: silence_routes.Kind) -> list[CallerAttempt]:
         """Return the attempts of a kind."""
         return [item for item in self.attempts if item.kind is kind]
 
--- a/sedgepin/tests/test_silent_engines.py
+++ b/sedgepin/tests/test_silent_engines.py
@@ -12,6 +12,7 @@
 
 from sedgepin.tests import silence_day
 from sedgepin.tests import silence_plan
+from sedgepin.tests import silence_routes
 
 _Shape = collections.abc.Callable[
     [silence_plan.Plan], tuple[silence_plan.Silence, ...]
@@ -65,11 +66,11 @@
 
 class TestCountOfEngines:
     @pytest.mark.parametrize(
-        "kind", silence_plan.Kind, ids=lambda kind: kind.value
+        "kind", silence_routes.MODEL_KINDS, ids=lambda kind: kind.value
     )
     @pytest.mark.parametrize("max_attempts", _MAX_ATTEMPTS)
     def test_silence_adds_no_engine_to_those_allowed(
-        self, max_attempts: int, kind: silence_plan.Kind
+        self, max_attempts: int, kind: silence_routes.Kind
     ) -> None:
         counts = {
             day: sum(item.kind is kind for item in record.on_too_many())
@@ -118,3 +119,25 @@
     ) -> None:
         record = _play(silence_plan.rack, 2, True, whole_answer_events=6)
         assert max(record.found_after) <= _MAX_FOUND_SECONDS
+
+
+class TestPlainServices:
+    @pytest.mark.parametrize("max_attempts", _MAX_ATTEMPTS)
+    def test_silence_adds_no_endpoint_and_no_run(
+        self, max_attempts: int
+    ) -> None:
+        plan = silence_plan.Plan(
+            max_attempts=max_attempts,
+            plain_endpoints=9,
+            kinds=silence_routes.PLAIN_KINDS,
+        )
+        silences = silence_plan.first_engines_in_turn(plan)
+        day = silence_day.SilenceDay(
+            dataclasses.replace(plan, silences=silences)
+        )
+        day.play()
+        record = day.record
+        assert len(record.attempts) > plan.per_second * plan.seconds / 2
+        assert record.on_too_many() == []
+        assert record.run_twice() == []
+        assert record.not_answered_once() == []
