--- a/sedgepin/tests/silence_day.py
+++ b/sedgepin/tests/silence_day.py
@@ -32,6 +32,7 @@
 _SUSTAINED_EVENTS = 16
 _STREAM_EVENTS = 24
 _CALLER_RETRY_SECONDS = 0.1
+_MICROSECOND = 1e-6
 
 
 @dataclasses.dataclass(slots=True, eq=False, kw_only=True)
@@ -313,7 +314,8 @@
         seconds = attempt.last_output_at + patience - self.elapsed()
         if attempt.answer_count:
             return
-        if seconds > 0:
+        # The clock counts whole microseconds.
+        if seconds > _MICROSECOND:
             self._after(seconds, self._lose_patience, vm_id, attempt, patience)
             return
         attempt.failure_code = "caller_left"
