Let long answers in one piece delay no inspection for streams

What callers saw: a stream on a stage that was lost waited 1.08 s for another one, while sound answers in one piece took more than 0.4 s on its first engine.

Cause: until such an answer is complete, nothing tells that it makes progress, so it is reported as stalled from 0.4 s on. Each report of its first engine shows no stall and doubles the interval between reports, up to 1.2 s, which holds for the engine's streams too.

Ruled out: to stop the reports of stalls once the head has come. Heads that come with the body go on as before, and an answer whose stage is lost after its head would wait for its deadline.

Change: answers in one piece have an interval of their own, which grows as before. An engine is asked at most once more in 1.2 s by an entry VM.

--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -65,7 +65,10 @@
             for stage in dispatch.pipeline.stages[1:]
         ):
             return self._reroute(exchange, now)
-        if not self._stall_inspections.try_start(dispatch.endpoint_id, now):
+        is_stream = exchange.route.kind is catalog.RetrySemantics.STREAM
+        if not self._stall_inspections.try_start(
+            dispatch.endpoint_id, now, is_stream
+        ):
             return []
         return [
             _effects.InspectStalls(
