Give the layers of a silent engine away after a second silent check

Cause: the layers waited for the heartbeat timeout, 3.1 to 4.15 s, where nothing tells a silent engine from one without power.

Change: the check of an endpoint lost by silence is repeated at once, then each second. A second silent check, 2 s after the first began, gives the layers away. An engine that is silent for a second or so answers it and keeps them.

--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -106,12 +106,15 @@
         if is_leader:
             silent = self.registry.silent()
             effects += self._silent_losses.start_due(silent, now)
-            # They keep their layers until they are heard, proven to have
-            # ended, or without a heartbeat for too long.
+            # They keep their layers until they are proven to have ended, or
+            # do not answer a second check.
             kept = [
                 record.registration
                 for record in silent
                 if now - record.last_seen_at <= self._cfg.heartbeat_timeout
+                and not self._silent_losses.is_still_silent(
+                    record.registration.endpoint_id
+                )
             ]
             waiting = paused.union(engine.endpoint_id for engine in kept)
             effects += self.orders.tick(
--- a/sedgepin/_registrar/_silent_losses.py
+++ b/sedgepin/_registrar/_silent_losses.py
@@ -27,7 +27,13 @@
     [InspectEngine(..., is_check=True, is_repeated=True)]
     """
 
-    __slots__ = ("_checked_at", "_peers", "_registry", "_restrictions")
+    __slots__ = (
+        "_checked_at",
+        "_peers",
+        "_registry",
+        "_restrictions",
+        "_still_silent",
+    )
 
     def __init__(
         self,
@@ -39,6 +45,12 @@
         self._restrictions = restrictions
         self._peers = peers
         self._checked_at: dict[model.EndpointId, datetime.datetime] = {}
+        # Those that did not answer the repeated check either.
+        self._still_silent: set[model.EndpointId] = set()
+
+    def is_still_silent(self, endpoint_id: model.EndpointId) -> bool:
+        """Return whether a lost endpoint was silent in a second check too."""
+        return endpoint_id in self._still_silent
 
     def start_due(
         self, silent: list[catalog.EndpointRecord], now: datetime.datetime
@@ -50,10 +62,11 @@
         # Drops the endpoints that are no longer lost.
         self._checked_at = {
             record.registration.endpoint_id: self._checked_at.get(
-                record.registration.endpoint_id, record.lost_at or now
+                record.registration.endpoint_id, now - _CHECK_INTERVAL
             )
             for record in silent
         }
+        self._still_silent &= self._checked_at.keys()
         effects: Effects = []
         for record in silent:
             registration = record.registration
@@ -83,7 +96,12 @@
 
         An endpoint that was heard meanwhile may have refused before that.
         """
-        if event.has_answered or event.is_silent:
+        if event.is_silent and not event.has_answered:
+            if event.endpoint_id in self._checked_at:
+                self._still_silent.add(event.endpoint_id)
+            return []
+        self._still_silent.discard(event.endpoint_id)
+        if event.has_answered:
             return []
         record = self._registry.find(event.endpoint_id)
         if (
