--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -14,6 +14,7 @@
     "cost",
     "crashes",
     "silences",
+    "cuts",
     "load",
     "logs",
     "placement",
--- a/sedgepin/tests/cut_day.py
+++ b/sedgepin/tests/cut_day.py
@@ -44,6 +44,7 @@
         self._open: dict[tuple[model.VmId, int], cut_record.Request] = {}
         self._runs: dict[tuple[model.VmId, int], cut_run.Run] = {}
         self._thaws_at: dict[model.VmId, float] = {}
+        self._has_begun = False
         self._by_address: dict[str, catalog.Registration] = {}
         super().__init__(
             plan.entry_count, plan.control_count, plan.data_centre_count
@@ -61,6 +62,7 @@
     def play(self) -> None:
         """Play the whole plan."""
         self._start_day(_SETTLE_SECONDS)
+        self._has_begun = True
         plan = self.plan
         cut = [n for n in range(plan.entry_count) if plan.cuts_of(n)]
         others = [n for n in range(plan.entry_count) if n not in cut]
@@ -190,10 +192,12 @@
         self._handle_entry(vm_id, gateway_events.DeadlineReached(number))
 
     def _record_message(self, message: protocol.PeerMessage) -> None:
+        if not self._has_begun:
+            return
         second = self.elapsed()
         name = type(message).__name__
         first = min(cut.start for cut in self.plan.cuts)
-        if 0 <= second < first:
+        if second < first:
             self.record.calm_messages[name] += 1
         elif any(cut.start <= second < cut.end for cut in self.plan.cuts):
             self.record.cut_messages[name] += 1
