--- /dev/null
+++ b/sedgepin/tests/cut_attempts.py
@@ -0,0 +1,287 @@
+"""Attempts of entry VMs at endpoints over paths that may be cut."""
+
+import abc
+import random
+
+from sedgepin import _catalog as catalog
+from sedgepin._gateway import _calls
+from sedgepin._gateway import _effects as gateway_effects
+from sedgepin._gateway import _events as gateway_events
+from sedgepin._gateway.tests import parts
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin import errors
+from sedgepin.tests import cut_paths
+from sedgepin.tests import cut_plan
+from sedgepin.tests import cut_record
+from sedgepin.tests import cut_run
+from sedgepin.tests import timed_deployment
+
+_LinkFailure = gateway_events.LinkFailure
+_Outcome = gateway_events.AttemptOutcome
+# As many as a forwarder carries for others.
+_MAX_FORWARDED = 256
+
+
+class EmulatedAttempts(timed_deployment.TimedDeployment):
+    """Carries out what entry VMs want of endpoints.
+
+    All endpoints stay up and reachable from the control VMs.
+    """
+
+    def __init__(self, plan: cut_plan.Plan) -> None:
+        self.plan = plan
+        self._rng = random.Random(plan.seed)
+        self._open: dict[tuple[model.VmId, int], cut_record.Request] = {}
+        self._runs: dict[tuple[model.VmId, int], cut_run.Run] = {}
+        # When each frozen entry VM goes on, and the key of each as forwarder.
+        self._thaws_at: dict[model.VmId, float] = {}
+        self._keys: dict[model.VmId, str] = {}
+        self._by_address: dict[str, catalog.Registration] = {}
+        super().__init__(
+            plan.entry_count, plan.control_count, plan.data_centre_count
+        )
+        self._paths = cut_paths.Paths(
+            plan, self._keys, self.stopped, self._thaws_at
+        )
+        for number in range(2 * plan.engine_pairs):
+            layers = parts.HIGH if number % 2 else parts.LOW
+            self._add_endpoint(
+                f"engine-{number}", "model", layers, number // 2
+            )
+        for number in range(plan.ledger_count):
+            self._add_endpoint(f"ledger-{number}", "ledger", None, number)
+
+    def _add_endpoint(
+        self,
+        name: str,
+        service: str,
+        layers: model.LayerRange | None,
+        number: int,
+    ) -> None:
+        registration = parts.make_registration(
+            name,
+            service,
+            layers,
+            self.data_centre(number),
+            address=f"{name}.example:80",
+        )
+        self._by_address[registration.address] = registration
+        self.endpoints.append(registration)
+
+    def _find_running(self, address: str) -> catalog.Registration | None:
+        return self._by_address.get(address)
+
+    @abc.abstractmethod
+    def _answer(
+        self, vm_id: model.VmId, number: int, failure: errors.Failure | None
+    ) -> None:
+        """Give a caller its answer."""
+
+    def _carry_out_attempt(
+        self, vm_id: model.VmId, effect: gateway_effects.GatewayEffect
+    ) -> None:
+        """Carry out an effect that concerns endpoints; ignore any other."""
+        match effect:
+            case gateway_effects.StartAttempt():
+                self._start_run(vm_id, effect)
+            case gateway_effects.CancelAttempt(number):
+                run = self._runs.get((vm_id, number))
+                if run is not None:
+                    cancelled = _Outcome.CANCELLED
+                    self._after(
+                        0.0, self._end_run, run, cancelled, "cancelled"
+                    )
+            case gateway_effects.InspectStalls():
+                self._inspect_stalls(vm_id, effect)
+            case gateway_effects.ProbeEndpoint(endpoint_id):
+                opening = self._paths.probe(vm_id, endpoint_id, self.elapsed())
+                probed = gateway_events.EndpointProbed(
+                    endpoint_id, opening.is_open
+                )
+                self._after(opening.seconds, self._handle_entry, vm_id, probed)
+            case gateway_effects.Reroute():
+                self._reroute(vm_id, effect)
+
+    def _open_path(
+        self,
+        vm_id: model.VmId,
+        endpoint_id: model.EndpointId,
+        incarnation: int | None,
+        address: str,
+        forwarder: protocol.Forwarder | None,
+    ) -> cut_paths.Opening:
+        """Return how opening a way ends; a forwarder's reducer has a say."""
+        opening = self._paths.open_path(
+            vm_id, forwarder, endpoint_id, self.elapsed()
+        )
+        if forwarder is None or opening.failing is _LinkFailure.FORWARDER:
+            return opening
+        carried = sum(
+            run.forwarder == forwarder.vm_id for run in self._runs.values()
+        )
+        if carried > _MAX_FORWARDED:
+            return cut_paths.Opening(
+                cut_paths.HOP_SECONDS, _LinkFailure.FORWARDER
+            )
+        refusal = self.entries[forwarder.vm_id].forwarding_refusal(
+            endpoint_id, incarnation, address, self.now
+        )
+        if refusal is not None:
+            return cut_paths.Opening(
+                cut_paths.HOP_SECONDS, _LinkFailure.BEYOND
+            )
+        return opening
+
+    def _start_run(
+        self, vm_id: model.VmId, effect: gateway_effects.StartAttempt
+    ) -> None:
+        number = effect.exchange_id
+        request = self._open.get((vm_id, number))
+        if request is None:
+            return
+        run = cut_run.Run(vm_id, request, effect, self.elapsed(), self._rng)
+        self._runs[vm_id, number] = run
+        if run.forwarder is not None:
+            request.forwards += 1
+        dispatch = effect.dispatch
+        opening = self._open_path(
+            vm_id,
+            dispatch.endpoint_id,
+            dispatch.incarnation,
+            dispatch.address,
+            dispatch.forwarder,
+        )
+        if opening.is_open:
+            self._after(opening.seconds, self._connect_run, run, dispatch)
+            return
+        request.unsent += 1
+        self._after(
+            opening.seconds,
+            self._end_run,
+            run,
+            _Outcome.NOT_SENT,
+            "unreached",
+            opening.failing,
+        )
+
+    def _connect_run(
+        self, run: cut_run.Run, dispatch: _calls.Dispatch
+    ) -> None:
+        if run.is_over:
+            return
+        reached = gateway_events.EndpointReached(
+            run.endpoint_id, dispatch.forwarder
+        )
+        self._handle_entry(run.vm_id, reached)
+        self._continue_run(run)
+
+    def _continue_run(self, run: cut_run.Run) -> None:
+        """Deliver what the endpoint has sent by now, step by step.
+
+        What does not arrive is sent again, until the path is whole.
+        """
+        if run.is_over:
+            return
+        now = self.elapsed()
+        if not run.is_reached and self._paths.can_send(run, now):
+            run.reach_endpoint(now)
+        if self._paths.can_receive(run, now):
+            self._deliver_output(run, now)
+        if run.is_over:
+            return
+        if run.is_late(now):
+            stalled = gateway_events.StreamStalled(run.exchange_id)
+            self._handle_entry(run.vm_id, stalled)
+        if run.has_timed_out(now):
+            self._end_run(run, _Outcome.UNKNOWN, "no answer head")
+        if not run.is_over:
+            seconds = run.seconds_until_step(now)
+            self._after(seconds, self._continue_run, run)
+
+    def _deliver_output(self, run: cut_run.Run, now: float) -> None:
+        had_output = run.request.first_output_at is not None
+        run.deliver(now)
+        if run.request.first_output_at is not None and not had_output:
+            started = gateway_events.OutputStarted(run.exchange_id)
+            self._handle_entry(run.vm_id, started)
+        if run.is_complete:
+            self._end_run(run, _Outcome.ANSWERED, "answered")
+
+    def _end_run(
+        self,
+        run: cut_run.Run,
+        outcome: gateway_events.AttemptOutcome,
+        why: str,
+        failing: gateway_events.LinkFailure | None = None,
+    ) -> None:
+        if run.is_over:
+            return
+        run.is_over = True
+        self._runs.pop((run.vm_id, run.exchange_id), None)
+        ended = gateway_events.AttemptEnded(
+            run.exchange_id,
+            outcome,
+            why,
+            run.position,
+            endpoint_id=run.endpoint_id,
+            link_failure=failing,
+        )
+        self._handle_entry(run.vm_id, ended)
+        if outcome is _Outcome.ANSWERED:
+            self._answer(run.vm_id, run.exchange_id, None)
+
+    def _reset_connections(self) -> None:
+        """End the connections whose paths a cut resets now."""
+        now = self.elapsed()
+        for run in list(self._runs.values()):
+            if self._paths.resets(run, now):
+                self._end_run(run, _Outcome.UNKNOWN, "connection reset")
+
+    def _lose_forwarder(self, vm_id: model.VmId) -> None:
+        """End the connections to a forwarder that has ended."""
+        for run in list(self._runs.values()):
+            if run.forwarder != vm_id:
+                continue
+            outcome = _Outcome.UNKNOWN
+            if not run.is_reached:
+                outcome = _Outcome.NOT_SENT
+            self._end_run(
+                run, outcome, "forwarder lost", _LinkFailure.FORWARDER
+            )
+
+    def _inspect_stalls(
+        self, vm_id: model.VmId, effect: gateway_effects.InspectStalls
+    ) -> None:
+        opening = self._open_path(
+            vm_id,
+            effect.endpoint_id,
+            effect.incarnation,
+            effect.address,
+            effect.forwarder,
+        )
+        report = _calls.StallReport(()) if opening.is_open else None
+        inspected = gateway_events.StallsInspected(
+            effect.endpoint_id,
+            report,
+            opening.is_open,
+            effect.forwarder,
+            opening.failing,
+        )
+        self._after(opening.seconds, self._handle_entry, vm_id, inspected)
+
+    def _reroute(
+        self, vm_id: model.VmId, effect: gateway_effects.Reroute
+    ) -> None:
+        """Let the first engine accept, if it can be told."""
+        opening = self._open_path(
+            vm_id,
+            effect.pipeline.stages[0].endpoint_id,
+            effect.incarnation,
+            effect.address,
+            effect.forwarder,
+        )
+        rerouted = gateway_events.Rerouted(
+            effect.exchange_id, opening.is_open, attempt=effect.attempt
+        )
+        self._after(opening.seconds, self._handle_entry, vm_id, rerouted)
