Let another entry VM carry service calls of one that is cut off

Callers of an entry VM whose own links to all endpoints were broken got 503 for each call, as long as the cut lasted, while its peers had paths to the same services.

Cause: the VM took a failed connection for a failure of the endpoint, marked it as failed, and had no second path. With forward_listen set, it now asks up to eight entry VMs over the peer streams (ForwardersAsked) when a direct connection fails, and sends the call to the same endpoint through one that offers itself. A VM offers itself only after a direct connection within the last second or after a probe, so that one that is cut off without knowing is not used. The endpoint is blamed if the forwarder cannot reach it either. The cut VM keeps the call, its admission, retries and write record; nothing is sent before the forwarder has connected, so that "not run" stays true and a write can take the other way. Without the setting nothing changes.

--- a/sedgepin/_entry/__init__.py
+++ b/sedgepin/_entry/__init__.py
@@ -14,6 +14,7 @@
 from sedgepin._entry._effects import DeliverPieces
 from sedgepin._entry._effects import EndAnswer
 from sedgepin._entry._effects import EntryEffect
+from sedgepin._entry._effects import ProbePath
 from sedgepin._entry._effects import ProbeStages
 from sedgepin._entry._effects import RefuseAnnouncement
 from sedgepin._entry._effects import RefuseCaller
@@ -29,6 +30,8 @@
 from sedgepin._entry._events import EntryEvent
 from sedgepin._entry._events import GenerateRequest
 from sedgepin._entry._events import GenerateRequested
+from sedgepin._entry._events import LinkFailure
+from sedgepin._entry._events import PathProbed
 from sedgepin._entry._events import PieceReceived
 from sedgepin._entry._events import ProbeAnswered
 from sedgepin._entry._events import ServiceAnswered
@@ -62,8 +65,11 @@
     "EntryStatus",
     "GenerateRequest",
     "GenerateRequested",
+    "LinkFailure",
+    "PathProbed",
     "PieceReceived",
     "ProbeAnswered",
+    "ProbePath",
     "ProbeStages",
     "RefuseAnnouncement",
     "RefuseCaller",
--- a/sedgepin/_entry/_context.py
+++ b/sedgepin/_entry/_context.py
@@ -7,6 +7,7 @@
 from sedgepin import _admission as admission
 from sedgepin import _crash_causes as crash_causes
 from sedgepin._entry import _fleet
+from sedgepin._entry import _paths
 from sedgepin import _membership as membership
 from sedgepin import _model as model
 from sedgepin import _routing as routing
@@ -24,6 +25,7 @@
     retries: admission.RetryBudget
     quarantine: admission.Quarantine
     crash_causes: crash_causes.CrashCauseTracker
+    paths: _paths.PathFollower
     generator: random.Random
 
     def eligible(
--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -1,6 +1,7 @@
 """The entry daemon: the trio tasks that run the reducer."""
 
 import random
+import secrets
 import time
 
 import trio
@@ -8,8 +9,11 @@
 from sedgepin._entry import _effects
 from sedgepin._entry import _endpoint_client
 from sedgepin._entry import _events
+from sedgepin._entry import _forwarded_client
+from sedgepin._entry import _forwarding_policy
 from sedgepin._entry import _reducer
 from sedgepin._entry import _server
+from sedgepin import _forwarding as forwarding
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin import _shell as shell
@@ -35,6 +39,8 @@
         "_client",
         "_clock",
         "_driver",
+        "_forwarded_client",
+        "_forwarding",
         "_metrics",
         "_nursery",
         "_reducer",
@@ -50,8 +56,13 @@
         self._clock = own_clock
         now = own_clock.now()
         incarnation = model.Incarnation(time.time_ns() // 1_000_000)
+        forward_key = secrets.token_hex(16)
         self._reducer = _reducer.EntryReducer(
-            cfg, incarnation, random.Random(), now
+            cfg, incarnation, random.Random(), now, forward_key
+        )
+        self._forwarding = forwarding.ForwardingServer(
+            forward_key,
+            _forwarding_policy.EntryForwardingPolicy(self._reducer),
         )
         self._driver = shell.Driver(
             self._reducer.handle, self._apply_effect, own_clock
@@ -60,6 +71,9 @@
         self._client: _endpoint_client.EndpointClient = (
             _endpoint_client.HttpEndpointClient(cfg.limits.answer_bytes)
         )
+        self._forwarded_client = _forwarded_client.ForwardedClient(
+            cfg.limits.answer_bytes
+        )
         self._server = _server.EntryServer(
             cfg,
             self._driver.submit,
@@ -84,6 +98,10 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             await nursery.start(self._transport.run)
+            if self._cfg.forward_listen is not None:
+                await nursery.start(
+                    self._forwarding.serve, self._cfg.forward_listen
+                )
             nursery.start_soon(self._tick)
             nursery.start_soon(self._wait_for_drain)
             line = events.PROCESS_STARTED.line(
@@ -106,9 +124,12 @@
     async def _wait_for_drain(self) -> None:
         await shell.wait_for_sigterm()
         self._driver.submit(_events.DrainRequested())
+        self._forwarding.is_draining = True
         await trio.sleep(self._cfg.drain.notice_seconds)
         self._server.start_draining()
         await self._server.wait_idle()
+        while self._forwarding.open_forwards:
+            await trio.sleep(_DRAIN_POLL_SECONDS)
         with trio.move_on_after(_SETTLE_TIMEOUT_SECONDS):
             while not self._reducer.is_idle:
                 await trio.sleep(_DRAIN_POLL_SECONDS)
@@ -133,6 +154,10 @@
                 self._nursery.start_soon(
                     self._client.probe, effect, self._driver.submit
                 )
+            case _effects.ProbePath():
+                self._nursery.start_soon(
+                    _endpoint_client.probe_path, effect, self._driver.submit
+                )
             case _effects.CancelStream(request_id, attempt):
                 _cancel(self._streams, (request_id, attempt))
             case _effects.CancelCall(request_id, attempt):
@@ -160,7 +185,13 @@
         with trio.CancelScope() as scope:
             self._calls[key] = scope
             try:
-                await self._client.call_service(effect, self._driver.submit)
+                submit = self._driver.submit
+                if effect.forwarder is None:
+                    await self._client.call_service(effect, submit)
+                else:
+                    await self._forwarded_client.call_service(
+                        effect, effect.forwarder, submit
+                    )
             finally:
                 self._calls.pop(key, None)
 
--- a/sedgepin/_entry/_effects.py
+++ b/sedgepin/_entry/_effects.py
@@ -60,12 +60,15 @@
     """Send a call to a plain service, on a separate connection.
 
     ``timeout`` covers the connection, the request and the whole response.
+    A ``forwarder`` makes the connection instead of this VM.
     """
 
     request: _events.ServiceRequest
     attempt: int
+    endpoint_id: model.EndpointId
     address: str
     timeout: datetime.timedelta
+    forwarder: protocol.Forwarder | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -76,6 +79,14 @@
     attempt: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ProbePath:
+    """Find out whether this VM can connect to an endpoint."""
+
+    endpoint_id: model.EndpointId
+    address: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class DeliverPieces:
     """Send tokens to the caller, in order."""
@@ -164,6 +175,7 @@
     | ProbeStages
     | CallService
     | CancelCall
+    | ProbePath
     | DeliverPieces
     | EndAnswer
     | AnswerCall
--- a/sedgepin/_entry/_endpoint_client.py
+++ b/sedgepin/_entry/_endpoint_client.py
@@ -9,7 +9,9 @@
 
 import abc
 import collections.abc
+import contextlib
 import typing
+import urllib.parse
 
 import httpcore
 import msgspec
@@ -18,9 +20,9 @@
 from sedgepin import _answers as answers
 from sedgepin._entry import _answer_limits
 from sedgepin._entry import _effects
+from sedgepin._entry import _endpoint_headers
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
-from sedgepin import _http as http
 from sedgepin import _model as model
 from sedgepin import _web as web
 from sedgepin import errors
@@ -44,18 +46,6 @@
     httpcore.ConnectTimeout,
     httpcore.PoolTimeout,
 )
-_HOP_BY_HOP_HEADERS = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"host",
-        b"keep-alive",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
 
 
 class PipelineRun(msgspec.Struct, frozen=True):
@@ -144,6 +134,19 @@
         """Request an attempt's state from all stages concurrently."""
 
 
+async def probe_path(effect: _effects.ProbePath, emit: Emit) -> None:
+    """Connect to an endpoint, and emit whether that was possible."""
+    url = urllib.parse.urlsplit(effect.address)
+    port = url.port or (443 if url.scheme == "https" else 80)
+    is_reached = False
+    with contextlib.suppress(OSError):
+        with trio.move_on_after(_CONNECT_TIMEOUT_SECONDS):
+            stream = await trio.open_tcp_stream(url.hostname or "", port)
+            is_reached = True
+            await stream.aclose()
+    emit(_events.PathProbed(effect.endpoint_id, is_reached))
+
+
 class HttpEndpointClient(EndpointClient):
     """The client that connects to endpoints over HTTP."""
 
@@ -209,7 +212,10 @@
                 event = await self._exchange(effect)
         except _CONNECT_ERRORS:
             failure = _failures.EndpointUnreachable()
-            emit(_events.ServiceFailed(*identity, failure, False))
+            link_failure = _events.LinkFailure.DIRECT
+            emit(
+                _events.ServiceFailed(*identity, failure, False, link_failure)
+            )
         except (trio.TooSlowError, httpcore.TimeoutException):
             too_slow = _failures.EndpointTooSlow()
             emit(_events.ServiceFailed(*identity, too_slow, True))
@@ -261,7 +267,7 @@
         async with self._pool.stream(
             request.method,
             f"{effect.address}{request.path}",
-            headers=_end_to_end_headers(request.headers),
+            headers=_endpoint_headers.end_to_end_headers(request.headers),
             content=request.body,
             extensions=_extensions(),
         ) as response:
@@ -276,11 +282,7 @@
             return _events.ServiceFailed(
                 request.request_id, effect.attempt, failure, True
             )
-        headers = tuple(
-            http.HeaderField(name.lower(), value)
-            for name, value in response.headers
-            if name.lower() not in _HOP_BY_HOP_HEADERS
-        )
+        headers = _endpoint_headers.answer_headers(response.headers)
         return _events.ServiceAnswered(
             request.request_id,
             effect.attempt,
@@ -338,21 +340,6 @@
     }
 
 
-def _end_to_end_headers(
-    headers: collections.abc.Iterable[http.HeaderField],
-) -> list[tuple[bytes, bytes]]:
-    """Return the headers to forward to the endpoint.
-
-    Hop-by-hop headers and the caller's credential are left out.
-    """
-    return [
-        (field.name, field.value)
-        for field in headers
-        if field.name not in _HOP_BY_HOP_HEADERS
-        and field.name != b"authorization"
-    ]
-
-
 async def _emit_lines(
     response: httpcore.Response, effect: _effects.StartStream, emit: Emit
 ) -> bool:
--- a/sedgepin/_entry/_events.py
+++ b/sedgepin/_entry/_events.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import enum
 import typing
 
 from sedgepin import _answers as answers
@@ -11,6 +12,18 @@
 from sedgepin import errors
 
 
+class LinkFailure(enum.Enum):
+    """Where a connection to an endpoint could not be made.
+
+    ``DIRECT`` is from this VM, ``FORWARDER`` to or at the forwarder, and
+    ``BEYOND`` from the forwarder to the endpoint.
+    """
+
+    DIRECT = "direct"
+    FORWARDER = "forwarder"
+    BEYOND = "beyond"
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class GenerateRequest:
     """A caller's request to generate an answer with a model service."""
@@ -137,13 +150,14 @@
     """A call to a plain service failed.
 
     ``bytes_were_sent`` is false only if no connection was made, so that the
-    service cannot have run the call.
+    service cannot have run the call; ``link_failure`` then tells where.
     """
 
     request_id: model.RequestId
     attempt: int
     failure: errors.Failure
     bytes_were_sent: bool
+    link_failure: LinkFailure | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -176,6 +190,14 @@
     reports: tuple[StageReport, ...]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class PathProbed:
+    """A direct connection to an endpoint was made, or could not be made."""
+
+    endpoint_id: model.EndpointId
+    is_reached: bool
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class TimerFired:
     """The periodic timer of the daemon fired."""
@@ -198,6 +220,7 @@
     | ServiceAnswered
     | ServiceFailed
     | ProbeAnswered
+    | PathProbed
     | TimerFired
     | DrainRequested
     | protocol.PeerEvent
--- /dev/null
+++ b/sedgepin/_entry/_forwarding_policy.py
@@ -0,0 +1,55 @@
+"""Which requests of other entry VMs this VM forwards to endpoints."""
+
+from sedgepin._entry import _reducer
+from sedgepin import _forwarding as forwarding
+from sedgepin import _web as web
+from sedgepin import events
+from sedgepin import logs
+
+
+class EntryForwardingPolicy(forwarding.ForwardingPolicy):
+    """Forwards to the endpoints that this VM knows.
+
+    The other VM has decided all else about the request.
+    """
+
+    __slots__ = ("_reducer",)
+
+    def __init__(self, reducer: _reducer.EntryReducer) -> None:
+        self._reducer = reducer
+
+    def refusal(self, opening: forwarding.OpenForward) -> str | None:
+        """Return why an endpoint must get no request, or ``None``."""
+        return self._reducer.forwarding_refusal(opening)
+
+    def record_opened(
+        self, opening: forwarding.OpenForward, open_count: int
+    ) -> None:
+        """Log that a connection to an endpoint was made."""
+        line = events.FORWARD_OPENED.line(
+            request=opening.request_id,
+            endpoint=opening.endpoint_id,
+            incarnation=opening.incarnation,
+            open=open_count,
+        )
+        logs.write(line)
+
+    def record_refused(
+        self,
+        opening: forwarding.OpenForward,
+        refusal: forwarding.ForwardRefused,
+    ) -> None:
+        """Log that a request is not forwarded."""
+        line = events.FORWARD_REFUSED.line(
+            request=opening.request_id,
+            endpoint=opening.endpoint_id,
+            incarnation=opening.incarnation,
+            reason=refusal.reason,
+            beyond=refusal.is_beyond,
+        )
+        logs.write(line)
+
+    def record_head(
+        self, opening: forwarding.OpenForward, head: web.AnswerHead
+    ) -> None:
+        """Do nothing: heads tell entry VMs nothing about an endpoint."""
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -17,9 +17,11 @@
 from sedgepin._entry import _generation
 from sedgepin._entry import _held_prompts
 from sedgepin._entry import _membership_adapter
+from sedgepin._entry import _paths
 from sedgepin._entry import _resumption
 from sedgepin._entry import _service_calls
 from sedgepin._entry import _trials
+from sedgepin import _forwarding as forwarding
 from sedgepin import _membership as membership
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
@@ -75,6 +77,7 @@
         incarnation: model.Incarnation,
         generator: random.Random,
         now: datetime.datetime,
+        forward_key: str = "",
     ) -> None:
         self._cfg = cfg
         controls = tuple(model.VmId(peer.id) for peer in cfg.controls)
@@ -107,6 +110,7 @@
                 own_id, admission.QuarantineSettings()
             ),
             crash_causes=crash_causes.CrashCauseTracker(own_id, now),
+            paths=_paths.PathFollower(cfg, gossip, forward_key, generator),
             generator=generator,
         )
         self._held_prompts = _held_prompts.HeldPrompts(self._context)
@@ -151,6 +155,20 @@
         """Return whether a shutdown would interrupt no answer or call."""
         return not self._generation.open_answers and self._calls.is_idle
 
+    def forwarding_refusal(
+        self, opening: forwarding.OpenForward
+    ) -> str | None:
+        """Return why an endpoint must get no request of another entry VM.
+
+        Suspicions do not count: the connection shows what is true of them.
+        """
+        announcement = self._context.gossip.endpoints.find(opening.endpoint_id)
+        if announcement is None:
+            return "the endpoint is unknown or has left"
+        if _paths.forwarded_address(announcement.address) != opening.address:
+            return "the endpoint has another address"
+        return None
+
     def status(self, now: datetime.datetime) -> EntryStatus:
         """Return the document for ``/v1/status``."""
         return EntryStatus(
@@ -193,6 +211,8 @@
                 return self._calls.handle_answer(event, now)
             case _events.ServiceFailed():
                 return self._calls.handle_failure(event, now)
+            case _events.PathProbed():
+                return self._context.paths.handle_probed(event, now)
             case _events.CallerDisconnected(request_id):
                 return self._handle_caller_disconnected(request_id, now)
             case _events.AnnouncementReceived():
@@ -232,6 +252,7 @@
         self, peer_id: model.VmId, now: datetime.datetime
     ) -> Effects:
         self._connected.add(peer_id)
+        self._context.paths.record_connected(peer_id)
         self._command_client.record_connected(peer_id)
         effects = self._membership_adapter.handle_gossip_event(
             membership.PeerUp(peer_id), now
@@ -247,6 +268,7 @@
         self, peer_id: model.VmId, now: datetime.datetime
     ) -> Effects:
         self._connected.discard(peer_id)
+        self._context.paths.record_disconnected(peer_id)
         effects = self._membership_adapter.handle_gossip_event(
             membership.PeerDown(peer_id), now
         )
@@ -281,6 +303,11 @@
             case protocol.CrashesReported(evidence):
                 effects = self._held_prompts.merge(evidence, now)
                 return effects + self._failure_handler.enforce_causes(now)
+            case protocol.ForwardersAsked():
+                return self._context.paths.answer_question(sender, now)
+            case protocol.ForwardersOffered(forwarders):
+                self._context.paths.record_offer(sender, forwarders, now)
+                return self._calls.resume_waiting(now)
             case protocol.DeclaredLost(incarnation):
                 self._start_new_incarnation(incarnation)
         return []
@@ -306,6 +333,7 @@
         effects += self._generation.apply_decisions(
             self._admission_controllers.tick(now), now
         )
+        effects += self._context.paths.tick(now)
         effects += self._failure_handler.tick(now)
         effects += self._held_prompts.tick(now)
         effects += self._calls.tick(now)
@@ -318,6 +346,7 @@
         if self._draining:
             return []
         self._draining = True
+        self._context.paths.is_draining = True
         notice = datetime.timedelta(seconds=self._cfg.drain.notice_seconds)
         self._notice_ends_at = now + notice
         return [_effects.WriteLog(events.PROCESS_DRAINING.line())]
--- a/sedgepin/_entry/_service_calls.py
+++ b/sedgepin/_entry/_service_calls.py
@@ -12,6 +12,8 @@
 from sedgepin._entry import _effects
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
+from sedgepin._entry import _open_call
+from sedgepin._entry import _paths
 from sedgepin._entry import _refusals
 from sedgepin._entry import _write_calls
 from sedgepin import _http as http
@@ -27,40 +29,6 @@
 NOT_RUN_HEADER = b"sedgepin-not-run"
 
 
-class _OpenCall:
-    """A call that has no final answer yet.
-
-    ``is_write`` marks a call that may not be repeated; ``target`` is the
-    endpoint of the current attempt.
-    """
-
-    __slots__ = (
-        "attempt",
-        "deadline",
-        "excluded_endpoints",
-        "is_admitted",
-        "is_write",
-        "may_have_run",
-        "request",
-        "target",
-    )
-
-    def __init__(
-        self,
-        request: _events.ServiceRequest,
-        is_write: bool,
-        deadline: datetime.datetime,
-    ) -> None:
-        self.request = request
-        self.is_write = is_write
-        self.deadline = deadline
-        self.attempt = 0
-        self.is_admitted = False
-        self.may_have_run = False
-        self.excluded_endpoints: frozenset[model.EndpointId] = frozenset()
-        self.target: model.EndpointId | None = None
-
-
 class ServiceCalls(_write_calls.WriteCallHandler):
     """Manages all open calls of this VM.
 
@@ -72,6 +40,7 @@
         "_admission_controllers",
         "_context",
         "_open_calls",
+        "_waiting_calls",
         "_write_calls",
     )
 
@@ -84,7 +53,9 @@
     ) -> None:
         self._context = context
         self._admission_controllers = controllers
-        self._open_calls: dict[model.RequestId, _OpenCall] = {}
+        self._open_calls: dict[model.RequestId, _open_call.OpenCall] = {}
+        # Those that have a target, and wait for a forwarder to it.
+        self._waiting_calls: list[model.RequestId] = []
         self._write_calls = _write_calls.WriteCalls(
             model.VmId(context.cfg.id), incarnation, command_client, self
         )
@@ -113,7 +84,7 @@
         timeout = _refusals.effective_timeout(
             self._context, service.ok_value, request.timeout
         )
-        call = _OpenCall(request, not may_repeat, now + timeout)
+        call = _open_call.OpenCall(request, not may_repeat, now + timeout)
         self._open_calls[request.request_id] = call
         admission_request = admission.AdmissionRequest(
             request_id=request.request_id,
@@ -154,42 +125,70 @@
         call = self._find_call(event.request_id, event.attempt)
         if call is None:
             return []
+        effects: Effects = []
         if call.target is not None:
-            self._context.gossip.endpoints.mark_reached(call.target)
+            endpoint_id = call.target.endpoint_id
+            self._context.gossip.endpoints.mark_reached(endpoint_id)
+            effects = self._context.paths.record_reached(
+                endpoint_id, call.forwarder, now
+            )
         if not call.is_write:
             self._context.retries.record_success(call.request.service, now)
             answer = _effects.AnswerCall(
                 event.request_id, event.status, event.headers, event.body
             )
-            return [answer, *self._close(call, True, now)]
+            return [*effects, answer, *self._close(call, True, now)]
         not_run = any(
             header.name == NOT_RUN_HEADER for header in event.headers
         )
         stored = writes.StoredAnswer(
-            event.status, _stored_headers(event.headers), event.body
+            event.status, _open_call.stored_headers(event.headers), event.body
         )
         answered = writes.EndpointAnswered(event.request_id, stored, not_run)
-        return self._write_calls.handle(answered, now)
+        return effects + self._write_calls.handle(answered, now)
 
     def handle_failure(
         self, event: _events.ServiceFailed, now: datetime.datetime
     ) -> Effects:
         """Retry or refuse a failed call.
 
-        The failure of a write is passed to its coordinator.
+        The failure of a write is passed to its coordinator.  A call of which
+        nothing was sent, and that may reach its endpoint through another
+        entry VM, has not failed yet.
         """
         call = self._find_call(event.request_id, event.attempt)
         if call is None:
             return []
+        is_blamed, effects = self._record_link_failure(call, event, now)
+        if not is_blamed and call.target is not None:
+            address = call.target.address
+            can_detour = self._context.paths.has_detour(address, now)
+            if can_detour and call.detours < _paths.MAX_DETOURS:
+                call.detours += 1
+                return effects + self._send_to_endpoint(call, call.target, now)
         if call.is_write:
-            if event.bytes_were_sent:
-                failed = writes.EndpointFailedAfterSend(event.request_id)
-                return self._write_calls.handle(failed, now)
-            return self._write_calls.handle(
-                writes.EndpointConnectFailed(event.request_id), now
+            ended: writes.AttemptEvent = writes.EndpointConnectFailed(
+                event.request_id
             )
+            if event.bytes_were_sent:
+                ended = writes.EndpointFailedAfterSend(event.request_id)
+            return effects + self._write_calls.handle(ended, now)
         call.may_have_run = call.may_have_run or event.bytes_were_sent
-        return self._retry(call, event.failure, now)
+        if is_blamed and call.target is not None:
+            self._context.gossip.endpoints.mark_failed(
+                call.target.endpoint_id, now
+            )
+        return effects + self._retry(call, event.failure, now)
+
+    def resume_waiting(self, now: datetime.datetime) -> Effects:
+        """Send the calls whose wait for a forwarder is over."""
+        waiting, self._waiting_calls = self._waiting_calls, []
+        effects: Effects = []
+        for request_id in waiting:
+            call = self._open_calls.get(request_id)
+            if call is not None and call.target is not None:
+                effects += self._send_to_endpoint(call, call.target, now)
+        return effects
 
     def handle_caller_disconnected(
         self, request_id: model.RequestId, now: datetime.datetime
@@ -217,6 +216,7 @@
         effects = self.apply_decisions(
             self._admission_controllers.tick_calls(now), now
         )
+        effects += self.resume_waiting(now)
         effects += self._write_calls.tick(now)
         for call in list(self._open_calls.values()):
             if not call.is_write and now >= call.deadline:
@@ -236,7 +236,9 @@
             return result.Err(_failures.WrongKindOfService())
         return result.Ok(service)
 
-    def _start(self, call: _OpenCall, now: datetime.datetime) -> Effects:
+    def _start(
+        self, call: _open_call.OpenCall, now: datetime.datetime
+    ) -> Effects:
         if not call.is_write:
             return self._dispatch(call, now)
         request = call.request
@@ -289,7 +291,9 @@
         )
         return [answer_call, *self._close(call, True, now)]
 
-    def _dispatch(self, call: _OpenCall, now: datetime.datetime) -> Effects:
+    def _dispatch(
+        self, call: _open_call.OpenCall, now: datetime.datetime
+    ) -> Effects:
         # A call can leave the queue late, between two checks of deadlines.
         if now >= call.deadline:
             return self._time_out(call, now)
@@ -303,7 +307,7 @@
         return self._send_to_endpoint(call, chosen.ok_value, now)
 
     def _choose_endpoint(
-        self, call: _OpenCall, now: datetime.datetime
+        self, call: _open_call.OpenCall, now: datetime.datetime
     ) -> result.Result[model.Announcement, errors.Failure]:
         chosen = self._context.router.choose_service_endpoint(
             call.request.service,
@@ -317,32 +321,47 @@
 
     def _send_to_endpoint(
         self,
-        call: _OpenCall,
+        call: _open_call.OpenCall,
         endpoint: model.Announcement,
         now: datetime.datetime,
     ) -> Effects:
+        """Send the call, or let it wait for a forwarder for a moment."""
+        request_id = call.request.request_id
+        path = (endpoint.endpoint_id, endpoint.address, call.detours > 0, now)
+        call.target = endpoint
+        if self._context.paths.must_wait(*path):
+            self._waiting_calls.append(request_id)
+            return []
         call.attempt += 1
-        call.target = endpoint.endpoint_id
+        call.forwarder = self._context.paths.choose_forwarder(*path)
         self._context.router.record_service_dispatch(
-            call.request.request_id, endpoint.endpoint_id, now
+            request_id, endpoint.endpoint_id, now
+        )
+        effect = _effects.CallService(
+            call.request,
+            call.attempt,
+            endpoint.endpoint_id,
+            endpoint.address,
+            max(call.deadline - now, datetime.timedelta()),
+            call.forwarder,
         )
-        time_left = call.deadline - now
         return [
-            _effects.CallService(
-                call.request, call.attempt, endpoint.address, time_left
-            )
+            effect,
+            *_paths.log_forwarded(
+                request_id, call.attempt, endpoint.endpoint_id, call.forwarder
+            ),
         ]
 
     def _retry(
         self,
-        call: _OpenCall,
+        call: _open_call.OpenCall,
         failure: errors.Failure,
         now: datetime.datetime,
     ) -> Effects:
         effects: Effects = []
         if call.target is not None:
-            call.excluded_endpoints |= {call.target}
-            self._context.gossip.endpoints.mark_failed(call.target, now)
+            call.excluded_endpoints |= {call.target.endpoint_id}
+        call.detours = 0
         chosen = self._choose_endpoint(call, now)
         # Silence shows itself at the deadline, often before the timer fires.
         if now < call.deadline and isinstance(chosen, result.Ok):
@@ -363,7 +382,26 @@
         effects += self._refuse(call.request, final_failure)
         return effects + self._close(call, False, now)
 
-    def _time_out(self, call: _OpenCall, now: datetime.datetime) -> Effects:
+    def _record_link_failure(
+        self,
+        call: _open_call.OpenCall,
+        event: _events.ServiceFailed,
+        now: datetime.datetime,
+    ) -> tuple[bool, Effects]:
+        """Return whether the endpoint is to blame, and the effects."""
+        if event.link_failure is None or call.target is None:
+            return True, []
+        return self._context.paths.record_failure(
+            call.target.endpoint_id,
+            call.target.address,
+            event.link_failure,
+            call.forwarder,
+            now,
+        )
+
+    def _time_out(
+        self, call: _open_call.OpenCall, now: datetime.datetime
+    ) -> Effects:
         failure: errors.Failure = _failures.EndpointTooSlow()
         if not call.attempt:
             failure = _refusals.deadline_before_start()
@@ -372,7 +410,10 @@
         return [cancel, *refusal, *self._close(call, False, now)]
 
     def _close(
-        self, call: _OpenCall, succeeded: bool, now: datetime.datetime
+        self,
+        call: _open_call.OpenCall,
+        succeeded: bool,
+        now: datetime.datetime,
     ) -> Effects:
         request_id = call.request.request_id
         del self._open_calls[request_id]
@@ -388,7 +429,7 @@
 
     def _find_call(
         self, request_id: model.RequestId, attempt: int
-    ) -> _OpenCall | None:
+    ) -> _open_call.OpenCall | None:
         call = self._open_calls.get(request_id)
         if call is None or call.attempt != attempt:
             return None
@@ -400,14 +441,3 @@
         return _refusals.refuse_and_log(
             request.request_id, request.customer, failure
         )
-
-
-def _stored_headers(
-    headers: collections.abc.Iterable[http.HeaderField],
-) -> tuple[writes.Header, ...]:
-    return tuple(
-        writes.Header(
-            header.name.decode("latin-1"), header.value.decode("latin-1")
-        )
-        for header in headers
-    )
--- a/sedgepin/_entry/tests/test_cut_off.py
+++ b/sedgepin/_entry/tests/test_cut_off.py
@@ -11,6 +11,9 @@
 
 from sedgepin import _entry as entry
 from sedgepin._entry import _failures
+from sedgepin import _forwarding as forwarding
+from sedgepin import _model as model
+from sedgepin import errors
 from sedgepin.tests import fakes
 from sedgepin.tests import simulation
 
@@ -73,6 +76,88 @@
         ]
         assert counts == [1] * 10
 
+    @pytest.mark.parametrize("send", [_send_call, _send_write])
+    def test_one_vm_that_is_not_cut_off_carries_the_calls_of_others(
+        self, send: _Send
+    ) -> None:
+        system = _started()
+        for number in range(1, 6):
+            _cut_off(system, f"entry-{number}")
+        callers = []
+        for _ in range(10):
+            callers.append(send(system))
+            system.run(0.1)
+        _finish(system, callers)
+        assert [caller.failure for caller in callers] == [None] * 10
+
+    def test_calls_go_directly_after_the_cut(self) -> None:
+        system = _started()
+        _cut_off(system)
+        caller = _send_call(system)
+        system.run(1.0)
+        assert caller.is_finished
+        links = system.vms[_CUT].reducer._context.paths._links
+        assert links.has_failures
+        system.unblock_all()
+        system.run(1.0)
+        assert not links.has_failures
+
+    @pytest.mark.parametrize("send", [_send_call, _send_write])
+    def test_calls_are_refused_as_not_run_if_all_vms_are_cut_off(
+        self, send: _Send
+    ) -> None:
+        system = _started()
+        for number in range(1, 7):
+            _cut_off(system, f"entry-{number}")
+        caller = send(system)
+        system.run(1.0)
+        assert caller.failure is not None
+        assert caller.failure.outcome is errors.Outcome.NOT_RUN
+        assert not system.execution_counts
+
+    def test_endpoint_that_nobody_reaches_is_suspected_at_once(self) -> None:
+        system = _started()
+        system.endpoints["ledger"].is_alive = False
+        sent_at = system.now
+        caller = _send_call(system)
+        system.run_until(lambda: caller.is_finished)
+        assert system.now - sent_at < fakes.seconds(0.1)
+        directory = system.vms[_CUT].reducer._context.gossip.endpoints
+        ledger = system.endpoints["ledger"].name
+        assert directory.is_suspected(ledger, system.now)
+
+
+class TestForwardingVm:
+    def test_vm_that_is_cut_off_or_stops_does_not_offer_itself(self) -> None:
+        system = _started()
+        for number in range(2, 6):
+            _cut_off(system, f"entry-{number}")
+        for number in range(2, 6):
+            system.call_ledger(f"entry-{number}", "read", "GET")
+        system.run(1.0)
+        system.submit("entry-6", entry.DrainRequested())
+        _cut_off(system)
+        system.run(4.0)
+        caller = _send_call(system)
+        system.run(0.5)
+        links = system.vms[_CUT].reducer._context.paths._links
+        assert not links.has_forwarder(system.now)
+        assert caller.failure is not None
+
+    def test_only_known_endpoints_get_requests_of_others(self) -> None:
+        system = _started()
+        reducer = system.vms["entry-2"].reducer
+        for endpoint_id, address, is_refused in (
+            ("ledger", "127.0.0.1:1", False),
+            ("ledger", "127.0.0.1:2", True),
+            ("other", "127.0.0.1:1", True),
+        ):
+            opening = forwarding.OpenForward(
+                "", model.EndpointId(endpoint_id), None, address
+            )
+            refusal = reducer.forwarding_refusal(opening)
+            assert (refusal is not None) is is_refused
+
 
 class TestCompletions:
     def test_completions_at_a_cut_vm_are_answered(self) -> None:
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -483,6 +483,17 @@
     "reason",
     "beyond",
 )
+REQUEST_FORWARDED = _define(
+    332,
+    "INFO",
+    "request_forwarded",
+    "An attempt or call of this VM goes to its endpoint through another entry"
+    " VM.",
+    "request",
+    "attempt",
+    "endpoint",
+    "forwarder",
+)
 REQUEST_UNREADABLE = _define(
     318,
     "INFO",
--- a/sedgepin/settings.py
+++ b/sedgepin/settings.py
@@ -25,6 +25,9 @@
         pattern=r"^([0-9]{1,3}(\.[0-9]{1,3}){3}|\[[0-9a-fA-F:]+\]):[0-9]{1,5}$"
     ),
 ]
+_Ipv4Address = typing.Annotated[
+    str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")
+]
 _Digest = typing.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
 _PositiveInt = typing.Annotated[int, msgspec.Meta(gt=0)]
 _PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
@@ -136,9 +139,15 @@
 
 
 class EntrySettings(_Common, frozen=True, kw_only=True):
-    """Settings of ``sedgepin entry``."""
+    """Settings of ``sedgepin entry``.
+
+    ``forward_listen`` is where other entry VMs reach this one to have their
+    requests carried to endpoints, while their own links are broken.  Without
+    it a VM neither forwards nor lets others forward.
+    """
 
     caller_listen: _Address
+    forward_listen: _Ipv4Address | None = None
     caller_tls: CallerTls | None = None
     entries: tuple[Peer, ...] = ()
     customers: typing.Annotated[
@@ -213,7 +222,7 @@
         )
         digests = [customer.credential_sha256 for customer in cfg.customers]
         faults += _find_duplicates("customers.credential_sha256", digests)
-        return faults
+        return faults + _check_forwarding(cfg)
     faults += _find_duplicates(
         "operators", [operator.id for operator in cfg.operators]
     )
@@ -223,6 +232,21 @@
     return faults
 
 
+def _check_forwarding(cfg: EntrySettings) -> list[errors.FieldFault]:
+    """Return the faults of an address that other entry VMs must not use."""
+    field, address = "forward_listen", cfg.forward_listen
+    if address is None:
+        return []
+    faults = []
+    if address.startswith("0.0.0.0:"):
+        problem = f"{address} is no address that other VMs can connect to"
+        faults.append(errors.FieldFault(field, problem))
+    if cfg.tls is not None:
+        problem = "is not possible with tls, as forwarding is not encrypted"
+        faults.append(errors.FieldFault(field, problem))
+    return faults
+
+
 def _find_duplicates(field: str, values: list[str]) -> list[errors.FieldFault]:
     counts = collections.Counter(values)
     return [
--- a/sedgepin/tests/fake_endpoints.py
+++ b/sedgepin/tests/fake_endpoints.py
@@ -5,8 +5,10 @@
 from sedgepin import _answers as answers
 from sedgepin import _control as control
 from sedgepin import _entry as entry
+from sedgepin import _forwarding as forwarding
 from sedgepin import _http as http
 from sedgepin import _model as model
+from sedgepin import _protocol as protocol
 from sedgepin import _release as release
 from sedgepin import errors
 from sedgepin.tests import fake_engine
@@ -220,10 +222,11 @@
         if vm.incarnation != vm_incarnation:
             return
         failure = errors.Failure()
-        if not endpoint.is_alive or not self._simulation.can_reach(
-            vm.name, "ledger"
-        ):
-            failed = entry.ServiceFailed(*identity, failure, False)
+        link_failure = self._find_link_failure(vm, endpoint, effect.forwarder)
+        if link_failure is not None:
+            failed = entry.ServiceFailed(
+                *identity, failure, False, link_failure
+            )
             self._simulation.submit(vm.name, failed)
             return
         key = effect.request.idempotency_key
@@ -246,6 +249,40 @@
 
         self._simulation.schedule(_ANSWER_DELAY_SECONDS, answer)
 
+    def probe_path(self, vm: fakes.Vm, effect: typing.Any) -> None:
+        """Tell a VM whether it can connect to an endpoint."""
+        endpoint = self._simulation.endpoints[effect.endpoint_id]
+        is_reached = self._find_link_failure(vm, endpoint, None) is None
+        probed = entry.PathProbed(endpoint.name, is_reached)
+        self._simulation.submit(vm.name, probed)
+
+    def _find_link_failure(
+        self,
+        vm: fakes.Vm,
+        endpoint: fakes.Endpoint,
+        forwarder: protocol.Forwarder | None,
+    ) -> entry.LinkFailure | None:
+        """Return where a connection to an endpoint fails, if it does.
+
+        A forwarder decides by its own reducer what it connects to.
+        """
+        own, failure = vm, entry.LinkFailure.DIRECT
+        if forwarder is not None:
+            own, failure = (
+                self._simulation.vms[forwarder.vm_id],
+                entry.LinkFailure.BEYOND,
+            )
+            is_reachable = self._simulation.can_reach(vm.name, own.name)
+            if own.reducer is None or own.is_frozen or not is_reachable:
+                return entry.LinkFailure.FORWARDER
+            opening = forwarding.OpenForward(
+                forwarder.key, endpoint.name, None, "127.0.0.1:1"
+            )
+            if own.reducer.forwarding_refusal(opening) is not None:
+                return failure
+        is_reachable = self._simulation.can_reach(own.name, endpoint.name)
+        return None if endpoint.is_alive and is_reachable else failure
+
     def execute_order(self, vm: fakes.Vm, order: release.Order) -> None:
         """Deliver an order; refuse a stale token if the endpoint checks it."""
         endpoint = self._simulation.endpoints[order.endpoint_id]
--- a/sedgepin/tests/simulation.py
+++ b/sedgepin/tests/simulation.py
@@ -377,6 +377,7 @@
         return settings.EntrySettings(
             **common,
             caller_listen="127.0.0.1:1",
+            forward_listen="127.0.0.1:1",
             entries=peers("entry"),
             customers=customers,
         )
@@ -465,6 +466,11 @@
                 self.schedule(
                     0.001, lambda: self.fake_endpoints.answer_probe(vm, effect)
                 )
+            case entry.ProbePath():
+                self.schedule(
+                    0.001,
+                    lambda: self.fake_endpoints.probe_path(vm, effect),
+                )
             case entry.CallService():
                 incarnation = vm.incarnation
                 self.schedule(
--- a/sedgepin/tests/test_settings.py
+++ b/sedgepin/tests/test_settings.py
@@ -47,6 +47,15 @@
             ({"controls": [_PEER, _PEER]}, ["controls"]),
             ({"controls": [{**_PEER, "id": ""}]}, ["controls[0].id"]),
             ({"limits": {"body_bytes": 0}}, ["limits.body_bytes"]),
+            ({"forward_listen": "0.0.0.0:1"}, ["forward_listen"]),
+            ({"forward_listen": "[::1]:1"}, ["forward_listen"]),
+            (
+                {
+                    "forward_listen": "127.0.0.1:1",
+                    "tls": {"certificate": "", "key": "", "authority": ""},
+                },
+                ["forward_listen"],
+            ),
             (
                 {"log": {"format": "xml"}, "tls": {}},
                 ["tls.certificate", "tls.key", "tls.authority", "log.format"],
