Let another entry VM carry attempts and probes of one that is cut off

Callers of an entry VM without links to engines got no completion while its peers had paths to all engines; streams that the cut broke were given up. The VM also took every engine for dead, told the other VMs, and counted its requests as suspects of crashes.

Cause: the first stage of a pipeline and the stages that are probed after a failure were reached over the VM's own links only, and a refused connection was a proof of death. An attempt of which nothing was sent now takes the same pipeline through a forwarder, without a charge to the retry budget, three times at most. A probe that cannot connect is repeated through a forwarder before an engine is declared dead, and a VM that is cut off and has no forwarder declares none dead. A stream that ended with a path goes on, also on the same engines. The retries, trials, quarantine and limits stay with the VM that has the caller.

A probe now waits 0.2 s rather than 0.4 s for a connection, so that a cut link differs from a slow stage. The processes of test_processes.py run with forwarding on.

The limits on answers without end hold through a forwarder too: the lines of a stream (LineReader), the pieces of a body, and 16 KiB for an answer to a probe.

--- a/sedgepin/_entry/_answer_limits.py
+++ b/sedgepin/_entry/_answer_limits.py
@@ -144,18 +144,38 @@
         return self._count > _MAX_BODY_PIECES
 
 
+class BodyCollector:
+    """Joins the pieces of a body, within limits."""
+
+    __slots__ = ("_counter", "_limit_bytes", "_pieces", "_size_bytes")
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        # A single buffer would be moved as it grows, and take twice the
+        # memory.
+        self._pieces: list[bytes] = []
+        self._size_bytes = 0
+        self._counter = PieceCounter()
+
+    async def add_piece(self, piece: bytes) -> bool:
+        """Add a piece; return whether the body is within the limits."""
+        self._pieces.append(piece)
+        self._size_bytes += len(piece)
+        await self._counter.record_piece()
+        is_over_size = self._size_bytes > self._limit_bytes
+        return not (is_over_size or self._counter.is_over_limit)
+
+    def join(self) -> bytes:
+        """Return the pieces as one."""
+        return b"".join(self._pieces)
+
+
 async def read_body(
     response: httpcore.Response, limit_bytes: int
 ) -> bytes | None:
     """Return the whole body, or ``None`` if it is over a limit."""
-    # A single buffer would be moved as it grows, and take twice the memory.
-    pieces: list[bytes] = []
-    size_bytes = 0
-    counter = PieceCounter()
+    collector = BodyCollector(limit_bytes)
     async for piece in response.aiter_stream():
-        pieces.append(piece)
-        size_bytes += len(piece)
-        await counter.record_piece()
-        if size_bytes > limit_bytes or counter.is_over_limit:
+        if not await collector.add_piece(piece):
             return None
-    return b"".join(pieces)
+    return collector.join()
--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -151,9 +151,7 @@
             case _effects.CallService():
                 self._nursery.start_soon(self._call_service, effect)
             case _effects.ProbeStages():
-                self._nursery.start_soon(
-                    self._client.probe, effect, self._driver.submit
-                )
+                self._nursery.start_soon(self._probe, effect)
             case _effects.ProbePath():
                 self._nursery.start_soon(
                     _endpoint_client.probe_path, effect, self._driver.submit
@@ -176,10 +174,25 @@
         with trio.CancelScope() as scope:
             self._streams[key] = scope
             try:
-                await self._client.run_stream(effect, self._driver.submit)
+                submit = self._driver.submit
+                if effect.forwarder is None:
+                    await self._client.run_stream(effect, submit)
+                else:
+                    await self._forwarded_client.run_stream(
+                        effect, effect.forwarder, submit
+                    )
             finally:
                 self._streams.pop(key, None)
 
+    async def _probe(self, effect: _effects.ProbeStages) -> None:
+        submit = self._driver.submit
+        if effect.forwarder is None:
+            await self._client.probe(effect, submit)
+        else:
+            await self._forwarded_client.probe(
+                effect, effect.forwarder, submit
+            )
+
     async def _call_service(self, effect: _effects.CallService) -> None:
         key = (effect.request.request_id, effect.attempt)
         with trio.CancelScope() as scope:
--- a/sedgepin/_entry/_effects.py
+++ b/sedgepin/_entry/_effects.py
@@ -17,7 +17,8 @@
     """Run an attempt on a pipeline.
 
     ``delivered`` holds the tokens that the caller already has.  The engines
-    prefill them after the prompt and continue at ``position``.
+    prefill them after the prompt and continue at ``position``.  A
+    ``forwarder`` connects to the first engine instead of this VM.
     """
 
     request_id: model.RequestId
@@ -30,6 +31,7 @@
     position: int
     limit_tokens: int
     priority: int
+    forwarder: protocol.Forwarder | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -45,7 +47,7 @@
     """Request the state of an attempt from each stage on a new connection.
 
     ``probe`` numbers the probes of a request; ``timeout`` applies to each
-    stage.
+    stage.  A ``forwarder`` connects to the stages instead of this VM.
     """
 
     request_id: model.RequestId
@@ -53,6 +55,7 @@
     probe: int
     stages: tuple[model.Stage, ...]
     timeout: datetime.timedelta
+    forwarder: protocol.Forwarder | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_entry/_endpoint_client.py
+++ b/sedgepin/_entry/_endpoint_client.py
@@ -8,8 +8,8 @@
 """
 
 import abc
-import collections.abc
 import contextlib
+import datetime
 import typing
 import urllib.parse
 
@@ -17,23 +17,18 @@
 import msgspec
 import trio
 
-from sedgepin import _answers as answers
 from sedgepin._entry import _answer_limits
 from sedgepin._entry import _effects
 from sedgepin._entry import _endpoint_headers
+from sedgepin._entry import _engine_messages
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
 from sedgepin import _model as model
-from sedgepin import _web as web
 from sedgepin import errors
 
-_CONNECT_TIMEOUT_SECONDS = 1.0
-_BUSY_STATUSES = frozenset((408, 425, 429, 503))
-_CLIENT_ERRORS = range(400, 500)
-_MAX_LINE_BYTES = 1_048_576
-_MAX_PROBE_BYTES = 16_384
+_CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 
-Emit: typing.TypeAlias = collections.abc.Callable[[_events.EntryEvent], None]
+Emit = _engine_messages.Emit
 
 _CONNECTION_ERRORS = (
     httpcore.NetworkError,
@@ -48,72 +43,6 @@
 )
 
 
-class PipelineRun(msgspec.Struct, frozen=True):
-    """The body of ``POST /v1/pipeline``, which runs a pipeline of stages.
-
-    ``index`` is the index of the receiving stage in ``stages``.
-    """
-
-    request_id: model.RequestId
-    attempt: int
-    stages: tuple[model.Stage, ...]
-    version: str
-    prompt: str
-    delivered: tuple[str, ...]
-    position: int
-    limit_tokens: int
-    priority: int
-    model: model.ModelName
-    index: int = 0
-
-
-class PieceLine(msgspec.Struct, frozen=True, tag="piece", tag_field="type"):
-    """A line of the answer stream: one token."""
-
-    request_id: model.RequestId
-    attempt: int
-    position: int
-    text: str
-    lineage: tuple[model.StageMark, ...]
-
-
-class HeartbeatLine(
-    msgspec.Struct, frozen=True, tag="heartbeat", tag_field="type"
-):
-    """A line that reports only that the attempt is still being processed."""
-
-
-class EndLine(msgspec.Struct, frozen=True, tag="end", tag_field="type"):
-    """The last line of a complete answer of ``token_count`` tokens."""
-
-    token_count: int
-    finish_reason: str = "stop"
-
-
-class FailedLine(msgspec.Struct, frozen=True, tag="failed", tag_field="type"):
-    """The last line of an attempt that a stage could not finish.
-
-    ``ran`` is false if the stage refused the request before running it.
-    """
-
-    endpoint_id: model.EndpointId
-    code: str
-    ran: bool = True
-
-
-class AttemptState(msgspec.Struct, frozen=True):
-    """The response body of ``GET /v1/attempts/{request}/{attempt}``."""
-
-    state: answers.StreamState
-    produced: int = 0
-    incarnation: model.Incarnation | None = None
-    received: int | None = None
-
-
-_Line: typing.TypeAlias = PieceLine | HeartbeatLine | EndLine | FailedLine
-_line_decoder: msgspec.json.Decoder[_Line] = msgspec.json.Decoder(_Line)
-
-
 class EndpointClient(abc.ABC):
     """Runs attempts and calls on endpoints and emits their events."""
 
@@ -140,7 +69,7 @@
     port = url.port or (443 if url.scheme == "https" else 80)
     is_reached = False
     with contextlib.suppress(OSError):
-        with trio.move_on_after(_CONNECT_TIMEOUT_SECONDS):
+        with trio.move_on_after(_CONNECT_TIMEOUT.total_seconds()):
             stream = await trio.open_tcp_stream(url.hostname or "", port)
             is_reached = True
             await stream.aclose()
@@ -167,23 +96,27 @@
         first = effect.pipeline.stages[0]
         crashed = False
         refusal: errors.Failure | None = None
+        link_failure: _events.LinkFailure | None = None
         reason = "the stream ended without an end marker"
         try:
             async with self._pool.stream(
                 "POST",
                 f"{first.address}/v1/pipeline",
                 headers=[(b"content-type", b"application/json")],
-                content=msgspec.json.encode(_pipeline_run(effect)),
+                content=msgspec.json.encode(
+                    _engine_messages.pipeline_run(effect)
+                ),
                 extensions=_extensions(),
             ) as response:
                 crashed = True
                 if response.status != 200:
                     crashed = False
-                    refusal = _refusal(response.status)
+                    refusal = _engine_messages.refusal(response.status)
                 elif await _emit_lines(response, effect, emit):
                     return
         except _CONNECT_ERRORS as exc:
             reason = type(exc).__name__
+            link_failure = _events.LinkFailure.DIRECT
         except _CONNECTION_ERRORS as exc:
             crashed = True
             reason = type(exc).__name__
@@ -196,7 +129,8 @@
                 effect.attempt,
                 first.endpoint_id,
                 failure,
-                crashed=crashed,
+                crashed,
+                link_failure,
             )
         )
 
@@ -250,15 +184,25 @@
         try:
             with trio.fail_after(effect.timeout.total_seconds()):
                 async with self._pool.stream(
-                    "GET", stage.address + path, extensions=_extensions()
+                    "GET",
+                    stage.address + path,
+                    # A link that is cut is to be told from a slow stage.
+                    extensions=_extensions(effect.timeout / 2),
                 ) as response:
                     body = await _answer_limits.read_body(
-                        response, _MAX_PROBE_BYTES
+                        response, _engine_messages.MAX_STATE_BYTES
                     )
+        except _CONNECT_ERRORS:
+            reports[endpoint_id] = _events.StageReport(
+                endpoint_id, None, link_failure=_events.LinkFailure.DIRECT
+            )
+            return
         except (trio.TooSlowError, *_CONNECTION_ERRORS):
             return
         if body is not None:
-            reports[endpoint_id] = _stage_report(endpoint_id, body)
+            reports[endpoint_id] = _engine_messages.stage_report(
+                endpoint_id, body
+            )
 
     async def _exchange(
         self, effect: _effects.CallService
@@ -292,50 +236,11 @@
         )
 
 
-def _pipeline_run(effect: _effects.StartStream) -> PipelineRun:
-    return PipelineRun(
-        request_id=effect.request_id,
-        attempt=effect.attempt,
-        model=effect.model,
-        version=effect.version,
-        prompt=effect.prompt,
-        delivered=effect.delivered,
-        position=effect.position,
-        limit_tokens=effect.limit_tokens,
-        priority=effect.priority,
-        stages=effect.pipeline.stages,
-    )
-
-
-def _stage_report(
-    endpoint_id: model.EndpointId, body: bytes
-) -> _events.StageReport:
-    try:
-        attempt = msgspec.json.decode(body, type=AttemptState)
-    except msgspec.DecodeError:
-        # The stage is alive but does not implement this request.
-        attempt = AttemptState(answers.StreamState.UNREPORTED)
-    return _events.StageReport(
-        endpoint_id,
-        attempt.state,
-        attempt.produced,
-        attempt.incarnation,
-        attempt.received,
-    )
-
-
-def _refusal(status: int) -> errors.Failure:
-    """Return the failure for an engine's response whose status is not 200."""
-    if status in _BUSY_STATUSES:
-        return _failures.EndpointBusy()
-    if _CLIENT_ERRORS.start <= status < _CLIENT_ERRORS.stop:
-        return _failures.EndpointRefused(status)
-    return _failures.EndpointFailed(f"the engine answered {status}")
-
-
-def _extensions() -> dict[str, typing.Any]:
+def _extensions(
+    connect_timeout: datetime.timedelta = _CONNECT_TIMEOUT,
+) -> dict[str, typing.Any]:
     return {
-        "timeout": {"connect": _CONNECT_TIMEOUT_SECONDS},
+        "timeout": {"connect": connect_timeout.total_seconds()},
         "trace": _answer_limits.HeadLimit().trace,
     }
 
@@ -344,55 +249,9 @@
     response: httpcore.Response, effect: _effects.StartStream, emit: Emit
 ) -> bool:
     """Emit an event for each line; return whether an end line was received."""
-    counter = _answer_limits.PieceCounter()
-    timer = web.PartTimer()
-    partial = bytearray()
+    reader = _engine_messages.LineReader(effect, emit)
     async for piece in response.aiter_stream():
-        await counter.record_piece()
-        # Only new bytes are searched, so that the cost of a long line does
-        # not grow with its square.
-        if b"\n" not in piece:
-            partial += piece
-            lines: list[bytes] = []
-            if timer.add_bytes(trio.current_time()):
-                raise msgspec.DecodeError("the line has no end")
-        else:
-            timer.reset()
-            first, *others, rest = piece.split(b"\n")
-            lines = [bytes(partial) + first, *others]
-            partial = bytearray(rest)
-        if len(partial) > _MAX_LINE_BYTES:
-            raise msgspec.DecodeError(
-                f"the line is longer than {_MAX_LINE_BYTES} bytes"
-            )
-        for raw in lines:
-            line = _line_decoder.decode(raw)
-            emit(_line_event(line, effect))
-            if isinstance(line, EndLine | FailedLine):
-                return True
+        await reader.feed(piece)
+        if reader.is_complete:
+            return True
     return False
-
-
-def _line_event(
-    line: _Line, effect: _effects.StartStream
-) -> _events.EntryEvent:
-    identity = (effect.request_id, effect.attempt)
-    if isinstance(line, PieceLine):
-        piece = model.TokenPiece(
-            line.request_id,
-            line.attempt,
-            line.position,
-            line.text,
-            line.lineage,
-        )
-        return _events.PieceReceived(*identity, piece)
-    if isinstance(line, HeartbeatLine):
-        return _events.EngineHeartbeatReceived(*identity)
-    if isinstance(line, EndLine):
-        return _events.StreamEnded(
-            *identity, line.token_count, line.finish_reason
-        )
-    failure = _failures.EndpointFailed(line.code)
-    return _events.StreamFailed(
-        *identity, line.endpoint_id, failure, crashed=line.ran
-    )
--- a/sedgepin/_entry/_events.py
+++ b/sedgepin/_entry/_events.py
@@ -124,7 +124,7 @@
 
     ``at_fault`` is the endpoint that presumably failed.  ``crashed`` is true
     if it failed while it ran the request, and false if it refused the
-    request or could not be reached.
+    request or could not be reached; ``link_failure`` then tells where.
     """
 
     request_id: model.RequestId
@@ -132,6 +132,7 @@
     at_fault: model.EndpointId
     failure: errors.Failure
     crashed: bool
+    link_failure: LinkFailure | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -164,7 +165,8 @@
 class StageReport:
     """The state of an attempt that a stage reported on a new connection.
 
-    ``state`` is ``None`` if the stage could not be reached.  ``received``
+    ``state`` is ``None`` if the stage could not be reached, and
+    ``link_failure`` tells where if no connection was made.  ``received``
     counts the tokens of the answer that reached the stage, ``None`` if the
     stage does not report it; ``produced`` counts those that it sent on.
     """
@@ -174,6 +176,7 @@
     produced: int = 0
     incarnation: model.Incarnation | None = None
     received: int | None = None
+    link_failure: LinkFailure | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_entry/_failure_handler.py
+++ b/sedgepin/_entry/_failure_handler.py
@@ -14,6 +14,8 @@
 from sedgepin._entry import _refusals
 from sedgepin._entry import _resumption
 from sedgepin._entry import _silent_deaths
+from sedgepin._entry import _stage_reports
+from sedgepin._entry import _stream_paths
 from sedgepin._entry import _trials
 from sedgepin import _membership as membership
 from sedgepin import _model as model
@@ -22,10 +24,6 @@
 
 Effects = list[_effects.EntryEffect]
 
-# Shorter than the failure detector's probe timeout, so that the stages'
-# reports, which identify the dead stage, arrive first.
-_PROBE_TIMEOUT = datetime.timedelta(milliseconds=400)
-
 
 class FailureHandler:
     """Finds out what failed, and resumes the answers that ran on it.
@@ -41,6 +39,7 @@
         "_generation",
         "_resumption",
         "_silent_deaths",
+        "_stream_paths",
         "_trials",
     )
 
@@ -59,6 +58,7 @@
         self._silent_deaths = _silent_deaths.SilentDeaths(
             context.gossip.endpoints
         )
+        self._stream_paths = _stream_paths.StreamPaths(context)
         self._trials = trials
 
     def handle_stream_ended(
@@ -108,7 +108,9 @@
             return effects + self._generation.finish(answer, completion, now)
         if event.crashed:
             answer.failed_stream = event
-            return [*effects, self._start_probe(answer)]
+            return effects + self._stream_paths.start_probe(answer, now)
+        if event.link_failure is not None:
+            return effects + self._handle_not_sent(answer, event, now)
         if isinstance(event.failure, _failures.EndpointRefused):
             # Any engine would refuse the request, so the endpoint is not
             # marked as failed.
@@ -120,6 +122,23 @@
         answer.excluded_endpoints |= {event.at_fault}
         return effects + self._resumption.retry_not_run(answer, now)
 
+    def _handle_not_sent(
+        self,
+        answer: _open_answer.OpenAnswer,
+        event: _events.StreamFailed,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Take another path to the pipeline, or another pipeline."""
+        is_blamed, effects = self._stream_paths.record_failure(
+            answer, event, now
+        )
+        if not is_blamed and self._stream_paths.can_detour(answer, now):
+            return effects + self._resumption.take_detour(answer, now)
+        if is_blamed:
+            effects += self._mark_failed(event.at_fault, now)
+        answer.excluded_endpoints |= {event.at_fault}
+        return effects + self._resumption.retry_not_run(answer, now)
+
     def handle_probe_answered(
         self, event: _events.ProbeAnswered, now: datetime.datetime
     ) -> Effects:
@@ -127,13 +146,27 @@
         answer = self._find_answer(event.request_id, event.attempt)
         if answer is None or event.probe != answer.probe:
             return []
+        is_unsure, effects = self._stream_paths.review_reports(
+            answer, event, now
+        )
+        if is_unsure:
+            return effects + self._stream_paths.take_detour(answer, now)
         if answer.failed_stream is not None:
-            return self._diagnose_failure(answer, event, now)
-        return self._diagnose_silence(answer, event, now)
+            return effects + self._diagnose_failure(answer, event, now)
+        return effects + self._diagnose_silence(answer, event, now)
+
+    def resume_waiting(self, now: datetime.datetime) -> Effects:
+        """Continue what has waited for a forwarder, if the wait is over."""
+        effects = self._generation.resume_waiting(now)
+        for request_id, probe in self._stream_paths.take_waiting():
+            answer = self._generation.open_answers.get(request_id)
+            if answer is not None and answer.probe == probe:
+                effects += self._stream_paths.continue_probe(answer, now)
+        return effects
 
     def tick(self, now: datetime.datetime) -> Effects:
         """Check for silent streams, expired deadlines and due trials."""
-        effects: Effects = []
+        effects = self.resume_waiting(now)
         for answer in list(self._generation.open_answers.values()):
             if answer.request.request_id not in self._generation.open_answers:
                 continue
@@ -168,20 +201,6 @@
             return None
         return answer
 
-    def _start_probe(
-        self, answer: _open_answer.OpenAnswer
-    ) -> _effects.ProbeStages:
-        pipeline = answer.assembly.pipeline
-        assert pipeline is not None
-        answer.probe += 1
-        return _effects.ProbeStages(
-            answer.request.request_id,
-            answer.assembly.attempt,
-            answer.probe,
-            pipeline.stages,
-            _PROBE_TIMEOUT,
-        )
-
     def _diagnose_failure(
         self,
         answer: _open_answer.OpenAnswer,
@@ -198,13 +217,14 @@
         ]
         if dead:
             return self._declare_dead(dead, now)
-        return self._resumption.resume(
-            answer, frozenset((failed_stream.at_fault,)), True, now
-        )
+        at_fault = frozenset((failed_stream.at_fault,))
+        if self._stream_paths.may_have_lost_path(answer):
+            at_fault = frozenset()
+        return self._resumption.resume(answer, at_fault, True, now)
 
     def _has_died(self, report: _events.StageReport) -> bool:
         if report.state is None:
-            return True
+            return not self._stream_paths.is_unknown(report)
         announcement = self._context.gossip.endpoints.find(report.endpoint_id)
         if announcement is None or report.incarnation is None:
             return False
@@ -221,14 +241,14 @@
             return []
         previous, answer.stalled_stages = (
             answer.stalled_stages,
-            _find_stalled_stages(event.reports),
+            _stage_reports.find_stalled_stages(event.reports),
         )
         if answer.stalled_stages and answer.stalled_stages == previous:
             return self._resumption.resume(
                 answer, answer.stalled_stages, True, now
             )
         effects: Effects = []
-        combined = _combine_reports(event, answer.failure_probe)
+        combined = _stage_reports.combine_reports(event, answer.failure_probe)
         for effect in detector.handle(combined, now):
             if isinstance(effect, answers.DeclareEndpointDead):
                 dead = [
@@ -250,7 +270,7 @@
         match effect:
             case answers.ProbeEndpoint():
                 answer.failure_probe = effect.probe
-                return [self._start_probe(answer)]
+                return self._stream_paths.start_probe(answer, now)
             case answers.DeclareEndpointDead(endpoint_id):
                 return self._declare_dead([endpoint_id], now)
             case answers.DeclareConnectionDead():
@@ -354,56 +374,6 @@
         return self._generation.fail_request(answer, timeout, now)
 
 
-def _combine_reports(
-    event: _events.ProbeAnswered, probe: int
-) -> answers.ProbeSucceeded | answers.ProbeFailed:
-    """Combine the reports of all stages into one probe result.
-
-    The probe fails if any stage cannot be reached.  During prefill, a later
-    stage that does not know the attempt may not have received it yet, or the
-    connection from the previous stage may be silent; the state is then
-    ``UNREPORTED``.
-    """
-    states = [report.state for report in event.reports]
-    first = states[0]
-    if first is None or None in states:
-        return answers.ProbeFailed(probe)
-    state = first
-    if answers.StreamState.PRODUCING in states:
-        state = answers.StreamState.PRODUCING
-    elif first is not answers.StreamState.PREFILLING:
-        state = first
-    elif answers.StreamState.UNKNOWN in states:
-        state = answers.StreamState.UNREPORTED
-    produced = max(report.produced for report in event.reports)
-    return answers.ProbeSucceeded(probe, state, produced)
-
-
-def _find_stalled_stages(
-    reports: tuple[_events.StageReport, ...],
-) -> frozenset[model.EndpointId]:
-    """Return the stages that hold tokens back according to the reports.
-
-    A stage that received more tokens than it sent on hangs.  If a stage sent
-    more than the next one received, the tokens were lost between them, and
-    the next stage is returned.  A stage in prefill is not counted, because it
-    has to hold the prompt.
-    """
-    stalled = set()
-    for report, next_report in zip(reports, (*reports[1:], None)):
-        if report.state is not answers.StreamState.PRODUCING:
-            continue
-        if report.received is not None and report.received > report.produced:
-            stalled.add(report.endpoint_id)
-        if next_report is None or next_report.received is None:
-            continue
-        if next_report.state is answers.StreamState.PREFILLING:
-            continue
-        if report.produced > next_report.received:
-            stalled.add(next_report.endpoint_id)
-    return frozenset(stalled)
-
-
 def _in_flight_request(
     answer: _open_answer.OpenAnswer,
 ) -> admission.InFlightRequest:
--- a/sedgepin/_entry/_forwarded_client.py
+++ b/sedgepin/_entry/_forwarded_client.py
@@ -1,11 +1,13 @@
 """The client for endpoints that another entry VM connects to."""
 
+import msgspec
 import result
 import trio
 
+from sedgepin._entry import _answer_limits
 from sedgepin._entry import _effects
-from sedgepin._entry import _endpoint_client
 from sedgepin._entry import _endpoint_headers
+from sedgepin._entry import _engine_messages
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
 from sedgepin._entry import _paths
@@ -14,6 +16,7 @@
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin import _web as web
+from sedgepin import errors
 
 # A forwarder gives the endpoint 0.25 s to accept the connection.
 _OPEN_TIMEOUT_SECONDS = 0.5
@@ -24,7 +27,7 @@
 
 
 class ForwardedClient:
-    """Sends calls through the forwarders of their effects.
+    """Sends attempts, calls and probes through forwarders.
 
     Cancelling a method closes the connection, upon which the forwarder ends
     the work at the endpoint.
@@ -35,11 +38,65 @@
     def __init__(self, answer_limit_bytes: int) -> None:
         self._answer_limit_bytes = answer_limit_bytes
 
+    async def run_stream(
+        self,
+        effect: _effects.StartStream,
+        forwarder: protocol.Forwarder,
+        emit: _engine_messages.Emit,
+    ) -> None:
+        """Run an attempt, and emit its pieces and its end or failure."""
+        first = effect.pipeline.stages[0]
+        identity = (effect.request_id, effect.attempt, first.endpoint_id)
+        opened = await _open(
+            forwarder, first.endpoint_id, first.address, effect.request_id
+        )
+        if isinstance(opened, result.Err):
+            failure = _failures.EndpointFailed(opened.err_value.detail())
+            link_failure = _link_failure(opened.err_value)
+            emit(_events.StreamFailed(*identity, failure, False, link_failure))
+            return
+        conn = opened.ok_value
+        try:
+            ended = await _run_attempt(conn, effect, emit)
+        finally:
+            conn.close()
+        if isinstance(ended, errors.Failure):
+            # An engine that refuses an attempt has not run it.
+            crashed = isinstance(ended, web.AnswerBroken)
+            if crashed:
+                ended = _failures.EndpointFailed(ended.detail())
+            emit(_events.StreamFailed(*identity, ended, crashed))
+
+    async def probe(
+        self,
+        effect: _effects.ProbeStages,
+        forwarder: protocol.Forwarder,
+        emit: _engine_messages.Emit,
+    ) -> None:
+        """Request an attempt's state from all stages concurrently."""
+        reports: dict[model.EndpointId, _events.StageReport] = {}
+
+        async def probe_stage(stage: model.Stage) -> None:
+            endpoint_id = stage.endpoint_id
+            reports[endpoint_id] = _events.StageReport(endpoint_id, None)
+            with trio.move_on_after(effect.timeout.total_seconds()):
+                reports[endpoint_id] = await _probe(effect, stage, forwarder)
+
+        async with trio.open_nursery() as nursery:
+            for stage in effect.stages:
+                nursery.start_soon(probe_stage, stage)
+        ordered = tuple(reports[stage.endpoint_id] for stage in effect.stages)
+        emit(
+            _events.ProbeAnswered(
+                effect.request_id, effect.attempt, effect.probe, ordered
+            )
+        )
+
     async def call_service(
         self,
         effect: _effects.CallService,
         forwarder: protocol.Forwarder,
-        emit: _endpoint_client.Emit,
+        emit: _engine_messages.Emit,
     ) -> None:
         """Send a call to a plain service once, and emit its result."""
         identity = (effect.request.request_id, effect.attempt)
@@ -100,6 +157,70 @@
     )
 
 
+async def _run_attempt(
+    conn: forwarding.ForwardedConnection,
+    effect: _effects.StartStream,
+    emit: _engine_messages.Emit,
+) -> errors.Failure | None:
+    """Pass a stream's events on; return why it ended, if not at its end."""
+    body = msgspec.json.encode(_engine_messages.pipeline_run(effect))
+    host = _host(effect.pipeline.stages[0].address)
+    headers = ((b"host", host), (b"content-type", b"application/json"))
+    sent = await conn.send(
+        web.Request(b"POST", b"/v1/pipeline", headers, body)
+    )
+    if isinstance(sent, result.Err):
+        return sent.err_value
+    head = await conn.read_head()
+    if isinstance(head, result.Err):
+        return head.err_value
+    if head.ok_value.status != 200:
+        return _engine_messages.refusal(head.ok_value.status)
+    reader = _engine_messages.LineReader(effect, emit)
+    while not reader.is_complete:
+        data = await conn.read_data()
+        if isinstance(data, result.Err):
+            return data.err_value
+        if data.ok_value is None:
+            return _broken("the stream ended without an end marker")
+        try:
+            await reader.feed(data.ok_value)
+        except msgspec.DecodeError as exc:
+            return _broken(f"cannot decode a line of the stream: {exc}")
+    return None
+
+
+async def _probe(
+    effect: _effects.ProbeStages,
+    stage: model.Stage,
+    forwarder: protocol.Forwarder,
+) -> _events.StageReport:
+    endpoint_id = stage.endpoint_id
+    opened = await _open(
+        forwarder, endpoint_id, stage.address, effect.request_id
+    )
+    if isinstance(opened, result.Err):
+        return _events.StageReport(
+            endpoint_id, None, link_failure=_link_failure(opened.err_value)
+        )
+    conn = opened.ok_value
+    target = f"/v1/attempts/{effect.request_id}/{effect.attempt}"
+    headers = ((b"host", _host(stage.address)),)
+    message = web.Request(b"GET", target.encode("ascii"), headers)
+    try:
+        answered = await _exchange(
+            conn, message, _engine_messages.MAX_STATE_BYTES
+        )
+    finally:
+        conn.close()
+    if isinstance(answered, result.Ok):
+        body = answered.ok_value[1]
+        return _engine_messages.stage_report(endpoint_id, body)
+    # The forwarder may have died rather than the stage.
+    lost = _events.LinkFailure.FORWARDER if conn.is_lost else None
+    return _events.StageReport(endpoint_id, None, link_failure=lost)
+
+
 async def _exchange(
     conn: forwarding.ForwardedConnection,
     message: web.Request,
@@ -111,8 +232,24 @@
     head = await conn.read_head()
     if isinstance(head, result.Err):
         return head
-    body = await conn.read_body(limit_bytes)
-    return body.map(lambda data: (head.ok_value, data))
+    body = _answer_limits.BodyCollector(limit_bytes)
+    while True:
+        data = await conn.read_data()
+        if isinstance(data, result.Err):
+            return data
+        if data.ok_value is None:
+            return result.Ok((head.ok_value, body.join()))
+        if not await body.add_piece(data.ok_value):
+            return result.Err(
+                _broken(
+                    f"the answer is longer than {limit_bytes} bytes or in "
+                    "too many pieces"
+                )
+            )
+
+
+def _broken(reason: str) -> web.AnswerBroken:
+    return web.AnswerBroken("through a forwarder", reason)
 
 
 def _headers(effect: _effects.CallService) -> web.Headers:
--- a/sedgepin/_entry/_generation.py
+++ b/sedgepin/_entry/_generation.py
@@ -15,6 +15,7 @@
 from sedgepin._entry import _failures
 from sedgepin._entry import _held_prompts
 from sedgepin._entry import _open_answer
+from sedgepin._entry import _paths
 from sedgepin._entry import _quarantine_updates
 from sedgepin._entry import _refusals
 from sedgepin import _model as model
@@ -46,6 +47,7 @@
         "_context",
         "_held_prompts",
         "_mean_answer_seconds",
+        "_waiting_answers",
         "open_answers",
         "quarantine_updates",
     )
@@ -61,6 +63,7 @@
         self._admission_controllers = controllers
         self._mean_answer_seconds: dict[model.ModelName, float] = {}
         self.open_answers: dict[model.RequestId, _open_answer.OpenAnswer] = {}
+        self._waiting_answers: list[model.RequestId] = []
         self.quarantine_updates: list[
             _quarantine_updates.QuarantineUpdate
         ] = []
@@ -218,8 +221,19 @@
         pipeline: model.Pipeline,
         now: datetime.datetime,
     ) -> Effects:
-        """Start the next attempt on ``pipeline``."""
+        """Start the next attempt on ``pipeline``.
+
+        It may have to wait for a forwarder to the first engine for a moment.
+        """
         request = answer.request
+        first = pipeline.stages[0]
+        path = (first.endpoint_id, first.address, answer.detours > 0, now)
+        if self._context.paths.must_wait(*path):
+            answer.awaited_pipeline = pipeline
+            self._waiting_answers.append(request.request_id)
+            return []
+        answer.awaited_pipeline = None
+        answer.forwarder = self._context.paths.choose_forwarder(*path)
         router = self._context.router
         routing_request = answer.routing_request(answer.version)
         attempt = answer.assembly.start_attempt(pipeline, now)
@@ -251,8 +265,12 @@
             position=resume_point.next_position,
             limit_tokens=request.limit_tokens,
             priority=request.priority,
+            forwarder=answer.forwarder,
         )
         effects: Effects = [start_stream, _effects.CountMetric("attempts")]
+        effects += _paths.log_forwarded(
+            request.request_id, attempt, first.endpoint_id, answer.forwarder
+        )
         if attempt > 1:
             line = events.ANSWER_RESUMED.line(
                 request=request.request_id,
@@ -262,6 +280,16 @@
             effects.append(_effects.WriteLog(line))
         return effects
 
+    def resume_waiting(self, now: datetime.datetime) -> Effects:
+        """Start the attempts whose wait for a forwarder is over."""
+        waiting, self._waiting_answers = self._waiting_answers, []
+        effects: Effects = []
+        for request_id in waiting:
+            answer = self.open_answers.get(request_id)
+            if answer is not None and answer.awaited_pipeline is not None:
+                effects += self.start(answer, answer.awaited_pipeline, now)
+        return effects
+
     def handle_piece(
         self, event: _events.PieceReceived, now: datetime.datetime
     ) -> Effects:
@@ -272,17 +300,18 @@
         answer = self.open_answers.get(event.request_id)
         if answer is None or event.attempt != answer.assembly.attempt:
             return [_effects.CountMetric("pieces_late")]
+        effects = self._record_reached(answer, now)
         accepted = answer.assembly.accept(event.piece, now)
         if isinstance(accepted, result.Err):
             line = events.PIECE_DROPPED.line(
                 request=event.request_id, code=accepted.err_value.reason.value
             )
             metric = _effects.CountMetric("pieces_dropped")
-            return [_effects.WriteLog(line), metric]
+            return [*effects, _effects.WriteLog(line), metric]
         pieces = accepted.ok_value
         if not pieces:
-            return []
-        return self._deliver(answer, pieces, now)
+            return effects
+        return effects + self._deliver(answer, pieces, now)
 
     def handle_heartbeat(
         self, event: _events.EngineHeartbeatReceived, now: datetime.datetime
@@ -440,6 +469,16 @@
             )
         return effects
 
+    def _record_reached(
+        self, answer: _open_answer.OpenAnswer, now: datetime.datetime
+    ) -> Effects:
+        pipeline = answer.assembly.pipeline
+        if pipeline is None:
+            return []
+        return self._context.paths.record_reached(
+            pipeline.stages[0].endpoint_id, answer.forwarder, now
+        )
+
     def _record_answer_time(
         self, answer: _open_answer.OpenAnswer, now: datetime.datetime
     ) -> None:
--- a/sedgepin/_entry/_open_answer.py
+++ b/sedgepin/_entry/_open_answer.py
@@ -8,6 +8,7 @@
 from sedgepin._entry import _events
 from sedgepin._entry import _prefixes
 from sedgepin import _model as model
+from sedgepin import _protocol as protocol
 from sedgepin import _release as release
 from sedgepin import _routing as routing
 
@@ -30,20 +31,25 @@
     __slots__ = (
         "_traits",
         "assembly",
+        "awaited_pipeline",
         "deadline",
         "deprioritized",
+        "detours",
         "dispatched",
         "dispatched_at",
         "excluded_endpoints",
         "failed_stream",
         "failure_detector",
         "failure_probe",
+        "forwarder",
         "has_survived",
         "is_admitted",
         "model",
         "on_trial",
         "preferred_endpoints",
         "probe",
+        "probe_detours",
+        "probe_forwarder",
         "received_at",
         "request",
         "resume_position",
@@ -89,6 +95,14 @@
         # detector's last probe, which are counted separately.
         self.probe = 0
         self.failure_probe = 0
+        # Set while the next attempt waits for a forwarder to its first stage.
+        self.awaited_pipeline: model.Pipeline | None = None
+        # Who connects to the first stage of the attempt and to the probed
+        # stages, ``None`` for this VM, and the ways tried beside the first.
+        self.forwarder: protocol.Forwarder | None = None
+        self.detours = 0
+        self.probe_forwarder: protocol.Forwarder | None = None
+        self.probe_detours = 0
         self.version = served_model.version
         # Whether its output has shown that it crashes no engine.
         self.has_survived = False
--- a/sedgepin/_entry/_paths.py
+++ b/sedgepin/_entry/_paths.py
@@ -94,6 +94,11 @@
         """Return whether this VM forwards, and has others forward."""
         return self._cfg.forward_listen is not None
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Return whether this VM seems to have no path to any endpoint."""
+        return self._links.is_cut_off
+
     def record_connected(self, peer_id: model.VmId) -> None:
         """Record a stream to a peer, which may forward if it is an entry."""
         if peer_id in self._entries:
@@ -113,7 +118,7 @@
         if sender not in self._entries:
             return []
         self._askers.add(sender)
-        is_usable = not self.is_draining and not self._links.is_cut_off
+        is_usable = not self.is_draining and not self.is_cut_off
         if not self.is_enabled or not is_usable:
             return self._answer_askers(False)
         if self._reached_at is not None:
@@ -188,7 +193,9 @@
             return True, []
         if failure is _LinkFailure.DIRECT or forwarder is None:
             effects = self._record_direct_failure(endpoint_id, now)
-            return not self.has_detour(address, now), effects
+            # A VM that is cut off knows nothing about endpoints.
+            is_blamed = not (self.is_cut_off or self.has_detour(address, now))
+            return is_blamed, effects
         if failure is _LinkFailure.FORWARDER:
             is_new = self._links.record_forwarder_failure(forwarder, now)
             return False, _log_forwarder_failed(forwarder) if is_new else []
@@ -203,6 +210,8 @@
         now: datetime.datetime,
     ) -> Effects:
         """Record that a connection to an endpoint was made."""
+        if not self.is_enabled:
+            return []
         if forwarder is not None:
             self._links.record_forwarded(forwarder)
             return []
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -307,7 +307,8 @@
                 return self._context.paths.answer_question(sender, now)
             case protocol.ForwardersOffered(forwarders):
                 self._context.paths.record_offer(sender, forwarders, now)
-                return self._calls.resume_waiting(now)
+                effects = self._failure_handler.resume_waiting(now)
+                return effects + self._calls.resume_waiting(now)
             case protocol.DeclaredLost(incarnation):
                 self._start_new_incarnation(incarnation)
         return []
--- a/sedgepin/_entry/_resumption.py
+++ b/sedgepin/_entry/_resumption.py
@@ -36,6 +36,7 @@
         attempt = answer.assembly.attempt
         answer.assembly.close_attempt(attempt, now)
         answer.failure_detector = None
+        answer.awaited_pipeline = None
         answer.failed_stream = None
         request_id = answer.request.request_id
         return [_effects.CancelStream(request_id, attempt)]
@@ -59,6 +60,7 @@
         if completion is not None:
             return effects + self._generation.finish(answer, completion, now)
         answer.excluded_endpoints |= excluded
+        answer.detours = 0
         pipeline = answer.assembly.pipeline
         assert pipeline is not None
         failed_attempt = answers.FailedAttempt(
@@ -87,8 +89,22 @@
     ) -> Effects:
         """Try another pipeline after one on which nothing was run."""
         cancelled = self.cancel(answer, now)
+        answer.detours = 0
         return cancelled + self._dispatch_again(answer, False, False, now)
 
+    def take_detour(
+        self, answer: _open_answer.OpenAnswer, now: datetime.datetime
+    ) -> Effects:
+        """Try the same pipeline over another path; nothing was sent to it.
+
+        It does not count against the retry budget, as no engine got more.
+        """
+        pipeline = answer.assembly.pipeline
+        assert pipeline is not None
+        cancelled = self.cancel(answer, now)
+        answer.detours += 1
+        return cancelled + self._generation.start(answer, pipeline, now)
+
     def _dispatch_again(
         self,
         answer: _open_answer.OpenAnswer,
--- a/sedgepin/_entry/_trials.py
+++ b/sedgepin/_entry/_trials.py
@@ -188,7 +188,8 @@
         for answer in list(self._generation.open_answers.values()):
             if answer.fingerprint != fingerprint or answer.on_trial:
                 continue
-            if answer.failure_detector is None:
+            is_waiting = answer.awaited_pipeline is not None
+            if answer.failure_detector is None and not is_waiting:
                 continue
             effects += self._resumption.cancel(answer, now)
             answer.on_trial = True
--- a/sedgepin/_entry/tests/test_cut_off.py
+++ b/sedgepin/_entry/tests/test_cut_off.py
@@ -26,8 +26,8 @@
         system.block_messages(name, endpoint)
 
 
-def _started(seed: int = 1) -> simulation.Simulation:
-    system = simulation.Simulation(entries=6, seed=seed)
+def _started(seed: int = 1, replicas: int = 2) -> simulation.Simulation:
+    system = simulation.Simulation(entries=6, replicas=replicas, seed=seed)
     system.start_and_publish()
     return system
 
@@ -171,40 +171,116 @@
         failures = [caller.failure for caller in callers if caller.failure]
         assert failures == []
 
+    def test_completions_fail_and_no_engine_is_blamed_if_all_are_cut_off(
+        self,
+    ) -> None:
+        system = _started()
+        for number in range(1, 7):
+            _cut_off(system, f"entry-{number}")
+        caller = _send_prompt(system)
+        system.run(1.0)
+        assert caller.failure is not None
+        assert caller.texts == []
+        _assert_nobody_is_blamed(system)
+
+
+def _break_streams(system: simulation.Simulation) -> None:
+    """End the streams of the cut VM, whose links carry nothing any more."""
+    reducer = system.vms[_CUT].reducer
+    streams = [
+        (answer.request.request_id, answer.assembly)
+        for answer in reducer._generation.open_answers.values()
+    ]
+    assert streams
+    for request_id, assembly in streams:
+        attempt = assembly.attempt
+        system.vms[_CUT].cancelled.add((request_id, attempt))
+        broken = entry.StreamFailed(
+            request_id,
+            attempt,
+            assembly.pipeline.stages[0].endpoint_id,
+            _failures.EndpointFailed("ReadError"),
+            crashed=True,
+        )
+        system.submit(_CUT, broken)
+
+
+def _assert_nobody_is_blamed(system: simulation.Simulation) -> None:
+    directory = system.vms[_CUT].reducer._context.gossip.endpoints
+    for endpoint_id in system.endpoints:
+        assert not directory.is_suspected(endpoint_id, system.now)
+
 
 class TestStreamsInProgress:
+    @pytest.mark.parametrize("replicas", [1, 2])
     def test_streams_that_a_cut_breaks_go_on_and_nobody_is_blamed(
-        self,
+        self, replicas: int
     ) -> None:
-        system = _started()
+        system = _started(replicas=replicas)
         callers = [
             system.send_prompt(_CUT, f"prompt {number}", 40)
             for number in range(4)
         ]
         system.run(0.3)
         _cut_off(system)
-        reducer = system.vms[_CUT].reducer
-        streams = [
-            (answer.request.request_id, answer.assembly)
-            for answer in reducer._generation.open_answers.values()
-        ]
-        assert len(streams) == len(callers)
-        for request_id, assembly in streams:
-            attempt = assembly.attempt
-            system.vms[_CUT].cancelled.add((request_id, attempt))
-            broken = entry.StreamFailed(
-                request_id,
-                attempt,
-                assembly.pipeline.stages[0].endpoint_id,
-                _failures.EndpointFailed("ReadError"),
-                crashed=True,
-            )
-            system.submit(_CUT, broken)
+        _break_streams(system)
         _finish(system, callers)
         assert [caller.failure for caller in callers] == [None] * 4
+        _assert_nobody_is_blamed(system)
+
+    def test_streams_that_a_cut_of_all_vms_breaks_blame_nobody(self) -> None:
+        system = _started()
+        caller = system.send_prompt(_CUT, "prompt", 40)
+        system.run(0.3)
+        for number in range(1, 7):
+            _cut_off(system, f"entry-{number}")
+        _break_streams(system)
+        _finish(system, [caller])
+        assert caller.failure is not None
+        assert caller.failure.outcome is not errors.Outcome.NOT_RUN
+        _assert_nobody_is_blamed(system)
+
+    def test_streams_go_on_when_their_forwarder_ends(self) -> None:
+        system = _started()
+        _cut_off(system)
+        caller = system.send_prompt(_CUT, "prompt", 60)
+        system.run(0.3)
+        reducer = system.vms[_CUT].reducer
+        (answer,) = reducer._generation.open_answers.values()
+        assert answer.forwarder is not None
+        assert 0 < len(caller.texts) < 60
+        system.kill(answer.forwarder.vm_id)
+        _break_streams(system)
+        _finish(system, [caller])
+        assert caller.failure is None
+        _assert_nobody_is_blamed(system)
+
+    def test_engine_that_ends_is_found_by_a_cut_vm(self) -> None:
+        system = _started()
+        _cut_off(system)
+        caller = system.send_prompt(_CUT, "prompt", 60)
+        system.run(0.3)
+        reducer = system.vms[_CUT].reducer
+        (answer,) = reducer._generation.open_answers.values()
+        engine_id = answer.assembly.pipeline.stages[1].endpoint_id
+        system.endpoints[engine_id].is_alive = False
+        _finish(system, [caller])
+        assert caller.failure is None
         directory = reducer._context.gossip.endpoints
-        for endpoint_id in system.endpoints:
-            assert not directory.is_suspected(endpoint_id, system.now)
+        assert directory.is_suspected(engine_id, system.now)
+
+    def test_closed_caller_ends_a_forwarded_stream(self) -> None:
+        system = _started()
+        _cut_off(system)
+        system.send_prompt(_CUT, "prompt", 60)
+        system.run(0.3)
+        reducer = system.vms[_CUT].reducer
+        (answer,) = reducer._generation.open_answers.values()
+        request_id = answer.request.request_id
+        system.submit(_CUT, entry.CallerDisconnected(request_id))
+        key = (request_id, answer.assembly.attempt)
+        assert key in system.vms[_CUT].cancelled
+        assert reducer.is_idle
 
 
 class TestOtherVms:
--- a/sedgepin/_entry/tests/test_endpoint_client.py
+++ b/sedgepin/_entry/tests/test_endpoint_client.py
@@ -49,7 +49,11 @@
             0,
         )
         effect = _effects.CallService(
-            request, 1, f"http://{self.engine.address}", timeout
+            request,
+            1,
+            model.EndpointId("e"),
+            f"http://{self.engine.address}",
+            timeout,
         )
         await self.client.call_service(effect, self.emitted.append)
 
--- a/sedgepin/_entry/tests/test_forwarded_client.py
+++ b/sedgepin/_entry/tests/test_forwarded_client.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from sedgepin import _answers as answers
 from sedgepin import _entry as entry
 from sedgepin._entry import _forwarded_client
 from sedgepin import _forwarding as forwarding
@@ -74,7 +75,7 @@
         self.forwarder = protocol.Forwarder(model.VmId("two"), address, _KEY)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
-        while b"\r\n\r\n" not in self.received:
+        while not _is_whole(self.received):
             data = await stream.receive_some()
             if not data:
                 return
@@ -88,6 +89,16 @@
         self.is_closed.set()
 
 
+def _is_whole(received: bytes) -> bool:
+    head, end, body = received.partition(b"\r\n\r\n")
+    lengths = [
+        int(line.split(b":")[1])
+        for line in head.split(b"\r\n")
+        if line.lower().startswith(b"content-length:")
+    ]
+    return bool(end) and len(body) >= sum(lengths)
+
+
 def _address(listeners: list[trio.SocketListener]) -> str:
     return f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
 
@@ -123,6 +134,53 @@
     )
 
 
+def _stage(setup: _Setup, endpoint_id: str = "engine") -> model.Stage:
+    return model.Stage(
+        model.EndpointId(endpoint_id),
+        f"http://{setup.address}",
+        model.LayerRange(0, 1),
+    )
+
+
+def _attempt(setup: _Setup, endpoint_id: str = "engine") -> entry.StartStream:
+    return entry.StartStream(
+        request_id=model.RequestId("r1"),
+        attempt=1,
+        pipeline=model.Pipeline((_stage(setup, endpoint_id),)),
+        model=model.ModelName("beet"),
+        version="1",
+        prompt="prompt",
+        delivered=(),
+        position=0,
+        limit_tokens=2,
+        priority=1,
+        forwarder=setup.forwarder,
+    )
+
+
+def _probe(setup: _Setup, *endpoint_ids: str) -> entry.ProbeStages:
+    return entry.ProbeStages(
+        model.RequestId("r1"),
+        1,
+        1,
+        tuple(_stage(setup, one) for one in endpoint_ids),
+        datetime.timedelta(seconds=0.3),
+        setup.forwarder,
+    )
+
+
+def _answer(body: bytes, status: bytes = b"200 OK") -> bytes:
+    length = b"%d" % len(body)
+    return (
+        b"HTTP/1.1 "
+        + status
+        + b"\r\nContent-Length: "
+        + length
+        + b"\r\nConnection: close\r\n\r\n"
+        + body
+    )
+
+
 def _run(
     setup: _Setup, test: collections.abc.Callable[[], typing.Any]
 ) -> None:
@@ -259,3 +317,95 @@
 
         _run(setup, test)
         assert setup.events == []
+
+
+_PIECE = (
+    b'{"type":"piece","request_id":"r1","attempt":1,"position":0,'
+    b'"text":"a","lineage":[]}\n'
+)
+_END = b'{"type":"end","token_count":1}\n'
+
+
+class TestRunStream:
+    def _run_stream(
+        self, setup: _Setup, endpoint_id: str = "engine"
+    ) -> list[entry.EntryEvent]:
+        async def test() -> None:
+            await setup.client.run_stream(
+                _attempt(setup, endpoint_id),
+                setup.forwarder,
+                setup.events.append,
+            )
+
+        _run(setup, test)
+        return setup.events
+
+    def test_pieces_and_end_are_passed_on(self) -> None:
+        setup = _Setup(_answer(_PIECE + _END))
+        piece, ended = self._run_stream(setup)
+        assert isinstance(piece, entry.PieceReceived)
+        assert piece.piece.text == "a"
+        assert isinstance(ended, entry.StreamEnded)
+        assert setup.received.startswith(b"POST /v1/pipeline HTTP/1.1\r\n")
+        assert b'"prompt":"prompt"' in setup.received
+
+    @pytest.mark.parametrize(
+        ("answer", "code", "crashed"),
+        [
+            (_answer(_PIECE), "endpoint_failed", True),
+            (_answer(_PIECE + _END)[:-1], "endpoint_failed", True),
+            (_answer(_PIECE + b"no JSON\n"), "endpoint_failed", True),
+            (_answer(b"", b"503 Busy"), "endpoint_busy", False),
+            (_answer(b"", b"400 Bad"), "endpoint_refused", False),
+        ],
+    )
+    def test_early_end_is_told_from_a_refusal(
+        self, answer: bytes, code: str, crashed: bool
+    ) -> None:
+        *_, failed = self._run_stream(_Setup(answer))
+        assert isinstance(failed, entry.StreamFailed)
+        assert (failed.failure.code, failed.crashed) == (code, crashed)
+        assert failed.link_failure is None
+
+    def test_engine_that_is_not_reached_gets_nothing(self) -> None:
+        setup = _Setup(_answer(_PIECE + _END))
+        (failed,) = self._run_stream(setup, "unknown")
+        assert isinstance(failed, entry.StreamFailed)
+        assert not failed.crashed
+        assert failed.link_failure is entry.LinkFailure.BEYOND
+        assert setup.received == b""
+
+
+class TestProbe:
+    def test_states_and_link_failures_are_reported(self) -> None:
+        setup = _Setup(_answer(b'{"state":"producing","produced":3}'))
+
+        async def test() -> None:
+            await setup.client.probe(
+                _probe(setup, "engine", "unknown"),
+                setup.forwarder,
+                setup.events.append,
+            )
+
+        _run(setup, test)
+        (answered,) = setup.events
+        assert isinstance(answered, entry.ProbeAnswered)
+        reached, not_reached = answered.reports
+        assert reached.state is answers.StreamState.PRODUCING
+        assert (reached.produced, reached.link_failure) == (3, None)
+        assert not_reached.state is None
+        assert not_reached.link_failure is entry.LinkFailure.BEYOND
+
+    def test_silent_stage_is_no_link_failure(self) -> None:
+        setup = _Setup(None)
+
+        async def test() -> None:
+            await setup.client.probe(
+                _probe(setup, "engine"), setup.forwarder, setup.events.append
+            )
+
+        _run(setup, test)
+        (answered,) = setup.events
+        assert isinstance(answered, entry.ProbeAnswered)
+        (report,) = answered.reports
+        assert (report.state, report.link_failure) == (None, None)
--- a/sedgepin/tests/fake_endpoints.py
+++ b/sedgepin/tests/fake_endpoints.py
@@ -101,10 +101,19 @@
             self._simulation.wrong_resumptions.append(effect)
         for endpoint in endpoints:
             endpoint.work_received_at.append(self._simulation.now)
-            is_reachable = self._simulation.can_reach(vm.name, endpoint.name)
-            if not endpoint.is_alive or not is_reachable:
+            link_failure = self._find_link_failure(
+                vm, endpoint, effect.forwarder
+            )
+            if link_failure is not None:
+                # Engines reach the next stage by themselves.
+                is_first = endpoint is endpoints[0]
                 self._fail_stream(
-                    vm, vm_incarnation, identity, endpoint, False
+                    vm,
+                    vm_incarnation,
+                    identity,
+                    endpoint,
+                    False,
+                    link_failure if is_first else None,
                 )
                 return
             if "CRASH" in effect.prompt:
@@ -171,11 +180,14 @@
         identity: tuple[model.RequestId, int],
         endpoint: fakes.Endpoint,
         crashed: bool,
+        link_failure: entry.LinkFailure | None = None,
     ) -> None:
         if vm.incarnation != vm_incarnation:
             return
         failure = errors.Failure()
-        failed = entry.StreamFailed(*identity, endpoint.name, failure, crashed)
+        failed = entry.StreamFailed(
+            *identity, endpoint.name, failure, crashed, link_failure
+        )
         self._simulation.submit(vm.name, failed)
 
     def answer_probe(self, vm: fakes.Vm, effect: typing.Any) -> None:
@@ -188,8 +200,10 @@
         delay = 0.0
         for stage in effect.stages:
             endpoint = self._simulation.endpoints[stage.endpoint_id]
-            is_reachable = self._simulation.can_reach(vm.name, endpoint.name)
-            answers_probe = endpoint.is_alive and is_reachable
+            link_failure = self._find_link_failure(
+                vm, endpoint, effect.forwarder
+            )
+            answers_probe = link_failure is None
             if endpoint.is_paused:
                 answers_probe = False
                 delay = effect.timeout.total_seconds()
@@ -203,6 +217,7 @@
                     produced,
                     model.Incarnation(endpoint.incarnation),
                     produced + endpoint.is_silent,
+                    link_failure,
                 )
             )
         answered = entry.ProbeAnswered(
--- a/sedgepin/tests/processes.py
+++ b/sedgepin/tests/processes.py
@@ -131,6 +131,8 @@
         for name in (*self.control_ids, *self.entry_ids):
             self.ports[name] = free_port()
             self.ports[f"{name}/peer"] = free_port()
+        for name in self.entry_ids:
+            self.ports[f"{name}/forward"] = free_port()
         for name in (*self.engine_ids, "ledger"):
             self.ports[name] = free_port()
 
@@ -319,6 +321,7 @@
         return {
             **common,
             "caller_listen": self.address(name),
+            "forward_listen": f"127.0.0.1:{self.ports[f'{name}/forward']}",
             "entries": self._peers(self.entry_ids),
             "customers": [customer],
         }
