Do not blame an endpoint that a forwarder does not follow

With more entry VMs than mesh_limit_entries, each follows a part of the endpoints. A forwarder refused one that it did not follow with the words for an endpoint that it cannot reach, so a VM that is cut off would have suspected a sound endpoint, told the other VMs, and taken its streams for those of a dead engine. A refusal now tells an unknown endpoint apart (is_unknown, a field with a default), which says nothing of the endpoint or the forwarder; another forwarder is tried. The new test fails without the rule.

--- a/sedgepin/_entry/_events.py
+++ b/sedgepin/_entry/_events.py
@@ -16,11 +16,13 @@
     """Where a connection to an endpoint could not be made.
 
     ``DIRECT`` is from this VM, ``FORWARDER`` to or at the forwarder, and
-    ``BEYOND`` from the forwarder to the endpoint.
+    ``BEYOND`` from the forwarder to the endpoint.  ``UNKNOWN`` is for an
+    endpoint that the forwarder does not follow.
     """
 
     DIRECT = "direct"
     FORWARDER = "forwarder"
+    UNKNOWN = "unknown"
     BEYOND = "beyond"
 
 
--- a/sedgepin/_entry/_forwarded_client.py
+++ b/sedgepin/_entry/_forwarded_client.py
@@ -263,6 +263,8 @@
 
 
 def _link_failure(failure: forwarding.ForwardFailed) -> _events.LinkFailure:
+    if failure.is_unknown:
+        return _events.LinkFailure.UNKNOWN
     if failure.is_beyond:
         return _events.LinkFailure.BEYOND
     return _events.LinkFailure.FORWARDER
--- a/sedgepin/_entry/_forwarding_policy.py
+++ b/sedgepin/_entry/_forwarding_policy.py
@@ -18,9 +18,13 @@
     def __init__(self, reducer: _reducer.EntryReducer) -> None:
         self._reducer = reducer
 
+    def knows(self, opening: forwarding.OpenForward) -> bool:
+        """Return whether this VM knows the endpoint at its address."""
+        return self._reducer.knows_endpoint(opening)
+
     def refusal(self, opening: forwarding.OpenForward) -> str | None:
-        """Return why an endpoint must get no request, or ``None``."""
-        return self._reducer.forwarding_refusal(opening)
+        """Return ``None``: the connection shows what is true of endpoints."""
+        return None
 
     def record_opened(
         self, opening: forwarding.OpenForward, open_count: int
--- a/sedgepin/_entry/_paths.py
+++ b/sedgepin/_entry/_paths.py
@@ -196,6 +196,8 @@
             # A VM that is cut off knows nothing about endpoints.
             is_blamed = not (self.is_cut_off or self.has_detour(address, now))
             return is_blamed, effects
+        if failure is _LinkFailure.UNKNOWN:
+            return False, []
         if failure is _LinkFailure.FORWARDER:
             is_new = self._links.record_forwarder_failure(forwarder, now)
             return False, _log_forwarder_failed(forwarder) if is_new else []
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -155,19 +155,15 @@
         """Return whether a shutdown would interrupt no answer or call."""
         return not self._generation.open_answers and self._calls.is_idle
 
-    def forwarding_refusal(
-        self, opening: forwarding.OpenForward
-    ) -> str | None:
-        """Return why an endpoint must get no request of another entry VM.
+    def knows_endpoint(self, opening: forwarding.OpenForward) -> bool:
+        """Return whether another entry VM may have an endpoint connected to.
 
         Suspicions do not count: the connection shows what is true of them.
         """
         announcement = self._context.gossip.endpoints.find(opening.endpoint_id)
-        if announcement is None:
-            return "the endpoint is unknown or has left"
-        if _paths.forwarded_address(announcement.address) != opening.address:
-            return "the endpoint has another address"
-        return None
+        return announcement is not None and (
+            _paths.forwarded_address(announcement.address) == opening.address
+        )
 
     def status(self, now: datetime.datetime) -> EntryStatus:
         """Return the document for ``/v1/status``."""
--- a/sedgepin/_entry/tests/test_cut_off.py
+++ b/sedgepin/_entry/tests/test_cut_off.py
@@ -147,16 +147,27 @@
     def test_only_known_endpoints_get_requests_of_others(self) -> None:
         system = _started()
         reducer = system.vms["entry-2"].reducer
-        for endpoint_id, address, is_refused in (
-            ("ledger", "127.0.0.1:1", False),
-            ("ledger", "127.0.0.1:2", True),
-            ("other", "127.0.0.1:1", True),
+        for endpoint_id, address, is_known in (
+            ("ledger", "127.0.0.1:1", True),
+            ("ledger", "127.0.0.1:2", False),
+            ("other", "127.0.0.1:1", False),
         ):
             opening = forwarding.OpenForward(
                 "", model.EndpointId(endpoint_id), None, address
             )
-            refusal = reducer.forwarding_refusal(opening)
-            assert (refusal is not None) is is_refused
+            assert reducer.knows_endpoint(opening) is is_known
+
+    def test_endpoint_that_forwarders_do_not_know_is_not_blamed(self) -> None:
+        system = _started()
+        _cut_off(system)
+        ledger = system.endpoints["ledger"].name
+        for number in range(2, 7):
+            context = system.vms[f"entry-{number}"].reducer._context
+            context.gossip.endpoints._remove(ledger)
+        caller = _send_call(system)
+        system.run(0.05)
+        assert caller.failure is not None
+        _assert_nobody_is_blamed(system)
 
 
 class TestCompletions:
--- a/sedgepin/_entry/tests/test_forwarded_client.py
+++ b/sedgepin/_entry/tests/test_forwarded_client.py
@@ -27,8 +27,11 @@
 
 
 class _Policy(forwarding.ForwardingPolicy):
+    def knows(self, opening: forwarding.OpenForward) -> bool:
+        return opening.endpoint_id != "unknown"
+
     def refusal(self, opening: forwarding.OpenForward) -> str | None:
-        return "unknown" if opening.endpoint_id == "unknown" else None
+        return "refused" if opening.endpoint_id == "refused" else None
 
     def record_opened(
         self, opening: forwarding.OpenForward, open_count: int
@@ -218,7 +221,8 @@
         ("endpoint_id", "address", "key", "expected"),
         [
             ("ledger", _UNUSED_ADDRESS, _KEY, entry.LinkFailure.BEYOND),
-            ("unknown", None, _KEY, entry.LinkFailure.BEYOND),
+            ("refused", None, _KEY, entry.LinkFailure.BEYOND),
+            ("unknown", None, _KEY, entry.LinkFailure.UNKNOWN),
             ("ledger", None, "other", entry.LinkFailure.FORWARDER),
         ],
     )
@@ -369,7 +373,7 @@
 
     def test_engine_that_is_not_reached_gets_nothing(self) -> None:
         setup = _Setup(_answer(_PIECE + _END))
-        (failed,) = self._run_stream(setup, "unknown")
+        (failed,) = self._run_stream(setup, "refused")
         assert isinstance(failed, entry.StreamFailed)
         assert not failed.crashed
         assert failed.link_failure is entry.LinkFailure.BEYOND
@@ -382,7 +386,7 @@
 
         async def test() -> None:
             await setup.client.probe(
-                _probe(setup, "engine", "unknown"),
+                _probe(setup, "engine", "refused"),
                 setup.forwarder,
                 setup.events.append,
             )
--- a/sedgepin/_forwarding/_client.py
+++ b/sedgepin/_forwarding/_client.py
@@ -22,7 +22,8 @@
     """No connection through a forwarder; the endpoint got nothing.
 
     ``is_beyond`` tells whether the forwarder has answered that it cannot
-    reach or use the endpoint, ``is_refused`` whether no process serves there.
+    reach or use the endpoint, ``is_refused`` whether no process serves there,
+    ``is_unknown`` that it does not know the endpoint.
     """
 
     code: typing.ClassVar[str] = "forward_failed"
@@ -33,6 +34,7 @@
     reason: str
     is_beyond: bool = False
     is_refused: bool = False
+    is_unknown: bool = False
 
     def detail(self) -> str:
         """Return the forwarder and the reason."""
@@ -90,17 +92,17 @@
             is_open = isinstance(answer, _frames.ForwardOpened)
             if is_open:
                 return result.Ok(conn)
-            if isinstance(answer, _frames.ForwardRefused):
-                return result.Err(
-                    ForwardFailed(
-                        forwarder.vm_id,
-                        answer.reason,
-                        answer.is_beyond,
-                        answer.is_refused,
-                    )
+            if not isinstance(answer, _frames.ForwardRefused):
+                answer = _frames.ForwardRefused("no answer in the protocol")
+            return result.Err(
+                ForwardFailed(
+                    forwarder.vm_id,
+                    answer.reason,
+                    answer.is_beyond,
+                    answer.is_refused,
+                    answer.is_unknown,
                 )
-            reason = "no answer in the protocol"
-            return result.Err(ForwardFailed(forwarder.vm_id, reason))
+            )
         except (OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
             return result.Err(
                 ForwardFailed(forwarder.vm_id, type(exc).__name__)
--- a/sedgepin/_forwarding/_frames.py
+++ b/sedgepin/_forwarding/_frames.py
@@ -49,12 +49,14 @@
 
     ``is_beyond`` tells whether the cause lies between the forwarder and the
     endpoint, rather than at the forwarder; ``is_refused`` that no process
-    serves at the endpoint's address.
+    serves at the endpoint's address; ``is_unknown`` that the forwarder does
+    not know the endpoint, of which that says nothing.
     """
 
     reason: str
     is_beyond: bool = False
     is_refused: bool = False
+    is_unknown: bool = False
 
 
 class ForwardedRequest(msgspec.Struct, frozen=True, tag=True):
--- a/sedgepin/_forwarding/_server.py
+++ b/sedgepin/_forwarding/_server.py
@@ -25,6 +25,10 @@
 
     __slots__ = ()
 
+    def knows(self, opening: _frames.OpenForward) -> bool:
+        """Return whether this VM knows the endpoint at its address."""
+        return True
+
     @abc.abstractmethod
     def refusal(self, opening: _frames.OpenForward) -> str | None:
         """Return why an endpoint must get no request, or ``None``."""
@@ -138,6 +142,12 @@
     ) -> result.Result[web.ClientConnection, _frames.ForwardRefused]:
         if self.is_draining or self._count > _MAX_FORWARDED:
             return result.Err(_frames.ForwardRefused("busy"))
+        if not self._policy.knows(opening):
+            return result.Err(
+                _frames.ForwardRefused(
+                    "the endpoint is unknown", is_unknown=True
+                )
+            )
         refusal = self._policy.refusal(opening)
         if refusal is not None:
             return result.Err(_frames.ForwardRefused(refusal, True))
--- a/sedgepin/tests/fake_endpoints.py
+++ b/sedgepin/tests/fake_endpoints.py
@@ -293,8 +293,8 @@
             opening = forwarding.OpenForward(
                 forwarder.key, endpoint.name, None, "127.0.0.1:1"
             )
-            if own.reducer.forwarding_refusal(opening) is not None:
-                return failure
+            if not own.reducer.knows_endpoint(opening):
+                return entry.LinkFailure.UNKNOWN
         is_reachable = self._simulation.can_reach(own.name, endpoint.name)
         return None if endpoint.is_alive and is_reachable else failure
 
