--- a/sedgepin/tests/processes.py
+++ b/sedgepin/tests/processes.py
@@ -158,6 +158,8 @@
             path = self.folder / f"{name}.json"
             path.write_bytes(msgspec.json.encode(self._settings(name)))
             arguments = ["sedgepin", role, str(path)]
+            if role == "entry":
+                arguments = [*self._cut_arguments(name), role, str(path)]
         else:
             module_name = "fake_service" if name == "ledger" else "fake_engine"
             options = msgspec.json.encode(self._options(name, incarnation))
@@ -172,6 +174,29 @@
         )
         log.close()
 
+    def cut_off(self, name: str) -> None:
+        """Make an entry VM's new connections to all endpoints fail."""
+        self._cut_file(name).touch()
+
+    def restore_links(self, name: str) -> None:
+        """End what ``cut_off`` began."""
+        self._cut_file(name).unlink()
+
+    def read_log(self, name: str) -> str:
+        """Return what a process has logged so far."""
+        return (self.folder / f"{name}.log").read_text(encoding="utf-8")
+
+    def _cut_file(self, name: str) -> pathlib.Path:
+        return self.folder / f"{name}.cut"
+
+    def _cut_arguments(self, name: str) -> list[str]:
+        ports = [self.ports[one] for one in (*self.engine_ids, "ledger")]
+        return [
+            "sedgepin.tests.cut_links",
+            str(self._cut_file(name)),
+            ",".join(map(str, ports)),
+        ]
+
     def signal(self, name: str, number: int) -> None:
         """Send a signal to a running process."""
         self.running[name].send_signal(number)
--- a/sedgepin/tests/test_processes.py
+++ b/sedgepin/tests/test_processes.py
@@ -246,6 +246,66 @@
             assert counts[key] == 1
 
 
+class TestCutOffEntry:
+    """An entry VM without links to endpoints uses those of another one."""
+
+    def test_completions_and_calls_go_through_the_other_vm(
+        self, system: processes.Processes
+    ) -> None:
+        system.cut_off("entry-1")
+        keys = [f"{int(time.time())}-{number}" for number in range(5)]
+        for key in keys:
+            answer = system.complete("entry-1", "tare", 10)
+            assert answer.status == 200
+            text = answer.json()["choices"][0]["text"]
+            assert text == _expected_text("tare", 10)
+            written = system.send_request(
+                "entry-1", "POST", _RECEIPTS_PATH, {}, idempotency_key=key
+            )
+            assert written.status == 201
+        counts = system.send_request("ledger", "GET", "/counts").json()
+        assert [counts.get(key) for key in keys] == [1] * len(keys)
+        for name, event in (
+            ("entry-1", "links_cut"),
+            ("entry-1", "request_forwarded"),
+            ("entry-2", "forward_opened"),
+        ):
+            assert event in system.read_log(name)
+        system.restore_links("entry-1")
+        processes.wait_until(
+            lambda: "links_restored" in system.read_log("entry-1"),
+            "entry-1 finds its links restored",
+        )
+        assert system.complete("entry-1", "tare", 10).status == 200
+
+    def test_vms_that_are_all_cut_off_refuse_in_time(
+        self, system: processes.Processes
+    ) -> None:
+        for name in system.entry_ids:
+            system.cut_off(name)
+        for name in system.entry_ids:
+            started = time.monotonic()
+            answer = system.complete(name, "tare", 10)
+            # An attempt was begun, so it is not told as not run.
+            assert answer.json()["code"] == "answer_interrupted"
+            assert time.monotonic() - started < 1.0
+
+    def test_engine_that_is_killed_is_replaced(
+        self, system: processes.Processes
+    ) -> None:
+        with concurrent.futures.ThreadPoolExecutor(4) as pool:
+            pending = [
+                pool.submit(system.complete, "entry-1", "tare", 100)
+                for _ in range(4)
+            ]
+            time.sleep(0.5)
+            system.kill("engine-12-0")
+            answers = [one.result() for one in pending]
+        for answer in answers:
+            text = answer.json()["choices"][0]["text"]
+            assert text == _expected_text("tare", 100)
+
+
 class TestOperatorAccess:
     """Operators' commands and the separation of credentials."""
 
