Keep entry VMs that are cut off together from misleading each other

When two or three of six entry VMs lost their links at one moment, callers of all VMs met refusals: a VM that had reached an endpoint within the last second offered itself as a forwarder, could not reach the endpoint either, and the endpoint was suspected by the VM that had asked, and by its word by the others.

A failure beyond one forwarder now shows the failure of the endpoint only if another forwarder has failed too within a second, or if there is no other. A forwarder learns from the connections that it makes or cannot make for others, and any failed connection ends the time in which it offers itself unasked.

--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -60,13 +60,15 @@
         self._reducer = _reducer.EntryReducer(
             cfg, incarnation, random.Random(), now, forward_key
         )
-        self._forwarding = forwarding.ForwardingServer(
-            forward_key,
-            _forwarding_policy.EntryForwardingPolicy(self._reducer),
-        )
         self._driver = shell.Driver(
             self._reducer.handle, self._apply_effect, own_clock
         )
+        self._forwarding = forwarding.ForwardingServer(
+            forward_key,
+            _forwarding_policy.EntryForwardingPolicy(
+                self._reducer, self._driver.submit
+            ),
+        )
         self._metrics = shell.create_sink(cfg.statsd)
         self._client: _endpoint_client.EndpointClient = (
             _endpoint_client.HttpEndpointClient(cfg.limits.answer_bytes)
--- a/sedgepin/_entry/_forwarding_policy.py
+++ b/sedgepin/_entry/_forwarding_policy.py
@@ -1,11 +1,16 @@
 """Which requests of other entry VMs this VM forwards to endpoints."""
 
+import collections.abc
+
+from sedgepin._entry import _events
 from sedgepin._entry import _reducer
 from sedgepin import _forwarding as forwarding
 from sedgepin import _web as web
 from sedgepin import events
 from sedgepin import logs
 
+_Submit = collections.abc.Callable[[_events.EntryEvent], None]
+
 
 class EntryForwardingPolicy(forwarding.ForwardingPolicy):
     """Forwards to the endpoints that this VM knows.
@@ -13,10 +18,13 @@
     The other VM has decided all else about the request.
     """
 
-    __slots__ = ("_reducer",)
+    __slots__ = ("_reducer", "_submit")
 
-    def __init__(self, reducer: _reducer.EntryReducer) -> None:
+    def __init__(
+        self, reducer: _reducer.EntryReducer, submit: _Submit
+    ) -> None:
         self._reducer = reducer
+        self._submit = submit
 
     def knows(self, opening: forwarding.OpenForward) -> bool:
         """Return whether this VM knows the endpoint at its address."""
@@ -29,7 +37,8 @@
     def record_opened(
         self, opening: forwarding.OpenForward, open_count: int
     ) -> None:
-        """Log that a connection to an endpoint was made."""
+        """Log that a connection to an endpoint was made, and learn it."""
+        self._submit(_events.PathProbed(opening.endpoint_id, True))
         line = events.FORWARD_OPENED.line(
             request=opening.request_id,
             endpoint=opening.endpoint_id,
@@ -43,7 +52,12 @@
         opening: forwarding.OpenForward,
         refusal: forwarding.ForwardRefused,
     ) -> None:
-        """Log that a request is not forwarded."""
+        """Log that a request is not forwarded.
+
+        This VM may be cut off, too.
+        """
+        if refusal.is_beyond:
+            self._submit(_events.PathProbed(opening.endpoint_id, False))
         line = events.FORWARD_REFUSED.line(
             request=opening.request_id,
             endpoint=opening.endpoint_id,
--- a/sedgepin/_entry/_paths.py
+++ b/sedgepin/_entry/_paths.py
@@ -55,6 +55,7 @@
 
     __slots__ = (
         "_askers",
+        "_beyond",
         "_cfg",
         "_connected",
         "_entries",
@@ -85,6 +86,10 @@
         self._connected: set[model.VmId] = set()
         # Entry VMs that have asked and got no answer yet.
         self._askers: set[model.VmId] = set()
+        # The last forwarder that could not reach an endpoint.
+        self._beyond: dict[
+            model.EndpointId, tuple[protocol.Forwarder, datetime.datetime]
+        ] = {}
         self._reached_at: datetime.datetime | None = None
         self._probed_at: datetime.datetime | None = None
         self.is_draining = False
@@ -203,7 +208,7 @@
             return False, _log_forwarder_failed(forwarder) if is_new else []
         if self._links.record_beyond(forwarder, now):
             return False, _log_forwarder_failed(forwarder)
-        return True, []
+        return self._is_confirmed(endpoint_id, forwarder, now), []
 
     def record_reached(
         self,
@@ -278,14 +283,36 @@
             and forwarded_address(address) is not None
         )
 
+    def _is_confirmed(
+        self,
+        endpoint_id: model.EndpointId,
+        forwarder: protocol.Forwarder,
+        now: datetime.datetime,
+    ) -> bool:
+        """Return whether a failure beyond a forwarder shows the endpoint's.
+
+        The forwarder may just have been cut off as well, so another one is
+        asked, if there is any.
+        """
+        self._beyond = {
+            failed_id: failure
+            for failed_id, failure in self._beyond.items()
+            if now - failure[1] < _SOUND_TIME
+        }
+        previous = self._beyond.get(endpoint_id)
+        self._beyond[endpoint_id] = (forwarder, now)
+        if previous is not None and previous[0] != forwarder:
+            return True
+        return not self._links.has_other_forwarder(forwarder, now)
+
     def _record_direct_failure(
         self, endpoint_id: model.EndpointId, now: datetime.datetime
     ) -> Effects:
         is_new = self._links.record_unreachable(endpoint_id)
+        self._reached_at = None
         effects = self._ask(now)
         if not is_new:
             return effects
-        self._reached_at = None
         effects += self._answer_askers(False)
         failed = ",".join(sorted(self._links.failed_endpoints))
         line = events.LINKS_CUT.line(endpoints=failed)
--- a/sedgepin/_entry/tests/test_cut_off.py
+++ b/sedgepin/_entry/tests/test_cut_off.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import random
 
 import pytest
 
@@ -294,6 +295,36 @@
         assert reducer.is_idle
 
 
+class TestSeveralCutVms:
+    @pytest.mark.parametrize(
+        ("seed", "cut"),
+        [(6, (1, 2, 3)), (17, (3, 4, 5)), (19, (4, 5, 6)), (24, (1, 2, 3))],
+    )
+    def test_vms_cut_off_at_the_same_moment_do_not_mislead_each_other(
+        self, seed: int, cut: tuple[int, ...]
+    ) -> None:
+        system = _started(seed)
+        rng = random.Random(seed)
+        callers = []
+        for step in range(30):
+            if step == 5:
+                for number in cut:
+                    _cut_off(system, f"entry-{number}")
+            for number in range(1, 7):
+                name, key = f"entry-{number}", f"{number}-{step}"
+                kind = rng.random()
+                if kind < 0.4:
+                    tokens = rng.randint(5, 30)
+                    callers.append(system.send_prompt(name, key, tokens))
+                else:
+                    method = "GET" if kind < 0.7 else "POST"
+                    callers.append(system.call_ledger(name, key, method))
+            system.run(0.1)
+        _finish(system, callers)
+        failures = [caller.failure for caller in callers if caller.failure]
+        assert failures == []
+
+
 class TestOtherVms:
     def test_others_do_not_suspect_endpoints_that_a_cut_vm_lost(self) -> None:
         system = _started()
--- a/sedgepin/_forwarding/_links.py
+++ b/sedgepin/_forwarding/_links.py
@@ -198,6 +198,12 @@
         """Return whether there is a forwarder that may be used now."""
         return bool(self._usable(now))
 
+    def has_other_forwarder(
+        self, forwarder: protocol.Forwarder, now: datetime.datetime
+    ) -> bool:
+        """Return whether a forwarder besides this one may be used now."""
+        return any(other != forwarder for other in self._usable(now))
+
     def has_failed(
         self, forwarder: protocol.Forwarder, now: datetime.datetime
     ) -> bool:
--- a/sedgepin/tests/fake_endpoints.py
+++ b/sedgepin/tests/fake_endpoints.py
@@ -296,7 +296,11 @@
             if not own.reducer.knows_endpoint(opening):
                 return entry.LinkFailure.UNKNOWN
         is_reachable = self._simulation.can_reach(own.name, endpoint.name)
-        return None if endpoint.is_alive and is_reachable else failure
+        is_reached = endpoint.is_alive and is_reachable
+        if forwarder is not None:
+            probed = entry.PathProbed(endpoint.name, is_reached)
+            self._simulation.submit(own.name, probed)
+        return None if is_reached else failure
 
     def execute_order(self, vm: fakes.Vm, order: release.Order) -> None:
         """Deliver an order; refuse a stale token if the endpoint checks it."""
