--- a/sedgepin/tests/test_crashing_parts.py
+++ b/sedgepin/tests/test_crashing_parts.py
@@ -73,6 +73,10 @@
     def test_crash_after_the_first_pieces(self, pieces: int) -> None:
         _check(_play(crash_plan.Plan(pieces=pieces)))
 
+    @pytest.mark.parametrize("pieces", [15, 16, 18])
+    def test_crash_in_the_middle_of_an_answer(self, pieces: int) -> None:
+        _check(_play(crash_plan.Plan(pieces=pieces, seed=93)))
+
     @pytest.mark.parametrize("seed", [1, 2])
     def test_crash_of_another_stage(self, seed: int) -> None:
         _check(_play(crash_plan.Plan(is_last_stage=True, seed=seed)))
