Let the second check of a silent engine end after half a second

Cause: the second check took another second, though it begins when the engine has been silent for more than one already. Now the two take 1.5 s together. An engine that is silent for that long in all goes on in time to answer.

--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -35,6 +35,8 @@
 # Engines respond to a report request within milliseconds.  An engine that does
 # not respond must not delay orders to other engines.
 _ENGINE_TIMEOUT_SECONDS = 1.0
+# An engine that did not answer within that time has been silent for as long.
+_REPEATED_CHECK_TIMEOUT_SECONDS = 0.5
 # In this time a process that has begun to end closes its listening socket.
 _REPEAT_DELAY_SECONDS = 0.02
 _LEADERSHIP_TRANSFER_TIMEOUT_SECONDS = 1.0
@@ -338,15 +340,14 @@
     An engine that is ending may close it, and then refuses the next one.  One
     that goes on may have had as many connections as it accepts.
     """
-    response = await web.send_request(
-        effect.address, request, _ENGINE_TIMEOUT_SECONDS
-    )
+    timeout_seconds = _ENGINE_TIMEOUT_SECONDS
+    if effect.is_repeated:
+        timeout_seconds = _REPEATED_CHECK_TIMEOUT_SECONDS
+    response = await web.send_request(effect.address, request, timeout_seconds)
     if not effect.is_check or not _was_closed(response.err()):
         return response
     await trio.sleep(_REPEAT_DELAY_SECONDS)
-    repeated = await web.send_request(
-        effect.address, request, _ENGINE_TIMEOUT_SECONDS
-    )
+    repeated = await web.send_request(effect.address, request, timeout_seconds)
     is_decided = repeated.is_ok() or _is_refusal(repeated.err())
     return repeated if is_decided else response
 
