Log the request limits that endpoints name

It is read now, and entry and control VMs log when a limit is first seen, changes or ends, and who told them. Nothing heeds it yet.

--- a/sedgepin/_catalog/_restrictions.py
+++ b/sedgepin/_catalog/_restrictions.py
@@ -19,12 +19,16 @@
 
     ``is_leaving``: it is about to stop.  ``pause``: it wants no requests from
     this VM for so long.  ``malformed_pause`` is the text of a pause that
-    could not be read.
+    could not be read.  ``request_limit`` is the number of requests a second
+    that it takes from all VMs together, and ``malformed_request_limit`` the
+    text of one that could not be read.
     """
 
     is_leaving: bool = False
     pause: datetime.timedelta | None = None
     malformed_pause: str | None = None
+    request_limit: float | None = None
+    malformed_request_limit: str | None = None
 
 
 @dataclasses.dataclass(slots=True)
--- a/sedgepin/_gateway/_endpoint_notices.py
+++ b/sedgepin/_gateway/_endpoint_notices.py
@@ -8,6 +8,7 @@
 from sedgepin._gateway import _shared_state
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
+from sedgepin import _rate_limits as rate_limits
 from sedgepin import events
 
 Effects = list[_effects.GatewayEffect]
@@ -72,7 +73,32 @@
                 value=notice.malformed_pause,
             )
             effects.append(_shared_state.log(line))
-        return effects
+        return effects + self._heed_limit(event, incarnation, now)
+
+    def _heed_limit(
+        self,
+        event: _events.AnswerHeadReceived,
+        incarnation: int,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Record the limit of requests that an endpoint names, if it does."""
+        limits = self._state.request_limits
+        endpoint_id, notice = event.endpoint_id, event.metadata.notice
+        malformed = notice.malformed_request_limit
+        if malformed is not None and (
+            limits.record_malformed(endpoint_id, incarnation)
+        ):
+            line = events.LIMIT_UNREADABLE.line(
+                endpoint=endpoint_id, incarnation=incarnation, value=malformed
+            )
+            return [_shared_state.log(line)]
+        change = limits.record_answer(
+            endpoint_id, incarnation, notice, event.is_check, now
+        )
+        if change is None:
+            return []
+        told_by = "check" if event.is_check else "answer"
+        return [_shared_state.log(rate_limits.change_line(change, told_by))]
 
     def record_leaving(
         self, endpoint_id: model.EndpointId, incarnation: int
--- a/sedgepin/_gateway/_engine_calls.py
+++ b/sedgepin/_gateway/_engine_calls.py
@@ -102,7 +102,11 @@
             _engine_connection.link_failure(failure),
         )
     metadata = dialect.parse_answer(response.ok_value[0])
-    submit(_events.AnswerHeadReceived(effect.endpoint_id, metadata))
+    submit(
+        _events.AnswerHeadReceived(
+            effect.endpoint_id, metadata, effect.incarnation, is_check=True
+        )
+    )
     report = dialect.parse_stall_report(*response.ok_value).ok()
     return _events.StallsInspected(effect.endpoint_id, report, True)
 
@@ -128,7 +132,11 @@
             effect.exchange_id, False, attempt=effect.attempt
         )
     metadata = dialect.parse_answer(response.ok_value[0])
-    submit(_events.AnswerHeadReceived(first_id, metadata))
+    submit(
+        _events.AnswerHeadReceived(
+            first_id, metadata, effect.incarnation, is_check=True
+        )
+    )
     reroute_result = dialect.parse_reroute_answer(*response.ok_value)
     if isinstance(reroute_result, result.Err):
         return _events.Rerouted(
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -94,12 +94,14 @@
     """An endpoint told its state in the head of an answer.
 
     ``incarnation`` is the one that the request was sent to; ``None`` if it is
-    the latest one.
+    the latest one.  ``is_check`` tells that it answers a call of this VM, not
+    the request of a caller.
     """
 
     endpoint_id: model.EndpointId
     metadata: _calls.AnswerMetadata
     incarnation: int | None = None
+    is_check: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -16,6 +16,7 @@
 from sedgepin._gateway import _startup_queue
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
+from sedgepin import _rate_limits as rate_limits
 from sedgepin import events
 
 Effects = list[_effects.GatewayEffect]
@@ -31,6 +32,7 @@
         "fleet",
         "links",
         "queues",
+        "request_limits",
         "retry_budget",
         "rng",
         "startup_queue",
@@ -48,6 +50,7 @@
         self.table: catalog.RouteTable | None = None
         self.fleet = _fleet.Fleet(cfg.data_centre, cfg.heartbeat_timeout, rng)
         self.retry_budget = _retry_budget.RetryBudget(cfg.retries)
+        self.request_limits = rate_limits.RequestLimits()
         self.crash_causes = crash_causes.CrashCauseTracker(cfg.vm_id, now)
         self.startup_queue = _startup_queue.StartupQueue(now)
         self.queues = _request_queue.RequestQueues()
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -318,14 +318,14 @@
         effect: _effects.InspectEngine | _effects.OrderLayers,
         head: web.AnswerHead,
     ) -> None:
-        """Submit what an engine's answer asks of this VM, if anything."""
-        notice = self._dialect.parse_notice(head)
-        if notice != catalog.EndpointNotice():
-            self._driver.submit(
-                _events.NoticeReceived(
-                    effect.endpoint_id, effect.incarnation, notice
-                )
+        """Submit what an engine says of itself in the head of an answer."""
+        self._driver.submit(
+            _events.NoticeReceived(
+                effect.endpoint_id,
+                effect.incarnation,
+                self._dialect.parse_notice(head),
             )
+        )
 
     def _peer(self, vm_id: model.VmId) -> settings.Peer:
         """Return the peer entry of a control VM, whose id is its address."""
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -6,6 +6,7 @@
 from sedgepin import _consensus as consensus
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
+from sedgepin import _rate_limits as rate_limits
 from sedgepin._registrar import _effects
 from sedgepin._registrar import _events
 from sedgepin._registrar import _failures
@@ -48,6 +49,7 @@
         "_silent_losses",
         "orders",
         "registry",
+        "request_limits",
     )
 
     def __init__(
@@ -61,6 +63,7 @@
         self._peers = peers
         self._raft = raft
         self.registry = catalog.Registry()
+        self.request_limits = rate_limits.RequestLimits()
         self.orders = _layer_orders.LayerOrders()
         self._relay = _registration_relay.RegistrationRelay(peers, now)
         self._removed_at = now
@@ -437,7 +440,28 @@
         if event.notice.is_leaving:
             message = protocol.EndpointLeaving(endpoint_id, incarnation)
             effects += self.record_leaving(None, message)
-        return effects
+        return effects + self._heed_limit(event, now)
+
+    def _heed_limit(
+        self, event: _events.NoticeReceived, now: datetime.datetime
+    ) -> Effects:
+        """Record the limit of requests that an endpoint names, if it does."""
+        endpoint_id, incarnation = event.endpoint_id, event.incarnation
+        malformed = event.notice.malformed_request_limit
+        if malformed is not None and self.request_limits.record_malformed(
+            endpoint_id, incarnation
+        ):
+            line = events.LIMIT_UNREADABLE.line(
+                endpoint=endpoint_id, incarnation=incarnation, value=malformed
+            )
+            return [_effects.WriteLog(line)]
+        change = self.request_limits.record_answer(
+            endpoint_id, incarnation, event.notice, True, now
+        )
+        if change is None:
+            return []
+        line = rate_limits.change_line(change, "check")
+        return [_effects.WriteLog(line)]
 
     def record_leaving(
         self, sender: model.VmId | None, message: protocol.EndpointLeaving
--- a/sedgepin/_registrar/_events.py
+++ b/sedgepin/_registrar/_events.py
@@ -84,7 +84,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class NoticeReceived:
-    """An endpoint asked something of this VM in the head of an answer."""
+    """An endpoint has told its state in the head of an answer to a call."""
 
     endpoint_id: model.EndpointId
     incarnation: int
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -212,6 +212,38 @@
     "incarnation",
     "value",
 )
+ENDPOINT_LIMITED = _define(
+    210,
+    "INFO",
+    "endpoint_limited",
+    "An endpoint has named how many requests a second it takes from all VMs,"
+    " or another number than before.",
+    "endpoint",
+    "incarnation",
+    "requests_per_second",
+    "before",
+    "told_by",
+)
+ENDPOINT_LIMIT_ENDED = _define(
+    211,
+    "INFO",
+    "endpoint_limit_ended",
+    "An endpoint names no limit of requests any more.",
+    "endpoint",
+    "incarnation",
+    "before",
+    "milliseconds",
+    "told_by",
+)
+LIMIT_UNREADABLE = _define(
+    212,
+    "WARNING",
+    "limit_unreadable",
+    "An endpoint named a limit of requests that cannot be read.",
+    "endpoint",
+    "incarnation",
+    "value",
+)
 ENDPOINT_CHANGED = _define(
     205,
     "INFO",
--- a/sedgepin/platform/_answers.py
+++ b/sedgepin/platform/_answers.py
@@ -2,6 +2,7 @@
 
 import datetime
 import math
+import re
 
 import msgspec
 import result
@@ -17,6 +18,7 @@
 # A longer pause outlasts any engine.
 _MAX_PAUSE_SECONDS = 30 * 86_400.0
 _MAX_LOGGED_CHARACTERS = 60
+_DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 
 
 def error_response(
@@ -66,20 +68,50 @@
 
 def parse_notice(head: web.AnswerHead) -> catalog.EndpointNotice:
     """Parse what an engine says of itself in the head of any answer."""
-    is_leaving = (head.find_header(b"server-leaving") or b"").strip() == b"1"
+    pause, malformed_pause = _parse_pause(head)
+    request_limit, malformed_request_limit = _parse_request_limit(head)
+    return catalog.EndpointNotice(
+        (head.find_header(b"server-leaving") or b"").strip() == b"1",
+        pause,
+        malformed_pause,
+        request_limit,
+        malformed_request_limit,
+    )
+
+
+def _parse_pause(
+    head: web.AnswerHead,
+) -> tuple[datetime.timedelta | None, str | None]:
+    """Return how long an engine wants no requests, or the malformed text."""
     retry_after = head.find_header(b"retry-after")
     if retry_after is None or head.status not in _TURNED_AWAY_STATUSES:
-        return catalog.EndpointNotice(is_leaving)
+        return None, None
     text = retry_after.decode("latin-1").strip()
     try:
         seconds = float(text)
     except ValueError:
         seconds = math.nan
     if math.isnan(seconds) or seconds < 0:
-        logged = text[:_MAX_LOGGED_CHARACTERS]
-        return catalog.EndpointNotice(is_leaving, None, logged)
+        return None, text[:_MAX_LOGGED_CHARACTERS]
     pause = datetime.timedelta(seconds=min(seconds, _MAX_PAUSE_SECONDS))
-    return catalog.EndpointNotice(is_leaving, pause)
+    return pause, None
+
+
+def _parse_request_limit(
+    head: web.AnswerHead,
+) -> tuple[float | None, str | None]:
+    """Return the requests a second that an engine takes, or malformed text."""
+    values = [
+        value.decode("latin-1").strip()
+        for name, value in head.headers
+        if name.lower() == b"server-limit"
+    ]
+    if not values:
+        return None, None
+    text = ", ".join(values)
+    if _DECIMAL_NUMBER.fullmatch(text) is None:
+        return None, text[:_MAX_LOGGED_CHARACTERS]
+    return float(text), None
 
 
 def parse_report(
