--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -10,7 +10,6 @@
 import result
 import trio
 
-from sedgepin import _catalog as catalog
 from sedgepin import _consensus as consensus
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
