Grant the requests to engines with a limit one by one

Cause: no VM read the limit, and each VM sends its requests to the engine that is fastest by its own count. A figure that holds for all VMs together can't be kept by each VM alone: of 8 requests a second over 195 VMs, an equal share is one in 24 s.

An entry VM asks when its best engine is limited, and goes on to the next best while none is to be had; requests that fit nowhere else wait at the leader, the most urgent first, or are refused at once with the time at which one is free. All VMs learn of a limit from the first one that hears of it. A VM to which no control VM answers sends an equal share.

--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -91,6 +91,15 @@
         """Return the entry of an endpoint, if it has one."""
         return self._records.get(endpoint_id)
 
+    def is_past(self, endpoint_id: model.EndpointId, incarnation: int) -> bool:
+        """Return whether an incarnation is gone or another has followed."""
+        record = self._records.get(endpoint_id)
+        return (
+            record is None
+            or record.registration.incarnation > incarnation
+            or record.registration.state is _registration.EndpointState.GONE
+        )
+
     def at_address(self, address: str) -> EndpointRecord | None:
         """Return the entry of the endpoint that has an address now."""
         endpoint_id = self._by_address.get(address)
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -9,11 +9,18 @@
 from sedgepin._gateway import _events
 from sedgepin._gateway import _exchange
 from sedgepin._gateway import _failures
+from sedgepin._gateway import _request_queue
 from sedgepin._gateway import _shared_state
 from sedgepin import _model as model
+from sedgepin import _placement as placement
+from sedgepin import _rate_limits as rate_limits
 from sedgepin import errors
 from sedgepin import events
 
+_Permission = rate_limits.Permission
+
+_AT_ONCE = datetime.timedelta()
+_MAX_LOGGED_ENDPOINTS = 8
 # Callers retry no sooner after a pause that is about to end.
 _MIN_RETRY_AFTER = datetime.timedelta(milliseconds=250)
 
@@ -105,29 +112,202 @@
         if self._state.must_await_path(now):
             self._state.awaiting_path[exchange.exchange_id] = exchange
             return []
-        queue = self._state.queues.for_service(exchange.service.name)
         if exchange.service.engine is None or exchange.request.size is None:
             return self._dispatch_to_endpoint(exchange, now)
+        return self._dispatch_to_pipeline(
+            exchange, exchange.request.size, _AT_ONCE, now
+        )
+
+    def _dispatch_to_pipeline(
+        self,
+        exchange: _exchange.Exchange,
+        size: placement.RequestSize,
+        permit_wait: datetime.timedelta | None,
+        now: datetime.datetime,
+    ) -> _shared_state.Effects:
+        """Send a request to the best pipeline, or let it wait, or fail it.
+
+        See ``Fleet.find_pipeline`` for ``permit_wait``.
+        """
+        queue = self._state.queues.for_service(exchange.service.name)
         candidate = self._state.fleet.find_pipeline(
-            exchange.service, exchange.request.size, now
+            exchange.service, size, now, permit_wait
         )
-        if candidate is None:
-            return self._handle_no_pipeline(exchange, now)
-        must_wait = candidate.cache_utilization > 1.0
         # A new request does not overtake the queued ones; a stream that has
         # started may.
-        if len(queue) and exchange.queued_at is None:
-            must_wait = must_wait or not exchange.has_output
-        if must_wait:
-            return self._enqueue_or_fail(
-                exchange, candidate.cache_utilization, now
+        is_overtaking = (
+            bool(len(queue))
+            and exchange.queued_at is None
+            and not exchange.has_output
+        )
+        fits = candidate is not None and candidate.cache_utilization <= 1.0
+        if candidate is not None and fits and not is_overtaking:
+            first = candidate.pipeline.stages[0]
+            permission = self._obtain_permit(
+                exchange, first.endpoint_id, permit_wait or _AT_ONCE, now
+            )
+            if permission is _Permission.ASKED:
+                return self._await_permit(exchange, permit_wait, now)
+            if permission is _Permission.DENIED:
+                return self._dispatch_to_pipeline(exchange, size, None, now)
+            return self._start_attempt(
+                exchange,
+                first.endpoint_id,
+                first.address,
+                candidate.pipeline,
+                now,
             )
-        queue.dequeue(exchange)
-        first = candidate.pipeline.stages[0]
+        if permit_wait == _AT_ONCE:
+            longest_wait = self._longest_permit_wait(exchange, now)
+            if longest_wait > _AT_ONCE:
+                return self._dispatch_to_pipeline(
+                    exchange, size, longest_wait, now
+                )
+        if candidate is None:
+            return self._handle_no_pipeline(exchange, now)
+        return self._enqueue_or_fail(
+            exchange, candidate.cache_utilization, now
+        )
+
+    def _obtain_permit(
+        self,
+        exchange: _exchange.Exchange,
+        endpoint_id: model.EndpointId,
+        max_wait: datetime.timedelta,
+        now: datetime.datetime,
+    ) -> rate_limits.Permission:
+        """Ask whether a request may be sent to an endpoint, if need be."""
+        permits = self._state.permits
+        record = self._state.fleet.registry.find(endpoint_id)
+        if record is None:
+            return _Permission.GRANTED
+        incarnation = record.registration.incarnation
+        if permits.limits.find(endpoint_id, incarnation) is None:
+            return _Permission.GRANTED
+        if permits.has_pending(exchange.exchange_id):
+            return _Permission.ASKED
+        # Streams that have started come before any other request.
+        priority = -1 if exchange.has_output else exchange.priority
+        permission = permits.obtain(
+            exchange.exchange_id,
+            endpoint_id,
+            incarnation,
+            max_wait,
+            priority,
+            now,
+        )
+        if permission is _Permission.DENIED:
+            self._state.fleet.invalidate_pipelines()
+        return permission
+
+    def _longest_permit_wait(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> datetime.timedelta:
+        """Return how long a request may wait for a permit from now on."""
+        permits = self._state.permits
+        if not len(permits.limits) or not permits.may_wait:
+            return _AT_ONCE
+        if permits.has_pending(exchange.exchange_id):
+            return _AT_ONCE
+        wait = _request_queue.max_wait(exchange)
+        if exchange.queued_at is not None:
+            wait -= now - exchange.queued_at
+        return max(_AT_ONCE, min(wait, exchange.time_left(now)))
+
+    def _await_permit(
+        self,
+        exchange: _exchange.Exchange,
+        max_wait: datetime.timedelta | None,
+        now: datetime.datetime,
+    ) -> _shared_state.Effects:
+        """Let a request wait for a permit that was asked for.
+
+        One that may be given at once is decided within milliseconds.
+        """
+        if exchange.queued_at is not None or not max_wait:
+            return []
+        queue = self._state.queues.for_service(exchange.service.name)
+        queue.enqueue(exchange, now)
+        return [self._log_limited(exchange, now)]
+
+    def start_permitted(
+        self,
+        exchange: _exchange.Exchange,
+        endpoint_id: model.EndpointId,
+        incarnation: int,
+        now: datetime.datetime,
+    ) -> _shared_state.Effects:
+        """Send a request with a permit; return no effects if that fails."""
+        fleet = self._state.fleet
+        record = fleet.registry.find(endpoint_id)
+        if record is None or record.registration.incarnation != incarnation:
+            return []
+        if not fleet.is_usable(endpoint_id, now):
+            return []
+        if self._state.find_cause(exchange.request, now) is not None:
+            return []
+        if self._state.has_used_up_attempts(exchange):
+            return []
+        address = record.registration.address
+        size = exchange.request.size
+        pipeline: model.Pipeline | None = None
+        if exchange.service.engine is not None and size is not None:
+            candidate = fleet.find_pipeline_from(
+                exchange.service, size, endpoint_id, now
+            )
+            if candidate is None or candidate.cache_utilization > 1.0:
+                return []
+            pipeline = candidate.pipeline
         return self._start_attempt(
-            exchange, first.endpoint_id, first.address, candidate.pipeline, now
+            exchange, endpoint_id, address, pipeline, now
         )
 
+    def handle_denied_permit(
+        self,
+        exchange: _exchange.Exchange,
+        endpoint_id: model.EndpointId,
+        now: datetime.datetime,
+    ) -> _shared_state.Effects:
+        """Look for another endpoint for a request that got no permit."""
+        free_in = datetime.timedelta()
+        requests_per_second: float | None = None
+        permits = self._state.permits
+        record = self._state.fleet.registry.find(endpoint_id)
+        if record is not None:
+            incarnation = record.registration.incarnation
+            free_in = permits.free_at(endpoint_id, incarnation, now) - now
+            limit = permits.limits.find(endpoint_id, incarnation)
+            if limit is not None:
+                requests_per_second = limit.requests_per_second
+        line = events.PERMIT_DENIED.line(
+            request=exchange.request.request_id,
+            endpoint=endpoint_id,
+            requests_per_second=requests_per_second,
+            free_in_milliseconds=_shared_state.milliseconds(free_in),
+        )
+        return [
+            _shared_state.log(line),
+            *self.dispatch_or_queue(exchange, now),
+        ]
+
+    def _log_limited(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> _effects.WriteLog:
+        """Return the log line on the limits that hold a request up."""
+        limited = self._state.fleet.limited(exchange.service.name, now)
+        limited.sort(key=lambda item: (item[1], item[0]))
+        free_at = limited[0][1] if limited else now
+        line = events.REQUEST_LIMITED.line(
+            request=exchange.request.request_id,
+            service=exchange.service.name,
+            endpoints=",".join(
+                endpoint_id
+                for endpoint_id, _ in limited[:_MAX_LOGGED_ENDPOINTS]
+            ),
+            free_in_milliseconds=_shared_state.milliseconds(free_at - now),
+        )
+        return _shared_state.log(line)
+
     def serve_queues(self, now: datetime.datetime) -> _shared_state.Effects:
         """Dispatch queued requests while capacity lasts; fail overdue ones."""
         effects: _shared_state.Effects = []
@@ -139,11 +319,7 @@
             for exchange in waiting:
                 effects += self.dispatch_or_queue(exchange, now)
         for queue in self._state.queues:
-            for exchange in queue.in_order():
-                request_effects = self.dispatch_or_queue(exchange, now)
-                effects += request_effects
-                if not request_effects:
-                    break
+            effects += self._serve_queue(queue, now)
             for exchange in queue.overdue(now):
                 queue.dequeue(exchange)
                 failure: errors.Failure = _failures.NoEndpoint(
@@ -155,6 +331,28 @@
                 )
         return effects
 
+    def _serve_queue(
+        self, queue: _request_queue.RequestQueue, now: datetime.datetime
+    ) -> _shared_state.Effects:
+        """Dispatch the requests of a queue while capacity lasts.
+
+        Those that wait for a permit hold up no other.
+        """
+        effects: _shared_state.Effects = []
+        has_room = True
+        permits = self._state.permits
+        for exchange in queue.in_order():
+            if not has_room and permits.has_pending(exchange.exchange_id):
+                continue
+            request_effects = self.dispatch_or_queue(exchange, now)
+            effects += request_effects
+            if request_effects:
+                continue
+            has_room = False
+            if not permits.has_pending(exchange.exchange_id):
+                break
+        return effects
+
     def record_output_started(
         self, exchange_id: int, now: datetime.datetime
     ) -> _shared_state.Effects:
@@ -307,50 +505,82 @@
     def _dispatch_to_endpoint(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> _shared_state.Effects:
+        longest_wait = self._longest_permit_wait(exchange, now)
+        for permit_wait in sorted({_AT_ONCE, longest_wait}):
+            registration = self._choose_endpoint(exchange, permit_wait, now)
+            if registration is None:
+                continue
+            permission = self._obtain_permit(
+                exchange, registration.endpoint_id, permit_wait, now
+            )
+            if permission is _Permission.ASKED:
+                return self._await_permit(exchange, permit_wait, now)
+            if permission is _Permission.GRANTED:
+                return self._start_attempt(
+                    exchange,
+                    registration.endpoint_id,
+                    registration.address,
+                    None,
+                    now,
+                )
+        if self._state.permits.has_pending(exchange.exchange_id):
+            return []
+        return self._fail_without_endpoint(exchange, now)
+
+    def _choose_endpoint(
+        self,
+        exchange: _exchange.Exchange,
+        permit_wait: datetime.timedelta,
+        now: datetime.datetime,
+    ) -> catalog.Registration | None:
+        """Return the endpoint for a request, if one may take it by then."""
+        service = exchange.service.name
         registration = self._state.fleet.choose_endpoint(
-            exchange.service.name, exchange.tried_endpoints, now
+            service, exchange.tried_endpoints, now, permit_wait
         )
         if registration is None and exchange.has_output:
             # The endpoint on which the stream broke off may resume it.
             registration = self._state.fleet.choose_endpoint(
-                exchange.service.name, frozenset(), now
-            )
-        if registration is None:
-            failure = self._no_endpoint(exchange, now)
-            return self.fail(
-                exchange, self.adjust_outcome(exchange, failure), now
+                service, frozenset(), now, permit_wait
             )
-        return self._start_attempt(
-            exchange,
-            registration.endpoint_id,
-            registration.address,
-            None,
-            now,
-        )
+        return registration
 
     def _handle_no_pipeline(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> _shared_state.Effects:
         """Queue a stream that has started; fail any other request."""
+        if self._state.permits.has_pending(exchange.exchange_id):
+            return []
         if exchange.has_output:
             return self._enqueue_or_fail(exchange, 0.0, now)
-        failure = self._no_endpoint(exchange, now)
-        return self.fail(exchange, self.adjust_outcome(exchange, failure), now)
+        return self._fail_without_endpoint(exchange, now)
 
-    def _no_endpoint(
+    def _fail_without_endpoint(
         self, exchange: _exchange.Exchange, now: datetime.datetime
-    ) -> errors.Failure:
-        """Return the failure of a request that no endpoint may get now.
+    ) -> _shared_state.Effects:
+        """Fail a request that no endpoint may get now.
 
-        If endpoints have asked for a pause, the caller may retry after the
-        first of them has ended.
+        If endpoints have asked for a pause, or have named a limit, the caller
+        may retry when the first of them takes requests again.
         """
         service = exchange.service.name
+        effects: _shared_state.Effects = []
+        limited = self._state.fleet.limited(service, now)
+        if limited:
+            effects.append(self._log_limited(exchange, now))
+        free_at = [at for _, at in limited]
         paused_until = self._state.fleet.end_of_pauses(service, now)
-        if paused_until is None:
-            return _failures.NoEndpoint(service)
-        return _failures.NoEndpoint(
-            service, max(paused_until - now, _MIN_RETRY_AFTER)
+        if paused_until is not None:
+            free_at.append(paused_until)
+        failure = _failures.NoEndpoint(service)
+        if free_at:
+            retry_after = max(min(free_at) - now, _MIN_RETRY_AFTER)
+            if limited:
+                queue = self._state.queues.for_service(service)
+                retry_after = queue.retry_after(exchange, now, retry_after)
+            failure = _failures.NoEndpoint(service, retry_after)
+        return effects + self.fail(
+            exchange, self.adjust_outcome(exchange, failure), now
         )
 
     def _enqueue_or_fail(
@@ -390,6 +620,8 @@
         pipeline: model.Pipeline | None,
         now: datetime.datetime,
     ) -> _shared_state.Effects:
+        self._state.queues.for_service(exchange.service.name).dequeue(exchange)
+        self._state.permits.cancel(exchange.exchange_id)
         customer = exchange.customer
         time_left: datetime.timedelta | None = None
         if exchange.request.time_left is not None:
@@ -446,6 +678,7 @@
         self._state.return_retry(exchange)
         self._state.queues.for_service(exchange.service.name).dequeue(exchange)
         self._state.awaiting_path.pop(exchange.exchange_id, None)
+        self._state.permits.cancel(exchange.exchange_id)
         self._state.exchanges.pop(exchange.exchange_id, None)
 
     def adjust_outcome(
--- a/sedgepin/_gateway/_endpoint_notices.py
+++ b/sedgepin/_gateway/_endpoint_notices.py
@@ -82,7 +82,7 @@
         now: datetime.datetime,
     ) -> Effects:
         """Record the limit of requests that an endpoint names, if it does."""
-        limits = self._state.request_limits
+        limits = self._state.permits.limits
         endpoint_id, notice = event.endpoint_id, event.metadata.notice
         malformed = notice.malformed_request_limit
         if malformed is not None and (
@@ -97,7 +97,56 @@
         )
         if change is None:
             return []
+        message = protocol.EndpointLimited(
+            endpoint_id, incarnation, change.requests_per_second
+        )
         told_by = "check" if event.is_check else "answer"
+        return self._apply_limit(change, told_by) + [
+            _effects.SendMessage(vm_id, message)
+            for vm_id in sorted(self._connections.connected)
+        ]
+
+    def record_limit(
+        self,
+        message: protocol.EndpointLimited,
+        sender: model.VmId,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Take over what a control VM says of an endpoint's limit."""
+        change = self._state.permits.limits.merge(
+            message.endpoint_id,
+            message.incarnation,
+            message.requests_per_second,
+            now,
+        )
+        if change is None:
+            return []
+        return self._apply_limit(change, sender)
+
+    def limits_for(self, recipient: model.VmId) -> Effects:
+        """Tell a control VM that has connected which limits are known here."""
+        return [
+            _effects.SendMessage(
+                recipient,
+                protocol.EndpointLimited(
+                    endpoint_id, incarnation, limit.requests_per_second
+                ),
+            )
+            for endpoint_id, incarnation, limit in (
+                self._state.permits.limits.all()
+            )
+        ]
+
+    def tick(self) -> None:
+        """Forget the limits of endpoints that are gone."""
+        rate_limits.remove_ended(
+            self._state.permits.limits, self._state.fleet.registry.is_past
+        )
+
+    def _apply_limit(
+        self, change: rate_limits.LimitChange, told_by: str
+    ) -> Effects:
+        self._state.fleet.invalidate_pipelines()
         return [_shared_state.log(rate_limits.change_line(change, told_by))]
 
     def record_leaving(
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -14,6 +14,7 @@
 from sedgepin import _model as model
 from sedgepin import _placement as placement
 from sedgepin import _protocol as protocol
+from sedgepin import _rate_limits as rate_limits
 
 # A cached pipeline is reused for this long and for this many requests.  Within
 # these limits, load shifts by a few percent of the engines' caches.
@@ -29,6 +30,9 @@
 # An endpoint in another data centre counts as having this many more requests.
 _CROSS_DATA_CENTRE_PENALTY_REQUESTS = 2.0
 
+# A permit is needed at once, or the endpoint must need none.
+_AT_ONCE = datetime.timedelta()
+
 _Loads = dict[model.EndpointId, protocol.EndpointLoad]
 
 
@@ -67,6 +71,7 @@
         "_heartbeat_timeout",
         "_last_report",
         "_other_loads",
+        "_permits",
         "_pipeline_cache",
         "_refused_at",
         "_reported_loads",
@@ -85,8 +90,10 @@
         data_centre: model.DataCentreId,
         heartbeat_timeout: datetime.timedelta,
         rng: random.Random,
+        permits: rate_limits.Permits,
     ) -> None:
         self._data_centre = data_centre
+        self._permits = permits
         self._heartbeat_timeout = heartbeat_timeout
         self.registry = catalog.Registry()
         self.restrictions = catalog.EndpointRestrictions()
@@ -234,17 +241,24 @@
         service: model.ServiceName,
         excluded: collections.abc.Container[model.EndpointId],
         now: datetime.datetime,
+        permit_wait: datetime.timedelta | None = _AT_ONCE,
     ) -> catalog.Registration | None:
         """Return the least loaded endpoint of a plain service.
 
         Endpoints that failed recently are used only if there is no other.
+        See ``find_pipeline`` for ``permit_wait``.
         """
-        usable = [
+        sound = [
             record.registration
             for record in self._usable(service, now)
             if record.registration.endpoint_id not in excluded
         ]
-        if not usable:
+        usable = [
+            registration
+            for registration in sound
+            if self._may_get_permit(registration, permit_wait, now)
+        ]
+        if not sound:
             # Without an alternative, use an endpoint that failed recently.
             usable = [
                 record.registration
@@ -254,6 +268,7 @@
                 and record.is_live(self._heartbeat_timeout, now)
                 and not self._is_restricted(record.registration, now)
                 and record.registration.endpoint_id not in excluded
+                and self._may_get_permit(record.registration, permit_wait, now)
             ]
         if not usable:
             return None
@@ -292,14 +307,18 @@
         service: catalog.Service,
         size: placement.RequestSize,
         now: datetime.datetime,
+        permit_wait: datetime.timedelta | None = _AT_ONCE,
     ) -> placement.PipelineCandidate | None:
         """Return the best pipeline for a new request, if one is possible.
 
-        A recent result for the same service may be returned again.
+        A first engine that needs a permit may have one to give within
+        ``permit_wait``; with ``None`` it needs none.  A recent result for the
+        same service may be returned again.
         """
         cached = self._pipeline_cache.get(service.name)
         if (
             cached is not None
+            and permit_wait == _AT_ONCE
             and cached.version == self._version
             and now - cached.cached_at < _PIPELINE_CACHE_TTL
             and cached.uses < _PIPELINE_CACHE_MAX_USES
@@ -308,7 +327,7 @@
             return cached.candidate
         if service.engine is None:
             return None
-        engines = self._engines(service, service.engine, now)
+        engines = self._engines(service, service.engine, now, permit_wait)
         search = _pipeline_search.PipelineSearch(
             self._data_centre, service.engine, size
         )
@@ -316,6 +335,8 @@
         candidate = search.best_after_unreported(
             engines, self.unreported_load, request_count
         )
+        if permit_wait != _AT_ONCE:
+            return candidate
         self._pipeline_cache.pop(service.name, None)
         if (
             candidate is not None
@@ -326,6 +347,27 @@
             )
         return candidate
 
+    def find_pipeline_from(
+        self,
+        service: catalog.Service,
+        size: placement.RequestSize,
+        endpoint_id: model.EndpointId,
+        now: datetime.datetime,
+    ) -> placement.PipelineCandidate | None:
+        """Return the best pipeline that begins with an engine."""
+        if service.engine is None:
+            return None
+        engines = [
+            dataclasses.replace(
+                engine, may_begin=engine.endpoint_id == endpoint_id
+            )
+            for engine in self._engines(service, service.engine, now)
+        ]
+        search = _pipeline_search.PipelineSearch(
+            self._data_centre, service.engine, size
+        )
+        return search.best(engines)
+
     def find_failover_pipeline(
         self,
         service: catalog.Service,
@@ -397,6 +439,7 @@
         service: catalog.Service,
         profile: catalog.EngineProfile,
         now: datetime.datetime,
+        permit_wait: datetime.timedelta | None = _AT_ONCE,
     ) -> list[placement.CandidateEngine]:
         engines: list[placement.CandidateEngine] = []
         for record in self._usable(service.name, now):
@@ -419,10 +462,56 @@
                     has_refused=self._counts_as_full(
                         registration.endpoint_id, now
                     ),
+                    may_begin=self._may_get_permit(
+                        registration, permit_wait, now
+                    ),
                 )
             )
         return engines
 
+    def _may_get_permit(
+        self,
+        registration: catalog.Registration,
+        wait: datetime.timedelta | None,
+        now: datetime.datetime,
+    ) -> bool:
+        """Return whether an endpoint may get a request within some time.
+
+        Without ``wait``, only one that has named no limit.
+        """
+        endpoint_id = registration.endpoint_id
+        incarnation = registration.incarnation
+        if self._permits.limits.find(endpoint_id, incarnation) is None:
+            return True
+        if wait is None:
+            return False
+        return self._permits.free_at(endpoint_id, incarnation, now) <= (
+            now + wait
+        )
+
+    def limited(
+        self, service: model.ServiceName, now: datetime.datetime
+    ) -> list[tuple[model.EndpointId, datetime.datetime]]:
+        """Return a service's endpoints with limits, and when each is free.
+
+        Of engines, those that can be the first of a pipeline.
+        """
+        return [
+            (
+                registration.endpoint_id,
+                self._permits.free_at(
+                    registration.endpoint_id, registration.incarnation, now
+                ),
+            )
+            for registration in (
+                record.registration for record in self._usable(service, now)
+            )
+            if (registration.layers is None or not registration.layers.first)
+            and self._permits.limits.find(
+                registration.endpoint_id, registration.incarnation
+            )
+        ]
+
     def _counts_as_full(
         self, endpoint_id: model.EndpointId, now: datetime.datetime
     ) -> bool:
--- /dev/null
+++ b/sedgepin/_gateway/_permits.py
@@ -0,0 +1,109 @@
+"""Permits for requests to endpoints that have named a limit.
+
+What all VMs send to such an endpoint is counted by the leader.
+"""
+
+import datetime
+
+from sedgepin._gateway import _control_connections
+from sedgepin._gateway import _dispatcher
+from sedgepin._gateway import _effects
+from sedgepin._gateway import _shared_state
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+
+Effects = _shared_state.Effects
+
+
+class PermitFollower:
+    """Asks control VMs for permits, and sends the requests that get one."""
+
+    __slots__ = ("_connections", "_dispatcher", "_state")
+
+    def __init__(
+        self,
+        state: _shared_state.SharedState,
+        connections: _control_connections.ControlConnections,
+        dispatcher: _dispatcher.RequestDispatcher,
+    ) -> None:
+        self._state = state
+        self._connections = connections
+        self._dispatcher = dispatcher
+
+    def send_asks(self, aggregator: model.VmId | None) -> Effects:
+        """Ask for the permits that requests have come to need."""
+        asks = self._state.permits.take_asks()
+        if not asks:
+            return []
+        connected = self._connections.connected
+        if aggregator not in connected:
+            aggregator = min(
+                connected, key=self._connections.rank, default=None
+            )
+        if aggregator is None:
+            return []
+        return [
+            _effects.SendMessage(
+                aggregator,
+                protocol.PermitAsked(
+                    ask.request.endpoint_id,
+                    ask.request.incarnation,
+                    ask.request.ask_id,
+                    ask.requests_per_second,
+                    _shared_state.milliseconds(ask.request.max_wait),
+                    ask.request.priority,
+                ),
+            )
+            for ask in asks
+        ]
+
+    def handle_answer(
+        self,
+        message: protocol.PermitAnswered,
+        sender: model.VmId,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Send the request that got a permit, or look for another endpoint."""
+        permits = self._state.permits
+        is_expected = permits.record_answer(
+            message.ask_id,
+            message.endpoint_id,
+            message.incarnation,
+            message.is_granted,
+            datetime.timedelta(milliseconds=message.wait_milliseconds),
+            now,
+        )
+        exchange = self._state.exchanges.get(message.ask_id)
+        if not message.is_granted:
+            self._state.fleet.invalidate_pipelines()
+            if not is_expected or exchange is None:
+                return []
+            return self._dispatcher.handle_denied_permit(
+                exchange, message.endpoint_id, now
+            )
+        effects: Effects = []
+        if is_expected and exchange is not None and exchange.dispatch is None:
+            effects = self._dispatcher.start_permitted(
+                exchange, message.endpoint_id, message.incarnation, now
+            )
+            if effects:
+                return effects
+            effects = self._dispatcher.dispatch_or_queue(exchange, now)
+        returned = protocol.PermitReturned(
+            message.endpoint_id, message.incarnation
+        )
+        return [_effects.SendMessage(sender, returned), *effects]
+
+    def tick(self, now: datetime.datetime) -> Effects:
+        """Send what has waited too long for the answer of a control VM."""
+        permits = self._state.permits
+        if not len(permits.limits) and not permits.is_waiting:
+            return []
+        if not self._connections.connected:
+            permits.lose_contact()
+        effects: Effects = []
+        for ask_id in permits.tick(now):
+            exchange = self._state.exchanges.get(ask_id)
+            if exchange is not None and exchange.dispatch is None:
+                effects += self._dispatcher.dispatch_or_queue(exchange, now)
+        return effects
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -15,6 +15,7 @@
 from sedgepin._gateway import _endpoint_notices
 from sedgepin._gateway import _events
 from sedgepin._gateway import _paths
+from sedgepin._gateway import _permits
 from sedgepin._gateway import _settings
 from sedgepin._gateway import _shared_state
 from sedgepin._gateway import _stream_failover
@@ -47,6 +48,7 @@
         "_next_report_at",
         "_notices",
         "_paths",
+        "_permits",
         "_quarantine",
         "_reported_at",
         "_state",
@@ -64,6 +66,9 @@
         self._connections = _control_connections.ControlConnections(
             cfg.vm_id, cfg.data_centre, cfg.controls, now
         )
+        self._permits = _permits.PermitFollower(
+            self._state, self._connections, self._dispatcher
+        )
         self._paths = _paths.PathFollower(self._state, self._connections)
         self._attempt_handler = _attempt_handler.AttemptHandler(
             self._state, self._dispatcher, self._paths
@@ -128,6 +133,7 @@
         return (
             bool(len(self._state.startup_queue))
             or bool(self._state.awaiting_path)
+            or self._state.permits.is_waiting
             or any(len(queue) for queue in self._state.queues)
         )
 
@@ -140,7 +146,10 @@
         self, event: _events.GatewayEvent, now: datetime.datetime
     ) -> Effects:
         """Handle one event and return the resulting effects in order."""
-        return self._handle(event, now) + self._report_unreachable()
+        effects = self._handle(event, now) + self._report_unreachable()
+        return effects + self._permits.send_asks(
+            self._aggregator_selector.selected
+        )
 
     def _handle(
         self, event: _events.GatewayEvent, now: datetime.datetime
@@ -197,6 +206,7 @@
                 self._aggregator_selector.record_reconnect(hello.id)
                 line = events.PEER_CONNECTED.line(peer=hello.id)
                 effects = [_shared_state.log(line)]
+                effects += self._notices.limits_for(hello.id)
                 return effects + self._quarantine.snapshot(hello.id)
             case protocol.PeerDisconnected(peer_id):
                 self._connections.record_disconnected(peer_id, now)
@@ -237,6 +247,10 @@
                 self._apply_aggregate(sender, message, now)
             case protocol.EndpointLeaving(endpoint_id, incarnation):
                 return self._notices.record_leaving(endpoint_id, incarnation)
+            case protocol.EndpointLimited():
+                return self._notices.record_limit(message, sender, now)
+            case protocol.PermitAnswered():
+                return self._permits.handle_answer(message, sender, now)
             case protocol.EndpointPaced(endpoint_id, incarnation, slowdown):
                 self._state.fleet.registry.set_slowdown(
                     endpoint_id, incarnation, slowdown
@@ -274,6 +288,7 @@
 
     def _set_entry_count(self, entry_count: int) -> None:
         self._state.retry_budget.set_entry_count(entry_count)
+        self._state.permits.entry_count = entry_count
         self._state.fleet.unreported_load.set_entry_count(entry_count)
 
     def _merge_registrations(
@@ -441,7 +456,9 @@
             self._aggregator_selector.has_recent_aggregate(now),
             now,
         )
+        effects += self._permits.tick(now)
         if now >= self._next_report_at:
+            self._notices.tick()
             effects += self._report_load(now)
             effects += self._update_connections(now)
         effects += self._quarantine.tick(now)
--- a/sedgepin/_gateway/_request_queue.py
+++ b/sedgepin/_gateway/_request_queue.py
@@ -84,15 +84,23 @@
         return self.expected_wait(exchange, now) <= max_wait(exchange)
 
     def retry_after(
-        self, exchange: _exchange.Exchange, now: datetime.datetime
+        self,
+        exchange: _exchange.Exchange,
+        now: datetime.datetime,
+        least: datetime.timedelta | None = None,
     ) -> datetime.timedelta:
         """Return how long the caller of a rejected request should wait.
 
+        ``least`` replaces the expected wait in the queue, if it is known
+        better.
+
         The retries of successive callers are spaced by the departure
         interval, so that they arrive at the rate at which capacity becomes
         free.  This matters because most callers retry only once.
         """
-        wait = max(_MIN_RETRY_AFTER, self.expected_wait(exchange, now))
+        if least is None:
+            least = self.expected_wait(exchange, now)
+        wait = max(_MIN_RETRY_AFTER, least)
         retry_at = now + wait
         if self._last_retry_at is not None:
             next_slot = self._last_retry_at + self._departure_interval(now)
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -31,8 +31,8 @@
         "exchanges",
         "fleet",
         "links",
+        "permits",
         "queues",
-        "request_limits",
         "retry_budget",
         "rng",
         "startup_queue",
@@ -48,9 +48,11 @@
     ) -> None:
         self.rng = rng
         self.table: catalog.RouteTable | None = None
-        self.fleet = _fleet.Fleet(cfg.data_centre, cfg.heartbeat_timeout, rng)
+        self.permits = rate_limits.Permits(cfg.vm_id)
+        self.fleet = _fleet.Fleet(
+            cfg.data_centre, cfg.heartbeat_timeout, rng, self.permits
+        )
         self.retry_budget = _retry_budget.RetryBudget(cfg.retries)
-        self.request_limits = rate_limits.RequestLimits()
         self.crash_causes = crash_causes.CrashCauseTracker(cfg.vm_id, now)
         self.startup_queue = _startup_queue.StartupQueue(now)
         self.queues = _request_queue.RequestQueues()
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -364,7 +364,9 @@
         if dispatch is not None and dispatch.pipeline is None:
             tried = exchange.tried_endpoints.union(exchange.endpoint_ids)
             service = exchange.service.name
-            endpoint = self._state.fleet.choose_endpoint(service, tried, now)
+            endpoint = self._state.fleet.choose_endpoint(
+                service, tried, now, permit_wait=None
+            )
             return endpoint is not None or self._is_on_broken_path(
                 exchange, now
             )
@@ -372,7 +374,7 @@
         if size is None:
             return False
         candidate = self._state.fleet.find_pipeline(
-            exchange.service, size, now
+            exchange.service, size, now, permit_wait=None
         )
         if candidate is None or candidate.cache_utilization > 1.0:
             return False
--- a/sedgepin/_gateway/tests/test_log_lines.py
+++ b/sedgepin/_gateway/tests/test_log_lines.py
@@ -184,6 +184,54 @@
     return _notice(gateway, catalog.EndpointNotice(pause=pause))
 
 
+def _limit(
+    gateway: parts.Gateway,
+    endpoint_id: model.EndpointId,
+    requests_per_second: float | None,
+) -> _Effects:
+    return gateway.receive(
+        protocol.EndpointLimited(endpoint_id, 1, requests_per_second)
+    )
+
+
+def _endpoint_limited(gateway: parts.Gateway) -> _Effects:
+    return _notice(gateway, catalog.EndpointNotice(request_limit=8.1))
+
+
+def _endpoint_limit_ended(gateway: parts.Gateway) -> _Effects:
+    _endpoint_limited(gateway)
+    gateway.advance(1500)
+    return _notice(gateway, catalog.EndpointNotice())
+
+
+def _limit_unreadable(gateway: parts.Gateway) -> _Effects:
+    notice = catalog.EndpointNotice(malformed_request_limit="nan")
+    return _notice(gateway, notice)
+
+
+def _permit_denied(gateway: parts.Gateway) -> _Effects:
+    _limit(gateway, _LOW, 0.5)
+    exchange_id, _ = gateway.send_request("/draft/x")
+    return gateway.receive(
+        protocol.PermitAnswered(_LOW, 1, exchange_id, False, 1900)
+    )
+
+
+def _request_limited(gateway: parts.Gateway) -> _Effects:
+    _limit(gateway, _LOW, 0.0)
+    _limit(gateway, model.EndpointId("far-low"), 0.0)
+    effects: _Effects = []
+    for _ in range(2):
+        exchange_id, _ = gateway.send_request("/draft/x")
+        for endpoint_id in (_LOW, model.EndpointId("far-low")):
+            effects += gateway.receive(
+                protocol.PermitAnswered(
+                    endpoint_id, 1, exchange_id, False, 30_000
+                )
+            )
+    return effects
+
+
 def _pause_unreadable(gateway: parts.Gateway) -> _Effects:
     return _notice(gateway, catalog.EndpointNotice(malformed_pause="soon"))
 
@@ -277,6 +325,28 @@
         {"endpoint": "low", "milliseconds": 1500},
     ),
     "pause_unreadable": (_pause_unreadable, {"value": "soon"}),
+    "endpoint_limited": (
+        _endpoint_limited,
+        {"endpoint": "low", "requests_per_second": 8.1, "before": None},
+    ),
+    "endpoint_limit_ended": (
+        _endpoint_limit_ended,
+        {"endpoint": "low", "before": 8.1, "milliseconds": 1500},
+    ),
+    "limit_unreadable": (_limit_unreadable, {"value": "nan"}),
+    "permit_denied": (
+        _permit_denied,
+        {
+            "request": "r1",
+            "endpoint": "low",
+            "requests_per_second": 0.5,
+            "free_in_milliseconds": 1900,
+        },
+    ),
+    "request_limited": (
+        _request_limited,
+        {"request": "r1", "service": "model", "endpoints": "far-low,low"},
+    ),
 }
 # Logged by the daemon and covered by the process tests.
 _LOGGED_BY_DAEMON = {
@@ -304,6 +374,6 @@
     def test_every_logged_event_is_covered(self) -> None:
         package = pathlib.Path(__file__).parents[1]
         logged = log_lines.find_event_names(package)
-        shared = package.parent / "_crash_causes"
-        logged |= log_lines.find_event_names(shared)
+        for shared in ("_crash_causes", "_rate_limits"):
+            logged |= log_lines.find_event_names(package.parent / shared)
         assert logged == _SCENARIOS.keys() | _LOGGED_BY_DAEMON
--- a/sedgepin/_gateway/tests/test_unreported_load.py
+++ b/sedgepin/_gateway/tests/test_unreported_load.py
@@ -19,6 +19,7 @@
 from sedgepin import _placement as placement
 from sedgepin._placement.tests import test_plan
 from sedgepin import _protocol as protocol
+from sedgepin import _rate_limits as rate_limits
 
 _ENTRIES = 66
 _SERVICE = model.ServiceName("model")
@@ -65,6 +66,7 @@
                 ),
                 datetime.timedelta(seconds=100),
                 random.Random(number),
+                rate_limits.Permits(model.VmId(f"entry:{number}")),
             )
             for number in range(_ENTRIES)
         ]
--- a/sedgepin/_placement/_paths.py
+++ b/sedgepin/_placement/_paths.py
@@ -50,7 +50,8 @@
 
     ``slowdown`` is the factor by which it takes longer than its accelerator
     type should.  An engine that ``has_refused`` a request just now counts as
-    full, whatever its reported load.
+    full, whatever its reported load.  One without ``may_begin`` is not the
+    first of a pipeline.
     """
 
     endpoint_id: model.EndpointId
@@ -62,6 +63,7 @@
     cached_tokens: float = 0.0
     slowdown: float = 1.0
     has_refused: bool = False
+    may_begin: bool = True
 
     def with_requests(
         self, requests: float, size: RequestSize
@@ -177,6 +179,8 @@
                     layers = engine_cost.engine.layers
                     if not layers.first <= boundary < layers.end:
                         continue
+                    if not path.stages and not engine_cost.engine.may_begin:
+                        continue
                     next_data_centre = engine_cost.engine.data_centre
                     cost = path.cost + engine_cost.per_engine + hop_cost
                     if next_data_centre != data_centre:
--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -15,6 +15,7 @@
 from sedgepin._protocol._messages import DeclaredLost
 from sedgepin._protocol._messages import EndpointFailed
 from sedgepin._protocol._messages import EndpointLeaving
+from sedgepin._protocol._messages import EndpointLimited
 from sedgepin._protocol._messages import EndpointLoad
 from sedgepin._protocol._messages import EndpointLost
 from sedgepin._protocol._messages import EndpointPaced
@@ -31,6 +32,9 @@
 from sedgepin._protocol._messages import LoadShared
 from sedgepin._protocol._messages import LoadSummed
 from sedgepin._protocol._messages import PeerMessage
+from sedgepin._protocol._messages import PermitAnswered
+from sedgepin._protocol._messages import PermitAsked
+from sedgepin._protocol._messages import PermitReturned
 from sedgepin._protocol._messages import RaftCarried
 from sedgepin._protocol._messages import ReadIndexAnswered
 from sedgepin._protocol._messages import ReadIndexAsked
@@ -60,6 +64,7 @@
     "DeclaredLost",
     "EndpointFailed",
     "EndpointLeaving",
+    "EndpointLimited",
     "EndpointLoad",
     "EndpointLost",
     "EndpointPaced",
@@ -84,6 +89,9 @@
     "PeerMessage",
     "PeerMessageReceived",
     "PeerRefused",
+    "PermitAnswered",
+    "PermitAsked",
+    "PermitReturned",
     "RaftCarried",
     "ReadIndexAnswered",
     "ReadIndexAsked",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -223,6 +223,55 @@
     incarnation: int
 
 
+class EndpointLimited(msgspec.Struct, frozen=True, tag=True):
+    """Reports how many requests a second an endpoint takes from all VMs.
+
+    ``requests_per_second`` is ``None`` if it names no limit any more.
+    """
+
+    endpoint_id: model.EndpointId
+    incarnation: int
+    requests_per_second: float | None = None
+
+
+class PermitAsked(msgspec.Struct, frozen=True, tag=True):
+    """Asks for a permit to send one request to an endpoint with a limit.
+
+    The request may wait for it for ``max_wait_milliseconds``; ``priority`` is
+    its rank, 0 the first.  ``entry`` is the entry VM that asks, if a control
+    VM passes its question on to the leader.
+    """
+
+    endpoint_id: model.EndpointId
+    incarnation: int
+    ask_id: int
+    requests_per_second: float
+    max_wait_milliseconds: int = 0
+    priority: int = 0
+    entry: model.VmId = model.VmId("")
+
+
+class PermitAnswered(msgspec.Struct, frozen=True, tag=True):
+    """Grants a permit, or tells after what time one may be free.
+
+    ``entry`` is the entry VM that asked, if a control VM passes this on.
+    """
+
+    endpoint_id: model.EndpointId
+    incarnation: int
+    ask_id: int
+    is_granted: bool
+    wait_milliseconds: int = 0
+    entry: model.VmId = model.VmId("")
+
+
+class PermitReturned(msgspec.Struct, frozen=True, tag=True):
+    """Gives back a permit that was granted and is not used."""
+
+    endpoint_id: model.EndpointId
+    incarnation: int
+
+
 class EndpointPaced(msgspec.Struct, frozen=True, tag=True):
     """The slowdown factor that an engine reports, 1.0 at its usual speed."""
 
@@ -321,12 +370,16 @@
     | LoadReported
     | EndpointFailed
     | EndpointLeaving
+    | EndpointLimited
     | EndpointLost
     | EndpointPaced
     | ForwardersAsked
     | ForwardersOffered
     | LoadShared
     | LoadSummed
+    | PermitAnswered
+    | PermitAsked
+    | PermitReturned
     | ReadIndexAsked
     | ReadIndexAnswered
 )
--- a/sedgepin/_rate_limits/_limits.py
+++ b/sedgepin/_rate_limits/_limits.py
@@ -12,6 +12,8 @@
 _MAX_INCARNATIONS = 4096
 # Answers that were sent before a limit was named arrive this late at most.
 _MAX_ANSWER_DELAY = datetime.timedelta(milliseconds=500)
+# All VMs in reach know of the end of a limit after this time.
+_MAX_SPREAD_TIME = datetime.timedelta(seconds=2)
 
 _Incarnation = tuple[model.EndpointId, int]
 
@@ -59,9 +61,13 @@
     8.1
     """
 
-    __slots__ = ("_limits", "_malformed")
+    __slots__ = ("_ended_at", "_limits", "_malformed")
 
     def __init__(self) -> None:
+        # When limits ended that have not been named again since.
+        self._ended_at: collections.OrderedDict[
+            _Incarnation, datetime.datetime
+        ] = collections.OrderedDict()
         self._limits: dict[_Incarnation, RequestLimit] = {}
         self._malformed: collections.OrderedDict[_Incarnation, None] = (
             collections.OrderedDict()
@@ -125,6 +131,24 @@
             endpoint_id, incarnation, requests_per_second, False, now
         )
 
+    def learn(
+        self,
+        endpoint_id: model.EndpointId,
+        incarnation: int,
+        requests_per_second: float,
+        now: datetime.datetime,
+    ) -> None:
+        """Take over a limit that another VM goes by, if none is known here.
+
+        That VM may not have heard that it has just ended.
+        """
+        if self.find(endpoint_id, incarnation) is not None:
+            return
+        ended_at = self._ended_at.get((endpoint_id, incarnation))
+        if ended_at is not None and now - ended_at < _MAX_SPREAD_TIME:
+            return
+        self._set(endpoint_id, incarnation, requests_per_second, False, now)
+
     def record_malformed(
         self, endpoint_id: model.EndpointId, incarnation: int
     ) -> bool:
@@ -182,9 +206,14 @@
         incarnation: int,
         now: datetime.datetime,
     ) -> LimitChange | None:
-        limit = self._limits.pop((endpoint_id, incarnation), None)
+        key = (endpoint_id, incarnation)
+        limit = self._limits.pop(key, None)
         if limit is None:
             return None
+        self._ended_at[key] = now
+        self._ended_at.move_to_end(key)
+        if len(self._ended_at) > _MAX_INCARNATIONS:
+            self._ended_at.popitem(last=False)
         return LimitChange(
             endpoint_id,
             incarnation,
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -91,6 +91,9 @@
         if now - self._removed_at >= _REMOVAL_INTERVAL:
             self._removed_at = now
             self.registry.remove_expired(self._cfg.heartbeat_timeout, now)
+            rate_limits.remove_ended(
+                self.request_limits, self.registry.is_past
+            )
             self._checked_at = {
                 endpoint_id: checked_at
                 for endpoint_id, checked_at in self._checked_at.items()
@@ -460,8 +463,54 @@
         )
         if change is None:
             return []
-        line = rate_limits.change_line(change, "check")
-        return [_effects.WriteLog(line)]
+        message = protocol.EndpointLimited(
+            endpoint_id, incarnation, change.requests_per_second
+        )
+        return self._tell_limit(change, "check") + [
+            *self._peers.send_to_controls(message),
+        ]
+
+    def record_limit(
+        self,
+        sender: model.VmId,
+        message: protocol.EndpointLimited,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Take over what a peer says of an endpoint's limit; pass it on."""
+        change = self.request_limits.merge(
+            message.endpoint_id,
+            message.incarnation,
+            message.requests_per_second,
+            now,
+        )
+        if change is None:
+            return []
+        effects = self._tell_limit(change, sender)
+        if sender in self._peers.entries:
+            effects += self._peers.send_to_controls(message)
+        return effects
+
+    def _tell_limit(
+        self, change: rate_limits.LimitChange, told_by: str
+    ) -> Effects:
+        """Log a limit that is new here, and tell the entry VMs."""
+        message = protocol.EndpointLimited(
+            change.endpoint_id, change.incarnation, change.requests_per_second
+        )
+        excluded = model.VmId(told_by)
+        return [
+            _effects.WriteLog(rate_limits.change_line(change, told_by)),
+            *self._peers.send_to_entries(message, excluded),
+        ]
+
+    def limit_messages(self) -> list[protocol.EndpointLimited]:
+        """Return the limits in force, for a peer that has just connected."""
+        return [
+            protocol.EndpointLimited(
+                endpoint_id, incarnation, limit.requests_per_second
+            )
+            for endpoint_id, incarnation, limit in self.request_limits.all()
+        ]
 
     def record_leaving(
         self, sender: model.VmId | None, message: protocol.EndpointLeaving
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -16,6 +16,7 @@
 from sedgepin._registrar import _forwarders
 from sedgepin._registrar import _load_aggregation
 from sedgepin._registrar import _peers
+from sedgepin._registrar import _permits
 from sedgepin._registrar import _settings
 from sedgepin import _storage as storage
 from sedgepin import events
@@ -52,6 +53,7 @@
         "_led_at",
         "_load_aggregator",
         "_peers",
+        "_permits",
         "_raft",
     )
 
@@ -79,6 +81,9 @@
         self._endpoints = _endpoints.EndpointManager(
             cfg, self._peers, self._raft, now
         )
+        self._permits = _permits.PermitManager(
+            self._endpoints.request_limits, self._peers, self._raft
+        )
         self._crash_causes = crash_causes.CrashCauseTracker(cfg.vm_id, now)
         self._load_aggregator = _load_aggregation.LoadAggregator(now)
         self._forwarders = _forwarders.ForwarderDirectory()
@@ -140,6 +145,7 @@
     def _tick(self, now: datetime.datetime) -> Effects:
         effects = self._step_raft(consensus.TimerFired(), now)
         effects += self._configurations.expire(now)
+        effects += self._permits.tick(now)
         self._crash_causes.tick(now)
         effects += self._log_cause_changes()
         if self._raft.leader_id is not None:
@@ -189,6 +195,14 @@
                 return self._peers.send_to_entries(message)
             case protocol.EndpointLeaving():
                 return self._endpoints.record_leaving(sender, message)
+            case protocol.EndpointLimited():
+                return self._endpoints.record_limit(sender, message, now)
+            case protocol.PermitAsked():
+                return self._permits.ask(sender, message, now)
+            case protocol.PermitAnswered():
+                return self._permits.answer(message)
+            case protocol.PermitReturned():
+                return self._permits.take_back(message, now)
             case protocol.ForwardersAsked():
                 offer = self._forwarders.offer(sender, now)
                 return [_effects.SendMessage(sender, offer)]
@@ -238,6 +252,10 @@
             _effects.SendMessage(hello.id, leaving_message)
             for leaving_message in self._endpoints.leaving_messages()
         ]
+        effects += [
+            _effects.SendMessage(hello.id, limit_message)
+            for limit_message in self._endpoints.limit_messages()
+        ]
         evidence = self._crash_causes.snapshot()
         if evidence:
             report = protocol.CrashesReported(evidence)
--- a/sedgepin/_registrar/tests/test_log_lines.py
+++ b/sedgepin/_registrar/tests/test_log_lines.py
@@ -119,6 +119,20 @@
     _notify(cluster, catalog.EndpointNotice(pause=pause))
 
 
+def _name_limit(cluster: clusters.Cluster) -> None:
+    _notify(cluster, catalog.EndpointNotice(request_limit=8.1))
+
+
+def _end_limit(cluster: clusters.Cluster) -> None:
+    _name_limit(cluster)
+    cluster.run(1)
+    _notify(cluster, catalog.EndpointNotice())
+
+
+def _name_limit_unreadably(cluster: clusters.Cluster) -> None:
+    _notify(cluster, catalog.EndpointNotice(malformed_request_limit="inf"))
+
+
 def _pause_unreadably(cluster: clusters.Cluster) -> None:
     _notify(cluster, catalog.EndpointNotice(malformed_pause="soon"))
 
@@ -144,6 +158,12 @@
     "endpoint_leaving": (_leave, {"endpoint": "e", "incarnation": 1}),
     "endpoint_paused": (_pause, {"endpoint": "e", "milliseconds": 1500}),
     "pause_unreadable": (_pause_unreadably, {"value": "soon"}),
+    "endpoint_limited": (
+        _name_limit,
+        {"endpoint": "e", "requests_per_second": 8.1},
+    ),
+    "endpoint_limit_ended": (_end_limit, {"endpoint": "e", "before": 8.1}),
+    "limit_unreadable": (_name_limit_unreadably, {"value": "inf"}),
     "layers_order_refused": (_refuse_order, {"is_fenced": True}),
 }
 # Logged by the daemon, not the reducer; covered by tests of whole processes.
@@ -178,4 +198,6 @@
     def test_every_event_of_the_package_is_covered(self) -> None:
         package = pathlib.Path(__file__).parents[1]
         logged = log_lines.find_event_names(package)
+        shared = package.parent / "_rate_limits"
+        logged |= log_lines.find_event_names(shared)
         assert logged == _SCENARIOS.keys() | _DAEMON_EVENTS
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -244,6 +244,26 @@
     "incarnation",
     "value",
 )
+PERMIT_DENIED = _define(
+    213,
+    "INFO",
+    "permit_denied",
+    "A request may not be sent now to an endpoint that has named a limit.",
+    "request",
+    "endpoint",
+    "requests_per_second",
+    "free_in_milliseconds",
+)
+REQUEST_LIMITED = _define(
+    214,
+    "INFO",
+    "request_limited",
+    "A request waits or is refused since its endpoints have named limits.",
+    "request",
+    "service",
+    "endpoints",
+    "free_in_milliseconds",
+)
 ENDPOINT_CHANGED = _define(
     205,
     "INFO",
--- a/sedgepin/platform/tests/test_gateway.py
+++ b/sedgepin/platform/tests/test_gateway.py
@@ -219,6 +219,48 @@
         assert notice.pause is None
         assert notice.malformed_pause == value.decode()
 
+    @pytest.mark.parametrize(
+        ("status", "value", "figure"),
+        [
+            (200, b"8.1", 8.1),
+            (503, b"40", 40.0),
+            (500, b" 0.3 ", 0.3),
+            (200, b"0", 0.0),
+            (404, b"100000", 100_000.0),
+        ],
+    )
+    def test_limit_of_requests_in_any_answer(
+        self, status: int, value: bytes, figure: float
+    ) -> None:
+        head = web.AnswerHead(status, ((b"server-LIMIT", value),))
+        notice = _DIALECT.parse_answer(head).notice
+        assert notice.request_limit == figure
+        assert notice.malformed_request_limit is None
+
+    @pytest.mark.parametrize(
+        "values",
+        [
+            (b"",),
+            (b"-1",),
+            (b"nan",),
+            (b"inf",),
+            (b"1e9",),
+            (b"8, 9",),
+            (b"8", b"9"),
+            (b"9" * 400,),
+            ("٣".encode(),),
+        ],
+    )
+    def test_malformed_limit_counts_as_none(
+        self, values: tuple[bytes, ...]
+    ) -> None:
+        headers = tuple((b"Server-Limit", value) for value in values)
+        head = web.AnswerHead(200, headers)
+        notice = _DIALECT.parse_answer(head).notice
+        assert notice.request_limit is None
+        malformed = notice.malformed_request_limit
+        assert malformed is not None and len(malformed) <= 60
+
     @pytest.mark.parametrize("value", [b"3,0", b"a,b,c", b"", b"1,2,3,4"])
     def test_malformed_load_header_is_ignored(self, value: bytes) -> None:
         head = web.AnswerHead(200, ((b"X-Instance-Load", value),))
