Search for a pipeline across data centres if none has room within one

Cause: with the first engines of two data centres limited, their later engines stood idle while all pipelines of the third were full; pipelines across data centres were looked for only if no data centre had all layers.

Change: they are looked for also if no data centre has room.

--- a/sedgepin/_gateway/_pipeline_search.py
+++ b/sedgepin/_gateway/_pipeline_search.py
@@ -38,7 +38,8 @@
         """Return the best pipeline within one data centre, if there is one.
 
         Such a pipeline sends no activations over the links between data
-        centres.  If no data centre has all layers, search across them.
+        centres.  If no data centre has all layers, and room on each of them,
+        search across them.
         """
         groups: dict[model.DataCentreId, list[placement.CandidateEngine]] = {}
         for engine in engines:
@@ -53,11 +54,14 @@
                 continue
             if best is None or self._is_better(data_centre, candidate, best):
                 best = candidate
-        if best is None:
-            finder = placement.PipelineFinder(self.profile, engines)
-            best = finder.find(
-                self.size, self.data_centre, first, prefilled
-            ).ok()
+        if best is not None and best.cache_utilization <= 1.0:
+            return best
+        finder = placement.PipelineFinder(self.profile, engines)
+        across = finder.find(
+            self.size, self.data_centre, first, prefilled
+        ).ok()
+        if best is None or across is None or across.cache_utilization <= 1.0:
+            return across or best
         return best
 
     def best_after_unreported(
