Spread the shares that VMs send while no permits are granted

Buckets begin at a random level, and engines without a permit of this VM are passed over. Probes no longer need a request.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -594,10 +594,13 @@
         if exchange.queued_at is not None:
             return []
         if not queue.may_enqueue(exchange, now):
+            effects: _shared_state.Effects = []
+            if self._state.fleet.limited(exchange.service.name, now):
+                effects.append(self._log_limited(exchange, now))
             failure = _failures.NoEndpoint(
                 exchange.service.name, queue.retry_after(exchange, now)
             )
-            return self.fail(
+            return effects + self.fail(
                 exchange, self.adjust_outcome(exchange, failure), now
             )
         line = events.REQUEST_WAITS.line(
--- a/sedgepin/_gateway/_permits.py
+++ b/sedgepin/_gateway/_permits.py
@@ -97,9 +97,7 @@
     def tick(self, now: datetime.datetime) -> Effects:
         """Send what has waited too long for the answer of a control VM."""
         permits = self._state.permits
-        if not len(permits.limits) and not permits.is_waiting:
-            return []
-        if not self._connections.connected:
+        if len(permits.limits) and not self._connections.connected:
             permits.lose_contact()
         effects: Effects = []
         for ask_id in permits.tick(now):
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -48,7 +48,7 @@
     ) -> None:
         self.rng = rng
         self.table: catalog.RouteTable | None = None
-        self.permits = rate_limits.Permits(cfg.vm_id)
+        self.permits = rate_limits.Permits(cfg.vm_id, rng)
         self.fleet = _fleet.Fleet(
             cfg.data_centre, cfg.heartbeat_timeout, rng, self.permits
         )
--- a/sedgepin/_gateway/tests/test_unreported_load.py
+++ b/sedgepin/_gateway/tests/test_unreported_load.py
@@ -66,7 +66,9 @@
                 ),
                 datetime.timedelta(seconds=100),
                 random.Random(number),
-                rate_limits.Permits(model.VmId(f"entry:{number}")),
+                rate_limits.Permits(
+                    model.VmId(f"entry:{number}"), random.Random(number)
+                ),
             )
             for number in range(_ENTRIES)
         ]
--- a/sedgepin/_rate_limits/_bucket.py
+++ b/sedgepin/_rate_limits/_bucket.py
@@ -14,7 +14,8 @@
 class PermitBucket:
     """The permits for the requests to one endpoint.
 
-    It is empty at first, since requests without a permit have just been sent.
+    It is empty at first, since requests without a permit have just been sent,
+    or holds ``level`` of a permit.
 
     >>> bucket = PermitBucket(8.0, now)
     >>> bucket.take(now + datetime.timedelta(seconds=1))
@@ -24,10 +25,13 @@
     __slots__ = ("_filled_at", "_level", "_per_second")
 
     def __init__(
-        self, requests_per_second: float, now: datetime.datetime
+        self,
+        requests_per_second: float,
+        now: datetime.datetime,
+        level: float = 0.0,
     ) -> None:
         self._per_second = requests_per_second * RATE_SHARE
-        self._level = 0.0
+        self._level = level
         self._filled_at = now
 
     def set_rate(
--- a/sedgepin/_rate_limits/_permits.py
+++ b/sedgepin/_rate_limits/_permits.py
@@ -3,6 +3,7 @@
 import dataclasses
 import datetime
 import enum
+import random
 
 from sedgepin import _model as model
 from sedgepin._rate_limits import _bucket
@@ -47,7 +48,7 @@
     While nobody answers, this VM sends an equal share of what an endpoint
     takes.
 
-    >>> permits = Permits(vm_id, now)
+    >>> permits = Permits(vm_id, random.Random(1))
     >>> permits.obtain(7, endpoint_id, 1, timedelta(), 0, now)
     Permission.ASKED
     >>> permits.take_asks()
@@ -60,14 +61,16 @@
         "_own_shares",
         "_pending",
         "_probed_at",
+        "_rng",
         "_unanswered",
         "_vm_id",
         "entry_count",
         "limits",
     )
 
-    def __init__(self, vm_id: model.VmId) -> None:
+    def __init__(self, vm_id: model.VmId, rng: random.Random) -> None:
         self._vm_id = vm_id
+        self._rng = rng
         self.limits = _limits.RequestLimits()
         self.entry_count = 1
         self._pending: dict[int, Ask] = {}
@@ -89,9 +92,11 @@
         now: datetime.datetime,
     ) -> datetime.datetime:
         """Return when an endpoint may have a permit to give, as is known."""
+        key = (endpoint_id, incarnation)
+        if self._unanswered:
+            return now + self._own_share(key, now).wait(0, now)
         if not self._blocked_until:
             return now
-        key = (endpoint_id, incarnation)
         return max(now, self._blocked_until.get(key, now))
 
     def has_pending(self, ask_id: int) -> bool:
@@ -125,7 +130,9 @@
             self._vm_id, ask_id, endpoint_id, incarnation, max_wait, priority
         )
         if self._unanswered:
-            return self._take_own_share(request, limit, now)
+            if self._own_share(request.key, now).take(now):
+                return Permission.GRANTED
+            return Permission.DENIED
         ask = Ask(
             request,
             limit.requests_per_second,
@@ -177,6 +184,8 @@
             del self._pending[ask_id]
         if expired:
             self._unanswered = True
+        if self._unanswered:
+            self._probe(now)
         if self._blocked_until:
             self._blocked_until = {
                 key: until
@@ -185,28 +194,37 @@
             }
         return expired
 
-    def _take_own_share(
-        self,
-        request: _ledger.PermitRequest,
-        limit: _limits.RequestLimit,
-        now: datetime.datetime,
-    ) -> Permission:
-        if self._probed_at is None or now - self._probed_at >= _PROBE_INTERVAL:
-            self._probed_at = now
-            probe = dataclasses.replace(
-                request, ask_id=PROBE_ID, max_wait=datetime.timedelta()
-            )
-            self._new_asks.append(Ask(probe, limit.requests_per_second, now))
-        share = limit.requests_per_second / max(1, self.entry_count)
-        bucket = self._own_shares.get(request.key)
+    def _probe(self, now: datetime.datetime) -> None:
+        """Find out from time to time whether permits are granted again."""
+        if not len(self.limits):
+            self._unanswered = False
+            self._own_shares.clear()
+            return
+        if self._probed_at is not None and (
+            now - self._probed_at < _PROBE_INTERVAL
+        ):
+            return
+        self._probed_at = now
+        endpoint_id, incarnation, limit = self.limits.all()[0]
+        probe = _ledger.PermitRequest(
+            self._vm_id, PROBE_ID, endpoint_id, incarnation
+        )
+        self._new_asks.append(Ask(probe, limit.requests_per_second, now))
+
+    def _own_share(
+        self, key: _Incarnation, now: datetime.datetime
+    ) -> _bucket.PermitBucket:
+        limit = self.limits.find(*key)
+        rate = 0.0 if limit is None else limit.requests_per_second
+        share = rate / max(1, self.entry_count)
+        bucket = self._own_shares.get(key)
         if bucket is None:
-            bucket = _bucket.PermitBucket(share, now)
-            self._own_shares[request.key] = bucket
+            # Spreads the first permits of the VMs, as it does all others.
+            level = self._rng.random()
+            bucket = _bucket.PermitBucket(share, now, level)
+            self._own_shares[key] = bucket
         bucket.set_rate(share, now)
-        if bucket.take(now):
-            return Permission.GRANTED
-        self._block(request.key, bucket.wait(0, now), now)
-        return Permission.DENIED
+        return bucket
 
     def _block(
         self,
--- a/sedgepin/_rate_limits/tests/test_permits.py
+++ b/sedgepin/_rate_limits/tests/test_permits.py
@@ -1,6 +1,7 @@
 """Tests of the permits that an entry VM asks for."""
 
 import datetime
+import random
 
 from sedgepin import _model as model
 from sedgepin import _rate_limits as rate_limits
@@ -17,7 +18,7 @@
 
 
 def _make(requests_per_second: float = 8.0) -> rate_limits.Permits:
-    permits = rate_limits.Permits(_VM)
+    permits = rate_limits.Permits(_VM, random.Random(1))
     permits.limits.merge(_ENDPOINT, 1, requests_per_second, _START)
     return permits
 
@@ -30,7 +31,7 @@
 
 class TestAsking:
     def test_endpoint_without_a_limit_needs_no_permit(self) -> None:
-        permits = rate_limits.Permits(_VM)
+        permits = rate_limits.Permits(_VM, random.Random(1))
         assert _obtain(permits, 1) is _Permission.GRANTED
         assert permits.take_asks() == []
 
@@ -76,6 +77,7 @@
         permits = _make()
         permits.lose_contact()
         assert _obtain(permits, 1) is _Permission.DENIED
+        permits.tick(_START)
         (probe,) = permits.take_asks()
         permits.record_answer(
             probe.request.ask_id, _ENDPOINT, 1, True, _NO_WAIT, _after(0.1)
