Let endpoints of the product name a limit of requests, and keep it

The product's own entry had the same class of fault: an endpoint could state for how many VMs together nothing, and a VM chooses by its own count. An announcement may name requests_per_second now; the control VMs' leader grants the permits, as on the platform, by the same code. An engine that may not be the first of a pipeline stays a later stage.

--- a/sedgepin/_control/_membership_view.py
+++ b/sedgepin/_control/_membership_view.py
@@ -96,6 +96,15 @@
                 self._endpoints[announcement.endpoint_id] = announcement
                 self._received_at[announcement.endpoint_id] = now
 
+    def find(self, endpoint_id: model.EndpointId) -> model.Announcement | None:
+        """Return the latest announcement of an endpoint, if there is one."""
+        return self._endpoints.get(endpoint_id)
+
+    def is_past(self, endpoint_id: model.EndpointId, incarnation: int) -> bool:
+        """Return whether an incarnation is gone or another has followed."""
+        latest = self._endpoints.get(endpoint_id)
+        return latest is None or latest.incarnation > incarnation
+
     def endpoints(
         self, now: datetime.datetime
     ) -> tuple[model.Announcement, ...]:
--- a/sedgepin/_control/_reducer.py
+++ b/sedgepin/_control/_reducer.py
@@ -18,6 +18,7 @@
 from sedgepin import _membership as membership
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
+from sedgepin import _rate_limits as rate_limits
 from sedgepin import _release as release
 from sedgepin import _state as state
 from sedgepin import _storage as storage
@@ -44,6 +45,8 @@
         "_proposal_batch",
         "_planner_adapter",
         "_next_plan_at",
+        "_permits",
+        "_request_limits",
         "_proposals",
         "_raft",
         "_membership_view",
@@ -68,6 +71,10 @@
         self._planner_adapter = _planner_adapter.PlannerAdapter(cfg)
         self._next_plan_at = now
         self._entry_vms: set[model.VmId] = set()
+        self._request_limits = rate_limits.RequestLimits()
+        self._permits = rate_limits.PermitOffice(
+            self._request_limits, self._entry_vms
+        )
         self._proposal_batch: list[consensus.Proposal] = []
         self.state = state.ControlState()
 
@@ -144,14 +151,54 @@
                 return self._fleet_effects(sender, peer_note_number, now)
             case protocol.EndpointsSeen():
                 self._membership_view.record_endpoints(message, now)
+                self._heed_limits(message, now)
+            case protocol.PermitAsked():
+                return _send_all(
+                    self._permits.ask(
+                        sender, message, self._leadership(now), now
+                    )
+                )
+            case protocol.PermitAnswered():
+                return _send_all(
+                    self._permits.pass_on(message, self._leadership(now))
+                )
+            case protocol.PermitReturned():
+                return _send_all(
+                    self._permits.take_back(
+                        message, self._leadership(now), now
+                    )
+                )
         return []
 
+    def _leadership(self, now: datetime.datetime) -> rate_limits.Leadership:
+        return rate_limits.Leadership(
+            self._raft.holds_lease(now), self._raft.leader_id
+        )
+
+    def _heed_limits(
+        self, message: protocol.EndpointsSeen, now: datetime.datetime
+    ) -> None:
+        """Heed the limits that endpoints name, by their latest word."""
+        for announcement in message.announcements:
+            latest = self._membership_view.find(announcement.endpoint_id)
+            if latest is not None:
+                self._request_limits.merge(
+                    latest.endpoint_id,
+                    latest.incarnation,
+                    latest.requests_per_second,
+                    now,
+                )
+
     def _tick(self, now: datetime.datetime) -> Effects:
         effects = self._handle_raft_event(consensus.TimerFired(), now)
         effects += self._handle_liveness(self._membership_view.tick(now), now)
+        effects += _send_all(self._permits.tick(self._leadership(now), now))
         if now >= self._next_plan_at:
             self._next_plan_at = now + _PLAN_INTERVAL
             announcements = self._membership_view.endpoints(now)
+            rate_limits.remove_ended(
+                self._request_limits, self._membership_view.is_past
+            )
             effects += self._plan(
                 release.EndpointsObserved(announcements), now
             )
@@ -389,3 +436,9 @@
             consensus.LeadershipTransferRequested(), now
         )
         return [line, *transfer]
+
+
+def _send_all(messages: list[rate_limits.PermitMessage]) -> Effects:
+    return [
+        _effects.SendMessage(item.recipient, item.message) for item in messages
+    ]
--- a/sedgepin/_entry/_context.py
+++ b/sedgepin/_entry/_context.py
@@ -8,6 +8,7 @@
 from sedgepin import _crash_causes as crash_causes
 from sedgepin._entry import _fleet
 from sedgepin._entry import _paths
+from sedgepin._entry import _permits
 from sedgepin import _membership as membership
 from sedgepin import _model as model
 from sedgepin import _routing as routing
@@ -26,6 +27,7 @@
     quarantine: admission.Quarantine
     crash_causes: crash_causes.CrashCauseTracker
     paths: _paths.PathFollower
+    permits: _permits.PermitAsker
     generator: random.Random
 
     def eligible(
--- a/sedgepin/_entry/_failures.py
+++ b/sedgepin/_entry/_failures.py
@@ -8,6 +8,7 @@
 from sedgepin import errors
 
 _RETRY_AFTER = datetime.timedelta(seconds=1)
+_MIN_DELAY = datetime.timedelta(milliseconds=250)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -57,6 +58,40 @@
         return _RETRY_AFTER
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndpointsLimited(errors.Failure):
+    """The endpoints have named limits, and take no more requests now.
+
+    ``retry_delay`` is the time until the first of them is expected to.
+    """
+
+    code: typing.ClassVar[str] = "endpoints_limited"
+    title: typing.ClassVar[str] = "The endpoints take no more requests now"
+    http_status: typing.ClassVar[int] = 503
+
+    endpoints: tuple[model.EndpointId, ...]
+    retry_delay: datetime.timedelta
+
+    @property
+    def retry_after(self) -> datetime.timedelta:
+        """Return how long the caller should wait before a retry."""
+        return self.retry_delay
+
+    def detail(self) -> str:
+        """Return the title and the endpoints with limits."""
+        return f"{self.title}: {', '.join(self.endpoints)}"
+
+
+def endpoints_limited(
+    free_at: dict[model.EndpointId, datetime.datetime],
+    now: datetime.datetime,
+) -> EndpointsLimited:
+    """Return the failure of a request that fits on none of the endpoints."""
+    return EndpointsLimited(
+        tuple(sorted(free_at)), max(min(free_at.values()) - now, _MIN_DELAY)
+    )
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class EndpointFailed(errors.Failure):
     """An endpoint could not be reached, or failed during the request."""
--- a/sedgepin/_entry/_generation.py
+++ b/sedgepin/_entry/_generation.py
@@ -19,6 +19,7 @@
 from sedgepin._entry import _quarantine_updates
 from sedgepin._entry import _refusals
 from sedgepin import _model as model
+from sedgepin import _rate_limits as rate_limits
 from sedgepin import _release as release
 from sedgepin import _routing as routing
 from sedgepin import errors
@@ -30,6 +31,7 @@
 # token.
 _INITIAL_ANSWER_SECONDS = 0.02
 _ANSWER_SECONDS_WEIGHT = 0.1
+_AT_ONCE = datetime.timedelta()
 # How many random halves of the deprioritized engines are excluded in turn.
 _RANDOM_EXCLUSIONS = 8
 
@@ -164,12 +166,50 @@
         refusal = self.find_refusal(answer, now)
         if refusal is not None:
             return result.Err(refusal)
+        chosen = self._choose_softly(answer, excluded, _AT_ONCE, now)
+        if chosen.is_ok():
+            return chosen
+        wait = self._context.permits.max_wait(answer.deadline, now)
+        if wait > _AT_ONCE:
+            after_wait = self._choose_softly(answer, excluded, wait, now)
+            if after_wait.is_ok():
+                return after_wait
+        blocked = self._blocked(answer, wait, now)
+        if blocked:
+            return result.Err(_failures.endpoints_limited(blocked, now))
+        return chosen
+
+    def _choose_softly(
+        self,
+        answer: _open_answer.OpenAnswer,
+        excluded: frozenset[model.EndpointId],
+        permit_wait: datetime.timedelta,
+        now: datetime.datetime,
+    ) -> result.Result[model.Pipeline, errors.Failure]:
+        """Choose a pipeline whose first engine has a permit in time."""
+        answer.permit_wait = permit_wait
         for deprioritized in self._soft_exclusions(answer):
             chosen = self._choose(answer, excluded | deprioritized, now)
             if chosen.is_ok():
                 return chosen
         return self._choose(answer, excluded, now)
 
+    def _blocked(
+        self,
+        answer: _open_answer.OpenAnswer,
+        wait: datetime.timedelta,
+        now: datetime.datetime,
+    ) -> dict[model.EndpointId, datetime.datetime]:
+        """Return the model's first engines that have no permit in time."""
+        first_engines = tuple(
+            announcement
+            for announcement in self._context.eligible(now)
+            if announcement.model == answer.model.name
+            and announcement.layers is not None
+            and announcement.layers.first == 0
+        )
+        return self._context.permits.blocked(first_engines, wait, now)
+
     def _soft_exclusions(
         self, answer: _open_answer.OpenAnswer
     ) -> collections.abc.Iterator[frozenset[model.EndpointId]]:
@@ -195,6 +235,9 @@
         now: datetime.datetime,
     ) -> result.Result[model.Pipeline, errors.Failure]:
         eligible = self._context.eligible(now)
+        not_first = frozenset(
+            self._context.permits.blocked(eligible, answer.permit_wait, now)
+        )
         first_failure: (
             result.Result[model.Pipeline, routing.NoPipeline] | None
         ) = None
@@ -204,6 +247,7 @@
                 routing_request,
                 excluded_endpoints=routing_request.excluded_endpoints
                 | excluded,
+                not_first=not_first,
             )
             chosen = self._context.router.choose_pipeline(
                 routing_request, eligible, answer.model.layer_count, now
@@ -220,13 +264,22 @@
         answer: _open_answer.OpenAnswer,
         pipeline: model.Pipeline,
         now: datetime.datetime,
+        has_permit: bool = False,
     ) -> Effects:
         """Start the next attempt on ``pipeline``.
 
-        It may have to wait for a forwarder to the first engine for a moment.
+        It may have to wait for a forwarder to the first engine, or for a
+        permit, for a moment.
         """
         request = answer.request
         first = pipeline.stages[0]
+        if not has_permit:
+            permission = self._obtain_permit(answer, first.endpoint_id, now)
+            if permission is rate_limits.Permission.ASKED:
+                answer.awaited_pipeline = pipeline
+                return []
+            if permission is rate_limits.Permission.DENIED:
+                return self.start_elsewhere(answer, pipeline, now)
         path = (first.endpoint_id, first.address, answer.detours > 0, now)
         if self._context.paths.must_wait(*path):
             answer.awaited_pipeline = pipeline
@@ -280,6 +333,62 @@
             effects.append(_effects.WriteLog(line))
         return effects
 
+    def _obtain_permit(
+        self,
+        answer: _open_answer.OpenAnswer,
+        endpoint_id: model.EndpointId,
+        now: datetime.datetime,
+    ) -> rate_limits.Permission:
+        announcement = self._context.gossip.endpoints.find(endpoint_id)
+        if announcement is None:
+            return rate_limits.Permission.GRANTED
+        # Streams that have started come before any other request.
+        has_output = answer.assembly.next_position > 0
+        return self._context.permits.obtain(
+            answer.request.request_id,
+            endpoint_id,
+            announcement.incarnation,
+            answer.permit_wait,
+            -1 if has_output else answer.request.priority,
+            now,
+        )
+
+    def handle_permit(
+        self,
+        answer: _open_answer.OpenAnswer,
+        endpoint_id: model.EndpointId,
+        is_granted: bool,
+        now: datetime.datetime,
+    ) -> Effects | None:
+        """Start the attempt that waits for a permit, or look elsewhere.
+
+        Return ``None`` if a permit is not used.
+        """
+        pipeline = answer.awaited_pipeline
+        if pipeline is None or pipeline.stages[0].endpoint_id != endpoint_id:
+            return None if is_granted else []
+        if not is_granted:
+            return self.start_elsewhere(answer, pipeline, now)
+        answer.awaited_pipeline = None
+        return self.start(answer, pipeline, now, has_permit=True)
+
+    def start_elsewhere(
+        self,
+        answer: _open_answer.OpenAnswer,
+        pipeline: model.Pipeline,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Look for another pipeline for an attempt that got no permit.
+
+        A trial stays on its own, whose engines no other trial uses.
+        """
+        if answer.on_trial:
+            answer.awaited_pipeline = pipeline
+            self._waiting_answers.append(answer.request.request_id)
+            return []
+        answer.awaited_pipeline = None
+        return self.dispatch(answer, now)
+
     def resume_waiting(self, now: datetime.datetime) -> Effects:
         """Start the attempts whose wait for a forwarder is over."""
         waiting, self._waiting_answers = self._waiting_answers, []
@@ -374,6 +483,7 @@
         """Remove a request and admit requests that waited for capacity."""
         request_id = answer.request.request_id
         del self.open_answers[request_id]
+        self._context.permits.cancel(request_id)
         if succeeded and answer.on_trial:
             self.quarantine_updates.append(
                 _quarantine_updates.TrialPassed(answer)
--- a/sedgepin/_entry/_membership_adapter.py
+++ b/sedgepin/_entry/_membership_adapter.py
@@ -143,7 +143,7 @@
                 return [refusal, _effects.WriteLog(line)]
             case membership.ApplyAnnouncement(announcement):
                 self._context.router.observe_announcement(announcement, now)
-                return []
+                return self._context.permits.observe(announcement, now)
             case _:
                 return self._report(effect)
 
@@ -153,17 +153,18 @@
                 definition = events.ENDPOINT_JOINED
             case membership.ReportEndpointLeaving(endpoint, incarnation):
                 definition = events.ENDPOINT_LEAVING
-                self._forget(endpoint)
+                self._forget(endpoint, incarnation)
             case membership.ReportEndpointLost(endpoint, incarnation):
                 definition = events.ENDPOINT_LOST
-                self._forget(endpoint)
+                self._forget(endpoint, incarnation)
             case _:
                 return []
         line = definition.line(endpoint=endpoint, incarnation=incarnation)
         return [_effects.WriteLog(line)]
 
-    def _forget(self, endpoint_id: model.EndpointId) -> None:
+    def _forget(self, endpoint_id: model.EndpointId, incarnation: int) -> None:
         self._context.router.remove_endpoint(endpoint_id)
+        self._context.permits.forget(endpoint_id, incarnation)
         self._reported.pop(endpoint_id, None)
 
 
@@ -181,4 +182,5 @@
         announcement.role,
         announcement.leaving,
         announcement.address,
+        announcement.requests_per_second,
     )
--- a/sedgepin/_entry/_open_answer.py
+++ b/sedgepin/_entry/_open_answer.py
@@ -46,6 +46,7 @@
         "is_admitted",
         "model",
         "on_trial",
+        "permit_wait",
         "preferred_endpoints",
         "probe",
         "probe_detours",
@@ -97,6 +98,8 @@
         self.failure_probe = 0
         # Set while the next attempt waits for a forwarder to its first stage.
         self.awaited_pipeline: model.Pipeline | None = None
+        # How long the next attempt may wait for a permit.
+        self.permit_wait = datetime.timedelta()
         # Who connects to the first stage of the attempt and to the probed
         # stages, ``None`` for this VM, and the ways tried beside the first.
         self.forwarder: protocol.Forwarder | None = None
--- a/sedgepin/_entry/_open_call.py
+++ b/sedgepin/_entry/_open_call.py
@@ -27,6 +27,7 @@
         "is_admitted",
         "is_write",
         "may_have_run",
+        "permit_wait",
         "request",
         "target",
     )
@@ -47,6 +48,8 @@
         self.excluded_endpoints: frozenset[model.EndpointId] = frozenset()
         self.target: model.Announcement | None = None
         self.forwarder: protocol.Forwarder | None = None
+        # How long the next attempt may wait for a permit.
+        self.permit_wait = datetime.timedelta()
 
 
 def stored_headers(
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -18,6 +18,7 @@
 from sedgepin._entry import _held_prompts
 from sedgepin._entry import _membership_adapter
 from sedgepin._entry import _paths
+from sedgepin._entry import _permits
 from sedgepin._entry import _resumption
 from sedgepin._entry import _service_calls
 from sedgepin._entry import _trials
@@ -25,6 +26,7 @@
 from sedgepin import _membership as membership
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
+from sedgepin import _rate_limits as rate_limits
 from sedgepin import _routing as routing
 from sedgepin import events
 from sedgepin import settings
@@ -97,6 +99,8 @@
             generator,
             now,
         )
+        permits = rate_limits.Permits(own_id, generator)
+        permits.entry_count = max(1, len(cfg.entries))
         routing_settings = routing.RoutingSettings(
             data_centre=model.DataCentreId(cfg.data_centre)
         )
@@ -111,6 +115,7 @@
             ),
             crash_causes=crash_causes.CrashCauseTracker(own_id, now),
             paths=_paths.PathFollower(cfg, gossip, forward_key, generator),
+            permits=_permits.PermitAsker(permits, controls),
             generator=generator,
         )
         self._held_prompts = _held_prompts.HeldPrompts(self._context)
@@ -183,7 +188,7 @@
         effects = self._handle_event(event, now)
         if self._generation.quarantine_updates:
             effects += self._trials.apply_quarantine_updates(now)
-        return effects
+        return effects + self._context.permits.send_asks()
 
     def _handle_event(
         self, event: _events.EntryEvent, now: datetime.datetime
@@ -250,6 +255,7 @@
         self._connected.add(peer_id)
         self._context.paths.record_connected(peer_id)
         self._command_client.record_connected(peer_id)
+        self._context.permits.record_connected(peer_id)
         effects = self._membership_adapter.handle_gossip_event(
             membership.PeerUp(peer_id), now
         )
@@ -264,6 +270,7 @@
         self, peer_id: model.VmId, now: datetime.datetime
     ) -> Effects:
         self._connected.discard(peer_id)
+        self._context.permits.record_disconnected(peer_id)
         self._context.paths.record_disconnected(peer_id)
         effects = self._membership_adapter.handle_gossip_event(
             membership.PeerDown(peer_id), now
@@ -305,10 +312,58 @@
                 self._context.paths.record_offer(sender, forwarders, now)
                 effects = self._failure_handler.resume_waiting(now)
                 return effects + self._calls.resume_waiting(now)
+            case protocol.PermitAnswered():
+                return self._handle_permit(sender, message, now)
             case protocol.DeclaredLost(incarnation):
                 self._start_new_incarnation(incarnation)
         return []
 
+    def _handle_permit(
+        self,
+        sender: model.VmId,
+        message: protocol.PermitAnswered,
+        now: datetime.datetime,
+    ) -> Effects:
+        request_id = self._context.permits.take_answer(message, now)
+        effects: Effects | None = None
+        if request_id is not None:
+            effects = self._apply_permit(
+                request_id, message.endpoint_id, message.is_granted, now
+            )
+        if effects is None and message.is_granted:
+            return [_permits.returned(message, sender)]
+        return effects or []
+
+    def _apply_permit(
+        self,
+        request_id: model.RequestId,
+        endpoint_id: model.EndpointId,
+        is_granted: bool,
+        now: datetime.datetime,
+    ) -> Effects | None:
+        """Continue the request that waits; ``None`` if there is none."""
+        answer = self._generation.open_answers.get(request_id)
+        if answer is not None:
+            return self._generation.handle_permit(
+                answer, endpoint_id, is_granted, now
+            )
+        return self._calls.handle_permit(
+            request_id, endpoint_id, is_granted, now
+        )
+
+    def _resume_unanswered(self, now: datetime.datetime) -> Effects:
+        """Go on with requests whose questions for a permit got no answer."""
+        effects: Effects = []
+        for request_id in self._context.permits.tick(now):
+            answer = self._generation.open_answers.get(request_id)
+            if answer is None:
+                effects += self._calls.retry_permit(request_id, now)
+            elif answer.awaited_pipeline is not None:
+                effects += self._generation.start_elsewhere(
+                    answer, answer.awaited_pipeline, now
+                )
+        return effects
+
     def _start_new_incarnation(self, lost: model.Incarnation) -> None:
         """Continue under a new incarnation after one was declared lost.
 
@@ -331,6 +386,7 @@
             self._admission_controllers.tick(now), now
         )
         effects += self._context.paths.tick(now)
+        effects += self._resume_unanswered(now)
         effects += self._failure_handler.tick(now)
         effects += self._held_prompts.tick(now)
         effects += self._calls.tick(now)
--- a/sedgepin/_entry/_service_calls.py
+++ b/sedgepin/_entry/_service_calls.py
@@ -18,6 +18,7 @@
 from sedgepin._entry import _write_calls
 from sedgepin import _http as http
 from sedgepin import _model as model
+from sedgepin import _rate_limits as rate_limits
 from sedgepin import _release as release
 from sedgepin import _writes as writes
 from sedgepin import errors
@@ -309,26 +310,61 @@
     def _choose_endpoint(
         self, call: _open_call.OpenCall, now: datetime.datetime
     ) -> result.Result[model.Announcement, errors.Failure]:
-        chosen = self._context.router.choose_service_endpoint(
-            call.request.service,
-            self._context.eligible(now),
-            call.excluded_endpoints,
-            now,
+        """Choose an endpoint; one without a permit only if there is no other.
+
+        In that case the call waits for the permit.
+        """
+        permits = self._context.permits
+        eligible = self._context.eligible(now)
+        longest_wait = permits.max_wait(call.deadline, now)
+        failure: errors.Failure | None = None
+        for wait in sorted({datetime.timedelta(), longest_wait}):
+            call.permit_wait = wait
+            blocked = permits.blocked(eligible, wait, now)
+            chosen = self._context.router.choose_service_endpoint(
+                call.request.service,
+                eligible,
+                call.excluded_endpoints.union(blocked),
+                now,
+            )
+            if isinstance(chosen, result.Ok):
+                return result.Ok(chosen.ok_value)
+            failure = chosen.err_value
+        assert failure is not None
+        offering = tuple(
+            announcement
+            for announcement in eligible
+            if call.request.service in announcement.services
         )
-        if isinstance(chosen, result.Err):
-            return result.Err(chosen.err_value)
-        return result.Ok(chosen.ok_value)
+        blocked = permits.blocked(offering, longest_wait, now)
+        if blocked:
+            failure = _failures.endpoints_limited(blocked, now)
+        return result.Err(failure)
 
     def _send_to_endpoint(
         self,
         call: _open_call.OpenCall,
         endpoint: model.Announcement,
         now: datetime.datetime,
+        has_permit: bool = False,
     ) -> Effects:
-        """Send the call, or let it wait for a forwarder for a moment."""
+        """Send the call, or let it wait for a forwarder or a permit."""
         request_id = call.request.request_id
         path = (endpoint.endpoint_id, endpoint.address, call.detours > 0, now)
         call.target = endpoint
+        if not has_permit:
+            permission = self._context.permits.obtain(
+                request_id,
+                endpoint.endpoint_id,
+                endpoint.incarnation,
+                call.permit_wait,
+                call.request.priority,
+                now,
+            )
+            if permission is rate_limits.Permission.ASKED:
+                return []
+            if permission is rate_limits.Permission.DENIED:
+                return self._send_elsewhere(call, now)
         if self._context.paths.must_wait(*path):
             self._waiting_calls.append(request_id)
             return []
@@ -352,6 +388,43 @@
             ),
         ]
 
+    def _send_elsewhere(
+        self, call: _open_call.OpenCall, now: datetime.datetime
+    ) -> Effects:
+        """Look for another endpoint for a call that got no permit."""
+        if not call.is_write:
+            return self._dispatch(call, now)
+        return self.dispatch_write(call.request.request_id, now)
+
+    def handle_permit(
+        self,
+        request_id: model.RequestId,
+        endpoint_id: model.EndpointId,
+        is_granted: bool,
+        now: datetime.datetime,
+    ) -> Effects | None:
+        """Send the call that waits for a permit, or look elsewhere.
+
+        Return ``None`` if a permit is not used.
+        """
+        call = self._open_calls.get(request_id)
+        if (
+            call is None
+            or call.target is None
+            or call.target.endpoint_id != endpoint_id
+        ):
+            return None if is_granted else []
+        if not is_granted:
+            return self._send_elsewhere(call, now)
+        return self._send_to_endpoint(call, call.target, now, has_permit=True)
+
+    def retry_permit(
+        self, request_id: model.RequestId, now: datetime.datetime
+    ) -> Effects:
+        """Go on with a call whose question for a permit got no answer."""
+        call = self._open_calls.get(request_id)
+        return [] if call is None else self._send_elsewhere(call, now)
+
     def _retry(
         self,
         call: _open_call.OpenCall,
@@ -417,6 +490,7 @@
     ) -> Effects:
         request_id = call.request.request_id
         del self._open_calls[request_id]
+        self._context.permits.cancel(request_id)
         self._context.router.finish_dispatch(request_id, 1, succeeded, now)
         if call.is_admitted:
             return self.apply_decisions(
--- a/sedgepin/_membership/_encoding.py
+++ b/sedgepin/_membership/_encoding.py
@@ -87,4 +87,5 @@
         role=announcement.role,
         checks_fencing=announcement.checks_fencing,
         exports_cache=announcement.exports_cache,
+        requests_per_second=announcement.requests_per_second,
     )
--- a/sedgepin/_model/_announcement.py
+++ b/sedgepin/_model/_announcement.py
@@ -68,7 +68,9 @@
     of the release notes.  ``checks_fencing`` is set if the endpoint refuses
     orders with an outdated fencing token.  ``echo`` is the ``echo`` field of
     the entry VM's last reply; it gives an upper bound on the age of the
-    announcement.
+    announcement.  ``requests_per_second`` is how many requests the endpoint
+    takes from all VMs together, as the first of a pipeline; ``None`` if it
+    names no limit.
     """
 
     endpoint_id: typing.Annotated[
@@ -98,3 +100,6 @@
         tuple[CacheEvent, ...], msgspec.Meta(max_length=64)
     ] = ()
     echo: str = ""
+    requests_per_second: typing.Annotated[float, msgspec.Meta(ge=0)] | None = (
+        None
+    )
--- a/sedgepin/_rate_limits/__init__.py
+++ b/sedgepin/_rate_limits/__init__.py
@@ -8,16 +8,22 @@
 from sedgepin._rate_limits._limits import LimitChange
 from sedgepin._rate_limits._limits import RequestLimit
 from sedgepin._rate_limits._limits import RequestLimits
+from sedgepin._rate_limits._office import Leadership
+from sedgepin._rate_limits._office import PermitMessage
+from sedgepin._rate_limits._office import PermitOffice
 from sedgepin._rate_limits._permits import Ask
 from sedgepin._rate_limits._permits import Permission
 from sedgepin._rate_limits._permits import Permits
 
 __all__ = [
     "Ask",
+    "Leadership",
     "LimitChange",
     "Permission",
     "PermitDecision",
     "PermitLedger",
+    "PermitMessage",
+    "PermitOffice",
     "PermitRequest",
     "Permits",
     "RequestLimit",
--- a/sedgepin/_registrar/_permits.py
+++ b/sedgepin/_registrar/_permits.py
@@ -1,13 +1,7 @@
-"""Permits for requests to endpoints that have named a limit.
-
-The leader grants them.  An entry VM asks the control VM that it is connected
-to, which passes its question on.
-"""
+"""Permits for requests to endpoints that have named a limit."""
 
 import datetime
 
-import msgspec
-
 from sedgepin import _consensus as consensus
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
@@ -19,9 +13,9 @@
 
 
 class PermitManager:
-    """Grants permits as the leader, and passes messages on otherwise."""
+    """Passes messages on permits to an office, and sends its own."""
 
-    __slots__ = ("_ledger", "_limits", "_peers", "_raft")
+    __slots__ = ("_office", "_raft")
 
     def __init__(
         self,
@@ -29,91 +23,40 @@
         peers: _peers.Peers,
         raft: consensus.RaftNode,
     ) -> None:
-        self._limits = limits
-        self._ledger = rate_limits.PermitLedger(limits)
-        self._peers = peers
+        self._office = rate_limits.PermitOffice(limits, peers.entries)
         self._raft = raft
 
-    def ask(
+    def handle_message(
         self,
         sender: model.VmId,
-        message: protocol.PermitAsked,
+        message: protocol.PermitAsked
+        | protocol.PermitAnswered
+        | protocol.PermitReturned,
         now: datetime.datetime,
     ) -> Effects:
-        """Decide on a permit, or let the leader do it."""
-        if not self._raft.holds_lease(now):
-            if message.entry:
-                return []
-            return self._send_to_leader(
-                msgspec.structs.replace(message, entry=sender)
-            )
-        self._limits.learn(
-            message.endpoint_id,
-            message.incarnation,
-            message.requests_per_second,
-            now,
-        )
-        request = rate_limits.PermitRequest(
-            message.entry or sender,
-            message.ask_id,
-            message.endpoint_id,
-            message.incarnation,
-            datetime.timedelta(milliseconds=message.max_wait_milliseconds),
-            message.priority,
-            sender if message.entry else None,
-        )
-        return _answer(self._ledger.ask(request, now))
-
-    def answer(self, message: protocol.PermitAnswered) -> Effects:
-        """Pass on the leader's decision to the entry VM that asked."""
-        if message.entry not in self._peers.entries:
-            if not message.is_granted:
-                return []
-            return self._send_to_leader(
-                protocol.PermitReturned(
-                    message.endpoint_id, message.incarnation
+        """Decide on a permit, or pass a message on."""
+        leadership = self._leadership(now)
+        match message:
+            case protocol.PermitAsked():
+                return _send(
+                    self._office.ask(sender, message, leadership, now)
                 )
-            )
-        return [_effects.SendMessage(message.entry, message)]
-
-    def take_back(
-        self, message: protocol.PermitReturned, now: datetime.datetime
-    ) -> Effects:
-        """Take back a permit that was not used."""
-        if not self._raft.holds_lease(now):
-            return self._send_to_leader(message)
-        return _answer(
-            self._ledger.put_back(
-                message.endpoint_id, message.incarnation, now
-            )
-        )
+            case protocol.PermitAnswered():
+                return _send(self._office.pass_on(message, leadership))
+            case protocol.PermitReturned():
+                return _send(self._office.take_back(message, leadership, now))
 
     def tick(self, now: datetime.datetime) -> Effects:
-        """Grant what can be granted now; forget all without the lease."""
-        if not self._raft.holds_lease(now):
-            self._ledger.clear()
-            return []
-        return _answer(self._ledger.tick(now))
+        """Grant the permits that are there now."""
+        return _send(self._office.tick(self._leadership(now), now))
 
-    def _send_to_leader(self, message: protocol.PeerMessage) -> Effects:
-        leader = self._raft.leader_id
-        if leader is None or leader not in self._peers.connected_controls:
-            return []
-        return [_effects.SendMessage(leader, message)]
+    def _leadership(self, now: datetime.datetime) -> rate_limits.Leadership:
+        return rate_limits.Leadership(
+            self._raft.holds_lease(now), self._raft.leader_id
+        )
 
 
-def _answer(decisions: list[rate_limits.PermitDecision]) -> Effects:
+def _send(messages: list[rate_limits.PermitMessage]) -> Effects:
     return [
-        _effects.SendMessage(
-            decision.request.relay or decision.request.entry,
-            protocol.PermitAnswered(
-                decision.request.endpoint_id,
-                decision.request.incarnation,
-                decision.request.ask_id,
-                decision.is_granted,
-                int(decision.wait.total_seconds() * 1000),
-                decision.request.entry,
-            ),
-        )
-        for decision in decisions
+        _effects.SendMessage(item.recipient, item.message) for item in messages
     ]
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -197,12 +197,12 @@
                 return self._endpoints.record_leaving(sender, message)
             case protocol.EndpointLimited():
                 return self._endpoints.record_limit(sender, message, now)
-            case protocol.PermitAsked():
-                return self._permits.ask(sender, message, now)
-            case protocol.PermitAnswered():
-                return self._permits.answer(message)
-            case protocol.PermitReturned():
-                return self._permits.take_back(message, now)
+            case (
+                protocol.PermitAsked()
+                | protocol.PermitAnswered()
+                | protocol.PermitReturned()
+            ):
+                return self._permits.handle_message(sender, message, now)
             case protocol.ForwardersAsked():
                 offer = self._forwarders.offer(sender, now)
                 return [_effects.SendMessage(sender, offer)]
--- a/sedgepin/_routing/_choice.py
+++ b/sedgepin/_routing/_choice.py
@@ -23,6 +23,7 @@
     prompt_tokens: int
     generated_tokens: float
     excluded_endpoints: frozenset[model.EndpointId]
+    not_first: frozenset[model.EndpointId]
     cached_tokens: dict[model.EndpointId, int]
 
     def prefill_tokens(
@@ -66,11 +67,12 @@
         """Return the cheapest path found, or None if layers are missing.
 
         If the sampled engines leave a gap once the excluded ones are
-        removed, all engines of the graph are searched.
+        removed, or none of them may be the first, all engines of the graph
+        are searched.
         """
         sampled = graph.sample(self._settings.choices_per_segment, self._rng)
         path = self._search(graph, sampled, demand, load_statistics, now)
-        if path is None and demand.excluded_endpoints:
+        if path is None and (demand.excluded_endpoints or demand.not_first):
             path = self._search(
                 graph, graph.engines, demand, load_statistics, now
             )
@@ -101,7 +103,7 @@
             node.layer_cost = node.layer_token_cost * tokens
         passes = demand.generated_tokens
         uncached_path = _search.cheapest_path(
-            graph, nodes, self._data_centre, passes
+            graph, nodes, self._data_centre, passes, demand.not_first
         )
         if uncached_path is None or not engines_with_prefix:
             return uncached_path
@@ -109,7 +111,7 @@
             cached = demand.cached_tokens.get(node.engine.endpoint_id, 0)
             node.layer_cost = node.layer_token_cost * (tokens - cached)
         cached_path = _search.cheapest_path(
-            graph, nodes, self._data_centre, passes
+            graph, nodes, self._data_centre, passes, demand.not_first
         )
         if cached_path is None or cached_path == uncached_path:
             return uncached_path
--- a/sedgepin/_routing/_request.py
+++ b/sedgepin/_routing/_request.py
@@ -13,8 +13,9 @@
     ``prefix_hashes`` lists one hash for each block of the prompt, in order.
     A hash covers its block and all blocks before it, so an engine that
     caches one also caches the earlier ones.
-    ``excluded_endpoints`` are never chosen.  ``preferred_endpoints`` served
-    an earlier attempt and still hold its KV cache.
+    ``excluded_endpoints`` are never chosen, and ``not_first`` not as the
+    first of a pipeline.  ``preferred_endpoints`` served an earlier attempt
+    and still hold its KV cache.
     """
 
     request_id: _model.RequestId
@@ -27,3 +28,4 @@
     preferred_endpoints: frozenset[_model.EndpointId] = frozenset()
     model_version: str = ""
     adapter: str = ""
+    not_first: frozenset[_model.EndpointId] = frozenset()
--- a/sedgepin/_routing/_router.py
+++ b/sedgepin/_routing/_router.py
@@ -270,6 +270,7 @@
             request.prompt_tokens,
             max(1.0, request.expected_tokens * length_ratio),
             request.excluded_endpoints,
+            request.not_first,
             self._cached_tokens(request),
         )
 
--- a/sedgepin/_routing/_search.py
+++ b/sedgepin/_routing/_search.py
@@ -61,9 +61,12 @@
     nodes: collections.abc.Sequence[SearchNode],
     entry_data_centre: model.DataCentreId,
     passes: float,
+    not_first: frozenset[model.EndpointId] = frozenset(),
 ) -> list[PathStage] | None:
     """Return the path of least cost, or None if the nodes leave a gap.
 
+    It begins on no engine of ``not_first``.
+
     ``passes`` is the number of times that the request crosses each link; a
     link costs its one-way time for each pass.  The cost of an engine is
     proportional to the layers it runs, so a cheapest path changes engines
@@ -86,6 +89,8 @@
     links = graph.link_seconds
     labels = []
     for node in active:
+        if node.engine.endpoint_id in not_first:
+            continue
         cost = links[node.engine.data_centre][entry_data_centre]
         node.label = _Label(cost, 0, node, None)
         labels.append(node.label)
--- a/sedgepin/tests/fake_endpoints.py
+++ b/sedgepin/tests/fake_endpoints.py
@@ -67,6 +67,7 @@
             checks_fencing=endpoint.checks_fencing,
             leaving=endpoint.is_leaving,
             echo=endpoint.echoes.get(vm.name, ""),
+            requests_per_second=endpoint.requests_per_second,
         )
         if vm.is_frozen:
             self._simulation.submit(
--- a/sedgepin/tests/fakes.py
+++ b/sedgepin/tests/fakes.py
@@ -65,7 +65,8 @@
 
     A silent endpoint accepts work and never answers.  A paused one, like a
     stopped process, says nothing at all until it goes on.  ``fence`` is the
-    highest fencing token that it has accepted.
+    highest fencing token that it has accepted.  ``requests_per_second`` is
+    the limit of requests that it names.
     """
 
     name: model.EndpointId
@@ -85,3 +86,4 @@
     )
     orders: list[typing.Any] = dataclasses.field(default_factory=list)
     fence: tuple[int, int] = (0, 0)
+    requests_per_second: float | None = None
