--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -315,6 +315,8 @@
         ``permit_wait``; with ``None`` it needs none.  A recent result for the
         same service may be returned again.
         """
+        if not len(self._permits.limits):
+            permit_wait = _AT_ONCE
         cached = self._pipeline_cache.get(service.name)
         if (
             cached is not None
