--- a/sedgepin/platform/tests/soak/_faults.py
+++ b/sedgepin/platform/tests/soak/_faults.py
@@ -16,6 +16,8 @@
 _MEAN_INTERVAL_SECONDS = 0.4
 _MIN_DURATION_SECONDS = 0.3
 _MAX_DURATION_SECONDS = 4.0
+# Longer than ``stabilityWindowMs`` and a window in which requests are counted.
+_LIMIT_SECONDS = 9.0
 # ``catchUpS``: a restarted control VM has caught up after this time.
 _CATCH_UP_SECONDS = 4.0
 _CLOCK_SKEWS_MS = (-300_000, -3000, 3000, 300_000)
@@ -188,6 +190,17 @@
     engine.failure_rate = 0.0
 
 
+async def _limit_engine(context: FaultContext) -> None:
+    engine = context.rng.choice(context.engines)
+    requests_per_second = context.rng.choice((0.0, 0.5, 1.0, 2.0, 5.0))
+    context.record_fault(
+        f"limit the engine at {engine.address} to {requests_per_second}"
+    )
+    engine.name_limit(requests_per_second)
+    await trio.sleep(_LIMIT_SECONDS)
+    engine.drop_limit()
+
+
 # Repeated entries are drawn more often.
 FAULTS: tuple[_Fault, ...] = (
     _kill_entry,
@@ -207,4 +220,6 @@
     _drain_engine,
     _slow_engine,
     _fail_engine,
+    _limit_engine,
+    _limit_engine,
 )
--- a/sedgepin/platform/tests/soak/_invariants.py
+++ b/sedgepin/platform/tests/soak/_invariants.py
@@ -24,6 +24,10 @@
 _MAX_REACHED_LATE = 3
 # Share of the requests that share the other parts and must be answered.
 _MIN_SOUND_SHARE = 0.5
+# What an engine with a limit may get in any such window.
+LIMIT_WINDOW_SECONDS = 4.0
+_LIMIT_FACTOR = 1.5
+_LIMIT_EXTRA_REQUESTS = 5
 # Tolerance for the time left that engines are given.
 _DEADLINE_SLACK_MS = 500
 _EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
@@ -288,6 +292,33 @@
             )
 
 
+def _check_request_limits(record: _record.Record) -> _Findings:
+    for limit in record.limits:
+        times = [
+            run.at
+            for run in record.runs
+            if run.endpoint_id == limit.endpoint_id
+            and limit.since + STABILITY_SECONDS <= run.at < limit.until
+        ]
+        allowed = (
+            _LIMIT_FACTOR * LIMIT_WINDOW_SECONDS * limit.requests_per_second
+            + _LIMIT_EXTRA_REQUESTS
+        )
+        fullest = max(
+            (
+                sum(at < start + LIMIT_WINDOW_SECONDS for at in times[number:])
+                for number, start in enumerate(times)
+            ),
+            default=0,
+        )
+        if fullest > allowed:
+            yield (
+                f"{limit.endpoint_id}, which takes"
+                f" {limit.requests_per_second} requests a second, got"
+                f" {fullest} in {LIMIT_WINDOW_SECONDS:.0f} s"
+            )
+
+
 def _check_processes(record: _record.Record) -> _Findings:
     for unexpected_exit in record.unexpected_exits:
         yield f"a process exited unexpectedly: {unexpected_exit}"
@@ -308,5 +339,6 @@
     _check_calm_spans,
     _check_crashing_parts,
     _check_retry_after,
+    _check_request_limits,
     _check_processes,
 )
--- a/sedgepin/platform/tests/soak/_record.py
+++ b/sedgepin/platform/tests/soak/_record.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -74,6 +75,16 @@
     sent_at: float
 
 
+@dataclasses.dataclass(slots=True)
+class NamedLimit:
+    """How many requests a second an engine took, from when until when."""
+
+    endpoint_id: str
+    requests_per_second: float
+    since: float
+    until: float = math.inf
+
+
 @dataclasses.dataclass(slots=True)
 class Record:
     """Everything recorded in one run."""
@@ -103,6 +114,7 @@
     leaving_acked_at: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
+    limits: list[NamedLimit] = dataclasses.field(default_factory=list)
     overloaded_engines: list[str] = dataclasses.field(default_factory=list)
     # Names and error output of processes that exited unexpectedly.
     unexpected_exits: list[str] = dataclasses.field(default_factory=list)
