Do not send a request twice that awaits a path and a permit

Found by reading: a request that had asked for a permit and then waited for a path stayed in that list after the permit came, and was sent again at the next tick. Also: the times at which requests left were pruned only when one was refused, so that they grew with each answer; and a caller refused beside a limit was told the queue's wait although an engine with a limit was free sooner. The tests of the first two failed before.

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -54,10 +54,8 @@
         dispatch = exchange.dispatch
         if event.position is not None:
             exchange.position = event.position
-        if exchange.service.engine is not None:
-            self._state.queues.for_service(
-                exchange.service.name
-            ).record_departure(now)
+        queue = self._state.queues.for_service(exchange.service.name)
+        queue.record_departure(now)
         if event.outcome is _Outcome.ANSWERED:
             self._dispatcher.remove(exchange)
             self._state.fleet.record_valid_answer(dispatch.endpoint_id)
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -324,7 +324,7 @@
                 queue.dequeue(exchange)
                 failure: errors.Failure = _failures.NoEndpoint(
                     exchange.service.name,
-                    queue.retry_after(exchange, now),
+                    self._retry_after(exchange, queue, now),
                 )
                 effects += self.fail(
                     exchange, self.adjust_outcome(exchange, failure), now
@@ -583,6 +583,24 @@
             exchange, self.adjust_outcome(exchange, failure), now
         )
 
+    def _retry_after(
+        self,
+        exchange: _exchange.Exchange,
+        queue: _request_queue.RequestQueue,
+        now: datetime.datetime,
+    ) -> datetime.timedelta:
+        """Return when the caller of a request that did not fit may retry.
+
+        Capacity becomes free in the queue's order, or an endpoint with a
+        limit takes requests again, whichever comes first.
+        """
+        wait = queue.expected_wait(exchange, now)
+        for _, free_at in self._state.fleet.limited(
+            exchange.service.name, now
+        ):
+            wait = min(wait, free_at - now)
+        return queue.retry_after(exchange, now, wait)
+
     def _enqueue_or_fail(
         self,
         exchange: _exchange.Exchange,
@@ -598,7 +616,7 @@
             if self._state.fleet.limited(exchange.service.name, now):
                 effects.append(self._log_limited(exchange, now))
             failure = _failures.NoEndpoint(
-                exchange.service.name, queue.retry_after(exchange, now)
+                exchange.service.name, self._retry_after(exchange, queue, now)
             )
             return effects + self.fail(
                 exchange, self.adjust_outcome(exchange, failure), now
@@ -624,6 +642,7 @@
         now: datetime.datetime,
     ) -> _shared_state.Effects:
         self._state.queues.for_service(exchange.service.name).dequeue(exchange)
+        self._state.awaiting_path.pop(exchange.exchange_id, None)
         self._state.permits.cancel(exchange.exchange_id)
         customer = exchange.customer
         time_left: datetime.timedelta | None = None
--- a/sedgepin/_gateway/_request_queue.py
+++ b/sedgepin/_gateway/_request_queue.py
@@ -53,6 +53,7 @@
     def record_departure(self, now: datetime.datetime) -> None:
         """Count a request that finished on its engines."""
         self._departures.append(now)
+        self._remove_old_departures(now)
 
     def expected_wait(
         self, exchange: _exchange.Exchange, now: datetime.datetime
@@ -68,12 +69,15 @@
         self, now: datetime.datetime
     ) -> datetime.timedelta:
         """Return the mean time between requests that finish."""
+        self._remove_old_departures(now)
+        # Without any departure, assume one per window.
+        return _DEPARTURE_WINDOW / max(1, len(self._departures))
+
+    def _remove_old_departures(self, now: datetime.datetime) -> None:
         while (
             self._departures and now - self._departures[0] > _DEPARTURE_WINDOW
         ):
             self._departures.popleft()
-        # Without any departure, assume one per window.
-        return _DEPARTURE_WINDOW / max(1, len(self._departures))
 
     def may_enqueue(
         self, exchange: _exchange.Exchange, now: datetime.datetime
--- a/sedgepin/_gateway/tests/test_request_limits.py
+++ b/sedgepin/_gateway/tests/test_request_limits.py
@@ -251,6 +251,34 @@
         effects = _answer(gateway, asked, False)
         assert parts.has_no_effect(effects, _effects.FailExchange)
 
+    def test_late_permit_does_not_send_a_request_twice(self) -> None:
+        """It waited for a permit, and then for a path as well."""
+        gateway = parts.Gateway()
+        _limit(gateway, *_LEDGERS)
+        _, effects = gateway.send_request("/read/x")
+        (asked,) = _asked(effects)
+        state = gateway.reducer._state
+        exchange = state.exchanges[asked.ask_id]
+        state.awaiting_path[asked.ask_id] = exchange
+        assert len(_started(_answer(gateway, asked, True))) == 1
+        _limit(gateway, *_LEDGERS, figure=None)
+        assert _started(gateway.advance(50)) == []
+
+    @pytest.mark.parametrize("path", ["/post/x", "/draft/x"])
+    def test_departures_are_not_kept_for_ever(self, path: str) -> None:
+        gateway = parts.Gateway()
+        for _ in range(100):
+            exchange_id, _ = gateway.send_request(path)
+            gateway.end_attempt(exchange_id, _Outcome.ANSWERED)
+            gateway.now += datetime.timedelta(seconds=1)
+            heard = tuple(
+                registration.endpoint_id
+                for registration in parts.make_registrations()
+            )
+            gateway.receive(protocol.RegistrationsSeen(heard=heard))
+        for queue in gateway.reducer._state.queues:
+            assert len(queue._departures) < 10
+
 
 class TestWithoutControlVms:
     def test_an_equal_share_is_sent_and_the_rest_refused(self) -> None:
