--- a/sedgepin/_rate_limits/__init__.py
+++ b/sedgepin/_rate_limits/__init__.py
@@ -1,5 +1,6 @@
 """Limits of requests that endpoints name for all VMs together."""
 
+from sedgepin._rate_limits._ledger import LimitUsage
 from sedgepin._rate_limits._ledger import PermitDecision
 from sedgepin._rate_limits._ledger import PermitLedger
 from sedgepin._rate_limits._ledger import PermitRequest
@@ -19,6 +20,7 @@
     "Ask",
     "Leadership",
     "LimitChange",
+    "LimitUsage",
     "Permission",
     "PermitDecision",
     "PermitLedger",
--- a/sedgepin/_rate_limits/_ledger.py
+++ b/sedgepin/_rate_limits/_ledger.py
@@ -49,6 +49,16 @@
     wait: datetime.timedelta = datetime.timedelta()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class LimitUsage:
+    """A limit, the permits granted since it was named, and who waits."""
+
+    endpoint_id: model.EndpointId
+    requests_per_second: float
+    granted_count: int
+    waiting_count: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Waiting:
     priority: int
@@ -87,6 +97,18 @@
         self._accounts: dict[_Incarnation, _Account] = {}
         self._order = 0
 
+    def usage(self) -> list[LimitUsage]:
+        """Return how the limits in force are used."""
+        return [
+            LimitUsage(
+                endpoint_id,
+                account.requests_per_second,
+                account.granted_count,
+                len(account.waiting),
+            )
+            for (endpoint_id, _), account in self._accounts.items()
+        ]
+
     def clear(self) -> None:
         """Forget everything, as another VM grants permits from now on."""
         self._accounts.clear()
--- a/sedgepin/_rate_limits/_office.py
+++ b/sedgepin/_rate_limits/_office.py
@@ -55,6 +55,10 @@
         self._entries = entries
         self._ledger = _ledger.PermitLedger(limits)
 
+    def usage(self) -> list[_ledger.LimitUsage]:
+        """Return how the limits are used; on the leader only."""
+        return self._ledger.usage()
+
     def ask(
         self,
         sender: model.VmId,
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -29,6 +29,8 @@
 from sedgepin import settings
 
 _TICK_SECONDS = 0.05
+# Limited endpoints whose figures are in the metrics.
+_MAX_LIMIT_METRICS = 256
 # Longer than the 0.9 s that the reducer lets a call wait for the log.
 _CALL_TIMEOUT_SECONDS = 1.5
 # Engines respond to a report request within milliseconds.  An engine that does
@@ -192,7 +194,7 @@
             await nursery.start(self._server.serve, self._cfg.listen)
             if self._cfg.metrics_listen is not None:
                 metrics_server = web.Server(
-                    web.MetricsHandler(self._metrics.text)
+                    web.MetricsHandler(self._metrics_text)
                 )
                 await nursery.start(
                     metrics_server.serve, self._cfg.metrics_listen
@@ -234,6 +236,27 @@
             while self._server.open_exchanges:
                 await trio.sleep(_TICK_SECONDS)
 
+    def _metrics_text(self) -> bytes:
+        usage = self._reducer.limit_usage[:_MAX_LIMIT_METRICS]
+        for name, values in (
+            (
+                "request_limit_per_second",
+                {item.endpoint_id: item.requests_per_second for item in usage},
+            ),
+            (
+                "request_limit_permits",
+                {item.endpoint_id: item.granted_count for item in usage},
+            ),
+            (
+                "request_limit_waiting",
+                {item.endpoint_id: item.waiting_count for item in usage},
+            ),
+        ):
+            self._metrics.set_gauges(
+                name, {key: float(value) for key, value in values.items()}
+            )
+        return self._metrics.text()
+
     def _apply_effect(self, effect: _effects.RegistrarEffect) -> None:
         match effect:
             case _effects.SendMessage(recipient, message):
--- a/sedgepin/_registrar/_permits.py
+++ b/sedgepin/_registrar/_permits.py
@@ -46,6 +46,10 @@
             case protocol.PermitReturned():
                 return _send(self._office.take_back(message, leadership, now))
 
+    def usage(self) -> list[rate_limits.LimitUsage]:
+        """Return how the limits are used; on the leader only."""
+        return self._office.usage()
+
     def tick(self, now: datetime.datetime) -> Effects:
         """Grant the permits that are there now."""
         return _send(self._office.tick(self._leadership(now), now))
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -8,6 +8,7 @@
 from sedgepin import _crash_causes as crash_causes
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
+from sedgepin import _rate_limits as rate_limits
 from sedgepin._registrar import _configurations
 from sedgepin._registrar import _dialect
 from sedgepin._registrar import _effects
@@ -96,6 +97,11 @@
         """The Raft node of this VM, for read access."""
         return self._raft
 
+    @property
+    def limit_usage(self) -> list[rate_limits.LimitUsage]:
+        """How the limits of endpoints are used; on the leader only."""
+        return self._permits.usage()
+
     @property
     def registry(self) -> catalog.Registry:
         """The registry of endpoints, for read access."""
--- a/sedgepin/_shell/_metrics.py
+++ b/sedgepin/_shell/_metrics.py
@@ -96,7 +96,7 @@
 
 
 class PrometheusSink(MetricSink):
-    """Keeps counters and histograms for a Prometheus scrape.
+    """Keeps counters, histograms and gauges for a Prometheus scrape.
 
     The client library is imported by the first scrape, which keeps it out of
     the time in which a daemon starts.
@@ -107,13 +107,18 @@
     True
     """
 
-    __slots__ = ("_durations", "_events")
+    __slots__ = ("_durations", "_events", "_gauges")
 
     def __init__(self) -> None:
         self._events: collections.Counter[str] = collections.Counter()
         self._durations: collections.defaultdict[str, _Histogram] = (
             collections.defaultdict(_Histogram)
         )
+        self._gauges: dict[str, dict[str, float]] = {}
+
+    def set_gauges(self, name: str, values: dict[str, float]) -> None:
+        """Replace the values of the gauge ``name``, by their endpoint."""
+        self._gauges[name] = values
 
     def increment(self, name: str, count: int) -> None:
         """Add ``count`` to the counter of the log event ``name``."""
@@ -143,9 +148,18 @@
                 [name], histogram.cumulative(), histogram.sum_seconds
             )
 
+        gauges: list[core.Metric] = []
+        for name, values in self._gauges.items():
+            gauge = core.GaugeMetricFamily(
+                f"sedgepin_{name}", "By endpoint.", labels=["endpoint"]
+            )
+            for endpoint, value in values.items():
+                gauge.add_metric([endpoint], value)
+            gauges.append(gauge)
+
         class Collector:
             def collect(self) -> list[core.Metric]:
-                return [counters, durations]
+                return [counters, durations, *gauges]
 
         registry = prometheus_client.CollectorRegistry()
         registry.register(Collector())
