Bound how many permits a request asks for in vain

While all engines of a service were limited and busy, a request asked each of them in turn: with 400 engines, up to 400 questions a request. It asks eight at most now, and then goes to an endpoint without a limit or is refused.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -21,6 +21,8 @@
 
 _AT_ONCE = datetime.timedelta()
 _MAX_LOGGED_ENDPOINTS = 8
+# Bounds the messages about a request while all endpoints with limits are busy.
+_MAX_DENIED_PERMITS = 8
 # Callers retry no sooner after a pause that is about to end.
 _MIN_RETRY_AFTER = datetime.timedelta(milliseconds=250)
 
@@ -114,8 +116,11 @@
             return []
         if exchange.service.engine is None or exchange.request.size is None:
             return self._dispatch_to_endpoint(exchange, now)
+        permit_wait: datetime.timedelta | None = _AT_ONCE
+        if exchange.denied_permits >= _MAX_DENIED_PERMITS:
+            permit_wait = None
         return self._dispatch_to_pipeline(
-            exchange, exchange.request.size, _AT_ONCE, now
+            exchange, exchange.request.size, permit_wait, now
         )
 
     def _dispatch_to_pipeline(
@@ -209,6 +214,8 @@
             return _AT_ONCE
         if permits.has_pending(exchange.exchange_id):
             return _AT_ONCE
+        if exchange.denied_permits >= _MAX_DENIED_PERMITS:
+            return _AT_ONCE
         wait = _request_queue.max_wait(exchange)
         if exchange.queued_at is not None:
             wait -= now - exchange.queued_at
@@ -269,6 +276,7 @@
         now: datetime.datetime,
     ) -> _shared_state.Effects:
         """Look for another endpoint for a request that got no permit."""
+        exchange.denied_permits += 1
         free_in = datetime.timedelta()
         requests_per_second: float | None = None
         permits = self._state.permits
@@ -505,13 +513,18 @@
     def _dispatch_to_endpoint(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> _shared_state.Effects:
-        longest_wait = self._longest_permit_wait(exchange, now)
-        for permit_wait in sorted({_AT_ONCE, longest_wait}):
+        waits: list[datetime.timedelta | None] = [None]
+        if exchange.denied_permits < _MAX_DENIED_PERMITS:
+            waits = [_AT_ONCE, self._longest_permit_wait(exchange, now)]
+        for permit_wait in waits:
             registration = self._choose_endpoint(exchange, permit_wait, now)
             if registration is None:
                 continue
             permission = self._obtain_permit(
-                exchange, registration.endpoint_id, permit_wait, now
+                exchange,
+                registration.endpoint_id,
+                permit_wait or _AT_ONCE,
+                now,
             )
             if permission is _Permission.ASKED:
                 return self._await_permit(exchange, permit_wait, now)
@@ -530,7 +543,7 @@
     def _choose_endpoint(
         self,
         exchange: _exchange.Exchange,
-        permit_wait: datetime.timedelta,
+        permit_wait: datetime.timedelta | None,
         now: datetime.datetime,
     ) -> catalog.Registration | None:
         """Return the endpoint for a request, if one may take it by then."""
@@ -666,6 +679,7 @@
                 exchange.service.name, now
             )
         exchange.send_count += 1
+        exchange.denied_permits = 0
         exchange.reroute_count = 0
         exchange.is_rerouting = False
         exchange.is_sustained = False
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -31,6 +31,8 @@
     ``tried_endpoints`` holds the endpoints on which an attempt failed.
     ``position`` is the id of the last event that the caller received.
     ``queued_at`` is set while the request waits for capacity.
+    ``denied_permits`` counts the permits that it asked for in vain since its
+    last attempt.
     ``is_sustained`` is set once an attempt has sent so many events that the
     request cannot crash its engine.
     """
@@ -55,6 +57,7 @@
     has_output: bool = False
     is_rerouting: bool = False
     queued_at: datetime.datetime | None = None
+    denied_permits: int = 0
     is_sustained: bool = False
     tried_endpoints: set[model.EndpointId] = dataclasses.field(
         default_factory=set
--- a/sedgepin/_gateway/tests/test_request_limits.py
+++ b/sedgepin/_gateway/tests/test_request_limits.py
@@ -279,6 +279,25 @@
         for queue in gateway.reducer._state.queues:
             assert len(queue._departures) < 10
 
+    def test_request_asks_few_of_many_busy_endpoints(self) -> None:
+        gateway = parts.Gateway(
+            tuple(
+                parts.make_registration(f"ledger-{number}", "ledger")
+                for number in range(40)
+            )
+        )
+        for number in range(40):
+            _limit(gateway, model.EndpointId(f"ledger-{number}"))
+        _, effects = gateway.send_request("/post/x")
+        asks = _asked(effects)
+        asked_count = 0
+        while asks:
+            asked_count += 1
+            effects = _answer(gateway, asks.pop(), False)
+            asks += _asked(effects)
+        assert asked_count <= 8
+        parts.get_effect(effects, _effects.FailExchange)
+
 
 class TestWithoutControlVms:
     def test_an_equal_share_is_sent_and_the_rest_refused(self) -> None:
