--- a/sedgepin/_entry/_generation.py
+++ b/sedgepin/_entry/_generation.py
@@ -16,6 +16,7 @@
 from sedgepin._entry import _held_prompts
 from sedgepin._entry import _open_answer
 from sedgepin._entry import _paths
+from sedgepin._entry import _permits
 from sedgepin._entry import _quarantine_updates
 from sedgepin._entry import _refusals
 from sedgepin import _model as model
@@ -166,11 +167,13 @@
         refusal = self.find_refusal(answer, now)
         if refusal is not None:
             return result.Err(refusal)
-        chosen = self._choose_softly(answer, excluded, _AT_ONCE, now)
+        may_ask = answer.denied_permits < _permits.MAX_DENIED
+        at_once = _AT_ONCE if may_ask else None
+        chosen = self._choose_softly(answer, excluded, at_once, now)
         if chosen.is_ok():
             return chosen
         wait = self._context.permits.max_wait(answer.deadline, now)
-        if wait > _AT_ONCE:
+        if may_ask and wait > _AT_ONCE:
             after_wait = self._choose_softly(answer, excluded, wait, now)
             if after_wait.is_ok():
                 return after_wait
@@ -183,10 +186,13 @@
         self,
         answer: _open_answer.OpenAnswer,
         excluded: frozenset[model.EndpointId],
-        permit_wait: datetime.timedelta,
+        permit_wait: datetime.timedelta | None,
         now: datetime.datetime,
     ) -> result.Result[model.Pipeline, errors.Failure]:
-        """Choose a pipeline whose first engine has a permit in time."""
+        """Choose a pipeline whose first engine has a permit in time.
+
+        Without ``permit_wait``, one that needs none.
+        """
         answer.permit_wait = permit_wait
         for deprioritized in self._soft_exclusions(answer):
             chosen = self._choose(answer, excluded | deprioritized, now)
@@ -302,6 +308,7 @@
             now,
         )
         answer.dispatched = True
+        answer.denied_permits = 0
         answer.stalled_stages = frozenset()
         answer.dispatched_at = answer.dispatched_at or now
         answer.failed_stream = None
@@ -348,7 +355,7 @@
             answer.request.request_id,
             endpoint_id,
             announcement.incarnation,
-            answer.permit_wait,
+            answer.permit_wait or _AT_ONCE,
             -1 if has_output else answer.request.priority,
             now,
         )
@@ -382,6 +389,7 @@
 
         A trial stays on its own, whose engines no other trial uses.
         """
+        answer.denied_permits += 1
         if answer.on_trial:
             answer.awaited_pipeline = pipeline
             self._waiting_answers.append(answer.request.request_id)
--- a/sedgepin/_entry/_open_answer.py
+++ b/sedgepin/_entry/_open_answer.py
@@ -33,6 +33,7 @@
         "assembly",
         "awaited_pipeline",
         "deadline",
+        "denied_permits",
         "deprioritized",
         "detours",
         "dispatched",
@@ -99,7 +100,8 @@
         # Set while the next attempt waits for a forwarder to its first stage.
         self.awaited_pipeline: model.Pipeline | None = None
         # How long the next attempt may wait for a permit.
-        self.permit_wait = datetime.timedelta()
+        self.permit_wait: datetime.timedelta | None = datetime.timedelta()
+        self.denied_permits = 0
         # Who connects to the first stage of the attempt and to the probed
         # stages, ``None`` for this VM, and the ways tried beside the first.
         self.forwarder: protocol.Forwarder | None = None
--- a/sedgepin/_entry/_open_call.py
+++ b/sedgepin/_entry/_open_call.py
@@ -21,6 +21,7 @@
     __slots__ = (
         "attempt",
         "deadline",
+        "denied_permits",
         "detours",
         "excluded_endpoints",
         "forwarder",
@@ -49,7 +50,8 @@
         self.target: model.Announcement | None = None
         self.forwarder: protocol.Forwarder | None = None
         # How long the next attempt may wait for a permit.
-        self.permit_wait = datetime.timedelta()
+        self.permit_wait: datetime.timedelta | None = datetime.timedelta()
+        self.denied_permits = 0
 
 
 def stored_headers(
--- a/sedgepin/_entry/_permits.py
+++ b/sedgepin/_entry/_permits.py
@@ -15,6 +15,8 @@
 
 # A request that fits nowhere else waits this long for a permit.
 MAX_WAIT = datetime.timedelta(seconds=1)
+# Bounds the messages about a request while all endpoints with limits are busy.
+MAX_DENIED = 8
 
 
 class PermitAsker:
@@ -77,10 +79,13 @@
     def blocked(
         self,
         eligible: tuple[model.Announcement, ...],
-        wait: datetime.timedelta,
+        wait: datetime.timedelta | None,
         now: datetime.datetime,
     ) -> dict[model.EndpointId, datetime.datetime]:
-        """Return the endpoints without a permit in time, and when they are."""
+        """Return when the endpoints without a permit in time are free.
+
+        Without ``wait``, all that have named a limit.
+        """
         limits = self._permits.limits
         if not len(limits):
             return {}
@@ -91,7 +96,7 @@
             if limits.find(endpoint_id, incarnation) is None:
                 continue
             free_at = self._permits.free_at(endpoint_id, incarnation, now)
-            if free_at > now + wait:
+            if wait is None or free_at > now + wait:
                 blocked[endpoint_id] = free_at
         return blocked
 
--- a/sedgepin/_entry/_service_calls.py
+++ b/sedgepin/_entry/_service_calls.py
@@ -14,6 +14,7 @@
 from sedgepin._entry import _failures
 from sedgepin._entry import _open_call
 from sedgepin._entry import _paths
+from sedgepin._entry import _permits
 from sedgepin._entry import _refusals
 from sedgepin._entry import _write_calls
 from sedgepin import _http as http
@@ -317,8 +318,11 @@
         permits = self._context.permits
         eligible = self._context.eligible(now)
         longest_wait = permits.max_wait(call.deadline, now)
+        waits: list[datetime.timedelta | None] = [None]
+        if call.denied_permits < _permits.MAX_DENIED:
+            waits = [datetime.timedelta(), longest_wait]
         failure: errors.Failure | None = None
-        for wait in sorted({datetime.timedelta(), longest_wait}):
+        for wait in waits:
             call.permit_wait = wait
             blocked = permits.blocked(eligible, wait, now)
             chosen = self._context.router.choose_service_endpoint(
@@ -357,7 +361,7 @@
                 request_id,
                 endpoint.endpoint_id,
                 endpoint.incarnation,
-                call.permit_wait,
+                call.permit_wait or datetime.timedelta(),
                 call.request.priority,
                 now,
             )
@@ -369,6 +373,7 @@
             self._waiting_calls.append(request_id)
             return []
         call.attempt += 1
+        call.denied_permits = 0
         call.forwarder = self._context.paths.choose_forwarder(*path)
         self._context.router.record_service_dispatch(
             request_id, endpoint.endpoint_id, now
@@ -392,6 +397,7 @@
         self, call: _open_call.OpenCall, now: datetime.datetime
     ) -> Effects:
         """Look for another endpoint for a call that got no permit."""
+        call.denied_permits += 1
         if not call.is_write:
             return self._dispatch(call, now)
         return self.dispatch_write(call.request.request_id, now)
