--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
     "load",
     "logs",
     "placement",
+    "request_limits",
     "transport",
     "system",
 )
