Send no endpoint more requests than it accepts connections from all VMs

The same class of fault as a limit of requests: the configuration states for how many connections from all callers together an endpoint accepts, and no VM heeded it. What is beyond was reset, which says nothing about whether it ran. An endpoint with as many running requests, by the sum of all VMs' loads, gets none; if all are full, the request is refused as not run.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -547,7 +547,7 @@
         now: datetime.datetime,
     ) -> catalog.Registration | None:
         """Return the endpoint for a request, if one may take it by then."""
-        service = exchange.service.name
+        service = exchange.service
         registration = self._state.fleet.choose_endpoint(
             service, exchange.tried_endpoints, now, permit_wait
         )
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -238,7 +238,7 @@
 
     def choose_endpoint(
         self,
-        service: model.ServiceName,
+        service: catalog.Service,
         excluded: collections.abc.Container[model.EndpointId],
         now: datetime.datetime,
         permit_wait: datetime.timedelta | None = _AT_ONCE,
@@ -246,29 +246,32 @@
         """Return the least loaded endpoint of a plain service.
 
         Endpoints that failed recently are used only if there is no other.
-        See ``find_pipeline`` for ``permit_wait``.
+        One with as many requests of all VMs as it accepts connections gets
+        none.  See ``find_pipeline`` for ``permit_wait``.
         """
         sound = [
             record.registration
-            for record in self._usable(service, now)
+            for record in self._usable(service.name, now)
             if record.registration.endpoint_id not in excluded
         ]
         usable = [
             registration
             for registration in sound
             if self._may_get_permit(registration, permit_wait, now)
+            and self._accepts_connection(registration, service)
         ]
         if not sound:
             # Without an alternative, use an endpoint that failed recently.
             usable = [
                 record.registration
                 for record in self.registry
-                if record.registration.service == service
+                if record.registration.service == service.name
                 and record.registration.state is catalog.EndpointState.READY
                 and record.is_live(self._heartbeat_timeout, now)
                 and not self._is_restricted(record.registration, now)
                 and record.registration.endpoint_id not in excluded
                 and self._may_get_permit(record.registration, permit_wait, now)
+                and self._accepts_connection(record.registration, service)
             ]
         if not usable:
             return None
@@ -491,6 +494,19 @@
             now + wait
         )
 
+    def _accepts_connection(
+        self, registration: catalog.Registration, service: catalog.Service
+    ) -> bool:
+        """Return whether an endpoint has a connection left for a request."""
+        if not service.connection_limit:
+            return True
+        endpoint_id = registration.endpoint_id
+        running = self._running[endpoint_id]
+        other = self._other_loads.get(endpoint_id)
+        if other is not None:
+            running += other.running
+        return running < service.connection_limit
+
     def limited(
         self, service: model.ServiceName, now: datetime.datetime
     ) -> list[tuple[model.EndpointId, datetime.datetime]]:
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -363,9 +363,8 @@
         dispatch = exchange.dispatch
         if dispatch is not None and dispatch.pipeline is None:
             tried = exchange.tried_endpoints.union(exchange.endpoint_ids)
-            service = exchange.service.name
             endpoint = self._state.fleet.choose_endpoint(
-                service, tried, now, permit_wait=None
+                exchange.service, tried, now, permit_wait=None
             )
             return endpoint is not None or self._is_on_broken_path(
                 exchange, now
--- a/sedgepin/_gateway/tests/test_request_limits.py
+++ b/sedgepin/_gateway/tests/test_request_limits.py
@@ -299,6 +299,44 @@
         parts.get_effect(effects, _effects.FailExchange)
 
 
+class TestConnectionLimit:
+    """An endpoint accepts so many connections from all VMs together."""
+
+    def _load(self, gateway: parts.Gateway, *running: int) -> None:
+        loads = tuple(
+            protocol.EndpointLoad(endpoint_id, count, 0)
+            for endpoint_id, count in zip(_LEDGERS, running, strict=True)
+        )
+        gateway.receive(protocol.LoadSummed(loads))
+
+    @pytest.mark.parametrize("path", ["/read/x", "/post/x"])
+    def test_endpoint_that_others_have_filled_gets_no_request(
+        self, path: str
+    ) -> None:
+        gateway = parts.Gateway()
+        self._load(gateway, 8, 0)
+        for _ in range(4):
+            _, effects = gateway.send_request(path)
+            assert _started(effects) == [_LEDGERS[1]]
+
+    def test_request_is_refused_as_not_run_while_all_are_full(self) -> None:
+        gateway = parts.Gateway()
+        self._load(gateway, 8, 8)
+        _, effects = gateway.send_request("/post/x")
+        failed = parts.get_effect(effects, _effects.FailExchange)
+        assert failed.failure.http_status == 503
+        assert failed.failure.retry_after is not None
+        self._load(gateway, 7, 8)
+        _, effects = gateway.send_request("/post/x")
+        assert _started(effects) == [_LEDGERS[0]]
+
+    def test_own_requests_count_at_once(self) -> None:
+        gateway = parts.Gateway()
+        self._load(gateway, 7, 8)
+        assert _started(gateway.send_request("/post/x")[1])
+        assert _started(gateway.send_request("/post/x")[1]) == []
+
+
 class TestWithoutControlVms:
     def test_an_equal_share_is_sent_and_the_rest_refused(self) -> None:
         gateway = parts.Gateway()
