--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -9,6 +9,7 @@
 from sedgepin._gateway import _events
 from sedgepin._gateway import _exchange
 from sedgepin._gateway import _failures
+from sedgepin._gateway import _permit_waits
 from sedgepin._gateway import _request_queue
 from sedgepin._gateway import _shared_state
 from sedgepin import _model as model
@@ -20,9 +21,6 @@
 _Permission = rate_limits.Permission
 
 _AT_ONCE = datetime.timedelta()
-_MAX_LOGGED_ENDPOINTS = 8
-# Bounds the messages about a request while all endpoints with limits are busy.
-_MAX_DENIED_PERMITS = 8
 # Callers retry no sooner after a pause that is about to end.
 _MIN_RETRY_AFTER = datetime.timedelta(milliseconds=250)
 
@@ -30,10 +28,11 @@
 class RequestDispatcher:
     """Admits, dispatches, queues and fails requests."""
 
-    __slots__ = ("_state",)
+    __slots__ = ("_state", "_waits")
 
     def __init__(self, state: _shared_state.SharedState) -> None:
         self._state = state
+        self._waits = _permit_waits.PermitWaits(state)
 
     def admit(
         self,
@@ -117,7 +116,7 @@
         if exchange.service.engine is None or exchange.request.size is None:
             return self._dispatch_to_endpoint(exchange, now)
         permit_wait: datetime.timedelta | None = _AT_ONCE
-        if exchange.denied_permits >= _MAX_DENIED_PERMITS:
+        if not self._waits.may_ask(exchange):
             permit_wait = None
         return self._dispatch_to_pipeline(
             exchange, exchange.request.size, permit_wait, now
@@ -148,14 +147,14 @@
         fits = candidate is not None and candidate.cache_utilization <= 1.0
         if candidate is not None and fits and not is_overtaking:
             first = candidate.pipeline.stages[0]
-            permission = self._obtain_permit(
+            permission = self._waits.obtain(
                 exchange, first.endpoint_id, permit_wait or _AT_ONCE, now
             )
             if permission is _Permission.ASKED:
-                return self._await_permit(exchange, permit_wait, now)
+                return self._waits.begin(exchange, permit_wait, now)
             if permission is _Permission.DENIED:
                 return self._dispatch_to_pipeline(exchange, size, None, now)
-            return self._start_attempt(
+            return self.start_attempt(
                 exchange,
                 first.endpoint_id,
                 first.address,
@@ -163,7 +162,7 @@
                 now,
             )
         if permit_wait == _AT_ONCE:
-            longest_wait = self._longest_permit_wait(exchange, now)
+            longest_wait = self._waits.longest_wait(exchange, now)
             if longest_wait > _AT_ONCE:
                 return self._dispatch_to_pipeline(
                     exchange, size, longest_wait, now
@@ -174,148 +173,6 @@
             exchange, candidate.cache_utilization, now
         )
 
-    def _obtain_permit(
-        self,
-        exchange: _exchange.Exchange,
-        endpoint_id: model.EndpointId,
-        max_wait: datetime.timedelta,
-        now: datetime.datetime,
-    ) -> rate_limits.Permission:
-        """Ask whether a request may be sent to an endpoint, if need be."""
-        permits = self._state.permits
-        record = self._state.fleet.registry.find(endpoint_id)
-        if record is None:
-            return _Permission.GRANTED
-        incarnation = record.registration.incarnation
-        if permits.limits.find(endpoint_id, incarnation) is None:
-            return _Permission.GRANTED
-        if permits.has_pending(exchange.exchange_id):
-            return _Permission.ASKED
-        # Streams that have started come before any other request.
-        priority = -1 if exchange.has_output else exchange.priority
-        permission = permits.obtain(
-            exchange.exchange_id,
-            endpoint_id,
-            incarnation,
-            max_wait,
-            priority,
-            now,
-        )
-        if permission is _Permission.DENIED:
-            self._state.fleet.invalidate_pipelines()
-        return permission
-
-    def _longest_permit_wait(
-        self, exchange: _exchange.Exchange, now: datetime.datetime
-    ) -> datetime.timedelta:
-        """Return how long a request may wait for a permit from now on."""
-        permits = self._state.permits
-        if not len(permits.limits) or not permits.may_wait:
-            return _AT_ONCE
-        if permits.has_pending(exchange.exchange_id):
-            return _AT_ONCE
-        if exchange.denied_permits >= _MAX_DENIED_PERMITS:
-            return _AT_ONCE
-        wait = _request_queue.max_wait(exchange)
-        if exchange.queued_at is not None:
-            wait -= now - exchange.queued_at
-        return max(_AT_ONCE, min(wait, exchange.time_left(now)))
-
-    def _await_permit(
-        self,
-        exchange: _exchange.Exchange,
-        max_wait: datetime.timedelta | None,
-        now: datetime.datetime,
-    ) -> _shared_state.Effects:
-        """Let a request wait for a permit that was asked for.
-
-        One that may be given at once is decided within milliseconds.
-        """
-        if exchange.queued_at is not None or not max_wait:
-            return []
-        queue = self._state.queues.for_service(exchange.service.name)
-        queue.enqueue(exchange, now)
-        return [self._log_limited(exchange, now)]
-
-    def start_permitted(
-        self,
-        exchange: _exchange.Exchange,
-        endpoint_id: model.EndpointId,
-        incarnation: int,
-        now: datetime.datetime,
-    ) -> _shared_state.Effects:
-        """Send a request with a permit; return no effects if that fails."""
-        fleet = self._state.fleet
-        record = fleet.registry.find(endpoint_id)
-        if record is None or record.registration.incarnation != incarnation:
-            return []
-        if not fleet.is_usable(endpoint_id, now):
-            return []
-        if self._state.find_cause(exchange.request, now) is not None:
-            return []
-        if self._state.has_used_up_attempts(exchange):
-            return []
-        address = record.registration.address
-        size = exchange.request.size
-        pipeline: model.Pipeline | None = None
-        if exchange.service.engine is not None and size is not None:
-            candidate = fleet.find_pipeline_from(
-                exchange.service, size, endpoint_id, now
-            )
-            if candidate is None or candidate.cache_utilization > 1.0:
-                return []
-            pipeline = candidate.pipeline
-        return self._start_attempt(
-            exchange, endpoint_id, address, pipeline, now
-        )
-
-    def handle_denied_permit(
-        self,
-        exchange: _exchange.Exchange,
-        endpoint_id: model.EndpointId,
-        now: datetime.datetime,
-    ) -> _shared_state.Effects:
-        """Look for another endpoint for a request that got no permit."""
-        exchange.denied_permits += 1
-        free_in = datetime.timedelta()
-        requests_per_second: float | None = None
-        permits = self._state.permits
-        record = self._state.fleet.registry.find(endpoint_id)
-        if record is not None:
-            incarnation = record.registration.incarnation
-            free_in = permits.free_at(endpoint_id, incarnation, now) - now
-            limit = permits.limits.find(endpoint_id, incarnation)
-            if limit is not None:
-                requests_per_second = limit.requests_per_second
-        line = events.PERMIT_DENIED.line(
-            request=exchange.request.request_id,
-            endpoint=endpoint_id,
-            requests_per_second=requests_per_second,
-            free_in_milliseconds=_shared_state.milliseconds(free_in),
-        )
-        return [
-            _shared_state.log(line),
-            *self.dispatch_or_queue(exchange, now),
-        ]
-
-    def _log_limited(
-        self, exchange: _exchange.Exchange, now: datetime.datetime
-    ) -> _effects.WriteLog:
-        """Return the log line on the limits that hold a request up."""
-        limited = self._state.fleet.limited(exchange.service.name, now)
-        limited.sort(key=lambda item: (item[1], item[0]))
-        free_at = limited[0][1] if limited else now
-        line = events.REQUEST_LIMITED.line(
-            request=exchange.request.request_id,
-            service=exchange.service.name,
-            endpoints=",".join(
-                endpoint_id
-                for endpoint_id, _ in limited[:_MAX_LOGGED_ENDPOINTS]
-            ),
-            free_in_milliseconds=_shared_state.milliseconds(free_at - now),
-        )
-        return _shared_state.log(line)
-
     def serve_queues(self, now: datetime.datetime) -> _shared_state.Effects:
         """Dispatch queued requests while capacity lasts; fail overdue ones."""
         effects: _shared_state.Effects = []
@@ -332,7 +189,7 @@
                 queue.dequeue(exchange)
                 failure: errors.Failure = _failures.NoEndpoint(
                     exchange.service.name,
-                    self._retry_after(exchange, queue, now),
+                    self._waits.retry_after(exchange, queue, now),
                 )
                 effects += self.fail(
                     exchange, self.adjust_outcome(exchange, failure), now
@@ -514,22 +371,22 @@
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> _shared_state.Effects:
         waits: list[datetime.timedelta | None] = [None]
-        if exchange.denied_permits < _MAX_DENIED_PERMITS:
-            waits = [_AT_ONCE, self._longest_permit_wait(exchange, now)]
+        if self._waits.may_ask(exchange):
+            waits = [_AT_ONCE, self._waits.longest_wait(exchange, now)]
         for permit_wait in waits:
             registration = self._choose_endpoint(exchange, permit_wait, now)
             if registration is None:
                 continue
-            permission = self._obtain_permit(
+            permission = self._waits.obtain(
                 exchange,
                 registration.endpoint_id,
                 permit_wait or _AT_ONCE,
                 now,
             )
             if permission is _Permission.ASKED:
-                return self._await_permit(exchange, permit_wait, now)
+                return self._waits.begin(exchange, permit_wait, now)
             if permission is _Permission.GRANTED:
-                return self._start_attempt(
+                return self.start_attempt(
                     exchange,
                     registration.endpoint_id,
                     registration.address,
@@ -580,7 +437,7 @@
         effects: _shared_state.Effects = []
         limited = self._state.fleet.limited(service, now)
         if limited:
-            effects.append(self._log_limited(exchange, now))
+            effects.append(self._waits.log_limited(exchange, now))
         free_at = [at for _, at in limited]
         paused_until = self._state.fleet.end_of_pauses(service, now)
         if paused_until is not None:
@@ -596,24 +453,6 @@
             exchange, self.adjust_outcome(exchange, failure), now
         )
 
-    def _retry_after(
-        self,
-        exchange: _exchange.Exchange,
-        queue: _request_queue.RequestQueue,
-        now: datetime.datetime,
-    ) -> datetime.timedelta:
-        """Return when the caller of a request that did not fit may retry.
-
-        Capacity becomes free in the queue's order, or an endpoint with a
-        limit takes requests again, whichever comes first.
-        """
-        wait = queue.expected_wait(exchange, now)
-        for _, free_at in self._state.fleet.limited(
-            exchange.service.name, now
-        ):
-            wait = min(wait, free_at - now)
-        return queue.retry_after(exchange, now, wait)
-
     def _enqueue_or_fail(
         self,
         exchange: _exchange.Exchange,
@@ -627,9 +466,10 @@
         if not queue.may_enqueue(exchange, now):
             effects: _shared_state.Effects = []
             if self._state.fleet.limited(exchange.service.name, now):
-                effects.append(self._log_limited(exchange, now))
+                effects.append(self._waits.log_limited(exchange, now))
             failure = _failures.NoEndpoint(
-                exchange.service.name, self._retry_after(exchange, queue, now)
+                exchange.service.name,
+                self._waits.retry_after(exchange, queue, now),
             )
             return effects + self.fail(
                 exchange, self.adjust_outcome(exchange, failure), now
@@ -646,7 +486,7 @@
         queue.enqueue(exchange, now)
         return [_shared_state.log(line)]
 
-    def _start_attempt(
+    def start_attempt(
         self,
         exchange: _exchange.Exchange,
         endpoint_id: model.EndpointId,
@@ -654,6 +494,7 @@
         pipeline: model.Pipeline | None,
         now: datetime.datetime,
     ) -> _shared_state.Effects:
+        """Send a request to an endpoint that allows it now."""
         self._state.queues.for_service(exchange.service.name).dequeue(exchange)
         self._state.awaiting_path.pop(exchange.exchange_id, None)
         self._state.permits.cancel(exchange.exchange_id)
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -31,8 +31,8 @@
     ``tried_endpoints`` holds the endpoints on which an attempt failed.
     ``position`` is the id of the last event that the caller received.
     ``queued_at`` is set while the request waits for capacity.
-    ``denied_permits`` counts the permits that it asked for in vain since its
-    last attempt.
+    ``denied_permits`` counts the permits that it asked for in vain, or could
+    not use, since its last attempt.
     ``is_sustained`` is set once an attempt has sent so many events that the
     request cannot crash its engine.
     """
--- a/sedgepin/_gateway/_permits.py
+++ b/sedgepin/_gateway/_permits.py
@@ -8,9 +8,11 @@
 from sedgepin._gateway import _control_connections
 from sedgepin._gateway import _dispatcher
 from sedgepin._gateway import _effects
+from sedgepin._gateway import _exchange
 from sedgepin._gateway import _shared_state
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
+from sedgepin import events
 
 Effects = _shared_state.Effects
 
@@ -78,16 +80,15 @@
             self._state.fleet.invalidate_pipelines()
             if not is_expected or exchange is None:
                 return []
-            return self._dispatcher.handle_denied_permit(
-                exchange, message.endpoint_id, now
-            )
+            return self._handle_denial(exchange, message.endpoint_id, now)
         effects: Effects = []
         if is_expected and exchange is not None and exchange.dispatch is None:
-            effects = self._dispatcher.start_permitted(
+            effects = self._start(
                 exchange, message.endpoint_id, message.incarnation, now
             )
             if effects:
                 return effects
+            exchange.denied_permits += 1
             effects = self._dispatcher.dispatch_or_queue(exchange, now)
         returned = protocol.PermitReturned(
             message.endpoint_id, message.incarnation
@@ -105,3 +106,64 @@
             if exchange is not None and exchange.dispatch is None:
                 effects += self._dispatcher.dispatch_or_queue(exchange, now)
         return effects
+
+    def _start(
+        self,
+        exchange: _exchange.Exchange,
+        endpoint_id: model.EndpointId,
+        incarnation: int,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Send a request with a permit; return no effects if that fails."""
+        fleet = self._state.fleet
+        record = fleet.registry.find(endpoint_id)
+        if record is None or record.registration.incarnation != incarnation:
+            return []
+        if not fleet.is_usable(endpoint_id, now):
+            return []
+        if self._state.find_cause(exchange.request, now) is not None:
+            return []
+        if self._state.has_used_up_attempts(exchange):
+            return []
+        address = record.registration.address
+        size = exchange.request.size
+        pipeline: model.Pipeline | None = None
+        if exchange.service.engine is not None and size is not None:
+            candidate = fleet.find_pipeline_from(
+                exchange.service, size, endpoint_id, now
+            )
+            if candidate is None or candidate.cache_utilization > 1.0:
+                return []
+            pipeline = candidate.pipeline
+        return self._dispatcher.start_attempt(
+            exchange, endpoint_id, address, pipeline, now
+        )
+
+    def _handle_denial(
+        self,
+        exchange: _exchange.Exchange,
+        endpoint_id: model.EndpointId,
+        now: datetime.datetime,
+    ) -> Effects:
+        """Look for another endpoint for a request that got no permit."""
+        exchange.denied_permits += 1
+        free_in = datetime.timedelta()
+        requests_per_second: float | None = None
+        permits = self._state.permits
+        record = self._state.fleet.registry.find(endpoint_id)
+        if record is not None:
+            incarnation = record.registration.incarnation
+            free_in = permits.free_at(endpoint_id, incarnation, now) - now
+            limit = permits.limits.find(endpoint_id, incarnation)
+            if limit is not None:
+                requests_per_second = limit.requests_per_second
+        line = events.PERMIT_DENIED.line(
+            request=exchange.request.request_id,
+            endpoint=endpoint_id,
+            requests_per_second=requests_per_second,
+            free_in_milliseconds=_shared_state.milliseconds(free_in),
+        )
+        return [
+            _shared_state.log(line),
+            *self._dispatcher.dispatch_or_queue(exchange, now),
+        ]
