Let requests that wait for a permit hold up no other

Cause: a request that waits for a permit stood in the queue, and a new one behind it was refused by the queue's estimate, 4 s on a VM with few answers; and after eight permits denied at once none was waited for.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -115,11 +115,11 @@
             return []
         if exchange.service.engine is None or exchange.request.size is None:
             return self._dispatch_to_endpoint(exchange, now)
-        permit_wait: datetime.timedelta | None = _AT_ONCE
-        if not self._waits.may_ask(exchange):
-            permit_wait = None
         return self._dispatch_to_pipeline(
-            exchange, exchange.request.size, permit_wait, now
+            exchange,
+            exchange.request.size,
+            self._waits.first_wait(exchange, now),
+            now,
         )
 
     def _dispatch_to_pipeline(
@@ -137,12 +137,12 @@
         candidate = self._state.fleet.find_pipeline(
             exchange.service, size, now, permit_wait
         )
-        # A new request does not overtake the queued ones; a stream that has
-        # started may.
+        # A new request does not overtake those that wait for capacity; a
+        # stream that has started may.
         is_overtaking = (
-            bool(len(queue))
-            and exchange.queued_at is None
+            exchange.queued_at is None
             and not exchange.has_output
+            and self._waits.has_others(queue)
         )
         fits = candidate is not None and candidate.cache_utilization <= 1.0
         if candidate is not None and fits and not is_overtaking:
@@ -370,9 +370,9 @@
     def _dispatch_to_endpoint(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> _shared_state.Effects:
-        waits: list[datetime.timedelta | None] = [None]
-        if self._waits.may_ask(exchange):
-            waits = [_AT_ONCE, self._waits.longest_wait(exchange, now)]
+        waits = [self._waits.first_wait(exchange, now)]
+        if waits == [_AT_ONCE]:
+            waits.append(self._waits.longest_wait(exchange, now))
         for permit_wait in waits:
             registration = self._choose_endpoint(exchange, permit_wait, now)
             if registration is None:
--- a/sedgepin/_gateway/_permit_waits.py
+++ b/sedgepin/_gateway/_permit_waits.py
@@ -13,8 +13,11 @@
 _Permission = rate_limits.Permission
 
 _AT_ONCE = datetime.timedelta()
+# A permit must come before its request has waited too long.
+_ANSWER_TIME = datetime.timedelta(milliseconds=50)
 _MAX_LOGGED_ENDPOINTS = 8
 # Bounds the messages about a request while all endpoints with limits are busy.
+_MAX_DENIED_AT_ONCE = 6
 _MAX_DENIED_PERMITS = 8
 
 
@@ -31,8 +34,21 @@
     def __init__(self, state: _shared_state.SharedState) -> None:
         self._state = state
 
-    def may_ask(self, exchange: _exchange.Exchange) -> bool:
-        """Return whether a request has asked for few permits in vain."""
+    def first_wait(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> datetime.timedelta | None:
+        """Return how long the next permit of a request may take to come.
+
+        It asks for some at once, then for one that it waits for, and then
+        takes only an endpoint that needs none: ``None``.
+        """
+        if exchange.denied_permits < _MAX_DENIED_AT_ONCE:
+            return _AT_ONCE
+        if self._may_ask(exchange):
+            return self.longest_wait(exchange, now)
+        return None
+
+    def _may_ask(self, exchange: _exchange.Exchange) -> bool:
         return exchange.denied_permits < _MAX_DENIED_PERMITS
 
     def obtain(
@@ -66,6 +82,16 @@
             self._state.fleet.invalidate_pipelines()
         return permission
 
+    def has_others(self, queue: _request_queue.RequestQueue) -> bool:
+        """Return whether requests wait in a queue, but not for a permit."""
+        permits = self._state.permits
+        if not len(queue) or not permits.is_waiting:
+            return bool(len(queue))
+        return any(
+            not permits.has_pending(exchange.exchange_id)
+            for exchange in queue.in_order()
+        )
+
     def longest_wait(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> datetime.timedelta:
@@ -75,9 +101,9 @@
             return _AT_ONCE
         if permits.has_pending(exchange.exchange_id):
             return _AT_ONCE
-        if not self.may_ask(exchange):
+        if not self._may_ask(exchange):
             return _AT_ONCE
-        wait = _request_queue.max_wait(exchange)
+        wait = _request_queue.max_wait(exchange) - _ANSWER_TIME
         if exchange.queued_at is not None:
             wait -= now - exchange.queued_at
         return max(_AT_ONCE, min(wait, exchange.time_left(now)))
--- a/sedgepin/_gateway/tests/test_request_limits.py
+++ b/sedgepin/_gateway/tests/test_request_limits.py
@@ -279,6 +279,22 @@
         for queue in gateway.reducer._state.queues:
             assert len(queue._departures) < 10
 
+    def test_request_that_waits_for_a_permit_holds_up_no_other(self) -> None:
+        """Behind it, a VM with few answers expected a wait of 4 s."""
+        gateway = parts.Gateway()
+        _limit(gateway, _LOW, _FAR_LOW, figure=20.0)
+        _, effects = gateway.send_request("/draft/x")
+        for _ in range(2):
+            (asked,) = _asked(effects)
+            denied = protocol.PermitAnswered(
+                asked.endpoint_id, 1, asked.ask_id, False, 120
+            )
+            effects = gateway.receive(denied)
+        assert _asked(effects)[0].max_wait_milliseconds
+        _, effects = gateway.send_request("/draft/x")
+        assert parts.has_no_effect(effects, _effects.FailExchange)
+        assert _asked(effects)[0].max_wait_milliseconds
+
     def test_request_asks_few_of_many_busy_endpoints(self) -> None:
         gateway = parts.Gateway(
             tuple(
