Draw the limits of a soak apart from its other faults

Limits among the other faults changed what each seed draws, also those that once failed and are repeated by the tests. They have draws of their own, and two engines name one through the whole span of faults.

--- a/sedgepin/platform/tests/soak/_faults.py
+++ b/sedgepin/platform/tests/soak/_faults.py
@@ -16,8 +16,8 @@
 _MEAN_INTERVAL_SECONDS = 0.4
 _MIN_DURATION_SECONDS = 0.3
 _MAX_DURATION_SECONDS = 4.0
-# Longer than ``stabilityWindowMs`` and a window in which requests are counted.
-_LIMIT_SECONDS = 9.0
+_LIMITED_ENGINES = 2
+_LIMITS = (0.0, 0.5, 1.0, 2.0, 5.0)
 # ``catchUpS``: a restarted control VM has caught up after this time.
 _CATCH_UP_SECONDS = 4.0
 _CLOCK_SKEWS_MS = (-300_000, -3000, 3000, 300_000)
@@ -47,7 +47,9 @@
 
 async def run(context: FaultContext, seconds: float) -> None:
     """Start faults for ``seconds``, then wait until all have ended."""
+    limit_rng = random.Random(context.rng.getstate()[1][0])
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(_limit_engines, context, limit_rng, seconds)
         end = trio.current_time() + seconds
         while trio.current_time() < end:
             pause = context.rng.expovariate(1 / _MEAN_INTERVAL_SECONDS)
@@ -190,15 +192,23 @@
     engine.failure_rate = 0.0
 
 
-async def _limit_engine(context: FaultContext) -> None:
-    engine = context.rng.choice(context.engines)
-    requests_per_second = context.rng.choice((0.0, 0.5, 1.0, 2.0, 5.0))
-    context.record_fault(
-        f"limit the engine at {engine.address} to {requests_per_second}"
-    )
-    engine.name_limit(requests_per_second)
-    await trio.sleep(_LIMIT_SECONDS)
-    engine.drop_limit()
+async def _limit_engines(
+    context: FaultContext, rng: random.Random, seconds: float
+) -> None:
+    """Let some engines name limits, beside the other faults.
+
+    Its own draws leave those of a seed that once failed as they were.
+    """
+    engines = rng.sample(context.engines, _LIMITED_ENGINES)
+    for engine in engines:
+        requests_per_second = rng.choice(_LIMITS)
+        context.record_fault(
+            f"limit the engine at {engine.address} to {requests_per_second}"
+        )
+        engine.name_limit(requests_per_second)
+    await trio.sleep(seconds)
+    for engine in engines:
+        engine.drop_limit()
 
 
 # Repeated entries are drawn more often.
@@ -220,6 +230,4 @@
     _drain_engine,
     _slow_engine,
     _fail_engine,
-    _limit_engine,
-    _limit_engine,
 )
