--- a/sedgepin/_control/_reducer.py
+++ b/sedgepin/_control/_reducer.py
@@ -72,7 +72,7 @@
         self._next_plan_at = now
         self._entry_vms: set[model.VmId] = set()
         self._request_limits = rate_limits.RequestLimits()
-        self._permits = rate_limits.PermitOffice(
+        self._permits = rate_limits.PermitCoordinator(
             self._request_limits, self._entry_vms
         )
         self._proposal_batch: list[consensus.Proposal] = []
--- a/sedgepin/_entry/_context.py
+++ b/sedgepin/_entry/_context.py
@@ -27,7 +27,7 @@
     quarantine: admission.Quarantine
     crash_causes: crash_causes.CrashCauseTracker
     paths: _paths.PathFollower
-    permits: _permits.PermitAsker
+    permits: _permits.PermitClient
     generator: random.Random
 
     def eligible(
--- a/sedgepin/_entry/_permits.py
+++ b/sedgepin/_entry/_permits.py
@@ -19,11 +19,11 @@
 MAX_DENIED = 8
 
 
-class PermitAsker:
+class PermitClient:
     """Asks control VMs for permits, by the ids of the requests.
 
-    >>> asker = PermitAsker(permits, controls)
-    >>> asker.obtain(request_id, endpoint_id, 1, timedelta(), 0, now)
+    >>> client = PermitClient(permits, controls)
+    >>> client.obtain(request_id, endpoint_id, 1, timedelta(), 0, now)
     Permission.ASKED
     """
 
@@ -162,20 +162,7 @@
         target = min(self._connected, default=None)
         if target is None:
             return []
-        return [
-            _effects.SendMessage(
-                target,
-                protocol.PermitAsked(
-                    ask.request.endpoint_id,
-                    ask.request.incarnation,
-                    ask.request.ask_id,
-                    ask.requests_per_second,
-                    int(ask.request.max_wait.total_seconds() * 1000),
-                    ask.request.priority,
-                ),
-            )
-            for ask in asks
-        ]
+        return [_effects.SendMessage(target, ask.as_message()) for ask in asks]
 
     def _take(self, ask_id: int) -> model.RequestId | None:
         request_id = self._request_ids.pop(ask_id, None)
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -115,7 +115,7 @@
             ),
             crash_causes=crash_causes.CrashCauseTracker(own_id, now),
             paths=_paths.PathFollower(cfg, gossip, forward_key, generator),
-            permits=_permits.PermitAsker(permits, controls),
+            permits=_permits.PermitClient(permits, controls),
             generator=generator,
         )
         self._held_prompts = _held_prompts.HeldPrompts(self._context)
--- a/sedgepin/_gateway/_permits.py
+++ b/sedgepin/_gateway/_permits.py
@@ -17,7 +17,7 @@
 Effects = _shared_state.Effects
 
 
-class PermitFollower:
+class PermitClient:
     """Asks control VMs for permits, and sends the requests that get one."""
 
     __slots__ = ("_connections", "_dispatcher", "_state")
@@ -45,18 +45,7 @@
         if aggregator is None:
             return []
         return [
-            _effects.SendMessage(
-                aggregator,
-                protocol.PermitAsked(
-                    ask.request.endpoint_id,
-                    ask.request.incarnation,
-                    ask.request.ask_id,
-                    ask.requests_per_second,
-                    _shared_state.milliseconds(ask.request.max_wait),
-                    ask.request.priority,
-                ),
-            )
-            for ask in asks
+            _effects.SendMessage(aggregator, ask.as_message()) for ask in asks
         ]
 
     def handle_answer(
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -66,7 +66,7 @@
         self._connections = _control_connections.ControlConnections(
             cfg.vm_id, cfg.data_centre, cfg.controls, now
         )
-        self._permits = _permits.PermitFollower(
+        self._permits = _permits.PermitClient(
             self._state, self._connections, self._dispatcher
         )
         self._paths = _paths.PathFollower(self._state, self._connections)
--- a/sedgepin/_rate_limits/__init__.py
+++ b/sedgepin/_rate_limits/__init__.py
@@ -1,5 +1,8 @@
 """Limits of requests that endpoints name for all VMs together."""
 
+from sedgepin._rate_limits._coordinator import Leadership
+from sedgepin._rate_limits._coordinator import PermitCoordinator
+from sedgepin._rate_limits._coordinator import PermitMessage
 from sedgepin._rate_limits._ledger import LimitUsage
 from sedgepin._rate_limits._ledger import PermitDecision
 from sedgepin._rate_limits._ledger import PermitLedger
@@ -9,9 +12,6 @@
 from sedgepin._rate_limits._limits import LimitChange
 from sedgepin._rate_limits._limits import RequestLimit
 from sedgepin._rate_limits._limits import RequestLimits
-from sedgepin._rate_limits._office import Leadership
-from sedgepin._rate_limits._office import PermitMessage
-from sedgepin._rate_limits._office import PermitOffice
 from sedgepin._rate_limits._permits import Ask
 from sedgepin._rate_limits._permits import Permission
 from sedgepin._rate_limits._permits import Permits
@@ -22,10 +22,10 @@
     "LimitChange",
     "LimitUsage",
     "Permission",
+    "PermitCoordinator",
     "PermitDecision",
     "PermitLedger",
     "PermitMessage",
-    "PermitOffice",
     "PermitRequest",
     "Permits",
     "RequestLimit",
--- a/sedgepin/_rate_limits/_office.py
+++ b/sedgepin/_rate_limits/_coordinator.py
@@ -26,7 +26,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PermitMessage:
-    """A message that an office sends."""
+    """A message that a coordinator sends."""
 
     recipient: model.VmId
     message: (
@@ -36,11 +36,11 @@
     )
 
 
-class PermitOffice:
+class PermitCoordinator:
     """Grants permits as the leader, and passes messages on otherwise.
 
-    >>> office = PermitOffice(limits, entries)
-    >>> office.ask(entry, PermitAsked(...), Leadership(True, own_id), now)
+    >>> coordinator = PermitCoordinator(limits, entries)
+    >>> coordinator.ask(entry, PermitAsked(...), Leadership(True, own_id), now)
     [PermitMessage(entry, PermitAnswered(...))]
     """
 
@@ -72,7 +72,7 @@
                 return []
             forwarded = msgspec.structs.replace(message, entry=sender)
             return _send_to_leader(leadership, forwarded)
-        self._limits.learn(
+        self._limits.adopt(
             message.endpoint_id,
             message.incarnation,
             message.requests_per_second,
--- a/sedgepin/_rate_limits/_limits.py
+++ b/sedgepin/_rate_limits/_limits.py
@@ -131,7 +131,7 @@
             endpoint_id, incarnation, requests_per_second, False, now
         )
 
-    def learn(
+    def adopt(
         self,
         endpoint_id: model.EndpointId,
         incarnation: int,
--- a/sedgepin/_rate_limits/_permits.py
+++ b/sedgepin/_rate_limits/_permits.py
@@ -6,6 +6,7 @@
 import random
 
 from sedgepin import _model as model
+from sedgepin import _protocol as protocol
 from sedgepin._rate_limits import _bucket
 from sedgepin._rate_limits import _ledger
 from sedgepin._rate_limits import _limits
@@ -41,6 +42,18 @@
     requests_per_second: float
     expires_at: datetime.datetime
 
+    def as_message(self) -> protocol.PermitAsked:
+        """Return the message that asks for it."""
+        request = self.request
+        return protocol.PermitAsked(
+            request.endpoint_id,
+            request.incarnation,
+            request.ask_id,
+            self.requests_per_second,
+            int(request.max_wait.total_seconds() * 1000),
+            request.priority,
+        )
+
 
 class Permits:
     """Asks for permits, and passes over endpoints that have none to give.
--- a/sedgepin/_rate_limits/tests/test_limits.py
+++ b/sedgepin/_rate_limits/tests/test_limits.py
@@ -88,9 +88,9 @@
         limits = rate_limits.RequestLimits()
         limits.merge(_ENDPOINT, 1, 8.1, _START)
         limits.merge(_ENDPOINT, 1, None, _after(1.0))
-        limits.learn(_ENDPOINT, 1, 8.1, _after(1.1))
+        limits.adopt(_ENDPOINT, 1, 8.1, _after(1.1))
         assert _figure(limits) is None
-        limits.learn(_ENDPOINT, 1, 8.1, _after(9.0))
+        limits.adopt(_ENDPOINT, 1, 8.1, _after(9.0))
         assert _figure(limits) == 8.1
 
     def test_number_of_limits_is_bounded(self) -> None:
--- a/sedgepin/_registrar/_permits.py
+++ b/sedgepin/_registrar/_permits.py
@@ -13,9 +13,9 @@
 
 
 class PermitManager:
-    """Passes messages on permits to an office, and sends its own."""
+    """Passes messages on permits to a coordinator, and sends its own."""
 
-    __slots__ = ("_office", "_raft")
+    __slots__ = ("_coordinator", "_raft")
 
     def __init__(
         self,
@@ -23,7 +23,9 @@
         peers: _peers.Peers,
         raft: consensus.RaftNode,
     ) -> None:
-        self._office = rate_limits.PermitOffice(limits, peers.entries)
+        self._coordinator = rate_limits.PermitCoordinator(
+            limits, peers.entries
+        )
         self._raft = raft
 
     def handle_message(
@@ -39,20 +41,22 @@
         match message:
             case protocol.PermitAsked():
                 return _send(
-                    self._office.ask(sender, message, leadership, now)
+                    self._coordinator.ask(sender, message, leadership, now)
                 )
             case protocol.PermitAnswered():
-                return _send(self._office.pass_on(message, leadership))
+                return _send(self._coordinator.pass_on(message, leadership))
             case protocol.PermitReturned():
-                return _send(self._office.take_back(message, leadership, now))
+                return _send(
+                    self._coordinator.take_back(message, leadership, now)
+                )
 
     def usage(self) -> list[rate_limits.LimitUsage]:
         """Return how the limits are used; on the leader only."""
-        return self._office.usage()
+        return self._coordinator.usage()
 
     def tick(self, now: datetime.datetime) -> Effects:
         """Grant the permits that are there now."""
-        return _send(self._office.tick(self._leadership(now), now))
+        return _send(self._coordinator.tick(self._leadership(now), now))
 
     def _leadership(self, now: datetime.datetime) -> rate_limits.Leadership:
         return rate_limits.Leadership(
