Drop the shares of endpoints that are gone while no permits are granted

Found on the second reading: a VM that gets no answer kept a bucket for each incarnation that had ever named a limit, until it was answered again. The test failed before.

--- a/sedgepin/_rate_limits/_permits.py
+++ b/sedgepin/_rate_limits/_permits.py
@@ -198,6 +198,11 @@
         if expired:
             self._unanswered = True
         if self._unanswered:
+            self._own_shares = {
+                key: bucket
+                for key, bucket in self._own_shares.items()
+                if self.limits.find(*key) is not None
+            }
             self._probe(now)
         if self._blocked_until:
             self._blocked_until = {
--- a/sedgepin/_rate_limits/tests/test_permits.py
+++ b/sedgepin/_rate_limits/tests/test_permits.py
@@ -73,6 +73,17 @@
         # 10 s at 8 a second over 4 VMs, less what the schedule stays below.
         assert 17 <= granted <= 20
 
+    def test_shares_of_endpoints_that_are_gone_are_dropped(self) -> None:
+        permits = _make()
+        permits.lose_contact()
+        for number in range(100):
+            name = model.EndpointId(f"e{number}")
+            permits.limits.merge(name, 1, 8.0, _START)
+            permits.free_at(name, 1, _START)
+            permits.limits.remove_ended(name, 1)
+        permits.tick(_START)
+        assert len(permits._own_shares) <= 1
+
     def test_an_answer_ends_it(self) -> None:
         permits = _make()
         permits.lose_contact()
