--- a/sedgepin/tests/cut_attempts.py
+++ b/sedgepin/tests/cut_attempts.py
@@ -3,6 +3,8 @@
 import abc
 import random
 
+import msgspec
+
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _effects as gateway_effects
@@ -24,10 +26,7 @@
 
 
 class EmulatedAttempts(timed_deployment.TimedDeployment):
-    """Carries out what entry VMs want of endpoints.
-
-    All endpoints stay up and reachable from the control VMs.
-    """
+    """Carries out what entry VMs want of endpoints."""
 
     def __init__(self, plan: cut_plan.Plan) -> None:
         self.plan = plan
@@ -72,6 +71,67 @@
     def _find_running(self, address: str) -> catalog.Registration | None:
         return self._by_address.get(address)
 
+    def _call(
+        self, address: str, limit_seconds: float
+    ) -> timed_deployment.Call:
+        registration = self._by_address[address]
+        for fault in self.plan.endpoint_faults:
+            if fault.is_crash and fault.severs(
+                registration.endpoint_id, self.elapsed()
+            ):
+                if fault.mode.is_silent:
+                    return timed_deployment.Call(limit_seconds, None, True)
+                return timed_deployment.Call(
+                    timed_deployment.ENGINE_SECONDS, None
+                )
+        return super()._call(address, limit_seconds)
+
+    def _crash_endpoints(self, fault: cut_plan.EndpointFault) -> None:
+        """End processes, which start again at the end of the fault."""
+        crashed = [
+            registration
+            for registration in self.endpoints
+            if fault.hits(registration.endpoint_id)
+        ]
+        for registration in crashed:
+            self.endpoints.remove(registration)
+        seconds = fault.end - self.elapsed()
+        self._after(seconds, self._start_endpoints, crashed)
+
+    def _start_endpoints(self, crashed: list[catalog.Registration]) -> None:
+        for registration in crashed:
+            started = msgspec.structs.replace(
+                registration,
+                incarnation=model.Incarnation(registration.incarnation + 1),
+            )
+            self._by_address[started.address] = started
+            self.endpoints.append(started)
+
+    def _could_serve(
+        self, vm_id: model.VmId, request: cut_record.Request
+    ) -> bool:
+        """Return whether a VM reaches the endpoints that a request needs.
+
+        A cut VM that has one may have others carry the request to it.
+        """
+        now = self.elapsed()
+        kinds = (
+            [parts.LOW, parts.HIGH]
+            if request.operation.kind is cut_record.Kind.STREAM
+            else [None]
+        )
+        return all(
+            any(
+                registration.layers == layers
+                and self._paths.is_reachable(
+                    carrier, registration.endpoint_id, now
+                )
+                for registration in self.endpoints
+                for carrier in self.entries
+            )
+            for layers in kinds
+        )
+
     @abc.abstractmethod
     def _answer(
         self, vm_id: model.VmId, number: int, failure: errors.Failure | None
--- a/sedgepin/tests/cut_day.py
+++ b/sedgepin/tests/cut_day.py
@@ -2,8 +2,8 @@
 
 Gateways and registrars are the real reducers on a simulated clock; callers,
 endpoints and the paths to them are emulated.  Callers keep their connections,
-so that requests go on arriving at VMs that are cut off.  All endpoints stay
-up and reachable from the control VMs.
+so that requests go on arriving at VMs that are cut off.  Endpoints may fail
+beside a cut.
 """
 
 import datetime
@@ -13,6 +13,7 @@
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _effects as gateway_effects
 from sedgepin._gateway import _events as gateway_events
+from sedgepin._gateway import _failures as gateway_failures
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin import _web as web
@@ -48,9 +49,14 @@
         others = [n for n in range(plan.entry_count) if n not in cut]
         self._schedule_arrivals(cut, plan.cut_per_second)
         self._schedule_arrivals(others, plan.other_per_second)
-        for one in plan.cuts:
+        for one in (*plan.cuts, *plan.endpoint_faults):
             if one.mode is cut_plan.CutMode.RESET:
                 self._after(one.start, self._reset_connections)
+        for endpoint_fault in plan.endpoint_faults:
+            if endpoint_fault.is_crash:
+                self._after(
+                    endpoint_fault.start, self._crash_endpoints, endpoint_fault
+                )
         for fault in plan.faults:
             self._after(fault.start, self._start_fault, fault)
         self.run(plan.seconds + _LAST_SECONDS)
@@ -116,6 +122,9 @@
             return
         request.answers += 1
         request.failure = failure
+        request.is_wrongly_refused = isinstance(
+            failure, gateway_failures.NoEndpoint
+        ) and self._could_serve(vm_id, request)
         if failure is None:
             request.is_complete = True
             request.completed_at = self.elapsed()
--- a/sedgepin/tests/cut_paths.py
+++ b/sedgepin/tests/cut_paths.py
@@ -56,6 +56,7 @@
             model.VmId(f"entry:{number:03}"): plan.cuts_of(number)
             for number in range(plan.entry_count)
         }
+        self._endpoint_faults = plan.endpoint_faults
         self._keys = keys
         self._stopped = stopped
         self._frozen = frozen
@@ -87,6 +88,15 @@
             None if opening.is_open else _LinkFailure.BEYOND,
         )
 
+    def is_reachable(
+        self, vm_id: model.VmId, endpoint_id: model.EndpointId, second: float
+    ) -> bool:
+        """Return whether a VM that runs can connect to an endpoint."""
+        return (
+            vm_id not in self._stopped
+            and self._find(vm_id, endpoint_id, second) is None
+        )
+
     def probe(
         self, vm_id: model.VmId, endpoint_id: model.EndpointId, second: float
     ) -> Opening:
@@ -135,8 +145,8 @@
 
     def _find(
         self, vm_id: model.VmId, endpoint_id: model.EndpointId, second: float
-    ) -> cut_plan.Cut | None:
-        for cut in self._cuts[vm_id]:
+    ) -> cut_plan.Cut | cut_plan.EndpointFault | None:
+        for cut in (*self._cuts[vm_id], *self._endpoint_faults):
             if cut.severs(endpoint_id, second):
                 return cut
         return None
--- a/sedgepin/tests/cut_plan.py
+++ b/sedgepin/tests/cut_plan.py
@@ -79,6 +79,34 @@
     mode: FaultMode = FaultMode.DIES
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndpointFault:
+    """A fault of endpoints that hits connections from all entry VMs.
+
+    Hit are the engines whose numbers are multiples of ``every``, and as many
+    of the plain endpoints.  Control VMs do not see it unless ``is_crash`` is
+    set: then the processes have ended and start again at its end.
+    """
+
+    start: float
+    end: float
+    every: int = 3
+    mode: CutMode = CutMode.REFUSED
+    is_crash: bool = False
+    hits_ledger: bool = False
+
+    def hits(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint is one of those that fail."""
+        service, _, number = endpoint_id.partition("-")
+        if service != "engine" and not self.hits_ledger:
+            return False
+        return int(number) % self.every == 0
+
+    def severs(self, endpoint_id: str, second: float) -> bool:
+        """Return whether an endpoint cannot be reached at a time."""
+        return self.start <= second < self.end and self.hits(endpoint_id)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Plan:
     """What happens on a day; times are seconds after the day's start.
@@ -89,6 +117,7 @@
 
     cuts: tuple[Cut, ...]
     faults: tuple[ForwarderFault, ...] = ()
+    endpoint_faults: tuple[EndpointFault, ...] = ()
     entry_count: int = 7
     control_count: int = 3
     data_centre_count: int = 3
--- a/sedgepin/tests/cut_record.py
+++ b/sedgepin/tests/cut_record.py
@@ -41,7 +41,8 @@
     if it froze.  ``position`` is the number of the last event that the caller
     got, and ``endpoint_seconds`` the time that the endpoint itself took for
     the first.  ``unsent`` counts the attempts that reached no endpoint, and
-    ``forwards`` those through a forwarder.
+    ``forwards`` those through a forwarder.  ``is_wrongly_refused`` is set if
+    it was refused for want of an endpoint while some VM had one.
     """
 
     number: int
@@ -62,6 +63,7 @@
     has_gap: bool = False
     unsent: int = 0
     forwards: int = 0
+    is_wrongly_refused: bool = False
 
     @property
     def is_direct(self) -> bool:
@@ -115,6 +117,12 @@
             and request.failure.outcome is errors.Outcome.NOT_RUN
         ]
 
+    def wrongly_refused(self) -> list[Request]:
+        """Return what was refused while a VM reached endpoints for it."""
+        return [
+            request for request in self.requests if request.is_wrongly_refused
+        ]
+
     def with_gaps(self) -> list[Request]:
         """Return the streams whose events were not each sent once."""
         return [request for request in self.requests if request.has_gap]
--- a/sedgepin/tests/test_cut_off_vms.py
+++ b/sedgepin/tests/test_cut_off_vms.py
@@ -158,6 +158,69 @@
         _check(_play(dataclasses.replace(plan, faults=faults)))
 
 
+class TestEndpointsThatFailBesideACut:
+    """Sound VMs that miss an endpoint still forward for cut ones."""
+
+    def _play(
+        self,
+        fault: cut_plan.EndpointFault,
+        group: _Group = _Group.DATA_CENTRE,
+        mode: _Mode = _Mode.RESET,
+        entry_count: int = 7,
+        seed: int = 1,
+    ) -> cut_record.DayRecord:
+        cut = _Cut(5.0, 12.0, group, mode)
+        plan = cut_plan.make_plan(entry_count, group, cut, seed=seed)
+        plan = dataclasses.replace(
+            plan,
+            endpoint_faults=(fault,),
+            engine_pairs=18,
+            seconds=14.0,
+            cut_per_second=60.0,
+            other_per_second=60.0,
+        )
+        return _play(plan)
+
+    def _check(self, record: cut_record.DayRecord) -> None:
+        _check_answers(record)
+        assert record.wrongly_refused() == []
+        others = record.served_share(False)
+        assert others > 0.9
+        assert record.served_share(True) >= _MIN_SERVED_RATIO * others
+
+    @pytest.mark.parametrize("seed", [1, 2])
+    @pytest.mark.parametrize("entry_count", [7, 40, 66, 195])
+    def test_every_third_refuses_connections(
+        self, entry_count: int, seed: int
+    ) -> None:
+        fault = cut_plan.EndpointFault(3.0, 12.0)
+        self._check(self._play(fault, entry_count=entry_count, seed=seed))
+
+    @pytest.mark.parametrize("mode", list(_Mode))
+    @pytest.mark.parametrize("fault_mode", list(_Mode))
+    def test_other_ways_to_fail(self, fault_mode: _Mode, mode: _Mode) -> None:
+        fault = cut_plan.EndpointFault(3.0, 12.0, mode=fault_mode)
+        self._check(self._play(fault, mode=mode, entry_count=40))
+
+    @pytest.mark.parametrize(
+        "group", [_Group.ONE, _Group.HALF_DATA_CENTRE, _Group.MOST]
+    )
+    @pytest.mark.parametrize("entry_count", [7, 66])
+    def test_other_groups(self, entry_count: int, group: _Group) -> None:
+        fault = cut_plan.EndpointFault(3.0, 12.0)
+        self._check(self._play(fault, group, entry_count=entry_count))
+
+    @pytest.mark.parametrize("fault_mode", [_Mode.RESET, _Mode.SILENT])
+    @pytest.mark.parametrize("entry_count", [7, 66])
+    def test_every_third_crashes(
+        self, entry_count: int, fault_mode: _Mode
+    ) -> None:
+        fault = cut_plan.EndpointFault(
+            6.5, 10.0, mode=fault_mode, is_crash=True, hits_ledger=True
+        )
+        self._check(self._play(fault, entry_count=entry_count))
+
+
 class TestMessages:
     @pytest.mark.parametrize("entry_count", [7, 40, 195])
     def test_nothing_more_is_sent_while_nothing_is_wrong(
