Let sound VMs forward for cut ones while endpoints fail

Cause: three parties can be to blame for a failed connection (own link, forwarder, endpoint), and each was told from the others by a count. Each VM that failed to connect to one endpoint asked for forwarders, and who asked was offered to nobody for 3 s; endpoints that fail are missed by all VMs, so no forwarder was left. A forwarder that failed to reach two endpoints in a row was passed over for 2 s, also if these had failed. A request gave up after six connections, though each third endpoint and the least loaded ones first were those that failed.

Change: a VM that asks says whether it is cut off itself; only then it is not offered, and one that misses some endpoints comes last. A forwarder that cannot reach an endpoint says whether it reaches others; only then the endpoint is blamed, else the forwarder is passed over for 30 to 300 ms, and finds out by probes. A path known to be broken is no evidence of a cut. A request goes on as long as each failure rules something out, up to 1.5 s. Streams leave a forwarder that has failed for a direct path, too. Builds without the new fields are judged by the count as before.

--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -66,7 +66,7 @@
         self._forwarding = forwarding.ForwardingServer(
             forward_key,
             _forwarding_policy.EntryForwardingPolicy(
-                self._reducer, self._driver.submit
+                self._reducer, own_clock, self._driver.submit
             ),
         )
         self._metrics = shell.create_sink(cfg.statsd)
--- a/sedgepin/_entry/_events.py
+++ b/sedgepin/_entry/_events.py
@@ -16,14 +16,17 @@
     """Where a connection to an endpoint could not be made.
 
     ``DIRECT`` is from this VM, ``FORWARDER`` to or at the forwarder, and
-    ``BEYOND`` from the forwarder to the endpoint.  ``UNKNOWN`` is for an
-    endpoint that the forwarder does not follow.
+    ``BEYOND`` from the forwarder to the endpoint; ``ENDPOINT`` from one that
+    reaches others, and ``UNPROVEN`` from one that may be cut off itself.
+    ``UNKNOWN`` is for an endpoint that the forwarder does not follow.
     """
 
     DIRECT = "direct"
     FORWARDER = "forwarder"
     UNKNOWN = "unknown"
     BEYOND = "beyond"
+    ENDPOINT = "endpoint"
+    UNPROVEN = "unproven"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_entry/_forwarded_client.py
+++ b/sedgepin/_entry/_forwarded_client.py
@@ -265,6 +265,12 @@
 def _link_failure(failure: forwarding.ForwardFailed) -> _events.LinkFailure:
     if failure.is_unknown:
         return _events.LinkFailure.UNKNOWN
-    if failure.is_beyond:
+    if failure.is_beyond and failure.is_sound is None:
         return _events.LinkFailure.BEYOND
+    if failure.is_beyond:
+        return (
+            _events.LinkFailure.ENDPOINT
+            if failure.is_sound
+            else _events.LinkFailure.UNPROVEN
+        )
     return _events.LinkFailure.FORWARDER
--- a/sedgepin/_entry/_forwarding_policy.py
+++ b/sedgepin/_entry/_forwarding_policy.py
@@ -6,6 +6,7 @@
 from sedgepin._entry import _reducer
 from sedgepin import _forwarding as forwarding
 from sedgepin import _web as web
+from sedgepin import clock
 from sedgepin import events
 from sedgepin import logs
 
@@ -18,22 +19,36 @@
     The other VM has decided all else about the request.
     """
 
-    __slots__ = ("_reducer", "_submit")
+    __slots__ = ("_clock", "_reducer", "_submit")
 
     def __init__(
-        self, reducer: _reducer.EntryReducer, submit: _Submit
+        self,
+        reducer: _reducer.EntryReducer,
+        own_clock: clock.Clock,
+        submit: _Submit,
     ) -> None:
         self._reducer = reducer
+        self._clock = own_clock
         self._submit = submit
 
     def knows(self, opening: forwarding.OpenForward) -> bool:
         """Return whether this VM knows the endpoint at its address."""
         return self._reducer.knows_endpoint(opening)
 
-    def refusal(self, opening: forwarding.OpenForward) -> str | None:
+    def refusal(
+        self, opening: forwarding.OpenForward
+    ) -> forwarding.ForwardRefused | None:
         """Return ``None``: the connection shows what is true of endpoints."""
         return None
 
+    def record_unreached(self, opening: forwarding.OpenForward) -> bool:
+        """Learn that no connection to an endpoint could be made."""
+        is_sound = self._reducer.has_sound_links(
+            opening.endpoint_id, self._clock.now()
+        )
+        self._submit(_events.PathProbed(opening.endpoint_id, False))
+        return is_sound
+
     def record_opened(
         self, opening: forwarding.OpenForward, open_count: int
     ) -> None:
@@ -52,12 +67,7 @@
         opening: forwarding.OpenForward,
         refusal: forwarding.ForwardRefused,
     ) -> None:
-        """Log that a request is not forwarded.
-
-        This VM may be cut off, too.
-        """
-        if refusal.is_beyond:
-            self._submit(_events.PathProbed(opening.endpoint_id, False))
+        """Log that a request is not forwarded."""
         line = events.FORWARD_REFUSED.line(
             request=opening.request_id,
             endpoint=opening.endpoint_id,
--- a/sedgepin/_entry/_paths.py
+++ b/sedgepin/_entry/_paths.py
@@ -104,6 +104,12 @@
         """Return whether this VM seems to have no path to any endpoint."""
         return self._links.is_cut_off
 
+    def has_sound_links(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> bool:
+        """Return whether only an endpoint can be to blame for a failure."""
+        return self._links.are_sound_besides(endpoint_id, now)
+
     def record_connected(self, peer_id: model.VmId) -> None:
         """Record a stream to a peer, which may forward if it is an entry."""
         if peer_id in self._entries:
@@ -203,12 +209,21 @@
             return is_blamed, effects
         if failure is _LinkFailure.UNKNOWN:
             return False, []
-        if failure is _LinkFailure.FORWARDER:
-            is_new = self._links.record_forwarder_failure(forwarder, now)
-            return False, _log_forwarder_failed(forwarder) if is_new else []
-        if self._links.record_beyond(forwarder, now):
-            return False, _log_forwarder_failed(forwarder)
-        return self._is_confirmed(endpoint_id, forwarder, now), []
+        if failure is _LinkFailure.ENDPOINT:
+            self._links.record_forwarded(forwarder)
+            return self._is_confirmed(endpoint_id, forwarder, now), []
+        match failure:
+            case _LinkFailure.FORWARDER:
+                is_new = self._links.record_forwarder_failure(forwarder, now)
+            case _LinkFailure.UNPROVEN:
+                is_new = self._links.record_unproven(forwarder, now)
+            case _:
+                is_new = self._links.record_beyond(forwarder, now)
+                if not is_new:
+                    is_blamed = self._is_confirmed(endpoint_id, forwarder, now)
+                    return is_blamed, []
+        effects = _log_forwarder_failed(forwarder, failure)
+        return False, effects if is_new else []
 
     def record_reached(
         self,
@@ -224,9 +239,7 @@
             return []
         self._reached_at = now
         effects = self._answer_askers(not self.is_draining)
-        if not self._links.has_failures:
-            return effects
-        if not self._links.record_reached(endpoint_id):
+        if not self._links.record_reached(endpoint_id, now):
             return effects
         effects.append(_log_restored(endpoint_id))
         return effects + self._probe(_RESTORED_PROBES)
@@ -237,7 +250,11 @@
         """Record the result of a direct probe."""
         if event.is_reached:
             return self.record_reached(event.endpoint_id, None, now)
-        return self._record_direct_failure(event.endpoint_id, now)
+        is_sound = self.has_sound_links(event.endpoint_id, now)
+        effects = self._record_direct_failure(event.endpoint_id, now)
+        if is_sound or self.is_cut_off:
+            return effects
+        return effects + self._probe_others(_QUESTION_PROBES, now)
 
     def tick(self, now: datetime.datetime) -> Effects:
         """Probe a broken path, and ask for forwarders, if it is time to."""
@@ -349,7 +366,9 @@
         asked = self._rng.sample(connected, min(_MAX_ASKED, len(connected)))
         self._links.record_question(asked, now)
         return [
-            _effects.SendMessage(vm_id, protocol.ForwardersAsked())
+            _effects.SendMessage(
+                vm_id, protocol.ForwardersAsked(self.is_cut_off)
+            )
             for vm_id in asked
         ]
 
@@ -372,8 +391,12 @@
     return [_effects.WriteLog(line)]
 
 
-def _log_forwarder_failed(forwarder: protocol.Forwarder) -> Effects:
-    line = events.FORWARDER_FAILED.line(forwarder=forwarder.vm_id)
+def _log_forwarder_failed(
+    forwarder: protocol.Forwarder, failure: _events.LinkFailure
+) -> Effects:
+    line = events.FORWARDER_FAILED.line(
+        forwarder=forwarder.vm_id, failure=failure.value
+    )
     return [_effects.WriteLog(line)]
 
 
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -170,6 +170,12 @@
             _paths.forwarded_address(announcement.address) == opening.address
         )
 
+    def has_sound_links(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> bool:
+        """Return whether only an endpoint can be to blame for a failure."""
+        return self._context.paths.has_sound_links(endpoint_id, now)
+
     def status(self, now: datetime.datetime) -> EntryStatus:
         """Return the document for ``/v1/status``."""
         return EntryStatus(
--- a/sedgepin/_entry/_stream_paths.py
+++ b/sedgepin/_entry/_stream_paths.py
@@ -111,7 +111,11 @@
 
     def is_unknown(self, report: _events.StageReport) -> bool:
         """Return whether a missing report says nothing about its stage."""
-        is_link = report.link_failure not in (None, _events.LinkFailure.BEYOND)
+        is_link = report.link_failure not in (
+            None,
+            _events.LinkFailure.BEYOND,
+            _events.LinkFailure.ENDPOINT,
+        )
         return is_link and self._paths.is_cut_off
 
     def may_have_lost_path(self, answer: _open_answer.OpenAnswer) -> bool:
--- a/sedgepin/_forwarding/_client.py
+++ b/sedgepin/_forwarding/_client.py
@@ -23,7 +23,8 @@
 
     ``is_beyond`` tells whether the forwarder has answered that it cannot
     reach or use the endpoint, ``is_refused`` whether no process serves there,
-    ``is_unknown`` that it does not know the endpoint.
+    ``is_unknown`` that it does not know the endpoint, ``is_sound`` whether its
+    own links are not the cause.
     """
 
     code: typing.ClassVar[str] = "forward_failed"
@@ -35,6 +36,7 @@
     is_beyond: bool = False
     is_refused: bool = False
     is_unknown: bool = False
+    is_sound: bool | None = None
 
     def detail(self) -> str:
         """Return the forwarder and the reason."""
@@ -101,6 +103,7 @@
                     answer.is_beyond,
                     answer.is_refused,
                     answer.is_unknown,
+                    answer.is_sound,
                 )
             )
         except (OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
--- a/sedgepin/_forwarding/_frames.py
+++ b/sedgepin/_forwarding/_frames.py
@@ -50,13 +50,16 @@
     ``is_beyond`` tells whether the cause lies between the forwarder and the
     endpoint, rather than at the forwarder; ``is_refused`` that no process
     serves at the endpoint's address; ``is_unknown`` that the forwarder does
-    not know the endpoint, of which that says nothing.
+    not know the endpoint, of which that says nothing.  ``is_sound`` tells
+    whether the forwarder knows that its own links are not the cause; ``None``
+    if it does not say.
     """
 
     reason: str
     is_beyond: bool = False
     is_refused: bool = False
     is_unknown: bool = False
+    is_sound: bool | None = None
 
 
 class ForwardedRequest(msgspec.Struct, frozen=True, tag=True):
--- a/sedgepin/_forwarding/_links.py
+++ b/sedgepin/_forwarding/_links.py
@@ -16,14 +16,24 @@
 _BROKEN_LINK_FAILURES = 2
 _PROBE_INTERVAL = datetime.timedelta(milliseconds=500)
 _ASK_INTERVAL = datetime.timedelta(seconds=1)
+# While there are forwarders; well within the lifetime of an offer.
+_RENEWAL_INTERVAL = datetime.timedelta(milliseconds=1500)
+# While a VM that is cut off has no forwarder.
+_MISSING_ASK_INTERVAL = datetime.timedelta(milliseconds=250)
 # Control VMs answer within milliseconds.
 _ANSWER_TIME = datetime.timedelta(milliseconds=300)
 _FORWARDER_BACKOFF = datetime.timedelta(seconds=2)
-# An offer is repeated each second while links are broken.
+# An offer is repeated more often while links are broken.
 _OFFER_TTL = datetime.timedelta(seconds=4)
+# One that does not know whether its own links are sound finds out at once.
+# Each further time in a row doubles the pause, up to the maximum.
+_MIN_UNPROVEN_BACKOFF = datetime.timedelta(milliseconds=30)
+_MAX_UNPROVEN_BACKOFF = datetime.timedelta(milliseconds=300)
 # A forwarder that cannot reach this many endpoints in a row may have no path
-# to them itself.
+# to them itself.  It matters only for one that does not say whether it has.
 _BEYOND_FAILURES = 2
+# So long after a connection was made the links are taken for sound.
+_SOUND_TIME = datetime.timedelta(milliseconds=300)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -40,6 +50,8 @@
 
     failed_until: datetime.datetime | None = None
     beyond_count: int = 0
+    # The pause, if it failed because its own links may be broken.
+    unproven_backoff: datetime.timedelta | None = None
 
 
 class EndpointLinks:
@@ -58,13 +70,16 @@
 
     __slots__ = (
         "_asked_at",
+        "_awaited_from",
         "_cut_endpoints",
         "_failures",
         "_health",
         "_offers",
         "_probed_at",
+        "_reached_at",
         "_rng",
         "_unanswered",
+        "_was_cut_off_when_asked",
     )
 
     def __init__(self, rng: random.Random) -> None:
@@ -77,6 +92,9 @@
         # By address and key, so that a restarted forwarder starts anew.
         self._health: dict[protocol.Forwarder, _Health] = {}
         self._asked_at: datetime.datetime | None = None
+        self._awaited_from: datetime.datetime | None = None
+        self._was_cut_off_when_asked = False
+        self._reached_at: datetime.datetime | None = None
         self._unanswered: set[model.VmId] = set()
         self._probed_at: datetime.datetime | None = None
 
@@ -95,6 +113,25 @@
         """Return the endpoints whose direct paths have failed."""
         return tuple(self._failures)
 
+    @property
+    def cut_endpoints(self) -> tuple[model.EndpointId, ...]:
+        """Return those that failed since a connection was made to any."""
+        return tuple(self._cut_endpoints)
+
+    def are_sound_besides(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> bool:
+        """Return whether only an endpoint can be to blame for a failure.
+
+        It is so if another one was reached a moment ago and none has failed
+        since.
+        """
+        return (
+            self._reached_at is not None
+            and now - self._reached_at < _SOUND_TIME
+            and self._cut_endpoints <= {endpoint_id}
+        )
+
     def is_unreachable(self, endpoint_id: model.EndpointId) -> bool:
         """Return whether an endpoint is not to be connected to directly."""
         failures = self._failures.get(endpoint_id, 0)
@@ -103,19 +140,25 @@
     def record_unreachable(self, endpoint_id: model.EndpointId) -> bool:
         """Record a failed direct connection.
 
-        Return whether that shows that this VM is cut off.
+        Return whether that shows that this VM is cut off.  A path that was
+        known to be broken shows nothing.
         """
         was_cut_off = self.is_cut_off
-        self._failures[endpoint_id] = self._failures.get(endpoint_id, 0) + 1
-        self._cut_endpoints.add(endpoint_id)
+        failures = self._failures.get(endpoint_id, 0)
+        self._failures[endpoint_id] = failures + 1
+        if failures < _BROKEN_LINK_FAILURES:
+            self._cut_endpoints.add(endpoint_id)
         return self.is_cut_off and not was_cut_off
 
-    def record_reached(self, endpoint_id: model.EndpointId) -> bool:
+    def record_reached(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> bool:
         """Record a direct connection.
 
         Return whether it shows that this VM is not cut off any more.  The
         paths that have failed stay broken until each is found to be restored.
         """
+        self._reached_at = now
         was_cut_off = self.is_cut_off
         if was_cut_off:
             for failed_id in self._cut_endpoints:
@@ -150,10 +193,23 @@
         return True
 
     def is_question_due(self, now: datetime.datetime) -> bool:
-        """Return whether to ask control VMs for forwarders now."""
-        return bool(self._failures) and (
-            self._asked_at is None or now - self._asked_at >= _ASK_INTERVAL
-        )
+        """Return whether to ask for forwarders now.
+
+        Who asks also tells whether this VM can be a forwarder itself, so that
+        a change of that is told at once.
+        """
+        if not self._failures:
+            return False
+        if self._asked_at is None or (
+            self._was_cut_off_when_asked != self.is_cut_off
+        ):
+            return True
+        interval = _ASK_INTERVAL
+        if self.has_forwarder(now):
+            interval = _RENEWAL_INTERVAL
+        elif self.is_cut_off:
+            interval = _MISSING_ASK_INTERVAL
+        return now - self._asked_at >= interval
 
     def record_question(
         self,
@@ -162,14 +218,18 @@
     ) -> None:
         """Record that control VMs were asked for forwarders."""
         self._asked_at = now
+        self._was_cut_off_when_asked = self.is_cut_off
+        if not self._unanswered:
+            # Who leaves a question unanswered is not waited for again.
+            self._awaited_from = now
         self._unanswered = set(controls)
 
     def awaits_forwarders(self, now: datetime.datetime) -> bool:
         """Return whether forwarders may be offered in a moment."""
         return (
             bool(self._unanswered)
-            and self._asked_at is not None
-            and now - self._asked_at < _ANSWER_TIME
+            and self._awaited_from is not None
+            and now - self._awaited_from < _ANSWER_TIME
         )
 
     def record_offer(
@@ -181,10 +241,11 @@
         """Replace the forwarders that a control VM has offered before."""
         self._unanswered.discard(sender)
         self._offers[sender] = _Offer(now, forwarders)
+        offered = set(self._offered(now))
         self._health = {
             forwarder: health
             for forwarder, health in self._health.items()
-            if health.failed_until is None or now < health.failed_until
+            if forwarder in offered or self.has_failed(forwarder, now)
         }
 
     def choose_forwarder(
@@ -194,6 +255,10 @@
         usable = self._usable(now)
         return self._rng.choice(usable) if usable else None
 
+    def forwarder_counts(self, now: datetime.datetime) -> tuple[int, int]:
+        """Return how many forwarders are offered, and may be used, now."""
+        return len(self._offered(now)), len(self._usable(now))
+
     def has_forwarder(self, now: datetime.datetime) -> bool:
         """Return whether there is a forwarder that may be used now."""
         return bool(self._usable(now))
@@ -204,6 +269,26 @@
         """Return whether a forwarder besides this one may be used now."""
         return any(other != forwarder for other in self._usable(now))
 
+    def expects_forwarder(self, now: datetime.datetime) -> bool:
+        """Return whether one that is passed over may be of use in a moment.
+
+        It is finding out whether its own links are sound.
+        """
+        healths = [
+            self._health.get(forwarder) for forwarder in self._offered(now)
+        ]
+        return any(
+            health is not None
+            and health.unproven_backoff is not None
+            and health.unproven_backoff < _MAX_UNPROVEN_BACKOFF
+            for health in healths
+        )
+
+    def is_doubted(self, forwarder: protocol.Forwarder) -> bool:
+        """Return whether a forwarder has failed and not carried any since."""
+        health = self._health.get(forwarder)
+        return health is not None and health.failed_until is not None
+
     def has_failed(
         self, forwarder: protocol.Forwarder, now: datetime.datetime
     ) -> bool:
@@ -221,12 +306,31 @@
         self._health[forwarder] = _Health(now + _FORWARDER_BACKOFF)
         return is_new
 
+    def record_unproven(
+        self, forwarder: protocol.Forwarder, now: datetime.datetime
+    ) -> bool:
+        """Pass over for a moment one whose own links may be broken.
+
+        Return whether that is new.
+        """
+        if self.has_failed(forwarder, now):
+            return False
+        health = self._health.get(forwarder)
+        backoff = _MIN_UNPROVEN_BACKOFF
+        if health is not None and health.unproven_backoff is not None:
+            backoff = min(_MAX_UNPROVEN_BACKOFF, 2 * health.unproven_backoff)
+        self._health[forwarder] = _Health(
+            now + backoff, unproven_backoff=backoff
+        )
+        return True
+
     def record_beyond(
         self, forwarder: protocol.Forwarder, now: datetime.datetime
     ) -> bool:
         """Record that a forwarder could not reach an endpoint.
 
-        Return whether the forwarder is to blame, rather than the endpoint.
+        It has not said whether its own links are sound.  Return whether the
+        forwarder is to blame, rather than the endpoint.
         """
         health = self._health.setdefault(forwarder, _Health())
         health.beyond_count += 1
@@ -240,14 +344,18 @@
         self._health.pop(forwarder, None)
 
     def _usable(self, now: datetime.datetime) -> list[protocol.Forwarder]:
-        offered = {
-            forwarder: None
-            for offer in self._offers.values()
-            if now - offer.offered_at < _OFFER_TTL
-            for forwarder in offer.forwarders
-        }
         return [
             forwarder
-            for forwarder in offered
+            for forwarder in self._offered(now)
             if not self.has_failed(forwarder, now)
         ]
+
+    def _offered(self, now: datetime.datetime) -> list[protocol.Forwarder]:
+        return list(
+            dict.fromkeys(
+                forwarder
+                for offer in self._offers.values()
+                if now - offer.offered_at < _OFFER_TTL
+                for forwarder in offer.forwarders
+            )
+        )
--- a/sedgepin/_forwarding/_server.py
+++ b/sedgepin/_forwarding/_server.py
@@ -30,9 +30,19 @@
         return True
 
     @abc.abstractmethod
-    def refusal(self, opening: _frames.OpenForward) -> str | None:
+    def refusal(
+        self, opening: _frames.OpenForward
+    ) -> _frames.ForwardRefused | None:
         """Return why an endpoint must get no request, or ``None``."""
 
+    @abc.abstractmethod
+    def record_unreached(self, opening: _frames.OpenForward) -> bool:
+        """Record that no connection to an endpoint could be made.
+
+        Return whether this VM reaches others, so that only the endpoint can
+        be the cause.
+        """
+
     @abc.abstractmethod
     def record_opened(
         self, opening: _frames.OpenForward, open_count: int
@@ -150,7 +160,7 @@
             )
         refusal = self._policy.refusal(opening)
         if refusal is not None:
-            return result.Err(_frames.ForwardRefused(refusal, True))
+            return result.Err(refusal)
         connected = await web.ClientConnection.open(
             opening.address, _CONNECT_TIMEOUT_SECONDS
         )
@@ -158,7 +168,10 @@
             failure = connected.err_value
             return result.Err(
                 _frames.ForwardRefused(
-                    failure.detail(), True, failure.is_refused
+                    failure.detail(),
+                    True,
+                    failure.is_refused,
+                    is_sound=self._policy.record_unreached(opening),
                 )
             )
         return connected
--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -17,9 +17,10 @@
 # Limits the attempts of a request that the last endpoint did not run.
 # ``max_attempts`` limits only the attempts that may have run it.
 _MAX_SENDS = 4
-# Limits those of a request that the last endpoint did not receive: two that
-# show that this VM is cut off may precede those through forwarders.
-_MAX_SENDS_IF_UNSENT = 6
+# Within this time since its arrival a request goes on to the next endpoint
+# as long as none receives it.  Each failure rules an endpoint, a direct path
+# or a forwarder out, so that it comes to an end.
+_UNSENT_TIME = datetime.timedelta(milliseconds=1500)
 # An engine that refuses a request above this cache utilization is overloaded,
 # not broken.
 _FULL_CACHE_UTILIZATION = 0.6
@@ -162,7 +163,7 @@
         match event.outcome:
             case _Outcome.NOT_SENT:
                 self._state.return_retry(exchange)
-                if exchange.send_count < _MAX_SENDS_IF_UNSENT:
+                if now - exchange.arrived_at < _UNSENT_TIME:
                     return self._dispatcher.dispatch_or_queue(exchange, now)
                 failure = _failures.NoEndpoint(exchange.service.name)
                 return self._dispatcher.fail(
--- a/sedgepin/_gateway/_engine_connection.py
+++ b/sedgepin/_gateway/_engine_connection.py
@@ -90,6 +90,10 @@
     match failure:
         case web.ConnectFailed():
             return _events.LinkFailure.DIRECT
+        case forwarding.ForwardFailed(is_beyond=True, is_sound=True):
+            return _events.LinkFailure.ENDPOINT
+        case forwarding.ForwardFailed(is_beyond=True, is_sound=False):
+            return _events.LinkFailure.UNPROVEN
         case forwarding.ForwardFailed(is_beyond=True):
             return _events.LinkFailure.BEYOND
         case forwarding.ForwardFailed():
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -32,12 +32,24 @@
 
     ``DIRECT``: this VM could not connect to the endpoint.  ``FORWARDER``: it
     could not connect to the forwarder, or lost the connection, or was turned
-    away.  ``BEYOND``: the forwarder could not connect to the endpoint.
+    away.  ``BEYOND``: the forwarder could not connect to the endpoint, and has
+    not said what of its own links.  ``ENDPOINT``: it could not, though it
+    reaches others.  ``UNPROVEN``: it could not, and its own links may be the
+    cause.
     """
 
     DIRECT = "direct"
     FORWARDER = "forwarder"
     BEYOND = "beyond"
+    ENDPOINT = "endpoint"
+    UNPROVEN = "unproven"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ForwardUnreached:
+    """No connection to an endpoint could be made for another entry VM."""
+
+    endpoint_id: model.EndpointId
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -213,6 +225,7 @@
     | StallsInspected
     | EndpointReached
     | EndpointProbed
+    | ForwardUnreached
     | SettingsReloaded
     | Rerouted
     | CallerDisconnected
--- a/sedgepin/_gateway/_forwarding_policy.py
+++ b/sedgepin/_gateway/_forwarding_policy.py
@@ -36,7 +36,9 @@
         self._submit = submit
         self._write_log = write_log
 
-    def refusal(self, opening: forwarding.OpenForward) -> str | None:
+    def refusal(
+        self, opening: forwarding.OpenForward
+    ) -> forwarding.ForwardRefused | None:
         """Return why an endpoint must get no request, or ``None``."""
         return self._reducer.forwarding_refusal(
             opening.endpoint_id,
@@ -45,10 +47,19 @@
             self._clock.now(),
         )
 
+    def record_unreached(self, opening: forwarding.OpenForward) -> bool:
+        """Learn that no connection to an endpoint could be made."""
+        is_sound = self._reducer.has_sound_links(
+            opening.endpoint_id, self._clock.now()
+        )
+        self._submit(_events.ForwardUnreached(opening.endpoint_id))
+        return is_sound
+
     def record_opened(
         self, opening: forwarding.OpenForward, open_count: int
     ) -> None:
-        """Log that a connection to an endpoint was made."""
+        """Log that a connection to an endpoint was made, and learn it."""
+        self._submit(_events.EndpointReached(opening.endpoint_id, None))
         line = events.FORWARD_OPENED.line(
             request=opening.request_id,
             endpoint=opening.endpoint_id,
--- a/sedgepin/_gateway/_paths.py
+++ b/sedgepin/_gateway/_paths.py
@@ -13,6 +13,8 @@
 
 # Endpoints that are probed when this VM seems to be cut off.
 _CUT_PROBES = 3
+# Those probed by a forwarder that does not know whether it is cut off.
+_SOUND_PROBES = 2
 # Endpoints whose paths had failed, probed once others are restored.
 _RESTORED_PROBES = 8
 
@@ -55,29 +57,50 @@
         if failure is _LinkFailure.DIRECT or forwarder is None:
             effects = self._record_direct_failure(endpoint_id, now)
             return not self._state.has_detour(endpoint_id, now), effects
-        if failure is _LinkFailure.FORWARDER:
-            effects = _log_forwarder_failed(forwarder)
-            is_new = links.record_forwarder_failure(forwarder, now)
-            return False, effects if is_new else []
-        if links.record_beyond(forwarder, now):
-            return False, _log_forwarder_failed(forwarder)
-        return True, []
+        match failure:
+            case _LinkFailure.ENDPOINT:
+                links.record_forwarded(forwarder)
+                return True, []
+            case _LinkFailure.FORWARDER:
+                is_new = links.record_forwarder_failure(forwarder, now)
+            case _LinkFailure.UNPROVEN:
+                is_new = links.record_unproven(forwarder, now)
+            case _LinkFailure.BEYOND:
+                is_new = links.record_beyond(forwarder, now)
+                if not is_new:
+                    return True, []
+        effects = _log_forwarder_failed(forwarder, failure)
+        return False, effects if is_new else []
 
     def record_reached(
         self,
         endpoint_id: model.EndpointId,
         forwarder: protocol.Forwarder | None,
+        now: datetime.datetime,
     ) -> Effects:
         """Record that a connection to an endpoint was made."""
         if forwarder is not None:
             self._state.links.record_forwarded(forwarder)
             return []
-        if not self._state.links.has_failures:
-            return []
-        if not self._state.links.record_reached(endpoint_id):
+        if not self._state.links.record_reached(endpoint_id, now):
             return []
         line = events.LINKS_RESTORED.line(endpoint=endpoint_id)
-        return [_shared_state.log(line), *self._probe(_RESTORED_PROBES)]
+        effects: Effects = [_shared_state.log(line), *self._ask(now)]
+        return effects + self._probe(_RESTORED_PROBES)
+
+    def record_forward_unreached(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> Effects:
+        """Record that an endpoint was not reached for another entry VM.
+
+        Unless others were reached just now, find out whether any can be.
+        """
+        links = self._state.links
+        is_sound = links.are_sound_besides(endpoint_id, now)
+        effects = self._record_direct_failure(endpoint_id, now)
+        if is_sound or links.is_cut_off:
+            return effects
+        return effects + self._probe_others(_SOUND_PROBES)
 
     def record_lost(self, endpoint_id: model.EndpointId) -> Effects:
         """Record that others have found an endpoint to be lost."""
@@ -119,24 +142,45 @@
         effects = self._ask(now)
         if not is_new:
             return effects
-        failed = links.failed_endpoints
+        failed = links.cut_endpoints
         for failed_id in failed:
             self._state.fleet.clear_suspicion(failed_id)
         self._state.fleet.invalidate_pipelines()
         line = events.LINKS_CUT.line(endpoints=",".join(sorted(failed)))
         # If the endpoints have failed instead, others can be reached.
-        return [*effects, _shared_state.log(line), *self._probe(_CUT_PROBES)]
+        probes = self._probe_others(_CUT_PROBES)
+        return [*effects, _shared_state.log(line), *probes]
 
     def _probe(self, count: int) -> Effects:
         """Probe some endpoints whose direct paths are taken for broken."""
         links = self._state.links
-        candidates = [
+        return self._probe_some(
+            [
+                registration
+                for registration in self._ready_endpoints()
+                if links.is_unreachable(registration.endpoint_id)
+            ],
+            count,
+        )
+
+    def _probe_others(self, count: int) -> Effects:
+        """Probe some endpoints that have not failed, or else any."""
+        ready = self._ready_endpoints()
+        failed = set(self._state.links.failed_endpoints)
+        others = [one for one in ready if one.endpoint_id not in failed]
+        return self._probe_some(others or ready, count)
+
+    def _ready_endpoints(self) -> list[catalog.Registration]:
+        return [
             record.registration
             for record in self._state.fleet.registry
             if record.lost_at is None
             and record.registration.state is catalog.EndpointState.READY
-            and links.is_unreachable(record.registration.endpoint_id)
         ]
+
+    def _probe_some(
+        self, candidates: list[catalog.Registration], count: int
+    ) -> Effects:
         chosen = self._state.rng.sample(
             candidates, min(count, len(candidates))
         )
@@ -154,11 +198,17 @@
         controls = sorted(self._connections.connected)
         links.record_question(controls, now)
         return [
-            _effects.SendMessage(vm_id, protocol.ForwardersAsked())
+            _effects.SendMessage(
+                vm_id, protocol.ForwardersAsked(links.is_cut_off)
+            )
             for vm_id in controls
         ]
 
 
-def _log_forwarder_failed(forwarder: protocol.Forwarder) -> Effects:
-    line = events.FORWARDER_FAILED.line(forwarder=forwarder.vm_id)
+def _log_forwarder_failed(
+    forwarder: protocol.Forwarder, failure: _events.LinkFailure
+) -> Effects:
+    line = events.FORWARDER_FAILED.line(
+        forwarder=forwarder.vm_id, failure=failure.value
+    )
     return [_shared_state.log(line)]
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -5,6 +5,7 @@
 
 from sedgepin import _catalog as catalog
 from sedgepin import _crash_causes as crash_causes
+from sedgepin import _forwarding as forwarding
 from sedgepin._gateway import _aggregator_selector
 from sedgepin._gateway import _attempt_handler
 from sedgepin._gateway import _configuration
@@ -110,23 +111,40 @@
         incarnation: int | None,
         address: str,
         now: datetime.datetime,
-    ) -> str | None:
-        """Return why this VM sends nothing to an endpoint for another VM."""
+    ) -> forwarding.ForwardRefused | None:
+        """Return why this VM sends nothing to an endpoint for another VM.
+
+        The endpoint is to blame only if this VM knows the process at least as
+        well as the other VM does.
+        """
+        if self._state.links.is_cut_off:
+            return _refuse_forward("this VM has no path itself", False)
         record = self._state.fleet.registry.find(endpoint_id)
         if record is None:
-            return "the endpoint is unknown"
+            return _refuse_forward("the endpoint is unknown", False)
         registration = record.registration
         if (registration.address, registration.incarnation) != (
             address,
             incarnation,
         ):
-            return "the endpoint has another address or incarnation"
+            return _refuse_forward(
+                "the endpoint has another address or incarnation",
+                registration.incarnation > (incarnation or 0),
+            )
         if registration.state is not catalog.EndpointState.READY:
-            return f"the endpoint is {registration.state.value}"
+            return _refuse_forward(
+                f"the endpoint is {registration.state.value}", True
+            )
         if self._state.fleet.is_restricted(endpoint_id, now):
-            return "the endpoint wants no requests"
+            return _refuse_forward("the endpoint wants no requests", True)
         return None
 
+    def has_sound_links(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> bool:
+        """Return whether only an endpoint can be to blame for a failure."""
+        return self._state.links.are_sound_besides(endpoint_id, now)
+
     @property
     def has_queued_requests(self) -> bool:
         """Return whether requests wait for capacity."""
@@ -176,11 +194,13 @@
             case _events.StreamStalled(exchange_id):
                 return self._stream_failover.handle_stall(exchange_id, now)
             case _events.EndpointReached(endpoint_id, forwarder):
-                return self._paths.record_reached(endpoint_id, forwarder)
+                return self._paths.record_reached(endpoint_id, forwarder, now)
             case _events.EndpointProbed(endpoint_id, is_reached):
                 if is_reached:
-                    return self._paths.record_reached(endpoint_id, None)
+                    return self._paths.record_reached(endpoint_id, None, now)
                 return []
+            case _events.ForwardUnreached(endpoint_id):
+                return self._paths.record_forward_unreached(endpoint_id, now)
             case _events.StallsInspected():
                 return self._stream_failover.handle_stall_report(event, now)
             case _events.Rerouted():
@@ -492,6 +512,10 @@
         return [*effects, _effects.SendMessage(aggregator, message)]
 
 
+def _refuse_forward(reason: str, is_sound: bool) -> forwarding.ForwardRefused:
+    return forwarding.ForwardRefused(reason, True, is_sound=is_sound)
+
+
 def _data_centres(
     message: protocol.ControlsKnown,
 ) -> dict[model.VmId, model.DataCentreId | None]:
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -90,15 +90,20 @@
     ) -> bool:
         """Return whether a broken path can be, or may soon be, replaced."""
         return self.links.is_unreachable(endpoint_id) and (
-            self.links.has_forwarder(now) or self.links.awaits_forwarders(now)
+            self.links.has_forwarder(now)
+            or self.links.awaits_forwarders(now)
+            or self.links.expects_forwarder(now)
         )
 
     def must_await_path(self, now: datetime.datetime) -> bool:
-        """Return whether requests are to wait for an offer of forwarders."""
+        """Return whether requests are to wait a moment for a forwarder."""
         return (
             self.links.is_cut_off
-            and self.links.awaits_forwarders(now)
             and not self.links.has_forwarder(now)
+            and (
+                self.links.awaits_forwarders(now)
+                or self.links.expects_forwarder(now)
+            )
         )
 
     def find_cause(
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -186,11 +186,12 @@
         dispatch = exchange.dispatch
         if dispatch is None:
             return False
-        if not self._state.has_detour(dispatch.endpoint_id, now):
-            return False
-        forwarder = dispatch.forwarder
-        return forwarder is None or self._state.links.has_failed(
-            forwarder, now
+        links = self._state.links
+        has_detour = self._state.has_detour(dispatch.endpoint_id, now)
+        if dispatch.forwarder is None:
+            return has_detour
+        return links.is_doubted(dispatch.forwarder) and (
+            has_detour or not links.is_unreachable(dispatch.endpoint_id)
         )
 
     def handle_endpoint_failure(
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -309,7 +309,13 @@
 
 
 class ForwardersAsked(msgspec.Struct, frozen=True, tag=True):
-    """Asks a control VM for forwarders, by a VM that fails to connect."""
+    """Asks for forwarders, by a VM that fails to connect.
+
+    ``is_cut_off`` tells whether the sender has no path to any endpoint
+    itself, as far as it knows; ``None`` if it does not say.
+    """
+
+    is_cut_off: bool | None = None
 
 
 class ForwardersOffered(msgspec.Struct, frozen=True, tag=True):
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -209,8 +209,8 @@
                 | protocol.PermitReturned()
             ):
                 return self._permits.handle_message(sender, message, now)
-            case protocol.ForwardersAsked():
-                offer = self._forwarders.offer(sender, now)
+            case protocol.ForwardersAsked(is_cut_off):
+                offer = self._forwarders.offer(sender, is_cut_off, now)
                 return [_effects.SendMessage(sender, offer)]
             case protocol.EndpointPaced(endpoint_id, incarnation, slowdown):
                 self._endpoints.registry.set_slowdown(
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -513,6 +513,7 @@
     "An entry VM does not forward requests of this VM now; it is passed over"
     " for a while.",
     "forwarder",
+    "failure",
 )
 FORWARD_OPENED = _define(
     330,
