Probe endpoints that were not reached before requests find out

Cause: each VM found the silent ones by its own requests, at 250 ms for each, and again after each pause; the silent ones looked least loaded.

Change: an endpoint that could not be connected to is probed after its pause, over the path that a request would take, and gets requests only once it was reached. A request whose first endpoint was not reached goes to one that was reached just now, if there is any. A VM that fails to connect and has reached nobody lately probes endpoints like that one.

--- a/sedgepin/_entry/_paths.py
+++ b/sedgepin/_entry/_paths.py
@@ -210,7 +210,7 @@
         if failure is _LinkFailure.UNKNOWN:
             return False, []
         if failure is _LinkFailure.ENDPOINT:
-            self._links.record_forwarded(forwarder)
+            self._links.record_sound(forwarder)
             return self._is_confirmed(endpoint_id, forwarder, now), []
         match failure:
             case _LinkFailure.FORWARDER:
@@ -235,7 +235,7 @@
         if not self.is_enabled:
             return []
         if forwarder is not None:
-            self._links.record_forwarded(forwarder)
+            self._links.record_forwarded(forwarder, endpoint_id, now)
             return []
         self._reached_at = now
         effects = self._answer_askers(not self.is_draining)
--- a/sedgepin/_forwarding/_links.py
+++ b/sedgepin/_forwarding/_links.py
@@ -29,9 +29,16 @@
 # Each further time in a row doubles the pause, up to the maximum.
 _MIN_UNPROVEN_BACKOFF = datetime.timedelta(milliseconds=30)
 _MAX_UNPROVEN_BACKOFF = datetime.timedelta(milliseconds=300)
+# One that leaves a question open for this long may be frozen, and gets no
+# further ones while there are others.
+_OVERDUE_TIME = datetime.timedelta(milliseconds=50)
+# An open question that nobody waits for any more is forgotten.
+_OPEN_TTL = datetime.timedelta(seconds=1)
 # A forwarder that cannot reach this many endpoints in a row may have no path
 # to them itself.  It matters only for one that does not say whether it has.
 _BEYOND_FAILURES = 2
+# So long after a connection to it was made an endpoint counts as proven.
+_PROVEN_TIME = datetime.timedelta(seconds=2)
 # So long after a connection was made the links are taken for sound.
 _SOUND_TIME = datetime.timedelta(milliseconds=300)
 
@@ -75,7 +82,9 @@
         "_failures",
         "_health",
         "_offers",
+        "_open_since",
         "_probed_at",
+        "_proven",
         "_reached_at",
         "_rng",
         "_unanswered",
@@ -91,10 +100,14 @@
         self._offers: dict[model.VmId, _Offer] = {}
         # By address and key, so that a restarted forwarder starts anew.
         self._health: dict[protocol.Forwarder, _Health] = {}
+        # Since when each forwarder was used and has not answered at all.
+        self._open_since: dict[protocol.Forwarder, datetime.datetime] = {}
         self._asked_at: datetime.datetime | None = None
         self._awaited_from: datetime.datetime | None = None
         self._was_cut_off_when_asked = False
         self._reached_at: datetime.datetime | None = None
+        # When each endpoint was last reached, on any path; oldest first.
+        self._proven: dict[model.EndpointId, datetime.datetime] = {}
         self._unanswered: set[model.VmId] = set()
         self._probed_at: datetime.datetime | None = None
 
@@ -144,6 +157,7 @@
         known to be broken shows nothing.
         """
         was_cut_off = self.is_cut_off
+        self._proven.pop(endpoint_id, None)
         failures = self._failures.get(endpoint_id, 0)
         self._failures[endpoint_id] = failures + 1
         if failures < _BROKEN_LINK_FAILURES:
@@ -159,6 +173,7 @@
         paths that have failed stay broken until each is found to be restored.
         """
         self._reached_at = now
+        self._record_proven(endpoint_id, now)
         was_cut_off = self.is_cut_off
         if was_cut_off:
             for failed_id in self._cut_endpoints:
@@ -173,6 +188,7 @@
         Return whether it shows that this VM is not cut off.
         """
         was_cut_off = self.is_cut_off
+        self._proven.pop(endpoint_id, None)
         self._failures.pop(endpoint_id, None)
         self._cut_endpoints.discard(endpoint_id)
         return was_cut_off and not self.is_cut_off
@@ -247,13 +263,30 @@
             for forwarder, health in self._health.items()
             if forwarder in offered or self.has_failed(forwarder, now)
         }
+        self._open_since = {
+            forwarder: since
+            for forwarder, since in self._open_since.items()
+            if forwarder in offered
+        }
 
     def choose_forwarder(
         self, now: datetime.datetime
     ) -> protocol.Forwarder | None:
-        """Return a forwarder that may be used now, at random."""
+        """Return a forwarder that may be used now, at random.
+
+        It counts as used from now on, until it is heard of.
+        """
         usable = self._usable(now)
-        return self._rng.choice(usable) if usable else None
+        usable = [one for one in usable if not self._is_overdue(one, now)] or (
+            usable
+        )
+        if not usable:
+            return None
+        chosen = self._rng.choice(usable)
+        since = self._open_since.get(chosen)
+        if since is None or now - since >= _OPEN_TTL:
+            self._open_since[chosen] = now
+        return chosen
 
     def forwarder_counts(self, now: datetime.datetime) -> tuple[int, int]:
         """Return how many forwarders are offered, and may be used, now."""
@@ -303,6 +336,7 @@
     ) -> bool:
         """Pass a forwarder over for a while; return whether that is new."""
         is_new = not self.has_failed(forwarder, now)
+        self._open_since.pop(forwarder, None)
         self._health[forwarder] = _Health(now + _FORWARDER_BACKOFF)
         return is_new
 
@@ -313,6 +347,7 @@
 
         Return whether that is new.
         """
+        self._open_since.pop(forwarder, None)
         if self.has_failed(forwarder, now):
             return False
         health = self._health.get(forwarder)
@@ -332,6 +367,7 @@
         It has not said whether its own links are sound.  Return whether the
         forwarder is to blame, rather than the endpoint.
         """
+        self._open_since.pop(forwarder, None)
         health = self._health.setdefault(forwarder, _Health())
         health.beyond_count += 1
         if health.beyond_count < _BEYOND_FAILURES:
@@ -339,10 +375,44 @@
         self.record_forwarder_failure(forwarder, now)
         return True
 
-    def record_forwarded(self, forwarder: protocol.Forwarder) -> None:
+    def record_forwarded(
+        self,
+        forwarder: protocol.Forwarder,
+        endpoint_id: model.EndpointId,
+        now: datetime.datetime,
+    ) -> None:
         """Record that an endpoint was reached through a forwarder."""
+        self.record_sound(forwarder)
+        self._record_proven(endpoint_id, now)
+
+    def record_sound(self, forwarder: protocol.Forwarder) -> None:
+        """Record that a forwarder reaches endpoints, though not the last."""
+        self._open_since.pop(forwarder, None)
         self._health.pop(forwarder, None)
 
+    def proven(self, now: datetime.datetime) -> frozenset[model.EndpointId]:
+        """Return the endpoints that were reached just now, on any path."""
+        return frozenset(
+            endpoint_id
+            for endpoint_id, reached_at in self._proven.items()
+            if now - reached_at < _PROVEN_TIME
+        )
+
+    def _record_proven(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> None:
+        self._proven.pop(endpoint_id, None)
+        self._proven[endpoint_id] = now
+        oldest = next(iter(self._proven))
+        if now - self._proven[oldest] >= _PROVEN_TIME:
+            del self._proven[oldest]
+
+    def _is_overdue(
+        self, forwarder: protocol.Forwarder, now: datetime.datetime
+    ) -> bool:
+        since = self._open_since.get(forwarder)
+        return since is not None and (_OVERDUE_TIME <= now - since < _OPEN_TTL)
+
     def _usable(self, now: datetime.datetime) -> list[protocol.Forwarder]:
         return [
             forwarder
--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -143,7 +143,10 @@
                 self._state.fleet.record_refusal(failed_id, now)
                 return []
         if event.outcome in (_Outcome.NOT_SENT, _Outcome.NOT_RUN):
-            return self._state.suspect(failed_id, event.detail, now)
+            is_unreached = event.outcome is _Outcome.NOT_SENT
+            return self._state.suspect(
+                failed_id, event.detail, now, is_unreached
+            )
         if event.is_invalid_answer and (
             self._state.fleet.record_invalid_answer(failed_id, now)
         ):
@@ -163,6 +166,7 @@
         match event.outcome:
             case _Outcome.NOT_SENT:
                 self._state.return_retry(exchange)
+                exchange.unsent_count += 1
                 if now - exchange.arrived_at < _UNSENT_TIME:
                     return self._dispatcher.dispatch_or_queue(exchange, now)
                 failure = _failures.NoEndpoint(exchange.service.name)
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -134,9 +134,7 @@
         See ``Fleet.find_pipeline`` for ``permit_wait``.
         """
         queue = self._state.queues.for_service(exchange.service.name)
-        candidate = self._state.fleet.find_pipeline(
-            exchange.service, size, now, permit_wait
-        )
+        candidate = self._find_pipeline(exchange, size, permit_wait, now)
         # A new request does not overtake those that wait for capacity; a
         # stream that has started may.
         is_overtaking = (
@@ -173,6 +171,27 @@
             exchange, candidate.cache_utilization, now
         )
 
+    def _find_pipeline(
+        self,
+        exchange: _exchange.Exchange,
+        size: placement.RequestSize,
+        permit_wait: datetime.timedelta | None,
+        now: datetime.datetime,
+    ) -> placement.PipelineCandidate | None:
+        """Return the best pipeline that a request may use.
+
+        After a first engine was not reached, it is one that was just now.
+        """
+        fleet = self._state.fleet
+        heads = self._state.links.proven(now)
+        if exchange.unsent_count and heads:
+            proven = fleet.find_pipeline(
+                exchange.service, size, now, permit_wait, heads
+            )
+            if proven is not None and proven.cache_utilization <= 1.0:
+                return proven
+        return fleet.find_pipeline(exchange.service, size, now, permit_wait)
+
     def serve_queues(self, now: datetime.datetime) -> _shared_state.Effects:
         """Dispatch queued requests while capacity lasts; fail overdue ones."""
         effects: _shared_state.Effects = []
@@ -285,11 +304,31 @@
             position=exchange.position,
             milliseconds=_shared_state.milliseconds(now - exchange.arrived_at),
         )
+        effects: _shared_state.Effects = [_shared_state.log(line)]
+        if isinstance(failure, _failures.NoEndpoint):
+            effects += self._log_missing_path(exchange, now)
         return [
-            _shared_state.log(line),
+            *effects,
             _effects.FailExchange(exchange.exchange_id, failure),
         ]
 
+    def _log_missing_path(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> _shared_state.Effects:
+        """Tell why no other VM has carried a request, if paths are broken."""
+        links = self._state.links
+        if not links.has_failures:
+            return []
+        offered, usable = links.forwarder_counts(now)
+        line = events.PATH_MISSING.line(
+            request=exchange.request.request_id,
+            cut_off=links.is_cut_off,
+            forwarders=offered,
+            usable_forwarders=usable,
+            failed_endpoints=len(links.failed_endpoints),
+        )
+        return [_shared_state.log(line)]
+
     def enforce_causes(self, now: datetime.datetime) -> _shared_state.Effects:
         """Stop the requests that may crash an endpoint, as is known now.
 
@@ -405,6 +444,13 @@
     ) -> catalog.Registration | None:
         """Return the endpoint for a request, if one may take it by then."""
         service = exchange.service
+        if exchange.unsent_count:
+            proven = self._state.links.proven(now)
+            registration = self._state.fleet.choose_endpoint(
+                service, exchange.tried_endpoints, now, permit_wait, proven
+            )
+            if registration is not None:
+                return registration
         registration = self._state.fleet.choose_endpoint(
             service, exchange.tried_endpoints, now, permit_wait
         )
--- a/sedgepin/_gateway/_effects.py
+++ b/sedgepin/_gateway/_effects.py
@@ -97,10 +97,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ProbeEndpoint:
-    """Call an endpoint directly; ``EndpointProbed`` follows."""
+    """Call an endpoint; ``EndpointProbed`` follows.
+
+    Without a ``forwarder`` it is called directly.
+    """
 
     endpoint_id: model.EndpointId
     address: str
+    incarnation: int | None = None
+    forwarder: protocol.Forwarder | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_engine_calls.py
+++ b/sedgepin/_gateway/_engine_calls.py
@@ -64,13 +64,21 @@
     dialect: _dialect.GatewayDialect,
     timeout: datetime.timedelta,
 ) -> _events.EndpointProbed:
-    """Call an engine directly, to learn whether it can be reached again."""
-    response = await web.send_request(
+    """Call an endpoint, to learn whether it can be reached again."""
+    response = await _engine_connection.call(
+        effect.endpoint_id,
+        effect.incarnation,
         effect.address,
+        effect.forwarder,
         dialect.report_request(effect.address),
-        timeout.total_seconds(),
+        timeout,
+    )
+    failure: _events.LinkFailure | None = None
+    if isinstance(response, result.Err):
+        failure = _engine_connection.link_failure(response.err_value)
+    return _events.EndpointProbed(
+        effect.endpoint_id, response.is_ok(), effect.forwarder, failure
     )
-    return _events.EndpointProbed(effect.endpoint_id, response.is_ok())
 
 
 async def inspect_stalls(
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -167,10 +167,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EndpointProbed:
-    """A direct probe of an endpoint has ended."""
+    """A probe of an endpoint has ended.
+
+    ``link_failure`` is where the path was broken, if a connection failed.
+    """
 
     endpoint_id: model.EndpointId
     is_reached: bool
+    forwarder: protocol.Forwarder | None = None
+    link_failure: LinkFailure | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -20,7 +20,8 @@
 class Exchange:
     """An admitted request and the progress of its attempts.
 
-    ``send_count`` counts all attempts.  ``runs`` holds those that have ended
+    ``send_count`` counts all attempts, ``unsent_count`` those that reached no
+    endpoint.  ``runs`` holds those that have ended
     and may have run.  ``has_reserved_retry`` is set while the next attempt
     is in the retry budget already and has not been sent.
     ``is_kept`` is set once an attempt without progress has been left alone,
@@ -46,6 +47,7 @@
     deadline: datetime.datetime
     dispatch: _calls.Dispatch | None = None
     send_count: int = 0
+    unsent_count: int = 0
     runs: list[Run] = dataclasses.field(default_factory=list)
     has_reserved_retry: bool = False
     reroute_count: int = 0
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -154,11 +154,15 @@
         self._version += 1
 
     def suspect(
-        self, endpoint_id: model.EndpointId, now: datetime.datetime
+        self,
+        endpoint_id: model.EndpointId,
+        now: datetime.datetime,
+        is_unreached: bool = False,
     ) -> bool:
         """Exclude an endpoint from new work for a while.
 
-        Return false if it is unknown or excluded already.
+        Return false if it is unknown or excluded already.  ``is_unreached``
+        tells that no connection to it could be made.
         """
         record = self.registry.find(endpoint_id)
         if record is None:
@@ -166,10 +170,56 @@
         incarnation = record.registration.incarnation
         if self._suspicions.is_suspected(endpoint_id, incarnation, now):
             return False
-        self._suspicions.record_failure(endpoint_id, incarnation, now)
+        self._suspicions.record_failure(
+            endpoint_id, incarnation, now, is_unreached
+        )
         self._version += 1
         return True
 
+    def begin_probes(
+        self, now: datetime.datetime
+    ) -> list[catalog.Registration]:
+        """Return the endpoints to probe now; they count as being probed."""
+        due: list[catalog.Registration] = []
+        for endpoint_id, incarnation in self._suspicions.begin_probes(now):
+            record = self.registry.find(endpoint_id)
+            if (
+                record is not None
+                and record.lost_at is None
+                and record.registration.incarnation == incarnation
+                and record.registration.state is catalog.EndpointState.READY
+            ):
+                due.append(record.registration)
+        return due
+
+    def end_probe(
+        self,
+        endpoint_id: model.EndpointId,
+        is_to_blame: bool,
+        now: datetime.datetime,
+    ) -> bool:
+        """Exclude an endpoint that a probe did not reach for longer.
+
+        If it is not to blame, it is probed again.  Return false if no probe
+        was to decide on it.
+        """
+        record = self.registry.find(endpoint_id)
+        if record is None or not self._suspicions.is_probed(endpoint_id, now):
+            return False
+        if not is_to_blame:
+            self._suspicions.repeat_probe(endpoint_id)
+            return True
+        self._suspicions.record_failure(
+            endpoint_id, record.registration.incarnation, now, True
+        )
+        return True
+
+    def is_probed(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> bool:
+        """Return whether the end of a probe decides on an endpoint."""
+        return self._suspicions.is_probed(endpoint_id, now)
+
     def record_invalid_answer(
         self, endpoint_id: model.EndpointId, now: datetime.datetime
     ) -> bool:
@@ -242,17 +292,20 @@
         excluded: collections.abc.Container[model.EndpointId],
         now: datetime.datetime,
         permit_wait: datetime.timedelta | None = _AT_ONCE,
+        allowed: frozenset[model.EndpointId] | None = None,
     ) -> catalog.Registration | None:
         """Return the least loaded endpoint of a plain service.
 
-        Endpoints that failed recently are used only if there is no other.
-        One with as many requests of all VMs as it accepts connections gets
-        none.  See ``find_pipeline`` for ``permit_wait``.
+        Endpoints that failed recently are used only if there is no other, and
+        not if ``allowed`` names the only endpoints to choose from.  One with
+        as many requests of all VMs as it accepts connections gets none.  See
+        ``find_pipeline`` for ``permit_wait``.
         """
         sound = [
             record.registration
             for record in self._usable(service.name, now)
             if record.registration.endpoint_id not in excluded
+            and (allowed is None or record.registration.endpoint_id in allowed)
         ]
         usable = [
             registration
@@ -260,7 +313,7 @@
             if self._may_get_permit(registration, permit_wait, now)
             and self._accepts_connection(registration, service)
         ]
-        if not sound:
+        if not sound and allowed is None:
             # Without an alternative, use an endpoint that failed recently.
             usable = [
                 record.registration
@@ -311,18 +364,21 @@
         size: placement.RequestSize,
         now: datetime.datetime,
         permit_wait: datetime.timedelta | None = _AT_ONCE,
+        heads: frozenset[model.EndpointId] | None = None,
     ) -> placement.PipelineCandidate | None:
         """Return the best pipeline for a new request, if one is possible.
 
         A first engine that needs a permit may have one to give within
-        ``permit_wait``; with ``None`` it needs none.  A recent result for the
-        same service may be returned again.
+        ``permit_wait``; with ``None`` it needs none.  Without ``heads``, the
+        only first engines allowed, a recent result for the same service may
+        be returned again.
         """
         if not len(self._permits.limits):
             permit_wait = _AT_ONCE
         cached = self._pipeline_cache.get(service.name)
         if (
             cached is not None
+            and heads is None
             and permit_wait == _AT_ONCE
             and cached.version == self._version
             and now - cached.cached_at < _PIPELINE_CACHE_TTL
@@ -333,6 +389,14 @@
         if service.engine is None:
             return None
         engines = self._engines(service, service.engine, now, permit_wait)
+        if heads is not None:
+            engines = [
+                dataclasses.replace(
+                    engine,
+                    may_begin=engine.may_begin and engine.endpoint_id in heads,
+                )
+                for engine in engines
+            ]
         search = _pipeline_search.PipelineSearch(
             self._data_centre, service.engine, size
         )
@@ -340,7 +404,7 @@
         candidate = search.best_after_unreported(
             engines, self.unreported_load, request_count
         )
-        if permit_wait != _AT_ONCE:
+        if permit_wait != _AT_ONCE or heads is not None:
             return candidate
         self._pipeline_cache.pop(service.name, None)
         if (
--- a/sedgepin/_gateway/_paths.py
+++ b/sedgepin/_gateway/_paths.py
@@ -13,8 +13,8 @@
 
 # Endpoints that are probed when this VM seems to be cut off.
 _CUT_PROBES = 3
-# Those probed by a forwarder that does not know whether it is cut off.
-_SOUND_PROBES = 2
+# Those that could do the same work, probed when one was not reached.
+_LIKE_PROBES = 3
 # Endpoints whose paths had failed, probed once others are restored.
 _RESTORED_PROBES = 8
 
@@ -59,7 +59,7 @@
             return not self._state.has_detour(endpoint_id, now), effects
         match failure:
             case _LinkFailure.ENDPOINT:
-                links.record_forwarded(forwarder)
+                links.record_sound(forwarder)
                 return True, []
             case _LinkFailure.FORWARDER:
                 is_new = links.record_forwarder_failure(forwarder, now)
@@ -80,7 +80,7 @@
     ) -> Effects:
         """Record that a connection to an endpoint was made."""
         if forwarder is not None:
-            self._state.links.record_forwarded(forwarder)
+            self._state.links.record_forwarded(forwarder, endpoint_id, now)
             return []
         if not self._state.links.record_reached(endpoint_id, now):
             return []
@@ -88,19 +88,37 @@
         effects: Effects = [_shared_state.log(line), *self._ask(now)]
         return effects + self._probe(_RESTORED_PROBES)
 
-    def record_forward_unreached(
-        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    def record_probe(
+        self, event: _events.EndpointProbed, now: datetime.datetime
     ) -> Effects:
-        """Record that an endpoint was not reached for another entry VM.
+        """Record the end of a probe.
 
-        Unless others were reached just now, find out whether any can be.
+        A failed one shows something only of an endpoint that was probed after
+        its backoff.
         """
-        links = self._state.links
-        is_sound = links.are_sound_besides(endpoint_id, now)
-        effects = self._record_direct_failure(endpoint_id, now)
-        if is_sound or links.is_cut_off:
-            return effects
-        return effects + self._probe_others(_SOUND_PROBES)
+        endpoint_id = event.endpoint_id
+        fleet = self._state.fleet
+        if event.is_reached:
+            if fleet.is_probed(endpoint_id, now):
+                fleet.clear_suspicion(endpoint_id)
+                fleet.invalidate_pipelines()
+            return self.record_reached(endpoint_id, event.forwarder, now)
+        if not fleet.is_probed(endpoint_id, now):
+            return []
+        is_to_blame = True
+        effects: Effects = []
+        if event.link_failure is not None:
+            is_to_blame, effects = self.record_failure(
+                endpoint_id, event.link_failure, event.forwarder, now
+            )
+        fleet.end_probe(endpoint_id, is_to_blame, now)
+        return effects
+
+    def record_forward_unreached(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> Effects:
+        """Record that an endpoint was not reached for another entry VM."""
+        return self._record_direct_failure(endpoint_id, now)
 
     def record_lost(self, endpoint_id: model.EndpointId) -> Effects:
         """Record that others have found an endpoint to be lost."""
@@ -119,7 +137,19 @@
         )
         if links.is_probe_due(now):
             effects += self._probe(1)
-        return effects
+        return effects + self._probe_suspected(now)
+
+    def _probe_suspected(self, now: datetime.datetime) -> Effects:
+        """Probe endpoints before they get requests again."""
+        return [
+            _effects.ProbeEndpoint(
+                registration.endpoint_id,
+                registration.address,
+                registration.incarnation,
+                self._state.choose_forwarder(registration.endpoint_id, now),
+            )
+            for registration in self._state.fleet.begin_probes(now)
+        ]
 
     def _forget_ended_endpoints(self) -> Effects:
         """Drop the paths to endpoints that get no requests any more."""
@@ -137,11 +167,18 @@
     def _record_direct_failure(
         self, endpoint_id: model.EndpointId, now: datetime.datetime
     ) -> Effects:
+        """Record a failed direct connection.
+
+        Unless others were reached just now, find out whether any can be.
+        """
         links = self._state.links
+        is_sound = links.are_sound_besides(endpoint_id, now)
         is_new = links.record_unreachable(endpoint_id)
         effects = self._ask(now)
         if not is_new:
-            return effects
+            if is_sound or links.is_cut_off:
+                return effects
+            return effects + self._probe_like(endpoint_id)
         failed = links.cut_endpoints
         for failed_id in failed:
             self._state.fleet.clear_suspicion(failed_id)
@@ -170,6 +207,24 @@
         others = [one for one in ready if one.endpoint_id not in failed]
         return self._probe_some(others or ready, count)
 
+    def _probe_like(self, endpoint_id: model.EndpointId) -> Effects:
+        """Probe some endpoints that could do the work of another."""
+        record = self._state.fleet.registry.find(endpoint_id)
+        if record is None:
+            return []
+        model_of = record.registration
+        failed = set(self._state.links.failed_endpoints)
+        return self._probe_some(
+            [
+                one
+                for one in self._ready_endpoints()
+                if one.service == model_of.service
+                and one.layers == model_of.layers
+                and one.endpoint_id not in failed
+            ],
+            _LIKE_PROBES,
+        )
+
     def _ready_endpoints(self) -> list[catalog.Registration]:
         return [
             record.registration
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -195,10 +195,9 @@
                 return self._stream_failover.handle_stall(exchange_id, now)
             case _events.EndpointReached(endpoint_id, forwarder):
                 return self._paths.record_reached(endpoint_id, forwarder, now)
-            case _events.EndpointProbed(endpoint_id, is_reached):
-                if is_reached:
-                    return self._paths.record_reached(endpoint_id, None, now)
-                return []
+            case _events.EndpointProbed():
+                effects = self._paths.record_probe(event, now)
+                return effects + self._dispatcher.serve_queues(now)
             case _events.ForwardUnreached(endpoint_id):
                 return self._paths.record_forward_unreached(endpoint_id, now)
             case _events.StallsInspected():
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -68,9 +68,13 @@
         endpoint_id: model.EndpointId,
         reason: str,
         now: datetime.datetime,
+        is_unreached: bool = False,
     ) -> Effects:
-        """Exclude an endpoint from new work for a while, and log that."""
-        if not self.fleet.suspect(endpoint_id, now):
+        """Exclude an endpoint from new work for a while, and log that.
+
+        ``is_unreached`` tells that no connection to it could be made.
+        """
+        if not self.fleet.suspect(endpoint_id, now, is_unreached):
             return []
         line = events.ENDPOINT_SUSPECTED.line(
             endpoint=endpoint_id, failure=reason
--- a/sedgepin/_gateway/tests/test_requests.py
+++ b/sedgepin/_gateway/tests/test_requests.py
@@ -346,6 +346,10 @@
         )
         assert parts.has_no_effect(effects, _effects.FailExchange)
         effects = gateway.advance(600)
+        probe = parts.get_effect(effects, _effects.ProbeEndpoint)
+        effects = gateway.handle(
+            _events.EndpointProbed(probe.endpoint_id, True)
+        )
         start = parts.get_effect(effects, _effects.StartAttempt)
         assert start.dispatch.resume_after == 7
 
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -515,6 +515,19 @@
     "forwarder",
     "failure",
 )
+PATH_MISSING = _define(
+    333,
+    "WARNING",
+    "path_missing",
+    "A request is refused while connections to endpoints fail: whether this VM"
+    " takes itself for cut off, and how many forwarders are offered to it, and"
+    " not passed over.",
+    "request",
+    "cut_off",
+    "forwarders",
+    "usable_forwarders",
+    "failed_endpoints",
+)
 FORWARD_OPENED = _define(
     330,
     "INFO",
