--- a/sedgepin/_entry/tests/test_cut_off.py
+++ b/sedgepin/_entry/tests/test_cut_off.py
@@ -19,6 +19,12 @@
 from sedgepin.tests import simulation
 
 _CUT = "entry-1"
+# Failures of requests that other VMs have endpoints for.
+_LOST_PATH_CODES = {
+    "answer_interrupted",
+    "endpoint_not_reached",
+    "no_pipeline",
+}
 _Send = collections.abc.Callable[[simulation.Simulation], fakes.Caller]
 
 
@@ -325,6 +331,62 @@
         assert failures == []
 
 
+class TestEndpointsThatFailBesideACut:
+    """Sound VMs that miss an endpoint still forward for cut ones."""
+
+    def _play(
+        self, cut: tuple[int, ...], seed: int, lost_count: int
+    ) -> tuple[list[fakes.Caller], list[fakes.Caller]]:
+        """Return the callers at the VMs that are cut off, and the others."""
+        system = _started(seed, replicas=3)
+        rng = random.Random(seed)
+        engines = sorted(name for name in system.endpoints if name != "ledger")
+        for name in rng.sample(engines, lost_count):
+            system.endpoints[name].is_alive = False
+        for number in cut:
+            _cut_off(system, f"entry-{number}")
+        at_cut: list[fakes.Caller] = []
+        at_others: list[fakes.Caller] = []
+        for step in range(30):
+            for number in range(1, 7):
+                name, key = f"entry-{number}", f"{number}-{step}"
+                callers = at_cut if number in cut else at_others
+                if rng.random() < 0.5:
+                    callers.append(system.send_prompt(name, key, 10))
+                else:
+                    callers.append(system.call_ledger(name, key))
+            system.run(0.1)
+        _finish(system, at_cut + at_others)
+        return at_cut, at_others
+
+    @pytest.mark.parametrize("seed", range(1, 9))
+    @pytest.mark.parametrize("cut", [(1,), (1, 2, 3)])
+    def test_their_callers_are_served(
+        self, cut: tuple[int, ...], seed: int
+    ) -> None:
+        at_cut, at_others = self._play(cut, seed, 2)
+        codes = {
+            caller.failure.code
+            for caller in at_cut + at_others
+            if caller.failure is not None
+        }
+        assert not codes & _LOST_PATH_CODES
+        assert _share(at_cut) >= 0.95 * _share(at_others)
+
+    @pytest.mark.parametrize("seed", [1, 6])
+    def test_one_vm_that_is_not_cut_off_goes_on_carrying_requests(
+        self, seed: int
+    ) -> None:
+        at_cut, at_others = self._play((1, 2, 3, 4, 5), seed, 0)
+        assert _share(at_others) == 1.0
+        assert _share(at_cut) >= 0.95
+
+
+def _share(callers: list[fakes.Caller]) -> float:
+    """Return which share of the callers was served."""
+    return sum(caller.failure is None for caller in callers) / len(callers)
+
+
 class TestOtherVms:
     def test_others_do_not_suspect_endpoints_that_a_cut_vm_lost(self) -> None:
         system = _started()
--- a/sedgepin/tests/fake_endpoints.py
+++ b/sedgepin/tests/fake_endpoints.py
@@ -284,10 +284,7 @@
         """
         own, failure = vm, entry.LinkFailure.DIRECT
         if forwarder is not None:
-            own, failure = (
-                self._simulation.vms[forwarder.vm_id],
-                entry.LinkFailure.BEYOND,
-            )
+            own = self._simulation.vms[forwarder.vm_id]
             is_reachable = self._simulation.can_reach(vm.name, own.name)
             if own.reducer is None or own.is_frozen or not is_reachable:
                 return entry.LinkFailure.FORWARDER
@@ -299,6 +296,15 @@
         is_reachable = self._simulation.can_reach(own.name, endpoint.name)
         is_reached = endpoint.is_alive and is_reachable
         if forwarder is not None:
+            if not is_reached:
+                is_sound = own.reducer.has_sound_links(
+                    endpoint.name, self._simulation.now
+                )
+                failure = (
+                    entry.LinkFailure.ENDPOINT
+                    if is_sound
+                    else entry.LinkFailure.UNPROVEN
+                )
             probed = entry.PathProbed(endpoint.name, is_reached)
             self._simulation.submit(own.name, probed)
         return None if is_reached else failure
