--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -183,8 +183,10 @@
         After a first engine was not reached, it is one that was just now.
         """
         fleet = self._state.fleet
-        heads = self._state.links.proven(now)
-        if exchange.unsent_count and heads:
+        heads: frozenset[model.EndpointId] = frozenset()
+        if exchange.unsent_count:
+            heads = self._state.links.proven(now)
+        if heads:
             proven = fleet.find_pipeline(
                 exchange.service, size, now, permit_wait, heads
             )
