Let requests that are not young go on to another endpoint again

Found on the last read: since a request that arrived more than 1.5 s ago, such as a stream whose engine had ended, failed as soon as one further endpoint was not reached. Six attempts are allowed again whatever its age; the new test failed before. Tests of _gateway pass.

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -18,8 +18,8 @@
 # ``max_attempts`` limits only the attempts that may have run it.
 _MAX_SENDS = 4
 # Within this time since its arrival a request goes on to the next endpoint
-# as long as none receives it.  Each failure rules an endpoint, a direct path
-# or a forwarder out, so that it comes to an end.
+# as long as none receives it; later on up to this number of attempts.
+_MAX_SENDS_IF_UNSENT = 6
 _UNSENT_TIME = datetime.timedelta(milliseconds=1500)
 # An engine that refuses a request above this cache utilization is overloaded,
 # not broken.
@@ -193,10 +193,12 @@
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> bool:
         """Return whether a request that nobody received has a path left."""
-        return now - exchange.arrived_at < _UNSENT_TIME and (
-            not self._state.links.is_surely_cut_off(now)
-            or self._state.has_forwarder_soon(now)
-        )
+        is_early = now - exchange.arrived_at < _UNSENT_TIME
+        if not is_early and exchange.send_count >= _MAX_SENDS_IF_UNSENT:
+            return False
+        return not self._state.links.is_surely_cut_off(
+            now
+        ) or self._state.has_forwarder_soon(now)
 
     def _retry_refused(
         self, exchange: _exchange.Exchange, now: datetime.datetime
--- a/sedgepin/_gateway/tests/test_requests.py
+++ b/sedgepin/_gateway/tests/test_requests.py
@@ -353,6 +353,17 @@
         start = parts.get_effect(effects, _effects.StartAttempt)
         assert start.dispatch.resume_after == 7
 
+    def test_old_stream_goes_on_though_an_engine_is_not_reached(self) -> None:
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request("/draft/x")
+        gateway.handle(_events.OutputStarted(exchange_id))
+        gateway.advance(2000)
+        effects = gateway.end_attempt(
+            exchange_id, _Outcome.NOT_SENT, position=7
+        )
+        start = parts.get_effect(effects, _effects.StartAttempt)
+        assert start.dispatch.resume_after == 7
+
     def test_attempt_on_a_lost_first_engine_does_not_count_as_run(
         self,
     ) -> None:
