--- a/review/stand_ins/consumers.py
+++ b/review/stand_ins/consumers.py
@@ -25,7 +25,7 @@
     is_kept: bool
     status: int = 0
     outcome: str = ""
-    tenant: str = ""
+    ended_at: float = 0.0
 
 
 class Channel:
@@ -52,6 +52,7 @@
         key: str,
         deadline_ms: int = 4000,
         body: bytes | None = None,
+        more_headers: dict[str, str] | None = None,
     ) -> Attempt:
         """Send a request on the channel, opened anew if need be."""
         record = self._world.record
@@ -67,12 +68,19 @@
         try:
             async with asyncio.timeout(deadline_ms / 1000):
                 await self._exchange(
-                    attempt, method, target, key, deadline_ms, body
+                    attempt,
+                    method,
+                    target,
+                    key,
+                    deadline_ms,
+                    body,
+                    more_headers or {},
                 )
         except TimeoutError:
             attempt.outcome = LATE
         if attempt.status == 0:
             self.close()
+        attempt.ended_at = record.now
         record.add(
             f"answer to {request_id}: {attempt.status or attempt.outcome}"
         )
@@ -86,6 +94,7 @@
         key: str,
         deadline_ms: int,
         body: bytes | None,
+        more_headers: dict[str, str],
     ) -> None:
         host, _, port = self._world.front(self._machine).rpartition(":")
         if self._reader is None or self._writer is None:
@@ -101,6 +110,7 @@
             "X-Request-Id": attempt.request_id,
             "X-Deadline-Ms": str(deadline_ms),
             "Authorization": f"Token {key}",
+            **more_headers,
         }
         data = http1.encode(f"{method} {target} HTTP/1.1", headers, body)
         try:
@@ -133,6 +143,8 @@
         key: str,
         channels_each: int = 6,
         body: bytes | None = None,
+        more_headers: dict[str, str] | None = None,
+        deadline_ms: int = 4000,
     ) -> None:
         self._world = world
         self._method = method
@@ -140,6 +152,8 @@
         self._key = key
         self._channels_each = channels_each
         self._body = body
+        self._more_headers = more_headers
+        self._deadline_ms = deadline_ms
         self.attempts: list[Attempt] = []
 
     def start(self) -> None:
@@ -152,7 +166,12 @@
         channel = Channel(self._world, machine)
         while True:
             attempt = await channel.send(
-                self._method, self._target, self._key, body=self._body
+                self._method,
+                self._target,
+                self._key,
+                self._deadline_ms,
+                self._body,
+                self._more_headers,
             )
             self.attempts.append(attempt)
             if attempt.status != 200:
--- a/review/stand_ins/world.py
+++ b/review/stand_ins/world.py
@@ -16,6 +16,7 @@
 import tempfile
 import time
 import traceback
+import types
 import typing
 
 from stand_ins import http1
@@ -340,6 +341,11 @@
         await asyncio.wait(left, timeout=2.0)
 
 
+def _interrupt(_number: int, _frame: types.FrameType | None) -> None:
+    """End in good order, with all processes of the run."""
+    raise SystemExit(2)
+
+
 def main(case: Case, file: str, **counts: int) -> typing.NoReturn:
     """Run a case and exit: 0 if the rule held, 10 if it was broken, else 2.
 
@@ -348,6 +354,7 @@
     """
     record = Record(pathlib.Path(file).resolve().parent / "record.txt")
     record.add(f"trouble: {has_trouble()}")
+    signal.signal(signal.SIGTERM, _interrupt)
     world: World | None = None
     code = 2
     try:
