--- /dev/null
+++ b/sedgepin/platform/tests/running_system.py
@@ -0,0 +1,219 @@
+"""One control VM and one entry VM as processes, with an emulated engine."""
+
+import itertools
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import typing
+
+import trio
+
+from sedgepin import _web as web
+from sedgepin import errors
+
+CONTROL = "127.0.71.1"
+ENTRY = "127.0.71.2"
+ENGINE = "127.0.71.3"
+_PEER_PORT = 27340
+CALL_PORT = 28229
+READY_PORT = 28220
+METRICS_PORT = 29464
+ENGINE_PORT = 28080
+TIMEOUT_SECONDS = 15.0
+
+CONFIGURATION = {
+    "version": 1,
+    "routes": [
+        {
+            "host": "one.example",
+            "pathPrefix": "/post/",
+            "kind": "non_idempotent",
+            "timeoutMs": 4000,
+            "service": "s",
+            "public": True,
+        },
+        {
+            "host": "one.example",
+            "pathPrefix": "/draft/",
+            "kind": "streaming",
+            "timeoutMs": 4000,
+            "service": "s",
+            "public": True,
+            "maxAttempts": 2,
+            "resumable": True,
+        },
+    ],
+    "services": [{"name": "s"}],
+}
+
+
+def _settings(folder: pathlib.Path, ip: str) -> str:
+    return f"""
+nodeName = "{ip}"
+ip = "{ip}"
+zone = "one"
+internalPorts = [{_PEER_PORT}, {_PEER_PORT + 15}]
+seeds = ["{CONTROL}:{CALL_PORT}"]
+bootstrap = true
+dataDir = "{folder / "data"}"
+heartbeatMs = 1200
+[listen]
+control = "{ip}:{CALL_PORT}"
+front = "{ip}:{CALL_PORT}"
+ready = "{ip}:{READY_PORT}"
+[bounds]
+graceS = 6
+retryBudgetRatio = 0.2
+budgetMinRetries = 100
+"""
+
+
+class Engine(web.Handler):
+    """Answers requests, and breaks off each stream once, inside event 4."""
+
+    def __init__(self) -> None:
+        self.runs: list[tuple[bytes, bytes | None]] = []
+
+    async def handle(self, exchange: web.Exchange) -> None:
+        request = exchange.request
+        resume_after = request.find_header(b"last-event-id")
+        self.runs.append((request.target, resume_after))
+        headers = (
+            (b"X-Request-Id", request.find_header(b"x-request-id") or b""),
+            (b"X-Response-Seal", b"seal"),
+        )
+        if not request.target.startswith(b"/draft/"):
+            await exchange.answer(web.AnswerHead(200, headers), b"done")
+            return
+        first = int(resume_after or b"0") + 1
+        await exchange.start(web.AnswerHead(200, headers))
+        for event_id in range(first, 7):
+            if event_id == 4 and resume_after is None:
+                await exchange.send(b"id: 4\ndata: half")
+                return
+            await exchange.send(b"id: %d\ndata: x\n\n" % event_id)
+        await exchange.finish()
+
+    def error_response(
+        self, failure: errors.Failure
+    ) -> tuple[web.AnswerHead, bytes]:
+        return web.AnswerHead(failure.http_status), b""
+
+    def limits(self) -> web.ServerLimits:
+        return web.ServerLimits(16_384, 65_536, 3.0, 15.0)
+
+
+class System:
+    """Runs the daemons as processes and reads their logs."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._folder = folder
+
+    def start(self, role: str, ip: str) -> None:
+        folder = self.folder(role)
+        folder.mkdir(exist_ok=True)
+        path = folder / "settings.toml"
+        path.write_text(_settings(folder, ip))
+        self.processes[role] = subprocess.Popen(
+            [sys.executable, "-m", "sedgepin.platform", role]
+            + [str(METRICS_PORT)],
+            env={**os.environ, "SEDGEPIN_NODE_FILE": str(path)},
+            stdout=(folder / "log").open("wb"),
+        )
+
+    def folder(self, role: str) -> pathlib.Path:
+        return self._folder / role
+
+    def log_text(self, role: str) -> str:
+        return (self.folder(role) / "log").read_text()
+
+    def log_lines(self, role: str) -> list[dict[str, typing.Any]]:
+        text = (self._folder / role / "log").read_text()
+        return [json.loads(line) for line in text.splitlines()]
+
+    def stop(self) -> None:
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+
+
+async def send(
+    ip: str, port: int, method: bytes, target: bytes, body: object = None
+) -> tuple[int, bytes]:
+    """Return the answer's status and body, or status 0 without an answer."""
+    headers = (
+        (b"Host", b"one.example"),
+        (b"X-Request-Id", b"r%d" % trio.current_time()),
+        (b"X-Deadline-Ms", b"4000"),
+    )
+    encoded = b"" if body is None else json.dumps(body).encode()
+    request = web.Request(method, target, headers, encoded)
+    response = await web.send_request(f"{ip}:{port}", request, 4.0)
+    if response.is_err():
+        return 0, b""
+    head, answer = response.unwrap()
+    return head.status, answer
+
+
+async def poll_until(
+    status: int,
+    ip: str,
+    port: int,
+    method: bytes,
+    target: bytes,
+    **body: object,
+) -> bytes:
+    """Repeat a request until its answer has ``status``; return the body."""
+    with trio.fail_after(TIMEOUT_SECONDS):
+        while True:
+            answer_status, answer = await send(
+                ip, port, method, target, **body
+            )
+            if answer_status == status:
+                return answer
+            await trio.sleep(0.1)
+
+
+async def renew_registration(
+    body: dict[str, object], endpoint_id: bytes = b"i"
+) -> None:
+    """Send a check-in every 0.5 seconds, as an engine does."""
+    for sequence in itertools.count(1):
+        await send(
+            CONTROL,
+            CALL_PORT,
+            b"PUT",
+            b"/v1/instances/" + endpoint_id,
+            {**body, "sequence": sequence},
+        )
+        await trio.sleep(0.5)
+
+
+async def start_system(system: System, nursery: trio.Nursery) -> Engine:
+    engine = Engine()
+    address = f"{ENGINE}:{ENGINE_PORT}"
+    await nursery.start(web.Server(engine).serve, address)
+    system.start("control", CONTROL)
+    system.start("entry", ENTRY)
+    await poll_until(
+        200, CONTROL, CALL_PORT, b"PUT", b"/v1/config", body=CONFIGURATION
+    )
+    check_in = {
+        "service": "s",
+        "address": address,
+        "zone": "one",
+        "state": "ready",
+        "born": 1,
+    }
+    nursery.start_soon(renew_registration, check_in)
+    await poll_until(200, ENTRY, READY_PORT, b"GET", b"/ready")
+    return engine
+
+
+async def wait_for_log_event(system: System, role: str, event: str) -> None:
+    with trio.fail_after(TIMEOUT_SECONDS):
+        while f'"event":"{event}"' not in system.log_text(role):
+            await trio.sleep(0.1)
