Refuse check-ins that no VM can use

Cause: the schema of a check-in bounds neither the port nor any number, so that it is stored, acknowledged and relayed to all VMs; connecting to such a port and encoding such a number raise OverflowError, which ends the process. The traceback of process_failed shows both.

A connection to an address that is none fails like any other, without a look-up of a name; a message that cannot be encoded counts as lost. Same cause elsewhere: versions of configurations, layers of reports, addresses of peers and, in the product's own entry, announcements.

--- a/sedgepin/_catalog/__init__.py
+++ b/sedgepin/_catalog/__init__.py
@@ -14,6 +14,7 @@
 from sedgepin._catalog._configuration import Target
 from sedgepin._catalog._registration import EndpointState
 from sedgepin._catalog._registration import Registration
+from sedgepin._catalog._registration_validation import validate_registration
 from sedgepin._catalog._registry import EndpointRecord
 from sedgepin._catalog._registry import heartbeat_timeout
 from sedgepin._catalog._registry import Registry
@@ -42,4 +43,5 @@
     "encode",
     "heartbeat_timeout",
     "validate",
+    "validate_registration",
 ]
--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from sedgepin._catalog import _registration
+from sedgepin._catalog import _registration_validation
 from sedgepin import _model as model
 
 # A deregistered endpoint stays in the registry at least this long, so that a
@@ -114,9 +115,9 @@
         """Merge a registration; return whether it changed the entry.
 
         A registration that only renews an earlier one counts as a heartbeat.
-        One that is outdated is ignored.  One that ``is_relayed`` may be long
-        past, as a VM sends all that it has to a new peer; an endpoint that was
-        lost stays so, until its heartbeats are relayed.
+        One that is outdated or has faults is ignored.  One that ``is_relayed``
+        may be long past, as a VM sends all that it has to a new peer; an
+        endpoint that was lost stays so, until its heartbeats are relayed.
         """
         record = self._records.get(registration.endpoint_id)
         if (
@@ -133,6 +134,8 @@
             record.registration, registration
         ):
             return False
+        if _registration_validation.validate_registration(registration):
+            return False
         holder = self.at_address(registration.address)
         if holder is not None and not _may_hold_address(
             registration, holder.registration
@@ -223,12 +226,14 @@
     ) -> _registration.Registration | None:
         """Set the layers of an engine to those that its own report names.
 
-        Return the updated registration, or ``None`` if nothing changed or
-        the report is from another incarnation.
+        Return the updated registration, or ``None`` if nothing changed, the
+        report is from another incarnation or the layers are no valid range.
         """
         record = self._records.get(endpoint_id)
         if record is None or record.registration.incarnation != incarnation:
             return None
+        if not _registration_validation.are_valid_layers(layers):
+            return None
         if record.registration.layers == layers:
             return None
         record.registration = msgspec.structs.replace(
--- a/sedgepin/_catalog/tests/test_catalog.py
+++ b/sedgepin/_catalog/tests/test_catalog.py
@@ -1,6 +1,7 @@
 """Tests of configurations, routes and the endpoint registry."""
 
 import datetime
+import typing
 
 import msgspec
 import pytest
@@ -118,6 +119,33 @@
         assert record is not None
         assert record.registration.address == "127.0.0.1:80"
 
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"address": "127.0.0.1:80800"},
+            {"address": "127.0.0.1:"},
+            {"sequence": 2**64},
+            {"slots": 2**64},
+            {"layers": model.LayerRange(0, 10**17)},
+        ],
+    )
+    def test_relayed_registration_that_has_faults_is_ignored(
+        self, changes: dict[str, typing.Any]
+    ) -> None:
+        """A control VM of an earlier version may relay one."""
+        registry = catalog.Registry()
+        odd = make_registration(**changes)
+        assert not registry.update(odd, _NOW, is_relayed=True)
+        assert not registry.update_lost(odd, _NOW)
+        assert registry.find(model.EndpointId("a")) is None
+
+    def test_layers_that_no_engine_can_hold_are_not_taken_over(self) -> None:
+        registry = catalog.Registry()
+        registry.update(make_registration(), _NOW)
+        layers = model.LayerRange(0, 10**17)
+        endpoint_id = model.EndpointId("a")
+        assert registry.correct_layers(endpoint_id, 1, layers) is None
+
     def test_deregistered_endpoint_returns_only_with_a_new_incarnation(
         self,
     ) -> None:
--- a/sedgepin/_control/_order_client.py
+++ b/sedgepin/_control/_order_client.py
@@ -67,6 +67,8 @@
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
+            # The address of the engine is none.
+            ValueError,
         ):
             return release.OrderOutcome.FAILED
         if status == _CONFLICT_STATUS:
--- a/sedgepin/_entry/_endpoint_client.py
+++ b/sedgepin/_entry/_endpoint_client.py
@@ -30,10 +30,12 @@
 
 Emit = _engine_messages.Emit
 
+# A ``ValueError`` is raised for an address that is none.
 _CONNECTION_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
     httpcore.TimeoutException,
+    ValueError,
 )
 # httpcore raises these only if no connection was made.
 _CONNECT_ERRORS = (
--- a/sedgepin/_entry/_server.py
+++ b/sedgepin/_entry/_server.py
@@ -139,6 +139,11 @@
         if isinstance(decoded, result.Err):
             await http.send_problem(request, decoded.err_value)
             return
+        faults = model.validate_announcement(decoded.ok_value)
+        if faults:
+            refused = errors.DocumentRefused("announcement", faults)
+            await http.send_problem(request, refused)
+            return
         await self._handle_announcement(request, decoded.ok_value)
 
     async def _handle_announcement(
--- a/sedgepin/_forwarding/_client.py
+++ b/sedgepin/_forwarding/_client.py
@@ -106,7 +106,12 @@
                     answer.is_sound,
                 )
             )
-        except (OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
+        except (
+            OSError,
+            ValueError,
+            trio.TooSlowError,
+            trio.BrokenResourceError,
+        ) as exc:
             return result.Err(
                 ForwardFailed(forwarder.vm_id, type(exc).__name__)
             )
--- a/sedgepin/_model/__init__.py
+++ b/sedgepin/_model/__init__.py
@@ -5,6 +5,7 @@
 from sedgepin._model._announcement import CacheEvent
 from sedgepin._model._announcement import EndpointKind
 from sedgepin._model._announcement import LoadReport
+from sedgepin._model._announcement_validation import validate_announcement
 from sedgepin._model._identity import CustomerId
 from sedgepin._model._identity import DataCentreId
 from sedgepin._model._identity import EndpointId
@@ -40,4 +41,5 @@
     "StageMark",
     "TokenPiece",
     "VmId",
+    "validate_announcement",
 ]
--- a/sedgepin/_model/_announcement.py
+++ b/sedgepin/_model/_announcement.py
@@ -9,7 +9,9 @@
 from sedgepin._model import _layers
 
 _Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
-_Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+# Larger numbers do not fit into a message to another VM.
+_MAX_NUMBER = 2**63 - 1
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
 
 
 class EndpointKind(enum.Enum):
@@ -28,7 +30,7 @@
     """
 
     name: _Name
-    count: typing.Annotated[int, msgspec.Meta(ge=1)]
+    count: typing.Annotated[int, msgspec.Meta(ge=1, le=_MAX_NUMBER)]
     layer_tokens_per_second: typing.Annotated[float, msgspec.Meta(gt=0)]
 
 
@@ -76,7 +78,9 @@
     endpoint_id: typing.Annotated[
         _identity.EndpointId, msgspec.Meta(min_length=1, max_length=128)
     ]
-    incarnation: typing.Annotated[_identity.Incarnation, msgspec.Meta(ge=0)]
+    incarnation: typing.Annotated[
+        _identity.Incarnation, msgspec.Meta(ge=0, le=_MAX_NUMBER)
+    ]
     sequence: _Count
     kind: EndpointKind
     address: typing.Annotated[
--- a/sedgepin/_protocol/_framing.py
+++ b/sedgepin/_protocol/_framing.py
@@ -21,6 +21,8 @@
 LENGTH_BYTES = 4
 VERSION = 1
 COMPRESSED_VERSION = 2
+# A number of more than 64 bits, and text that is no Unicode.
+ENCODING_ERRORS = (OverflowError, UnicodeEncodeError)
 
 # A smaller frame fits into one packet without compression.
 _COMPRESSION_THRESHOLD_BYTES = 1_024
@@ -58,10 +60,22 @@
         return self.reason
 
 
+def is_encodable(message: _messages.PeerMessage) -> bool:
+    """Return whether a message has only values that msgpack can carry."""
+    try:
+        _encoder.encode(message)
+    except ENCODING_ERRORS:
+        return False
+    return True
+
+
 def encode_messages(
     messages: collections.abc.Sequence[_messages.PeerMessage],
 ) -> bytes:
-    """Return ``messages`` as one frame, its length included."""
+    """Return ``messages`` as one frame, its length included.
+
+    Raises one of ``ENCODING_ERRORS`` if a message cannot be encoded.
+    """
     body = _encoder.encode(messages)
     version = VERSION
     if len(body) >= _COMPRESSION_THRESHOLD_BYTES:
--- a/sedgepin/_protocol/_transport.py
+++ b/sedgepin/_protocol/_transport.py
@@ -23,6 +23,8 @@
 from sedgepin._protocol import _tls
 from sedgepin import _sockets as sockets
 from sedgepin import errors
+from sedgepin import events
+from sedgepin import logs
 from sedgepin import settings
 
 _QUEUE_LIMIT_MESSAGES = 4096
@@ -239,7 +241,8 @@
             while True:
                 try:
                     await self._dial(peer)
-                except OSError:
+                except (OSError, OverflowError, ValueError):
+                    # The peer is down, or its address is none.
                     pass
                 await trio.sleep(_REDIAL_INTERVAL_SECONDS)
 
@@ -350,8 +353,7 @@
     ) -> None:
         try:
             while True:
-                messages = await outbox.drain()
-                frame = self._frame_cache.encode(messages)
+                frame = self._encode(await outbox.drain())
                 with trio.fail_after(_STREAM_TIMEOUT_SECONDS):
                     await stream.send_all(frame)
         except (
@@ -361,6 +363,21 @@
         ):
             scope.cancel()
 
+    def _encode(self, messages: list[_messages.PeerMessage]) -> bytes:
+        """Return a frame with the messages that can be encoded.
+
+        The others count as lost.
+        """
+        try:
+            return self._frame_cache.encode(messages)
+        except _framing.ENCODING_ERRORS as exc:
+            encodable = list(filter(_framing.is_encodable, messages))
+            line = events.MESSAGES_NOT_SENT.line(
+                count=len(messages) - len(encodable), failure=str(exc)
+            )
+            logs.write(line)
+            return self._frame_cache.encode(encodable)
+
     def _remove_outbox(self, outbox: _Outbox) -> None:
         for peer_id, outboxes in list(self._outboxes.items()):
             if outbox not in outboxes:
--- a/sedgepin/_protocol/tests/test_transport.py
+++ b/sedgepin/_protocol/tests/test_transport.py
@@ -98,6 +98,42 @@
             await listener.wait_for(protocol.PeerMessageReceived)
             nursery.cancel_scope.cancel()
 
+    async def test_message_that_cannot_be_encoded_counts_as_lost(self) -> None:
+        """A number of over 64 bits once ended the process (review/2)."""
+        dialler, listener = _make_pair(None, None)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(listener.transport.run)
+            await nursery.start(dialler.transport.run)
+            await dialler.wait_for(protocol.PeerConnected)
+            sound = protocol.FleetWanted(7)
+            for message in (sound, protocol.FleetWanted(10**20), sound):
+                dialler.transport.send(model.VmId("b"), message)
+            await listener.wait_for(protocol.PeerMessageReceived)
+            await trio.sleep(0.1)
+            received = [
+                event.message
+                for event in listener.events
+                if isinstance(event, protocol.PeerMessageReceived)
+            ]
+            assert received == [sound, sound]
+            assert not listener.has_received(protocol.PeerDisconnected)
+            nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize("address", ["no address", "127.0.0.1:80800"])
+    async def test_peer_at_an_address_that_is_none_harms_no_other(
+        self, address: str
+    ) -> None:
+        dialler, listener = _make_pair(None, None)
+        odd = settings.Peer(id="odd", address=address, data_centre="beja")
+        async with trio.open_nursery() as nursery:
+            await nursery.start(listener.transport.run)
+            await nursery.start(dialler.transport.run)
+            dialler.transport.dial(odd)
+            await listener.wait_for(protocol.PeerConnected)
+            await trio.sleep(0.1)
+            assert not listener.has_received(protocol.PeerDisconnected)
+            nursery.cancel_scope.cancel()
+
     @pytest.mark.parametrize("case", ["other authority", "other id", "none"])
     async def test_peer_without_a_certificate_for_its_id_is_refused(
         self, case: str, tmp_path: pathlib.Path
--- a/sedgepin/_sockets/_direct_stream.py
+++ b/sedgepin/_sockets/_direct_stream.py
@@ -6,6 +6,8 @@
 
 import trio
 
+_MAX_PORT = 65_535
+
 
 class DirectStream(trio.abc.Stream):
     """A connected stream socket.
@@ -42,8 +44,13 @@
     async def connect(cls, host: str, port: int) -> "DirectStream":
         """Connect to an IPv4 address.
 
-        Raises ``OSError`` if the address refuses or cannot be reached.
+        Raises ``OSError`` if the address is none, refuses or cannot be
+        reached.
         """
+        # The socket module would look up a name, which blocks all tasks.
+        socket.inet_pton(socket.AF_INET, host)
+        if not 0 < port <= _MAX_PORT:
+            raise OSError(errno.EINVAL, f"{port} is no port")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
--- a/sedgepin/_web/_client.py
+++ b/sedgepin/_web/_client.py
@@ -79,7 +79,7 @@
         try:
             with trio.fail_after(timeout_seconds):
                 stream = await sockets.DirectStream.connect(host, int(port))
-        except (OSError, trio.TooSlowError) as exc:
+        except (OSError, ValueError, trio.TooSlowError) as exc:
             reason = type(exc).__name__
             return result.Err(_failures.ConnectFailed(address, reason))
         stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/sedgepin/_web/tests/test_connections.py
+++ b/sedgepin/_web/tests/test_connections.py
@@ -324,6 +324,18 @@
         response = await web.send_request(f"127.0.0.1:{port}", request, 1.0)
         assert isinstance(response.unwrap_err(), web.AnswerBroken)
 
+    @pytest.mark.parametrize(
+        "address",
+        ["127.0.0.1:80800", "127.0.0.1:0", "999.0.0.1:80", "a.example:80", ""],
+    )
+    async def test_address_that_is_none_gives_connect_failed(
+        self, address: str
+    ) -> None:
+        """A port over 65535 once ended the process (review/2)."""
+        opened = await web.ClientConnection.open(address, 1.0)
+        failure = opened.unwrap_err()
+        assert (failure.http_status, failure.is_refused) == (503, False)
+
     async def test_refused_connection_gives_connect_failed_and_not_run(
         self,
     ) -> None:
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -125,6 +125,14 @@
     "address",
     "failure",
 )
+MESSAGES_NOT_SENT = _define(
+    113,
+    "ERROR",
+    "messages_not_sent",
+    "Messages to a peer were dropped, as they hold a value without encoding.",
+    "count",
+    "failure",
+)
 
 # 200 to 299: endpoints.
 ENDPOINT_JOINED = _define(
--- a/sedgepin/platform/_configuration.py
+++ b/sedgepin/platform/_configuration.py
@@ -17,6 +17,11 @@
 }
 
 
+# Versions are sent to other VMs as numbers of 64 bits.
+_Version = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+_LayerCount = typing.Annotated[int, msgspec.Meta(ge=0, le=65_536)]
+
+
 class _Target(msgspec.Struct, frozen=True):
     service: str
     # Relative share of the requests.
@@ -71,7 +76,7 @@
     models: tuple[_Model, ...] = ()
     kinds: tuple[_Accelerator, ...] = ()
     usual: _UsualTokens = _UsualTokens()
-    layers: int = 0
+    layers: _LayerCount = 0
     layer_mb: float = msgspec.field(default=0.0, name="layerMb")
     activation_bytes: float = msgspec.field(
         default=0.0, name="activationBytes"
@@ -101,7 +106,7 @@
 
 
 class _Document(msgspec.Struct, frozen=True):
-    version: int
+    version: _Version
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
--- a/sedgepin/platform/_endpoints.py
+++ b/sedgepin/platform/_endpoints.py
@@ -9,10 +9,11 @@
 from sedgepin import _model as model
 from sedgepin import errors
 
-_Natural = typing.Annotated[int, msgspec.Meta(ge=0)]
+_Natural = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 _Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+_OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
 _Address = typing.Annotated[
-    str, msgspec.Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")
+    str, msgspec.Meta(pattern=rf"^{_OCTET}(\.{_OCTET}){{3}}:[0-9]{{1,5}}$")
 ]
 
 
@@ -20,12 +21,12 @@
     first: _Natural = msgspec.field(name="from")
     # Index after the last layer.
     end: _Natural = msgspec.field(name="to")
-    version: int | None = None
+    version: _Natural | None = None
 
 
 class _Model(msgspec.Struct, frozen=True):
     name: str
-    version: int | None = None
+    version: _Natural | None = None
 
 
 class _CheckIn(msgspec.Struct, frozen=True):
@@ -86,23 +87,25 @@
     state = catalog.EndpointState.READY
     if check_in.state == "draining":
         state = catalog.EndpointState.DRAINING
-    return result.Ok(
-        catalog.Registration(
-            endpoint_id=model.EndpointId(endpoint_id),
-            incarnation=check_in.born,
-            sequence=check_in.sequence,
-            service=model.ServiceName(check_in.service),
-            address=check_in.address,
-            data_centre=model.DataCentreId(check_in.zone),
-            state=state,
-            slots=check_in.slots,
-            layers=_layer_range(check_in.layers),
-            accelerator=check_in.kind,
-            weights_version=check_in.models[0].version
-            if check_in.models
-            else None,
-        )
+    registration = catalog.Registration(
+        endpoint_id=model.EndpointId(endpoint_id),
+        incarnation=check_in.born,
+        sequence=check_in.sequence,
+        service=model.ServiceName(check_in.service),
+        address=check_in.address,
+        data_centre=model.DataCentreId(check_in.zone),
+        state=state,
+        slots=check_in.slots,
+        layers=_layer_range(check_in.layers),
+        accelerator=check_in.kind,
+        weights_version=check_in.models[0].version
+        if check_in.models
+        else None,
     )
+    faults = catalog.validate_registration(registration)
+    if faults:
+        return result.Err(errors.DocumentRefused("check-in", faults))
+    return result.Ok(registration)
 
 
 def parse_report(body: bytes) -> result.Result[Report, errors.DocumentRefused]:
--- a/sedgepin/platform/tests/running_system.py
+++ b/sedgepin/platform/tests/running_system.py
@@ -144,13 +144,26 @@
     ip: str, port: int, method: bytes, target: bytes, body: object = None
 ) -> tuple[int, bytes]:
     """Return the answer's status and body, or status 0 without an answer."""
+    encoded = b"" if body is None else json.dumps(body).encode()
+    return await send_raw(ip, port, method, target, encoded)
+
+
+async def send_raw(
+    ip: str,
+    port: int,
+    method: bytes,
+    target: bytes,
+    body: bytes = b"",
+    fields: web.Headers = (),
+) -> tuple[int, bytes]:
+    """Send an encoded body, with further header fields, as ``send`` does."""
     headers = (
         (b"Host", b"one.example"),
         (b"X-Request-Id", b"r%d" % trio.current_time()),
         (b"X-Deadline-Ms", b"4000"),
+        *fields,
     )
-    encoded = b"" if body is None else json.dumps(body).encode()
-    request = web.Request(method, target, headers, encoded)
+    request = web.Request(method, target, headers, body)
     response = await web.send_request(f"{ip}:{port}", request, 4.0)
     if response.is_err():
         return 0, b""
--- a/sedgepin/platform/tests/test_documents.py
+++ b/sedgepin/platform/tests/test_documents.py
@@ -137,6 +137,7 @@
             {"routes": [{**_ROUTE, "trafficSplit": []}]},
             {"services": [{"name": "m"}]},
             {"version": "seven"},
+            {"version": 10**20},
             {"tenants": [{"name": name, "apiKeys": ["k"]} for name in "tu"]},
         ],
     )
@@ -171,8 +172,16 @@
         [
             {"state": "asleep"},
             {"address": "somewhere"},
+            {"address": "10.0.0.9:80800"},
+            {"address": "10.0.0.9:0"},
+            {"address": "10.0.0.999:80"},
             {"sequence": "4"},
             {"sequence": -1},
+            {"sequence": 2**63},
+            {"born": 10**20},
+            {"slots": 10**20},
+            {"layers": {"from": 0, "to": 10**17}},
+            {"models": [{"name": "x", "version": 10**20}]},
             {"service": ""},
             {"born": 1.5},
             {"zone": None},
@@ -184,6 +193,13 @@
         parsed = _endpoints.parse_check_in("i-1", _check_in(**changes))
         assert parsed.is_err()
 
+    @pytest.mark.parametrize("endpoint_id", ["", "a b", "\u00e9", "a" * 257])
+    def test_id_that_no_header_field_can_hold_is_refused(
+        self, endpoint_id: str
+    ) -> None:
+        parsed = _endpoints.parse_check_in(endpoint_id, _check_in())
+        assert parsed.is_err()
+
     @pytest.mark.parametrize(
         "layers", [None, [], {"from": 5, "to": 5, "version": 1}]
     )
