Send tenants' names in any letters

Cause: the name was encoded as Latin-1 for X-Tenant, and UnicodeEncodeError passes through all nurseries; process_failed names the place. Names with control characters gave a 502 for each request.

Change: Latin-1 as before where it has all letters, otherwise UTF-8; what no field value may contain is percent-encoded. Same cause elsewhere: keys beyond ASCII were never found, and a query beyond ASCII, as HTTP/2 callers may send it, failed on its way to a forwarder in the product's own entry.

--- a/sedgepin/_entry/_server.py
+++ b/sedgepin/_entry/_server.py
@@ -6,6 +6,7 @@
 import hashlib
 import hmac
 import itertools
+import string
 import typing
 import urllib.parse
 
@@ -276,6 +277,11 @@
             return
 
 
+def _quote_query(query: str) -> str:
+    """Quote what no request target may contain; HTTP/2 callers may send it."""
+    return urllib.parse.quote(query.encode("latin-1"), safe=string.punctuation)
+
+
 def _service_request(
     request: http.Request,
     service: str,
@@ -285,7 +291,7 @@
     prefix = f"/v1/services/{service}/call"
     path = urllib.parse.quote(request.path[len(prefix) :]) or _ROOT_PATH
     if request.query:
-        path = f"{path}?{request.query}"
+        path = f"{path}?{_quote_query(request.query)}"
     digest = hashlib.sha256(f"{request.method} {path}\n".encode() + body)
     key = request.header(b"idempotency-key")
     return _events.ServiceRequest(
--- a/sedgepin/_entry/tests/test_server.py
+++ b/sedgepin/_entry/tests/test_server.py
@@ -170,6 +170,21 @@
         assert client.sent[0]["status"] in {422, 500}
         assert not server.submitted or client.sent[0]["status"] == 500
 
+    def test_query_beyond_ascii_is_quoted(self) -> None:
+        """HTTP/2 callers may send one; no request target may contain it."""
+        server = _RefusingServer()
+        client = _Client([b""], False)
+        scope = _scope(
+            "GET",
+            "/v1/services/a/call/x\u00e9",
+            [(b"authorization", _BEARER)],
+        )
+        scope["query_string"] = b"a=%C3%A9&b=\xc3\xa9 c"
+        server.handle(scope, client)
+        (event,) = server.submitted
+        assert isinstance(event, _events.ServiceCallRequested)
+        assert event.request.path == "/x%C3%A9?a=%C3%A9&b=%C3%A9%20c"
+
     def test_oversized_headers_are_refused_with_headers_too_large(
         self,
     ) -> None:
--- a/sedgepin/_web/__init__.py
+++ b/sedgepin/_web/__init__.py
@@ -15,6 +15,7 @@
 from sedgepin._web._failures import HeadTooLarge
 from sedgepin._web._failures import RequestTooSlow
 from sedgepin._web._failures import RequestUnreadable
+from sedgepin._web._field_values import encode_field_value
 from sedgepin._web._metrics import MetricsHandler
 from sedgepin._web._part_timer import PartTimer
 from sedgepin._web._server import Exchange
@@ -45,6 +46,7 @@
     "RequestUnreadable",
     "Server",
     "ServerLimits",
+    "encode_field_value",
     "end_to_end_headers",
     "find_header",
     "send_request",
--- a/sedgepin/platform/_configuration.py
+++ b/sedgepin/platform/_configuration.py
@@ -157,13 +157,25 @@
         ),
         customers=tuple(
             catalog.Customer(
-                model.CustomerId(tenant.name), tenant.api_keys, tenant.priority
+                model.CustomerId(tenant.name),
+                _received_keys(tenant.api_keys),
+                tenant.priority,
             )
             for tenant in document.tenants
         ),
     )
 
 
+def _received_keys(keys: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the keys as callers send them in a header field.
+
+    A received field is read as Latin-1; a key with letters beyond ASCII may
+    have been sent in UTF-8.
+    """
+    encoded = (key.encode().decode("latin-1") for key in keys)
+    return tuple(dict.fromkeys((*keys, *encoded)))
+
+
 def _to_route(route: _Route) -> catalog.Route:
     targets = tuple(
         catalog.Target(model.ServiceName(target.service), target.weight)
--- a/sedgepin/platform/_gateway.py
+++ b/sedgepin/platform/_gateway.py
@@ -100,7 +100,7 @@
                 (b"X-Deadline-Ms", b"%d" % max(1, milliseconds_left))
             )
         if dispatch.customer is not None:
-            tenant = dispatch.customer.encode("latin-1")
+            tenant = web.encode_field_value(dispatch.customer)
             headers.append((b"X-Tenant", tenant))
         if dispatch.resume_after is not None:
             last_event_id = b"%d" % dispatch.resume_after
--- a/sedgepin/platform/tests/running_system.py
+++ b/sedgepin/platform/tests/running_system.py
@@ -75,11 +75,13 @@
 
     def __init__(self) -> None:
         self.runs: list[tuple[bytes, bytes | None]] = []
+        self.tenants: list[bytes | None] = []
 
     async def handle(self, exchange: web.Exchange) -> None:
         request = exchange.request
         resume_after = request.find_header(b"last-event-id")
         self.runs.append((request.target, resume_after))
+        self.tenants.append(request.find_header(b"x-tenant"))
         headers = (
             (b"X-Request-Id", request.find_header(b"x-request-id") or b""),
             (b"X-Response-Seal", b"seal"),
@@ -230,3 +232,18 @@
     with trio.fail_after(TIMEOUT_SECONDS):
         while f'"event":"{event}"' not in system.log_text(role):
             await trio.sleep(0.1)
+
+
+class Caller:
+    """Sends one request after the other, and counts the answers."""
+
+    def __init__(self, *fields: tuple[bytes, bytes]) -> None:
+        self._fields = fields
+        self.statuses: list[int] = []
+
+    async def run(self) -> None:
+        while True:
+            status, _body = await send_raw(
+                ENTRY, CALL_PORT, b"POST", b"/post/x", b"", self._fields
+            )
+            self.statuses.append(status)
--- a/sedgepin/platform/tests/test_odd_check_ins.py
+++ b/sedgepin/platform/tests/test_odd_check_ins.py
@@ -1,10 +1,7 @@
 """Tests of check-ins of other writers, with processes under load."""
 
 import json
-import pathlib
-import typing
 
-import pytest
 import trio
 
 from sedgepin.platform.tests import running_system
@@ -40,32 +37,6 @@
 }
 
 
-@pytest.fixture
-def system(
-    tmp_path: pathlib.Path,
-) -> typing.Iterator[running_system.System]:
-    daemons = running_system.System(tmp_path)
-    yield daemons
-    daemons.stop()
-
-
-class _Caller:
-    """Sends one request after the other, and counts the answers."""
-
-    def __init__(self) -> None:
-        self.statuses: list[int] = []
-
-    async def run(self) -> None:
-        while True:
-            status, _body = await running_system.send(
-                running_system.ENTRY,
-                running_system.CALL_PORT,
-                b"POST",
-                b"/post/x",
-            )
-            self.statuses.append(status)
-
-
 class TestOddCheckIns:
     """They name no endpoint, and no process ends by one (review/2, LOST)."""
 
@@ -73,7 +44,7 @@
         self, system: running_system.System, nursery: trio.Nursery
     ) -> None:
         await running_system.start_system(system, nursery)
-        callers = [_Caller() for _ in range(4)]
+        callers = [running_system.Caller() for _ in range(4)]
         for caller in callers:
             nursery.start_soon(caller.run)
         for _round in range(3):
--- a/sedgepin/platform/tests/test_processes.py
+++ b/sedgepin/platform/tests/test_processes.py
@@ -2,11 +2,9 @@
 
 import functools
 import json
-import pathlib
 import signal
 import subprocess
 import sys
-import typing
 
 import pytest
 import trio
@@ -37,13 +35,6 @@
 }
 
 
-@pytest.fixture
-def system(tmp_path: pathlib.Path) -> typing.Iterator[running_system.System]:
-    daemons = running_system.System(tmp_path)
-    yield daemons
-    daemons.stop()
-
-
 class TestProcesses:
     async def test_system_serves_resumes_reloads_and_drains(
         self, system: running_system.System, nursery: trio.Nursery
