Let the end of an endpoint prevail, whichever VM it tells

Cause: the message to the other machines had the sequence of the last check-in known where the DELETE arrived. The others had the same or a later one and took it for a repeated registration. Where the endpoint was unknown, a DELETE was acknowledged and told to nobody.

Change: GONE is final for an incarnation whatever its sequence, as leaving is in the product's own directory; mark_gone sets the last sequence, so that VMs of the landing before heed it too; a control VM that does not know the endpoint tells all others.

The assertion of test_documents.py on the whole key names its new part, and is as strict.

--- a/sedgepin/_catalog/_registration.py
+++ b/sedgepin/_catalog/_registration.py
@@ -37,6 +37,11 @@
     weights_version: int | None = None
 
     @property
-    def ordering_key(self) -> tuple[int, int]:
-        """Key that orders the registrations of one endpoint by recency."""
-        return (self.incarnation, self.sequence)
+    def ordering_key(self) -> tuple[int, bool, int]:
+        """Key that orders the registrations of one endpoint by recency.
+
+        An endpoint may deregister at a VM that has not received its latest
+        registration, and ``GONE`` is final for an incarnation.
+        """
+        is_gone = self.state is EndpointState.GONE
+        return (self.incarnation, is_gone, self.sequence)
--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -14,6 +14,9 @@
 # delayed registration of the same incarnation does not add it again.
 _GONE_RETENTION = datetime.timedelta(seconds=60)
 
+# VMs of earlier versions order registrations by their sequence alone.
+_LAST_SEQUENCE = 2**63 - 1
+
 # An endpoint whose control VM fails retries at the next one after 1 s, twice
 # at most.  This many heartbeat intervals leave time for both retries.
 _TIMEOUT_INTERVALS = 3.4
@@ -192,9 +195,10 @@
         record = self._records.get(endpoint_id)
         if record is None:
             return None
-        registration = record.registration
-        record.registration = _with_state(
-            registration, _registration.EndpointState.GONE
+        record.registration = msgspec.structs.replace(
+            record.registration,
+            state=_registration.EndpointState.GONE,
+            sequence=_LAST_SEQUENCE,
         )
         record.last_seen_at = now
         return record.registration
@@ -339,14 +343,9 @@
         now: datetime.datetime,
         keeps_loss: bool,
     ) -> None:
-        holder = self.at_address(registration.address)
-        if holder is not None:
-            replaced = holder.registration
-            if replaced.endpoint_id != registration.endpoint_id:
-                holder.registration = _with_state(
-                    replaced, _registration.EndpointState.GONE
-                )
-                holder.has_ended = True
+        is_gone = registration.state is _registration.EndpointState.GONE
+        if not is_gone:
+            self._take_over_address(registration)
         record = self._records.get(registration.endpoint_id)
         renewed = EndpointRecord(registration, now)
         if record is not None:
@@ -358,6 +357,19 @@
                     renewed.lost_at = record.lost_at
                     renewed.has_ended = record.has_ended
         self._records[registration.endpoint_id] = renewed
+
+    def _take_over_address(
+        self, registration: _registration.Registration
+    ) -> None:
+        """Assign an endpoint its address, whose last holder has ended."""
+        holder = self.at_address(registration.address)
+        if holder is not None:
+            replaced = holder.registration
+            if replaced.endpoint_id != registration.endpoint_id:
+                holder.registration = _with_state(
+                    replaced, _registration.EndpointState.GONE
+                )
+                holder.has_ended = True
         self._by_address[registration.address] = registration.endpoint_id
 
 
--- a/sedgepin/_catalog/tests/test_catalog.py
+++ b/sedgepin/_catalog/tests/test_catalog.py
@@ -146,6 +146,47 @@
         endpoint_id = model.EndpointId("a")
         assert registry.correct_layers(endpoint_id, 1, layers) is None
 
+    @pytest.mark.parametrize("sequence", [3, 5, 9])
+    def test_end_is_merged_whatever_its_sequence(self, sequence: int) -> None:
+        """It was once taken for a repeated registration (review/3)."""
+        registry = catalog.Registry()
+        registry.update(make_registration(sequence=5), _NOW)
+        gone = make_registration(
+            sequence=sequence, state=catalog.EndpointState.GONE
+        )
+        assert registry.update(gone, _NOW, is_relayed=True)
+        assert not registry.update(make_registration(sequence=99), _NOW)
+        record = registry.find(model.EndpointId("a"))
+        assert record is not None
+        assert record.registration.state is catalog.EndpointState.GONE
+
+    def test_end_of_an_earlier_incarnation_is_ignored(self) -> None:
+        registry = catalog.Registry()
+        registry.update(make_registration(incarnation=2), _NOW)
+        gone = make_registration(sequence=9, state=catalog.EndpointState.GONE)
+        assert not registry.update(gone, _NOW, is_relayed=True)
+
+    def test_end_does_not_take_the_address_of_another_endpoint(self) -> None:
+        registry = catalog.Registry()
+        registry.update(make_registration(), _NOW)
+        gone = make_registration(
+            endpoint_id=model.EndpointId("b"),
+            incarnation=2,
+            state=catalog.EndpointState.GONE,
+        )
+        registry.update(gone, _NOW, is_relayed=True)
+        record = registry.find(model.EndpointId("a"))
+        assert record is not None
+        assert record.registration.state is catalog.EndpointState.READY
+
+    def test_end_sent_to_an_earlier_version_is_its_latest(self) -> None:
+        """VMs of an earlier version order by the sequence alone."""
+        registry = catalog.Registry()
+        registry.update(make_registration(), _NOW)
+        gone = registry.mark_gone(model.EndpointId("a"), _NOW)
+        assert gone is not None
+        assert gone.sequence == 2**63 - 1
+
     def test_deregistered_endpoint_returns_only_with_a_new_incarnation(
         self,
     ) -> None:
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -264,6 +264,9 @@
                 self._connections.add(_data_centres(message))
             case protocol.LoadSummed():
                 self._apply_aggregate(sender, message, now)
+            case protocol.EndpointDeregistered(endpoint_id):
+                self._state.fleet.registry.mark_gone(endpoint_id, now)
+                self._state.fleet.invalidate_pipelines()
             case protocol.EndpointLeaving(endpoint_id, incarnation):
                 return self._notices.record_leaving(endpoint_id, incarnation)
             case protocol.EndpointLimited():
--- a/sedgepin/_gateway/tests/test_restrictions.py
+++ b/sedgepin/_gateway/tests/test_restrictions.py
@@ -86,6 +86,36 @@
         _notify(gateway, endpoint_id, _LEAVING)
         assert endpoint_id not in _endpoints_of(gateway, path)
 
+    @_PATHS
+    @pytest.mark.parametrize("sequence", [0, 1, 7])
+    def test_no_request_reaches_an_endpoint_that_has_deregistered(
+        self, path: str, endpoint_id: model.EndpointId, sequence: int
+    ) -> None:
+        """The control VM may know another registration (review/3)."""
+        gateway = parts.Gateway()
+        assert endpoint_id in _endpoints_of(gateway, path)
+        (registration,) = (
+            registration
+            for registration in parts.make_registrations()
+            if registration.endpoint_id == endpoint_id
+        )
+        gone = msgspec.structs.replace(
+            registration,
+            sequence=sequence,
+            state=catalog.EndpointState.GONE,
+        )
+        gateway.receive(protocol.RegistrationsSeen((gone,)))
+        assert endpoint_id not in _endpoints_of(gateway, path)
+
+    @_PATHS
+    def test_endpoint_that_deregistered_where_it_is_unknown_gets_no_request(
+        self, path: str, endpoint_id: model.EndpointId
+    ) -> None:
+        gateway = parts.Gateway()
+        assert endpoint_id in _endpoints_of(gateway, path)
+        gateway.receive(protocol.EndpointDeregistered(endpoint_id))
+        assert endpoint_id not in _endpoints_of(gateway, path)
+
     @_PATHS
     def test_it_stays_closed_while_it_registers_as_ready(
         self, path: str, endpoint_id: model.EndpointId
--- a/sedgepin/_protocol/__init__.py
+++ b/sedgepin/_protocol/__init__.py
@@ -13,6 +13,7 @@
 from sedgepin._protocol._messages import CrashesReported
 from sedgepin._protocol._messages import CrashWitnessed
 from sedgepin._protocol._messages import DeclaredLost
+from sedgepin._protocol._messages import EndpointDeregistered
 from sedgepin._protocol._messages import EndpointFailed
 from sedgepin._protocol._messages import EndpointLeaving
 from sedgepin._protocol._messages import EndpointLimited
@@ -62,6 +63,7 @@
     "CrashWitnessed",
     "CrashesReported",
     "DeclaredLost",
+    "EndpointDeregistered",
     "EndpointFailed",
     "EndpointLeaving",
     "EndpointLimited",
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -223,6 +223,12 @@
     incarnation: int
 
 
+class EndpointDeregistered(msgspec.Struct, frozen=True, tag=True):
+    """Reports that an endpoint deregistered at a VM that did not know it."""
+
+    endpoint_id: model.EndpointId
+
+
 class EndpointLimited(msgspec.Struct, frozen=True, tag=True):
     """Reports how many requests a second an endpoint takes from all VMs.
 
@@ -374,6 +380,7 @@
     | CrashesReported
     | CrashWitnessed
     | LoadReported
+    | EndpointDeregistered
     | EndpointFailed
     | EndpointLeaving
     | EndpointLimited
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -268,7 +268,10 @@
     def deregister(
         self, event: _events.EndpointLeft, now: datetime.datetime
     ) -> Effects:
-        """Deregister an endpoint, and send the change to all peers."""
+        """Deregister an endpoint, and send the change to all peers.
+
+        It may have registered elsewhere, and be unknown here.
+        """
         if self._raft.leader_id is None:
             failure = _failures.NoQuorum()
             return [_effects.RespondWithFailure(event.exchange_id, failure)]
@@ -276,8 +279,25 @@
         registration = self.registry.mark_gone(event.endpoint_id, now)
         if registration is not None:
             effects += self._broadcast_change(registration, now)
+        else:
+            message = protocol.EndpointDeregistered(event.endpoint_id)
+            effects += self._peers.send_to_all(message)
         return [*effects, _effects.Acknowledge(event.exchange_id)]
 
+    def record_deregistration(
+        self, endpoint_id: model.EndpointId, now: datetime.datetime
+    ) -> Effects:
+        """Deregister an endpoint for a control VM that did not know it."""
+        record = self.registry.find(endpoint_id)
+        if record is None:
+            message = protocol.EndpointDeregistered(endpoint_id)
+            return self._peers.send_to_entries(message)
+        if record.registration.state is catalog.EndpointState.GONE:
+            return []
+        registration = self.registry.mark_gone(endpoint_id, now)
+        assert registration is not None
+        return self._broadcast_change(registration, now)
+
     def _broadcast_change(
         self, registration: catalog.Registration, now: datetime.datetime
     ) -> Effects:
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -199,6 +199,8 @@
                     endpoint_id, incarnation, now, message.has_ended
                 )
                 return self._peers.send_to_entries(message)
+            case protocol.EndpointDeregistered(endpoint_id):
+                return self._endpoints.record_deregistration(endpoint_id, now)
             case protocol.EndpointLeaving():
                 return self._endpoints.record_leaving(sender, message)
             case protocol.EndpointLimited():
--- a/sedgepin/platform/tests/test_documents.py
+++ b/sedgepin/platform/tests/test_documents.py
@@ -161,7 +161,7 @@
 class TestCheckIn:
     def test_check_in_is_converted_to_registration(self) -> None:
         registration = _endpoints.parse_check_in("i-1", _check_in()).unwrap()
-        assert registration.ordering_key == (1790000000000, 4)
+        assert registration.ordering_key == (1790000000000, False, 4)
         assert (
             registration.layers is not None and registration.layers.count == 27
         )
