--- a/sedgepin/_web/tests/test_types.py
+++ b/sedgepin/_web/tests/test_types.py
@@ -49,6 +49,8 @@
     ) -> None:
         assert web.encode_field_value(text) == value
         head = h11.Request(
-            method=b"GET", target=b"/", headers=[("Host", "a"), ("X", value)]
+            method=b"GET",
+            target=b"/",
+            headers=[(b"Host", b"a"), (b"X", value)],
         )
         assert head.headers[1] == (b"x", value)
