Ignore check-ins that would displace a configured service's endpoint

Cause: a registration takes over an id or an address whatever its service.

Change: the control VM that receives such a check-in acknowledges and ignores it, with a log line, while the endpoint is live and its service is configured.

--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -244,13 +244,18 @@
         ]
 
     def register(
-        self, event: _events.EndpointRegistered, now: datetime.datetime
+        self,
+        event: _events.EndpointRegistered,
+        table: catalog.RouteTable | None,
+        now: datetime.datetime,
     ) -> Effects:
         """Merge a registration and send it to all peers if it is a change.
 
         The acknowledgement follows these messages, so that entry VMs learn of
         a draining endpoint before it is acknowledged.  Without a leader, the
         registration of an endpoint that is not ready fails with ``NoQuorum``.
+        One that would displace a configured service's endpoint by one of a
+        service that is not configured is ignored.
         """
         registration = event.registration
         is_leaving = registration.state is not catalog.EndpointState.READY
@@ -259,12 +264,49 @@
             # retry at another control VM.
             failure = _failures.NoQuorum()
             return [_effects.RespondWithFailure(event.exchange_id, failure)]
+        displaced = self._find_displaced(registration, table, now)
+        if displaced is not None:
+            line = events.REGISTRATION_IGNORED.line(
+                endpoint=registration.endpoint_id,
+                service=registration.service,
+                address=registration.address,
+                displaced=displaced.endpoint_id,
+            )
+            acknowledgement = _effects.Acknowledge(event.exchange_id)
+            return [_effects.WriteLog(line), acknowledgement]
         self._relay.add_heartbeat(registration.endpoint_id)
         effects: Effects = []
         if self.registry.update(registration, now):
             effects += self._broadcast_change(registration, now)
         return [*effects, _effects.Acknowledge(event.exchange_id)]
 
+    def _find_displaced(
+        self,
+        registration: catalog.Registration,
+        table: catalog.RouteTable | None,
+        now: datetime.datetime,
+    ) -> catalog.Registration | None:
+        """Return the live endpoint that a stray registration would displace.
+
+        An endpoint of a service that is about to be configured registers
+        again when it is.
+        """
+        if table is None or table.service(registration.service) is not None:
+            return None
+        records = (
+            self.registry.find(registration.endpoint_id),
+            self.registry.at_address(registration.address),
+        )
+        for record in records:
+            if (
+                record is not None
+                and record.registration.state is not catalog.EndpointState.GONE
+                and record.is_live(self._cfg.heartbeat_timeout, now)
+                and table.service(record.registration.service) is not None
+            ):
+                return record.registration
+        return None
+
     def deregister(
         self, event: _events.EndpointLeft, now: datetime.datetime
     ) -> Effects:
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -117,7 +117,8 @@
             case protocol.PeerMessageReceived(sender, message):
                 return self._handle_message(sender, message, now)
             case _events.EndpointRegistered():
-                return self._endpoints.register(event, now)
+                table = self._configurations.table
+                return self._endpoints.register(event, table, now)
             case _events.EndpointLeft():
                 return self._endpoints.deregister(event, now)
             case _events.ConfigurationSubmitted():
--- a/sedgepin/_registrar/tests/test_log_lines.py
+++ b/sedgepin/_registrar/tests/test_log_lines.py
@@ -27,6 +27,19 @@
     cluster.register(cluster.leader(), clusters.registration())
 
 
+def _register_stray_endpoint(cluster: clusters.Cluster) -> None:
+    leader = cluster.leader()
+    cluster.publish_document(leader, clusters.model_document(7))
+    cluster.run(0.1)
+    cluster.register(leader, clusters.registration())
+    stray = clusters.registration(
+        endpoint_id=model.EndpointId("other"),
+        service=model.ServiceName("unknown"),
+        incarnation=2,
+    )
+    cluster.register(leader, stray)
+
+
 def _publish(cluster: clusters.Cluster) -> None:
     cluster.publish(cluster.leader(), 7)
 
@@ -165,6 +178,10 @@
     "endpoint_limit_ended": (_end_limit, {"endpoint": "e", "before": 8.1}),
     "limit_unreadable": (_name_limit_unreadably, {"value": "inf"}),
     "layers_order_refused": (_refuse_order, {"is_fenced": True}),
+    "registration_ignored": (
+        _register_stray_endpoint,
+        {"endpoint": "other", "service": "unknown", "displaced": "e"},
+    ),
 }
 # Logged by the daemon, not the reducer; covered by tests of whole processes.
 _DAEMON_EVENTS = {
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -284,6 +284,16 @@
     "address",
     "layers",
 )
+REGISTRATION_IGNORED = _define(
+    219,
+    "WARNING",
+    "registration_ignored",
+    "A registration for a service that is not configured would displace one.",
+    "endpoint",
+    "service",
+    "address",
+    "displaced",
+)
 
 # 300 to 399: requests.
 REQUEST_REFUSED = _define(
