Keep a failure of one connection from ending its process

Cause: all tasks of a process are in one nursery, and nothing between a connection's task and the process catches what nobody expects.

Change: connections of callers, calls to endpoints and messages of peers are contained and logged with their place (task_failed); a request whose answer has not begun gets a 502. Counts, times and nested documents that led to such exceptions are bounded where they are read.

--- a/sedgepin/_entry/_endpoint_client.py
+++ b/sedgepin/_entry/_endpoint_client.py
@@ -67,10 +67,10 @@
 
 async def probe_path(effect: _effects.ProbePath, emit: Emit) -> None:
     """Connect to an endpoint, and emit whether that was possible."""
-    url = urllib.parse.urlsplit(effect.address)
-    port = url.port or (443 if url.scheme == "https" else 80)
     is_reached = False
-    with contextlib.suppress(OSError):
+    with contextlib.suppress(OSError, ValueError):
+        url = urllib.parse.urlsplit(effect.address)
+        port = url.port or (443 if url.scheme == "https" else 80)
         with trio.move_on_after(_CONNECT_TIMEOUT.total_seconds()):
             stream = await trio.open_tcp_stream(url.hostname or "", port)
             is_reached = True
--- a/sedgepin/_entry/_engine_messages.py
+++ b/sedgepin/_entry/_engine_messages.py
@@ -121,7 +121,7 @@
         """
         await self._counter.record_piece()
         for raw in self._split(piece):
-            line = _line_decoder.decode(raw)
+            line = _decode_line(raw)
             self._emit(_line_event(line, self._effect))
             if isinstance(line, EndLine | FailedLine):
                 self.is_complete = True
@@ -148,6 +148,13 @@
         return lines
 
 
+def _decode_line(raw: bytes) -> _Line:
+    try:
+        return _line_decoder.decode(raw)
+    except RecursionError as exc:
+        raise msgspec.DecodeError("the line is nested too deeply") from exc
+
+
 def pipeline_run(effect: _effects.StartStream) -> PipelineRun:
     """Return the body of the request that starts an attempt."""
     return PipelineRun(
@@ -170,7 +177,7 @@
     """Return what a stage has answered to a probe."""
     try:
         attempt = msgspec.json.decode(body, type=AttemptState)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         # The stage is alive but does not implement this request.
         attempt = AttemptState(answers.StreamState.UNREPORTED)
     return _events.StageReport(
--- a/sedgepin/_forwarding/_frames.py
+++ b/sedgepin/_forwarding/_frames.py
@@ -152,7 +152,7 @@
         del self._buffer[:end]
         try:
             return _decoder.decode(body)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             raise trio.BrokenResourceError(str(exc)) from exc
 
     async def wait_closed(self) -> None:
--- a/sedgepin/_forwarding/_server.py
+++ b/sedgepin/_forwarding/_server.py
@@ -9,6 +9,7 @@
 from sedgepin._forwarding import _frames
 from sedgepin import _sockets as sockets
 from sedgepin import _web as web
+from sedgepin import containment
 
 _CONNECT_TIMEOUT_SECONDS = 0.25
 # The other VM asks at once, and sends the request as soon as it may.
@@ -98,13 +99,18 @@
 
     async def _handle(self, accepted: trio.SocketStream) -> None:
         stream = sockets.DirectStream.adopt(accepted)
+        try:
+            with containment.contain("forward"):
+                await self._serve_stream(stream)
+        finally:
+            stream.close()
+
+    async def _serve_stream(self, stream: sockets.DirectStream) -> None:
         try:
             _frames.set_options(stream.socket)
             await self._forward(_frames.FrameStream(stream))
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             return
-        finally:
-            stream.close()
 
     async def _forward(self, frames: _frames.FrameStream) -> None:
         opening: _frames.Frame | None = None
--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -24,6 +24,7 @@
 from sedgepin import _shell as shell
 from sedgepin import _web as web
 from sedgepin import clock
+from sedgepin import containment
 from sedgepin import errors
 from sedgepin import events
 from sedgepin import logs
@@ -139,7 +140,10 @@
         )
         self._metrics = shell.PrometheusSink()
         self._driver = shell.Driver(
-            self.reducer.handle, self._apply_effect, own_clock
+            self.reducer.handle,
+            self._apply_effect,
+            own_clock,
+            is_fail_stop=False,
         )
         self._exchange_ids = itertools.count(1)
         self._relays: dict[int, _relay.Relay] = {}
@@ -171,7 +175,7 @@
             cfg.peer_listen or cfg.vm_id,
             [_peer(vm_id) for vm_id in cfg.controls],
             None,
-            self._driver.submit,
+            self._submit_peer_event,
         )
 
     async def run(self) -> None:
@@ -304,24 +308,34 @@
         logs.write(line)
         self._metrics.increment(line.definition.name, 1)
 
+    def _submit_peer_event(self, event: protocol.PeerEvent) -> None:
+        """Submit an event; a message that fails counts as lost."""
+        with containment.contain("peer_message"):
+            self._driver.submit(event)
+
     async def _probe(self, effect: _effects.ProbeEndpoint) -> None:
-        self._driver.submit(
-            await _engine_calls.probe(effect, self._dialect, _ENGINE_TIMEOUT)
-        )
+        with containment.contain("probe"):
+            self._driver.submit(
+                await _engine_calls.probe(
+                    effect, self._dialect, _ENGINE_TIMEOUT
+                )
+            )
 
     async def _inspect(self, effect: _effects.InspectStalls) -> None:
-        self._driver.submit(
-            await _engine_calls.inspect_stalls(
-                effect, self._dialect, self._driver.submit, _ENGINE_TIMEOUT
+        with containment.contain("inspection"):
+            self._driver.submit(
+                await _engine_calls.inspect_stalls(
+                    effect, self._dialect, self._driver.submit, _ENGINE_TIMEOUT
+                )
             )
-        )
 
     async def _reroute(self, effect: _effects.Reroute) -> None:
-        self._driver.submit(
-            await _engine_calls.reroute(
-                effect, self._dialect, self._driver.submit, _ENGINE_TIMEOUT
+        with containment.contain("reroute"):
+            self._driver.submit(
+                await _engine_calls.reroute(
+                    effect, self._dialect, self._driver.submit, _ENGINE_TIMEOUT
+                )
             )
-        )
 
 
 def _peer(vm_id: model.VmId) -> settings.Peer:
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -23,6 +23,7 @@
 from sedgepin import _storage as storage
 from sedgepin import _web as web
 from sedgepin import clock
+from sedgepin import containment
 from sedgepin import errors
 from sedgepin import events
 from sedgepin import logs
@@ -285,6 +286,10 @@
                 self._metrics.increment(line.definition.name, 1)
 
     async def _inspect_engine(self, effect: _effects.InspectEngine) -> None:
+        with containment.contain("inspection"):
+            await self._request_report(effect)
+
+    async def _request_report(self, effect: _effects.InspectEngine) -> None:
         request = self._dialect.report_request(effect.address)
         response = await _send_inspection(effect, request)
         report: _events.EngineReport | None = None
@@ -316,6 +321,10 @@
     async def _order_layers(self, order: _effects.OrderLayers) -> None:
         if not self._reducer.raft.is_leader:
             return
+        with containment.contain("order"):
+            await self._send_order(order)
+
+    async def _send_order(self, order: _effects.OrderLayers) -> None:
         request = self._dialect.layer_order_request(order)
         response = await web.send_request(
             order.address, request, _ENGINE_TIMEOUT_SECONDS
--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -26,6 +26,8 @@
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=500)
 # Changes of an engine's slowdown by a smaller ratio are not sent to peers.
 _SLOWDOWN_RATIO_MIN = 1.2
+# An engine that is this slow is of no use; larger factors may overflow.
+_MAX_SLOWDOWN = 1e6
 
 
 class EndpointManager:
@@ -169,7 +171,8 @@
         # An engine is never considered faster than its accelerator type, even
         # if it reports a slowdown below 1, because an engine that seems to
         # need no time would attract all requests.
-        before, after = record.slowdown, max(1.0, event.report.slowdown)
+        before = record.slowdown
+        after = min(max(1.0, event.report.slowdown), _MAX_SLOWDOWN)
         has_changed = (
             max(before, after) / min(before, after) >= _SLOWDOWN_RATIO_MIN
         )
--- a/sedgepin/_shell/__init__.py
+++ b/sedgepin/_shell/__init__.py
@@ -6,6 +6,7 @@
 from sedgepin._shell._daemon import peers_to_dial
 from sedgepin._shell._daemon import wait_for_sigterm
 from sedgepin._shell._driver import Driver
+from sedgepin._shell._driver import DriverStopped
 from sedgepin._shell._metrics import create_sink
 from sedgepin._shell._metrics import MetricSink
 from sedgepin._shell._metrics import NullSink
@@ -17,6 +18,7 @@
 
 __all__ = [
     "Driver",
+    "DriverStopped",
     "MetricSink",
     "NullSink",
     "PrometheusSink",
--- a/sedgepin/_shell/_run.py
+++ b/sedgepin/_shell/_run.py
@@ -1,15 +1,13 @@
 """Runs a daemon and logs the exception that ends it."""
 
 import collections.abc
-import traceback
 
 import trio
 
+from sedgepin import containment
 from sedgepin import events
 from sedgepin import logs
 
-_MAX_DETAIL_CHARACTERS = 300
-
 
 def run_daemon(
     main: collections.abc.Callable[
@@ -27,20 +25,9 @@
     try:
         trio.run(main)
     except Exception as exc:
-        cause = _innermost_exception(exc)
-        frames = traceback.extract_tb(cause.__traceback__)
-        place = f"{frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+        report = containment.FailureReport(exc)
         line = events.PROCESS_FAILED.line(
-            failure=type(cause).__name__,
-            detail=str(cause)[:_MAX_DETAIL_CHARACTERS],
-            place=place,
+            failure=report.failure, detail=report.detail, place=report.place
         )
         logs.write(line)
         raise
-
-
-def _innermost_exception(exc: BaseException) -> BaseException:
-    """Return the first exception inside nested exception groups."""
-    while isinstance(exc, BaseExceptionGroup):
-        exc = exc.exceptions[0]
-    return exc
--- a/sedgepin/_web/_failures.py
+++ b/sedgepin/_web/_failures.py
@@ -48,6 +48,19 @@
     http_status: typing.ClassVar[int] = 408
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class HandlerFailed(errors.Failure):
+    """An exception that nobody expected ended the request.
+
+    It may have run.
+    """
+
+    code: typing.ClassVar[str] = "handler_failed"
+    title: typing.ClassVar[str] = "The request failed unexpectedly"
+    http_status: typing.ClassVar[int] = 502
+    outcome: typing.ClassVar[errors.Outcome] = errors.Outcome.UNKNOWN
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ConnectFailed(errors.Failure):
     """No connection to the endpoint; nothing was sent."""
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -13,6 +13,7 @@
 from sedgepin import _sockets as sockets
 from sedgepin._web import _failures
 from sedgepin._web import _types
+from sedgepin import containment
 from sedgepin import errors
 
 _READ_BYTES = 65_536
@@ -189,7 +190,8 @@
         connection = _Connection(stream, self._handler, self)
         self._connections.add(connection)
         try:
-            await connection.run()
+            with containment.contain("connection"):
+                await connection.run()
         finally:
             self._connections.discard(connection)
             stream.close()
@@ -221,6 +223,7 @@
         "_idle_scope",
         "_is_send_interrupted",
         "_has_caller_closed",
+        "_has_failed",
         "_scope",
         "_sending_since",
         "_server",
@@ -241,6 +244,7 @@
         self._scope = trio.CancelScope()
         self._sending_since = math.inf
         self._has_caller_closed = False
+        self._has_failed = False
         self._is_send_interrupted = False
         self.is_busy = False
         self._h11 = h11.Connection(
@@ -274,6 +278,7 @@
     def _must_close(self) -> bool:
         return (
             self._has_caller_closed
+            or self._has_failed
             or self._is_send_interrupted
             or self._server.has_stopped_accepting
         )
@@ -326,16 +331,20 @@
 
     async def _handle(self, request: _types.Request) -> None:
         exchange = Exchange(self, request)
-        try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(
-                    self._watch_for_disconnect, nursery.cancel_scope
-                )
-                await self._handler.handle(exchange)
-                nursery.cancel_scope.cancel()
-        except* (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The caller reset the connection during the answer.
-            self._has_caller_closed = True
+        with containment.contain("request") as outcome:
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(
+                        self._watch_for_disconnect, nursery.cancel_scope
+                    )
+                    await self._handler.handle(exchange)
+                    nursery.cancel_scope.cancel()
+            except* (trio.BrokenResourceError, trio.ClosedResourceError):
+                # The caller reset the connection during the answer.
+                self._has_caller_closed = True
+        if outcome.failure is not None:
+            self._has_failed = True
+            await self._send_error_response(_failures.HandlerFailed())
 
     async def _watch_for_disconnect(self, scope: trio.CancelScope) -> None:
         """Cancel the exchange when the caller closes its connection."""
--- a/sedgepin/_web/tests/test_connections.py
+++ b/sedgepin/_web/tests/test_connections.py
@@ -35,6 +35,12 @@
             await self.release.wait()
             await exchange.finish()
             return
+        if exchange.request.target == b"/raises":
+            raise RuntimeError("nobody expects this")
+        if exchange.request.target == b"/raises-later":
+            await exchange.start(web.AnswerHead(200))
+            await exchange.send(b"part")
+            raise ExceptionGroup("group", [RuntimeError("nor this")])
         if exchange.request.target == b"/broken":
             raise trio.BrokenResourceError
         if exchange.request.target == b"/cancelled":
@@ -217,6 +223,31 @@
         assert await _read_all(stream) == b""
         assert echo.server.open_exchanges == 0
 
+    @pytest.mark.parametrize(
+        ("target", "expected"),
+        [
+            (b"/raises", b"HTTP/1.1 502 "),
+            (b"/raises-later", b"HTTP/1.1 200 "),
+        ],
+    )
+    async def test_exception_in_a_handler_ends_its_connection_only(
+        self, nursery: trio.Nursery, target: bytes, expected: bytes
+    ) -> None:
+        """It once ended the process with all others (review/1, 2, 4)."""
+        echo = _EchoServer(nursery)
+        await echo.start()
+        other = await echo.connect()
+        await other.send_all(b"GET /slow HTTP/1.1\r\nHost: x\r\n\r\n")
+        failing = await echo.connect()
+        head = b"GET %s HTTP/1.1\r\nHost: x\r\n\r\n" % target
+        await failing.send_all(head)
+        answer = await _read_all(failing)
+        assert answer.startswith(expected)
+        assert not answer.endswith(b"0\r\n\r\n")
+        echo.handler.release.set()
+        served = await other.receive_some(65_536)
+        assert bytes(served).startswith(b"HTTP/1.1 200 ")
+
     async def test_nothing_is_sent_after_a_cancelled_send(
         self, nursery: trio.Nursery
     ) -> None:
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -104,6 +104,16 @@
     "detail",
     "place",
 )
+TASK_FAILED = _define(
+    107,
+    "ERROR",
+    "task_failed",
+    "An unhandled exception ends a connection or a task, not the process.",
+    "task",
+    "failure",
+    "detail",
+    "place",
+)
 LOG_LINES_DROPPED = _define(
     104,
     "WARNING",
--- a/sedgepin/platform/_configuration.py
+++ b/sedgepin/platform/_configuration.py
@@ -21,6 +21,9 @@
 _Version = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
 _LayerCount = typing.Annotated[int, msgspec.Meta(ge=0, le=65_536)]
 
+# After longer times an instant may be none of the calendar.
+_MAX_DURATION = datetime.timedelta(days=366)
+
 
 class _Target(msgspec.Struct, frozen=True):
     service: str
@@ -249,4 +252,4 @@
 
 
 def _duration(milliseconds: float) -> datetime.timedelta:
-    return datetime.timedelta(milliseconds=milliseconds)
+    return min(datetime.timedelta(milliseconds=milliseconds), _MAX_DURATION)
--- a/sedgepin/platform/_gateway.py
+++ b/sedgepin/platform/_gateway.py
@@ -28,6 +28,10 @@
 )
 _AUTHORIZATION_SCHEME = "token "
 _ACCEPTED_STATUSES = (200, 202)
+# Larger numbers of tokens or requests than any engine holds.
+_MAX_COUNT = 2**31 - 1
+# No caller waits for longer; later instants may be none of the calendar.
+_MAX_TIME_LEFT = datetime.timedelta(days=366)
 # The engine at the address is not the one in X-Expect-Instance.
 _MISDIRECTED_STATUS = 421
 # Bounds for what is kept of X-Prompt-Prefix, which callers may fill as they
@@ -182,7 +186,7 @@
             return result.Ok(None)
         try:
             refusal = msgspec.json.decode(body, type=_RerouteRefusal)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             # The body names no engine, so the refusal is attributed to none.
             return result.Err("")
         return result.Err(refusal.address)
@@ -206,7 +210,7 @@
 def _parse_time_left(value: str | None) -> datetime.timedelta | None:
     if value is None:
         return None
-    return datetime.timedelta(milliseconds=float(value))
+    return min(datetime.timedelta(milliseconds=float(value)), _MAX_TIME_LEFT)
 
 
 def _parse_api_key(authorization: str) -> str | None:
@@ -220,12 +224,24 @@
     if value is None:
         return None
     prompt_tokens, _, max_answer_tokens = value.partition(",")
-    expected_answer_tokens = _parse_int(headers.get(b"x-length-hint"))
+    expected_answer_tokens: int | None = None
+    hint = headers.get(b"x-length-hint")
+    if hint is not None:
+        expected_answer_tokens = _parse_count(hint)
     return gateway.TokenUsage(
-        int(prompt_tokens), int(max_answer_tokens), expected_answer_tokens
+        _parse_count(prompt_tokens),
+        _parse_count(max_answer_tokens),
+        expected_answer_tokens,
     )
 
 
+def _parse_count(value: str) -> int:
+    count = int(value)
+    if not 0 <= count <= _MAX_COUNT:
+        raise ValueError(f"{value[:20]} is not between 0 and {_MAX_COUNT}")
+    return count
+
+
 def _parse_shared_parts(value: str) -> tuple[str, ...]:
     """Return the ids of the parts but the last, which no other request has.
 
@@ -261,8 +277,11 @@
 
     All three are None if the header is missing or malformed.
     """
-    parts = (value or b"").split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    try:
+        running, waiting, slots = (
+            _parse_count(part)
+            for part in (value or b"").decode("latin-1").split(",")
+        )
+    except ValueError:
         return None, None, None
-    running, waiting, slots = (int(part) for part in parts)
     return running, waiting, slots
--- a/sedgepin/platform/tests/running_system.py
+++ b/sedgepin/platform/tests/running_system.py
@@ -23,28 +23,30 @@
 ENGINE_PORT = 28080
 TIMEOUT_SECONDS = 15.0
 
+ROUTES: list[dict[str, object]] = [
+    {
+        "host": "one.example",
+        "pathPrefix": "/post/",
+        "kind": "non_idempotent",
+        "timeoutMs": 4000,
+        "service": "s",
+        "public": True,
+    },
+    {
+        "host": "one.example",
+        "pathPrefix": "/draft/",
+        "kind": "streaming",
+        "timeoutMs": 4000,
+        "service": "s",
+        "public": True,
+        "maxAttempts": 2,
+        "resumable": True,
+    },
+]
+
 CONFIGURATION = {
     "version": 1,
-    "routes": [
-        {
-            "host": "one.example",
-            "pathPrefix": "/post/",
-            "kind": "non_idempotent",
-            "timeoutMs": 4000,
-            "service": "s",
-            "public": True,
-        },
-        {
-            "host": "one.example",
-            "pathPrefix": "/draft/",
-            "kind": "streaming",
-            "timeoutMs": 4000,
-            "service": "s",
-            "public": True,
-            "maxAttempts": 2,
-            "resumable": True,
-        },
-    ],
+    "routes": ROUTES,
     "services": [{"name": "s"}],
 }
 
@@ -76,6 +78,8 @@
     def __init__(self) -> None:
         self.runs: list[tuple[bytes, bytes | None]] = []
         self.tenants: list[bytes | None] = []
+        # Further header fields of its answers.
+        self.fields: web.Headers = ()
 
     async def handle(self, exchange: web.Exchange) -> None:
         request = exchange.request
@@ -85,6 +89,7 @@
         headers = (
             (b"X-Request-Id", request.find_header(b"x-request-id") or b""),
             (b"X-Response-Seal", b"seal"),
+            *self.fields,
         )
         if not request.target.startswith(b"/draft/"):
             await exchange.answer(web.AnswerHead(200, headers), b"done")
--- a/sedgepin/platform/tests/test_gateway.py
+++ b/sedgepin/platform/tests/test_gateway.py
@@ -82,6 +82,10 @@
             (b"X-Deadline-Ms", b"inf"),
             (b"X-Deadline-Ms", b"nan"),
             (b"X-Token-Usage", b"700"),
+            (b"X-Token-Usage", b"1" + b"0" * 400 + b",1"),
+            (b"X-Token-Usage", b"1,3000000000"),
+            (b"X-Token-Usage", b"-1,1"),
+            (b"X-Token-Usage", b"1" * 5000 + b",1"),
             (b"Last-Event-Id", b"x"),
         ],
     )
@@ -91,6 +95,11 @@
         parsed = _DIALECT.parse_request(_request(extra))
         assert parsed.unwrap_err().http_status == 400
 
+    def test_deadline_beyond_the_calendar_is_bounded(self) -> None:
+        header = (b"X-Deadline-Ms", b"86399999000000000")
+        parsed = _DIALECT.parse_request(_request(header)).unwrap()
+        assert parsed.time_left == datetime.timedelta(days=366)
+
     def test_missing_request_id_is_refused(self) -> None:
         parsed = _DIALECT.parse_request(web.Request(b"GET", b"/", ()))
         assert parsed.is_err()
@@ -261,7 +270,18 @@
         malformed = notice.malformed_request_limit
         assert malformed is not None and len(malformed) <= 60
 
-    @pytest.mark.parametrize("value", [b"3,0", b"a,b,c", b"", b"1,2,3,4"])
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"3,0",
+            b"a,b,c",
+            b"",
+            b"1,2,3,4",
+            b"1,2,-3",
+            b"1" + b"0" * 400 + b",0,8",
+            b"1" * 5000 + b",0,8",
+        ],
+    )
     def test_malformed_load_header_is_ignored(self, value: bytes) -> None:
         head = web.AnswerHead(200, ((b"X-Instance-Load", value),))
         assert _DIALECT.parse_answer(head).running is None
--- a/sedgepin/platform/tests/test_tenant_names.py
+++ b/sedgepin/platform/tests/test_tenant_names.py
@@ -35,8 +35,6 @@
             for number, name in enumerate(_NAMES)
         ]
         tenants.append({"name": "foreign", "apiKeys": [_FOREIGN_KEY]})
-        routes = running_system.CONFIGURATION["routes"]
-        assert isinstance(routes, list)
         await running_system.poll_until(
             200,
             running_system.CONTROL,
@@ -46,7 +44,7 @@
             body={
                 **running_system.CONFIGURATION,
                 "version": 2,
-                "routes": [*routes, _ROUTE],
+                "routes": [*running_system.ROUTES, _ROUTE],
                 "tenants": tenants,
             },
         )
