--- a/sedgepin/platform/tests/test_gateway.py
+++ b/sedgepin/platform/tests/test_gateway.py
@@ -285,3 +285,16 @@
     def test_malformed_load_header_is_ignored(self, value: bytes) -> None:
         head = web.AnswerHead(200, ((b"X-Instance-Load", value),))
         assert _DIALECT.parse_answer(head).running is None
+
+
+class TestRerouteAnswer:
+    @pytest.mark.parametrize(
+        "body",
+        [b"", b"[]", b'{"address":1}', b'{"x":' + b"[" * 100_000],
+    )
+    def test_refusal_that_is_no_document_names_no_engine(
+        self, body: bytes
+    ) -> None:
+        """A deeply nested one once ended the process (issue 40)."""
+        parsed = _DIALECT.parse_reroute_answer(web.AnswerHead(409), body)
+        assert parsed.unwrap_err() == ""
