Answer HEAD requests without a body

Cause: the body of the error was sent in answer to HEAD, which the parser refuses with an exception inside a group that nobody catches.

Change: answers to HEAD, and 204 and 304, are sent without a body; a success of HEAD on a streaming route is passed on as a whole answer instead of a 502.

Why it works: every answer of the server goes through the two places changed.

--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -33,6 +33,7 @@
 _NEXT_EVENT_TIMEOUT_SECONDS = 0.15
 _ENGINE_TIMEOUT = datetime.timedelta(milliseconds=250)
 _FIRST_REDIRECT = 300
+_HEAD = b"HEAD"
 _FIRST_SERVER_ERROR = 500
 # A request that crashes its engine does so at the start of its output.
 _SUSTAINED_EVENTS = 16
@@ -274,7 +275,8 @@
                 "the answer is for another request",
             )
         is_success = head.status < _FIRST_REDIRECT
-        if not is_success or not start.is_stream:
+        has_events = start.is_stream and self._request.message.method != _HEAD
+        if not is_success or not has_events:
             return await self._forward_whole_answer(
                 connection, head, metadata, start
             )
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -47,8 +47,10 @@
         self.has_started = False
 
     async def answer(self, head: _types.AnswerHead, body: bytes) -> None:
-        """Send a complete answer."""
+        """Send a complete answer; only its head to a HEAD request."""
         length = (b"Content-Length", b"%d" % len(body))
+        if not _may_have_body(self.request.method, head.status):
+            body = b""
         await self._send_head(head, length, body)
         await self._connection.write(h11.EndOfMessage())
 
@@ -221,6 +223,7 @@
         "_h11",
         "_handler",
         "_idle_scope",
+        "_method",
         "_is_send_interrupted",
         "_has_caller_closed",
         "_has_failed",
@@ -245,6 +248,8 @@
         self._sending_since = math.inf
         self._has_caller_closed = False
         self._has_failed = False
+        # Method of the request that is being received or answered.
+        self._method = b""
         self._is_send_interrupted = False
         self.is_busy = False
         self._h11 = h11.Connection(
@@ -363,6 +368,8 @@
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         head, body = self._handler.error_response(failure)
+        if not _may_have_body(self._method, head.status):
+            body = b""
         headers = [
             *head.headers,
             (b"Content-Length", b"%d" % len(body)),
@@ -389,6 +396,7 @@
             if not self._h11.trailing_data[0]:
                 return None
         self.is_busy = True
+        self._method = b""
         try:
             with trio.fail_after(limits.header_timeout_seconds):
                 head = await self._next_event()
@@ -400,6 +408,7 @@
             return result.Err(_failures.RequestUnreadable(str(exc)))
         if not isinstance(head, h11.Request):
             return None
+        self._method = head.method
         return await self._read_body(head, limits)
 
     async def _read_body(
@@ -444,3 +453,8 @@
         data = await self._stream.receive_some(_READ_BYTES)
         self._h11.receive_data(data)
         return bool(data)
+
+
+def _may_have_body(method: bytes, status: int) -> bool:
+    """Return whether an answer may have a body (RFC 9110, section 6.4.1)."""
+    return method != b"HEAD" and status not in (204, 304)
--- a/sedgepin/_web/tests/test_connections.py
+++ b/sedgepin/_web/tests/test_connections.py
@@ -35,6 +35,9 @@
             await self.release.wait()
             await exchange.finish()
             return
+        if exchange.request.target == b"/no-content":
+            await exchange.answer(web.AnswerHead(204), b"text")
+            return
         if exchange.request.target == b"/raises":
             raise RuntimeError("nobody expects this")
         if exchange.request.target == b"/raises-later":
@@ -223,6 +226,41 @@
         assert await _read_all(stream) == b""
         assert echo.server.open_exchanges == 0
 
+    @pytest.mark.parametrize("target", [b"/", b"/raises", b"/no-content"])
+    async def test_answer_to_head_has_no_body(
+        self, nursery: trio.Nursery, target: bytes
+    ) -> None:
+        """An error's body once ended the process (review/1)."""
+        echo = _EchoServer(nursery)
+        await echo.start()
+        stream = await echo.connect()
+        await stream.send_all(
+            b"HEAD %s HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n1"
+            b"POST / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
+            b"Content-Length: 4\r\n\r\nnext" % target
+        )
+        received = await _read_all(stream)
+        if target == b"/raises":
+            assert received.startswith(b"HTTP/1.1 502 ")
+            assert received.endswith(b"\r\n\r\n")
+        else:
+            first, second, body = received.split(b"\r\n\r\n")
+            assert first.startswith(b"HTTP/1.1 20")
+            assert second.startswith(b"HTTP/1.1 200 ")
+            assert body == b"next"
+
+    async def test_refusal_of_head_has_no_body(
+        self, nursery: trio.Nursery
+    ) -> None:
+        echo = _EchoServer(nursery)
+        await echo.start()
+        stream = await echo.connect()
+        head = b"HEAD / HTTP/1.1\r\nHost: x\r\nContent-Length: 65\r\n\r\n"
+        await stream.send_all(head + b"a" * 65)
+        received = await _read_all(stream)
+        assert received.startswith(b"HTTP/1.1 413 ")
+        assert received.endswith(b"\r\n\r\n")
+
     @pytest.mark.parametrize(
         ("target", "expected"),
         [
