Release the address of an endpoint that moves

Cause: the registry kept the old address in its index, so that the newcomer found the moved endpoint as its holder and took its end for proven.

Change: an endpoint that registers at another address releases the old one.

Why it works: an address leads only to the endpoint that is registered there. One case each of test_catalog.py and test_unproven_losses.py failed before.

--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -333,9 +333,7 @@
         for endpoint_id, record in tuple(self._records.items()):
             if now - record.last_seen_at > retention:
                 del self._records[endpoint_id]
-                address = record.registration.address
-                if self._by_address.get(address) == endpoint_id:
-                    del self._by_address[address]
+                self._release_address(record.registration)
 
     def _put(
         self,
@@ -343,10 +341,14 @@
         now: datetime.datetime,
         keeps_loss: bool,
     ) -> None:
+        record = self._records.get(registration.endpoint_id)
+        if record is not None and (
+            record.registration.address != registration.address
+        ):
+            self._release_address(record.registration)
         is_gone = registration.state is _registration.EndpointState.GONE
         if not is_gone:
             self._take_over_address(registration)
-        record = self._records.get(registration.endpoint_id)
         renewed = EndpointRecord(registration, now)
         if record is not None:
             if record.registration.incarnation == registration.incarnation:
@@ -358,6 +360,14 @@
                     renewed.has_ended = record.has_ended
         self._records[registration.endpoint_id] = renewed
 
+    def _release_address(
+        self, registration: _registration.Registration
+    ) -> None:
+        """Let the address of an endpoint that is not there be another's."""
+        address = registration.address
+        if self._by_address.get(address) == registration.endpoint_id:
+            del self._by_address[address]
+
     def _take_over_address(
         self, registration: _registration.Registration
     ) -> None:
--- a/sedgepin/_catalog/tests/test_catalog.py
+++ b/sedgepin/_catalog/tests/test_catalog.py
@@ -146,6 +146,34 @@
         endpoint_id = model.EndpointId("a")
         assert registry.correct_layers(endpoint_id, 1, layers) is None
 
+    def test_endpoint_that_moved_keeps_on_when_its_old_address_is_used(
+        self,
+    ) -> None:
+        """It once counted as ended, and its streams were cut (review/5)."""
+        registry = catalog.Registry()
+        registry.update(make_registration(), _NOW)
+        moved = make_registration(incarnation=2, address="127.0.0.1:81")
+        registry.update(moved, _NOW)
+        assert registry.at_address("127.0.0.1:80") is None
+        other = make_registration(
+            endpoint_id=model.EndpointId("b"), incarnation=3
+        )
+        registry.update(other, _NOW)
+        record = registry.find(model.EndpointId("a"))
+        assert record is not None
+        assert record.registration == moved
+        assert not registry.has_ended(model.EndpointId("a"), 2)
+        registry.record_heartbeat(model.EndpointId("a"), _NOW + _SECOND)
+        assert record.last_seen_at == _NOW + _SECOND
+
+    def test_delayed_registration_does_not_move_an_endpoint_back(self) -> None:
+        registry = catalog.Registry()
+        moved = make_registration(incarnation=2, address="127.0.0.1:81")
+        registry.update(moved, _NOW)
+        assert not registry.update(make_registration(sequence=99), _NOW)
+        assert registry.at_address("127.0.0.1:80") is None
+        assert registry.at_address("127.0.0.1:81") is not None
+
     @pytest.mark.parametrize("sequence", [3, 5, 9])
     def test_end_is_merged_whatever_its_sequence(self, sequence: int) -> None:
         """It was once taken for a repeated registration (review/3)."""
--- a/sedgepin/_gateway/tests/test_unproven_losses.py
+++ b/sedgepin/_gateway/tests/test_unproven_losses.py
@@ -324,6 +324,24 @@
         effects = gateway.receive(protocol.RegistrationsSeen((successor,)))
         parts.get_effect(effects, _effects.CancelAttempt)
 
+    def test_stream_goes_on_if_the_old_address_is_taken_over(self) -> None:
+        """An engine that moved once counted as ended (review/5, LOST)."""
+        moved = parts.make_registration(
+            "low", "model", parts.LOW, incarnation=2, address="moved:80"
+        )
+        gateway = _make_gateway(resumable=False)
+        gateway.receive(protocol.RegistrationsSeen((moved,)))
+        gateway.advance(600)
+        _exchange_id, effects = gateway.send_request("/draft/x")
+        assert _first_engine(effects) == _LOW
+        successor = parts.make_registration(
+            "next", "ledger", None, incarnation=3, address="low:80"
+        )
+        effects = gateway.receive(protocol.RegistrationsSeen((successor,)))
+        assert parts.has_no_effect(effects, _effects.CancelAttempt)
+        _exchange_id, effects = gateway.send_request("/draft/x")
+        assert _first_engine(effects) == _LOW
+
     def test_kept_stream_ends_if_a_silent_loss_is_proven(self) -> None:
         gateway = _make_gateway(resumable=False)
         gateway.send_request("/draft/x")
