Let a refusal count only for the request that it names

Cause: an answer with X-Not-Executed was taken as the statement that this request was not run before its X-Request-Id was looked at. Found on the way: a 408, 429 or 503 without the statement was passed on, though these statuses promise to the caller that its request was not run.

Change: the id comes first, and an answer for another request proves nothing; nor does one of these statuses without the statement.

--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -34,6 +34,8 @@
 _ENGINE_TIMEOUT = datetime.timedelta(milliseconds=250)
 _FIRST_REDIRECT = 300
 _HEAD = b"HEAD"
+# Statuses that tell a caller that its request was not run and never will be.
+_NOT_RUN_STATUSES = (408, 421, 429, 503)
 _FIRST_SERVER_ERROR = 500
 # A request that crashes its engine does so at the start of its output.
 _SUSTAINED_EVENTS = 16
@@ -264,16 +266,20 @@
                 dispatch.endpoint_id, metadata, dispatch.incarnation
             )
         )
-        if metadata.is_not_run:
-            detail = f"the endpoint answered with status {head.status}"
-            return _AttemptResult(
-                _Outcome.NOT_RUN, detail, metadata.faulty_address
-            )
+        # A faulty endpoint may send an earlier refusal once more.
         if metadata.request_id not in (None, self._request.request_id):
             return _AttemptResult(
                 _Outcome.UNKNOWN,
                 "the answer is for another request",
             )
+        detail = f"the endpoint answered with status {head.status}"
+        if metadata.is_not_run:
+            return _AttemptResult(
+                _Outcome.NOT_RUN, detail, metadata.faulty_address
+            )
+        if head.status in _NOT_RUN_STATUSES:
+            # To a caller the status states what the endpoint has not.
+            return _AttemptResult(_Outcome.UNKNOWN, detail)
         is_success = head.status < _FIRST_REDIRECT
         has_events = start.is_stream and self._request.message.method != _HEAD
         if not is_success or not has_events:
--- a/sedgepin/platform/tests/test_relay.py
+++ b/sedgepin/platform/tests/test_relay.py
@@ -345,3 +345,71 @@
         assert ended[0].outcome is _events.AttemptOutcome.UNKNOWN
         assert not caller.has_started
         nursery.cancel_scope.cancel()
+
+
+class TestRefusals:
+    """A refusal counts for the request that it names (issue 40).
+
+    Otherwise a caller would be told that its request was not run, or it would
+    run on a second engine, while the first one runs it.
+    """
+
+    @pytest.mark.parametrize("status", [503, 429, 421, 400])
+    @pytest.mark.parametrize("follows", [b"", _HEAD + b"0\r\n\r\n"])
+    async def test_earlier_refusal_sent_once_more_proves_nothing(
+        self, nursery: trio.Nursery, status: int, follows: bytes
+    ) -> None:
+        refusal = (
+            b"HTTP/1.1 %d No\r\nX-Request-Id: r0\r\nX-Not-Executed: 1\r\n"
+            b"Content-Length: 0\r\n\r\n" % status
+        )
+        ended = await _relay_answer(nursery, refusal + follows)
+        assert ended.outcome is _events.AttemptOutcome.UNKNOWN
+
+    @pytest.mark.parametrize("status", [503, 429, 421, 400])
+    @pytest.mark.parametrize("request_id", [b"", b"X-Request-Id: r1\r\n"])
+    async def test_own_refusal_is_one(
+        self, nursery: trio.Nursery, status: int, request_id: bytes
+    ) -> None:
+        refusal = (
+            b"HTTP/1.1 %d No\r\n%sX-Not-Executed: 1\r\n"
+            b"Content-Length: 0\r\n\r\n" % (status, request_id)
+        )
+        ended = await _relay_answer(nursery, refusal)
+        assert ended.outcome is _events.AttemptOutcome.NOT_RUN
+
+    @pytest.mark.parametrize("status", [503, 429, 408])
+    @pytest.mark.parametrize("is_stream", [True, False])
+    async def test_status_without_the_statement_is_not_passed_on(
+        self, nursery: trio.Nursery, status: int, is_stream: bool
+    ) -> None:
+        """To the caller it would state that the request was not run."""
+        answer = (
+            b"HTTP/1.1 %d No\r\nX-Request-Id: r1\r\n"
+            b"Content-Length: 0\r\n\r\n" % status
+        )
+        ended = await _relay_answer(nursery, answer, is_stream)
+        assert ended.outcome is _events.AttemptOutcome.UNKNOWN
+
+
+async def _relay_answer(
+    nursery: trio.Nursery, answer: bytes, is_stream: bool = False
+) -> _events.AttemptEnded:
+    """Return how an attempt ends whose engine sends some bytes."""
+
+    async def engine(stream: trio.SocketStream) -> None:
+        await stream.receive_some(65_536)
+        await stream.send_all(answer)
+
+    port = await _serve_engine(nursery, engine)
+    ended: list[_events.AttemptEnded] = []
+    caller = _SlowCaller()
+    caller.may_receive.set()
+    relay = _make_relay(caller, port, ended, is_stream)
+    nursery.start_soon(relay.run)
+    with trio.fail_after(2):
+        while not ended:
+            await trio.sleep(0.01)
+    nursery.cancel_scope.cancel()
+    assert not caller.has_started
+    return ended[0]
