Pass nothing on that does not continue a stream

To HTTP/1.0 callers the end of the connection completes an answer that has broken off.

Change: the next answer must have the status and content type of the stream, its first event an id, and every event a field; an incomplete answer to HTTP/1.0 ends with a reset.

--- a/sedgepin/_gateway/_event_stream.py
+++ b/sedgepin/_gateway/_event_stream.py
@@ -4,6 +4,8 @@
 import re
 
 _EVENT_ID = re.compile(rb"^id: ?([0-9]{1,18})\r?$", re.MULTILINE)
+# A field of an event, or a comment.
+_FIELD = re.compile(rb"^(?:(?:data|event|id|retry)(?::|\r?$)|:)", re.MULTILINE)
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _LONGEST_EVENT_END = 4
 
@@ -20,6 +22,23 @@
         """Return whether the event is more than blank lines."""
         return not self.data.isspace()
 
+    @property
+    def is_valid(self) -> bool:
+        """Return whether the bytes are blank or have a field of an event."""
+        return (
+            self.event_id is not None
+            or not self.has_content
+            or _FIELD.search(self.data) is not None
+        )
+
+    @property
+    def is_comment(self) -> bool:
+        """Return whether each line is a comment, or blank."""
+        return all(
+            not line.strip() or line.startswith(b":")
+            for line in self.data.splitlines()
+        )
+
 
 class EventSplitter:
     """Splits a byte stream into events and buffers incomplete ones.
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -69,12 +69,14 @@
         "_event_count",
         "_exchange",
         "_exchange_scope",
+        "_has_numbered_event",
         "_held_answer",
         "_is_cancelled",
         "_is_sending",
         "_is_sustained",
         "_position",
         "_request",
+        "_stream_kind",
         "_submit",
         "exchange_id",
         "stalled_at",
@@ -101,6 +103,10 @@
         self._is_sending = False
         # The events that the attempt has sent.
         self._event_count = 0
+        # Whether the attempt has sent an event with an id.
+        self._has_numbered_event = False
+        # Status and content type of the stream that the caller gets.
+        self._stream_kind: tuple[int, bytes | None] | None = None
         self._is_sustained = False
         # When the next bytes of a stream count as late, by trio's clock.
         self.stalled_at = math.inf
@@ -176,8 +182,9 @@
                     await self._exchange.answer(head, body)
                     return
                 case _effects.DeliverHeldAnswer():
-                    if self._held_answer is not None:
-                        await self._exchange.answer(*self._held_answer)
+                    if self._held_answer is None or self._exchange.has_started:
+                        return
+                    await self._exchange.answer(*self._held_answer)
                     return
                 case _effects.FinishExchange():
                     return
@@ -189,6 +196,7 @@
         )
         self._is_sending = False
         self._event_count = 0
+        self._has_numbered_event = False
         self._is_sustained = False
         with trio.CancelScope() as scope:
             self._attempt_scope = scope
@@ -288,6 +296,9 @@
             )
         if not metadata.is_signed:
             return _AttemptResult(_Outcome.UNKNOWN, "the answer is not signed")
+        kind = (head.status, head.find_header(b"content-type"))
+        if self._stream_kind not in (None, kind):
+            return _invalid("the answer is no continuation of the stream")
         return await self._forward_stream(connection, head, start)
 
     async def _read_head(
@@ -402,6 +413,9 @@
         problem: str | None = None
         position = self._position
         for event in events:
+            problem = self._find_problem(event)
+            if problem is not None:
+                break
             if event.event_id is not None and position is not None:
                 if event.event_id <= position:
                     continue
@@ -425,6 +439,24 @@
                 self._cancel_attempt()
         return problem
 
+    def _find_problem(self, event: _event_stream.StreamEvent) -> str | None:
+        """Return why an event is none of this stream, if it is not.
+
+        Where a stream goes on at another endpoint, its first event tells by
+        its id that it does.
+        """
+        if not event.is_valid:
+            return "the bytes between two blank lines are no event"
+        if event.event_id is not None:
+            self._has_numbered_event = True
+        elif (
+            self._stream_kind is not None
+            and not self._has_numbered_event
+            and not event.is_comment
+        ):
+            return "an event without an id follows a stream that broke off"
+        return None
+
     def _report_sustained_output(self) -> None:
         """Report once for each attempt that it has sent many events."""
         if self._event_count >= _SUSTAINED_EVENTS and not self._is_sustained:
@@ -438,6 +470,8 @@
             head.status, web.end_to_end_headers(head.headers)
         )
         await self._exchange.start(forwarded)
+        self._stream_kind = (head.status, head.find_header(b"content-type"))
+        self._has_numbered_event = True
         self._submit(_events.OutputStarted(self.exchange_id))
 
 
--- a/sedgepin/_sockets/__init__.py
+++ b/sedgepin/_sockets/__init__.py
@@ -3,9 +3,11 @@
 from sedgepin._sockets._direct_stream import DirectStream
 from sedgepin._sockets._options import enable_keepalive
 from sedgepin._sockets._options import limit_unacknowledged_time
+from sedgepin._sockets._options import reset_when_closed
 
 __all__ = [
     "DirectStream",
     "enable_keepalive",
     "limit_unacknowledged_time",
+    "reset_when_closed",
 ]
--- a/sedgepin/_sockets/_options.py
+++ b/sedgepin/_sockets/_options.py
@@ -8,6 +8,7 @@
 """
 
 import socket
+import struct
 
 
 def enable_keepalive(
@@ -34,3 +35,10 @@
     Only for connections on which a running peer takes all bytes at once.
     """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
+
+def reset_when_closed(sock: socket.socket) -> None:
+    """Let the end of a connection be a reset (a linger time of 0)."""
+    if sock.fileno() >= 0:
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -330,10 +330,21 @@
             await self._handle(received.ok_value)
         finally:
             self.is_busy = False
+            self._reset_if_incomplete()
         return self._h11.our_state is h11.DONE and (
             self._h11.their_state is h11.DONE
         )
 
+    def _reset_if_incomplete(self) -> None:
+        """Let the end of the connection not complete an answer for HTTP/1.0.
+
+        Its body has neither a length nor chunks.
+        """
+        if self._h11.our_state is not h11.SEND_BODY:
+            return
+        if (self._h11.their_http_version or b"") < b"1.1":
+            sockets.reset_when_closed(self._stream.socket)
+
     async def _handle(self, request: _types.Request) -> None:
         exchange = Exchange(self, request)
         with containment.contain("request") as outcome:
--- a/sedgepin/platform/tests/running_system.py
+++ b/sedgepin/platform/tests/running_system.py
@@ -212,8 +212,10 @@
         await trio.sleep(0.5)
 
 
-async def start_system(system: System, nursery: trio.Nursery) -> Engine:
-    engine = Engine()
+async def start_system(
+    system: System, nursery: trio.Nursery, engine: Engine | None = None
+) -> Engine:
+    engine = engine or Engine()
     address = f"{ENGINE}:{ENGINE_PORT}"
     await nursery.start(web.Server(engine).serve, address)
     system.start("control", CONTROL)
