Let odd writers and departures without a drain join the soak's faults

Each run sends check-ins that no VM can use, for unknown services at sound engines' addresses, nested documents and odd requests to all VMs, and lets engines deregister first at any control VM, beside the other faults.

A control VM that has just started knows no service: it ignores a stray registration too now if a live endpoint of another service would be displaced.

--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -292,9 +292,10 @@
         """Return the live endpoint that a stray registration would displace.
 
         An endpoint of a service that is about to be configured registers
-        again when it is.
+        again when it is.  A VM that has just started may know no service yet.
         """
-        if table is None or table.service(registration.service) is not None:
+        service = registration.service
+        if table is not None and table.service(service) is not None:
             return None
         records = (
             self.registry.find(registration.endpoint_id),
@@ -305,7 +306,11 @@
                 record is not None
                 and record.registration.state is not catalog.EndpointState.GONE
                 and record.is_live(self._cfg.heartbeat_timeout, now)
-                and table.service(record.registration.service) is not None
+                and record.registration.service != service
+                and (
+                    table is None
+                    or table.service(record.registration.service) is not None
+                )
             ):
                 return record.registration
         return None
--- a/sedgepin/_registrar/tests/test_stray_registrations.py
+++ b/sedgepin/_registrar/tests/test_stray_registrations.py
@@ -69,3 +69,21 @@
         cluster.register(leader, moved)
         cluster.run(0.5)
         assert _ready(cluster) == {(_OTHER, "s")}
+
+    def test_vm_without_a_configuration_displaces_no_endpoint(
+        self, cluster: clusters.Cluster
+    ) -> None:
+        """One that has just started may have the endpoints only."""
+        leader = cluster.leader()
+        cluster.register(leader, clusters.registration())
+        stray = clusters.registration(
+            endpoint_id=_OTHER, service=_UNKNOWN, incarnation=2
+        )
+        cluster.register(leader, stray)
+        restarted = clusters.registration(incarnation=3)
+        cluster.register(leader, restarted)
+        cluster.run(0.5)
+        assert _ready(cluster) == {(_SOUND, "s")}
+        record = cluster.running[leader].registry.find(_SOUND)
+        assert record is not None
+        assert record.registration.incarnation == 3
--- a/sedgepin/platform/tests/soak/__main__.py
+++ b/sedgepin/platform/tests/soak/__main__.py
@@ -59,6 +59,7 @@
         print(
             f"seed {seed}: {len(record.sent)} requests,"
             f" {len(record.runs)} runs, {len(record.faults)} faults,"
+            f" {record.odd_message_count} odd messages,"
             f" {len(findings)} findings, {elapsed:.0f} s",
             flush=True,
         )
--- a/sedgepin/platform/tests/soak/_engines.py
+++ b/sedgepin/platform/tests/soak/_engines.py
@@ -145,6 +145,24 @@
         if self._incarnation is incarnation:
             self._scope.cancel()
 
+    async def leave(self) -> None:
+        """Deregister first, serve for ``drainMs`` and longer, and stop.
+
+        Any control VM may receive the DELETE.
+        """
+        incarnation = self._incarnation
+        if incarnation is None or incarnation.is_draining:
+            return
+        incarnation.is_draining = True
+        path = f"/v1/instances/{incarnation.endpoint_id}"
+        if await self._call_control_vm(b"DELETE", path, {}):
+            self._record.leaving_acked_at[incarnation.endpoint_id] = (
+                trio.current_time()
+            )
+        await trio.sleep(_invariants.DRAIN_SECONDS + _SHUTDOWN_DELAY_SECONDS)
+        if self._incarnation is incarnation:
+            self._scope.cancel()
+
     # Calls to control VMs.
 
     async def _send_check_ins(self, incarnation: _Incarnation) -> None:
--- a/sedgepin/platform/tests/soak/_faults.py
+++ b/sedgepin/platform/tests/soak/_faults.py
@@ -8,6 +8,7 @@
 import trio
 
 from sedgepin.platform.tests.soak import _engines
+from sedgepin.platform.tests.soak import _odd_writers
 from sedgepin.platform.tests.soak import _programs
 from sedgepin.platform.tests.soak import _proxy
 from sedgepin.platform.tests.soak import _record
@@ -16,6 +17,7 @@
 _MEAN_INTERVAL_SECONDS = 0.4
 _MIN_DURATION_SECONDS = 0.3
 _MAX_DURATION_SECONDS = 4.0
+_MEAN_DEPARTURE_SECONDS = 2.0
 _LIMITED_ENGINES = 2
 _LIMITS = (0.0, 0.5, 1.0, 2.0, 5.0)
 # ``catchUpS``: a restarted control VM has caught up after this time.
@@ -32,6 +34,7 @@
     engines: list[_engines.Engine]
     record: _record.Record
     rng: random.Random
+    odd_writers: _odd_writers.OddWriters
     # Only one control VM at a time may lose its disk or be down for long.
     is_control_down: bool = False
 
@@ -50,6 +53,8 @@
     limit_rng = random.Random(context.rng.getstate()[1][0])
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_limit_engines, context, limit_rng, seconds)
+        nursery.start_soon(_let_engines_leave, context, limit_rng, seconds)
+        nursery.start_soon(context.odd_writers.run, seconds)
         end = trio.current_time() + seconds
         while trio.current_time() < end:
             pause = context.rng.expovariate(1 / _MEAN_INTERVAL_SECONDS)
@@ -211,6 +216,19 @@
         engine.drop_limit()
 
 
+async def _let_engines_leave(
+    context: FaultContext, rng: random.Random, seconds: float
+) -> None:
+    """Let engines deregister without a drain, beside the other faults."""
+    async with trio.open_nursery() as nursery:
+        end = trio.current_time() + seconds
+        while trio.current_time() < end:
+            await trio.sleep(rng.uniform(0, 2 * _MEAN_DEPARTURE_SECONDS))
+            engine = rng.choice(context.engines)
+            context.record_fault(f"the engine at {engine.address} leaves")
+            nursery.start_soon(engine.leave)
+
+
 # Repeated entries are drawn more often.
 FAULTS: tuple[_Fault, ...] = (
     _kill_entry,
--- a/sedgepin/platform/tests/soak/_record.py
+++ b/sedgepin/platform/tests/soak/_record.py
@@ -123,6 +123,8 @@
         default_factory=list
     )
     faults: list[str] = dataclasses.field(default_factory=list)
+    # Messages of writers and callers that are unlike those of the pages.
+    odd_message_count: int = 0
     # When engines crashed under a part of a prompt, and while no other fault
     # was active.
     crashed_at: dict[str, list[float]] = dataclasses.field(
--- a/sedgepin/platform/tests/soak/_seed_run.py
+++ b/sedgepin/platform/tests/soak/_seed_run.py
@@ -10,6 +10,7 @@
 from sedgepin.platform.tests.soak import _callers
 from sedgepin.platform.tests.soak import _engines
 from sedgepin.platform.tests.soak import _faults
+from sedgepin.platform.tests.soak import _odd_writers
 from sedgepin.platform.tests.soak import _operator
 from sedgepin.platform.tests.soak import _programs
 from sedgepin.platform.tests.soak import _proxy
@@ -113,7 +114,12 @@
                         await _record_calm_span(record)
                         await _record_crashing_span(record, callers)
                         context = _faults.FaultContext(
-                            programs, proxies, engines, record, rng
+                            programs,
+                            proxies,
+                            engines,
+                            record,
+                            rng,
+                            _make_odd_writers(addresses, record, rng),
                         )
                         await _faults.run(context, fault_seconds)
                         await trio.sleep(_RECOVERY_SECONDS)
@@ -124,6 +130,16 @@
         nursery.cancel_scope.cancel()
 
 
+def _make_odd_writers(
+    addresses: _addresses.Addresses,
+    record: _record.Record,
+    rng: random.Random,
+) -> _odd_writers.OddWriters:
+    """Return writers with draws of their own, as other faults have theirs."""
+    own_rng = random.Random(rng.getstate()[1][1])
+    return _odd_writers.OddWriters(addresses, record, own_rng)
+
+
 def _make_engines(
     addresses: _addresses.Addresses,
     record: _record.Record,
