--- a/sedgepin/_entry/tests/test_server.py
+++ b/sedgepin/_entry/tests/test_server.py
@@ -1,10 +1,12 @@
 """Tests of the HTTP server of an entry VM with arbitrary input."""
 
+import json
 import typing
 
 import hypothesis
 from hypothesis import strategies
 import msgspec
+import pytest
 import trio
 
 from sedgepin._entry import _effects
@@ -170,6 +172,34 @@
         assert client.sent[0]["status"] in {422, 500}
         assert not server.submitted or client.sent[0]["status"] == 500
 
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"address": "http://127.0.0.1:80800"},
+            {"incarnation": 10**20},
+            {"layers": {"first": 0, "end": 10**17}},
+        ],
+    )
+    def test_announcement_that_no_vm_can_use_is_refused(
+        self, changes: dict[str, typing.Any]
+    ) -> None:
+        document = {
+            "endpoint_id": "e",
+            "incarnation": 1,
+            "sequence": 1,
+            "kind": "service",
+            "address": "http://127.0.0.1:80",
+            "data_centre": "beja",
+            "services": ["s"],
+            **changes,
+        }
+        server = _RefusingServer()
+        client = _Client([json.dumps(document).encode()], False)
+        path = "/v1/endpoints/announcements"
+        server.handle(_scope("POST", path, []), client)
+        assert client.sent[0]["status"] == 422
+        assert not server.submitted
+
     def test_query_beyond_ascii_is_quoted(self) -> None:
         """HTTP/2 callers may send one; no request target may contain it."""
         server = _RefusingServer()
--- a/sedgepin/_model/_announcement.py
+++ b/sedgepin/_model/_announcement.py
@@ -9,9 +9,7 @@
 from sedgepin._model import _layers
 
 _Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
-# Larger numbers do not fit into a message to another VM.
-_MAX_NUMBER = 2**63 - 1
-_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+_Count = typing.Annotated[int, msgspec.Meta(ge=0)]
 
 
 class EndpointKind(enum.Enum):
@@ -30,7 +28,7 @@
     """
 
     name: _Name
-    count: typing.Annotated[int, msgspec.Meta(ge=1, le=_MAX_NUMBER)]
+    count: typing.Annotated[int, msgspec.Meta(ge=1)]
     layer_tokens_per_second: typing.Annotated[float, msgspec.Meta(gt=0)]
 
 
@@ -78,9 +76,7 @@
     endpoint_id: typing.Annotated[
         _identity.EndpointId, msgspec.Meta(min_length=1, max_length=128)
     ]
-    incarnation: typing.Annotated[
-        _identity.Incarnation, msgspec.Meta(ge=0, le=_MAX_NUMBER)
-    ]
+    incarnation: typing.Annotated[_identity.Incarnation, msgspec.Meta(ge=0)]
     sequence: _Count
     kind: EndpointKind
     address: typing.Annotated[
--- a/sedgepin/_model/_announcement_validation.py
+++ b/sedgepin/_model/_announcement_validation.py
@@ -7,6 +7,8 @@
 from sedgepin import errors
 
 _MAX_LAYERS = 65_536
+# Larger numbers do not fit into a message to another VM.
+_MAX_NUMBER = 2**63 - 1
 
 
 def validate_announcement(
@@ -14,6 +16,9 @@
 ) -> tuple[errors.FieldFault, ...]:
     """Return the faults of an announcement for which no VM could use it.
 
+    They are no part of the schema, so that one announcement that a VM of an
+    earlier version relays does not cost the others in the same message.
+
     >>> validate_announcement(announcement)
     (FieldFault(field='address', problem='Port out of range 0-65535'),)
     """
@@ -25,9 +30,38 @@
     if layers is not None and layers.end > _MAX_LAYERS:
         problem = f"{layers.end} is over {_MAX_LAYERS}"
         faults.append(errors.FieldFault("layers.end", problem))
+    for field, number in _numbers(announcement):
+        if number > _MAX_NUMBER:
+            problem = f"{number} is over {_MAX_NUMBER}"
+            faults.append(errors.FieldFault(field, problem))
     return tuple(faults)
 
 
+def _numbers(
+    announcement: _announcement.Announcement,
+) -> list[tuple[str, int]]:
+    """Return the numbers of an announcement, with their fields."""
+    load = announcement.load
+    numbers = [
+        ("incarnation", announcement.incarnation),
+        ("sequence", announcement.sequence),
+        ("load.running_requests", load.running_requests),
+        ("load.queued_requests", load.queued_requests),
+        ("load.queued_tokens", load.queued_tokens),
+        (
+            "load.measured_before_milliseconds",
+            load.measured_before_milliseconds,
+        ),
+    ]
+    if announcement.accelerator is not None:
+        numbers.append(("accelerator.count", announcement.accelerator.count))
+    numbers += [
+        ("cache_events.sequence", event.sequence)
+        for event in announcement.cache_events
+    ]
+    return numbers
+
+
 def _address_problem(address: str) -> str | None:
     try:
         parts = urllib.parse.urlsplit(address)
--- a/sedgepin/_model/tests/test_announcement.py
+++ b/sedgepin/_model/tests/test_announcement.py
@@ -75,7 +75,9 @@
             },
         ],
     )
-    def test_number_that_no_message_can_carry_is_refused(
+    def test_number_that_no_message_can_carry_is_a_fault(
         self, changes: dict[str, typing.Any]
     ) -> None:
-        assert _decode(**changes) is None
+        announcement = _decode(**changes)
+        assert announcement is not None
+        assert len(model.validate_announcement(announcement)) == 1
--- a/sedgepin/platform/tests/test_upgrade.py
+++ b/sedgepin/platform/tests/test_upgrade.py
@@ -8,24 +8,30 @@
 from sedgepin.platform.tests.soak import _invariants
 from sedgepin.platform.tests.soak import _upgrade
 
-# The landing before the one that added messages about limits of requests.
-_PRODUCTION = "4702bd39e58ffe28e81a2feafaa49ab228690bb3"
+_PRODUCTION = {
+    # The landing before the one that added messages about limits of requests.
+    "before limits": "4702bd39e58ffe28e81a2feafaa49ab228690bb3",
+    # The landing before the one that made the end of an endpoint prevail.
+    "before departures": "df46422d035551bb3c4b3a421ed6852ea0e44655",
+}
 _SOURCES = pathlib.Path(__file__).parents[3]
 _SEED = 1
 # Nearly all callers notice nothing; a few connections cross a stop.
 _MIN_SERVED_SHARE = 0.99
 
 
-@pytest.fixture(scope="module")
+@pytest.fixture(scope="module", params=_PRODUCTION)
 def old_build(
     tmp_path_factory: pytest.TempPathFactory,
+    request: pytest.FixtureRequest,
 ) -> pathlib.Path:
     """Build the sources in production from the history."""
+    commit = _PRODUCTION[request.param]
     folder = tmp_path_factory.mktemp("builds") / "production"
     folder.mkdir()
     archive = folder.with_suffix(".tar")
     subprocess.run(
-        ["git", "archive", f"--output={archive}", _PRODUCTION, "sedgepin"],
+        ["git", "archive", f"--output={archive}", commit, "sedgepin"],
         cwd=_SOURCES,
         check=True,
     )
