Contain failures in the product's own programs too

The entry's driver goes on after a failure of its reducer, as it did: its HTTP server contains those of callers' requests already.

--- a/sedgepin/_control/_daemon.py
+++ b/sedgepin/_control/_daemon.py
@@ -19,6 +19,7 @@
 from sedgepin import _shell as shell
 from sedgepin import _storage as storage
 from sedgepin import clock
+from sedgepin import containment
 from sedgepin import events
 from sedgepin import logs
 from sedgepin import settings
@@ -136,7 +137,9 @@
                 self._metrics.increment(name, count)
 
     async def _send_order(self, order: release.Order) -> None:
-        outcome = await self._order_client.send(order)
+        outcome = release.OrderOutcome.FAILED
+        with containment.contain("order"):
+            outcome = await self._order_client.send(order)
         self._driver.submit(_events.OrderCompleted(order, outcome))
 
 
--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -9,6 +9,7 @@
 from sedgepin._entry import _effects
 from sedgepin._entry import _endpoint_client
 from sedgepin._entry import _events
+from sedgepin._entry import _failures
 from sedgepin._entry import _forwarded_client
 from sedgepin._entry import _forwarding_policy
 from sedgepin._entry import _reducer
@@ -18,6 +19,7 @@
 from sedgepin import _protocol as protocol
 from sedgepin import _shell as shell
 from sedgepin import clock
+from sedgepin import containment
 from sedgepin import events
 from sedgepin import logs
 from sedgepin import settings
@@ -61,7 +63,10 @@
             cfg, incarnation, random.Random(), now, forward_key
         )
         self._driver = shell.Driver(
-            self._reducer.handle, self._apply_effect, own_clock
+            self._reducer.handle,
+            self._apply_effect,
+            own_clock,
+            is_fail_stop=False,
         )
         self._forwarding = forwarding.ForwardingServer(
             forward_key,
@@ -90,7 +95,7 @@
         )
         peers = (*cfg.controls, *shell.peers_to_dial(cfg.id, cfg.entries))
         self._transport = protocol.StreamTransport(
-            hello, cfg.peer_listen, peers, cfg.tls, self._driver.submit
+            hello, cfg.peer_listen, peers, cfg.tls, self._submit_peer_event
         )
         self._streams: dict[_AttemptKey, trio.CancelScope] = {}
         self._calls: dict[_AttemptKey, trio.CancelScope] = {}
@@ -171,7 +176,27 @@
             case _effects.RecordDuration(name, duration):
                 self._metrics.record_duration(name, duration)
 
+    def _submit_peer_event(self, event: protocol.PeerEvent) -> None:
+        """Submit an event; a message that fails counts as lost."""
+        with containment.contain("peer_message"):
+            self._driver.submit(event)
+
     async def _run_stream(self, effect: _effects.StartStream) -> None:
+        """Run an attempt; one that fails unexpectedly may have run."""
+        with containment.contain("stream") as outcome:
+            await self._send_stream(effect)
+        if outcome.failure is not None:
+            self._driver.submit(
+                _events.StreamFailed(
+                    effect.request_id,
+                    effect.attempt,
+                    effect.pipeline.stages[0].endpoint_id,
+                    _failures.EndpointFailed("the attempt failed"),
+                    True,
+                )
+            )
+
+    async def _send_stream(self, effect: _effects.StartStream) -> None:
         key = (effect.request_id, effect.attempt)
         with trio.CancelScope() as scope:
             self._streams[key] = scope
@@ -188,14 +213,29 @@
 
     async def _probe(self, effect: _effects.ProbeStages) -> None:
         submit = self._driver.submit
-        if effect.forwarder is None:
-            await self._client.probe(effect, submit)
-        else:
-            await self._forwarded_client.probe(
-                effect, effect.forwarder, submit
-            )
+        with containment.contain("probe"):
+            if effect.forwarder is None:
+                await self._client.probe(effect, submit)
+            else:
+                await self._forwarded_client.probe(
+                    effect, effect.forwarder, submit
+                )
 
     async def _call_service(self, effect: _effects.CallService) -> None:
+        """Send a call; one that fails unexpectedly may have run."""
+        with containment.contain("call") as outcome:
+            await self._send_call(effect)
+        if outcome.failure is not None:
+            self._driver.submit(
+                _events.ServiceFailed(
+                    effect.request.request_id,
+                    effect.attempt,
+                    _failures.EndpointFailed("the call failed"),
+                    True,
+                )
+            )
+
+    async def _send_call(self, effect: _effects.CallService) -> None:
         key = (effect.request.request_id, effect.attempt)
         with trio.CancelScope() as scope:
             self._calls[key] = scope
