Let the soak find failures that were contained

A contained failure is one that nobody expects, so it counts as a finding: the programs' logs are searched for it, and those of the engines' servers, in the soak's own process, are printed with their place.

--- a/sedgepin/platform/tests/soak/__main__.py
+++ b/sedgepin/platform/tests/soak/__main__.py
@@ -12,8 +12,10 @@
 import defopt
 import trio
 
+from sedgepin import logs
 from sedgepin.platform.tests.soak import _invariants
 from sedgepin.platform.tests.soak import _seed_run
+from sedgepin import settings
 
 _MAX_FINDING_CHARACTERS = 300
 
@@ -42,6 +44,8 @@
         findings and records of runs with violations.
     """
     signal.signal(signal.SIGTERM, _interrupt)
+    # The engines' servers log failures that they contain.
+    logs.configure(settings.Log(), "soak")
     start = first if first is not None else random.randrange(1_000_000)
     failed: list[int] = []
     for seed in range(start, start + seeds):
--- a/sedgepin/platform/tests/soak/_programs.py
+++ b/sedgepin/platform/tests/soak/_programs.py
@@ -174,6 +174,15 @@
                 program.process.kill()
             program.process.wait()
 
+    def contained_failures(self) -> list[str]:
+        """Return the log lines of failures that the programs contained."""
+        return [
+            f"{program.name}: {line}"
+            for program in self.programs
+            for line in (program.folder / "log").read_text().splitlines()
+            if '"task_failed"' in line or '"messages_not_sent"' in line
+        ]
+
     def _record_exit(self, program: Program) -> None:
         stderr = (program.folder / "errors").read_text()[-600:]
         code = program.process.returncode
--- a/sedgepin/platform/tests/soak/_record.py
+++ b/sedgepin/platform/tests/soak/_record.py
@@ -118,6 +118,8 @@
     overloaded_engines: list[str] = dataclasses.field(default_factory=list)
     # Names and error output of processes that exited unexpectedly.
     unexpected_exits: list[str] = dataclasses.field(default_factory=list)
+    # Log lines of failures that were contained, which nobody expects.
+    contained_failures: list[str] = dataclasses.field(default_factory=list)
     # Spans without faults that start long enough after the last fault.
     calm_spans: list[tuple[float, float]] = dataclasses.field(
         default_factory=list
--- a/sedgepin/platform/tests/soak/_seed_run.py
+++ b/sedgepin/platform/tests/soak/_seed_run.py
@@ -43,6 +43,7 @@
     finally:
         programs.kill_all()
         record.unexpected_exits = programs.unexpected_exits
+        record.contained_failures = programs.contained_failures()
     return record
 
 
--- a/sedgepin/platform/tests/soak/_upgrade.py
+++ b/sedgepin/platform/tests/soak/_upgrade.py
@@ -74,6 +74,7 @@
     finally:
         programs.kill_all()
         record.unexpected_exits = programs.unexpected_exits
+        record.contained_failures = programs.contained_failures()
     return record
 
 
--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -151,6 +151,10 @@
     record.unexpected_exits.append("entry-1")
 
 
+def _contain_failure(record: _record.Record) -> None:
+    record.contained_failures.append("entry-1: task_failed")
+
+
 def _overload_engine(record: _record.Record) -> None:
     record.overloaded_engines.append("e1")
 
@@ -236,6 +240,7 @@
             ("read", _reject_valid_configuration, "was rejected"),
             ("read", _reject_without_retry_after, "without Retry-After"),
             ("read", _exit_unexpectedly, "exited unexpectedly"),
+            ("read", _contain_failure, "was contained"),
             ("read", _overload_engine, "more layers than fit"),
             ("read", _exceed_retry_budget, "50 retries"),
             ("read", _retry_rejected_requests, "50 retries"),
