Let an attempt at a soak's engine outlive an earlier one

Cause: two attempts of one request at an engine share an entry; the end of the earlier one, whose connection a proxy held back, removed it, and the later one failed with KeyError. Shown by a script with two such attempts, and by the new test.

Change: the entry stays until the last attempt has ended. A fault of the soak, not of the product.

--- a/sedgepin/platform/tests/soak/_engines.py
+++ b/sedgepin/platform/tests/soak/_engines.py
@@ -1,5 +1,6 @@
 """Fake engines that record every request they execute."""
 
+import collections
 import dataclasses
 import itertools
 import json
@@ -49,6 +50,9 @@
     paths: dict[str, list[tuple[str, int, int]]] = dataclasses.field(
         default_factory=dict
     )
+    open_attempts: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
 
 class Engine(web.Handler):
@@ -125,6 +129,16 @@
             if limit.endpoint_id.startswith(f"e{self._number}-"):
                 limit.until = min(limit.until, trio.current_time())
 
+    def listen_host_and_port(self) -> tuple[str, int]:
+        """Return where the engine itself listens, behind its proxy."""
+        host, _, port = self._listen_address.rpartition(":")
+        return host, int(port)
+
+    def hold_all_layers(self) -> None:
+        """Hold all layers at once, without an order."""
+        assert self._incarnation is not None
+        self._incarnation.layers = (0, LAYERS)
+
     def crash(self) -> None:
         """Break off all connections; ``run`` restarts the engine later."""
         self._scope.cancel()
@@ -314,11 +328,15 @@
             await exchange.answer(self._head(run), run.answer)
             return
         incarnation.paths[run.request_id] = path
+        incarnation.open_attempts[run.request_id] += 1
         try:
             await self._stream(exchange, incarnation, run)
         finally:
-            incarnation.paths.pop(run.request_id, None)
-            incarnation.stalled.pop(run.request_id, None)
+            incarnation.open_attempts[run.request_id] -= 1
+            # A further attempt may have come before the end of this one.
+            if not incarnation.open_attempts[run.request_id]:
+                incarnation.paths.pop(run.request_id, None)
+                incarnation.stalled.pop(run.request_id, None)
 
     async def _stream(
         self,
--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -7,11 +7,14 @@
 import collections.abc
 import dataclasses
 import pathlib
+import random
 
 import pytest
 import trio
 
 from sedgepin.platform.tests import soak
+from sedgepin.platform.tests.soak import _addresses
+from sedgepin.platform.tests.soak import _engines
 from sedgepin.platform.tests.soak import _proxy
 from sedgepin.platform.tests.soak import _record
 
@@ -331,6 +334,45 @@
             await self._round_trip(5.0)
 
 
+class TestEngine:
+    async def test_attempt_goes_on_when_an_earlier_one_is_left(
+        self, nursery: trio.Nursery
+    ) -> None:
+        """Its engine once failed with ``KeyError`` (seed 41003)."""
+        counts = {"control": 1, "entry": 1, "engine": 1}
+        addresses = _addresses.Addresses(89, counts)
+        engine = _engines.Engine(
+            1,
+            _engines.MODEL_SERVICE,
+            addresses,
+            _record.Record(),
+            {},
+            random.Random(1),
+        )
+        nursery.start_soon(engine.run)
+        await trio.sleep(0.3)
+        engine.hold_all_layers()
+        request = (
+            b"POST /draft/1/20 HTTP/1.1\r\nHost: a\r\nX-Request-Id: r1\r\n"
+            b"X-Hop-Count: %s=0-%d\r\nContent-Length: 0\r\n\r\n"
+        ) % (engine.address.encode(), _engines.LAYERS)
+        streams = []
+        for _attempt in range(2):
+            stream = await trio.open_tcp_stream(*engine.listen_host_and_port())
+            await stream.send_all(request)
+            await trio.sleep(0.1)
+            streams.append(stream)
+        await streams[0].aclose()
+        received = b""
+        with trio.fail_after(5):
+            while not received.endswith(b"0\r\n\r\n"):
+                data = await streams[1].receive_some(65_536)
+                assert data, "the stream was broken off"
+                received += data
+        assert received.count(b"data:") == 20
+        nursery.cancel_scope.cancel()
+
+
 class TestShortRun:
     @pytest.mark.parametrize("seed", [1])
     async def test_no_invariant_is_violated(
