--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -76,7 +76,7 @@
         "_is_sustained",
         "_position",
         "_request",
-        "_stream_kind",
+        "_stream_head",
         "_submit",
         "exchange_id",
         "stalled_at",
@@ -105,8 +105,8 @@
         self._event_count = 0
         # Whether the attempt has sent an event with an id.
         self._has_numbered_event = False
-        # Status and content type of the stream that the caller gets.
-        self._stream_kind: tuple[int, bytes | None] | None = None
+        # Head of the stream that the caller gets.
+        self._stream_head: web.AnswerHead | None = None
         self._is_sustained = False
         # When the next bytes of a stream count as late, by trio's clock.
         self.stalled_at = math.inf
@@ -296,8 +296,9 @@
             )
         if not metadata.is_signed:
             return _AttemptResult(_Outcome.UNKNOWN, "the answer is not signed")
-        kind = (head.status, head.find_header(b"content-type"))
-        if self._stream_kind not in (None, kind):
+        if self._stream_head is not None and not _is_of_same_kind(
+            self._stream_head, head
+        ):
             return _invalid("the answer is no continuation of the stream")
         return await self._forward_stream(connection, head, start)
 
@@ -450,7 +451,7 @@
         if event.event_id is not None:
             self._has_numbered_event = True
         elif (
-            self._stream_kind is not None
+            self._stream_head is not None
             and not self._has_numbered_event
             and not event.is_comment
         ):
@@ -470,11 +471,28 @@
             head.status, web.end_to_end_headers(head.headers)
         )
         await self._exchange.start(forwarded)
-        self._stream_kind = (head.status, head.find_header(b"content-type"))
+        self._stream_head = head
         self._has_numbered_event = True
         self._submit(_events.OutputStarted(self.exchange_id))
 
 
+def _is_of_same_kind(begun: web.AnswerHead, head: web.AnswerHead) -> bool:
+    """Return whether an answer may continue a stream that has begun.
+
+    Endpoints of different versions may name other parameters of the content
+    type, or none.
+    """
+    types = {_media_type(begun), _media_type(head)} - {None}
+    return begun.status == head.status and len(types) < 2
+
+
+def _media_type(head: web.AnswerHead) -> bytes | None:
+    content_type = head.find_header(b"content-type")
+    if content_type is None:
+        return None
+    return content_type.partition(b";")[0].strip().lower()
+
+
 def _broken(failure: web.AnswerBroken) -> _AttemptResult:
     return _AttemptResult(
         _Outcome.UNKNOWN,
