Lay a failed handler on the gateway, not on the caller

A request whose handler raised an exception was logged as request_unreadable besides task_failed, so that an operator would look for the fault in what the caller sent. test_daemon.py failed before.

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -233,7 +233,12 @@
     def error_response(
         self, failure: errors.Failure
     ) -> tuple[web.AnswerHead, bytes]:
-        """Log a malformed request and return its answer."""
+        """Return the answer to a failure; log a malformed request.
+
+        A ``HandlerFailed`` is no fault of the request, and logged already.
+        """
+        if isinstance(failure, web.HandlerFailed):
+            return self._dialect.error_response(None, failure)
         line = events.REQUEST_UNREADABLE.line(
             code=failure.code, detail=failure.detail()
         )
--- a/sedgepin/_web/__init__.py
+++ b/sedgepin/_web/__init__.py
@@ -12,6 +12,7 @@
 from sedgepin._web._failures import AnswerBroken
 from sedgepin._web._failures import BodyTooLarge
 from sedgepin._web._failures import ConnectFailed
+from sedgepin._web._failures import HandlerFailed
 from sedgepin._web._failures import HeadTooLarge
 from sedgepin._web._failures import RequestTooSlow
 from sedgepin._web._failures import RequestUnreadable
@@ -37,6 +38,7 @@
     "ConnectFailed",
     "Exchange",
     "Handler",
+    "HandlerFailed",
     "HeadTooLarge",
     "Headers",
     "MetricsHandler",
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -96,7 +96,10 @@
     def error_response(
         self, failure: errors.Failure
     ) -> tuple[_types.AnswerHead, bytes]:
-        """Return the answer to an unreadable request."""
+        """Return the answer to a request that was not handled.
+
+        It could not be read, or its handler has failed (``HandlerFailed``).
+        """
 
     @abc.abstractmethod
     def limits(self) -> _types.ServerLimits:
