Define the bounds of endpoints' figures once, and say things plainly

The largest number and the most layers stood in four places, by which the gateway and the product's own entry could come to differ. Comments, messages and names that spoke of "an address that is none" say "invalid"; messages name the limit.

--- a/sedgepin/_catalog/_registry.py
+++ b/sedgepin/_catalog/_registry.py
@@ -14,9 +14,6 @@
 # delayed registration of the same incarnation does not add it again.
 _GONE_RETENTION = datetime.timedelta(seconds=60)
 
-# VMs of earlier versions order registrations by their sequence alone.
-_LAST_SEQUENCE = 2**63 - 1
-
 # An endpoint whose control VM fails retries at the next one after 1 s, twice
 # at most.  This many heartbeat intervals leave time for both retries.
 _TIMEOUT_INTERVALS = 3.4
@@ -198,7 +195,8 @@
         record.registration = msgspec.structs.replace(
             record.registration,
             state=_registration.EndpointState.GONE,
-            sequence=_LAST_SEQUENCE,
+            # VMs of earlier versions order by incarnation and sequence only.
+            sequence=model.MAX_NUMBER,
         )
         record.last_seen_at = now
         return record.registration
--- a/sedgepin/_control/_order_client.py
+++ b/sedgepin/_control/_order_client.py
@@ -67,7 +67,7 @@
             httpcore.NetworkError,
             httpcore.ProtocolError,
             httpcore.TimeoutException,
-            # The address of the engine is none.
+            # The address of the engine is invalid.
             ValueError,
         ):
             return release.OrderOutcome.FAILED
--- a/sedgepin/_entry/_endpoint_client.py
+++ b/sedgepin/_entry/_endpoint_client.py
@@ -30,7 +30,7 @@
 
 Emit = _engine_messages.Emit
 
-# A ``ValueError`` is raised for an address that is none.
+# ``ValueError`` is raised for an invalid address.
 _CONNECTION_ERRORS = (
     httpcore.NetworkError,
     httpcore.ProtocolError,
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -286,7 +286,7 @@
                 _Outcome.NOT_RUN, detail, metadata.faulty_address
             )
         if head.status in _NOT_RUN_STATUSES:
-            # To a caller the status states what the endpoint has not.
+            # Callers would take it for the statement that is missing.
             return _AttemptResult(_Outcome.UNKNOWN, detail)
         is_success = head.status < _FIRST_REDIRECT
         has_events = start.is_stream and self._request.message.method != _HEAD
@@ -441,7 +441,7 @@
         return problem
 
     def _find_problem(self, event: _event_stream.StreamEvent) -> str | None:
-        """Return why an event is none of this stream, if it is not.
+        """Return why an event does not belong to the stream, if it does not.
 
         Where a stream goes on at another endpoint, its first event tells by
         its id that it does.
--- a/sedgepin/_model/__init__.py
+++ b/sedgepin/_model/__init__.py
@@ -6,6 +6,9 @@
 from sedgepin._model._announcement import EndpointKind
 from sedgepin._model._announcement import LoadReport
 from sedgepin._model._announcement_validation import validate_announcement
+from sedgepin._model._bounds import MAX_LAYERS
+from sedgepin._model._bounds import MAX_NUMBER
+from sedgepin._model._bounds import MAX_PORT
 from sedgepin._model._identity import CustomerId
 from sedgepin._model._identity import DataCentreId
 from sedgepin._model._identity import EndpointId
@@ -33,6 +36,9 @@
     "LayerRange",
     "LayersNotTiled",
     "LoadReport",
+    "MAX_LAYERS",
+    "MAX_NUMBER",
+    "MAX_PORT",
     "ModelName",
     "Pipeline",
     "RequestId",
--- a/sedgepin/_model/_announcement_validation.py
+++ b/sedgepin/_model/_announcement_validation.py
@@ -4,12 +4,9 @@
 import urllib.parse
 
 from sedgepin._model import _announcement
+from sedgepin._model import _bounds
 from sedgepin import errors
 
-_MAX_LAYERS = 65_536
-# Larger numbers do not fit into a message to another VM.
-_MAX_NUMBER = 2**63 - 1
-
 
 def validate_announcement(
     announcement: _announcement.Announcement,
@@ -27,12 +24,12 @@
     if problem is not None:
         faults.append(errors.FieldFault("address", problem))
     layers = announcement.layers
-    if layers is not None and layers.end > _MAX_LAYERS:
-        problem = f"{layers.end} is over {_MAX_LAYERS}"
+    if layers is not None and layers.end > _bounds.MAX_LAYERS:
+        problem = f"{layers.end} is over {_bounds.MAX_LAYERS}"
         faults.append(errors.FieldFault("layers.end", problem))
     for field, number in _numbers(announcement):
-        if number > _MAX_NUMBER:
-            problem = f"{number} is over {_MAX_NUMBER}"
+        if number > _bounds.MAX_NUMBER:
+            problem = f"{number} is over {_bounds.MAX_NUMBER}"
             faults.append(errors.FieldFault(field, problem))
     return tuple(faults)
 
@@ -67,7 +64,7 @@
         parts = urllib.parse.urlsplit(address)
         ipaddress.ip_address(parts.hostname or "")
         if parts.port == 0:
-            return "port 0 is none"
+            return f"port 0 is not between 1 and {_bounds.MAX_PORT}"
     except ValueError as exc:
         return str(exc)
     return None
--- a/sedgepin/_model/tests/test_announcement.py
+++ b/sedgepin/_model/tests/test_announcement.py
@@ -47,7 +47,7 @@
             "http://:80",
         ],
     )
-    def test_address_that_is_none_is_a_fault(self, address: str) -> None:
+    def test_invalid_address_is_a_fault(self, address: str) -> None:
         announcement = _decode(address=address)
         assert announcement is not None
         (fault,) = model.validate_announcement(announcement)
--- a/sedgepin/_protocol/_transport.py
+++ b/sedgepin/_protocol/_transport.py
@@ -242,7 +242,7 @@
                 try:
                     await self._dial(peer)
                 except (OSError, OverflowError, ValueError):
-                    # The peer is down, or its address is none.
+                    # The peer is down, or its address is invalid.
                     pass
                 await trio.sleep(_REDIAL_INTERVAL_SECONDS)
 
--- a/sedgepin/_protocol/tests/test_transport.py
+++ b/sedgepin/_protocol/tests/test_transport.py
@@ -120,7 +120,7 @@
             nursery.cancel_scope.cancel()
 
     @pytest.mark.parametrize("address", ["no address", "127.0.0.1:80800"])
-    async def test_peer_at_an_address_that_is_none_harms_no_other(
+    async def test_peer_at_an_invalid_address_harms_no_other(
         self, address: str
     ) -> None:
         dialler, listener = _make_pair(None, None)
--- a/sedgepin/_shell/_driver.py
+++ b/sedgepin/_shell/_driver.py
@@ -20,8 +20,8 @@
 
     ``handle`` is the reducer's handler, ``apply_effect`` carries out one
     effect.  With ``is_fail_stop``, a reducer that has raised an exception, or
-    whose effects have, gets no further event: what it would say may not be
-    what is stored.
+    whose effects have, gets no further event: its state may differ from what
+    is stored.
     """
 
     __slots__ = (
--- a/sedgepin/_shell/tests/test_driver.py
+++ b/sedgepin/_shell/tests/test_driver.py
@@ -33,7 +33,7 @@
 class TestDriver:
     @pytest.mark.parametrize("event", ["bad", "bad effect"])
     def test_reducer_that_failed_is_not_used_again(self, event: str) -> None:
-        """What it would say may not be what is stored."""
+        """Its state may differ from what is stored."""
         reducer = _Reducer()
         driver = shell.Driver(reducer.handle, reducer.apply, _Clock())
         driver.submit("a")
--- a/sedgepin/_sockets/_direct_stream.py
+++ b/sedgepin/_sockets/_direct_stream.py
@@ -44,13 +44,15 @@
     async def connect(cls, host: str, port: int) -> "DirectStream":
         """Connect to an IPv4 address.
 
-        Raises ``OSError`` if the address is none, refuses or cannot be
+        Raises ``OSError`` if the address is invalid, refuses or cannot be
         reached.
         """
         # The socket module would look up a name, which blocks all tasks.
         socket.inet_pton(socket.AF_INET, host)
         if not 0 < port <= _MAX_PORT:
-            raise OSError(errno.EINVAL, f"{port} is no port")
+            raise OSError(
+                errno.EINVAL, f"port {port} is not between 1 and {_MAX_PORT}"
+            )
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
--- a/sedgepin/_web/tests/test_connections.py
+++ b/sedgepin/_web/tests/test_connections.py
@@ -397,7 +397,7 @@
         "address",
         ["127.0.0.1:80800", "127.0.0.1:0", "999.0.0.1:80", "a.example:80", ""],
     )
-    async def test_address_that_is_none_gives_connect_failed(
+    async def test_invalid_address_gives_connect_failed(
         self, address: str
     ) -> None:
         """A port over 65535 once ended the process (review/2)."""
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -139,7 +139,7 @@
     113,
     "ERROR",
     "messages_not_sent",
-    "Messages to a peer were dropped, as they hold a value without encoding.",
+    "Messages to a peer were dropped because they cannot be encoded.",
     "count",
     "failure",
 )
@@ -298,7 +298,7 @@
     219,
     "WARNING",
     "registration_ignored",
-    "A registration for a service that is not configured would displace one.",
+    "It names no configured service and would displace a live endpoint.",
     "endpoint",
     "service",
     "address",
--- a/sedgepin/platform/__main__.py
+++ b/sedgepin/platform/__main__.py
@@ -12,9 +12,8 @@
     """Run a daemon until it is asked to stop, and return the exit code.
 
     SIGHUP reloads the settings.  Before the daemon has installed its handler
-    the default action would end the process, so it is ignored first of all:
-    the imports take some 100 ms, and more on a busy machine.  Imports run
-    without garbage collection.
+    the default action would end the process, so it is ignored before the
+    other imports.  These run without garbage collection.
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     gc.disable()
--- a/sedgepin/platform/_configuration.py
+++ b/sedgepin/platform/_configuration.py
@@ -17,11 +17,12 @@
 }
 
 
-# Versions are sent to other VMs as numbers of 64 bits.
-_Version = typing.Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
-_LayerCount = typing.Annotated[int, msgspec.Meta(ge=0, le=65_536)]
+_Version = typing.Annotated[
+    int, msgspec.Meta(ge=-model.MAX_NUMBER, le=model.MAX_NUMBER)
+]
+_LayerCount = typing.Annotated[int, msgspec.Meta(ge=0, le=model.MAX_LAYERS)]
 
-# After longer times an instant may be none of the calendar.
+# The sum of an instant and a much longer time may exceed ``datetime``.
 _MAX_DURATION = datetime.timedelta(days=366)
 
 
--- a/sedgepin/platform/_endpoints.py
+++ b/sedgepin/platform/_endpoints.py
@@ -9,7 +9,7 @@
 from sedgepin import _model as model
 from sedgepin import errors
 
-_Natural = typing.Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+_Natural = typing.Annotated[int, msgspec.Meta(ge=0, le=model.MAX_NUMBER)]
 _Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 _OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
 _Address = typing.Annotated[
--- a/sedgepin/platform/_gateway.py
+++ b/sedgepin/platform/_gateway.py
@@ -28,9 +28,9 @@
 )
 _AUTHORIZATION_SCHEME = "token "
 _ACCEPTED_STATUSES = (200, 202)
-# Larger numbers of tokens or requests than any engine holds.
+# No engine holds more tokens or requests.
 _MAX_COUNT = 2**31 - 1
-# No caller waits for longer; later instants may be none of the calendar.
+# The sum of an instant and a much longer time may exceed ``datetime``.
 _MAX_TIME_LEFT = datetime.timedelta(days=366)
 # The engine at the address is not the one in X-Expect-Instance.
 _MISDIRECTED_STATUS = 421
