Give each run of the tests loopback addresses of its own

Tests with real processes listened on fixed addresses. A run now claims a block of 127.0.0.0/8 by a bound socket.

--- a/sedgepin/platform/tests/running_system.py
+++ b/sedgepin/platform/tests/running_system.py
@@ -12,10 +12,11 @@
 
 from sedgepin import _web as web
 from sedgepin import errors
+from sedgepin.tests import loopback
 
-CONTROL = "127.0.71.1"
-ENTRY = "127.0.71.2"
-ENGINE = "127.0.71.3"
+CONTROL = loopback.address(71, 1)
+ENTRY = loopback.address(71, 2)
+ENGINE = loopback.address(71, 3)
 _PEER_PORT = 27340
 CALL_PORT = 28229
 READY_PORT = 28220
--- a/sedgepin/platform/tests/test_odd_check_ins.py
+++ b/sedgepin/platform/tests/test_odd_check_ins.py
@@ -5,8 +5,9 @@
 import trio
 
 from sedgepin.platform.tests import running_system
+from sedgepin.tests import loopback
 
-_ODD_ADDRESS = "127.0.71.9"
+_ODD_ADDRESS = loopback.address(71, 9)
 _CHECK_IN = {
     "service": "s",
     "address": f"{_ODD_ADDRESS}:80",
--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -17,6 +17,7 @@
 from sedgepin.platform.tests.soak import _engines
 from sedgepin.platform.tests.soak import _proxy
 from sedgepin.platform.tests.soak import _record
+from sedgepin.tests import loopback
 
 _FAULT_SECONDS = 4.0
 
@@ -264,8 +265,10 @@
 class TestProxy:
     """Faults of the proxy affect connections and end in time."""
 
-    _PROXY_ADDRESS = "127.89.1.1:18080"
-    _TARGET_ADDRESS = "127.89.2.1:18080"
+    _PROXY_HOST = loopback.address(81, 1)
+    _TARGET_HOST = loopback.address(82, 1)
+    _PROXY_ADDRESS = f"{_PROXY_HOST}:18080"
+    _TARGET_ADDRESS = f"{_TARGET_HOST}:18080"
 
     async def _echo(self, stream: trio.SocketStream) -> None:
         try:
@@ -282,7 +285,7 @@
             await trio.serve_tcp(
                 self._echo,
                 18080,
-                host="127.89.2.1",
+                host=self._TARGET_HOST,
                 task_status=task_status,  # type: ignore[arg-type]
             )
 
@@ -294,7 +297,7 @@
     async def _round_trip(self, seconds: float) -> bool:
         with trio.move_on_after(seconds):
             async with await trio.open_tcp_stream(
-                "127.89.1.1", 18080
+                self._PROXY_HOST, 18080
             ) as stream:
                 await stream.send_all(b"x")
                 return await stream.receive_some(1) == b"x"
@@ -322,7 +325,7 @@
         self, nursery: trio.Nursery
     ) -> None:
         proxy = await self._start(nursery)
-        stream = await trio.open_tcp_stream("127.89.1.1", 18080)
+        stream = await trio.open_tcp_stream(self._PROXY_HOST, 18080)
         await stream.send_all(b"x")
         assert await stream.receive_some(1) == b"x"
         await proxy.inject(_proxy.LinkFault.RESET, 0)
@@ -340,7 +343,7 @@
     ) -> None:
         """Its engine once failed with ``KeyError`` (seed 41003)."""
         counts = {"control": 1, "entry": 1, "engine": 1}
-        addresses = _addresses.Addresses(89, counts)
+        addresses = _addresses.Addresses(loopback.BLOCK, counts)
         engine = _engines.Engine(
             1,
             _engines.MODEL_SERVICE,
@@ -378,7 +381,9 @@
     async def test_no_invariant_is_violated(
         self, tmp_path: pathlib.Path, seed: int
     ) -> None:
-        record = await soak.run_seed(seed, tmp_path, _FAULT_SECONDS, lane=88)
+        record = await soak.run_seed(
+            seed, tmp_path, _FAULT_SECONDS, lane=loopback.BLOCK
+        )
         assert soak.find_violations(record) == [], record.faults
         assert len(record.answers) > 100
         assert len(record.faults) >= 3
--- a/sedgepin/platform/tests/test_upgrade.py
+++ b/sedgepin/platform/tests/test_upgrade.py
@@ -7,6 +7,7 @@
 
 from sedgepin.platform.tests.soak import _invariants
 from sedgepin.platform.tests.soak import _upgrade
+from sedgepin.tests import loopback
 
 _PRODUCTION = {
     # The landing before the one that added messages about limits of requests.
@@ -47,7 +48,7 @@
         replacements: list[_upgrade.Replacement],
     ) -> None:
         record = await _upgrade.run_upgrade(
-            _SEED, folder, old_build, replacements
+            _SEED, folder, old_build, replacements, loopback.BLOCK
         )
         assert _invariants.find_violations(record) == []
         ((start, end),) = record.calm_spans
