Undo refused writes to a full disk completely

A control VM whose disk was full at a bad moment could have an unreadable log at its next start, and exit with status 4 until its folder was emptied.

Cause: a partial append is undone by truncation, and where that is refused too, the next append followed the torn bytes. A refused replacement left its temporary file, which takes up the space that the log lacks, also beyond a restart.

The size to go back to is kept until the truncation succeeds, and comes before the next append. Temporary files are removed when a replacement fails and when the folder is opened. A new file whose folder could not be synced is created again instead of counting as durable.

--- a/sedgepin/_storage/_folder_disk.py
+++ b/sedgepin/_storage/_folder_disk.py
@@ -28,13 +28,20 @@
     >>> disk.close()
     """
 
-    __slots__ = ("_folder_fd", "_file_fds", "_lock_fd", "path")
+    __slots__ = (
+        "_file_fds",
+        "_folder_fd",
+        "_lock_fd",
+        "_sizes_to_restore",
+        "path",
+    )
 
     def __init__(self, path: pathlib.Path, lock_fd: int) -> None:
         self.path = path
         self._lock_fd = lock_fd
         self._folder_fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
         self._file_fds: dict[str, int] = {}
+        self._sizes_to_restore: dict[str, int] = {}
 
     @classmethod
     def open(
@@ -52,7 +59,9 @@
         except BlockingIOError:
             os.close(lock_fd)
             return result.Err(_failures.FolderLocked(str(path)))
-        return result.Ok(cls(path, lock_fd))
+        disk = cls(path, lock_fd)
+        disk.remove_temporary_files()
+        return result.Ok(disk)
 
     def close(self) -> None:
         """Close all files and release the lock."""
@@ -62,14 +71,25 @@
         os.close(self._folder_fd)
         os.close(self._lock_fd)
 
+    def remove_temporary_files(self) -> None:
+        """Remove what replacements that did not complete have left."""
+        for entry in self.path.iterdir():
+            if entry.name.endswith(_TEMPORARY_SUFFIX):
+                entry.unlink(missing_ok=True)
+
     def append(self, name: str, data: bytes) -> None:
-        """Append ``data`` to a file; undo a partial write on an error."""
+        """Append ``data`` to a file; undo a partial write on an error.
+
+        If that fails too, it is undone before the next append.
+        """
         fd = self._open_file(name)
+        self._restore_size(name, fd)
         size_bytes = os.fstat(fd).st_size
         try:
             _write_all(fd, data)
         except OSError:
-            os.ftruncate(fd, size_bytes)
+            self._sizes_to_restore[name] = size_bytes
+            self._restore_size(name, fd)
             raise
 
     def sync(self, name: str) -> None:
@@ -81,8 +101,25 @@
         return (self.path / name).read_bytes()
 
     def replace(self, name: str, data: bytes) -> None:
-        """Write and sync a temporary file, rename it and sync the folder."""
+        """Write and sync a temporary file, rename it and sync the folder.
+
+        The temporary file is removed on an error, because it uses space.
+        """
         temporary_path = self.path / (name + _TEMPORARY_SUFFIX)
+        try:
+            self._write_temporary_file(temporary_path, data)
+        except OSError:
+            temporary_path.unlink(missing_ok=True)
+            raise
+        self._close_file(name)
+        os.rename(temporary_path, self.path / name)
+        self._sizes_to_restore.pop(name, None)
+        os.fsync(self._folder_fd)
+
+    @staticmethod
+    def _write_temporary_file(
+        temporary_path: pathlib.Path, data: bytes
+    ) -> None:
         flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC
         fd = os.open(temporary_path, flags, _FILE_MODE)
         try:
@@ -90,13 +127,11 @@
             os.fsync(fd)
         finally:
             os.close(fd)
-        self._close_file(name)
-        os.rename(temporary_path, self.path / name)
-        os.fsync(self._folder_fd)
 
     def truncate(self, name: str, size_bytes: int) -> None:
         """Truncate a file to ``size_bytes``."""
         os.ftruncate(self._open_file(name), size_bytes)
+        self._sizes_to_restore.pop(name, None)
 
     def names(self) -> list[str]:
         """Return all file names but those of the lock and temporary files."""
@@ -120,11 +155,23 @@
         is_new = not (self.path / name).exists()
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         fd = os.open(self.path / name, flags, _FILE_MODE)
-        self._file_fds[name] = fd
         if is_new:
-            os.fsync(self._folder_fd)
+            try:
+                os.fsync(self._folder_fd)
+            except OSError:
+                os.close(fd)
+                os.unlink(self.path / name)
+                raise
+        self._file_fds[name] = fd
         return fd
 
+    def _restore_size(self, name: str, fd: int) -> None:
+        """Undo a partial write that was not undone yet."""
+        size_bytes = self._sizes_to_restore.get(name)
+        if size_bytes is not None:
+            os.ftruncate(fd, size_bytes)
+            del self._sizes_to_restore[name]
+
     def _close_file(self, name: str) -> None:
         fd = self._file_fds.pop(name, None)
         if fd is not None:
--- a/sedgepin/_storage/tests/test_retrying_disk.py
+++ b/sedgepin/_storage/tests/test_retrying_disk.py
@@ -102,3 +102,51 @@
         monkeypatch.undo()
         assert disk.read("log") == b"kept"
         disk.close()
+
+    def test_partial_write_is_rolled_back_even_if_truncation_failed(
+        self, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        disk = storage.FolderDisk.open(tmp_path).unwrap()
+        disk.append("log", b"kept")
+
+        def write(fd: int, data: memoryview) -> int:
+            monkeypatch.setattr(os, "write", refuse)
+            return real(fd, data[:2])
+
+        def refuse(*_args: object) -> int:
+            raise OSError(errno.ENOSPC, "full")
+
+        real = os.write
+        monkeypatch.setattr(os, "write", write)
+        monkeypatch.setattr(os, "ftruncate", refuse)
+        with pytest.raises(OSError, match="full"):
+            disk.append("log", b"more")
+        monkeypatch.undo()
+        disk.append("log", b"more")
+        assert disk.read("log") == b"keptmore"
+        disk.close()
+
+    def test_refused_replacement_leaves_no_file_that_takes_up_space(
+        self, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        disk = storage.FolderDisk.open(tmp_path).unwrap()
+        disk.replace("log", b"kept")
+        before = sorted(os.listdir(tmp_path))
+
+        def refuse(_fd: int) -> None:
+            raise OSError(errno.ENOSPC, "full")
+
+        monkeypatch.setattr(os, "fsync", refuse)
+        with pytest.raises(OSError, match="full"):
+            disk.replace("log", b"more")
+        assert sorted(os.listdir(tmp_path)) == before
+        assert disk.read("log") == b"kept"
+        disk.close()
+
+    def test_start_removes_what_a_replacement_has_left(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        storage.FolderDisk.open(tmp_path).unwrap().close()
+        (tmp_path / "log.aside").write_bytes(b"half")
+        storage.FolderDisk.open(tmp_path).unwrap().close()
+        assert not (tmp_path / "log.aside").exists()
