Let a commit that a full disk refused be repeated

LogStore.append took each failed write for one that had changed nothing. Its chain of checksums went on all the same, a torn end stayed, and a sync that failed for lack of space ended the process; the start then trusted a second sync, which says nothing of pages that the kernel dropped after the first.

append now first truncates what a refused call may have left, and takes over checksum, size and hard state only once the sync has succeeded, so the call can be repeated. A start whose sync is refused writes the log again. The disk raises DiskFull instead of blocking once a process serves; nothing uses that yet. EFBIG counts as full: prlimit raises the limit of a running process.

The new disk double tears refused appends, refuses truncations, and loses what a refused sync has covered.

--- a/sedgepin/_storage/__init__.py
+++ b/sedgepin/_storage/__init__.py
@@ -16,11 +16,13 @@
 from sedgepin._storage._records import MemberId
 from sedgepin._storage._records import RecoveredState
 from sedgepin._storage._records import Snapshot
+from sedgepin._storage._retrying_disk import DiskFull
 from sedgepin._storage._retrying_disk import RetryingDisk
 
 __all__ = [
     "Configuration",
     "Disk",
+    "DiskFull",
     "DiskId",
     "EntryKind",
     "FolderDisk",
--- a/sedgepin/_storage/_disk.py
+++ b/sedgepin/_storage/_disk.py
@@ -8,9 +8,11 @@
 
     ``append`` and ``truncate`` are durable only after ``sync`` of the same
     file; ``replace`` and ``remove`` are durable on return.  I/O errors are
-    raised as ``OSError``.  A write that failed because the disk is full may
-    be repeated.  After any other error the state on disk is unknown, so the
-    process must exit.
+    raised as ``OSError``.  A failed ``append`` may have written a part of the
+    data, and a failed ``sync`` may have lost what was appended before it.  If
+    the disk is full, ``replace`` may be repeated, and so may ``append`` once
+    the file was truncated to its last synced size.  After any other error the
+    state on disk is unknown, so the process must exit.
     """
 
     @abc.abstractmethod
--- a/sedgepin/_storage/_log_store.py
+++ b/sedgepin/_storage/_log_store.py
@@ -10,6 +10,7 @@
 from sedgepin._storage import _failures
 from sedgepin._storage import _frames
 from sedgepin._storage import _records
+from sedgepin._storage import _retrying_disk
 
 LOG_FILE = "log"
 SNAPSHOT_FILE = "snapshot"
@@ -50,7 +51,15 @@
     True
     """
 
-    __slots__ = ("_checksum", "_disk", "_disk_id", "_hard_state", "_rng")
+    __slots__ = (
+        "_checksum",
+        "_disk",
+        "_disk_id",
+        "_hard_state",
+        "_has_torn_end",
+        "_rng",
+        "_size_bytes",
+    )
 
     def __init__(
         self, disk: _disk.Disk, rng: random.Random | None = None
@@ -58,6 +67,8 @@
         self._disk = disk
         self._rng = rng or random.SystemRandom()
         self._checksum = 0
+        self._size_bytes = 0
+        self._has_torn_end = False
         self._disk_id = _records.DiskId(0)
         self._hard_state = _records.HardState()
 
@@ -88,7 +99,7 @@
         if replay.has_dropped_entries:
             self._rewrite_log(replayed.ok_value.entries)
         else:
-            self._resume(scan)
+            self._resume(scan, replayed.ok_value.entries)
         return replayed
 
     def append(
@@ -100,35 +111,56 @@
         """Write one group commit and sync it; it is durable on return.
 
         Entries from index ``truncate_from`` on are dropped before the new
-        entries are added.
+        entries are added.  After ``DiskFull`` the call must be repeated
+        before any other.
         """
-        if hard_state is not None:
-            self._hard_state = hard_state
         record = _Append(hard_state, truncate_from, tuple(entries))
-        frame, self._checksum = _frames.encode(_encode(record), self._checksum)
+        frame, checksum = _frames.encode(_encode(record), self._checksum)
+        if self._has_torn_end:
+            self._disk.truncate(LOG_FILE, self._size_bytes)
+        self._has_torn_end = True
         self._disk.append(LOG_FILE, frame)
         self._disk.sync(LOG_FILE)
+        self._has_torn_end = False
+        self._size_bytes += len(frame)
+        self._checksum = checksum
+        if hard_state is not None:
+            self._hard_state = hard_state
 
     def save_snapshot(
         self,
         snapshot: _records.Snapshot,
         entries: collections.abc.Sequence[_records.LogEntry] = (),
     ) -> None:
-        """Replace the whole log by ``snapshot`` and ``entries``, durably."""
+        """Replace the whole log by ``snapshot`` and ``entries``, durably.
+
+        After ``DiskFull`` the call must be repeated before any other.
+        """
         framed, _ = _frames.encode(_encode(snapshot), 0)
         self._disk.replace(SNAPSHOT_FILE, framed)
         self._rewrite_log(entries)
 
-    def _resume(self, scan: _frames.Scan) -> None:
+    def _resume(
+        self,
+        scan: _frames.Scan,
+        entries: collections.abc.Sequence[_records.LogEntry],
+    ) -> None:
         """Continue the log after the last valid frame.
 
         If only the process died, data that was read may still be unsynced in
-        the page cache, so it is synced before the member relies on it.
+        the page cache, so it is synced before the member relies on it.  After
+        a failed sync the kernel may have dropped it, and a second sync proves
+        nothing, so it is written again.
         """
         if scan.torn_bytes:
             self._disk.truncate(LOG_FILE, scan.valid_bytes)
-        self._disk.sync(LOG_FILE)
+        try:
+            self._disk.sync(LOG_FILE)
+        except _retrying_disk.DiskFull:
+            self._rewrite_log(entries)
+            return
         self._checksum = scan.checksum
+        self._size_bytes = scan.valid_bytes
 
     def _create(
         self, has_snapshot: bool
@@ -149,8 +181,11 @@
     ) -> None:
         identity, seed = _frames.encode(_encode(_Identity(self._disk_id)), 0)
         record = _Append(self._hard_state, None, tuple(entries))
-        frame, self._checksum = _frames.encode(_encode(record), seed)
+        frame, checksum = _frames.encode(_encode(record), seed)
         self._disk.replace(LOG_FILE, identity + frame)
+        self._checksum = checksum
+        self._size_bytes = len(identity) + len(frame)
+        self._has_torn_end = False
 
     def _read_snapshot(
         self, has_snapshot: bool
--- a/sedgepin/_storage/tests/test_retrying_disk.py
+++ b/sedgepin/_storage/tests/test_retrying_disk.py
@@ -7,10 +7,12 @@
 import errno
 import os
 import pathlib
+import random
 
 import pytest
 
 from sedgepin import _storage as storage
+from sedgepin._storage.tests import full_disk
 
 
 class _FullDisk(storage.MemoryDisk):
@@ -81,6 +83,117 @@
         assert recovered.term == 3
 
 
+class _FullStore:
+    """A log store on a disk that can run full, as a serving VM has it."""
+
+    def __init__(self) -> None:
+        self.disk = full_disk.FullDisk()
+        self._waiting = storage.RetryingDisk(
+            self.disk, self._end_shortage, lambda _: None, lambda _: None
+        )
+        self.store = storage.LogStore(self._waiting, random.Random(1))
+        self.store.open().unwrap()
+        self._waiting.waits = False
+
+    def _end_shortage(self, _seconds: float) -> None:
+        self.disk.is_full = False
+
+    def append(self, index: int) -> None:
+        state = storage.HardState(term=index)
+        self.store.append(state, None, [_entry(index)])
+
+    def append_when_full(self, index: int) -> None:
+        """Try twice on a full disk, then once more with space."""
+        self.disk.is_full = True
+        for _ in range(2):
+            with pytest.raises(storage.DiskFull):
+                self.append(index)
+        self.disk.is_full = False
+        self.append(index)
+
+    def reopen(self) -> storage.RecoveredState:
+        """Open the log as after the end of the process, with files as is."""
+        self._waiting.waits = True
+        return storage.LogStore(self._waiting).open().unwrap()
+
+    def recover_after_power_loss(self) -> storage.RecoveredState:
+        self.disk.lose_power()
+        return storage.LogStore(self.disk).open().unwrap()
+
+
+def _entry(index: int) -> storage.LogEntry:
+    kind = storage.EntryKind.COMMAND
+    return storage.LogEntry(index, 1, kind, b"command %d" % index * 20)
+
+
+class TestLogStoreOnFullDisk:
+    @pytest.mark.parametrize("syncs_fail_only", [False, True])
+    @pytest.mark.parametrize("truncation_fails", [False, True])
+    def test_commits_that_were_refused_at_first_are_kept(
+        self, syncs_fail_only: bool, truncation_fails: bool
+    ) -> None:
+        full = _FullStore()
+        full.disk.syncs_fail_only = syncs_fail_only
+        full.disk.truncation_fails = truncation_fails
+        full.append(1)
+        full.append_when_full(2)
+        full.append(3)
+        recovered = full.recover_after_power_loss()
+        assert [entry.index for entry in recovered.entries] == [1, 2, 3]
+        assert recovered.term == 3
+        assert recovered.torn_bytes == 0
+
+    @pytest.mark.parametrize("syncs_fail_only", [False, True])
+    def test_power_loss_while_full_keeps_what_was_synced(
+        self, syncs_fail_only: bool
+    ) -> None:
+        full = _FullStore()
+        full.disk.syncs_fail_only = syncs_fail_only
+        full.append(1)
+        full.disk.is_full = True
+        with pytest.raises(storage.DiskFull):
+            full.append(2)
+        full.disk.is_full = False
+        recovered = full.recover_after_power_loss()
+        assert [entry.index for entry in recovered.entries] == [1]
+
+    def test_snapshot_that_was_refused_at_first_is_kept(self) -> None:
+        full = _FullStore()
+        full.append(1)
+        snapshot = storage.Snapshot(1, 1, storage.Configuration(), b"state")
+        full.disk.is_full = True
+        with pytest.raises(storage.DiskFull):
+            full.store.save_snapshot(snapshot)
+        full.disk.is_full = False
+        full.store.save_snapshot(snapshot)
+        full.append(2)
+        recovered = full.recover_after_power_loss()
+        assert recovered.snapshot == snapshot
+        assert [entry.index for entry in recovered.entries] == [2]
+        assert recovered.term == 2
+
+    def test_start_does_not_trust_a_second_sync(self) -> None:
+        full = _FullStore()
+        full.append(1)
+        full.disk.is_full = full.disk.syncs_fail_only = True
+        with pytest.raises(storage.DiskFull):
+            full.append(2)
+        read = full.reopen()
+        assert [entry.index for entry in read.entries] == [1, 2]
+        recovered = full.recover_after_power_loss()
+        assert recovered.entries == read.entries
+
+    @pytest.mark.parametrize("number", [errno.ENOSPC, errno.EFBIG])
+    def test_serving_process_is_told_instead_of_waiting(
+        self, number: int
+    ) -> None:
+        recorder = _DiskRecorder(_FullDisk(1, number))
+        recorder.disk.waits = False
+        with pytest.raises(storage.DiskFull):
+            recorder.disk.append("log", b"entry")
+        assert recorder.sleep_count == 0
+
+
 class TestFolderDiskWrites:
     def test_partial_write_is_rolled_back(
         self, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
