Write the last log record again when a control VM starts

A VM whose sync of the log was refused, and that was then restarted, could lose an acknowledged change or be unable to read its log after a loss of power.

Cause: after a failed sync the kernel counts the pages as clean. The next process reads the record from the page cache, and its own sync succeeds without writing anything; it then relies on the record and appends to it.

Each append is synced before the next, so only the last record can be affected. It is written over itself before the sync at the start, which makes its pages dirty again and risks nothing if power is lost in between.

--- a/sedgepin/_storage/_folder_disk.py
+++ b/sedgepin/_storage/_folder_disk.py
@@ -92,6 +92,16 @@
             self._restore_size(name, fd)
             raise
 
+    def overwrite(self, name: str, offset_bytes: int, data: bytes) -> None:
+        """Write ``data`` over that part of an existing file."""
+        # Linux ignores the offset on a file that is open for appending.
+        fd = os.open(self.path / name, os.O_WRONLY)
+        try:
+            os.lseek(fd, offset_bytes, os.SEEK_SET)
+            _write_all(fd, data)
+        finally:
+            os.close(fd)
+
     def sync(self, name: str) -> None:
         """Make all earlier writes to the file durable."""
         os.fdatasync(self._open_file(name))
--- a/sedgepin/_storage/_log_store.py
+++ b/sedgepin/_storage/_log_store.py
@@ -83,7 +83,8 @@
         names = self._disk.names()
         if LOG_FILE not in names:
             return self._create(SNAPSHOT_FILE in names)
-        scanned = _frames.scan(LOG_FILE, self._disk.read(LOG_FILE))
+        data = self._disk.read(LOG_FILE)
+        scanned = _frames.scan(LOG_FILE, data)
         if isinstance(scanned, result.Err):
             return scanned
         scan = scanned.ok_value
@@ -99,7 +100,7 @@
         if replay.has_dropped_entries:
             self._rewrite_log(replayed.ok_value.entries)
         else:
-            self._resume(scan, replayed.ok_value.entries)
+            self._resume(data, scan, replayed.ok_value.entries)
         return replayed
 
     def append(
@@ -142,18 +143,22 @@
 
     def _resume(
         self,
+        data: bytes,
         scan: _frames.Scan,
         entries: collections.abc.Sequence[_records.LogEntry],
     ) -> None:
         """Continue the log after the last valid frame.
 
-        If only the process died, data that was read may still be unsynced in
-        the page cache, so it is synced before the member relies on it.  After
-        a failed sync the kernel may have dropped it, and a second sync proves
-        nothing, so it is written again.
+        If only the process died, the last frame may still be unsynced in the
+        page cache, so it is synced before the member relies on it.  It is
+        written again first: if an earlier sync failed, the kernel no longer
+        counts it as unsynced.
         """
         if scan.torn_bytes:
             self._disk.truncate(LOG_FILE, scan.valid_bytes)
+        start = scan.frames[-1].offset_bytes
+        frame = data[start : scan.valid_bytes]
+        self._disk.overwrite(LOG_FILE, start, frame)
         try:
             self._disk.sync(LOG_FILE)
         except _retrying_disk.DiskFull:
--- a/sedgepin/_storage/_memory_disk.py
+++ b/sedgepin/_storage/_memory_disk.py
@@ -28,6 +28,12 @@
         """Append ``data`` to a file."""
         self._written[name] = self._written.get(name, b"") + data
 
+    def overwrite(self, name: str, offset_bytes: int, data: bytes) -> None:
+        """Write ``data`` over that part of an existing file."""
+        old = self._written[name]
+        end = offset_bytes + len(data)
+        self._written[name] = old[:offset_bytes] + data + old[end:]
+
     def sync(self, name: str) -> None:
         """Make all earlier writes to the file durable."""
         self.sync_count += 1
--- a/sedgepin/_storage/_retrying_disk.py
+++ b/sedgepin/_storage/_retrying_disk.py
@@ -54,6 +54,12 @@
         """Replace the content of a file."""
         self._retry_while_full(lambda: self._disk.replace(name, data))
 
+    def overwrite(self, name: str, offset_bytes: int, data: bytes) -> None:
+        """Write ``data`` over that part of an existing file."""
+        self._retry_while_full(
+            lambda: self._disk.overwrite(name, offset_bytes, data)
+        )
+
     def sync(self, name: str) -> None:
         """Make all earlier writes to the file durable."""
         try:
--- a/sedgepin/_storage/tests/full_disk.py
+++ b/sedgepin/_storage/tests/full_disk.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import random
 
 from sedgepin import _storage as storage
 
@@ -45,6 +46,15 @@
         self._lost_ranges.pop(name, None)
         super().replace(name, data)
 
+    def overwrite(self, name: str, offset_bytes: int, data: bytes) -> None:
+        """Write ``data`` over that part, unless the disk is full."""
+        if self.is_full and not self.syncs_fail_only:
+            self._refuse()
+        super().overwrite(name, offset_bytes, data)
+        start, end = self._lost_ranges.get(name, (0, 0))
+        if offset_bytes <= start and end <= offset_bytes + len(data):
+            self._lost_ranges.pop(name, None)
+
     def truncate(self, name: str, size_bytes: int) -> None:
         """Truncate a file; what a refused sync had lost is cut off."""
         if self.is_full and self.truncation_fails:
@@ -70,9 +80,15 @@
             durable[:start] + bytes(end - start) + durable[end:]
         )
 
+    def crash(self, rng: random.Random) -> None:
+        """Simulate a power loss, as ``MemoryDisk`` does."""
+        super().crash(rng)
+        self._lost_ranges.clear()
+
     def lose_power(self) -> None:
         """Leave only what is durable."""
         self._written = dict(self._durable)
+        self._lost_ranges.clear()
 
     def _refuse(self) -> None:
         self.refused_count += 1
--- a/sedgepin/_storage/tests/test_retrying_disk.py
+++ b/sedgepin/_storage/tests/test_retrying_disk.py
@@ -172,12 +172,14 @@
         assert [entry.index for entry in recovered.entries] == [2]
         assert recovered.term == 2
 
-    def test_start_does_not_trust_a_second_sync(self) -> None:
+    @pytest.mark.parametrize("has_space", [False, True])
+    def test_start_does_not_trust_a_second_sync(self, has_space: bool) -> None:
         full = _FullStore()
         full.append(1)
         full.disk.is_full = full.disk.syncs_fail_only = True
         with pytest.raises(storage.DiskFull):
             full.append(2)
+        full.disk.is_full = not has_space
         read = full.reopen()
         assert [entry.index for entry in read.entries] == [1, 2]
         recovered = full.recover_after_power_loss()
