Let a driver keep effects that cannot be carried out yet

A driver could only block in an effect or end its reducer. It can now keep an effect that raises a given error, with those that follow it from the same event, until a retry succeeds; the reducer is told by an event at the start and at the end, and handles others in between. open_log opens the log of a control VM for both programs. Nothing uses either yet.

--- a/sedgepin/_shell/__init__.py
+++ b/sedgepin/_shell/__init__.py
@@ -7,6 +7,8 @@
 from sedgepin._shell._daemon import wait_for_sigterm
 from sedgepin._shell._driver import Driver
 from sedgepin._shell._driver import DriverStopped
+from sedgepin._shell._driver import Postponement
+from sedgepin._shell._log_folder import open_log
 from sedgepin._shell._metrics import create_sink
 from sedgepin._shell._metrics import MetricSink
 from sedgepin._shell._metrics import NullSink
@@ -21,10 +23,12 @@
     "DriverStopped",
     "MetricSink",
     "NullSink",
+    "Postponement",
     "PrometheusSink",
     "SettingsSource",
     "StatsdSink",
     "create_sink",
+    "open_log",
     "peers_to_dial",
     "run_daemon",
     "wait_for_sigterm",
