Keep control VMs serving while their disks are full

Callers saw: an operator's call to a control VM with a full disk got no answer until there was room, and a read neither; the VM's peers and entries took it for frozen, a SIGTERM was not heard, and a leader led on to the end of its lease, so that changes waited for an election. The product's own control VM ended instead, again at each write, until its supervisor gave it up. Nothing after a refused sync was repeated at all: the process ended.

Cause: a write that had to wait blocked the loop in time.sleep, or ended it.

A refused write is now postponed with the effects after it and repeated every 0.1 s. Until then the Raft member is suspended: it asks for no write, so it neither votes nor acknowledges entries; a leader rejects its open proposals as of unknown outcome, has the most up-to-date voter stand for election, and steps down. The member still learns who leads, so that its VM forwards calls. Entries are told to use another control VM, as this one learns of no configuration. In a tick the effects of the log come last, so that nothing else waits with them.

log_suspended and log_resumed tell role, term and indices at both ends.

test_log_lines: log_refused is logged by another package now and stays covered by test_damaged_raft_log_stops_control_vm; the events of full disks move from the list of uncovered ones to the scenarios.

--- a/sedgepin/_consensus/__init__.py
+++ b/sedgepin/_consensus/__init__.py
@@ -18,6 +18,8 @@
 from sedgepin._consensus._events import PeerMessageReceived
 from sedgepin._consensus._events import Proposal
 from sedgepin._consensus._events import SnapshotTaken
+from sedgepin._consensus._events import StorageFilled
+from sedgepin._consensus._events import StorageFreed
 from sedgepin._consensus._events import TimerFired
 from sedgepin._consensus._failures import LeaseLost
 from sedgepin._consensus._failures import MemberChangeRefused
@@ -54,6 +56,8 @@
     "RestoreSnapshot",
     "SendMessage",
     "SnapshotTaken",
+    "StorageFilled",
+    "StorageFreed",
     "TimerFired",
     "TooManyProposals",
 ]
--- a/sedgepin/_consensus/_core.py
+++ b/sedgepin/_consensus/_core.py
@@ -234,6 +234,10 @@
         self._bytes_since_snapshot = 0
         self.outbox.persist_snapshot(snapshot, self.log.entries)
 
+    def cancel_snapshot_request(self) -> None:
+        """Drop a snapshot that cannot be written; request a later one."""
+        self._is_snapshot_requested = False
+
     def install(self, snapshot: storage.Snapshot) -> None:
         """Replace the applied state by a leader's snapshot.
 
--- a/sedgepin/_consensus/_events.py
+++ b/sedgepin/_consensus/_events.py
@@ -75,6 +75,20 @@
     state: bytes
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StorageFilled:
+    """The disk refused writes of the last event; they wait for space.
+
+    All effects of that event from the first refused write on wait too.  Until
+    ``StorageFreed`` no effect asks for a write.
+    """
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StorageFreed:
+    """All effects that had to wait for space have been carried out."""
+
+
 Event: typing.TypeAlias = (
     TimerFired
     | PeerMessageReceived
@@ -82,4 +96,6 @@
     | MemberChangeProposed
     | LeadershipTransferRequested
     | SnapshotTaken
+    | StorageFilled
+    | StorageFreed
 )
--- a/sedgepin/_consensus/_leadership.py
+++ b/sedgepin/_consensus/_leadership.py
@@ -149,6 +149,13 @@
             self._replication.progress, now
         )
 
+    def abandon(self, now: datetime.datetime) -> None:
+        """Have another voter stand for election, and step down at once."""
+        self._leadership_transfer.start_election_at_once(
+            self._replication.progress, now
+        )
+        self._core.become_follower(now, self._core.term, None)
+
     def record_join_request(
         self, member: storage.MemberId, now: datetime.datetime
     ) -> None:
--- a/sedgepin/_consensus/_leadership_transfer.py
+++ b/sedgepin/_consensus/_leadership_transfer.py
@@ -75,6 +75,21 @@
         header = core.header(self.target)
         core.send(self.target.vm_id, _messages.TimeoutNow(header))
 
+    def start_election_at_once(
+        self, progress: _reconfiguration.ProgressMap, now: datetime.datetime
+    ) -> None:
+        """Send ``TimeoutNow`` to the most up-to-date voter, as it is.
+
+        The leader cannot bring it up to date and must step down.
+        """
+        core = self._core
+        self.start(None, progress, now)
+        if self.target is None or self.has_released_lease:
+            return
+        self.has_released_lease = True
+        header = core.header(self.target)
+        core.send(self.target.vm_id, _messages.TimeoutNow(header))
+
     def must_step_down(self, now: datetime.datetime) -> bool:
         """Return whether the leader must step down.
 
--- a/sedgepin/_consensus/_node.py
+++ b/sedgepin/_consensus/_node.py
@@ -13,6 +13,7 @@
 from sedgepin._consensus import _leadership
 from sedgepin._consensus import _messages
 from sedgepin._consensus import _settings
+from sedgepin._consensus import _suspension
 from sedgepin import _model as model
 from sedgepin import _storage as storage
 
@@ -43,6 +44,7 @@
         "_follower",
         "_has_started",
         "_leadership",
+        "_suspension",
     )
 
     def __init__(
@@ -57,6 +59,7 @@
         self._follower = _follower.Follower(self._core)
         self._bootstrap = _bootstrap.Bootstrap(self._core)
         self._leadership: _leadership.Leadership | None = None
+        self._suspension = _suspension.Suspension(self._core)
         self._has_started = False
 
     @property
@@ -80,6 +83,11 @@
         """Return the current term."""
         return self._core.term
 
+    @property
+    def is_suspended(self) -> bool:
+        """Return whether this member waits for space on its disk."""
+        return self._suspension.is_active
+
     @property
     def commit_index(self) -> int:
         """Return the last index that this member knows to be committed."""
@@ -111,8 +119,10 @@
 
         ``now`` must be read after the event was received, because leases
         count from it.  The shell must carry out all effects before the next
-        event and end the process if an effect fails.  The effects of the
-        first call include the snapshot recovered from disk.
+        event and end the process if an effect fails.  If a write fails for
+        lack of space, it and the effects after it may wait instead, between
+        ``StorageFilled`` and ``StorageFreed``.  The effects of the first call
+        include the snapshot recovered from disk.
         """
         if not self._has_started:
             self._has_started = True
@@ -120,9 +130,26 @@
         leadership = self._current_leadership()
         if leadership is not None:
             leadership.check_quorum(now)
-        self._dispatch(event, now)
+        if self._suspension.is_active:
+            self._dispatch_suspended(event, now)
+        else:
+            self._dispatch(event, now)
         return self._core.outbox.drain()
 
+    def _dispatch_suspended(
+        self, event: _events.Event, now: datetime.datetime
+    ) -> None:
+        if isinstance(event, _events.StorageFreed):
+            self._suspension.finish()
+        elif isinstance(event, _events.TimerFired):
+            self._suspension.tick(now)
+        elif isinstance(event, _events.PeerMessageReceived):
+            self._suspension.handle_message(event.sender, event.message, now)
+        elif isinstance(event, _events.SnapshotTaken):
+            self._core.cancel_snapshot_request()
+        elif not isinstance(event, _events.StorageFilled):
+            self._handle_request(event, now)
+
     def _dispatch(self, event: _events.Event, now: datetime.datetime) -> None:
         if isinstance(event, _events.PeerMessageReceived):
             self._handle_message(event.sender, event.message, now)
@@ -130,7 +157,9 @@
             self._tick(now)
         elif isinstance(event, _events.SnapshotTaken):
             self._core.compact(event.index, event.state)
-        else:
+        elif isinstance(event, _events.StorageFilled):
+            self._suspension.start(self._current_leadership(), now)
+        elif not isinstance(event, _events.StorageFreed):
             self._handle_request(event, now)
 
     def _tick(self, now: datetime.datetime) -> None:
--- a/sedgepin/_consensus/tests/cluster.py
+++ b/sedgepin/_consensus/tests/cluster.py
@@ -4,12 +4,15 @@
 import datetime
 import heapq
 import random
+import typing
 
 import msgspec
 
 from sedgepin import _consensus as consensus
 from sedgepin import _model as model
+from sedgepin import _shell as shell
 from sedgepin import _storage as storage
+from sedgepin._storage.tests import full_disk
 from sedgepin import clock
 
 TICK_MICROSECONDS = 20_000
@@ -22,10 +25,11 @@
     """The VM under test crashed in the middle of a step."""
 
 
-class CrashingDisk(storage.MemoryDisk):
+class CrashingDisk(full_disk.FullDisk):
     """A disk whose VM crashes after ``steps_until_crash`` more steps.
 
-    A step is a sync, a replacement of a file or an effect.
+    It can run full, too.  A step is a sync, a replacement of a file or an
+    effect.
     """
 
     __slots__ = ("steps_until_crash",)
@@ -49,6 +53,9 @@
         super().replace(name, data)
 
 
+_Driver: typing.TypeAlias = shell.Driver[consensus.Event, consensus.Effect]
+
+
 class Vm:
     """One VM: its disk, its clock and, while it runs, its Raft member."""
 
@@ -58,6 +65,7 @@
         self.clock = clock.ManualClock()
         self.disk = CrashingDisk()
         self.node: consensus.RaftNode | None = None
+        self.driver: _Driver | None = None
         self.store = storage.LogStore(self.disk)
         self.applied: list[bytes] = []
         self.is_frozen = False
@@ -111,7 +119,12 @@
     def start(self, name: str) -> None:
         vm = self.vms[name]
         vm.disk.steps_until_crash = None
-        vm.store = storage.LogStore(vm.disk, self.rng)
+        vm.disk.is_full = False
+        disk = storage.RetryingDisk(
+            vm.disk, lambda _: None, lambda _: None, lambda _: None
+        )
+        disk.waits = False
+        vm.store = storage.LogStore(disk, self.rng)
         recovered = vm.store.open().unwrap()
         cfg = consensus.RaftSettings(
             vm.name,
@@ -121,6 +134,16 @@
         vm.applied, vm.inbox, vm.is_frozen = [], [], False
         rng = random.Random(self.rng.random())
         vm.node = consensus.RaftNode(cfg, recovered, rng, vm.clock.now())
+        vm.driver = shell.Driver(
+            vm.node.handle,
+            lambda effect: self._execute_step(vm, effect),
+            vm.clock,
+            postponement=shell.Postponement(
+                storage.DiskFull,
+                lambda _: consensus.StorageFilled(),
+                consensus.StorageFreed,
+            ),
+        )
 
     def kill(self, name: str) -> None:
         self.vms[name].disk.crash(self.rng)
@@ -189,6 +212,7 @@
                 continue
             self._push(due_microseconds + TICK_MICROSECONDS, "", name, b"")
             if not self.vms[name].is_frozen:
+                self.retry_writes(name)
                 self.handle(name, consensus.TimerFired())
         self._advance(end)
         self.check_leases()
@@ -209,15 +233,24 @@
 
     def handle(self, name: str, event: consensus.Event) -> None:
         vm = self.vms[name]
-        if vm.node is None:
+        if vm.node is None or vm.driver is None:
             return
         if vm.is_frozen:
             vm.inbox.append(event)
             return
         try:
-            for effect in vm.node.handle(event, vm.clock.now()):
-                vm.disk.count_step()
-                self._execute(vm, effect)
+            vm.driver.submit(event)
+        except PowerLoss:
+            self.kill(name)
+        self.check_leases()
+
+    def retry_writes(self, name: str) -> None:
+        """Repeat the writes of a VM that wait for space."""
+        vm = self.vms[name]
+        if vm.node is None or vm.driver is None:
+            return
+        try:
+            vm.driver.retry_postponed()
         except PowerLoss:
             self.kill(name)
         self.check_leases()
@@ -257,6 +290,7 @@
             if vm.node is None:
                 self.start(name)
             vm.disk.steps_until_crash = None
+            vm.disk.is_full = False
             if vm.is_frozen:
                 self.unfreeze(name)
         self.run_until(self._has_converged, limit_ms, step_ms=20)
@@ -292,6 +326,13 @@
             and len({len(vm.applied) for vm in self.vms.values()}) == 1
         )
 
+    def _execute_step(self, vm: Vm, effect: consensus.Effect) -> None:
+        if isinstance(effect, consensus.Persist | consensus.PersistSnapshot):
+            assert vm.driver is not None
+            assert not vm.driver.has_postponed, "a write overtakes another"
+        vm.disk.count_step()
+        self._execute(vm, effect)
+
     def _execute(self, vm: Vm, effect: consensus.Effect) -> None:
         match effect:
             case consensus.Persist(hard_state, truncate_from, entries):
--- a/sedgepin/_consensus/tests/test_machine.py
+++ b/sedgepin/_consensus/tests/test_machine.py
@@ -71,6 +71,30 @@
             if vm.node is None:
                 self.cluster.start(name)
 
+    @stateful.rule(
+        vm_index=_VM_INDICES,
+        syncs_fail_only=strategies.booleans(),
+        truncation_fails=strategies.booleans(),
+    )
+    def fill_disk(
+        self, vm_index: int, syncs_fail_only: bool, truncation_fails: bool
+    ) -> None:
+        vm = self.cluster.vms[self._name(vm_index)]
+        vm.disk.is_full = True
+        vm.disk.syncs_fail_only = syncs_fail_only
+        vm.disk.truncation_fails = truncation_fails
+
+    @stateful.rule(count=strategies.integers(0, 9))
+    def fill_disk_of_leader(self, count: int) -> None:
+        leader = self.cluster.leader()
+        if leader is not None:
+            leader.disk.is_full = True
+            self.cluster.propose(leader.name, count)
+
+    @stateful.rule(vm_index=_VM_INDICES)
+    def free_disk(self, vm_index: int) -> None:
+        self.cluster.vms[self._name(vm_index)].disk.is_full = False
+
     @stateful.rule(vm_index=_VM_INDICES)
     def lose_disk(self, vm_index: int) -> None:
         name = self._name(vm_index)
--- a/sedgepin/_control/_daemon.py
+++ b/sedgepin/_control/_daemon.py
@@ -2,7 +2,6 @@
 
 import pathlib
 import random
-import sys
 import time
 
 import trio
@@ -25,9 +24,10 @@
 from sedgepin import settings
 
 _TICK_SECONDS = 0.02
+# A full disk has space again after seconds at best.
+_WRITE_RETRY_SECONDS = 0.1
 _MAX_HEADER_BYTES = 16_384
 _LEADERSHIP_TRANSFER_TIMEOUT_SECONDS = 1.0
-_DATA_FOLDER_EXIT_STATUS = 4
 
 
 class ControlDaemon:
@@ -59,8 +59,17 @@
         self._reducer = _reducer.ControlReducer(
             cfg, recovered, random.Random(), own_clock.now()
         )
-        self._driver = shell.Driver(
-            self._reducer.handle, self._apply_effect, own_clock
+        self._driver = shell.Driver[
+            _events.ControlEvent, _effects.ControlEffect
+        ](
+            self._reducer.handle,
+            self._apply_effect,
+            own_clock,
+            postponement=shell.Postponement(
+                storage.DiskFull,
+                lambda failure: _events.DiskFilled(str(failure)),
+                _events.DiskFreed,
+            ),
         )
         self._metrics = shell.create_sink(cfg.statsd)
         self._order_client = _order_client.OrderClient(
@@ -90,6 +99,7 @@
             self._nursery = nursery
             await nursery.start(self._transport.run)
             nursery.start_soon(self._tick)
+            nursery.start_soon(self._retry_writes)
             nursery.start_soon(self._wait_for_drain)
             line = events.PROCESS_STARTED.line(
                 id=self._cfg.id,
@@ -105,6 +115,11 @@
             nursery.cancel_scope.cancel()
         logs.write(events.PROCESS_STOPPED.line(id=self._cfg.id))
 
+    async def _retry_writes(self) -> None:
+        while True:
+            await trio.sleep(_WRITE_RETRY_SECONDS)
+            self._driver.retry_postponed()
+
     async def _tick(self) -> None:
         while True:
             self._driver.submit(_events.TimerFired())
@@ -123,10 +138,8 @@
         match effect:
             case _effects.SendMessage(recipient, message):
                 self._transport.send(recipient, message)
-            case consensus.Persist(hard_state, truncate_from, entries):
-                self._store.append(hard_state, truncate_from, entries)
-            case consensus.PersistSnapshot(snapshot, entries):
-                self._store.save_snapshot(snapshot, entries)
+            case consensus.Persist() | consensus.PersistSnapshot():
+                self._write(effect)
             case _effects.AnswerOperator():
                 self._server.answer_operator(effect)
             case _effects.SendOrder(order):
@@ -136,6 +149,17 @@
             case _effects.CountMetric(name, count):
                 self._metrics.increment(name, count)
 
+    def _write(
+        self, effect: consensus.Persist | consensus.PersistSnapshot
+    ) -> None:
+        if self._driver.has_postponed:
+            raise AssertionError("a write would overtake one that waits")
+        match effect:
+            case consensus.Persist(hard_state, truncate_from, entries):
+                self._store.append(hard_state, truncate_from, entries)
+            case consensus.PersistSnapshot(snapshot, entries):
+                self._store.save_snapshot(snapshot, entries)
+
     async def _send_order(self, order: release.Order) -> None:
         outcome = release.OrderOutcome.FAILED
         with containment.contain("order"):
@@ -157,17 +181,6 @@
     or written by a later version.
     """
     logs.configure(cfg.log, cfg.id)
-    opened = storage.FolderDisk.open(pathlib.Path(cfg.data_folder))
-    if opened.is_err():
-        _exit_with_failure(opened.unwrap_err().detail())
-    store = storage.LogStore(opened.unwrap())
-    recovered = store.open()
-    if recovered.is_err():
-        _exit_with_failure(recovered.unwrap_err().detail())
-    daemon = ControlDaemon(cfg, store, recovered.unwrap(), clock.SystemClock())
+    store, recovered = shell.open_log(cfg.data_folder)
+    daemon = ControlDaemon(cfg, store, recovered, clock.SystemClock())
     shell.run_daemon(daemon.run)
-
-
-def _exit_with_failure(reason: str) -> None:
-    logs.write(events.LOG_REFUSED.line(failure=reason))
-    sys.exit(_DATA_FOLDER_EXIT_STATUS)
--- a/sedgepin/_control/_events.py
+++ b/sedgepin/_control/_events.py
@@ -34,10 +34,24 @@
     """The process received SIGTERM."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class DiskFilled:
+    """The disk refused a write, which waits with the effects after it."""
+
+    failure: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DiskFreed:
+    """All effects that waited for space have been carried out."""
+
+
 ControlEvent: typing.TypeAlias = (
     OperatorProposed
     | OrderCompleted
     | TimerFired
+    | DiskFilled
+    | DiskFreed
     | DrainRequested
     | protocol.PeerEvent
 )
--- a/sedgepin/_control/_reducer.py
+++ b/sedgepin/_control/_reducer.py
@@ -41,6 +41,7 @@
 
     __slots__ = (
         "_cfg",
+        "_disk_filled_at",
         "_entry_vms",
         "_proposal_batch",
         "_planner_adapter",
@@ -70,6 +71,7 @@
         self._proposals = _proposals.Proposals()
         self._planner_adapter = _planner_adapter.PlannerAdapter(cfg)
         self._next_plan_at = now
+        self._disk_filled_at = now
         self._entry_vms: set[model.VmId] = set()
         self._request_limits = rate_limits.RequestLimits()
         self._permits = rate_limits.PermitCoordinator(
@@ -128,6 +130,10 @@
                     address=address, failure=failure.detail()
                 )
                 return [_effects.WriteLog(line)]
+            case _events.DiskFilled(failure):
+                return self._suspend_log(failure, now)
+            case _events.DiskFreed():
+                return self._resume_log(now)
             case _events.DrainRequested():
                 return self._start_draining(now)
 
@@ -190,8 +196,8 @@
                 )
 
     def _tick(self, now: datetime.datetime) -> Effects:
-        effects = self._handle_raft_event(consensus.TimerFired(), now)
-        effects += self._handle_liveness(self._membership_view.tick(now), now)
+        raft_effects = self._handle_raft_event(consensus.TimerFired(), now)
+        effects = self._handle_liveness(self._membership_view.tick(now), now)
         effects += _send_all(self._permits.tick(self._leadership(now), now))
         if now >= self._next_plan_at:
             self._next_plan_at = now + _PLAN_INTERVAL
@@ -202,7 +208,39 @@
             effects += self._plan(
                 release.EndpointsObserved(announcements), now
             )
-        return effects
+        # A write may have to wait, with all effects after it.
+        return effects + raft_effects
+
+    def _suspend_log(self, failure: str, now: datetime.datetime) -> Effects:
+        self._disk_filled_at = now
+        line = events.LOG_SUSPENDED.line(
+            was_leader=self._raft.is_leader,
+            term=self._raft.term,
+            commit_index=self._raft.commit_index,
+            last_index=self._raft.last_index,
+        )
+        effects: Effects = [
+            _effects.WriteLog(events.DISK_FULL.line(failure=failure)),
+            _effects.WriteLog(line),
+        ]
+        return effects + self._handle_raft_event(
+            consensus.StorageFilled(), now
+        )
+
+    def _resume_log(self, now: datetime.datetime) -> Effects:
+        seconds = (now - self._disk_filled_at).total_seconds()
+        line = events.LOG_RESUMED.line(
+            leader=self._raft.leader_id,
+            term=self._raft.term,
+            commit_index=self._raft.commit_index,
+            last_index=self._raft.last_index,
+        )
+        has_room = events.DISK_HAS_ROOM.line(seconds=round(seconds, 1))
+        effects: Effects = [
+            _effects.WriteLog(has_room),
+            _effects.WriteLog(line),
+        ]
+        return effects + self._handle_raft_event(consensus.StorageFreed(), now)
 
     def _handle_command(
         self,
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -1,9 +1,7 @@
 """The registrar daemon: tasks, HTTP calls and storage around the reducer."""
 
 import itertools
-import pathlib
 import random
-import sys
 import time
 import typing
 
@@ -30,6 +28,8 @@
 from sedgepin import settings
 
 _TICK_SECONDS = 0.05
+# A full disk has space again after seconds at best.
+_WRITE_RETRY_SECONDS = 0.1
 # Limited endpoints whose figures are in the metrics.
 _MAX_LIMIT_METRICS = 256
 # Longer than the 0.9 s that the reducer lets a call wait for the log.
@@ -42,7 +42,6 @@
 # In this time a process that has begun to end closes its listening socket.
 _REPEAT_DELAY_SECONDS = 0.02
 _LEADERSHIP_TRANSFER_TIMEOUT_SECONDS = 1.0
-_DATA_FOLDER_EXIT_CODE = 4
 _LIMITS = web.ServerLimits(
     header_bytes=16_384,
     body_bytes=4_194_304,
@@ -162,8 +161,17 @@
             cfg, dialect, recovered, random.Random(), own_clock.now()
         )
         self._metrics = shell.PrometheusSink()
-        self._driver = shell.Driver(
-            self._reducer.handle, self._apply_effect, own_clock
+        self._driver = shell.Driver[
+            _events.RegistrarEvent, _effects.RegistrarEffect
+        ](
+            self._reducer.handle,
+            self._apply_effect,
+            own_clock,
+            postponement=shell.Postponement(
+                storage.DiskFull,
+                lambda failure: _events.DiskFilled(str(failure)),
+                _events.DiskFreed,
+            ),
         )
         self._calls = _CallHandler(dialect, self._driver.submit)
         self._server = web.Server(self._calls)
@@ -201,6 +209,7 @@
                     metrics_server.serve, self._cfg.metrics_listen
                 )
             nursery.start_soon(self._tick)
+            nursery.start_soon(self._retry_writes)
             await nursery.start(
                 shell.watch_settings, self._source, self._reload
             )
@@ -217,6 +226,11 @@
             nursery.cancel_scope.cancel()
         logs.write(events.PROCESS_STOPPED.line(id=self._cfg.vm_id))
 
+    async def _retry_writes(self) -> None:
+        while True:
+            await trio.sleep(_WRITE_RETRY_SECONDS)
+            self._driver.retry_postponed()
+
     def _reload(self, cfg: _settings.RegistrarSettings) -> None:
         self._driver.submit(_events.SettingsReloaded(cfg))
 
@@ -262,10 +276,8 @@
         match effect:
             case _effects.SendMessage(recipient, message):
                 self._transport.send(recipient, message)
-            case consensus.Persist(hard_state, truncate_from, entries):
-                self._store.append(hard_state, truncate_from, entries)
-            case consensus.PersistSnapshot(snapshot, entries):
-                self._store.save_snapshot(snapshot, entries)
+            case consensus.Persist() | consensus.PersistSnapshot():
+                self._write(effect)
             case _effects.Acknowledge(exchange_id):
                 acknowledgement = self._dialect.acknowledgement()
                 self._calls.respond(exchange_id, acknowledgement)
@@ -285,6 +297,17 @@
                 logs.write(line)
                 self._metrics.increment(line.definition.name, 1)
 
+    def _write(
+        self, effect: consensus.Persist | consensus.PersistSnapshot
+    ) -> None:
+        if self._driver.has_postponed:
+            raise AssertionError("a write would overtake one that waits")
+        match effect:
+            case consensus.Persist(hard_state, truncate_from, entries):
+                self._store.append(hard_state, truncate_from, entries)
+            case consensus.PersistSnapshot(snapshot, entries):
+                self._store.save_snapshot(snapshot, entries)
+
     async def _inspect_engine(self, effect: _effects.InspectEngine) -> None:
         with containment.contain("inspection"):
             await self._request_report(effect)
@@ -418,31 +441,8 @@
     If the data folder is in use, damaged, or written by a later version, logs
     the failure and exits with code 4.
     """
-    opened = storage.FolderDisk.open(pathlib.Path(source.current.data_folder))
-    if opened.is_err():
-        _exit_with_failure(opened.unwrap_err().detail())
-    store = storage.LogStore(
-        storage.RetryingDisk(
-            opened.unwrap(), time.sleep, _log_disk_full, _log_disk_has_space
-        )
-    )
-    recovered = store.open()
-    if recovered.is_err():
-        _exit_with_failure(recovered.unwrap_err().detail())
+    store, recovered = shell.open_log(source.current.data_folder)
     daemon = RegistrarDaemon(
-        source, dialect, store, recovered.unwrap(), clock.SystemClock()
+        source, dialect, store, recovered, clock.SystemClock()
     )
     shell.run_daemon(daemon.run)
-
-
-def _log_disk_full(failure: str) -> None:
-    logs.write(events.DISK_FULL.line(failure=failure))
-
-
-def _log_disk_has_space(seconds: float) -> None:
-    logs.write(events.DISK_HAS_ROOM.line(seconds=round(seconds, 1)))
-
-
-def _exit_with_failure(reason: str) -> typing.NoReturn:
-    logs.write(events.LOG_REFUSED.line(failure=reason))
-    sys.exit(_DATA_FOLDER_EXIT_CODE)
--- a/sedgepin/_registrar/_events.py
+++ b/sedgepin/_registrar/_events.py
@@ -116,6 +116,18 @@
     """The VM is shutting down."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class DiskFilled:
+    """The disk refused a write, which waits with the effects after it."""
+
+    failure: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DiskFreed:
+    """All effects that waited for space have been carried out."""
+
+
 RegistrarEvent: typing.TypeAlias = (
     TimerFired
     | ConfigurationSubmitted
@@ -126,6 +138,8 @@
     | NoticeReceived
     | LayerOrderAnswered
     | SettingsReloaded
+    | DiskFilled
+    | DiskFreed
     | DrainRequested
     | protocol.PeerEvent
 )
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -49,6 +49,7 @@
     __slots__ = (
         "_configurations",
         "_crash_causes",
+        "_disk_filled_at",
         "_endpoints",
         "_forwarders",
         "_led_at",
@@ -78,6 +79,7 @@
         )
         self._raft = consensus.RaftNode(raft_cfg, recovered, rng, now)
         self._led_at = now
+        self._disk_filled_at = now
         self._peers = _peers.Peers(cfg.vm_id, cfg.data_centre, cfg.seeds, now)
         self._endpoints = _endpoints.EndpointManager(
             cfg, self._peers, self._raft, now
@@ -145,27 +147,60 @@
                 return [_log(line)]
             case _events.SettingsReloaded(cfg):
                 return self._peers.add_controls(cfg.seeds)
+            case _events.DiskFilled(failure):
+                return self._suspend_log(failure, now)
+            case _events.DiskFreed():
+                return self._resume_log(now)
             case _events.DrainRequested():
                 transfer = consensus.LeadershipTransferRequested()
                 return self._step_raft(transfer, now)
 
     def _tick(self, now: datetime.datetime) -> Effects:
-        effects = self._step_raft(consensus.TimerFired(), now)
-        effects += self._configurations.expire(now)
+        raft_effects = self._step_raft(consensus.TimerFired(), now)
+        effects = self._configurations.expire(now)
         effects += self._permits.tick(now)
         self._crash_causes.tick(now)
         effects += self._log_cause_changes()
         if self._raft.leader_id is not None:
             self._led_at = now
+        # While the log is suspended, this VM learns of no configuration.
+        is_led = now - self._led_at < _LEADERLESS_TIMEOUT
         effects += self._load_aggregator.tick(
             now,
             self._peers.connected_controls,
-            now - self._led_at < _LEADERLESS_TIMEOUT,
+            is_led and not self._raft.is_suspended,
             self._configurations.ledger.version,
         )
         self._peers.homed_entries = self._load_aggregator.entries
         effects += self._peers.tick(self._load_aggregator.entry_count, now)
-        return effects + self._endpoints.tick(self._configurations.table, now)
+        effects += self._endpoints.tick(self._configurations.table, now)
+        # A write may have to wait, with all effects after it.
+        return effects + raft_effects
+
+    def _suspend_log(self, failure: str, now: datetime.datetime) -> Effects:
+        self._disk_filled_at = now
+        line = events.LOG_SUSPENDED.line(
+            was_leader=self._raft.is_leader,
+            term=self._raft.term,
+            commit_index=self._raft.commit_index,
+            last_index=self._raft.last_index,
+        )
+        effects = [_log(events.DISK_FULL.line(failure=failure)), _log(line)]
+        return effects + self._step_raft(consensus.StorageFilled(), now)
+
+    def _resume_log(self, now: datetime.datetime) -> Effects:
+        seconds = (now - self._disk_filled_at).total_seconds()
+        line = events.LOG_RESUMED.line(
+            leader=self._raft.leader_id,
+            term=self._raft.term,
+            commit_index=self._raft.commit_index,
+            last_index=self._raft.last_index,
+        )
+        effects = [
+            _log(events.DISK_HAS_ROOM.line(seconds=round(seconds, 1))),
+            _log(line),
+        ]
+        return effects + self._step_raft(consensus.StorageFreed(), now)
 
     def _handle_message(
         self,
--- a/sedgepin/_registrar/tests/cluster.py
+++ b/sedgepin/_registrar/tests/cluster.py
@@ -2,6 +2,7 @@
 
 import datetime
 import random
+import typing
 
 import result
 
@@ -15,11 +16,18 @@
 from sedgepin._registrar import _events
 from sedgepin._registrar import _reducer
 from sedgepin._registrar import _settings
+from sedgepin import _shell as shell
 from sedgepin import _storage as storage
+from sedgepin._storage.tests import full_disk
 from sedgepin import _web as web
+from sedgepin import clock
 from sedgepin import errors
 from sedgepin import events
 
+_Driver: typing.TypeAlias = shell.Driver[
+    _events.RegistrarEvent, _effects.RegistrarEffect
+]
+
 START = datetime.datetime(2026, 1, 1, tzinfo=datetime.timezone.utc)
 _STEP = datetime.timedelta(milliseconds=50)
 
@@ -101,15 +109,30 @@
     return catalog.Registration(**{**values, **changes})  # type: ignore
 
 
+class _ClusterClock(clock.Clock):
+    """The simulated time of a cluster."""
+
+    def __init__(self, cluster: "Cluster") -> None:
+        self._cluster = cluster
+
+    def now(self) -> datetime.datetime:
+        return self._cluster.now
+
+
 class Cluster:
-    """Control VMs ``a``, ``b``, ``c`` and the messages to one entry VM."""
+    """Control VMs ``a``, ``b``, ``c`` and the messages to one entry VM.
+
+    A VM that is started with a full disk runs once there is space.
+    """
 
     def __init__(self, seeds: str = "abc") -> None:
         self.now = START
         self.seeds = tuple(model.VmId(seed) for seed in seeds)
-        self.disks: dict[model.VmId, storage.MemoryDisk] = {}
+        self.disks: dict[model.VmId, full_disk.FullDisk] = {}
         self.stores: dict[model.VmId, storage.LogStore] = {}
         self.running: dict[model.VmId, _reducer.RegistrarReducer] = {}
+        self.drivers: dict[model.VmId, _Driver] = {}
+        self._waiting_starts: set[model.VmId] = set()
         self.cut_links: set[frozenset[model.VmId]] = set()
         self.responses: dict[int, _effects.RegistrarEffect] = {}
         self.entry_messages: list[protocol.PeerMessage] = []
@@ -125,10 +148,20 @@
 
     def start(self, vm_id: model.VmId, is_new_system: bool = False) -> None:
         """Start a VM, with its disk if it has run before."""
-        disk = self.disks.setdefault(vm_id, storage.MemoryDisk())
+        disk = storage.RetryingDisk(
+            self.disks.setdefault(vm_id, full_disk.FullDisk()),
+            lambda _: None,
+            lambda _: None,
+            lambda _: None,
+        )
+        disk.waits = False
         rng = random.Random(f"{vm_id}{len(self.responses)}{self.now}")
         self.stores[vm_id] = storage.LogStore(disk, rng)
-        recovered = self.stores[vm_id].open().unwrap()
+        try:
+            recovered = self.stores[vm_id].open().unwrap()
+        except storage.DiskFull:
+            self._waiting_starts.add(vm_id)
+            return
         cfg = _settings.RegistrarSettings(
             vm_id=vm_id,
             data_centre=model.DataCentreId("dc"),
@@ -142,6 +175,16 @@
             cfg, self.dialect, recovered, rng, self.now
         )
         self.running[vm_id] = reducer
+        self.drivers[vm_id] = shell.Driver(
+            reducer.handle,
+            lambda effect: self._execute(vm_id, effect),
+            _ClusterClock(self),
+            postponement=shell.Postponement(
+                storage.DiskFull,
+                lambda failure: _events.DiskFilled(str(failure)),
+                _events.DiskFreed,
+            ),
+        )
         for other in list(self.running):
             if other != vm_id and self._reaches(vm_id, other):
                 self._connect(vm_id, other)
@@ -177,7 +220,11 @@
         end = self.now + datetime.timedelta(seconds=seconds)
         while self.now < end:
             self.now += _STEP
+            waiting, self._waiting_starts = self._waiting_starts, set()
+            for vm_id in sorted(waiting):
+                self.start(vm_id)
             for vm_id in list(self.running):
+                self.drivers[vm_id].retry_postponed()
                 self.handle(vm_id, _events.TimerFired())
             self._deliver_messages()
 
@@ -225,26 +272,30 @@
 
     def handle(self, vm_id: model.VmId, event: _events.RegistrarEvent) -> None:
         """Pass an event to a VM and execute the effects."""
-        for effect in self.running[vm_id].handle(event, self.now):
-            match effect:
-                case consensus.Persist(hard_state, truncate_from, entries):
-                    self.stores[vm_id].append(
-                        hard_state, truncate_from, entries
-                    )
-                case consensus.PersistSnapshot(snapshot, entries):
-                    self.stores[vm_id].save_snapshot(snapshot, entries)
-                case _effects.SendMessage(recipient, message):
-                    self._in_transit.append((vm_id, recipient, message))
-                case (
-                    _effects.Acknowledge(exchange_id)
-                    | _effects.RespondWithConfiguration(exchange_id)
-                    | _effects.RespondWithFailure(exchange_id)
-                ):
-                    self.responses[exchange_id] = effect
-                case _effects.InspectEngine() | _effects.OrderLayers():
-                    self.engine_calls.append(effect)
-                case _effects.WriteLog(line):
-                    self.log_lines.append(line)
+        self.drivers[vm_id].submit(event)
+
+    def _execute(
+        self, vm_id: model.VmId, effect: _effects.RegistrarEffect
+    ) -> None:
+        match effect:
+            case consensus.Persist(hard_state, truncate_from, entries):
+                assert not self.drivers[vm_id].has_postponed
+                self.stores[vm_id].append(hard_state, truncate_from, entries)
+            case consensus.PersistSnapshot(snapshot, entries):
+                assert not self.drivers[vm_id].has_postponed
+                self.stores[vm_id].save_snapshot(snapshot, entries)
+            case _effects.SendMessage(recipient, message):
+                self._in_transit.append((vm_id, recipient, message))
+            case (
+                _effects.Acknowledge(exchange_id)
+                | _effects.RespondWithConfiguration(exchange_id)
+                | _effects.RespondWithFailure(exchange_id)
+            ):
+                self.responses[exchange_id] = effect
+            case _effects.InspectEngine() | _effects.OrderLayers():
+                self.engine_calls.append(effect)
+            case _effects.WriteLog(line):
+                self.log_lines.append(line)
 
     def _connect(self, vm_id: model.VmId, other: model.VmId) -> None:
         hello = protocol.Hello(
--- a/sedgepin/_registrar/tests/test_log_lines.py
+++ b/sedgepin/_registrar/tests/test_log_lines.py
@@ -150,12 +150,30 @@
     _notify(cluster, catalog.EndpointNotice(malformed_pause="soon"))
 
 
+def _fill_disk(cluster: clusters.Cluster) -> None:
+    leader = cluster.leader()
+    cluster.disks[leader].is_full = True
+    cluster.publish(leader, 7)
+    cluster.run(3)
+
+
+def _free_disk(cluster: clusters.Cluster) -> None:
+    _fill_disk(cluster)
+    for disk in cluster.disks.values():
+        disk.is_full = False
+    cluster.run(1)
+
+
 _SCENARIOS: dict[str, tuple[_Scenario, dict[str, object]]] = {
     "leader_changed": (_start, {"term": 1}),
     "endpoint_changed": (
         _register_endpoint,
         {"endpoint": "e", "state": "ready"},
     ),
+    "disk_full": (_fill_disk, {}),
+    "disk_has_room": (_free_disk, {"seconds": 3.0}),
+    "log_suspended": (_fill_disk, {"was_leader": True, "term": 1}),
+    "log_resumed": (_free_disk, {"term": 1}),
     "configuration_followed": (_publish, {"version": 7, "routes": 0}),
     "configuration_refused": (_refuse_configuration, {"version": 7}),
     "peer_connected": (_connect_entry, {"peer": "entry"}),
@@ -186,10 +204,7 @@
 # Logged by the daemon, not the reducer; covered by tests of whole processes.
 _DAEMON_EVENTS = {
     "control_call_refused",
-    "disk_full",
-    "disk_has_room",
     "endpoint_suspected",
-    "log_refused",
     "order_failed",
     "process_draining",
     "process_started",
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -702,7 +702,7 @@
     502,
     "ERROR",
     "disk_full",
-    "The disk is full; the process waits for free space.",
+    "The disk is full; writes wait for free space.",
     "failure",
 )
 DISK_HAS_ROOM = _define(
@@ -712,6 +712,27 @@
     "The disk has free space again; delayed writes are on it.",
     "seconds",
 )
+LOG_SUSPENDED = _define(
+    504,
+    "WARNING",
+    "log_suspended",
+    "The disk is full; until it has space, the VM neither leads the log nor "
+    "votes nor acknowledges entries.",
+    "was_leader",
+    "term",
+    "commit_index",
+    "last_index",
+)
+LOG_RESUMED = _define(
+    505,
+    "INFO",
+    "log_resumed",
+    "The VM takes part in the log again.",
+    "leader",
+    "term",
+    "commit_index",
+    "last_index",
+)
 LOG_REFUSED = _define(
     501,
     "ERROR",
--- a/sedgepin/platform/tests/running_system.py
+++ b/sedgepin/platform/tests/running_system.py
@@ -126,12 +126,17 @@
         path = folder / "settings.toml"
         path.write_text(_settings(folder, ip))
         self.processes[role] = subprocess.Popen(
-            [sys.executable, "-m", "sedgepin.platform", role]
-            + [str(METRICS_PORT)],
+            [sys.executable, "-m", "sedgepin.tests.full_disk"]
+            + [str(self.full_disk_marker(role))]
+            + ["sedgepin.platform", role, str(METRICS_PORT)],
             env={**os.environ, "SEDGEPIN_NODE_FILE": str(path)},
             stdout=(folder / "log").open("wb"),
         )
 
+    def full_disk_marker(self, role: str) -> pathlib.Path:
+        """Return the file that makes a process's disk full if it exists."""
+        return self.folder(role) / "full"
+
     def folder(self, role: str) -> pathlib.Path:
         return self._folder / role
 
--- a/sedgepin/platform/tests/test_processes.py
+++ b/sedgepin/platform/tests/test_processes.py
@@ -212,6 +212,37 @@
         )
         nursery.cancel_scope.cancel()
 
+    async def test_control_vm_with_a_full_disk_answers_and_recovers(
+        self, system: running_system.System, nursery: trio.Nursery
+    ) -> None:
+        await running_system.start_system(system, nursery)
+        call = functools.partial(
+            running_system.send,
+            running_system.CONTROL,
+            running_system.CALL_PORT,
+        )
+        changed = {**running_system.CONFIGURATION, "version": 2}
+        marker = system.full_disk_marker("control")
+        marker.touch()
+        for method, body in ((b"PUT", changed), (b"GET", None)) * 2:
+            with trio.fail_after(2):
+                status, _ = await call(method, b"/v1/config", body)
+            assert status in (503, 504)
+        status, _ = await running_system.send(
+            running_system.ENTRY,
+            running_system.CALL_PORT,
+            b"POST",
+            b"/post/x",
+        )
+        assert status == 200
+        marker.unlink()
+        with trio.fail_after(4):
+            await running_system.publish([])
+        for event in ("disk_full", "log_suspended", "log_resumed"):
+            await running_system.wait_for_log_event(system, "control", event)
+        assert system.processes["control"].poll() is None
+        nursery.cancel_scope.cancel()
+
     async def test_damaged_raft_log_stops_control_vm(
         self, system: running_system.System
     ) -> None:
--- a/sedgepin/tests/processes.py
+++ b/sedgepin/tests/processes.py
@@ -157,7 +157,11 @@
             role = "control" if name in self.control_ids else "entry"
             path = self.folder / f"{name}.json"
             path.write_bytes(msgspec.json.encode(self._settings(name)))
-            arguments = ["sedgepin", role, str(path)]
+            arguments = [
+                "sedgepin.tests.full_disk",
+                str(self._full_file(name)),
+                *("sedgepin", role, str(path)),
+            ]
             if role == "entry":
                 arguments = [*self._cut_arguments(name), role, str(path)]
         else:
@@ -174,6 +178,17 @@
         )
         log.close()
 
+    def fill_disk(self, name: str) -> None:
+        """Make a control VM's writes to its disk fail for lack of space."""
+        self._full_file(name).touch()
+
+    def free_disk(self, name: str) -> None:
+        """End what ``fill_disk`` began."""
+        self._full_file(name).unlink()
+
+    def _full_file(self, name: str) -> pathlib.Path:
+        return self.folder / f"{name}.full"
+
     def cut_off(self, name: str) -> None:
         """Make an entry VM's new connections to all endpoints fail."""
         self._cut_file(name).touch()
--- a/sedgepin/tests/test_processes.py
+++ b/sedgepin/tests/test_processes.py
@@ -45,6 +45,15 @@
     return None
 
 
+def _wait_for_leader(system: processes.Processes) -> str:
+    processes.wait_until(
+        lambda: _find_leader(system) is not None, "a leader is elected"
+    )
+    leader = _find_leader(system)
+    assert leader is not None
+    return leader
+
+
 def _publish(system: processes.Processes, number: int) -> float:
     """Publish a release note; return the seconds until it is accepted."""
     note = processes.first_note()
@@ -124,6 +133,41 @@
                 f"note 4 is in force on {name}",
             )
 
+    def test_notes_accepted_while_disks_are_full_in_turn(
+        self, system: processes.Processes
+    ) -> None:
+        number = 1
+        for name in system.control_ids:
+            for victim in (name, _wait_for_leader(system)):
+                system.fill_disk(victim)
+                for _ in range(2):
+                    number += 1
+                    assert _publish(system, number) < _MAX_RECOVERY_SECONDS
+                self._check_answers(system, victim)
+                system.free_disk(victim)
+                number += 1
+                assert _publish(system, number) < _MAX_RECOVERY_SECONDS
+        for name in system.control_ids:
+            assert system.running[name].poll() is None
+            assert "disk_has_room" in system.read_log(name)
+        for name in system.control_ids:
+            system.kill(name)
+        for name in system.control_ids:
+            system.start(name)
+        _wait_for_leader(system)
+        assert _publish(system, number + 1) < _MAX_RECOVERY_SECONDS
+
+    def _check_answers(self, system: processes.Processes, name: str) -> None:
+        """Check that a control VM with a full disk answers or redirects."""
+        answer = system.send_request(
+            name,
+            "GET",
+            "/v1/status",
+            credential=processes.OPERATOR_CREDENTIAL,
+            read_seconds=1.0,
+        )
+        assert answer.status in (307, 421, 503)
+
     def _voter_disks(self, system: processes.Processes) -> dict[str, str]:
         """Return each control VM's disk id; empty unless all are voters."""
         leader = _find_leader(system)
