Complete no stream by an answer without a length and without an event

Callers saw a stream that had broken off end as if it were complete: the next engine's answer had a head, neither a length nor chunks, and nothing behind its head (or comments only), and its connection was closed. The first engine's answer completed a stream likewise if it held only comments.

Cause: the end of the connection is all that ends such an answer, and the only check was whether the engine still accepts connections. An engine that stops between head and body, and lives, passes it. An answer that has sent an event shows that the engine began; one with an explicit end says that there is nothing more.

An attempt now ends as unknown if its answer has neither a length nor chunks, and no event besides comments. The stream is continued elsewhere or broken off. An engine that closes between two events of such an answer cannot be told from one that has finished.

--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -41,6 +41,7 @@
 _SUSTAINED_EVENTS = 16
 
 _ENDED_BY_CRASH = "the answer has no length and its engine has ended"
+_NO_LENGTH_AND_NO_EVENT = "the stream has no length and no event"
 
 _LinkFailure = _events.LinkFailure
 _Outcome = _events.AttemptOutcome
@@ -360,6 +361,7 @@
         """Forward complete events to the caller, each once and in order."""
         splitter = _event_stream.EventSplitter()
         timer = web.PartTimer()
+        has_event = False
         self.stalled_at = trio.current_time() + _NEXT_EVENT_TIMEOUT_SECONDS
         while True:
             data = await connection.read_data()
@@ -373,6 +375,9 @@
             problem = await self._forward_events(head, events)
             if problem is not None:
                 return _AttemptResult(_Outcome.UNKNOWN, problem)
+            has_event = has_event or not all(
+                event.is_comment for event in events
+            )
             # Bytes that complete no event are no progress.
             time = trio.current_time()
             if any(event.has_content for event in events):
@@ -385,6 +390,9 @@
                 _Outcome.UNKNOWN,
                 "the stream ended with an incomplete event or none",
             )
+        if head.ends_with_connection and not has_event:
+            # Its engine may have stopped after the head.
+            return _AttemptResult(_Outcome.UNKNOWN, _NO_LENGTH_AND_NO_EVENT)
         if await self._ended_by_crash(head, start):
             return _AttemptResult(_Outcome.UNKNOWN, _ENDED_BY_CRASH)
         self._is_sending = True
--- a/sedgepin/platform/tests/test_cut_heads.py
+++ b/sedgepin/platform/tests/test_cut_heads.py
@@ -530,6 +530,43 @@
             assert called.unwrap()[1] == b'{"id": 1}', name
         nursery.cancel_scope.cancel()
 
+    async def test_stream_without_length_needs_an_event_of_its_engine(
+        self, nursery: trio.Nursery, is_forwarded: bool
+    ) -> None:
+        """Its engine may have stopped between head and body."""
+        setup = _Setup()
+        await setup.start(nursery, is_forwarded)
+        wrong: list[str] = []
+
+        async def check(case: _Case) -> None:
+            caller, ended = await setup.relay(case)
+            is_begun = caller.received.startswith(_EVENTS)
+            if (
+                ended.outcome is not _events.AttemptOutcome.UNKNOWN
+                or is_begun is not case.is_resumed
+                or (caller.status == 200 and caller.is_finished)
+            ):
+                wrong.append(case.name)
+
+        await _for_each(
+            (
+                _Case(
+                    f"{version!r} {body!r}, {end}, {is_resumed}",
+                    _signed(version + b" 200 OK", b"") + body,
+                    end,
+                    True,
+                    is_resumed,
+                )
+                for is_resumed in (False, True)
+                for version in (b"HTTP/1.1", b"HTTP/1.0")
+                for body in (b"", b"\n", b": ping\n\n")
+                for end in _ENDS
+            ),
+            check,
+        )
+        assert wrong == []
+        nursery.cancel_scope.cancel()
+
     async def test_sound_answers_are_passed_on(
         self, nursery: trio.Nursery, is_forwarded: bool
     ) -> None:
