Take no answer without a length from a service that has crashed

Callers of the product's entry saw a 200 with an empty or short body, framed as whole, when a plain service crashed while it sent an answer with neither a length nor chunks. For a call that may not repeat, that answer was also stored and given to each repeat of the call.

Cause: the end of the connection completes such an answer, and a crash ends connections just so. The platform's gateway asks whether the engine still accepts connections; the product's two clients did not.

An answer to HEAD, a 204 and a 304 have no body and are taken as before.

Before, all 8 cases of test_answer_without_length_dies_with_its_endpoint failed: directly and forwarded, HTTP/1.0 and 1.1, with and without a body. The 8 cases of test_answer_with_an_end_outlives_its_endpoint guard what is complete; the 6 without a length were seen to fail without the rule.

--- a/sedgepin/_entry/_endpoint_client.py
+++ b/sedgepin/_entry/_endpoint_client.py
@@ -10,6 +10,7 @@
 import abc
 import contextlib
 import datetime
+import functools
 import typing
 import urllib.parse
 
@@ -23,7 +24,9 @@
 from sedgepin._entry import _engine_messages
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
+from sedgepin._entry import _unframed_answers
 from sedgepin import _model as model
+from sedgepin import _web as web
 from sedgepin import errors
 
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
@@ -220,21 +223,28 @@
             body = await _answer_limits.read_body(
                 response, self._answer_limit_bytes
             )
+        identity = (request.request_id, effect.attempt)
         if body is None:
             failure = _failures.EndpointFailed(
                 "the answer is longer than "
                 f"{self._answer_limit_bytes} bytes or in too many pieces"
             )
-            return _events.ServiceFailed(
-                request.request_id, effect.attempt, failure, True
+            return _events.ServiceFailed(*identity, failure, True)
+        head = web.AnswerHead(response.status, tuple(response.headers))
+        if _unframed_answers.is_unframed(request.method, head) and (
+            await _unframed_answers.has_ended(
+                functools.partial(
+                    _unframed_answers.refuses_connection, effect.address
+                )
+            )
+        ):
+            failure = _failures.EndpointFailed(
+                _unframed_answers.ENDED_BY_CRASH
             )
+            return _events.ServiceFailed(*identity, failure, True)
         headers = _endpoint_headers.answer_headers(response.headers)
         return _events.ServiceAnswered(
-            request.request_id,
-            effect.attempt,
-            response.status,
-            headers,
-            body,
+            *identity, response.status, headers, body
         )
 
 
--- a/sedgepin/_entry/_forwarded_client.py
+++ b/sedgepin/_entry/_forwarded_client.py
@@ -1,5 +1,7 @@
 """The client for endpoints that another entry VM connects to."""
 
+import functools
+
 import msgspec
 import result
 import trio
@@ -11,6 +13,7 @@
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
 from sedgepin._entry import _paths
+from sedgepin._entry import _unframed_answers
 from sedgepin import _forwarding as forwarding
 from sedgepin import _http as http
 from sedgepin import _model as model
@@ -137,6 +140,13 @@
             failed = _failures.EndpointFailed(answered.err_value.detail())
             return _events.ServiceFailed(*identity, failed, True)
         head, body = answered.ok_value
+        if _unframed_answers.is_unframed(request.method, head) and (
+            await _unframed_answers.has_ended(
+                functools.partial(_refuses_connection, effect, forwarder)
+            )
+        ):
+            failed = _failures.EndpointFailed(_unframed_answers.ENDED_BY_CRASH)
+            return _events.ServiceFailed(*identity, failed, True)
         headers = _endpoint_headers.answer_headers(head.headers)
         return _events.ServiceAnswered(*identity, head.status, headers, body)
 
@@ -157,6 +167,22 @@
     )
 
 
+async def _refuses_connection(
+    effect: _effects.CallService, forwarder: protocol.Forwarder
+) -> bool:
+    """Return whether an endpoint refuses a connection of the forwarder."""
+    opened = await _open(
+        forwarder,
+        effect.endpoint_id,
+        effect.address,
+        effect.request.request_id,
+    )
+    if isinstance(opened, result.Err):
+        return opened.err_value.is_refused
+    opened.ok_value.close()
+    return False
+
+
 async def _run_attempt(
     conn: forwarding.ForwardedConnection,
     effect: _effects.StartStream,
--- a/sedgepin/_entry/tests/test_cut_answers.py
+++ b/sedgepin/_entry/tests/test_cut_answers.py
@@ -310,3 +310,43 @@
             state = event.reports[0].state
             assert state is answers.StreamState.PRODUCING, name
         nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize("body", [b"", _BODY])
+    @pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+    async def test_answer_without_length_dies_with_its_endpoint(
+        self,
+        nursery: trio.Nursery,
+        is_forwarded: bool,
+        version: bytes,
+        body: bytes,
+    ) -> None:
+        """The connections of one that crashes are closed like any other."""
+        endpoint = _Endpoint()
+        endpoint.is_crashing = True
+        await endpoint.start(nursery, is_forwarded)
+        cut = _Cut("", _head(b"", version) + body, "closed")
+        assert _is_unknown(await endpoint.call(cut))
+        nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize(
+        ("method", "head"),
+        [
+            ("HEAD", _head(b"")),
+            ("GET", _head(b"").replace(b"200 OK", b"204 No")),
+            ("GET", _head(b"").replace(b"200 OK", b"304 No")),
+            ("GET", _head(b"Content-Length: 0\r\n")),
+        ],
+    )
+    async def test_answer_with_an_end_outlives_its_endpoint(
+        self,
+        nursery: trio.Nursery,
+        is_forwarded: bool,
+        method: str,
+        head: bytes,
+    ) -> None:
+        endpoint = _Endpoint()
+        endpoint.is_crashing = True
+        await endpoint.start(nursery, is_forwarded)
+        event = await endpoint.call(_Cut("", head, "closed"), method)
+        assert isinstance(event, _events.ServiceAnswered)
+        nursery.cancel_scope.cancel()
