Log what a VM that stops cuts as its own end

In a planned stop the requests that were still open at the end of the grace were logged as caller_left, so the log laid the VM's own cut on their callers, and nothing told how many there were.

The daemon now submits DrainEnded before it cancels its tasks: request_cut (339) for each request that ends with the process, drain_ended (108) with the counts, also of forwards and of requests not read whole. No decision changes.

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -285,6 +285,11 @@
                 self._server.open_exchanges or self._forwarding.open_forwards
             ):
                 await trio.sleep(_DRAIN_POLL_SECONDS)
+        ended = _events.DrainEnded(
+            self._forwarding.open_forwards,
+            max(0, self._server.open_exchanges - len(self._relays)),
+        )
+        self._driver.submit(ended)
 
     def _apply_effect(self, effect: _effects.GatewayEffect) -> None:
         match effect:
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -275,6 +275,41 @@
         self.remove(exchange)
         return [_shared_state.log(line)]
 
+    def cut_open_requests(
+        self, event: _events.DrainEnded, now: datetime.datetime
+    ) -> _shared_state.Effects:
+        """Remove the requests that end with the process, and log them."""
+        effects: _shared_state.Effects = []
+        held_requests = self._state.startup_queue.take_all()
+        for held in held_requests:
+            line = events.REQUEST_CUT.line(
+                request=held.event.request.request_id,
+                attempts=0,
+                may_have_run=False,
+                position=held.event.request.resume_after,
+                milliseconds=_shared_state.milliseconds(now - held.arrived_at),
+            )
+            effects.append(_shared_state.log(line))
+        exchanges = list(self._state.exchanges.values())
+        for exchange in exchanges:
+            age = now - exchange.arrived_at
+            is_running = exchange.dispatch is not None
+            line = events.REQUEST_CUT.line(
+                request=exchange.request.request_id,
+                attempts=exchange.send_count,
+                may_have_run=is_running or exchange.may_have_run,
+                position=exchange.position,
+                milliseconds=_shared_state.milliseconds(age),
+            )
+            effects.append(_shared_state.log(line))
+            self.remove(exchange)
+        line = events.DRAIN_ENDED.line(
+            cut_requests=len(held_requests) + len(exchanges),
+            cut_forwards=event.open_forwards,
+            unread_requests=event.unread_requests,
+        )
+        return [*effects, _shared_state.log(line)]
+
     def handle_deadline(
         self, exchange_id: int, now: datetime.datetime
     ) -> _shared_state.Effects:
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -218,6 +218,18 @@
     """The process received SIGTERM and drains."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class DrainEnded:
+    """The process stops, and cuts what is still open.
+
+    ``open_forwards`` counts the requests that it carries for other entry VMs,
+    ``unread_requests`` the requests of callers that it has not read whole.
+    """
+
+    open_forwards: int = 0
+    unread_requests: int = 0
+
+
 GatewayEvent: typing.TypeAlias = (
     TimerFired
     | RequestArrived
@@ -236,5 +248,6 @@
     | CallerDisconnected
     | DeadlineReached
     | DrainRequested
+    | DrainEnded
     | protocol.PeerEvent
 )
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -218,6 +218,8 @@
             case _events.DrainRequested():
                 self._is_draining = True
                 return [_shared_state.log(events.PROCESS_DRAINING.line())]
+            case _events.DrainEnded():
+                return self._dispatcher.cut_open_requests(event, now)
             case protocol.PeerMessageReceived(sender, message):
                 return self._handle_message(sender, message, now)
             case protocol.PeerConnected(hello):
--- a/sedgepin/_gateway/tests/test_log_lines.py
+++ b/sedgepin/_gateway/tests/test_log_lines.py
@@ -259,6 +259,17 @@
     return gateway.handle(_events.DrainRequested())
 
 
+def _request_cut(gateway: parts.Gateway) -> _Effects:
+    gateway.send_request("/draft/x")
+    return gateway.handle(_events.DrainEnded())
+
+
+def _drain_ended(gateway: parts.Gateway) -> _Effects:
+    gateway.reducer._state.table = None
+    gateway.send_request("/post/x")
+    return gateway.handle(_events.DrainEnded(2, 1))
+
+
 _SCENARIOS: dict[str, tuple[_Scenario, dict[str, object]]] = {
     "request_dispatched": (
         _request_dispatched,
@@ -297,6 +308,14 @@
         _request_rejected,
         {"request": "r1", "code": "route_unknown", "configuration": 1},
     ),
+    "request_cut": (
+        _request_cut,
+        {"request": "r1", "attempts": 1, "may_have_run": True},
+    ),
+    "drain_ended": (
+        _drain_ended,
+        {"cut_requests": 1, "cut_forwards": 2, "unread_requests": 1},
+    ),
     "caller_left": (_caller_disconnected, {"request": "r1", "position": None}),
     "request_waits": (_request_waits, {"service": "model", "ahead": 0}),
     "stalls_inspected": (
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -78,6 +78,16 @@
     "process_draining",
     "Draining began after SIGTERM; entry VMs fail readiness checks.",
 )
+DRAIN_ENDED = _define(
+    108,
+    "INFO",
+    "drain_ended",
+    "An entry VM stops: how many requests it has cut, of its callers and of"
+    " other entry VMs, and how many had not been read whole.",
+    "cut_requests",
+    "cut_forwards",
+    "unread_requests",
+)
 PROCESS_STOPPED = _define(
     102, "INFO", "process_stopped", "A daemon has drained and stops.", "id"
 )
@@ -414,6 +424,18 @@
     "at_fault",
     "position",
 )
+REQUEST_CUT = _define(
+    339,
+    "ERROR",
+    "request_cut",
+    "A VM that stops has closed the connection of a request that was still"
+    " open.",
+    "request",
+    "attempts",
+    "may_have_run",
+    "position",
+    "milliseconds",
+)
 CALLER_LEFT = _define(
     315,
     "INFO",
