Let further signals not end a process that drains

Callers saw connections closed without an answer when a stop was asked for twice: a second SIGTERM, or in the product's own programs a SIGHUP, killed the process in the middle of its drain (exit status -15).

Cause: wait_for_sigterm closed its signal receiver after the first signal, which restores the default action. They now run watch_stop_signals beside the drain, until they end; a second SIGINT still ends a process that an operator runs by hand.

The test with the product's entry failed before: "Server disconnected without sending a response".

--- a/sedgepin/_control/_daemon.py
+++ b/sedgepin/_control/_daemon.py
@@ -126,7 +126,9 @@
             await trio.sleep(_TICK_SECONDS)
 
     async def _wait_for_drain(self) -> None:
-        await shell.wait_for_sigterm()
+        stop = trio.Event()
+        await self._nursery.start(shell.watch_stop_signals, stop)
+        await stop.wait()
         self._driver.submit(_events.DrainRequested())
         self._server.start_draining()
         with trio.move_on_after(_LEADERSHIP_TRANSFER_TIMEOUT_SECONDS):
--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -129,7 +129,9 @@
             await trio.sleep(_TICK_SECONDS)
 
     async def _wait_for_drain(self) -> None:
-        await shell.wait_for_sigterm()
+        stop = trio.Event()
+        await self._nursery.start(shell.watch_stop_signals, stop)
+        await stop.wait()
         self._driver.submit(_events.DrainRequested())
         self._forwarding.is_draining = True
         await trio.sleep(self._cfg.drain.notice_seconds)
--- a/sedgepin/_shell/__init__.py
+++ b/sedgepin/_shell/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from sedgepin._shell._daemon import peers_to_dial
-from sedgepin._shell._daemon import wait_for_sigterm
+from sedgepin._shell._daemon import watch_stop_signals
 from sedgepin._shell._driver import Driver
 from sedgepin._shell._driver import DriverStopped
 from sedgepin._shell._driver import Postponement
@@ -31,6 +31,6 @@
     "open_log",
     "peers_to_dial",
     "run_daemon",
-    "wait_for_sigterm",
     "watch_settings",
+    "watch_stop_signals",
 ]
--- a/sedgepin/_shell/_daemon.py
+++ b/sedgepin/_shell/_daemon.py
@@ -19,8 +19,21 @@
     return tuple(peer for peer in peers if own_id < peer.id)
 
 
-async def wait_for_sigterm() -> None:
-    """Wait for SIGTERM or SIGINT."""
+async def watch_stop_signals(
+    stop: trio.Event,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Set ``stop`` on SIGTERM or SIGINT, and run on until cancelled.
+
+    While it runs, no further SIGTERM ends the process in the middle of its
+    drain, nor does a SIGHUP that the daemon does not handle.  A further SIGINT
+    raises ``KeyboardInterrupt``.
+    """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _number in signals:
-            return
+        task_status.started()
+        async for number in signals:
+            if stop.is_set() and number == signal.SIGINT:
+                raise KeyboardInterrupt
+            stop.set()
+            if signal.getsignal(signal.SIGHUP) is signal.SIG_DFL:
+                signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/sedgepin/tests/test_processes.py
+++ b/sedgepin/tests/test_processes.py
@@ -233,6 +233,19 @@
         counts = system.send_request("ledger", "GET", "/counts").json()
         assert set(counts.values()) == {1}
 
+    def test_further_signals_do_not_cut_a_drain(
+        self, system: processes.Processes
+    ) -> None:
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            answer = pool.submit(system.complete, "entry-1", "lorry", 100)
+            time.sleep(0.2)
+            for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+                system.signal("entry-1", number)
+                time.sleep(0.1)
+            text = answer.result().json()["choices"][0]["text"]
+        assert text == _expected_text("lorry", 100)
+        assert system.running["entry-1"].wait(10) == 0
+
     def test_answer_survives_stalled_connection(
         self, tmp_path: pathlib.Path
     ) -> None:
