Answer every request that a planned stop takes

In a planned stop, callers whose requests came late in the grace period, or waited, or ran beyond it, saw their connection closed without an answer, among them requests that may not be repeated; a VM with a grace period of 1.5 s took requests until 0.3 s before its end.

Cause: the drain bounded connections, not requests. What came until the end was dispatched with the route's whole timeout, waited in queues or was held, and 0.3 s before the end the nursery was cancelled with all of it.

DrainRequested now carries the time left, and the reducer decides by it. All deadlines are bounded by the end: what was sent ends there as unknown (504 drain_ended), a begun stream is closed and logged so. Endpoints are told no more time. The grace period is that of the settings in force. A forwarder that drains says so in its refusal.

test_planned_stop.py failed before: requests that ran and had no answer with 1.5 and 3 s of grace; None instead of 504; caller_left for the VM's own cut.

--- a/sedgepin/_forwarding/_server.py
+++ b/sedgepin/_forwarding/_server.py
@@ -156,7 +156,9 @@
     async def _connect(
         self, opening: _frames.OpenForward
     ) -> result.Result[web.ClientConnection, _frames.ForwardRefused]:
-        if self.is_draining or self._count > _MAX_FORWARDED:
+        if self.is_draining:
+            return result.Err(_frames.ForwardRefused("this VM drains"))
+        if self._count > _MAX_FORWARDED:
             return result.Err(_frames.ForwardRefused("busy"))
         if not self._policy.knows(opening):
             return result.Err(
--- a/sedgepin/_forwarding/tests/test_connections.py
+++ b/sedgepin/_forwarding/tests/test_connections.py
@@ -272,6 +272,8 @@
             setup.server.is_draining = True
             failure = (await setup.open()).unwrap_err()
             assert not failure.is_beyond
+            assert setup.policy.refusals == ["this VM drains"]
+            assert setup.engine.requests == []
             (await conn.send(_REQUEST)).unwrap()
             (await conn.read_head()).unwrap()
             assert (await conn.read_body(100)).unwrap() == b"ok"
--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -43,8 +43,12 @@
 # The load balancer checks readiness each second and removes a VM after two
 # failed checks.  Requests that it sends until then are still served.
 _READINESS_LOSS_SECONDS = 2.6
-# Time within the grace period for the process to exit after the drain.
-_EXIT_MARGIN_SECONDS = 0.3
+# Time within the grace period for the process to exit after the drain, and
+# before that for the last answers to be sent.
+_EXIT_SECONDS = 0.3
+_LAST_ANSWERS_SECONDS = 0.2
+# The share of a short grace period that each of the two takes at most.
+_MAX_MARGIN_SHARE = 0.05
 
 
 class _CallerHandler(web.Handler):
@@ -272,16 +276,19 @@
     async def _drain(self) -> None:
         """Stop being ready, serve until callers are redirected, then finish.
 
-        Open requests may finish until the end of the grace period.
+        Open requests may finish until shortly before the end of the grace
+        period; the reducer answers the others by then.
         """
-        drain_seconds = (
-            self._cfg.grace_period.total_seconds() - _EXIT_MARGIN_SECONDS
-        )
+        grace_seconds = self._source.current.grace_period.total_seconds()
+        margin = grace_seconds * _MAX_MARGIN_SHARE
+        drain_seconds = grace_seconds - min(_EXIT_SECONDS, margin)
+        answer_seconds = drain_seconds - min(_LAST_ANSWERS_SECONDS, margin)
         with trio.move_on_after(drain_seconds):
-            self._driver.submit(_events.DrainRequested())
             self._server.start_draining()
             self._forwarding.is_draining = True
-            await trio.sleep(_READINESS_LOSS_SECONDS)
+            time_left = datetime.timedelta(seconds=answer_seconds)
+            self._driver.submit(_events.DrainRequested(time_left))
+            await trio.sleep(min(_READINESS_LOSS_SECONDS, answer_seconds))
             self._server.finish_draining()
             while (
                 self._server.open_exchanges or self._forwarding.open_forwards
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -89,7 +89,10 @@
             arrived_at,
             arrived_at + time_left,
             position=request.resume_after,
+            answer_by=self._state.drain.answer_by,
         )
+        if not self._state.drain.may_send(exchange, now):
+            return self._reject(event, _failures.Draining())
         self._state.exchanges[event.exchange_id] = exchange
         set_deadline = _effects.SetDeadline(
             event.exchange_id, exchange.time_left(now)
@@ -110,6 +113,8 @@
             # Since the retry was granted, an endpoint has turned out to go on.
             used_up = _failures.OutcomeUnknown("its attempts are used up")
             return self.fail(exchange, used_up, now)
+        if not self._state.drain.may_send(exchange, now):
+            return self._fail_by_drain(exchange, now)
         if self._state.must_await_path(now):
             self._state.awaiting_path[exchange.exchange_id] = exchange
             return []
@@ -122,6 +127,40 @@
             now,
         )
 
+    def start_draining(self, now: datetime.datetime) -> _shared_state.Effects:
+        """Let all open requests end in time, now that the VM drains."""
+        effects: _shared_state.Effects = []
+        for exchange in self._state.exchanges.values():
+            exchange.answer_by = self._state.drain.answer_by
+            if exchange.is_bounded_by_drain:
+                time_left = exchange.time_left(now)
+                effects.append(
+                    _effects.SetDeadline(exchange.exchange_id, time_left)
+                )
+        return effects + self.refuse_endless(now)
+
+    def refuse_endless(self, now: datetime.datetime) -> _shared_state.Effects:
+        """Refuse what waits and would not end before this VM stops."""
+        if self._state.drain.answer_by is None:
+            return []
+        effects: _shared_state.Effects = []
+        for held in self._state.startup_queue.take_all():
+            effects += self._reject(held.event, _failures.Draining())
+        for exchange in list(self._state.exchanges.values()):
+            is_waiting = exchange.dispatch is None
+            if is_waiting and not self._state.drain.may_send(exchange, now):
+                effects += self._fail_by_drain(exchange, now)
+        return effects
+
+    def _fail_by_drain(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> _shared_state.Effects:
+        """Fail a request that would not end before this VM stops."""
+        failure: errors.Failure = _failures.Draining()
+        if exchange.may_have_run or exchange.has_output:
+            failure = _failures.DrainEnded()
+        return self.fail(exchange, failure, now)
+
     def _dispatch_to_pipeline(
         self,
         exchange: _exchange.Exchange,
@@ -319,7 +358,11 @@
             # The request has ended, but its answer was not sent in time.
             return [_effects.FinishExchange(exchange_id)]
         failure: errors.Failure = _failures.DeadlinePassed()
-        if exchange.send_count == 0:
+        if exchange.is_bounded_by_drain:
+            failure = _failures.DrainEnded()
+            if exchange.send_count == 0:
+                failure = _failures.Draining()
+        elif exchange.send_count == 0:
             failure = _failures.NoEndpoint(exchange.service.name)
         return self.fail(exchange, failure, now)
 
@@ -403,6 +446,8 @@
         now: datetime.datetime,
     ) -> _shared_state.Effects | None:
         """Hold a request, or return ``None`` if it must not wait."""
+        if self._state.drain.answer_by is not None:
+            return None
         if not self._state.startup_queue.try_hold(event, arrived_at, now):
             return None
         if now > arrived_at:
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -1,6 +1,7 @@
 """The events that the gateway's reducer handles."""
 
 import dataclasses
+import datetime
 import enum
 import typing
 
@@ -215,7 +216,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class DrainRequested:
-    """The process received SIGTERM and drains."""
+    """The process received SIGTERM and drains.
+
+    ``time_left`` is the time in which all requests must be answered.
+    """
+
+    time_left: datetime.timedelta
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -36,6 +36,7 @@
     not use, since its last attempt.
     ``is_sustained`` is set once an attempt has sent so many events that the
     request cannot crash its engine.
+    ``answer_by`` is set while the VM drains: when it ends the request.
     """
 
     exchange_id: int
@@ -61,6 +62,7 @@
     queued_at: datetime.datetime | None = None
     denied_permits: int = 0
     is_sustained: bool = False
+    answer_by: datetime.datetime | None = None
     tried_endpoints: set[model.EndpointId] = dataclasses.field(
         default_factory=set
     )
@@ -103,5 +105,12 @@
         return Run(self.dispatch.endpoint_id, self.dispatch.incarnation)
 
     def time_left(self, now: datetime.datetime) -> datetime.timedelta:
-        """Return the time until the deadline; negative after it."""
-        return self.deadline - now
+        """Return the time until the request must end; negative after it."""
+        if self.answer_by is None:
+            return self.deadline - now
+        return min(self.deadline, self.answer_by) - now
+
+    @property
+    def is_bounded_by_drain(self) -> bool:
+        """Return whether the VM ends the request before its deadline."""
+        return self.answer_by is not None and self.answer_by < self.deadline
--- a/sedgepin/_gateway/_failures.py
+++ b/sedgepin/_gateway/_failures.py
@@ -69,6 +69,30 @@
         return f"{self.title}: {self.service}"
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Draining(errors.Failure):
+    """This VM stops before the request could be expected to end."""
+
+    code: typing.ClassVar[str] = "draining"
+    title: typing.ClassVar[str] = "This VM stops before the request could end"
+    http_status: typing.ClassVar[int] = 503
+
+    @property
+    def retry_after(self) -> datetime.timedelta | None:
+        """Return a short time, in which another entry VM is chosen."""
+        return _REFUSED_RETRY_AFTER
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class DrainEnded(errors.Failure):
+    """This VM stops; the request was sent to an endpoint before."""
+
+    code: typing.ClassVar[str] = "drain_ended"
+    title: typing.ClassVar[str] = "No answer came before this VM stopped"
+    http_status: typing.ClassVar[int] = 504
+    outcome: typing.ClassVar[errors.Outcome] = errors.Outcome.UNKNOWN
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RefusedByEndpoints(errors.Failure):
     """Every endpoint that was tried refused the request without running it."""
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -215,9 +215,8 @@
                 return []
             case _events.TimerFired():
                 return self._tick(now)
-            case _events.DrainRequested():
-                self._is_draining = True
-                return [_shared_state.log(events.PROCESS_DRAINING.line())]
+            case _events.DrainRequested(time_left):
+                return self._start_draining(time_left, now)
             case _events.DrainEnded():
                 return self._dispatcher.cut_open_requests(event, now)
             case protocol.PeerMessageReceived(sender, message):
@@ -242,6 +241,17 @@
                 )
                 return [_shared_state.log(line)]
 
+    def _start_draining(
+        self, time_left: datetime.timedelta, now: datetime.datetime
+    ) -> Effects:
+        self._is_draining = True
+        self._state.drain.start(now + time_left)
+        line = events.PROCESS_DRAINING.line()
+        return [
+            _shared_state.log(line),
+            *self._dispatcher.start_draining(now),
+        ]
+
     # Messages of control VMs.
 
     def _handle_message(
@@ -487,6 +497,7 @@
             effects += self._update_connections(now)
         effects += self._quarantine.tick(now)
         effects += self._paths.tick(now)
+        effects += self._dispatcher.refuse_endless(now)
         return effects + self._dispatcher.serve_queues(now)
 
     def _report_load(self, now: datetime.datetime) -> Effects:
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -7,6 +7,7 @@
 from sedgepin import _crash_causes as crash_causes
 from sedgepin import _forwarding as forwarding
 from sedgepin._gateway import _calls
+from sedgepin._gateway import _drain
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _exchange
 from sedgepin._gateway import _fleet
@@ -28,6 +29,7 @@
     __slots__ = (
         "awaiting_path",
         "crash_causes",
+        "drain",
         "exchanges",
         "fleet",
         "links",
@@ -57,6 +59,7 @@
         self.startup_queue = _startup_queue.StartupQueue(now)
         self.queues = _request_queue.RequestQueues()
         self.exchanges: dict[int, _exchange.Exchange] = {}
+        self.drain = _drain.DrainBound()
         self.links = forwarding.EndpointLinks(rng)
         # Requests for which forwarders have been asked for.
         self.awaiting_path: dict[int, _exchange.Exchange] = {}
--- /dev/null
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -0,0 +1,255 @@
+"""Tests of requests at a VM that drains.  Callers allow 4 s, see ``parts``."""
+
+import collections.abc
+
+import pytest
+
+from sedgepin._gateway import _effects
+from sedgepin._gateway import _events
+from sedgepin._gateway.tests import parts
+from sedgepin import _model as model
+from sedgepin import _protocol as protocol
+from sedgepin import errors
+
+_Effects = list[_effects.GatewayEffect]
+_LinkFailure = _events.LinkFailure
+_Outcome = _events.AttemptOutcome
+_PATHS = pytest.mark.parametrize("path", ["/draft/x", "/read/x", "/post/x"])
+
+
+def _drain(gateway: parts.Gateway, milliseconds: float) -> _Effects:
+    time_left = parts.milliseconds(milliseconds)
+    return gateway.handle(_events.DrainRequested(time_left))
+
+
+def _answer(gateway: parts.Gateway, path: str, *durations: float) -> None:
+    """Let requests be answered that take so many milliseconds each."""
+    for duration in durations:
+        exchange_id, _ = gateway.send_request(path)
+        gateway.now += parts.milliseconds(duration)
+        gateway.end_attempt(exchange_id, _Outcome.ANSWERED)
+
+
+def _failure(effects: _Effects) -> errors.Failure:
+    return parts.get_effect(effects, _effects.FailExchange).failure
+
+
+def _assert_refused(effects: _Effects) -> None:
+    failure = _failure(effects)
+    assert failure.code == "draining"
+    assert failure.http_status == 503
+    assert failure.outcome is errors.Outcome.NOT_RUN
+    assert failure.retry_after is not None
+    assert parts.has_no_effect(effects, _effects.StartAttempt)
+
+
+def _held_at_the_start(gateway: parts.Gateway) -> None:
+    gateway.reducer._state.table = None
+    gateway.send_request("/post/x")
+
+
+def _waiting_for_capacity(gateway: parts.Gateway) -> None:
+    running: list[int] = []
+    while True:
+        exchange_id, effects = gateway.send_request("/draft/x", tokens=100)
+        if not parts.has_no_effect(effects, _effects.FailExchange):
+            break
+        running.append(exchange_id)
+    for _step in range(15):
+        gateway.now += parts.milliseconds(100)
+        gateway.end_attempt(running.pop(0), _Outcome.ANSWERED)
+        running.append(gateway.send_request("/draft/x", tokens=100)[0])
+    gateway.send_request("/draft/x", tokens=100)
+
+
+def _waiting_for_a_permit(gateway: parts.Gateway) -> None:
+    for name in ("ledger-1", "ledger-2"):
+        endpoint_id = model.EndpointId(name)
+        gateway.receive(protocol.EndpointLimited(endpoint_id, 1, 0.5))
+    gateway.send_request("/post/x")
+
+
+def _waiting_for_a_path(gateway: parts.Gateway) -> None:
+    exchange_id, _ = gateway.send_request("/post/x")
+    for _attempt in range(2):
+        gateway.end_attempt(
+            exchange_id, _Outcome.NOT_SENT, link_failure=_LinkFailure.DIRECT
+        )
+
+
+_WAITS = pytest.mark.parametrize(
+    "wait",
+    [
+        _held_at_the_start,
+        _waiting_for_capacity,
+        _waiting_for_a_permit,
+        _waiting_for_a_path,
+    ],
+)
+
+
+class TestArrival:
+    """``observed``: milliseconds of the answers before, the bound is 3 s."""
+
+    @_PATHS
+    @pytest.mark.parametrize(
+        ("observed", "arrives_after", "is_sent"),
+        [
+            ([], 0, False),
+            ([100], 0, True),
+            ([100], 2800, True),
+            ([100], 2950, False),
+            ([2500, 100], 400, True),
+            ([2500, 100], 600, False),
+            ([3500, 100], 0, False),
+        ],
+    )
+    def test_request_is_sent_only_if_it_can_end_before_the_stop(
+        self,
+        path: str,
+        observed: list[float],
+        arrives_after: float,
+        is_sent: bool,
+    ) -> None:
+        gateway = parts.Gateway()
+        _answer(gateway, path, *observed)
+        _drain(gateway, 3000)
+        gateway.now += parts.milliseconds(arrives_after)
+        _, effects = gateway.send_request(path)
+        if not is_sent:
+            _assert_refused(effects)
+            return
+        start = parts.get_effect(effects, _effects.StartAttempt)
+        left = parts.milliseconds(3000 - arrives_after)
+        assert start.dispatch.time_left == left
+        deadline = parts.get_effect(effects, _effects.SetDeadline)
+        assert deadline.time_left == left
+
+    @_PATHS
+    def test_request_whose_own_deadline_comes_first_is_sent(
+        self, path: str
+    ) -> None:
+        gateway = parts.Gateway()
+        _drain(gateway, 4000)
+        _, effects = gateway.send_request(path)
+        start = parts.get_effect(effects, _effects.StartAttempt)
+        assert start.dispatch.time_left == parts.milliseconds(4000)
+
+    def test_durations_of_another_kind_do_not_count(self) -> None:
+        gateway = parts.Gateway()
+        _answer(gateway, "/read/x", 100)
+        _drain(gateway, 3000)
+        _assert_refused(gateway.send_request("/post/x")[1])
+
+    def test_starting_vm_that_drains_holds_no_request(self) -> None:
+        gateway = parts.Gateway(())
+        gateway.reducer._state.table = None
+        _drain(gateway, 7500)
+        _, effects = gateway.send_request("/post/x")
+        assert _failure(effects).http_status == 503
+
+    def test_second_drain_request_does_not_move_the_end(self) -> None:
+        gateway = parts.Gateway()
+        _answer(gateway, "/post/x", 100)
+        _drain(gateway, 1000)
+        gateway.now += parts.milliseconds(950)
+        _drain(gateway, 1000)
+        _assert_refused(gateway.send_request("/post/x")[1])
+
+
+class TestWaitingRequests:
+    @_WAITS
+    def test_one_that_cannot_end_in_time_is_refused_at_once(
+        self, wait: collections.abc.Callable[[parts.Gateway], None]
+    ) -> None:
+        gateway = parts.Gateway()
+        wait(gateway)
+        assert gateway.reducer.has_queued_requests
+        _assert_refused(_drain(gateway, 50))
+        assert not gateway.reducer.has_queued_requests
+
+    def test_one_that_can_end_waits_on_and_is_sent(self) -> None:
+        gateway = parts.Gateway()
+        _waiting_for_a_path(gateway)
+        assert parts.has_no_effect(
+            _drain(gateway, 4000), _effects.FailExchange
+        )
+        forwarder = protocol.Forwarder(model.VmId("entry:2"), "a:1", "key")
+        effects = gateway.receive(protocol.ForwardersOffered((forwarder,)))
+        parts.get_effect(effects, _effects.StartAttempt)
+
+    def test_one_that_waits_until_its_time_is_too_short_is_refused(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        _answer(gateway, "/post/x", 800)
+        _waiting_for_a_permit(gateway)
+        assert parts.has_no_effect(_drain(gateway, 900), _effects.FailExchange)
+        _assert_refused(gateway.advance(150))
+
+
+class TestSentRequests:
+    @_PATHS
+    def test_one_without_output_ends_as_unknown(self, path: str) -> None:
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request(path)
+        deadline = parts.get_effect(
+            _drain(gateway, 3000), _effects.SetDeadline
+        )
+        assert deadline.time_left == parts.milliseconds(3000)
+        gateway.now += parts.milliseconds(3000)
+        effects = gateway.handle(_events.DeadlineReached(exchange_id))
+        failure = _failure(effects)
+        assert (failure.code, failure.http_status) == ("drain_ended", 504)
+        assert failure.outcome is errors.Outcome.UNKNOWN
+        assert failure.retry_after is None
+
+    def test_stream_has_until_the_end_and_is_not_laid_on_its_caller(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request("/draft/x")
+        gateway.handle(_events.OutputStarted(exchange_id))
+        _drain(gateway, 3000)
+        for _tick in range(29):
+            effects = gateway.advance(100)
+            assert parts.has_no_effect(effects, _effects.FailExchange)
+        gateway.advance(100)
+        effects = gateway.handle(_events.DeadlineReached(exchange_id))
+        assert _failure(effects).code == "drain_ended"
+
+    def test_own_deadline_before_the_end_is_reported_as_such(self) -> None:
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request("/post/x")
+        effects = _drain(gateway, 7500)
+        assert parts.has_no_effect(effects, _effects.SetDeadline)
+        gateway.now += parts.milliseconds(4000)
+        effects = gateway.handle(_events.DeadlineReached(exchange_id))
+        assert _failure(effects).code == "deadline_passed"
+
+    @pytest.mark.parametrize("outcome", [_Outcome.NOT_SENT, _Outcome.NOT_RUN])
+    def test_one_that_nobody_ran_is_not_sent_again_too_late(
+        self, outcome: _events.AttemptOutcome
+    ) -> None:
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request("/post/x")
+        _drain(gateway, 3000)
+        _assert_refused(gateway.end_attempt(exchange_id, outcome))
+
+    def test_one_that_may_have_run_is_sent_again_where_it_may(self) -> None:
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request("/read/x")
+        _drain(gateway, 3000)
+        effects = gateway.end_attempt(exchange_id, _Outcome.UNKNOWN)
+        start = parts.get_effect(effects, _effects.StartAttempt)
+        assert start.dispatch.time_left == parts.milliseconds(3000)
+
+    def test_new_configuration_does_not_move_the_end(self) -> None:
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request("/post/x")
+        _drain(gateway, 3000)
+        gateway.publish(2)
+        gateway.advance(2900)
+        _assert_refused(gateway.send_request("/post/x")[1])
+        effects = gateway.end_attempt(exchange_id, _Outcome.ANSWERED)
+        assert parts.has_no_effect(effects, _effects.FailExchange)
--- a/sedgepin/_gateway/tests/test_log_lines.py
+++ b/sedgepin/_gateway/tests/test_log_lines.py
@@ -256,7 +256,7 @@
 
 
 def _process_draining(gateway: parts.Gateway) -> _Effects:
-    return gateway.handle(_events.DrainRequested())
+    return gateway.handle(_events.DrainRequested(parts.milliseconds(7500)))
 
 
 def _request_cut(gateway: parts.Gateway) -> _Effects:
--- a/sedgepin/platform/tests/running_system.py
+++ b/sedgepin/platform/tests/running_system.py
@@ -52,7 +52,7 @@
 }
 
 
-def _settings(folder: pathlib.Path, ip: str) -> str:
+def _settings(folder: pathlib.Path, ip: str, grace_seconds: float) -> str:
     return f"""
 nodeName = "{ip}"
 ip = "{ip}"
@@ -67,7 +67,7 @@
 front = "{ip}:{CALL_PORT}"
 ready = "{ip}:{READY_PORT}"
 [bounds]
-graceS = 6
+graceS = {grace_seconds}
 retryBudgetRatio = 0.2
 budgetMinRetries = 100
 """
@@ -118,13 +118,14 @@
 
     def __init__(self, folder: pathlib.Path) -> None:
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.grace_seconds = 6.0
         self._folder = folder
 
     def start(self, role: str, ip: str) -> None:
         folder = self.folder(role)
         folder.mkdir(exist_ok=True)
         path = folder / "settings.toml"
-        path.write_text(_settings(folder, ip))
+        path.write_text(_settings(folder, ip, self.grace_seconds))
         self.processes[role] = subprocess.Popen(
             [sys.executable, "-m", "sedgepin.tests.full_disk"]
             + [str(self.full_disk_marker(role))]
--- /dev/null
+++ b/sedgepin/platform/tests/test_planned_stop.py
@@ -0,0 +1,237 @@
+"""Tests of planned stops of an entry VM, with callers that go on sending."""
+
+import dataclasses
+import itertools
+import re
+import signal
+
+import pytest
+import trio
+
+from sedgepin import _web as web
+from sedgepin.platform.tests import running_system
+
+_GRACE_SECONDS = 3.0
+_SECONDS = re.compile(rb"/([0-9.]+)s/")
+_CONTENT_LENGTH = re.compile(rb"content-length: ([0-9]+)", re.IGNORECASE)
+
+
+class _SlowEngine(running_system.Engine):
+    """Answers after the seconds in the target; streams an event every 0.1 s.
+
+    While ``is_silent`` is set, it sends nothing.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ran: set[bytes] = set()
+        self.is_silent = False
+
+    async def handle(self, exchange: web.Exchange) -> None:
+        request = exchange.request
+        request_id = request.find_header(b"x-request-id") or b""
+        self.ran.add(request_id)
+        found = _SECONDS.search(request.target)
+        seconds = 0.0 if found is None else float(found[1])
+        headers = (
+            (b"X-Request-Id", request_id),
+            (b"X-Response-Seal", b"seal"),
+        )
+        head = web.AnswerHead(200, headers)
+        if not request.target.startswith(b"/draft/"):
+            await trio.sleep(seconds)
+            while self.is_silent:
+                await trio.sleep(0.02)
+            await exchange.answer(head, b"done")
+            return
+        await exchange.start(head)
+        for event_id in range(1, int(seconds * 10) + 1):
+            await exchange.send(b"id: %d\ndata: x\n\n" % event_id)
+            await trio.sleep(0.1)
+        await exchange.finish()
+
+
+@dataclasses.dataclass
+class _Record:
+    """A request that was sent whole, and its answer's status.
+
+    ``status`` is ``None`` if the connection ended without a whole answer.
+    """
+
+    request_id: bytes
+    sent_at: float
+    status: int | None = None
+    ended_at: float = 0.0
+    has_retry_after: bool = False
+
+
+class _Callers:
+    """Callers that keep their connections and send until nobody listens."""
+
+    def __init__(self) -> None:
+        self.records: list[_Record] = []
+        self._numbers = itertools.count(1)
+
+    async def run(self, target: bytes, pause_seconds: float = 0.01) -> None:
+        """Send requests, one after the other, until none is accepted."""
+        while True:
+            try:
+                stream = await trio.open_tcp_stream(
+                    running_system.ENTRY, running_system.CALL_PORT
+                )
+            except OSError:
+                return
+            async with stream:
+                while await self.send(stream, target):
+                    await trio.sleep(pause_seconds)
+
+    async def send(self, stream: trio.SocketStream, target: bytes) -> bool:
+        """Send one request; return whether the connection is kept."""
+        record = _Record(b"p%d" % next(self._numbers), trio.current_time())
+        request = (
+            b"POST %s HTTP/1.1\r\nHost: one.example\r\n"
+            b"X-Request-Id: %s\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.records.append(record)
+        received = b""
+        try:
+            await stream.send_all(request % (target, record.request_id))
+            while not _is_complete(received):
+                data = await stream.receive_some()
+                if not data:
+                    return False
+                received += data
+        except trio.BrokenResourceError:
+            return False
+        finally:
+            record.ended_at = trio.current_time()
+        record.status = int(received.split(b" ", 2)[1])
+        head = received.lower()
+        record.has_retry_after = b"\r\nretry-after:" in head
+        return b"\r\nconnection: close" not in head
+
+
+def _is_complete(received: bytes) -> bool:
+    head, separator, body = received.partition(b"\r\n\r\n")
+    if not separator:
+        return False
+    length = _CONTENT_LENGTH.search(head)
+    if length is None:
+        return body.endswith(b"0\r\n\r\n")
+    return len(body) >= int(length[1])
+
+
+async def _stop(system: running_system.System) -> float:
+    """Send SIGTERM and return how long the process takes to end."""
+    entry = system.processes["entry"]
+    started_at = trio.current_time()
+    entry.send_signal(signal.SIGTERM)
+    with trio.fail_after(running_system.TIMEOUT_SECONDS):
+        while entry.poll() is None:
+            await trio.sleep(0.02)
+    assert entry.returncode == 0
+    return trio.current_time() - started_at
+
+
+def _check(callers: _Callers, engine: _SlowEngine) -> None:
+    """Check that no request that ran lacks an answer, or is called not run."""
+    unanswered = [
+        record
+        for record in callers.records
+        if record.status is None and record.request_id in engine.ran
+    ]
+    assert not unanswered
+    refused = [record for record in callers.records if record.status == 503]
+    assert not [
+        record for record in refused if record.request_id in engine.ran
+    ]
+    assert all(record.has_retry_after for record in refused)
+
+
+class TestPlannedStop:
+    @pytest.mark.parametrize("grace_seconds", [1.5, 3.0, 6.0])
+    async def test_requests_taken_late_in_the_grace_are_answered(
+        self,
+        system: running_system.System,
+        nursery: trio.Nursery,
+        grace_seconds: float,
+    ) -> None:
+        system.grace_seconds = grace_seconds
+        engine = _SlowEngine()
+        await running_system.start_system(system, nursery, engine)
+        callers = _Callers()
+        async with trio.open_nursery() as calls:
+            for target in (b"/post/0.3s/", b"/post/0.6s/", b"/post/0.05s/"):
+                for _caller in range(4):
+                    calls.start_soon(callers.run, target)
+            await trio.sleep(1.0)
+            stopped_at = trio.current_time()
+            seconds = await _stop(system)
+        assert seconds < grace_seconds
+        _check(callers, engine)
+        served = [
+            record
+            for record in callers.records
+            if record.sent_at > stopped_at and record.status == 200
+        ]
+        assert len(served) > 10
+        assert '"event":"caller_left"' not in system.log_text("entry")
+
+    async def test_request_longer_than_the_grace_gets_an_answer(
+        self, system: running_system.System, nursery: trio.Nursery
+    ) -> None:
+        system.grace_seconds = _GRACE_SECONDS
+        engine = _SlowEngine()
+        await running_system.start_system(system, nursery, engine)
+        callers = _Callers()
+        async with trio.open_nursery() as calls:
+            calls.start_soon(callers.run, b"/post/3.5s/")
+            await trio.sleep(0.3)
+            await _stop(system)
+        assert [record.status for record in callers.records] == [504]
+        assert '"event":"caller_left"' not in system.log_text("entry")
+
+    async def test_stream_cut_at_the_end_is_not_laid_on_its_caller(
+        self, system: running_system.System, nursery: trio.Nursery
+    ) -> None:
+        system.grace_seconds = _GRACE_SECONDS
+        engine = _SlowEngine()
+        await running_system.start_system(system, nursery, engine)
+        callers = _Callers()
+        async with trio.open_nursery() as calls:
+            calls.start_soon(callers.run, b"/draft/3.8s/")
+            await trio.sleep(0.3)
+            stopped_at = trio.current_time()
+            await _stop(system)
+        (record,) = callers.records
+        assert record.status is None
+        assert record.ended_at - stopped_at > 0.8 * _GRACE_SECONDS
+        lines = system.log_lines("entry")
+        assert "caller_left" not in {line["event"] for line in lines}
+        (cut,) = [line for line in lines if line["event"] == "request_failed"]
+        assert cut["code"] == "drain_ended"
+
+    async def test_drain_goes_on_beside_signals_and_a_new_configuration(
+        self, system: running_system.System, nursery: trio.Nursery
+    ) -> None:
+        system.grace_seconds = _GRACE_SECONDS
+        engine = _SlowEngine()
+        await running_system.start_system(system, nursery, engine)
+        callers = _Callers()
+        entry = system.processes["entry"]
+        async with trio.open_nursery() as calls:
+            for _caller in range(4):
+                calls.start_soon(callers.run, b"/post/0.3s/")
+            await trio.sleep(0.5)
+
+            async def disturb() -> None:
+                await trio.sleep(0.4)
+                entry.send_signal(signal.SIGTERM)
+                entry.send_signal(signal.SIGHUP)
+                engine.is_silent = True
+                await running_system.publish([])
+                engine.is_silent = False
+
+            calls.start_soon(disturb)
+            await _stop(system)
+        _check(callers, engine)
