Test that a stop of the product's entry loses no write

Callers with kept connections write until entry-1 accepts none: each write that ran was answered, and none that was refused has run. It passes on the code as it was; with the wait for open requests taken out of the daemon it fails with three writes that ran and got no answer.

--- a/sedgepin/tests/test_processes.py
+++ b/sedgepin/tests/test_processes.py
@@ -1,6 +1,8 @@
 """Tests of the whole system with real processes, signals and disks."""
 
 import concurrent.futures
+import contextlib
+import http.client
 import pathlib
 import shutil
 import signal
@@ -54,6 +56,44 @@
     return leader
 
 
+def _write_until_refused(
+    system: processes.Processes, name: str
+) -> dict[str, int | None]:
+    """Send writes on kept connections until entry-1 accepts none.
+
+    Return the status of each, or ``None`` if its connection was closed.
+    """
+    statuses: dict[str, int | None] = {}
+    host, _, port = system.address("entry-1").rpartition(":")
+    while True:
+        conn = http.client.HTTPConnection(host, int(port), timeout=15.0)
+        conn.auto_open = 0
+        try:
+            conn.connect()
+        except OSError:
+            return statuses
+        with contextlib.closing(conn):
+            while conn.sock is not None:
+                key = f"{int(time.time())}-{name}-{len(statuses)}"
+                statuses[key] = None
+                try:
+                    status = _write(conn, key)
+                except (http.client.HTTPException, OSError):
+                    break
+                statuses[key] = status
+
+
+def _write(conn: http.client.HTTPConnection, key: str) -> int:
+    headers = {
+        "authorization": f"Bearer {processes.CALLER_CREDENTIAL}",
+        "idempotency-key": key,
+    }
+    conn.request("POST", _RECEIPTS_PATH, b"{}", headers)
+    answer = conn.getresponse()
+    answer.read()
+    return answer.status
+
+
 def _publish(system: processes.Processes, number: int) -> float:
     """Publish a release note; return the seconds until it is accepted."""
     note = processes.first_note()
@@ -233,6 +273,31 @@
         counts = system.send_request("ledger", "GET", "/counts").json()
         assert set(counts.values()) == {1}
 
+    def test_callers_that_send_until_the_end_lose_nothing(
+        self, system: processes.Processes
+    ) -> None:
+        """Each write is answered as it ran, or has not run."""
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            callers = [
+                pool.submit(_write_until_refused, system, f"{number}")
+                for number in range(8)
+            ]
+            time.sleep(1.0)
+            system.signal("entry-1", signal.SIGTERM)
+            assert system.running["entry-1"].wait(15) == 0
+            statuses: dict[str, int | None] = {}
+            for caller in callers:
+                statuses.update(caller.result())
+        counts = system.send_request("ledger", "GET", "/counts").json()
+        assert set(counts.values()) == {1}
+        ended = {key: statuses.get(key) for key in counts}
+        assert {
+            key: status for key, status in ended.items() if not status
+        } == {}
+        refused = {key for key, status in statuses.items() if status == 503}
+        assert refused.isdisjoint(counts)
+        assert len(counts) >= len(callers)
+
     def test_further_signals_do_not_cut_a_drain(
         self, system: processes.Processes
     ) -> None:
