Expect a stream of a draining VM to take as long as its tokens

The estimate now has two parts, the slowest first output and the slowest pace for each token among the latest answers, times the tokens that the caller states. The test failed before with 58 tokens after an answer of 10.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -286,6 +286,7 @@
         if exchange is None:
             return []
         exchange.has_output = True
+        exchange.output_started_at = now
         for endpoint_id in exchange.endpoint_ids:
             self._state.fleet.clear_suspicion(endpoint_id)
         duration = now - exchange.arrived_at
--- a/sedgepin/_gateway/_drain.py
+++ b/sedgepin/_gateway/_drain.py
@@ -1,6 +1,7 @@
 """Which requests can still end before a VM that drains stops."""
 
 import collections
+import dataclasses
 import datetime
 
 from sedgepin import _catalog as catalog
@@ -14,13 +15,24 @@
 _MAX_KINDS = 1024
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Pace:
+    """How long an answer took: to its first output, and for each token.
+
+    An answer that is no stream has its first output at its end.
+    """
+
+    first_output: datetime.timedelta
+    per_token: datetime.timedelta = datetime.timedelta()
+
+
 class DrainBound:
     """Bounds requests by the instant at which a VM that drains stops.
 
     A request that is sent must be answered by ``answer_by``.  One that nobody
     has run yet is sent only if it can be expected to end by then: its own
-    deadline is no later, or the longest of the latest answers of its service
-    and kind would have been complete.
+    deadline is no later, or it would be complete at the slowest pace of the
+    latest answers of its service and kind.
 
     >>> bound = DrainBound()
     >>> bound.start(now + datetime.timedelta(seconds=7))
@@ -28,14 +40,12 @@
     True
     """
 
-    __slots__ = ("_durations", "answer_by")
+    __slots__ = ("_paces", "answer_by")
 
     def __init__(self) -> None:
         # Set while the VM drains.
         self.answer_by: datetime.datetime | None = None
-        self._durations: dict[
-            _Kind, collections.deque[datetime.timedelta]
-        ] = {}
+        self._paces: dict[_Kind, collections.deque[_Pace]] = {}
 
     def start(self, answer_by: datetime.datetime) -> None:
         """Bound requests from now on; a later call does not move the end."""
@@ -45,15 +55,15 @@
     def record_answered(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> None:
-        """Remember how long a request took from its arrival to its end."""
+        """Remember how long a request took."""
         kind = _kind(exchange)
-        durations = self._durations.get(kind)
-        if durations is None:
-            if len(self._durations) >= _MAX_KINDS:
-                del self._durations[next(iter(self._durations))]
-            durations = collections.deque(maxlen=_REMEMBERED_ANSWERS)
-            self._durations[kind] = durations
-        durations.append(now - exchange.arrived_at)
+        paces = self._paces.get(kind)
+        if paces is None:
+            if len(self._paces) >= _MAX_KINDS:
+                del self._paces[next(iter(self._paces))]
+            paces = collections.deque(maxlen=_REMEMBERED_ANSWERS)
+            self._paces[kind] = paces
+        paces.append(_measure_pace(exchange, now))
 
     def may_send(
         self, exchange: _exchange.Exchange, now: datetime.datetime
@@ -71,10 +81,31 @@
             return True
         if exchange.deadline <= self.answer_by:
             return True
-        durations = self._durations.get(_kind(exchange))
-        if not durations:
+        paces = self._paces.get(_kind(exchange))
+        if not paces:
             return False
-        return now + max(durations) <= self.answer_by
+        duration = max(pace.first_output for pace in paces)
+        per_token = max(pace.per_token for pace in paces)
+        duration += per_token * _answer_tokens(exchange)
+        return now + duration <= self.answer_by
+
+
+def _measure_pace(
+    exchange: _exchange.Exchange, now: datetime.datetime
+) -> _Pace:
+    tokens = _answer_tokens(exchange)
+    if exchange.output_started_at is None or not tokens:
+        return _Pace(now - exchange.arrived_at)
+    return _Pace(
+        exchange.output_started_at - exchange.arrived_at,
+        (now - exchange.output_started_at) / tokens,
+    )
+
+
+def _answer_tokens(exchange: _exchange.Exchange) -> float:
+    """Return how many tokens an answer is expected to have, 0 if unknown."""
+    size = exchange.request.size
+    return 0.0 if size is None else size.answer_tokens
 
 
 def _kind(exchange: _exchange.Exchange) -> _Kind:
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -36,6 +36,7 @@
     not use, since its last attempt.
     ``is_sustained`` is set once an attempt has sent so many events that the
     request cannot crash its engine.
+    ``output_started_at`` is when the caller got the first event.
     ``answer_by`` is set while the VM drains: when it ends the request.
     """
 
@@ -62,6 +63,7 @@
     queued_at: datetime.datetime | None = None
     denied_permits: int = 0
     is_sustained: bool = False
+    output_started_at: datetime.datetime | None = None
     answer_by: datetime.datetime | None = None
     tried_endpoints: set[model.EndpointId] = dataclasses.field(
         default_factory=set
--- a/sedgepin/_gateway/tests/test_drain.py
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -135,6 +135,26 @@
         start = parts.get_effect(effects, _effects.StartAttempt)
         assert start.dispatch.time_left == parts.milliseconds(4000)
 
+    @pytest.mark.parametrize(
+        ("tokens", "is_sent"), [(10, True), (50, True), (58, False)]
+    )
+    def test_long_stream_is_refused_after_short_ones(
+        self, tokens: int, is_sent: bool
+    ) -> None:
+        """5 tokens took 100 ms and 500 ms; half of ``tokens`` are output."""
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request("/draft/x", tokens=10)
+        gateway.now += parts.milliseconds(100)
+        gateway.handle(_events.OutputStarted(exchange_id))
+        gateway.now += parts.milliseconds(500)
+        gateway.end_attempt(exchange_id, _Outcome.ANSWERED)
+        _drain(gateway, 2800)
+        _, effects = gateway.send_request("/draft/x", tokens=tokens)
+        if is_sent:
+            parts.get_effect(effects, _effects.StartAttempt)
+        else:
+            _assert_refused(effects)
+
     def test_durations_of_another_kind_do_not_count(self) -> None:
         gateway = parts.Gateway()
         _answer(gateway, "/read/x", 100)
