Refuse what comes after the notice of a drain before the server stops

A caller of the product's own entry could see its connection closed 3 s after a request that came just when the notice of a planned stop was over.

Cause: the end of the notice was two timers. The daemon stopped the server once it was idle, the reducer refused new requests at its next tick, up to 50 ms later. What came in between was admitted, and ended with the server's own shutdown time. The daemon now tells the reducer before it lets the server stop.

--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -135,6 +135,8 @@
         self._driver.submit(_events.DrainRequested())
         self._forwarding.is_draining = True
         await trio.sleep(self._cfg.drain.notice_seconds)
+        # The server may stop at once, and answers nothing that comes later.
+        self._driver.submit(_events.DrainNoticeEnded())
         self._server.start_draining()
         await self._server.wait_idle()
         while self._forwarding.open_forwards:
--- a/sedgepin/_entry/_events.py
+++ b/sedgepin/_entry/_events.py
@@ -216,6 +216,11 @@
     """The VM received SIGTERM and has to drain and shut down."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class DrainNoticeEnded:
+    """The notice of a drain is over; the server stops once it is idle."""
+
+
 EntryEvent: typing.TypeAlias = (
     GenerateRequested
     | ServiceCallRequested
@@ -231,5 +236,6 @@
     | PathProbed
     | TimerFired
     | DrainRequested
+    | DrainNoticeEnded
     | protocol.PeerEvent
 )
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -228,6 +228,9 @@
                 return self._tick(now)
             case _events.DrainRequested():
                 return self._start_draining(now)
+            case _events.DrainNoticeEnded():
+                self._end_notice(now)
+                return []
             case _:
                 return self._handle_peer_event(event, now)
 
@@ -397,8 +400,7 @@
         effects += self._held_prompts.tick(now)
         effects += self._calls.tick(now)
         if self._notice_ends_at is not None and now >= self._notice_ends_at:
-            self._notice_ends_at = None
-            self._admission_controllers.start_draining(now)
+            self._end_notice(now)
         return effects
 
     def _start_draining(self, now: datetime.datetime) -> Effects:
@@ -409,3 +411,8 @@
         notice = datetime.timedelta(seconds=self._cfg.drain.notice_seconds)
         self._notice_ends_at = now + notice
         return [_effects.WriteLog(events.PROCESS_DRAINING.line())]
+
+    def _end_notice(self, now: datetime.datetime) -> None:
+        """Refuse all requests that arrive from now on."""
+        self._notice_ends_at = None
+        self._admission_controllers.start_draining(now)
--- a/sedgepin/tests/test_processes.py
+++ b/sedgepin/tests/test_processes.py
@@ -9,6 +9,7 @@
 import time
 import typing
 
+import msgspec
 import pytest
 
 from sedgepin.tests import fake_engine
@@ -94,6 +95,34 @@
     return answer.status
 
 
+def _connect(system: processes.Processes) -> http.client.HTTPConnection:
+    host, _, port = system.address("entry-1").rpartition(":")
+    conn = http.client.HTTPConnection(host, int(port), timeout=15.0)
+    conn.connect()
+    return conn
+
+
+def _complete(conn: http.client.HTTPConnection, delay_seconds: float) -> str:
+    """Ask for a long completion; return how it ended.
+
+    A connection that is closed at once crossed the end of the process.
+    """
+    time.sleep(delay_seconds)
+    body = msgspec.json.encode({"prompt": "tare", "max_tokens": 100})
+    headers = {"authorization": f"Bearer {processes.CALLER_CREDENTIAL}"}
+    path = "/v1/services/assistant/completions"
+    started = time.monotonic()
+    with contextlib.closing(conn):
+        try:
+            conn.request("POST", path, body, headers)
+            answer = conn.getresponse()
+            answer.read()
+        except (http.client.HTTPException, OSError):
+            is_crossing = time.monotonic() - started < 0.5
+            return "crossed" if is_crossing else "cut"
+        return str(answer.status)
+
+
 def _publish(system: processes.Processes, number: int) -> float:
     """Publish a release note; return the seconds until it is accepted."""
     note = processes.first_note()
@@ -298,6 +327,38 @@
         assert refused.isdisjoint(counts)
         assert len(counts) >= len(callers)
 
+    def test_request_at_the_end_of_the_notice_is_not_cut(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Each answer would take longer than the server's own shutdown."""
+        system = processes.Processes(
+            tmp_path,
+            entries=1,
+            replicas=1,
+            notice_seconds=0.0,
+            token_seconds=0.04,
+        )
+        with system, concurrent.futures.ThreadPoolExecutor(16) as pool:
+            processes.wait_until(
+                lambda: _find_leader(system) is not None,
+                "a leader is elected",
+            )
+            _publish(system, 1)
+            system.wait_ready()
+            system.wait_serving()
+            conns = [_connect(system) for _ in range(16)]
+            for conn in conns:
+                conn.request("GET", "/readyz")
+                conn.getresponse().read()
+            system.signal("entry-1", signal.SIGTERM)
+            answers = [
+                pool.submit(_complete, conn, 0.004 * number)
+                for number, conn in enumerate(conns)
+            ]
+            statuses = [answer.result() for answer in answers]
+            assert system.running["entry-1"].wait(20) == 0
+        assert "cut" not in statuses
+
     def test_further_signals_do_not_cut_a_drain(
         self, system: processes.Processes
     ) -> None:
