--- a/sedgepin/platform/tests/running_system.py
+++ b/sedgepin/platform/tests/running_system.py
@@ -52,13 +52,19 @@
 }
 
 
-def _settings(folder: pathlib.Path, ip: str, grace_seconds: float) -> str:
+def _settings(
+    folder: pathlib.Path,
+    ip: str,
+    grace_seconds: float,
+    controls: tuple[str, ...],
+) -> str:
+    seeds = json.dumps([f"{control}:{CALL_PORT}" for control in controls])
     return f"""
 nodeName = "{ip}"
 ip = "{ip}"
 zone = "one"
 internalPorts = [{_PEER_PORT}, {_PEER_PORT + 15}]
-seeds = ["{CONTROL}:{CALL_PORT}"]
+seeds = {seeds}
 bootstrap = true
 dataDir = "{folder / "data"}"
 heartbeatMs = 1200
@@ -119,13 +125,16 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.grace_seconds = 6.0
+        self.controls: tuple[str, ...] = (CONTROL,)
         self._folder = folder
 
     def start(self, role: str, ip: str) -> None:
         folder = self.folder(role)
         folder.mkdir(exist_ok=True)
         path = folder / "settings.toml"
-        path.write_text(_settings(folder, ip, self.grace_seconds))
+        path.write_text(
+            _settings(folder, ip, self.grace_seconds, self.controls)
+        )
         self.processes[role] = subprocess.Popen(
             [sys.executable, "-m", "sedgepin.tests.full_disk"]
             + [str(self.full_disk_marker(role))]
--- a/sedgepin/platform/tests/test_planned_stop.py
+++ b/sedgepin/platform/tests/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+import json
 import re
 import signal
 
@@ -235,3 +236,49 @@
             calls.start_soon(disturb)
             await _stop(system)
         _check(callers, engine)
+
+
+async def _connect_to_control() -> trio.SocketStream:
+    with trio.fail_after(running_system.TIMEOUT_SECONDS):
+        while True:
+            try:
+                return await trio.open_tcp_stream(
+                    running_system.CONTROL, running_system.CALL_PORT
+                )
+            except OSError:
+                await trio.sleep(0.1)
+
+
+class TestControlStop:
+    @pytest.mark.parametrize("seconds", [0.3, 0.8, 1.2])
+    @pytest.mark.parametrize(
+        "call",
+        [
+            (b"PUT /v1/config", json.dumps(running_system.CONFIGURATION)),
+            (b"GET /v1/config", "{}"),
+        ],
+        ids=["publish", "read"],
+    )
+    async def test_call_read_whole_late_is_answered_without_a_quorum(
+        self,
+        system: running_system.System,
+        call: tuple[bytes, str],
+        seconds: float,
+    ) -> None:
+        system.controls = (running_system.CONTROL, "127.0.71.9")
+        system.start("control", running_system.CONTROL)
+        target, document = call
+        body = document.encode()
+        head = b"%s HTTP/1.1\r\nHost: c\r\nContent-Length: %d\r\n\r\n"
+        async with await _connect_to_control() as stream:
+            await stream.send_all(head % (target, len(body)) + body[:1])
+            await trio.sleep(0.2)
+            system.processes["control"].send_signal(signal.SIGTERM)
+            await trio.sleep(seconds)
+            await stream.send_all(body[1:])
+            received = b""
+            with trio.fail_after(running_system.TIMEOUT_SECONDS):
+                while data := await stream.receive_some():
+                    received += data
+        assert received.startswith(b"HTTP/1.1 5")
+        assert b"connection: close" in received.lower()
