Send the last answers also after a pause at the end of a drain

A VM that was suspended in its drain, or only late by 0.2 s, cut all open requests without an answer when it went on.

Cause: the time for the last answers and the time of the process ran out in the same turn then, and the cancellation came first. The daemon now stops taking connections, and gives due answers one more poll interval, before it cancels.

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -294,6 +294,12 @@
                 self._server.open_exchanges or self._forwarding.open_forwards
             ):
                 await trio.sleep(_DRAIN_POLL_SECONDS)
+        self._server.finish_draining()
+        # After a pause of the process all requests may have become due at
+        # once; their answers are sent before the connections are closed.
+        with trio.move_on_after(_DRAIN_POLL_SECONDS):
+            while self._relays:
+                await trio.sleep(_MIN_TICK_SECONDS)
         ended = _events.DrainEnded(
             self._forwarding.open_forwards,
             max(0, self._server.open_exchanges - len(self._relays)),
--- a/sedgepin/platform/tests/test_planned_stop.py
+++ b/sedgepin/platform/tests/test_planned_stop.py
@@ -212,6 +212,31 @@
         (cut,) = [line for line in lines if line["event"] == "request_failed"]
         assert cut["code"] == "drain_ended"
 
+    async def test_vm_that_is_suspended_until_the_end_still_answers(
+        self, system: running_system.System, nursery: trio.Nursery
+    ) -> None:
+        system.grace_seconds = _GRACE_SECONDS
+        engine = _SlowEngine()
+        await running_system.start_system(system, nursery, engine)
+        callers = _Callers()
+        entry = system.processes["entry"]
+        async with trio.open_nursery() as calls:
+            for _caller in range(20):
+                calls.start_soon(callers.run, b"/post/3.9s/")
+            await trio.sleep(0.3)
+
+            async def suspend() -> None:
+                await trio.sleep(0.5)
+                entry.send_signal(signal.SIGSTOP)
+                await trio.sleep(_GRACE_SECONDS)
+                entry.send_signal(signal.SIGCONT)
+
+            calls.start_soon(suspend)
+            await _stop(system)
+        statuses = [record.status for record in callers.records]
+        assert statuses[:20] == [504] * 20
+        _check(callers, engine)
+
     async def test_drain_goes_on_beside_signals_and_a_new_configuration(
         self, system: running_system.System, nursery: trio.Nursery
     ) -> None:
