--- a/sedgepin/platform/tests/soak/_invariants.py
+++ b/sedgepin/platform/tests/soak/_invariants.py
@@ -322,6 +322,8 @@
 def _check_processes(record: _record.Record) -> _Findings:
     for line in record.contained_failures:
         yield f"a failure was contained: {line}"
+    for line in record.cut_requests:
+        yield f"a VM that stopped cut a request: {line}"
     for unexpected_exit in record.unexpected_exits:
         yield f"a process exited unexpectedly: {unexpected_exit}"
     for engine in record.overloaded_engines:
--- a/sedgepin/platform/tests/soak/_programs.py
+++ b/sedgepin/platform/tests/soak/_programs.py
@@ -176,11 +176,18 @@
 
     def contained_failures(self) -> list[str]:
         """Return the log lines of failures that the programs contained."""
+        return self._lines_with('"task_failed"', '"messages_not_sent"')
+
+    def cut_requests(self) -> list[str]:
+        """Return the log lines of requests that ended with their VM."""
+        return self._lines_with('"request_cut"')
+
+    def _lines_with(self, *texts: str) -> list[str]:
         return [
             f"{program.name}: {line}"
             for program in self.programs
             for line in (program.folder / "log").read_text().splitlines()
-            if '"task_failed"' in line or '"messages_not_sent"' in line
+            if any(text in line for text in texts)
         ]
 
     def _record_exit(self, program: Program) -> None:
--- a/sedgepin/platform/tests/soak/_record.py
+++ b/sedgepin/platform/tests/soak/_record.py
@@ -120,6 +120,7 @@
     unexpected_exits: list[str] = dataclasses.field(default_factory=list)
     # Log lines of failures that were contained, which nobody expects.
     contained_failures: list[str] = dataclasses.field(default_factory=list)
+    cut_requests: list[str] = dataclasses.field(default_factory=list)
     # Spans without faults that start long enough after the last fault.
     calm_spans: list[tuple[float, float]] = dataclasses.field(
         default_factory=list
--- a/sedgepin/platform/tests/soak/_upgrade.py
+++ b/sedgepin/platform/tests/soak/_upgrade.py
@@ -75,6 +75,7 @@
         programs.kill_all()
         record.unexpected_exits = programs.unexpected_exits
         record.contained_failures = programs.contained_failures()
+        record.cut_requests = programs.cut_requests()
     return record
 
 
