--- a/sedgepin/platform/tests/running_system.py
+++ b/sedgepin/platform/tests/running_system.py
@@ -17,6 +17,7 @@
 CONTROL = loopback.address(71, 1)
 ENTRY = loopback.address(71, 2)
 ENGINE = loopback.address(71, 3)
+ABSENT_CONTROL = loopback.address(71, 10)
 _PEER_PORT = 27340
 CALL_PORT = 28229
 READY_PORT = 28220
--- a/sedgepin/platform/tests/test_planned_stop.py
+++ b/sedgepin/platform/tests/test_planned_stop.py
@@ -290,7 +290,10 @@
         call: tuple[bytes, str],
         seconds: float,
     ) -> None:
-        system.controls = (running_system.CONTROL, "127.0.71.9")
+        system.controls = (
+            running_system.CONTROL,
+            running_system.ABSENT_CONTROL,
+        )
         system.start("control", running_system.CONTROL)
         target, document = call
         body = document.encode()
