Answer the calls that a control VM reads while it stops

An operator or endpoint whose call was read whole late in the stop of a control VM, while no quorum answered, could see its connection closed: the daemon waited for open calls as long as one call may take from its start, counted from the end of its own leadership and not from the call.

After that time it now refuses what is read (503 draining, not run), and waits for the calls that it has submitted, at most as long again.

--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -55,10 +55,17 @@
 ]
 
 
-class _CallHandler(web.Handler):
+class CallHandler(web.Handler):
     """Passes the HTTP calls of endpoints and operators to the reducer."""
 
-    __slots__ = ("_dialect", "_numbers", "_pending", "_submit")
+    __slots__ = (
+        "_dialect",
+        "_has_stopped",
+        "_numbers",
+        "_open_calls",
+        "_pending",
+        "_submit",
+    )
 
     def __init__(
         self,
@@ -69,22 +76,40 @@
         self._submit = submit
         self._numbers = itertools.count(1)
         self._pending: dict[int, trio.MemorySendChannel[_Answer]] = {}
+        self._open_calls = 0
+        self._has_stopped = False
+
+    @property
+    def has_open_calls(self) -> bool:
+        """Return whether calls were read that are not answered yet."""
+        return self._open_calls > 0
+
+    def stop(self) -> None:
+        """Refuse the calls that are read from now on."""
+        self._has_stopped = True
 
     async def handle(self, exchange: web.Exchange) -> None:
         """Submit a call to the reducer and send its answer."""
-        parsed = self._dialect.parse_call(exchange.request)
+        self._open_calls += 1
+        try:
+            await exchange.answer(*await self._answer(exchange.request))
+        finally:
+            self._open_calls -= 1
+
+    async def _answer(self, request: web.Request) -> _Answer:
+        if self._has_stopped:
+            return self.error_response(_failures.Draining())
+        parsed = self._dialect.parse_call(request)
         if parsed.is_err():
             failure = parsed.unwrap_err()
             line = events.CONTROL_CALL_REFUSED.line(
-                method=exchange.request.method.decode("ascii"),
-                target=exchange.request.target.decode("ascii", "replace"),
+                method=request.method.decode("ascii"),
+                target=request.target.decode("ascii", "replace"),
                 failure=failure.detail(),
             )
             logs.write(line)
-            await exchange.answer(*self.error_response(failure))
-            return
-        head, body = await self._submit_call(parsed.unwrap())
-        await exchange.answer(head, body)
+            return self.error_response(failure)
+        return await self._submit_call(parsed.unwrap())
 
     def error_response(self, failure: errors.Failure) -> _Answer:
         """Return the HTTP response for a failure."""
@@ -173,7 +198,7 @@
                 _events.DiskFreed,
             ),
         )
-        self._calls = _CallHandler(dialect, self._driver.submit)
+        self._calls = CallHandler(dialect, self._driver.submit)
         self._server = web.Server(self._calls)
         hello = protocol.Hello(
             cfg.vm_id,
@@ -252,6 +277,10 @@
         with trio.move_on_after(_CALL_TIMEOUT_SECONDS):
             while self._server.open_exchanges:
                 await trio.sleep(_TICK_SECONDS)
+        self._calls.stop()
+        with trio.move_on_after(_CALL_TIMEOUT_SECONDS + _TICK_SECONDS):
+            while self._calls.has_open_calls:
+                await trio.sleep(_TICK_SECONDS)
 
     def _metrics_text(self) -> bytes:
         usage = self._reducer.limit_usage[:_MAX_LIMIT_METRICS]
--- a/sedgepin/_registrar/_failures.py
+++ b/sedgepin/_registrar/_failures.py
@@ -24,6 +24,20 @@
         return _ELECTION_RETRY_AFTER
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Draining(errors.Failure):
+    """This VM stops; another control VM can answer the call."""
+
+    code: typing.ClassVar[str] = "draining"
+    title: typing.ClassVar[str] = "This VM is shutting down"
+    http_status: typing.ClassVar[int] = 503
+
+    @property
+    def retry_after(self) -> datetime.timedelta | None:
+        """Time after which another VM probably leads."""
+        return _ELECTION_RETRY_AFTER
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class CommitUnknown(errors.Failure):
     """The change was proposed; whether it was committed is not known."""
