Cut no stream whose engine was given up for a silence

Cause: the decision to leave a silent engine and the next attempt are two turns apart. The place that was found free was not held: a request in between could take it, and all streams of the engine were promised the same one. What came after could only end the stream: 1.5 s in the queue, a second engine that refuses with no retry left or after four sends, or that fails with the attempts used up.

Now the place is held as load from the decision to the attempt, a stream that has started waits for a place and for the retry budget until its deadline, without holding up others after 1.5 s, and one whose attempts are used up returns once to an engine that it was taken from. A stream is not taken from its engine while the quarantine holds what it contains.

test_queued_retry_goes_to_no_further_engine asserted that a stream whose engine turns out to go on fails; it now asserts that it goes to that engine, to no other, and not again. A call that has not started still fails, which a new test asserts.

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -88,6 +88,8 @@
             exchange.runs.append(
                 _exchange.Run(dispatch.endpoint_id, dispatch.incarnation)
             )
+        if event.outcome is _Outcome.CANCELLED:
+            exchange.given_up.add(dispatch.endpoint_id)
         self._state.release(exchange)
         return effects + self._retry_or_fail(exchange, event, now)
 
@@ -184,6 +186,9 @@
         )
         if may_retry:
             return self._dispatcher.dispatch_or_queue(exchange, now)
+        if self._state.engines_to_return_to(exchange):
+            exchange.needs_retry = True
+            return self._dispatcher.dispatch_or_queue(exchange, now)
         if event.outcome is _Outcome.FAILED:
             self._dispatcher.remove(exchange)
             return [_effects.DeliverHeldAnswer(exchange.exchange_id)]
@@ -204,7 +209,13 @@
     def _retry_refused(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> _shared_state.Effects:
-        """Retry a request that an endpoint did not run, or fail it."""
+        """Retry a request that an endpoint did not run, or fail it.
+
+        A stream that has started waits for a retry instead.
+        """
+        if exchange.has_output:
+            exchange.needs_retry = True
+            return self._dispatcher.dispatch_or_queue(exchange, now)
         may_send = exchange.send_count < _MAX_SENDS
         if may_send and self._state.reserve_retry(exchange, now):
             return self._dispatcher.dispatch_or_queue(exchange, now)
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -23,6 +23,8 @@
 _AT_ONCE = datetime.timedelta()
 # Callers retry no sooner after a pause that is about to end.
 _MIN_RETRY_AFTER = datetime.timedelta(milliseconds=250)
+# Bounds the searches for streams that have waited long and find no place.
+_MAX_YIELDING = 4
 
 
 class RequestDispatcher:
@@ -106,10 +108,12 @@
 
         Return no effects if a queued request must keep waiting.
         """
+        destination = self._state.take_destination(exchange)
         cause = self._state.find_cause(exchange.request, now)
         if cause is not None:
             return self._hold_back(exchange, cause, now)
-        if self._state.has_used_up_attempts(exchange):
+        allowed = self._state.allowed_endpoints(exchange)
+        if allowed is not None and not allowed:
             # Since the retry was granted, an endpoint has turned out to go on.
             used_up = _failures.OutcomeUnknown("its attempts are used up")
             return self.fail(exchange, used_up, now)
@@ -118,6 +122,24 @@
         if self._state.must_await_path(now):
             self._state.awaiting_path[exchange.exchange_id] = exchange
             return []
+        if allowed is not None:
+            exchange.yields_place = True
+        if exchange.needs_retry and not (
+            self._state.reserve_retry(exchange, now)
+        ):
+            return self._enqueue_or_fail(exchange, 0.0, now)
+        if (
+            destination is not None
+            and allowed is None
+            and self._state.is_available(destination, now)
+        ):
+            return self.start_attempt(
+                exchange,
+                destination.endpoint_id,
+                destination.address,
+                destination.pipeline,
+                now,
+            )
         if exchange.service.engine is None or exchange.request.size is None:
             return self._dispatch_to_endpoint(exchange, now)
         return self._dispatch_to_pipeline(
@@ -222,6 +244,11 @@
         After a first engine was not reached, it is one that was just now.
         """
         fleet = self._state.fleet
+        allowed = self._state.allowed_endpoints(exchange)
+        if allowed is not None:
+            return fleet.find_pipeline(
+                exchange.service, size, now, permit_wait, allowed
+            )
         heads: frozenset[model.EndpointId] = frozenset()
         if exchange.unsent_count:
             heads = self._state.links.proven(now)
@@ -246,6 +273,9 @@
         for queue in self._state.queues:
             effects += self._serve_queue(queue, now)
             for exchange in queue.overdue(now):
+                if exchange.has_output:
+                    queue.restart_wait(exchange, now)
+                    continue
                 queue.dequeue(exchange)
                 failure: errors.Failure = _failures.NoEndpoint(
                     exchange.service.name,
@@ -261,18 +291,25 @@
     ) -> _shared_state.Effects:
         """Dispatch the requests of a queue while capacity lasts.
 
-        Those that wait for a permit hold up no other.
+        Those that wait for a permit hold up no other, nor do streams that
+        have waited long.
         """
         effects: _shared_state.Effects = []
         has_room = True
+        yielding_count = 0
         permits = self._state.permits
         for exchange in queue.in_order():
             if not has_room and permits.has_pending(exchange.exchange_id):
                 continue
+            if exchange.yields_place and yielding_count >= _MAX_YIELDING:
+                continue
             request_effects = self.dispatch_or_queue(exchange, now)
             effects += request_effects
             if request_effects:
                 continue
+            if not exchange.holds_up_others:
+                yielding_count += exchange.yields_place
+                continue
             has_room = False
             if not permits.has_pending(exchange.exchange_id):
                 break
@@ -515,9 +552,7 @@
                     None,
                     now,
                 )
-        if self._state.permits.has_pending(exchange.exchange_id):
-            return []
-        return self._fail_without_endpoint(exchange, now)
+        return self._handle_no_pipeline(exchange, now)
 
     def _choose_endpoint(
         self,
@@ -527,6 +562,11 @@
     ) -> catalog.Registration | None:
         """Return the endpoint for a request, if one may take it by then."""
         service = exchange.service
+        allowed = self._state.allowed_endpoints(exchange)
+        if allowed is not None:
+            return self._state.fleet.choose_endpoint(
+                service, frozenset(), now, permit_wait, allowed
+            )
         if exchange.unsent_count:
             proven = self._state.links.proven(now)
             registration = self._state.fleet.choose_endpoint(
@@ -624,6 +664,7 @@
         now: datetime.datetime,
     ) -> _shared_state.Effects:
         """Send a request to an endpoint that allows it now."""
+        self._state.take_destination(exchange)
         self._state.queues.for_service(exchange.service.name).dequeue(exchange)
         self._state.awaiting_path.pop(exchange.exchange_id, None)
         self._state.permits.cancel(exchange.exchange_id)
@@ -654,6 +695,9 @@
         exchange.is_rerouting = False
         exchange.is_sustained = False
         exchange.has_reserved_retry = False
+        exchange.needs_retry = False
+        exchange.yields_place = False
+        exchange.given_up.discard(endpoint_id)
         exchange.is_kept = False
         self._state.fleet.add_load(exchange.endpoint_ids, exchange.tokens)
         if pipeline is not None:
@@ -681,6 +725,7 @@
     def remove(self, exchange: _exchange.Exchange) -> None:
         """Remove a request from its endpoints, its queue and the exchanges."""
         self._state.release(exchange)
+        self._state.take_destination(exchange)
         self._state.return_retry(exchange)
         self._state.queues.for_service(exchange.service.name).dequeue(exchange)
         self._state.awaiting_path.pop(exchange.exchange_id, None)
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -16,6 +16,28 @@
     incarnation: int | None
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Destination:
+    """The endpoints that are held for the next attempt of a request.
+
+    ``pipeline`` is ``None`` for a plain service.
+    """
+
+    address: str
+    pipeline: model.Pipeline | None
+    stages: tuple[Run, ...]
+
+    @property
+    def endpoint_id(self) -> model.EndpointId:
+        """Return the endpoint that the request is to be sent to."""
+        return self.stages[0].endpoint_id
+
+    @property
+    def endpoint_ids(self) -> tuple[model.EndpointId, ...]:
+        """Return the endpoints that will run the request."""
+        return tuple(stage.endpoint_id for stage in self.stages)
+
+
 @dataclasses.dataclass(slots=True)
 class Exchange:
     """An admitted request and the progress of its attempts.
@@ -24,6 +46,12 @@
     endpoint.  ``runs`` holds those that have ended
     and may have run.  ``has_reserved_retry`` is set while the next attempt
     is in the retry budget already and has not been sent.
+    ``destination`` is where that attempt is to go, if a place is held for it.
+    ``needs_retry`` is set while a stream that has started waits for a retry
+    from the budget.  ``given_up`` holds the endpoints whose attempts were
+    cancelled, and which have not had the request again since.
+    ``yields_place`` is set once it waits without holding up the requests
+    behind it.
     ``is_kept`` is set once an attempt without progress has been left alone,
     because the request can run nowhere else.
     ``stages`` holds the endpoints of the attempt as they were when it was
@@ -52,6 +80,10 @@
     unsent_count: int = 0
     runs: list[Run] = dataclasses.field(default_factory=list)
     has_reserved_retry: bool = False
+    destination: Destination | None = None
+    needs_retry: bool = False
+    given_up: set[model.EndpointId] = dataclasses.field(default_factory=set)
+    yields_place: bool = False
     reroute_count: int = 0
     stages: tuple[Run, ...] = ()
     pipeline_before: model.Pipeline | None = None
@@ -94,6 +126,13 @@
         stages = self.dispatch.pipeline.stages
         return tuple(stage.endpoint_id for stage in stages)
 
+    @property
+    def holds_up_others(self) -> bool:
+        """Return whether later requests wait for this one in the queue."""
+        return not self.yields_place and not (
+            self.needs_retry and not self.has_reserved_retry
+        )
+
     @property
     def may_have_run(self) -> bool:
         """Return whether an attempt that has ended may have run."""
--- a/sedgepin/_gateway/_fleet.py
+++ b/sedgepin/_gateway/_fleet.py
@@ -503,6 +503,19 @@
         record = self.registry.find(endpoint_id)
         return record is not None and self._is_usable(record, now)
 
+    def may_run(self, stage: model.Stage, now: datetime.datetime) -> bool:
+        """Return whether an engine may get new work for some layers."""
+        record = self.registry.find(stage.endpoint_id)
+        if record is None or not self._is_usable(record, now):
+            return False
+        layers = record.registration.layers
+        return (
+            layers is not None
+            and layers.first <= stage.layers.first
+            and stage.layers.end <= layers.end
+            and not self._counts_as_full(stage.endpoint_id, now)
+        )
+
     def _engines(
         self,
         service: catalog.Service,
--- a/sedgepin/_gateway/_permit_waits.py
+++ b/sedgepin/_gateway/_permit_waits.py
@@ -85,11 +85,10 @@
     def has_others(self, queue: _request_queue.RequestQueue) -> bool:
         """Return whether requests wait in a queue, but not for a permit."""
         permits = self._state.permits
-        if not len(queue) or not permits.is_waiting:
-            return bool(len(queue))
         return any(
-            not permits.has_pending(exchange.exchange_id)
-            for exchange in queue.in_order()
+            exchange.holds_up_others
+            and not permits.has_pending(exchange.exchange_id)
+            for exchange in queue
         )
 
     def longest_wait(
--- a/sedgepin/_gateway/_permits.py
+++ b/sedgepin/_gateway/_permits.py
@@ -112,7 +112,8 @@
             return []
         if self._state.find_cause(exchange.request, now) is not None:
             return []
-        if self._state.has_used_up_attempts(exchange):
+        allowed = self._state.allowed_endpoints(exchange)
+        if allowed is not None and endpoint_id not in allowed:
             return []
         address = record.registration.address
         size = exchange.request.size
--- a/sedgepin/_gateway/_request_queue.py
+++ b/sedgepin/_gateway/_request_queue.py
@@ -50,6 +50,9 @@
     def __len__(self) -> int:
         return len(self._queued)
 
+    def __iter__(self) -> collections.abc.Iterator[_exchange.Exchange]:
+        return iter(tuple(self._queued.values()))
+
     def record_departure(self, now: datetime.datetime) -> None:
         """Count a request that finished on its engines."""
         self._departures.append(now)
@@ -60,7 +63,7 @@
     ) -> datetime.timedelta:
         """Return how long a request would wait if it were enqueued now."""
         ahead = sum(
-            _sort_key(queued) <= _sort_key(exchange)
+            queued.holds_up_others and _sort_key(queued) <= _sort_key(exchange)
             for queued in self._queued.values()
         )
         return self._departure_interval(now) * (ahead + 1)
@@ -121,6 +124,14 @@
             exchange.queued_at = now
         self._queued[exchange.exchange_id] = exchange
 
+    def restart_wait(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> None:
+        """Let a stream that has started wait on, and hold up no other."""
+        exchange.queued_at = now
+        exchange.denied_permits = 0
+        exchange.yields_place = True
+
     def dequeue(self, exchange: _exchange.Exchange) -> None:
         """Remove a request, if it is queued."""
         exchange.queued_at = None
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -148,6 +148,67 @@
             return False
         return self.run_count(exchange) >= exchange.route.max_attempts
 
+    def engines_to_return_to(
+        self, exchange: _exchange.Exchange
+    ) -> frozenset[model.EndpointId]:
+        """Return the endpoints that may go on with a stream that has started.
+
+        It was taken from them, and none of them is known to have ended.
+        """
+        if not exchange.has_output or not exchange.route.is_retryable:
+            return frozenset()
+        return frozenset(
+            run.endpoint_id
+            for run in exchange.runs
+            if run.endpoint_id in exchange.given_up and not self.has_ended(run)
+        )
+
+    def allowed_endpoints(
+        self, exchange: _exchange.Exchange
+    ) -> frozenset[model.EndpointId] | None:
+        """Return the only endpoints to send to; ``None`` if any will do."""
+        if not self.has_used_up_attempts(exchange):
+            return None
+        return self.engines_to_return_to(exchange)
+
+    def hold(
+        self,
+        exchange: _exchange.Exchange,
+        destination: _exchange.Destination,
+    ) -> None:
+        """Count the next attempt of a request as load of its endpoints."""
+        exchange.destination = destination
+        self.fleet.add_load(destination.endpoint_ids, exchange.tokens)
+
+    def take_destination(
+        self, exchange: _exchange.Exchange
+    ) -> _exchange.Destination | None:
+        """Return what is held for a request, and hold it no longer."""
+        destination = exchange.destination
+        if destination is not None:
+            exchange.destination = None
+            self.fleet.remove_load(destination.endpoint_ids, exchange.tokens)
+        return destination
+
+    def is_available(
+        self, destination: _exchange.Destination, now: datetime.datetime
+    ) -> bool:
+        """Return whether a request may be sent to a destination at once.
+
+        Its endpoints may have left, moved layers or named a limit meanwhile.
+        """
+        first = destination.stages[0]
+        if self.permits.limits.find(first.endpoint_id, first.incarnation or 0):
+            return False
+        if self.runs_on(destination.endpoint_ids) != destination.stages:
+            return False
+        if destination.pipeline is None:
+            return self.fleet.is_usable(first.endpoint_id, now)
+        return all(
+            self.fleet.may_run(stage, now)
+            for stage in destination.pipeline.stages
+        )
+
     def may_run_again(self, exchange: _exchange.Exchange) -> bool:
         """Return whether one more endpoint may get the request.
 
--- a/sedgepin/_gateway/_stream_failover.py
+++ b/sedgepin/_gateway/_stream_failover.py
@@ -346,16 +346,26 @@
         """
         if not self._state.may_run_again(exchange):
             return "the route allows no further endpoint"
-        if not has_ended and not self._has_destination(exchange, now):
+        if self._state.find_cause(exchange.request, now) is not None:
+            return "it may crash another endpoint"
+        destination = self._find_destination(exchange, now)
+        may_wait = has_ended or (
+            exchange.dispatch is not None
+            and exchange.dispatch.pipeline is None
+            and self._is_on_broken_path(exchange, now)
+        )
+        if destination is None and not may_wait:
             return "no other endpoint is free"
         if not self._state.reserve_retry(exchange, now):
             return "the retry budget is spent"
+        if destination is not None:
+            self._state.hold(exchange, destination)
         return None
 
-    def _has_destination(
+    def _find_destination(
         self, exchange: _exchange.Exchange, now: datetime.datetime
-    ) -> bool:
-        """Return whether a pipeline has room that begins with another engine.
+    ) -> _exchange.Destination | None:
+        """Return a pipeline with room that begins with another engine.
 
         After the last reroute, or on another path, it may begin with the same
         one.  A call of a plain service needs an endpoint on which it has not
@@ -367,22 +377,32 @@
             endpoint = self._state.fleet.choose_endpoint(
                 exchange.service, tried, now, permit_wait=None
             )
-            return endpoint is not None or self._is_on_broken_path(
-                exchange, now
-            )
+            if endpoint is None:
+                return None
+            stages = self._state.runs_on((endpoint.endpoint_id,))
+            return _exchange.Destination(endpoint.address, None, stages)
         size = exchange.request.size
         if size is None:
-            return False
+            return None
         candidate = self._state.fleet.find_pipeline(
             exchange.service, size, now, permit_wait=None
         )
         if candidate is None or candidate.cache_utilization > 1.0:
-            return False
-        first_id = candidate.pipeline.stages[0].endpoint_id
-        return (
-            first_id != exchange.endpoint_ids[0]
+            return None
+        first = candidate.pipeline.stages[0]
+        if not (
+            first.endpoint_id != exchange.endpoint_ids[0]
             or exchange.reroute_count >= _MAX_REROUTES
             or self._is_on_broken_path(exchange, now)
+        ):
+            return None
+        endpoint_ids = tuple(
+            stage.endpoint_id for stage in candidate.pipeline.stages
+        )
+        return _exchange.Destination(
+            first.address,
+            candidate.pipeline,
+            self._state.runs_on(endpoint_ids),
         )
 
     def _has_ended_stage(self, exchange: _exchange.Exchange) -> bool:
--- a/sedgepin/_gateway/tests/test_unproven_losses.py
+++ b/sedgepin/_gateway/tests/test_unproven_losses.py
@@ -382,7 +382,7 @@
         effects = gateway.end_attempt(exchange_id, _Outcome.NOT_RUN)
         assert parts.has_no_effect(effects, _effects.StartAttempt)
 
-    def test_queued_retry_goes_to_no_further_engine(self) -> None:
+    def test_queued_stream_goes_to_no_further_engine(self) -> None:
         gateway = _make_gateway(max_attempts=1)
         exchange_id, _ = gateway.send_request("/draft/x")
         gateway.handle(_events.OutputStarted(exchange_id))
@@ -398,6 +398,20 @@
         gateway.receive(protocol.RegistrationsSeen(heard=(_LOW, _HIGH)))
         gateway.receive(protocol.LoadSummed((), knows_leader=True))
         effects = gateway.advance(100)
+        assert parts.has_no_effect(effects, _effects.FailExchange)
+        assert _first_engine(effects) == _LOW
+        effects = gateway.end_attempt(exchange_id, _Outcome.UNKNOWN)
+        assert parts.has_no_effect(effects, _effects.StartAttempt)
+        parts.get_effect(effects, _effects.FailExchange)
+
+    def test_queued_call_goes_to_no_further_engine(self) -> None:
+        gateway = _make_gateway(max_attempts=1)
+        exchange_id, _ = gateway.send_request("/draft/x")
+        gateway.receive(protocol.EndpointLost(_LOW, 1, has_ended=True))
+        gateway.receive(protocol.RegistrationsSeen(heard=(_LOW, _HIGH)))
+        gateway.advance(1000)
+        gateway.receive(protocol.RegistrationsSeen(heard=(_LOW, _HIGH)))
+        effects = gateway.end_attempt(exchange_id, _Outcome.CANCELLED)
         assert parts.has_no_effect(effects, _effects.StartAttempt)
         parts.get_effect(effects, _effects.FailExchange)
 
--- a/sedgepin/tests/silence_day.py
+++ b/sedgepin/tests/silence_day.py
@@ -119,7 +119,11 @@
     ) -> None:
         number = next(self._numbers)
         attempt = silence_plan.CallerAttempt(
-            number, number if first is None else first, kind, self.elapsed()
+            number,
+            number if first is None else first,
+            kind,
+            self.elapsed(),
+            self.plan.request_tokens,
         )
         self.record.attempts.append(attempt)
         self._attempts[vm_id, number] = attempt
@@ -167,6 +171,8 @@
     ) -> None:
         if isinstance(effect, gateway_effects.SetDeadline):
             seconds = effect.time_left.total_seconds()
+            attempt = self._attempts[vm_id, effect.exchange_id]
+            attempt.deadline = self.elapsed() + seconds
             self._after(
                 seconds, self._reach_deadline, vm_id, effect.exchange_id
             )
@@ -261,6 +267,10 @@
             return
         if self._put_off(run.engines[0], self._accept, run):
             return
+        if self._is_full(run.engines[0]) and not run.is_over:
+            run.attempt.reached.discard(run.dispatch.endpoint_id)
+            self._end_run(run.vm_id, run.exchange_id, _Outcome.NOT_RUN, run)
+            return
         if run.is_over and self._rng.random() >= self.plan.begun_share:
             return
         engines = self.record.runs.setdefault(run.attempt.request, [])
@@ -268,6 +278,14 @@
         if not run.is_over:
             self._after(0.1 + 0.15 * self._rng.random(), self._produce, run)
 
+    def _is_full(self, engine: engine_day.Engine) -> bool:
+        """Return whether an engine has more requests than it has slots."""
+        slots = self.plan.slots
+        if slots is None:
+            return False
+        count = sum(run.engines[0] is engine for run in self._runs.values())
+        return count > slots
+
     def _produce(self, run: _Run) -> None:
         """Produce the next event, if no engine of the pipeline is missing."""
         if run.is_over:
@@ -318,7 +336,7 @@
         if seconds > _MICROSECOND:
             self._after(seconds, self._lose_patience, vm_id, attempt, patience)
             return
-        attempt.failure_code = "caller_left"
+        attempt.failure_code = silence_plan.LEFT
         self._record_answer(vm_id, attempt)
         self._drop_run(vm_id, attempt.number)
         self._handle_entry(
--- a/sedgepin/tests/silence_plan.py
+++ b/sedgepin/tests/silence_plan.py
@@ -4,6 +4,7 @@
 import dataclasses
 import datetime
 import itertools
+import math
 import random
 
 from sedgepin._gateway import _calls
@@ -16,6 +17,9 @@
 _RACK_ENGINES = 8
 _TURNS_SHARE = 0.1
 _AGAIN_GAP_SECONDS = 0.7
+# The failure of a caller that has left.
+LEFT = "caller_left"
+_MICROSECOND = 1e-6
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -46,7 +50,8 @@
     silent engine begins ``begun_share`` of the requests that it accepted and
     whose connections were closed before it went on.  An answer that is not a
     stream takes as long as ``whole_answer_events`` events.  A caller leaves
-    after ``patience_seconds`` without the next event of a stream.
+    after ``patience_seconds`` without the next event of a stream.  A first
+    engine refuses what exceeds ``slots`` requests, unless it is silent.
     """
 
     entry_count: int = 7
@@ -63,6 +68,8 @@
     begun_share: float = 0.5
     whole_answer_events: int = 2
     patience_seconds: float | None = None
+    request_tokens: int = 10
+    slots: int | None = None
     seed: int = 1
 
 
@@ -177,13 +184,15 @@
     ``request`` is the number of the caller's first attempt.  ``reached`` are
     the first engines that it was sent to and that accepted it.  ``position``
     is the last event that the caller has, and ``is_in_order`` tells whether
-    each followed the one before.
+    each followed the one before.  ``tokens`` is the size of the request.
     """
 
     number: int
     request: int
     kind: silence_routes.Kind
     sent_at: float
+    tokens: int = 10
+    deadline: float = math.inf
     reached: set[model.EndpointId] = dataclasses.field(default_factory=set)
     position: int = 0
     first_output_at: float | None = None
@@ -205,9 +214,15 @@
                 seconds=silence_routes.TIME_LEFT_SECONDS
             ),
             api_key="key",
-            usage=None if self.kind.is_plain else _calls.TokenUsage(5, 5),
+            usage=self._usage(),
         )
 
+    def _usage(self) -> _calls.TokenUsage | None:
+        if self.kind.is_plain:
+            return None
+        half = self.tokens // 2
+        return _calls.TokenUsage(half, self.tokens - half)
+
     @property
     def is_first(self) -> bool:
         """Whether the caller sent it for the first time."""
@@ -284,6 +299,22 @@
         """Return the attempts without an answer, or with several."""
         return [item for item in self.attempts if item.answer_count != 1]
 
+    def cut_streams(self) -> list[CallerAttempt]:
+        """Return the streams that were cut though their engines were up.
+
+        A caller that leaves, and a deadline, cut none.
+        """
+        return [
+            attempt
+            for attempt in self.attempts
+            if attempt.kind.is_stream
+            and attempt.position
+            and attempt.failure_code not in (None, LEFT)
+            and not attempt.reached.intersection(self.ended_at)
+            and attempt.answered_at is not None
+            and attempt.answered_at < attempt.deadline - _MICROSECOND
+        ]
+
     def out_of_order(self) -> list[CallerAttempt]:
         """Return the streams with an event that did not follow the last."""
         return [item for item in self.attempts if not item.is_in_order]
