Pause before sending a stream that was refused often again

From the fourth send on it now waits for 250 ms after each refusal, as long as an engine that refused counts as full. The new test failed before: 20 sends at one instant (where it stopped) instead of 4.

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -17,6 +17,8 @@
 # Limits the attempts of a request that the last endpoint did not run.
 # ``max_attempts`` limits only the attempts that may have run it.
 _MAX_SENDS = 4
+# A stream that has started and was refused as often goes on after a pause.
+_REFUSAL_PAUSE = datetime.timedelta(milliseconds=250)
 # Within this time since its arrival a request goes on to the next endpoint
 # as long as none receives it; later on up to this number of attempts.
 _MAX_SENDS_IF_UNSENT = 6
@@ -211,12 +213,14 @@
     ) -> _shared_state.Effects:
         """Retry a request that an endpoint did not run, or fail it.
 
-        A stream that has started waits for a retry instead.
+        A stream that has started waits for a retry instead of failing.
         """
+        may_send = exchange.send_count < _MAX_SENDS
         if exchange.has_output:
             exchange.needs_retry = True
+            if not may_send:
+                exchange.retry_at = now + _REFUSAL_PAUSE
             return self._dispatcher.dispatch_or_queue(exchange, now)
-        may_send = exchange.send_count < _MAX_SENDS
         if may_send and self._state.reserve_retry(exchange, now):
             return self._dispatcher.dispatch_or_queue(exchange, now)
         failure = _failures.RefusedByEndpoints(exchange.send_count)
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -125,7 +125,7 @@
         if allowed is not None:
             exchange.yields_place = True
         if exchange.needs_retry and not (
-            self._state.reserve_retry(exchange, now)
+            self._state.reserve_due_retry(exchange, now)
         ):
             return self._enqueue_or_fail(exchange, 0.0, now)
         if (
@@ -696,6 +696,7 @@
         exchange.is_sustained = False
         exchange.has_reserved_retry = False
         exchange.needs_retry = False
+        exchange.retry_at = None
         exchange.yields_place = False
         exchange.given_up.discard(endpoint_id)
         exchange.is_kept = False
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -48,10 +48,10 @@
     is in the retry budget already and has not been sent.
     ``destination`` is where that attempt is to go, if a place is held for it.
     ``needs_retry`` is set while a stream that has started waits for a retry
-    from the budget.  ``given_up`` holds the endpoints whose attempts were
-    cancelled, and which have not had the request again since.
-    ``yields_place`` is set once it waits without holding up the requests
-    behind it.
+    from the budget, which it takes no sooner than at ``retry_at``.
+    ``given_up`` holds the endpoints whose attempts were cancelled, and which
+    have not had the request again since.  ``yields_place`` is set once it
+    waits without holding up the requests behind it.
     ``is_kept`` is set once an attempt without progress has been left alone,
     because the request can run nowhere else.
     ``stages`` holds the endpoints of the attempt as they were when it was
@@ -82,6 +82,7 @@
     has_reserved_retry: bool = False
     destination: Destination | None = None
     needs_retry: bool = False
+    retry_at: datetime.datetime | None = None
     given_up: set[model.EndpointId] = dataclasses.field(default_factory=set)
     yields_place: bool = False
     reroute_count: int = 0
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -234,6 +234,14 @@
             )
         return exchange.has_reserved_retry
 
+    def reserve_due_retry(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> bool:
+        """Take a retry from the budget, unless it is too early for it."""
+        if exchange.retry_at is not None and now < exchange.retry_at:
+            return False
+        return self.reserve_retry(exchange, now)
+
     def return_retry(self, exchange: _exchange.Exchange) -> None:
         """Give back the retry of a request that does not need it."""
         if exchange.has_reserved_retry:
--- a/sedgepin/_gateway/tests/test_moved_streams.py
+++ b/sedgepin/_gateway/tests/test_moved_streams.py
@@ -193,6 +193,24 @@
             caller.advance(0.6)
         assert not caller.has_failed
 
+    def test_refusals_of_one_stream_do_not_spend_the_retry_budget(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        caller = _Caller(gateway)
+        caller.exchange.service = catalog.Service(
+            model.ServiceName("ledger"), "/", 8
+        )
+        caller.silence()
+        caller.end_attempt(_Outcome.CANCELLED)
+        while (count := len(caller.engines)) < 20:
+            caller.end_attempt(_Outcome.NOT_RUN)
+            if len(caller.engines) == count:
+                break
+        assert len(caller.engines) == 4
+        caller.advance(0.3)
+        assert len(caller.engines) == 5
+
     def test_failure_returns_the_stream_to_the_first_one(self) -> None:
         gateway = parts.Gateway()
         caller = _Caller(gateway)
