Count only missed connections against a stream that has started

A stream that had started and that engines had refused was cut when the next engine could not be reached: the limit of six sends for requests that nobody receives counted the refusals and the cancelled attempts too. Of such a stream it now counts the connections that could not be made. Other requests get a failure as an answer and keep the limit.

The new test failed before.

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -200,9 +200,16 @@
     def _may_try_another(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> bool:
-        """Return whether a request that nobody received has a path left."""
+        """Return whether a request that nobody received has a path left.
+
+        Attempts that reached an engine do not use up those of a stream that
+        has started.
+        """
         is_early = now - exchange.arrived_at < _UNSENT_TIME
-        if not is_early and exchange.send_count >= _MAX_SENDS_IF_UNSENT:
+        sends = exchange.send_count
+        if exchange.has_output:
+            sends = exchange.unsent_count
+        if not is_early and sends >= _MAX_SENDS_IF_UNSENT:
             return False
         return not self._state.links.is_surely_cut_off(
             now
--- a/sedgepin/_gateway/tests/test_moved_streams.py
+++ b/sedgepin/_gateway/tests/test_moved_streams.py
@@ -193,6 +193,19 @@
             caller.advance(0.6)
         assert not caller.has_failed
 
+    def test_engine_that_is_not_reached_after_refusals_ends_no_stream(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        caller = _Caller(gateway)
+        caller.silence()
+        caller.end_attempt(_Outcome.CANCELLED)
+        while len(caller.engines) < 6:
+            caller.end_attempt(_Outcome.NOT_RUN)
+            caller.advance(0.6)
+        caller.end_attempt(_Outcome.NOT_SENT)
+        assert not caller.has_failed
+
     def test_refusals_of_one_stream_do_not_spend_the_retry_budget(
         self,
     ) -> None:
