Record how each request ended on its caller's connection

The log told what the reducer decided on a request, not what its connection did: an answer that was cut at the end of the process, or a begun stream that was given up, ended without a line, or with `caller_left`.

The server now reports the end of each request that it has begun to read: answered, failed, unanswered, incomplete or unread, and who closed the connection first. All are counted (`sedgepin_request_ends_total`); a line is written only for ends without a complete answer: `answer_cut` (334), `caller_closed` (335) and `request_unread` (336). The last one also tells of bytes that lay unread in the socket when this VM closed an idle connection.

`FailExchange` and `DeliverHeldAnswer` on a begun stream name their reason, and `caller_left` is written only where the caller closed first. Decisions on requests are unchanged. The test doubles of an exchange state that their caller has closed, as they have no connection to ask.

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -82,6 +82,10 @@
             limits.idle_timeout.total_seconds(),
         )
 
+    def request_ended(self, end: web.RequestEnd) -> None:
+        """Log and count the end of a request on its connection."""
+        self._daemon.record_request_end(end)
+
 
 class _ReadinessHandler(web.Handler):
     """Answers the load balancer's readiness checks."""
@@ -221,6 +225,7 @@
             head, body = self.error_response(parsed.unwrap_err())
             await exchange.answer(head, body)
             return
+        exchange.label = parsed.unwrap().request_id
         exchange_id = next(self._exchange_ids)
         relay = _relay.Relay(
             exchange_id,
@@ -251,6 +256,13 @@
         logs.write(line)
         return self._dialect.error_response(None, failure)
 
+    def record_request_end(self, end: web.RequestEnd) -> None:
+        """Count the end of a request; log one without a complete answer."""
+        self._metrics.count_request_end(end.kind.value, end.closed_by.value)
+        line = end.log_line()
+        if line is not None:
+            self._write_log(line)
+
     def _reload(self, cfg: _settings.GatewaySettings) -> None:
         self._driver.submit(_events.SettingsReloaded(cfg))
 
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -195,9 +195,13 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class CallerDisconnected:
-    """The caller closed its connection."""
+    """The caller's connection ended before its answer was complete.
+
+    ``is_by_caller`` is unset where this VM closed it.
+    """
 
     exchange_id: int
+    is_by_caller: bool = True
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -204,10 +204,12 @@
                 return self._stream_failover.handle_stall_report(event, now)
             case _events.Rerouted():
                 return self._stream_failover.handle_reroute_result(event, now)
-            case _events.CallerDisconnected(exchange_id):
-                return self._dispatcher.handle_caller_disconnect(
+            case _events.CallerDisconnected(exchange_id, is_by_caller):
+                effects = self._dispatcher.handle_caller_disconnect(
                     exchange_id, now
                 )
+                # The connection logs what this VM cuts itself.
+                return effects if is_by_caller else []
             case _events.DeadlineReached(exchange_id):
                 return self._dispatcher.handle_deadline(exchange_id, now)
             case _events.SettingsReloaded(cfg):
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -165,7 +165,11 @@
                 is_over = True
         finally:
             if not is_over:
-                self._submit(_events.CallerDisconnected(self.exchange_id))
+                self._submit(
+                    _events.CallerDisconnected(
+                        self.exchange_id, self._exchange.has_caller_closed
+                    )
+                )
 
     async def _follow_effects(self) -> None:
         """Carry out the reducer's effects until the exchange ends."""
@@ -176,6 +180,7 @@
                     await self._run_attempt(effect)
                 case _effects.FailExchange(_, failure):
                     if self._exchange.has_started:
+                        self._exchange.cut(failure.code)
                         return
                     head, body = self._dialect.error_response(
                         self._request.request_id, failure
@@ -184,6 +189,7 @@
                     return
                 case _effects.DeliverHeldAnswer():
                     if self._held_answer is None or self._exchange.has_started:
+                        self._exchange.cut("engine_failed")
                         return
                     await self._exchange.answer(*self._held_answer)
                     return
--- a/sedgepin/_gateway/tests/test_startup_queue.py
+++ b/sedgepin/_gateway/tests/test_startup_queue.py
@@ -84,6 +84,15 @@
         assert line.definition.name == "caller_left"
         assert not gateway.reducer.has_queued_requests
 
+    def test_request_that_this_vm_cuts_is_not_laid_on_the_caller(
+        self,
+    ) -> None:
+        gateway = _start()
+        exchange_id, _ = gateway.send_request("/read/x")
+        cut = _events.CallerDisconnected(exchange_id, is_by_caller=False)
+        assert not gateway.handle(cut)
+        assert not gateway.reducer.has_queued_requests
+
     def test_request_after_the_start_is_refused_at_once(self) -> None:
         gateway = _start()
         gateway.advance(4000)
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -61,6 +61,7 @@
     __slots__ = (
         "_dialect",
         "_has_stopped",
+        "_metrics",
         "_numbers",
         "_open_calls",
         "_pending",
@@ -71,7 +72,9 @@
         self,
         dialect: _dialect.ControlDialect,
         submit: typing.Callable[[_events.RegistrarEvent], None],
+        metrics: shell.PrometheusSink,
     ) -> None:
+        self._metrics = metrics
         self._dialect = dialect
         self._submit = submit
         self._numbers = itertools.count(1)
@@ -119,6 +122,14 @@
         """Return the limits on operators' and endpoints' calls."""
         return _LIMITS
 
+    def request_ended(self, end: web.RequestEnd) -> None:
+        """Count the end of a call; log one without a complete answer."""
+        self._metrics.count_request_end(end.kind.value, end.closed_by.value)
+        line = end.log_line()
+        if line is not None:
+            logs.write(line)
+            self._metrics.increment(line.definition.name, 1)
+
     def respond(self, exchange_id: int, answer: _Answer) -> None:
         """Respond to a waiting call; no effect if it has timed out."""
         sender = self._pending.pop(exchange_id, None)
@@ -198,7 +209,7 @@
                 _events.DiskFreed,
             ),
         )
-        self._calls = CallHandler(dialect, self._driver.submit)
+        self._calls = CallHandler(dialect, self._driver.submit, self._metrics)
         self._server = web.Server(self._calls)
         hello = protocol.Hello(
             cfg.vm_id,
--- a/sedgepin/_shell/_metrics.py
+++ b/sedgepin/_shell/_metrics.py
@@ -107,7 +107,7 @@
     True
     """
 
-    __slots__ = ("_durations", "_events", "_gauges")
+    __slots__ = ("_durations", "_events", "_gauges", "_request_ends")
 
     def __init__(self) -> None:
         self._events: collections.Counter[str] = collections.Counter()
@@ -115,6 +115,9 @@
             collections.defaultdict(_Histogram)
         )
         self._gauges: dict[str, dict[str, float]] = {}
+        self._request_ends: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
 
     def set_gauges(self, name: str, values: dict[str, float]) -> None:
         """Replace the values of the gauge ``name``, by their endpoint."""
@@ -128,6 +131,10 @@
         """Add a duration to the histogram ``name``."""
         self._durations[name].add(duration.total_seconds())
 
+    def count_request_end(self, end: str, closed_by: str) -> None:
+        """Count a request that ended on its caller's connection."""
+        self._request_ends[end, closed_by] += 1
+
     def text(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         import prometheus_client
@@ -138,6 +145,13 @@
         )
         for name, count in self._events.items():
             counters.add_metric([name], count)
+        ends = core.CounterMetricFamily(
+            "sedgepin_request_ends",
+            "Ends of callers' requests, and who closed the connection first.",
+            labels=["end", "closed_by"],
+        )
+        for labels, count in self._request_ends.items():
+            ends.add_metric(labels, count)
         durations = core.HistogramMetricFamily(
             "sedgepin_duration_seconds",
             "How long something took, by name.",
@@ -159,7 +173,7 @@
 
         class Collector:
             def collect(self) -> list[core.Metric]:
-                return [counters, durations, *gauges]
+                return [counters, ends, durations, *gauges]
 
         registry = prometheus_client.CollectorRegistry()
         registry.register(Collector())
--- a/sedgepin/_sockets/__init__.py
+++ b/sedgepin/_sockets/__init__.py
@@ -1,12 +1,14 @@
 """TCP connections that cost few system calls, and their options."""
 
 from sedgepin._sockets._direct_stream import DirectStream
+from sedgepin._sockets._options import count_unread_bytes
 from sedgepin._sockets._options import enable_keepalive
 from sedgepin._sockets._options import limit_unacknowledged_time
 from sedgepin._sockets._options import reset_when_closed
 
 __all__ = [
     "DirectStream",
+    "count_unread_bytes",
     "enable_keepalive",
     "limit_unacknowledged_time",
     "reset_when_closed",
--- a/sedgepin/_sockets/_options.py
+++ b/sedgepin/_sockets/_options.py
@@ -7,8 +7,11 @@
 connection whose peer runs but reads nothing for as long.
 """
 
+import array
+import fcntl
 import socket
 import struct
+import termios
 
 
 def enable_keepalive(
@@ -37,6 +40,18 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
 
+def count_unread_bytes(sock: socket.socket) -> int:
+    """Return how many received bytes wait to be read."""
+    if sock.fileno() < 0:
+        return 0
+    count = array.array("i", [0])
+    try:
+        fcntl.ioctl(sock, termios.FIONREAD, count)
+    except OSError:
+        return 0
+    return count[0]
+
+
 def reset_when_closed(sock: socket.socket) -> None:
     """Let the end of a connection be a reset (a linger time of 0)."""
     if sock.fileno() >= 0:
--- a/sedgepin/_web/__init__.py
+++ b/sedgepin/_web/__init__.py
@@ -19,6 +19,9 @@
 from sedgepin._web._field_values import encode_field_value
 from sedgepin._web._metrics import MetricsHandler
 from sedgepin._web._part_timer import PartTimer
+from sedgepin._web._request_ends import Closer
+from sedgepin._web._request_ends import EndKind
+from sedgepin._web._request_ends import RequestEnd
 from sedgepin._web._server import Exchange
 from sedgepin._web._server import Handler
 from sedgepin._web._server import Server
@@ -35,7 +38,9 @@
     "AnswerHead",
     "BodyTooLarge",
     "ClientConnection",
+    "Closer",
     "ConnectFailed",
+    "EndKind",
     "Exchange",
     "Handler",
     "HandlerFailed",
@@ -44,6 +49,7 @@
     "MetricsHandler",
     "PartTimer",
     "Request",
+    "RequestEnd",
     "RequestTooSlow",
     "RequestUnreadable",
     "Server",
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -12,6 +12,7 @@
 
 from sedgepin import _sockets as sockets
 from sedgepin._web import _failures
+from sedgepin._web import _request_ends
 from sedgepin._web import _types
 from sedgepin import containment
 from sedgepin import errors
@@ -26,6 +27,7 @@
 _KEEPALIVE_PROBES = 3
 _STALL_CHECK_INTERVAL_SECONDS = 1.0
 _LISTEN_BACKLOG = 512
+_FIRST_FAILURE = 400
 
 
 class Exchange:
@@ -37,7 +39,13 @@
     connection is broken.
     """
 
-    __slots__ = ("_connection", "has_started", "request")
+    __slots__ = (
+        "_connection",
+        "cut_reason",
+        "has_started",
+        "label",
+        "request",
+    )
 
     def __init__(
         self, connection: "_Connection", request: _types.Request
@@ -45,6 +53,18 @@
         self._connection = connection
         self.request = request
         self.has_started = False
+        # Name of the request in log lines, and why its answer was given up.
+        self.label = ""
+        self.cut_reason = "handler_returned"
+
+    @property
+    def has_caller_closed(self) -> bool:
+        """Whether the caller closed the connection first."""
+        return self._connection.has_caller_closed
+
+    def cut(self, reason: str) -> None:
+        """State why the handler returns without a complete answer."""
+        self.cut_reason = reason
 
     async def answer(self, head: _types.AnswerHead, body: bytes) -> None:
         """Send a complete answer; only its head to a HEAD request."""
@@ -105,6 +125,9 @@
     def limits(self) -> _types.ServerLimits:
         """Return the limits that are in force."""
 
+    def request_ended(self, end: _request_ends.RequestEnd) -> None:
+        """Record how a request ended on its connection."""
+
 
 class Server:
     """Accepts connections and passes their requests to a handler."""
@@ -223,17 +246,24 @@
     """A caller's connection; serves one request after the other."""
 
     __slots__ = (
+        "_close_reason",
         "_h11",
         "_handler",
+        "_has_failed",
+        "_has_sent",
         "_idle_scope",
-        "_method",
+        "_is_reading",
+        "_is_refused",
         "_is_send_interrupted",
-        "_has_caller_closed",
-        "_has_failed",
+        "_label",
+        "_method",
+        "_read_since",
         "_scope",
         "_sending_since",
         "_server",
+        "_status",
         "_stream",
+        "has_caller_closed",
         "is_busy",
     )
 
@@ -249,8 +279,16 @@
         self._idle_scope = trio.CancelScope()
         self._scope = trio.CancelScope()
         self._sending_since = math.inf
-        self._has_caller_closed = False
+        self.has_caller_closed = False
         self._has_failed = False
+        # What is recorded at the end of the current request.
+        self._close_reason = ""
+        self._has_sent = False
+        self._is_reading = False
+        self._is_refused = False
+        self._label = ""
+        self._read_since = trio.current_time()
+        self._status = 0
         # Method of the request that is being received or answered.
         self._method = b""
         self._is_send_interrupted = False
@@ -268,6 +306,7 @@
     def close_if_idle(self) -> None:
         """Close the connection if no request is being read or answered."""
         if not self.is_busy:
+            self._close_reason = "drain"
             self._idle_scope.cancel()
 
     async def run(self) -> None:
@@ -282,10 +321,61 @@
             h11.LocalProtocolError,
         ):
             return
+        finally:
+            self._report_unread()
+
+    def _report_unread(self) -> None:
+        """Report bytes of a request that was not read to its end.
+
+        What follows a refused request belongs to it.
+        """
+        if self._is_refused:
+            return
+        count = len(self._h11.trailing_data[0])
+        count += sockets.count_unread_bytes(self._stream.socket)
+        if count or self._is_reading:
+            self._report_end(_request_ends.EndKind.UNREAD, count)
+
+    def _report_end(
+        self, kind: _request_ends.EndKind, unread_bytes: int = 0
+    ) -> None:
+        closed_by = _request_ends.Closer.NOBODY
+        reason = ""
+        if not kind.is_complete:
+            closed_by = _request_ends.Closer.SERVER
+            reason = self._close_reason or "process_end"
+        if not kind.is_complete and self.has_caller_closed:
+            closed_by = _request_ends.Closer.CALLER
+            reason = "caller"
+        seconds = trio.current_time() - self._read_since
+        end = _request_ends.RequestEnd(
+            kind,
+            closed_by,
+            reason,
+            self._label,
+            round(seconds * 1000),
+            unread_bytes,
+        )
+        self._handler.request_ended(end)
+
+    def _end_kind(self) -> _request_ends.EndKind:
+        """Return how the request that was read has ended."""
+        has_ended = self._h11.our_state in (
+            h11.DONE,
+            h11.MUST_CLOSE,
+            h11.CLOSED,
+        )
+        if not has_ended or self._is_send_interrupted:
+            if self._has_sent:
+                return _request_ends.EndKind.INCOMPLETE
+            return _request_ends.EndKind.UNANSWERED
+        if self._status < _FIRST_FAILURE:
+            return _request_ends.EndKind.ANSWERED
+        return _request_ends.EndKind.FAILED
 
     def _must_close(self) -> bool:
         return (
-            self._has_caller_closed
+            self.has_caller_closed
             or self._has_failed
             or self._is_send_interrupted
             or self._server.has_stopped_accepting
@@ -294,6 +384,7 @@
     def cancel_if_stalled(self, time: float) -> None:
         """Cancel the connection if a send exceeds the timeout at ``time``."""
         if time - self._sending_since > _SEND_TIMEOUT_SECONDS:
+            self._close_reason = "send_timeout"
             self._scope.cancel()
 
     async def write(self, *parts: h11.Event) -> None:
@@ -309,14 +400,21 @@
             sent = self._h11.send(part)
             if sent:
                 data += sent
+            if isinstance(part, h11.Response):
+                self._status = part.status_code
         if not data:
             return
         # If the send below is cancelled, the flag stays set.
         self._is_send_interrupted = True
         self._sending_since = trio.current_time()
-        await self._stream.send_all(data)
+        try:
+            await self._stream.send_all(data)
+        except trio.BrokenResourceError:
+            self.has_caller_closed = True
+            raise
         self._sending_since = math.inf
         self._is_send_interrupted = False
+        self._has_sent = self._status != 0
 
     async def _serve_request(self) -> bool:
         """Read and answer one request.
@@ -326,14 +424,21 @@
         received = await self._read_request()
         if received is None:
             return False
+        self._is_reading = False
         try:
             if isinstance(received, result.Err):
+                self._is_refused = True
                 await self._send_error_response(received.err_value)
                 return False
             await self._handle(received.ok_value)
+        except h11.LocalProtocolError:
+            self._close_reason = "answer_not_encodable"
+            raise
         finally:
             self.is_busy = False
+            self._report_end(self._end_kind())
             self._reset_if_incomplete()
+        self._close_reason = "connection_ends"
         return self._h11.our_state is h11.DONE and (
             self._h11.their_state is h11.DONE
         )
@@ -359,10 +464,16 @@
                     await self._handler.handle(exchange)
                     nursery.cancel_scope.cancel()
             except* (trio.BrokenResourceError, trio.ClosedResourceError):
-                # The caller reset the connection during the answer.
-                self._has_caller_closed = True
+                # The caller reset the connection during the answer, or a send
+                # was interrupted.
+                self._has_failed = True
+                exchange.cut("send_interrupted")
+            finally:
+                self._label = exchange.label
+        self._close_reason = exchange.cut_reason
         if outcome.failure is not None:
             self._has_failed = True
+            self._close_reason = "handler_failed"
             await self._send_error_response(_failures.HandlerFailed())
 
     async def _watch_for_disconnect(self, scope: trio.CancelScope) -> None:
@@ -375,7 +486,7 @@
                 self._h11.receive_data(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
-        self._has_caller_closed = True
+        self.has_caller_closed = True
         scope.cancel()
 
     async def _send_error_response(self, failure: errors.Failure) -> None:
@@ -401,16 +512,18 @@
         """Return the next request or a failure; ``None`` at the end."""
         limits = self._handler.limits()
         if not self._h11.trailing_data[0]:
+            self._close_reason = ""
+            self._read_since = trio.current_time()
             self._idle_scope = trio.CancelScope(
-                deadline=trio.current_time() + limits.idle_timeout_seconds
+                deadline=self._read_since + limits.idle_timeout_seconds
             )
             with self._idle_scope:
                 if not await self._receive_bytes():
                     return None
             if not self._h11.trailing_data[0]:
+                self._close_reason = self._close_reason or "idle_timeout"
                 return None
-        self.is_busy = True
-        self._method = b""
+        self._start_reading()
         try:
             with trio.fail_after(limits.header_timeout_seconds):
                 head = await self._next_event()
@@ -425,6 +538,16 @@
         self._method = head.method
         return await self._read_body(head, limits)
 
+    def _start_reading(self) -> None:
+        self.is_busy = True
+        self._is_reading = True
+        self._method = b""
+        self._close_reason = ""
+        self._has_sent = False
+        self._label = ""
+        self._read_since = trio.current_time()
+        self._status = 0
+
     async def _read_body(
         self, head: h11.Request, limits: _types.ServerLimits
     ) -> result.Result[_types.Request, errors.Failure] | None:
@@ -464,8 +587,13 @@
 
     async def _receive_bytes(self) -> bool:
         """Pass received bytes to the parser; return false at the end."""
-        data = await self._stream.receive_some(_READ_BYTES)
+        try:
+            data = await self._stream.receive_some(_READ_BYTES)
+        except trio.BrokenResourceError:
+            self.has_caller_closed = True
+            raise
         self._h11.receive_data(data)
+        self.has_caller_closed = not data
         return bool(data)
 
 
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -619,6 +619,39 @@
     "detail",
 )
 
+ANSWER_CUT = _define(
+    334,
+    "WARNING",
+    "answer_cut",
+    "This VM closed a caller's connection before the answer to a request that"
+    " it had read, or within it.",
+    "request",
+    "begun",
+    "reason",
+    "milliseconds",
+)
+CALLER_CLOSED = _define(
+    335,
+    "INFO",
+    "caller_closed",
+    "The caller closed its connection before the answer to a request that was"
+    " read, or within it.",
+    "request",
+    "begun",
+    "milliseconds",
+)
+REQUEST_UNREAD = _define(
+    336,
+    "INFO",
+    "request_unread",
+    "A caller's connection ended with bytes of a request that was not read"
+    " to its end.",
+    "closed_by",
+    "reason",
+    "unread_bytes",
+    "milliseconds",
+)
+
 # 400 to 499: release notes, configurations and orders.
 NOTE_IN_FORCE = _define(
     400,
--- a/sedgepin/platform/tests/test_relay.py
+++ b/sedgepin/platform/tests/test_relay.py
@@ -42,6 +42,8 @@
 class _SlowCaller(web.Exchange):
     """A caller that receives no data until ``may_receive`` is set."""
 
+    has_caller_closed = True
+
     def __init__(self) -> None:
         self.request = web.Request(
             b"POST", b"/draft/x", ((b"Host", b"one.example"),)
--- a/sedgepin/platform/tests/test_relay_endless.py
+++ b/sedgepin/platform/tests/test_relay_endless.py
@@ -36,6 +36,8 @@
 class _Caller(web.Exchange):
     """A caller that takes whatever is sent to it."""
 
+    has_caller_closed = True
+
     def __init__(self) -> None:
         self.request = web.Request(
             b"POST", b"/draft/x", ((b"Host", b"one.example"),)
--- a/sedgepin/platform/tests/test_unproven_silence.py
+++ b/sedgepin/platform/tests/test_unproven_silence.py
@@ -157,6 +157,8 @@
 class _Caller(web.Exchange):
     """A caller that waits for its answer."""
 
+    has_caller_closed = True
+
     def __init__(self) -> None:
         self.request = web.Request(
             b"POST", b"/draft/x", ((b"Host", b"one.example"),)
