Answer requests that have arrived when the drain ends

`finish_draining` closed idle connections and the listener although bytes of a request lay in the socket or in the backlog of accepted connections; a close with unread bytes is a reset. A connection whose task had not begun was not counted as open either, so the process could end before it was read.

Connections with unread bytes now count as busy, waiting connections are accepted before the listener closes, and `open_exchanges` covers connections that were just accepted. The same look at the socket is taken when the idle timeout ends. Both tests failed before with a reset.

--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -135,6 +135,9 @@
     __slots__ = (
         "_connections",
         "_handler",
+        "_is_closing_listeners",
+        "_listeners",
+        "_nursery",
         "_scope",
         "has_stopped_accepting",
         "is_draining",
@@ -144,13 +147,21 @@
         self._handler = handler
         self._connections: set[_Connection] = set()
         self._scope = trio.CancelScope()
+        self._listeners: list[trio.SocketListener] = []
+        self._nursery: trio.Nursery | None = None
+        # Tasks of connections that were just accepted may not have begun.
+        self._is_closing_listeners = False
         self.is_draining = False
         self.has_stopped_accepting = False
 
     @property
     def open_exchanges(self) -> int:
-        """Return how many requests are being received or answered."""
-        return sum(connection.is_busy for connection in self._connections)
+        """Return how many requests are being received or answered.
+
+        A connection whose task has not begun counts as one.
+        """
+        busy = sum(connection.is_busy for connection in self._connections)
+        return busy + self._is_closing_listeners
 
     async def serve(
         self,
@@ -167,6 +178,8 @@
             int(port), host=host, backlog=_LISTEN_BACKLOG
         )
         async with trio.open_nursery() as nursery:
+            self._listeners = listeners
+            self._nursery = nursery
             serve = functools.partial(
                 trio.serve_listeners,
                 self._handle_connection,
@@ -176,6 +189,8 @@
             nursery.start_soon(self._cancel_stalled_connections)
             with self._scope:
                 await serve(task_status=_StartedForwarder(task_status))
+            await trio.lowlevel.checkpoint()
+            self._is_closing_listeners = False
             while self._connections:
                 await trio.sleep(_STALL_CHECK_INTERVAL_SECONDS)
             nursery.cancel_scope.cancel()
@@ -193,16 +208,48 @@
     def finish_draining(self) -> None:
         """Accept no new connections or requests and close idle connections.
 
-        Other connections are closed after their current answer, even if its
-        head was sent before ``start_draining`` and announced no close.
+        Requests that have arrived are answered, also those on connections
+        that the kernel has accepted.  Other connections are closed after
+        their current answer, even if its head was sent before
+        ``start_draining`` and announced no close.
         """
         self.has_stopped_accepting = True
+        self._is_closing_listeners = bool(self._listeners)
+        for listener in self._listeners:
+            self._accept_backlog(listener)
+        self._listeners = []
         self._scope.cancel()
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
+    def _accept_backlog(self, listener: trio.SocketListener) -> None:
+        """Accept the connections that wait, before they are reset."""
+        assert self._nursery is not None
+        listening = listener.socket
+        with socket.fromfd(
+            listening.fileno(), listening.family, socket.SOCK_STREAM
+        ) as waiting:
+            while True:
+                try:
+                    accepted, _address = waiting.accept()
+                except OSError:
+                    return
+                accepted.setblocking(False)
+                stream = sockets.DirectStream(accepted)
+                connection = self._open_connection(stream)
+                if connection is not None:
+                    self._nursery.start_soon(self._run_connection, connection)
+
     async def _handle_connection(self, accepted: trio.SocketStream) -> None:
         stream = sockets.DirectStream.adopt(accepted)
+        connection = self._open_connection(stream)
+        if connection is not None:
+            await self._run_connection(connection)
+
+    def _open_connection(
+        self, stream: sockets.DirectStream
+    ) -> "_Connection | None":
+        """Return a connection that counts as open, unless it was reset."""
         try:
             stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sockets.enable_keepalive(
@@ -214,15 +261,18 @@
         except OSError:
             # The caller reset the connection before this task started.
             stream.close()
-            return
+            return None
         connection = _Connection(stream, self._handler, self)
         self._connections.add(connection)
+        return connection
+
+    async def _run_connection(self, connection: "_Connection") -> None:
         try:
             with containment.contain("connection"):
                 await connection.run()
         finally:
             self._connections.discard(connection)
-            stream.close()
+            connection.close()
 
 
 class _StartedForwarder(trio.TaskStatus[typing.Any]):
@@ -303,11 +353,22 @@
         """Return whether answers must announce ``Connection: close``."""
         return self._server.is_draining
 
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._stream.close()
+
     def close_if_idle(self) -> None:
-        """Close the connection if no request is being read or answered."""
-        if not self.is_busy:
-            self._close_reason = "drain"
-            self._idle_scope.cancel()
+        """Close the connection if no request has arrived on it."""
+        if self.is_busy:
+            return
+        if self._has_unread_bytes():
+            self.is_busy = True
+            return
+        self._close_reason = "drain"
+        self._idle_scope.cancel()
+
+    def _has_unread_bytes(self) -> bool:
+        return sockets.count_unread_bytes(self._stream.socket) > 0
 
     async def run(self) -> None:
         """Serve requests until the connection must be closed."""
@@ -512,16 +573,8 @@
         """Return the next request or a failure; ``None`` at the end."""
         limits = self._handler.limits()
         if not self._h11.trailing_data[0]:
-            self._close_reason = ""
-            self._read_since = trio.current_time()
-            self._idle_scope = trio.CancelScope(
-                deadline=self._read_since + limits.idle_timeout_seconds
-            )
-            with self._idle_scope:
-                if not await self._receive_bytes():
-                    return None
-            if not self._h11.trailing_data[0]:
-                self._close_reason = self._close_reason or "idle_timeout"
+            seconds = limits.idle_timeout_seconds
+            if not await self._wait_for_request(seconds):
                 return None
         self._start_reading()
         try:
@@ -538,6 +591,28 @@
         self._method = head.method
         return await self._read_body(head, limits)
 
+    async def _wait_for_request(self, idle_seconds: float) -> bool:
+        """Wait for the first bytes of a request; return false at the end.
+
+        Bytes that have arrived when the connection is to be closed are read:
+        a close that leaves them unread resets the connection.
+        """
+        self._read_since = trio.current_time()
+        self._close_reason = ""
+        self._idle_scope = trio.CancelScope(
+            deadline=self._read_since + idle_seconds
+        )
+        if self._server.has_stopped_accepting:
+            self._close_reason = "drain"
+            self._idle_scope.cancel()
+        with self._idle_scope:
+            return await self._receive_bytes()
+        if self._has_unread_bytes():
+            return await self._receive_bytes()
+        self.is_busy = False
+        self._close_reason = self._close_reason or "idle_timeout"
+        return False
+
     def _start_reading(self) -> None:
         self.is_busy = True
         self._is_reading = True
--- /dev/null
+++ b/sedgepin/_web/tests/test_lost_requests.py
@@ -0,0 +1,116 @@
+"""Tests that no request is lost between a caller and its handler."""
+
+import socket
+import time
+
+import trio
+
+from sedgepin import _web as web
+from sedgepin import errors
+from sedgepin.tests import processes
+
+_REQUEST = b"POST /%s HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi"
+_LIMITS = web.ServerLimits(2_048, 64, 0.4, 5.0)
+_LARGE_ANSWER = b"x" * 2_000_000
+_PROMPT_SECONDS = 2.0
+
+
+class _Handler(web.Handler):
+    """Answers by path, under limits that a test may change."""
+
+    def __init__(self) -> None:
+        self.in_force = _LIMITS
+
+    async def handle(self, exchange: web.Exchange) -> None:
+        match exchange.request.target:
+            case b"/large":
+                await exchange.answer(web.AnswerHead(200), _LARGE_ANSWER)
+                # More bytes arrive before the connection is closed.
+                time.sleep(0.2)
+            case b"/late":
+                with trio.CancelScope() as scope:
+                    scope.cancel()
+                    await exchange.answer(web.AnswerHead(200), b"late")
+                if not exchange.has_started:
+                    await exchange.answer(web.AnswerHead(504), b"")
+            case b"/late-stream":
+                with trio.CancelScope() as scope:
+                    scope.cancel()
+                    await exchange.start(web.AnswerHead(200))
+                if not exchange.has_started:
+                    await exchange.answer(web.AnswerHead(504), b"")
+            case _:
+                await exchange.answer(web.AnswerHead(200), b"hi")
+
+    def error_response(
+        self, failure: errors.Failure
+    ) -> tuple[web.AnswerHead, bytes]:
+        return web.AnswerHead(failure.http_status), failure.code.encode()
+
+    def limits(self) -> web.ServerLimits:
+        return self.in_force
+
+
+class _Served:
+    """A server, and blocking connections to it."""
+
+    def __init__(self) -> None:
+        self.handler = _Handler()
+        self.server = web.Server(self.handler)
+        self.port = processes.free_port()
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        await nursery.start(self.server.serve, f"127.0.0.1:{self.port}")
+
+    def connect(self, receive_bytes: int | None = None) -> socket.socket:
+        sock = socket.socket()
+        sock.settimeout(_PROMPT_SECONDS)
+        if receive_bytes is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        sock.connect(("127.0.0.1", self.port))
+        return sock
+
+
+def _read_to_end(sock: socket.socket) -> bytes:
+    """Return what is received until the end, a reset, or a silence."""
+    received = bytearray()
+    try:
+        while data := sock.recv(65_536):
+            received += data
+    except (ConnectionResetError, TimeoutError):
+        received += b"<broken>"
+    return bytes(received)
+
+
+async def _answer(sock: socket.socket) -> bytes:
+    return await trio.to_thread.run_sync(_read_to_end, sock)
+
+
+async def _served(nursery: trio.Nursery) -> _Served:
+    served = _Served()
+    await served.start(nursery)
+    return served
+
+
+class TestIdleConnections:
+    async def test_request_that_has_arrived_when_the_drain_ends_is_answered(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = await _served(nursery)
+        with served.connect() as sock:
+            await trio.sleep(0.1)
+            served.server.start_draining()
+            sock.sendall(_REQUEST % b"")
+            served.server.finish_draining()
+            assert served.server.open_exchanges
+            assert b"200" in await _answer(sock)
+
+    async def test_connection_in_the_backlog_when_the_drain_ends_is_answered(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = await _served(nursery)
+        served.server.start_draining()
+        with served.connect() as sock:
+            sock.sendall(_REQUEST % b"")
+            served.server.finish_draining()
+            assert b"200" in await _answer(sock)
