Apply the limits in force to requests on open connections

A caller that reuses a connection under a new, longer idle timeout was cut without an answer and without a line: the connection kept the timeout that was in force when it became idle. The limit of the header section was that of the moment when the connection was opened, and the limit of the body that of the moment when it became idle, so requests that the configuration allows were refused with 431 and 413.

The limits are now read when a request begins, the parser is renewed if the limit of the header section changed, a body over the limit is measured against the limit in force, and an idle connection closes at the longest timeout of its beginning and its end. A timeout that becomes shorter does not close connections that callers may still use under the older one.

--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -301,6 +301,7 @@
         "_handler",
         "_has_failed",
         "_has_sent",
+        "_header_bytes",
         "_idle_scope",
         "_is_reading",
         "_is_refused",
@@ -343,10 +344,15 @@
         self._method = b""
         self._is_send_interrupted = False
         self.is_busy = False
-        self._h11 = h11.Connection(
-            h11.SERVER,
-            max_incomplete_event_size=handler.limits().header_bytes,
-        )
+        self._header_bytes = handler.limits().header_bytes
+        self._h11 = _new_parser(self._header_bytes)
+
+    def _renew_parser(self, header_bytes: int) -> None:
+        """Let the next request have a header section of ``header_bytes``."""
+        received = self._h11.trailing_data[0]
+        self._header_bytes = header_bytes
+        self._h11 = _new_parser(header_bytes)
+        self._h11.receive_data(received)
 
     @property
     def closes_after_answer(self) -> bool:
@@ -571,11 +577,13 @@
         self,
     ) -> result.Result[_types.Request, errors.Failure] | None:
         """Return the next request or a failure; ``None`` at the end."""
-        limits = self._handler.limits()
         if not self._h11.trailing_data[0]:
-            seconds = limits.idle_timeout_seconds
-            if not await self._wait_for_request(seconds):
+            if not await self._wait_for_request():
                 return None
+        # A connection may outlast many changes of the limits.
+        limits = self._handler.limits()
+        if limits.header_bytes != self._header_bytes:
+            self._renew_parser(limits.header_bytes)
         self._start_reading()
         try:
             with trio.fail_after(limits.header_timeout_seconds):
@@ -591,24 +599,32 @@
         self._method = head.method
         return await self._read_body(head, limits)
 
-    async def _wait_for_request(self, idle_seconds: float) -> bool:
+    async def _wait_for_request(self) -> bool:
         """Wait for the first bytes of a request; return false at the end.
 
-        Bytes that have arrived when the connection is to be closed are read:
-        a close that leaves them unread resets the connection.
+        The idle timeout is the longest that was in force at its beginning or
+        end, since callers reuse connections under either.  Bytes that have
+        arrived when the connection is to be closed are read: a close that
+        leaves them unread resets the connection.
         """
         self._read_since = trio.current_time()
         self._close_reason = ""
-        self._idle_scope = trio.CancelScope(
-            deadline=self._read_since + idle_seconds
-        )
-        if self._server.has_stopped_accepting:
-            self._close_reason = "drain"
-            self._idle_scope.cancel()
-        with self._idle_scope:
-            return await self._receive_bytes()
-        if self._has_unread_bytes():
-            return await self._receive_bytes()
+        idle_seconds = self._handler.limits().idle_timeout_seconds
+        while True:
+            self._idle_scope = trio.CancelScope(
+                deadline=self._read_since + idle_seconds
+            )
+            if self._server.has_stopped_accepting:
+                self._close_reason = "drain"
+                self._idle_scope.cancel()
+            with self._idle_scope:
+                return await self._receive_bytes()
+            if self._has_unread_bytes():
+                return await self._receive_bytes()
+            longest = self._handler.limits().idle_timeout_seconds
+            if self._close_reason or longest <= idle_seconds:
+                break
+            idle_seconds = longest
         self.is_busy = False
         self._close_reason = self._close_reason or "idle_timeout"
         return False
@@ -645,6 +661,9 @@
             if not isinstance(event, h11.Data):
                 return None
             body += event.data
+            if len(body) <= limits.body_bytes:
+                continue
+            limits = self._handler.limits()
             if len(body) > limits.body_bytes:
                 return result.Err(_failures.BodyTooLarge())
         headers = tuple(head.headers.raw_items())
@@ -672,6 +691,10 @@
         return bool(data)
 
 
+def _new_parser(header_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
+
+
 def _may_have_body(method: bytes, status: int) -> bool:
     """Return whether an answer may have a body (RFC 9110, section 6.4.1)."""
     return method != b"HEAD" and status not in (204, 304)
