Let a failure replace an answer that was cancelled unsent

A request whose answer came in the moment of its deadline got neither: the connection was closed without an answer.

The head of the answer was encoded, and the answer counted as begun, before the send noticed that its scope was cancelled. Nothing had been sent, but the failure that the reducer decided on was dropped, since an answer had begun.

The exchange now looks at its scope before it begins an answer. A send that was cancelled later still ends the connection, as part of it may have been sent. Both cases of the test failed before with a close without an answer.

--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -93,6 +93,8 @@
         framing: tuple[bytes, bytes],
         body: bytes,
     ) -> None:
+        # An answer that is cancelled before its first byte leaves no trace.
+        await trio.lowlevel.checkpoint_if_cancelled()
         self.has_started = True
         headers = [*head.headers, framing]
         if self._connection.closes_after_answer:
--- a/sedgepin/_web/tests/test_lost_requests.py
+++ b/sedgepin/_web/tests/test_lost_requests.py
@@ -3,6 +3,7 @@
 import socket
 import time
 
+import pytest
 import trio
 
 from sedgepin import _web as web
@@ -178,3 +179,14 @@
             served.handler.in_force = web.ServerLimits(2_048, 200, 0.4, 0.5)
             sock.sendall(b"a" * 50)
             assert b"200" in await _answer(sock)
+
+
+class TestAnswers:
+    @pytest.mark.parametrize("path", [b"late", b"late-stream"])
+    async def test_answer_cancelled_before_its_first_byte_can_be_replaced(
+        self, nursery: trio.Nursery, path: bytes
+    ) -> None:
+        served = await _served(nursery)
+        with served.connect() as sock:
+            sock.sendall(_REQUEST % path)
+            assert (await _answer(sock)).startswith(b"HTTP/1.1 504 ")
