Do not reset an answer under way when the connection closes

A caller that still sent its body got a reset instead of its 413, and one whose bytes followed its last request lost the rest of that request's answer. The server had logged both as answered.

The connection was closed as soon as the answer was handed to the kernel. A close with unread bytes, or bytes that arrive after a close, reset the connection, and the kernel discards what it has not delivered yet.

After an answer that is the last one on its connection, if the caller has sent or may still send bytes, the server now ends its sending side and discards what comes, for 2 s at most (RFC 9112, section 9.6).

--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -27,6 +27,8 @@
 _KEEPALIVE_PROBES = 3
 _STALL_CHECK_INTERVAL_SECONDS = 1.0
 _LISTEN_BACKLOG = 512
+# Time for a caller to receive its last answer while it still sends.
+_LINGER_SECONDS = 2.0
 _FIRST_FAILURE = 400
 
 
@@ -392,6 +394,31 @@
             return
         finally:
             self._report_unread()
+        if self._must_linger():
+            await self._linger()
+
+    def _must_linger(self) -> bool:
+        """Return whether a close would reset an answer on its way."""
+        is_complete = self._has_sent and self._end_kind().is_complete
+        return (
+            is_complete
+            and not self.has_caller_closed
+            and (self._is_refused or self._has_unread_bytes())
+        )
+
+    async def _linger(self) -> None:
+        """Discard what the caller still sends (RFC 9112, section 9.6).
+
+        A connection that is closed with unread bytes, or gets bytes after its
+        close, is reset, and the answer is lost on its way.
+        """
+        with trio.move_on_after(_LINGER_SECONDS):
+            try:
+                self._stream.socket.shutdown(socket.SHUT_WR)
+                while await self._stream.receive_some(_READ_BYTES):
+                    pass
+            except (OSError, trio.BrokenResourceError):
+                return
 
     def _report_unread(self) -> None:
         """Report bytes of a request that was not read to its end.
