Refuse CONNECT instead of failing to answer it

A caller of CONNECT on a routed path got no answer although the handler had one: a 2xx to CONNECT has no body (RFC 9110, section 6.4.1), so the parser refused the answer's body, and nothing can be sent once it has failed. The log had `task_failed`.

No tunnel is offered, so the server refuses the method with 501 before it is handled. It was the only way found by which an answer cannot be encoded: `Upgrade` was answered before, and fields that cannot be encoded fail before the parser's state changes. Two cases of the test failed before.

--- a/sedgepin/_web/__init__.py
+++ b/sedgepin/_web/__init__.py
@@ -14,6 +14,7 @@
 from sedgepin._web._failures import ConnectFailed
 from sedgepin._web._failures import HandlerFailed
 from sedgepin._web._failures import HeadTooLarge
+from sedgepin._web._failures import MethodUnsupported
 from sedgepin._web._failures import RequestTooSlow
 from sedgepin._web._failures import RequestUnreadable
 from sedgepin._web._field_values import encode_field_value
@@ -46,6 +47,7 @@
     "HandlerFailed",
     "HeadTooLarge",
     "Headers",
+    "MethodUnsupported",
     "MetricsHandler",
     "PartTimer",
     "Request",
--- a/sedgepin/_web/_failures.py
+++ b/sedgepin/_web/_failures.py
@@ -21,6 +21,15 @@
         return f"{self.title}: {self.reason}"
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class MethodUnsupported(errors.Failure):
+    """The caller asks for a tunnel; a success would have no body."""
+
+    code: typing.ClassVar[str] = "method_unsupported"
+    title: typing.ClassVar[str] = "CONNECT is not supported"
+    http_status: typing.ClassVar[int] = 501
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class HeadTooLarge(errors.Failure):
     """The request's header section is over the configured limit."""
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -30,6 +30,7 @@
 # Time for a caller to receive its last answer while it still sends.
 _LINGER_SECONDS = 2.0
 _FIRST_FAILURE = 400
+_CONNECT = b"CONNECT"
 
 
 class Exchange:
@@ -626,6 +627,8 @@
         if not isinstance(head, h11.Request):
             return None
         self._method = head.method
+        if head.method == _CONNECT:
+            return result.Err(_failures.MethodUnsupported())
         return await self._read_body(head, limits)
 
     async def _wait_for_request(self) -> bool:
--- a/sedgepin/_web/tests/test_lost_requests.py
+++ b/sedgepin/_web/tests/test_lost_requests.py
@@ -229,3 +229,20 @@
             received = await _answer(sock)
             assert received.startswith(b"HTTP/1.1 413 ")
             assert b"<broken>" not in received
+
+    @pytest.mark.parametrize(
+        ("line", "status"),
+        [
+            (b"CONNECT x:80 HTTP/1.1\r\n", b"501"),
+            (b"CONNECT / HTTP/1.1\r\n", b"501"),
+            (b"GET / HTTP/1.1\r\nUpgrade: h2c\r\n", b"200"),
+        ],
+    )
+    async def test_request_to_switch_protocols_is_answered(
+        self, nursery: trio.Nursery, line: bytes, status: bytes
+    ) -> None:
+        served = await _served(nursery)
+        with served.connect() as sock:
+            sock.sendall(line + b"Host: x\r\nContent-Length: 2\r\n\r\nhi")
+            expected = b"HTTP/1.1 %s " % status
+            assert (await _answer(sock)).startswith(expected)
