Await the first request of a connection beyond the drain

A caller that had just connected when the drain ended lost its first request: the connection was closed while the request was on its way, without a line.

A new connection without a request was taken for an idle one. But a caller that has connected sends at once, other than one that keeps a connection for later. The server now awaits the first request of a new connection for 1 s from its acceptance, and counts the connection as open meanwhile. Connections that have served a request are closed as before: they have seen `Connection: close`, or idle.

The test failed before, with a reset of both connections.

--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -27,6 +27,8 @@
 _KEEPALIVE_PROBES = 3
 _STALL_CHECK_INTERVAL_SECONDS = 1.0
 _LISTEN_BACKLOG = 512
+# A caller sends its first request as soon as it has connected.
+_FIRST_REQUEST_SECONDS = 1.0
 # Time for a caller to receive its last answer while it still sends.
 _LINGER_SECONDS = 2.0
 _FIRST_FAILURE = 400
@@ -214,9 +216,9 @@
         """Accept no new connections or requests and close idle connections.
 
         Requests that have arrived are answered, also those on connections
-        that the kernel has accepted.  Other connections are closed after
-        their current answer, even if its head was sent before
-        ``start_draining`` and announced no close.
+        that the kernel has accepted, and the first ones on new connections.
+        Other connections are closed after their current answer, even if its
+        head was sent before ``start_draining`` and announced no close.
         """
         self.has_stopped_accepting = True
         self._is_closing_listeners = bool(self._listeners)
@@ -301,6 +303,7 @@
     """A caller's connection; serves one request after the other."""
 
     __slots__ = (
+        "_accepted_at",
         "_close_reason",
         "_h11",
         "_handler",
@@ -308,6 +311,7 @@
         "_has_sent",
         "_header_bytes",
         "_idle_scope",
+        "_is_new",
         "_is_reading",
         "_is_refused",
         "_is_send_interrupted",
@@ -340,6 +344,8 @@
         # What is recorded at the end of the current request.
         self._close_reason = ""
         self._has_sent = False
+        self._accepted_at = trio.current_time()
+        self._is_new = True
         self._is_reading = False
         self._is_refused = False
         self._label = ""
@@ -372,11 +378,20 @@
         """Close the connection if no request has arrived on it."""
         if self.is_busy:
             return
-        if self._has_unread_bytes():
-            self.is_busy = True
-            return
         self._close_reason = "drain"
-        self._idle_scope.cancel()
+        deadline = self._drain_deadline()
+        awaits_first = deadline > trio.current_time()
+        self.is_busy = awaits_first or self._has_unread_bytes()
+        self._idle_scope.deadline = deadline
+
+    def _drain_deadline(self) -> float:
+        """Return until when a request is awaited after the drain.
+
+        The first one on a new connection may be under way.
+        """
+        if self._is_new:
+            return self._accepted_at + _FIRST_REQUEST_SECONDS
+        return -math.inf
 
     def _has_unread_bytes(self) -> bool:
         return sockets.count_unread_bytes(self._stream.socket) > 0
@@ -643,12 +658,11 @@
         self._close_reason = ""
         idle_seconds = self._handler.limits().idle_timeout_seconds
         while True:
-            self._idle_scope = trio.CancelScope(
-                deadline=self._read_since + idle_seconds
-            )
+            deadline = self._read_since + idle_seconds
             if self._server.has_stopped_accepting:
                 self._close_reason = "drain"
-                self._idle_scope.cancel()
+                deadline = self._drain_deadline()
+            self._idle_scope = trio.CancelScope(deadline=deadline)
             with self._idle_scope:
                 return await self._receive_bytes()
             if self._has_unread_bytes():
@@ -662,6 +676,7 @@
         return False
 
     def _start_reading(self) -> None:
+        self._is_new = False
         self.is_busy = True
         self._is_reading = True
         self._method = b""
--- a/sedgepin/_web/tests/test_lost_requests.py
+++ b/sedgepin/_web/tests/test_lost_requests.py
@@ -116,6 +116,22 @@
             served.server.finish_draining()
             assert b"200" in await _answer(sock)
 
+    async def test_first_request_may_be_under_way_when_the_drain_ends(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = await _served(nursery)
+        with served.connect() as accepted:
+            await trio.sleep(0.1)
+            served.server.start_draining()
+            with served.connect() as waiting:
+                served.server.finish_draining()
+                await trio.sleep(0.2)
+                assert served.server.open_exchanges
+                accepted.sendall(_REQUEST % b"")
+                waiting.sendall(_REQUEST % b"")
+                assert b"200" in await _answer(accepted)
+                assert b"200" in await _answer(waiting)
+
     async def test_request_under_a_longer_idle_timeout_is_answered(
         self, nursery: trio.Nursery
     ) -> None:
