--- a/sedgepin/_registrar/tests/test_daemon.py
+++ b/sedgepin/_registrar/tests/test_daemon.py
@@ -1,15 +1,15 @@
 """Tests of operators' and endpoints' calls to a control VM that stops."""
 
-import os
-
 import trio
 
 from sedgepin._registrar import _daemon
 from sedgepin._registrar import _events
+from sedgepin import _shell as shell
 from sedgepin import _web as web
 from sedgepin.platform import _control as platform_control
+from sedgepin.tests import loopback
 
-_ADDRESS = f"127.{1 + os.getpid() % 250}.72.1:28229"
+_ADDRESS = f"{loopback.address(72, 1)}:28229"
 _READ = web.Request(b"GET", b"/v1/config", ((b"Host", b"c"),), b"")
 
 
@@ -20,7 +20,9 @@
         self.submitted: list[_events.RegistrarEvent] = []
         self.statuses: list[int] = []
         self.calls = _daemon.CallHandler(
-            platform_control.ControlDialect(), self.submitted.append
+            platform_control.ControlDialect(),
+            self.submitted.append,
+            shell.PrometheusSink(),
         )
 
     async def start(self, nursery: trio.Nursery) -> None:
