--- a/sedgepin/platform/tests/running_system.py
+++ b/sedgepin/platform/tests/running_system.py
@@ -17,6 +17,7 @@
 CONTROL = loopback.address(71, 1)
 ENTRY = loopback.address(71, 2)
 ENGINE = loopback.address(71, 3)
+SECOND_ENGINE = loopback.address(71, 4)
 ABSENT_CONTROL = loopback.address(71, 10)
 _PEER_PORT = 27340
 CALL_PORT = 28229
@@ -58,6 +59,7 @@
     ip: str,
     grace_seconds: float,
     controls: tuple[str, ...],
+    min_retries: int,
 ) -> str:
     seeds = json.dumps([f"{control}:{CALL_PORT}" for control in controls])
     return f"""
@@ -76,7 +78,7 @@
 [bounds]
 graceS = {grace_seconds}
 retryBudgetRatio = 0.2
-budgetMinRetries = 100
+budgetMinRetries = {min_retries}
 """
 
 
@@ -127,6 +129,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.grace_seconds = 6.0
         self.controls: tuple[str, ...] = (CONTROL,)
+        self.min_retries = 100
         self._folder = folder
 
     def start(self, role: str, ip: str) -> None:
@@ -134,7 +137,13 @@
         folder.mkdir(exist_ok=True)
         path = folder / "settings.toml"
         path.write_text(
-            _settings(folder, ip, self.grace_seconds, self.controls)
+            _settings(
+                folder,
+                ip,
+                self.grace_seconds,
+                self.controls,
+                self.min_retries,
+            )
         )
         self.processes[role] = subprocess.Popen(
             [sys.executable, "-m", "sedgepin.tests.full_disk"]
@@ -229,27 +238,36 @@
         await trio.sleep(0.5)
 
 
+def check_in(ip: str) -> dict[str, object]:
+    """Return what the engine at an address says of itself."""
+    return {
+        "service": "s",
+        "address": f"{ip}:{ENGINE_PORT}",
+        "zone": "one",
+        "state": "ready",
+        "born": 1,
+    }
+
+
 async def start_system(
     system: System, nursery: trio.Nursery, engine: Engine | None = None
 ) -> Engine:
     engine = engine or Engine()
     address = f"{ENGINE}:{ENGINE_PORT}"
     await nursery.start(web.Server(engine).serve, address)
+    await start_daemons(system, nursery)
+    return engine
+
+
+async def start_daemons(system: System, nursery: trio.Nursery) -> None:
+    """Start the programs; an engine serves at its address already."""
     system.start("control", CONTROL)
     system.start("entry", ENTRY)
     await poll_until(
         200, CONTROL, CALL_PORT, b"PUT", b"/v1/config", body=CONFIGURATION
     )
-    check_in = {
-        "service": "s",
-        "address": address,
-        "zone": "one",
-        "state": "ready",
-        "born": 1,
-    }
-    nursery.start_soon(renew_registration, check_in)
+    nursery.start_soon(renew_registration, check_in(ENGINE))
     await poll_until(200, ENTRY, READY_PORT, b"GET", b"/ready")
-    return engine
 
 
 async def wait_for_log_event(system: System, role: str, event: str) -> None:
