Let a begun answer wait for the only engine that may go on

Cause: a silent engine leaves the register until it is heard again. The attempt is cancelled at once, and the trial or resumption that follows finds no pipeline and ends the answer.

Now an answer that has begun, and that was on an engine which fell silent, waits for a pipeline until its deadline: a trial is postponed, a resumption tried again at each tick. What has not begun, or lost its engine by an end that was seen, fails at once as before.

--- a/sedgepin/_entry/_failure_handler.py
+++ b/sedgepin/_entry/_failure_handler.py
@@ -173,6 +173,9 @@
             if now >= answer.deadline:
                 effects += self._time_out(answer, now)
                 continue
+            if answer.awaits_engine:
+                effects += self._resumption.try_again(answer, now)
+                continue
             detector = answer.failure_detector
             if (
                 detector is None
--- a/sedgepin/_entry/_open_answer.py
+++ b/sedgepin/_entry/_open_answer.py
@@ -11,6 +11,7 @@
 from sedgepin import _protocol as protocol
 from sedgepin import _release as release
 from sedgepin import _routing as routing
+from sedgepin import errors
 
 _CHARACTERS_PER_TOKEN = 4
 _TRIAL_TOKENS = 8
@@ -32,6 +33,7 @@
         "_traits",
         "assembly",
         "awaited_pipeline",
+        "awaits_engine",
         "deadline",
         "denied_permits",
         "deprioritized",
@@ -99,6 +101,9 @@
         self.failure_probe = 0
         # Set while the next attempt waits for a forwarder to its first stage.
         self.awaited_pipeline: model.Pipeline | None = None
+        # Set while an answer that has begun waits for a silent engine, as no
+        # other pipeline is possible.
+        self.awaits_engine = False
         # How long the next attempt may wait for a permit.
         self.permit_wait: datetime.timedelta | None = datetime.timedelta()
         self.denied_permits = 0
@@ -169,6 +174,17 @@
         resumed = self.assembly.attempt > 1
         return resumed and self.assembly.next_position == self.resume_position
 
+    def may_await_engine(self, failure: errors.Failure) -> bool:
+        """Return whether a silent engine may go on with a begun answer.
+
+        ``failure`` tells why there is no pipeline for the next attempt.
+        """
+        return (
+            isinstance(failure, routing.NoPipeline)
+            and bool(self.deprioritized)
+            and self.assembly.next_position > 0
+        )
+
     def deprioritize_pipeline(self) -> None:
         """Use the current engines only if no other pipeline is possible."""
         pipeline = self.assembly.pipeline
--- a/sedgepin/_entry/_resumption.py
+++ b/sedgepin/_entry/_resumption.py
@@ -37,6 +37,7 @@
         answer.assembly.close_attempt(attempt, now)
         answer.failure_detector = None
         answer.awaited_pipeline = None
+        answer.awaits_engine = False
         answer.failed_stream = None
         request_id = answer.request.request_id
         return [_effects.CancelStream(request_id, attempt)]
@@ -105,6 +106,13 @@
         answer.detours += 1
         return cancelled + self._generation.start(answer, pipeline, now)
 
+    def try_again(
+        self, answer: _open_answer.OpenAnswer, now: datetime.datetime
+    ) -> Effects:
+        """Go on with an answer that waits for an engine, if there is one."""
+        answer.awaits_engine = False
+        return self._dispatch_again(answer, True, True, now)
+
     def _dispatch_again(
         self,
         answer: _open_answer.OpenAnswer,
@@ -114,6 +122,9 @@
     ) -> Effects:
         chosen = self._generation.choose(answer, frozenset(), now)
         if isinstance(chosen, result.Err):
+            if answer.may_await_engine(chosen.err_value):
+                answer.awaits_engine = True
+                return []
             return self._generation.fail_request(answer, chosen.err_value, now)
         pipeline = chosen.ok_value
         retry = admission.RetryRequest(
--- a/sedgepin/_entry/_trials.py
+++ b/sedgepin/_entry/_trials.py
@@ -133,8 +133,8 @@
         excluded = busy | self._reserved_for_others(answer, busy, now)
         chosen = self._generation.choose(answer, excluded, now)
         if isinstance(chosen, result.Err):
-            if not busy:
-                failure = chosen.err_value
+            failure = chosen.err_value
+            if not busy and not answer.may_await_engine(failure):
                 return self._generation.fail_request(answer, failure, now)
             postpone_effects = quarantine.postpone_trial(
                 request_id, answer.fingerprint, now
--- a/sedgepin/_entry/tests/test_silent_engines.py
+++ b/sedgepin/_entry/tests/test_silent_engines.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sedgepin import _admission as admission
+from sedgepin._entry import _failures as failures
 from sedgepin import _model as model
 from sedgepin.tests import fake_engine
 from sedgepin.tests import fakes
@@ -30,14 +31,8 @@
 
     def silence(self, seconds: float, after_seconds: float = 0.2) -> None:
         """Pause the first engine, and run until its attempt is replaced."""
-        self.system.run(after_seconds)
         attempt = self.answer.assembly.attempt
-        pipeline = self.answer.assembly.pipeline
-        assert pipeline is not None
-        endpoint = self.system.endpoints[pipeline.stages[0].endpoint_id]
-        self.silenced.append(endpoint.name)
-        endpoint.is_paused = True
-        self.system.schedule(seconds, lambda: _go_on(endpoint))
+        self.pause(seconds, after_seconds)
         self.system.run_until(
             lambda: (
                 self.caller.is_finished
@@ -45,6 +40,16 @@
             )
         )
 
+    def pause(self, seconds: float, after_seconds: float = 0.2) -> None:
+        """Let the first engine fall silent after some time."""
+        self.system.run(after_seconds)
+        pipeline = self.answer.assembly.pipeline
+        assert pipeline is not None
+        endpoint = self.system.endpoints[pipeline.stages[0].endpoint_id]
+        self.silenced.append(endpoint.name)
+        endpoint.is_paused = True
+        self.system.schedule(seconds, lambda: _go_on(endpoint))
+
     def finish(self) -> None:
         """Run until the caller has its answer or a failure."""
         self.system.run_until(lambda: self.caller.is_finished, 30.0)
@@ -77,6 +82,32 @@
 
 
 class TestNextAttempt:
+    @pytest.mark.parametrize("silence_seconds", [0.3, 1.0, 1.5, 2.0, 3.0])
+    def test_answer_waits_for_the_only_engine(
+        self, silence_seconds: float
+    ) -> None:
+        run = _SilentRun(replicas=1)
+        run.silence(silence_seconds)
+        run.finish()
+        assert run.caller.failure is None
+        assert run.caller.texts == _EXPECTED_TEXTS
+
+    def test_answer_waits_for_the_only_engine_again(self) -> None:
+        run = _SilentRun(replicas=1)
+        for _ in range(3):
+            run.silence(1.5, after_seconds=0.1)
+        run.finish()
+        assert run.caller.failure is None
+        assert run.caller.texts == _EXPECTED_TEXTS
+
+    def test_answer_waits_for_an_engine_until_its_deadline_only(self) -> None:
+        run = _SilentRun(replicas=1)
+        deadline = run.answer.deadline
+        run.pause(60.0)
+        run.system.run_until(lambda: run.caller.is_finished, 40.0)
+        assert isinstance(run.caller.failure, failures.RequestTimedOut)
+        assert run.system.now >= deadline
+
     def test_answer_returns_to_an_engine_that_went_on(self) -> None:
         run = _SilentRun(replicas=2)
         run.silence(1.5)
