--- a/sedgepin/_storage/_folder_disk.py
+++ b/sedgepin/_storage/_folder_disk.py
@@ -1,5 +1,6 @@
 """A disk on the file system: one locked folder."""
 
+import contextlib
 import fcntl
 import os
 import pathlib
@@ -72,10 +73,14 @@
         os.close(self._lock_fd)
 
     def remove_temporary_files(self) -> None:
-        """Remove what replacements that did not complete have left."""
+        """Remove what replacements that did not complete have left.
+
+        Errors are ignored: some file systems need space to remove a file.
+        """
         for entry in self.path.iterdir():
             if entry.name.endswith(_TEMPORARY_SUFFIX):
-                entry.unlink(missing_ok=True)
+                with contextlib.suppress(OSError):
+                    entry.unlink()
 
     def append(self, name: str, data: bytes) -> None:
         """Append ``data`` to a file; undo a partial write on an error.
@@ -119,7 +124,8 @@
         try:
             self._write_temporary_file(temporary_path, data)
         except OSError:
-            temporary_path.unlink(missing_ok=True)
+            with contextlib.suppress(OSError):
+                temporary_path.unlink()
             raise
         self._close_file(name)
         os.rename(temporary_path, self.path / name)
--- a/sedgepin/_storage/tests/test_retrying_disk.py
+++ b/sedgepin/_storage/tests/test_retrying_disk.py
@@ -265,3 +265,17 @@
         (tmp_path / "log.aside").write_bytes(b"half")
         storage.FolderDisk.open(tmp_path).unwrap().close()
         assert not (tmp_path / "log.aside").exists()
+
+    def test_start_goes_on_if_what_was_left_cannot_be_removed(
+        self, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        storage.FolderDisk.open(tmp_path).unwrap().close()
+        (tmp_path / "log.aside").write_bytes(b"half")
+
+        def refuse(_path: pathlib.Path, missing_ok: bool = False) -> None:
+            raise OSError(errno.ENOSPC, "full")
+
+        monkeypatch.setattr(pathlib.Path, "unlink", refuse)
+        disk = storage.FolderDisk.open(tmp_path).unwrap()
+        assert disk.names() == []
+        disk.close()
