Refuse connections as soon as the drain has accepted the last one

A caller that connected between the last look at the backlog and the close of the listener was accepted by the kernel and then reset, without a line.

The listener was closed by its task, some steps later. It now closes together with the last look; one aborted connection no longer ends that look. The test failed before: the connection was accepted.

Ruled out by a trial: this is not the request that is cut in the rolling stop.

--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -222,10 +222,12 @@
         """
         self.has_stopped_accepting = True
         self._is_closing_listeners = bool(self._listeners)
+        self._scope.cancel()
         for listener in self._listeners:
             self._accept_backlog(listener)
+            # What is accepted between the two is reset.
+            listener.socket.close()
         self._listeners = []
-        self._scope.cancel()
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
@@ -239,6 +241,8 @@
             while True:
                 try:
                     accepted, _address = waiting.accept()
+                except ConnectionAbortedError:
+                    continue
                 except OSError:
                     return
                 accepted.setblocking(False)
--- a/sedgepin/_web/tests/test_lost_requests.py
+++ b/sedgepin/_web/tests/test_lost_requests.py
@@ -116,6 +116,15 @@
             served.server.finish_draining()
             assert b"200" in await _answer(sock)
 
+    async def test_no_connection_is_accepted_and_reset_after_the_drain(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = await _served(nursery)
+        served.server.start_draining()
+        served.server.finish_draining()
+        with pytest.raises(ConnectionRefusedError):
+            served.connect()
+
     async def test_first_request_may_be_under_way_when_the_drain_ends(
         self, nursery: trio.Nursery
     ) -> None:
