Let a stop of the product's entry not wait for callers it refuses

Cause: the server stopped once no request was open at all, and those that were refused after the notice counted, too. It waits only for those that began before now; the others are answered at once, within the server's own shutdown. The control VM's server waits for all as before.

--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -138,6 +138,7 @@
         # The server may stop at once, and answers nothing that comes later.
         self._driver.submit(_events.DrainNoticeEnded())
         self._server.start_draining()
+        self._server.start_refusing()
         await self._server.wait_idle()
         while self._forwarding.open_forwards:
             await trio.sleep(_DRAIN_POLL_SECONDS)
--- a/sedgepin/_http/_server.py
+++ b/sedgepin/_http/_server.py
@@ -22,13 +22,15 @@
 class HttpServer(abc.ABC):
     """Base of an HTTP server that counts its open requests.
 
-    To stop it, call ``start_draining`` and then ``finish_draining``.
+    To stop it, call ``start_draining``, ``start_refusing`` if new requests are
+    refused then, and ``finish_draining``.
     """
 
     __slots__ = (
         "_draining",
         "_header_limit_bytes",
         "_idle",
+        "_is_refusing",
         "_open_count",
         "_stop",
     )
@@ -37,6 +39,7 @@
         self._open_count = 0
         self._header_limit_bytes = _DEFAULT_HEADER_LIMIT_BYTES
         self._draining = False
+        self._is_refusing = False
         self._idle = trio.Event()
         self._stop = trio.Event()
 
@@ -53,8 +56,19 @@
         """Add ``Connection: close`` to each answer from now on."""
         self._draining = True
 
+    def start_refusing(self) -> None:
+        """Wait for no request that begins from now on.
+
+        All of them must be refused at once.  Callers may send them without a
+        pause, so that some are always open.
+        """
+        self._is_refusing = True
+
     async def wait_idle(self) -> None:
-        """Wait until no request is being answered."""
+        """Wait until no request is being answered.
+
+        Those that began after ``start_refusing`` do not count.
+        """
         while self._open_count:
             self._idle = trio.Event()
             await self._idle.wait()
@@ -102,18 +116,24 @@
             return
         wrapped_send = self._with_connection_close(send)
         request = _messages.Request.from_scope(scope, receive, wrapped_send)
+        if self._is_refusing:
+            await self._answer_within_limit(request)
+            return
         self._open_count += 1
         try:
-            if _header_bytes(request) > self._header_limit_bytes:
-                refusal = _failures.HeadersTooLarge(self._header_limit_bytes)
-                await _messages.send_problem(request, refusal)
-                return
-            await self.answer(request)
+            await self._answer_within_limit(request)
         finally:
             self._open_count -= 1
             if not self._open_count:
                 self._idle.set()
 
+    async def _answer_within_limit(self, request: _messages.Request) -> None:
+        if _header_bytes(request) > self._header_limit_bytes:
+            refusal = _failures.HeadersTooLarge(self._header_limit_bytes)
+            await _messages.send_problem(request, refusal)
+            return
+        await self.answer(request)
+
     def _with_connection_close(self, send: _messages.Send) -> _messages.Send:
         """Wrap ``send`` to add ``Connection: close`` while draining."""
 
