Pass on an answer without a body from an engine that has ended since

Callers got 502 for a request that was answered whole: to HEAD, or with 204 or 304, without a length, by an engine that ended right after.

Cause: the gateway takes any answer without a length and without chunks for one that ends with its connection, and asks whether its engine still accepts connections. These answers end with their head.

The property of an answer's head becomes a method that takes the request's method; the test in _forwarding that read it calls it.

--- a/sedgepin/_entry/_endpoint_client.py
+++ b/sedgepin/_entry/_endpoint_client.py
@@ -231,7 +231,7 @@
             )
             return _events.ServiceFailed(*identity, failure, True)
         head = web.AnswerHead(response.status, tuple(response.headers))
-        if _unframed_answers.is_unframed(request.method, head) and (
+        if head.ends_with_connection(request.method.encode("ascii")) and (
             await _unframed_answers.has_ended(
                 functools.partial(
                     _unframed_answers.refuses_connection, effect.address
--- a/sedgepin/_entry/_forwarded_client.py
+++ b/sedgepin/_entry/_forwarded_client.py
@@ -140,7 +140,7 @@
             failed = _failures.EndpointFailed(answered.err_value.detail())
             return _events.ServiceFailed(*identity, failed, True)
         head, body = answered.ok_value
-        if _unframed_answers.is_unframed(request.method, head) and (
+        if head.ends_with_connection(message.method) and (
             await _unframed_answers.has_ended(
                 functools.partial(_refuses_connection, effect, forwarder)
             )
--- a/sedgepin/_entry/_unframed_answers.py
+++ b/sedgepin/_entry/_unframed_answers.py
@@ -5,22 +5,13 @@
 
 import trio
 
-from sedgepin import _web as web
-
 _CONNECT_TIMEOUT_SECONDS = 0.25
 # In this time a process that has begun to end closes its listening socket.
 _REPEAT_DELAY_SECONDS = 0.02
-_STATUSES_WITHOUT_BODY = (204, 304)
 
 ENDED_BY_CRASH = "the answer has no length and its endpoint has ended"
 
 
-def is_unframed(method: str, head: web.AnswerHead) -> bool:
-    """Return whether an answer has a body without a length and chunks."""
-    has_body = method != "HEAD" and head.status not in _STATUSES_WITHOUT_BODY
-    return has_body and head.ends_with_connection
-
-
 async def has_ended(
     refuses_connection: collections.abc.Callable[
         [], collections.abc.Awaitable[bool]
--- a/sedgepin/_forwarding/tests/test_connections.py
+++ b/sedgepin/_forwarding/tests/test_connections.py
@@ -195,7 +195,7 @@
             conn = (await setup.open()).unwrap()
             (await conn.send(_REQUEST)).unwrap()
             head = (await conn.read_head()).unwrap()
-            assert head.ends_with_connection
+            assert head.ends_with_connection(_REQUEST.method)
             assert (await conn.read_body(100)).unwrap() == b"all of it"
 
         _play(_answer_without_length, check)
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -396,7 +396,7 @@
                 _Outcome.UNKNOWN,
                 "the stream ended with an incomplete event or none",
             )
-        if head.ends_with_connection and not has_event:
+        if self._ends_with_connection(head) and not has_event:
             # Its engine may have stopped after the head.
             return _AttemptResult(_Outcome.UNKNOWN, _NO_LENGTH_AND_NO_EVENT)
         if await self._ended_by_crash(head, start):
@@ -413,13 +413,16 @@
         The connections of an engine that crashes are closed like those of one
         that has finished, but the former refuses a new one.
         """
-        if not head.ends_with_connection:
+        if not self._ends_with_connection(head):
             return False
         self.stalled_at = math.inf
         return await _engine_calls.refuses_connections(
             start.dispatch, self._dialect, _ENGINE_TIMEOUT
         )
 
+    def _ends_with_connection(self, head: web.AnswerHead) -> bool:
+        return head.ends_with_connection(self._request.message.method)
+
     async def _forward_events(
         self, head: web.AnswerHead, events: list[_event_stream.StreamEvent]
     ) -> str | None:
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -74,7 +74,7 @@
     async def answer(self, head: _types.AnswerHead, body: bytes) -> None:
         """Send a complete answer; only its head to a HEAD request."""
         length = (b"Content-Length", b"%d" % len(body))
-        if not _may_have_body(self.request.method, head.status):
+        if not _types.may_have_body(self.request.method, head.status):
             body = b""
         await self._send_head(head, length, body)
         await self._connection.write(h11.EndOfMessage())
@@ -609,7 +609,7 @@
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         head, body = self._handler.error_response(failure)
-        if not _may_have_body(self._method, head.status):
+        if not _types.may_have_body(self._method, head.status):
             body = b""
         headers = [
             *head.headers,
@@ -744,8 +744,3 @@
 
 def _new_parser(header_bytes: int) -> h11.Connection:
     return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
-
-
-def _may_have_body(method: bytes, status: int) -> bool:
-    """Return whether an answer may have a body (RFC 9110, section 6.4.1)."""
-    return method != b"HEAD" and status not in (204, 304)
--- a/sedgepin/_web/_types.py
+++ b/sedgepin/_web/_types.py
@@ -46,13 +46,22 @@
         """Return the value of the first field called ``name`` (lower case)."""
         return find_header(self.headers, name)
 
-    @property
-    def ends_with_connection(self) -> bool:
-        """Return whether the body has neither a length nor chunks."""
+    def ends_with_connection(self, method: bytes) -> bool:
+        """Return whether it has a body without a length and chunks.
+
+        ``method`` is that of the request.
+        """
+        if not may_have_body(method, self.status):
+            return False
         has_end = (b"content-length", b"transfer-encoding")
         return not any(map(self.find_header, has_end))
 
 
+def may_have_body(method: bytes, status: int) -> bool:
+    """Return whether an answer may have a body (RFC 9110, section 6.4.1)."""
+    return method != b"HEAD" and status not in (204, 304)
+
+
 def find_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the value of the first field called ``name`` (lower case).
 
--- a/sedgepin/platform/tests/test_cut_heads.py
+++ b/sedgepin/platform/tests/test_cut_heads.py
@@ -99,13 +99,19 @@
     def __init__(self) -> None:
         self.answers: dict[bytes, _Answer] = {}
         self.port = 0
+        # Whether it ends with its first answer.
+        self.is_crashing = False
+        self._scope = trio.CancelScope()
 
-    async def start(self, nursery: trio.Nursery) -> None:
+    async def serve(self, task_status: trio.TaskStatus[None]) -> None:
         serve = functools.partial(
             trio.serve_tcp, self._handle, 0, host="127.0.0.1", backlog=512
         )
-        listeners = await nursery.start(serve)
-        self.port = listeners[0].socket.getsockname()[1]
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(serve)
+                self.port = listeners[0].socket.getsockname()[1]
+                task_status.started()
 
     async def _handle(self, stream: trio.SocketStream) -> None:
         received = b""
@@ -138,6 +144,8 @@
             if answer.end == "half-closed":
                 await stream.send_eof()
                 await stream.receive_some(1)
+        if self.is_crashing:
+            self._scope.cancel()
 
 
 class _Policy(forwarding.ForwardingPolicy):
@@ -218,7 +226,7 @@
         self._count = 0
 
     async def start(self, nursery: trio.Nursery, is_forwarded: bool) -> None:
-        await self.engine.start(nursery)
+        await nursery.start(self.engine.serve)
         if not is_forwarded:
             return
         server = forwarding.ForwardingServer(_KEY, _Policy())
@@ -602,3 +610,31 @@
         )
         assert wrong == []
         nursery.cancel_scope.cancel()
+
+    @pytest.mark.parametrize(
+        ("method", "status"),
+        [
+            (b"HEAD", b"200 OK"),
+            (b"HEAD", b"404 No"),
+            (b"POST", b"204 No"),
+            (b"POST", b"304 No"),
+        ],
+    )
+    async def test_answer_without_a_body_outlives_its_engine(
+        self,
+        nursery: trio.Nursery,
+        is_forwarded: bool,
+        method: bytes,
+        status: bytes,
+    ) -> None:
+        """Its head is all of it, with or without a length."""
+        setup = _Setup()
+        setup.engine.is_crashing = True
+        await setup.start(nursery, is_forwarded)
+        head = _signed(b"HTTP/1.1 " + status, b"")
+        caller, ended = await setup.relay(
+            _Case("", head, "closed", method=method)
+        )
+        assert ended.outcome is _events.AttemptOutcome.ANSWERED
+        assert caller.status == int(status[:3])
+        nursery.cancel_scope.cancel()
