Let a stream return again to an engine that did not run it

Cause: the engine counted as returned to once the attempt was sent. A refusal or a missed connection is no run, so the stream then had no engine left. The engine is now taken from the list when the attempt may have run.

Both cases of the test failed before ("its attempts are used up").

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -90,6 +90,7 @@
             exchange.runs.append(
                 _exchange.Run(dispatch.endpoint_id, dispatch.incarnation)
             )
+            exchange.given_up.discard(dispatch.endpoint_id)
         if event.outcome is _Outcome.CANCELLED:
             exchange.given_up.add(dispatch.endpoint_id)
         self._state.release(exchange)
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -698,7 +698,6 @@
         exchange.needs_retry = False
         exchange.retry_at = None
         exchange.yields_place = False
-        exchange.given_up.discard(endpoint_id)
         exchange.is_kept = False
         self._state.fleet.add_load(exchange.endpoint_ids, exchange.tokens)
         if pipeline is not None:
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -50,7 +50,7 @@
     ``needs_retry`` is set while a stream that has started waits for a retry
     from the budget, which it takes no sooner than at ``retry_at``.
     ``given_up`` holds the endpoints whose attempts were cancelled, and which
-    have not had the request again since.  ``yields_place`` is set once it
+    have not run the request again since.  ``yields_place`` is set once it
     waits without holding up the requests behind it.
     ``is_kept`` is set once an attempt without progress has been left alone,
     because the request can run nowhere else.
--- a/sedgepin/_gateway/tests/test_moved_streams.py
+++ b/sedgepin/_gateway/tests/test_moved_streams.py
@@ -243,6 +243,23 @@
         caller.end_attempt(_Outcome.UNKNOWN)
         assert caller.has_failed
 
+    @pytest.mark.parametrize("outcome", [_Outcome.NOT_RUN, _Outcome.NOT_SENT])
+    def test_return_that_did_not_run_ends_no_stream(
+        self, outcome: _events.AttemptOutcome
+    ) -> None:
+        gateway = parts.Gateway()
+        caller = _Caller(gateway)
+        caller.silence()
+        caller.end_attempt(_Outcome.CANCELLED)
+        caller.end_attempt(_Outcome.UNKNOWN)
+        caller.advance(1.0)
+        assert caller.engines == [_LOW, _FAR_LOW, _LOW]
+        caller.end_attempt(outcome)
+        assert not caller.has_failed
+        caller.advance(1.5)
+        assert not caller.has_failed
+        assert caller.engines == [_LOW, _FAR_LOW, _LOW, _LOW]
+
     def test_stream_does_not_return_to_an_engine_that_has_ended(self) -> None:
         gateway = parts.Gateway()
         caller = _Caller(gateway)
