Try streams that hold up no others in turn

Cause: at most four streams that yield their place are tried at each turn, and these were always the first ones of the queue, though each of them may be confined to an engine of its own. Now those follow that have waited longest since they were tried.

The test with four streams before it failed before; with three it passed.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -296,19 +296,19 @@
         """
         effects: _shared_state.Effects = []
         has_room = True
-        yielding_count = 0
+        yielding_ids = queue.next_yielding(_MAX_YIELDING)
         permits = self._state.permits
         for exchange in queue.in_order():
             if not has_room and permits.has_pending(exchange.exchange_id):
                 continue
-            if exchange.yields_place and yielding_count >= _MAX_YIELDING:
+            is_in_turn = exchange.exchange_id in yielding_ids
+            if exchange.yields_place and not is_in_turn:
                 continue
             request_effects = self.dispatch_or_queue(exchange, now)
             effects += request_effects
             if request_effects:
                 continue
             if not exchange.holds_up_others:
-                yielding_count += exchange.yields_place
                 continue
             has_room = False
             if not permits.has_pending(exchange.exchange_id):
--- a/sedgepin/_gateway/_request_queue.py
+++ b/sedgepin/_gateway/_request_queue.py
@@ -141,6 +141,17 @@
         """Return the waiting requests in the order of their dispatch."""
         return sorted(self._queued.values(), key=_sort_key)
 
+    def next_yielding(self, most: int) -> frozenset[int]:
+        """Return which of those that hold up no others to try, in turn."""
+        exchange_ids = [
+            exchange_id
+            for exchange_id, exchange in self._queued.items()
+            if exchange.yields_place
+        ][:most]
+        for exchange_id in exchange_ids:
+            self._queued[exchange_id] = self._queued.pop(exchange_id)
+        return frozenset(exchange_ids)
+
     def overdue(self, now: datetime.datetime) -> list[_exchange.Exchange]:
         """Return the requests that have waited longer than ``max_wait``."""
         return [
--- a/sedgepin/_gateway/tests/test_moved_streams.py
+++ b/sedgepin/_gateway/tests/test_moved_streams.py
@@ -304,3 +304,33 @@
         assert not caller.has_failed
         _, effects = gateway.send_request("/draft/y")
         parts.get_effect(effects, _effects.StartAttempt)
+
+    @pytest.mark.parametrize("count", [3, 4])
+    def test_streams_whose_engine_is_away_hold_up_no_other_stream(
+        self, count: int
+    ) -> None:
+        third = parts.make_registration("third-low", "model", parts.LOW, "far")
+        registrations = (*parts.make_registrations(), third)
+        gateway = parts.Gateway(registrations)
+        callers = [_Caller(gateway, 10) for _ in range(count + 1)]
+        away = [_FAR_LOW] * count + [third.endpoint_id]
+        for caller, endpoint_id in zip(callers, away, strict=True):
+            caller.exchange.runs = [_exchange.Run(endpoint_id, 1)]
+            caller.exchange.given_up = {endpoint_id}
+        for endpoint_id, seconds in ((_FAR_LOW, 30), (third.endpoint_id, 1)):
+            pause = datetime.timedelta(seconds=seconds)
+            _tell(gateway, endpoint_id, catalog.EndpointNotice(pause=pause))
+        for caller in callers:
+            caller.end_attempt(_Outcome.UNKNOWN)
+        heard = protocol.RegistrationsSeen(
+            heard=tuple(one.endpoint_id for one in registrations)
+        )
+        last = callers[-1]
+        for _ in range(25):
+            last.record(gateway.advance(100))
+            last.record(gateway.receive(heard))
+        assert not any(caller.has_failed for caller in callers)
+        assert gateway.reducer._state.fleet.is_usable(
+            third.endpoint_id, gateway.now
+        )
+        assert last.engines == [_LOW, third.endpoint_id]
