Test that an only control VM announces nothing that is not on its disk

Fails: while the disk of a system's only control VM is full, an entry VM that connects gets the version whose write waits; a restart of the control VM loses it. A sole voter commits and applies an entry in the event that asks for its write, and announcements read the applied state, also while the log is suspended. Before the process blocked and announced nothing.

--- a/sedgepin/_registrar/tests/test_full_disks.py
+++ b/sedgepin/_registrar/tests/test_full_disks.py
@@ -245,3 +245,29 @@
         ]
         assert sums
         assert not any(message.knows_leader for message in sums)
+
+
+class TestOnlyControlVm:
+    """A system with one control VM, which commits what it appends at once."""
+
+    def test_entry_gets_no_configuration_that_a_restart_loses(self) -> None:
+        cluster = clusters.Cluster("a")
+        vm_id = model.VmId("a")
+        cluster.run(2)
+        cluster.publish(vm_id, 1)
+        cluster.disks[vm_id].is_full = True
+        cluster.publish(vm_id, 2)
+        cluster.run(1)
+        cluster.connect_entry(vm_id)
+        cluster.run(1)
+        cluster.stop(vm_id)
+        cluster.disks[vm_id].is_full = False
+        cluster.start(vm_id)
+        cluster.run(3)
+        ledger = cluster.running[vm_id]._configurations.ledger
+        obeyed = [
+            message.version
+            for message in cluster.entry_messages
+            if isinstance(message, protocol.ConfigurationPublished)
+        ]
+        assert max(obeyed, default=0) <= ledger.version
