Count a connection that awaits the end of its caller as open

A VM that drains did not wait for that: the request counted as ended, the process stopped, and the next bytes of the caller reset the connection.

--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -415,6 +415,7 @@
         finally:
             self._report_unread()
         if self._must_linger():
+            self.is_busy = True
             await self._linger()
 
     def _must_linger(self) -> bool:
--- a/sedgepin/_web/tests/test_lost_requests.py
+++ b/sedgepin/_web/tests/test_lost_requests.py
@@ -271,3 +271,34 @@
             sock.sendall(line + b"Host: x\r\nContent-Length: 2\r\n\r\nhi")
             expected = b"HTTP/1.1 %s " % status
             assert (await _answer(sock)).startswith(expected)
+
+
+class TestEndOfDrain:
+    async def test_answer_on_its_way_is_not_reset_by_the_end_of_the_process(
+        self,
+    ) -> None:
+        """The daemons stop once no exchange is open."""
+        async with trio.open_nursery() as process:
+            served = await _served(process)
+            with served.connect(receive_bytes=2_048) as sock:
+                received: list[bytes] = []
+
+                def call() -> None:
+                    sock.sendall(_REQUEST % b"large")
+                    time.sleep(0.1)
+                    sock.sendall(b"\r\n")
+                    time.sleep(0.3)
+                    sock.sendall(b"\r\n")
+                    time.sleep(0.1)
+                    received.append(_read_to_end(sock))
+
+                async with trio.open_nursery() as caller:
+                    caller.start_soon(trio.to_thread.run_sync, call)
+                    await trio.sleep(0.05)
+                    served.server.start_draining()
+                    served.server.finish_draining()
+                    while served.server.open_exchanges:
+                        await trio.sleep(0.01)
+                    process.cancel_scope.cancel()
+        assert b"<broken>" not in received[0]
+        assert received[0].endswith(_LARGE_ANSWER[:1_000])
