Begin no attempt after the deadline of its request

At the end of a drain such a request is cut.

Cause: the next attempt was in the relay's channel when its scope was cancelled. The relay then reported the deadline, and took the attempt from the channel before the failure, outside of the scope that bounds it.

--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -73,6 +73,7 @@
         "_has_numbered_event",
         "_held_answer",
         "_is_cancelled",
+        "_is_overdue",
         "_is_sending",
         "_is_sustained",
         "_position",
@@ -101,6 +102,7 @@
         self._exchange_scope = trio.CancelScope()
         self._attempt_scope: trio.CancelScope | None = None
         self._is_cancelled = False
+        self._is_overdue = False
         self._is_sending = False
         # The events that the attempt has sent.
         self._event_count = 0
@@ -160,6 +162,7 @@
                 await self._follow_effects()
                 is_over = True
             if not is_over:
+                self._is_overdue = True
                 self._submit(_events.DeadlineReached(self.exchange_id))
                 await self._follow_effects()
                 is_over = True
@@ -176,6 +179,9 @@
         while True:
             effect = await self._effect_channel[1].receive()
             match effect:
+                case _effects.StartAttempt() if self._is_overdue:
+                    # It was due in the same turn as the deadline.
+                    continue
                 case _effects.StartAttempt():
                     await self._run_attempt(effect)
                 case _effects.FailExchange(_, failure):
--- a/sedgepin/platform/tests/test_relay.py
+++ b/sedgepin/platform/tests/test_relay.py
@@ -1,8 +1,10 @@
 """Tests of the relay with an engine on the loopback interface."""
 
 import collections.abc
+import datetime
 import socket
 import struct
+import time
 import typing
 
 import pytest
@@ -11,6 +13,7 @@
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _events
+from sedgepin._gateway import _failures
 from sedgepin._gateway import _relay
 from sedgepin import _model as model
 from sedgepin import _web as web
@@ -403,3 +406,55 @@
     nursery.cancel_scope.cancel()
     assert not caller.has_started
     return ended[0]
+
+
+class TestDeadline:
+    async def test_attempt_that_was_due_with_the_deadline_is_not_sent(
+        self, nursery: trio.Nursery
+    ) -> None:
+        """Both come in one turn after the process was held up."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        silent = socket.create_server(("127.0.0.1", 0))
+        dispatches = [
+            _calls.Dispatch(
+                model.EndpointId("e"),
+                f"127.0.0.1:{one.getsockname()[1]}",
+                None,
+                None,
+            )
+            for one in (listener, silent)
+        ]
+        ends: list[_events.GatewayEvent] = []
+
+        def submit(event: _events.GatewayEvent) -> None:
+            if isinstance(event, _events.RequestArrived):
+                limit = datetime.timedelta(seconds=0.2)
+                relay.handle_effect(_effects.SetDeadline(1, limit))
+            if isinstance(event, _events.DeadlineReached):
+                failure = _failures.DeadlinePassed()
+                relay.handle_effect(_effects.FailExchange(1, failure))
+                return
+            if isinstance(event, _events.AttemptEnded):
+                ends.append(event)
+            if dispatches and isinstance(
+                event, _events.RequestArrived | _events.AttemptEnded
+            ):
+                start = _effects.StartAttempt(1, dispatches.pop(0), False)
+                relay.handle_effect(start)
+
+        caller = _SlowCaller()
+        request = _calls.CallerRequest(
+            "r1", "one.example", "/draft/x", caller.request
+        )
+        relay = _relay.Relay(
+            1, caller, request, platform_gateway.GatewayDialect(), submit
+        )
+        nursery.start_soon(relay.run)
+        with listener, silent:
+            await trio.sleep(0.1)
+            listener.accept()[0].close()
+            time.sleep(0.2)
+            await trio.sleep(0.3)
+            assert len(ends) == 1
+            assert caller.has_started
+        nursery.cancel_scope.cancel()
