Check the time left that engines get from the handover to an entry

The check took the time from the caller's own note until the engine's. Both are in the test's process, so its pauses counted as the entry's. The entry does not subtract at most 0.36 s between the handover and the forming, median 0.01 s. From the forming on, 0.25 s at most are outside pauses of the test's loop. That is below the 0.5 s that the rule allows.

The check now takes the time from the handover to the entry until the engine's note, without the pauses of the test's loop after the entry has logged the request as sent; the slack stays at 0.5 s. It is stricter in two things: an engine may never get more than the caller's own figure, nor more than the entry has logged. Without pauses it is as strict as before, but for what passes before the handover; a pause hides a delay of the entry after the line only while it lasts.

Injected violations and a pause outside an entry are in test_soak.py.

--- a/sedgepin/platform/tests/soak/_invariants.py
+++ b/sedgepin/platform/tests/soak/_invariants.py
@@ -56,6 +56,17 @@
     return runs_by_request
 
 
+def _group_dispatches(
+    record: _record.Record,
+) -> dict[str, list[_record.Dispatch]]:
+    dispatches: dict[str, list[_record.Dispatch]] = collections.defaultdict(
+        list
+    )
+    for dispatch in record.dispatches:
+        dispatches[dispatch.request_id].append(dispatch)
+    return dispatches
+
+
 def _check_writes_run_once(record: _record.Record) -> _Findings:
     for request_id, runs in _group_runs(record).items():
         sent = record.sent.get(request_id)
@@ -141,13 +152,42 @@
 
 
 def _check_deadlines_forwarded(record: _record.Record) -> _Findings:
+    """Check the time left from the handover to an entry to the engine.
+
+    Pauses of the process of callers and engines are not the entry's time:
+    before the handover, and after the entry has sent a request on.
+    """
+    dispatches = _group_dispatches(record)
     for run in record.runs:
         sent = record.sent.get(run.request_id)
         if sent is None or not record.is_calm(sent.at, run.at):
             continue
-        elapsed_ms = (run.at - sent.at) * 1000
-        max_time_left_ms = sent.time_left_ms - elapsed_ms + _DEADLINE_SLACK_MS
-        if run.time_left_ms is None or run.time_left_ms > max_time_left_ms:
+        if run.time_left_ms is None:
+            yield f"{run.request_id} was forwarded without the time left"
+            continue
+        start = record.handed_over_at.get(run.request_id, sent.at)
+        # The line of this run is the latest with as much time left.
+        dispatched_at = max(
+            (
+                dispatch.at
+                for dispatch in dispatches[run.request_id]
+                if dispatch.endpoint_id == run.endpoint_id
+                and dispatch.time_left_ms >= run.time_left_ms
+            ),
+            default=None,
+        )
+        if record.dispatches and dispatched_at is None:
+            yield (
+                f"{run.endpoint_id} got {run.request_id} with"
+                f" {run.time_left_ms} ms left, more than its entry logged"
+            )
+        if dispatched_at is None:
+            dispatched_at = run.at
+        elapsed = run.at - start - record.seconds_paused(dispatched_at, run.at)
+        max_time_left_ms = sent.time_left_ms + min(
+            0, _DEADLINE_SLACK_MS - elapsed * 1000
+        )
+        if run.time_left_ms > max_time_left_ms:
             yield (
                 f"{run.request_id} was forwarded with {run.time_left_ms} ms"
                 f" left, expected at most {max_time_left_ms:.0f} ms"
--- a/sedgepin/platform/tests/soak/_programs.py
+++ b/sedgepin/platform/tests/soak/_programs.py
@@ -1,6 +1,8 @@
 """Starts, signals and restarts the real programs as child processes."""
 
 import dataclasses
+import datetime
+import json
 import os
 import pathlib
 import random
@@ -9,10 +11,12 @@
 import subprocess
 import sys
 import time
+import typing
 
 import trio
 
 from sedgepin.platform.tests.soak import _addresses
+from sedgepin.platform.tests.soak import _record
 
 # ``graceS`` of the settings.
 GRACE_PERIOD_SECONDS = 6.0
@@ -182,6 +186,22 @@
         """Return the log lines of requests that ended with their VM."""
         return self._lines_with('"request_cut"')
 
+    def dispatches(self) -> list[_record.Dispatch]:
+        """Return what the entries logged of the requests they sent."""
+        # The log has wall time, which ``_skewed`` does not change.
+        clock_offset = trio.current_time() - time.time()
+        return [
+            _record.Dispatch(
+                line["request"],
+                line["endpoint"],
+                datetime.datetime.fromisoformat(line["time"]).timestamp()
+                + clock_offset,
+                line["milliseconds_left"],
+            )
+            for program in self.with_role("entry")
+            for line in _read_lines(program, b'"request_dispatched"')
+        ]
+
     def _lines_with(self, *texts: str) -> list[str]:
         return [
             f"{program.name}: {line}"
@@ -244,3 +264,13 @@
         temporary_path = folder / "settings.new"
         temporary_path.write_text(text)
         temporary_path.replace(path)
+
+
+def _read_lines(program: Program, text: bytes) -> list[dict[str, typing.Any]]:
+    """Return the whole lines of a program's log that contain a text."""
+    lines = (program.folder / "log").read_bytes().splitlines(keepends=True)
+    return [
+        json.loads(line)
+        for line in lines
+        if text in line and line.endswith(b"\n")
+    ]
--- a/sedgepin/platform/tests/soak/_proxy.py
+++ b/sedgepin/platform/tests/soak/_proxy.py
@@ -1,5 +1,6 @@
 """A loopback TCP proxy that injects faults into its connections."""
 
+import collections.abc
 import enum
 import functools
 import math
@@ -32,14 +33,22 @@
 class Proxy:
     """Forwards connections from one address to another.
 
+    ``observe`` is called with bytes that are about to go to the target.
+
     >>> proxy = Proxy("127.90.1.1:80", "127.90.2.1:80")
     >>> await nursery.start(proxy.serve)
     >>> await proxy.inject(LinkFault.HOLD_BOTH, seconds=2.0)
     """
 
-    def __init__(self, address: str, target: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        target: str,
+        observe: collections.abc.Callable[[bytes], None] | None = None,
+    ) -> None:
         self._address = address
         self._target = target
+        self._observe = observe
         self._fault = LinkFault.NONE
         self._delay_seconds = 0.0
         self._fault_over = trio.Event()
@@ -103,7 +112,12 @@
             self._scopes.add(scope)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
-                    self._copy, stream, target, holding_requests, scope
+                    self._copy,
+                    stream,
+                    target,
+                    holding_requests,
+                    scope,
+                    self._observe,
                 )
                 nursery.start_soon(
                     self._copy, target, stream, holding_answers, scope
@@ -118,6 +132,7 @@
         sink: trio.SocketStream,
         holding_faults: frozenset[LinkFault],
         scope: trio.CancelScope,
+        observe: collections.abc.Callable[[bytes], None] | None = None,
     ) -> None:
         """Copy bytes in one direction.
 
@@ -133,6 +148,8 @@
                     await trio.sleep(self._delay_seconds)
                 if not data:
                     break
+                if observe is not None:
+                    observe(data)
                 await sink.send_all(data)
             await sink.send_eof()
             await trio.sleep(math.inf if _is_open(sink) else 0)
--- a/sedgepin/platform/tests/soak/_record.py
+++ b/sedgepin/platform/tests/soak/_record.py
@@ -56,6 +56,16 @@
     pipeline_fault: str = ""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Dispatch:
+    """A request that an entry sent to an endpoint, from the entry's log."""
+
+    request_id: str
+    endpoint_id: str
+    at: float
+    time_left_ms: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class AcknowledgedConfiguration:
     """A configuration whose acceptance the operator received."""
@@ -94,6 +104,11 @@
         default_factory=dict
     )
     runs: list[EngineRun] = dataclasses.field(default_factory=list)
+    # When requests were handed to an entry, which can't read them earlier.
+    handed_over_at: dict[str, float] = dataclasses.field(default_factory=dict)
+    dispatches: list[Dispatch] = dataclasses.field(default_factory=list)
+    # Start and end of the pauses of the event loop of callers and engines.
+    pauses: list[tuple[float, float]] = dataclasses.field(default_factory=list)
     # Ids and times of requests that engines rejected without executing them.
     rejections: list[tuple[str, float]] = dataclasses.field(
         default_factory=list
@@ -137,6 +152,13 @@
         default_factory=dict
     )
 
+    def seconds_paused(self, start: float, end: float) -> float:
+        """Return for how long callers and engines paused in a time span."""
+        return sum(
+            max(0.0, min(end, pause_end) - max(start, pause_start))
+            for pause_start, pause_end in self.pauses
+        )
+
     def is_calm(self, start: float, end: float) -> bool:
         """Return whether a time span lies within a calm span."""
         return any(
--- a/sedgepin/platform/tests/soak/_seed_run.py
+++ b/sedgepin/platform/tests/soak/_seed_run.py
@@ -1,8 +1,10 @@
 """Runs one seed: start, calm span, faults, recovery, calm span."""
 
 import collections.abc
+import functools
 import pathlib
 import random
+import re
 
 import trio
 
@@ -28,6 +30,9 @@
 # Time for requests in flight at the end of a calm span to finish.
 SETTLE_SECONDS = 6.5
 _FINAL_READ_TIMEOUT_SECONDS = 10.0
+_PAUSE_CHECK_SECONDS = 0.005
+_MIN_PAUSE_SECONDS = 0.025
+_REQUEST_ID = re.compile(rb"(?i)\r\nx-request-id: (\S+)\r\n")
 
 
 async def run_seed(
@@ -45,6 +50,7 @@
         record.unexpected_exits = programs.unexpected_exits
         record.contained_failures = programs.contained_failures()
         record.cut_requests = programs.cut_requests()
+        record.dispatches = programs.dispatches()
     return record
 
 
@@ -61,7 +67,8 @@
     operator = _operator.Operator(addresses, record, rng)
     callers = _callers.Callers(addresses, record, rng)
     async with trio.open_nursery() as nursery:
-        await _start_proxies(addresses, nursery)
+        nursery.start_soon(_record_pauses, record)
+        await _start_proxies(addresses, record, nursery)
         programs.start_all()
         nursery.start_soon(programs.supervise)
         engines = _make_engines(addresses, record, rng)
@@ -77,15 +84,39 @@
         nursery.cancel_scope.cancel()
 
 
+async def _record_pauses(record: _record.Record) -> None:
+    """Record when the event loop goes on late."""
+    while True:
+        start = trio.current_time()
+        await trio.sleep(_PAUSE_CHECK_SECONDS)
+        end = trio.current_time()
+        if end - start > _MIN_PAUSE_SECONDS:
+            record.pauses.append((start, end))
+
+
+def _note_handover(record: _record.Record, data: bytes) -> None:
+    """Note that a request is handed to an entry, from its head."""
+    found = _REQUEST_ID.search(data)
+    if found is not None:
+        record.handed_over_at.setdefault(
+            found[1].decode(), trio.current_time()
+        )
+
+
 async def _start_proxies(
-    addresses: _addresses.Addresses, nursery: trio.Nursery
+    addresses: _addresses.Addresses,
+    record: _record.Record,
+    nursery: trio.Nursery,
 ) -> dict[str, _proxy.Proxy]:
     proxies: dict[str, _proxy.Proxy] = {}
     for name, (
         proxy_address,
         listen_address,
     ) in addresses.proxied_addresses().items():
-        proxies[name] = _proxy.Proxy(proxy_address, listen_address)
+        observe = None
+        if name.startswith("entry-"):
+            observe = functools.partial(_note_handover, record)
+        proxies[name] = _proxy.Proxy(proxy_address, listen_address, observe)
         await nursery.start(proxies[name].serve)
     return proxies
 
@@ -100,7 +131,8 @@
     operator = _operator.Operator(addresses, record, rng)
     callers = _callers.Callers(addresses, record, rng)
     async with trio.open_nursery() as nursery:
-        proxies = await _start_proxies(addresses, nursery)
+        nursery.start_soon(_record_pauses, record)
+        proxies = await _start_proxies(addresses, record, nursery)
         programs.start_all()
         nursery.start_soon(programs.supervise)
         engines = _make_engines(addresses, record, rng)
--- a/sedgepin/platform/tests/soak/_upgrade.py
+++ b/sedgepin/platform/tests/soak/_upgrade.py
@@ -76,6 +76,7 @@
         record.unexpected_exits = programs.unexpected_exits
         record.contained_failures = programs.contained_failures()
         record.cut_requests = programs.cut_requests()
+        record.dispatches = programs.dispatches()
     return record
 
 
--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -118,6 +118,33 @@
     record.runs[0].time_left_ms = 9000
 
 
+def _hold_before_dispatch(record: _record.Record) -> None:
+    """Let an entry send a request on late, with the caller's whole time."""
+    sent = record.sent["r1"]
+    record.handed_over_at["r1"] = sent.at
+    record.dispatches.append(
+        _record.Dispatch("r1", "e1", sent.at + 0.7, sent.time_left_ms)
+    )
+    record.runs[0].at = sent.at + 0.7
+    record.runs[0].time_left_ms = sent.time_left_ms
+    record.pauses.append((sent.at, sent.at + 0.7))
+
+
+def _hold_after_dispatch(record: _record.Record) -> None:
+    """Let an entry log a request and send it on late."""
+    sent = record.sent["r1"]
+    record.dispatches.append(_record.Dispatch("r1", "e1", sent.at, 3000))
+    record.runs[0].at = sent.at + 0.8
+
+
+def _forward_more_than_logged(record: _record.Record) -> None:
+    record.dispatches.append(_record.Dispatch("r1", "e1", 1.1, 2800))
+
+
+def _forward_no_deadline(record: _record.Record) -> None:
+    record.runs[0].time_left_ms = None
+
+
 def _use_left_endpoint(record: _record.Record) -> None:
     record.leaving_acked_at["e1"] = -2.0
 
@@ -236,6 +263,10 @@
             ("read", _change_customer, "customer-k2"),
             ("stream", _skip_layers, "skips layers"),
             ("read", _extend_deadline, "9000 ms"),
+            ("read", _hold_before_dispatch, "at most 2800 ms"),
+            ("read", _hold_after_dispatch, "at most 2700 ms"),
+            ("read", _forward_more_than_logged, "more than its entry logged"),
+            ("read", _forward_no_deadline, "without the time left"),
             ("read", _use_left_endpoint, "too late"),
             ("read", _read_older_version, "version 2 after version 3"),
             ("read", _read_other_content, "other content"),
@@ -262,6 +293,20 @@
         assert any(finding in found for found in soak.find_violations(record))
 
 
+class TestDeadlines:
+    def test_time_outside_an_entry_is_not_its_own(self) -> None:
+        """A pause of the callers' and engines' process passes the check."""
+        record = _make_valid_record("read")
+        sent = record.sent["r1"]
+        record.handed_over_at["r1"] = sent.at + 0.8
+        record.dispatches.append(
+            _record.Dispatch("r1", "e1", sent.at + 0.9, 2900)
+        )
+        record.runs[0].at = sent.at + 1.7
+        record.pauses.append((sent.at + 0.9, sent.at + 1.7))
+        assert soak.find_violations(record) == []
+
+
 class TestProxy:
     """Faults of the proxy affect connections and end in time."""
 
