Send a failure that was due with the deadline

Cause: the relay had taken the failure from its channel, and its scope was cancelled before the first byte. The reducer had removed the request, so it answered the deadline with the end of the exchange. The relay now keeps the failure, or the held answer, and sends it then, unless an answer has begun.

The test failed before: no answer.

--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -67,6 +67,7 @@
         "_attempt_scope",
         "_dialect",
         "_effect_channel",
+        "_ending",
         "_event_count",
         "_exchange",
         "_exchange_scope",
@@ -101,6 +102,10 @@
         self._held_answer: _calls.Answer | None = None
         self._exchange_scope = trio.CancelScope()
         self._attempt_scope: trio.CancelScope | None = None
+        # The effect that ends the exchange, once it was received.
+        self._ending: (
+            _effects.FailExchange | _effects.DeliverHeldAnswer | None
+        ) = None
         self._is_cancelled = False
         self._is_overdue = False
         self._is_sending = False
@@ -184,24 +189,36 @@
                     continue
                 case _effects.StartAttempt():
                     await self._run_attempt(effect)
-                case _effects.FailExchange(_, failure):
-                    if self._exchange.has_started:
-                        self._exchange.cut(failure.code)
-                        return
-                    head, body = self._dialect.error_response(
-                        self._request.request_id, failure
-                    )
-                    await self._exchange.answer(head, body)
-                    return
-                case _effects.DeliverHeldAnswer():
-                    if self._held_answer is None or self._exchange.has_started:
-                        self._exchange.cut("engine_failed")
-                        return
-                    await self._exchange.answer(*self._held_answer)
+                case _effects.FailExchange() | _effects.DeliverHeldAnswer():
+                    self._ending = effect
+                    await self._end_exchange(effect)
                     return
                 case _effects.FinishExchange():
+                    # The deadline may have come before its first byte.
+                    if self._ending is not None and (
+                        not self._exchange.has_started
+                    ):
+                        await self._end_exchange(self._ending)
                     return
 
+    async def _end_exchange(
+        self, effect: _effects.FailExchange | _effects.DeliverHeldAnswer
+    ) -> None:
+        """Send the failure or the held answer that ends the exchange."""
+        if isinstance(effect, _effects.FailExchange):
+            if self._exchange.has_started:
+                self._exchange.cut(effect.failure.code)
+                return
+            head, body = self._dialect.error_response(
+                self._request.request_id, effect.failure
+            )
+            await self._exchange.answer(head, body)
+            return
+        if self._held_answer is None or self._exchange.has_started:
+            self._exchange.cut("engine_failed")
+            return
+        await self._exchange.answer(*self._held_answer)
+
     async def _run_attempt(self, start: _effects.StartAttempt) -> None:
         """Run one attempt and report its result to the reducer."""
         attempt_result = _AttemptResult(
--- a/sedgepin/platform/tests/test_relay.py
+++ b/sedgepin/platform/tests/test_relay.py
@@ -75,6 +75,14 @@
         self.finish_count += 1
 
 
+class _CancelledCaller(_SlowCaller):
+    """A caller whose answer is not begun once its scope is cancelled."""
+
+    async def answer(self, head: web.AnswerHead, body: bytes) -> None:
+        await trio.lowlevel.checkpoint_if_cancelled()
+        await super().answer(head, body)
+
+
 def _make_relay(
     caller: _SlowCaller,
     port: int,
@@ -458,3 +466,28 @@
             assert len(ends) == 1
             assert caller.has_started
         nursery.cancel_scope.cancel()
+
+    async def test_failure_that_was_due_with_the_deadline_is_sent(
+        self, nursery: trio.Nursery
+    ) -> None:
+        def submit(event: _events.GatewayEvent) -> None:
+            if isinstance(event, _events.RequestArrived):
+                limit = datetime.timedelta(seconds=0.2)
+                relay.handle_effect(_effects.SetDeadline(1, limit))
+            if isinstance(event, _events.DeadlineReached):
+                # The request has ended already.
+                relay.handle_effect(_effects.FinishExchange(1))
+
+        caller = _CancelledCaller()
+        request = _calls.CallerRequest(
+            "r1", "one.example", "/draft/x", caller.request
+        )
+        relay = _relay.Relay(
+            1, caller, request, platform_gateway.GatewayDialect(), submit
+        )
+        nursery.start_soon(relay.run)
+        await trio.sleep(0.1)
+        relay.handle_effect(_effects.FailExchange(1, _failures.Draining()))
+        time.sleep(0.2)
+        await trio.sleep(0.1)
+        assert caller.has_started
