Announce no configuration that a restart may lose

An entry VM that connected to the only control VM while its disk was full could obey a configuration that no disk held: after a restart of the control VM the entry had version 2 and the ledger version 1.

Cause: an only voter commits and applies an entry in the event that asks for its write. Since a refused write waits, the VM goes on serving with that state; before, it blocked or ended. With several voters an entry is committed only once others have it on their disks.

While such a write waits, entries get no configuration, and ask again.

--- a/sedgepin/_consensus/_node.py
+++ b/sedgepin/_consensus/_node.py
@@ -88,6 +88,15 @@
         """Return whether this member waits for space on its disk."""
         return self._suspension.is_active
 
+    @property
+    def may_lose_applied(self) -> bool:
+        """Return whether a restart may lose entries that were applied.
+
+        An only voter commits an entry together with the write of it, which
+        waits if the disk is full.
+        """
+        return self.is_suspended and len(self.members.voters) == 1
+
     @property
     def commit_index(self) -> int:
         """Return the last index that this member knows to be committed."""
--- a/sedgepin/_registrar/_configurations.py
+++ b/sedgepin/_registrar/_configurations.py
@@ -278,8 +278,11 @@
 
         One that has none yet needs a confirmed configuration to start with.
         It may be connected to no leader, so a follower asks the leader
-        whether its configuration is the latest.
+        whether its configuration is the latest.  There is no answer while a
+        restart may lose the configuration.
         """
+        if self._raft.may_lose_applied:
+            return []
         leader = self._raft.leader_id
         if entry_version >= 0 or self._raft.is_leader or leader is None:
             return [self.configuration_message(entry, entry_version, now)]
--- a/sedgepin/_registrar/_reducer.py
+++ b/sedgepin/_registrar/_reducer.py
@@ -283,7 +283,10 @@
         effects += self._peers.connect(hello)
         if hello.role == "entry":
             self._forwarders.add(hello)
-            effects.append(self._configurations.announcement(hello.id, now))
+            if not self._raft.may_lose_applied:
+                effects.append(
+                    self._configurations.announcement(hello.id, now)
+                )
         else:
             effects += self._peers.add_controls((hello.id,))
         message = self._endpoints.registrations_message()
