Hear SIGTERM before a VM accepts connections

A VM of the platform that was stopped just after its start was killed by SIGTERM (exit status -15) with the connections that it had accepted: the signal was watched only once all servers, the settings and the transport ran.

It is watched first now. The test sends SIGTERM as soon as the port accepts connections; it failed before for both roles and passes.

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -190,6 +190,8 @@
         """Serve until SIGTERM, then drain."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            stop = trio.Event()
+            await nursery.start(shell.watch_stop_signals, stop)
             await nursery.start(self._readiness.serve, self._cfg.ready_listen)
             await nursery.start(self._server.serve, self._cfg.listen)
             if self._cfg.forward_address:
@@ -211,8 +213,6 @@
                 )
             )
             await nursery.start(self._transport.run)
-            stop = trio.Event()
-            await nursery.start(shell.watch_stop_signals, stop)
             await stop.wait()
             await self._drain()
             nursery.cancel_scope.cancel()
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -236,6 +236,8 @@
         """Serve until SIGTERM, then drain and return."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            stop = trio.Event()
+            await nursery.start(shell.watch_stop_signals, stop)
             await nursery.start(self._server.serve, self._cfg.listen)
             if self._cfg.metrics_listen is not None:
                 metrics_server = web.Server(
@@ -257,8 +259,6 @@
                 )
             )
             await nursery.start(self._transport.run)
-            stop = trio.Event()
-            await nursery.start(shell.watch_stop_signals, stop)
             await stop.wait()
             await self._drain()
             nursery.cancel_scope.cancel()
--- a/sedgepin/platform/tests/test_planned_stop.py
+++ b/sedgepin/platform/tests/test_planned_stop.py
@@ -1,10 +1,13 @@
 """Tests of planned stops of an entry VM, with callers that go on sending."""
 
+import contextlib
 import dataclasses
 import itertools
 import json
 import re
 import signal
+import socket
+import time
 
 import pytest
 import trio
@@ -310,3 +313,31 @@
                     received += data
         assert received.startswith(b"HTTP/1.1 5")
         assert b"connection: close" in received.lower()
+
+
+def _wait_until_accepting(address: tuple[str, int]) -> None:
+    end = time.monotonic() + 20.0
+    while time.monotonic() < end:
+        with socket.socket() as conn, contextlib.suppress(OSError):
+            conn.connect(address)
+            return
+    raise TimeoutError(f"nothing listens on {address}")
+
+
+class TestStopAtTheStart:
+    @pytest.mark.parametrize(
+        ("role", "ip"),
+        [
+            ("entry", running_system.ENTRY),
+            ("control", running_system.CONTROL),
+        ],
+    )
+    def test_vm_that_accepts_connections_drains(
+        self, system: running_system.System, role: str, ip: str
+    ) -> None:
+        for _round in range(3):
+            system.start(role, ip)
+            _wait_until_accepting((ip, running_system.CALL_PORT))
+            process = system.processes[role]
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(15) == 0
