Take the bound for what is held for others from the settings

On the platform it is a share of the memory that the settings file states, in the product's own programs `memory.held_bytes`, or the same share of the VM's memory. Each holder that is ended is logged (`holder_ended`, 109) and counted.

--- a/sedgepin/_gateway/_settings.py
+++ b/sedgepin/_gateway/_settings.py
@@ -27,7 +27,8 @@
     Endpoints renew their registration every ``heartbeat_interval``.
     ``grace_period`` is the time between SIGTERM and SIGKILL.
     ``forward_address`` is where other entry VMs reach this one to have
-    requests forwarded; without one, it forwards none.
+    requests forwarded; without one, it forwards none.  ``held_bytes`` bounds
+    what is held for callers and endpoints, all together.
     """
 
     vm_id: model.VmId
@@ -40,6 +41,7 @@
     grace_period: datetime.timedelta
     metrics_listen: str | None = None
     peer_listen: str | None = None
+    held_bytes: int = 64 * 1024 * 1024
     forward_address: str = ""
 
     @property
--- a/sedgepin/_registrar/_settings.py
+++ b/sedgepin/_registrar/_settings.py
@@ -14,7 +14,8 @@
     ``seeds`` are the initial control VMs; others are discovered when they
     connect.  ``is_new_system`` may be true only when all VMs start for the
     first time, because the seeds then bootstrap a new Raft group.  Endpoints
-    renew their registration every ``heartbeat_interval``.
+    renew their registration every ``heartbeat_interval``.  ``held_bytes``
+    bounds what is held for operators, endpoints and peers, all together.
     """
 
     vm_id: model.VmId
@@ -26,6 +27,7 @@
     heartbeat_interval: datetime.timedelta
     metrics_listen: str | None = None
     peer_listen: str | None = None
+    held_bytes: int = 64 * 1024 * 1024
 
     @property
     def heartbeat_timeout(self) -> datetime.timedelta:
--- a/sedgepin/_shell/__init__.py
+++ b/sedgepin/_shell/__init__.py
@@ -9,6 +9,7 @@
 from sedgepin._shell._driver import DriverStopped
 from sedgepin._shell._driver import Postponement
 from sedgepin._shell._log_folder import open_log
+from sedgepin._shell._memory import create_budget
 from sedgepin._shell._metrics import create_sink
 from sedgepin._shell._metrics import MetricSink
 from sedgepin._shell._metrics import NullSink
@@ -27,6 +28,7 @@
     "PrometheusSink",
     "SettingsSource",
     "StatsdSink",
+    "create_budget",
     "create_sink",
     "open_log",
     "peers_to_dial",
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -131,6 +131,17 @@
     "Log lines came faster than the reader or the rate limit allows.",
     "count",
 )
+HOLDER_ENDED = _define(
+    109,
+    "WARNING",
+    "holder_ended",
+    "This process let go of what it held for one message, the largest of the"
+    " sender that held most, because its memory for others was used up.",
+    "kind",
+    "sender",
+    "held_bytes",
+    "total_bytes",
+)
 PEER_CONNECTED = _define(
     110, "INFO", "peer_connected", "A stream to a peer is open.", "peer"
 )
--- a/sedgepin/platform/_settings.py
+++ b/sedgepin/platform/_settings.py
@@ -7,6 +7,7 @@
 import msgspec
 import result
 
+from sedgepin import _memory as memory
 from sedgepin import _model as model
 from sedgepin import errors
 
@@ -15,6 +16,8 @@
     from sedgepin import _gateway as gateway
     from sedgepin import _registrar as registrar
 
+_MEGABYTE = 1_000_000
+
 SETTINGS_VARIABLE = "SEDGEPIN_NODE_FILE"
 
 _Port = typing.Annotated[int, msgspec.Meta(ge=1, le=65535)]
@@ -40,6 +43,10 @@
     )
 
 
+class _Limits(msgspec.Struct, frozen=True, rename="camel"):
+    memory_mb: typing.Annotated[float, msgspec.Meta(gt=0)] | None = None
+
+
 class NodeSettings(msgspec.Struct, frozen=True, rename="camel"):
     """The fields of the settings file that sedgepin uses.
 
@@ -58,6 +65,7 @@
     heartbeat_ms: typing.Annotated[float, msgspec.Meta(gt=0)]
     listen: _Listen
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     bootstrap: bool = False
     data_dir: str = ""
 
@@ -75,6 +83,13 @@
     def _heartbeat(self) -> datetime.timedelta:
         return datetime.timedelta(milliseconds=self.heartbeat_ms)
 
+    @property
+    def _held_bytes(self) -> int:
+        memory_mb = self.limits.memory_mb
+        if memory_mb is None:
+            return memory.default_held_bytes()
+        return memory.held_bytes_for(int(memory_mb * _MEGABYTE))
+
     def _metrics_listen(self, port: int | None) -> str | None:
         return None if port is None else f"{self.ip}:{port}"
 
@@ -94,6 +109,7 @@
             heartbeat_interval=self._heartbeat,
             metrics_listen=self._metrics_listen(metrics_port),
             peer_listen=self.listen.peers,
+            held_bytes=self._held_bytes,
         )
 
     def gateway_settings(
@@ -118,6 +134,7 @@
             grace_period=datetime.timedelta(seconds=bounds.grace_s),
             metrics_listen=self._metrics_listen(metrics_port),
             peer_listen=self.listen.peers,
+            held_bytes=self._held_bytes,
             forward_address=f"{self.ip}:{self.internal_ports[1]}",
         )
 
--- a/sedgepin/settings.py
+++ b/sedgepin/settings.py
@@ -125,6 +125,15 @@
     notice_seconds: _NonNegativeFloat = 5.0
 
 
+class Memory(msgspec.Struct, frozen=True, kw_only=True):
+    """The bytes that are held for callers, endpoints and peers together.
+
+    Without ``held_bytes``, a fifth of the VM's memory.
+    """
+
+    held_bytes: _PositiveInt | None = None
+
+
 class _Common(msgspec.Struct, frozen=True, kw_only=True):
     id: _Name
     data_centre: _Name
@@ -136,6 +145,7 @@
     statsd: Statsd | None = None
     log: Log = Log()
     drain: Drain = Drain()
+    memory: Memory = Memory()
 
 
 class EntrySettings(_Common, frozen=True, kw_only=True):
