Bound the answers that a gateway holds, all together

Callers of a VM could lose it to engines: answers were bounded one by one, so that engines which sent 1,000,000 bytes of one and then nothing made 200 open attempts take 199.9 and 200.0 MB (whole answers with a length, and in a chunk), the whole memory of a VM.

What was received of an answer and is kept while more is awaited, or while a caller does not read, is held in accounts of one budget: the parser's remainder, the pieces of a whole answer with the cost of their objects, a partial event, what is being sent, a request that its engine does not read, an answer kept for the last attempt, and calls of the gateway's own. At the bound the attempt of the largest holder ends with an unknown outcome, and the reducer decides on it as on any other. It counts as an answer that is none: an engine is suspected only if two come within 10 s with no valid one between. An attempt that is blocked in a send to a caller that does not read lets go too; as nothing can follow on that connection, its request is cut with the reason memory_exhausted. An answer kept for the last attempt becomes a 502.

The forwarder's side holds requests and answers in the same budget, tells the other VM why it ended one, and ends each with the time that the other VM has left (a new field; a VM of an earlier build is given an hour). Answers that come through a forwarder have the bound on pieces, and on the size of a frame, that direct ones have.

A whole answer in more than 4,096 pieces of less than 16 bytes on average is none: 200 such answers in tiny chunks took 16 s and once over 60 s.

--- a/sedgepin/_forwarding/_client.py
+++ b/sedgepin/_forwarding/_client.py
@@ -1,12 +1,14 @@
 """The connection to an endpoint through another entry VM."""
 
 import dataclasses
+import math
 import typing
 
 import result
 import trio
 
 from sedgepin._forwarding import _frames
+from sedgepin import _memory as memory
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin import _sockets as sockets
@@ -15,6 +17,10 @@
 
 # A forwarder that runs reads a request at once.
 _UNACKNOWLEDGED_LIMIT_MILLISECONDS = 2_900
+# As many as of an answer that comes directly.
+_MAX_BODY_PIECES = 16_384
+# What the object of a piece takes beside its bytes.
+_PIECE_OVERHEAD_BYTES = 64
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -55,12 +61,27 @@
     >>> conn = opened.unwrap()
     """
 
-    __slots__ = ("_frames", "_name", "_stream", "is_lost")
+    __slots__ = (
+        "_account",
+        "_frames",
+        "_name",
+        "_stream",
+        "deadline",
+        "is_lost",
+    )
 
-    def __init__(self, name: str, stream: sockets.DirectStream) -> None:
+    def __init__(
+        self,
+        name: str,
+        stream: sockets.DirectStream,
+        account: memory.Account | None = None,
+    ) -> None:
         self._name = name
         self._stream = stream
-        self._frames = _frames.FrameStream(stream)
+        self._account = account
+        self._frames = _frames.FrameStream(stream, account)
+        # When the answer is of no use any more, by trio's clock.
+        self.deadline = math.inf
         # Set if the connection to the forwarder itself broke.
         self.is_lost = False
 
@@ -73,8 +94,13 @@
         address: str,
         timeout_seconds: float,
         request_id: str = "",
+        account: memory.Account | None = None,
     ) -> result.Result["ForwardedConnection", ForwardFailed]:
-        """Let a forwarder connect to an endpoint at an ``address``."""
+        """Let a forwarder connect to an endpoint at an ``address``.
+
+        The connection holds what it has not passed on in ``account``, whose
+        end must end the reading.
+        """
         host, _, port = forwarder.address.rpartition(":")
         frame = _frames.OpenForward(
             forwarder.key, endpoint_id, incarnation, address, request_id
@@ -84,13 +110,15 @@
         try:
             with trio.fail_after(timeout_seconds):
                 stream = await sockets.DirectStream.connect(host, int(port))
-                conn = cls(forwarder.vm_id, stream)
+                conn = cls(forwarder.vm_id, stream, account)
                 _frames.set_options(stream.socket)
                 sockets.limit_unacknowledged_time(
                     stream.socket, _UNACKNOWLEDGED_LIMIT_MILLISECONDS
                 )
                 await conn._frames.send(frame)
-                answer = await conn._frames.receive()
+                answer = await conn._frames.receive(
+                    _frames.ANSWER_FRAME_LIMIT_BYTES
+                )
             is_open = isinstance(answer, _frames.ForwardOpened)
             if is_open:
                 return result.Ok(conn)
@@ -123,8 +151,16 @@
         self, request: web.Request, nursery: trio.Nursery | None = None
     ) -> result.Result[None, web.AnswerBroken]:
         """Send a request; the forwarder reads the whole of it first."""
+        milliseconds_left: int | None = None
+        if self.deadline < math.inf:
+            seconds = max(0.0, self.deadline - trio.current_time())
+            milliseconds_left = math.ceil(seconds * 1000)
         frame = _frames.ForwardedRequest(
-            request.method, request.target, request.headers, request.body
+            request.method,
+            request.target,
+            request.headers,
+            request.body,
+            milliseconds_left,
         )
         try:
             await self._frames.send(frame)
@@ -156,26 +192,42 @@
         self, limit_bytes: int
     ) -> result.Result[bytes, web.AnswerBroken]:
         """Return the whole body, or a failure if it is over the limit."""
-        body = bytearray()
-        while True:
+        try:
+            return await self._read_body(limit_bytes)
+        finally:
+            self._frames.keep(0)
+
+    async def _read_body(
+        self, limit_bytes: int
+    ) -> result.Result[bytes, web.AnswerBroken]:
+        pieces: list[bytes] = []
+        size_bytes = 0
+        for _piece in range(_MAX_BODY_PIECES):
             data = await self.read_data()
             if isinstance(data, result.Err):
                 return data
             if data.ok_value is None:
-                return result.Ok(bytes(body))
-            body += data.ok_value
-            if len(body) > limit_bytes:
+                return result.Ok(b"".join(pieces))
+            pieces.append(data.ok_value)
+            size_bytes += len(data.ok_value)
+            if size_bytes > limit_bytes:
                 return result.Err(
                     self._broken(f"the body is over {limit_bytes} bytes")
                 )
+            self._frames.keep(size_bytes + len(pieces) * _PIECE_OVERHEAD_BYTES)
+        return result.Err(
+            self._broken(f"the body is in more than {_MAX_BODY_PIECES} pieces")
+        )
 
     def close(self) -> None:
         """Close the connection at once; the forwarder ends the request."""
         self._stream.close()
+        if self._account is not None:
+            self._account.close()
 
     async def _receive(self) -> _frames.Frame:
         try:
-            return await self._frames.receive()
+            return await self._frames.receive(_frames.ANSWER_FRAME_LIMIT_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self.is_lost = True
             return _frames.ForwardedBroken(type(exc).__name__)
--- a/sedgepin/_forwarding/_frames.py
+++ b/sedgepin/_forwarding/_frames.py
@@ -12,13 +12,18 @@
 import msgspec
 import trio
 
+from sedgepin import _memory as memory
 from sedgepin import _model as model
 from sedgepin import _sockets as sockets
 from sedgepin import _web as web
 
 # A whole request with its body is one frame.
 _FRAME_LIMIT_BYTES = 16 * 1024 * 1024
+# A frame of an answer has what was read of it at once.
+ANSWER_FRAME_LIMIT_BYTES = 262_144
 _READ_BYTES = 65_536
+# More than this is counted although it may be passed on at once.
+_MIN_COUNTED_BYTES = 4096
 _LENGTH = struct.Struct(">I")
 # A vanished VM is detected after about 3 s.
 _KEEPALIVE_IDLE_SECONDS = 1
@@ -63,12 +68,17 @@
 
 
 class ForwardedRequest(msgspec.Struct, frozen=True, tag=True):
-    """The request to the endpoint."""
+    """The request to the endpoint.
+
+    ``milliseconds_left`` is the time in which the other VM needs the end of
+    the answer; ``None`` if it does not say.
+    """
 
     method: bytes
     target: bytes
     headers: web.Headers
     body: bytes = b""
+    milliseconds_left: int | None = None
 
 
 class ForwardedHead(msgspec.Struct, frozen=True, tag=True):
@@ -125,18 +135,41 @@
 
     Both raise ``trio.BrokenResourceError`` if the connection is broken, and
     ``receive`` also at its end or for a frame that cannot be decoded.
+    Neither has a limit of time; the bytes that it waits with are held in
+    ``account``, whose end must end the wait.
     """
 
-    __slots__ = ("_buffer", "_stream")
+    __slots__ = (
+        "_account",
+        "_buffer",
+        "_kept_bytes",
+        "_stream",
+        "is_send_interrupted",
+    )
 
-    def __init__(self, stream: trio.abc.Stream) -> None:
+    def __init__(
+        self, stream: trio.abc.Stream, account: memory.Account | None = None
+    ) -> None:
         self._stream = stream
+        self._account = account
         self._buffer = bytearray()
+        # What the reader has kept of the frames that it got.
+        self._kept_bytes = 0
+        # Set if a frame may have been sent in part; nothing may follow it.
+        self.is_send_interrupted = False
 
     async def send(self, frame: Frame) -> None:
         """Send one frame."""
-        body = _encoder.encode(frame)
-        await self._stream.send_all(_LENGTH.pack(len(body)) + body)
+        data = _encoder.encode(frame)
+        data = _LENGTH.pack(len(data)) + data
+        is_counted = len(data) > _MIN_COUNTED_BYTES
+        if is_counted:
+            self._hold(len(data))
+        self.is_send_interrupted = True
+        await self._stream.send_all(data)
+        self.is_send_interrupted = False
+        if is_counted:
+            self._hold(0)
 
     async def receive(self, limit_bytes: int = _FRAME_LIMIT_BYTES) -> Frame:
         """Return the next frame, of ``limit_bytes`` at most."""
@@ -155,6 +188,11 @@
         except (msgspec.MsgspecError, RecursionError) as exc:
             raise trio.BrokenResourceError(str(exc)) from exc
 
+    def keep(self, kept_bytes: int) -> None:
+        """State what the reader holds of the frames that it got."""
+        self._kept_bytes = kept_bytes
+        self._hold(0)
+
     async def wait_closed(self) -> None:
         """Return when the peer has closed the connection, or sent more."""
         try:
@@ -164,7 +202,16 @@
 
     async def _fill(self, count: int) -> None:
         while len(self._buffer) < count:
+            self._hold(0)
             received = await self._stream.receive_some(_READ_BYTES)
             if not received:
                 raise trio.BrokenResourceError("closed by the peer")
             self._buffer += received
+            if len(received) > _MIN_COUNTED_BYTES:
+                self._hold(0)
+
+    def _hold(self, sent_bytes: int) -> None:
+        if self._account is not None:
+            self._account.hold(
+                self._kept_bytes + len(self._buffer) + sent_bytes
+            )
--- a/sedgepin/_forwarding/_server.py
+++ b/sedgepin/_forwarding/_server.py
@@ -7,6 +7,7 @@
 import trio
 
 from sedgepin._forwarding import _frames
+from sedgepin import _memory as memory
 from sedgepin import _sockets as sockets
 from sedgepin import _web as web
 from sedgepin import containment
@@ -19,6 +20,16 @@
 # Each costs about as much as a request of an own caller.  Beyond this the
 # callers of this VM would suffer.
 _MAX_FORWARDED = 256
+# The other VM ends a request itself at its deadline.
+_DEADLINE_MARGIN_SECONDS = 1.0
+# For a VM of an earlier build, which does not state the time left.
+_MAX_ANSWER_SECONDS = 3600.0
+# Time to tell the other VM why its request has ended.
+_LAST_FRAME_SECONDS = 0.5
+# The parsed request, and the bytes that are sent of it.
+_COPIES = 2
+_ENDED_FOR_MEMORY = "the forwarder's memory for requests was used up"
+_TIME_IS_OVER = "no answer in the time of the request"
 
 
 class ForwardingPolicy(abc.ABC):
@@ -71,11 +82,20 @@
     sent.  It ends when the other VM closes its connection.
     """
 
-    __slots__ = ("_count", "_key", "_policy", "is_draining")
+    __slots__ = ("_budget", "_count", "_key", "_policy", "is_draining")
 
-    def __init__(self, key: str, policy: ForwardingPolicy) -> None:
+    def __init__(
+        self,
+        key: str,
+        policy: ForwardingPolicy,
+        budget: memory.MemoryBudget | None = None,
+    ) -> None:
         self._key = key
         self._policy = policy
+        # Without one, a share of the VM's memory for this server alone.
+        self._budget = budget or memory.MemoryBudget(
+            memory.default_held_bytes()
+        )
         self._count = 0
         self.is_draining = False
 
@@ -107,12 +127,29 @@
 
     async def _serve_stream(self, stream: sockets.DirectStream) -> None:
         try:
+            sender = stream.socket.getpeername()[0]
             _frames.set_options(stream.socket)
-            await self._forward(_frames.FrameStream(stream))
+            with (
+                trio.CancelScope() as scope,
+                self._budget.open(
+                    memory.HolderKind.FORWARDED_REQUEST, sender, scope.cancel
+                ) as account,
+            ):
+                frames = _frames.FrameStream(stream, account)
+                await self._forward(frames, scope)
+            if scope.cancelled_caught and not frames.is_send_interrupted:
+                with trio.move_on_after(_LAST_FRAME_SECONDS):
+                    await frames.send(
+                        _frames.ForwardedBroken(_ENDED_FOR_MEMORY)
+                    )
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             return
 
-    async def _forward(self, frames: _frames.FrameStream) -> None:
+    async def _forward(
+        self,
+        frames: _frames.FrameStream,
+        scope: trio.CancelScope,
+    ) -> None:
         opening: _frames.Frame | None = None
         with trio.move_on_after(_REQUEST_TIMEOUT_SECONDS):
             opening = await frames.receive(_OPENING_LIMIT_BYTES)
@@ -121,11 +158,11 @@
         if not self._is_key(opening.key):
             refusal = _frames.ForwardRefused("the key is wrong")
             self._policy.record_refused(opening, refusal)
-            await frames.send(refusal)
+            await _refuse(frames, refusal)
             return
         self._count += 1
         try:
-            await self._forward_opened(frames, opening)
+            await self._forward_opened(frames, opening, scope)
         finally:
             self._count -= 1
 
@@ -133,28 +170,53 @@
         return hmac.compare_digest(key.encode(), self._key.encode())
 
     async def _forward_opened(
-        self, frames: _frames.FrameStream, opening: _frames.OpenForward
+        self,
+        frames: _frames.FrameStream,
+        opening: _frames.OpenForward,
+        scope: trio.CancelScope,
     ) -> None:
-        connected = await self._connect(opening)
+        answer = self._budget.open(
+            memory.HolderKind.FORWARDED_ANSWER, opening.address, scope.cancel
+        )
+        connected = await self._connect(opening, answer)
         if isinstance(connected, result.Err):
             refusal = connected.err_value
             self._policy.record_refused(opening, refusal)
-            await frames.send(refusal)
+            await _refuse(frames, refusal)
             return
         conn = connected.ok_value
         try:
             self._policy.record_opened(opening, self._count)
-            await frames.send(_frames.ForwardOpened())
             request: _frames.Frame | None = None
             with trio.move_on_after(_REQUEST_TIMEOUT_SECONDS):
+                await frames.send(_frames.ForwardOpened())
                 request = await frames.receive()
             if isinstance(request, _frames.ForwardedRequest):
-                await self._relay(frames, conn, opening, request)
+                frames.keep(len(request.body) * _COPIES)
+                await self._relay_in_time(frames, conn, opening, request)
         finally:
             conn.close()
 
+    async def _relay_in_time(
+        self,
+        frames: _frames.FrameStream,
+        conn: web.ClientConnection,
+        opening: _frames.OpenForward,
+        request: _frames.ForwardedRequest,
+    ) -> None:
+        """Relay a request until the other VM needs no answer any more."""
+        seconds = _MAX_ANSWER_SECONDS
+        if request.milliseconds_left is not None:
+            seconds = request.milliseconds_left / 1000
+            seconds += _DEADLINE_MARGIN_SECONDS
+        with trio.move_on_after(seconds) as scope:
+            await self._relay(frames, conn, opening, request)
+        if scope.cancelled_caught and not frames.is_send_interrupted:
+            with trio.move_on_after(_LAST_FRAME_SECONDS):
+                await frames.send(_frames.ForwardedBroken(_TIME_IS_OVER))
+
     async def _connect(
-        self, opening: _frames.OpenForward
+        self, opening: _frames.OpenForward, account: memory.Account
     ) -> result.Result[web.ClientConnection, _frames.ForwardRefused]:
         if self.is_draining:
             return result.Err(_frames.ForwardRefused("this VM drains"))
@@ -170,7 +232,7 @@
         if refusal is not None:
             return result.Err(refusal)
         connected = await web.ClientConnection.open(
-            opening.address, _CONNECT_TIMEOUT_SECONDS
+            opening.address, _CONNECT_TIMEOUT_SECONDS, account
         )
         if isinstance(connected, result.Err):
             failure = connected.err_value
@@ -235,6 +297,13 @@
             await frames.send(_frames.ForwardedData(data.ok_value))
 
 
+async def _refuse(
+    frames: _frames.FrameStream, refusal: _frames.ForwardRefused
+) -> None:
+    with trio.move_on_after(_LAST_FRAME_SECONDS):
+        await frames.send(refusal)
+
+
 async def _cancel_when_closed(
     frames: _frames.FrameStream, scope: trio.CancelScope
 ) -> None:
--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -115,6 +115,7 @@
     """Passes input and timers to the reducer and carries out its effects."""
 
     __slots__ = (
+        "_budget",
         "_cfg",
         "_clock",
         "_dialect",
@@ -147,6 +148,7 @@
             cfg, random.Random(), own_clock.now()
         )
         self._metrics = shell.PrometheusSink()
+        self._budget = shell.create_budget(cfg.held_bytes, self._metrics)
         self._driver = shell.Driver(
             self.reducer.handle,
             self._apply_effect,
@@ -169,6 +171,7 @@
                 self._driver.submit,
                 self._write_log,
             ),
+            self._budget,
         )
         hello = protocol.Hello(
             cfg.vm_id,
@@ -233,6 +236,7 @@
             parsed.unwrap(),
             self._dialect,
             self._driver.submit,
+            self._budget,
         )
         self._relays[exchange_id] = relay
         self._has_work.set()
@@ -354,7 +358,7 @@
         with containment.contain("probe"):
             self._driver.submit(
                 await _engine_calls.probe(
-                    effect, self._dialect, _ENGINE_TIMEOUT
+                    effect, self._dialect, _ENGINE_TIMEOUT, self._budget
                 )
             )
 
@@ -362,7 +366,11 @@
         with containment.contain("inspection"):
             self._driver.submit(
                 await _engine_calls.inspect_stalls(
-                    effect, self._dialect, self._driver.submit, _ENGINE_TIMEOUT
+                    effect,
+                    self._dialect,
+                    self._driver.submit,
+                    _ENGINE_TIMEOUT,
+                    self._budget,
                 )
             )
 
@@ -370,7 +378,11 @@
         with containment.contain("reroute"):
             self._driver.submit(
                 await _engine_calls.reroute(
-                    effect, self._dialect, self._driver.submit, _ENGINE_TIMEOUT
+                    effect,
+                    self._dialect,
+                    self._driver.submit,
+                    _ENGINE_TIMEOUT,
+                    self._budget,
                 )
             )
 
--- a/sedgepin/_gateway/_engine_calls.py
+++ b/sedgepin/_gateway/_engine_calls.py
@@ -12,6 +12,7 @@
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _engine_connection
 from sedgepin._gateway import _events
+from sedgepin import _memory as memory
 from sedgepin import _web as web
 
 # In this time a process that has begun to end closes its listening socket.
@@ -24,18 +25,19 @@
     dispatch: _calls.Dispatch,
     dialect: _dialect.GatewayDialect,
     timeout: datetime.timedelta,
+    budget: memory.MemoryBudget | None = None,
 ) -> bool:
     """Return whether no process serves at an engine's address any more.
 
     An engine that does not answer may be cut off only.  One that is ending may
     reset a connection, and refuses the next one.
     """
-    failure = await _find_failure(dispatch, dialect, timeout)
+    failure = await _find_failure(dispatch, dialect, timeout, budget)
     if isinstance(failure, web.AnswerBroken | web.ConnectFailed) and (
         failure.is_reset
     ):
         await trio.sleep(_REPEAT_DELAY_SECONDS)
-        failure = await _find_failure(dispatch, dialect, timeout)
+        failure = await _find_failure(dispatch, dialect, timeout, budget)
     return (
         isinstance(failure, web.ConnectFailed | forwarding.ForwardFailed)
         and failure.is_refused
@@ -46,6 +48,7 @@
     dispatch: _calls.Dispatch,
     dialect: _dialect.GatewayDialect,
     timeout: datetime.timedelta,
+    budget: memory.MemoryBudget | None = None,
 ) -> web.ConnectFailed | forwarding.ForwardFailed | web.AnswerBroken | None:
     """Return why an engine that was called does not answer, if so."""
     response = await _engine_connection.call(
@@ -55,6 +58,7 @@
         dispatch.forwarder,
         dialect.report_request(dispatch.address),
         timeout,
+        budget,
     )
     return response.err()
 
@@ -63,6 +67,7 @@
     effect: _effects.ProbeEndpoint,
     dialect: _dialect.GatewayDialect,
     timeout: datetime.timedelta,
+    budget: memory.MemoryBudget | None = None,
 ) -> _events.EndpointProbed:
     """Call an endpoint, to learn whether it can be reached again."""
     response = await _engine_connection.call(
@@ -72,6 +77,7 @@
         effect.forwarder,
         dialect.report_request(effect.address),
         timeout,
+        budget,
     )
     failure: _events.LinkFailure | None = None
     if isinstance(response, result.Err):
@@ -86,6 +92,7 @@
     dialect: _dialect.GatewayDialect,
     submit: _Submit,
     timeout: datetime.timedelta,
+    budget: memory.MemoryBudget | None = None,
 ) -> _events.StallsInspected:
     """Request a stall report from a first engine.
 
@@ -99,6 +106,7 @@
         effect.forwarder,
         dialect.report_request(effect.address),
         timeout,
+        budget,
     )
     if isinstance(response, result.Err):
         failure = response.err_value
@@ -124,6 +132,7 @@
     dialect: _dialect.GatewayDialect,
     submit: _Submit,
     timeout: datetime.timedelta,
+    budget: memory.MemoryBudget | None = None,
 ) -> _events.Rerouted:
     """Order a first engine to continue a request on another pipeline."""
     first_id = effect.pipeline.stages[0].endpoint_id
@@ -134,6 +143,7 @@
         effect.forwarder,
         dialect.reroute_request(effect.request_id, effect.pipeline),
         timeout,
+        budget,
     )
     if isinstance(response, result.Err):
         return _events.Rerouted(
--- a/sedgepin/_gateway/_event_stream.py
+++ b/sedgepin/_gateway/_event_stream.py
@@ -8,6 +8,8 @@
 _FIELD = re.compile(rb"^(?:(?:data|event|id|retry)(?::|\r?$)|:)", re.MULTILINE)
 _EVENT_END = re.compile(rb"\r?\n\r?\n")
 _LONGEST_EVENT_END = 4
+# What the object of a piece takes beside its bytes.
+_PIECE_OVERHEAD_BYTES = 64
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -69,6 +71,11 @@
         """Return the size of the buffered, incomplete event."""
         return self._size_bytes
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory that the incomplete event takes."""
+        return self._size_bytes + len(self._pieces) * _PIECE_OVERHEAD_BYTES
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete."""
         recent = self._tail + data
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -73,7 +73,8 @@
     ``position`` is the id of the last event that was sent to the caller.
     ``faulty_address`` is the address of the engine that failed, if the
     endpoint named one.  ``is_success`` tells whether an answer reports a
-    success, ``is_invalid_answer`` that the endpoint sent what is no answer.
+    success, ``is_invalid_answer`` that the endpoint sent what is no answer, or
+    more of one than could be held.
     ``link_failure`` is set if the path was broken.
     """
 
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -19,6 +19,8 @@
 from sedgepin._gateway import _engine_connection
 from sedgepin._gateway import _event_stream
 from sedgepin._gateway import _events
+from sedgepin._gateway import _failures
+from sedgepin import _memory as memory
 from sedgepin import _web as web
 
 # Answers that are not streams are read completely before they are forwarded,
@@ -40,6 +42,12 @@
 # A request that crashes its engine does so at the start of its output.
 _SUSTAINED_EVENTS = 16
 
+# An answer and what is sent of it, until the caller has received it.
+_COPIES = 2
+# Less is not counted: it is either sent at once or small.
+_MIN_COUNTED_BYTES = 4096
+
+_ENDED_FOR_MEMORY = "the memory for answers was used up"
 _ENDED_BY_CRASH = "the answer has no length and its engine has ended"
 _NO_LENGTH_AND_NO_EVENT = "the stream has no length and no event"
 
@@ -64,7 +72,10 @@
     """Runs the attempts of one exchange in sequence and sends its answer."""
 
     __slots__ = (
+        "_account",
         "_attempt_scope",
+        "_budget",
+        "_delivery_scope",
         "_dialect",
         "_effect_channel",
         "_ending",
@@ -72,8 +83,12 @@
         "_exchange",
         "_exchange_scope",
         "_has_numbered_event",
+        "_held_account",
         "_held_answer",
         "_is_cancelled",
+        "_is_cut",
+        "_is_evicted",
+        "_is_holding",
         "_is_overdue",
         "_is_sending",
         "_is_sustained",
@@ -92,14 +107,24 @@
         request: _calls.CallerRequest,
         dialect: _dialect.GatewayDialect,
         submit: _Submit,
+        budget: memory.MemoryBudget | None = None,
     ) -> None:
         self.exchange_id = exchange_id
+        # Without one, a share of the VM's memory for this relay alone.
+        self._budget = budget or memory.MemoryBudget(
+            memory.default_held_bytes()
+        )
+        # What is held of the answer beside what its connection holds.
+        self._account: memory.Account | None = None
         self._exchange = exchange
         self._request = request
         self._dialect = dialect
         self._submit = submit
         self._position = request.resume_after
         self._held_answer: _calls.Answer | None = None
+        # Of the held answer, which is gone once this has ended.
+        self._held_account: memory.Account | None = None
+        self._delivery_scope = trio.CancelScope()
         self._exchange_scope = trio.CancelScope()
         self._attempt_scope: trio.CancelScope | None = None
         # The effect that ends the exchange, once it was received.
@@ -107,6 +132,11 @@
             _effects.FailExchange | _effects.DeliverHeldAnswer | None
         ) = None
         self._is_cancelled = False
+        # Whether the attempt was ended for its memory.
+        self._is_evicted = False
+        self._is_holding = False
+        # Whether an eviction has interrupted an answer that was being sent.
+        self._is_cut = False
         self._is_overdue = False
         self._is_sending = False
         # The events that the attempt has sent.
@@ -157,6 +187,25 @@
         if self._attempt_scope is not None and not self._is_sending:
             self._attempt_scope.cancel()
 
+    def _evict(self) -> None:
+        """End the attempt, even one that is sending to the caller.
+
+        Nothing can follow on a connection whose send was interrupted.
+        """
+        self._is_evicted = True
+        if self._attempt_scope is not None:
+            self._attempt_scope.cancel()
+
+    def _evict_held_answer(self) -> None:
+        self._held_answer = None
+        self._delivery_scope.cancel()
+
+    def _hold(self, held_bytes: int) -> None:
+        """State what is held of the answer beside its connection."""
+        if self._account is not None:
+            self._is_holding = held_bytes > _MIN_COUNTED_BYTES
+            self._account.hold(held_bytes if self._is_holding else 0)
+
     async def run(self) -> None:
         """Run the exchange until it is answered, failed or abandoned."""
         arrival = _events.RequestArrived(self.exchange_id, self._request)
@@ -172,7 +221,9 @@
                 await self._follow_effects()
                 is_over = True
         finally:
-            if not is_over:
+            if self._held_account is not None:
+                self._held_account.close()
+            if not is_over or self._is_cut:
                 self._submit(
                     _events.CallerDisconnected(
                         self.exchange_id, self._exchange.has_caller_closed
@@ -189,6 +240,8 @@
                     continue
                 case _effects.StartAttempt():
                     await self._run_attempt(effect)
+                    if self._is_cut:
+                        return
                 case _effects.FailExchange() | _effects.DeliverHeldAnswer():
                     self._ending = effect
                     await self._end_exchange(effect)
@@ -214,10 +267,28 @@
             )
             await self._exchange.answer(head, body)
             return
-        if self._held_answer is None or self._exchange.has_started:
+        if self._held_account is None or self._exchange.has_started:
             self._exchange.cut("engine_failed")
             return
-        await self._exchange.answer(*self._held_answer)
+        await self._deliver_held_answer(self._held_account)
+
+    async def _deliver_held_answer(self, account: memory.Account) -> None:
+        """Send the held answer, or the failure that it is gone."""
+        self._delivery_scope = trio.CancelScope()
+        if self._held_answer is not None:
+            account.hold(len(self._held_answer[1]) * _COPIES)
+        if self._held_answer is not None:
+            with self._delivery_scope:
+                await self._exchange.answer(*self._held_answer)
+                return
+        if self._exchange.has_started:
+            self._exchange.cut(memory.MemoryExhausted.code)
+            return
+        failure = _failures.OutcomeUnknown(_ENDED_FOR_MEMORY)
+        head, body = self._dialect.error_response(
+            self._request.request_id, failure
+        )
+        await self._exchange.answer(head, body)
 
     async def _run_attempt(self, start: _effects.StartAttempt) -> None:
         """Run one attempt and report its result to the reducer."""
@@ -228,6 +299,7 @@
         self._event_count = 0
         self._has_numbered_event = False
         self._is_sustained = False
+        self._is_evicted = False
         with trio.CancelScope() as scope:
             self._attempt_scope = scope
             if self._is_cancelled:
@@ -235,6 +307,14 @@
             attempt_result = await self._send_request(start)
         self._attempt_scope = None
         self.stalled_at = math.inf
+        if scope.cancelled_caught and self._is_evicted:
+            if self._is_sending and self._exchange.has_started:
+                self._exchange.cut(memory.MemoryExhausted.code)
+                self._is_cut = True
+                return
+            if not self._is_cancelled:
+                # An engine that sends sound answers is soon forgiven.
+                attempt_result = _invalid(_ENDED_FOR_MEMORY)
         self._submit(
             _events.AttemptEnded(
                 self.exchange_id,
@@ -256,6 +336,22 @@
     async def _send_request(
         self, start: _effects.StartAttempt
     ) -> _AttemptResult:
+        address = start.dispatch.address
+        kind = memory.HolderKind.ANSWER
+        with (
+            self._budget.open(kind, address, self._evict) as received,
+            self._budget.open(kind, address, self._evict) as account,
+        ):
+            self._account = account
+            return await self._exchange_messages(start, received)
+
+    async def _exchange_messages(
+        self, start: _effects.StartAttempt, received: memory.Account
+    ) -> _AttemptResult:
+        """Send the request and pass its answer on.
+
+        The connection holds what was received in an account of its own.
+        """
         dispatch = start.dispatch
         connect_result = await _engine_connection.connect(
             dispatch.endpoint_id,
@@ -263,6 +359,8 @@
             dispatch.address,
             dispatch.forwarder,
             self._request.request_id,
+            received,
+            self._exchange_scope.deadline,
         )
         if isinstance(connect_result, result.Err):
             failure = connect_result.err_value
@@ -360,6 +458,7 @@
         body = await connection.read_body(_MAX_WHOLE_ANSWER_BYTES)
         if isinstance(body, result.Err):
             return _broken(body.err_value)
+        self._hold(len(body.ok_value))
         if head.status < _FIRST_REDIRECT and not metadata.is_signed:
             return _AttemptResult(_Outcome.UNKNOWN, "the answer is not signed")
         if await self._ended_by_crash(head, start):
@@ -371,16 +470,38 @@
             detail = f"the endpoint answered with status {head.status}"
             return _AttemptResult(_Outcome.UNKNOWN, detail)
         if head.status >= _FIRST_SERVER_ERROR:
-            self._held_answer = (forwarded, body.ok_value)
+            self._hold(0)
+            self._keep_answer((forwarded, body.ok_value), start)
             detail = f"the endpoint answered with status {head.status}"
             return _AttemptResult(
                 _Outcome.FAILED, detail, metadata.faulty_address
             )
+        self._hold(len(body.ok_value) * _COPIES)
+        await self._check_evicted()
         self._is_sending = True
         await self._exchange.answer(forwarded, body.ok_value)
         is_success = head.status < _FIRST_REDIRECT
         return _AttemptResult(_Outcome.ANSWERED, is_success=is_success)
 
+    def _keep_answer(
+        self, answer: _calls.Answer, start: _effects.StartAttempt
+    ) -> None:
+        """Keep an answer that the caller gets if no other attempt follows."""
+        if self._held_account is not None:
+            self._held_account.close()
+        self._held_account = self._budget.open(
+            memory.HolderKind.ANSWER,
+            start.dispatch.address,
+            self._evict_held_answer,
+        )
+        self._held_answer = answer
+        self._held_account.hold(len(answer[1]))
+
+    async def _check_evicted(self) -> None:
+        """Raise ``trio.Cancelled`` rather than interrupt the next send."""
+        if self._is_evicted:
+            await trio.lowlevel.checkpoint_if_cancelled()
+
     async def _forward_stream(
         self,
         connection: web.AnswerConnection,
@@ -401,7 +522,10 @@
             events = splitter.feed(data.ok_value)
             if splitter.buffered_bytes > _MAX_EVENT_BYTES:
                 return _invalid(f"an event exceeds {_MAX_EVENT_BYTES} bytes")
-            problem = await self._forward_events(head, events)
+            held_bytes = splitter.held_bytes
+            problem = await self._forward_events(head, events, held_bytes)
+            if held_bytes or self._is_holding:
+                self._hold(held_bytes)
             if problem is not None:
                 return _AttemptResult(_Outcome.UNKNOWN, problem)
             has_event = has_event or not all(
@@ -440,16 +564,22 @@
             return False
         self.stalled_at = math.inf
         return await _engine_calls.refuses_connections(
-            start.dispatch, self._dialect, _ENGINE_TIMEOUT
+            start.dispatch, self._dialect, _ENGINE_TIMEOUT, self._budget
         )
 
     def _ends_with_connection(self, head: web.AnswerHead) -> bool:
         return head.ends_with_connection(self._request.message.method)
 
     async def _forward_events(
-        self, head: web.AnswerHead, events: list[_event_stream.StreamEvent]
+        self,
+        head: web.AnswerHead,
+        events: list[_event_stream.StreamEvent],
+        held_bytes: int,
     ) -> str | None:
-        """Forward events; return the problem that ends the attempt, if any."""
+        """Forward events; return the problem that ends the attempt, if any.
+
+        ``held_bytes`` are held beside them.
+        """
         forwarded = bytearray()
         problem: str | None = None
         position = self._position
@@ -470,6 +600,10 @@
             forwarded += event.data
             self._event_count += 1
         if forwarded:
+            if len(forwarded) > _MIN_COUNTED_BYTES:
+                self._hold(held_bytes + len(forwarded) * _COPIES)
+            if self._is_evicted:
+                await self._check_evicted()
             self._is_sending = True
             await self._start_answer(head)
             await self._exchange.send(bytes(forwarded))
--- a/sedgepin/_web/_client.py
+++ b/sedgepin/_web/_client.py
@@ -7,6 +7,7 @@
 import result
 import trio
 
+from sedgepin import _memory as memory
 from sedgepin import _sockets as sockets
 from sedgepin._web import _connection
 from sedgepin._web import _failures
@@ -14,10 +15,17 @@
 from sedgepin._web import _types
 
 _READ_BYTES = 65_536
+# Counting costs time, so it is done for this much at once.
+_MIN_COUNTED_BYTES = 4096
 _HEAD_LIMIT_BYTES = 65_536
 _MAX_INTERIM_ANSWERS = 100
 # Each piece of a body costs some 10 us, however small it is.
 _MAX_BODY_PIECES = 16_384
+# Beyond so many, their mean size counts.
+_MAX_TINY_PIECES = 4096
+_TINY_PIECE_BYTES = 16
+# What the object of a piece takes beside its bytes.
+_PIECE_OVERHEAD_BYTES = 64
 # Tiny chunks would otherwise hold up all other connections.
 _EVENTS_BETWEEN_CHECKPOINTS = 64
 # A request up to this size fits into the socket's send buffer.  Sending it
@@ -50,18 +58,35 @@
     """
 
     __slots__ = (
+        "_account",
         "_address",
+        "_body_bytes",
         "_conn",
         "_event_count",
         "_has_data",
         "_has_ended",
         "_part_timer",
         "_stream",
+        "_uncounted_bytes",
+        "_unsent_bytes",
     )
 
-    def __init__(self, address: str, stream: sockets.DirectStream) -> None:
+    def __init__(
+        self,
+        address: str,
+        stream: sockets.DirectStream,
+        account: memory.Account | None = None,
+    ) -> None:
         self._address = address
         self._stream = stream
+        # Holds what was received of an incomplete part, or of a whole body,
+        # and a long request until it was sent.
+        self._account = account
+        self._body_bytes = 0
+        # Received since the account was changed, whether passed on or not.
+        self._uncounted_bytes = 0
+        # Of a request that is sent while its answer is read.
+        self._unsent_bytes = 0
         self._has_data = False
         self._event_count = 0
         self._has_ended = False
@@ -72,9 +97,16 @@
 
     @classmethod
     async def open(
-        cls, address: str, timeout_seconds: float
+        cls,
+        address: str,
+        timeout_seconds: float,
+        account: memory.Account | None = None,
     ) -> result.Result["ClientConnection", _failures.ConnectFailed]:
-        """Connect to an IPv4 ``address`` of the form ``host:port``."""
+        """Connect to an IPv4 ``address`` of the form ``host:port``.
+
+        The connection holds what it has not passed on in ``account``, whose
+        end must end the reading.
+        """
         host, _, port = address.rpartition(":")
         try:
             with trio.fail_after(timeout_seconds):
@@ -89,7 +121,7 @@
             _KEEPALIVE_INTERVAL_SECONDS,
             _KEEPALIVE_PROBES,
         )
-        return result.Ok(cls(address, stream))
+        return result.Ok(cls(address, stream, account))
 
     async def send(
         self, request: _types.Request, nursery: trio.Nursery | None = None
@@ -119,6 +151,8 @@
                 self._stream.socket, _UNACKNOWLEDGED_LIMIT_MILLISECONDS
             )
         elif nursery is not None:
+            self._unsent_bytes = len(data)
+            self._hold()
             nursery.start_soon(self._send_in_background, data)
             return result.Ok(None)
         try:
@@ -163,6 +197,15 @@
         self, limit_bytes: int
     ) -> result.Result[bytes, _failures.AnswerBroken]:
         """Return the whole body, or a failure if it is over the limit."""
+        try:
+            return await self._read_body(limit_bytes)
+        finally:
+            self._body_bytes = 0
+            self._hold()
+
+    async def _read_body(
+        self, limit_bytes: int
+    ) -> result.Result[bytes, _failures.AnswerBroken]:
         # One buffer would be moved as it grows, and take twice the memory.
         pieces: list[bytes] = []
         size_bytes = 0
@@ -174,6 +217,17 @@
                 return result.Ok(b"".join(pieces))
             pieces.append(data.ok_value)
             size_bytes += len(data.ok_value)
+            if len(pieces) > _MAX_TINY_PIECES and (
+                size_bytes < len(pieces) * _TINY_PIECE_BYTES
+            ):
+                return result.Err(
+                    self._answer_broken(
+                        f"the body is in {len(pieces)} pieces of less than"
+                        f" {_TINY_PIECE_BYTES} bytes",
+                        True,
+                    )
+                )
+            self._body_bytes = size_bytes + len(pieces) * _PIECE_OVERHEAD_BYTES
             if size_bytes > limit_bytes:
                 return result.Err(
                     self._answer_broken(
@@ -196,6 +250,18 @@
     def close(self) -> None:
         """Close the connection at once, also during an answer."""
         self._stream.close()
+        if self._account is not None:
+            self._account.close()
+
+    def _hold(self) -> None:
+        """State what is held of the answer, and of the request."""
+        self._uncounted_bytes = 0
+        if self._account is not None:
+            self._account.hold(
+                self._body_bytes
+                + self._unsent_bytes
+                + len(self._conn.trailing_data[0])
+            )
 
     async def _next_event(
         self,
@@ -209,10 +275,15 @@
                 if event is not h11.NEED_DATA:
                     self._part_timer.reset()
                     return result.Ok(event)
+                if self._uncounted_bytes > _MIN_COUNTED_BYTES:
+                    self._hold()
                 received = await self._stream.receive_some(_READ_BYTES)
                 self._has_data = self._has_data or bool(received)
                 self._has_ended = not received
                 self._conn.receive_data(received)
+                if len(received) > _MIN_COUNTED_BYTES:
+                    self._hold()
+                self._uncounted_bytes += len(received)
                 if self._part_timer.add_bytes(trio.current_time()):
                     return result.Err(
                         self._answer_broken("a part has no end", True)
@@ -229,6 +300,8 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The next read on the broken connection reports the failure.
             return
+        self._unsent_bytes = 0
+        self._hold()
 
     def _answer_broken(
         self, reason: Exception | str, is_invalid: bool = False
--- a/sedgepin/tests/memory.py
+++ b/sedgepin/tests/memory.py
@@ -10,6 +10,7 @@
 import trio
 
 _SAMPLE_SECONDS = 0.005
+_SETTLED_SECONDS = 1.5
 
 
 class Meter:
@@ -25,6 +26,13 @@
         """Return by how much the resident size grew at most."""
         return self.peak_bytes - self.start_bytes
 
+    async def wait_settled(self) -> None:
+        """Return once the greatest size has not grown for a while."""
+        before = -1
+        while before != self.peak_bytes:
+            before = self.peak_bytes
+            await trio.sleep(_SETTLED_SECONDS)
+
     async def sample(self) -> None:
         """Take samples until cancelled."""
         while True:
