Bound the frames that peers send, in time and all together

A peer, or anybody who can connect to the port of the peers, could keep a frame of up to 16 MiB open for ever by a byte every 2.5 s, as each piece got the whole time limit anew, and a stream that never said who it is by empty frames. Frames of many streams were bounded one by one.

A frame is complete within 10 s of its first byte, the first frame within 10 s of the connection, and the first one says who the peer is, as that of any build does. What is held of a frame is in an account of the process's budget; at the bound the stream of the largest holder is closed, logged as holder_ended, and dialled again. Without a budget a transport has one of its own.

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -187,6 +187,7 @@
             [_peer(vm_id) for vm_id in cfg.controls],
             None,
             self._submit_peer_event,
+            self._budget,
         )
 
     async def run(self) -> None:
--- a/sedgepin/_protocol/_transport.py
+++ b/sedgepin/_protocol/_transport.py
@@ -16,6 +16,7 @@
 
 import trio
 
+from sedgepin import _memory as memory
 from sedgepin._model import VmId
 from sedgepin._protocol import _frame_cache
 from sedgepin._protocol import _framing
@@ -35,7 +36,11 @@
 # sending one frame takes as long.  A peer that stops for 1.5 s just before its
 # next frame, or bytes lost in such a cut, come later than four intervals.
 _STREAM_TIMEOUT_SECONDS = 2.5
+# A frame takes less even over a slow link; a peer introduces itself at once.
+_FRAME_TIMEOUT_SECONDS = 10.0
 _READ_BYTES = 65_536
+# Less than this of a frame is not counted.
+_MIN_COUNTED_BYTES = 4096
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -137,6 +142,7 @@
     """Streams to all peers; dials some of them and accepts the others."""
 
     __slots__ = (
+        "_budget",
         "_client_tls",
         "_dial_scopes",
         "_dialled_peers",
@@ -156,8 +162,13 @@
         dials: collections.abc.Sequence[settings.Peer],
         tls: settings.Tls | None,
         on_event: collections.abc.Callable[[PeerEvent], None],
+        budget: memory.MemoryBudget | None = None,
     ) -> None:
         self._hello = hello
+        # Without one, a share of the VM's memory for the streams alone.
+        self._budget = budget or memory.MemoryBudget(
+            memory.default_held_bytes()
+        )
         self._listen = listen
         self._dialled_peers = {peer.id: peer for peer in dials}
         self._dial_scopes: dict[str, trio.CancelScope] = {}
@@ -298,9 +309,17 @@
             nursery.start_soon(
                 self._send_messages, stream, outbox, nursery.cancel_scope
             )
+            account = self._budget.open(
+                memory.HolderKind.PEER_MESSAGE,
+                address.rpartition(":")[0],
+                nursery.cancel_scope.cancel,
+            )
             try:
                 await self._receive_messages(
-                    stream, outbox, address, certificate_names
+                    _receive_frames(stream, account),
+                    outbox,
+                    address,
+                    certificate_names,
                 )
             except (
                 trio.BrokenResourceError,
@@ -309,6 +328,7 @@
             ):
                 pass
             finally:
+                account.close()
                 self._remove_outbox(outbox)
                 nursery.cancel_scope.cancel()
         with trio.CancelScope(shield=True):
@@ -316,13 +336,13 @@
 
     async def _receive_messages(
         self,
-        stream: trio.abc.Stream,
+        frames: collections.abc.AsyncIterator[bytes],
         outbox: _Outbox,
         address: str,
         certificate_names: tuple[str, ...] | None,
     ) -> None:
         sender: VmId | None = None
-        async for body in _receive_frames(stream):
+        async for body in frames:
             decoded = _framing.decode_messages(body)
             if decoded.is_err():
                 failure = decoded.unwrap_err()
@@ -344,6 +364,9 @@
                 sender = message.id
                 self._outboxes.setdefault(sender, []).append(outbox)
                 self._on_event(PeerConnected(message))
+            if sender is None:
+                # The first frame of any build has its Hello.
+                return
 
     async def _send_messages(
         self,
@@ -399,15 +422,17 @@
 
 
 async def _receive_frames(
-    stream: trio.abc.Stream,
+    stream: trio.abc.Stream, account: memory.Account
 ) -> collections.abc.AsyncIterator[bytes]:
     """Yield the body of each frame until the stream ends.
 
     An invalid frame length ends the iteration too.
-    Raises ``trio.TooSlowError`` if nothing arrives within the stream timeout.
+    Raises ``trio.TooSlowError`` if nothing arrives within the stream timeout,
+    or if a frame that has begun, or the first one, is not complete in time.
     """
     buffer = bytearray()
     frame_end = math.inf
+    deadline = trio.current_time() + _FRAME_TIMEOUT_SECONDS
     while True:
         if frame_end is math.inf and len(buffer) >= _framing.LENGTH_BYTES:
             length = _framing.decode_length(buffer)
@@ -419,8 +444,16 @@
             yield bytes(buffer[_framing.LENGTH_BYTES : end])
             del buffer[:end]
             frame_end = math.inf
+            deadline = math.inf
             continue
-        with trio.fail_after(_STREAM_TIMEOUT_SECONDS):
+        now = trio.current_time()
+        if buffer and deadline is math.inf:
+            deadline = now + _FRAME_TIMEOUT_SECONDS
+        size_bytes = len(buffer)
+        account.hold(size_bytes if size_bytes > _MIN_COUNTED_BYTES else 0)
+        with trio.fail_after(
+            max(0.0, min(_STREAM_TIMEOUT_SECONDS, deadline - now))
+        ):
             received = await stream.receive_some(_READ_BYTES)
         if not received:
             return
