--- a/sedgepin/_forwarding/tests/test_compatibility.py
+++ b/sedgepin/_forwarding/tests/test_compatibility.py
@@ -4,6 +4,7 @@
 
 from sedgepin._forwarding import _frames
 from sedgepin import _protocol as protocol
+from sedgepin import _web as web
 
 
 class _OldForwardRefused(msgspec.Struct, frozen=True, tag="ForwardRefused"):
@@ -15,6 +16,17 @@
     is_unknown: bool = False
 
 
+class _OldForwardedRequest(
+    msgspec.Struct, frozen=True, tag="ForwardedRequest"
+):
+    """The frame without the time left."""
+
+    method: bytes
+    target: bytes
+    headers: web.Headers
+    body: bytes = b""
+
+
 class _OldForwardersAsked(msgspec.Struct, frozen=True, tag="ForwardersAsked"):
     """The message without what the asker says of itself."""
 
@@ -34,6 +46,23 @@
         assert decoded.is_sound is None
 
 
+class TestForwardedRequest:
+    def test_build_before_reads_it(self) -> None:
+        encoded = msgspec.msgpack.encode(
+            _frames.ForwardedRequest(b"GET", b"/", (), b"x", 1000)
+        )
+        decoded = msgspec.msgpack.decode(encoded, type=_OldForwardedRequest)
+        assert decoded == _OldForwardedRequest(b"GET", b"/", (), b"x")
+
+    def test_that_of_the_build_before_is_read(self) -> None:
+        encoded = msgspec.msgpack.encode(
+            _OldForwardedRequest(b"GET", b"/", (), b"x")
+        )
+        decoded = msgspec.msgpack.decode(encoded, type=_frames.Frame)
+        assert decoded == _frames.ForwardedRequest(b"GET", b"/", (), b"x")
+        assert decoded.milliseconds_left is None
+
+
 class TestForwardersAsked:
     def test_build_before_reads_it(self) -> None:
         encoded = msgspec.msgpack.encode(protocol.ForwardersAsked(True))
