Cut no begun stream for engines that it may have been on by chance

What callers saw: a stream that had begun was closed in the middle, though its engine was sound and went on writing it.

Cause: engines that a part of other prompts crashes take the requests beside it with them. One of these that was moved from one lost engine to the next had three crashes to its own name; the quarantine of whole requests then cancelled its attempt, also after it had begun its output, and held back the next one.

A stream that has begun its output is now left where it is if only its own repeats are held back; it is not sent on. It began no later than it would have crashed its engine, and one that does crashes one engine more at most. A part that several requests share still stops all that have it.

--- a/sedgepin/_crash_causes/_verdicts.py
+++ b/sedgepin/_crash_causes/_verdicts.py
@@ -48,6 +48,13 @@
     marks: tuple[_evidence.CrashMark, ...]
     held_until: datetime.datetime
 
+    @property
+    def is_of_one_request(self) -> bool:
+        """Return whether only repeats of one request are held back."""
+        return any(
+            trait.kind is _trait.TraitKind.REQUEST for trait in self.traits
+        )
+
     def covers(self, traits: collections.abc.Set[_trait.Trait]) -> bool:
         """Return whether a request with these traits is held back."""
         return self.traits <= traits
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -450,7 +450,9 @@
     def enforce_causes(self, now: datetime.datetime) -> _shared_state.Effects:
         """Stop the requests that may crash an endpoint, as is known now.
 
-        One whose output goes on is no danger.
+        One whose output goes on is no danger.  One that has begun its output
+        and was on lost endpoints may have been there by chance: it is not
+        sent again, but ends where it is.
         """
         effects: _shared_state.Effects = []
         for exchange in list(self._state.exchanges.values()):
@@ -459,7 +461,7 @@
                 continue
             if exchange.dispatch is None:
                 effects += self._hold_back(exchange, cause, now)
-            else:
+            elif not (exchange.has_output and cause.is_of_one_request):
                 effects.append(_effects.CancelAttempt(exchange.exchange_id))
         return effects
 
--- a/sedgepin/_gateway/tests/test_crash_quarantine.py
+++ b/sedgepin/_gateway/tests/test_crash_quarantine.py
@@ -34,6 +34,22 @@
     return effects
 
 
+def _hold_back_request(
+    gateway: parts.Gateway, exchange_id: int
+) -> list[_effects.GatewayEffect]:
+    """Let another VM report that three engines ended under one request."""
+    request = gateway.reducer._state.exchanges[exchange_id].request
+    trait = crash_causes.request_trait(request.fingerprint)
+    effects: list[_effects.GatewayEffect] = []
+    for number in range(3):
+        gateway.advance(200)
+        marks = _evidence(gateway, number).marks
+        evidence = crash_causes.Evidence(trait, marks)
+        message = protocol.CrashesReported((evidence,))
+        effects = gateway.receive(message)
+    return effects
+
+
 def _reported(
     effects: list[_effects.GatewayEffect],
 ) -> set[crash_causes.Trait]:
@@ -168,6 +184,25 @@
         _, effects = gateway.send_request("/draft/y", shared_parts=("p",))
         parts.get_effect(effects, _effects.StartAttempt)
 
+    @pytest.mark.parametrize("has_output", [True, False])
+    def test_begun_stream_that_was_on_lost_engines_is_not_cut(
+        self, has_output: bool
+    ) -> None:
+        """It may have been there by chance; before its output it stops."""
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request("/draft/x", shared_parts=("p",))
+        if has_output:
+            gateway.handle(_events.OutputStarted(exchange_id))
+        effects = _hold_back_request(gateway, exchange_id)
+        cancels = [
+            effect
+            for effect in effects
+            if isinstance(effect, _effects.CancelAttempt)
+        ]
+        assert bool(cancels) is not has_output
+        effects = gateway.end_attempt(exchange_id, _Outcome.UNKNOWN)
+        assert parts.has_no_effect(effects, _effects.StartAttempt)
+
     def test_queued_request_is_refused(self) -> None:
         gateway = parts.Gateway()
         running: list[int] = []
