Let a begun stream wait for the retry budget instead of cutting it

What callers saw: streams closed in the middle with most of their time left, at VMs that were calm, while their engines were sound.

Cause: a VM's share of the retry budget is renewed five times a second, and one of 85 VMs gets about one retry each time. A begun stream that an engine refused waits for the next; one whose connection broke was failed at once, which can only cut it. A single VM or seven have a share that is large enough.

Such a stream now waits, as after a refusal, if its route allows one more engine. Requests without output are still refused at once.

request_failed tells the obstacle, so that a spent budget and used up attempts can be told apart.

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -189,14 +189,29 @@
         )
         if may_retry:
             return self._dispatcher.dispatch_or_queue(exchange, now)
-        if self._state.engines_to_return_to(exchange):
+        if self._may_await_retry(exchange):
             exchange.needs_retry = True
             return self._dispatcher.dispatch_or_queue(exchange, now)
         if event.outcome is _Outcome.FAILED:
             self._dispatcher.remove(exchange)
             return [_effects.DeliverHeldAnswer(exchange.exchange_id)]
         outcome_unknown = _failures.OutcomeUnknown(event.detail)
-        return self._dispatcher.fail(exchange, outcome_unknown, now)
+        return self._dispatcher.fail(
+            exchange,
+            outcome_unknown,
+            now,
+            self._state.retry_obstacle(exchange),
+        )
+
+    def _may_await_retry(self, exchange: _exchange.Exchange) -> bool:
+        """Return whether only the retry budget keeps a begun stream back.
+
+        Its share for a VM is renewed several times a second.
+        """
+        return exchange.has_output and (
+            self._state.may_run_again(exchange)
+            or bool(self._state.engines_to_return_to(exchange))
+        )
 
     def _may_try_another(
         self, exchange: _exchange.Exchange, now: datetime.datetime
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -409,8 +409,12 @@
         exchange: _exchange.Exchange,
         failure: errors.Failure,
         now: datetime.datetime,
+        obstacle: str | None = None,
     ) -> _shared_state.Effects:
-        """Remove a request and report a failure to its caller."""
+        """Remove a request and report a failure to its caller.
+
+        ``obstacle`` is why it is not sent once more, for the log.
+        """
         self.remove(exchange)
         line = events.REQUEST_FAILED.line(
             request=exchange.request.request_id,
@@ -421,6 +425,7 @@
             may_have_run=exchange.may_have_run,
             position=exchange.position,
             milliseconds=_shared_state.milliseconds(now - exchange.arrived_at),
+            obstacle=obstacle,
         )
         effects: _shared_state.Effects = [_shared_state.log(line)]
         if isinstance(failure, _failures.NoEndpoint):
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -224,6 +224,16 @@
             and not self.may_crash_another(exchange)
         )
 
+    def retry_obstacle(self, exchange: _exchange.Exchange) -> str:
+        """Return why a request without a retry is not sent once more."""
+        if not exchange.route.is_retryable:
+            return "the route allows no retry"
+        if self.has_used_up_attempts(exchange):
+            return "its attempts are used up"
+        if self.may_crash_another(exchange):
+            return "it may crash another endpoint"
+        return "the retry budget is spent"
+
     def reserve_retry(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> bool:
--- a/sedgepin/_gateway/tests/test_moved_streams.py
+++ b/sedgepin/_gateway/tests/test_moved_streams.py
@@ -13,6 +13,7 @@
 from sedgepin._gateway.tests import parts
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
+from sedgepin import events
 
 _Outcome = _events.AttemptOutcome
 _LOW = model.EndpointId("low")
@@ -155,6 +156,43 @@
         assert caller.engines == [_LOW, _LOW]
 
 
+class TestBrokenConnection:
+    """The connection to an engine is reset while the engine goes on."""
+
+    def test_stream_waits_for_the_retry_budget_instead_of_being_cut(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        caller = _Caller(gateway)
+        _spend_budget(gateway)
+        caller.end_attempt(_Outcome.UNKNOWN)
+        caller.advance(0.5)
+        assert not caller.has_failed
+        assert caller.engines == [_LOW]
+        counts = (protocol.RetryCount(model.ServiceName("model"), 100, 0),)
+        summed = protocol.LoadSummed((), counts, knows_leader=True)
+        caller.record(gateway.receive(summed))
+        caller.advance(0.2)
+        assert len(caller.engines) == 2
+
+    def test_request_without_output_is_not_held_for_the_retry_budget(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request("/draft/x")
+        _spend_budget(gateway)
+        effects = gateway.end_attempt(exchange_id, _Outcome.UNKNOWN)
+        parts.get_effect(effects, _effects.FailExchange)
+        failed = [
+            effect.line
+            for effect in effects
+            if isinstance(effect, _effects.WriteLog)
+            and effect.line.definition is events.REQUEST_FAILED
+        ]
+        fields = {field.name: field.value for field in failed[0].fields}
+        assert fields["obstacle"] == "the retry budget is spent"
+
+
 class TestSecondEngine:
     def test_refusal_without_a_retry_left_ends_no_stream(self) -> None:
         gateway = parts.Gateway()
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -412,7 +412,8 @@
     313,
     "WARNING",
     "request_failed",
-    "An admitted request got no complete answer.",
+    "An admitted request got no complete answer; the obstacle is why it was"
+    " not sent once more after its last attempt.",
     "request",
     "route",
     "code",
@@ -421,6 +422,7 @@
     "may_have_run",
     "position",
     "milliseconds",
+    "obstacle",
 )
 ATTEMPT_ENDED = _define(
     314,
