Split the callers' server into exchange, connection, reader and server

Moves only: the same behaviour, and the tests of the package pass unchanged. The state that connections share with their server is its own class, and the timeout of a send is passed by the server that checks it.

--- a/sedgepin/_web/__init__.py
+++ b/sedgepin/_web/__init__.py
@@ -9,6 +9,8 @@
 from sedgepin._web._client import ClientConnection
 from sedgepin._web._client import send_request
 from sedgepin._web._connection import AnswerConnection
+from sedgepin._web._exchange import Exchange
+from sedgepin._web._exchange import Handler
 from sedgepin._web._failures import AnswerBroken
 from sedgepin._web._failures import BodyTooLarge
 from sedgepin._web._failures import ConnectFailed
@@ -23,8 +25,6 @@
 from sedgepin._web._request_ends import Closer
 from sedgepin._web._request_ends import EndKind
 from sedgepin._web._request_ends import RequestEnd
-from sedgepin._web._server import Exchange
-from sedgepin._web._server import Handler
 from sedgepin._web._server import Server
 from sedgepin._web._types import AnswerHead
 from sedgepin._web._types import end_to_end_headers
--- /dev/null
+++ b/sedgepin/_web/_caller_connection.py
@@ -0,0 +1,402 @@
+"""One connection of a caller."""
+
+import math
+import socket
+
+import h11
+import result
+import trio
+
+from sedgepin import _sockets as sockets
+from sedgepin._web import _exchange
+from sedgepin._web import _failures
+from sedgepin._web import _request_ends
+from sedgepin._web import _request_reader
+from sedgepin._web import _types
+from sedgepin import containment
+from sedgepin import errors
+
+_READ_BYTES = 65_536
+# A caller sends its first request as soon as it has connected.
+_FIRST_REQUEST_SECONDS = 1.0
+# Time for a caller to receive its last answer while it still sends.
+_LINGER_SECONDS = 2.0
+_FIRST_FAILURE = 400
+
+
+class ServerState:
+    """What the connections of a server share."""
+
+    __slots__ = ("has_stopped_accepting", "is_draining")
+
+    def __init__(self) -> None:
+        self.has_stopped_accepting = False
+        self.is_draining = False
+
+
+class CallerConnection(_exchange.AnswerSink):
+    """A caller's connection; serves one request after the other."""
+
+    __slots__ = (
+        "_accepted_at",
+        "_close_reason",
+        "_handler",
+        "_has_failed",
+        "_has_sent",
+        "_idle_scope",
+        "_is_new",
+        "_is_reading",
+        "_is_refused",
+        "_is_send_interrupted",
+        "_label",
+        "_read_since",
+        "_reader",
+        "_scope",
+        "_sending_since",
+        "_server",
+        "_status",
+        "_stream",
+        "is_busy",
+    )
+
+    def __init__(
+        self,
+        stream: sockets.DirectStream,
+        handler: _exchange.Handler,
+        server: ServerState,
+    ) -> None:
+        self._stream = stream
+        self._handler = handler
+        self._server = server
+        self._idle_scope = trio.CancelScope()
+        self._scope = trio.CancelScope()
+        self._sending_since = math.inf
+        self._has_failed = False
+        # What is recorded at the end of the current request.
+        self._close_reason = ""
+        self._has_sent = False
+        self._accepted_at = trio.current_time()
+        self._is_new = True
+        self._is_reading = False
+        self._is_refused = False
+        self._label = ""
+        self._read_since = trio.current_time()
+        self._status = 0
+        self._is_send_interrupted = False
+        self.is_busy = False
+        self._reader = _request_reader.RequestReader(
+            stream, handler.limits().header_bytes
+        )
+
+    @property
+    def has_caller_closed(self) -> bool:
+        """Whether the caller closed the connection first."""
+        return self._reader.has_caller_closed
+
+    @property
+    def closes_after_answer(self) -> bool:
+        """Return whether answers must announce ``Connection: close``."""
+        return self._server.is_draining
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._stream.close()
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no request has arrived on it."""
+        if self.is_busy:
+            return
+        self._close_reason = "drain"
+        deadline = self._drain_deadline()
+        awaits_first = deadline > trio.current_time()
+        self.is_busy = awaits_first or self._has_unread_bytes()
+        self._idle_scope.deadline = deadline
+
+    def _drain_deadline(self) -> float:
+        """Return until when a request is awaited after the drain.
+
+        The first one on a new connection may be under way.
+        """
+        if self._is_new:
+            return self._accepted_at + _FIRST_REQUEST_SECONDS
+        return -math.inf
+
+    def _has_unread_bytes(self) -> bool:
+        return sockets.count_unread_bytes(self._stream.socket) > 0
+
+    async def run(self) -> None:
+        """Serve requests until the connection must be closed."""
+        try:
+            with self._scope:
+                while await self._serve_request() and not self._must_close():
+                    self._reader.parser.start_next_cycle()
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            h11.LocalProtocolError,
+        ):
+            return
+        finally:
+            self._report_unread()
+        if self._must_linger():
+            self.is_busy = True
+            await self._linger()
+
+    def _must_linger(self) -> bool:
+        """Return whether a close would reset an answer on its way."""
+        is_complete = self._has_sent and self._end_kind().is_complete
+        return (
+            is_complete
+            and not self.has_caller_closed
+            and (self._is_refused or self._has_unread_bytes())
+        )
+
+    async def _linger(self) -> None:
+        """Discard what the caller still sends (RFC 9112, section 9.6).
+
+        A connection that is closed with unread bytes, or gets bytes after its
+        close, is reset, and the answer is lost on its way.
+        """
+        with trio.move_on_after(_LINGER_SECONDS):
+            try:
+                self._stream.socket.shutdown(socket.SHUT_WR)
+                while await self._stream.receive_some(_READ_BYTES):
+                    pass
+            except (OSError, trio.BrokenResourceError):
+                return
+
+    def _report_unread(self) -> None:
+        """Report bytes of a request that was not read to its end.
+
+        What follows a refused request belongs to it.
+        """
+        if self._is_refused:
+            return
+        count = self._reader.kept_bytes
+        count += sockets.count_unread_bytes(self._stream.socket)
+        if count or self._is_reading:
+            self._report_end(_request_ends.EndKind.UNREAD, count)
+
+    def _report_end(
+        self, kind: _request_ends.EndKind, unread_bytes: int = 0
+    ) -> None:
+        closed_by = _request_ends.Closer.NOBODY
+        reason = ""
+        if not kind.is_complete:
+            closed_by = _request_ends.Closer.SERVER
+            reason = self._close_reason or "process_end"
+        if not kind.is_complete and self.has_caller_closed:
+            closed_by = _request_ends.Closer.CALLER
+            reason = "caller"
+        seconds = trio.current_time() - self._read_since
+        end = _request_ends.RequestEnd(
+            kind,
+            closed_by,
+            reason,
+            self._label,
+            round(seconds * 1000),
+            unread_bytes,
+        )
+        self._handler.request_ended(end)
+
+    def _end_kind(self) -> _request_ends.EndKind:
+        """Return how the request that was read has ended."""
+        has_ended = self._reader.parser.our_state in (
+            h11.DONE,
+            h11.MUST_CLOSE,
+            h11.CLOSED,
+        )
+        if not has_ended or self._is_send_interrupted:
+            if self._has_sent:
+                return _request_ends.EndKind.INCOMPLETE
+            return _request_ends.EndKind.UNANSWERED
+        if self._status < _FIRST_FAILURE:
+            return _request_ends.EndKind.ANSWERED
+        return _request_ends.EndKind.FAILED
+
+    def _must_close(self) -> bool:
+        return (
+            self.has_caller_closed
+            or self._has_failed
+            or self._is_send_interrupted
+            or self._server.has_stopped_accepting
+        )
+
+    def cancel_if_stalled(self, began_before: float) -> None:
+        """Cancel the connection if a send began before a time and goes on."""
+        if self._sending_since < began_before:
+            self._close_reason = "send_timeout"
+            self._scope.cancel()
+
+    async def write(self, *parts: h11.Event) -> None:
+        """Send parts of an answer.
+
+        Raises ``trio.ClosedResourceError`` after a cancelled send: part of
+        its data may be missing, so nothing may follow it on the connection.
+        """
+        if self._is_send_interrupted:
+            raise trio.ClosedResourceError
+        data = bytearray()
+        for part in parts:
+            sent = self._reader.parser.send(part)
+            if sent:
+                data += sent
+            if isinstance(part, h11.Response):
+                self._status = part.status_code
+        if not data:
+            return
+        # If the send below is cancelled, the flag stays set.
+        self._is_send_interrupted = True
+        self._sending_since = trio.current_time()
+        try:
+            await self._stream.send_all(data)
+        except trio.BrokenResourceError:
+            self._reader.has_caller_closed = True
+            raise
+        self._sending_since = math.inf
+        self._is_send_interrupted = False
+        self._has_sent = self._status != 0
+
+    async def _serve_request(self) -> bool:
+        """Read and answer one request.
+
+        Returns whether the connection can serve another one.
+        """
+        received = await self._read_request()
+        if received is None:
+            return False
+        self._is_reading = False
+        try:
+            if isinstance(received, result.Err):
+                self._is_refused = True
+                await self._send_error_response(received.err_value)
+                return False
+            await self._handle(received.ok_value)
+        except h11.LocalProtocolError:
+            self._close_reason = "answer_not_encodable"
+            raise
+        finally:
+            self.is_busy = False
+            self._report_end(self._end_kind())
+            self._reset_if_incomplete()
+        self._close_reason = "connection_ends"
+        return self._reader.parser.our_state is h11.DONE and (
+            self._reader.parser.their_state is h11.DONE
+        )
+
+    def _reset_if_incomplete(self) -> None:
+        """Let the end of the connection not complete an answer for HTTP/1.0.
+
+        Its body has neither a length nor chunks.
+        """
+        if self._reader.parser.our_state is not h11.SEND_BODY:
+            return
+        if (self._reader.parser.their_http_version or b"") < b"1.1":
+            sockets.reset_when_closed(self._stream.socket)
+
+    async def _handle(self, request: _types.Request) -> None:
+        exchange = _exchange.Exchange(self, request)
+        with containment.contain("request") as outcome:
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(
+                        self._reader.watch_for_close, nursery.cancel_scope
+                    )
+                    await self._handler.handle(exchange)
+                    nursery.cancel_scope.cancel()
+            except* (trio.BrokenResourceError, trio.ClosedResourceError):
+                # The caller reset the connection during the answer, or a send
+                # was interrupted.
+                self._has_failed = True
+                exchange.cut("send_interrupted")
+            finally:
+                self._label = exchange.label
+        self._close_reason = exchange.cut_reason
+        if outcome.failure is not None:
+            self._has_failed = True
+            self._close_reason = "handler_failed"
+            await self._send_error_response(_failures.HandlerFailed())
+
+    async def _send_error_response(self, failure: errors.Failure) -> None:
+        if self._reader.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        head, body = self._handler.error_response(failure)
+        if not _types.may_have_body(self._reader.method, head.status):
+            body = b""
+        headers = [
+            *head.headers,
+            (b"Content-Length", b"%d" % len(body)),
+            (b"Connection", b"close"),
+        ]
+        await self.write(
+            h11.Response(status_code=head.status, headers=headers),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+
+    async def _read_request(
+        self,
+    ) -> result.Result[_types.Request, errors.Failure] | None:
+        """Return the next request or a failure; ``None`` at the end."""
+        if not self._reader.kept_bytes:
+            if not await self._wait_for_request():
+                return None
+        # A connection may outlast many changes of the limits.
+        limits = self._handler.limits()
+        self._reader.set_header_bytes(limits.header_bytes)
+        self._start_reading()
+        received = await self._reader.read_head(limits)
+        if not isinstance(received, result.Ok):
+            return received
+        head = received.ok_value
+        if self._reader.parser.they_are_waiting_for_100_continue:
+            informational = h11.InformationalResponse(
+                status_code=100, headers=[]
+            )
+            await self.write(informational)
+        body = await self._reader.read_body(limits, self._handler.limits)
+        if not isinstance(body, result.Ok):
+            return body
+        headers = tuple(head.headers.raw_items())
+        return result.Ok(
+            _types.Request(head.method, head.target, headers, body.ok_value)
+        )
+
+    async def _wait_for_request(self) -> bool:
+        """Wait for the first bytes of a request; return false at the end.
+
+        The idle timeout is the longest that was in force at its beginning or
+        end, since callers reuse connections under either.  Bytes that have
+        arrived when the connection is to be closed are read: a close that
+        leaves them unread resets the connection.
+        """
+        self._read_since = trio.current_time()
+        self._close_reason = ""
+        idle_seconds = self._handler.limits().idle_timeout_seconds
+        while True:
+            deadline = self._read_since + idle_seconds
+            if self._server.has_stopped_accepting:
+                self._close_reason = "drain"
+                deadline = self._drain_deadline()
+            self._idle_scope = trio.CancelScope(deadline=deadline)
+            with self._idle_scope:
+                return await self._reader.receive()
+            if self._has_unread_bytes():
+                return await self._reader.receive()
+            longest = self._handler.limits().idle_timeout_seconds
+            if self._close_reason or longest <= idle_seconds:
+                break
+            idle_seconds = longest
+        self.is_busy = False
+        self._close_reason = self._close_reason or "idle_timeout"
+        return False
+
+    def _start_reading(self) -> None:
+        self._is_new = False
+        self.is_busy = True
+        self._is_reading = True
+        self._close_reason = ""
+        self._has_sent = False
+        self._label = ""
+        self._read_since = trio.current_time()
+        self._status = 0
--- a/sedgepin/_web/_metrics.py
+++ b/sedgepin/_web/_metrics.py
@@ -2,7 +2,7 @@
 
 import collections.abc
 
-from sedgepin._web import _server
+from sedgepin._web import _exchange
 from sedgepin._web import _types
 from sedgepin import errors
 
@@ -10,7 +10,7 @@
 _LIMITS = _types.ServerLimits(16_384, 1024, 3.0, 30.0)
 
 
-class MetricsHandler(_server.Handler):
+class MetricsHandler(_exchange.Handler):
     """Answers every request with the text that a function returns."""
 
     __slots__ = ("_text",)
@@ -18,7 +18,7 @@
     def __init__(self, text: collections.abc.Callable[[], bytes]) -> None:
         self._text = text
 
-    async def handle(self, exchange: _server.Exchange) -> None:
+    async def handle(self, exchange: _exchange.Exchange) -> None:
         """Answer with the current metrics."""
         head = _types.AnswerHead(200, (_CONTENT_TYPE,))
         await exchange.answer(head, self._text())
--- /dev/null
+++ b/sedgepin/_web/_request_reader.py
@@ -0,0 +1,143 @@
+"""Reads callers' requests with the parser of ``h11``."""
+
+import collections.abc
+import typing
+
+import h11
+import result
+import trio
+
+from sedgepin import _sockets as sockets
+from sedgepin._web import _failures
+from sedgepin._web import _types
+from sedgepin import errors
+
+_READ_BYTES = 65_536
+_CONNECT = b"CONNECT"
+
+_Head: typing.TypeAlias = result.Result[h11.Request, errors.Failure] | None
+_Body: typing.TypeAlias = result.Result[bytes, errors.Failure] | None
+
+
+class RequestReader:
+    """Reads the requests of a connection, one after the other.
+
+    ``parser`` is shared with the sender of the answers.
+    """
+
+    __slots__ = (
+        "_header_bytes",
+        "_stream",
+        "has_caller_closed",
+        "method",
+        "parser",
+    )
+
+    def __init__(
+        self, stream: sockets.DirectStream, header_bytes: int
+    ) -> None:
+        self._stream = stream
+        self._header_bytes = header_bytes
+        self.parser = _new_parser(header_bytes)
+        self.has_caller_closed = False
+        # Method of the request that is being received or answered.
+        self.method = b""
+
+    @property
+    def kept_bytes(self) -> int:
+        """Return how many bytes were received and belong to no request."""
+        return len(self.parser.trailing_data[0])
+
+    def set_header_bytes(self, header_bytes: int) -> None:
+        """Let the next request have a header section of ``header_bytes``."""
+        if header_bytes == self._header_bytes:
+            return
+        received = self.parser.trailing_data[0]
+        self._header_bytes = header_bytes
+        self.parser = _new_parser(header_bytes)
+        self.parser.receive_data(received)
+
+    async def read_head(self, limits: _types.ServerLimits) -> _Head:
+        """Return the head of a request or a failure; ``None`` at the end."""
+        self.method = b""
+        try:
+            with trio.fail_after(limits.header_timeout_seconds):
+                head = await self._next_event()
+        except trio.TooSlowError:
+            return result.Err(_failures.RequestTooSlow())
+        except h11.RemoteProtocolError as exc:
+            if exc.error_status_hint == 431:
+                return result.Err(_failures.HeadTooLarge())
+            return result.Err(_failures.RequestUnreadable(str(exc)))
+        if not isinstance(head, h11.Request):
+            return None
+        self.method = head.method
+        if head.method == _CONNECT:
+            return result.Err(_failures.MethodUnsupported())
+        return result.Ok(head)
+
+    async def read_body(
+        self,
+        limits: _types.ServerLimits,
+        current_limits: collections.abc.Callable[[], _types.ServerLimits],
+    ) -> _Body:
+        """Return the body of a request or a failure; ``None`` at the end.
+
+        A body over ``limits`` is allowed by larger ``current_limits``.
+        """
+        body = bytearray()
+        while True:
+            try:
+                with trio.fail_after(limits.header_timeout_seconds):
+                    event = await self._next_event()
+            except trio.TooSlowError:
+                return result.Err(_failures.RequestTooSlow())
+            except h11.RemoteProtocolError as exc:
+                return result.Err(_failures.RequestUnreadable(str(exc)))
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if not isinstance(event, h11.Data):
+                return None
+            body += event.data
+            if len(body) <= limits.body_bytes:
+                continue
+            limits = current_limits()
+            if len(body) > limits.body_bytes:
+                return result.Err(_failures.BodyTooLarge())
+        return result.Ok(bytes(body))
+
+    async def _next_event(self) -> typing.Any:
+        while True:
+            event = self.parser.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            if not await self.receive():
+                return None
+
+    async def receive(self) -> bool:
+        """Pass received bytes to the parser; return false at the end."""
+        try:
+            data = await self._stream.receive_some(_READ_BYTES)
+        except trio.BrokenResourceError:
+            self.has_caller_closed = True
+            raise
+        self.parser.receive_data(data)
+        self.has_caller_closed = not data
+        return bool(data)
+
+    async def watch_for_close(self, scope: trio.CancelScope) -> None:
+        """Cancel a scope when the caller closes its connection."""
+        try:
+            while True:
+                data = await self._stream.receive_some(_READ_BYTES)
+                if not data:
+                    break
+                self.parser.receive_data(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        self.has_caller_closed = True
+        scope.cancel()
+
+
+def _new_parser(header_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
