Answer every request that has arrived before a connection closes

A request that came behind a stream from before SIGTERM, whose head could not announce a close, was dropped with the connection if the drain had finished meanwhile, and so were one that crossed the end of such an answer and one behind a complete answer whose handler failed afterwards.

Now a connection closes for what the caller or an interrupted send has ended, and else by an answer that announces it. None announces it while the next request waits already. After an answer without the announcement the next request is awaited for 0.25 s of the drain. A close waits for bytes that the caller has not acknowledged, or that were sent behind the last request, so that it does not reset the answer.

Empty lines before a request are ignored, as RFC 9112 asks for: they were answered with 400, which a drain would have sent for the one that some callers send behind a body.

The test that no request is served after the drain stated the fault: the caller of that answer could not know of the close. It is replaced by one that allows one request more, whose answer announces the close, and no other, and no new connection.

--- a/sedgepin/_sockets/__init__.py
+++ b/sedgepin/_sockets/__init__.py
@@ -2,16 +2,20 @@
 
 from sedgepin._sockets._direct_stream import DirectStream
 from sedgepin._sockets._options import count_unread_bytes
+from sedgepin._sockets._options import count_unsent_bytes
 from sedgepin._sockets._options import enable_keepalive
 from sedgepin._sockets._options import has_peer_closed
 from sedgepin._sockets._options import limit_unacknowledged_time
+from sedgepin._sockets._options import peek_unread_bytes
 from sedgepin._sockets._options import reset_when_closed
 
 __all__ = [
     "DirectStream",
     "count_unread_bytes",
+    "count_unsent_bytes",
     "enable_keepalive",
     "has_peer_closed",
     "limit_unacknowledged_time",
+    "peek_unread_bytes",
     "reset_when_closed",
 ]
--- a/sedgepin/_sockets/_options.py
+++ b/sedgepin/_sockets/_options.py
@@ -50,16 +50,38 @@
 
 def count_unread_bytes(sock: socket.socket) -> int:
     """Return how many received bytes wait to be read."""
+    return _count_bytes(sock, termios.FIONREAD)
+
+
+def count_unsent_bytes(sock: socket.socket) -> int:
+    """Return how many bytes the peer has not acknowledged yet."""
+    return _count_bytes(sock, termios.TIOCOUTQ)
+
+
+def _count_bytes(sock: socket.socket, request: int) -> int:
     if sock.fileno() < 0:
         return 0
     count = array.array("i", [0])
     try:
-        fcntl.ioctl(sock, termios.FIONREAD, count)
+        fcntl.ioctl(sock, request, count)
     except OSError:
         return 0
     return count[0]
 
 
+def peek_unread_bytes(sock: socket.socket, max_bytes: int) -> bytes:
+    """Return received bytes that wait to be read, without reading them.
+
+    The socket must be non-blocking.
+    """
+    if sock.fileno() < 0:
+        return b""
+    try:
+        return sock.recv(max_bytes, socket.MSG_PEEK)
+    except OSError:
+        return b""
+
+
 def has_peer_closed(sock: socket.socket) -> bool:
     """Return whether the end or the reset by the peer has arrived.
 
--- a/sedgepin/_web/_caller_connection.py
+++ b/sedgepin/_web/_caller_connection.py
@@ -19,6 +19,8 @@
 _READ_BYTES = 65_536
 # A caller sends its first request as soon as it has connected.
 _FIRST_REQUEST_SECONDS = 1.0
+# Callers that keep a connection busy send the next request within this time.
+_NEXT_REQUEST_SECONDS = 0.25
 # Time for a caller to receive its last answer while it still sends.
 _LINGER_SECONDS = 2.0
 _FIRST_FAILURE = 400
@@ -41,7 +43,6 @@
         "_accepted_at",
         "_close_reason",
         "_handler",
-        "_has_failed",
         "_has_sent",
         "_idle_scope",
         "_is_new",
@@ -71,7 +72,6 @@
         self._idle_scope = trio.CancelScope()
         self._scope = trio.CancelScope()
         self._sending_since = math.inf
-        self._has_failed = False
         # What is recorded at the end of the current request.
         self._close_reason = ""
         self._has_sent = False
@@ -95,8 +95,11 @@
 
     @property
     def closes_after_answer(self) -> bool:
-        """Return whether answers must announce ``Connection: close``."""
-        return self._server.is_draining
+        """Return whether answers must announce ``Connection: close``.
+
+        Not while the next request waits already: it is owed an answer.
+        """
+        return self._server.is_draining and not self._reader.has_next_request
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -108,18 +111,19 @@
             return
         self._close_reason = "drain"
         deadline = self._drain_deadline()
-        awaits_first = deadline > trio.current_time()
-        self.is_busy = awaits_first or self._has_unread_bytes()
+        awaits_request = deadline > trio.current_time()
+        self.is_busy = awaits_request or self._has_unread_bytes()
         self._idle_scope.deadline = deadline
 
     def _drain_deadline(self) -> float:
         """Return until when a request is awaited after the drain.
 
-        The first one on a new connection may be under way.
+        The first one on a new connection may be under way, and so may the one
+        after an answer that announced no close.
         """
         if self._is_new:
             return self._accepted_at + _FIRST_REQUEST_SECONDS
-        return -math.inf
+        return self._read_since + _NEXT_REQUEST_SECONDS
 
     def _has_unread_bytes(self) -> bool:
         return sockets.count_unread_bytes(self._stream.socket) > 0
@@ -145,10 +149,15 @@
     def _must_linger(self) -> bool:
         """Return whether a close would reset an answer on its way."""
         is_complete = self._has_sent and self._end_kind().is_complete
-        return (
+        return bool(
             is_complete
             and not self.has_caller_closed
-            and (self._is_refused or self._has_unread_bytes())
+            and (
+                self._is_refused
+                or self._reader.kept_bytes
+                or self._has_unread_bytes()
+                or sockets.count_unsent_bytes(self._stream.socket)
+            )
         )
 
     async def _linger(self) -> None:
@@ -215,12 +224,8 @@
         return _request_ends.EndKind.FAILED
 
     def _must_close(self) -> bool:
-        return (
-            self.has_caller_closed
-            or self._has_failed
-            or self._is_send_interrupted
-            or self._server.has_stopped_accepting
-        )
+        """Return whether nothing can be sent after the current answer."""
+        return self.has_caller_closed or self._is_send_interrupted
 
     def cancel_if_stalled(self, began_before: float) -> None:
         """Cancel the connection if a send began before a time and goes on."""
@@ -307,13 +312,11 @@
             except* (trio.BrokenResourceError, trio.ClosedResourceError):
                 # The caller reset the connection during the answer, or a send
                 # was interrupted.
-                self._has_failed = True
                 exchange.cut("send_interrupted")
             finally:
                 self._label = exchange.label
         self._close_reason = exchange.cut_reason
         if outcome.failure is not None:
-            self._has_failed = True
             self._close_reason = "handler_failed"
             await self._send_error_response(_failures.HandlerFailed())
 
@@ -338,6 +341,7 @@
         self,
     ) -> result.Result[_types.Request, errors.Failure] | None:
         """Return the next request or a failure; ``None`` at the end."""
+        self._reader.skip_empty_lines()
         if not self._reader.kept_bytes:
             if not await self._wait_for_request():
                 return None
@@ -378,11 +382,12 @@
             if self._server.has_stopped_accepting:
                 self._close_reason = "drain"
                 deadline = self._drain_deadline()
+                self.is_busy = True
             self._idle_scope = trio.CancelScope(deadline=deadline)
             with self._idle_scope:
-                return await self._reader.receive()
-            if self._has_unread_bytes():
-                return await self._reader.receive()
+                return await self._reader.receive_request()
+            if self._reader.has_next_request:
+                return await self._reader.receive_request()
             longest = self._handler.limits().idle_timeout_seconds
             if self._close_reason or longest <= idle_seconds:
                 break
--- a/sedgepin/_web/_request_reader.py
+++ b/sedgepin/_web/_request_reader.py
@@ -19,7 +19,9 @@
 # Time between checks whether a caller has closed its side behind bytes that
 # are not read yet.
 _CLOSE_CHECK_SECONDS = 0.1
+_PEEKED_BYTES = 64
 _CONNECT = b"CONNECT"
+_LINE_END = b"\r\n"
 
 _Head: typing.TypeAlias = result.Result[h11.Request, errors.Failure] | None
 _Body: typing.TypeAlias = result.Result[bytes, errors.Failure] | None
@@ -54,14 +56,36 @@
         """Return how many bytes were received and belong to no request."""
         return len(self.parser.trailing_data[0])
 
+    @property
+    def has_next_request(self) -> bool:
+        """Whether bytes of a request after the current one have arrived.
+
+        Some callers send an empty line after a body, which is none.
+        """
+        received = self.parser.trailing_data[0].lstrip(_LINE_END)
+        if not received:
+            unread = sockets.peek_unread_bytes(
+                self._stream.socket, _PEEKED_BYTES
+            )
+            received = unread.lstrip(_LINE_END)
+        return bool(received)
+
     def set_header_bytes(self, header_bytes: int) -> None:
         """Let the next request have a header section of ``header_bytes``."""
-        if header_bytes == self._header_bytes:
-            return
-        received = self.parser.trailing_data[0]
-        self._header_bytes = header_bytes
-        self.parser = _new_parser(header_bytes)
-        self.parser.receive_data(received)
+        if header_bytes != self._header_bytes:
+            self._header_bytes = header_bytes
+            self._renew_parser()
+
+    def skip_empty_lines(self) -> None:
+        """Forget empty lines that have arrived before the next request."""
+        if self.parser.trailing_data[0].startswith((b"\r", b"\n")):
+            self._renew_parser()
+
+    def _renew_parser(self) -> None:
+        received = self.parser.trailing_data[0].lstrip(_LINE_END)
+        self.parser = _new_parser(self._header_bytes)
+        if received:
+            self.parser.receive_data(received)
 
     async def read_head(self, limits: _types.ServerLimits) -> _Head:
         """Return the head of a request or a failure; ``None`` at the end."""
@@ -124,19 +148,31 @@
             event = self.parser.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            if not await self.receive(max_bytes):
+            data = await self._receive(max_bytes)
+            if not data:
                 return None
+            self.parser.receive_data(data)
 
-    async def receive(self, max_bytes: int = _READ_AHEAD_BYTES) -> bool:
-        """Pass received bytes to the parser; return false at the end."""
+    async def receive_request(self) -> bool:
+        """Wait for the first bytes of a request; return false at the end.
+
+        Empty lines before it are ignored (RFC 9112, section 2.2).
+        """
+        while data := await self._receive(_READ_AHEAD_BYTES):
+            data = data.lstrip(_LINE_END)
+            if data:
+                self.parser.receive_data(data)
+                return True
+        return False
+
+    async def _receive(self, max_bytes: int) -> bytes:
         try:
             data = await self._stream.receive_some(max_bytes)
         except trio.BrokenResourceError:
             self.has_caller_closed = True
             raise
-        self.parser.receive_data(data)
         self.has_caller_closed = not data
-        return bool(data)
+        return data
 
     async def watch_for_close(self, scope: trio.CancelScope) -> None:
         """Cancel a scope when the caller closes its connection.
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -102,8 +102,8 @@
 
         Requests that have arrived are answered, also those on connections
         that the kernel has accepted, and the first ones on new connections.
-        Other connections are closed after their current answer, even if its
-        head was sent before ``start_draining`` and announced no close.
+        Other connections are closed after their current answer, or, if it
+        announced no close, after the next request or a short wait for it.
         """
         self._state.has_stopped_accepting = True
         self._is_closing_listeners = bool(self._listeners)
