Keep idle connections for the longest timeout of their wait

With idleTimeoutMs 1 s, then 5 s, then 1 s again while a connection is idle, it was closed after 1 s, though its caller may have heard of 5 s only: the limits at the start and at the end of the wait were compared, and those in between forgotten.

A server remembers the timeouts that were in force lately. The gateway tells it of each configuration that comes into force, however briefly; other limits are looked at once a second.

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -115,6 +115,7 @@
     """Passes input and timers to the reducer and carries out its effects."""
 
     __slots__ = (
+        "_announced_table",
         "_cfg",
         "_clock",
         "_dialect",
@@ -158,6 +159,8 @@
         # Set when the first of the open relays starts.
         self._has_work = trio.Event()
         self._server = web.Server(_CallerHandler(self))
+        # The one whose limits the server has heard of.
+        self._announced_table = self.reducer.table
         self._readiness = web.Server(_ReadinessHandler(self.reducer))
         forward_key = secrets.token_hex(16)
         self._forwarding = forwarding.ForwardingServer(
@@ -349,6 +352,9 @@
         """Submit an event; a message that fails counts as lost."""
         with containment.contain("peer_message"):
             self._driver.submit(event)
+        if self.reducer.table is not self._announced_table:
+            self._announced_table = self.reducer.table
+            self._server.update_limits()
 
     async def _probe(self, effect: _effects.ProbeEndpoint) -> None:
         with containment.contain("probe"):
--- a/sedgepin/_web/_caller_connection.py
+++ b/sedgepin/_web/_caller_connection.py
@@ -10,6 +10,7 @@
 from sedgepin import _sockets as sockets
 from sedgepin._web import _exchange
 from sedgepin._web import _failures
+from sedgepin._web import _idle_limits
 from sedgepin._web import _request_ends
 from sedgepin._web import _request_reader
 from sedgepin._web import _types
@@ -29,12 +30,30 @@
 class ServerState:
     """What the connections of a server share."""
 
-    __slots__ = ("has_stopped_accepting", "is_draining")
+    __slots__ = (
+        "_handler",
+        "_idle_limits",
+        "has_stopped_accepting",
+        "is_draining",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, handler: _exchange.Handler) -> None:
+        self._handler = handler
+        seconds = handler.limits().idle_timeout_seconds
+        self._idle_limits = _idle_limits.IdleLimits(seconds)
         self.has_stopped_accepting = False
         self.is_draining = False
 
+    def update_limits(self) -> None:
+        """Record the idle timeout that is in force now."""
+        seconds = self._handler.limits().idle_timeout_seconds
+        self._idle_limits.record(seconds, trio.current_time())
+
+    def idle_seconds_since(self, time: float) -> float:
+        """Return the longest idle timeout in force at a time since then."""
+        self.update_limits()
+        return self._idle_limits.longest_since(time)
+
 
 class CallerConnection(_exchange.AnswerSink):
     """A caller's connection; serves one request after the other."""
@@ -369,33 +388,34 @@
     async def _wait_for_request(self) -> bool:
         """Wait for the first bytes of a request; return false at the end.
 
-        The idle timeout is the longest that was in force at its beginning or
-        end, since callers reuse connections under either.  Bytes that have
+        The idle timeout is the longest that was in force at any time of the
+        wait, since callers reuse connections under each.  Bytes that have
         arrived when the connection is to be closed are read: a close that
         leaves them unread resets the connection.
         """
         self._read_since = trio.current_time()
         self._close_reason = ""
-        idle_seconds = self._handler.limits().idle_timeout_seconds
         while True:
-            deadline = self._read_since + idle_seconds
+            deadline = self._idle_deadline()
             if self._server.has_stopped_accepting:
                 self._close_reason = "drain"
-                deadline = self._drain_deadline()
                 self.is_busy = True
+                deadline = self._drain_deadline()
             self._idle_scope = trio.CancelScope(deadline=deadline)
             with self._idle_scope:
                 return await self._reader.receive_request()
             if self._reader.has_next_request:
                 return await self._reader.receive_request()
-            longest = self._handler.limits().idle_timeout_seconds
-            if self._close_reason or longest <= idle_seconds:
+            if self._close_reason or self._idle_deadline() <= deadline:
                 break
-            idle_seconds = longest
         self.is_busy = False
         self._close_reason = self._close_reason or "idle_timeout"
         return False
 
+    def _idle_deadline(self) -> float:
+        seconds = self._server.idle_seconds_since(self._read_since)
+        return self._read_since + seconds
+
     def _start_reading(self) -> None:
         self._is_new = False
         self.is_busy = True
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -43,7 +43,7 @@
         self._nursery: trio.Nursery | None = None
         # Tasks of connections that were just accepted may not have begun.
         self._is_closing_listeners = False
-        self._state = _caller_connection.ServerState()
+        self._state = _caller_connection.ServerState(handler)
 
     @property
     def open_exchanges(self) -> int:
@@ -89,10 +89,19 @@
     async def _cancel_stalled_connections(self) -> None:
         while True:
             await trio.sleep(_STALL_CHECK_INTERVAL_SECONDS)
+            self.update_limits()
             began_before = trio.current_time() - _SEND_TIMEOUT_SECONDS
             for connection in tuple(self._connections):
                 connection.cancel_if_stalled(began_before)
 
+    def update_limits(self) -> None:
+        """Take note that the limits of the handler may have changed.
+
+        An idle timeout that is in force for less than a second, without a
+        call meanwhile, may be missed.
+        """
+        self._state.update_limits()
+
     def start_draining(self) -> None:
         """Announce ``Connection: close`` with each answer from now on."""
         self._state.is_draining = True
