Bound the time, pieces and framing of a whole request

Each piece of a body had the whole headerTimeoutMs anew: one byte per 0.8 s kept a connection, of which a VM has some thousands, for ever. Chunks of a byte cost 20 us each without an end, also in trailing extensions, and a caller that was refused could send a gigabyte in the 2 s in which it may still receive its answer.

Now the whole body has headerTimeoutMs and the time that its bytes take at 16 KiB/s; a caller below that gets 408, also in trailers, lengths and extensions, whose bytes do not count. Heads come in 1,024 pieces at most and bodies in 16,384, with 1 MiB of framing, else 413 request_too_fragmented. Pieces that were received together let other tasks run after each 128. 16 MiB are discarded after a refusal. Bytes that arrived in time while the process did not run are read.

Heads, trailers and lengths were bounded by the parser and stay so.

--- a/sedgepin/_web/__init__.py
+++ b/sedgepin/_web/__init__.py
@@ -17,6 +17,7 @@
 from sedgepin._web._failures import HandlerFailed
 from sedgepin._web._failures import HeadTooLarge
 from sedgepin._web._failures import MethodUnsupported
+from sedgepin._web._failures import RequestTooFragmented
 from sedgepin._web._failures import RequestTooSlow
 from sedgepin._web._failures import RequestUnreadable
 from sedgepin._web._field_values import encode_field_value
@@ -52,6 +53,7 @@
     "PartTimer",
     "Request",
     "RequestEnd",
+    "RequestTooFragmented",
     "RequestTooSlow",
     "RequestUnreadable",
     "Server",
--- a/sedgepin/_web/_caller_connection.py
+++ b/sedgepin/_web/_caller_connection.py
@@ -24,6 +24,7 @@
 _NEXT_REQUEST_SECONDS = 0.25
 # Time for a caller to receive its last answer while it still sends.
 _LINGER_SECONDS = 2.0
+_LINGER_BYTES = 16 * 1024 * 1024
 _FIRST_FAILURE = 400
 
 
@@ -185,11 +186,15 @@
         A connection that is closed with unread bytes, or gets bytes after its
         close, is reset, and the answer is lost on its way.
         """
+        bytes_left = _LINGER_BYTES
         with trio.move_on_after(_LINGER_SECONDS):
             try:
                 self._stream.socket.shutdown(socket.SHUT_WR)
-                while await self._stream.receive_some(_READ_BYTES):
-                    pass
+                while bytes_left > 0:
+                    data = await self._stream.receive_some(_READ_BYTES)
+                    if not data:
+                        return
+                    bytes_left -= len(data)
             except (OSError, trio.BrokenResourceError):
                 return
 
--- a/sedgepin/_web/_failures.py
+++ b/sedgepin/_web/_failures.py
@@ -50,13 +50,22 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RequestTooSlow(errors.Failure):
-    """The header section or the next part of the body came too late."""
+    """The header section or the body arrived too slowly."""
 
     code: typing.ClassVar[str] = "request_too_slow"
     title: typing.ClassVar[str] = "The request did not arrive in time"
     http_status: typing.ClassVar[int] = 408
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestTooFragmented(errors.Failure):
+    """The request arrives in more pieces than are worth their time."""
+
+    code: typing.ClassVar[str] = "request_too_fragmented"
+    title: typing.ClassVar[str] = "The request arrives in too many pieces"
+    http_status: typing.ClassVar[int] = 413
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class HandlerFailed(errors.Failure):
     """An exception that nobody expected ended the request.
--- a/sedgepin/_web/_request_reader.py
+++ b/sedgepin/_web/_request_reader.py
@@ -20,6 +20,15 @@
 # are not read yet.
 _CLOSE_CHECK_SECONDS = 0.1
 _PEEKED_BYTES = 64
+# A body that arrives more slowly holds its connection for too long.
+_MIN_BODY_BYTES_PER_SECOND = 16_384
+# Each piece costs some 20 us, however small it is.
+_MAX_HEAD_PIECES = 1_024
+_MAX_BODY_PIECES = 16_384
+# The lengths, extensions and ends of the chunks of a body together.
+_MAX_FRAMING_BYTES = 1_048_576
+# Other tasks run after as many pieces that were received together.
+_PIECES_IN_A_TURN = 128
 _CONNECT = b"CONNECT"
 _LINE_END = b"\r\n"
 
@@ -27,6 +36,10 @@
 _Body: typing.TypeAlias = result.Result[bytes, errors.Failure] | None
 
 
+class _TooManyPieces(Exception):
+    """A part of a request arrived in more pieces than are read."""
+
+
 class RequestReader:
     """Reads the requests of a connection, one after the other.
 
@@ -35,6 +48,8 @@
 
     __slots__ = (
         "_header_bytes",
+        "_pieces_left",
+        "_received_bytes",
         "_stream",
         "has_caller_closed",
         "method",
@@ -48,6 +63,9 @@
         self._header_bytes = header_bytes
         self.parser = _new_parser(header_bytes)
         self.has_caller_closed = False
+        # Those of the part of a request that is being read.
+        self._pieces_left = 0
+        self._received_bytes = 0
         # Method of the request that is being received or answered.
         self.method = b""
 
@@ -88,13 +106,19 @@
             self.parser.receive_data(received)
 
     async def read_head(self, limits: _types.ServerLimits) -> _Head:
-        """Return the head of a request or a failure; ``None`` at the end."""
+        """Return the head of a request or a failure; ``None`` at the end.
+
+        The time of the limit begins with this call.
+        """
         self.method = b""
+        self._begin_part(_MAX_HEAD_PIECES)
+        deadline = trio.current_time() + limits.header_timeout_seconds
         try:
-            with trio.fail_after(limits.header_timeout_seconds):
-                head = await self._next_event()
+            head = await self._next_event(deadline, _READ_AHEAD_BYTES)
         except trio.TooSlowError:
             return result.Err(_failures.RequestTooSlow())
+        except _TooManyPieces:
+            return result.Err(_failures.RequestTooFragmented())
         except h11.RemoteProtocolError as exc:
             if exc.error_status_hint == 431:
                 return result.Err(_failures.HeadTooLarge())
@@ -114,19 +138,26 @@
     ) -> _Body:
         """Return the body of a request or a failure; ``None`` at the end.
 
-        A body over ``limits`` is allowed by larger ``current_limits``.
+        A body over ``limits`` is allowed by larger ``current_limits``.  The
+        whole body has the time of the limit, and as much more as its bytes
+        take at a minimum rate.
         """
         length = _body_length(head)
         max_bytes = _READ_AHEAD_BYTES
         body = bytearray()
+        self._begin_part(_MAX_BODY_PIECES)
+        started_at = trio.current_time()
         while True:
+            deadline = started_at + limits.header_timeout_seconds
+            deadline += len(body) / _MIN_BODY_BYTES_PER_SECOND
             if length is not None:
                 max_bytes = min(max(1, length - len(body)), _BODY_READ_BYTES)
             try:
-                with trio.fail_after(limits.header_timeout_seconds):
-                    event = await self._next_event(max_bytes)
+                event = await self._next_event(deadline, max_bytes)
             except trio.TooSlowError:
                 return result.Err(_failures.RequestTooSlow())
+            except _TooManyPieces:
+                return result.Err(_failures.RequestTooFragmented())
             except h11.RemoteProtocolError as exc:
                 return result.Err(_failures.RequestUnreadable(str(exc)))
             if isinstance(event, h11.EndOfMessage):
@@ -134,6 +165,8 @@
             if not isinstance(event, h11.Data):
                 return None
             body += event.data
+            if self._received_bytes - len(body) > _MAX_FRAMING_BYTES:
+                return result.Err(_failures.RequestTooFragmented())
             if len(body) <= limits.body_bytes:
                 continue
             limits = current_limits()
@@ -141,18 +174,39 @@
                 return result.Err(_failures.BodyTooLarge())
         return result.Ok(bytes(body))
 
-    async def _next_event(
-        self, max_bytes: int = _READ_AHEAD_BYTES
-    ) -> typing.Any:
+    def _begin_part(self, max_pieces: int) -> None:
+        self._received_bytes = 0
+        self._pieces_left = max_pieces
+
+    async def _next_event(self, deadline: float, max_bytes: int) -> typing.Any:
+        """Return the next part of a request; ``None`` at the end.
+
+        Raises ``trio.TooSlowError`` after the deadline, and
+        ``_TooManyPieces``.
+        """
         while True:
             event = self.parser.next_event()
+            self._pieces_left -= 1
+            if self._pieces_left < 0:
+                raise _TooManyPieces
             if event is not h11.NEED_DATA:
+                if self._pieces_left % _PIECES_IN_A_TURN == 0:
+                    await trio.lowlevel.checkpoint()
                 return event
-            data = await self._receive(max_bytes)
+            data = await self._receive_by(deadline, max_bytes)
             if not data:
                 return None
+            self._received_bytes += len(data)
             self.parser.receive_data(data)
 
+    async def _receive_by(self, deadline: float, max_bytes: int) -> bytes:
+        with trio.CancelScope(deadline=deadline):
+            return await self._receive(max_bytes)
+        # They may have arrived in time, while this process did not run.
+        if sockets.count_unread_bytes(self._stream.socket):
+            return await self._receive(max_bytes)
+        raise trio.TooSlowError
+
     async def receive_request(self) -> bool:
         """Wait for the first bytes of a request; return false at the end.
 
--- a/sedgepin/_web/_types.py
+++ b/sedgepin/_web/_types.py
@@ -98,9 +98,10 @@
 class ServerLimits:
     """Limits on the size of requests and on the time to receive them.
 
-    ``header_timeout_seconds`` limits the receipt of the header section and
-    the pause between two parts of the body.  ``idle_timeout_seconds`` limits
-    how long a connection stays open without a request.
+    ``header_timeout_seconds`` limits the receipt of the header section from
+    its first byte.  The whole body has as long, and the time that its bytes
+    take at 16 KiB/s.  ``idle_timeout_seconds`` limits how long a connection
+    stays open without a request.
     """
 
     header_bytes: int
