--- a/sedgepin/_web/__init__.py
+++ b/sedgepin/_web/__init__.py
@@ -9,12 +9,15 @@
 from sedgepin._web._client import ClientConnection
 from sedgepin._web._client import send_request
 from sedgepin._web._connection import AnswerConnection
+from sedgepin._web._exchange import Exchange
+from sedgepin._web._exchange import Handler
 from sedgepin._web._failures import AnswerBroken
 from sedgepin._web._failures import BodyTooLarge
 from sedgepin._web._failures import ConnectFailed
 from sedgepin._web._failures import HandlerFailed
 from sedgepin._web._failures import HeadTooLarge
 from sedgepin._web._failures import MethodUnsupported
+from sedgepin._web._failures import RequestTooFragmented
 from sedgepin._web._failures import RequestTooSlow
 from sedgepin._web._failures import RequestUnreadable
 from sedgepin._web._field_values import encode_field_value
@@ -23,8 +26,6 @@
 from sedgepin._web._request_ends import Closer
 from sedgepin._web._request_ends import EndKind
 from sedgepin._web._request_ends import RequestEnd
-from sedgepin._web._server import Exchange
-from sedgepin._web._server import Handler
 from sedgepin._web._server import Server
 from sedgepin._web._types import AnswerHead
 from sedgepin._web._types import end_to_end_headers
@@ -52,6 +53,7 @@
     "PartTimer",
     "Request",
     "RequestEnd",
+    "RequestTooFragmented",
     "RequestTooSlow",
     "RequestUnreadable",
     "Server",
