Soak: judge 20 or more sound streams beside a part that crashes engines

The check counted the streams from 6 s after the fifth crash to the end of a span of 12 s. A fifth crash after 5.8 s leaves one stream, and one of one is no share. The rule asks for 20 or more. A stream sent near the end of the span also had 6 s while the faults began after 4 s.

The span now lasts until 20 sound streams were sent by callers that stay, 45 s at most, and the faults begin after its streams have ended. Fewer than 20 are a finding, where a run with none was passed over before. The bound stays: half of them, which is above half of the share that is served otherwise.

Seen red: test_soak.py with 9 of 20 served, and with 19 of 19.

--- a/sedgepin/platform/tests/soak/_callers.py
+++ b/sedgepin/platform/tests/soak/_callers.py
@@ -20,7 +20,7 @@
 _CRASHING_SHARE = 0.3
 # Share of callers that disconnect early, and how early at the latest.
 _DISCONNECT_SHARE = 0.03
-_MAX_DISCONNECT_SECONDS = 0.2
+MAX_DISCONNECT_SECONDS = 0.2
 # Share of connections kept open for a later request.
 _KEEP_ALIVE_SHARE = 0.6
 
@@ -190,7 +190,7 @@
         is_reusable = False
         timeout_seconds = sent.time_left_ms / 1000
         if self._rng.random() < _DISCONNECT_SHARE:
-            timeout_seconds = _MAX_DISCONNECT_SECONDS * self._rng.random()
+            timeout_seconds = MAX_DISCONNECT_SECONDS * self._rng.random()
         with trio.move_on_after(timeout_seconds) as scope:
             try:
                 await connection.send(sent)
--- a/sedgepin/platform/tests/soak/_invariants.py
+++ b/sedgepin/platform/tests/soak/_invariants.py
@@ -22,8 +22,10 @@
 STABILITY_SECONDS = 3.0
 _CRASHES_TO_KNOW = 5
 _MAX_REACHED_LATE = 3
-# Share of the requests that share the other parts and must be answered.
+# Share of the requests that share the other parts and must be answered, and
+# how many of them are needed to state a share.
 _MIN_SOUND_SHARE = 0.5
+MIN_SOUND_STREAMS = 20
 # What an engine with a limit may get in any such window.
 LIMIT_WINDOW_SECONDS = 4.0
 _LIMIT_FACTOR = 1.5
@@ -45,6 +47,26 @@
     return b"%s-%d" % (request_id.encode(), number)
 
 
+def find_sound_streams(
+    record: _record.Record, part: str, start: float, end: float
+) -> list[str]:
+    """Return the sound streams to judge beside a part that crashes engines.
+
+    They are sent from 2 x ``stabilityWindowMs`` after the fifth crash on, or
+    after the last one if there were fewer.
+    """
+    crashes = sorted(record.crashed_at.get(part, ()))
+    known = crashes[:_CRASHES_TO_KNOW][-1] if crashes else start
+    return [
+        sent.request_id
+        for sent in record.sent.values()
+        if sent.parts
+        and sent.crashing_part is None
+        and known + 2 * STABILITY_SECONDS < sent.at < end
+        and sent.request_id not in record.disconnected
+    ]
+
+
 def _group_runs(
     record: _record.Record,
 ) -> dict[str, list[_record.EngineRun]]:
@@ -302,14 +324,13 @@
                 f"part {part!r} reached engines {len(reached)} times too late,"
                 f" after {len(crashes)} crashes: {reached[:5]}"
             )
-        sound = [
-            sent.request_id
-            for sent in record.sent.values()
-            if sent.parts
-            and sent.crashing_part is None
-            and known + 2 * STABILITY_SECONDS < sent.at < end
-            and sent.request_id not in record.disconnected
-        ]
+        sound = find_sound_streams(record, part, start, end)
+        if len(sound) < MIN_SOUND_STREAMS:
+            yield (
+                f"{len(sound)} sound streams sent beside part {part!r},"
+                f" {MIN_SOUND_STREAMS} are needed to judge it"
+            )
+            continue
         served = sum(
             request_id in record.answers
             and record.answers[request_id].status == 200
--- a/sedgepin/platform/tests/soak/_seed_run.py
+++ b/sedgepin/platform/tests/soak/_seed_run.py
@@ -12,6 +12,7 @@
 from sedgepin.platform.tests.soak import _callers
 from sedgepin.platform.tests.soak import _engines
 from sedgepin.platform.tests.soak import _faults
+from sedgepin.platform.tests.soak import _invariants
 from sedgepin.platform.tests.soak import _odd_writers
 from sedgepin.platform.tests.soak import _operator
 from sedgepin.platform.tests.soak import _programs
@@ -27,6 +28,9 @@
 _RECOVERY_SECONDS = 8.0
 # Longer than twice ``stabilityWindowMs`` and the first crashes.
 _CRASHING_SECONDS = 12.0
+# When to give up if too few sound streams are sent meanwhile.
+_MAX_CRASHING_SECONDS = 45.0
+_CRASHING_CHECK_SECONDS = 0.2
 # Time for requests in flight at the end of a calm span to finish.
 SETTLE_SECONDS = 6.5
 _FINAL_READ_TIMEOUT_SECONDS = 10.0
@@ -217,14 +221,29 @@
 async def _record_crashing_span(
     record: _record.Record, callers: _callers.Callers
 ) -> None:
-    """Let a part of some prompts crash engines, without other faults."""
+    """Let a part of some prompts crash engines, without other faults.
+
+    It goes on until enough sound streams were sent to judge them.
+    """
     part = "crashing"
     start = trio.current_time()
     callers.crashing_part = part
     await trio.sleep(_CRASHING_SECONDS)
+    with trio.move_on_at(start + _MAX_CRASHING_SECONDS):
+        while not _has_enough_sound_streams(record, part, start):
+            await trio.sleep(_CRASHING_CHECK_SECONDS)
     callers.crashing_part = None
     record.crashing_spans[part] = (start, trio.current_time())
-    await trio.sleep(_RECOVERY_SECONDS / 2)
+    await trio.sleep(SETTLE_SECONDS)
+
+
+def _has_enough_sound_streams(
+    record: _record.Record, part: str, start: float
+) -> bool:
+    """Return whether enough were sent by callers that surely stay."""
+    end = trio.current_time() - _callers.MAX_DISCONNECT_SECONDS - 1
+    sound = _invariants.find_sound_streams(record, part, start, end)
+    return len(sound) >= _invariants.MIN_SOUND_STREAMS
 
 
 async def _read_final_configuration(operator: _operator.Operator) -> None:
--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -227,15 +227,30 @@
         record.runs.append(run)
 
 
-def _hold_back_sound_streams(record: _record.Record) -> None:
+def _send_sound_streams(
+    record: _record.Record, count: int, served: int
+) -> None:
+    """Send sound streams beside a part that crashed an engine at 1 s."""
     record.crashing_spans["p"] = (0.0, 30.0)
     record.crashed_at["p"] = [1.0]
-    for number in range(4):
+    for number in range(count):
         request_id = f"x{number}"
+        if number < served:
+            record.answers[request_id] = dataclasses.replace(
+                _answer(), is_complete=False, seal=""
+            )
         sent = _sent("stream", request_id, 20.0)
         record.sent[request_id] = dataclasses.replace(sent, parts=("s", "x"))
 
 
+def _hold_back_sound_streams(record: _record.Record) -> None:
+    _send_sound_streams(record, count=20, served=9)
+
+
+def _send_few_sound_streams(record: _record.Record) -> None:
+    _send_sound_streams(record, count=19, served=19)
+
+
 def _crash_no_engine(record: _record.Record) -> None:
     record.crashing_spans["p"] = (0.0, 30.0)
 
@@ -281,7 +296,8 @@
             ("read", _retry_rejected_requests, "50 retries"),
             ("read", _lose_answers, "1 of 10 requests"),
             ("stream", _crash_on, "reached engines 4 times too late"),
-            ("stream", _hold_back_sound_streams, "0 of 4 sound streams"),
+            ("stream", _hold_back_sound_streams, "9 of 20 sound streams"),
+            ("stream", _send_few_sound_streams, "19 sound streams sent"),
             ("stream", _crash_no_engine, "no engine crashed"),
         ],
     )
@@ -293,6 +309,14 @@
         assert any(finding in found for found in soak.find_violations(record))
 
 
+class TestCrashingParts:
+    def test_half_of_the_sound_streams_are_enough(self) -> None:
+        record = _make_valid_record("stream")
+        _send_sound_streams(record, count=20, served=10)
+        findings = soak.find_violations(record)
+        assert not [found for found in findings if "sound" in found]
+
+
 class TestDeadlines:
     def test_time_outside_an_entry_is_not_its_own(self) -> None:
         """A pause of the callers' and engines' process passes the check."""
