Cut no stream that moves in the turn in which its engine sends again

Callers saw begun streams cut ("send_interrupted") beside engines that had only fallen silent.

When a VM goes on after a pause, the bytes of the silent engine and the decision to leave it come in the same turn. The cancellation then took effect at the first checkpoint, which was that of the send to the caller: nothing had been sent, but the connection counted as one with a send broken off, on which nothing may follow. A cancellation of an attempt now takes effect before the send begins. A send that has begun was not cancelled before, either.

test_relay.py: an attempt is cancelled in the turn in which an event, or the end of the answer, arrives. Both failed before: the caller's connection was interrupted.

--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -157,6 +157,15 @@
         if self._attempt_scope is not None and not self._is_sending:
             self._attempt_scope.cancel()
 
+    async def _start_sending(self) -> None:
+        """Let nothing cancel the attempt from now on.
+
+        A cancellation in the turn in which its output arrived takes effect
+        here.  Within the send it would end the caller's connection.
+        """
+        await trio.lowlevel.checkpoint_if_cancelled()
+        self._is_sending = True
+
     async def run(self) -> None:
         """Run the exchange until it is answered, failed or abandoned."""
         arrival = _events.RequestArrived(self.exchange_id, self._request)
@@ -376,7 +385,7 @@
             return _AttemptResult(
                 _Outcome.FAILED, detail, metadata.faulty_address
             )
-        self._is_sending = True
+        await self._start_sending()
         await self._exchange.answer(forwarded, body.ok_value)
         is_success = head.status < _FIRST_REDIRECT
         return _AttemptResult(_Outcome.ANSWERED, is_success=is_success)
@@ -424,7 +433,7 @@
             return _AttemptResult(_Outcome.UNKNOWN, _NO_LENGTH_AND_NO_EVENT)
         if await self._ended_by_crash(head, start):
             return _AttemptResult(_Outcome.UNKNOWN, _ENDED_BY_CRASH)
-        self._is_sending = True
+        await self._start_sending()
         await self._exchange.finish()
         return _AttemptResult(_Outcome.ANSWERED)
 
@@ -470,7 +479,7 @@
             forwarded += event.data
             self._event_count += 1
         if forwarded:
-            self._is_sending = True
+            await self._start_sending()
             await self._start_answer(head)
             await self._exchange.send(bytes(forwarded))
             self._is_sending = False
--- a/sedgepin/platform/tests/test_relay.py
+++ b/sedgepin/platform/tests/test_relay.py
@@ -9,6 +9,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _effects
@@ -83,6 +84,41 @@
         await super().answer(head, body)
 
 
+class _InterruptedCaller(_SlowCaller):
+    """A caller whose connection is lost by a send that is cancelled."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.may_receive.set()
+        self.is_interrupted = False
+
+    async def send(self, data: bytes) -> None:
+        await self._begin()
+        await super().send(data)
+
+    async def finish(self) -> None:
+        await self._begin()
+        await super().finish()
+
+    async def _begin(self) -> None:
+        self.is_interrupted = True
+        await trio.lowlevel.checkpoint_if_cancelled()
+        self.is_interrupted = False
+
+
+class _CancelBeforeStep(trio.abc.Instrument):
+    """Cancels the attempt of a relay that is about to read its output."""
+
+    def __init__(self) -> None:
+        self.relay: _relay.Relay | None = None
+
+    def before_task_step(self, task: trio.lowlevel.Task) -> None:
+        """Cancel it as soon as ``relay`` is set and its task goes on."""
+        if self.relay is not None and task.name.endswith("Relay.run"):
+            self.relay.handle_effect(_effects.CancelAttempt(1))
+            self.relay = None
+
+
 def _make_relay(
     caller: _SlowCaller,
     port: int,
@@ -290,6 +326,40 @@
         assert ended[0].outcome is _events.AttemptOutcome.ANSWERED
         nursery.cancel_scope.cancel()
 
+    @pytest.mark.parametrize("output", [_event_chunk(2), b"0\r\n\r\n"])
+    async def test_attempt_cancelled_as_output_comes_leaves_the_answer_whole(
+        self, nursery: trio.Nursery, output: bytes
+    ) -> None:
+        """Streams that moved after a pause of their VM were cut."""
+        engines: list[trio.SocketStream] = []
+
+        async def engine(stream: trio.SocketStream) -> None:
+            await stream.receive_some(65_536)
+            await stream.send_all(_HEAD + _event_chunk(1))
+            engines.append(stream)
+            await trio.sleep(5)
+
+        port = await _serve_engine(nursery, engine)
+        ended: list[_events.AttemptEnded] = []
+        caller = _InterruptedCaller()
+        relay = _make_relay(caller, port, ended, resume_after=0)
+        nursery.start_soon(relay.run)
+        cancel = _CancelBeforeStep()
+        trio.lowlevel.add_instrument(cancel)
+        with trio.fail_after(2):
+            while not caller.received:
+                await trio.sleep(0.01)
+            await trio.testing.wait_all_tasks_blocked()
+            cancel.relay = relay
+            await engines[0].send_all(output)
+            while not ended:
+                await trio.sleep(0.01)
+        assert not caller.is_interrupted
+        assert ended[0].outcome is _events.AttemptOutcome.CANCELLED
+        assert ended[0].position == 1
+        assert caller.received == b"id: 1\ndata: x\n\n"
+        nursery.cancel_scope.cancel()
+
     @pytest.mark.parametrize(
         ("event_ids", "forwarded_ids", "outcome"),
         [
