--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -116,6 +116,7 @@
 
     __slots__ = (
         "_announced_table",
+        "_budget",
         "_cfg",
         "_clock",
         "_dialect",
@@ -148,6 +149,7 @@
             cfg, random.Random(), own_clock.now()
         )
         self._metrics = shell.PrometheusSink()
+        self._budget = shell.create_budget(cfg.held_bytes, self._metrics)
         self._driver = shell.Driver(
             self.reducer.handle,
             self._apply_effect,
@@ -172,6 +174,7 @@
                 self._driver.submit,
                 self._write_log,
             ),
+            self._budget,
         )
         hello = protocol.Hello(
             cfg.vm_id,
@@ -236,6 +239,7 @@
             parsed.unwrap(),
             self._dialect,
             self._driver.submit,
+            self._budget,
         )
         self._relays[exchange_id] = relay
         self._has_work.set()
@@ -360,7 +364,7 @@
         with containment.contain("probe"):
             self._driver.submit(
                 await _engine_calls.probe(
-                    effect, self._dialect, _ENGINE_TIMEOUT
+                    effect, self._dialect, _ENGINE_TIMEOUT, self._budget
                 )
             )
 
@@ -368,7 +372,11 @@
         with containment.contain("inspection"):
             self._driver.submit(
                 await _engine_calls.inspect_stalls(
-                    effect, self._dialect, self._driver.submit, _ENGINE_TIMEOUT
+                    effect,
+                    self._dialect,
+                    self._driver.submit,
+                    _ENGINE_TIMEOUT,
+                    self._budget,
                 )
             )
 
@@ -376,7 +384,11 @@
         with containment.contain("reroute"):
             self._driver.submit(
                 await _engine_calls.reroute(
-                    effect, self._dialect, self._driver.submit, _ENGINE_TIMEOUT
+                    effect,
+                    self._dialect,
+                    self._driver.submit,
+                    _ENGINE_TIMEOUT,
+                    self._budget,
                 )
             )
 
