End a connection that fails, not the process that serves it

One caller without a credential ended an entry or a control VM, and all requests that it had open, with one HTTP/2 connection (which hypercorn accepts without TLS too): data of a stream that was answered, 1,001 PRIORITY frames, or a path that is no ASCII.

Hypercorn's protocols raise KeyError, TooManyStreamsError and UnicodeDecodeError there, and its server passes them on to the nursery of the whole process.

The server accepts connections itself now and serves each with hypercorn's protocols; an exception is logged (task_failed, connection) and ends its connection.

--- a/sedgepin/_http/_server.py
+++ b/sedgepin/_http/_server.py
@@ -4,9 +4,9 @@
 import typing
 
 import hypercorn.config
-import hypercorn.trio
 import trio
 
+from sedgepin._http import _connections
 from sedgepin._http import _failures
 from sedgepin._http import _messages
 from sedgepin import settings
@@ -101,7 +101,7 @@
             cfg.certfile = tls.certificate
             cfg.keyfile = tls.key
         app = typing.cast(typing.Any, self._app)
-        await hypercorn.trio.serve(app, cfg, shutdown_trigger=self._stop.wait)
+        await _connections.serve(app, cfg, self._stop)
 
     async def _app(
         self,
@@ -109,9 +109,6 @@
         receive: _messages.Receive,
         send: _messages.Send,
     ) -> None:
-        if scope["type"] == "lifespan":
-            await _serve_lifespan(receive, send)
-            return
         if scope["type"] != "http":
             return
         wrapped_send = self._with_connection_close(send)
@@ -152,13 +149,3 @@
         len(field.name) + len(field.value) for field in request.headers
     )
     return fields + len(request.path) + len(request.query)
-
-
-async def _serve_lifespan(
-    receive: _messages.Receive, send: _messages.Send
-) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
