Refuse a body that arrives too slowly as a whole

A caller of the product's entry or control held its connection and what it had sent for as long as it wanted: a body of 60,000 bytes at five bytes a second was still being read after 8 s, and would have been for 3 hours.

Nothing bounded the time to read a body; hypercorn bounds only the wait for a head.

read_body gives the whole body 5 s and the time of its bytes at 16 KiB a second, then answers 408, not run.

The test of the trickle failed before (no answer in 8 s); a body of 128 KiB at 20 KiB a second is read, before and after.

--- a/sedgepin/_http/__init__.py
+++ b/sedgepin/_http/__init__.py
@@ -1,6 +1,7 @@
 """The HTTP server that the APIs of both daemons are built on."""
 
 from sedgepin._http._failures import BodyTooLarge
+from sedgepin._http._failures import BodyTooSlow
 from sedgepin._http._failures import CallerGone
 from sedgepin._http._failures import CredentialRefused
 from sedgepin._http._failures import HeadersTooLarge
@@ -20,6 +21,7 @@
 
 __all__ = [
     "BodyTooLarge",
+    "BodyTooSlow",
     "CallerGone",
     "CredentialRefused",
     "HeaderField",
--- a/sedgepin/_http/_failures.py
+++ b/sedgepin/_http/_failures.py
@@ -39,6 +39,25 @@
         return f"the limit is {self.limit_bytes} bytes"
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class BodyTooSlow(errors.Failure):
+    """The request body did not arrive in the time for its size."""
+
+    code: typing.ClassVar[str] = "body_too_slow"
+    title: typing.ClassVar[str] = "The body did not arrive in time"
+    http_status: typing.ClassVar[int] = 408
+
+    received_bytes: int
+    limit_seconds: float
+
+    def detail(self) -> str:
+        """Return how much came in the time that is allowed for it."""
+        return (
+            f"{self.received_bytes} bytes came in"
+            f" {self.limit_seconds:.1f} seconds"
+        )
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class HeadersTooLarge(errors.Failure):
     """The header fields are over the limit in the settings."""
--- a/sedgepin/_http/_messages.py
+++ b/sedgepin/_http/_messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 import result
+import trio
 
 from sedgepin._http import _failures
 from sedgepin import errors
@@ -21,6 +22,10 @@
 ]
 
 _BEARER_PREFIX = b"bearer "
+# The whole body has to arrive in this time, and that of its bytes at the
+# lowest rate.
+_BODY_SECONDS = 5.0
+_LOWEST_BYTES_PER_SECOND = 16_384
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -66,26 +71,37 @@
 
 async def read_body(
     request: Request, limit_bytes: int
-) -> result.Result[bytes, _failures.BodyTooLarge | _failures.CallerGone]:
+) -> result.Result[
+    bytes,
+    _failures.BodyTooLarge | _failures.BodyTooSlow | _failures.CallerGone,
+]:
     """Return the whole body of a request.
 
     A body over ``limit_bytes`` is refused before it is read if the request
-    has a ``Content-Length``, otherwise as soon as the limit is exceeded.
+    has a ``Content-Length``, otherwise as soon as the limit is exceeded.  One
+    that falls behind 16 KiB a second is refused after 5 s.
     """
     declared = request.header(b"content-length")
     if declared is not None and declared.isdigit():
         if int(declared) > limit_bytes:
             return result.Err(_failures.BodyTooLarge(limit_bytes))
     body = bytearray()
-    while True:
-        event = await request.receive()
-        if event["type"] == "http.disconnect":
-            return result.Err(_failures.CallerGone())
-        body += event.get("body", b"")
-        if len(body) > limit_bytes:
-            return result.Err(_failures.BodyTooLarge(limit_bytes))
-        if not event.get("more_body", False):
-            return result.Ok(bytes(body))
+    started = trio.current_time()
+    with trio.CancelScope(deadline=started + _BODY_SECONDS) as scope:
+        while True:
+            event = await request.receive()
+            if event["type"] == "http.disconnect":
+                return result.Err(_failures.CallerGone())
+            body += event.get("body", b"")
+            if len(body) > limit_bytes:
+                return result.Err(_failures.BodyTooLarge(limit_bytes))
+            if not event.get("more_body", False):
+                return result.Ok(bytes(body))
+            allowed = _BODY_SECONDS + len(body) / _LOWEST_BYTES_PER_SECOND
+            scope.deadline = started + allowed
+    return result.Err(
+        _failures.BodyTooSlow(len(body), scope.deadline - started)
+    )
 
 
 def bearer_digest(request: Request) -> str | None:
--- a/sedgepin/_http/tests/test_connections.py
+++ b/sedgepin/_http/tests/test_connections.py
@@ -7,6 +7,7 @@
 import h2.config
 import h2.connection
 import pytest
+import result
 import trio
 
 from sedgepin import _http as http
@@ -22,6 +23,8 @@
 _PRIORITY_FRAME = 2
 # More than hypercorn keeps.
 _STREAMS = 1200
+_BODY_LIMIT_BYTES = 1_048_576
+_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
 
 
 class Server(http.HttpServer):
@@ -31,6 +34,17 @@
         await http.send_document(request, {"path": request.path})
 
 
+class BodyServer(http.HttpServer):
+    """Answers with the length of the body."""
+
+    async def answer(self, request: http.Request) -> None:
+        body = await http.read_body(request, _BODY_LIMIT_BYTES)
+        if isinstance(body, result.Err):
+            await http.send_problem(request, body.err_value)
+        else:
+            await http.send_document(request, len(body.ok_value))
+
+
 @contextlib.asynccontextmanager
 async def running(
     server: http.HttpServer,
@@ -52,13 +66,33 @@
         nursery.cancel_scope.cancel()
 
 
+async def read_answer(stream: trio.SocketStream) -> bytes:
+    """Return an answer with a length; empty if there is none."""
+    answer = b""
+    while not _is_complete(answer):
+        data = await stream.receive_some(65_536)
+        if not data:
+            return b""
+        answer += data
+    return answer
+
+
+def _is_complete(answer: bytes) -> bool:
+    head, end, body = answer.partition(b"\r\n\r\n")
+    for line in head.lower().split(b"\r\n"):
+        name, _, value = line.partition(b": ")
+        if name == b"content-length":
+            return bool(end) and len(body) >= int(value)
+    return False
+
+
 async def get(port: int) -> bytes:
-    """Return the first bytes of the answer to a sound request."""
+    """Return the answer to a sound request."""
     stream = await trio.open_tcp_stream("127.0.0.1", port)
     async with stream:
         with trio.fail_after(2.0):
             await stream.send_all(b"GET /sound HTTP/1.1\r\nHost: a\r\n\r\n")
-            return bytes(await stream.receive_some(65_536))
+            return await read_answer(stream)
 
 
 def _client() -> h2.connection.H2Connection:
@@ -117,3 +151,45 @@
                 await send(stream)
                 await trio.sleep(_PAUSE_SECONDS)
                 assert (await get(port)).startswith(b"HTTP/1.1 200")
+
+
+async def _send_slowly(
+    port: int, body_bytes: int, piece: bytes, pause_seconds: float
+) -> tuple[bytes, float]:
+    """Send a body in pieces; return the answer and when it came."""
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    started = trio.current_time()
+
+    async def send() -> None:
+        await stream.send_all(_HEAD % body_bytes)
+        for _ in range(0, body_bytes, len(piece)):
+            await trio.sleep(pause_seconds)
+            await stream.send_all(piece)
+
+    async with stream, trio.open_nursery() as nursery:
+        nursery.start_soon(send)
+        answer = await read_answer(stream)
+        nursery.cancel_scope.cancel()
+    return answer, trio.current_time() - started
+
+
+class TestSlowBody:
+    """A body in pieces was read for as long as its caller wanted."""
+
+    async def test_trickle_is_refused_as_a_whole(self) -> None:
+        async with running(BodyServer()) as port:
+            with trio.fail_after(8.0):
+                answer, seconds = await _send_slowly(port, 60_000, b"x", 0.2)
+        assert answer.startswith(b"HTTP/1.1 408")
+        assert b"not_run" in answer
+        assert 4.5 < seconds < 6.5
+
+    async def test_body_at_the_lowest_rate_is_read(self) -> None:
+        piece = bytes(8_192)
+        async with running(BodyServer()) as port:
+            with trio.fail_after(20.0):
+                answer, seconds = await _send_slowly(
+                    port, 16 * len(piece), piece, 0.4
+                )
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert seconds > 6.0
