Bound the open requests of an entry and a control VM all together

Bodies, prompts and what waits to be sent were bounded one by one: callers with 4,096 open requests of a megabyte each held 4 GiB and more of an entry VM, and bodies that were still read were not counted at all.

Each request of the HTTP server counts its head, its body as it is read, the prompt and the answer that waits for its caller, until it is answered; the sender is the customer, the operator, or the endpoint's host. At the bound (memory.held_bytes) the largest request of the largest sender is ended: 503, not run, while its body is read; 502, unknown, once the reducer has it, which hears that its caller has gone, so that a write that may have run keeps a true record; a begun stream ends with an error event.

--- a/sedgepin/_control/_daemon.py
+++ b/sedgepin/_control/_daemon.py
@@ -77,7 +77,11 @@
             lambda: self._reducer.raft.holds_lease(own_clock.now()),
         )
         self._server = _operator_server.OperatorServer(
-            cfg, self._reducer, self._driver.submit, own_clock
+            cfg,
+            self._reducer,
+            self._driver.submit,
+            own_clock,
+            shell.create_budget(cfg.memory.held_bytes, self._metrics),
         )
         hello = protocol.Hello(
             model.VmId(cfg.id),
--- a/sedgepin/_control/_operator_server.py
+++ b/sedgepin/_control/_operator_server.py
@@ -15,6 +15,7 @@
 from sedgepin._control import _events
 from sedgepin._control import _reducer
 from sedgepin import _http as http
+from sedgepin import _memory as memory
 from sedgepin import _release as release
 from sedgepin import _state as state
 from sedgepin import clock
@@ -104,8 +105,9 @@
         reducer: _reducer.ControlReducer,
         submit: Submit,
         own_clock: clock.Clock,
+        budget: memory.MemoryBudget | None = None,
     ) -> None:
-        super().__init__()
+        super().__init__(budget)
         self._cfg = cfg
         self._clock = own_clock
         self._reducer = reducer
@@ -175,7 +177,7 @@
     async def _publish(
         self, request: http.Request, operator: str
     ) -> errors.Failure | None:
-        body = await http.read_body(request, _MAX_NOTE_BYTES)
+        body = await http.read_body(request, _MAX_NOTE_BYTES, operator)
         if isinstance(body, result.Err):
             return body.err_value
         parsed = release.parse_note(body.ok_value)
--- a/sedgepin/_entry/_completions.py
+++ b/sedgepin/_entry/_completions.py
@@ -108,6 +108,24 @@
             return
 
 
+async def send_released(
+    request: http.Request,
+    generation: _events.GenerateRequest,
+    is_stream: bool,
+) -> None:
+    """Tell that a request was given up, if it has no complete answer yet.
+
+    A stream ends with an ``error`` event, a begun document stays cut.
+    """
+    failure = http.RequestReleased()
+    if not request.holder.has_started_answer:
+        await http.send_problem(request, failure, generation.request_id)
+    elif is_stream and not request.holder.has_finished_answer:
+        refusal = _effects.RefuseCaller(generation.request_id, failure)
+        last, _ = _encode_events([refusal], generation)
+        await request.send({"type": "http.response.body", "body": last})
+
+
 def _encode_events(
     effects: list[_exchange.CallerEffect],
     generation: _events.GenerateRequest,
--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -36,6 +36,7 @@
     """Feeds network and timer events to the reducer, runs its effects."""
 
     __slots__ = (
+        "_budget",
         "_calls",
         "_cfg",
         "_client",
@@ -75,6 +76,9 @@
             ),
         )
         self._metrics = shell.create_sink(cfg.statsd)
+        self._budget = shell.create_budget(
+            cfg.memory.held_bytes, self._metrics
+        )
         self._client: _endpoint_client.EndpointClient = (
             _endpoint_client.HttpEndpointClient(cfg.limits.answer_bytes)
         )
@@ -86,6 +90,7 @@
             self._driver.submit,
             lambda: self._reducer.is_ready,
             lambda: self._reducer.status(own_clock.now()),
+            self._budget,
         )
         hello = protocol.Hello(
             model.VmId(cfg.id),
--- a/sedgepin/_entry/_server.py
+++ b/sedgepin/_entry/_server.py
@@ -7,6 +7,7 @@
 import hmac
 import itertools
 import string
+import sys
 import typing
 import urllib.parse
 
@@ -19,6 +20,7 @@
 from sedgepin._entry import _events
 from sedgepin._entry import _exchange
 from sedgepin import _http as http
+from sedgepin import _memory as memory
 from sedgepin import _model as model
 from sedgepin import documents
 from sedgepin import errors
@@ -58,8 +60,9 @@
         submit: Submit,
         is_ready: collections.abc.Callable[[], bool],
         status: collections.abc.Callable[[], object],
+        budget: memory.MemoryBudget | None = None,
     ) -> None:
-        super().__init__()
+        super().__init__(budget)
         self._cfg = cfg
         self._submit = submit
         self._is_ready = is_ready
@@ -130,7 +133,9 @@
         if expected is not None and not hmac.compare_digest(expected, digest):
             await http.send_problem(request, http.CredentialRefused())
             return
-        body = await http.read_body(request, _MAX_ANNOUNCEMENT_BYTES)
+        body = await http.read_body(
+            request, _MAX_ANNOUNCEMENT_BYTES, request.host
+        )
         if isinstance(body, result.Err):
             await _send_unless_disconnected(request, body.err_value)
             return
@@ -173,7 +178,9 @@
         if customer is None:
             await http.send_problem(request, http.CredentialRefused())
             return
-        body = await http.read_body(request, self._cfg.limits.body_bytes)
+        body = await http.read_body(
+            request, self._cfg.limits.body_bytes, customer
+        )
         if isinstance(body, result.Err):
             await _send_unless_disconnected(request, body.err_value)
             return
@@ -210,10 +217,17 @@
             if body.stream
             else _completions.send_whole_answer
         )
+        exchange = _exchange.Exchange(
+            request.holder,
+            len(raw) + sys.getsizeof(generation.prompt),
+            keeps_answer=not body.stream,
+        )
         async with self._open_exchange(
-            request, generation.request_id, event
-        ) as exchange:
+            request, generation.request_id, event, exchange
+        ):
             await send_answer(request, exchange, generation)
+        if request.holder.is_ended:
+            await _completions.send_released(request, generation, body.stream)
 
     async def _handle_service_call(
         self,
@@ -225,7 +239,10 @@
         call = _service_request(request, service, customer, body)
         event = _events.ServiceCallRequested(call)
         request_id = call.request_id
-        async with self._open_exchange(request, request_id, event) as exchange:
+        exchange = _exchange.Exchange(
+            request.holder, len(body), keeps_answer=True
+        )
+        async with self._open_exchange(request, request_id, event, exchange):
             for effect in await exchange.receive():
                 if isinstance(effect, _effects.AnswerCall):
                     await http.send_response(
@@ -235,6 +252,10 @@
                     await http.send_problem(
                         request, effect.failure, request_id
                     )
+        if request.holder.is_ended and not request.holder.has_started_answer:
+            await http.send_problem(
+                request, http.RequestReleased(), request_id
+            )
 
     @contextlib.asynccontextmanager
     async def _open_exchange(
@@ -242,13 +263,13 @@
         request: http.Request,
         request_id: model.RequestId,
         event: _events.EntryEvent,
-    ) -> collections.abc.AsyncIterator[_exchange.Exchange]:
-        """Submit an event and yield the exchange that gets its effects.
+        exchange: _exchange.Exchange,
+    ) -> collections.abc.AsyncIterator[None]:
+        """Submit an event whose effects go to the exchange in the block.
 
-        If the caller disconnects first, the block is cancelled and the
-        reducer gets a ``CallerDisconnected`` event.
+        If the caller disconnects first, or the request's holder is ended, the
+        block is cancelled and the reducer gets a ``CallerDisconnected`` event.
         """
-        exchange = _exchange.Exchange()
         finished = False
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
@@ -256,9 +277,10 @@
             )
             self._exchanges[request_id] = exchange
             try:
-                self._submit(event)
-                yield exchange
-                finished = True
+                with request.holder.ends(nursery.cancel_scope):
+                    self._submit(event)
+                    yield
+                    finished = True
             finally:
                 del self._exchanges[request_id]
                 if not finished:
--- a/sedgepin/_http/__init__.py
+++ b/sedgepin/_http/__init__.py
@@ -7,6 +7,8 @@
 from sedgepin._http._failures import HeadersTooLarge
 from sedgepin._http._failures import NotFound
 from sedgepin._http._failures import RequestNotUnderstood
+from sedgepin._http._failures import RequestReleased
+from sedgepin._http._holder import RequestHolder
 from sedgepin._http._messages import bearer_digest
 from sedgepin._http._messages import HeaderField
 from sedgepin._http._messages import problem_document
@@ -30,7 +32,9 @@
     "NotFound",
     "Receive",
     "Request",
+    "RequestHolder",
     "RequestNotUnderstood",
+    "RequestReleased",
     "Send",
     "bearer_digest",
     "problem_document",
--- a/sedgepin/_http/_failures.py
+++ b/sedgepin/_http/_failures.py
@@ -1,10 +1,13 @@
-"""Failures of an HTTP request that precede its processing."""
+"""Failures of an HTTP request beside those of its processing."""
 
 import dataclasses
+import datetime
 import typing
 
 from sedgepin import errors
 
+_RETRY_AFTER = datetime.timedelta(seconds=1)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class CredentialRefused(errors.Failure):
@@ -95,3 +98,18 @@
     code: typing.ClassVar[str] = "caller_gone"
     title: typing.ClassVar[str] = "The caller closed the connection"
     http_status: typing.ClassVar[int] = 499
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestReleased(errors.Failure):
+    """A request that may have run was the largest holder at the bound."""
+
+    code: typing.ClassVar[str] = "request_released"
+    title: typing.ClassVar[str] = "The memory for open requests is used up"
+    http_status: typing.ClassVar[int] = 502
+    outcome: typing.ClassVar[errors.Outcome] = errors.Outcome.UNKNOWN
+
+    @property
+    def retry_after(self) -> datetime.timedelta | None:
+        """Return the delay before a retry."""
+        return _RETRY_AFTER
--- a/sedgepin/_http/_messages.py
+++ b/sedgepin/_http/_messages.py
@@ -11,6 +11,8 @@
 import trio
 
 from sedgepin._http import _failures
+from sedgepin._http import _holder
+from sedgepin import _memory as memory
 from sedgepin import errors
 
 Scope: typing.TypeAlias = collections.abc.MutableMapping[str, typing.Any]
@@ -38,7 +40,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Request:
-    """The head of an HTTP request and the ASGI functions to serve it."""
+    """The head of an HTTP request and the ASGI functions to serve it.
+
+    ``host`` is the address that it came from, without the port.
+    """
 
     method: str
     path: str
@@ -46,10 +51,16 @@
     headers: tuple[HeaderField, ...]
     receive: Receive
     send: Send
+    host: str
+    holder: _holder.RequestHolder
 
     @classmethod
     def from_scope(
-        cls, scope: Scope, receive: Receive, send: Send
+        cls,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        holder: _holder.RequestHolder,
     ) -> "Request":
         """Create a request from an ASGI HTTP scope."""
         headers = tuple(
@@ -57,8 +68,16 @@
             for name, value in scope["headers"]
         )
         query = bytes(scope.get("query_string", b"")).decode("latin-1")
+        client = scope.get("client")
         return cls(
-            scope["method"], scope["path"], query, headers, receive, send
+            scope["method"],
+            scope["path"],
+            query,
+            headers,
+            receive,
+            send,
+            "" if client is None else client[0],
+            holder,
         )
 
     def header(self, name: bytes) -> bytes | None:
@@ -70,24 +89,33 @@
 
 
 async def read_body(
-    request: Request, limit_bytes: int
+    request: Request, limit_bytes: int, sender: str
 ) -> result.Result[
     bytes,
-    _failures.BodyTooLarge | _failures.BodyTooSlow | _failures.CallerGone,
+    _failures.BodyTooLarge
+    | _failures.BodyTooSlow
+    | _failures.CallerGone
+    | memory.MemoryExhausted,
 ]:
-    """Return the whole body of a request.
+    """Return the whole body of a request from ``sender``.
 
     A body over ``limit_bytes`` is refused before it is read if the request
     has a ``Content-Length``, otherwise as soon as the limit is exceeded.  One
-    that falls behind 16 KiB a second is refused after 5 s.
+    that falls behind 16 KiB a second is refused after 5 s.  The body counts
+    as held until the request is answered.
     """
     declared = request.header(b"content-length")
     if declared is not None and declared.isdigit():
         if int(declared) > limit_bytes:
             return result.Err(_failures.BodyTooLarge(limit_bytes))
     body = bytearray()
+    holder = request.holder
+    holder.open(sender)
     started = trio.current_time()
-    with trio.CancelScope(deadline=started + _BODY_SECONDS) as scope:
+    with (
+        trio.CancelScope(deadline=started + _BODY_SECONDS) as scope,
+        holder.ends(scope),
+    ):
         while True:
             event = await request.receive()
             if event["type"] == "http.disconnect":
@@ -95,10 +123,15 @@
             body += event.get("body", b"")
             if len(body) > limit_bytes:
                 return result.Err(_failures.BodyTooLarge(limit_bytes))
+            holder.hold(len(body))
+            if holder.is_ended:
+                break
             if not event.get("more_body", False):
                 return result.Ok(bytes(body))
             allowed = _BODY_SECONDS + len(body) / _LOWEST_BYTES_PER_SECOND
             scope.deadline = started + allowed
+    if holder.is_ended:
+        return result.Err(memory.MemoryExhausted())
     return result.Err(
         _failures.BodyTooSlow(len(body), scope.deadline - started)
     )
--- a/sedgepin/_http/_server.py
+++ b/sedgepin/_http/_server.py
@@ -1,6 +1,7 @@
 """An HTTP server on hypercorn that drains open requests before it stops."""
 
 import abc
+import contextlib
 import typing
 
 import hypercorn.config
@@ -8,7 +9,9 @@
 
 from sedgepin._http import _connections
 from sedgepin._http import _failures
+from sedgepin._http import _holder
 from sedgepin._http import _messages
+from sedgepin import _memory as memory
 from sedgepin import settings
 
 _BACKLOG_CONNECTIONS = 1024
@@ -23,10 +26,12 @@
     """Base of an HTTP server that counts its open requests.
 
     To stop it, call ``start_draining``, ``start_refusing`` if new requests are
-    refused then, and ``finish_draining``.
+    refused then, and ``finish_draining``.  ``budget`` bounds what is held for
+    callers.
     """
 
     __slots__ = (
+        "_budget",
         "_draining",
         "_header_limit_bytes",
         "_idle",
@@ -35,7 +40,8 @@
         "_stop",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, budget: memory.MemoryBudget | None = None) -> None:
+        self._budget = budget
         self._open_count = 0
         self._header_limit_bytes = _DEFAULT_HEADER_LIMIT_BYTES
         self._draining = False
@@ -111,41 +117,53 @@
     ) -> None:
         if scope["type"] != "http":
             return
-        wrapped_send = self._with_connection_close(send)
-        request = _messages.Request.from_scope(scope, receive, wrapped_send)
+        head_bytes = _header_bytes(scope)
+        holder = _holder.RequestHolder(self._budget, head_bytes)
+        request = _messages.Request.from_scope(
+            scope, receive, self._wrap_send(send, holder), holder
+        )
         if self._is_refusing:
-            await self._answer_within_limit(request)
+            with contextlib.closing(holder):
+                await self._answer_within_limit(request, head_bytes)
             return
         self._open_count += 1
         try:
-            await self._answer_within_limit(request)
+            await self._answer_within_limit(request, head_bytes)
         finally:
+            holder.close()
             self._open_count -= 1
             if not self._open_count:
                 self._idle.set()
 
-    async def _answer_within_limit(self, request: _messages.Request) -> None:
-        if _header_bytes(request) > self._header_limit_bytes:
+    async def _answer_within_limit(
+        self, request: _messages.Request, head_bytes: int
+    ) -> None:
+        if head_bytes > self._header_limit_bytes:
             refusal = _failures.HeadersTooLarge(self._header_limit_bytes)
             await _messages.send_problem(request, refusal)
             return
         await self.answer(request)
 
-    def _with_connection_close(self, send: _messages.Send) -> _messages.Send:
+    def _wrap_send(
+        self, send: _messages.Send, holder: _holder.RequestHolder
+    ) -> _messages.Send:
         """Wrap ``send`` to add ``Connection: close`` while draining."""
 
-        async def send_with_connection_close(message: typing.Any) -> None:
-            if self._draining and message["type"] == "http.response.start":
-                close = (b"connection", b"close")
-                message["headers"] = [*message["headers"], close]
+        async def wrapped_send(message: typing.Any) -> None:
+            if message["type"] == "http.response.start":
+                holder.has_started_answer = True
+                if self._draining:
+                    close = (b"connection", b"close")
+                    message["headers"] = [*message["headers"], close]
+            elif not message.get("more_body", False):
+                holder.has_finished_answer = True
             await send(message)
 
-        return send_with_connection_close
+        return wrapped_send
 
 
-def _header_bytes(request: _messages.Request) -> int:
+def _header_bytes(scope: _messages.Scope) -> int:
     """Return the total size of all header fields, the path and the query."""
-    fields = sum(
-        len(field.name) + len(field.value) for field in request.headers
-    )
-    return fields + len(request.path) + len(request.query)
+    fields = sum(len(name) + len(value) for name, value in scope["headers"])
+    query = scope.get("query_string", b"")
+    return fields + len(scope["path"]) + len(query)
--- a/sedgepin/_http/tests/test_connections.py
+++ b/sedgepin/_http/tests/test_connections.py
@@ -11,6 +11,7 @@
 import trio
 
 from sedgepin import _http as http
+from sedgepin import _memory as memory
 from sedgepin.tests import processes
 
 _HEADER_LIMIT_BYTES = 16_384
@@ -24,7 +25,8 @@
 # More than hypercorn keeps.
 _STREAMS = 1200
 _BODY_LIMIT_BYTES = 1_048_576
-_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n"
+_HELD_BYTES = 1_000_000
 
 
 class Server(http.HttpServer):
@@ -35,10 +37,11 @@
 
 
 class BodyServer(http.HttpServer):
-    """Answers with the length of the body."""
+    """Answers with the length of the body, whose sender the head names."""
 
     async def answer(self, request: http.Request) -> None:
-        body = await http.read_body(request, _BODY_LIMIT_BYTES)
+        sender = (request.header(b"x-sender") or b"").decode()
+        body = await http.read_body(request, _BODY_LIMIT_BYTES, sender)
         if isinstance(body, result.Err):
             await http.send_problem(request, body.err_value)
         else:
@@ -69,7 +72,7 @@
 async def read_answer(stream: trio.SocketStream) -> bytes:
     """Return an answer with a length; empty if there is none."""
     answer = b""
-    while not _is_complete(answer):
+    while not is_complete(answer):
         data = await stream.receive_some(65_536)
         if not data:
             return b""
@@ -77,7 +80,8 @@
     return answer
 
 
-def _is_complete(answer: bytes) -> bool:
+def is_complete(answer: bytes) -> bool:
+    """Return whether an answer with a length is complete."""
     head, end, body = answer.partition(b"\r\n\r\n")
     for line in head.lower().split(b"\r\n"):
         name, _, value = line.partition(b": ")
@@ -161,7 +165,7 @@
     started = trio.current_time()
 
     async def send() -> None:
-        await stream.send_all(_HEAD % body_bytes)
+        await stream.send_all(_HEAD % body_bytes + b"\r\n")
         for _ in range(0, body_bytes, len(piece)):
             await trio.sleep(pause_seconds)
             await stream.send_all(piece)
@@ -193,3 +197,44 @@
                 )
         assert answer.startswith(b"HTTP/1.1 200")
         assert seconds > 6.0
+
+
+class TestManyBodies:
+    """Each was bounded, all together were not."""
+
+    async def test_bound_for_all_holds_and_others_are_served(self) -> None:
+        budget = memory.MemoryBudget(_HELD_BYTES)
+        answers: list[bytes] = []
+        part = bytes(200_000)
+
+        async def send_part(port: int) -> None:
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            head = _HEAD % (2 * len(part)) + b"X-Sender: many\r\n\r\n"
+            async with stream:
+                await stream.send_all(head + part)
+                answers.append(await read_answer(stream))
+
+        async with (
+            running(BodyServer(budget)) as port,
+            trio.open_nursery() as nursery,
+        ):
+            for _ in range(20):
+                nursery.start_soon(send_part, port)
+            with trio.fail_after(4.0):
+                while len(answers) < 18:
+                    assert budget.total_bytes <= _HELD_BYTES
+                    await trio.sleep(0.01)
+            assert (await get(port)).startswith(b"HTTP/1.1 200")
+            assert all(
+                answer.startswith(b"HTTP/1.1 503") and b"not_run" in answer
+                for answer in answers
+            )
+            nursery.cancel_scope.cancel()
+
+    async def test_nothing_is_held_after_an_answer(self) -> None:
+        budget = memory.MemoryBudget(_HELD_BYTES)
+        async with running(BodyServer(budget)) as port:
+            answer, _ = await _send_slowly(port, 8_192, bytes(8_192), 0.0)
+            await trio.sleep(_PAUSE_SECONDS)
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert budget.total_bytes == 0
