--- /dev/null
+++ b/sedgepin/_http/tests/test_connections.py
@@ -0,0 +1,240 @@
+"""Tests of the HTTP server with callers that break its protocols."""
+
+import collections.abc
+import contextlib
+import struct
+
+import h2.config
+import h2.connection
+import pytest
+import result
+import trio
+
+from sedgepin import _http as http
+from sedgepin import _memory as memory
+from sedgepin.tests import processes
+
+_HEADER_LIMIT_BYTES = 16_384
+_PAUSE_SECONDS = 0.1
+_HEADERS = (
+    (b":method", b"POST"),
+    (b":authority", b"entry"),
+    (b":scheme", b"http"),
+)
+_PRIORITY_FRAME = 2
+# More than hypercorn keeps.
+_STREAMS = 1200
+_BODY_LIMIT_BYTES = 1_048_576
+_HEAD = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n"
+_HELD_BYTES = 1_000_000
+
+
+class Server(http.HttpServer):
+    """Answers each request at once."""
+
+    async def answer(self, request: http.Request) -> None:
+        await http.send_document(request, {"path": request.path})
+
+
+class BodyServer(http.HttpServer):
+    """Answers with the length of the body, whose sender the head names."""
+
+    async def answer(self, request: http.Request) -> None:
+        sender = (request.header(b"x-sender") or b"").decode()
+        body = await http.read_body(request, _BODY_LIMIT_BYTES, sender)
+        if isinstance(body, result.Err):
+            await http.send_problem(request, body.err_value)
+        else:
+            await http.send_document(request, len(body.ok_value))
+
+
+@contextlib.asynccontextmanager
+async def running(
+    server: http.HttpServer,
+) -> collections.abc.AsyncIterator[int]:
+    """Run a server; yield its port."""
+    port = processes.free_port()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(
+            server.serve, f"127.0.0.1:{port}", None, _HEADER_LIMIT_BYTES
+        )
+        with trio.fail_after(5.0):
+            while True:
+                with contextlib.suppress(OSError):
+                    stream = await trio.open_tcp_stream("127.0.0.1", port)
+                    await stream.aclose()
+                    break
+                await trio.sleep(0.01)
+        yield port
+        nursery.cancel_scope.cancel()
+
+
+async def read_answer(stream: trio.SocketStream) -> bytes:
+    """Return an answer with a length; empty if there is none."""
+    answer = b""
+    while not is_complete(answer):
+        data = await stream.receive_some(65_536)
+        if not data:
+            return b""
+        answer += data
+    return answer
+
+
+def is_complete(answer: bytes) -> bool:
+    """Return whether an answer with a length is complete."""
+    head, end, body = answer.partition(b"\r\n\r\n")
+    for line in head.lower().split(b"\r\n"):
+        name, _, value = line.partition(b": ")
+        if name == b"content-length":
+            return bool(end) and len(body) >= int(value)
+    return False
+
+
+async def get(port: int) -> bytes:
+    """Return the answer to a sound request."""
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    async with stream:
+        with trio.fail_after(2.0):
+            await stream.send_all(b"GET /sound HTTP/1.1\r\nHost: a\r\n\r\n")
+            return await read_answer(stream)
+
+
+def _client() -> h2.connection.H2Connection:
+    config = h2.config.H2Configuration(client_side=True)
+    client = h2.connection.H2Connection(config)
+    client.initiate_connection()
+    return client
+
+
+async def _send_data_of_answered_stream(stream: trio.SocketStream) -> None:
+    client = _client()
+    client.send_headers(1, [*_HEADERS, (b":path", b"/")])
+    await stream.send_all(client.data_to_send())
+    await trio.sleep(_PAUSE_SECONDS)
+    client.send_data(1, b"x")
+    await stream.send_all(client.data_to_send())
+
+
+async def _send_many_priorities(stream: trio.SocketStream) -> None:
+    frames = [
+        struct.pack(">I", 5)[1:]
+        + bytes((_PRIORITY_FRAME, 0))
+        + struct.pack(">IIB", 2 * number + 3, 0, 10)
+        for number in range(_STREAMS)
+    ]
+    await stream.send_all(_client().data_to_send() + b"".join(frames))
+
+
+async def _send_path_outside_ascii(stream: trio.SocketStream) -> None:
+    client = _client()
+    headers = [*_HEADERS, (b":path", b"/\xff")]
+    client.send_headers(1, headers, end_stream=True)
+    await stream.send_all(client.data_to_send())
+
+
+class TestConnectionThatFails:
+    """Such a connection ended the process, with all other requests."""
+
+    @pytest.mark.parametrize(
+        "send",
+        [
+            _send_data_of_answered_stream,
+            _send_many_priorities,
+            _send_path_outside_ascii,
+        ],
+    )
+    async def test_others_are_served(
+        self,
+        send: collections.abc.Callable[
+            [trio.SocketStream], collections.abc.Awaitable[None]
+        ],
+    ) -> None:
+        async with running(Server()) as port:
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            async with stream:
+                await send(stream)
+                await trio.sleep(_PAUSE_SECONDS)
+                assert (await get(port)).startswith(b"HTTP/1.1 200")
+
+
+async def _send_slowly(
+    port: int, body_bytes: int, piece: bytes, pause_seconds: float
+) -> tuple[bytes, float]:
+    """Send a body in pieces; return the answer and when it came."""
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    started = trio.current_time()
+
+    async def send() -> None:
+        await stream.send_all(_HEAD % body_bytes + b"\r\n")
+        for _ in range(0, body_bytes, len(piece)):
+            await trio.sleep(pause_seconds)
+            await stream.send_all(piece)
+
+    async with stream, trio.open_nursery() as nursery:
+        nursery.start_soon(send)
+        answer = await read_answer(stream)
+        nursery.cancel_scope.cancel()
+    return answer, trio.current_time() - started
+
+
+class TestSlowBody:
+    """A body in pieces was read for as long as its caller wanted."""
+
+    async def test_trickle_is_refused_as_a_whole(self) -> None:
+        async with running(BodyServer()) as port:
+            with trio.fail_after(8.0):
+                answer, seconds = await _send_slowly(port, 60_000, b"x", 0.2)
+        assert answer.startswith(b"HTTP/1.1 408")
+        assert b"not_run" in answer
+        assert 4.5 < seconds < 6.5
+
+    async def test_body_at_the_lowest_rate_is_read(self) -> None:
+        piece = bytes(8_192)
+        async with running(BodyServer()) as port:
+            with trio.fail_after(20.0):
+                answer, seconds = await _send_slowly(
+                    port, 16 * len(piece), piece, 0.4
+                )
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert seconds > 6.0
+
+
+class TestManyBodies:
+    """Each was bounded, all together were not."""
+
+    async def test_bound_for_all_holds_and_others_are_served(self) -> None:
+        budget = memory.MemoryBudget(_HELD_BYTES)
+        answers: list[bytes] = []
+        part = bytes(200_000)
+
+        async def send_part(port: int) -> None:
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            head = _HEAD % (2 * len(part)) + b"X-Sender: many\r\n\r\n"
+            async with stream:
+                await stream.send_all(head + part)
+                answers.append(await read_answer(stream))
+
+        async with (
+            running(BodyServer(budget)) as port,
+            trio.open_nursery() as nursery,
+        ):
+            for _ in range(20):
+                nursery.start_soon(send_part, port)
+            with trio.fail_after(4.0):
+                while len(answers) < 18:
+                    assert budget.total_bytes <= _HELD_BYTES
+                    await trio.sleep(0.01)
+            assert (await get(port)).startswith(b"HTTP/1.1 200")
+            assert all(
+                answer.startswith(b"HTTP/1.1 503") and b"not_run" in answer
+                for answer in answers
+            )
+            nursery.cancel_scope.cancel()
+
+    async def test_nothing_is_held_after_an_answer(self) -> None:
+        budget = memory.MemoryBudget(_HELD_BYTES)
+        async with running(BodyServer(budget)) as port:
+            answer, _ = await _send_slowly(port, 8_192, bytes(8_192), 0.0)
+            await trio.sleep(_PAUSE_SECONDS)
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert budget.total_bytes == 0
