--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -486,7 +486,6 @@
                 _Outcome.FAILED, detail, metadata.faulty_address
             )
         self._hold(len(body.ok_value) * _COPIES)
-        await self._check_evicted()
         await self._start_sending()
         await self._exchange.answer(forwarded, body.ok_value)
         is_success = head.status < _FIRST_REDIRECT
@@ -506,11 +505,6 @@
         self._held_answer = answer
         self._held_account.hold(len(answer[1]))
 
-    async def _check_evicted(self) -> None:
-        """Raise ``trio.Cancelled`` rather than interrupt the next send."""
-        if self._is_evicted:
-            await trio.lowlevel.checkpoint_if_cancelled()
-
     async def _forward_stream(
         self,
         connection: web.AnswerConnection,
@@ -611,8 +605,6 @@
         if forwarded:
             if len(forwarded) > _MIN_COUNTED_BYTES:
                 self._hold(held_bytes + len(forwarded) * _COPIES)
-            if self._is_evicted:
-                await self._check_evicted()
             await self._start_sending()
             await self._start_answer(head)
             await self._exchange.send(bytes(forwarded))
