--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -409,8 +409,12 @@
         exchange: _exchange.Exchange,
         failure: errors.Failure,
         now: datetime.datetime,
+        obstacle: str | None = None,
     ) -> _shared_state.Effects:
-        """Remove a request and report a failure to its caller."""
+        """Remove a request and report a failure to its caller.
+
+        ``obstacle`` is why it is not sent once more, for the log.
+        """
         self.remove(exchange)
         line = events.REQUEST_FAILED.line(
             request=exchange.request.request_id,
@@ -421,6 +425,7 @@
             may_have_run=exchange.may_have_run,
             position=exchange.position,
             milliseconds=_shared_state.milliseconds(now - exchange.arrived_at),
+            obstacle=obstacle,
         )
         effects: _shared_state.Effects = [_shared_state.log(line)]
         if isinstance(failure, _failures.NoEndpoint):
@@ -450,7 +455,9 @@
     def enforce_causes(self, now: datetime.datetime) -> _shared_state.Effects:
         """Stop the requests that may crash an endpoint, as is known now.
 
-        One whose output goes on is no danger.
+        One whose output goes on is no danger.  One that has begun its output
+        and was on lost endpoints may have been there by chance: it is not
+        sent again, but ends where it is.
         """
         effects: _shared_state.Effects = []
         for exchange in list(self._state.exchanges.values()):
@@ -459,7 +466,7 @@
                 continue
             if exchange.dispatch is None:
                 effects += self._hold_back(exchange, cause, now)
-            else:
+            elif not (exchange.has_output and cause.is_of_one_request):
                 effects.append(_effects.CancelAttempt(exchange.exchange_id))
         return effects
 
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -187,6 +187,15 @@
         if self._attempt_scope is not None and not self._is_sending:
             self._attempt_scope.cancel()
 
+    async def _start_sending(self) -> None:
+        """Let nothing cancel the attempt from now on.
+
+        A cancellation in the turn in which its output arrived takes effect
+        here.  Within the send it would end the caller's connection.
+        """
+        await trio.lowlevel.checkpoint_if_cancelled()
+        self._is_sending = True
+
     def _evict(self) -> None:
         """End the attempt, even one that is sending to the caller.
 
@@ -477,8 +486,7 @@
                 _Outcome.FAILED, detail, metadata.faulty_address
             )
         self._hold(len(body.ok_value) * _COPIES)
-        await self._check_evicted()
-        self._is_sending = True
+        await self._start_sending()
         await self._exchange.answer(forwarded, body.ok_value)
         is_success = head.status < _FIRST_REDIRECT
         return _AttemptResult(_Outcome.ANSWERED, is_success=is_success)
@@ -497,11 +505,6 @@
         self._held_answer = answer
         self._held_account.hold(len(answer[1]))
 
-    async def _check_evicted(self) -> None:
-        """Raise ``trio.Cancelled`` rather than interrupt the next send."""
-        if self._is_evicted:
-            await trio.lowlevel.checkpoint_if_cancelled()
-
     async def _forward_stream(
         self,
         connection: web.AnswerConnection,
@@ -548,7 +551,7 @@
             return _AttemptResult(_Outcome.UNKNOWN, _NO_LENGTH_AND_NO_EVENT)
         if await self._ended_by_crash(head, start):
             return _AttemptResult(_Outcome.UNKNOWN, _ENDED_BY_CRASH)
-        self._is_sending = True
+        await self._start_sending()
         await self._exchange.finish()
         return _AttemptResult(_Outcome.ANSWERED)
 
@@ -602,9 +605,7 @@
         if forwarded:
             if len(forwarded) > _MIN_COUNTED_BYTES:
                 self._hold(held_bytes + len(forwarded) * _COPIES)
-            if self._is_evicted:
-                await self._check_evicted()
-            self._is_sending = True
+            await self._start_sending()
             await self._start_answer(head)
             await self._exchange.send(bytes(forwarded))
             self._is_sending = False
--- a/sedgepin/_sockets/_options.py
+++ b/sedgepin/_sockets/_options.py
@@ -13,6 +13,14 @@
 import struct
 import termios
 
+# States of a connection (``tcp_states.h``) whose peer has closed its side.
+_TIME_WAIT = 6
+_CLOSED = 7
+_CLOSE_WAIT = 8
+_LAST_ACK = 9
+_CLOSING = 11
+_PEER_CLOSED = (_TIME_WAIT, _CLOSED, _CLOSE_WAIT, _LAST_ACK, _CLOSING)
+
 
 def enable_keepalive(
     sock: socket.socket,
@@ -42,16 +50,53 @@
 
 def count_unread_bytes(sock: socket.socket) -> int:
     """Return how many received bytes wait to be read."""
+    return _count_bytes(sock, termios.FIONREAD)
+
+
+def count_unsent_bytes(sock: socket.socket) -> int:
+    """Return how many bytes the peer has not acknowledged yet."""
+    return _count_bytes(sock, termios.TIOCOUTQ)
+
+
+def _count_bytes(sock: socket.socket, request: int) -> int:
     if sock.fileno() < 0:
         return 0
     count = array.array("i", [0])
     try:
-        fcntl.ioctl(sock, termios.FIONREAD, count)
+        fcntl.ioctl(sock, request, count)
     except OSError:
         return 0
     return count[0]
 
 
+def peek_unread_bytes(sock: socket.socket, max_bytes: int) -> bytes:
+    """Return received bytes that wait to be read, without reading them.
+
+    The socket must be non-blocking.
+    """
+    if sock.fileno() < 0:
+        return b""
+    try:
+        return sock.recv(max_bytes, socket.MSG_PEEK)
+    except OSError:
+        return b""
+
+
+def has_peer_closed(sock: socket.socket) -> bool:
+    """Return whether the end or the reset by the peer has arrived.
+
+    It is seen behind bytes that were not read.
+    """
+    if sock.fileno() < 0:
+        return True
+    try:
+        # The first byte of the structure is the state.
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return True
+    return info[0] in _PEER_CLOSED
+
+
 def reset_when_closed(sock: socket.socket) -> None:
     """Let the end of a connection be a reset (a linger time of 0)."""
     if sock.fileno() >= 0:
--- /dev/null
+++ b/sedgepin/_web/_request_reader.py
@@ -0,0 +1,256 @@
+"""Reads callers' requests with the parser of ``h11``."""
+
+import collections.abc
+import typing
+
+import h11
+import result
+import trio
+
+from sedgepin import _sockets as sockets
+from sedgepin._web import _failures
+from sedgepin._web import _types
+from sedgepin import errors
+
+# What is read of a head, or of a body without a length, may go beyond its
+# request.  So this is also the most that is held of the requests after it.
+_READ_AHEAD_BYTES = 8_192
+_BODY_READ_BYTES = 65_536
+# Time between checks whether a caller has closed its side behind bytes that
+# are not read yet.
+_CLOSE_CHECK_SECONDS = 0.1
+_PEEKED_BYTES = 64
+# A body that arrives more slowly holds its connection for too long.
+_MIN_BODY_BYTES_PER_SECOND = 16_384
+# Each piece costs some 20 us, however small it is.
+_MAX_HEAD_PIECES = 1_024
+_MAX_BODY_PIECES = 16_384
+# The lengths, extensions and ends of the chunks of a body together.
+_MAX_FRAMING_BYTES = 1_048_576
+# Other tasks run after as many pieces that were received together.
+_PIECES_IN_A_TURN = 128
+_CONNECT = b"CONNECT"
+_LINE_END = b"\r\n"
+
+_Head: typing.TypeAlias = result.Result[h11.Request, errors.Failure] | None
+_Body: typing.TypeAlias = result.Result[bytes, errors.Failure] | None
+
+
+class _TooManyPieces(Exception):
+    """A part of a request arrived in more pieces than are read."""
+
+
+class RequestReader:
+    """Reads the requests of a connection, one after the other.
+
+    ``parser`` is shared with the sender of the answers.
+    """
+
+    __slots__ = (
+        "_header_bytes",
+        "_pieces_left",
+        "_received_bytes",
+        "_stream",
+        "has_caller_closed",
+        "method",
+        "parser",
+    )
+
+    def __init__(
+        self, stream: sockets.DirectStream, header_bytes: int
+    ) -> None:
+        self._stream = stream
+        self._header_bytes = header_bytes
+        self.parser = _new_parser(header_bytes)
+        self.has_caller_closed = False
+        # Those of the part of a request that is being read.
+        self._pieces_left = 0
+        self._received_bytes = 0
+        # Method of the request that is being received or answered.
+        self.method = b""
+
+    @property
+    def kept_bytes(self) -> int:
+        """Return how many bytes were received and belong to no request."""
+        return len(self.parser.trailing_data[0])
+
+    @property
+    def has_next_request(self) -> bool:
+        """Whether bytes of a request after the current one have arrived.
+
+        Some callers send an empty line after a body, which is none.
+        """
+        received = self.parser.trailing_data[0].lstrip(_LINE_END)
+        if not received:
+            unread = sockets.peek_unread_bytes(
+                self._stream.socket, _PEEKED_BYTES
+            )
+            received = unread.lstrip(_LINE_END)
+        return bool(received)
+
+    def set_header_bytes(self, header_bytes: int) -> None:
+        """Let the next request have a header section of ``header_bytes``."""
+        if header_bytes != self._header_bytes:
+            self._header_bytes = header_bytes
+            self._renew_parser()
+
+    def skip_empty_lines(self) -> None:
+        """Forget empty lines that have arrived before the next request."""
+        if self.parser.trailing_data[0].startswith((b"\r", b"\n")):
+            self._renew_parser()
+
+    def _renew_parser(self) -> None:
+        received = self.parser.trailing_data[0].lstrip(_LINE_END)
+        self.parser = _new_parser(self._header_bytes)
+        if received:
+            self.parser.receive_data(received)
+
+    async def read_head(self, limits: _types.ServerLimits) -> _Head:
+        """Return the head of a request or a failure; ``None`` at the end.
+
+        The time of the limit begins with this call.
+        """
+        self.method = b""
+        self._begin_part(_MAX_HEAD_PIECES)
+        deadline = trio.current_time() + limits.header_timeout_seconds
+        try:
+            head = await self._next_event(deadline, _READ_AHEAD_BYTES)
+        except trio.TooSlowError:
+            return result.Err(_failures.RequestTooSlow())
+        except _TooManyPieces:
+            return result.Err(_failures.RequestTooFragmented())
+        except h11.RemoteProtocolError as exc:
+            if exc.error_status_hint == 431:
+                return result.Err(_failures.HeadTooLarge())
+            return result.Err(_failures.RequestUnreadable(str(exc)))
+        if not isinstance(head, h11.Request):
+            return None
+        self.method = head.method
+        if head.method == _CONNECT:
+            return result.Err(_failures.MethodUnsupported())
+        return result.Ok(head)
+
+    async def read_body(
+        self,
+        head: h11.Request,
+        limits: _types.ServerLimits,
+        current_limits: collections.abc.Callable[[], _types.ServerLimits],
+    ) -> _Body:
+        """Return the body of a request or a failure; ``None`` at the end.
+
+        A body over ``limits`` is allowed by larger ``current_limits``.  The
+        whole body has the time of the limit, and as much more as its bytes
+        take at a minimum rate.
+        """
+        length = _body_length(head)
+        max_bytes = _READ_AHEAD_BYTES
+        body = bytearray()
+        self._begin_part(_MAX_BODY_PIECES)
+        started_at = trio.current_time()
+        while True:
+            deadline = started_at + limits.header_timeout_seconds
+            deadline += len(body) / _MIN_BODY_BYTES_PER_SECOND
+            if length is not None:
+                max_bytes = min(max(1, length - len(body)), _BODY_READ_BYTES)
+            try:
+                event = await self._next_event(deadline, max_bytes)
+            except trio.TooSlowError:
+                return result.Err(_failures.RequestTooSlow())
+            except _TooManyPieces:
+                return result.Err(_failures.RequestTooFragmented())
+            except h11.RemoteProtocolError as exc:
+                return result.Err(_failures.RequestUnreadable(str(exc)))
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if not isinstance(event, h11.Data):
+                return None
+            body += event.data
+            if self._received_bytes - len(body) > _MAX_FRAMING_BYTES:
+                return result.Err(_failures.RequestTooFragmented())
+            if len(body) <= limits.body_bytes:
+                continue
+            limits = current_limits()
+            if len(body) > limits.body_bytes:
+                return result.Err(_failures.BodyTooLarge())
+        return result.Ok(bytes(body))
+
+    def _begin_part(self, max_pieces: int) -> None:
+        self._received_bytes = 0
+        self._pieces_left = max_pieces
+
+    async def _next_event(self, deadline: float, max_bytes: int) -> typing.Any:
+        """Return the next part of a request; ``None`` at the end.
+
+        Raises ``trio.TooSlowError`` after the deadline, and
+        ``_TooManyPieces``.
+        """
+        while True:
+            event = self.parser.next_event()
+            self._pieces_left -= 1
+            if self._pieces_left < 0:
+                raise _TooManyPieces
+            if event is not h11.NEED_DATA:
+                if self._pieces_left % _PIECES_IN_A_TURN == 0:
+                    await trio.lowlevel.checkpoint()
+                return event
+            data = await self._receive_by(deadline, max_bytes)
+            if not data:
+                return None
+            self._received_bytes += len(data)
+            self.parser.receive_data(data)
+
+    async def _receive_by(self, deadline: float, max_bytes: int) -> bytes:
+        with trio.CancelScope(deadline=deadline):
+            return await self._receive(max_bytes)
+        # They may have arrived in time, while this process did not run.
+        if sockets.count_unread_bytes(self._stream.socket):
+            return await self._receive(max_bytes)
+        raise trio.TooSlowError
+
+    async def receive_request(self) -> bool:
+        """Wait for the first bytes of a request; return false at the end.
+
+        Empty lines before it are ignored (RFC 9112, section 2.2).
+        """
+        while data := await self._receive(_READ_AHEAD_BYTES):
+            data = data.lstrip(_LINE_END)
+            if data:
+                self.parser.receive_data(data)
+                return True
+        return False
+
+    async def _receive(self, max_bytes: int) -> bytes:
+        try:
+            data = await self._stream.receive_some(max_bytes)
+        except trio.BrokenResourceError:
+            self.has_caller_closed = True
+            raise
+        self.has_caller_closed = not data
+        return data
+
+    async def watch_for_close(self, scope: trio.CancelScope) -> None:
+        """Cancel a scope when the caller closes its connection.
+
+        Reads nothing: what the caller sends meanwhile stays in the socket,
+        whose buffer bounds it.
+        """
+        try:
+            if await self._stream.wait_for_bytes():
+                while not sockets.has_peer_closed(self._stream.socket):
+                    await trio.sleep(_CLOSE_CHECK_SECONDS)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        self.has_caller_closed = True
+        scope.cancel()
+
+
+def _new_parser(header_bytes: int) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
+
+
+def _body_length(head: h11.Request) -> int | None:
+    """Return the length that a head states for its body, if it does."""
+    headers = tuple(head.headers)
+    if _types.find_header(headers, b"transfer-encoding") is not None:
+        return None
+    return int(_types.find_header(headers, b"content-length") or b"0")
