Accept callers until the end of a drain while they come

The listener closed 2.6 s after SIGTERM, and with it idle connections. Where most VMs of a data centre drain, the load balancer uses all of them: connections and requests that were on their way then were refused or had no answer, though the process lived on.

Now both stay open until no connection or request has come for a second, and until 1 s before the end of the grace period at most, at which the first requests on the last connections are awaited. A VM without callers stops as soon as before. The steps are a module of their own.

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -16,6 +16,7 @@
 from sedgepin._gateway import _engine_calls
 from sedgepin._gateway import _events
 from sedgepin._gateway import _forwarding_policy
+from sedgepin._gateway import _planned_stop
 from sedgepin._gateway import _reducer
 from sedgepin._gateway import _relay
 from sedgepin._gateway import _settings
@@ -40,15 +41,6 @@
 _DRAIN_POLL_SECONDS = 0.05
 # Engines usually answer report requests and orders within milliseconds.
 _ENGINE_TIMEOUT = datetime.timedelta(milliseconds=300)
-# The load balancer checks readiness each second and removes a VM after two
-# failed checks.  Requests that it sends until then are still served.
-_READINESS_LOSS_SECONDS = 2.6
-# Time within the grace period for the process to exit after the drain, and
-# before that for the last answers to be sent.
-_EXIT_SECONDS = 0.3
-_LAST_ANSWERS_SECONDS = 0.2
-# The share of a short grace period that each of the two takes at most.
-_MAX_MARGIN_SHARE = 0.05
 
 
 class _CallerHandler(web.Handler):
@@ -294,22 +286,16 @@
         Open requests may finish until shortly before the end of the grace
         period; the reducer answers the others by then.
         """
-        grace_seconds = self._source.current.grace_period.total_seconds()
-        margin = grace_seconds * _MAX_MARGIN_SHARE
-        drain_seconds = grace_seconds - min(_EXIT_SECONDS, margin)
-        answer_seconds = drain_seconds - min(_LAST_ANSWERS_SECONDS, margin)
-        with trio.move_on_after(drain_seconds):
-            self._server.start_draining()
-            self._forwarding.is_draining = True
-            time_left = datetime.timedelta(seconds=answer_seconds)
-            self._driver.submit(_events.DrainRequested(time_left))
-            await trio.sleep(min(_READINESS_LOSS_SECONDS, answer_seconds))
-            self._server.finish_draining()
-            while (
-                self._server.open_exchanges or self._forwarding.open_forwards
-            ):
-                await trio.sleep(_DRAIN_POLL_SECONDS)
-        self._server.finish_draining()
+        grace_period = self._source.current.grace_period
+        times = _planned_stop.StopTimes.from_grace_period(
+            grace_period.total_seconds()
+        )
+        self._forwarding.is_draining = True
+        time_left = datetime.timedelta(seconds=times.last_answer)
+        self._driver.submit(_events.DrainRequested(time_left))
+        await _planned_stop.serve_last_requests(
+            self._server, times, lambda: self._forwarding.open_forwards
+        )
         # After a pause of the process all requests may have become due at
         # once; their answers are sent before the connections are closed.
         with trio.move_on_after(_DRAIN_POLL_SECONDS):
--- /dev/null
+++ b/sedgepin/_gateway/_planned_stop.py
@@ -0,0 +1,80 @@
+"""How an entry VM stops, from the signal to the end of its grace period."""
+
+import collections.abc
+import dataclasses
+
+import trio
+
+from sedgepin import _web as web
+
+_POLL_SECONDS = 0.05
+# The load balancer checks readiness each second and removes a VM after two
+# failed checks.  Requests that it sends until then are still served.
+_READINESS_LOSS_SECONDS = 2.6
+# It keeps sending callers where most VMs of a data centre drain.  They are
+# accepted until none has come for as long, or until the last moment.
+_QUIET_SECONDS = 1.0
+# Time within the grace period for the process to exit after the drain, before
+# that for the last answers to be sent, and before that for the first requests
+# on the last connections.
+_EXIT_SECONDS = 0.3
+_LAST_ANSWERS_SECONDS = 0.2
+_LAST_CONNECTIONS_SECONDS = 0.5
+# The share of a short grace period that each of the first two takes at most.
+_MAX_MARGIN_SHARE = 0.05
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StopTimes:
+    """Seconds from the signal to the steps of a stop.
+
+    Callers are accepted at least for ``notice``, and until ``last_connection``
+    while they come.  Requests must be answered until ``last_answer``, and the
+    drain is over at ``end``.
+    """
+
+    notice: float
+    last_connection: float
+    last_answer: float
+    end: float
+
+    @classmethod
+    def from_grace_period(cls, seconds: float) -> "StopTimes":
+        """Return the times of a grace period.
+
+        >>> StopTimes.from_grace_period(8.0)
+        StopTimes(notice=2.6, last_connection=7.0, last_answer=7.5, end=7.7)
+        """
+        margin = seconds * _MAX_MARGIN_SHARE
+        end = seconds - min(_EXIT_SECONDS, margin)
+        last_answer = end - min(_LAST_ANSWERS_SECONDS, margin)
+        notice = min(_READINESS_LOSS_SECONDS, last_answer)
+        last_connection = max(notice, last_answer - _LAST_CONNECTIONS_SECONDS)
+        return cls(notice, last_connection, last_answer, end)
+
+
+async def serve_last_requests(
+    server: web.Server,
+    times: StopTimes,
+    count_others: collections.abc.Callable[[], int],
+) -> None:
+    """Serve until no request is open and no more are expected.
+
+    To be called at the signal; returns at ``times.end`` at the latest.
+    ``count_others`` returns the open requests of other servers.
+    """
+    started_at = trio.current_time()
+    with trio.move_on_at(started_at + times.end):
+        server.start_draining()
+        await trio.sleep(times.notice)
+        with trio.move_on_at(started_at + times.last_connection):
+            while (
+                server.open_exchanges
+                or count_others()
+                or server.quiet_seconds < _QUIET_SECONDS
+            ):
+                await trio.sleep(_POLL_SECONDS)
+        server.finish_draining()
+        while server.open_exchanges or count_others():
+            await trio.sleep(_POLL_SECONDS)
+    server.finish_draining()
--- a/sedgepin/_web/_caller_connection.py
+++ b/sedgepin/_web/_caller_connection.py
@@ -36,6 +36,7 @@
         "_idle_limits",
         "has_stopped_accepting",
         "is_draining",
+        "last_arrival_at",
     )
 
     def __init__(self, handler: _exchange.Handler) -> None:
@@ -44,6 +45,8 @@
         self._idle_limits = _idle_limits.IdleLimits(seconds)
         self.has_stopped_accepting = False
         self.is_draining = False
+        # When the last connection was accepted or the last request began.
+        self.last_arrival_at = -math.inf
 
     def update_limits(self) -> None:
         """Record the idle timeout that is in force now."""
@@ -429,4 +432,5 @@
         self._has_sent = False
         self._label = ""
         self._read_since = trio.current_time()
+        self._server.last_arrival_at = self._read_since
         self._status = 0
--- a/sedgepin/platform/tests/test_planned_stop.py
+++ b/sedgepin/platform/tests/test_planned_stop.py
@@ -266,6 +266,87 @@
         _check(callers, engine)
 
 
+class TestCallersThatKeepComing:
+    """A load balancer sends callers to VMs that drain, if most of them do."""
+
+    @pytest.mark.parametrize("grace_seconds", [4.0, 6.0])
+    async def test_connections_are_accepted_until_shortly_before_the_end(
+        self,
+        system: running_system.System,
+        nursery: trio.Nursery,
+        grace_seconds: float,
+    ) -> None:
+        system.grace_seconds = grace_seconds
+        engine = _SlowEngine()
+        await running_system.start_system(system, nursery, engine)
+        callers = _Callers()
+        refused_at: list[float] = []
+
+        async def keep_coming() -> None:
+            while True:
+                await trio.sleep(0.05)
+                calls.start_soon(call)
+
+        async def call() -> None:
+            try:
+                stream = await trio.open_tcp_stream(
+                    running_system.ENTRY, running_system.CALL_PORT
+                )
+            except OSError:
+                refused_at.append(trio.current_time())
+                return
+            async with stream:
+                await trio.sleep(0.1)
+                await callers.send(stream, b"/post/0.05s/")
+
+        async with trio.open_nursery() as calls:
+            calls.start_soon(keep_coming)
+            await trio.sleep(0.5)
+            stopped_at = trio.current_time()
+            seconds = await _stop(system)
+            await trio.sleep(0.3)
+            calls.cancel_scope.cancel()
+        assert seconds < grace_seconds
+        assert refused_at[0] - stopped_at > grace_seconds - 1.5
+        _check(callers, engine)
+        unanswered = [
+            record for record in callers.records if record.status is None
+        ]
+        assert not unanswered
+
+    async def test_requests_on_kept_connections_are_answered(
+        self, system: running_system.System, nursery: trio.Nursery
+    ) -> None:
+        """Their callers have heard of no close until then."""
+        system.grace_seconds = 6.0
+        engine = _SlowEngine()
+        await running_system.start_system(system, nursery, engine)
+        callers = _Callers()
+        address = (running_system.ENTRY, running_system.CALL_PORT)
+        streams = [await trio.open_tcp_stream(*address) for _call in range(20)]
+        for stream in streams:
+            assert await callers.send(stream, b"/post/0s/")
+        async with trio.open_nursery() as calls:
+            calls.start_soon(_stop, system)
+            for stream in streams:
+                await trio.sleep(0.2)
+                await callers.send(stream, b"/post/0s/")
+        assert None not in [record.status for record in callers.records]
+        _check(callers, engine)
+
+    async def test_vm_without_callers_stops_soon(
+        self, system: running_system.System, nursery: trio.Nursery
+    ) -> None:
+        system.grace_seconds = 8.0
+        await running_system.start_system(system, nursery)
+        idle = await trio.open_tcp_stream(
+            running_system.ENTRY, running_system.CALL_PORT
+        )
+        await trio.sleep(1.0)
+        assert await _stop(system) < 3.5
+        await idle.aclose()
+
+
 async def _connect_to_control() -> trio.SocketStream:
     with trio.fail_after(running_system.TIMEOUT_SECONDS):
         while True:
