--- a/sedgepin/platform/tests/soak/__main__.py
+++ b/sedgepin/platform/tests/soak/__main__.py
@@ -31,6 +31,7 @@
     first: int | None = None,
     fault_seconds: float = 12.0,
     lane: int = 90,
+    requests_per_second: float = 20.0,
     keep: pathlib.Path | None = None,
 ) -> int:
     """Run the system under random faults and print violated invariants.
@@ -40,6 +41,7 @@
     :param fault_seconds: How long faults are started in each run.
     :param lane: Second byte of the loopback addresses; runs with different
         lanes can execute concurrently.
+    :param requests_per_second: How much the callers send together.
     :param keep: Folder to keep the programs' files of every run in, and the
         findings and records of runs with violations.
     """
@@ -56,7 +58,12 @@
                 folder = keep / str(seed)
                 folder.mkdir(parents=True)
             record = trio.run(
-                _seed_run.run_seed, seed, folder, fault_seconds, lane
+                _seed_run.run_seed,
+                seed,
+                folder,
+                fault_seconds,
+                lane,
+                requests_per_second,
             )
         findings = _invariants.find_violations(record)
         elapsed = time.monotonic() - started
@@ -64,6 +71,7 @@
             f"seed {seed}: {len(record.sent)} requests,"
             f" {len(record.runs)} runs, {len(record.faults)} faults,"
             f" {record.odd_message_count} odd messages,"
+            f" {sum(record.configuration_changes.values())} changes,"
             f" {len(findings)} findings, {elapsed:.0f} s",
             flush=True,
         )
--- a/sedgepin/platform/tests/soak/_addresses.py
+++ b/sedgepin/platform/tests/soak/_addresses.py
@@ -12,6 +12,7 @@
 _CALLER_PORT = 8227
 _READY_PORT = 8220
 _ENGINE_PORT = 8080
+METRICS_PORT = 9464
 # Third byte of proxies' addresses and of the addresses behind them.
 _PROXY_OCTETS = {"control": 1, "entry": 2, "engine": 3}
 _LISTEN_OCTETS = {"control": 11, "entry": 12, "engine": 13}
@@ -52,6 +53,10 @@
         """Return the address of an entry VM's readiness check."""
         return self.listen_address("entry", number, _READY_PORT)
 
+    def metrics_address(self, number: int) -> str:
+        """Return the address of an entry VM's metrics."""
+        return self.proxy_address("entry", number, METRICS_PORT)
+
     def engine_address(self, number: int) -> str:
         """Return the address where entry VMs reach an engine."""
         return self.proxy_address("engine", number, _ENGINE_PORT)
--- a/sedgepin/platform/tests/soak/_callers.py
+++ b/sedgepin/platform/tests/soak/_callers.py
@@ -2,11 +2,13 @@
 
 import itertools
 import random
+import select
 
 import h11
 import trio
 
 from sedgepin.platform.tests.soak import _addresses
+from sedgepin.platform.tests.soak import _configurations
 from sedgepin.platform.tests.soak import _operator
 from sedgepin.platform.tests.soak import _record
 
@@ -23,6 +25,8 @@
 MAX_DISCONNECT_SECONDS = 0.2
 # Share of connections kept open for a later request.
 _KEEP_ALIVE_SHARE = 0.6
+# Share of the idle timeout for which connections are used again.
+_IDLE_SHARE = 0.8
 
 
 class _Connection:
@@ -31,10 +35,13 @@
     def __init__(self, stream: trio.SocketStream) -> None:
         self._stream = stream
         self._conn = h11.Connection(h11.CLIENT)
+        # Status of the answer that is being received, 0 before its head.
+        self.status = 0
+        self.idle_since: float | None = None
 
     async def send(self, sent: _record.SentRequest) -> None:
         headers = [
-            ("Host", _operator.HOST),
+            ("Host", _configurations.HOST),
             ("X-Request-Id", sent.request_id),
             ("X-Deadline-Ms", str(sent.time_left_ms)),
             ("Authorization", f"Token {sent.key}"),
@@ -47,6 +54,7 @@
         request = h11.Request(
             method="POST", target=sent.target, headers=headers
         )
+        self.status = 0
         data = self._conn.send(request) or b""
         data += self._conn.send(h11.Data(data=sent.body)) or b""
         data += self._conn.send(h11.EndOfMessage()) or b""
@@ -54,7 +62,6 @@
 
     async def receive(self, request_id: str) -> _record.ReceivedAnswer:
         """Return what is received until the answer ends or breaks off."""
-        status = 0
         headers: dict[bytes, bytes] = {}
         body = bytearray()
         is_complete = False
@@ -65,7 +72,7 @@
                     data = await self._stream.receive_some(_READ_BYTES)
                     self._conn.receive_data(data)
                 elif isinstance(event, h11.Response):
-                    status = event.status_code
+                    self.status = event.status_code
                     headers = dict(event.headers)
                 elif isinstance(event, h11.Data):
                     body += event.data
@@ -82,7 +89,7 @@
             is_complete = False
         return _record.ReceivedAnswer(
             request_id,
-            status,
+            self.status,
             headers.get(b"x-response-seal", b"").decode(),
             bytes(body),
             is_complete,
@@ -97,8 +104,15 @@
         if self._conn.their_state is not h11.DONE:
             return False
         self._conn.start_next_cycle()
+        self.idle_since = trio.current_time()
         return True
 
+    def is_closed(self) -> bool:
+        """Return whether the other side has closed an idle connection."""
+        poll = select.poll()
+        poll.register(self._stream.socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     def close(self) -> None:
         self._stream.socket.close()
 
@@ -111,7 +125,9 @@
         addresses: _addresses.Addresses,
         record: _record.Record,
         rng: random.Random,
+        requests_per_second: float = REQUESTS_PER_SECOND,
     ) -> None:
+        self._requests_per_second = requests_per_second
         self._addresses = addresses
         self._record = record
         self._rng = rng
@@ -128,7 +144,7 @@
             for number in range(1, self._addresses.counts["entry"] + 1):
                 nursery.start_soon(self._watch_ready, number)
             while True:
-                pause = self._rng.expovariate(REQUESTS_PER_SECOND)
+                pause = self._rng.expovariate(self._requests_per_second)
                 await trio.sleep(pause)
                 nursery.start_soon(self._send_request)
 
@@ -154,7 +170,7 @@
         weights = [_TRAFFIC[route][0] for route in routes]
         route = self._rng.choices(routes, weights)[0]
         number = next(self._numbers)
-        target = f"/{_operator.PREFIXES[route]}/{number}"
+        target = f"/{_configurations.PREFIXES[route]}/{number}"
         parts: tuple[str, ...] = ()
         crashing_part: str | None = None
         if route == "stream":
@@ -164,54 +180,118 @@
             if crashing_part is not None:
                 parts = (parts[0], crashing_part, *parts[1:])
             event_count = self._rng.randint(*_STREAM_EVENT_COUNTS)
-            target = f"/{_operator.PREFIXES[route]}/{number}/{event_count}"
+            target = (
+                f"/{_configurations.PREFIXES[route]}/{number}/{event_count}"
+            )
         return _record.SentRequest(
             request_id=f"r{number}",
             route=route,
             target=target,
             body=self._rng.randbytes(self._rng.randint(0, 400)),
-            key=self._rng.choice(_operator.KEYS),
+            key=self._rng.choice(_configurations.KEYS),
             at=trio.current_time(),
             time_left_ms=_TRAFFIC[route][1],
             parts=parts,
             crashing_part=crashing_part,
         )
 
+    def _choose_entry(self) -> int:
+        """Choose an entry VM that is ready or has an open connection.
+
+        Connections are used until the VM closes them, also while it drains.
+        """
+        open_numbers = {
+            number
+            for number, connections in self._idle_connections.items()
+            if connections
+        }
+        numbers = sorted(self.ready | open_numbers)
+        if not numbers:
+            numbers = list(range(1, self._addresses.counts["entry"] + 1))
+        return self._rng.choice(numbers)
+
     async def _send_request(self) -> None:
-        entries = sorted(self.ready)
-        if not entries:
-            entries = list(range(1, self._addresses.counts["entry"] + 1))
-        number = self._rng.choice(entries)
+        number = self._choose_entry()
         sent = self._make_request()
         self._record.sent[sent.request_id] = sent
         connection = await self._connect(number)
         if connection is None:
+            self._record_end(sent, number, _record.EndKind.NOT_CONNECTED)
             return
+        idle_since = connection.idle_since
+        kind = _record.EndKind.LEFT
         is_reusable = False
         timeout_seconds = sent.time_left_ms / 1000
         if self._rng.random() < _DISCONNECT_SHARE:
             timeout_seconds = MAX_DISCONNECT_SECONDS * self._rng.random()
+            self._record.leaving.add(sent.request_id)
         with trio.move_on_after(timeout_seconds) as scope:
             try:
                 await connection.send(sent)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
-                connection.close()
-                return
-            answer = await connection.receive(sent.request_id)
-            self._record.answers[sent.request_id] = answer
-            is_reusable = connection.start_next_cycle()
+                kind = _record.EndKind.CUT
+            else:
+                answer = await connection.receive(sent.request_id)
+                self._record.answers[sent.request_id] = answer
+                kind = _record.EndKind.CUT
+                if answer.is_complete:
+                    kind = _record.EndKind.ANSWERED
+                    is_reusable = connection.start_next_cycle()
         if scope.cancelled_caught:
             self._record.disconnected.add(sent.request_id)
+        has_begun = connection.status != 0
+        self._record_end(sent, number, kind, has_begun, idle_since)
         if is_reusable and self._rng.random() < _KEEP_ALIVE_SHARE:
             self._idle_connections.setdefault(number, []).append(connection)
         else:
             connection.close()
 
+    def _record_end(
+        self,
+        sent: _record.SentRequest,
+        number: int,
+        kind: _record.EndKind,
+        has_begun: bool = False,
+        idle_since: float | None = None,
+    ) -> None:
+        self._record.caller_ends[sent.request_id] = _record.CallerEnd(
+            sent.request_id,
+            f"entry-{number}",
+            kind,
+            trio.current_time(),
+            has_begun,
+            idle_since,
+        )
+
+    def _take_idle(self, number: int) -> _Connection | None:
+        """Return an open connection that may be used again, if any.
+
+        Callers use one for up to four fifths of the idle timeout, of which
+        they may have heard before or after a change.
+        """
+        idle = self._idle_connections.get(number, [])
+        while idle:
+            connection = idle.pop()
+            assert connection.idle_since is not None
+            now = trio.current_time()
+            timeout = max(
+                self._record.idle_timeout_known(connection.idle_since),
+                self._record.idle_timeout_known(now),
+            )
+            idle_seconds = now - connection.idle_since
+            if (
+                idle_seconds < _IDLE_SHARE * timeout
+                and not connection.is_closed()
+            ):
+                return connection
+            connection.close()
+        return None
+
     async def _connect(self, number: int) -> _Connection | None:
         """Return an idle connection or a new one, if the VM accepts it."""
-        idle = self._idle_connections.get(number)
-        if idle:
-            return idle.pop()
+        idle = self._take_idle(number)
+        if idle is not None:
+            return idle
         host, _, port = self._addresses.entry_address(number).rpartition(":")
         with trio.move_on_after(_CONNECT_TIMEOUT_SECONDS):
             try:
--- /dev/null
+++ b/sedgepin/platform/tests/soak/_ends.py
@@ -0,0 +1,237 @@
+"""Checks that each request which a VM has read has one end, an answer.
+
+Other ends need a cause: the caller left, the engine broke off, or the machine
+or its link ended first.
+"""
+
+import collections.abc
+import math
+
+from sedgepin.platform.tests.soak import _configurations
+from sedgepin.platform.tests.soak import _record
+
+# Callers use connections for this share of the idle timeout.
+IDLE_SHARE = 0.8
+_LATE_SECONDS = 0.1
+_OK = 200
+
+_Findings = collections.abc.Iterator[str]
+
+
+def check_callers(record: _record.Record) -> _Findings:
+    """Find requests that were read and got no answer without a cause."""
+    if not record.has_request_ends:
+        return
+    for end in record.caller_ends.values():
+        if end.kind is not _record.EndKind.CUT:
+            continue
+        if end.request_id not in record.handed_over_whole:
+            continue
+        if _find_cause(record, end) is not None:
+            continue
+        lines = [
+            line
+            for line in record.vm_ends
+            if line.request_id == end.request_id
+        ]
+        sent = record.sent[end.request_id]
+        place = "within" if end.has_begun else "before"
+        yield (
+            f"{end.request_id} ({sent.route}) was cut {place} its answer by"
+            f" {end.entry} at {end.at:.2f} s, sent at {sent.at:.2f} s, without"
+            f" a cause; idle since {end.idle_since}; its lines: {lines}"
+        )
+
+
+def _find_cause(record: _record.Record, end: _record.CallerEnd) -> str | None:
+    """Return who ended a request before the VM, if anybody did."""
+    sent = record.sent[end.request_id]
+    if record.has_ended(end.entry, sent.at, end.at):
+        return "machine"
+    if record.has_ended(f"{end.entry} front", sent.at, end.at):
+        return "link"
+    if end.has_begun:
+        return _find_cut_cause(record, end.request_id, end.at)
+    if _was_idle_too_long(record, end) or _has_crossed_stop(record, end):
+        return "connection"
+    return None
+
+
+def _find_cut_cause(
+    record: _record.Record, request_id: str, at: float
+) -> str | None:
+    """Return why an answer that has begun may be cut.
+
+    An engine of the latest attempt has ended or failed.  Those of earlier ones
+    are no cause, since the request went on elsewhere.
+    """
+    sent = record.sent[request_id]
+    if sent.crashing_part is not None:
+        return "part"
+    seconds = at - record.handed_over_at.get(request_id, sent.at)
+    if seconds + _LATE_SECONDS >= min(
+        sent.time_left_ms / 1000, _configurations.MIN_ROUTE_TIMEOUT_SECONDS
+    ):
+        return "deadline"
+    last = max(
+        (
+            run
+            for run in record.runs
+            if run.request_id == request_id and run.at <= at
+        ),
+        key=lambda run: run.at,
+        default=None,
+    )
+    if last is None:
+        return None
+    names = {last.engine, *last.path}
+    names |= {record.link_names.get(name, "") for name in names}
+    if last.status != _OK or any(
+        record.has_ended(name, last.at, at) for name in names
+    ):
+        return "engine"
+    return None
+
+
+def _was_idle_too_long(record: _record.Record, end: _record.CallerEnd) -> bool:
+    """Return whether the VM may have closed an idle connection.
+
+    The longest idle timeout counts that it has followed meanwhile.
+    """
+    if end.idle_since is None:
+        return False
+    until = record.handed_over_at[end.request_id]
+    versions: list[int] = []
+    for following in record.followings:
+        if following.entry != end.entry or following.at > until:
+            continue
+        if following.at <= end.idle_since:
+            versions.clear()
+        versions.append(following.version)
+    longest = max(
+        (record.idle_seconds.get(version, math.inf) for version in versions),
+        default=math.inf,
+    )
+    return until - end.idle_since >= IDLE_SHARE * longest
+
+
+def _has_crossed_stop(record: _record.Record, end: _record.CallerEnd) -> bool:
+    """Return whether a request crossed the close by a VM that stops.
+
+    It then has read nothing of the request.
+    """
+    has_read = any(
+        line.request_id == end.request_id
+        or (
+            line.entry == end.entry
+            and line.event == "request_unread"
+            and line.closed_by == "server"
+            and abs(line.at - end.at) < _LATE_SECONDS
+        )
+        for line in record.vm_ends
+    )
+    return not has_read and any(
+        stop.program == end.entry
+        and stop.at <= end.at <= stop.ended_at + _LATE_SECONDS
+        for stop in record.stops
+    )
+
+
+def check_vms(record: _record.Record) -> _Findings:
+    """Find ends in the logs of VMs that have no cause or contradict."""
+    if not record.has_request_ends:
+        return
+    seen: set[tuple[str, str]] = set()
+    for line in record.vm_ends:
+        if line.event == "request_unread":
+            if line.closed_by == "server" and line.unread_bytes:
+                yield f"a VM has left bytes of a request unread: {line}"
+            continue
+        end = record.caller_ends.get(line.request_id)
+        if line.request_id in record.sent:
+            key = (line.request_id, line.entry)
+            if key in seen:
+                yield f"a request has ended twice: {line}"
+            seen.add(key)
+        if end is None:
+            # Callers of the soak that were still there at its end.
+            if line.event == "answer_cut" and (
+                line.request_id not in record.sent
+                or not _find_cut_cause(record, line.request_id, line.at)
+            ):
+                yield f"a VM has cut an answer without a cause: {line}"
+            continue
+        if end.kind is _record.EndKind.ANSWERED:
+            yield f"a VM has cut an answer that its caller received: {line}"
+        elif line.event == "answer_cut" and not _find_cut_cause(
+            record, line.request_id, line.at
+        ):
+            yield f"a VM has cut an answer without a cause: {line}"
+        elif (
+            line.event == "caller_closed"
+            and end.kind is _record.EndKind.CUT
+            and not record.has_ended(f"{end.entry} front", 0, end.at)
+        ):
+            yield f"caller and VM each say that the other has closed: {line}"
+
+
+def check_counts(record: _record.Record) -> _Findings:
+    """Compare what VMs have counted with their logs and their callers.
+
+    Each VM is compared from its last start on.
+    """
+    for counts in record.end_counts:
+        yield from _compare_lines(record, counts)
+        complete = sum(
+            count
+            for (end, _closed_by), count in counts.counts.items()
+            if end in ("answered", "failed")
+        )
+        own = [
+            end
+            for end in record.caller_ends.values()
+            if end.entry == counts.entry
+            and record.handed_over_at.get(end.request_id, -1) > counts.since
+        ]
+        received = sum(end.kind is _record.EndKind.ANSWERED for end in own)
+        # Whose caller left, or was still there at the end of the soak.
+        unknown = len(own) - received + record.odd_message_count
+        unknown += sum(
+            request_id not in record.caller_ends for request_id in record.sent
+        )
+        if not received <= complete <= received + unknown:
+            yield (
+                f"{counts.entry} has counted {complete} answers, its callers"
+                f" received {received} and may have had {unknown} more"
+            )
+
+
+def _compare_lines(
+    record: _record.Record, counts: _record.EndCounts
+) -> _Findings:
+    events = {
+        ("answer_cut", "server"): (
+            ("unanswered", "server"),
+            ("incomplete", "server"),
+        ),
+        ("caller_closed", "caller"): (
+            ("unanswered", "caller"),
+            ("incomplete", "caller"),
+        ),
+        ("request_unread", "server"): (("unread", "server"),),
+        ("request_unread", "caller"): (("unread", "caller"),),
+    }
+    for (event, closed_by), labels in events.items():
+        lines = sum(
+            line.entry == counts.entry
+            and line.event == event
+            and line.closed_by in ("", closed_by)
+            and counts.since <= line.at <= counts.at
+            for line in record.vm_ends
+        )
+        counted = sum(counts.counts.get(label, 0) for label in labels)
+        if lines != counted:
+            yield (
+                f"{counts.entry} has counted {counted} ends that are"
+                f" {event} by {closed_by}, and logged {lines}"
+            )
--- a/sedgepin/platform/tests/soak/_engines.py
+++ b/sedgepin/platform/tests/soak/_engines.py
@@ -4,6 +4,7 @@
 import dataclasses
 import itertools
 import json
+import math
 import random
 import time
 import typing
@@ -21,6 +22,7 @@
 MEMORY_MEGABYTES = 60.0
 MODEL_SERVICE = "model"
 PLAIN_SERVICE = "ledger"
+OTHER_PLAIN_SERVICE = "archive"
 HEARTBEAT_SECONDS = 0.6
 _LAYER_LOAD_SECONDS = 0.3
 _EVENT_INTERVAL_SECONDS = 0.03
@@ -84,9 +86,16 @@
         self._scope = trio.CancelScope()
         self.slowdown = 1.0
         self.failure_rate = 0.0
+        # How many requests the engine takes at once.
+        self.max_open = math.inf
+        self._open_count = 0
+        # Set when the latest silence is over.
+        self._silence_over = trio.Event()
+        self._silence_over.set()
         # The limit of requests that the engine names, if it does.
         self._request_limit: float | None = None
         engines[self.address] = self
+        record.link_names[self.address] = f"engine-{number} work"
 
     async def run(self) -> None:
         """Serve until cancelled; restart after each crash or drain."""
@@ -103,9 +112,22 @@
                     await nursery.start(server.serve, self._listen_address)
                     nursery.start_soon(self._send_check_ins, incarnation)
             self._incarnation = None
+            self._record_ending()
             self.drop_limit()
             await trio.sleep(_RESTART_SECONDS)
 
+    def _record_ending(self) -> None:
+        """Record that the engine has broken off what it was answering."""
+        ending = _record.Ending(self.address, trio.current_time())
+        self._record.endings.append(ending)
+
+    async def fall_silent(self, seconds: float) -> None:
+        """Send nothing for some time, then go on where it stopped."""
+        over = trio.Event()
+        self._silence_over = over
+        await trio.sleep(seconds)
+        over.set()
+
     def name_limit(self, requests_per_second: float) -> None:
         """Name a limit of requests in all answers from now on."""
         incarnation = self._incarnation
@@ -235,6 +257,7 @@
         incarnation = self._incarnation
         if incarnation is None:
             return
+        await self._silence_over.wait()
         request = exchange.request
         if request.target == b"/v1/report":
             await self._answer(exchange, 200, self._make_report(incarnation))
@@ -247,8 +270,14 @@
                 incarnation, json.loads(request.body)
             )
             await self._answer(exchange, status, body)
+        elif self._open_count >= self.max_open:
+            await self._reject(exchange, 503, None)
         else:
-            await self._execute(exchange, incarnation)
+            self._open_count += 1
+            try:
+                await self._execute(exchange, incarnation)
+            finally:
+                self._open_count -= 1
 
     def _make_report(self, incarnation: _Incarnation) -> dict[str, typing.Any]:
         return {
@@ -297,6 +326,9 @@
         if missing is not None:
             return 409, {"address": missing}
         incarnation.paths[order["id"]] = path
+        for run in self._record.runs:
+            if run.request_id == order["id"]:
+                run.path += tuple(address for address, _, _ in path)
         return 200, {}
 
     async def _execute(
@@ -315,6 +347,8 @@
                 await self._reject(exchange, 503, missing)
                 return
         run = _make_run(request, incarnation, trio.current_time(), fault)
+        run.engine = self.address
+        run.path = tuple(address for address, _, _ in path)
         self._record.runs.append(run)
         run.seal = f"{incarnation.endpoint_id}.{next(self._seals)}"
         if self._rng.random() < self.failure_rate:
@@ -324,6 +358,7 @@
             return
         if not request.target.startswith(b"/draft/"):
             await trio.sleep(_PLAIN_CALL_SECONDS * self.slowdown)
+            await self._silence_over.wait()
             run.answer = f"{run.request_id} by {run.seal}".encode()
             await exchange.answer(self._head(run), run.answer)
             return
@@ -349,7 +384,9 @@
         await exchange.start(self._head(run))
         for number in range(run.resume_after + 1, last_number + 1):
             await trio.sleep(_EVENT_INTERVAL_SECONDS * self.slowdown)
+            await self._silence_over.wait()
             if not await self._wait_for_path(incarnation, run.request_id):
+                self._record_ending()
                 return
             if self._crashes_under(run.request_id):
                 return
--- a/sedgepin/platform/tests/soak/_faults.py
+++ b/sedgepin/platform/tests/soak/_faults.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import random
 import signal
 
@@ -18,6 +19,8 @@
 _MIN_DURATION_SECONDS = 0.3
 _MAX_DURATION_SECONDS = 4.0
 _MEAN_DEPARTURE_SECONDS = 2.0
+_MEAN_SILENCE_GAP_SECONDS = 1.0
+_SILENCE_SECONDS = (0.3, 3.0)
 _LIMITED_ENGINES = 2
 _LIMITS = (0.0, 0.5, 1.0, 2.0, 5.0)
 # ``catchUpS``: a restarted control VM has caught up after this time.
@@ -54,6 +57,8 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_limit_engines, context, limit_rng, seconds)
         nursery.start_soon(_let_engines_leave, context, limit_rng, seconds)
+        nursery.start_soon(_silence_engines, context, limit_rng, seconds)
+        nursery.start_soon(_fill_engines, context, limit_rng, seconds)
         nursery.start_soon(context.odd_writers.run, seconds)
         end = trio.current_time() + seconds
         while trio.current_time() < end:
@@ -166,6 +171,9 @@
     seconds = _draw_duration_seconds(context)
     context.record_fault(f"{link_fault.value} {name} for {seconds:.1f} s")
     delay_seconds = context.rng.uniform(0.02, 0.5)
+    if link_fault is _proxy.LinkFault.RESET:
+        ending = _record.Ending(name, trio.current_time())
+        context.record.endings.append(ending)
     await context.proxies[name].inject(link_fault, seconds, delay_seconds)
 
 
@@ -229,6 +237,37 @@
             nursery.start_soon(engine.leave)
 
 
+async def _silence_engines(
+    context: FaultContext, rng: random.Random, seconds: float
+) -> None:
+    """Let sound engines say nothing for a while, beside the other faults."""
+    async with trio.open_nursery() as nursery:
+        end = trio.current_time() + seconds
+        while trio.current_time() < end:
+            await trio.sleep(rng.uniform(0, 2 * _MEAN_SILENCE_GAP_SECONDS))
+            silence_seconds = rng.uniform(*_SILENCE_SECONDS)
+            for engine in rng.sample(context.engines, rng.choice((1, 1, 3))):
+                context.record_fault(
+                    f"the engine at {engine.address} falls silent for"
+                    f" {silence_seconds:.1f} s"
+                )
+                nursery.start_soon(engine.fall_silent, silence_seconds)
+
+
+async def _fill_engines(
+    context: FaultContext, rng: random.Random, seconds: float
+) -> None:
+    """Let engines refuse what exceeds a few requests at once."""
+    end = trio.current_time() + seconds
+    while trio.current_time() < end:
+        await trio.sleep(rng.uniform(0, 2 * _MEAN_DEPARTURE_SECONDS))
+        engine = rng.choice(context.engines)
+        context.record_fault(f"the engine at {engine.address} is full")
+        engine.max_open = rng.randint(0, 2)
+        await trio.sleep(rng.uniform(_MIN_DURATION_SECONDS, 2.0))
+        engine.max_open = math.inf
+
+
 # Repeated entries are drawn more often.
 FAULTS: tuple[_Fault, ...] = (
     _kill_entry,
--- a/sedgepin/platform/tests/soak/_invariants.py
+++ b/sedgepin/platform/tests/soak/_invariants.py
@@ -4,6 +4,7 @@
 import collections.abc
 import re
 
+from sedgepin.platform.tests.soak import _ends
 from sedgepin.platform.tests.soak import _record
 
 # Statuses which state that a request was not and will not be executed.
@@ -63,7 +64,7 @@
         if sent.parts
         and sent.crashing_part is None
         and known + 2 * STABILITY_SECONDS < sent.at < end
-        and sent.request_id not in record.disconnected
+        and not record.has_left_early(sent.request_id)
     ]
 
 
@@ -312,7 +313,7 @@
             sent
             for sent in record.sent.values()
             if start <= sent.at < end
-            and sent.request_id not in record.disconnected
+            and not record.has_left_early(sent.request_id)
         ]
         for route in sorted({sent.route for sent in requests}):
             ids = [sent.request_id for sent in requests if sent.route == route]
@@ -430,4 +431,7 @@
     _check_retry_after,
     _check_request_limits,
     _check_processes,
+    _ends.check_callers,
+    _ends.check_vms,
+    _ends.check_counts,
 )
--- a/sedgepin/platform/tests/soak/_odd_writers.py
+++ b/sedgepin/platform/tests/soak/_odd_writers.py
@@ -8,7 +8,7 @@
 
 from sedgepin import _web as web
 from sedgepin.platform.tests.soak import _addresses
-from sedgepin.platform.tests.soak import _operator
+from sedgepin.platform.tests.soak import _configurations
 from sedgepin.platform.tests.soak import _record
 
 _PAUSE_SECONDS = 0.5
@@ -88,7 +88,7 @@
 
 async def _send(address: str, request: web.Request) -> None:
     headers = (
-        (b"Host", _operator.HOST.encode()),
+        (b"Host", _configurations.HOST.encode()),
         (b"X-Request-Id", b"odd"),
         *request.headers,
     )
--- a/sedgepin/platform/tests/soak/_operator.py
+++ b/sedgepin/platform/tests/soak/_operator.py
@@ -1,81 +1,22 @@
 """Operator: changes the configuration and reads it back."""
 
+import collections
 import json
 import random
-import typing
 
 import trio
 
 from sedgepin import _web as web
 from sedgepin.platform.tests.soak import _addresses
-from sedgepin.platform.tests.soak import _engines
+from sedgepin.platform.tests.soak import _configurations
 from sedgepin.platform.tests.soak import _record
 
-HOST = "soak.example"
-KEYS = ("k1", "k2", "k3")
-PREFIXES = {"write": "post", "read": "read", "stream": "draft"}
-_RETRY_SEMANTICS = {"write": "non_idempotent", "read": "idempotent"}
 _CALL_TIMEOUT_SECONDS = 1.0
 _MEAN_CHANGE_INTERVAL_SECONDS = 1.5
 # A change without a definite answer is resent for this long.
 _RESEND_TIMEOUT_SECONDS = 20.0
-_ROUTE_TIMEOUTS_MS = (4000, 4500, 5000)
-
-
-def make_configuration(version: int, timeout_ms: int) -> bytes:
-    """Return a configuration with three routes and two services."""
-    routes: list[dict[str, typing.Any]] = [
-        {
-            "name": route,
-            "host": HOST,
-            "pathPrefix": f"/{prefix}/",
-            "kind": _RETRY_SEMANTICS.get(route, "streaming"),
-            "timeoutMs": timeout_ms,
-            "targetLatencyMs": 500,
-            "service": _engines.MODEL_SERVICE
-            if route == "stream"
-            else _engines.PLAIN_SERVICE,
-            "maxAttempts": 1 if route == "write" else 3,
-            "resumable": route == "stream",
-        }
-        for route, prefix in PREFIXES.items()
-    ]
-    engine = {
-        "slots": 96,
-        "step_ms": 1.0,
-        "per_seq_ms": 0.01,
-        "context_per_k": 0.01,
-        "read_per_s": 100_000.0,
-        "kvTokenBytes": 8000,
-        "models": [{"loadS": 0.3}],
-        "kinds": [
-            {
-                "name": "card",
-                "mb": _engines.MEMORY_MEGABYTES,
-                "pace": 1.0,
-                "readX": 1.0,
-            }
-        ],
-        "usual": {"prompt": 10, "answer": 10},
-        "layers": _engines.LAYERS,
-        "layerMb": _engines.LAYER_MEGABYTES,
-        "activationBytes": 100,
-        "loads_at_once": 6,
-        "report_lag_ms": 100,
-    }
-    return json.dumps(
-        {
-            "version": version,
-            "routes": routes,
-            "services": [
-                {"name": _engines.MODEL_SERVICE, "engine": engine},
-                {"name": _engines.PLAIN_SERVICE},
-            ],
-            "tenants": [
-                {"name": f"customer-{key}", "apiKeys": [key]} for key in KEYS
-            ],
-        }
-    ).encode()
+_SERIES_LENGTHS = (3, 8)
+_SERIES_GAPS_SECONDS = (0.05, 0.9)
 
 
 async def is_ready(address: str) -> bool:
@@ -93,11 +34,16 @@
         addresses: _addresses.Addresses,
         record: _record.Record,
         rng: random.Random,
+        changes: tuple[str, ...] = tuple(_configurations.CHANGES),
     ) -> None:
         self._control_addresses = addresses.control_addresses()
         self._record = record
         self._rng = rng
+        self._changes = changes
         self._version = 0
+        self._document = _configurations.make_first()
+        # What the latest changes have sent, with their versions.
+        self._sent: collections.deque[bytes] = collections.deque(maxlen=8)
 
     async def run(self) -> None:
         """Change and read the configuration until cancelled."""
@@ -107,23 +53,48 @@
                 await trio.sleep(
                     _MEAN_CHANGE_INTERVAL_SECONDS * 2 * self._rng.random()
                 )
-                match self._rng.randrange(4):
+                match self._rng.randrange(6):
                     case 0:
                         nursery.start_soon(self.change)
                         nursery.start_soon(self.change)
                     case 1:
-                        nursery.start_soon(self._send_invalid)
+                        nursery.start_soon(self._send_refused)
                     case 2:
                         nursery.start_soon(self.read)
+                    case 3:
+                        nursery.start_soon(self._send_again)
+                    case 4:
+                        await self._run_series(nursery)
                     case _:
                         nursery.start_soon(self.change)
 
+    async def _run_series(self, nursery: trio.Nursery) -> None:
+        """Send changes one after the other, without waiting for answers."""
+        for _number in range(self._rng.randint(*_SERIES_LENGTHS)):
+            nursery.start_soon(self.change)
+            if self._rng.random() < 0.2:
+                nursery.start_soon(self._send_refused)
+            await trio.sleep(self._rng.uniform(*_SERIES_GAPS_SECONDS))
+
+    def draw_change(self) -> bytes:
+        """Change the document; return it with the next version."""
+        self._version += self._rng.randint(1, 4)
+        # Several kinds in one document as well.
+        for name in self._rng.sample(
+            self._changes,
+            min(len(self._changes), self._rng.choice((1, 1, 1, 3))),
+        ):
+            _configurations.CHANGES[name](self._document, self._rng)
+            self._record.configuration_changes[name] += 1
+        idle_timeout_ms = self._document["limits"]["idleTimeoutMs"]
+        self._record.idle_seconds[self._version] = idle_timeout_ms / 1000
+        return _configurations.encode(self._document, self._version)
+
     async def change(self) -> None:
         """Send the next version until it is acknowledged or rejected."""
-        self._version += self._rng.randint(1, 4)
+        content = self.draw_change()
         version = self._version
-        timeout_ms = self._rng.choice(_ROUTE_TIMEOUTS_MS)
-        content = make_configuration(version, timeout_ms)
+        self._sent.append(content)
         sent_at = trio.current_time()
         with trio.move_on_after(_RESEND_TIMEOUT_SECONDS):
             while True:
@@ -156,15 +127,24 @@
         )
         return True
 
-    async def _send_invalid(self) -> None:
-        """Send a configuration that names an unknown service."""
+    async def _send_refused(self) -> None:
+        """Send a configuration that must be refused."""
         self._version += 1
-        invalid = json.loads(make_configuration(self._version, 4000))
-        invalid["routes"][0]["service"] = "nowhere"
-        status, _ = await self._call(b"PUT", json.dumps(invalid).encode())
+        version = self._version
+        reason, content = _configurations.make_refused(
+            self._document, version, self._rng
+        )
+        status, _ = await self._call(b"PUT", content)
+        self._record.configuration_changes["refused"] += 1
         if status == 200:
-            accepted = f"version {self._version} names an unknown service"
-            self._record.accepted_invalid.append(accepted)
+            self._record.accepted_invalid.append(
+                f"version {version} has {reason}"
+            )
+
+    async def _send_again(self) -> None:
+        """Send an older version again, which changes nothing."""
+        await self._call(b"PUT", self._rng.choice(self._sent))
+        self._record.configuration_changes["old version"] += 1
 
     async def _call(self, method: bytes, content: bytes) -> tuple[int, bytes]:
         """Call a random control VM; status 0 means no definite answer."""
--- a/sedgepin/platform/tests/soak/_programs.py
+++ b/sedgepin/platform/tests/soak/_programs.py
@@ -28,6 +28,13 @@
 _MAX_TORN_BYTES = 16
 # Until Python has imported a program, SIGTERM kills it without a drain.
 _MAX_IMPORT_SECONDS = 3.0
+_JUDGED_EVENTS = (
+    b'"request_dispatched"',
+    b'"configuration_in_force"',
+    b'"answer_cut"',
+    b'"caller_closed"',
+    b'"request_unread"',
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,11 +66,16 @@
         folder: pathlib.Path,
         addresses: _addresses.Addresses,
         build: pathlib.Path | None = None,
+        counts_ends: bool = False,
     ) -> None:
         self._folder = folder
         self._addresses = addresses
         self._build = build
+        self._counts_ends = counts_ends
         self.programs: list[Program] = []
+        self.meter = _holds.HoldMeter()
+        self.kills: list[_record.Ending] = []
+        self.stops: list[_record.Stop] = []
         self.unexpected_exits: list[str] = []
 
     def start_all(self) -> None:
@@ -97,6 +109,7 @@
 
     def kill(self, program: Program) -> None:
         """Kill a program with SIGKILL and wait for its exit."""
+        self._record_kill(program)
         program.should_run = False
         program.is_paused = False
         program.process.kill()
@@ -114,6 +127,10 @@
         program.started_at = time.monotonic()
         program.should_run = True
 
+    def _record_kill(self, program: Program) -> None:
+        ending = _record.Ending(program.name, trio.current_time())
+        self.kills.append(ending)
+
     def rewrite_settings(self, program: Program) -> None:
         """Replace the settings file by an identical one."""
         self._write_settings(
@@ -146,13 +163,20 @@
     async def stop(self, program: Program) -> None:
         """Stop a program with SIGTERM; kill it after the grace period."""
         program.should_run = False
-        seconds_held = _holds.seconds_waited(program.process.pid) or 0.0
+        seconds_held = self.meter.seconds_held(
+            program.name, program.process.pid
+        )
         age = time.monotonic() - program.started_at
+        stopped_at = trio.current_time()
         program.process.terminate()
         with trio.move_on_after(GRACE_PERIOD_SECONDS):
             while program.process.poll() is None:
                 await trio.sleep(_POLL_SECONDS)
+        self.stops.append(
+            _record.Stop(program.name, stopped_at, trio.current_time())
+        )
         if program.process.poll() is None:
+            self._record_kill(program)
             program.process.kill()
             program.process.wait()
         elif program.process.returncode == -signal.SIGTERM:
@@ -183,29 +207,23 @@
                 program.process.kill()
             program.process.wait()
 
-    def contained_failures(self) -> list[str]:
-        """Return the log lines of failures that the programs contained."""
-        return self._lines_with('"task_failed"', '"messages_not_sent"')
-
-    def cut_requests(self) -> list[str]:
-        """Return the log lines of requests that ended with their VM."""
-        return self._lines_with('"request_cut"')
-
-    def dispatches(self) -> list[_record.Dispatch]:
-        """Return what the entries logged of the requests they sent."""
+    def fill_in(self, record: _record.Record) -> None:
+        """Add to a record what the programs have logged and how they ended."""
+        record.unexpected_exits = self.unexpected_exits
+        record.contained_failures = self._lines_with(
+            '"task_failed"', '"messages_not_sent"'
+        )
+        # Requests that ended with their VM.
+        record.cut_requests = self._lines_with('"request_cut"')
+        record.endings += self.kills
+        record.stops = self.stops
+        record.holds = self.meter.holds
         # The log has wall time, which ``_skewed`` does not change.
         clock_offset = trio.current_time() - time.time()
-        return [
-            _record.Dispatch(
-                line["request"],
-                line["endpoint"],
-                datetime.datetime.fromisoformat(line["time"]).timestamp()
-                + clock_offset,
-                line["milliseconds_left"],
-            )
-            for program in self.with_role("entry")
-            for line in _read_lines(program, b'"request_dispatched"')
-        ]
+        for program in self.with_role("entry"):
+            for line in _read_lines(program, _JUDGED_EVENTS):
+                at = _wall_time(line) + clock_offset
+                _add_line(record, program.name, line, at)
 
     def _lines_with(self, *texts: str) -> list[str]:
         return [
@@ -239,6 +257,8 @@
                 str(clock_skew_ms),
                 role,
             ]
+        if role == "entry" and self._counts_ends:
+            command.append(str(_addresses.METRICS_PORT))
         settings = str(folder / "settings.toml")
         environment = {**os.environ, "SEDGEPIN_NODE_FILE": settings}
         if build is not None:
@@ -271,11 +291,49 @@
         temporary_path.replace(path)
 
 
-def _read_lines(program: Program, text: bytes) -> list[dict[str, typing.Any]]:
+def _wall_time(line: dict[str, typing.Any]) -> float:
+    return datetime.datetime.fromisoformat(line["time"]).timestamp()
+
+
+def _add_line(
+    record: _record.Record,
+    program: str,
+    line: dict[str, typing.Any],
+    at: float,
+) -> None:
+    """Add a line of an entry's log to a record."""
+    match line["event"]:
+        case "request_dispatched":
+            dispatch = _record.Dispatch(
+                line["request"],
+                line["endpoint"],
+                at,
+                line["milliseconds_left"],
+            )
+            record.dispatches.append(dispatch)
+        case "configuration_in_force":
+            following = _record.Following(program, line["version"], at)
+            record.followings.append(following)
+        case "answer_cut" | "caller_closed" | "request_unread" as event:
+            end = _record.VmEnd(
+                program,
+                event,
+                line.get("request", ""),
+                at,
+                line.get("reason", ""),
+                line.get("closed_by", ""),
+                line.get("unread_bytes", 0),
+            )
+            record.vm_ends.append(end)
+
+
+def _read_lines(
+    program: Program, texts: tuple[bytes, ...]
+) -> list[dict[str, typing.Any]]:
     """Return the whole lines of a program's log that contain a text."""
     lines = (program.folder / "log").read_bytes().splitlines(keepends=True)
     return [
         json.loads(line)
         for line in lines
-        if text in line and line.endswith(b"\n")
+        if any(text in line for text in texts) and line.endswith(b"\n")
     ]
--- a/sedgepin/platform/tests/soak/_record.py
+++ b/sedgepin/platform/tests/soak/_record.py
@@ -4,7 +4,9 @@
 seconds of the soak's own clock.
 """
 
+import collections
 import dataclasses
+import enum
 import math
 
 
@@ -37,6 +39,81 @@
     has_retry_after: bool = False
 
 
+class EndKind(enum.Enum):
+    """How a request ended for its caller."""
+
+    ANSWERED = "answered"
+    # The connection ended before the answer was complete.
+    CUT = "cut"
+    # The caller closed the connection, early or at its deadline.
+    LEFT = "left"
+    NOT_CONNECTED = "not connected"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallerEnd:
+    """The end of a request as its caller saw it."""
+
+    request_id: str
+    entry: str
+    kind: EndKind
+    at: float
+    # Whether the head of an answer was received.
+    has_begun: bool = False
+    # Since when the connection had been idle, if it was used before.
+    idle_since: float | None = None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class VmEnd:
+    """A line on an end without a complete answer, from an entry's log."""
+
+    entry: str
+    event: str
+    request_id: str
+    at: float
+    reason: str = ""
+    closed_by: str = ""
+    unread_bytes: int = 0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class EndCounts:
+    """What an entry has counted of requests' ends since its start."""
+
+    entry: str
+    since: float
+    at: float
+    # By the labels ``end`` and ``closed_by`` of the metric.
+    counts: dict[tuple[str, str], int]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Ending:
+    """What ended: an engine's address, a killed entry or a link's name."""
+
+    name: str
+    at: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Stop:
+    """The stop of a program, from SIGTERM to its end."""
+
+    program: str
+    at: float
+    ended_at: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Following:
+    """From when on an entry followed a configuration, from its log."""
+
+    entry: str
+    version: int
+    at: float
+
+
 @dataclasses.dataclass(slots=True)
 class EngineRun:
     """A request that an engine started to execute, and its answer."""
@@ -54,6 +131,9 @@
     answer: bytes
     seal: str
     pipeline_fault: str = ""
+    # Addresses of its engine and of all that compute it.
+    engine: str = ""
+    path: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -138,6 +218,8 @@
     accepted_invalid: list[str] = dataclasses.field(default_factory=list)
     # Requests whose callers disconnected before the complete answer.
     disconnected: set[str] = dataclasses.field(default_factory=set)
+    # Requests whose callers do not wait for the end of their time.
+    leaving: set[str] = dataclasses.field(default_factory=set)
     read_configurations: list[ReadConfiguration] = dataclasses.field(
         default_factory=list
     )
@@ -157,6 +239,24 @@
         default_factory=list
     )
     faults: list[str] = dataclasses.field(default_factory=list)
+    # Ends of requests are judged if the programs log and count them.
+    has_request_ends: bool = False
+    caller_ends: dict[str, CallerEnd] = dataclasses.field(default_factory=dict)
+    # Requests that were handed to an entry to their last byte.
+    handed_over_whole: set[str] = dataclasses.field(default_factory=set)
+    vm_ends: list[VmEnd] = dataclasses.field(default_factory=list)
+    end_counts: list[EndCounts] = dataclasses.field(default_factory=list)
+    endings: list[Ending] = dataclasses.field(default_factory=list)
+    # The name of an engine's link by its address.
+    link_names: dict[str, str] = dataclasses.field(default_factory=dict)
+    stops: list[Stop] = dataclasses.field(default_factory=list)
+    followings: list[Following] = dataclasses.field(default_factory=list)
+    # The idle timeout by the version of the configuration.
+    idle_seconds: dict[int, float] = dataclasses.field(default_factory=dict)
+    # How often the operator sent each kind of change.
+    configuration_changes: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     # Messages of writers and callers that are unlike those of the pages.
     odd_message_count: int = 0
     # When engines crashed under a part of a prompt, and while no other fault
@@ -194,6 +294,31 @@
             if hold.program == program and hold.start < end > start < hold.end
         )
 
+    def has_left_early(self, request_id: str) -> bool:
+        """Return whether a caller left that had time to wait."""
+        return request_id in self.leaving and request_id in self.disconnected
+
+    def has_ended(self, name: str, start: float, end: float) -> bool:
+        """Return whether an engine, entry or link ended in a time span."""
+        return any(
+            ending.name == name and start <= ending.at <= end
+            for ending in self.endings
+        )
+
+    def idle_timeout_known(self, at: float) -> float:
+        """Return the idle timeout in seconds that callers know of."""
+        version = max(
+            (
+                acknowledged.version
+                for acknowledged in self.acknowledged
+                if acknowledged.at <= at
+            ),
+            default=None,
+        )
+        if version is None:
+            return math.inf
+        return self.idle_seconds.get(version, math.inf)
+
     def is_calm(self, start: float, end: float) -> bool:
         """Return whether a time span lies within a calm span."""
         return any(
--- a/sedgepin/platform/tests/soak/_seed_run.py
+++ b/sedgepin/platform/tests/soak/_seed_run.py
@@ -5,14 +5,15 @@
 import pathlib
 import random
 import re
+import time
 
 import trio
 
+from sedgepin import _web as web
 from sedgepin.platform.tests.soak import _addresses
 from sedgepin.platform.tests.soak import _callers
 from sedgepin.platform.tests.soak import _engines
 from sedgepin.platform.tests.soak import _faults
-from sedgepin.platform.tests.soak import _holds
 from sedgepin.platform.tests.soak import _invariants
 from sedgepin.platform.tests.soak import _odd_writers
 from sedgepin.platform.tests.soak import _operator
@@ -21,7 +22,7 @@
 from sedgepin.platform.tests.soak import _record
 
 COUNTS = {"control": 3, "entry": 3, "engine": 9}
-# Engines numbered up to this run the plain service, the others the model.
+# Engines numbered up to this run plain services, the others the model.
 _PLAIN_ENGINE_COUNT = 3
 _START_TIMEOUT_SECONDS = 30.0
 _CALM_SECONDS = 3.0
@@ -35,27 +36,37 @@
 # Time for requests in flight at the end of a calm span to finish.
 SETTLE_SECONDS = 6.5
 _FINAL_READ_TIMEOUT_SECONDS = 10.0
+# Requests end within this time after their callers have closed.
+_END_SECONDS = 1.0
+_SCRAPE_SECONDS = 5.0
 _PAUSE_CHECK_SECONDS = 0.005
 _MIN_PAUSE_SECONDS = 0.025
+_END_COUNT = re.compile(
+    rb'sedgepin_request_ends_total{closed_by="(\w+)",end="(\w+)"} (\S+)'
+)
+_CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length: (\d+)\r\n")
 _REQUEST_ID = re.compile(rb"(?i)\r\nx-request-id: (\S+)\r\n")
 
 
 async def run_seed(
-    seed: int, folder: pathlib.Path, fault_seconds: float, lane: int = 90
+    seed: int,
+    folder: pathlib.Path,
+    fault_seconds: float,
+    lane: int = 90,
+    requests_per_second: float = _callers.REQUESTS_PER_SECOND,
 ) -> _record.Record:
     """Run the system under the faults of a seed and return the record."""
     rng = random.Random(seed)
     addresses = _addresses.Addresses(lane, COUNTS)
     record = _record.Record()
-    programs = _programs.Programs(folder, addresses)
+    programs = _programs.Programs(folder, addresses, counts_ends=True)
+    record.has_request_ends = True
     try:
-        await _run(rng, addresses, record, programs, fault_seconds)
+        callers = _callers.Callers(addresses, record, rng, requests_per_second)
+        await _run(rng, addresses, record, programs, fault_seconds, callers)
     finally:
         programs.kill_all()
-        record.unexpected_exits = programs.unexpected_exits
-        record.contained_failures = programs.contained_failures()
-        record.cut_requests = programs.cut_requests()
-        record.dispatches = programs.dispatches()
+        programs.fill_in(record)
     return record
 
 
@@ -69,15 +80,16 @@
     ],
 ) -> None:
     """Run the system with callers and an operator while ``act`` does."""
-    operator = _operator.Operator(addresses, record, rng)
+    # Changes of other kinds would meet known faults of the other build.
+    operator = _operator.Operator(addresses, record, rng, ("timeout",))
     callers = _callers.Callers(addresses, record, rng)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_record_pauses, record)
         await _start_proxies(addresses, record, nursery)
         programs.start_all()
         nursery.start_soon(programs.supervise)
-        nursery.start_soon(_holds.record_holds, programs.process_ids, record)
-        engines = _make_engines(addresses, record, rng)
+        nursery.start_soon(programs.meter.run, programs.process_ids)
+        engines = _make_engines(addresses, record, rng, 0)
         for engine in engines:
             nursery.start_soon(engine.run)
         async with trio.open_nursery() as traffic_nursery:
@@ -107,6 +119,11 @@
         request_id = found[1].decode()
         record.handed_over_at.setdefault(request_id, trio.current_time())
         record.handed_over_to.setdefault(request_id, program)
+        length = _CONTENT_LENGTH.search(data)
+        if length is not None:
+            body = data.partition(b"\r\n\r\n")[2]
+            if len(body) >= int(length[1]):
+                record.handed_over_whole.add(request_id)
 
 
 async def _start_proxies(
@@ -135,16 +152,16 @@
     record: _record.Record,
     programs: _programs.Programs,
     fault_seconds: float,
+    callers: _callers.Callers,
 ) -> None:
     operator = _operator.Operator(addresses, record, rng)
-    callers = _callers.Callers(addresses, record, rng)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_record_pauses, record)
         proxies = await _start_proxies(addresses, record, nursery)
         programs.start_all()
         nursery.start_soon(programs.supervise)
-        nursery.start_soon(_holds.record_holds, programs.process_ids, record)
-        engines = _make_engines(addresses, record, rng)
+        nursery.start_soon(programs.meter.run, programs.process_ids)
+        engines = _make_engines(addresses, record, rng, 1)
         for engine in engines:
             nursery.start_soon(engine.run)
         with trio.CancelScope() as operator_scope:
@@ -170,6 +187,7 @@
                         traffic_scope.cancel()
                 operator_scope.cancel()
         await _read_final_configuration(operator)
+        await _read_end_counts(addresses, record, programs)
         nursery.cancel_scope.cancel()
 
 
@@ -187,21 +205,23 @@
     addresses: _addresses.Addresses,
     record: _record.Record,
     rng: random.Random,
+    other_plain_count: int,
 ) -> list[_engines.Engine]:
+    """Return the engines; the last plain ones run the other service."""
     engines_by_address: dict[str, _engines.Engine] = {}
-    return [
-        _engines.Engine(
-            number,
-            _engines.PLAIN_SERVICE
-            if number <= _PLAIN_ENGINE_COUNT
-            else _engines.MODEL_SERVICE,
-            addresses,
-            record,
-            engines_by_address,
-            rng,
+    engines: list[_engines.Engine] = []
+    for number in range(1, addresses.counts["engine"] + 1):
+        service = _engines.MODEL_SERVICE
+        if number <= _PLAIN_ENGINE_COUNT - other_plain_count:
+            service = _engines.PLAIN_SERVICE
+        elif number <= _PLAIN_ENGINE_COUNT:
+            service = _engines.OTHER_PLAIN_SERVICE
+        engines.append(
+            _engines.Engine(
+                number, service, addresses, record, engines_by_address, rng
+            )
         )
-        for number in range(1, addresses.counts["engine"] + 1)
-    ]
+    return engines
 
 
 async def _wait_until_ready(addresses: _addresses.Addresses) -> None:
@@ -255,3 +275,30 @@
     with trio.move_on_after(_FINAL_READ_TIMEOUT_SECONDS):
         while not await operator.read():
             await trio.sleep(0.2)
+
+
+async def _read_end_counts(
+    addresses: _addresses.Addresses,
+    record: _record.Record,
+    programs: _programs.Programs,
+) -> None:
+    """Record what each entry has counted, once its requests have ended."""
+    await trio.sleep(_END_SECONDS)
+    for program in programs.with_role("entry"):
+        request = web.Request(b"GET", b"/metrics", ((b"Host", b"metrics"),))
+        address = addresses.metrics_address(program.number)
+        result = await web.send_request(address, request, _SCRAPE_SECONDS)
+        if result.is_err():
+            record.contained_failures.append(
+                f"{program.name}: its metrics could not be read"
+            )
+            continue
+        age = time.monotonic() - program.started_at
+        now = trio.current_time()
+        counts = {
+            (end.decode(), closed_by.decode()): round(float(count))
+            for closed_by, end, count in _END_COUNT.findall(result.unwrap()[1])
+        }
+        record.end_counts.append(
+            _record.EndCounts(program.name, now - age, now, counts)
+        )
--- a/sedgepin/platform/tests/soak/_upgrade.py
+++ b/sedgepin/platform/tests/soak/_upgrade.py
@@ -73,10 +73,7 @@
         await _seed_run.run_beside(rng, addresses, record, programs, replace)
     finally:
         programs.kill_all()
-        record.unexpected_exits = programs.unexpected_exits
-        record.contained_failures = programs.contained_failures()
-        record.cut_requests = programs.cut_requests()
-        record.dispatches = programs.dispatches()
+        programs.fill_in(record)
     return record
 
 
--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -408,21 +408,20 @@
         self,
         tmp_path: pathlib.Path,
         start_program: _Start,
-        monkeypatch: pytest.MonkeyPatch,
         age: float,
         seconds_held: float,
         is_expected: bool,
     ) -> None:
         """SIGTERM ends one that imports; what held it back does not count."""
-        monkeypatch.setattr(
-            _holds, "seconds_waited", lambda _process_id: seconds_held
-        )
         addresses = _addresses.Addresses(loopback.BLOCK, {})
         programs = _programs.Programs(tmp_path, addresses)
         program = start_program(1, _SLEEP)
         program.folder = tmp_path
         (tmp_path / "errors").touch()
         program.started_at -= age
+        for at in (0.0, seconds_held):
+            times = _holds.Times(True, 0.1, at)
+            programs.meter.add("entry-1", program.process.pid, at, times)
         await programs.stop(program)
         assert (not programs.unexpected_exits) == is_expected
 
@@ -437,7 +436,7 @@
         """One that sleeps, or was stopped, pauses by itself."""
         addresses = _addresses.Addresses(loopback.BLOCK, {})
         programs = _programs.Programs(tmp_path, addresses)
-        processor = min(os.sched_getaffinity(0))
+        processor = max(os.sched_getaffinity(0))
         for number in (1, 2):
             program = start_program(number, "while True: pass")
             os.sched_setaffinity(program.process.pid, {processor})
@@ -447,22 +446,68 @@
         stopped.process.send_signal(signal.SIGSTOP)
         programs.programs.append(stopped)
         await trio.sleep(0.5)
-        record = _record.Record()
-        nursery.start_soon(_holds.record_holds, programs.process_ids, record)
+        nursery.start_soon(programs.meter.run, programs.process_ids)
         started = trio.current_time()
         await trio.sleep(1.5)
-        ended = trio.current_time()
+        seconds = trio.current_time() - started
         held_by_name = {
-            program.name: record.seconds_held(program.name, started, ended)
+            program.name: programs.meter.seconds_held(
+                program.name, program.process.pid
+            )
             for program in programs.programs
         }
         nursery.cancel_scope.cancel()
-        seconds = ended - started
         shared = held_by_name["entry-1"] + held_by_name["entry-2"]
         assert shared > 0.8 * seconds
         assert held_by_name["entry-3"] < 0.1 * seconds
         assert held_by_name["entry-4"] == 0
 
+    def _sample(
+        self, *samples: tuple[float, bool, float, float]
+    ) -> _holds.HoldMeter:
+        """Add samples: when, whether it is ready, seconds run and waited."""
+        meter = _holds.HoldMeter()
+        for at, is_runnable, seconds_run, seconds_waited in samples:
+            times = _holds.Times(is_runnable, seconds_run, seconds_waited)
+            meter.add("entry-1", 1, at, times)
+        return meter
+
+    def test_long_hold_spans_the_samples_in_which_it_waits(self) -> None:
+        """Linux counts a wait only once it is over."""
+        meter = self._sample(
+            (0.0, False, 1.0, 0.0),
+            (0.1, True, 1.0, 0.0),
+            (0.2, True, 1.0, 0.0),
+            (1.9, True, 1.0, 0.0),
+        )
+        assert meter.seconds_held("entry-1", 1) == pytest.approx(1.9)
+        assert not meter.holds
+        meter.add("entry-1", 1, 2.0, _holds.Times(False, 1.01, 1.88))
+        record = _record.Record(holds=meter.holds)
+        assert record.seconds_held("entry-1", 0, 2) == pytest.approx(1.88)
+        assert record.seconds_held("entry-1", 1, 2) == pytest.approx(0.88)
+        assert record.seconds_held("entry-1", 2, 3) == 0
+
+    def test_hold_of_the_process_before_does_not_count(self) -> None:
+        meter = self._sample((0.0, False, 1.0, 0.0), (1.0, False, 1.0, 0.9))
+        assert meter.seconds_held("entry-1", 1) == pytest.approx(0.9)
+        assert meter.seconds_held("entry-1", 2) == 0
+
+    def test_program_that_runs_does_not_wait(self) -> None:
+        """Though the samples are far apart."""
+        meter = self._sample((0.0, True, 1.0, 0.0), (1.0, True, 1.9, 0.0))
+        assert meter.seconds_held("entry-1", 1) == 0
+
+    def test_work_and_sleep_are_no_holds(self) -> None:
+        meter = self._sample(
+            (0.0, True, 1.0, 0.0),
+            (1.0, True, 2.0, 0.0),
+            (2.0, False, 2.0, 0.0),
+            (3.0, False, 2.0, 0.0),
+        )
+        assert meter.seconds_held("entry-1", 1) == 0
+        assert not meter.holds
+
 
 class TestProxy:
     """Faults of the proxy affect connections and end in time."""
@@ -540,10 +585,11 @@
 
 
 class TestEngine:
-    async def test_attempt_goes_on_when_an_earlier_one_is_left(
+    @pytest.fixture
+    async def engine(
         self, nursery: trio.Nursery
-    ) -> None:
-        """Its engine once failed with ``KeyError`` (seed 41003)."""
+    ) -> collections.abc.AsyncIterator[_engines.Engine]:
+        """Return an engine that runs and holds all layers."""
         counts = {"control": 1, "entry": 1, "engine": 1}
         addresses = _addresses.Addresses(loopback.BLOCK, counts)
         engine = _engines.Engine(
@@ -557,25 +603,61 @@
         nursery.start_soon(engine.run)
         await trio.sleep(0.3)
         engine.hold_all_layers()
+        yield engine
+        nursery.cancel_scope.cancel()
+
+    async def _send(self, engine: _engines.Engine) -> trio.SocketStream:
         request = (
             b"POST /draft/1/20 HTTP/1.1\r\nHost: a\r\nX-Request-Id: r1\r\n"
             b"X-Hop-Count: %s=0-%d\r\nContent-Length: 0\r\n\r\n"
         ) % (engine.address.encode(), _engines.LAYERS)
-        streams = []
-        for _attempt in range(2):
-            stream = await trio.open_tcp_stream(*engine.listen_host_and_port())
-            await stream.send_all(request)
-            await trio.sleep(0.1)
-            streams.append(stream)
-        await streams[0].aclose()
+        stream = await trio.open_tcp_stream(*engine.listen_host_and_port())
+        await stream.send_all(request)
+        return stream
+
+    async def _receive_all(self, stream: trio.SocketStream) -> bytes:
         received = b""
         with trio.fail_after(5):
             while not received.endswith(b"0\r\n\r\n"):
-                data = await streams[1].receive_some(65_536)
+                data = await stream.receive_some(65_536)
                 assert data, "the stream was broken off"
                 received += data
+        return received
+
+    async def test_attempt_goes_on_when_an_earlier_one_is_left(
+        self, engine: _engines.Engine
+    ) -> None:
+        """Its engine once failed with ``KeyError`` (seed 41003)."""
+        streams = []
+        for _attempt in range(2):
+            streams.append(await self._send(engine))
+            await trio.sleep(0.1)
+        await streams[0].aclose()
+        received = await self._receive_all(streams[1])
+        assert received.count(b"data:") == 20
+
+    async def test_silent_engine_goes_on_where_it_stopped(
+        self, engine: _engines.Engine, nursery: trio.Nursery
+    ) -> None:
+        stream = await self._send(engine)
+        await stream.receive_some(65_536)
+        started = trio.current_time()
+        nursery.start_soon(engine.fall_silent, 1.5)
+        received = await self._receive_all(stream)
+        assert trio.current_time() - started > 1.5
+        assert received.endswith(b"data: r1-20\n\n\r\n0\r\n\r\n")
+
+    async def test_full_engine_refuses(self, engine: _engines.Engine) -> None:
+        engine.max_open = 1
+        first = await self._send(engine)
+        await trio.sleep(0.1)
+        with trio.fail_after(5):
+            second = await self._send(engine)
+            answer = await second.receive_some(65_536)
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert b"X-Not-Executed: 1" in answer
+        received = await self._receive_all(first)
         assert received.count(b"data:") == 20
-        nursery.cancel_scope.cancel()
 
 
 class TestShortRun:
