Soak: record the end of an engine before its callers can see it

The engine's end was recorded once its tasks had ended, after the entry had seen the connection break. It is recorded before the connections are closed now. The offset between the clocks of logs and soak is taken from the closest of 20 readings, since the soak may be held between two of them.

test_soak.py: the end is recorded when the engine breaks off.

--- a/sedgepin/platform/tests/soak/_engines.py
+++ b/sedgepin/platform/tests/soak/_engines.py
@@ -112,7 +112,6 @@
                     await nursery.start(server.serve, self._listen_address)
                     nursery.start_soon(self._send_check_ins, incarnation)
             self._incarnation = None
-            self._record_ending()
             self.drop_limit()
             await trio.sleep(_RESTART_SECONDS)
 
@@ -163,6 +162,8 @@
 
     def crash(self) -> None:
         """Break off all connections; ``run`` restarts the engine later."""
+        # Callers may see it before this engine's tasks have ended.
+        self._record_ending()
         self._scope.cancel()
 
     async def drain(self) -> None:
@@ -179,7 +180,7 @@
         path = f"/v1/instances/{incarnation.endpoint_id}"
         await self._call_control_vm(b"DELETE", path, {})
         if self._incarnation is incarnation:
-            self._scope.cancel()
+            self.crash()
 
     async def leave(self) -> None:
         """Deregister first, serve for ``drainMs`` and longer, and stop.
@@ -197,7 +198,7 @@
             )
         await trio.sleep(_invariants.DRAIN_SECONDS + _SHUTDOWN_DELAY_SECONDS)
         if self._incarnation is incarnation:
-            self._scope.cancel()
+            self.crash()
 
     # Calls to control VMs.
 
--- a/sedgepin/platform/tests/soak/_programs.py
+++ b/sedgepin/platform/tests/soak/_programs.py
@@ -28,6 +28,7 @@
 _MAX_TORN_BYTES = 16
 # Until Python has imported a program, SIGTERM kills it without a drain.
 _MAX_IMPORT_SECONDS = 3.0
+_CLOCK_READINGS = 20
 _JUDGED_EVENTS = (
     b'"request_dispatched"',
     b'"configuration_in_force"',
@@ -219,7 +220,7 @@
         record.stops = self.stops
         record.holds = self.meter.holds
         # The log has wall time, which ``_skewed`` does not change.
-        clock_offset = trio.current_time() - time.time()
+        clock_offset = _measure_clock_offset()
         for program in self.with_role("entry"):
             for line in _read_lines(program, _JUDGED_EVENTS):
                 at = _wall_time(line) + clock_offset
@@ -291,6 +292,20 @@
         temporary_path.replace(path)
 
 
+def _measure_clock_offset() -> float:
+    """Return the soak's time minus wall time, in seconds.
+
+    The process may be held between two readings, so the closest ones count.
+    """
+    readings: list[tuple[float, float]] = []
+    for _number in range(_CLOCK_READINGS):
+        before = trio.current_time()
+        wall_time = time.time()
+        after = trio.current_time()
+        readings.append((after - before, (before + after) / 2 - wall_time))
+    return min(readings)[1]
+
+
 def _wall_time(line: dict[str, typing.Any]) -> float:
     return datetime.datetime.fromisoformat(line["time"]).timestamp()
 
--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -585,9 +585,13 @@
 
 
 class TestEngine:
+    @pytest.fixture
+    def record(self) -> _record.Record:
+        return _record.Record()
+
     @pytest.fixture
     async def engine(
-        self, nursery: trio.Nursery
+        self, nursery: trio.Nursery, record: _record.Record
     ) -> collections.abc.AsyncIterator[_engines.Engine]:
         """Return an engine that runs and holds all layers."""
         counts = {"control": 1, "entry": 1, "engine": 1}
@@ -596,7 +600,7 @@
             1,
             _engines.MODEL_SERVICE,
             addresses,
-            _record.Record(),
+            record,
             {},
             random.Random(1),
         )
@@ -647,6 +651,19 @@
         assert trio.current_time() - started > 1.5
         assert received.endswith(b"data: r1-20\n\n\r\n0\r\n\r\n")
 
+    async def test_end_is_recorded_before_callers_see_it(
+        self, engine: _engines.Engine, record: _record.Record
+    ) -> None:
+        stream = await self._send(engine)
+        await stream.receive_some(65_536)
+        engine.crash()
+        (ending,) = record.endings
+        assert ending.name == engine.address
+        with trio.fail_after(5):
+            while await stream.receive_some(65_536):
+                pass
+        assert ending.at <= trio.current_time()
+
     async def test_full_engine_refuses(self, engine: _engines.Engine) -> None:
         engine.max_open = 1
         first = await self._send(engine)
