Bound the answers that an entry VM reads all together

Engines and services were bounded one by one: 200 open attempts at endpoints that send a megabyte each and then nothing held 200 MB in an entry VM, and none was ended before its deadline.

Each attempt, call and probe counts what has arrived and what is kept of it (heads, incomplete chunks and lines, pieces of a body, the tokens kept for a resumption), direct or through a forwarder. At the bound the largest answer of the endpoint that holds most is given up: a call has then been sent, so it is unknown, and so is the record of a write; a stream goes on as after a broken connection.

--- a/sedgepin/_entry/_answer_limits.py
+++ b/sedgepin/_entry/_answer_limits.py
@@ -6,6 +6,7 @@
 import httpcore
 import trio
 
+from sedgepin._entry import _answer_holder
 from sedgepin import _web as web
 
 _READ_BYTES = 16_384
@@ -14,6 +15,8 @@
 # All interim answers and the head of the final one.
 _MAX_HEAD_BYTES = 65_536
 _MAX_BODY_PIECES = 16_384
+# What a piece takes beside its bytes.
+_PIECE_BYTES = 48
 # Tiny chunks would otherwise hold up all other connections.
 _PIECES_BETWEEN_CHECKPOINTS = 64
 _HEAD_COMPLETE = "http11.receive_response_headers.complete"
@@ -30,10 +33,16 @@
         self._stream = stream
         self._head_timer: web.PartTimer | None = web.PartTimer()
         self._head_bytes = 0
+        self._holder = _answer_holder.AnswerHolder()
+
+    def follow(self, holder: _answer_holder.AnswerHolder) -> None:
+        """Count what arrives in ``holder``."""
+        self._holder = holder
 
     def record_head(self) -> None:
         """Lift the limits after the head was received."""
         self._head_timer = None
+        self._holder.keep(0)
 
     async def read(
         self, max_bytes: int, timeout: float | None = None
@@ -45,6 +54,7 @@
         timer = self._head_timer
         limit = _READ_BYTES if timer is None else _HEAD_READ_BYTES
         data = await self._stream.read(min(max_bytes, limit), timeout)
+        self._holder.add_unparsed(len(data))
         if timer is None:
             return data
         self._head_bytes += len(data)
@@ -113,13 +123,15 @@
 class HeadLimit:
     """Follows one request, to lift the limits on the head after it."""
 
-    def __init__(self) -> None:
+    def __init__(self, holder: _answer_holder.AnswerHolder) -> None:
+        self._holder = holder
         self._stream: _LimitedStream | None = None
 
     async def trace(self, event: str, details: dict[str, typing.Any]) -> None:
         """Handle an event of httpcore."""
         if event in _STREAM_EVENTS:
             self._stream = details["return_value"]
+            self._stream.follow(self._holder)
         if event == _HEAD_COMPLETE and self._stream is not None:
             self._stream.record_head()
 
@@ -147,10 +159,19 @@
 class BodyCollector:
     """Joins the pieces of a body, within limits."""
 
-    __slots__ = ("_counter", "_limit_bytes", "_pieces", "_size_bytes")
-
-    def __init__(self, limit_bytes: int) -> None:
+    __slots__ = (
+        "_counter",
+        "_holder",
+        "_limit_bytes",
+        "_pieces",
+        "_size_bytes",
+    )
+
+    def __init__(
+        self, limit_bytes: int, holder: _answer_holder.AnswerHolder
+    ) -> None:
         self._limit_bytes = limit_bytes
+        self._holder = holder
         # A single buffer would be moved as it grows, and take twice the
         # memory.
         self._pieces: list[bytes] = []
@@ -161,6 +182,7 @@
         """Add a piece; return whether the body is within the limits."""
         self._pieces.append(piece)
         self._size_bytes += len(piece)
+        self._holder.keep(self._size_bytes + _PIECE_BYTES * len(self._pieces))
         await self._counter.record_piece()
         is_over_size = self._size_bytes > self._limit_bytes
         return not (is_over_size or self._counter.is_over_limit)
@@ -171,10 +193,12 @@
 
 
 async def read_body(
-    response: httpcore.Response, limit_bytes: int
+    response: httpcore.Response,
+    limit_bytes: int,
+    holder: _answer_holder.AnswerHolder,
 ) -> bytes | None:
     """Return the whole body, or ``None`` if it is over a limit."""
-    collector = BodyCollector(limit_bytes)
+    collector = BodyCollector(limit_bytes, holder)
     async for piece in response.aiter_stream():
         if not await collector.add_piece(piece):
             return None
--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -80,10 +80,12 @@
             cfg.memory.held_bytes, self._metrics
         )
         self._client: _endpoint_client.EndpointClient = (
-            _endpoint_client.HttpEndpointClient(cfg.limits.answer_bytes)
+            _endpoint_client.HttpEndpointClient(
+                cfg.limits.answer_bytes, self._budget
+            )
         )
         self._forwarded_client = _forwarded_client.ForwardedClient(
-            cfg.limits.answer_bytes
+            cfg.limits.answer_bytes, self._budget
         )
         self._server = _server.EntryServer(
             cfg,
--- a/sedgepin/_entry/_endpoint_client.py
+++ b/sedgepin/_entry/_endpoint_client.py
@@ -18,6 +18,7 @@
 import msgspec
 import trio
 
+from sedgepin._entry import _answer_holder
 from sedgepin._entry import _answer_limits
 from sedgepin._entry import _effects
 from sedgepin._entry import _endpoint_headers
@@ -25,6 +26,7 @@
 from sedgepin._entry import _events
 from sedgepin._entry import _failures
 from sedgepin._entry import _unframed_answers
+from sedgepin import _memory as memory
 from sedgepin import _model as model
 from sedgepin import _web as web
 from sedgepin import errors
@@ -82,12 +84,20 @@
 
 
 class HttpEndpointClient(EndpointClient):
-    """The client that connects to endpoints over HTTP."""
+    """The client that connects to endpoints over HTTP.
 
-    __slots__ = ("_answer_limit_bytes", "_pool")
+    ``budget`` bounds what is held of all answers together.
+    """
 
-    def __init__(self, answer_limit_bytes: int) -> None:
+    __slots__ = ("_answer_limit_bytes", "_budget", "_pool")
+
+    def __init__(
+        self,
+        answer_limit_bytes: int,
+        budget: memory.MemoryBudget | None = None,
+    ) -> None:
         self._answer_limit_bytes = answer_limit_bytes
+        self._budget = budget
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=None,
             max_keepalive_connections=0,
@@ -98,6 +108,28 @@
         self, effect: _effects.StartStream, emit: Emit
     ) -> None:
         """Run an attempt, and emit its pieces and its end or failure."""
+        first = effect.pipeline.stages[0]
+        with _answer_holder.open_holder(
+            self._budget, first.endpoint_id
+        ) as holder:
+            await self._run_stream(effect, holder, emit)
+            return
+        emit(
+            _events.StreamFailed(
+                effect.request_id,
+                effect.attempt,
+                first.endpoint_id,
+                _answer_holder.given_up(),
+                True,
+            )
+        )
+
+    async def _run_stream(
+        self,
+        effect: _effects.StartStream,
+        holder: _answer_holder.AnswerHolder,
+        emit: Emit,
+    ) -> None:
         first = effect.pipeline.stages[0]
         crashed = False
         refusal: errors.Failure | None = None
@@ -111,13 +143,13 @@
                 content=msgspec.json.encode(
                     _engine_messages.pipeline_run(effect)
                 ),
-                extensions=_extensions(),
+                extensions=_extensions(holder),
             ) as response:
                 crashed = True
                 if response.status != 200:
                     crashed = False
                     refusal = _engine_messages.refusal(response.status)
-                elif await _emit_lines(response, effect, emit):
+                elif await _emit_lines(response, effect, holder, emit):
                     return
         except _CONNECT_ERRORS as exc:
             reason = type(exc).__name__
@@ -143,12 +175,32 @@
         self, effect: _effects.CallService, emit: Emit
     ) -> None:
         """Send a call to a plain service once, and emit its result."""
+        with _answer_holder.open_holder(
+            self._budget, effect.endpoint_id
+        ) as holder:
+            await self._call_service(effect, holder, emit)
+            return
+        emit(
+            _events.ServiceFailed(
+                effect.request.request_id,
+                effect.attempt,
+                _answer_holder.given_up(),
+                True,
+            )
+        )
+
+    async def _call_service(
+        self,
+        effect: _effects.CallService,
+        holder: _answer_holder.AnswerHolder,
+        emit: Emit,
+    ) -> None:
         request = effect.request
         identity = (request.request_id, effect.attempt)
         seconds = effect.timeout.total_seconds()
         try:
             with trio.fail_after(seconds):
-                event = await self._exchange(effect)
+                event = await self._exchange(effect, holder)
         except _CONNECT_ERRORS:
             failure = _failures.EndpointUnreachable()
             link_failure = _events.LinkFailure.DIRECT
@@ -186,16 +238,22 @@
         endpoint_id = stage.endpoint_id
         reports[endpoint_id] = _events.StageReport(endpoint_id, None)
         path = f"/v1/attempts/{effect.request_id}/{effect.attempt}"
+        body = None
         try:
-            with trio.fail_after(effect.timeout.total_seconds()):
+            with (
+                trio.fail_after(effect.timeout.total_seconds()),
+                _answer_holder.open_holder(
+                    self._budget, endpoint_id
+                ) as holder,
+            ):
                 async with self._pool.stream(
                     "GET",
                     stage.address + path,
                     # A link that is cut is to be told from a slow stage.
-                    extensions=_extensions(effect.timeout / 2),
+                    extensions=_extensions(holder, effect.timeout / 2),
                 ) as response:
                     body = await _answer_limits.read_body(
-                        response, _engine_messages.MAX_STATE_BYTES
+                        response, _engine_messages.MAX_STATE_BYTES, holder
                     )
         except _CONNECT_ERRORS:
             reports[endpoint_id] = _events.StageReport(
@@ -210,7 +268,9 @@
             )
 
     async def _exchange(
-        self, effect: _effects.CallService
+        self,
+        effect: _effects.CallService,
+        holder: _answer_holder.AnswerHolder,
     ) -> _events.ServiceAnswered | _events.ServiceFailed:
         request = effect.request
         async with self._pool.stream(
@@ -218,10 +278,10 @@
             f"{effect.address}{request.path}",
             headers=_endpoint_headers.end_to_end_headers(request.headers),
             content=request.body,
-            extensions=_extensions(),
+            extensions=_extensions(holder),
         ) as response:
             body = await _answer_limits.read_body(
-                response, self._answer_limit_bytes
+                response, self._answer_limit_bytes, holder
             )
         identity = (request.request_id, effect.attempt)
         if body is None:
@@ -249,19 +309,23 @@
 
 
 def _extensions(
+    holder: _answer_holder.AnswerHolder,
     connect_timeout: datetime.timedelta = _CONNECT_TIMEOUT,
 ) -> dict[str, typing.Any]:
     return {
         "timeout": {"connect": connect_timeout.total_seconds()},
-        "trace": _answer_limits.HeadLimit().trace,
+        "trace": _answer_limits.HeadLimit(holder).trace,
     }
 
 
 async def _emit_lines(
-    response: httpcore.Response, effect: _effects.StartStream, emit: Emit
+    response: httpcore.Response,
+    effect: _effects.StartStream,
+    holder: _answer_holder.AnswerHolder,
+    emit: Emit,
 ) -> bool:
     """Emit an event for each line; return whether an end line was received."""
-    reader = _engine_messages.LineReader(effect, emit)
+    reader = _engine_messages.LineReader(effect, emit, holder)
     async for piece in response.aiter_stream():
         await reader.feed(piece)
         if reader.is_complete:
--- a/sedgepin/_entry/_engine_messages.py
+++ b/sedgepin/_entry/_engine_messages.py
@@ -1,12 +1,14 @@
 """The messages of engines: runs of pipelines, lines of streams, states."""
 
 import collections.abc
+import sys
 import typing
 
 import msgspec
 import trio
 
 from sedgepin import _answers as answers
+from sedgepin._entry import _answer_holder
 from sedgepin._entry import _answer_limits
 from sedgepin._entry import _effects
 from sedgepin._entry import _events
@@ -100,14 +102,24 @@
         "_counter",
         "_effect",
         "_emit",
+        "_holder",
+        "_kept_bytes",
         "_partial",
         "_timer",
         "is_complete",
     )
 
-    def __init__(self, effect: _effects.StartStream, emit: Emit) -> None:
+    def __init__(
+        self,
+        effect: _effects.StartStream,
+        emit: Emit,
+        holder: _answer_holder.AnswerHolder,
+    ) -> None:
         self._effect = effect
         self._emit = emit
+        self._holder = holder
+        # Tokens are kept until the whole answer is complete, for a resumption.
+        self._kept_bytes = sum(map(sys.getsizeof, effect.delivered))
         self._counter = _answer_limits.PieceCounter()
         self._timer = web.PartTimer()
         self._partial = bytearray()
@@ -120,8 +132,12 @@
         has no end.
         """
         await self._counter.record_piece()
-        for raw in self._split(piece):
+        lines = self._split(piece)
+        self._holder.keep(self._kept_bytes + len(self._partial))
+        for raw in lines:
             line = _decode_line(raw)
+            if isinstance(line, PieceLine):
+                self._kept_bytes += sys.getsizeof(line.text)
             self._emit(_line_event(line, self._effect))
             if isinstance(line, EndLine | FailedLine):
                 self.is_complete = True
--- a/sedgepin/_entry/_forwarded_client.py
+++ b/sedgepin/_entry/_forwarded_client.py
@@ -6,6 +6,7 @@
 import result
 import trio
 
+from sedgepin._entry import _answer_holder
 from sedgepin._entry import _answer_limits
 from sedgepin._entry import _effects
 from sedgepin._entry import _endpoint_headers
@@ -16,6 +17,7 @@
 from sedgepin._entry import _unframed_answers
 from sedgepin import _forwarding as forwarding
 from sedgepin import _http as http
+from sedgepin import _memory as memory
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin import _web as web
@@ -24,6 +26,7 @@
 # A forwarder gives the endpoint 0.25 s to accept the connection.
 _OPEN_TIMEOUT_SECONDS = 0.5
 
+_Answered = result.Result[tuple[web.AnswerHead, bytes], web.AnswerBroken]
 _Opened = result.Result[
     forwarding.ForwardedConnection, forwarding.ForwardFailed
 ]
@@ -33,13 +36,19 @@
     """Sends attempts, calls and probes through forwarders.
 
     Cancelling a method closes the connection, upon which the forwarder ends
-    the work at the endpoint.
+    the work at the endpoint.  ``budget`` bounds what is held of all answers
+    together.
     """
 
-    __slots__ = ("_answer_limit_bytes",)
+    __slots__ = ("_answer_limit_bytes", "_budget")
 
-    def __init__(self, answer_limit_bytes: int) -> None:
+    def __init__(
+        self,
+        answer_limit_bytes: int,
+        budget: memory.MemoryBudget | None = None,
+    ) -> None:
         self._answer_limit_bytes = answer_limit_bytes
+        self._budget = budget
 
     async def run_stream(
         self,
@@ -59,8 +68,14 @@
             emit(_events.StreamFailed(*identity, failure, False, link_failure))
             return
         conn = opened.ok_value
+        ended: errors.Failure | None = _broken(
+            _answer_holder.given_up().detail()
+        )
         try:
-            ended = await _run_attempt(conn, effect, emit)
+            with _answer_holder.open_holder(
+                self._budget, first.endpoint_id
+            ) as holder:
+                ended = await _run_attempt(conn, effect, holder, emit)
         finally:
             conn.close()
         if isinstance(ended, errors.Failure):
@@ -132,8 +147,16 @@
             request.body,
         )
         conn = opened.ok_value
+        answered: _Answered = result.Err(
+            _broken(_answer_holder.given_up().detail())
+        )
         try:
-            answered = await _exchange(conn, message, self._answer_limit_bytes)
+            with _answer_holder.open_holder(
+                self._budget, effect.endpoint_id
+            ) as holder:
+                answered = await _exchange(
+                    conn, message, self._answer_limit_bytes, holder
+                )
         finally:
             conn.close()
         if isinstance(answered, result.Err):
@@ -186,6 +209,7 @@
 async def _run_attempt(
     conn: forwarding.ForwardedConnection,
     effect: _effects.StartStream,
+    holder: _answer_holder.AnswerHolder,
     emit: _engine_messages.Emit,
 ) -> errors.Failure | None:
     """Pass a stream's events on; return why it ended, if not at its end."""
@@ -202,7 +226,7 @@
         return head.err_value
     if head.ok_value.status != 200:
         return _engine_messages.refusal(head.ok_value.status)
-    reader = _engine_messages.LineReader(effect, emit)
+    reader = _engine_messages.LineReader(effect, emit, holder)
     while not reader.is_complete:
         data = await conn.read_data()
         if isinstance(data, result.Err):
@@ -235,7 +259,10 @@
     message = web.Request(b"GET", target.encode("ascii"), headers)
     try:
         answered = await _exchange(
-            conn, message, _engine_messages.MAX_STATE_BYTES
+            conn,
+            message,
+            _engine_messages.MAX_STATE_BYTES,
+            _answer_holder.AnswerHolder(),
         )
     finally:
         conn.close()
@@ -251,14 +278,15 @@
     conn: forwarding.ForwardedConnection,
     message: web.Request,
     limit_bytes: int,
-) -> result.Result[tuple[web.AnswerHead, bytes], web.AnswerBroken]:
+    holder: _answer_holder.AnswerHolder,
+) -> _Answered:
     sent = await conn.send(message)
     if isinstance(sent, result.Err):
         return sent
     head = await conn.read_head()
     if isinstance(head, result.Err):
         return head
-    body = _answer_limits.BodyCollector(limit_bytes)
+    body = _answer_limits.BodyCollector(limit_bytes, holder)
     while True:
         data = await conn.read_data()
         if isinstance(data, result.Err):
--- a/sedgepin/_entry/_server.py
+++ b/sedgepin/_entry/_server.py
@@ -219,7 +219,8 @@
         )
         exchange = _exchange.Exchange(
             request.holder,
-            len(raw) + sys.getsizeof(generation.prompt),
+            # The prompt is encoded anew for an attempt.
+            len(raw) + 2 * sys.getsizeof(generation.prompt),
             keeps_answer=not body.stream,
         )
         async with self._open_exchange(
--- a/sedgepin/_entry/tests/test_endless_forwarded.py
+++ b/sedgepin/_entry/tests/test_endless_forwarded.py
@@ -32,7 +32,7 @@
 _ANSWERS = {**endless_engine.HEADS, **endless_engine.BODIES}
 
 
-class _Policy(forwarding.ForwardingPolicy):
+class Policy(forwarding.ForwardingPolicy):
     def refusal(
         self, opening: forwarding.OpenForward
     ) -> forwarding.ForwardRefused | None:
@@ -72,7 +72,7 @@
 
     async def start(self, nursery: trio.Nursery) -> None:
         await self.engine.start(nursery)
-        server = forwarding.ForwardingServer(_KEY, _Policy())
+        server = forwarding.ForwardingServer(_KEY, Policy())
         listen = functools.partial(server.serve, "127.0.0.1:0")
         listeners: list[typing.Any] = await nursery.start(listen)
         port = listeners[0].socket.getsockname()[1]
--- a/sedgepin/_entry/tests/test_engine_messages.py
+++ b/sedgepin/_entry/tests/test_engine_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from sedgepin._entry import _answer_holder
 from sedgepin._entry import _engine_messages
 from sedgepin._entry.tests import parts
 from sedgepin import _model as model
@@ -15,7 +16,9 @@
 
     async def test_nested_line_cannot_be_decoded(self) -> None:
         reader = _engine_messages.LineReader(
-            parts.make_stream(), lambda event: None
+            parts.make_stream(),
+            lambda event: None,
+            _answer_holder.AnswerHolder(),
         )
         with pytest.raises(msgspec.DecodeError, match="nested"):
             await reader.feed(_NESTED + b"\n")
