Count one crash of a request whose whole pipeline is lost at once

What callers saw: a begun stream was closed in the middle after a part of the fleet went dark, with 18 s left and other engines free.

Five of one stream's were found lost within 0.14 s, and its VM knew no other request on them: five crashes to the stream's own name, which then was held back and cut.

A request crashes one engine of its pipeline, and the next only after it was sent on and read there. So losses within 150 ms count once for one request. Parts, which different requests crash at the same time, count as before.

test_tracker.py: the test failed before.

--- a/sedgepin/_crash_causes/_losses.py
+++ b/sedgepin/_crash_causes/_losses.py
@@ -11,6 +11,9 @@
 # Silent endpoints are found one after the other, and a single request runs
 # into the losses of a rack one after the other.
 _SAME_SLOW_CAUSE = datetime.timedelta(seconds=2)
+# A request crashes one engine of its pipeline, and the next one only after it
+# was sent to it and read there.
+_MIN_TIME_BETWEEN_ATTEMPTS = datetime.timedelta(milliseconds=150)
 
 
 class Losses:
@@ -35,15 +38,23 @@
         """Return how many separate crashes marks in order of time show.
 
         Losses at about the same time have one cause, such as a rack that lost
-        its power, unless the trait was on all of these endpoints.
+        its power, unless the trait was on all of these endpoints.  For one
+        request they have all the same.
         """
         deaths = {mark.death for mark in item.marks}
         count = 0
         counted_at: datetime.datetime | None = None
         for mark in marks:
             pause = SAME_CAUSE
-            if mark.is_silent or item.trait.kind is _trait.TraitKind.REQUEST:
+            is_request = item.trait.kind is _trait.TraitKind.REQUEST
+            if mark.is_silent or is_request:
                 pause = _SAME_SLOW_CAUSE
+            if (
+                is_request
+                and counted_at is not None
+                and mark.at - counted_at < _MIN_TIME_BETWEEN_ATTEMPTS
+            ):
+                continue
             if (
                 counted_at is None
                 or mark.at - counted_at >= pause
--- a/sedgepin/_crash_causes/tests/test_tracker.py
+++ b/sedgepin/_crash_causes/tests/test_tracker.py
@@ -158,6 +158,19 @@
 
 
 class TestOtherTrouble:
+    def test_request_on_a_long_pipeline_that_is_lost_is_not_held_back(
+        self,
+    ) -> None:
+        """A VM may know no other request on the engines of a rack."""
+        vm = _Vm()
+        traits = frozenset((crash_causes.request_trait("r"),))
+        for number in range(5):
+            vm.wait(0.03)
+            suspect = crash_causes.SuspectRequest("r", traits)
+            death = crash_causes.Death(model.EndpointId(f"e{number}"), 1)
+            vm.tracker.record_crash(death, [suspect], False, vm.now)
+        assert _causes(vm) == []
+
     def test_rack_that_is_lost_at_once_holds_nothing_back(self) -> None:
         vm = _Vm()
         for number in range(8):
