Count the bytes of callers' requests in the memory budget

A server that is given a budget opens an account for each request, from its head to the end of its answer, with the caller's address as the sender. The head counts with its limit, the body with its bytes, and what was read behind them is within the former.

A request that is ended while it is read is refused as not run (503 memory_exhausted). Later its handler decides: the gateway refuses what no endpoint has got, and else says that it may have run (502 outcome_unknown); a handler that does not say is cancelled, and the answer is 502. The gateway does not pass a budget yet, as no setting states its limit.

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -20,6 +20,7 @@
 from sedgepin._gateway import _reducer
 from sedgepin._gateway import _relay
 from sedgepin._gateway import _settings
+from sedgepin import _memory as memory
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin import _shell as shell
@@ -241,9 +242,11 @@
     ) -> tuple[web.AnswerHead, bytes]:
         """Return the answer to a failure; log a malformed request.
 
-        A ``HandlerFailed`` is no fault of the request, and logged already.
+        A ``HandlerFailed`` is no fault of the request, and logged already; so
+        is the end of the largest request at the limit of the memory.
         """
-        if isinstance(failure, web.HandlerFailed):
+        own = (web.HandlerFailed, memory.MemoryExhausted)
+        if isinstance(failure, own):
             return self._dialect.error_response(None, failure)
         line = events.REQUEST_UNREADABLE.line(
             code=failure.code, detail=failure.detail()
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -12,6 +12,7 @@
 from sedgepin._gateway import _permit_waits
 from sedgepin._gateway import _request_queue
 from sedgepin._gateway import _shared_state
+from sedgepin import _memory as memory
 from sedgepin import _model as model
 from sedgepin import _placement as placement
 from sedgepin import _rate_limits as rate_limits
@@ -404,6 +405,26 @@
             failure = _failures.NoEndpoint(exchange.service.name)
         return self.fail(exchange, failure, now)
 
+    def handle_eviction(
+        self, exchange_id: int, now: datetime.datetime
+    ) -> _shared_state.Effects:
+        """Fail a request whose bytes are not held any longer."""
+        held = self._state.startup_queue.discard(exchange_id)
+        if held is not None:
+            return self._reject(held.event, memory.MemoryExhausted())
+        exchange = self._state.exchanges.get(exchange_id)
+        if exchange is None:
+            # The request has ended, but its answer was not sent in time.
+            return [_effects.FinishExchange(exchange_id)]
+        failure: errors.Failure = memory.MemoryExhausted()
+        if (
+            exchange.dispatch is not None
+            or exchange.may_have_run
+            or exchange.has_output
+        ):
+            failure = _failures.OutcomeUnknown(failure.detail())
+        return self.fail(exchange, failure, now)
+
     def fail(
         self,
         exchange: _exchange.Exchange,
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -211,6 +211,13 @@
     exchange_id: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class RequestEvicted:
+    """The bytes of a request are not held any longer; it was cancelled."""
+
+    exchange_id: int
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class SettingsReloaded:
     """The settings file changed and was reloaded."""
@@ -257,6 +264,7 @@
     | Rerouted
     | CallerDisconnected
     | DeadlineReached
+    | RequestEvicted
     | DrainRequested
     | DrainEnded
     | protocol.PeerEvent
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -212,6 +212,8 @@
                 return effects if is_by_caller else []
             case _events.DeadlineReached(exchange_id):
                 return self._dispatcher.handle_deadline(exchange_id, now)
+            case _events.RequestEvicted(exchange_id):
+                return self._dispatcher.handle_eviction(exchange_id, now)
             case _events.SettingsReloaded(cfg):
                 self._connections.add(dict.fromkeys(cfg.controls))
                 return []
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -74,6 +74,7 @@
         "_has_numbered_event",
         "_held_answer",
         "_is_cancelled",
+        "_is_evicted",
         "_is_overdue",
         "_is_sending",
         "_is_sustained",
@@ -107,6 +108,7 @@
             _effects.FailExchange | _effects.DeliverHeldAnswer | None
         ) = None
         self._is_cancelled = False
+        self._is_evicted = False
         self._is_overdue = False
         self._is_sending = False
         # The events that the attempt has sent.
@@ -146,6 +148,11 @@
             self.stalled_at = time + _NEXT_EVENT_TIMEOUT_SECONDS
             self._submit(_events.StreamStalled(self.exchange_id))
 
+    def _evict(self) -> None:
+        """End the exchange, as its request is not held any longer."""
+        self._is_evicted = True
+        self._exchange_scope.cancel()
+
     def _cancel_attempt(self) -> None:
         """Cancel the attempt, unless it is sending to the caller.
 
@@ -160,6 +167,7 @@
     async def run(self) -> None:
         """Run the exchange until it is answered, failed or abandoned."""
         arrival = _events.RequestArrived(self.exchange_id, self._request)
+        self._exchange.on_eviction = self._evict
         is_over = False
         try:
             with self._exchange_scope:
@@ -168,7 +176,10 @@
                 is_over = True
             if not is_over:
                 self._is_overdue = True
-                self._submit(_events.DeadlineReached(self.exchange_id))
+                if self._is_evicted:
+                    self._submit(_events.RequestEvicted(self.exchange_id))
+                else:
+                    self._submit(_events.DeadlineReached(self.exchange_id))
                 await self._follow_effects()
                 is_over = True
         finally:
--- a/sedgepin/_sockets/__init__.py
+++ b/sedgepin/_sockets/__init__.py
@@ -7,6 +7,7 @@
 from sedgepin._sockets._options import has_peer_closed
 from sedgepin._sockets._options import limit_unacknowledged_time
 from sedgepin._sockets._options import peek_unread_bytes
+from sedgepin._sockets._options import peer_ip
 from sedgepin._sockets._options import reset_when_closed
 
 __all__ = [
@@ -17,5 +18,6 @@
     "has_peer_closed",
     "limit_unacknowledged_time",
     "peek_unread_bytes",
+    "peer_ip",
     "reset_when_closed",
 ]
--- a/sedgepin/_sockets/_options.py
+++ b/sedgepin/_sockets/_options.py
@@ -97,6 +97,14 @@
     return info[0] in _PEER_CLOSED
 
 
+def peer_ip(sock: socket.socket) -> str:
+    """Return the address of the peer without its port; "" if it has gone."""
+    try:
+        return str(sock.getpeername()[0])
+    except OSError:
+        return ""
+
+
 def reset_when_closed(sock: socket.socket) -> None:
     """Let the end of a connection be a reset (a linger time of 0)."""
     if sock.fileno() >= 0:
--- a/sedgepin/_web/_caller_connection.py
+++ b/sedgepin/_web/_caller_connection.py
@@ -1,5 +1,6 @@
 """One connection of a caller."""
 
+import collections.abc
 import math
 import socket
 
@@ -7,6 +8,7 @@
 import result
 import trio
 
+from sedgepin import _memory as memory
 from sedgepin import _sockets as sockets
 from sedgepin._web import _exchange
 from sedgepin._web import _failures
@@ -34,13 +36,19 @@
     __slots__ = (
         "_handler",
         "_idle_limits",
+        "budget",
         "has_stopped_accepting",
         "is_draining",
         "last_arrival_at",
     )
 
-    def __init__(self, handler: _exchange.Handler) -> None:
+    def __init__(
+        self,
+        handler: _exchange.Handler,
+        budget: memory.MemoryBudget | None,
+    ) -> None:
         self._handler = handler
+        self.budget = budget
         seconds = handler.limits().idle_timeout_seconds
         self._idle_limits = _idle_limits.IdleLimits(seconds)
         self.has_stopped_accepting = False
@@ -64,7 +72,10 @@
 
     __slots__ = (
         "_accepted_at",
+        "_account",
+        "_address",
         "_close_reason",
+        "_evict_request",
         "_handler",
         "_has_sent",
         "_idle_scope",
@@ -108,8 +119,12 @@
         self._is_send_interrupted = False
         self.is_busy = False
         self._reader = _request_reader.RequestReader(
-            stream, handler.limits().header_bytes
+            stream, handler.limits().header_bytes, self._hold
         )
+        self._address = sockets.peer_ip(stream.socket)
+        self._account: memory.Account | None = None
+        # Lets the current request go whose bytes are not held any longer.
+        self._evict_request: collections.abc.Callable[[], None] | None = None
 
     @property
     def has_caller_closed(self) -> bool:
@@ -164,6 +179,7 @@
         ):
             return
         finally:
+            self._hold(0)
             self._report_unread()
         if self._must_linger():
             self.is_busy = True
@@ -309,6 +325,7 @@
             raise
         finally:
             self.is_busy = False
+            self._hold(0)
             self._report_end(self._end_kind())
             self._reset_if_incomplete()
         self._close_reason = "connection_ends"
@@ -334,6 +351,8 @@
                     nursery.start_soon(
                         self._reader.watch_for_close, nursery.cancel_scope
                     )
+                    exchange.on_eviction = nursery.cancel_scope.cancel
+                    self._evict_request = exchange.evict
                     await self._handler.handle(exchange)
                     nursery.cancel_scope.cancel()
             except* (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -342,7 +361,11 @@
                 exchange.cut("send_interrupted")
             finally:
                 self._label = exchange.label
+        self._evict_request = None
         self._close_reason = exchange.cut_reason
+        if self._is_evicted and not exchange.has_started:
+            # The handler was cancelled, and its request may have run.
+            await self._send_error_response(_failures.HandlerFailed())
         if outcome.failure is not None:
             self._close_reason = "handler_failed"
             await self._send_error_response(_failures.HandlerFailed())
@@ -376,6 +399,17 @@
         limits = self._handler.limits()
         self._reader.set_header_bytes(limits.header_bytes)
         self._start_reading()
+        with trio.CancelScope() as scope:
+            self._evict_request = scope.cancel
+            received = await self._read_parts(limits)
+        self._evict_request = None
+        if self._is_evicted:
+            return result.Err(memory.MemoryExhausted())
+        return received
+
+    async def _read_parts(
+        self, limits: _types.ServerLimits
+    ) -> result.Result[_types.Request, errors.Failure] | None:
         received = await self._reader.read_head(limits)
         if not isinstance(received, result.Ok):
             return received
@@ -424,7 +458,24 @@
         seconds = self._server.idle_seconds_since(self._read_since)
         return self._read_since + seconds
 
+    @property
+    def _is_evicted(self) -> bool:
+        return self._account is not None and self._account.is_ended
+
+    def _hold(self, held_bytes: int) -> None:
+        if self._account is not None:
+            self._account.hold(held_bytes)
+
+    def _evict(self) -> None:
+        if self._evict_request is not None:
+            self._evict_request()
+
     def _start_reading(self) -> None:
+        budget = self._server.budget
+        if budget is not None:
+            self._account = budget.open(
+                memory.HolderKind.REQUEST, self._address, self._evict
+            )
         self._is_new = False
         self.is_busy = True
         self._is_reading = True
--- a/sedgepin/_web/_exchange.py
+++ b/sedgepin/_web/_exchange.py
@@ -1,6 +1,7 @@
 """Requests of callers, and the interface that answers them."""
 
 import abc
+import collections.abc
 
 import h11
 import trio
@@ -47,6 +48,7 @@
         "cut_reason",
         "has_started",
         "label",
+        "on_eviction",
         "request",
     )
 
@@ -59,12 +61,22 @@
         # Name of the request in log lines, and why its answer was given up.
         self.label = ""
         self.cut_reason = "handler_returned"
+        # Called when the bytes of the request are not held any longer.  The
+        # server's own cancels the handler; one that knows whether the request
+        # has run sets another, and answers.
+        self.on_eviction: collections.abc.Callable[[], None] | None = None
 
     @property
     def has_caller_closed(self) -> bool:
         """Whether the caller closed the connection first."""
         return self._connection.has_caller_closed
 
+    def evict(self) -> None:
+        """Let the handler end the request, whose memory is needed."""
+        self.cut("memory_exhausted")
+        if self.on_eviction is not None:
+            self.on_eviction()
+
     def cut(self, reason: str) -> None:
         """State why the handler returns without a complete answer."""
         self.cut_reason = reason
--- a/sedgepin/_web/_request_reader.py
+++ b/sedgepin/_web/_request_reader.py
@@ -43,11 +43,13 @@
 class RequestReader:
     """Reads the requests of a connection, one after the other.
 
-    ``parser`` is shared with the sender of the answers.
+    ``parser`` is shared with the sender of the answers.  ``hold`` is told how
+    many bytes of the current request, and of those after it, are held.
     """
 
     __slots__ = (
         "_header_bytes",
+        "_hold",
         "_pieces_left",
         "_received_bytes",
         "_stream",
@@ -57,9 +59,13 @@
     )
 
     def __init__(
-        self, stream: sockets.DirectStream, header_bytes: int
+        self,
+        stream: sockets.DirectStream,
+        header_bytes: int,
+        hold: collections.abc.Callable[[int], None],
     ) -> None:
         self._stream = stream
+        self._hold = hold
         self._header_bytes = header_bytes
         self.parser = _new_parser(header_bytes)
         self.has_caller_closed = False
@@ -113,6 +119,7 @@
         self.method = b""
         self._begin_part(_MAX_HEAD_PIECES)
         deadline = trio.current_time() + limits.header_timeout_seconds
+        self._hold(self._header_bytes)
         try:
             head = await self._next_event(deadline, _READ_AHEAD_BYTES)
         except trio.TooSlowError:
@@ -165,6 +172,7 @@
             if not isinstance(event, h11.Data):
                 return None
             body += event.data
+            self._hold(self._header_bytes + len(body))
             if self._received_bytes - len(body) > _MAX_FRAMING_BYTES:
                 return result.Err(_failures.RequestTooFragmented())
             if len(body) <= limits.body_bytes:
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from sedgepin import _memory as memory
 from sedgepin import _sockets as sockets
 from sedgepin._web import _caller_connection
 from sedgepin._web import _exchange
@@ -23,7 +24,11 @@
 
 
 class Server:
-    """Accepts connections and passes their requests to a handler."""
+    """Accepts connections and passes their requests to a handler.
+
+    The bytes of requests that are received or answered count in ``budget``,
+    with the caller's address as their sender.
+    """
 
     __slots__ = (
         "_connections",
@@ -35,7 +40,11 @@
         "_state",
     )
 
-    def __init__(self, handler: _exchange.Handler) -> None:
+    def __init__(
+        self,
+        handler: _exchange.Handler,
+        budget: memory.MemoryBudget | None = None,
+    ) -> None:
         self._handler = handler
         self._connections: set[_caller_connection.CallerConnection] = set()
         self._scope = trio.CancelScope()
@@ -43,7 +52,7 @@
         self._nursery: trio.Nursery | None = None
         # Tasks of connections that were just accepted may not have begun.
         self._is_closing_listeners = False
-        self._state = _caller_connection.ServerState(handler)
+        self._state = _caller_connection.ServerState(handler, budget)
 
     @property
     def open_exchanges(self) -> int:
--- /dev/null
+++ b/sedgepin/_web/tests/test_memory.py
@@ -0,0 +1,153 @@
+"""Tests of the bytes of requests that count in the memory budget."""
+
+import collections.abc
+
+import trio
+
+from sedgepin import _memory as memory
+from sedgepin import _web as web
+from sedgepin import errors
+from sedgepin.tests import processes
+
+_HEADER_BYTES = 2_048
+_BODY_BYTES = 100_000
+_LIMIT_BYTES = 1_000_000
+_HEAD = b"POST /%s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+
+
+class _Handler(web.Handler):
+    def __init__(self) -> None:
+        self.release = trio.Event()
+        self.begun = 0
+
+    async def handle(self, exchange: web.Exchange) -> None:
+        self.begun += 1
+        if exchange.request.target == b"/waits":
+            await self.release.wait()
+        if exchange.request.target == b"/knows":
+            evicted = trio.Event()
+            exchange.on_eviction = evicted.set
+            await evicted.wait()
+            await exchange.answer(web.AnswerHead(503), b"not run")
+            return
+        await exchange.answer(web.AnswerHead(200), b"done")
+
+    def error_response(
+        self, failure: errors.Failure
+    ) -> tuple[web.AnswerHead, bytes]:
+        return web.AnswerHead(failure.http_status), failure.code.encode()
+
+    def limits(self) -> web.ServerLimits:
+        return web.ServerLimits(_HEADER_BYTES, 4_000_000, 3.0, 5.0)
+
+
+class _Served:
+    def __init__(self) -> None:
+        self.handler = _Handler()
+        self.budget = memory.MemoryBudget(_LIMIT_BYTES)
+        self._port = processes.free_port()
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        server = web.Server(self.handler, self.budget)
+        await nursery.start(server.serve, f"127.0.0.1:{self._port}")
+
+    async def send(
+        self, target: bytes, body_bytes: int, length: int | None = None
+    ) -> trio.SocketStream:
+        stream = await trio.open_tcp_stream("127.0.0.1", self._port)
+        head = _HEAD % (target, body_bytes if length is None else length)
+        await stream.send_all(head + b"x" * body_bytes)
+        return stream
+
+
+async def _serve(nursery: trio.Nursery) -> _Served:
+    served = _Served()
+    await served.start(nursery)
+    return served
+
+
+async def _wait_for(
+    condition: collections.abc.Callable[[], object],
+) -> None:
+    with trio.fail_after(2):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+async def _read(stream: trio.SocketStream) -> bytes:
+    received = b""
+    with trio.move_on_after(2):
+        while not received.partition(b"\r\n\r\n")[2]:
+            data = await stream.receive_some(65_536)
+            if not data:
+                break
+            received += data
+    return received
+
+
+class TestAccounts:
+    async def test_request_counts_from_its_head_to_the_end_of_its_answer(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = await _serve(nursery)
+        stream = await served.send(b"waits", 50_000, _BODY_BYTES)
+        await _wait_for(lambda: served.budget.total_bytes >= 50_000)
+        await stream.send_all(b"x" * 50_000)
+        await _wait_for(lambda: served.handler.begun)
+        held_bytes = _BODY_BYTES + _HEADER_BYTES
+        assert served.budget.total_bytes == held_bytes
+        served.handler.release.set()
+        assert b"done" in await _read(stream)
+        await _wait_for(lambda: not served.budget.total_bytes)
+
+    async def test_caller_that_leaves_holds_nothing(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = await _serve(nursery)
+        reading = await served.send(b"waits", 50_000, _BODY_BYTES)
+        waiting = await served.send(b"waits", _BODY_BYTES)
+        await _wait_for(lambda: served.handler.begun)
+        await _wait_for(
+            lambda: served.budget.total_bytes > _BODY_BYTES + 50_000
+        )
+        await reading.aclose()
+        await waiting.aclose()
+        await _wait_for(lambda: not served.budget.total_bytes)
+
+
+class TestEviction:
+    async def test_largest_request_that_is_read_is_refused_as_not_run(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = await _serve(nursery)
+        small = await served.send(b"waits", 1_000)
+        await _wait_for(lambda: served.handler.begun)
+        large = await served.send(b"", 600_000, 700_000)
+        received = await _read(large)
+        assert received.startswith(b"HTTP/1.1 503 ")
+        assert b"memory_exhausted" in received
+        assert b"Connection: close" in received
+        served.handler.release.set()
+        assert b"done" in await _read(small)
+        assert served.handler.begun == 1
+
+    async def test_request_that_may_have_run_is_not_called_not_run(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = await _serve(nursery)
+        large = await served.send(b"waits", 400_000)
+        await _wait_for(lambda: served.handler.begun)
+        small = await served.send(b"", 200_000)
+        assert b"done" in await _read(small)
+        assert (await _read(large)).startswith(b"HTTP/1.1 502 ")
+
+    async def test_handler_that_knows_answers_itself(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = await _serve(nursery)
+        large = await served.send(b"knows", 400_000)
+        await _wait_for(lambda: served.handler.begun)
+        small = await served.send(b"", 200_000)
+        assert b"done" in await _read(small)
+        assert b"not run" in await _read(large)
+        await _wait_for(lambda: not served.budget.total_bytes)
