--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -90,6 +90,7 @@
         "_is_evicted",
         "_is_holding",
         "_is_overdue",
+        "_is_request_evicted",
         "_is_sending",
         "_is_sustained",
         "_position",
@@ -138,6 +139,7 @@
         # Whether an eviction has interrupted an answer that was being sent.
         self._is_cut = False
         self._is_overdue = False
+        self._is_request_evicted = False
         self._is_sending = False
         # The events that the attempt has sent.
         self._event_count = 0
@@ -176,6 +178,11 @@
             self.stalled_at = time + _NEXT_EVENT_TIMEOUT_SECONDS
             self._submit(_events.StreamStalled(self.exchange_id))
 
+    def _evict_request(self) -> None:
+        """End the exchange, as its request is not held any longer."""
+        self._is_request_evicted = True
+        self._exchange_scope.cancel()
+
     def _cancel_attempt(self) -> None:
         """Cancel the attempt, unless it is sending to the caller.
 
@@ -218,6 +225,7 @@
     async def run(self) -> None:
         """Run the exchange until it is answered, failed or abandoned."""
         arrival = _events.RequestArrived(self.exchange_id, self._request)
+        self._exchange.on_eviction = self._evict_request
         is_over = False
         try:
             with self._exchange_scope:
@@ -226,7 +234,10 @@
                 is_over = True
             if not is_over:
                 self._is_overdue = True
-                self._submit(_events.DeadlineReached(self.exchange_id))
+                if self._is_request_evicted:
+                    self._submit(_events.RequestEvicted(self.exchange_id))
+                else:
+                    self._submit(_events.DeadlineReached(self.exchange_id))
                 await self._follow_effects()
                 is_over = True
         finally:
