Soak: let engines that leave say so in their answers

Server-Leaving was among no answers of the soak's engines.

test_soak.py: the answer of an engine that leaves has the header.

--- a/sedgepin/platform/tests/soak/_engines.py
+++ b/sedgepin/platform/tests/soak/_engines.py
@@ -443,23 +443,27 @@
             return False
         return incarnation.layers[0] <= first < end <= incarnation.layers[1]
 
-    def _limit_headers(self) -> _Headers:
-        if self._request_limit is None:
-            return ()
-        return ((b"Server-Limit", b"%.1f" % self._request_limit),)
+    def _notice_headers(self) -> _Headers:
+        """Return what all answers say of the engine."""
+        headers: _Headers = ()
+        if self._request_limit is not None:
+            headers = ((b"Server-Limit", b"%.1f" % self._request_limit),)
+        if self._incarnation is not None and self._incarnation.is_draining:
+            headers += ((b"Server-Leaving", b"1"),)
+        return headers
 
     def _head(self, run: _record.EngineRun) -> web.AnswerHead:
         headers = (
             (b"X-Request-Id", run.request_id.encode()),
             (b"X-Response-Seal", run.seal.encode()),
-            *self._limit_headers(),
+            *self._notice_headers(),
         )
         return web.AnswerHead(run.status, headers)
 
     async def _answer(
         self, exchange: web.Exchange, status: int, body: dict[str, typing.Any]
     ) -> None:
-        head = web.AnswerHead(status, self._limit_headers())
+        head = web.AnswerHead(status, self._notice_headers())
         await exchange.answer(head, json.dumps(body).encode())
 
     async def _reject(
@@ -471,7 +475,7 @@
         headers = [
             (b"X-Not-Executed", b"1"),
             (b"X-Request-Id", request_id),
-            *self._limit_headers(),
+            *self._notice_headers(),
         ]
         if faulty_address is not None:
             headers.append((b"At-Server", faulty_address.encode()))
--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -664,6 +664,15 @@
                 pass
         assert ending.at <= trio.current_time()
 
+    async def test_engine_that_leaves_says_so(
+        self, engine: _engines.Engine, nursery: trio.Nursery
+    ) -> None:
+        nursery.start_soon(engine.leave)
+        await trio.sleep(0.1)
+        stream = await self._send(engine)
+        received = await self._receive_all(stream)
+        assert b"\r\nServer-Leaving: 1\r\n" in received
+
     async def test_full_engine_refuses(self, engine: _engines.Engine) -> None:
         engine.max_open = 1
         first = await self._send(engine)
