Count an open request's prompt from its start

The prompt of a completion and the copy that is sent to an engine were counted only once an effect for the caller came; until then the body alone was. A request that is ended while it is counted is refused as not run before the reducer gets it.

The test sends its largest request first now, so that it is certain which one ends as unknown.

--- a/sedgepin/_entry/_exchange.py
+++ b/sedgepin/_entry/_exchange.py
@@ -44,6 +44,7 @@
         self._answer_bytes = 0
         self._pending: list[CallerEffect] = []
         self._effect_added = trio.Event()
+        self._state_held_bytes()
 
     def put(self, effect: CallerEffect) -> None:
         """Queue an effect for the caller."""
--- a/sedgepin/_entry/_server.py
+++ b/sedgepin/_entry/_server.py
@@ -223,6 +223,9 @@
             len(raw) + 2 * sys.getsizeof(generation.prompt),
             keeps_answer=not body.stream,
         )
+        if request.holder.is_ended:
+            await http.send_problem(request, memory.MemoryExhausted())
+            return
         async with self._open_exchange(
             request, generation.request_id, event, exchange
         ):
@@ -243,6 +246,9 @@
         exchange = _exchange.Exchange(
             request.holder, len(body), keeps_answer=True
         )
+        if request.holder.is_ended:
+            await http.send_problem(request, memory.MemoryExhausted())
+            return
         async with self._open_exchange(request, request_id, event, exchange):
             for effect in await exchange.receive():
                 if isinstance(effect, _effects.AnswerCall):
--- a/sedgepin/_entry/tests/test_held_requests.py
+++ b/sedgepin/_entry/tests/test_held_requests.py
@@ -17,7 +17,8 @@
 from sedgepin.tests import processes
 
 _HELD_BYTES = 1_000_000
-_PROMPT_BYTES = 100_000
+_PROMPT_BYTES = 40_000
+_LARGEST_BYTES = 150_000
 _COMPLETIONS = b"/v1/services/a/completions"
 _CALL = b"/v1/services/a/call/x"
 
@@ -70,20 +71,20 @@
     async def callers(
         self, count: int, path: bytes, is_stream: bool = False
     ) -> collections.abc.AsyncIterator[None]:
-        """Run the server, and callers that send as many requests."""
-        prompt = "x" * _PROMPT_BYTES
-        body = msgspec.json.encode({"prompt": prompt, "stream": is_stream})
-        head = (
-            b"POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\n"
-            b"Content-Length: %d\r\n\r\n"
-            % (path, processes.CALLER_CREDENTIAL.encode(), len(body))
-        )
+        """Run the server, and callers that send as many requests.
+
+        The first one is the largest; the others wait until it is open.
+        """
         async with (
             test_connections.running(self.server) as port,
             trio.open_nursery() as nursery,
         ):
-            for _ in range(count):
-                nursery.start_soon(self._call, port, head + body)
+            largest = _request(path, "x" * _LARGEST_BYTES, is_stream)
+            nursery.start_soon(self._call, port, largest)
+            await self.wait(lambda: len(self.requests) == 1)
+            for _ in range(count - 1):
+                other = _request(path, "x" * _PROMPT_BYTES, is_stream)
+                nursery.start_soon(self._call, port, other)
             yield
             nursery.cancel_scope.cancel()
 
@@ -109,21 +110,32 @@
                 await trio.sleep(0.01)
 
 
+def _request(path: bytes, prompt: str, is_stream: bool) -> bytes:
+    body = msgspec.json.encode({"prompt": prompt, "stream": is_stream})
+    head = (
+        b"POST %s HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer %s\r\n"
+        b"Content-Length: %d\r\n\r\n"
+        % (path, processes.CALLER_CREDENTIAL.encode(), len(body))
+    )
+    return head + body
+
+
 class TestOpenRequests:
     """Each was bounded; 4,096 open ones with a megabyte each were not."""
 
     @pytest.mark.parametrize("path", [_COMPLETIONS, _CALL])
     async def test_largest_end_as_unknown(self, path: bytes) -> None:
         entry = _Entry()
-        async with entry.callers(20, path):
+        async with entry.callers(40, path):
             await entry.wait(
-                lambda: len(entry.requests) + len(entry.not_run) == 20
+                lambda: len(entry.requests) + len(entry.not_run) == 40
             )
-            await entry.wait(lambda: len(entry.answers) >= 12)
+            await entry.wait(lambda: len(entry.answers) >= 25)
             assert entry.budget.total_bytes > _HELD_BYTES / 4
         unknown = [
             answer for answer in entry.answers if answer not in entry.not_run
         ]
+        # The largest one had been given to the reducer before.
         assert unknown
         for answer in unknown:
             assert answer.startswith(b"HTTP/1.1 502")
