Bound what callers' connections hold beside their requests

Two things that hypercorn keeps had no bound for all: heads that are not complete (64 KiB and a read each, up to 30 s), and answers that their callers do not read, which were held with connection and request for as long as the caller kept the connection, beyond any deadline, as the send is shielded.

A caller's stream counts what arrives between its requests, for its host, and ends the connection at the bound. 64 KiB of an answer have 20 s to be sent, as on the platform's server; a request that is ended at the bound breaks such a send at once.

Both tests failed before: all 40 incomplete heads were kept, and the unread answer was still open after 3 s.

--- /dev/null
+++ b/sedgepin/_http/_caller_stream.py
@@ -0,0 +1,114 @@
+"""The connection of a caller, with limits that hypercorn leaves open."""
+
+import collections.abc
+import types
+
+import trio
+
+from sedgepin import _memory as memory
+
+_READ_BYTES = 16_384
+# A caller that does not read its answer is disconnected when this much of it
+# cannot be sent in that time.
+_SEND_BYTES = 65_536
+_SEND_TIMEOUT_SECONDS = 20.0
+
+
+class CallerStream(trio.abc.HalfCloseableStream):
+    """A caller's connection that counts what arrives between its requests.
+
+    That is the head of the next request, which hypercorn keeps until it is
+    complete.  ``end`` is called at the bound for all, and must end the
+    connection.
+    """
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        budget: memory.MemoryBudget | None,
+        end: collections.abc.Callable[[], None],
+    ) -> None:
+        self.socket = stream.socket
+        self._stream = stream
+        self._account: memory.Account | None = None
+        if budget is not None:
+            self._account = budget.open(
+                memory.HolderKind.REQUEST, _host(stream), end
+            )
+        self._head_bytes = 0
+        self._open_requests = 0
+        self._send_scope: trio.CancelScope | None = None
+
+    def begin_request(self) -> None:
+        """State that the head of a request is complete."""
+        self._open_requests += 1
+        self._hold(0)
+
+    def end_request(self) -> None:
+        """State that a request was answered, or given up."""
+        self._open_requests -= 1
+
+    def cut_send(self) -> None:
+        """Break the connection if its caller does not read what is sent."""
+        if self._send_scope is not None:
+            self._send_scope.cancel()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Wait for bytes and return some; ``b""`` at the end."""
+        data = await self._stream.receive_some(
+            min(max_bytes or _READ_BYTES, _READ_BYTES)
+        )
+        if not self._open_requests:
+            self._hold(self._head_bytes + len(data))
+        return bytes(data)
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Send bytes.
+
+        Raises ``trio.BrokenResourceError`` if the caller does not read.
+        """
+        view = memoryview(data)
+        for start in range(0, len(view), _SEND_BYTES):
+            with trio.move_on_after(_SEND_TIMEOUT_SECONDS) as scope:
+                self._send_scope = scope
+                await self._stream.send_all(view[start : start + _SEND_BYTES])
+            self._send_scope = None
+            if scope.cancelled_caught:
+                await trio.aclose_forcefully(self._stream)
+                raise trio.BrokenResourceError("the caller does not read")
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait until at least some bytes can be sent."""
+        await self._stream.wait_send_all_might_not_block()
+
+    async def send_eof(self) -> None:
+        """Tell the caller that nothing follows."""
+        await self._stream.send_eof()
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    def __enter__(self) -> "CallerStream":
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self._hold(0)
+
+    def _hold(self, head_bytes: int) -> None:
+        self._head_bytes = head_bytes
+        if self._account is not None:
+            self._account.hold(head_bytes)
+
+
+def _host(stream: trio.SocketStream) -> str:
+    try:
+        return str(stream.socket.getpeername()[0])
+    except OSError:
+        # The caller has reset the connection.
+        return ""
--- a/sedgepin/_http/_connections.py
+++ b/sedgepin/_http/_connections.py
@@ -1,6 +1,7 @@
 """Accepts connections and serves each of them with hypercorn."""
 
 import functools
+import ssl
 import typing
 
 import hypercorn.config
@@ -10,13 +11,19 @@
 import hypercorn.utils
 import trio
 
+from sedgepin._http import _caller_stream
+from sedgepin import _memory as memory
 from sedgepin import containment
 
+# Of the stream in the state of a request's scope.
+STREAM_KEY = "sedgepin.stream"
+
 
 async def serve(
     app: hypercorn.typing.ASGIFramework,
     cfg: hypercorn.config.Config,
     stop: trio.Event,
+    budget: memory.MemoryBudget | None,
 ) -> None:
     """Serve connections until ``stop``, then those that are open.
 
@@ -28,14 +35,24 @@
     """
     wrapped = hypercorn.utils.wrap_app(app, cfg.wsgi_max_body_size, "asgi")
     context = hypercorn.trio.worker_context.WorkerContext(None)
-    state = hypercorn.typing.ConnectionState(hypercorn.typing.LifespanState())
+    tls = cfg.create_ssl_context()
 
-    async def serve_connection(
-        stream: "trio.SSLStream[trio.SocketStream]",
-    ) -> None:
-        with containment.contain("connection"):
+    async def serve_connection(socket_stream: trio.SocketStream) -> None:
+        with (
+            containment.contain("connection"),
+            trio.CancelScope() as scope,
+            _caller_stream.CallerStream(
+                socket_stream, budget, scope.cancel
+            ) as stream,
+        ):
+            # It names the stream for the requests on it.
+            state = hypercorn.typing.LifespanState({STREAM_KEY: stream})
             await hypercorn.trio.tcp_server.TCPServer(
-                wrapped, cfg, context, state, stream
+                wrapped,
+                cfg,
+                context,
+                hypercorn.typing.ConnectionState(state),
+                _with_tls(stream, tls),
             )
 
     async with trio.open_nursery() as connections:
@@ -55,19 +72,19 @@
         connections.cancel_scope.deadline = deadline
 
 
-def _listeners(cfg: hypercorn.config.Config) -> list[typing.Any]:
-    sockets = cfg.create_sockets()
-    for sock in (*sockets.secure_sockets, *sockets.insecure_sockets):
-        sock.listen(cfg.backlog)
-    plain = [_listener(sock) for sock in sockets.insecure_sockets]
-    tls = cfg.create_ssl_context()
+def _with_tls(
+    stream: _caller_stream.CallerStream, tls: ssl.SSLContext | None
+) -> typing.Any:
     if tls is None:
-        return plain
-    return plain + [
-        trio.SSLListener(_listener(sock), tls, https_compatible=True)
-        for sock in sockets.secure_sockets
-    ]
+        return stream
+    return trio.SSLStream(stream, tls, server_side=True, https_compatible=True)
 
 
-def _listener(sock: typing.Any) -> trio.SocketListener:
-    return trio.SocketListener(trio.socket.from_stdlib_socket(sock))
+def _listeners(cfg: hypercorn.config.Config) -> list[trio.SocketListener]:
+    sockets = cfg.create_sockets()
+    listeners = []
+    for sock in (*sockets.secure_sockets, *sockets.insecure_sockets):
+        sock.listen(cfg.backlog)
+        own_socket = trio.socket.from_stdlib_socket(sock)
+        listeners.append(trio.SocketListener(own_socket))
+    return listeners
--- a/sedgepin/_http/_holder.py
+++ b/sedgepin/_http/_holder.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from sedgepin._http import _caller_stream
 from sedgepin import _memory as memory
 
 
@@ -26,6 +27,7 @@
         "_budget",
         "_head_bytes",
         "_scope",
+        "_stream",
         "has_finished_answer",
         "has_started_answer",
         "is_ended",
@@ -38,10 +40,16 @@
         self._head_bytes = head_bytes
         self._account: memory.Account | None = None
         self._scope: trio.CancelScope | None = None
+        self._stream: _caller_stream.CallerStream | None = None
         self.has_started_answer = False
         self.has_finished_answer = False
         self.is_ended = False
 
+    def follow(self, stream: _caller_stream.CallerStream) -> None:
+        """State which connection the request came on."""
+        self._stream = stream
+        stream.begin_request()
+
     def open(self, sender: str) -> None:
         """State who has sent the request, before the first ``hold``."""
         if self._budget is not None and self._account is None:
@@ -56,6 +64,8 @@
 
     def close(self) -> None:
         """State that nothing is held any more."""
+        if self._stream is not None:
+            self._stream.end_request()
         if self._account is not None:
             self._account.close()
 
@@ -72,5 +82,7 @@
 
     def _end(self) -> None:
         self.is_ended = True
+        if self._stream is not None:
+            self._stream.cut_send()
         if self._scope is not None:
             self._scope.cancel()
--- a/sedgepin/_http/_server.py
+++ b/sedgepin/_http/_server.py
@@ -107,7 +107,7 @@
             cfg.certfile = tls.certificate
             cfg.keyfile = tls.key
         app = typing.cast(typing.Any, self._app)
-        await _connections.serve(app, cfg, self._stop)
+        await _connections.serve(app, cfg, self._stop, self._budget)
 
     async def _app(
         self,
@@ -122,6 +122,9 @@
         request = _messages.Request.from_scope(
             scope, receive, self._wrap_send(send, holder), holder
         )
+        stream = scope.get("state", {}).get(_connections.STREAM_KEY)
+        if stream is not None:
+            holder.follow(stream)
         if self._is_refusing:
             with contextlib.closing(holder):
                 await self._answer_within_limit(request, head_bytes)
--- a/sedgepin/_http/tests/test_connections.py
+++ b/sedgepin/_http/tests/test_connections.py
@@ -238,3 +238,60 @@
             await trio.sleep(_PAUSE_SECONDS)
         assert answer.startswith(b"HTTP/1.1 200")
         assert budget.total_bytes == 0
+
+
+class TestManyHeads:
+    """Each was bounded, all together were not."""
+
+    async def test_bound_for_all_holds_and_others_are_served(self) -> None:
+        budget = memory.MemoryBudget(_HELD_BYTES)
+        ended: list[bytes] = []
+
+        async def send_head(port: int) -> None:
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            async with stream:
+                head = b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 60_000
+                with contextlib.suppress(trio.BrokenResourceError):
+                    await stream.send_all(head)
+                    ended.append(await read_answer(stream))
+
+        async with (
+            running(Server(budget)) as port,
+            trio.open_nursery() as nursery,
+        ):
+            for _ in range(40):
+                nursery.start_soon(send_head, port)
+            with trio.fail_after(4.0):
+                while len(ended) < 30:
+                    assert budget.total_bytes <= _HELD_BYTES
+                    await trio.sleep(0.01)
+            assert (await get(port)).startswith(b"HTTP/1.1 200")
+            nursery.cancel_scope.cancel()
+
+
+class LargeServer(http.HttpServer):
+    """Answers with more than a connection takes in."""
+
+    async def answer(self, request: http.Request) -> None:
+        await http.send_response(request, 200, (), bytes(20_000_000))
+
+
+class TestAnswerThatIsNotRead:
+    """It was held for as long as its caller kept the connection open."""
+
+    async def test_connection_is_closed(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(
+            "sedgepin._http._caller_stream._SEND_TIMEOUT_SECONDS", 0.3
+        )
+        server = LargeServer()
+        async with running(server) as port:
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            async with stream:
+                await stream.send_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+                with trio.fail_after(3.0):
+                    while not server.open_requests:
+                        await trio.sleep(0.01)
+                    while server.open_requests:
+                        await trio.sleep(0.01)
