--- a/sedgepin/tests/processes.py
+++ b/sedgepin/tests/processes.py
@@ -113,12 +113,14 @@
         entries: int = 4,
         replicas: int = 2,
         notice_seconds: float = 0.3,
+        held_bytes: int | None = None,
         **engine_options: object,
     ) -> None:
         self.folder = folder
         self.running: dict[str, subprocess.Popen[bytes]] = {}
         self.ports: dict[str, int] = {}
         self.notice_seconds = notice_seconds
+        self.held_bytes = held_bytes
         self.engine_options = engine_options
         self.announced_ports: dict[str, int] = {}
         self.control_ids = [f"control-{n + 1}" for n in range(controls)]
@@ -221,6 +223,14 @@
         self.running[name].kill()
         self.running[name].wait()
 
+    def peak_resident_bytes(self, name: str) -> int:
+        """Return the greatest resident size that a process has had."""
+        status = pathlib.Path(f"/proc/{self.running[name].pid}/status")
+        for line in status.read_text().splitlines():
+            if line.startswith("VmHWM:"):
+                return int(line.split()[1]) * 1024
+        raise ValueError(f"{status} has no VmHWM")
+
     def address(self, name: str) -> str:
         """Return the host and port where a process serves HTTP."""
         return f"127.0.0.1:{self.ports[name]}"
@@ -342,6 +352,7 @@
             "peer_listen": f"127.0.0.1:{self.ports[f'{name}/peer']}",
             "controls": self._peers(self.control_ids),
             "drain": {"notice_seconds": self.notice_seconds},
+            "memory": {"held_bytes": self.held_bytes},
         }
         if name in self.control_ids:
             operator = {
