Wait for an acknowledgement no longer than for its arrival

A connection that closes with an answer that its caller has not acknowledged waited for the caller's close, up to 2 s of a drain, where the acknowledgement is enough.

--- a/sedgepin/_web/_caller_connection.py
+++ b/sedgepin/_web/_caller_connection.py
@@ -26,6 +26,7 @@
 _NEXT_REQUEST_SECONDS = 0.25
 # Time for a caller to receive its last answer while it still sends.
 _LINGER_SECONDS = 2.0
+_ACKNOWLEDGEMENT_POLL_SECONDS = 0.02
 _LINGER_BYTES = 16 * 1024 * 1024
 _FIRST_FAILURE = 400
 
@@ -192,13 +193,19 @@
             is_complete
             and not self.has_caller_closed
             and (
-                self._is_refused
-                or self._reader.kept_bytes
-                or self._has_unread_bytes()
+                self._is_followed_by_bytes()
                 or sockets.count_unsent_bytes(self._stream.socket)
             )
         )
 
+    def _is_followed_by_bytes(self) -> bool:
+        """Return whether the caller sends more than the request."""
+        return bool(
+            self._is_refused
+            or self._reader.kept_bytes
+            or self._has_unread_bytes()
+        )
+
     async def _linger(self) -> None:
         """Discard what the caller still sends (RFC 9112, section 9.6).
 
@@ -207,6 +214,10 @@
         """
         bytes_left = _LINGER_BYTES
         with trio.move_on_after(_LINGER_SECONDS):
+            while not self._is_followed_by_bytes():
+                if not sockets.count_unsent_bytes(self._stream.socket):
+                    return
+                await trio.sleep(_ACKNOWLEDGEMENT_POLL_SECONDS)
             try:
                 self._stream.socket.shutdown(socket.SHUT_WR)
                 while bytes_left > 0:
