--- a/sedgepin/platform/tests/soak/_record.py
+++ b/sedgepin/platform/tests/soak/_record.py
@@ -60,6 +60,8 @@
     at: float
     # Whether the head of an answer was received.
     has_begun: bool = False
+    # When the connection was opened.
+    connected_at: float = 0.0
     # Since when the connection had been idle, if it was used before.
     idle_since: float | None = None
 
