Limit the whole text of a stream, not only its lines

A line of an engine's stream may have a megabyte, and a request 4,096 tokens: a single answer could hold 4 GiB in an entry VM, as tokens are kept for a resumption. Only the bound for all ended it now.

An attempt whose text exceeds limits.answer_bytes fails like one with a line that is too long.

--- a/sedgepin/_entry/_endpoint_client.py
+++ b/sedgepin/_entry/_endpoint_client.py
@@ -149,7 +149,7 @@
                 if response.status != 200:
                     crashed = False
                     refusal = _engine_messages.refusal(response.status)
-                elif await _emit_lines(response, effect, holder, emit):
+                elif await self._emit_lines(response, effect, holder, emit):
                     return
         except _CONNECT_ERRORS as exc:
             reason = type(exc).__name__
@@ -171,6 +171,23 @@
             )
         )
 
+    async def _emit_lines(
+        self,
+        response: httpcore.Response,
+        effect: _effects.StartStream,
+        holder: _answer_holder.AnswerHolder,
+        emit: Emit,
+    ) -> bool:
+        """Emit an event for each line; return whether an end line came."""
+        reader = _engine_messages.LineReader(
+            effect, emit, holder, self._answer_limit_bytes
+        )
+        async for piece in response.aiter_stream():
+            await reader.feed(piece)
+            if reader.is_complete:
+                return True
+        return False
+
     async def call_service(
         self, effect: _effects.CallService, emit: Emit
     ) -> None:
@@ -316,18 +333,3 @@
         "timeout": {"connect": connect_timeout.total_seconds()},
         "trace": _answer_limits.HeadLimit(holder).trace,
     }
-
-
-async def _emit_lines(
-    response: httpcore.Response,
-    effect: _effects.StartStream,
-    holder: _answer_holder.AnswerHolder,
-    emit: Emit,
-) -> bool:
-    """Emit an event for each line; return whether an end line was received."""
-    reader = _engine_messages.LineReader(effect, emit, holder)
-    async for piece in response.aiter_stream():
-        await reader.feed(piece)
-        if reader.is_complete:
-            return True
-    return False
--- a/sedgepin/_entry/_engine_messages.py
+++ b/sedgepin/_entry/_engine_messages.py
@@ -104,7 +104,9 @@
         "_emit",
         "_holder",
         "_kept_bytes",
+        "_limit_bytes",
         "_partial",
+        "_text_bytes",
         "_timer",
         "is_complete",
     )
@@ -114,10 +116,13 @@
         effect: _effects.StartStream,
         emit: Emit,
         holder: _answer_holder.AnswerHolder,
+        limit_bytes: int,
     ) -> None:
         self._effect = effect
         self._emit = emit
         self._holder = holder
+        self._limit_bytes = limit_bytes
+        self._text_bytes = 0
         # Tokens are kept until the whole answer is complete, for a resumption.
         self._kept_bytes = sum(map(sys.getsizeof, effect.delivered))
         self._counter = _answer_limits.PieceCounter()
@@ -129,7 +134,7 @@
         """Decode the next bytes, and now and then let other tasks run.
 
         Raises ``msgspec.DecodeError`` for a line that cannot be decoded or
-        has no end.
+        has no end, and for one whose text is beyond the limit of an answer.
         """
         await self._counter.record_piece()
         lines = self._split(piece)
@@ -137,12 +142,20 @@
         for raw in lines:
             line = _decode_line(raw)
             if isinstance(line, PieceLine):
-                self._kept_bytes += sys.getsizeof(line.text)
+                self._add_text(line.text)
             self._emit(_line_event(line, self._effect))
             if isinstance(line, EndLine | FailedLine):
                 self.is_complete = True
                 return
 
+    def _add_text(self, text: str) -> None:
+        self._kept_bytes += sys.getsizeof(text)
+        self._text_bytes += len(text)
+        if self._text_bytes > self._limit_bytes:
+            raise msgspec.DecodeError(
+                f"the text is longer than {self._limit_bytes} characters"
+            )
+
     def _split(self, piece: bytes) -> list[bytes]:
         """Return the lines that the bytes complete, and keep the rest."""
         # Only new bytes are searched, so that the cost of a long line does
--- a/sedgepin/_entry/_forwarded_client.py
+++ b/sedgepin/_entry/_forwarded_client.py
@@ -75,7 +75,9 @@
             with _answer_holder.open_holder(
                 self._budget, first.endpoint_id
             ) as holder:
-                ended = await _run_attempt(conn, effect, holder, emit)
+                ended = await _run_attempt(
+                    conn, effect, holder, self._answer_limit_bytes, emit
+                )
         finally:
             conn.close()
         if isinstance(ended, errors.Failure):
@@ -210,6 +212,7 @@
     conn: forwarding.ForwardedConnection,
     effect: _effects.StartStream,
     holder: _answer_holder.AnswerHolder,
+    limit_bytes: int,
     emit: _engine_messages.Emit,
 ) -> errors.Failure | None:
     """Pass a stream's events on; return why it ended, if not at its end."""
@@ -226,7 +229,7 @@
         return head.err_value
     if head.ok_value.status != 200:
         return _engine_messages.refusal(head.ok_value.status)
-    reader = _engine_messages.LineReader(effect, emit, holder)
+    reader = _engine_messages.LineReader(effect, emit, holder, limit_bytes)
     while not reader.is_complete:
         data = await conn.read_data()
         if isinstance(data, result.Err):
