Cut no streams of a caller for the early answer to one

An HTTP/2 caller whose request is answered before its body has arrived (401, 413, 408, 503) lost the answers to its other requests on the connection, if a part of that body was still under way.

Hypercorn fails on data of a stream that was answered; since the failure is contained it ends the connection, before it ended the process.

The test failed before: the slow answer beside the early one did not come.

--- a/sedgepin/_http/_server.py
+++ b/sedgepin/_http/_server.py
@@ -10,6 +10,7 @@
 from sedgepin._http import _connections
 from sedgepin._http import _failures
 from sedgepin._http import _holder
+from sedgepin._http import _intake
 from sedgepin._http import _messages
 from sedgepin import _memory as memory
 from sedgepin import settings
@@ -119,8 +120,13 @@
             return
         head_bytes = _header_bytes(scope)
         holder = _holder.RequestHolder(self._budget, head_bytes)
+        intake = _intake.BodyIntake(receive)
+        is_http2 = scope.get("http_version") == "2"
         request = _messages.Request.from_scope(
-            scope, receive, self._wrap_send(send, holder), holder
+            scope,
+            intake.receive,
+            self._wrap_send(send, holder, intake if is_http2 else None),
+            holder,
         )
         stream = scope.get("state", {}).get(_connections.STREAM_KEY)
         if stream is not None:
@@ -148,9 +154,17 @@
         await self.answer(request)
 
     def _wrap_send(
-        self, send: _messages.Send, holder: _holder.RequestHolder
+        self,
+        send: _messages.Send,
+        holder: _holder.RequestHolder,
+        intake: _intake.BodyIntake | None,
     ) -> _messages.Send:
-        """Wrap ``send`` to add ``Connection: close`` while draining."""
+        """Wrap ``send`` to add ``Connection: close`` while draining.
+
+        Over HTTP/2, which has ``intake``, an answer ends only after the rest
+        of the body was read: hypercorn fails on data of an answered stream,
+        and with it all streams beside it.
+        """
 
         async def wrapped_send(message: typing.Any) -> None:
             if message["type"] == "http.response.start":
@@ -160,6 +174,10 @@
                     message["headers"] = [*message["headers"], close]
             elif not message.get("more_body", False):
                 holder.has_finished_answer = True
+                if intake is not None and not intake.is_complete:
+                    await send({**message, "more_body": True})
+                    await intake.discard()
+                    message = {"type": message["type"]}
             await send(message)
 
         return wrapped_send
--- a/sedgepin/_http/tests/test_connections.py
+++ b/sedgepin/_http/tests/test_connections.py
@@ -6,6 +6,7 @@
 
 import h2.config
 import h2.connection
+import h2.events
 import pytest
 import result
 import trio
@@ -295,3 +296,45 @@
                         await trio.sleep(0.01)
                     while server.open_requests:
                         await trio.sleep(0.01)
+
+
+class SlowServer(http.HttpServer):
+    """Answers slowly at one path, and before the body at the others."""
+
+    async def answer(self, request: http.Request) -> None:
+        if request.path == "/slow":
+            await trio.sleep(4 * _PAUSE_SECONDS)
+        await http.send_document(request, {"path": request.path})
+
+
+async def _read_ended_streams(
+    client: h2.connection.H2Connection, stream: trio.SocketStream
+) -> list[int]:
+    """Return the streams of HTTP/2 that end within 1 s."""
+    ended = []
+    with trio.move_on_after(1.0):
+        while data := await stream.receive_some(65_536):
+            for event in client.receive_data(bytes(data)):
+                if isinstance(event, h2.events.StreamEnded):
+                    ended.append(event.stream_id)
+            await stream.send_all(client.data_to_send())
+    return ended
+
+
+class TestStreamsOfOneCaller:
+    """An early answer to one of them cut the others."""
+
+    async def test_late_body_does_not_cut_other_streams(self) -> None:
+        async with running(SlowServer()) as port:
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            client = _client()
+            slow = [*_HEADERS, (b":path", b"/slow")]
+            client.send_headers(1, slow, end_stream=True)
+            client.send_headers(3, [*_HEADERS, (b":path", b"/early")])
+            async with stream:
+                await stream.send_all(client.data_to_send())
+                await trio.sleep(_PAUSE_SECONDS)
+                client.send_data(3, b"x", end_stream=True)
+                await stream.send_all(client.data_to_send())
+                ended = await _read_ended_streams(client, stream)
+        assert sorted(ended) == [1, 3]
