--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -153,7 +153,7 @@
         self._relays: dict[int, _relay.Relay] = {}
         # Set when the first of the open relays starts.
         self._has_work = trio.Event()
-        self._server = web.Server(_CallerHandler(self))
+        self._server = web.Server(_CallerHandler(self), self._budget)
         # The one whose limits the server has heard of.
         self._announced_table = self.reducer.table
         self._readiness = web.Server(_ReadinessHandler(self.reducer))
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -210,7 +210,8 @@
             ),
         )
         self._calls = CallHandler(dialect, self._driver.submit, self._metrics)
-        self._server = web.Server(self._calls)
+        budget = shell.create_budget(cfg.held_bytes, self._metrics)
+        self._server = web.Server(self._calls, budget)
         hello = protocol.Hello(
             cfg.vm_id,
             "control",
@@ -230,6 +231,7 @@
             ],
             None,
             self._driver.submit,
+            budget,
         )
 
     async def run(self) -> None:
