Revert "Let a send that was cancelled before it began leave no trace"

After a send that was cancelled before it began, an answer went on without what that send was to bring, and ended as if it were whole.

test_connections.py, test_nothing_is_sent_after_a_cancelled_send, failed before.

--- a/sedgepin/_web/_caller_connection.py
+++ b/sedgepin/_web/_caller_connection.py
@@ -281,9 +281,7 @@
 
         Raises ``trio.ClosedResourceError`` after a cancelled send: part of
         its data may be missing, so nothing may follow it on the connection.
-        A send that was cancelled before it began leaves no trace.
         """
-        await trio.lowlevel.checkpoint_if_cancelled()
         if self._is_send_interrupted:
             raise trio.ClosedResourceError
         data = bytearray()
