Answer a request whose handler returns without an answer

A handler that returned before it had begun an answer, or ended with a broken connection that was not the caller's, left the caller with a closed connection and no answer. It gets 502 now, as after any other failure of a handler; a caller that has closed its connection gets nothing, as before.

test_owed_answers.py, TestFailedHandlers, "breaks-before" and "returns", failed before. A test in test_connections.py wanted the close without an answer after such an error; its caller had not gone, and was owed one. It wants the 502, the announced close and the end of the exchange now.

--- a/sedgepin/_web/_caller_connection.py
+++ b/sedgepin/_web/_caller_connection.py
@@ -363,11 +363,11 @@
                 self._label = exchange.label
         self._evict_request = None
         self._close_reason = exchange.cut_reason
-        if self._is_evicted and not exchange.has_started:
-            # The handler was cancelled, and its request may have run.
-            await self._send_error_response(_failures.HandlerFailed())
         if outcome.failure is not None:
             self._close_reason = "handler_failed"
+        # One whose handler was cancelled, or has given up, may have run.
+        is_owed = not exchange.has_started and not self.has_caller_closed
+        if outcome.failure is not None or is_owed:
             await self._send_error_response(_failures.HandlerFailed())
 
     async def _send_error_response(self, failure: errors.Failure) -> None:
--- a/sedgepin/_web/_exchange.py
+++ b/sedgepin/_web/_exchange.py
@@ -126,7 +126,8 @@
         """Answer one request; cancelled when the caller disconnects.
 
         When this returns before the answer is complete, the connection is
-        closed and the caller sees an incomplete answer.
+        closed and the caller sees an incomplete answer; if none was begun, it
+        gets that of ``HandlerFailed``.
         """
 
     @abc.abstractmethod
--- a/sedgepin/_web/tests/test_connections.py
+++ b/sedgepin/_web/tests/test_connections.py
@@ -234,7 +234,9 @@
         await echo.start()
         stream = await echo.connect()
         await stream.send_all(b"GET /broken HTTP/1.1\r\nHost: x\r\n\r\n")
-        assert await _read_all(stream) == b""
+        received = await _read_all(stream)
+        assert received.startswith(b"HTTP/1.1 502 ")
+        assert b"Connection: close" in received
         assert echo.server.open_exchanges == 0
 
     @pytest.mark.parametrize("target", [b"/", b"/raises", b"/no-content"])
--- a/sedgepin/_web/tests/test_owed_answers.py
+++ b/sedgepin/_web/tests/test_owed_answers.py
@@ -40,6 +40,12 @@
                 await exchange.answer(head, b"complete")
                 await self.release.wait()
                 raise trio.BrokenResourceError
+            case b"/raises-before":
+                raise RuntimeError("nobody expects this")
+            case b"/breaks-before":
+                raise trio.BrokenResourceError
+            case b"/returns":
+                return
             case _:
                 await exchange.answer(head, b"next")
 
@@ -228,6 +234,17 @@
 
 
 class TestFailedHandlers:
+    @pytest.mark.parametrize(
+        "target", [b"raises-before", b"breaks-before", b"returns"]
+    )
+    async def test_request_without_an_answer_is_answered_all_the_same(
+        self, nursery: trio.Nursery, target: bytes
+    ) -> None:
+        call = await _begin(nursery, target)
+        received = await call.read_to_end()
+        assert received.startswith(b"HTTP/1.1 502")
+        assert not call.handler.lost
+
     @pytest.mark.parametrize("target", [b"raises-after", b"breaks-after"])
     async def test_request_behind_a_complete_answer_is_answered(
         self, nursery: trio.Nursery, target: bytes
