--- a/sedgepin/_web/_client.py
+++ b/sedgepin/_web/_client.py
@@ -9,6 +9,7 @@
 
 from sedgepin import _memory as memory
 from sedgepin import _sockets as sockets
+from sedgepin._web import _bulk_reads
 from sedgepin._web import _connection
 from sedgepin._web import _failures
 from sedgepin._web import _part_timer
@@ -66,6 +67,7 @@
         "_has_data",
         "_has_ended",
         "_part_timer",
+        "_received_bytes",
         "_stream",
         "_uncounted_bytes",
         "_unsent_bytes",
@@ -89,6 +91,7 @@
         self._unsent_bytes = 0
         self._has_data = False
         self._event_count = 0
+        self._received_bytes = 0
         self._has_ended = False
         self._part_timer = _part_timer.PartTimer()
         self._conn = h11.Connection(
@@ -268,7 +271,11 @@
     ) -> result.Result[typing.Any, _failures.AnswerBroken]:
         self._event_count += 1
         if self._event_count % _EVENTS_BETWEEN_CHECKPOINTS == 0:
-            await trio.lowlevel.checkpoint()
+            if self._event_count <= _bulk_reads.LONG_PARTS:
+                await trio.lowlevel.checkpoint()
+            else:
+                async with _bulk_reads.turn():
+                    await trio.lowlevel.checkpoint()
         try:
             while True:
                 event = self._conn.next_event()
@@ -277,7 +284,7 @@
                     return result.Ok(event)
                 if self._uncounted_bytes > _MIN_COUNTED_BYTES:
                     self._hold()
-                received = await self._stream.receive_some(_READ_BYTES)
+                received = await self._receive()
                 self._has_data = self._has_data or bool(received)
                 self._has_ended = not received
                 self._conn.receive_data(received)
@@ -294,6 +301,16 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             return result.Err(self._answer_broken(exc))
 
+    async def _receive(self) -> bytes:
+        if self._received_bytes <= _bulk_reads.LONG_BYTES:
+            received = await self._stream.receive_some(_READ_BYTES)
+        else:
+            await trio.lowlevel.wait_readable(self._stream.socket)
+            async with _bulk_reads.turn():
+                received = await self._stream.receive_some(_READ_BYTES)
+        self._received_bytes += len(received)
+        return received
+
     async def _send_in_background(self, data: bytes) -> None:
         try:
             await self._stream.send_all(data)
--- a/sedgepin/_web/_request_reader.py
+++ b/sedgepin/_web/_request_reader.py
@@ -8,6 +8,7 @@
 import trio
 
 from sedgepin import _sockets as sockets
+from sedgepin._web import _bulk_reads
 from sedgepin._web import _failures
 from sedgepin._web import _types
 from sedgepin import errors
@@ -216,7 +217,11 @@
 
     async def _receive_by(self, deadline: float, max_bytes: int) -> bytes:
         with trio.CancelScope(deadline=deadline):
-            return await self._receive(max_bytes)
+            if self._received_bytes <= _bulk_reads.LONG_BYTES:
+                return await self._receive(max_bytes)
+            await trio.lowlevel.wait_readable(self._stream.socket)
+            async with _bulk_reads.turn():
+                return await self._receive(max_bytes)
         # They may have arrived in time, while this process did not run.
         if sockets.count_unread_bytes(self._stream.socket):
             return await self._receive(max_bytes)
