--- a/sedgepin/platform/tests/soak/_configurations.py
+++ b/sedgepin/platform/tests/soak/_configurations.py
@@ -102,7 +102,7 @@
     ]
 
 
-def change_timeout(document: _Document, rng: random.Random) -> None:
+def _change_timeout(document: _Document, rng: random.Random) -> None:
     """Draw the time that requests get, by route."""
     for route in document["routes"]:
         route["timeoutMs"] = rng.choice(_ROUTE_TIMEOUTS_MS)
@@ -189,7 +189,7 @@
 _Change = collections.abc.Callable[[_Document, random.Random], None]
 
 CHANGES: dict[str, _Change] = {
-    "timeout": change_timeout,
+    "timeout": _change_timeout,
     "route": _move_route,
     "weights": _change_weights,
     "attempts": _change_attempts,
