--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -10,6 +10,7 @@
 from sedgepin import _sockets as sockets
 from sedgepin._web import _caller_connection
 from sedgepin._web import _exchange
+from sedgepin._web import _server_state
 from sedgepin import containment
 
 # A caller that does not read its answer is disconnected when one send blocks
@@ -52,7 +53,7 @@
         self._nursery: trio.Nursery | None = None
         # Tasks of connections that were just accepted may not have begun.
         self._is_closing_listeners = False
-        self._state = _caller_connection.ServerState(handler, budget)
+        self._state = _server_state.ServerState(handler, budget)
 
     @property
     def open_exchanges(self) -> int:
