Answer what waits unread when a pause outlasts the drain

A VM that was suspended until the end of its drain closed kept connections on which requests had come meanwhile: it waited only for requests that it had begun to relay, and for 50 ms.

It waits for all open exchanges, and for 250 ms if the drain ended 100 ms late or more, as after a pause. Other drains have the same 50 ms as before.

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -40,6 +40,10 @@
 # A stall is reported at its time, but no sooner after the tick before.
 _MIN_TICK_SECONDS = 0.02
 _DRAIN_POLL_SECONDS = 0.05
+# A drain that ends later than this was held up by a pause of the process.
+# Requests that came meanwhile have so long to be answered.
+_LATE_SECONDS = 0.1
+_LATE_ANSWERS_SECONDS = 0.25
 # Engines usually answer report requests and orders within milliseconds.
 _ENGINE_TIMEOUT = datetime.timedelta(milliseconds=300)
 
@@ -301,13 +305,18 @@
         self._forwarding.is_draining = True
         time_left = datetime.timedelta(seconds=times.last_answer)
         self._driver.submit(_events.DrainRequested(time_left))
+        late_at = trio.current_time() + times.end + _LATE_SECONDS
         await _planned_stop.serve_last_requests(
             self._server, times, lambda: self._forwarding.open_forwards
         )
+        seconds = _DRAIN_POLL_SECONDS
+        if trio.current_time() > late_at:
+            seconds = _LATE_ANSWERS_SECONDS
         # After a pause of the process all requests may have become due at
-        # once; their answers are sent before the connections are closed.
-        with trio.move_on_after(_DRAIN_POLL_SECONDS):
-            while self._relays:
+        # once, and others wait unread; their answers are sent before the
+        # connections are closed.
+        with trio.move_on_after(seconds):
+            while self._relays or self._server.open_exchanges:
                 await trio.sleep(_MIN_TICK_SECONDS)
         ended = _events.DrainEnded(
             self._forwarding.open_forwards,
--- a/sedgepin/platform/tests/test_planned_stop.py
+++ b/sedgepin/platform/tests/test_planned_stop.py
@@ -1,5 +1,6 @@
 """Tests of planned stops of an entry VM, with callers that go on sending."""
 
+import collections
 import contextlib
 import dataclasses
 import itertools
@@ -240,6 +241,34 @@
         assert statuses[:20] == [504] * 20
         _check(callers, engine)
 
+    async def test_request_that_came_while_suspended_is_answered(
+        self, system: running_system.System, nursery: trio.Nursery
+    ) -> None:
+        """It waits unread on a kept connection when the drain is over."""
+        system.grace_seconds = _GRACE_SECONDS
+        await running_system.start_system(system, nursery, _SlowEngine())
+        callers = _Callers()
+        streams = [
+            await trio.open_tcp_stream(
+                running_system.ENTRY, running_system.CALL_PORT
+            )
+            for _ in range(30)
+        ]
+        for stream in streams:
+            assert await callers.send(stream, b"/post/x")
+        callers.records.clear()
+        entry = system.processes["entry"]
+        async with trio.open_nursery() as calls:
+            calls.start_soon(_stop, system)
+            await trio.sleep(0.5)
+            entry.send_signal(signal.SIGSTOP)
+            for stream in streams:
+                calls.start_soon(callers.send, stream, b"/post/x")
+            await trio.sleep(_GRACE_SECONDS)
+            entry.send_signal(signal.SIGCONT)
+        statuses = [record.status for record in callers.records]
+        assert collections.Counter(statuses) == {503: 30}
+
     async def test_drain_goes_on_beside_signals_and_a_new_configuration(
         self, system: running_system.System, nursery: trio.Nursery
     ) -> None:
