--- a/sedgepin/platform/tests/test_soak_ends.py
+++ b/sedgepin/platform/tests/test_soak_ends.py
@@ -156,6 +156,18 @@
         place = "within" if has_begun else "before"
         assert f"cut {place} its answer by entry-1" in finding
 
+    @pytest.mark.parametrize(
+        ("connected_at", "is_found"), [(-1.0, False), (0.5, True)]
+    )
+    def test_new_connection_is_idle_until_its_request_comes(
+        self, connected_at: float, is_found: bool
+    ) -> None:
+        """A link held requests back for 2.2 s and more (seed 556834)."""
+        end = _end(has_begun=False, connected_at=connected_at)
+        record = _make_record(end)
+        _use_after_idle_timeout(record)
+        assert bool(list(_ends.check_callers(record))) == is_found
+
     def test_end_of_an_engine_that_was_left_is_no_cause(self) -> None:
         record = _make_record(_end())
         _ending(_ENGINE, 1.2)(record)
