--- a/sedgepin/_control/_daemon.py
+++ b/sedgepin/_control/_daemon.py
@@ -76,12 +76,13 @@
             _order_credential(cfg),
             lambda: self._reducer.raft.holds_lease(own_clock.now()),
         )
+        budget = shell.create_budget(cfg.memory.held_bytes, self._metrics)
         self._server = _operator_server.OperatorServer(
             cfg,
             self._reducer,
             self._driver.submit,
             own_clock,
-            shell.create_budget(cfg.memory.held_bytes, self._metrics),
+            budget,
         )
         hello = protocol.Hello(
             model.VmId(cfg.id),
@@ -95,6 +96,7 @@
             shell.peers_to_dial(cfg.id, cfg.controls),
             cfg.tls,
             self._driver.submit,
+            budget,
         )
 
     async def run(self) -> None:
--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -69,15 +69,16 @@
             own_clock,
             is_fail_stop=False,
         )
+        self._metrics = shell.create_sink(cfg.statsd)
+        self._budget = shell.create_budget(
+            cfg.memory.held_bytes, self._metrics
+        )
         self._forwarding = forwarding.ForwardingServer(
             forward_key,
             _forwarding_policy.EntryForwardingPolicy(
                 self._reducer, own_clock, self._driver.submit
             ),
-        )
-        self._metrics = shell.create_sink(cfg.statsd)
-        self._budget = shell.create_budget(
-            cfg.memory.held_bytes, self._metrics
+            self._budget,
         )
         self._client: _endpoint_client.EndpointClient = (
             _endpoint_client.HttpEndpointClient(
@@ -102,7 +103,12 @@
         )
         peers = (*cfg.controls, *shell.peers_to_dial(cfg.id, cfg.entries))
         self._transport = protocol.StreamTransport(
-            hello, cfg.peer_listen, peers, cfg.tls, self._submit_peer_event
+            hello,
+            cfg.peer_listen,
+            peers,
+            cfg.tls,
+            self._submit_peer_event,
+            self._budget,
         )
         self._streams: dict[_AttemptKey, trio.CancelScope] = {}
         self._calls: dict[_AttemptKey, trio.CancelScope] = {}
