--- a/sedgepin/platform/tests/test_memory_bound.py
+++ b/sedgepin/platform/tests/test_memory_bound.py
@@ -108,13 +108,22 @@
             self.most_open = max(self.most_open, self.open_count)
 
 
+def _flood(
+    target: str, count: int
+) -> contextlib.AbstractContextManager[_Flood]:
+    """Run callers of one target in a process."""
+    return _run_callers("many_callers", target, str(count))
+
+
 @contextlib.contextmanager
-def _flood(target: str, count: int) -> collections.abc.Iterator[_Flood]:
+def _run_callers(
+    module: str, *arguments: str
+) -> collections.abc.Iterator[_Flood]:
     address = f"{running_system.ENTRY}:{running_system.CALL_PORT}"
-    module = "sedgepin.tests.many_callers"
     environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
     with subprocess.Popen(
-        [sys.executable, "-m", module, address, target, str(count)],
+        [sys.executable, "-m", f"sedgepin.tests.{module}", address]
+        + list(arguments),
         stdout=subprocess.PIPE,
         text=True,
         env=environment,
@@ -232,3 +241,31 @@
         served_share = play.beside.served_share
         assert served_share >= _MIN_SERVED_SHARE * play.calm.served_share
         nursery.cancel_scope.cancel()
+
+
+class TestCallersThatSendWithoutEnd:
+    async def test_entry_program_fits_into_its_vm_and_serves(
+        self, system: running_system.System, nursery: trio.Nursery
+    ) -> None:
+        """One caller once took the whole VM (issue 46)."""
+        system.memory_mb = _MEMORY_MB
+        await running_system.start_system(system, nursery)
+        await _publish()
+        entry = system.processes["entry"]
+        calm, beside = _Calls(), _Calls()
+        await calm.run()
+        with _run_callers("endless_callers", str(_OPEN_REQUESTS)) as callers:
+            nursery.start_soon(callers.read)
+            await trio.sleep(8.0)
+            await beside.run()
+            assert entry.poll() is None
+            peak_bytes = _peak_bytes(entry)
+        print(
+            f"{peak_bytes / 1e6:.1f} MB at most; sound requests"
+            f" {dict(calm.statuses)} before, {dict(beside.statuses)} beside;"
+            f" {callers.most_open} callers open at most"
+        )
+        assert callers.most_open > _OPEN_REQUESTS // 2
+        assert peak_bytes < _VM_BYTES
+        assert beside.served_share >= _MIN_SERVED_SHARE * calm.served_share
+        nursery.cancel_scope.cancel()
