--- a/sedgepin/_entry/tests/test_cut_answers.py
+++ b/sedgepin/_entry/tests/test_cut_answers.py
@@ -283,7 +283,7 @@
                         and event.crashed
                     )
                     if not has_crashed:
-                        wrong.append(f"{name}, {end} at {position}")
+                        wrong.append(f"{name}, {end} at {position}: {event}")
         assert wrong == []
         nursery.cancel_scope.cancel()
 
--- a/sedgepin/platform/tests/test_cut_heads.py
+++ b/sedgepin/platform/tests/test_cut_heads.py
@@ -384,7 +384,10 @@
         async def check(case: _Case) -> None:
             caller, ended = await setup.relay(case)
             if (caller.status, ended.outcome.value) != (502, "unknown"):
-                wrong.append(case.name)
+                wrong.append(
+                    f"{case.name}: {caller.status} {ended.outcome.value}"
+                    f" {ended.detail}"
+                )
 
         await _for_each(_cuts(b"a body", is_forwarded), check)
         assert wrong == []
