--- a/sedgepin/platform/tests/test_memory_bound.py
+++ b/sedgepin/platform/tests/test_memory_bound.py
@@ -122,7 +122,7 @@
     address = f"{running_system.ENTRY}:{running_system.CALL_PORT}"
     environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
     with subprocess.Popen(
-        [sys.executable, "-m", f"sedgepin.tests.{module}", address]
+        [sys.executable, "-m", f"sedgepin.platform.tests.{module}", address]
         + list(arguments),
         stdout=subprocess.PIPE,
         text=True,
