--- a/sedgepin/platform/tests/endless_callers.py
+++ b/sedgepin/platform/tests/endless_callers.py
@@ -39,6 +39,12 @@
         self._host, self._port = host, int(port)
         self.open_count = 0
 
+    async def report(self) -> None:
+        while True:
+            line = {"open": self.open_count, "ends": {}}
+            print(json.dumps(line), flush=True)
+            await trio.sleep(1)
+
     async def call_again_and_again(self, number: int) -> None:
         kind = _KINDS[number % len(_KINDS)]
         while True:
@@ -70,13 +76,10 @@
 async def _run(address: str, count: int) -> None:
     callers = _Callers(address)
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(callers.report)
         for number in range(count):
             nursery.start_soon(callers.call_again_and_again, number)
             await trio.sleep(_START_SECONDS)
-        while True:
-            line = {"open": callers.open_count, "ends": {}}
-            print(json.dumps(line), flush=True)
-            await trio.sleep(1)
 
 
 if __name__ == "__main__":
--- a/sedgepin/platform/tests/many_callers.py
+++ b/sedgepin/platform/tests/many_callers.py
@@ -27,6 +27,12 @@
         self.open_count = 0
         self.ends: collections.Counter[str] = collections.Counter()
 
+    async def report(self) -> None:
+        while True:
+            line = {"open": self.open_count, "ends": self.ends}
+            print(json.dumps(line), flush=True)
+            await trio.sleep(1)
+
     async def call_again_and_again(self, number: int) -> None:
         for attempt in itertools.count():
             try:
@@ -58,13 +64,10 @@
 async def _run(address: str, target: str, count: int) -> None:
     callers = _Callers(address, target)
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(callers.report)
         for number in range(count):
             nursery.start_soon(callers.call_again_and_again, number)
             await trio.sleep(_START_SECONDS)
-        while True:
-            line = {"open": callers.open_count, "ends": callers.ends}
-            print(json.dumps(line), flush=True)
-            await trio.sleep(1)
 
 
 if __name__ == "__main__":
--- a/sedgepin/platform/tests/test_memory_bound.py
+++ b/sedgepin/platform/tests/test_memory_bound.py
@@ -256,7 +256,9 @@
         await calm.run()
         with _run_callers("endless_callers", str(_OPEN_REQUESTS)) as callers:
             nursery.start_soon(callers.read)
-            await trio.sleep(8.0)
+            with trio.move_on_after(20):
+                while callers.open_count < 900:
+                    await trio.sleep(0.1)
             await beside.run()
             assert entry.poll() is None
             peak_bytes = _peak_bytes(entry)
