Bound the time for which a begun stream waits for the retry budget

The share of a VM is renewed three times within 0.6 s. If it is still spent, the shortage isn't momentary, and the caller does better to ask elsewhere. A stream that may return to a sound engine waits as before.

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -23,6 +23,9 @@
 # as long as none receives it; later on up to this number of attempts.
 _MAX_SENDS_IF_UNSENT = 6
 _UNSENT_TIME = datetime.timedelta(milliseconds=1500)
+# A VM's share of the retry budget is renewed several times within this time.
+# If it is spent all the same, the caller does better elsewhere.
+_MAX_BUDGET_WAIT = datetime.timedelta(milliseconds=600)
 # An engine that refuses a request above this cache utilization is overloaded,
 # not broken.
 _FULL_CACHE_UTILIZATION = 0.6
@@ -189,9 +192,13 @@
         )
         if may_retry:
             return self._dispatcher.dispatch_or_queue(exchange, now)
-        if self._may_await_retry(exchange):
+        if self._state.engines_to_return_to(exchange):
             exchange.needs_retry = True
             return self._dispatcher.dispatch_or_queue(exchange, now)
+        if exchange.has_output and self._state.may_run_again(exchange):
+            exchange.needs_retry = True
+            exchange.retry_by = now + _MAX_BUDGET_WAIT
+            return self._dispatcher.dispatch_or_queue(exchange, now)
         if event.outcome is _Outcome.FAILED:
             self._dispatcher.remove(exchange)
             return [_effects.DeliverHeldAnswer(exchange.exchange_id)]
@@ -203,16 +210,6 @@
             self._state.retry_obstacle(exchange),
         )
 
-    def _may_await_retry(self, exchange: _exchange.Exchange) -> bool:
-        """Return whether only the retry budget keeps a begun stream back.
-
-        Its share for a VM is renewed several times a second.
-        """
-        return exchange.has_output and (
-            self._state.may_run_again(exchange)
-            or bool(self._state.engines_to_return_to(exchange))
-        )
-
     def _may_try_another(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> bool:
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -128,6 +128,10 @@
         if exchange.needs_retry and not (
             self._state.reserve_due_retry(exchange, now)
         ):
+            if exchange.retry_by is not None and now >= exchange.retry_by:
+                obstacle = self._state.retry_obstacle(exchange)
+                failure = _failures.OutcomeUnknown(obstacle)
+                return self.fail(exchange, failure, now, obstacle)
             return self._enqueue_or_fail(exchange, 0.0, now)
         if (
             destination is not None
@@ -725,6 +729,7 @@
         exchange.has_reserved_retry = False
         exchange.needs_retry = False
         exchange.retry_at = None
+        exchange.retry_by = None
         exchange.yields_place = False
         exchange.is_kept = False
         self._state.fleet.add_load(exchange.endpoint_ids, exchange.tokens)
--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -48,7 +48,8 @@
     is in the retry budget already and has not been sent.
     ``destination`` is where that attempt is to go, if a place is held for it.
     ``needs_retry`` is set while a stream that has started waits for a retry
-    from the budget, which it takes no sooner than at ``retry_at``.
+    from the budget, which it takes no sooner than at ``retry_at``, and no
+    later than at ``retry_by`` if that is set.
     ``given_up`` holds the endpoints whose attempts were cancelled, and which
     have not run the request again since.  ``yields_place`` is set once it
     waits without holding up the requests behind it.
@@ -83,6 +84,7 @@
     destination: Destination | None = None
     needs_retry: bool = False
     retry_at: datetime.datetime | None = None
+    retry_by: datetime.datetime | None = None
     given_up: set[model.EndpointId] = dataclasses.field(default_factory=set)
     yields_place: bool = False
     reroute_count: int = 0
--- a/sedgepin/_gateway/tests/test_moved_streams.py
+++ b/sedgepin/_gateway/tests/test_moved_streams.py
@@ -175,6 +175,18 @@
         caller.advance(0.2)
         assert len(caller.engines) == 2
 
+    def test_stream_is_not_kept_from_its_caller_while_the_budget_is_spent(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        caller = _Caller(gateway)
+        _spend_budget(gateway)
+        caller.end_attempt(_Outcome.UNKNOWN)
+        caller.advance(0.5)
+        assert not caller.has_failed
+        caller.advance(0.3)
+        assert caller.has_failed
+
     def test_request_without_output_is_not_held_for_the_retry_budget(
         self,
     ) -> None:
