Count the answers to a control VM's own calls in its memory budget

Reports and orders were bounded one by one: 64 KiB of each of the engines that are asked at once. Sending a request and reading its whole answer is one method of the connection now, for these calls and those of a gateway.

--- a/sedgepin/_gateway/_engine_connection.py
+++ b/sedgepin/_gateway/_engine_connection.py
@@ -94,7 +94,7 @@
     conn = connected.ok_value
     try:
         with trio.move_on_after(timeout.total_seconds()), scope:
-            return await _exchange(conn, request)
+            return await conn.exchange(request, _ANSWER_LIMIT_BYTES)
     finally:
         conn.close()
     if account is not None and account.is_ended:
@@ -105,21 +105,6 @@
     return result.Err(web.AnswerBroken(address, reason, True))
 
 
-async def _exchange(
-    conn: web.AnswerConnection, request: web.Request
-) -> result.Result[_Answer, web.AnswerBroken]:
-    sent = await conn.send(request)
-    if isinstance(sent, result.Err):
-        return sent
-    head = await conn.read_head()
-    if isinstance(head, result.Err):
-        return head
-    body = await conn.read_body(_ANSWER_LIMIT_BYTES)
-    if isinstance(body, result.Err):
-        return body
-    return result.Ok((head.ok_value, body.ok_value))
-
-
 def link_failure(
     failure: web.ConnectFailed | forwarding.ForwardFailed | web.AnswerBroken,
 ) -> _events.LinkFailure | None:
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -1,5 +1,6 @@
 """The registrar daemon: tasks, HTTP calls and storage around the reducer."""
 
+import functools
 import itertools
 import random
 import time
@@ -9,6 +10,7 @@
 import trio
 
 from sedgepin import _consensus as consensus
+from sedgepin import _memory as memory
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin._registrar import _dialect
@@ -359,7 +361,7 @@
 
     async def _request_report(self, effect: _effects.InspectEngine) -> None:
         request = self._dialect.report_request(effect.address)
-        response = await _send_inspection(effect, request)
+        response = await _send_inspection(effect, request, self._budget)
         report: _events.EngineReport | None = None
         failure: errors.Failure | None = None
         if response.is_err():
@@ -395,7 +397,10 @@
     async def _send_order(self, order: _effects.OrderLayers) -> None:
         request = self._dialect.layer_order_request(order)
         response = await web.send_request(
-            order.address, request, _ENGINE_TIMEOUT_SECONDS
+            order.address,
+            request,
+            _ENGINE_TIMEOUT_SECONDS,
+            budget=self._budget,
         )
         if response.is_err():
             failure = response.unwrap_err()
@@ -432,7 +437,9 @@
 
 
 async def _send_inspection(
-    effect: _effects.InspectEngine, request: web.Request
+    effect: _effects.InspectEngine,
+    request: web.Request,
+    budget: memory.MemoryBudget,
 ) -> _Inspection:
     """Send a report request; repeat a check if the connection was only closed.
 
@@ -442,11 +449,18 @@
     timeout_seconds = _ENGINE_TIMEOUT_SECONDS
     if effect.is_repeated:
         timeout_seconds = _REPEATED_CHECK_TIMEOUT_SECONDS
-    response = await web.send_request(effect.address, request, timeout_seconds)
+    send = functools.partial(
+        web.send_request,
+        effect.address,
+        request,
+        timeout_seconds,
+        budget=budget,
+    )
+    response = await send()
     if not effect.is_check or not _was_closed(response.err()):
         return response
     await trio.sleep(_REPEAT_DELAY_SECONDS)
-    repeated = await web.send_request(effect.address, request, timeout_seconds)
+    repeated = await send()
     is_decided = repeated.is_ok() or _is_refusal(repeated.err())
     return repeated if is_decided else response
 
--- a/sedgepin/_web/_client.py
+++ b/sedgepin/_web/_client.py
@@ -250,6 +250,10 @@
             self._address, reason, True, self._has_data
         )
 
+    def released(self) -> _failures.AnswerBroken:
+        """Return the failure of an exchange whose bytes are not held."""
+        return self._answer_broken("the memory for answers was used up")
+
     def close(self) -> None:
         """Close the connection at once, also during an answer."""
         self._stream.close()
@@ -340,6 +344,7 @@
     request: _types.Request,
     timeout_seconds: float,
     limit_bytes: int = _READ_BYTES,
+    budget: memory.MemoryBudget | None = None,
 ) -> result.Result[
     tuple[_types.AnswerHead, bytes],
     _failures.ConnectFailed | _failures.AnswerBroken,
@@ -347,25 +352,21 @@
     """Send a request on a new connection and return the whole answer.
 
     ``timeout_seconds`` limits the connecting and, once more, the exchange.
-    ``limit_bytes`` limits the answer's body.
+    ``limit_bytes`` limits the answer's body, which counts in ``budget``.
     """
-    connected = await ClientConnection.open(address, timeout_seconds)
+    scope = trio.CancelScope()
+    account: memory.Account | None = None
+    if budget is not None:
+        account = budget.open(memory.HolderKind.CALL, address, scope.cancel)
+    connected = await ClientConnection.open(address, timeout_seconds, account)
     if isinstance(connected, result.Err):
         return connected
     conn = connected.ok_value
     try:
-        with trio.fail_after(timeout_seconds):
-            sent = await conn.send(request)
-            if isinstance(sent, result.Err):
-                return sent
-            head = await conn.read_head()
-            if isinstance(head, result.Err):
-                return head
-            body = await conn.read_body(limit_bytes)
-            if isinstance(body, result.Err):
-                return body
-            return result.Ok((head.ok_value, body.ok_value))
+        with trio.fail_after(timeout_seconds), scope:
+            return await conn.exchange(request, limit_bytes)
     except trio.TooSlowError:
         return result.Err(conn.timed_out(timeout_seconds))
     finally:
         conn.close()
+    return result.Err(conn.released())
--- a/sedgepin/_web/_connection.py
+++ b/sedgepin/_web/_connection.py
@@ -41,6 +41,23 @@
     ) -> result.Result[bytes, _failures.AnswerBroken]:
         """Return the whole body, or a failure if it is over the limit."""
 
+    async def exchange(
+        self, request: _types.Request, limit_bytes: int
+    ) -> result.Result[
+        tuple[_types.AnswerHead, bytes], _failures.AnswerBroken
+    ]:
+        """Send a request and return its answer, of which all is read."""
+        sent = await self.send(request)
+        if isinstance(sent, result.Err):
+            return sent
+        head = await self.read_head()
+        if isinstance(head, result.Err):
+            return head
+        body = await self.read_body(limit_bytes)
+        if isinstance(body, result.Err):
+            return body
+        return result.Ok((head.ok_value, body.ok_value))
+
     @abc.abstractmethod
     def close(self) -> None:
         """Close the connection at once, also during an answer."""
--- a/sedgepin/_web/tests/test_memory.py
+++ b/sedgepin/_web/tests/test_memory.py
@@ -178,3 +178,47 @@
         assert b"done" in await _read(small)
         assert b"not run" in await _read(large)
         await _wait_for(lambda: not served.budget.total_bytes)
+
+
+class TestOwnCalls:
+    """Answers of endpoints that a process calls by itself."""
+
+    async def test_answers_that_stop_within_their_body_are_let_go(
+        self, nursery: trio.Nursery
+    ) -> None:
+        budget = memory.MemoryBudget(_LIMIT_BYTES)
+        most_bytes = 0
+
+        async def endpoint(stream: trio.SocketStream) -> None:
+            await stream.receive_some(65_536)
+            head = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n"
+            await stream.send_all(head + b"x" * 50_000)
+            await trio.sleep(5.0)
+
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, endpoint, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        request = web.Request(b"GET", b"/report", ((b"Host", b"x"),))
+        failures: list[errors.Failure] = []
+
+        async def call() -> None:
+            answer = await web.send_request(
+                f"127.0.0.1:{port}", request, 2.0, budget=budget
+            )
+            failures.append(answer.unwrap_err())
+
+        async def sample() -> None:
+            nonlocal most_bytes
+            while True:
+                most_bytes = max(most_bytes, budget.total_bytes)
+                await trio.sleep(0.01)
+
+        nursery.start_soon(sample)
+        async with trio.open_nursery() as calls:
+            for _call in range(40):
+                calls.start_soon(call)
+        released = [one for one in failures if "memory" in one.detail()]
+        assert len(failures) == 40 and released
+        assert 0 < most_bytes <= _LIMIT_BYTES // 2
+        assert budget.total_bytes == 0
+        nursery.cancel_scope.cancel()
