Give the tests of engine checks what they run: a module of its own

Three tests of test_unproven_silence.py built a half of the registrar's daemon and failed since, which gave the daemon's checks the memory budget: the half had none, and the AttributeError ended the check without an event.

The calls to engines are a class of their own now, which the daemon and the tests both build whole.

--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -1,20 +1,18 @@
 """The registrar daemon: tasks, HTTP calls and storage around the reducer."""
 
-import functools
 import itertools
 import random
 import time
 import typing
 
-import result
 import trio
 
 from sedgepin import _consensus as consensus
-from sedgepin import _memory as memory
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin._registrar import _dialect
 from sedgepin._registrar import _effects
+from sedgepin._registrar import _engine_calls
 from sedgepin._registrar import _events
 from sedgepin._registrar import _failures
 from sedgepin._registrar import _reducer
@@ -23,7 +21,6 @@
 from sedgepin import _storage as storage
 from sedgepin import _web as web
 from sedgepin import clock
-from sedgepin import containment
 from sedgepin import errors
 from sedgepin import events
 from sedgepin import logs
@@ -36,13 +33,6 @@
 _MAX_LIMIT_METRICS = 256
 # Longer than the 0.9 s that the reducer lets a call wait for the log.
 _CALL_TIMEOUT_SECONDS = 1.5
-# Engines respond to a report request within milliseconds.  An engine that does
-# not respond must not delay orders to other engines.
-_ENGINE_TIMEOUT_SECONDS = 1.0
-# An engine that did not answer within that time has been silent for as long.
-_REPEATED_CHECK_TIMEOUT_SECONDS = 0.5
-# In this time a process that has begun to end closes its listening socket.
-_REPEAT_DELAY_SECONDS = 0.02
 _LEADERSHIP_TRANSFER_TIMEOUT_SECONDS = 1.0
 _LIMITS = web.ServerLimits(
     header_bytes=16_384,
@@ -52,9 +42,6 @@
 )
 
 _Answer: typing.TypeAlias = tuple[web.AnswerHead, bytes]
-_Inspection: typing.TypeAlias = result.Result[
-    _Answer, web.ConnectFailed | web.AnswerBroken
-]
 
 
 class CallHandler(web.Handler):
@@ -174,6 +161,7 @@
         "_cfg",
         "_dialect",
         "_driver",
+        "_engine_calls",
         "_metrics",
         "_nursery",
         "_reducer",
@@ -214,6 +202,9 @@
         )
         self._calls = CallHandler(dialect, self._driver.submit, self._metrics)
         self._budget = shell.create_budget(cfg.held_bytes, self._metrics)
+        self._engine_calls = _engine_calls.EngineCalls(
+            dialect, self._budget, self._driver.submit
+        )
         self._server = web.Server(self._calls, self._budget)
         hello = protocol.Hello(
             cfg.vm_id,
@@ -335,7 +326,7 @@
                 response = self._calls.error_response(failure)
                 self._calls.respond(exchange_id, response)
             case _effects.InspectEngine():
-                self._nursery.start_soon(self._inspect_engine, effect)
+                self._nursery.start_soon(self._engine_calls.inspect, effect)
             case _effects.OrderLayers():
                 self._nursery.start_soon(self._order_layers, effect)
             case _effects.DialPeer(vm_id):
@@ -355,142 +346,15 @@
             case consensus.PersistSnapshot(snapshot, entries):
                 self._store.save_snapshot(snapshot, entries)
 
-    async def _inspect_engine(self, effect: _effects.InspectEngine) -> None:
-        with containment.contain("inspection"):
-            await self._request_report(effect)
-
-    async def _request_report(self, effect: _effects.InspectEngine) -> None:
-        request = self._dialect.report_request(effect.address)
-        response = await _send_inspection(effect, request, self._budget)
-        report: _events.EngineReport | None = None
-        failure: errors.Failure | None = None
-        if response.is_err():
-            failure = response.unwrap_err()
-        else:
-            self._submit_notice(effect, response.unwrap()[0])
-            parsed = self._dialect.parse_report(*response.unwrap())
-            failure = parsed.err()
-            report = parsed.ok()
-        if failure is not None and not effect.is_repeated:
-            line = events.ENDPOINT_SUSPECTED.line(
-                endpoint=effect.endpoint_id, failure=failure.detail()
-            )
-            logs.write(line)
-        self._driver.submit(
-            _events.EngineInspected(
-                effect.endpoint_id,
-                effect.incarnation,
-                report,
-                _has_answered(response.err()),
-                not _is_refusal(response.err()),
-                effect.is_check,
-                effect.is_repeated,
-            )
-        )
-
     async def _order_layers(self, order: _effects.OrderLayers) -> None:
-        if not self._reducer.raft.is_leader:
-            return
-        with containment.contain("order"):
-            await self._send_order(order)
-
-    async def _send_order(self, order: _effects.OrderLayers) -> None:
-        request = self._dialect.layer_order_request(order)
-        response = await web.send_request(
-            order.address,
-            request,
-            _ENGINE_TIMEOUT_SECONDS,
-            budget=self._budget,
-        )
-        if response.is_err():
-            failure = response.unwrap_err()
-            line = events.ORDER_FAILED.line(
-                endpoint=order.endpoint_id, failure=failure.detail()
-            )
-            logs.write(line)
-            order_answer = _events.LayerOrderAnswered(
-                order.endpoint_id, order.incarnation, False, False
-            )
-        else:
-            head, _body = response.unwrap()
-            self._submit_notice(order, head)
-            order_answer = self._dialect.parse_order_answer(order, head)
-        self._driver.submit(order_answer)
-
-    def _submit_notice(
-        self,
-        effect: _effects.InspectEngine | _effects.OrderLayers,
-        head: web.AnswerHead,
-    ) -> None:
-        """Submit what an engine says of itself in the head of an answer."""
-        self._driver.submit(
-            _events.NoticeReceived(
-                effect.endpoint_id,
-                effect.incarnation,
-                self._dialect.parse_notice(head),
-            )
-        )
+        if self._reducer.raft.is_leader:
+            await self._engine_calls.order_layers(order)
 
     def _peer(self, vm_id: model.VmId) -> settings.Peer:
         """Return the peer entry of a control VM, whose id is its address."""
         return settings.Peer(id=vm_id, address=vm_id, data_centre="")
 
 
-async def _send_inspection(
-    effect: _effects.InspectEngine,
-    request: web.Request,
-    budget: memory.MemoryBudget,
-) -> _Inspection:
-    """Send a report request; repeat a check if the connection was only closed.
-
-    An engine that is ending may close it, and then refuses the next one.  One
-    that goes on may have had as many connections as it accepts.
-    """
-    timeout_seconds = _ENGINE_TIMEOUT_SECONDS
-    if effect.is_repeated:
-        timeout_seconds = _REPEATED_CHECK_TIMEOUT_SECONDS
-    send = functools.partial(
-        web.send_request,
-        effect.address,
-        request,
-        timeout_seconds,
-        budget=budget,
-    )
-    response = await send()
-    if not effect.is_check or not _was_closed(response.err()):
-        return response
-    await trio.sleep(_REPEAT_DELAY_SECONDS)
-    repeated = await send()
-    is_decided = repeated.is_ok() or _is_refusal(repeated.err())
-    return repeated if is_decided else response
-
-
-def _has_answered(failure: errors.Failure | None) -> bool:
-    """Return whether a process serves at the address that was called.
-
-    It does if it sent a byte, or has closed or reset the connection.
-    """
-    if isinstance(failure, web.AnswerBroken) and failure.has_data:
-        return True
-    return failure is None or _was_closed(failure)
-
-
-def _was_closed(failure: errors.Failure | None) -> bool:
-    """Return whether a connection was closed or reset without an answer."""
-    return (
-        isinstance(failure, (web.ConnectFailed, web.AnswerBroken))
-        and failure.is_reset
-    )
-
-
-def _is_refusal(failure: errors.Failure | None) -> bool:
-    """Return whether no process serves at the address that was called.
-
-    A connection that is accepted and then reset may only be one too many.
-    """
-    return isinstance(failure, web.ConnectFailed) and failure.is_refused
-
-
 def run(
     source: shell.SettingsSource[_settings.RegistrarSettings],
     dialect: _dialect.ControlDialect,
--- a/sedgepin/_registrar/tests/test_endless_answers.py
+++ b/sedgepin/_registrar/tests/test_endless_answers.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from sedgepin._registrar import _daemon
+from sedgepin._registrar import _engine_calls
 from sedgepin import _web as web
 from sedgepin.tests import endless_engine
 
@@ -31,7 +31,7 @@
         assert trio.current_time() - before < 2 * _TIMEOUT_SECONDS
         failure = response.unwrap_err()
         assert isinstance(failure, web.AnswerBroken)
-        assert not _daemon._is_refusal(failure)
+        assert not _engine_calls._is_refusal(failure)
         with trio.fail_after(2):
             await engine.wait_closed()
         nursery.cancel_scope.cancel()
@@ -41,4 +41,4 @@
             "127.0.0.1:1", _REPORT_REQUEST, _TIMEOUT_SECONDS
         )
         failure = response.unwrap_err()
-        assert _daemon._is_refusal(failure)
+        assert _engine_calls._is_refusal(failure)
--- a/sedgepin/_registrar/tests/test_unproven_losses.py
+++ b/sedgepin/_registrar/tests/test_unproven_losses.py
@@ -8,8 +8,8 @@
 from sedgepin import _placement as placement
 from sedgepin._placement.tests import test_plan
 from sedgepin import _protocol as protocol
-from sedgepin._registrar import _daemon
 from sedgepin._registrar import _effects
+from sedgepin._registrar import _engine_calls
 from sedgepin._registrar import _events
 from sedgepin._registrar.tests import cluster as clusters
 from sedgepin import _web as web
@@ -69,7 +69,7 @@
         self, failure: web.ConnectFailed
     ) -> None:
         """An ``OSError`` may be an unreachable network, or no free socket."""
-        assert not _daemon._is_refusal(failure)
+        assert not _engine_calls._is_refusal(failure)
 
     @pytest.mark.parametrize(
         ("failure", "has_answered"),
@@ -87,11 +87,11 @@
     def test_any_byte_or_a_reset_is_an_answer(
         self, failure: errors.Failure | None, has_answered: bool
     ) -> None:
-        assert _daemon._has_answered(failure) is has_answered
+        assert _engine_calls._has_answered(failure) is has_answered
 
     def test_refused_connection_proves_an_end(self) -> None:
         refused = web.ConnectFailed("e", "ConnectionRefusedError")
-        assert _daemon._is_refusal(refused)
+        assert _engine_calls._is_refusal(refused)
 
 
 class TestNewPeers:
--- a/sedgepin/platform/tests/test_unproven_silence.py
+++ b/sedgepin/platform/tests/test_unproven_silence.py
@@ -1,7 +1,6 @@
 """Tests of calls to engines that answer, though not with a report."""
 
 import collections.abc
-import datetime
 import socket
 import struct
 
@@ -10,19 +9,18 @@
 
 from sedgepin._gateway import _calls
 from sedgepin._gateway import _effects as gateway_effects
-from sedgepin._gateway import _engine_calls
+from sedgepin._gateway import _engine_calls as gateway_calls
 from sedgepin._gateway import _events as gateway_events
 from sedgepin._gateway import _relay
 from sedgepin._gateway.tests import parts
+from sedgepin import _memory as memory
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
-from sedgepin._registrar import _daemon
 from sedgepin._registrar import _effects
+from sedgepin._registrar import _engine_calls
 from sedgepin._registrar import _events
 from sedgepin._registrar.tests import cluster as clusters
-from sedgepin import _shell as shell
 from sedgepin import _web as web
-from sedgepin import clock
 from sedgepin.platform import _control
 from sedgepin.platform import _gateway
 
@@ -58,7 +56,7 @@
     ) -> None:
         address = await _serve(nursery, engine)
         low = model.EndpointId("low")
-        inspected = await _engine_calls.inspect_stalls(
+        inspected = await gateway_calls.inspect_stalls(
             gateway_effects.InspectStalls(low, address),
             _gateway.GatewayDialect(),
             lambda event: None,
@@ -136,21 +134,12 @@
     ) -> _events.RegistrarEvent:
         """Carry out a check as the daemon does, and return its event."""
         inspected: list[_events.RegistrarEvent] = []
-
-        def handle(
-            event: _events.RegistrarEvent, now: datetime.datetime
-        ) -> list[_effects.RegistrarEffect]:
-            inspected.append(event)
-            return []
-
-        daemon = _daemon.RegistrarDaemon.__new__(_daemon.RegistrarDaemon)
-        daemon._dialect = _control.ControlDialect()
-        daemon._driver = shell.Driver(
-            handle,
-            lambda effect: None,
-            clock.SystemClock(),
+        calls = _engine_calls.EngineCalls(
+            _control.ControlDialect(),
+            memory.MemoryBudget(1_000_000),
+            inspected.append,
         )
-        await daemon._inspect_engine(check)
+        await calls.inspect(check)
         return inspected[-1]
 
 
