Accept connections with the last file descriptor

Each accepted connection duplicated the listening socket to look for more that wait. The process that had just used its last descriptor for the connection got EMFILE there, outside of any containment: the server's tasks ended, and with them the process and every request that it had read. Callers without a credential can bring that about by keeping connections open. The end of a drain failed in the same way. The listening socket is used itself now, and its descriptor is given back after that.

--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -149,9 +149,14 @@
         """Accept the connections that wait."""
         assert self._nursery is not None
         listening = listener.socket
-        with socket.fromfd(
-            listening.fileno(), listening.family, socket.SOCK_STREAM
-        ) as waiting:
+        # A duplicate would need a descriptor, and none may be left.
+        waiting = socket.socket(
+            listening.family,
+            socket.SOCK_STREAM,
+            listening.proto,
+            listening.fileno(),
+        )
+        try:
             for _connection in range(most):
                 try:
                     accepted, _address = waiting.accept()
@@ -164,6 +169,8 @@
                 connection = self._open_connection(stream)
                 if connection is not None:
                     self._nursery.start_soon(self._run_connection, connection)
+        finally:
+            waiting.detach()
 
     async def _handle_connection(self, accepted: trio.SocketStream) -> None:
         for listener in self._listeners:
