Take no answer for late on a route without a target

A route whose targetLatencyMs is absent or 0 gave its requests that may be repeated 0 ms for the head of the answer. With no other endpoint free, the relay began each wait already cancelled: it turned without a pause and read nothing, and the caller got 504 at the time-out although the engine had answered. With another endpoint, each request ran twice. An absent target makes no answer late now.

test_answer_targets.py: 504 after 2 s before, for an answer that took 0.2 s; 200 now, run once. _gateway: all passed.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -783,13 +783,14 @@
         """Return when an answer head is late; ``None`` for never.
 
         It matters only if the request may run on another endpoint after this
-        one.
+        one, and nothing is late on a route without a target.
         """
         if exchange.route.kind is not catalog.RetrySemantics.IDEMPOTENT:
             return None
         if not self._state.may_run_again(exchange):
             return None
-        return exchange.route.first_output_target
+        target = exchange.route.first_output_target
+        return target if target > _AT_ONCE else None
 
 
 def _forwarder_id(dispatch: _calls.Dispatch) -> model.VmId | None:
