Let no figure of an accepted configuration end a process

A model without layers, which is what a document says that leaves them out, was accepted, and the plan for it divided by 0: the leader ended, and so did each leader after it, since the configuration is kept. At entry VMs each request got 500; one held at the start is admitted again by the timer, outside of any containment, which ends the process and every request that it had read. Cache bytes or read tokens of 0, memory beyond any float, and weights whose sum is infinite did the same in part.

A service without layers is a plain one now, and figures are brought into a range in which plan and cost are finite when the document is read. What counts as invalid is as before.

--- a/sedgepin/platform/_configuration.py
+++ b/sedgepin/platform/_configuration.py
@@ -22,6 +22,12 @@
 ]
 _LayerCount = typing.Annotated[int, msgspec.Meta(ge=0, le=model.MAX_LAYERS)]
 
+# What is weighed up stays finite.
+_MAX_ESTIMATE = 1e12
+# What is divided by is positive, with which a figure that an operator leaves
+# out, or sets to 0, costs little or takes little room.
+_MIN_DIVISOR = 1e-3
+_DEFAULT_READ_PER_SECOND = 1e6
 # The sum of an instant and a much longer time may exceed ``datetime``.
 _MAX_DURATION = datetime.timedelta(days=366)
 
@@ -182,7 +188,10 @@
 
 def _to_route(route: _Route) -> catalog.Route:
     targets = tuple(
-        catalog.Target(model.ServiceName(target.service), target.weight)
+        catalog.Target(
+            model.ServiceName(target.service),
+            min(target.weight, _MAX_ESTIMATE),
+        )
         for target in route.traffic_split
     )
     if route.service is not None and not targets:
@@ -210,9 +219,10 @@
 
 
 def _to_service(service: _Service) -> catalog.Service:
-    engine = (
-        None if service.engine is None else _to_engine_profile(service.engine)
-    )
+    """Return a service; its model is not spread if it has no layers."""
+    engine: catalog.EngineProfile | None = None
+    if service.engine is not None and service.engine.layers:
+        engine = _to_engine_profile(service.engine)
     return catalog.Service(
         model.ServiceName(service.name),
         service.health_path,
@@ -225,32 +235,44 @@
     return catalog.EngineProfile(
         slots=engine.slots,
         layer_count=engine.layers,
-        layer_megabytes=engine.layer_mb,
-        cache_bytes_per_token=engine.cache_bytes,
-        step_milliseconds=engine.step_ms,
-        sequence_milliseconds=engine.per_seq_ms,
-        context_milliseconds_per_thousand=engine.context_per_k,
-        read_tokens_per_second=engine.read_per_s,
+        layer_megabytes=_divisor(engine.layer_mb),
+        cache_bytes_per_token=_divisor(engine.cache_bytes),
+        step_milliseconds=_estimate(engine.step_ms),
+        sequence_milliseconds=_estimate(engine.per_seq_ms),
+        context_milliseconds_per_thousand=_estimate(engine.context_per_k),
+        read_tokens_per_second=_divisor(
+            engine.read_per_s
+            if engine.read_per_s > 0
+            else _DEFAULT_READ_PER_SECOND
+        ),
         load_seconds=max(
-            (engine_model.load_s for engine_model in engine.models),
+            (_estimate(engine_model.load_s) for engine_model in engine.models),
             default=0.0,
         ),
         loads_at_once=engine.loads_at_once,
-        activation_bytes=engine.activation_bytes,
-        usual_prompt_tokens=engine.usual.prompt,
-        usual_answer_tokens=engine.usual.answer,
+        activation_bytes=_estimate(engine.activation_bytes),
+        usual_prompt_tokens=_estimate(engine.usual.prompt),
+        usual_answer_tokens=_estimate(engine.usual.answer),
         report_lag=_duration(engine.report_lag_ms),
         accelerators=tuple(
             catalog.AcceleratorProfile(
                 accelerator.name,
-                accelerator.mb,
-                accelerator.pace,
-                accelerator.read_x,
+                _estimate(accelerator.mb),
+                _estimate(accelerator.pace),
+                _estimate(accelerator.read_x),
             )
             for accelerator in engine.kinds
         ),
     )
 
 
+def _estimate(value: float) -> float:
+    return min(max(value, 0.0), _MAX_ESTIMATE)
+
+
+def _divisor(value: float) -> float:
+    return max(_estimate(value), _MIN_DIVISOR)
+
+
 def _duration(milliseconds: float) -> datetime.timedelta:
     return min(datetime.timedelta(milliseconds=milliseconds), _MAX_DURATION)
