Let a failure in the timer's event cost no whole entry process

A failure of the reducer in the event of a request or of a peer costs that event alone; in the timer's it ended the process, and with it all requests that had been read. It is contained and logged now, as task "timer"; the check for late streams is contained apart, so that it goes on.

Requests that are held at the start had no deadline, so one whose effects were lost by a failure waited until its caller left. A relay ends its request at the caller's deadline now, whatever the reducer knows of it; one that is held still is refused.

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -2,7 +2,6 @@
 
 import datetime
 import itertools
-import math
 import random
 import secrets
 import time
@@ -279,12 +278,14 @@
 
     async def _tick(self) -> None:
         while True:
-            self._driver.submit(_events.TimerFired())
             now = trio.current_time()
-            stalled_at = math.inf
-            for relay in tuple(self._relays.values()):
-                relay.check_progress(now)
-                stalled_at = min(stalled_at, relay.stalled_at)
+            # As with the events of requests and peers, a failure must not end
+            # the process, and with it the requests that have no part in it.
+            with containment.contain("timer"):
+                self._driver.submit(_events.TimerFired())
+            with containment.contain("progress"):
+                for relay in tuple(self._relays.values()):
+                    relay.check_progress(now)
             if not self._relays:
                 self._has_work = trio.Event()
                 with trio.move_on_after(_IDLE_TICK_SECONDS):
@@ -293,6 +294,7 @@
             longest = _BUSY_TICK_SECONDS
             if self.reducer.has_queued_requests:
                 longest = _QUEUED_TICK_SECONDS
+            stalled_at = min(one.stalled_at for one in self._relays.values())
             seconds = max(_MIN_TICK_SECONDS, stalled_at - now)
             await trio.sleep(min(longest, seconds))
 
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -396,6 +396,9 @@
         self, exchange_id: int, now: datetime.datetime
     ) -> _shared_state.Effects:
         """Fail a request whose deadline has passed."""
+        held = self._state.startup_queue.discard(exchange_id)
+        if held is not None:
+            return self._reject(held.event, _failures.NoConfiguration())
         exchange = self._state.exchanges.get(exchange_id)
         if exchange is None:
             # The request has ended, but its answer was not sent in time.
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -226,6 +226,10 @@
         """Run the exchange until it is answered, failed or abandoned."""
         arrival = _events.RequestArrived(self.exchange_id, self._request)
         self._exchange.on_eviction = self._evict_request
+        if self._request.time_left is not None:
+            # It must end even if the reducer has failed and forgets it.
+            seconds = self._request.time_left.total_seconds()
+            self._exchange_scope.deadline = trio.current_time() + seconds
         is_over = False
         try:
             with self._exchange_scope:
--- a/sedgepin/_gateway/tests/test_daemon.py
+++ b/sedgepin/_gateway/tests/test_daemon.py
@@ -6,6 +6,8 @@
 import result
 
 from sedgepin._gateway import _daemon
+from sedgepin._gateway import _effects
+from sedgepin._gateway import _events
 from sedgepin._gateway.tests import parts
 from sedgepin import _shell as shell
 from sedgepin import _web as web
@@ -44,3 +46,15 @@
         head, _body = daemon.error_response(failure)
         assert head.status == status
         assert [line.definition.name for line in lines] == logged
+
+
+class TestHeldRequest:
+    def test_it_is_refused_if_the_deadline_comes_first(self) -> None:
+        """The timer may be late after a pause of the process."""
+        gateway = parts.Gateway(())
+        exchange_id, effects = gateway.send_request("/draft/x")
+        assert parts.has_no_effect(effects, _effects.FailExchange)
+        effects = gateway.handle(_events.DeadlineReached(exchange_id))
+        failure = parts.get_effect(effects, _effects.FailExchange).failure
+        assert failure.http_status == 503
+        assert parts.has_no_effect(gateway.advance(50), _effects.FailExchange)
