Count a head with what has come of it, not with its limit

Each request counted with the configured limit of heads (maxHeaderBytes) while its head was read, even if the whole head was there. With a limit above a sender's share of the memory for others, which a configuration may set, every request was refused as the largest holder (503); with a high one, callers behind one address ended each other's requests. A head counts with the bytes that have arrived and are not parsed now.

test_memory.py: 2 new tests fail before (503; the bytes of a head that arrives are not what counts), pass now. _web and test_memory_bound: 165 passed.

--- a/sedgepin/_web/_request_reader.py
+++ b/sedgepin/_web/_request_reader.py
@@ -125,7 +125,7 @@
         self.method = b""
         self._begin_part(_MAX_HEAD_PIECES)
         deadline = trio.current_time() + limits.header_timeout_seconds
-        self._hold(self._header_bytes)
+        self._hold(self.kept_bytes)
         try:
             head = await self._next_event(deadline, _READ_AHEAD_BYTES)
         except trio.TooSlowError:
@@ -214,6 +214,9 @@
                 return None
             self._received_bytes += len(data)
             self.parser.receive_data(data)
+            if not self.method:
+                # A head is not taken out of the parser before its end.
+                self._hold(self.kept_bytes)
 
     async def _receive_by(self, deadline: float, max_bytes: int) -> bytes:
         with trio.CancelScope(deadline=deadline):
--- a/sedgepin/_web/tests/test_memory.py
+++ b/sedgepin/_web/tests/test_memory.py
@@ -20,6 +20,7 @@
     def __init__(self) -> None:
         self.release = trio.Event()
         self.begun = 0
+        self.header_bytes = _HEADER_BYTES
 
     async def handle(self, exchange: web.Exchange) -> None:
         self.begun += 1
@@ -39,7 +40,7 @@
         return web.AnswerHead(failure.http_status), failure.code.encode()
 
     def limits(self) -> web.ServerLimits:
-        return web.ServerLimits(_HEADER_BYTES, 4_000_000, 3.0, 5.0)
+        return web.ServerLimits(self.header_bytes, 4_000_000, 3.0, 5.0)
 
 
 class _Served:
@@ -131,6 +132,27 @@
         for stream in streams:
             assert b"done" in await _read(stream)
 
+    async def test_small_requests_are_answered_where_heads_may_be_long(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = await _serve(nursery)
+        served.handler.header_bytes = _LIMIT_BYTES
+        waiting = await served.send(b"waits", 1_000)
+        await _wait_for(lambda: served.handler.begun)
+        assert b"done" in await _read(await served.send(b"", 10))
+        served.handler.release.set()
+        assert b"done" in await _read(waiting)
+
+    async def test_head_counts_while_it_arrives(
+        self, nursery: trio.Nursery
+    ) -> None:
+        served = await _serve(nursery)
+        served.handler.header_bytes = _LIMIT_BYTES
+        stream = await trio.open_tcp_stream("127.0.0.1", served.port)
+        head = b"GET / HTTP/1.1\r\nHost: x\r\na: " + b"x" * 100_000
+        await stream.send_all(head)
+        await _wait_for(lambda: served.budget.total_bytes == len(head))
+
     async def test_tiny_header_fields_count_with_their_objects(
         self, nursery: trio.Nursery
     ) -> None:
