Keep a process whose settings file cannot be looked at

The settings file is looked at each second. Any failure but a missing file, for example a folder on its path that is none, or no right to search it, ended the process with all its requests. Such a file counts as absent now, and the settings in force stay; reading it already returned these failures.

--- a/sedgepin/_shell/_reload.py
+++ b/sedgepin/_shell/_reload.py
@@ -40,10 +40,10 @@
         return self._read(self._path)
 
     def fingerprint(self) -> tuple[int, int, int] | None:
-        """Return inode, mtime and size, or ``None`` if there is no file."""
+        """Return inode, mtime and size; ``None`` if there are none to read."""
         try:
             status = self._path.stat()
-        except FileNotFoundError:
+        except OSError:
             return None
         return (status.st_ino, status.st_mtime_ns, status.st_size)
 
--- a/sedgepin/_shell/tests/test_reload.py
+++ b/sedgepin/_shell/tests/test_reload.py
@@ -13,7 +13,11 @@
 
 
 def _read(path: pathlib.Path) -> result.Result[str, errors.DocumentRefused]:
-    text = path.read_text()
+    try:
+        text = path.read_text()
+    except OSError as exc:
+        fault = errors.FieldFault(str(path), str(exc))
+        return result.Err(errors.DocumentRefused("settings", (fault,)))
     if text.startswith("bad"):
         fault = errors.FieldFault("text", "is bad")
         return result.Err(errors.DocumentRefused("settings", (fault,)))
@@ -69,3 +73,24 @@
         await trio.sleep(0.2)
         assert watched.applied == []
         assert watched.source.current == "one"
+
+    async def test_folder_that_is_no_folder_leaves_settings_in_force(
+        self, tmp_path: pathlib.Path, nursery: trio.Nursery
+    ) -> None:
+        """A file system fails in more ways than by a missing file."""
+        folder = tmp_path / "folder"
+        folder.mkdir()
+        watched = _WatchedSettings(folder)
+        await nursery.start(
+            shell.watch_settings, watched.source, watched.applied.append
+        )
+        folder.rename(tmp_path / "moved")
+        folder.write_text("no folder")
+        with pytest.raises(NotADirectoryError):
+            watched.path.stat()
+        await trio.sleep(1.2)
+        folder.unlink()
+        (tmp_path / "moved").rename(folder)
+        watched.path.write_text("two and more")
+        await watched.wait_for_applied(1)
+        assert watched.source.current == "two and more"
