Count no wait for a processor in the tests of cut answers

Cause: a test's thread is the engine, the forwarder and up to 32 callers at once, and connections have short limits: 0.4 s through a forwarder to an engine (0.5 s in the product's own entry), 0.25 s from there on. On a busy machine the thread waits longer than that for a processor; the connection is then given up, and the attempt ends as not sent instead of unknown.

The outcome is right for callers: who has given a forwarder up has sent it no request, so that the request may go elsewhere. A new test lets a forwarder handle its connection after that, and the engine gets nothing.

Change: these tests run by a clock that leaves out what the thread waited for a processor, as Linux counts it. All limits stay, and all that is asserted. The messages tell the outcome in all of these tests.

Where Linux does not count the waits, the clock is the system's.

--- a/sedgepin/_entry/tests/test_cut_answers.py
+++ b/sedgepin/_entry/tests/test_cut_answers.py
@@ -236,12 +236,22 @@
     )
 
 
+@pytest.fixture
+def clock(held_clock: trio.abc.Clock) -> trio.abc.Clock:
+    """Return a clock by which the process's wait for the machine is no time.
+
+    It is the endpoint, the forwarder and the callers at once, and connections
+    have limits of less than half a second.
+    """
+    return held_clock
+
+
 @pytest.mark.parametrize("is_forwarded", [False, True])
 class TestAnswerThatIsCutShort:
     """An endpoint stops within its answer, and closes (issue 43)."""
 
     async def test_call_has_no_answer(
-        self, nursery: trio.Nursery, is_forwarded: bool
+        self, nursery: trio.Nursery, clock: trio.abc.Clock, is_forwarded: bool
     ) -> None:
         endpoint = _Endpoint()
         await endpoint.start(nursery, is_forwarded)
@@ -263,7 +273,7 @@
         nursery.cancel_scope.cancel()
 
     async def test_attempt_has_no_end(
-        self, nursery: trio.Nursery, is_forwarded: bool
+        self, nursery: trio.Nursery, clock: trio.abc.Clock, is_forwarded: bool
     ) -> None:
         """The line that ends an answer is whole before its framing is."""
         endpoint = _Endpoint()
@@ -288,7 +298,7 @@
         nursery.cancel_scope.cancel()
 
     async def test_probe_has_no_state(
-        self, nursery: trio.Nursery, is_forwarded: bool
+        self, nursery: trio.Nursery, clock: trio.abc.Clock, is_forwarded: bool
     ) -> None:
         endpoint = _Endpoint()
         await endpoint.start(nursery, is_forwarded)
@@ -316,6 +326,7 @@
     async def test_answer_without_length_dies_with_its_endpoint(
         self,
         nursery: trio.Nursery,
+        clock: trio.abc.Clock,
         is_forwarded: bool,
         version: bytes,
         body: bytes,
@@ -340,6 +351,7 @@
     async def test_answer_with_an_end_outlives_its_endpoint(
         self,
         nursery: trio.Nursery,
+        clock: trio.abc.Clock,
         is_forwarded: bool,
         method: str,
         head: bytes,
--- a/sedgepin/_forwarding/tests/test_connections.py
+++ b/sedgepin/_forwarding/tests/test_connections.py
@@ -24,12 +24,13 @@
 class _Policy(forwarding.ForwardingPolicy):
     """Allows all endpoints and records what it is told."""
 
-    __slots__ = ("heads", "is_sound", "refusals", "refuses")
+    __slots__ = ("heads", "is_sound", "opened_count", "refusals", "refuses")
 
     def __init__(self) -> None:
         self.refuses: str | None = None
         self.is_sound = True
         self.heads: list[int] = []
+        self.opened_count = 0
         self.refusals: list[str] = []
 
     def refusal(
@@ -46,6 +47,7 @@
         self, opening: forwarding.OpenForward, open_count: int
     ) -> None:
         assert opening.request_id == "r1"
+        self.opened_count += 1
 
     def record_refused(
         self,
@@ -82,13 +84,26 @@
                 self.closed.set()
 
 
+class _Server(forwarding.ForwardingServer):
+    """Handles no connection before it may."""
+
+    def __init__(self, policy: _Policy) -> None:
+        super().__init__(_KEY, policy)
+        self.may_handle = trio.Event()
+
+    async def _handle(self, accepted: trio.SocketStream) -> None:
+        await self.may_handle.wait()
+        await super()._handle(accepted)
+
+
 class _Setup:
     """A forwarder and an engine on loopback."""
 
     def __init__(self, script: _Script) -> None:
         self.engine = _Engine(script)
         self.policy = _Policy()
-        self.server = forwarding.ForwardingServer(_KEY, self.policy)
+        self.server = _Server(self.policy)
+        self.server.may_handle.set()
         self.forwarder_scope = trio.CancelScope()
         self.engine_address = ""
         self.forwarder = protocol.Forwarder(model.VmId("one"), "", _KEY)
@@ -116,7 +131,10 @@
             await self.server.serve("127.0.0.1:0", task_status)
 
     async def open(
-        self, key: str = _KEY, address: str | None = None
+        self,
+        key: str = _KEY,
+        address: str | None = None,
+        timeout_seconds: float = 2.0,
     ) -> result.Result[
         forwarding.ForwardedConnection, forwarding.ForwardFailed
     ]:
@@ -127,7 +145,7 @@
             _ENDPOINT,
             1,
             address or self.engine_address,
-            2.0,
+            timeout_seconds,
             "r1",
         )
 
@@ -280,6 +298,21 @@
 
         _play(_answer, check)
 
+    def test_forwarder_that_is_late_sends_nothing(self) -> None:
+        """Who has given it up sends the request elsewhere."""
+
+        async def check(setup: _Setup) -> None:
+            setup.server.may_handle = trio.Event()
+            failure = (await setup.open(timeout_seconds=0.05)).unwrap_err()
+            assert failure.reason == "TooSlowError"
+            assert not failure.is_beyond
+            setup.server.may_handle.set()
+            while not setup.policy.opened_count or setup.server.open_forwards:
+                await trio.sleep(0.01)
+            assert setup.engine.requests == []
+
+        _play(_answer, check)
+
     def test_bytes_of_a_stranger_do_no_harm(self) -> None:
         async def check(setup: _Setup) -> None:
             host, _, port = setup.forwarder.address.rpartition(":")
--- a/sedgepin/platform/tests/test_cut_heads.py
+++ b/sedgepin/platform/tests/test_cut_heads.py
@@ -331,6 +331,11 @@
     return sorted(one for one in positions if 0 <= one < len(data))
 
 
+def _told(case: _Case, caller: _Caller, ended: _events.AttemptEnded) -> str:
+    """Return what came of a case, for the message of a failure."""
+    return f"{case.name}: {caller.status} {ended.outcome.value} {ended.detail}"
+
+
 async def _for_each(
     cases: collections.abc.Iterable[_Case],
     check: collections.abc.Callable[[_Case], typing.Any],
@@ -370,12 +375,22 @@
     return cases
 
 
+@pytest.fixture
+def clock(held_clock: trio.abc.Clock) -> trio.abc.Clock:
+    """Return a clock by which the process's wait for the machine is no time.
+
+    It is the engine, the forwarder and the callers at once, and connections
+    have limits of less than half a second.
+    """
+    return held_clock
+
+
 @pytest.mark.parametrize("is_forwarded", [False, True])
 class TestAnswerThatIsCutShort:
     """An engine stops within its answer, and closes (issue 43, MIXED)."""
 
     async def test_whole_answer_that_is_cut_is_no_answer(
-        self, nursery: trio.Nursery, is_forwarded: bool
+        self, nursery: trio.Nursery, clock: trio.abc.Clock, is_forwarded: bool
     ) -> None:
         setup = _Setup()
         await setup.start(nursery, is_forwarded)
@@ -384,10 +399,7 @@
         async def check(case: _Case) -> None:
             caller, ended = await setup.relay(case)
             if (caller.status, ended.outcome.value) != (502, "unknown"):
-                wrong.append(
-                    f"{case.name}: {caller.status} {ended.outcome.value}"
-                    f" {ended.detail}"
-                )
+                wrong.append(_told(case, caller, ended))
 
         await _for_each(_cuts(b"a body", is_forwarded), check)
         assert wrong == []
@@ -395,7 +407,11 @@
 
     @pytest.mark.parametrize("is_resumed", [False, True])
     async def test_stream_that_is_cut_has_no_end(
-        self, nursery: trio.Nursery, is_forwarded: bool, is_resumed: bool
+        self,
+        nursery: trio.Nursery,
+        clock: trio.abc.Clock,
+        is_forwarded: bool,
+        is_resumed: bool,
     ) -> None:
         setup = _Setup()
         await setup.start(nursery, is_forwarded)
@@ -418,7 +434,7 @@
                     and caller.received.endswith((b"\n\n", b"\n\r\n"))
                 )
             if not is_sound:
-                wrong.append(case.name)
+                wrong.append(_told(case, caller, ended))
 
         await _for_each(_cuts(rest, is_forwarded, True, is_resumed), check)
         assert wrong == []
@@ -426,7 +442,11 @@
 
     @pytest.mark.parametrize("is_resumed", [False, True])
     async def test_event_that_is_cut_ends_no_stream(
-        self, nursery: trio.Nursery, is_forwarded: bool, is_resumed: bool
+        self,
+        nursery: trio.Nursery,
+        clock: trio.abc.Clock,
+        is_forwarded: bool,
+        is_resumed: bool,
     ) -> None:
         """The framing may be complete all the same, or tell no end."""
         setup = _Setup()
@@ -452,14 +472,14 @@
                 or ended.outcome is not _events.AttemptOutcome.UNKNOWN
                 or (is_resumed and not caller.received.startswith(begun))
             ):
-                wrong.append(case.name)
+                wrong.append(_told(case, caller, ended))
 
         await _for_each(cases, check)
         assert wrong == []
         nursery.cancel_scope.cancel()
 
     async def test_failure_or_refusal_that_is_cut_proves_nothing(
-        self, nursery: trio.Nursery, is_forwarded: bool
+        self, nursery: trio.Nursery, clock: trio.abc.Clock, is_forwarded: bool
     ) -> None:
         """A refusal is one as soon as its head is whole."""
         setup = _Setup()
@@ -485,14 +505,14 @@
         async def check(case: _Case) -> None:
             caller, ended = await setup.relay(case)
             if (caller.status, ended.outcome.value) != (502, "unknown"):
-                wrong.append(case.name)
+                wrong.append(_told(case, caller, ended))
 
         await _for_each(cases, check)
         assert wrong == []
         nursery.cancel_scope.cancel()
 
     async def test_head_that_is_cut_answers_no_head_request(
-        self, nursery: trio.Nursery, is_forwarded: bool
+        self, nursery: trio.Nursery, clock: trio.abc.Clock, is_forwarded: bool
     ) -> None:
         setup = _Setup()
         await setup.start(nursery, is_forwarded)
@@ -501,7 +521,7 @@
         async def check(case: _Case) -> None:
             caller, ended = await setup.relay(case)
             if (caller.status, ended.outcome.value) != (502, "unknown"):
-                wrong.append(case.name)
+                wrong.append(_told(case, caller, ended))
 
         await _for_each(
             (
@@ -523,7 +543,7 @@
         nursery.cancel_scope.cancel()
 
     async def test_call_of_the_gateway_takes_no_cut_answer(
-        self, nursery: trio.Nursery, is_forwarded: bool
+        self, nursery: trio.Nursery, clock: trio.abc.Clock, is_forwarded: bool
     ) -> None:
         setup = _Setup()
         await setup.start(nursery, is_forwarded)
@@ -542,7 +562,7 @@
         nursery.cancel_scope.cancel()
 
     async def test_stream_without_length_needs_an_event_of_its_engine(
-        self, nursery: trio.Nursery, is_forwarded: bool
+        self, nursery: trio.Nursery, clock: trio.abc.Clock, is_forwarded: bool
     ) -> None:
         """Its engine may have stopped between head and body."""
         setup = _Setup()
@@ -557,7 +577,7 @@
                 or is_begun is not case.is_resumed
                 or (caller.status == 200 and caller.is_finished)
             ):
-                wrong.append(case.name)
+                wrong.append(_told(case, caller, ended))
 
         await _for_each(
             (
@@ -579,7 +599,7 @@
         nursery.cancel_scope.cancel()
 
     async def test_sound_answers_are_passed_on(
-        self, nursery: trio.Nursery, is_forwarded: bool
+        self, nursery: trio.Nursery, clock: trio.abc.Clock, is_forwarded: bool
     ) -> None:
         setup = _Setup()
         await setup.start(nursery, is_forwarded)
@@ -626,6 +646,7 @@
     async def test_answer_without_a_body_outlives_its_engine(
         self,
         nursery: trio.Nursery,
+        clock: trio.abc.Clock,
         is_forwarded: bool,
         method: bytes,
         status: bytes,
