Time endless answers by what their readers use

Cause: three tests bound the time in which answers without end in tiny chunks are read: 1.5 s for an order, 0.5 s for a probe, 0.1 s without a turn for other tasks. They counted what the test's thread waited for a processor. At load 28 an order took 2.0 to 6.0 s and a probe 0.6 to 1.1 s, of which 1.03 to 1.05 and 0.29 to 0.31 s remain without these waits, as much as the processor time; the longest pause was 0.02 to 0.10 s, and is 0.004 to 0.013 s.

Change: they run by the clock that leaves these waits out. Bounds and assertions stay, and count the same on an idle machine.

Evidence that they guard as before: with a limit of 655 MB on the answer to an order all five cases fail; with ten times the bytes and pieces of a probe's answer the case of tiny chunks fails (1.28 s); without the turns that clients leave to other tasks the two tests of pauses fail (0.13 s, and 0.13, 0.21 and 0.23 s through a forwarder).

--- a/sedgepin/_control/tests/test_order_client.py
+++ b/sedgepin/_control/tests/test_order_client.py
@@ -20,7 +20,10 @@
 class TestEndlessAnswer:
     @pytest.mark.parametrize("kind", _ENDLESS_AFTER_HEAD)
     async def test_order_fails_before_much_was_received(
-        self, nursery: trio.Nursery, kind: str
+        self,
+        nursery: trio.Nursery,
+        held_clock: trio.abc.Clock,
+        kind: str,
     ) -> None:
         """All that came within 2 s was once kept in memory."""
         answer = endless_engine.BODIES[kind]
--- a/sedgepin/_entry/tests/test_endless_forwarded.py
+++ b/sedgepin/_entry/tests/test_endless_forwarded.py
@@ -218,7 +218,7 @@
         nursery.cancel_scope.cancel()
 
     async def test_quick_tiny_chunks_hold_up_no_other_task(
-        self, nursery: trio.Nursery
+        self, nursery: trio.Nursery, held_clock: trio.abc.Clock
     ) -> None:
         endpoint = _Endpoint("tiny chunks", None)
         await endpoint.start(nursery)
--- a/sedgepin/_entry/tests/test_endpoint_client.py
+++ b/sedgepin/_entry/tests/test_endpoint_client.py
@@ -174,7 +174,10 @@
 
     @pytest.mark.parametrize("kind", list(_ANSWERS))
     async def test_quick_answer_to_a_probe_is_not_read_beyond_its_limit(
-        self, nursery: trio.Nursery, kind: str
+        self,
+        nursery: trio.Nursery,
+        held_clock: trio.abc.Clock,
+        kind: str,
     ) -> None:
         """All that came within the timeout was once kept in memory."""
         endpoint = _Endpoint(kind, None)
@@ -189,7 +192,7 @@
         nursery.cancel_scope.cancel()
 
     async def test_quick_tiny_chunks_hold_up_no_other_task(
-        self, nursery: trio.Nursery
+        self, nursery: trio.Nursery, held_clock: trio.abc.Clock
     ) -> None:
         endpoint = _Endpoint("tiny chunks", None)
         await endpoint.engine.start(nursery)
