Keep the address of an engine that starts again from stray check-ins

What callers saw: in the calm span of a soak (, 20 requests a second) 4 of 17 writes and 3 of 5 reads were served; the entries had no endpoint of their service.

Cause: a check-in for a service that is not configured is ignored only while the engine whose address or id it names is live. One came 1.8 s after the engine had left, before its next start had checked in, with a start of 2^62. It took the address over, and the engine's own check-ins counted as outdated.

Evidence: the control VM's log has the engine gone at 58:45.6 and the stray endpoint ready at its address at 58:47.3, and nothing of the engine's next start until the end at 59:13. Four new cases do the same with an engine that has left or failed, by address and by id; they failed before.

Why it works: nothing of it is stored or relayed, and the address stays free for the next start. What is left: one that comes later takes the address as before.

--- a/sedgepin/_registrar/_endpoints.py
+++ b/sedgepin/_registrar/_endpoints.py
@@ -267,7 +267,7 @@
             # retry at another control VM.
             failure = _failures.NoQuorum()
             return [_effects.RespondWithFailure(event.exchange_id, failure)]
-        displaced = self._find_displaced(registration, table, now)
+        displaced = self._find_displaced(registration, table)
         if displaced is not None:
             line = events.REGISTRATION_IGNORED.line(
                 endpoint=registration.endpoint_id,
@@ -287,12 +287,13 @@
         self,
         registration: catalog.Registration,
         table: catalog.RouteTable | None,
-        now: datetime.datetime,
     ) -> catalog.Registration | None:
-        """Return the live endpoint that a stray registration would displace.
+        """Return the endpoint that a stray registration would displace.
 
-        An endpoint of a service that is about to be configured registers
-        again when it is.  A VM that has just started may know no service yet.
+        One that has left or failed may be about to start again, with a start
+        that counts as earlier.  An endpoint of a service that is about to be
+        configured registers again when it is.  A VM that has just started may
+        know no service yet.
         """
         service = registration.service
         if table is not None and table.service(service) is not None:
@@ -304,8 +305,6 @@
         for record in records:
             if (
                 record is not None
-                and record.registration.state is not catalog.EndpointState.GONE
-                and record.is_live(self._cfg.heartbeat_timeout, now)
                 and record.registration.service != service
                 and (
                     table is None
--- a/sedgepin/_registrar/tests/test_stray_registrations.py
+++ b/sedgepin/_registrar/tests/test_stray_registrations.py
@@ -7,6 +7,7 @@
 from sedgepin import _catalog as catalog
 from sedgepin import _model as model
 from sedgepin._registrar import _effects
+from sedgepin._registrar import _events
 from sedgepin._registrar.tests import cluster as clusters
 
 _SOUND = model.EndpointId("e")
@@ -57,6 +58,37 @@
         cluster.run(0.5)
         assert _ready(cluster) == {(_SOUND, "s")}
 
+    @pytest.mark.parametrize("has_left", [False, True])
+    @pytest.mark.parametrize("endpoint_id", [_SOUND, _OTHER])
+    def test_unknown_service_keeps_no_restarted_endpoint_out(
+        self,
+        cluster: clusters.Cluster,
+        endpoint_id: model.EndpointId,
+        has_left: bool,
+    ) -> None:
+        """The stray one comes while the endpoint is away (soak, 946103)."""
+        leader = cluster.leader()
+        cluster.publish_document(leader, clusters.model_document(1))
+        cluster.run(0.5)
+        cluster.register(leader, clusters.registration())
+        cluster.run(0.5)
+        if has_left:
+            cluster.handle(leader, _events.EndpointLeft(0, _SOUND))
+        cluster.run(8.0)
+        assert not has_left or _ready(cluster) == set()
+        stray = clusters.registration(
+            endpoint_id=endpoint_id, service=_UNKNOWN, incarnation=2**62
+        )
+        cluster.register(leader, stray)
+        cluster.run(2.0)
+        cluster.register(leader, clusters.registration(incarnation=2))
+        cluster.run(0.5)
+        assert _ready(cluster) == {(_SOUND, "s")}
+        for reducer in cluster.running.values():
+            record = reducer.registry.find(_SOUND)
+            assert record is not None
+            assert record.registration.incarnation == 2
+
     def test_service_that_is_configured_later_gets_its_endpoint(
         self, cluster: clusters.Cluster
     ) -> None:
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -319,7 +319,7 @@
     219,
     "WARNING",
     "registration_ignored",
-    "It names no configured service and would displace a live endpoint.",
+    "It names no configured service and would displace an endpoint of one.",
     "endpoint",
     "service",
     "address",
