Run what came before a drain refuses, also if it was not read yet

test_drain_under_load_completes_requests failed on a busy machine: writes that were sent 0.2 s before SIGTERM got 503 draining, not run.

Cause: the notice of a drain ends by the clock. A process that did not run for a while has requests in its sockets and its backlog then, and refused them. If none was open, it closed their connections without an answer. Ruled out: the bound of unread heads and of answers that are not read, by which no request is refused as draining; the quorum, as the code was draining each time.

After the notice the entry VM takes in what has come by then: it accepts the callers in the backlog and reads the bytes that wait on each connection, before it refuses. Polls are counted, not seconds, as a pause adds to the clock only. The reducer's own timer for the same instant is gone; the simulation sends the daemon's event at its time.

Now all 16 requests are sent whole before SIGTERM, and the late request and /readyz have a test with a notice of 3 s beside an answer of 4 s.

--- a/sedgepin/_entry/__init__.py
+++ b/sedgepin/_entry/__init__.py
@@ -25,6 +25,7 @@
 from sedgepin._entry._endpoint_client import EndpointClient
 from sedgepin._entry._events import AnnouncementReceived
 from sedgepin._entry._events import CallerDisconnected
+from sedgepin._entry._events import DrainNoticeEnded
 from sedgepin._entry._events import DrainRequested
 from sedgepin._entry._events import EngineHeartbeatReceived
 from sedgepin._entry._events import EntryEvent
@@ -54,6 +55,7 @@
     "CancelStream",
     "CountMetric",
     "DeliverPieces",
+    "DrainNoticeEnded",
     "DrainRequested",
     "EndAnswer",
     "EndpointClient",
--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -148,6 +148,7 @@
         self._driver.submit(_events.DrainRequested())
         self._forwarding.is_draining = True
         await trio.sleep(self._cfg.drain.notice_seconds)
+        await self._server.take_in()
         # The server may stop at once, and answers nothing that comes later.
         self._driver.submit(_events.DrainNoticeEnded())
         self._server.start_draining()
--- a/sedgepin/_entry/_events.py
+++ b/sedgepin/_entry/_events.py
@@ -218,7 +218,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class DrainNoticeEnded:
-    """The notice of a drain is over; the server stops once it is idle."""
+    """The notice of a drain is over, and all that came in it was submitted.
+
+    Later requests are refused; the server stops once it is idle.
+    """
 
 
 EntryEvent: typing.TypeAlias = (
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -69,7 +69,6 @@
         "_failure_handler",
         "_generation",
         "_membership_adapter",
-        "_notice_ends_at",
         "_trials",
     )
 
@@ -148,7 +147,6 @@
         )
         self._connected: set[model.VmId] = set()
         self._draining = False
-        self._notice_ends_at: datetime.datetime | None = None
 
     @property
     def is_ready(self) -> bool:
@@ -229,7 +227,7 @@
             case _events.DrainRequested():
                 return self._start_draining(now)
             case _events.DrainNoticeEnded():
-                self._end_notice(now)
+                self._admission_controllers.start_draining(now)
                 return []
             case _:
                 return self._handle_peer_event(event, now)
@@ -399,8 +397,6 @@
         effects += self._failure_handler.tick(now)
         effects += self._held_prompts.tick(now)
         effects += self._calls.tick(now)
-        if self._notice_ends_at is not None and now >= self._notice_ends_at:
-            self._end_notice(now)
         return effects
 
     def _start_draining(self, now: datetime.datetime) -> Effects:
@@ -408,11 +404,4 @@
             return []
         self._draining = True
         self._context.paths.is_draining = True
-        notice = datetime.timedelta(seconds=self._cfg.drain.notice_seconds)
-        self._notice_ends_at = now + notice
         return [_effects.WriteLog(events.PROCESS_DRAINING.line())]
-
-    def _end_notice(self, now: datetime.datetime) -> None:
-        """Refuse all requests that arrive from now on."""
-        self._notice_ends_at = None
-        self._admission_controllers.start_draining(now)
--- a/sedgepin/_http/_caller_stream.py
+++ b/sedgepin/_http/_caller_stream.py
@@ -6,6 +6,7 @@
 import trio
 
 from sedgepin import _memory as memory
+from sedgepin import _sockets as sockets
 
 _READ_BYTES = 16_384
 # A caller that does not read its answer is disconnected when this much of it
@@ -28,6 +29,7 @@
         "_open_requests",
         "_send_scope",
         "_stream",
+        "received_bytes",
         "socket",
     )
 
@@ -46,8 +48,14 @@
             )
         self._head_bytes = 0
         self._open_requests = 0
+        self.received_bytes = 0
         self._send_scope: trio.CancelScope | None = None
 
+    @property
+    def unread_bytes(self) -> int:
+        """Return how many bytes have come and were not received yet."""
+        return sockets.count_unread_bytes(self.socket)
+
     def begin_request(self) -> None:
         """State that the head of a request is complete."""
         self._open_requests += 1
@@ -67,6 +75,7 @@
         data = await self._stream.receive_some(
             min(max_bytes or _READ_BYTES, _READ_BYTES)
         )
+        self.received_bytes += len(data)
         if not self._open_requests:
             self._hold(self._head_bytes + len(data))
         return bytes(data)
--- a/sedgepin/_http/_connections.py
+++ b/sedgepin/_http/_connections.py
@@ -11,6 +11,7 @@
 import hypercorn.utils
 import trio
 
+from sedgepin._http import _arrivals
 from sedgepin._http import _caller_stream
 from sedgepin import _memory as memory
 from sedgepin import containment
@@ -23,11 +24,13 @@
     app: hypercorn.typing.ASGIFramework,
     cfg: hypercorn.config.Config,
     stop: trio.Event,
+    arrivals: _arrivals.Arrivals,
     budget: memory.MemoryBudget | None,
 ) -> None:
     """Serve connections until ``stop``, then those that are open.
 
     After ``stop`` they have ``cfg.graceful_timeout`` seconds to end.
+    ``arrivals`` is told of the listeners and connections.
 
     ``hypercorn.trio.serve`` passes an exception of its protocols on, which
     ends the process: HTTP/2 has several that any caller can raise, such as
@@ -36,6 +39,8 @@
     wrapped = hypercorn.utils.wrap_app(app, cfg.wsgi_max_body_size, "asgi")
     context = hypercorn.trio.worker_context.WorkerContext(None)
     tls = cfg.create_ssl_context()
+    listeners = _listeners(cfg)
+    arrivals.add_listeners(listeners)
 
     async def serve_connection(socket_stream: trio.SocketStream) -> None:
         with (
@@ -47,13 +52,17 @@
         ):
             # It names the stream for the requests on it.
             state = hypercorn.typing.LifespanState({STREAM_KEY: stream})
-            await hypercorn.trio.tcp_server.TCPServer(
-                wrapped,
-                cfg,
-                context,
-                hypercorn.typing.ConnectionState(state),
-                _with_tls(stream, tls),
-            )
+            arrivals.add_stream(stream)
+            try:
+                await hypercorn.trio.tcp_server.TCPServer(
+                    wrapped,
+                    cfg,
+                    context,
+                    hypercorn.typing.ConnectionState(state),
+                    _with_tls(stream, tls),
+                )
+            finally:
+                arrivals.remove_stream(stream)
 
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
@@ -61,7 +70,7 @@
                 functools.partial(
                     trio.serve_listeners,
                     serve_connection,
-                    _listeners(cfg),
+                    listeners,
                     handler_nursery=connections,
                 )
             )
--- a/sedgepin/_http/_server.py
+++ b/sedgepin/_http/_server.py
@@ -7,6 +7,7 @@
 import hypercorn.config
 import trio
 
+from sedgepin._http import _arrivals
 from sedgepin._http import _connections
 from sedgepin._http import _failures
 from sedgepin._http import _holder
@@ -27,11 +28,12 @@
     """Base of an HTTP server that counts its open requests.
 
     To stop it, call ``start_draining``, ``start_refusing`` if new requests are
-    refused then, and ``finish_draining``.  ``budget`` bounds what is held for
-    callers.
+    refused then, with ``take_in`` before, and ``finish_draining``.  ``budget``
+    bounds what is held for callers.
     """
 
     __slots__ = (
+        "_arrivals",
         "_budget",
         "_draining",
         "_header_limit_bytes",
@@ -42,6 +44,7 @@
     )
 
     def __init__(self, budget: memory.MemoryBudget | None = None) -> None:
+        self._arrivals = _arrivals.Arrivals()
         self._budget = budget
         self._open_count = 0
         self._header_limit_bytes = _DEFAULT_HEADER_LIMIT_BYTES
@@ -63,6 +66,13 @@
         """Add ``Connection: close`` to each answer from now on."""
         self._draining = True
 
+    async def take_in(self) -> None:
+        """Return once the requests that have come by now are being answered.
+
+        A process that did not run for a while has not read them yet.
+        """
+        await self._arrivals.take_in()
+
     def start_refusing(self) -> None:
         """Wait for no request that begins from now on.
 
@@ -108,7 +118,9 @@
             cfg.certfile = tls.certificate
             cfg.keyfile = tls.key
         app = typing.cast(typing.Any, self._app)
-        await _connections.serve(app, cfg, self._stop, self._budget)
+        await _connections.serve(
+            app, cfg, self._stop, self._arrivals, self._budget
+        )
 
     async def _app(
         self,
--- a/sedgepin/_http/tests/test_connections.py
+++ b/sedgepin/_http/tests/test_connections.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import socket
 import struct
 
 import h2.config
@@ -49,6 +50,21 @@
             await http.send_document(request, len(body.ok_value))
 
 
+class HeldServer(http.HttpServer):
+    """Answers no request until it is told to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.begun: list[str] = []
+        self.may_answer = trio.Event()
+
+    async def answer(self, request: http.Request) -> None:
+        await http.read_body(request, _BODY_LIMIT_BYTES, "")
+        self.begun.append(request.path)
+        await self.may_answer.wait()
+        await http.send_document(request, {"path": request.path})
+
+
 @contextlib.asynccontextmanager
 async def running(
     server: http.HttpServer,
@@ -338,3 +354,50 @@
                 await stream.send_all(client.data_to_send())
                 ended = await _read_ended_streams(client, stream)
         assert sorted(ended) == [1, 3]
+
+
+class TestTakeIn:
+    """Nothing yields to the server before ``take_in``."""
+
+    async def test_whatever_has_come_is_being_answered(self) -> None:
+        server = HeldServer()
+        request = _HEAD % 2 + b"\r\n{}"
+        with contextlib.ExitStack() as stack:
+            async with running(server) as port:
+                address = ("127.0.0.1", port)
+                callers = [
+                    stack.enter_context(socket.create_connection(address))
+                    for _number in range(20)
+                ]
+                await trio.sleep(_PAUSE_SECONDS)
+                callers += [
+                    stack.enter_context(socket.create_connection(address))
+                    for _number in range(20)
+                ]
+                for caller in callers:
+                    caller.sendall(request)
+                assert not server.begun
+                await server.take_in()
+                assert len(server.begun) == 40
+
+    async def test_request_behind_an_open_one_is_waited_for_in_vain(
+        self,
+    ) -> None:
+        server = HeldServer()
+        request = _HEAD % 2 + b"\r\n{}"
+        with contextlib.ExitStack() as stack:
+            async with running(server) as port:
+                address = ("127.0.0.1", port)
+                first, second = (
+                    stack.enter_context(socket.create_connection(address))
+                    for _number in range(2)
+                )
+                first.sendall(request)
+                await trio.sleep(_PAUSE_SECONDS)
+                for _number in range(3):
+                    first.sendall(request)
+                    await trio.sleep(_PAUSE_SECONDS)
+                second.sendall(request)
+                with trio.fail_after(10.0):
+                    await server.take_in()
+                assert len(server.begun) == 2
--- a/sedgepin/_sockets/_options.py
+++ b/sedgepin/_sockets/_options.py
@@ -13,6 +13,8 @@
 import struct
 import termios
 
+import trio
+
 # States of a connection (``tcp_states.h``) whose peer has closed its side.
 _TIME_WAIT = 6
 _CLOSED = 7
@@ -48,7 +50,9 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
 
-def count_unread_bytes(sock: socket.socket) -> int:
+def count_unread_bytes(
+    sock: socket.socket | trio.socket.SocketType,
+) -> int:
     """Return how many received bytes wait to be read."""
     return _count_bytes(sock, termios.FIONREAD)
 
@@ -58,7 +62,9 @@
     return _count_bytes(sock, termios.TIOCOUTQ)
 
 
-def _count_bytes(sock: socket.socket, request: int) -> int:
+def _count_bytes(
+    sock: socket.socket | trio.socket.SocketType, request: int
+) -> int:
     if sock.fileno() < 0:
         return 0
     count = array.array("i", [0])
--- a/sedgepin/tests/scenarios/conftest.py
+++ b/sedgepin/tests/scenarios/conftest.py
@@ -4,8 +4,6 @@
 
 import pytest_bdd
 
-from sedgepin import _control as control
-from sedgepin import _entry as entry
 from sedgepin import _state as state
 from sedgepin.tests import fakes
 from sedgepin.tests import processes
@@ -278,11 +276,7 @@
 
 @pytest_bdd.when(_parse("{vm} begins a graceful shutdown"))
 def begin_shutdown(context: contexts.ScenarioContext, vm: str) -> None:
-    name = context.vm(vm)
-    module = (
-        control if context.simulation.vms[name].role == "control" else entry
-    )
-    context.simulation.submit(name, module.DrainRequested())
+    context.simulation.begin_shutdown(context.vm(vm))
 
 
 @pytest_bdd.when(
--- a/sedgepin/tests/simulation.py
+++ b/sedgepin/tests/simulation.py
@@ -308,6 +308,17 @@
         for effect in vm.reducer.handle(event, self.now):
             self.apply_effect(vm, effect)
 
+    def begin_shutdown(self, name: str) -> None:
+        """Send the events of a daemon that has received SIGTERM."""
+        if self.vms[name].role == "control":
+            self.submit(name, control.DrainRequested())
+            return
+        self.submit(name, entry.DrainRequested())
+        self.schedule(
+            settings.Drain().notice_seconds,
+            lambda: self.submit(name, entry.DrainNoticeEnded()),
+        )
+
     def resend_all_pieces(self) -> None:
         """Deliver every piece sent so far once more, on every stream."""
         streams = {
--- a/sedgepin/tests/test_processes.py
+++ b/sedgepin/tests/test_processes.py
@@ -85,14 +85,39 @@
 
 
 def _write(conn: http.client.HTTPConnection, key: str) -> int:
+    _send_write(conn, key)
+    answer = conn.getresponse()
+    answer.read()
+    return answer.status
+
+
+def _send_write(conn: http.client.HTTPConnection, key: str) -> None:
     headers = {
         "authorization": f"Bearer {processes.CALLER_CREDENTIAL}",
         "idempotency-key": key,
     }
     conn.request("POST", _RECEIPTS_PATH, b"{}", headers)
-    answer = conn.getresponse()
-    answer.read()
-    return answer.status
+
+
+def _send_prompt(
+    conn: http.client.HTTPConnection, prompt: str, tokens: int
+) -> None:
+    body = msgspec.json.encode({"prompt": prompt, "max_tokens": tokens})
+    headers = {"authorization": f"Bearer {processes.CALLER_CREDENTIAL}"}
+    conn.request("POST", "/v1/services/assistant/completions", body, headers)
+
+
+def _start_serving(
+    system: processes.Processes,
+) -> http.client.HTTPConnection:
+    """Publish the first note; return a connection to entry-1."""
+    processes.wait_until(
+        lambda: _find_leader(system) is not None, "a leader is elected"
+    )
+    _publish(system, 1)
+    system.wait_ready()
+    system.wait_serving()
+    return _connect(system)
 
 
 def _connect(system: processes.Processes) -> http.client.HTTPConnection:
@@ -108,13 +133,10 @@
     A connection that is closed at once crossed the end of the process.
     """
     time.sleep(delay_seconds)
-    body = msgspec.json.encode({"prompt": "tare", "max_tokens": 100})
-    headers = {"authorization": f"Bearer {processes.CALLER_CREDENTIAL}"}
-    path = "/v1/services/assistant/completions"
     started = time.monotonic()
     with contextlib.closing(conn):
         try:
-            conn.request("POST", path, body, headers)
+            _send_prompt(conn, "tare", 100)
             answer = conn.getresponse()
             answer.read()
         except (http.client.HTTPException, OSError):
@@ -264,41 +286,80 @@
     def test_drain_under_load_completes_requests(
         self, system: processes.Processes
     ) -> None:
+        """Whatever was sent whole before SIGTERM runs."""
         prompts = [f"lorry {number}" for number in range(8)]
-        with concurrent.futures.ThreadPoolExecutor(20) as pool:
-            answers = [
-                pool.submit(system.complete, "entry-1", prompt, 100)
-                for prompt in prompts
+        with contextlib.ExitStack() as stack:
+            conns = [
+                stack.enter_context(contextlib.closing(_connect(system)))
+                for _number in range(16)
             ]
-            calls = [
-                pool.submit(
-                    system.send_request,
-                    "entry-1",
-                    "POST",
-                    _RECEIPTS_PATH,
-                    {},
-                    idempotency_key=f"{int(time.time())}-{number}",
-                )
-                for number in range(8)
-            ]
-            time.sleep(0.2)
+            answers, calls = conns[:8], conns[8:]
+            for conn, prompt in zip(answers, prompts):
+                _send_prompt(conn, prompt, 100)
+            for number, conn in enumerate(calls):
+                _send_write(conn, f"{int(time.time())}-{number}")
             system.signal("entry-1", signal.SIGTERM)
+            for conn, prompt in zip(answers, prompts):
+                body = msgspec.json.decode(conn.getresponse().read())
+                assert body["choices"][0]["text"] == _expected_text(
+                    prompt, 100
+                )
+            assert [conn.getresponse().status for conn in calls] == [201] * 8
+        assert system.running["entry-1"].wait(10) == 0
+        counts = system.send_request("ledger", "GET", "/counts").json()
+        assert set(counts.values()) == {1}
+
+    def test_request_within_the_notice_is_served(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """The answer of an open request lasts beyond the notice."""
+        running = processes.Processes(
+            tmp_path, entries=2, notice_seconds=3.0, token_seconds=0.04
+        )
+        with running, contextlib.closing(_start_serving(running)) as conn:
+            _send_prompt(conn, "lorry", 100)
+            running.signal("entry-1", signal.SIGTERM)
             processes.wait_until(
                 lambda: (
-                    system.send_request("entry-1", "GET", "/readyz").status
+                    running.send_request("entry-1", "GET", "/readyz").status
                     == 503
                 ),
                 "/readyz of entry-1 reports the drain",
             )
-            answer_during_drain = system.complete("entry-1", "late", 5)
-            for prompt, answer in zip(prompts, answers):
-                body = answer.result().json()
-                assert body["choices"][0]["text"] == _expected_text(
-                    prompt, 100
-                )
-            assert all(call.result().status == 201 for call in calls)
-        assert answer_during_drain.status == 200
-        assert system.running["entry-1"].wait(10) == 0
+            assert running.complete("entry-1", "late", 5).status == 200
+            body = msgspec.json.decode(conn.getresponse().read())
+            assert body["choices"][0]["text"] == _expected_text("lorry", 100)
+            assert running.running["entry-1"].wait(10) == 0
+
+    def test_drain_runs_what_came_while_the_process_did_not_run(
+        self, system: processes.Processes
+    ) -> None:
+        """The notice is over before the process has read a request."""
+        entry = system.running["entry-1"]
+        conns = [_connect(system) for _ in range(4)]
+        for conn in conns:
+            conn.request("GET", "/readyz")
+            conn.getresponse().read()
+        with concurrent.futures.ThreadPoolExecutor(8) as pool:
+            system.signal("entry-1", signal.SIGTERM)
+            processes.wait_until(
+                lambda: "process_draining" in system.read_log("entry-1"),
+                "entry-1 drains",
+            )
+            entry.send_signal(signal.SIGSTOP)
+            conns += [_connect(system) for _ in range(4)]
+            now = int(time.time())
+            calls = [
+                pool.submit(_write, conn, f"{now}-{number}")
+                for number, conn in enumerate(conns)
+            ]
+            time.sleep(system.notice_seconds + 0.5)
+            entry.send_signal(signal.SIGCONT)
+            statuses = [call.result() for call in calls]
+        for conn in conns:
+            conn.close()
+        assert statuses == [201] * 8
+        assert entry.wait(10) == 0
         counts = system.send_request("ledger", "GET", "/counts").json()
         assert set(counts.values()) == {1}
 
