Soak: judge an idle connection by the timeouts that could keep it open

The smallest idle timeout is 1 s. The judge asked for the longest one that the VM had followed until the request came, also for one that it followed after the connection was due to be closed; that keeps nothing open.

So a longer timeout within the one before counts as it did, by the caller's clock, which begins later than the VM's; the finding tells when the request was handed over and the timeouts with their times from now on.

--- a/sedgepin/platform/tests/soak/_ends.py
+++ b/sedgepin/platform/tests/soak/_ends.py
@@ -38,8 +38,10 @@
         place = "within" if end.has_begun else "before"
         yield (
             f"{end.request_id} ({sent.route}) was cut {place} its answer by"
-            f" {end.entry} at {end.at:.2f} s, sent at {sent.at:.2f} s, without"
-            f" a cause; idle since {end.idle_since}; its lines: {lines}"
+            f" {end.entry} at {end.at:.2f} s, sent at {sent.at:.2f} s, handed"
+            f" over at {record.handed_over_at[end.request_id]:.2f} s, without"
+            f" a cause; idle since {end.idle_since}, under the timeouts"
+            f" {_idle_timeouts(record, end)}; its lines: {lines}"
         )
 
 
@@ -99,25 +101,46 @@
 def _was_idle_too_long(record: _record.Record, end: _record.CallerEnd) -> bool:
     """Return whether the VM may have closed an idle connection.
 
-    The longest idle timeout counts that it has followed meanwhile.  A new
-    connection is idle until its first request, which a link may hold back.
+    The longest idle timeout counts that it has followed meanwhile; one that it
+    follows after the connection was due to be closed keeps nothing open.  A
+    new connection is idle until its first request, which a link may hold back.
     """
-    idle_since = end.idle_since
-    if idle_since is None:
-        idle_since = end.connected_at
+    idle_since = _idle_since(end)
+    longest: float | None = None
+    for at, seconds in _idle_timeouts(record, end):
+        if longest is None or at <= idle_since:
+            longest = seconds
+        elif at - idle_since < longest:
+            longest = max(longest, seconds)
+    if longest is None:
+        return False
     until = record.handed_over_at[end.request_id]
-    versions: list[int] = []
+    return until - idle_since >= IDLE_SHARE * longest
+
+
+def _idle_since(end: _record.CallerEnd) -> float:
+    return end.connected_at if end.idle_since is None else end.idle_since
+
+
+def _idle_timeouts(
+    record: _record.Record, end: _record.CallerEnd
+) -> list[tuple[float, float]]:
+    """Return the idle timeouts that a VM had followed before a request.
+
+    With the time of each; the first is the one at the start of the wait.
+    """
+    idle_since = _idle_since(end)
+    timeouts: list[tuple[float, float]] = []
     for following in record.followings:
-        if following.entry != end.entry or following.at > until:
+        if following.entry != end.entry:
+            continue
+        if following.at > record.handed_over_at[end.request_id]:
             continue
         if following.at <= idle_since:
-            versions.clear()
-        versions.append(following.version)
-    longest = max(
-        (record.idle_seconds.get(version, math.inf) for version in versions),
-        default=math.inf,
-    )
-    return until - idle_since >= IDLE_SHARE * longest
+            timeouts.clear()
+        seconds = record.idle_seconds.get(following.version, math.inf)
+        timeouts.append((following.at, seconds))
+    return timeouts
 
 
 def _has_crossed_stop(record: _record.Record, end: _record.CallerEnd) -> bool:
--- a/sedgepin/platform/tests/test_soak_ends.py
+++ b/sedgepin/platform/tests/test_soak_ends.py
@@ -104,6 +104,15 @@
     record.idle_seconds.update({1: 1.0, 2: 5.0, 3: 1.0})
 
 
+def _follow_longer_timeout_at(at: float) -> _Cause:
+    def follow(record: _record.Record) -> None:
+        _use_after_idle_timeout(record)
+        record.followings.append(_record.Following(_ENTRY, 2, at))
+        record.idle_seconds[2] = 5.0
+
+    return follow
+
+
 class TestCallers:
     @pytest.mark.parametrize(
         ("cause", "has_begun"),
@@ -117,6 +126,8 @@
             (_ending(_LINK), True),
             (_cross_stop, False),
             (_use_after_idle_timeout, False),
+            # The connection was due to be closed before.
+            (_follow_longer_timeout_at(0.1), False),
         ],
     )
     def test_cut_with_a_cause_is_none_of_the_vm(
@@ -145,6 +156,7 @@
             # A stop cuts nothing that has begun.
             (_cross_stop, True),
             (_use_after_shorter_timeout, False),
+            (_follow_longer_timeout_at(-0.05), False),
         ],
     )
     def test_cut_without_a_cause_is_found(
