Soak: let a VM's wait begin with its answer, also if its caller paused

The judge counted the wait of an idle connection from when the caller had read the last answer. Callers, proxies and engines are one process: after a pause of it, an answer that the VM had sent long before is read, the connection is used again, and the VM's close is on its way.

The wait begins with the pause now if the answer was read within 0.1 s after it.

--- a/sedgepin/platform/tests/soak/_ends.py
+++ b/sedgepin/platform/tests/soak/_ends.py
@@ -105,7 +105,7 @@
     follows after the connection was due to be closed keeps nothing open.  A
     new connection is idle until its first request, which a link may hold back.
     """
-    idle_since = _idle_since(end)
+    idle_since = _idle_since(record, end)
     longest: float | None = None
     for at, seconds in _idle_timeouts(record, end):
         if longest is None or at <= idle_since:
@@ -118,8 +118,18 @@
     return until - idle_since >= IDLE_SHARE * longest
 
 
-def _idle_since(end: _record.CallerEnd) -> float:
-    return end.connected_at if end.idle_since is None else end.idle_since
+def _idle_since(record: _record.Record, end: _record.CallerEnd) -> float:
+    """Return when the VM's wait for a request may have begun.
+
+    An answer that the caller reads when its process runs again may have been
+    sent before it paused.
+    """
+    if end.idle_since is None:
+        return end.connected_at
+    for start, ended_at in record.pauses:
+        if start < end.idle_since <= ended_at + _LATE_SECONDS:
+            return start
+    return end.idle_since
 
 
 def _idle_timeouts(
@@ -129,7 +139,7 @@
 
     With the time of each; the first is the one at the start of the wait.
     """
-    idle_since = _idle_since(end)
+    idle_since = _idle_since(record, end)
     timeouts: list[tuple[float, float]] = []
     for following in record.followings:
         if following.entry != end.entry:
--- a/sedgepin/platform/tests/test_soak_ends.py
+++ b/sedgepin/platform/tests/test_soak_ends.py
@@ -168,6 +168,25 @@
         place = "within" if has_begun else "before"
         assert f"cut {place} its answer by entry-1" in finding
 
+    @pytest.mark.parametrize(
+        ("pause", "is_found"),
+        [
+            ((-0.5, 0.88), False),
+            ((0.3, 0.88), True),
+            # It ended long before the answer was read.
+            ((-0.5, 0.7), True),
+            ((0.91, 0.99), True),
+        ],
+    )
+    def test_answer_may_be_sent_before_a_pause_and_read_after_it(
+        self, pause: tuple[float, float], is_found: bool
+    ) -> None:
+        """The VM's wait begins with its answer (seed 947200)."""
+        record = _make_record(_end(has_begun=False, idle_since=0.9))
+        _use_after_idle_timeout(record)
+        record.pauses.append(pause)
+        assert bool(list(_ends.check_callers(record))) == is_found
+
     @pytest.mark.parametrize(
         ("connected_at", "is_found"), [(-1.0, False), (0.5, True)]
     )
