--- a/sedgepin/_gateway/_planned_stop.py
+++ b/sedgepin/_gateway/_planned_stop.py
@@ -20,8 +20,8 @@
 _EXIT_SECONDS = 0.3
 _LAST_ANSWERS_SECONDS = 0.2
 _LAST_CONNECTIONS_SECONDS = 0.5
-# The shares of a short grace period that the first two take at most.  An exit
-# takes as long as after a long one; with it goes what the drain is late.
+# The shares of a short grace period that the first two take at most.  The exit
+# takes the same time after any grace period, and the drain may end late.
 _MAX_EXIT_SHARE = 0.1
 _MAX_LAST_ANSWERS_SHARE = 0.05
 
--- a/sedgepin/_gateway/_relay.py
+++ b/sedgepin/_gateway/_relay.py
@@ -337,7 +337,7 @@
                 self._is_cut = True
                 return
             if not self._is_cancelled:
-                # An engine that sends sound answers is soon forgiven.
+                # A sound answer of the engine clears the suspicion again.
                 attempt_result = _invalid(_ENDED_FOR_MEMORY)
         self._submit(
             _events.AttemptEnded(
--- a/sedgepin/platform/_configuration.py
+++ b/sedgepin/platform/_configuration.py
@@ -22,10 +22,9 @@
 ]
 _LayerCount = typing.Annotated[int, msgspec.Meta(ge=0, le=model.MAX_LAYERS)]
 
-# What is weighed up stays finite.
+# Sums and products of the figures of a model stay finite.
 _MAX_ESTIMATE = 1e12
-# What is divided by is positive, with which a figure that an operator leaves
-# out, or sets to 0, costs little or takes little room.
+# Divisors stay positive.  A size that is left out, or 0, counts as tiny.
 _MIN_DIVISOR = 1e-3
 _DEFAULT_READ_PER_SECOND = 1e6
 # The sum of an instant and a much longer time may exceed ``datetime``.
