--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -94,13 +94,17 @@
             position=request.resume_after,
             answer_by=self._state.drain.answer_by,
         )
-        if not self._state.drain.may_send(exchange, now):
-            return self._reject(event, _failures.Draining())
+        decisions: _shared_state.Effects = []
+        if self._state.drain.answer_by is not None:
+            decisions.append(self._log_drain_decision(exchange, now))
+            if not self._state.drain.may_send(exchange, now):
+                return decisions + self._reject(event, _failures.Draining())
         self._state.exchanges[event.exchange_id] = exchange
         set_deadline = _effects.SetDeadline(
             event.exchange_id, exchange.time_left(now)
         )
-        return [set_deadline, *self.dispatch_or_queue(exchange, now)]
+        dispatched = self.dispatch_or_queue(exchange, now)
+        return [*decisions, set_deadline, *dispatched]
 
     def dispatch_or_queue(
         self, exchange: _exchange.Exchange, now: datetime.datetime
@@ -186,7 +190,27 @@
         failure: errors.Failure = _failures.Draining()
         if exchange.may_have_run or exchange.has_output:
             failure = _failures.DrainEnded()
-        return self.fail(exchange, failure, now)
+        line = self._log_drain_decision(exchange, now)
+        return [line, *self.fail(exchange, failure, now)]
+
+    def _log_drain_decision(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> _effects.WriteLog:
+        """Return the log line of what this VM, which drains, decides."""
+        decision = self._state.drain.decide(exchange, now)
+        return _shared_state.log(
+            events.DRAIN_DECISION.line(
+                request=exchange.request.request_id,
+                is_sent=decision.is_sent,
+                reason=decision.reason.value,
+                milliseconds_expected=None
+                if decision.expected is None
+                else _shared_state.milliseconds(decision.expected),
+                milliseconds_left=_shared_state.milliseconds(
+                    exchange.time_left(now)
+                ),
+            )
+        )
 
     def _dispatch_to_pipeline(
         self,
--- a/sedgepin/_gateway/_drain.py
+++ b/sedgepin/_gateway/_drain.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import datetime
+import enum
 
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _exchange
@@ -26,6 +27,32 @@
     per_token: datetime.timedelta = datetime.timedelta()
 
 
+class Reason(enum.Enum):
+    """What decided whether a VM that drains sends a request."""
+
+    # The request's own deadline comes before the VM stops.
+    DEADLINE = "deadline"
+    ESTIMATE = "estimate"
+    # No answer of its kind is remembered.
+    UNKNOWN = "unknown"
+    # It may have run already, so that nobody else may run it.
+    BEGUN = "begun"
+    # The VM stops now.
+    END = "end"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Decision:
+    """Whether a VM that drains sends a request, and why.
+
+    ``expected`` is how long the request is expected to take, if known.
+    """
+
+    is_sent: bool
+    reason: Reason
+    expected: datetime.timedelta | None = None
+
+
 class DrainBound:
     """Bounds requests by the instant at which a VM that drains stops.
 
@@ -36,8 +63,8 @@
 
     >>> bound = DrainBound()
     >>> bound.start(now + datetime.timedelta(seconds=7))
-    >>> bound.may_send(exchange, now)
-    True
+    >>> bound.decide(exchange, now)
+    Decision(is_sent=True, reason=<Reason.DEADLINE: 'deadline'>, expected=None)
     """
 
     __slots__ = ("_paces", "answer_by")
@@ -73,21 +100,27 @@
         Without an end in sight one that may have run is sent again all the
         same, since its caller could not send it elsewhere.
         """
-        if self.answer_by is None:
-            return True
+        return self.answer_by is None or self.decide(exchange, now).is_sent
+
+    def decide(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> Decision:
+        """Return what a VM that drains does with a request now."""
+        assert self.answer_by is not None
         if now >= self.answer_by:
-            return False
+            return Decision(False, Reason.END)
         if exchange.has_output or exchange.may_have_run:
-            return True
+            return Decision(True, Reason.BEGUN)
         if exchange.deadline <= self.answer_by:
-            return True
+            return Decision(True, Reason.DEADLINE)
         paces = self._paces.get(_kind(exchange))
         if not paces:
-            return False
+            return Decision(False, Reason.UNKNOWN)
         duration = max(pace.first_output for pace in paces)
         per_token = max(pace.per_token for pace in paces)
         duration += per_token * _answer_tokens(exchange)
-        return now + duration <= self.answer_by
+        may_end = now + duration <= self.answer_by
+        return Decision(may_end, Reason.ESTIMATE, duration)
 
 
 def _measure_pace(
--- a/sedgepin/_gateway/tests/test_log_lines.py
+++ b/sedgepin/_gateway/tests/test_log_lines.py
@@ -270,11 +270,27 @@
     return gateway.handle(_events.DrainEnded(2, 1))
 
 
+def _drain_decision(gateway: parts.Gateway) -> _Effects:
+    _process_draining(gateway)
+    gateway.advance(4000)
+    return gateway.send_request("/post/x")[1]
+
+
 _SCENARIOS: dict[str, tuple[_Scenario, dict[str, object]]] = {
     "request_dispatched": (
         _request_dispatched,
         {"request": "r1", "endpoint": "low", "attempt": 1},
     ),
+    "drain_decision": (
+        _drain_decision,
+        {
+            "request": "r1",
+            "is_sent": False,
+            "reason": "unknown",
+            "milliseconds_expected": None,
+            "milliseconds_left": 3500,
+        },
+    ),
     "request_answered": (_request_answered, {"request": "r1", "attempts": 1}),
     "attempt_ended": (
         _attempt_ended,
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -554,6 +554,19 @@
     "allowed",
     "reason",
 )
+DRAIN_DECISION = _define(
+    337,
+    "INFO",
+    "drain_decision",
+    "A VM that drains sends a request to an endpoint, or refuses it: what"
+    " decided (deadline, estimate, late, unknown, begun or end), how long the"
+    " request is expected to take, and the time until the VM stops.",
+    "request",
+    "is_sent",
+    "reason",
+    "milliseconds_expected",
+    "milliseconds_left",
+)
 LINKS_CUT = _define(
     327,
     "WARNING",
