Take requests in a stop by their own deadlines, then by likelihood

Cause: an acceptance that rests on a guess.

A stream that comes after the time in which callers cannot know of the stop is sent only if its own deadline comes before the end of the VM: an answer that has begun cannot be replaced by an error. Before that, and for answers in one piece, which still can, the decision is an estimate of the likelihood to end in time. Open requests count in it as lasting longer than their age, and sizes that callers state count only among similar ones.

test_late_streams_of_a_service_that_turns_slow_are_not_cut (processes) failed before: streams sent after the notice ran and had no whole answer.

The reducer test that sent a stream 200 ms before the end is kept, with the whole stop counted as notice; the cases of late streams stand beside it.

--- a/sedgepin/_gateway/_attempt_handler.py
+++ b/sedgepin/_gateway/_attempt_handler.py
@@ -64,7 +64,7 @@
         queue.record_departure(now)
         if event.outcome is _Outcome.ANSWERED:
             self._dispatcher.remove(exchange)
-            self._state.drain.record_answered(exchange, now)
+            self._state.drain.record_end(exchange, True, now)
             self._state.fleet.record_valid_answer(dispatch.endpoint_id)
             duration = _effects.RecordDuration(
                 "answer", now - exchange.arrived_at
--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -309,8 +309,11 @@
             grace_period.total_seconds()
         )
         self._forwarding.is_draining = True
-        time_left = datetime.timedelta(seconds=times.last_answer)
-        self._driver.submit(_events.DrainRequested(time_left))
+        requested = _events.DrainRequested(
+            time_left=datetime.timedelta(seconds=times.last_answer),
+            estimated=datetime.timedelta(seconds=times.last_estimate),
+        )
+        self._driver.submit(requested)
         late_at = trio.current_time() + times.end + _LATE_SECONDS
         await _planned_stop.serve_last_requests(
             self._server, times, lambda: self._forwarding.open_forwards
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -203,9 +203,7 @@
                 request=exchange.request.request_id,
                 is_sent=decision.is_sent,
                 reason=decision.reason.value,
-                milliseconds_expected=None
-                if decision.expected is None
-                else _shared_state.milliseconds(decision.expected),
+                probability=decision.probability,
                 milliseconds_left=_shared_state.milliseconds(
                     exchange.time_left(now)
                 ),
@@ -378,6 +376,7 @@
             position=exchange.position,
             milliseconds=_shared_state.milliseconds(now - exchange.arrived_at),
         )
+        self._state.drain.record_end(exchange, False, now)
         self.remove(exchange)
         return [_shared_state.log(line)]
 
@@ -434,6 +433,7 @@
                 failure = _failures.Draining()
         elif exchange.send_count == 0:
             failure = _failures.NoEndpoint(exchange.service.name)
+        self._state.drain.record_end(exchange, False, now)
         return self.fail(exchange, failure, now)
 
     def handle_eviction(
--- a/sedgepin/_gateway/_drain.py
+++ b/sedgepin/_gateway/_drain.py
@@ -1,30 +1,25 @@
-"""Which requests can still end before a VM that drains stops."""
+"""Which requests a VM that drains still sends to endpoints."""
 
 import collections
+import collections.abc
 import dataclasses
 import datetime
 import enum
 
 from sedgepin import _catalog as catalog
+from sedgepin._gateway import _durations
 from sedgepin._gateway import _exchange
 from sedgepin import _model as model
 
 _Kind = tuple[model.ServiceName, catalog.RetrySemantics]
 
-# The answers of each kind of request whose durations are remembered.
-_REMEMBERED_ANSWERS = 64
+# The requests of each kind whose durations are remembered.
+_REMEMBERED_REQUESTS = 64
 _MAX_KINDS = 1024
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class _Pace:
-    """How long an answer took: to its first output, and for each token.
-
-    An answer that is no stream has its first output at its end.
-    """
-
-    first_output: datetime.timedelta
-    per_token: datetime.timedelta = datetime.timedelta()
+# How likely a request must be to end in time.  A stream that is cut may be
+# resumed by its caller; a whole answer that does not come is lost.
+_MIN_STREAM_PROBABILITY = 0.5
+_MIN_WHOLE_ANSWER_PROBABILITY = 0.9
 
 
 class Reason(enum.Enum):
@@ -33,7 +28,9 @@
     # The request's own deadline comes before the VM stops.
     DEADLINE = "deadline"
     ESTIMATE = "estimate"
-    # No answer of its kind is remembered.
+    # It came after the notice, and could be cut in the middle of its answer.
+    LATE = "late"
+    # Nothing is known of requests of its kind.
     UNKNOWN = "unknown"
     # It may have run already, so that nobody else may run it.
     BEGUN = "begun"
@@ -45,52 +42,82 @@
 class Decision:
     """Whether a VM that drains sends a request, and why.
 
-    ``expected`` is how long the request is expected to take, if known.
+    ``probability`` is that of its end before the VM stops, if it was
+    estimated.
     """
 
     is_sent: bool
     reason: Reason
-    expected: datetime.timedelta | None = None
+    probability: float | None = None
 
 
 class DrainBound:
-    """Bounds requests by the instant at which a VM that drains stops.
+    """Decides on requests while a VM drains, until it stops.
 
-    A request that is sent must be answered by ``answer_by``.  One that nobody
-    has run yet is sent only if it can be expected to end by then: its own
-    deadline is no later, or it would be complete at the slowest pace of the
-    latest answers of its service and kind.
+    A request that is sent must be answered by ``answer_by``.  One whose own
+    deadline is no later is sent.  Of the others, those that came before
+    ``late_from`` are sent if they are likely to end in time, judged by the
+    latest requests of their service and kind and by those that are open now.
+    After it streams are refused, since an answer that has begun cannot be
+    replaced by an error; whole answers can.
 
-    >>> bound = DrainBound()
-    >>> bound.start(now + datetime.timedelta(seconds=7))
+    >>> bound = DrainBound(exchanges)
+    >>> bound.start(now + datetime.timedelta(seconds=7.5), late_from)
     >>> bound.decide(exchange, now)
-    Decision(is_sent=True, reason=<Reason.DEADLINE: 'deadline'>, expected=None)
+    Decision(is_sent=True, reason=<Reason.DEADLINE: 'deadline'>, ...)
     """
 
-    __slots__ = ("_paces", "answer_by")
+    __slots__ = (
+        "_decided_at",
+        "_exchanges",
+        "_late_from",
+        "_probabilities",
+        "_remembered",
+        "answer_by",
+    )
 
-    def __init__(self) -> None:
-        # Set while the VM drains.
+    def __init__(
+        self, exchanges: collections.abc.Mapping[int, _exchange.Exchange]
+    ) -> None:
+        self._exchanges = exchanges
+        # Both are set while the VM drains.
         self.answer_by: datetime.datetime | None = None
-        self._paces: dict[_Kind, collections.deque[_Pace]] = {}
-
-    def start(self, answer_by: datetime.datetime) -> None:
+        self._late_from: datetime.datetime | None = None
+        self._remembered: dict[
+            _Kind, collections.deque[_durations.Duration]
+        ] = {}
+        # Those of one instant, by kind and expected tokens.
+        self._decided_at: datetime.datetime | None = None
+        self._probabilities: dict[tuple[_Kind, float], float | None] = {}
+
+    def start(
+        self, answer_by: datetime.datetime, late_from: datetime.datetime
+    ) -> None:
         """Bound requests from now on; a later call does not move the end."""
         if self.answer_by is None:
             self.answer_by = answer_by
+            self._late_from = late_from
 
-    def record_answered(
-        self, exchange: _exchange.Exchange, now: datetime.datetime
+    def record_end(
+        self,
+        exchange: _exchange.Exchange,
+        is_answered: bool,
+        now: datetime.datetime,
     ) -> None:
-        """Remember how long a request took."""
+        """Remember how long a request took, or was open without an answer.
+
+        One that was sent to no endpoint tells nothing.
+        """
+        if not exchange.send_count:
+            return
         kind = _kind(exchange)
-        paces = self._paces.get(kind)
-        if paces is None:
-            if len(self._paces) >= _MAX_KINDS:
-                del self._paces[next(iter(self._paces))]
-            paces = collections.deque(maxlen=_REMEMBERED_ANSWERS)
-            self._paces[kind] = paces
-        paces.append(_measure_pace(exchange, now))
+        durations = self._remembered.get(kind)
+        if durations is None:
+            if len(self._remembered) >= _MAX_KINDS:
+                del self._remembered[next(iter(self._remembered))]
+            durations = collections.deque(maxlen=_REMEMBERED_REQUESTS)
+            self._remembered[kind] = durations
+        durations.append(_measure(exchange, is_answered, now))
 
     def may_send(
         self, exchange: _exchange.Exchange, now: datetime.datetime
@@ -106,32 +133,64 @@
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> Decision:
         """Return what a VM that drains does with a request now."""
-        assert self.answer_by is not None
+        assert self.answer_by is not None and self._late_from is not None
         if now >= self.answer_by:
             return Decision(False, Reason.END)
         if exchange.has_output or exchange.may_have_run:
             return Decision(True, Reason.BEGUN)
         if exchange.deadline <= self.answer_by:
             return Decision(True, Reason.DEADLINE)
-        paces = self._paces.get(_kind(exchange))
-        if not paces:
+        is_stream = exchange.route.kind is catalog.RetrySemantics.STREAM
+        if is_stream and exchange.arrived_at >= self._late_from:
+            return Decision(False, Reason.LATE)
+        probability = self._probability(exchange, self.answer_by, now)
+        if probability is None:
             return Decision(False, Reason.UNKNOWN)
-        duration = max(pace.first_output for pace in paces)
-        per_token = max(pace.per_token for pace in paces)
-        duration += per_token * _answer_tokens(exchange)
-        may_end = now + duration <= self.answer_by
-        return Decision(may_end, Reason.ESTIMATE, duration)
-
-
-def _measure_pace(
-    exchange: _exchange.Exchange, now: datetime.datetime
-) -> _Pace:
-    tokens = _answer_tokens(exchange)
-    if exchange.output_started_at is None or not tokens:
-        return _Pace(now - exchange.arrived_at)
-    return _Pace(
-        exchange.output_started_at - exchange.arrived_at,
-        (now - exchange.output_started_at) / tokens,
+        if is_stream:
+            is_sent = probability > _MIN_STREAM_PROBABILITY
+        else:
+            is_sent = probability >= _MIN_WHOLE_ANSWER_PROBABILITY
+        return Decision(is_sent, Reason.ESTIMATE, probability)
+
+    def _probability(
+        self,
+        exchange: _exchange.Exchange,
+        answer_by: datetime.datetime,
+        now: datetime.datetime,
+    ) -> float | None:
+        """Return how likely a request is to end in time, if that is known."""
+        if now != self._decided_at:
+            self._decided_at = now
+            self._probabilities.clear()
+        kind = _kind(exchange)
+        tokens = _answer_tokens(exchange)
+        key = kind, tokens
+        if key not in self._probabilities:
+            known = [
+                *self._remembered.get(kind, ()),
+                *(
+                    _measure(other, False, now)
+                    for other in self._exchanges.values()
+                    if other.dispatch is not None and _kind(other) == kind
+                ),
+            ]
+            self._probabilities[key] = _durations.probability_of_end(
+                known, tokens, answer_by - now
+            )
+        return self._probabilities[key]
+
+
+def _measure(
+    exchange: _exchange.Exchange, is_complete: bool, now: datetime.datetime
+) -> _durations.Duration:
+    output_started_at = exchange.output_started_at
+    if output_started_at is None:
+        output_started_at = now
+    return _durations.Duration(
+        until_output=output_started_at - exchange.arrived_at,
+        output=now - output_started_at,
+        tokens=_answer_tokens(exchange),
+        is_complete=is_complete,
     )
 
 
--- a/sedgepin/_gateway/_events.py
+++ b/sedgepin/_gateway/_events.py
@@ -231,9 +231,12 @@
     """The process received SIGTERM and drains.
 
     ``time_left`` is the time in which all requests must be answered.
+    ``estimated`` is the time in which streams are taken that are only likely
+    to end in time.
     """
 
     time_left: datetime.timedelta
+    estimated: datetime.timedelta
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_planned_stop.py
+++ b/sedgepin/_gateway/_planned_stop.py
@@ -24,17 +24,21 @@
 # takes the same time after any grace period, and the drain may end late.
 _MAX_EXIT_SHARE = 0.1
 _MAX_LAST_ANSWERS_SHARE = 0.05
+# The share of the grace period in which streams are taken on an estimate.
+_MAX_ESTIMATED_SHARE = 1 / 3
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class StopTimes:
     """Seconds from the signal to the steps of a stop.
 
-    Callers are accepted at least for ``notice``, and until ``last_connection``
-    while they come.  Requests must be answered until ``last_answer``, and the
-    drain is over at ``end``.
+    Streams that come after ``last_estimate`` are served only if their own
+    deadlines allow.  Callers are accepted at least for ``notice``, and until
+    ``last_connection`` while they come.  Requests must be answered until
+    ``last_answer``, and the drain is over at ``end``.
     """
 
+    last_estimate: float
     notice: float
     last_connection: float
     last_answer: float
@@ -45,7 +49,8 @@
         """Return the times of a grace period.
 
         >>> StopTimes.from_grace_period(8.0)
-        StopTimes(notice=2.6, last_connection=7.0, last_answer=7.5, end=7.7)
+        StopTimes(last_estimate=2.6, notice=2.6, last_connection=7.0,
+                  last_answer=7.5, end=7.7)
         """
         end = seconds - min(_EXIT_SECONDS, seconds * _MAX_EXIT_SHARE)
         last_answer = end - min(
@@ -53,7 +58,8 @@
         )
         notice = min(_READINESS_LOSS_SECONDS, last_answer)
         last_connection = max(notice, last_answer - _LAST_CONNECTIONS_SECONDS)
-        return cls(notice, last_connection, last_answer, end)
+        last_estimate = min(notice, seconds * _MAX_ESTIMATED_SHARE)
+        return cls(last_estimate, notice, last_connection, last_answer, end)
 
 
 async def serve_last_requests(
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -219,8 +219,8 @@
                 return []
             case _events.TimerFired():
                 return self._tick(now)
-            case _events.DrainRequested(time_left):
-                return self._start_draining(time_left, now)
+            case _events.DrainRequested():
+                return self._start_draining(event, now)
             case _events.DrainEnded():
                 return self._dispatcher.cut_open_requests(event, now)
             case protocol.PeerMessageReceived(sender, message):
@@ -246,10 +246,10 @@
                 return [_shared_state.log(line)]
 
     def _start_draining(
-        self, time_left: datetime.timedelta, now: datetime.datetime
+        self, event: _events.DrainRequested, now: datetime.datetime
     ) -> Effects:
         self._is_draining = True
-        self._state.drain.start(now + time_left)
+        self._state.drain.start(now + event.time_left, now + event.estimated)
         line = events.PROCESS_DRAINING.line()
         return [
             _shared_state.log(line),
--- a/sedgepin/_gateway/_shared_state.py
+++ b/sedgepin/_gateway/_shared_state.py
@@ -59,7 +59,7 @@
         self.startup_queue = _startup_queue.StartupQueue(now)
         self.queues = _request_queue.RequestQueues()
         self.exchanges: dict[int, _exchange.Exchange] = {}
-        self.drain = _drain.DrainBound()
+        self.drain = _drain.DrainBound(self.exchanges)
         self.links = forwarding.EndpointLinks(rng)
         # Requests for which forwarders have been asked for.
         self.awaiting_path: dict[int, _exchange.Exchange] = {}
--- a/sedgepin/_gateway/tests/test_drain.py
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -17,9 +17,19 @@
 _PATHS = pytest.mark.parametrize("path", ["/draft/x", "/read/x", "/post/x"])
 
 
-def _drain(gateway: parts.Gateway, milliseconds: float) -> _Effects:
-    time_left = parts.milliseconds(milliseconds)
-    return gateway.handle(_events.DrainRequested(time_left))
+def _drain(
+    gateway: parts.Gateway,
+    milliseconds: float,
+    estimated: float | None = None,
+) -> _Effects:
+    """Begin a drain that takes streams on an estimate for ``estimated`` ms."""
+    if estimated is None:
+        estimated = milliseconds
+    return gateway.handle(
+        _events.DrainRequested(
+            parts.milliseconds(milliseconds), parts.milliseconds(estimated)
+        )
+    )
 
 
 def _answer(gateway: parts.Gateway, path: str, *durations: float) -> None:
@@ -177,6 +187,82 @@
         _assert_refused(gateway.send_request("/post/x")[1])
 
 
+class TestLateArrival:
+    """Streams are taken on an estimate for 1 s; the bound is 3 s."""
+
+    @pytest.mark.parametrize(
+        ("path", "arrives_after", "is_sent"),
+        [
+            ("/draft/x", 999, True),
+            ("/draft/x", 1000, False),
+            ("/draft/x", 2500, False),
+            ("/read/x", 2500, True),
+            ("/post/x", 2500, True),
+            ("/post/x", 2950, False),
+        ],
+    )
+    def test_stream_that_could_be_cut_is_refused(
+        self, path: str, arrives_after: float, is_sent: bool
+    ) -> None:
+        gateway = parts.Gateway()
+        _answer(gateway, path, 100, 100)
+        _drain(gateway, 3000, estimated=1000)
+        gateway.now += parts.milliseconds(arrives_after)
+        _, effects = gateway.send_request(path)
+        if is_sent:
+            parts.get_effect(effects, _effects.StartAttempt)
+        else:
+            _assert_refused(effects)
+
+    def test_stream_whose_own_deadline_comes_first_is_sent(self) -> None:
+        gateway = parts.Gateway()
+        _drain(gateway, 7000, estimated=1000)
+        gateway.now += parts.milliseconds(2900)
+        _, effects = gateway.send_request("/draft/x")
+        parts.get_effect(effects, _effects.StartAttempt)
+
+    def test_stream_that_came_before_and_waits_is_sent(self) -> None:
+        gateway = parts.Gateway()
+        _answer(gateway, "/draft/x", 100)
+        exchange_id, _ = gateway.send_request("/draft/x")
+        _drain(gateway, 3000, estimated=1000)
+        gateway.now += parts.milliseconds(1500)
+        effects = gateway.end_attempt(exchange_id, _Outcome.NOT_RUN)
+        parts.get_effect(effects, _effects.StartAttempt)
+
+
+class TestEstimate:
+    def test_one_slow_answer_among_many_does_not_refuse_streams(self) -> None:
+        gateway = parts.Gateway()
+        _answer(gateway, "/draft/x", 3200, 100, 100, 100)
+        _drain(gateway, 3000)
+        _, effects = gateway.send_request("/draft/x")
+        parts.get_effect(effects, _effects.StartAttempt)
+
+    @_PATHS
+    def test_requests_of_a_service_that_turned_slow_are_refused(
+        self, path: str
+    ) -> None:
+        """No slow answer has ended; ten have been open for longer."""
+        gateway = parts.Gateway()
+        _answer(gateway, path, *([100] * 5))
+        for _request in range(10):
+            gateway.send_request(path)
+        gateway.now += parts.milliseconds(2000)
+        _drain(gateway, 1900)
+        _assert_refused(gateway.send_request(path)[1])
+
+    def test_requests_that_ended_without_an_answer_count(self) -> None:
+        gateway = parts.Gateway()
+        _answer(gateway, "/post/x", *([100] * 5))
+        for _request in range(5):
+            exchange_id, _ = gateway.send_request("/post/x")
+            gateway.now += parts.milliseconds(4000)
+            gateway.handle(_events.DeadlineReached(exchange_id))
+        _drain(gateway, 3000)
+        _assert_refused(gateway.send_request("/post/x")[1])
+
+
 class TestWaitingRequests:
     @_WAITS
     def test_one_that_cannot_end_in_time_is_refused_at_once(
--- a/sedgepin/_gateway/tests/test_log_lines.py
+++ b/sedgepin/_gateway/tests/test_log_lines.py
@@ -256,7 +256,11 @@
 
 
 def _process_draining(gateway: parts.Gateway) -> _Effects:
-    return gateway.handle(_events.DrainRequested(parts.milliseconds(7500)))
+    return gateway.handle(
+        _events.DrainRequested(
+            parts.milliseconds(7500), parts.milliseconds(2600)
+        )
+    )
 
 
 def _request_cut(gateway: parts.Gateway) -> _Effects:
@@ -287,7 +291,7 @@
             "request": "r1",
             "is_sent": False,
             "reason": "unknown",
-            "milliseconds_expected": None,
+            "probability": None,
             "milliseconds_left": 3500,
         },
     ),
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -559,12 +559,12 @@
     "INFO",
     "drain_decision",
     "A VM that drains sends a request to an endpoint, or refuses it: what"
-    " decided (deadline, estimate, late, unknown, begun or end), how long the"
-    " request is expected to take, and the time until the VM stops.",
+    " decided (deadline, estimate, late, unknown, begun or end), how likely it"
+    " was estimated to end in time, and the time that it has.",
     "request",
     "is_sent",
     "reason",
-    "milliseconds_expected",
+    "probability",
     "milliseconds_left",
 )
 LINKS_CUT = _define(
--- a/sedgepin/platform/tests/test_planned_stop.py
+++ b/sedgepin/platform/tests/test_planned_stop.py
@@ -24,13 +24,15 @@
 class _SlowEngine(running_system.Engine):
     """Answers after the seconds in the target; streams an event every 0.1 s.
 
-    While ``is_silent`` is set, it sends nothing.
+    While ``is_silent`` is set, it sends nothing.  Its events are further
+    apart by a factor of ``slowness``.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.ran: set[bytes] = set()
         self.is_silent = False
+        self.slowness = 1.0
 
     async def handle(self, exchange: web.Exchange) -> None:
         request = exchange.request
@@ -52,7 +54,7 @@
         await exchange.start(head)
         for event_id in range(1, int(seconds * 10) + 1):
             await exchange.send(b"id: %d\ndata: x\n\n" % event_id)
-            await trio.sleep(0.1)
+            await trio.sleep(0.1 * self.slowness)
         await exchange.finish()
 
 
@@ -216,6 +218,44 @@
         (cut,) = [line for line in lines if line["event"] == "request_failed"]
         assert cut["code"] == "drain_ended"
 
+    async def test_late_streams_of_a_service_that_turns_slow_are_not_cut(
+        self, system: running_system.System, nursery: trio.Nursery
+    ) -> None:
+        system.grace_seconds = 6.0
+        engine = _SlowEngine()
+        await running_system.start_system(system, nursery, engine)
+        callers = _Callers()
+        async with trio.open_nursery() as calls:
+            for _caller in range(16):
+                calls.start_soon(callers.run, b"/draft/0.5s/")
+            await trio.sleep(2.0)
+            stopped_at = trio.current_time()
+
+            async def turn_slow() -> None:
+                await trio.sleep(0.4 * system.grace_seconds)
+                engine.slowness = 5.0
+
+            calls.start_soon(turn_slow)
+            await _stop(system)
+        early = [
+            record
+            for record in callers.records
+            if 0 < record.sent_at - stopped_at < system.grace_seconds / 4
+        ]
+        late = [
+            record
+            for record in callers.records
+            if record.sent_at - stopped_at > system.grace_seconds * 3 / 8
+        ]
+        assert late
+        assert not [
+            record
+            for record in late
+            if record.request_id in engine.ran and record.status is None
+        ]
+        served = [record for record in early if record.status == 200]
+        assert len(served) > 0.9 * len(early)
+
     async def test_vm_that_is_suspended_until_the_end_still_answers(
         self, system: running_system.System, nursery: trio.Nursery
     ) -> None:
