Tell callers that a stop refuses when a VM will serve them

Entry VMs report now that they take no new streams, and control VMs add these up beside the count of entry VMs (fields with defaults; an old build sends none and reads none, and then callers return soon, as before). While fewer than a quarter serve, a refused caller returns once this VM is likely to have started again, spread over 2 s, if it has the time.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -98,7 +98,8 @@
         if self._state.drain.answer_by is not None:
             decisions.append(self._log_drain_decision(exchange, now))
             if not self._state.drain.may_send(exchange, now):
-                return decisions + self._reject(event, _failures.Draining())
+                draining = self._draining(exchange, now)
+                return decisions + self._reject(event, draining)
         self._state.exchanges[event.exchange_id] = exchange
         set_deadline = _effects.SetDeadline(
             event.exchange_id, exchange.time_left(now)
@@ -187,12 +188,21 @@
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> _shared_state.Effects:
         """Fail a request that would not end before this VM stops."""
-        failure: errors.Failure = _failures.Draining()
+        failure: errors.Failure = self._draining(exchange, now)
         if exchange.may_have_run or exchange.has_output:
             failure = _failures.DrainEnded()
         line = self._log_drain_decision(exchange, now)
         return [line, *self.fail(exchange, failure, now)]
 
+    def _draining(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> _failures.Draining:
+        """Return the refusal of a request, with a time to come back."""
+        delay = self._state.drain.return_delay(now, self._state.rng)
+        if delay is None or delay >= exchange.deadline - now:
+            return _failures.Draining()
+        return _failures.Draining(delay)
+
     def _log_drain_decision(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> _effects.WriteLog:
--- a/sedgepin/_gateway/_drain.py
+++ b/sedgepin/_gateway/_drain.py
@@ -5,6 +5,7 @@
 import dataclasses
 import datetime
 import enum
+import random
 
 from sedgepin import _catalog as catalog
 from sedgepin._gateway import _durations
@@ -20,6 +21,13 @@
 # resumed by its caller; a whole answer that does not come is lost.
 _MIN_STREAM_PROBABILITY = 0.5
 _MIN_WHOLE_ANSWER_PROBABILITY = 0.9
+# With fewer of the entry VMs serving, a caller that is refused would most
+# likely be refused by the next one, too.
+_MIN_SERVING_SHARE = 0.25
+# How long after its last answer a VM is likely to serve again, and the time
+# over which the callers that wait for it return.
+_RESTART_TIME = datetime.timedelta(seconds=1)
+_RETURN_SPREAD = datetime.timedelta(seconds=2)
 
 
 class Reason(enum.Enum):
@@ -73,6 +81,7 @@
         "_late_from",
         "_probabilities",
         "_remembered",
+        "_do_enough_serve",
         "answer_by",
     )
 
@@ -86,6 +95,7 @@
         self._remembered: dict[
             _Kind, collections.deque[_durations.Duration]
         ] = {}
+        self._do_enough_serve = True
         # Those of one instant, by kind and expected tokens.
         self._decided_at: datetime.datetime | None = None
         self._probabilities: dict[tuple[_Kind, float], float | None] = {}
@@ -98,6 +108,14 @@
             self.answer_by = answer_by
             self._late_from = late_from
 
+    def is_late(self, now: datetime.datetime) -> bool:
+        """Return whether this VM takes no new streams before it stops."""
+        return self._late_from is not None and now >= self._late_from
+
+    def set_serving(self, serving: int, entry_count: int) -> None:
+        """Record how many of all entry VMs take new streams."""
+        self._do_enough_serve = serving >= entry_count * _MIN_SERVING_SHARE
+
     def record_end(
         self,
         exchange: _exchange.Exchange,
@@ -119,6 +137,18 @@
             self._remembered[kind] = durations
         durations.append(_measure(exchange, is_answered, now))
 
+    def return_delay(
+        self, now: datetime.datetime, rng: random.Random
+    ) -> datetime.timedelta | None:
+        """Return after what time a refused caller may come back to this VM.
+
+        ``None`` if another VM is likely to serve it sooner.
+        """
+        if self.answer_by is None or self._do_enough_serve:
+            return None
+        delay = self.answer_by - now + _RESTART_TIME
+        return delay + _RETURN_SPREAD * rng.random()
+
     def may_send(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> bool:
--- a/sedgepin/_gateway/_failures.py
+++ b/sedgepin/_gateway/_failures.py
@@ -77,10 +77,12 @@
     title: typing.ClassVar[str] = "This VM stops before the request could end"
     http_status: typing.ClassVar[int] = 503
 
+    retry_delay: datetime.timedelta = _REFUSED_RETRY_AFTER
+
     @property
     def retry_after(self) -> datetime.timedelta | None:
-        """Return a short time, in which another entry VM is chosen."""
-        return _REFUSED_RETRY_AFTER
+        """Return when an entry VM is likely to serve the request."""
+        return self.retry_delay
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -54,6 +54,7 @@
         "_reported_at",
         "_state",
         "_stream_failover",
+        "_was_stopping",
     )
 
     def __init__(
@@ -95,6 +96,8 @@
             self._connections.rank
         )
         self._is_draining = False
+        # As in the last report.
+        self._was_stopping = False
 
     @property
     def is_ready(self) -> bool:
@@ -318,6 +321,9 @@
             return
         if message.entry_count:
             self._set_entry_count(message.entry_count)
+        self._state.drain.set_serving(
+            message.entry_count - message.stopping_count, message.entry_count
+        )
         self._state.fleet.set_aggregated_load(message.loads, now)
         self._state.retry_budget.set_aggregated_counts(message.retries, now)
         self._configuration.record_version(
@@ -517,7 +523,11 @@
             effects.append(_effects.SendMessage(previous, withdrawal))
         if aggregator is None:
             return effects
-        has_changed = self._state.fleet.has_unreported_changes
+        is_stopping = self._state.drain.is_late(now)
+        has_changed = (
+            self._state.fleet.has_unreported_changes
+            or is_stopping != self._was_stopping
+        )
         if (
             aggregator == previous
             and not has_changed
@@ -527,7 +537,8 @@
         self._reported_at = now
         loads = self._state.fleet.make_load_report()
         retries = self._state.retry_budget.counts(now)
-        message = protocol.LoadReported(loads, retries)
+        self._was_stopping = is_stopping
+        message = protocol.LoadReported(loads, retries, is_stopping)
         return [*effects, _effects.SendMessage(aggregator, message)]
 
 
--- a/sedgepin/_gateway/tests/test_drain.py
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -263,6 +263,62 @@
         _assert_refused(gateway.send_request("/post/x")[1])
 
 
+class TestTimeToRetry:
+    @pytest.mark.parametrize(
+        ("entry_count", "stopping_count", "is_soon"),
+        [(0, 0, True), (8, 0, True), (8, 6, True), (8, 7, False)],
+    )
+    def test_callers_return_when_a_vm_is_likely_to_serve_them(
+        self, entry_count: int, stopping_count: int, is_soon: bool
+    ) -> None:
+        """``is_soon``: at another VM; else at this one, started again."""
+        gateway = parts.Gateway()
+        _drain(gateway, 2000, estimated=500)
+        summed = protocol.LoadSummed(
+            (), entry_count=entry_count, stopping_count=stopping_count
+        )
+        gateway.receive(summed)
+        gateway.now += parts.milliseconds(1800)
+        _, effects = gateway.send_request("/draft/x")
+        retry_after = _failure(effects).retry_after
+        assert retry_after is not None
+        if is_soon:
+            assert retry_after == parts.milliseconds(250)
+        else:
+            assert retry_after >= parts.milliseconds(1200)
+            assert retry_after <= parts.milliseconds(3200)
+
+    def test_callers_without_the_time_to_wait_return_soon(self) -> None:
+        gateway = parts.Gateway()
+        _drain(gateway, 3800, estimated=500)
+        gateway.receive(
+            protocol.LoadSummed((), entry_count=1, stopping_count=1)
+        )
+        gateway.now += parts.milliseconds(600)
+        _, effects = gateway.send_request("/draft/x")
+        failure = _failure(effects)
+        assert failure.retry_after == parts.milliseconds(250)
+
+
+class TestReport:
+    def test_control_vms_learn_when_no_new_streams_are_taken(self) -> None:
+        gateway = parts.Gateway()
+        _drain(gateway, 7500, estimated=2600)
+        reported: list[tuple[int, bool]] = []
+        for tick in range(20):
+            effects = gateway.advance(200)
+            reported += [
+                (tick, effect.message.is_stopping)
+                for effect in effects
+                if isinstance(effect, _effects.SendMessage)
+                and isinstance(effect.message, protocol.LoadReported)
+            ]
+        assert {stops for _, stops in reported} == {False, True}
+        first = next(tick for tick, stops in reported if stops)
+        assert first == 12
+        assert all(stops == (tick >= first) for tick, stops in reported)
+
+
 class TestWaitingRequests:
     @_WAITS
     def test_one_that_cannot_end_in_time_is_refused_at_once(
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -159,17 +159,22 @@
 
 
 class LoadReported(msgspec.Struct, frozen=True, tag=True):
-    """The load that the sending entry VM puts on endpoints and services."""
+    """The load that the sending entry VM puts on endpoints and services.
+
+    ``is_stopping`` tells that it takes no new streams before it stops.
+    """
 
     loads: tuple[EndpointLoad, ...]
     retries: tuple[RetryCount, ...] = ()
+    is_stopping: bool = False
 
 
 class LoadSummed(msgspec.Struct, frozen=True, tag=True):
     """The aggregated load of all entry VMs, from their last reports.
 
     ``entry_count`` is the number of these entry VMs; 0 if the sender does not
-    state it.  ``knows_leader`` is false if the sender has known no leader for
+    state it.  ``stopping_count`` of them stop, and take no new streams.
+    ``knows_leader`` is false if the sender has known no leader for
     a while, so that what it holds may be outdated.
     ``configuration_version`` is the version that the sender holds; -1 if it
     does not state it.
@@ -180,18 +185,21 @@
     entry_count: int = 0
     knows_leader: bool = True
     configuration_version: int = -1
+    stopping_count: int = 0
 
 
 class LoadShared(msgspec.Struct, frozen=True, tag=True):
     """The summed load of the entry VMs that report to the sender.
 
     Control VMs exchange these sums, so that each can tell its entry VMs the
-    load of the whole fleet.
+    load of the whole fleet.  ``stopping_count`` of their entry VMs stop, and
+    take no new streams.
     """
 
     loads: tuple[EndpointLoad, ...]
     retries: tuple[RetryCount, ...] = ()
     entry_count: int = 0
+    stopping_count: int = 0
 
 
 class EndpointFailed(msgspec.Struct, frozen=True, tag=True):
--- a/sedgepin/_registrar/_load_aggregation.py
+++ b/sedgepin/_registrar/_load_aggregation.py
@@ -125,6 +125,7 @@
             self.entry_count,
             knows_leader,
             configuration_version,
+            _count_stopping(reports),
         )
         return effects + [
             _effects.SendMessage(entry, message)
@@ -139,7 +140,10 @@
         _remove_expired(self._reports, now)
         reports = [stored.message for stored in self._reports.values()]
         message = protocol.LoadShared(
-            _sum_loads(reports), _sum_retries(reports), len(reports)
+            _sum_loads(reports),
+            _sum_retries(reports),
+            len(reports),
+            _count_stopping(reports),
         )
         return [_effects.SendMessage(control, message) for control in controls]
 
@@ -157,6 +161,15 @@
 ]
 
 
+def _count_stopping(reports: _Reports) -> int:
+    return sum(
+        report.stopping_count
+        if isinstance(report, protocol.LoadShared)
+        else report.is_stopping
+        for report in reports
+    )
+
+
 def _sum_loads(reports: _Reports) -> tuple[protocol.EndpointLoad, ...]:
     running: collections.Counter[model.EndpointId] = collections.Counter()
     tokens: collections.Counter[model.EndpointId] = collections.Counter()
