Stop a VM once it serves nobody, and not once nobody comes

Where most VMs of a site stop, the load balancer sends to them until they end, so each stayed for 7 s to refuse callers, though its last stream had ended 0.5 to 2.5 s before; a VM that has stopped sooner serves sooner again. A VM stays now while requests are open or were sent to an endpoint within the last 0.4 s.

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -2,6 +2,7 @@
 
 import datetime
 import itertools
+import math
 import random
 import secrets
 import time
@@ -316,7 +317,10 @@
         self._driver.submit(requested)
         late_at = trio.current_time() + times.end + _LATE_SECONDS
         await _planned_stop.serve_last_requests(
-            self._server, times, lambda: self._forwarding.open_forwards
+            self._server,
+            times,
+            lambda: self._forwarding.open_forwards,
+            self._seconds_since_sent,
         )
         seconds = _DRAIN_POLL_SECONDS
         if trio.current_time() > late_at:
@@ -333,6 +337,13 @@
         )
         self._driver.submit(ended)
 
+    def _seconds_since_sent(self) -> float:
+        """Return how long ago a request was sent to an endpoint."""
+        last_sent_at = self.reducer.last_sent_at
+        if last_sent_at is None:
+            return math.inf
+        return (self._clock.now() - last_sent_at).total_seconds()
+
     def _apply_effect(self, effect: _effects.GatewayEffect) -> None:
         match effect:
             case _effects.SendMessage(recipient, message):
--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -759,6 +759,7 @@
                 exchange.service.name, now
             )
         exchange.send_count += 1
+        self._state.drain.last_sent_at = now
         exchange.denied_permits = 0
         exchange.reroute_count = 0
         exchange.is_rerouting = False
--- a/sedgepin/_gateway/_drain.py
+++ b/sedgepin/_gateway/_drain.py
@@ -83,6 +83,7 @@
         "_remembered",
         "_do_enough_serve",
         "answer_by",
+        "last_sent_at",
     )
 
     def __init__(
@@ -96,6 +97,8 @@
             _Kind, collections.deque[_durations.Duration]
         ] = {}
         self._do_enough_serve = True
+        # When a request was sent to an endpoint.
+        self.last_sent_at: datetime.datetime | None = None
         # Those of one instant, by kind and expected tokens.
         self._decided_at: datetime.datetime | None = None
         self._probabilities: dict[tuple[_Kind, float], float | None] = {}
--- a/sedgepin/_gateway/_planned_stop.py
+++ b/sedgepin/_gateway/_planned_stop.py
@@ -12,8 +12,9 @@
 # failed checks.  Requests that it sends until then are still served.
 _READINESS_LOSS_SECONDS = 2.6
 # It keeps sending callers where most VMs of a data centre drain.  They are
-# accepted until none has come for as long, or until the last moment.
-_QUIET_SECONDS = 1.0
+# accepted until none was sent to an endpoint for as long, or until the last
+# moment.
+_QUIET_SECONDS = 0.4
 # Time within the grace period for the process to exit after the drain, before
 # that for the last answers to be sent, and before that for the first requests
 # on the last connections.
@@ -66,11 +67,15 @@
     server: web.Server,
     times: StopTimes,
     count_others: collections.abc.Callable[[], int],
+    quiet_seconds: collections.abc.Callable[[], float],
 ) -> None:
     """Serve until no request is open and no more are expected.
 
     To be called at the signal; returns at ``times.end`` at the latest.
-    ``count_others`` returns the open requests of other servers.
+    ``count_others`` returns the open requests of other servers, and
+    ``quiet_seconds`` how long ago a request was sent to an endpoint.  Callers
+    that are only refused do not keep the VM from stopping: it serves them
+    sooner once it has started again.
     """
     started_at = trio.current_time()
     with trio.move_on_at(started_at + times.end):
@@ -80,7 +85,7 @@
             while (
                 server.open_exchanges
                 or count_others()
-                or server.quiet_seconds < _QUIET_SECONDS
+                or quiet_seconds() < _QUIET_SECONDS
             ):
                 await trio.sleep(_POLL_SECONDS)
         server.finish_draining()
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -99,6 +99,11 @@
         # As in the last report.
         self._was_stopping = False
 
+    @property
+    def last_sent_at(self) -> datetime.datetime | None:
+        """Return when a request was last sent to an endpoint."""
+        return self._state.drain.last_sent_at
+
     @property
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers to this VM."""
--- a/sedgepin/_web/_caller_connection.py
+++ b/sedgepin/_web/_caller_connection.py
@@ -457,5 +457,4 @@
         self._has_sent = False
         self._label = ""
         self._read_since = trio.current_time()
-        self._server.last_arrival_at = self._read_since
         self._status = 0
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -67,11 +67,6 @@
         busy = sum(connection.is_busy for connection in self._connections)
         return busy + self._is_closing_listeners
 
-    @property
-    def quiet_seconds(self) -> float:
-        """Return how long ago a connection or a request has come."""
-        return trio.current_time() - self._state.last_arrival_at
-
     async def serve(
         self,
         address: str,
@@ -200,7 +195,6 @@
             stream, self._handler, self._state
         )
         self._connections.add(connection)
-        self._state.last_arrival_at = trio.current_time()
         return connection
 
     async def _run_connection(
--- a/sedgepin/_web/_server_state.py
+++ b/sedgepin/_web/_server_state.py
@@ -1,7 +1,5 @@
 """What the connections of a server share."""
 
-import math
-
 import trio
 
 from sedgepin import _memory as memory
@@ -18,7 +16,6 @@
         "budget",
         "has_stopped_accepting",
         "is_draining",
-        "last_arrival_at",
     )
 
     def __init__(
@@ -32,8 +29,6 @@
         self._idle_limits = _idle_limits.IdleLimits(seconds)
         self.has_stopped_accepting = False
         self.is_draining = False
-        # When the last connection was accepted or the last request began.
-        self.last_arrival_at = -math.inf
 
     def update_limits(self) -> None:
         """Record the idle timeout that is in force now."""
