Log a begun stream that ends as one that may have run

request_failed took may_have_run from the attempts that have ended, so it said false of a stream whose output its caller had received. An operator who reads it sends the request again. The answers to callers were right: they look at the output too.

The state of a request says now that it may have run also while an attempt is in progress and once there is output. All other readers of it asked for these two already. A test fails before. The line of a request without output that is at an engine is written after the attempt is taken from it, and stays wrong here.

--- a/sedgepin/_gateway/_exchange.py
+++ b/sedgepin/_gateway/_exchange.py
@@ -138,8 +138,12 @@
 
     @property
     def may_have_run(self) -> bool:
-        """Return whether an attempt that has ended may have run."""
-        return bool(self.runs)
+        """Return whether an endpoint may have run any of the request.
+
+        That is one whose attempt has ended so, the one of the attempt in
+        progress, or the one that the caller's output came from.
+        """
+        return bool(self.runs) or self.dispatch is not None or self.has_output
 
     @property
     def current_run(self) -> Run | None:
--- a/sedgepin/_gateway/tests/test_drain.py
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -10,6 +10,7 @@
 from sedgepin import _model as model
 from sedgepin import _protocol as protocol
 from sedgepin import errors
+from sedgepin import events
 
 _Effects = list[_effects.GatewayEffect]
 _LinkFailure = _events.LinkFailure
@@ -34,6 +35,18 @@
     return parts.get_effect(effects, _effects.FailExchange).failure
 
 
+def _logged_failure(effects: _Effects) -> tuple[object, object]:
+    """Return the code and whether the request is logged as possibly run."""
+    (line,) = [
+        effect.line
+        for effect in effects
+        if isinstance(effect, _effects.WriteLog)
+        and effect.line.definition is events.REQUEST_FAILED
+    ]
+    fields = {field.name: field.value for field in line.fields}
+    return fields["code"], fields["may_have_run"]
+
+
 def _assert_refused(effects: _Effects) -> None:
     failure = _failure(effects)
     assert failure.code == "draining"
@@ -238,6 +251,25 @@
         effects = gateway.handle(_events.DeadlineReached(exchange_id))
         assert _failure(effects).code == "drain_ended"
 
+    def test_begun_stream_that_a_stop_ends_is_not_logged_as_not_run(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        exchange_id, _ = gateway.send_request("/draft/x")
+        gateway.handle(_events.OutputStarted(exchange_id))
+        _drain(gateway, 3000)
+        gateway.now += parts.milliseconds(3000)
+        effects = gateway.handle(_events.DeadlineReached(exchange_id))
+        assert _logged_failure(effects) == ("drain_ended", True)
+
+    def test_one_that_waits_when_a_stop_ends_it_is_logged_as_not_run(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        _waiting_for_capacity(gateway)
+        effects = _drain(gateway, 100)
+        assert _logged_failure(effects) == ("draining", False)
+
     def test_own_deadline_before_the_end_is_reported_as_such(self) -> None:
         gateway = parts.Gateway()
         exchange_id, _ = gateway.send_request("/post/x")
