Answer a request that is not there when the VM stops

A request whose body, or head, was still arriving at the end of the drain lost its connection without an answer: request_unread with process_end. Its caller did not learn that it has not run, and sent the last piece into a closed connection. Bodies in chunks, in pieces and with a late last piece are of this kind.

When the drain is over, such requests are refused as draining, with the time to retry, and logged as request_unreadable with the code draining. The count in drain_ended is now of requests that have arrived in part; requests whose answer was still on its way counted as unread before.

The tests fail before: no byte of an answer.

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -14,6 +14,7 @@
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _engine_calls
 from sedgepin._gateway import _events
+from sedgepin._gateway import _failures
 from sedgepin._gateway import _forwarding_policy
 from sedgepin._gateway import _planned_stop
 from sedgepin._gateway import _reducer
@@ -315,6 +316,8 @@
         await _planned_stop.serve_last_requests(
             self._server, times, lambda: self._forwarding.open_forwards
         )
+        unread_requests = self._server.unread_requests
+        self._server.refuse_unread_requests(_failures.Draining())
         seconds = _DRAIN_POLL_SECONDS
         if trio.current_time() > late_at:
             seconds = _LATE_ANSWERS_SECONDS
@@ -325,8 +328,7 @@
             while self._relays or self._server.open_exchanges:
                 await trio.sleep(_MIN_TICK_SECONDS)
         ended = _events.DrainEnded(
-            self._forwarding.open_forwards,
-            max(0, self._server.open_exchanges - len(self._relays)),
+            self._forwarding.open_forwards, unread_requests
         )
         self._driver.submit(ended)
 
--- a/sedgepin/_web/_caller_connection.py
+++ b/sedgepin/_web/_caller_connection.py
@@ -50,6 +50,7 @@
         "_label",
         "_read_since",
         "_reader",
+        "_refusal",
         "_scope",
         "_sending_since",
         "_server",
@@ -87,6 +88,8 @@
         )
         self._address = sockets.peer_ip(stream.socket)
         self._account: memory.Account | None = None
+        # Why the request that is being read is refused instead.
+        self._refusal: errors.Failure | None = None
         # Lets the current request go whose bytes are not held any longer.
         self._evict_request: collections.abc.Callable[[], None] | None = None
 
@@ -95,6 +98,11 @@
         """Whether the caller closed the connection first."""
         return self._reader.has_caller_closed
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether a request has begun to arrive and is not there yet."""
+        return self._is_reading
+
     @property
     def closes_after_answer(self) -> bool:
         """Return whether answers must announce ``Connection: close``.
@@ -117,6 +125,12 @@
         self.is_busy = awaits_request or self._has_unread_bytes()
         self._idle_scope.deadline = deadline
 
+    def refuse_if_reading(self, failure: errors.Failure) -> None:
+        """Answer a request that is not read to its end with a failure."""
+        if self._is_reading and self._evict_request is not None:
+            self._refusal = failure
+            self._evict_request()
+
     def _drain_deadline(self) -> float:
         """Return until when a request is awaited after the drain.
 
@@ -373,12 +387,15 @@
         limits = self._handler.limits()
         self._reader.set_header_bytes(limits.header_bytes)
         self._start_reading()
+        received: result.Result[_types.Request, errors.Failure] | None = None
         with trio.CancelScope() as scope:
             self._evict_request = scope.cancel
             received = await self._read_parts(limits)
         self._evict_request = None
         if self._is_evicted:
             return result.Err(memory.MemoryExhausted())
+        if scope.cancelled_caught and self._refusal is not None:
+            return result.Err(self._refusal)
         return received
 
     async def _read_parts(
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -12,6 +12,7 @@
 from sedgepin._web import _exchange
 from sedgepin._web import _server_state
 from sedgepin import containment
+from sedgepin import errors
 
 # A caller that does not read its answer is disconnected when one send blocks
 # for longer.
@@ -67,6 +68,11 @@
         busy = sum(connection.is_busy for connection in self._connections)
         return busy + self._is_closing_listeners
 
+    @property
+    def unread_requests(self) -> int:
+        """Return how many requests have arrived in part."""
+        return sum(connection.is_reading for connection in self._connections)
+
     @property
     def quiet_seconds(self) -> float:
         """Return how long ago a connection or a request has come."""
@@ -143,6 +149,15 @@
         for connection in tuple(self._connections):
             connection.close_if_idle()
 
+    def refuse_unread_requests(self, failure: errors.Failure) -> None:
+        """Answer the requests that have arrived in part with a failure.
+
+        To be called shortly before the end: their callers learn that they
+        have not run, instead of losing the connection.
+        """
+        for connection in tuple(self._connections):
+            connection.refuse_if_reading(failure)
+
     def _accept_backlog(
         self, listener: trio.SocketListener, most: int = _LISTEN_BACKLOG
     ) -> None:
--- a/sedgepin/_web/tests/test_lost_requests.py
+++ b/sedgepin/_web/tests/test_lost_requests.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from sedgepin import _memory as memory
 from sedgepin import _web as web
 from sedgepin import errors
 from sedgepin.tests import processes
@@ -302,3 +303,22 @@
                     process.cancel_scope.cancel()
         assert b"<broken>" not in received[0]
         assert received[0].endswith(_LARGE_ANSWER[:1_000])
+
+    @pytest.mark.parametrize("sent", [b"POST / HT", _REQUEST[:-1]])
+    async def test_request_that_is_not_there_is_refused_at_the_end(
+        self, nursery: trio.Nursery, sent: bytes
+    ) -> None:
+        served = await _served(nursery)
+        with served.connect() as sock, served.connect() as idle:
+            sock.sendall(sent.replace(b"%s", b""))
+            await trio.sleep(0.1)
+            served.server.start_draining()
+            served.server.finish_draining()
+            assert served.server.unread_requests == 1
+            served.server.refuse_unread_requests(memory.MemoryExhausted())
+            received = await _answer(sock)
+            assert b"\r\nConnection: close\r\n" in received
+            assert received.endswith(memory.MemoryExhausted.code.encode())
+            assert not served.server.unread_requests
+            idle.sendall(_REQUEST % b"")
+            assert b"200" in await _answer(idle)
