Do not log an engine that answers a check as suspected

An engine that resets requests is checked by a report request. An engine that runs no model has no report and rejects that request with 400, as it has no id. It was logged as endpoint_suspected, "report: status: is 400, expected 200", at the control VM, though the check had found that it runs.

Any answer to a check is no suspicion now; a report that is due and cannot be read is logged as before. No decision changes.

--- a/sedgepin/_registrar/_engine_calls.py
+++ b/sedgepin/_registrar/_engine_calls.py
@@ -64,7 +64,10 @@
             parsed = self._dialect.parse_report(*response.unwrap())
             failure = parsed.err()
             report = parsed.ok()
-        if failure is not None and not effect.is_repeated:
+        # Any answer to a check tells that the engine runs; one that runs no
+        # model has no report.
+        is_sound = effect.is_check and response.is_ok()
+        if failure is not None and not (is_sound or effect.is_repeated):
             line = events.ENDPOINT_SUSPECTED.line(
                 endpoint=effect.endpoint_id, failure=failure.detail()
             )
