Answer what is open when an entry VM's grace period ends

Cause: after the notice an entry VM of the product waits for its longest request, and no setting tells it when its supervisor ends the process. A request taken late in the notice that lasts longer was cut by SIGKILL: its caller got no answer, and no line or count named it.

Change: `drain.grace_seconds`, the time from SIGTERM to the supervisor's SIGKILL. One second before it, what is open ends: `drain_ended`, outcome unknown, if it was sent, `draining`, outcome not run, if it was not; a stream that has begun ends with an `error` event. `request_refused` names each, the log event `drain_ended` counts them, the forwards that are cut and the requests that were not read whole. The default, without the setting, is as before. A period that leaves less than a second after the notice is refused.

--- a/sedgepin/_entry/__init__.py
+++ b/sedgepin/_entry/__init__.py
@@ -31,6 +31,7 @@
 from sedgepin._entry._events import EntryEvent
 from sedgepin._entry._events import GenerateRequest
 from sedgepin._entry._events import GenerateRequested
+from sedgepin._entry._events import GracePeriodEnded
 from sedgepin._entry._events import LinkFailure
 from sedgepin._entry._events import PathProbed
 from sedgepin._entry._events import PieceReceived
@@ -67,6 +68,7 @@
     "EntryStatus",
     "GenerateRequest",
     "GenerateRequested",
+    "GracePeriodEnded",
     "LinkFailure",
     "PathProbed",
     "PieceReceived",
--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -30,6 +30,8 @@
 # stops waiting after this time; the control VMs mark the records as unknown
 # once this VM is gone.
 _SETTLE_TIMEOUT_SECONDS = 10.0
+# Of the end of a grace period, what the last answers may take.
+_LAST_ANSWERS_SECONDS = 0.5
 
 
 class EntryDaemon:
@@ -147,6 +149,21 @@
         await stop.wait()
         self._driver.submit(_events.DrainRequested())
         self._forwarding.is_draining = True
+        grace_seconds = self._cfg.drain.grace_seconds
+        if grace_seconds is None:
+            await self._drain()
+            return
+        with trio.move_on_after(
+            grace_seconds - settings.GRACE_END_SECONDS
+        ) as scope:
+            await self._drain()
+            # The server may still be sending the last bytes.
+            await trio.sleep_forever()
+        if scope.cancelled_caught:
+            await self._end_open_requests()
+
+    async def _drain(self) -> None:
+        """Take requests during the notice, then wait for the longest one."""
         await trio.sleep(self._cfg.drain.notice_seconds)
         await self._server.take_in()
         # The server may stop at once, and answers nothing that comes later.
@@ -161,6 +178,18 @@
                 await trio.sleep(_DRAIN_POLL_SECONDS)
         await self._server.finish_draining()
 
+    async def _end_open_requests(self) -> None:
+        """Answer what is open at the end of the grace period, and stop."""
+        ended = _events.GracePeriodEnded(
+            self._forwarding.open_forwards, self._server.unread_requests
+        )
+        self._server.start_draining()
+        self._driver.submit(ended)
+        self._server.start_refusing()
+        with trio.move_on_after(_LAST_ANSWERS_SECONDS):
+            await self._server.wait_idle()
+        self._nursery.cancel_scope.cancel()
+
     def _apply_effect(self, effect: _effects.EntryEffect) -> None:
         match effect:
             case (
--- a/sedgepin/_entry/_events.py
+++ b/sedgepin/_entry/_events.py
@@ -224,6 +224,18 @@
     """
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class GracePeriodEnded:
+    """The VM must stop now, before its supervisor ends the process.
+
+    ``open_forwards`` requests of other entry VMs are open, and
+    ``unread_requests`` of callers have not been read whole.
+    """
+
+    open_forwards: int
+    unread_requests: int
+
+
 EntryEvent: typing.TypeAlias = (
     GenerateRequested
     | ServiceCallRequested
@@ -240,5 +252,6 @@
     | TimerFired
     | DrainRequested
     | DrainNoticeEnded
+    | GracePeriodEnded
     | protocol.PeerEvent
 )
--- a/sedgepin/_entry/_failures.py
+++ b/sedgepin/_entry/_failures.py
@@ -183,6 +183,21 @@
     outcome: typing.ClassVar[errors.Outcome] = errors.Outcome.RAN
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class DrainEnded(errors.Failure):
+    """This VM stops at the end of its grace period, and an endpoint works."""
+
+    code: typing.ClassVar[str] = "drain_ended"
+    title: typing.ClassVar[str] = "This VM stops before the answer is ready"
+    http_status: typing.ClassVar[int] = 503
+    outcome: typing.ClassVar[errors.Outcome] = errors.Outcome.UNKNOWN
+
+    @property
+    def retry_after(self) -> datetime.timedelta:
+        """Return how long the caller should wait before a retry."""
+        return _RETRY_AFTER
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class EndpointTooSlow(errors.Failure):
     """A plain service did not answer before the call's deadline."""
--- a/sedgepin/_entry/_generation.py
+++ b/sedgepin/_entry/_generation.py
@@ -482,6 +482,21 @@
         )
         return refusal + self.close(answer, False, now)
 
+    def end_all(self, now: datetime.datetime) -> Effects:
+        """End all requests, as this VM stops.
+
+        Those that wait come first, so that none takes a place that is freed.
+        """
+        answers_by_place = sorted(
+            self.open_answers.values(),
+            key=lambda answer: (answer.is_admitted, answer.dispatched),
+        )
+        effects: Effects = []
+        for answer in answers_by_place:
+            failure = _refusals.at_end_of_grace(answer.dispatched)
+            effects += self.fail_request(answer, failure, now)
+        return effects
+
     def close(
         self,
         answer: _open_answer.OpenAnswer,
--- a/sedgepin/_entry/_reducer.py
+++ b/sedgepin/_entry/_reducer.py
@@ -229,6 +229,8 @@
             case _events.DrainNoticeEnded():
                 self._admission_controllers.start_draining(now)
                 return []
+            case _events.GracePeriodEnded():
+                return self._end_open_requests(event, now)
             case _:
                 return self._handle_peer_event(event, now)
 
@@ -405,3 +407,17 @@
         self._draining = True
         self._context.paths.is_draining = True
         return [_effects.WriteLog(events.PROCESS_DRAINING.line())]
+
+    def _end_open_requests(
+        self, event: _events.GracePeriodEnded, now: datetime.datetime
+    ) -> Effects:
+        """Answer all that is open, which the end of the process would cut."""
+        self._admission_controllers.start_draining(now)
+        open_count = len(self._generation.open_answers) + self._calls.count
+        effects = self._generation.end_all(now) + self._calls.end_all(now)
+        line = events.DRAIN_ENDED.line(
+            cut_requests=open_count,
+            cut_forwards=event.open_forwards,
+            unread_requests=event.unread_requests,
+        )
+        return [*effects, _effects.WriteLog(line)]
--- a/sedgepin/_entry/_refusals.py
+++ b/sedgepin/_entry/_refusals.py
@@ -5,6 +5,7 @@
 from sedgepin import _admission as admission
 from sedgepin._entry import _context
 from sedgepin._entry import _effects
+from sedgepin._entry import _failures
 from sedgepin import _model as model
 from sedgepin import _release as release
 from sedgepin import errors
@@ -40,6 +41,13 @@
     return admission.DeadlineCannotBeMet(_RETRY_AFTER)
 
 
+def at_end_of_grace(may_have_run: bool) -> errors.Failure:
+    """Return the failure of a request that is open when this VM stops."""
+    if may_have_run:
+        return _failures.DrainEnded()
+    return admission.Draining(_RETRY_AFTER)
+
+
 def effective_timeout(
     context: _context.ReducerContext,
     service: release.Service,
--- a/sedgepin/_entry/_server.py
+++ b/sedgepin/_entry/_server.py
@@ -80,6 +80,11 @@
             for customer in cfg.customers
         }
 
+    @property
+    def unread_requests(self) -> int:
+        """Return how many requests have begun and not been read whole."""
+        return max(0, self.open_requests - len(self._exchanges))
+
     def apply_effect(self, effect: _exchange.CallerEffect) -> None:
         """Pass an effect to its caller, unless the caller disconnected."""
         exchange = self._exchanges.get(effect.request_id)
--- a/sedgepin/_entry/_service_calls.py
+++ b/sedgepin/_entry/_service_calls.py
@@ -72,6 +72,39 @@
         """Return whether no call is open and all write records are settled."""
         return not self._open_calls and self._write_calls.are_settled
 
+    @property
+    def count(self) -> int:
+        """Return how many calls are open."""
+        return len(self._open_calls)
+
+    def end_all(self, now: datetime.datetime) -> Effects:
+        """End all calls, as this VM stops.
+
+        Those that wait come first, so that none takes a place that is freed.
+        A write that was not sent is abandoned; the control VMs mark the record
+        of one that was as unknown once this VM is gone.
+        """
+        calls = sorted(
+            self._open_calls.values(), key=lambda call: call.is_admitted
+        )
+        effects: Effects = []
+        for call in calls:
+            request_id = call.request.request_id
+            if call.attempt:
+                effects.append(_effects.CancelCall(request_id, call.attempt))
+            # The one that holds the key of a write may be another request.
+            is_begun_write = call.is_write and call.is_admitted
+            if is_begun_write:
+                effects += self._write_calls.handle(
+                    writes.CallerDisconnected(request_id), now
+                )
+            failure = _refusals.at_end_of_grace(
+                bool(call.attempt) or is_begun_write
+            )
+            effects += self._refuse(call.request, failure)
+            effects += self._close(call, False, now)
+        return effects
+
     def handle_request(
         self, request: _events.ServiceRequest, now: datetime.datetime
     ) -> Effects:
--- a/sedgepin/settings.py
+++ b/sedgepin/settings.py
@@ -32,6 +32,9 @@
 _PositiveInt = typing.Annotated[int, msgspec.Meta(gt=0)]
 _PositiveFloat = typing.Annotated[float, msgspec.Meta(gt=0)]
 _NonNegativeFloat = typing.Annotated[float, msgspec.Meta(ge=0)]
+# The end of a grace period, in which an entry VM answers what is open, and
+# its process ends.
+GRACE_END_SECONDS = 1.0
 
 
 class LogFormat(enum.Enum):
@@ -120,9 +123,15 @@
     For ``notice_seconds`` after SIGTERM, new requests are still accepted but
     ``/readyz`` answers 503, so that the load balancer can stop sending
     requests before they are refused.
+
+    ``grace_seconds`` is the time from SIGTERM until the supervisor of an entry
+    VM ends its process.  Shortly before, all that is open is answered as
+    unknown, or as not run if it was sent to no endpoint.  Without it the VM
+    waits for its longest request.
     """
 
     notice_seconds: _NonNegativeFloat = 5.0
+    grace_seconds: _PositiveFloat | None = None
 
 
 class Memory(msgspec.Struct, frozen=True, kw_only=True):
@@ -232,7 +241,7 @@
         )
         digests = [customer.credential_sha256 for customer in cfg.customers]
         faults += _find_duplicates("customers.credential_sha256", digests)
-        return faults + _check_forwarding(cfg)
+        return faults + _check_forwarding(cfg) + _check_drain(cfg.drain)
     faults += _find_duplicates(
         "operators", [operator.id for operator in cfg.operators]
     )
@@ -257,6 +266,18 @@
     return faults
 
 
+def _check_drain(drain: Drain) -> list[errors.FieldFault]:
+    """Return the fault of a grace period that leaves no time for answers."""
+    least = drain.notice_seconds + GRACE_END_SECONDS
+    if drain.grace_seconds is None or drain.grace_seconds >= least:
+        return []
+    problem = (
+        f"is {drain.grace_seconds}, must be at least {least}: notice_seconds"
+        f" and {GRACE_END_SECONDS} s to end what is open"
+    )
+    return [errors.FieldFault("drain.grace_seconds", problem)]
+
+
 def _find_duplicates(field: str, values: list[str]) -> list[errors.FieldFault]:
     counts = collections.Counter(values)
     return [
--- a/sedgepin/tests/fake_engine.py
+++ b/sedgepin/tests/fake_engine.py
@@ -36,7 +36,8 @@
 class Options(msgspec.Struct, frozen=True, kw_only=True):
     """Identity, placement and timing of a fake engine.
 
-    ``announced_port`` replaces ``port`` in announcements unless it is 0.
+    ``announced_port`` replaces ``port`` in announcements unless it is 0.  A
+    call of a plain service takes ``call_seconds`` beside the time of a token.
     """
 
     endpoint_id: str
@@ -50,6 +51,7 @@
     end_layer: int = 8
     token_seconds: float = 0.01
     prefill_seconds: float = 0.05
+    call_seconds: float = 0.0
     crash_word: str = "CRASH"
     silence_word: str = "SILENCE"
     checks_fencing: bool = True
--- a/sedgepin/tests/fake_service.py
+++ b/sedgepin/tests/fake_service.py
@@ -53,7 +53,8 @@
         headers = dict(scope["headers"])
         key = headers.get(b"idempotency-key", b"").decode()
         self.execution_counts[key] += 1
-        await trio.sleep(self.options.token_seconds)
+        options = self.options
+        await trio.sleep(options.token_seconds + options.call_seconds)
         body = {"key": key, "executions": self.execution_counts[key]}
         await fake_engine.send_json(send, 201, body)
 
--- a/sedgepin/tests/processes.py
+++ b/sedgepin/tests/processes.py
@@ -114,6 +114,7 @@
         replicas: int = 2,
         notice_seconds: float = 0.3,
         held_bytes: int | None = None,
+        grace_seconds: float | None = None,
         **engine_options: object,
     ) -> None:
         self.folder = folder
@@ -121,6 +122,7 @@
         self.ports: dict[str, int] = {}
         self.notice_seconds = notice_seconds
         self.held_bytes = held_bytes
+        self.grace_seconds = grace_seconds
         self.engine_options = engine_options
         self.announced_ports: dict[str, int] = {}
         self.control_ids = [f"control-{n + 1}" for n in range(controls)]
@@ -346,12 +348,15 @@
         return DATA_CENTRES[number % len(DATA_CENTRES)]
 
     def _settings(self, name: str) -> dict[str, object]:
+        drain: dict[str, float] = {"notice_seconds": self.notice_seconds}
+        if self.grace_seconds is not None:
+            drain["grace_seconds"] = self.grace_seconds
         common: dict[str, object] = {
             "id": name,
             "data_centre": self._data_centre(name),
             "peer_listen": f"127.0.0.1:{self.ports[f'{name}/peer']}",
             "controls": self._peers(self.control_ids),
-            "drain": {"notice_seconds": self.notice_seconds},
+            "drain": drain,
             "memory": {"held_bytes": self.held_bytes},
         }
         if name in self.control_ids:
--- a/sedgepin/tests/test_settings.py
+++ b/sedgepin/tests/test_settings.py
@@ -47,6 +47,11 @@
             ({"controls": [_PEER, _PEER]}, ["controls"]),
             ({"controls": [{**_PEER, "id": ""}]}, ["controls[0].id"]),
             ({"limits": {"body_bytes": 0}}, ["limits.body_bytes"]),
+            (
+                {"drain": {"notice_seconds": 5, "grace_seconds": 5.9}},
+                ["drain.grace_seconds"],
+            ),
+            ({"drain": {"grace_seconds": 0}}, ["drain.grace_seconds"]),
             ({"forward_listen": "0.0.0.0:1"}, ["forward_listen"]),
             ({"forward_listen": "[::1]:1"}, ["forward_listen"]),
             (
