Log each forward that a stopping entry VM cuts

Cause: an entry VM that forwards for others and stops ends what is still open with its grace period. Only `drain_ended` counted these forwards; no line named a request or a reason, and the VM that asked logs a connection that broke.

Change: `forward_cut` (344) with request, endpoint, incarnation and reason, for each, on the platform's gateway and on the product's entry; on the platform it counts in `sedgepin_events_total`. Nothing else is sent to the VM that asked: the lost connection tells it that the forwarder ended and not the endpoint, also to an earlier build.

--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -184,6 +184,7 @@
             self._forwarding.open_forwards, self._server.unread_requests
         )
         self._server.start_draining()
+        self._forwarding.record_cut()
         self._driver.submit(ended)
         self._server.start_refusing()
         with trio.move_on_after(_LAST_ANSWERS_SECONDS):
--- a/sedgepin/_entry/_forwarding_policy.py
+++ b/sedgepin/_entry/_forwarding_policy.py
@@ -77,6 +77,16 @@
         )
         logs.write(line)
 
+    def record_cut(self, opening: forwarding.OpenForward) -> None:
+        """Log that a request gets no whole answer, as this VM stops."""
+        line = events.FORWARD_CUT.line(
+            request=opening.request_id,
+            endpoint=opening.endpoint_id,
+            incarnation=opening.incarnation,
+            reason="this VM stops",
+        )
+        logs.write(line)
+
     def record_head(
         self, opening: forwarding.OpenForward, head: web.AnswerHead
     ) -> None:
--- a/sedgepin/_forwarding/_server.py
+++ b/sedgepin/_forwarding/_server.py
@@ -29,6 +29,7 @@
 # The parsed request, and the bytes that are sent of it.
 _COPIES = 2
 _ENDED_FOR_MEMORY = "the forwarder's memory for requests was used up"
+_DRAINS = _frames.ForwardRefused("this VM drains")
 _TIME_IS_OVER = "no answer in the time of the request"
 
 
@@ -67,6 +68,9 @@
     ) -> None:
         """Record that a request is not forwarded."""
 
+    def record_cut(self, opening: _frames.OpenForward) -> None:
+        """Record that this VM stops before the end of a request."""
+
     @abc.abstractmethod
     def record_head(
         self, opening: _frames.OpenForward, head: web.AnswerHead
@@ -82,7 +86,7 @@
     sent.  It ends when the other VM closes its connection.
     """
 
-    __slots__ = ("_budget", "_count", "_key", "_policy", "is_draining")
+    __slots__ = ("_budget", "_key", "_open", "_policy", "is_draining")
 
     def __init__(
         self,
@@ -96,13 +100,22 @@
         self._budget = budget or memory.MemoryBudget(
             memory.default_held_bytes()
         )
-        self._count = 0
+        self._open: list[_frames.OpenForward] = []
         self.is_draining = False
 
     @property
     def open_forwards(self) -> int:
         """Return how many connections of other entry VMs are open."""
-        return self._count
+        return len(self._open)
+
+    def record_cut(self) -> None:
+        """Record all that is open, as the end of the process cuts it.
+
+        The other VMs are sent nothing: a connection that breaks tells them
+        that this VM has ended, and not the endpoint.
+        """
+        for opening in self._open:
+            self._policy.record_cut(opening)
 
     async def serve(
         self,
@@ -160,11 +173,11 @@
             self._policy.record_refused(opening, refusal)
             await _refuse(frames, refusal)
             return
-        self._count += 1
+        self._open.append(opening)
         try:
             await self._forward_opened(frames, opening, scope)
         finally:
-            self._count -= 1
+            self._open.remove(opening)
 
     def _is_key(self, key: str) -> bool:
         return hmac.compare_digest(key.encode(), self._key.encode())
@@ -186,7 +199,7 @@
             return
         conn = connected.ok_value
         try:
-            self._policy.record_opened(opening, self._count)
+            self._policy.record_opened(opening, len(self._open))
             request: _frames.Frame | None = None
             with trio.move_on_after(_REQUEST_TIMEOUT_SECONDS):
                 await frames.send(_frames.ForwardOpened())
@@ -219,8 +232,8 @@
         self, opening: _frames.OpenForward, account: memory.Account
     ) -> result.Result[web.ClientConnection, _frames.ForwardRefused]:
         if self.is_draining:
-            return result.Err(_frames.ForwardRefused("this VM drains"))
-        if self._count > _MAX_FORWARDED:
+            return result.Err(_DRAINS)
+        if len(self._open) > _MAX_FORWARDED:
             return result.Err(_frames.ForwardRefused("busy"))
         if not self._policy.knows(opening):
             return result.Err(
--- a/sedgepin/_forwarding/tests/test_connections.py
+++ b/sedgepin/_forwarding/tests/test_connections.py
@@ -24,7 +24,14 @@
 class _Policy(forwarding.ForwardingPolicy):
     """Allows all endpoints and records what it is told."""
 
-    __slots__ = ("heads", "is_sound", "opened_count", "refusals", "refuses")
+    __slots__ = (
+        "cut",
+        "heads",
+        "is_sound",
+        "opened_count",
+        "refusals",
+        "refuses",
+    )
 
     def __init__(self) -> None:
         self.refuses: str | None = None
@@ -32,6 +39,7 @@
         self.heads: list[int] = []
         self.opened_count = 0
         self.refusals: list[str] = []
+        self.cut: list[str] = []
 
     def refusal(
         self, opening: forwarding.OpenForward
@@ -56,6 +64,9 @@
     ) -> None:
         self.refusals.append(refusal.reason)
 
+    def record_cut(self, opening: forwarding.OpenForward) -> None:
+        self.cut.append(opening.request_id)
+
     def record_head(
         self, opening: forwarding.OpenForward, head: web.AnswerHead
     ) -> None:
@@ -298,6 +309,23 @@
 
         _play(_answer, check)
 
+    def test_forwarder_that_stops_records_what_it_cuts(self) -> None:
+        """The other VM learns that the forwarder was lost."""
+
+        async def check(setup: _Setup) -> None:
+            conn = (await setup.open()).unwrap()
+            (await conn.send(_REQUEST)).unwrap()
+            (await conn.read_head()).unwrap()
+            setup.server.is_draining = True
+            setup.server.record_cut()
+            setup.forwarder_scope.cancel()
+            assert (await conn.read_data()).unwrap() == b"one"
+            assert (await conn.read_data()).is_err()
+            assert conn.is_lost
+            assert setup.policy.cut == ["r1"]
+
+        _play(_send_one_event, check)
+
     def test_forwarder_that_is_late_sends_nothing(self) -> None:
         """Who has given it up sends the request elsewhere."""
 
--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -324,6 +324,7 @@
         with trio.move_on_after(seconds):
             while self._relays or self._server.open_exchanges:
                 await trio.sleep(_MIN_TICK_SECONDS)
+        self._forwarding.record_cut()
         ended = _events.DrainEnded(
             self._forwarding.open_forwards,
             max(0, self._server.open_exchanges - len(self._relays)),
--- a/sedgepin/_gateway/tests/test_log_lines.py
+++ b/sedgepin/_gateway/tests/test_log_lines.py
@@ -396,6 +396,7 @@
 }
 # Logged by the daemon and covered by the process tests.
 _LOGGED_BY_DAEMON = {
+    "forward_cut",
     "forward_opened",
     "forward_refused",
     "process_started",
--- a/sedgepin/events.py
+++ b/sedgepin/events.py
@@ -612,6 +612,17 @@
     "reason",
     "beyond",
 )
+FORWARD_CUT = _define(
+    344,
+    "WARNING",
+    "forward_cut",
+    "This VM stops, and ends a request of another entry VM without its whole"
+    " answer. The other VM decides what follows.",
+    "request",
+    "endpoint",
+    "incarnation",
+    "reason",
+)
 REQUEST_FORWARDED = _define(
     332,
     "INFO",
--- a/sedgepin/platform/tests/running_system.py
+++ b/sedgepin/platform/tests/running_system.py
@@ -135,8 +135,10 @@
         self.memory_mb: float | None = None
         self._folder = folder
 
-    def start(self, role: str, ip: str) -> None:
-        folder = self.folder(role)
+    def start(self, role: str, ip: str, name: str | None = None) -> None:
+        """Start a program, the only one of its role unless it has a name."""
+        name = name or role
+        folder = self.folder(name)
         folder.mkdir(exist_ok=True)
         path = folder / "settings.toml"
         path.write_text(
@@ -149,9 +151,10 @@
                 self.memory_mb,
             )
         )
-        self.processes[role] = subprocess.Popen(
+        self.processes[name] = subprocess.Popen(
             [sys.executable, "-m", "sedgepin.tests.full_disk"]
-            + [str(self.full_disk_marker(role))]
+            + [str(self.full_disk_marker(name)), "sedgepin.tests.cut_links"]
+            + [str(self.cut_links_marker(name)), str(ENGINE_PORT)]
             + ["sedgepin.platform", role, str(METRICS_PORT)],
             env={**os.environ, "SEDGEPIN_NODE_FILE": str(path)},
             stdout=(folder / "log").open("wb"),
@@ -161,6 +164,10 @@
         """Return the file that makes a process's disk full if it exists."""
         return self.folder(role) / "full"
 
+    def cut_links_marker(self, name: str) -> pathlib.Path:
+        """Return the file that cuts a process off engines if it exists."""
+        return self.folder(name) / "cut"
+
     def folder(self, role: str) -> pathlib.Path:
         return self._folder / role
 
--- a/sedgepin/tests/cut_links.py
+++ b/sedgepin/tests/cut_links.py
@@ -1,18 +1,17 @@
-"""Runs the ``sedgepin`` command with links to endpoints that can be cut.
+"""Runs a program with links to endpoints that can be cut.
 
-``python -m sedgepin.tests.cut_links FILE PORTS ARGUMENT...``: while the file
-exists, new connections to the comma-separated ports of the loopback are
+``python -m sedgepin.tests.cut_links FILE PORTS MODULE ARGUMENT...``: while the
+file exists, new connections to the comma-separated ports of the loopback are
 refused in this process alone.
 """
 
 import errno
 import pathlib
+import runpy
 import socket
 import sys
 import typing
 
-from sedgepin import cli
-
 
 def _cut_links(path: pathlib.Path, ports: frozenset[int]) -> None:
     """Refuse connections in the calls that all libraries here go through."""
@@ -40,5 +39,6 @@
         pathlib.Path(sys.argv[1]),
         frozenset(map(int, sys.argv[2].split(","))),
     )
-    sys.argv[1:3] = []
-    sys.exit(cli.main())
+    module = sys.argv[3]
+    sys.argv = sys.argv[3:]
+    runpy.run_module(module, run_name="__main__", alter_sys=True)
--- a/sedgepin/tests/processes.py
+++ b/sedgepin/tests/processes.py
@@ -167,7 +167,10 @@
                 *("sedgepin", role, str(path)),
             ]
             if role == "entry":
-                arguments = [*self._cut_arguments(name), role, str(path)]
+                arguments = [
+                    *self._cut_arguments(name),
+                    *("sedgepin", role, str(path)),
+                ]
         else:
             module_name = "fake_service" if name == "ledger" else "fake_engine"
             options = msgspec.json.encode(self._options(name, incarnation))
