Take no forward that a SIGTERM came before

Cause: a forwarder checks that it does not drain, then connects to the endpoint, for up to 0.25 s. A SIGTERM in between was not seen: the other VM got `ForwardOpened` and sent a request that the forwarder may not finish. Seen with real processes: `process_draining`, 0.3 ms later `forward_opened`, and the stream cut 2.7 s later.

Change: it checks again once it is connected, before anything is sent, and refuses as it does otherwise; the other VM goes to another forwarder.

Test: the signal comes during the check; red before, as the forward opened.

--- a/sedgepin/_forwarding/_server.py
+++ b/sedgepin/_forwarding/_server.py
@@ -199,6 +199,11 @@
             return
         conn = connected.ok_value
         try:
+            if self.is_draining:
+                # Nothing was sent, and the other VM has others to ask.
+                self._policy.record_refused(opening, _DRAINS)
+                await _refuse(frames, _DRAINS)
+                return
             self._policy.record_opened(opening, len(self._open))
             request: _frames.Frame | None = None
             with trio.move_on_after(_REQUEST_TIMEOUT_SECONDS):
--- a/sedgepin/_forwarding/tests/test_connections.py
+++ b/sedgepin/_forwarding/tests/test_connections.py
@@ -28,6 +28,7 @@
         "cut",
         "heads",
         "is_sound",
+        "on_refusal",
         "opened_count",
         "refusals",
         "refuses",
@@ -40,10 +41,13 @@
         self.opened_count = 0
         self.refusals: list[str] = []
         self.cut: list[str] = []
+        # Called when a request is checked, before the connection is made.
+        self.on_refusal: collections.abc.Callable[[], None] = lambda: None
 
     def refusal(
         self, opening: forwarding.OpenForward
     ) -> forwarding.ForwardRefused | None:
+        self.on_refusal()
         if self.refuses is None:
             return None
         return forwarding.ForwardRefused(self.refuses, True, is_sound=True)
@@ -119,6 +123,9 @@
         self.engine_address = ""
         self.forwarder = protocol.Forwarder(model.VmId("one"), "", _KEY)
 
+    def start_draining(self) -> None:
+        self.server.is_draining = True
+
     async def start(self, nursery: trio.Nursery) -> None:
         serve = functools.partial(
             trio.serve_tcp, self.engine.serve, 0, host="127.0.0.1"
@@ -309,6 +316,21 @@
 
         _play(_answer, check)
 
+    def test_forwarder_that_begins_to_drain_meanwhile_sends_nothing(
+        self,
+    ) -> None:
+        """The signal comes while it connects to the endpoint."""
+
+        async def check(setup: _Setup) -> None:
+            setup.policy.on_refusal = setup.start_draining
+            failure = (await setup.open()).unwrap_err()
+            assert not failure.is_beyond
+            assert setup.policy.refusals == ["this VM drains"]
+            assert setup.policy.opened_count == 0
+            assert setup.engine.requests == []
+
+        _play(_answer, check)
+
     def test_forwarder_that_stops_records_what_it_cuts(self) -> None:
         """The other VM learns that the forwarder was lost."""
 
