--- a/sedgepin/_forwarding/tests/test_connections.py
+++ b/sedgepin/_forwarding/tests/test_connections.py
@@ -24,7 +24,15 @@
 class _Policy(forwarding.ForwardingPolicy):
     """Allows all endpoints and records what it is told."""
 
-    __slots__ = ("heads", "is_sound", "opened_count", "refusals", "refuses")
+    __slots__ = (
+        "cut",
+        "heads",
+        "is_sound",
+        "on_refusal",
+        "opened_count",
+        "refusals",
+        "refuses",
+    )
 
     def __init__(self) -> None:
         self.refuses: str | None = None
@@ -32,10 +40,14 @@
         self.heads: list[int] = []
         self.opened_count = 0
         self.refusals: list[str] = []
+        self.cut: list[str] = []
+        # Called when a request is checked, before the connection is made.
+        self.on_refusal: collections.abc.Callable[[], None] = lambda: None
 
     def refusal(
         self, opening: forwarding.OpenForward
     ) -> forwarding.ForwardRefused | None:
+        self.on_refusal()
         if self.refuses is None:
             return None
         return forwarding.ForwardRefused(self.refuses, True, is_sound=True)
@@ -56,6 +68,9 @@
     ) -> None:
         self.refusals.append(refusal.reason)
 
+    def record_cut(self, opening: forwarding.OpenForward) -> None:
+        self.cut.append(opening.request_id)
+
     def record_head(
         self, opening: forwarding.OpenForward, head: web.AnswerHead
     ) -> None:
@@ -108,6 +123,9 @@
         self.engine_address = ""
         self.forwarder = protocol.Forwarder(model.VmId("one"), "", _KEY)
 
+    def start_draining(self) -> None:
+        self.server.is_draining = True
+
     async def start(self, nursery: trio.Nursery) -> None:
         serve = functools.partial(
             trio.serve_tcp, self.engine.serve, 0, host="127.0.0.1"
@@ -298,6 +316,38 @@
 
         _play(_answer, check)
 
+    def test_forwarder_that_begins_to_drain_meanwhile_sends_nothing(
+        self,
+    ) -> None:
+        """The signal comes while it connects to the endpoint."""
+
+        async def check(setup: _Setup) -> None:
+            setup.policy.on_refusal = setup.start_draining
+            failure = (await setup.open()).unwrap_err()
+            assert not failure.is_beyond
+            assert setup.policy.refusals == ["this VM drains"]
+            assert setup.policy.opened_count == 0
+            assert setup.engine.requests == []
+
+        _play(_answer, check)
+
+    def test_forwarder_that_stops_records_what_it_cuts(self) -> None:
+        """The other VM learns that the forwarder was lost."""
+
+        async def check(setup: _Setup) -> None:
+            conn = (await setup.open()).unwrap()
+            (await conn.send(_REQUEST)).unwrap()
+            (await conn.read_head()).unwrap()
+            setup.server.is_draining = True
+            setup.server.record_cut()
+            setup.forwarder_scope.cancel()
+            assert (await conn.read_data()).unwrap() == b"one"
+            assert (await conn.read_data()).is_err()
+            assert conn.is_lost
+            assert setup.policy.cut == ["r1"]
+
+        _play(_send_one_event, check)
+
     def test_forwarder_that_is_late_sends_nothing(self) -> None:
         """Who has given it up sends the request elsewhere."""
 
