Play planned stops in the soak, and judge what they lose

Each seed now begins with two series of stops of the entry VMs. The stops of a series overlap, some VMs are stopped again as soon as they have started, and in three of four series the model's engines turn 3 to 8 times slower in the middle. 24 callers stay with a VM until it is gone: bodies with a length and in chunks, in up to five pieces, the last one up to 1.5 s late in a quarter; budgets of 20 s; streams of 0.2 to 12 s; in a third of the seeds 3 of 10 state a length that is too much, too little or absent. No other fault is active.

A cut that has no line with a reason, and a count that differs from the lines, are findings as well. Counts of a VM that stops are read each 0.25 s, so that those of its last instants are not judged.

--- a/sedgepin/platform/tests/soak/__main__.py
+++ b/sedgepin/platform/tests/soak/__main__.py
@@ -32,6 +32,9 @@
     fault_seconds: float = 12.0,
     lane: int = 90,
     requests_per_second: float = 20.0,
+    only_stops: bool = False,
+    stop_series: int = 2,
+    stop_callers: int = 24,
     keep: pathlib.Path | None = None,
 ) -> int:
     """Run the system under random faults and print violated invariants.
@@ -42,6 +45,9 @@
     :param lane: Second byte of the loopback addresses; runs with different
         lanes can execute concurrently.
     :param requests_per_second: How much the callers send together.
+    :param only_stops: End each run after its planned stops.
+    :param stop_series: How often all entry VMs are stopped in a series.
+    :param stop_callers: Callers that go on with VMs that stop.
     :param keep: Folder to keep the programs' files of every run in, and the
         findings and records of runs with violations.
     """
@@ -52,6 +58,9 @@
     failed: list[int] = []
     for seed in range(start, start + seeds):
         started = time.monotonic()
+        plan = _seed_run.StopPlan(
+            random.Random(seed), stop_series, stop_callers, only_stops
+        )
         with tempfile.TemporaryDirectory() as temporary_folder:
             folder = pathlib.Path(temporary_folder)
             if keep is not None:
@@ -64,6 +73,7 @@
                 fault_seconds,
                 lane,
                 requests_per_second,
+                plan,
             )
         findings = _invariants.find_violations(record)
         elapsed = time.monotonic() - started
--- a/sedgepin/platform/tests/soak/_callers.py
+++ b/sedgepin/platform/tests/soak/_callers.py
@@ -2,19 +2,16 @@
 
 import itertools
 import random
-import select
 
-import h11
 import trio
 
 from sedgepin.platform.tests.soak import _addresses
 from sedgepin.platform.tests.soak import _configurations
+from sedgepin.platform.tests.soak import _connections
 from sedgepin.platform.tests.soak import _operator
 from sedgepin.platform.tests.soak import _record
 
 REQUESTS_PER_SECOND = 20.0
-_READ_BYTES = 65_536
-_CONNECT_TIMEOUT_SECONDS = 1.0
 # Route: share of the traffic and time budget in milliseconds.
 _TRAFFIC = {"write": (0.35, 3000), "read": (0.25, 3000), "stream": (0.4, 6000)}
 _STREAM_EVENT_COUNTS = (3, 40)
@@ -29,95 +26,6 @@
 _IDLE_SHARE = 0.8
 
 
-class _Connection:
-    """One open HTTP connection of a caller."""
-
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self._stream = stream
-        self._conn = h11.Connection(h11.CLIENT)
-        # Status of the answer that is being received, 0 before its head.
-        self.status = 0
-        self.opened_at = trio.current_time()
-        self.idle_since: float | None = None
-
-    async def send(self, sent: _record.SentRequest) -> None:
-        headers = [
-            ("Host", _configurations.HOST),
-            ("X-Request-Id", sent.request_id),
-            ("X-Deadline-Ms", str(sent.time_left_ms)),
-            ("Authorization", f"Token {sent.key}"),
-            ("Content-Length", str(len(sent.body))),
-        ]
-        if sent.route == "stream":
-            headers.append(("X-Token-Usage", "10,10"))
-            entries = ",".join(f"{part}:2" for part in sent.parts)
-            headers.append(("X-Prompt-Prefix", entries))
-        request = h11.Request(
-            method="POST", target=sent.target, headers=headers
-        )
-        self.status = 0
-        data = self._conn.send(request) or b""
-        data += self._conn.send(h11.Data(data=sent.body)) or b""
-        data += self._conn.send(h11.EndOfMessage()) or b""
-        await self._stream.send_all(data)
-
-    async def receive(self, request_id: str) -> _record.ReceivedAnswer:
-        """Return what is received until the answer ends or breaks off."""
-        headers: dict[bytes, bytes] = {}
-        body = bytearray()
-        is_complete = False
-        try:
-            while not is_complete:
-                event = self._conn.next_event()
-                if event is h11.NEED_DATA:
-                    data = await self._stream.receive_some(_READ_BYTES)
-                    self._conn.receive_data(data)
-                elif isinstance(event, h11.Response):
-                    self.status = event.status_code
-                    headers = dict(event.headers)
-                elif isinstance(event, h11.Data):
-                    body += event.data
-                else:
-                    is_complete = isinstance(event, h11.EndOfMessage)
-                    if not is_complete:
-                        break
-        except (
-            h11.RemoteProtocolError,
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-        ):
-            # The part received before the failure is still checked.
-            is_complete = False
-        return _record.ReceivedAnswer(
-            request_id,
-            self.status,
-            headers.get(b"x-response-seal", b"").decode(),
-            bytes(body),
-            is_complete,
-            trio.current_time(),
-            b"retry-after" in headers,
-        )
-
-    def start_next_cycle(self) -> bool:
-        """Prepare for another request; return whether that is possible."""
-        if self._conn.our_state is not h11.DONE:
-            return False
-        if self._conn.their_state is not h11.DONE:
-            return False
-        self._conn.start_next_cycle()
-        self.idle_since = trio.current_time()
-        return True
-
-    def is_closed(self) -> bool:
-        """Return whether the other side has closed an idle connection."""
-        poll = select.poll()
-        poll.register(self._stream.socket.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
-    def close(self) -> None:
-        self._stream.socket.close()
-
-
 class Callers:
     """All callers of one run."""
 
@@ -133,7 +41,7 @@
         self._record = record
         self._rng = rng
         self._numbers = itertools.count(1)
-        self._idle_connections: dict[int, list[_Connection]] = {}
+        self._idle_connections: dict[int, list[_connections.Connection]] = {}
         # A part that some prompts contain and that crashes engines.
         self.crashing_part: str | None = None
         # Entry VMs that passed their last readiness checks.
@@ -194,6 +102,7 @@
             time_left_ms=_TRAFFIC[route][1],
             parts=parts,
             crashing_part=crashing_part,
+            token_usage="10,10" if route == "stream" else None,
         )
 
     def _choose_entry(self) -> int:
@@ -234,6 +143,7 @@
         with trio.move_on_after(timeout_seconds) as scope:
             try:
                 await connection.send(sent)
+                self._record.whole_at[sent.request_id] = trio.current_time()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 kind = _record.EndKind.CUT
             else:
@@ -259,7 +169,7 @@
         else:
             connection.close()
 
-    def _take_idle(self, number: int) -> _Connection | None:
+    def _take_idle(self, number: int) -> _connections.Connection | None:
         """Return an open connection that may be used again, if any.
 
         Callers use one for up to four fifths of the idle timeout, of which
@@ -283,16 +193,11 @@
             connection.close()
         return None
 
-    async def _connect(self, number: int) -> _Connection | None:
+    async def _connect(self, number: int) -> _connections.Connection | None:
         """Return an idle connection or a new one, if the VM accepts it."""
         idle = self._take_idle(number)
         if idle is not None:
             return idle
-        host, _, port = self._addresses.entry_address(number).rpartition(":")
-        with trio.move_on_after(_CONNECT_TIMEOUT_SECONDS):
-            try:
-                return _Connection(await trio.open_tcp_stream(host, int(port)))
-            except OSError:
-                # The request then counts as not served.
-                return None
-        return None
+        return await _connections.connect(
+            self._addresses.entry_address(number)
+        )
--- a/sedgepin/platform/tests/soak/_configurations.py
+++ b/sedgepin/platform/tests/soak/_configurations.py
@@ -7,14 +7,19 @@
 import typing
 
 from sedgepin.platform.tests.soak import _engines
+from sedgepin.platform.tests.soak import _record
 
 HOST = "soak.example"
 KEYS = ("k1", "k2", "k3")
-PREFIXES = {"write": "post", "read": "read", "stream": "draft"}
+PREFIXES = {
+    "write": "post",
+    "read": "read",
+    "stream": "draft",
+    "long": "tale",
+}
 _RETRY_SEMANTICS = {"write": "non_idempotent", "read": "idempotent"}
 _ROUTE_TIMEOUTS_MS = (4000, 4500, 5000)
-# The shortest time that a request gets, beside its caller's own.
-MIN_ROUTE_TIMEOUT_SECONDS = _ROUTE_TIMEOUTS_MS[0] / 1000
+_LONG_ROUTE_TIMEOUTS_MS = (24_000, 27_000, 30_000)
 _IDLE_TIMEOUTS_MS = (1000, 2000, 5000, 15_000)
 # All above what the soak's callers need.
 _HEADER_TIMEOUTS_MS = (2000, 3000, 5000)
@@ -26,8 +31,17 @@
 _Document = dict[str, typing.Any]
 
 
+def _timeouts_ms(route: str) -> tuple[int, ...]:
+    return _LONG_ROUTE_TIMEOUTS_MS if route == "long" else _ROUTE_TIMEOUTS_MS
+
+
+def min_route_timeout_seconds(route: str) -> float:
+    """Return the shortest time that a request gets, beside its caller's."""
+    return _timeouts_ms(route)[0] / 1000
+
+
 def make_first() -> _Document:
-    """Return a configuration with three routes and three services."""
+    """Return a configuration with four routes and three services."""
     routes = [_make_route(route, route, "/") for route in PREFIXES]
     return {
         "version": 0,
@@ -55,13 +69,13 @@
         "host": HOST,
         "pathPrefix": f"/{PREFIXES[route]}{path}",
         "kind": _RETRY_SEMANTICS.get(route, "streaming"),
-        "timeoutMs": _ROUTE_TIMEOUTS_MS[-1],
+        "timeoutMs": _timeouts_ms(route)[-1],
         "targetLatencyMs": 500,
         "service": _engines.MODEL_SERVICE
-        if route == "stream"
+        if route in _record.STREAM_ROUTES
         else _engines.PLAIN_SERVICE,
         "maxAttempts": 1 if route == "write" else 3,
-        "resumable": route == "stream",
+        "resumable": route in _record.STREAM_ROUTES,
     }
 
 
@@ -105,7 +119,8 @@
 def _change_timeout(document: _Document, rng: random.Random) -> None:
     """Draw the time that requests get, by route."""
     for route in document["routes"]:
-        route["timeoutMs"] = rng.choice(_ROUTE_TIMEOUTS_MS)
+        name = route["name"].partition("-")[0]
+        route["timeoutMs"] = rng.choice(_timeouts_ms(name))
 
 
 def _move_route(document: _Document, rng: random.Random) -> None:
@@ -135,7 +150,8 @@
 
 def _change_many_routes(document: _Document, rng: random.Random) -> None:
     """Add routes for some of the targets and unused ones, or drop them."""
-    first, others = document["routes"][:3], document["routes"][3:]
+    count = len(PREFIXES)
+    first, others = document["routes"][:count], document["routes"][count:]
     document["routes"] = first
     if others and rng.random() < 0.5:
         return
--- a/sedgepin/platform/tests/soak/_ends.py
+++ b/sedgepin/platform/tests/soak/_ends.py
@@ -7,13 +7,12 @@
 import collections.abc
 import math
 
-from sedgepin.platform.tests.soak import _configurations
+from sedgepin.platform.tests.soak import _losses
 from sedgepin.platform.tests.soak import _record
 
 # Callers use connections for this share of the idle timeout.
 IDLE_SHARE = 0.8
 _LATE_SECONDS = 0.1
-_OK = 200
 
 _Findings = collections.abc.Iterator[str]
 
@@ -56,45 +55,34 @@
     if record.has_ended(f"{end.entry} front", end.connected_at, end.at):
         return "link"
     if end.has_begun:
-        return _find_cut_cause(record, end.request_id, end.at)
+        return _find_cut_cause(
+            record, end.request_id, end.at, end.entry, end.connected_at
+        )
     if _was_idle_too_long(record, end) or _has_crossed_stop(record, end):
         return "connection"
     return None
 
 
 def _find_cut_cause(
-    record: _record.Record, request_id: str, at: float
+    record: _record.Record,
+    request_id: str,
+    at: float,
+    entry: str,
+    connected_at: float = -math.inf,
 ) -> str | None:
     """Return why an answer that has begun may be cut.
 
     An engine of the latest attempt has ended or failed.  Those of earlier ones
     are no cause, since the request went on elsewhere.
     """
-    sent = record.sent[request_id]
-    if sent.crashing_part is not None:
-        return "part"
-    seconds = at - record.handed_over_at.get(request_id, sent.at)
-    if seconds + _LATE_SECONDS >= min(
-        sent.time_left_ms / 1000, _configurations.MIN_ROUTE_TIMEOUT_SECONDS
-    ):
-        return "deadline"
-    last = max(
-        (
-            run
-            for run in record.runs
-            if run.request_id == request_id and run.at <= at
-        ),
-        key=lambda run: run.at,
-        default=None,
-    )
-    if last is None:
-        return None
-    names = {last.engine, *last.path}
-    names |= {record.link_names.get(name, "") for name in names}
-    if last.status != _OK or any(
-        record.has_ended(name, last.at, at) for name in names
+    cause = _losses.find_cause(record, request_id, at)
+    if cause is not None:
+        return cause
+    stop = _losses.find_stop(record, entry, connected_at, at)
+    if stop is not None and _losses.was_cut_at_work(
+        record, request_id, at, stop
     ):
-        return "engine"
+        return "stop"
     return None
 
 
@@ -196,14 +184,16 @@
             # Callers of the soak that were still there at its end.
             if line.event == "answer_cut" and (
                 line.request_id not in record.sent
-                or not _find_cut_cause(record, line.request_id, line.at)
+                or not _find_cut_cause(
+                    record, line.request_id, line.at, line.entry
+                )
             ):
                 yield f"a VM has cut an answer without a cause: {line}"
             continue
         if end.kind is _record.EndKind.ANSWERED:
             yield f"a VM has cut an answer that its caller received: {line}"
         elif line.event == "answer_cut" and not _find_cut_cause(
-            record, line.request_id, line.at
+            record, line.request_id, line.at, line.entry
         ):
             yield f"a VM has cut an answer without a cause: {line}"
         elif (
--- a/sedgepin/platform/tests/soak/_engines.py
+++ b/sedgepin/platform/tests/soak/_engines.py
@@ -26,6 +26,8 @@
 HEARTBEAT_SECONDS = 0.6
 _LAYER_LOAD_SECONDS = 0.3
 _EVENT_INTERVAL_SECONDS = 0.03
+_LONG_PREFIX = "/tale/"
+_STREAM_PREFIXES = ("/draft/", _LONG_PREFIX)
 _PLAIN_CALL_SECONDS = 0.03
 # A stream waits this long for a dead engine of its path, then breaks off.
 _STALL_TIMEOUT_SECONDS = 1.0
@@ -357,7 +359,20 @@
             run.answer = b"failed"
             await exchange.answer(self._head(run), run.answer)
             return
-        if not request.target.startswith(b"/draft/"):
+        try:
+            await self._run(exchange, incarnation, run, path)
+        finally:
+            run.ended_at = trio.current_time()
+
+    async def _run(
+        self,
+        exchange: web.Exchange,
+        incarnation: _Incarnation,
+        run: _record.EngineRun,
+        path: list[tuple[str, int, int]],
+    ) -> None:
+        """Answer a request that the engine executes."""
+        if not run.target.startswith(_STREAM_PREFIXES):
             await trio.sleep(_PLAIN_CALL_SECONDS * self.slowdown)
             await self._silence_over.wait()
             run.answer = f"{run.request_id} by {run.seal}".encode()
@@ -380,11 +395,16 @@
         incarnation: _Incarnation,
         run: _record.EngineRun,
     ) -> None:
-        # A stream's target ends in the number of its events.
-        last_number = int(run.target.rsplit("/", 1)[1])
+        # A stream's target ends in the number of its events; a long one's has
+        # the milliseconds between them before it.
+        *others, last = run.target.split("/")
+        last_number = int(last)
+        interval_seconds = _EVENT_INTERVAL_SECONDS
+        if run.target.startswith(_LONG_PREFIX):
+            interval_seconds = int(others[-1]) / 1000
         await exchange.start(self._head(run))
         for number in range(run.resume_after + 1, last_number + 1):
-            await trio.sleep(_EVENT_INTERVAL_SECONDS * self.slowdown)
+            await trio.sleep(interval_seconds * self.slowdown)
             await self._silence_over.wait()
             if not await self._wait_for_path(incarnation, run.request_id):
                 self._record_ending()
--- a/sedgepin/platform/tests/soak/_invariants.py
+++ b/sedgepin/platform/tests/soak/_invariants.py
@@ -5,6 +5,7 @@
 import re
 
 from sedgepin.platform.tests.soak import _ends
+from sedgepin.platform.tests.soak import _losses
 from sedgepin.platform.tests.soak import _record
 
 # Statuses which state that a request was not and will not be executed.
@@ -40,7 +41,7 @@
 
 def find_violations(record: _record.Record) -> list[str]:
     """Return a description of every violation in a record."""
-    return [finding for check in _CHECKS for finding in check(record)]
+    return [finding for check in CHECKS for finding in check(record)]
 
 
 def event_data(request_id: str, number: int) -> bytes:
@@ -125,7 +126,7 @@
                 f"{request_id} got status {answer.status}, its engine answered"
                 f" {run.status}"
             )
-        elif record.sent[request_id].route != "stream":
+        elif not record.sent[request_id].is_stream:
             if answer.body != run.answer:
                 yield f"{request_id} got another body than its engine's"
 
@@ -133,7 +134,7 @@
 def _check_stream_order(record: _record.Record) -> _Findings:
     for request_id, answer in record.answers.items():
         sent = record.sent[request_id]
-        if sent.route != "stream" or answer.status != 200:
+        if not sent.is_stream or answer.status != 200:
             continue
         last = int(sent.target.rsplit("/", 1)[1])
         events = [
@@ -416,7 +417,7 @@
         yield f"an engine was ordered more layers than fit: {engine}"
 
 
-_CHECKS = (
+CHECKS = (
     _check_writes_run_once,
     _check_not_run_statuses,
     _check_answers_match_runs,
@@ -434,4 +435,7 @@
     _ends.check_callers,
     _ends.check_vms,
     _ends.check_counts,
+    _losses.check_stops,
+    _losses.check_lines,
+    _losses.check_counts,
 )
--- a/sedgepin/platform/tests/soak/_record.py
+++ b/sedgepin/platform/tests/soak/_record.py
@@ -9,6 +9,20 @@
 import enum
 import math
 
+# Routes whose targets end in the number of events of the answer.
+STREAM_ROUTES = ("stream", "long")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Sending:
+    """How a caller sends the body of a request."""
+
+    is_chunked: bool = False
+    pieces: int = 1
+    # Before the pieces between the first and the last, and before the last.
+    pause_seconds: float = 0.0
+    last_pause_seconds: float = 0.0
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class SentRequest:
@@ -24,6 +38,15 @@
     # Ids of the parts of its prompt; empty for plain requests.
     parts: tuple[str, ...] = ()
     crashing_part: str | None = None
+    sending: Sending = Sending()
+    # What it states of its length.
+    token_usage: str | None = None
+    length_hint: str | None = None
+
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the answer is a stream of events."""
+        return self.route in STREAM_ROUTES
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -90,6 +113,20 @@
     counts: dict[tuple[str, str], int]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StopCounts:
+    """What an entry that stops has counted of requests' ends.
+
+    The counts were asked for at ``asked_at`` and received at ``at``.
+    """
+
+    entry: str
+    since: float
+    asked_at: float
+    at: float
+    counts: dict[tuple[str, str], int]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Ending:
     """What ended: an engine's address, a killed entry or a link's name."""
@@ -136,6 +173,8 @@
     # Addresses of its engine and of all that compute it.
     engine: str = ""
     path: tuple[str, ...] = ()
+    # When the engine stopped working on it, complete or not.
+    ended_at: float | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -246,12 +285,19 @@
     caller_ends: dict[str, CallerEnd] = dataclasses.field(default_factory=dict)
     # Requests that were handed to an entry to their last byte.
     handed_over_whole: set[str] = dataclasses.field(default_factory=set)
+    # When callers sent the last byte of their requests.
+    whole_at: dict[str, float] = dataclasses.field(default_factory=dict)
     vm_ends: list[VmEnd] = dataclasses.field(default_factory=list)
     end_counts: list[EndCounts] = dataclasses.field(default_factory=list)
     endings: list[Ending] = dataclasses.field(default_factory=list)
     # The name of an engine's link by its address.
     link_names: dict[str, str] = dataclasses.field(default_factory=dict)
     stops: list[Stop] = dataclasses.field(default_factory=list)
+    # Spans in which entries were stopped, without other faults.
+    stop_spans: list[tuple[float, float]] = dataclasses.field(
+        default_factory=list
+    )
+    stop_counts: list[StopCounts] = dataclasses.field(default_factory=list)
     followings: list[Following] = dataclasses.field(default_factory=list)
     # The idle timeout by the version of the configuration.
     idle_seconds: dict[int, float] = dataclasses.field(default_factory=dict)
--- a/sedgepin/platform/tests/soak/_seed_run.py
+++ b/sedgepin/platform/tests/soak/_seed_run.py
@@ -1,15 +1,14 @@
 """Runs one seed: start, calm span, faults, recovery, calm span."""
 
 import collections.abc
+import dataclasses
 import functools
 import pathlib
 import random
 import re
-import time
 
 import trio
 
-from sedgepin import _web as web
 from sedgepin.platform.tests.soak import _addresses
 from sedgepin.platform.tests.soak import _callers
 from sedgepin.platform.tests.soak import _engines
@@ -20,12 +19,16 @@
 from sedgepin.platform.tests.soak import _programs
 from sedgepin.platform.tests.soak import _proxy
 from sedgepin.platform.tests.soak import _record
+from sedgepin.platform.tests.soak import _stop_callers
+from sedgepin.platform.tests.soak import _stops
 
 COUNTS = {"control": 3, "entry": 3, "engine": 9}
 # Engines numbered up to this run plain services, the others the model.
 _PLAIN_ENGINE_COUNT = 3
 _START_TIMEOUT_SECONDS = 30.0
 _CALM_SECONDS = 3.0
+# What callers learn of before the first stop.
+_BEFORE_STOPS_SECONDS = 4.0
 # ``recoveryS``: a calm span starts this long after the last fault.
 _RECOVERY_SECONDS = 8.0
 # Longer than twice ``stabilityWindowMs`` and the first crashes.
@@ -41,29 +44,47 @@
 _SCRAPE_SECONDS = 5.0
 _PAUSE_CHECK_SECONDS = 0.005
 _MIN_PAUSE_SECONDS = 0.025
-_END_COUNT = re.compile(
-    rb'sedgepin_request_ends_total{closed_by="(\w+)",end="(\w+)"} (\S+)'
-)
 _CONTENT_LENGTH = re.compile(rb"(?i)\r\ncontent-length: (\d+)\r\n")
 _REQUEST_ID = re.compile(rb"(?i)\r\nx-request-id: (\S+)\r\n")
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class StopPlan:
+    """How many series of planned stops a run has, beside how many callers.
+
+    ``is_alone`` leaves out all that follows the stops.
+    """
+
+    rng: random.Random
+    series: int = 2
+    callers: int = _stop_callers.CALLERS
+    is_alone: bool = False
+
+
 async def run_seed(
     seed: int,
     folder: pathlib.Path,
     fault_seconds: float,
     lane: int = 90,
     requests_per_second: float = _callers.REQUESTS_PER_SECOND,
+    plan: StopPlan | None = None,
 ) -> _record.Record:
-    """Run the system under the faults of a seed and return the record."""
+    """Run the system under the faults of a seed and return the record.
+
+    Planned stops come first.
+    """
     rng = random.Random(seed)
+    if plan is None:
+        plan = StopPlan(random.Random(seed))
     addresses = _addresses.Addresses(lane, COUNTS)
     record = _record.Record()
     programs = _programs.Programs(folder, addresses, counts_ends=True)
     record.has_request_ends = True
     try:
         callers = _callers.Callers(addresses, record, rng, requests_per_second)
-        await _run(rng, addresses, record, programs, fault_seconds, callers)
+        await _run(
+            rng, addresses, record, programs, fault_seconds, callers, plan
+        )
     finally:
         programs.kill_all()
         programs.fill_in(record)
@@ -153,6 +174,7 @@
     programs: _programs.Programs,
     fault_seconds: float,
     callers: _callers.Callers,
+    plan: StopPlan,
 ) -> None:
     operator = _operator.Operator(addresses, record, rng)
     async with trio.open_nursery() as nursery:
@@ -172,18 +194,26 @@
                     async with trio.open_nursery() as traffic_nursery:
                         traffic_nursery.start_soon(callers.run)
                         await _record_calm_span(record)
-                        await _record_crashing_span(record, callers)
-                        context = _faults.FaultContext(
-                            programs,
-                            proxies,
-                            engines,
-                            record,
-                            rng,
-                            _make_odd_writers(addresses, record, rng),
+                        stops = _stops.Stops(
+                            addresses, record, programs, engines, plan.rng
                         )
-                        await _faults.run(context, fault_seconds)
-                        await trio.sleep(_RECOVERY_SECONDS)
-                        await _record_calm_span(record)
+                        await _record_stop_span(
+                            addresses, record, callers, stops, plan
+                        )
+                        if not plan.is_alone:
+                            await trio.sleep(_RECOVERY_SECONDS)
+                            await _record_crashing_span(record, callers)
+                            context = _faults.FaultContext(
+                                programs,
+                                proxies,
+                                engines,
+                                record,
+                                rng,
+                                _make_odd_writers(addresses, record, rng),
+                            )
+                            await _faults.run(context, fault_seconds)
+                            await trio.sleep(_RECOVERY_SECONDS)
+                            await _record_calm_span(record)
                         traffic_scope.cancel()
                 operator_scope.cancel()
         await _read_final_configuration(operator)
@@ -243,6 +273,28 @@
     await trio.sleep(SETTLE_SECONDS)
 
 
+async def _record_stop_span(
+    addresses: _addresses.Addresses,
+    record: _record.Record,
+    callers: _callers.Callers,
+    stops: _stops.Stops,
+    plan: StopPlan,
+) -> None:
+    """Stop the entry VMs beside callers that stay, without other faults."""
+    stop_callers = _stop_callers.StopCallers(
+        addresses, record, callers.ready, plan.rng
+    )
+    start = trio.current_time()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(stop_callers.run, plan.callers)
+        await trio.sleep(_BEFORE_STOPS_SECONDS)
+        for _number in range(plan.series):
+            await stops.run_series()
+        await trio.sleep(_END_SECONDS)
+        record.stop_spans.append((start, trio.current_time()))
+        nursery.cancel_scope.cancel()
+
+
 async def _record_crashing_span(
     record: _record.Record, callers: _callers.Callers
 ) -> None:
@@ -285,20 +337,12 @@
     """Record what each entry has counted, once its requests have ended."""
     await trio.sleep(_END_SECONDS)
     for program in programs.with_role("entry"):
-        request = web.Request(b"GET", b"/metrics", ((b"Host", b"metrics"),))
-        address = addresses.metrics_address(program.number)
-        result = await web.send_request(address, request, _SCRAPE_SECONDS)
-        if result.is_err():
+        read = await _stops.read_counts(addresses, program, _SCRAPE_SECONDS)
+        if read is None:
             record.contained_failures.append(
                 f"{program.name}: its metrics could not be read"
             )
             continue
-        age = time.monotonic() - program.started_at
-        now = trio.current_time()
-        counts = {
-            (end.decode(), closed_by.decode()): round(float(count))
-            for closed_by, end, count in _END_COUNT.findall(result.unwrap()[1])
-        }
         record.end_counts.append(
-            _record.EndCounts(program.name, now - age, now, counts)
+            _record.EndCounts(program.name, read.since, read.at, read.counts)
         )
--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -697,3 +697,17 @@
         assert soak.find_violations(record) == [], record.faults
         assert len(record.answers) > 100
         assert len(record.faults) >= 3
+        # Each entry was stopped twice, while callers went on with it.
+        assert len(record.stop_spans) == 1
+        assert len(record.stops) >= 6
+        late = [
+            end
+            for end in record.caller_ends.values()
+            if record.sent[end.request_id].route == "long"
+            and any(
+                stop.program == end.entry
+                and stop.at < record.sent[end.request_id].at < stop.ended_at
+                for stop in record.stops
+            )
+        ]
+        assert len(late) > 50
