Let the soak's stops meet plain streams, more VMs, and count early requests

- A quarter of the callers' requests are streams of a plain service, whose length nobody states.
- Each line of a run says how many of the early requests were served: sent in the first quarter of the grace period to a VM that stops, which an engine at its usual pace would have ended before the last tenth.
A test has both sides.

--- a/sedgepin/platform/tests/soak/_programs.py
+++ b/sedgepin/platform/tests/soak/_programs.py
@@ -35,6 +35,7 @@
     b'"answer_cut"',
     b'"caller_closed"',
     b'"request_unread"',
+    b'"request_failed"',
 )
 
 
@@ -329,6 +330,15 @@
         case "configuration_in_force":
             following = _record.Following(program, line["version"], at)
             record.followings.append(following)
+        case "request_failed":
+            failure = _record.Failure(
+                program,
+                line["request"],
+                at,
+                line["code"],
+                line["may_have_run"],
+            )
+            record.failures.append(failure)
         case "answer_cut" | "caller_closed" | "request_unread" as event:
             end = _record.VmEnd(
                 program,
--- a/sedgepin/platform/tests/soak/_stops.py
+++ b/sedgepin/platform/tests/soak/_stops.py
@@ -92,11 +92,13 @@
         factor = self._rng.uniform(*_SLOW_FACTORS)
         seconds = self._rng.uniform(*_SLOW_SECONDS)
         self._note(f"the model is {factor:.1f} times slower, {seconds:.1f} s")
+        start = trio.current_time()
         for engine in self._engines:
             engine.slowdown = factor
         await trio.sleep(seconds)
         for engine in self._engines:
             engine.slowdown = 1.0
+        self._record.slow_spans.append((start, trio.current_time()))
 
     async def _watch_counts(self, program: _programs.Program) -> None:
         """Read what a VM that stops counts, until cancelled."""
--- a/sedgepin/platform/tests/test_soak_losses.py
+++ b/sedgepin/platform/tests/test_soak_losses.py
@@ -237,6 +237,22 @@
         _finish_at(finish)(record)
         assert bool(list(_losses.check_stops(record))) == is_lost
 
+    @pytest.mark.parametrize(
+        ("seconds", "is_lost"), [(0.2, True), (0.4, False)]
+    )
+    def test_what_is_not_run_after_the_engine_is_no_time_of_the_vm(
+        self, seconds: float, is_lost: bool
+    ) -> None:
+        """An answer lay in the buffers meanwhile."""
+        ended = _LAST_SIXTH - 0.3
+        for held, paused in ((seconds, 0.0), (0.0, seconds)):
+            record = _make_record(0.0)
+            _finish_at(ended)(record)
+            start, end = _STOP_AT + ended, _STOP_AT + _CUT
+            record.holds.append(_record.Hold(_ENTRY, start, end, held))
+            record.pauses.append((start, start + paused))
+            assert bool(list(_losses.check_stops(record))) == is_lost
+
     def test_cut_before_the_last_sixth_is_found(self) -> None:
         record = _make_record(0.0, cut=_LAST_SIXTH - 0.2)
         record.runs[0].ended_at = None
@@ -349,6 +365,61 @@
         assert not list(_losses.check_counts(record))
 
 
+class TestFailures:
+    @pytest.mark.parametrize(
+        ("changes", "may_have_run", "entry", "is_found"),
+        [
+            ({}, False, _ENTRY, True),
+            ({}, True, _ENTRY, False),
+            # Another VM may have refused it before.
+            ({}, False, "entry-2", False),
+            ({"has_begun": False}, False, _ENTRY, False),
+            ({"kind": _record.EndKind.ANSWERED}, False, _ENTRY, False),
+        ],
+    )
+    def test_stream_that_had_begun_has_run(
+        self,
+        changes: dict[str, object],
+        may_have_run: bool,
+        entry: str,
+        is_found: bool,
+    ) -> None:
+        record = _make_record()
+        _end(record, **changes)
+        record.failures.append(
+            _record.Failure(
+                entry, "s1", _STOP_AT + _CUT, "drain_ended", may_have_run
+            )
+        )
+        assert bool(list(_losses.check_failures(record))) == is_found
+
+
+class TestEarlyRequests:
+    @pytest.mark.parametrize(
+        ("sent", "usual_seconds", "status", "counts"),
+        [
+            (0.1, 1.0, 200, "1 of 1 early requests served, 0 refused"),
+            (0.1, 1.0, 503, "0 of 1 early requests served, 1 refused"),
+            (0.1, _GRACE, 503, "0 of 0 early requests served, 0 refused"),
+            (-0.1, 1.0, 503, "0 of 0 early requests served, 0 refused"),
+            (_EARLY, 1.0, 503, "0 of 0 early requests served, 0 refused"),
+        ],
+    )
+    def test_counts(
+        self, sent: float, usual_seconds: float, status: int, counts: str
+    ) -> None:
+        record = _make_record(sent)
+        record.sent["s1"] = dataclasses.replace(
+            record.sent["s1"], usual_seconds=usual_seconds
+        )
+        record.answers["s1"] = _record.ReceivedAnswer(
+            "s1", status, "", b"", True, _STOP_AT + _CUT
+        )
+        assert _losses.describe_early_requests(record) == counts
+        record.slow_spans.append((0.0, _STOP_AT + 30.0))
+        assert "of 0 early" in _losses.describe_early_requests(record)
+
+
 class TestEnds:
     """The other checks of ends know what a stop may cut."""
 
