Find streams that had begun and are said not to have run

request_failed says may_have_run false of streams that a VM cuts after they have begun, at the end of a drain and of a deadline. The soak takes that for a finding now: a log that an operator reads after an incident must not say it. Seen by callers: nothing, as the answer is cut either way.

--- a/sedgepin/platform/tests/soak/_invariants.py
+++ b/sedgepin/platform/tests/soak/_invariants.py
@@ -438,4 +438,5 @@
     _losses.check_stops,
     _losses.check_lines,
     _losses.check_counts,
+    _losses.check_failures,
 )
--- a/sedgepin/platform/tests/test_soak_losses.py
+++ b/sedgepin/platform/tests/test_soak_losses.py
@@ -438,6 +438,7 @@
             _losses.check_stops,
             _losses.check_lines,
             _losses.check_counts,
+            _losses.check_failures,
         ],
     )
     def test_each_check_is_an_invariant(
