Let no further SIGTERM end a daemon that exits

Cause: the handler that takes further signals during a drain is put back to the default when the drain's last task ends. A SIGTERM in the exit, 0.2 to 0.3 s long, then ended the process at once: exit code -15, and the last log lines may be lost, though a further SIGTERM is to change nothing. All daemons share it.

Change: once a stop was asked for, SIGTERM is ignored from then on.

--- a/sedgepin/_shell/_daemon.py
+++ b/sedgepin/_shell/_daemon.py
@@ -25,10 +25,21 @@
 ) -> None:
     """Set ``stop`` on SIGTERM or SIGINT, and run on until cancelled.
 
-    While it runs, no further SIGTERM ends the process in the middle of its
-    drain, nor does a SIGHUP that the daemon does not handle.  A further SIGINT
-    raises ``KeyboardInterrupt``.
+    Once ``stop`` is set, no further SIGTERM ends the process in the middle of
+    its drain or its exit, nor does a SIGHUP that the daemon does not handle.
+    While this runs, a further SIGINT raises ``KeyboardInterrupt``.
     """
+    try:
+        await _receive_stop_signals(stop, task_status)
+    finally:
+        # The receiver has put the handler back that ends the process.
+        if stop.is_set():
+            signal.signal(signal.SIGTERM, signal.SIG_IGN)
+
+
+async def _receive_stop_signals(
+    stop: trio.Event, task_status: trio.TaskStatus[None]
+) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         task_status.started()
         async for number in signals:
--- a/sedgepin/_shell/tests/test_daemon.py
+++ b/sedgepin/_shell/tests/test_daemon.py
@@ -2,6 +2,9 @@
 
 import os
 import signal
+import subprocess
+import sys
+import time
 import typing
 
 import pytest
@@ -12,11 +15,36 @@
 
 
 @pytest.fixture(autouse=True)
-def _restored_sighup() -> typing.Iterator[None]:
-    before = signal.getsignal(signal.SIGHUP)
+def _restored_signals() -> typing.Iterator[None]:
+    numbers = (signal.SIGHUP, signal.SIGTERM)
+    before = [signal.getsignal(number) for number in numbers]
     signal.signal(signal.SIGHUP, signal.SIG_DFL)
     yield
-    signal.signal(signal.SIGHUP, before)
+    for number, handler in zip(numbers, before):
+        signal.signal(number, handler)
+
+
+# Stops at the first signal, and takes a while to exit after its last task.
+_PROGRAM = """
+import time
+
+import trio
+
+from sedgepin import _shell as shell
+
+
+async def main():
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(shell.watch_stop_signals, stop)
+        print("ready", flush=True)
+        await stop.wait()
+        nursery.cancel_scope.cancel()
+
+
+shell.run_daemon(main)
+time.sleep(0.5)
+"""
 
 
 async def _wait(stop: trio.Event) -> None:
@@ -25,6 +53,23 @@
 
 
 class TestStopSignals:
+    @pytest.mark.parametrize("further", [signal.SIGTERM, signal.SIGHUP])
+    def test_signals_in_series_do_not_end_a_process_that_exits(
+        self, further: signal.Signals
+    ) -> None:
+        """Its last answers may not have been sent, nor its last lines."""
+        process = subprocess.Popen(
+            [sys.executable, "-c", _PROGRAM], stdout=subprocess.PIPE
+        )
+        assert process.stdout is not None
+        with process, process.stdout as output:
+            assert output.readline() == b"ready\n"
+            process.send_signal(signal.SIGTERM)
+            while process.poll() is None:
+                time.sleep(0.02)
+                process.send_signal(further)
+        assert process.returncode == 0
+
     @pytest.mark.parametrize("first", [signal.SIGTERM, signal.SIGINT])
     async def test_further_signals_do_not_end_a_drain(
         self, nursery: trio.Nursery, first: signal.Signals
