Answer a control VM's calls before its grace period ends

Cause: the stop of a control VM took its own time, up to 4 s (1 s for the leadership, 1.5 s for calls that are being read, 1.5 s for the log), whatever `graceS` was. With a shorter one SIGKILL came first: calls that were read whole ended without an answer.

Change: the registrar heeds `graceS` as the gateway does. At most 0.5 s before its end (a quarter of a short one) all calls that wait for the log are answered 504 `fate_unknown`, and what is read later 503 `draining`.

--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -34,6 +34,10 @@
 # Longer than the 0.9 s that the reducer lets a call wait for the log.
 _CALL_TIMEOUT_SECONDS = 1.5
 _LEADERSHIP_TRANSFER_TIMEOUT_SECONDS = 1.0
+# Time in a grace period for the last answers and the exit, and the share of a
+# short one that they take at most.
+_GRACE_END_SECONDS = 0.5
+_MAX_GRACE_END_SHARE = 0.25
 _LIMITS = web.ServerLimits(
     header_bytes=16_384,
     body_bytes=4_194_304,
@@ -80,6 +84,12 @@
         """Refuse the calls that are read from now on."""
         self._has_stopped = True
 
+    def give_up(self) -> None:
+        """Answer all that wait for the log: their outcome is unknown."""
+        answer = self.error_response(_failures.CommitUnknown())
+        for exchange_id in tuple(self._pending):
+            self.respond(exchange_id, answer)
+
     async def handle(self, exchange: web.Exchange) -> None:
         """Submit a call to the reducer and send its answer."""
         self._open_calls += 1
@@ -274,7 +284,24 @@
             await trio.sleep(_TICK_SECONDS)
 
     async def _drain(self) -> None:
+        """Answer all calls that are read, before the grace period ends."""
+        grace_seconds = self._source.current.grace_period.total_seconds()
+        end_seconds = min(
+            _GRACE_END_SECONDS, grace_seconds * _MAX_GRACE_END_SHARE
+        )
         logs.write(events.PROCESS_DRAINING.line())
+        with trio.move_on_after(grace_seconds - end_seconds) as scope:
+            await self._finish_calls()
+        if not scope.cancelled_caught:
+            return
+        self._server.finish_draining()
+        self._calls.stop()
+        self._calls.give_up()
+        with trio.move_on_after(end_seconds / 2):
+            while self._calls.has_open_calls:
+                await trio.sleep(_TICK_SECONDS)
+
+    async def _finish_calls(self) -> None:
         self._server.start_draining()
         self._driver.submit(_events.DrainRequested())
         with trio.move_on_after(_LEADERSHIP_TRANSFER_TIMEOUT_SECONDS):
--- a/sedgepin/_registrar/_settings.py
+++ b/sedgepin/_registrar/_settings.py
@@ -15,7 +15,8 @@
     connect.  ``is_new_system`` may be true only when all VMs start for the
     first time, because the seeds then bootstrap a new Raft group.  Endpoints
     renew their registration every ``heartbeat_interval``.  ``held_bytes``
-    bounds what is held for operators, endpoints and peers, all together.
+    bounds what is held for operators, endpoints and peers, all together.  The
+    process is ended ``grace_period`` after SIGTERM.
     """
 
     vm_id: model.VmId
@@ -28,6 +29,7 @@
     metrics_listen: str | None = None
     peer_listen: str | None = None
     held_bytes: int = 64 * 1024 * 1024
+    grace_period: datetime.timedelta = datetime.timedelta(seconds=8)
 
     @property
     def heartbeat_timeout(self) -> datetime.timedelta:
--- a/sedgepin/platform/_settings.py
+++ b/sedgepin/platform/_settings.py
@@ -110,6 +110,7 @@
             metrics_listen=self._metrics_listen(metrics_port),
             peer_listen=self.listen.peers,
             held_bytes=self._held_bytes,
+            grace_period=datetime.timedelta(seconds=self.bounds.grace_s),
         )
 
     def gateway_settings(
