Log a request that ends at an engine as one that may have run

request_failed took the value after the attempt was taken from the request, so a request without output that a stop or its deadline ended at an engine was said not to have run. The test of begun streams covers this one, too, and failed before.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -477,6 +477,7 @@
 
         ``obstacle`` is why it is not sent once more, for the log.
         """
+        may_have_run = exchange.may_have_run
         self.remove(exchange)
         line = events.REQUEST_FAILED.line(
             request=exchange.request.request_id,
@@ -484,7 +485,7 @@
             code=failure.code,
             detail=failure.detail(),
             attempts=exchange.send_count,
-            may_have_run=exchange.may_have_run,
+            may_have_run=may_have_run,
             position=exchange.position,
             milliseconds=_shared_state.milliseconds(now - exchange.arrived_at),
             obstacle=obstacle,
--- a/sedgepin/_gateway/tests/test_drain.py
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -393,12 +393,14 @@
         effects = gateway.handle(_events.DeadlineReached(exchange_id))
         assert _failure(effects).code == "drain_ended"
 
-    def test_begun_stream_that_a_stop_ends_is_not_logged_as_not_run(
-        self,
+    @pytest.mark.parametrize("has_output", [False, True])
+    def test_one_that_a_stop_ends_is_not_logged_as_not_run(
+        self, has_output: bool
     ) -> None:
         gateway = parts.Gateway()
         exchange_id, _ = gateway.send_request("/draft/x")
-        gateway.handle(_events.OutputStarted(exchange_id))
+        if has_output:
+            gateway.handle(_events.OutputStarted(exchange_id))
         _drain(gateway, 3000)
         gateway.now += parts.milliseconds(3000)
         effects = gateway.handle(_events.DeadlineReached(exchange_id))
