Count a VM that stops as such at a control VM it leaves

Cause: an entry VM that reports to another control VM sends the old one an empty report, which said that it serves. Until that expires, the sums count the VM twice, once as serving, so that callers were told to come back soon where too few serve.

Change: the empty report tells the truth as well. The test is red before.

--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -522,13 +522,13 @@
         previous = self._aggregator_selector.selected
         aggregator = self._aggregator_selector.select(connected, now)
         effects: Effects = []
+        is_stopping = self._state.drain.is_late(now)
         if previous != aggregator and previous in connected:
             # Otherwise the load would count twice until this report expires.
-            withdrawal = protocol.LoadReported(())
+            withdrawal = protocol.LoadReported((), is_stopping=is_stopping)
             effects.append(_effects.SendMessage(previous, withdrawal))
         if aggregator is None:
             return effects
-        is_stopping = self._state.drain.is_late(now)
         has_changed = (
             self._state.fleet.has_unreported_changes
             or is_stopping != self._was_stopping
--- a/sedgepin/_gateway/tests/test_drain.py
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -331,6 +331,28 @@
         assert first == 12
         assert all(stops == (tick >= first) for tick, stops in reported)
 
+    def test_control_vm_that_is_left_does_not_count_this_vm_as_serving(
+        self,
+    ) -> None:
+        gateway = parts.Gateway()
+        hello = protocol.Hello(
+            model.VmId("control:2"),
+            "control",
+            parts.HOME,
+            model.Incarnation(1),
+        )
+        gateway.handle(protocol.PeerConnected(hello))
+        _drain(gateway, 7500, estimated=0)
+        last: dict[model.VmId, bool] = {}
+        for _tick in range(30):
+            for effect in gateway.advance(200):
+                if isinstance(effect, _effects.SendMessage) and isinstance(
+                    effect.message, protocol.LoadReported
+                ):
+                    last[effect.recipient] = effect.message.is_stopping
+        assert len(last) == 2
+        assert all(last.values())
+
 
 class TestWaitingRequests:
     @_WAITS
