Stop an entry VM as soon as what it ended is answered

Cause: at the end of its grace period an entry VM waited 0.5 s for all requests that had begun, also for those whose bodies never come whole.

Change: it waits only for the requests that it has ended.

--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -32,6 +32,7 @@
 _SETTLE_TIMEOUT_SECONDS = 10.0
 # Of the end of a grace period, what the last answers may take.
 _LAST_ANSWERS_SECONDS = 0.5
+_LAST_ANSWERS_POLL_SECONDS = 0.02
 
 
 class EntryDaemon:
@@ -188,7 +189,8 @@
         self._driver.submit(ended)
         self._server.start_refusing()
         with trio.move_on_after(_LAST_ANSWERS_SECONDS):
-            await self._server.wait_idle()
+            while self._server.unanswered_requests:
+                await trio.sleep(_LAST_ANSWERS_POLL_SECONDS)
         self._nursery.cancel_scope.cancel()
 
     def _apply_effect(self, effect: _effects.EntryEffect) -> None:
--- a/sedgepin/_entry/_server.py
+++ b/sedgepin/_entry/_server.py
@@ -80,10 +80,15 @@
             for customer in cfg.customers
         }
 
+    @property
+    def unanswered_requests(self) -> int:
+        """Return how many requests were read and have no whole answer yet."""
+        return len(self._exchanges)
+
     @property
     def unread_requests(self) -> int:
         """Return how many requests have begun and not been read whole."""
-        return max(0, self.open_requests - len(self._exchanges))
+        return max(0, self.open_requests - self.unanswered_requests)
 
     def apply_effect(self, effect: _exchange.CallerEffect) -> None:
         """Pass an effect to its caller, unless the caller disconnected."""
--- a/sedgepin/tests/test_stopping_forwarders.py
+++ b/sedgepin/tests/test_stopping_forwarders.py
@@ -130,7 +130,7 @@
             exit_code = _end(system, stopping, signalled_at)
             texts = [_text(one.result()) for one in answers]
             written = [one.result() for one in writes]
-        assert exit_code == 0
+        assert exit_code == 0, system.read_log(stopping)[-2000:]
         assert [_text(one) for one in short] == [
             _expected_text("tare", _SHORT_ANSWER_TOKENS)
         ] * _SHORT_ANSWERS
