Judge the attempt that went on, and requests that cross the end of a VM

- An attempt that a VM has given up may reach its engine after the one that follows it, when the machine runs the soak late.

Unit tests have both sides of each; those of the first two fail without it.

--- a/sedgepin/platform/tests/test_soak_losses.py
+++ b/sedgepin/platform/tests/test_soak_losses.py
@@ -253,6 +253,18 @@
             record.pauses.append((start, start + paused))
             assert bool(list(_losses.check_stops(record))) == is_lost
 
+    def test_attempt_that_was_given_up_comes_late(self) -> None:
+        """It reached its engine after the one that followed it."""
+        record = _make_record(0.0)
+        run = dataclasses.replace(record.runs[0], engine=_OTHER_ENGINE)
+        run.at += 1.0
+        run.ended_at = run.at + 0.1
+        record.runs.append(run)
+        assert not list(_losses.check_stops(record))
+        # And without the one that went on.
+        del record.runs[0]
+        assert list(_losses.check_stops(record))
+
     def test_cut_before_the_last_sixth_is_found(self) -> None:
         record = _make_record(0.0, cut=_LAST_SIXTH - 0.2)
         record.runs[0].ended_at = None
@@ -432,6 +444,19 @@
         for check in (_ends.check_callers, _ends.check_vms):
             assert bool(list(check(record))) == is_found
 
+    @pytest.mark.parametrize(
+        ("seconds", "has_run", "is_found"),
+        [(0.1, False, False), (0.3, False, True), (0.1, True, True)],
+    )
+    def test_request_that_comes_whole_at_the_end(
+        self, seconds: float, has_run: bool, is_found: bool
+    ) -> None:
+        record = _make_record(_CUT - 1.5, _CUT - seconds)
+        _end(record, has_begun=False)
+        if not has_run:
+            _lose_run(record)
+        assert bool(list(_ends.check_vms(record))) == is_found
+
     @pytest.mark.parametrize(
         "check",
         [
