--- a/sedgepin/platform/tests/soak/_ends.py
+++ b/sedgepin/platform/tests/soak/_ends.py
@@ -55,8 +55,9 @@
     if record.has_ended(f"{end.entry} front", end.connected_at, end.at):
         return "link"
     if end.has_begun:
+        at = _losses.closed_at(record, end)
         return _find_cut_cause(
-            record, end.request_id, end.at, end.entry, end.connected_at
+            record, end.request_id, at, end.entry, end.connected_at
         )
     if _was_idle_too_long(record, end) or _has_crossed_stop(record, end):
         return "connection"
--- a/sedgepin/platform/tests/soak/_losses.py
+++ b/sedgepin/platform/tests/soak/_losses.py
@@ -38,7 +38,8 @@
         run = find_last_run(record, end.request_id, end.at)
         if run is None and not _was_read(record, end):
             continue
-        if find_excuse(record, end.request_id, end.at, stop) is not None:
+        at = closed_at(record, end)
+        if find_excuse(record, end.request_id, at, stop) is not None:
             continue
         sent = record.sent[end.request_id]
         place = "within" if end.has_begun else "before"
@@ -50,7 +51,7 @@
             f" {sent.at - stop.at:.2f} s and whole"
             f" {_whole_at(record, end.request_id) - stop.at:.2f} s after"
             f" SIGTERM to {end.entry}, passed on {passed_on} after it, cut"
-            f" {place} its answer {end.at - stop.at:.2f} s after it; the VM"
+            f" {place} its answer {at - stop.at:.2f} s after it; the VM"
             f" ended {stop.ended_at - stop.at:.2f} s after it, held for"
             f" {record.seconds_held(end.entry, stop.at, stop.ended_at):.2f} s;"
             f" its lines: {_lines(record, end)}"
@@ -231,6 +232,17 @@
     return _whole_at(record, request_id) <= stop.at + EXCUSED_SENDING_SECONDS
 
 
+def closed_at(record: _record.Record, end: _record.CallerEnd) -> float:
+    """Return when the VM closed a connection, as its line says if it has one.
+
+    Callers hear of it later if the machine does not run them.
+    """
+    times = [
+        line.at for line in _lines(record, end) if line.event == "answer_cut"
+    ]
+    return min([end.at, *times])
+
+
 def has_crossed_end(
     record: _record.Record, request_id: str, at: float
 ) -> bool:
@@ -279,7 +291,8 @@
             for start, until in record.stop_spans
         ):
             continue
-        stop = find_stop(record, end.entry, end.connected_at, end.at)
+        at = closed_at(record, end)
+        stop = find_stop(record, end.entry, end.connected_at, at)
         if stop is not None:
             yield end, stop
 
--- a/sedgepin/platform/tests/test_soak_losses.py
+++ b/sedgepin/platform/tests/test_soak_losses.py
@@ -308,6 +308,30 @@
         assert bool(list(_losses.check_stops(record))) == is_lost
 
 
+class TestCallersThatHearLate:
+    """The machine ran them late; the VM's line says when it closed."""
+
+    def _make_record(self, sent: float) -> _record.Record:
+        record = _make_record(sent)
+        record.handed_over_whole.add("s1")
+        _end(record, at=_STOP_AT + _GRACE + 2.0)
+        return record
+
+    def test_late_request_is_lost(self) -> None:
+        (finding,) = _losses.check_stops(self._make_record(_EARLY + 0.1))
+        assert f"cut within its answer {_CUT:.2f} s after it" in finding
+
+    def test_early_request_is_not(self) -> None:
+        record = self._make_record(_EARLY - 0.1)
+        assert not list(_losses.check_stops(record))
+        assert not list(_ends.check_callers(record))
+
+    def test_without_a_line_nobody_knows(self) -> None:
+        record = self._make_record(_EARLY - 0.1)
+        record.vm_ends.clear()
+        assert list(_ends.check_callers(record))
+
+
 class TestLines:
     def test_cut_with_a_line(self) -> None:
         assert not list(_losses.check_lines(_make_record()))
