Ignore a further SIGTERM from the first one on

Cause: a signal that comes while the task that receives signals is cancelled is raised again by trio's receiver when it has put the default handler back, and before it is ignored: the process ends with -15 in its exit, as it did before SIGTERM was ignored from then on, though the time for it is short.

Change: SIGTERM is ignored as soon as the stop is asked for, so that none is left to raise again.

Callers: what a stop sends or logs last could be lost.

--- a/sedgepin/_shell/_daemon.py
+++ b/sedgepin/_shell/_daemon.py
@@ -46,5 +46,8 @@
             if stop.is_set() and number == signal.SIGINT:
                 raise KeyboardInterrupt
             stop.set()
+            # One that came while this task is cancelled would be raised again
+            # by the receiver, when it has put the first handler back.
+            signal.signal(signal.SIGTERM, signal.SIG_IGN)
             if signal.getsignal(signal.SIGHUP) is signal.SIG_DFL:
                 signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/sedgepin/_shell/tests/test_daemon.py
+++ b/sedgepin/_shell/tests/test_daemon.py
@@ -46,6 +46,31 @@
 time.sleep(0.5)
 """
 
+# Gets another signal at the instant at which its last task is cancelled.
+_CANCELLED_PROGRAM = """
+import signal
+
+import trio
+
+from sedgepin import _shell as shell
+
+
+async def main():
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(shell.watch_stop_signals, stop)
+        signal.raise_signal(signal.SIGTERM)
+        await stop.wait()
+        await trio.sleep(0.01)
+        signal.raise_signal(signal.SIGTERM)
+        nursery.cancel_scope.cancel()
+
+
+for _ in range(30):
+    signal.signal(signal.SIGTERM, signal.SIG_DFL)
+    trio.run(main)
+"""
+
 
 async def _wait(stop: trio.Event) -> None:
     with trio.fail_after(1.0):
@@ -70,6 +95,13 @@
                 process.send_signal(further)
         assert process.returncode == 0
 
+    def test_signal_beside_the_last_cancellation_does_not_end_a_process(
+        self,
+    ) -> None:
+        """The order of the tasks then is random, so that it is tried often."""
+        command = [sys.executable, "-c", _CANCELLED_PROGRAM]
+        assert subprocess.run(command, check=False).returncode == 0
+
     @pytest.mark.parametrize("first", [signal.SIGTERM, signal.SIGINT])
     async def test_further_signals_do_not_end_a_drain(
         self, nursery: trio.Nursery, first: signal.Signals
