Name no time to retry that has passed

Cause: a caller that is refused while few VMs serve returns when this VM has started again, counted from the planned end of its stop. A process that was held, or a clock that was set, comes later than that: Retry-After was negative (a unit test with a clock 7 s late: below 250 ms).

Change: what is left of the stop is at least nothing. The test is red before.

--- a/sedgepin/_gateway/_drain.py
+++ b/sedgepin/_gateway/_drain.py
@@ -149,7 +149,9 @@
         """
         if self.answer_by is None or self._do_enough_serve:
             return None
-        delay = self.answer_by - now + _RESTART_TIME
+        # The end may be over, as a process that was held ends late.
+        left = max(self.answer_by - now, datetime.timedelta())
+        delay = left + _RESTART_TIME
         return delay + _RETURN_SPREAD * rng.random()
 
     def may_send(
--- a/sedgepin/_gateway/tests/test_drain.py
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -301,6 +301,19 @@
             assert retry_after >= parts.milliseconds(1200)
             assert retry_after <= parts.milliseconds(3200)
 
+    def test_time_to_retry_is_not_negative_when_a_stop_ends_late(self) -> None:
+        """A process that was held, or a clock that was set, is late."""
+        gateway = parts.Gateway()
+        _drain(gateway, 2000, estimated=500)
+        gateway.receive(
+            protocol.LoadSummed((), entry_count=1, stopping_count=1)
+        )
+        gateway.now += parts.milliseconds(9000)
+        _, effects = gateway.send_request("/draft/x")
+        retry_after = _failure(effects).retry_after
+        assert retry_after is not None
+        assert retry_after >= parts.milliseconds(250)
+
     def test_callers_without_the_time_to_wait_return_soon(self) -> None:
         gateway = parts.Gateway()
         _drain(gateway, 3800, estimated=500)
