Measure what is open once for all waiting requests

Cause: each tick of a stop, every 50 ms, estimates each waiting request anew, and each estimate of another stated size measured all open requests again, on the one thread that serves callers.

Change: the durations are measured once an instant and kind, sizes compare without logarithms, and only durations within the time left are sorted.

Test: ten sizes beside ten open streams are measured ten times; red before.

--- a/sedgepin/_gateway/_drain.py
+++ b/sedgepin/_gateway/_drain.py
@@ -78,6 +78,7 @@
     __slots__ = (
         "_decided_at",
         "_exchanges",
+        "_known",
         "_late_from",
         "_probabilities",
         "_remembered",
@@ -99,8 +100,10 @@
         self._do_enough_serve = True
         # When a request was sent to an endpoint.
         self.last_sent_at: datetime.datetime | None = None
-        # Those of one instant, by kind and expected tokens.
+        # Those of one instant: the durations by kind, and the probabilities by
+        # kind and expected tokens.
         self._decided_at: datetime.datetime | None = None
+        self._known: dict[_Kind, list[_durations.Duration]] = {}
         self._probabilities: dict[tuple[_Kind, float], float | None] = {}
 
     def start(
@@ -196,24 +199,32 @@
         """Return how likely a request is to end in time, if that is known."""
         if now != self._decided_at:
             self._decided_at = now
+            self._known.clear()
             self._probabilities.clear()
         kind = _kind(exchange)
         tokens = _answer_tokens(exchange)
         key = kind, tokens
         if key not in self._probabilities:
-            known = [
-                *self._remembered.get(kind, ()),
-                *(
-                    _measure(other, False, now)
-                    for other in self._exchanges.values()
-                    if other.dispatch is not None and _kind(other) == kind
-                ),
-            ]
+            if kind not in self._known:
+                self._known[kind] = self._measure_all(kind, now)
             self._probabilities[key] = _durations.probability_of_end(
-                known, tokens, answer_by - now
+                self._known[kind], tokens, answer_by - now
             )
         return self._probabilities[key]
 
+    def _measure_all(
+        self, kind: _Kind, now: datetime.datetime
+    ) -> list[_durations.Duration]:
+        """Return how long the latest requests took, and the open ones."""
+        return [
+            *self._remembered.get(kind, ()),
+            *(
+                _measure(other, False, now)
+                for other in self._exchanges.values()
+                if other.dispatch is not None and _kind(other) == kind
+            ),
+        ]
+
 
 def _measure(
     exchange: _exchange.Exchange, is_complete: bool, now: datetime.datetime
--- a/sedgepin/_gateway/_durations.py
+++ b/sedgepin/_gateway/_durations.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 import datetime
-import math
 
-# As many requests of a similar size are enough to leave out the others.
+# As many requests of a similar size, by less than a factor of two, are enough
+# to leave out the others.
 _ENOUGH_SIMILAR = 8
 
 
@@ -48,24 +48,20 @@
     >>> probability_of_end(answers, 0, second * 3)
     0.75
     """
-    similar = [one for one in known if _is_similar(one.tokens, tokens)]
+    similar = [
+        one
+        for one in known
+        if tokens / 2 < one.tokens < tokens * 2 or tokens == one.tokens
+    ]
     if sum(one.is_complete for one in similar) >= _ENOUGH_SIMILAR:
         known = similar
     if not any(one.is_complete for one in known):
         return None
+    scaled = [(one.scale(tokens), not one.is_complete) for one in known]
     # At the same time, an end comes before a request that was open then.
-    ordered = sorted((one.scale(tokens), not one.is_complete) for one in known)
+    ordered = sorted(one for one in scaled if one[0] <= time)
     lasts_longer = 1.0
-    for index, (duration, is_open) in enumerate(ordered):
-        if duration > time:
-            break
+    for index, (_duration, is_open) in enumerate(ordered):
         if not is_open:
-            lasts_longer *= 1 - 1 / (len(ordered) - index)
+            lasts_longer *= 1 - 1 / (len(known) - index)
     return 1 - lasts_longer
-
-
-def _is_similar(tokens: float, others: float) -> bool:
-    """Return whether sizes differ by less than a factor of two."""
-    if not tokens or not others:
-        return tokens == others
-    return abs(math.log2(tokens / others)) < 1
--- a/sedgepin/_gateway/tests/test_drain.py
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -1,9 +1,12 @@
 """Tests of requests at a VM that drains.  Callers allow 4 s, see ``parts``."""
 
 import collections.abc
+import typing
 
 import pytest
 
+from sedgepin._gateway import _drain as _drain_module
+from sedgepin._gateway import _durations
 from sedgepin._gateway import _effects
 from sedgepin._gateway import _events
 from sedgepin._gateway.tests import parts
@@ -275,6 +278,28 @@
         _drain(gateway, 3000)
         _assert_refused(gateway.send_request("/post/x")[1])
 
+    def test_open_requests_are_measured_once_for_all_sizes(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Each tick decides on all that wait, while many are open."""
+        measured: list[object] = []
+        measure = _drain_module._measure
+
+        def count(*arguments: typing.Any) -> _durations.Duration:
+            measured.append(arguments)
+            return measure(*arguments)
+
+        gateway = parts.Gateway()
+        _answer(gateway, "/draft/x", 100)
+        for _request in range(10):
+            gateway.send_request("/draft/x")
+        gateway.now += parts.milliseconds(10)
+        _drain(gateway, 3000)
+        monkeypatch.setattr(_drain_module, "_measure", count)
+        for tokens in range(10, 30, 2):
+            gateway.send_request("/draft/x", tokens=tokens)
+        assert len(measured) == 10
+
 
 class TestTimeToRetry:
     @pytest.mark.parametrize(
