Remember no request that tells nothing of durations

Cause: callers that leave at once count as requests that lasted that long at least. 64 of them pushed all answers of their service and kind out of what a stop remembers, so that it knew nothing and refused everything of the kind.

Change: a request without an answer that was open for a shorter time than each answer remembered took is left out; it moves no estimate. One that was open for longer counts as before.

Test: 20 answers of 100 ms, 64 callers that leave after 10 ms, 3.5 s left: refused before, for streams, repeatable requests and writes. Callers that stay somewhat longer than the shortest answer still push answers out.

--- a/sedgepin/_gateway/_drain.py
+++ b/sedgepin/_gateway/_drain.py
@@ -130,7 +130,8 @@
     ) -> None:
         """Remember how long a request took, or was open without an answer.
 
-        One that was sent to no endpoint tells nothing.
+        One that was sent to no endpoint tells nothing, nor does one that was
+        open for a shorter time than each answer took.
         """
         if not exchange.send_count:
             return
@@ -141,7 +142,14 @@
                 del self._remembered[next(iter(self._remembered))]
             durations = collections.deque(maxlen=_REMEMBERED_REQUESTS)
             self._remembered[kind] = durations
-        durations.append(_measure(exchange, is_answered, now))
+        duration = _measure(exchange, is_answered, now)
+        answers = [one for one in durations if one.is_complete]
+        tells_nothing = all(
+            duration.scale(one.tokens) < one.scale(one.tokens)
+            for one in answers
+        )
+        if is_answered or not answers or not tells_nothing:
+            durations.append(duration)
 
     def return_delay(
         self, now: datetime.datetime, rng: random.Random
--- a/sedgepin/_gateway/tests/test_drain.py
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -278,6 +278,21 @@
         _drain(gateway, 3000)
         _assert_refused(gateway.send_request("/post/x")[1])
 
+    @_PATHS
+    def test_callers_that_leave_at_once_do_not_push_out_what_is_known(
+        self, path: str
+    ) -> None:
+        """How long a request took at least tells nothing below all others."""
+        gateway = parts.Gateway()
+        _answer(gateway, path, *([100] * 20))
+        for _request in range(64):
+            exchange_id, _ = gateway.send_request(path)
+            gateway.now += parts.milliseconds(10)
+            gateway.handle(_events.CallerDisconnected(exchange_id))
+        _drain(gateway, 3500)
+        _, effects = gateway.send_request(path)
+        parts.get_effect(effects, _effects.StartAttempt)
+
     def test_open_requests_are_measured_once_for_all_sizes(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
