Let an ended forward count no longer by its other account

A forward holds its request and its answer in two accounts.

Both accounts end together now. The new test failed before: 2,050,054 bytes counted where 1,990,000 are held, and 3,980,000 where 1,980,000 are.

What callers saw: a forwarded request may have been ended for memory that was already let go.

--- a/sedgepin/_forwarding/_server.py
+++ b/sedgepin/_forwarding/_server.py
@@ -2,6 +2,7 @@
 
 import abc
 import hmac
+import types
 
 import result
 import trio
@@ -144,12 +145,10 @@
             _frames.set_options(stream.socket)
             with (
                 trio.CancelScope() as scope,
-                self._budget.open(
-                    memory.HolderKind.FORWARDED_REQUEST, sender, scope.cancel
-                ) as account,
+                _ForwardAccounts(self._budget, sender, scope) as accounts,
             ):
-                frames = _frames.FrameStream(stream, account)
-                await self._forward(frames, scope)
+                frames = _frames.FrameStream(stream, accounts.request)
+                await self._forward(frames, accounts)
             if scope.cancelled_caught and not frames.is_send_interrupted:
                 with trio.move_on_after(_LAST_FRAME_SECONDS):
                     await frames.send(
@@ -161,7 +160,7 @@
     async def _forward(
         self,
         frames: _frames.FrameStream,
-        scope: trio.CancelScope,
+        accounts: "_ForwardAccounts",
     ) -> None:
         opening: _frames.Frame | None = None
         with trio.move_on_after(_REQUEST_TIMEOUT_SECONDS):
@@ -175,7 +174,7 @@
             return
         self._open.append(opening)
         try:
-            await self._forward_opened(frames, opening, scope)
+            await self._forward_opened(frames, opening, accounts)
         finally:
             self._open.remove(opening)
 
@@ -186,11 +185,9 @@
         self,
         frames: _frames.FrameStream,
         opening: _frames.OpenForward,
-        scope: trio.CancelScope,
+        accounts: "_ForwardAccounts",
     ) -> None:
-        answer = self._budget.open(
-            memory.HolderKind.FORWARDED_ANSWER, opening.address, scope.cancel
-        )
+        answer = accounts.open_answer(opening.address)
         connected = await self._connect(opening, answer)
         if isinstance(connected, result.Err):
             refusal = connected.err_value
@@ -315,6 +312,50 @@
             await frames.send(_frames.ForwardedData(data.ok_value))
 
 
+class _ForwardAccounts:
+    """The accounts of one forward, which end together.
+
+    One that counted on after the other's end would end other forwards.
+    """
+
+    __slots__ = ("_answer", "_budget", "_scope", "request")
+
+    def __init__(
+        self, budget: memory.MemoryBudget, sender: str, scope: trio.CancelScope
+    ) -> None:
+        self._budget = budget
+        self._scope = scope
+        self._answer: memory.Account | None = None
+        self.request = budget.open(
+            memory.HolderKind.FORWARDED_REQUEST, sender, self._end
+        )
+
+    def open_answer(self, address: str) -> memory.Account:
+        """Return an account for the answer of the endpoint at an address."""
+        self._answer = self._budget.open(
+            memory.HolderKind.FORWARDED_ANSWER, address, self._end
+        )
+        return self._answer
+
+    def _end(self) -> None:
+        """End the forward; none of its bytes count any longer."""
+        self._scope.cancel()
+        self.request.close()
+        if self._answer is not None:
+            self._answer.close()
+
+    def __enter__(self) -> "_ForwardAccounts":
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: types.TracebackType | None,
+    ) -> None:
+        self.request.close()
+
+
 async def _refuse(
     frames: _frames.FrameStream, refusal: _frames.ForwardRefused
 ) -> None:
--- a/sedgepin/_forwarding/tests/test_bounds.py
+++ b/sedgepin/_forwarding/tests/test_bounds.py
@@ -60,7 +60,7 @@
         self.evictions: list[memory.Eviction] = []
         self.budget = memory.MemoryBudget(_LIMIT_BYTES, self.evictions.append)
         self.server = forwarding.ForwardingServer(_KEY, _Policy(), self.budget)
-        self._engine_address = ""
+        self.engine_address = ""
         self._forwarder = protocol.Forwarder(model.VmId("two"), "", _KEY)
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -69,7 +69,7 @@
         )
         listeners = await nursery.start(serve)
         port = listeners[0].socket.getsockname()[1]
-        self._engine_address = f"127.0.0.1:{port}"
+        self.engine_address = f"127.0.0.1:{port}"
         listeners = await nursery.start(self.server.serve, "127.0.0.1:0")
         port = listeners[0].socket.getsockname()[1]
         self._forwarder = protocol.Forwarder(
@@ -83,7 +83,7 @@
             self._forwarder,
             _ENDPOINT,
             1,
-            self._engine_address,
+            self.engine_address,
             2.0,
             account=account,
         )
@@ -176,6 +176,44 @@
         }
         nursery.cancel_scope.cancel()
 
+    @pytest.mark.parametrize("ends_by_its_answer", [False, True])
+    async def test_forward_that_is_ended_counts_no_longer_at_all(
+        self, nursery: trio.Nursery, ends_by_its_answer: bool
+    ) -> None:
+        """Its other account once went on, and others were ended for it."""
+
+        async def send_half_a_head(stream: trio.SocketStream) -> None:
+            await stream.receive_some(65_536)
+            await stream.send_all(_HEAD[:-2] + b"X-Field: " + b"x" * 60_000)
+            await trio.sleep_forever()
+
+        forwarder = _Forwarder(send_half_a_head)
+        await forwarder.start(nursery)
+        request = web.Request(
+            b"POST", b"/x", ((b"Host", b"e"),), b"x" * _PIECE_BYTES
+        )
+        conn = await forwarder.open()
+        (await conn.send(request)).unwrap()
+        budget = forwarder.budget
+        with trio.fail_after(10):
+            while not 2_060_000 <= budget.total_bytes <= 2_061_000:
+                await trio.sleep(0.01)
+        sender, sizes = "other", [1_990_000]
+        if ends_by_its_answer:
+            sender, sizes = forwarder.engine_address, [55_000] * 36
+        for size in sizes:
+            kind = memory.HolderKind.REQUEST
+            budget.open(kind, sender, trio.CancelScope().cancel).hold(size)
+        (eviction,) = forwarder.evictions
+        assert eviction.kind is (
+            memory.HolderKind.FORWARDED_ANSWER
+            if ends_by_its_answer
+            else memory.HolderKind.FORWARDED_REQUEST
+        )
+        assert budget.total_bytes == sum(sizes)
+        conn.close()
+        nursery.cancel_scope.cancel()
+
     async def test_answer_that_the_other_vm_does_not_read_is_let_go(
         self, nursery: trio.Nursery
     ) -> None:
