--- a/sedgepin/platform/tests/test_stopping_forwarders.py
+++ b/sedgepin/platform/tests/test_stopping_forwarders.py
@@ -165,7 +165,8 @@
         cut_forwards = _logged(system, stopping, "forward_cut")
         cut = {str(line["request"]) for line in cut_forwards}
         opened = _logged(system, stopping, "forward_opened")
-        assert cut == {str(line["request"]) for line in opened}
+        # The first request has ended before, at whichever forwarder.
+        assert cut == {str(line["request"]) for line in opened} - {"warm"}
         assert cut
         ended = _logged(system, stopping, "drain_ended")
         assert [line["cut_forwards"] for line in ended] == [len(cut)]
