Let no estimates for waiting requests hold up a VM that stops

With 500 requests of different sizes waiting beside 500 open streams, each tick of a stop (one in 50 ms) took 0.15 to 0.25 s of processor time: all answers of the VM waited for it, at the time when they must not be late.

The estimate was made anew for each size, and looks at all open requests. It is made now for eight sizes from each size to its double, so that there are at most some fifty, and scales in floating point instead of timedelta.

A size is off by 4.4% at most by this, less than callers' own estimates. The test failed before with 500 estimates, 64 are allowed.

--- a/sedgepin/_gateway/_drain.py
+++ b/sedgepin/_gateway/_drain.py
@@ -5,6 +5,7 @@
 import dataclasses
 import datetime
 import enum
+import math
 import random
 
 from sedgepin import _catalog as catalog
@@ -21,6 +22,9 @@
 # resumed by its caller; a whole answer that does not come is lost.
 _MIN_STREAM_PROBABILITY = 0.5
 _MIN_WHOLE_ANSWER_PROBABILITY = 0.9
+# Sizes for which there are estimates, from each size to its double.  Many
+# requests may wait, and an estimate looks at all that are open.
+_SIZES_PER_DOUBLING = 8
 # With fewer of the entry VMs serving, a caller that is refused would most
 # likely be refused by the next one, too.
 _MIN_SERVING_SHARE = 0.25
@@ -145,7 +149,7 @@
         duration = _measure(exchange, is_answered, now)
         answers = [one for one in durations if one.is_complete]
         tells_nothing = all(
-            duration.scale(one.tokens) < one.scale(one.tokens)
+            duration.scale_seconds(one.tokens) < one.scale_seconds(one.tokens)
             for one in answers
         )
         if is_answered or not answers or not tells_nothing:
@@ -210,7 +214,7 @@
             self._known.clear()
             self._probabilities.clear()
         kind = _kind(exchange)
-        tokens = _answer_tokens(exchange)
+        tokens = _round_size(_answer_tokens(exchange))
         key = kind, tokens
         if key not in self._probabilities:
             if kind not in self._known:
@@ -254,5 +258,13 @@
     return 0.0 if size is None else size.answer_tokens
 
 
+def _round_size(tokens: float) -> float:
+    """Return the nearest size for which there is an estimate."""
+    if tokens <= 0.0:
+        return 0.0
+    step = round(math.log2(tokens) * _SIZES_PER_DOUBLING)
+    return math.exp2(step / _SIZES_PER_DOUBLING)
+
+
 def _kind(exchange: _exchange.Exchange) -> _Kind:
     return exchange.service.name, exchange.route.kind
--- a/sedgepin/_gateway/_durations.py
+++ b/sedgepin/_gateway/_durations.py
@@ -23,11 +23,12 @@
     tokens: float
     is_complete: bool
 
-    def scale(self, tokens: float) -> datetime.timedelta:
+    def scale_seconds(self, tokens: float) -> float:
         """Return how long an answer of another size would have taken."""
-        if not self.tokens or not tokens:
-            return self.until_output + self.output
-        return self.until_output + self.output * (tokens / self.tokens)
+        output_seconds = self.output.total_seconds()
+        if self.tokens and tokens:
+            output_seconds *= tokens / self.tokens
+        return self.until_output.total_seconds() + output_seconds
 
 
 def probability_of_end(
@@ -57,9 +58,12 @@
         known = similar
     if not any(one.is_complete for one in known):
         return None
-    scaled = [(one.scale(tokens), not one.is_complete) for one in known]
+    scaled = [
+        (one.scale_seconds(tokens), not one.is_complete) for one in known
+    ]
+    seconds = time.total_seconds()
     # At the same time, an end comes before a request that was open then.
-    ordered = sorted(one for one in scaled if one[0] <= time)
+    ordered = sorted(one for one in scaled if one[0] <= seconds)
     lasts_longer = 1.0
     for index, (_duration, is_open) in enumerate(ordered):
         if not is_open:
--- a/sedgepin/_gateway/tests/test_drain.py
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -315,6 +315,29 @@
             gateway.send_request("/draft/x", tokens=tokens)
         assert len(measured) == 10
 
+    def test_waiting_requests_of_many_sizes_do_not_hold_up_the_vm(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """An estimate beside 500 open requests takes some 0.4 ms."""
+        sizes: list[float] = []
+        estimate = _durations.probability_of_end
+
+        def count(
+            known: list[_durations.Duration], tokens: float, *time: typing.Any
+        ) -> float | None:
+            sizes.append(tokens)
+            return estimate(known, tokens, *time)
+
+        gateway = parts.Gateway()
+        _answer(gateway, "/draft/x", 100)
+        _drain(gateway, 3000)
+        monkeypatch.setattr(_durations, "probability_of_end", count)
+        for tokens in range(10, 1010, 2):
+            gateway.send_request("/draft/x", tokens=tokens)
+        assert 10 < len(sizes) <= 64
+        assert min(sizes) == pytest.approx(5, rel=0.05)
+        assert max(sizes) == pytest.approx(504, rel=0.05)
+
 
 class TestTimeToRetry:
     @pytest.mark.parametrize(
