Say that a request nobody ran has not run when a stop ends it

A request that no engine was reached for, or that each one had sent back, and that still waited at the last answer of a stop, got 504 drain_ended with outcome unknown, though it had not run anywhere: its caller could not send it again. It counted the attempts, not those that may have run. The tick that refuses what waits at the same instant says draining, not run, so the answer depended on which of the two came first.

Both take the same failure now. The test failed before with drain_ended.

--- a/sedgepin/_gateway/_dispatcher.py
+++ b/sedgepin/_gateway/_dispatcher.py
@@ -188,12 +188,18 @@
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> _shared_state.Effects:
         """Fail a request that would not end before this VM stops."""
-        failure: errors.Failure = self._draining(exchange, now)
-        if exchange.may_have_run or exchange.has_output:
-            failure = _failures.DrainEnded()
+        failure = self._failure_by_drain(exchange, now)
         line = self._log_drain_decision(exchange, now)
         return [line, *self.fail(exchange, failure, now)]
 
+    def _failure_by_drain(
+        self, exchange: _exchange.Exchange, now: datetime.datetime
+    ) -> errors.Failure:
+        """Return the failure of a request that ends because this VM stops."""
+        if exchange.may_have_run:
+            return _failures.DrainEnded()
+        return self._draining(exchange, now)
+
     def _draining(
         self, exchange: _exchange.Exchange, now: datetime.datetime
     ) -> _failures.Draining:
@@ -438,9 +444,7 @@
             return [_effects.FinishExchange(exchange_id)]
         failure: errors.Failure = _failures.DeadlinePassed()
         if exchange.is_bounded_by_drain:
-            failure = _failures.DrainEnded()
-            if exchange.send_count == 0:
-                failure = _failures.Draining()
+            failure = self._failure_by_drain(exchange, now)
         elif exchange.send_count == 0:
             failure = _failures.NoEndpoint(exchange.service.name)
         self._state.drain.record_end(exchange, False, now)
--- a/sedgepin/_gateway/tests/test_drain.py
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -451,6 +451,22 @@
         effects = gateway.receive(protocol.ForwardersOffered((forwarder,)))
         parts.get_effect(effects, _effects.StartAttempt)
 
+    def test_one_that_nobody_ran_is_refused_as_not_run_at_the_end(
+        self,
+    ) -> None:
+        """Its deadline may come before the tick that refuses what waits."""
+        gateway = parts.Gateway()
+        _answer(gateway, "/post/x", 1)
+        _waiting_for_a_path(gateway)
+        assert parts.has_no_effect(
+            _drain(gateway, 3000), _effects.FailExchange
+        )
+        (exchange_id,) = gateway.reducer._state.awaiting_path
+        gateway.now += parts.milliseconds(3000)
+        effects = gateway.handle(_events.DeadlineReached(exchange_id))
+        _assert_refused(effects)
+        assert _logged_failure(effects) == ("draining", False)
+
     def test_one_that_waits_until_its_time_is_too_short_is_refused(
         self,
     ) -> None:
