Refuse calls that have not been read whole when a control VM stops

A call to a control VM whose head or body was not there at the end of its stop lost its connection without an answer; so did, in the gateway, callers' requests until they were mended. An operator could not tell whether a configuration was published.

They get 503 draining, not run, as at an entry VM: at the end of the stop, and shortly before the end of the grace period if that comes first. The test failed before in its six cases (one byte, a part of the head, all but the last byte; grace periods of 2 and 8 s) with a connection closed without a byte.

--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -38,6 +38,8 @@
 # short one that they take at most.
 _GRACE_END_SECONDS = 0.5
 _MAX_GRACE_END_SHARE = 0.25
+# In it calls that were not read whole learn that they have not run.
+_REFUSAL_SECONDS = 0.1
 _LIMITS = web.ServerLimits(
     header_bytes=16_384,
     body_bytes=4_194_304,
@@ -297,8 +299,9 @@
         self._server.finish_draining()
         self._calls.stop()
         self._calls.give_up()
+        self._server.refuse_unread_requests(_failures.Draining())
         with trio.move_on_after(end_seconds / 2):
-            while self._calls.has_open_calls:
+            while self._server.open_exchanges:
                 await trio.sleep(_TICK_SECONDS)
 
     async def _finish_calls(self) -> None:
@@ -315,6 +318,10 @@
         with trio.move_on_after(_CALL_TIMEOUT_SECONDS + _TICK_SECONDS):
             while self._calls.has_open_calls:
                 await trio.sleep(_TICK_SECONDS)
+        self._server.refuse_unread_requests(_failures.Draining())
+        with trio.move_on_after(_REFUSAL_SECONDS):
+            while self._server.open_exchanges:
+                await trio.sleep(_TICK_SECONDS)
 
     def _metrics_text(self) -> bytes:
         usage = self._reducer.limit_usage[:_MAX_LIMIT_METRICS]
--- a/sedgepin/platform/tests/test_control_stop.py
+++ b/sedgepin/platform/tests/test_control_stop.py
@@ -111,6 +111,38 @@
         assert exit_code == 0
 
 
+class TestCallThatIsNotThereAtTheEnd:
+    @pytest.mark.parametrize("grace_seconds", [2.0, 8.0])
+    @pytest.mark.parametrize("sent_bytes", [1, 40, -1])
+    async def test_its_caller_learns_that_it_has_not_run(
+        self,
+        system: running_system.System,
+        grace_seconds: float,
+        sent_bytes: int,
+    ) -> None:
+        """Its head or its body would end after the process."""
+        system.grace_seconds = grace_seconds
+        system.start("control", running_system.CONTROL)
+        await _publish_first()
+        control = system.processes["control"]
+        document = {**running_system.CONFIGURATION, "version": 2}
+        body = json.dumps(document).encode()
+        call = _HEAD % (b"PUT", len(body)) + body
+        received = b""
+        async with await _connect() as stream:
+            await stream.send_all(call[:sent_bytes])
+            await trio.sleep(0.2)
+            control.send_signal(signal.SIGTERM)
+            with trio.fail_after(running_system.TIMEOUT_SECONDS):
+                while data := await stream.receive_some():
+                    received += data
+                while control.poll() is None:
+                    await trio.sleep(0.02)
+        assert control.returncode == 0
+        assert received.startswith(b"HTTP/1.1 503 ")
+        assert b"connection: close" in received.lower()
+
+
 class TestChanges:
     async def test_changes_beside_signals_in_series_are_answered_and_kept(
         self, system: running_system.System, nursery: trio.Nursery
