Refuse requests that are not there at the end of an entry VM's grace period

The product's entry counted them in drain_ended, and ended their connections without an answer, so that callers could not tell whether they had run.

--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -188,8 +188,9 @@
         self._forwarding.record_cut()
         self._driver.submit(ended)
         self._server.start_refusing()
+        self._server.refuse_unread_requests()
         with trio.move_on_after(_LAST_ANSWERS_SECONDS):
-            while self._server.unanswered_requests:
+            while self._server.owes_answers:
                 await trio.sleep(_LAST_ANSWERS_POLL_SECONDS)
         self._nursery.cancel_scope.cancel()
 
--- a/sedgepin/_entry/_server.py
+++ b/sedgepin/_entry/_server.py
@@ -19,6 +19,7 @@
 from sedgepin._entry import _effects
 from sedgepin._entry import _events
 from sedgepin._entry import _exchange
+from sedgepin._entry import _refusals
 from sedgepin import _http as http
 from sedgepin import _memory as memory
 from sedgepin import _model as model
@@ -52,6 +53,7 @@
         "_is_ready",
         "_status",
         "_submit",
+        "_unread",
     )
 
     def __init__(
@@ -69,6 +71,8 @@
         self._status = status
         self._exchanges: dict[model.RequestId, _exchange.Exchange] = {}
         self._exchange_ids = itertools.count(1)
+        # Of callers' requests that have begun, until they are there.
+        self._unread: set[trio.CancelScope] = set()
         self._announcements: dict[
             int,
             trio.MemorySendChannel[
@@ -85,11 +89,24 @@
         """Return how many requests were read and have no whole answer yet."""
         return len(self._exchanges)
 
+    @property
+    def owes_answers(self) -> bool:
+        """Return whether callers' requests were not answered yet."""
+        return bool(self._exchanges or self._unread)
+
     @property
     def unread_requests(self) -> int:
         """Return how many requests have begun and not been read whole."""
         return max(0, self.open_requests - self.unanswered_requests)
 
+    def refuse_unread_requests(self) -> None:
+        """Tell callers whose requests are not there that they have not run.
+
+        To be called shortly before the end of the process.
+        """
+        for scope in tuple(self._unread):
+            scope.cancel()
+
     def apply_effect(self, effect: _exchange.CallerEffect) -> None:
         """Pass an effect to its caller, unless the caller disconnected."""
         exchange = self._exchanges.get(effect.request_id)
@@ -188,23 +205,36 @@
         if customer is None:
             await http.send_problem(request, http.CredentialRefused())
             return
-        body = await http.read_body(
-            request, self._cfg.limits.body_bytes, customer
-        )
-        if isinstance(body, result.Err):
-            await _send_unless_disconnected(request, body.err_value)
+        body = await self._read_body(request, customer)
+        if body is None:
             return
         if parts == ["completions"] and request.method == "POST":
-            await self._handle_completion(
-                request, service, customer, body.ok_value
-            )
+            await self._handle_completion(request, service, customer, body)
         elif parts[0] == "call" and service is not None:
-            await self._handle_service_call(
-                request, service, customer, body.ok_value
-            )
+            await self._handle_service_call(request, service, customer, body)
         else:
             await http.send_problem(request, http.NotFound())
 
+    async def _read_body(
+        self, request: http.Request, customer: model.CustomerId
+    ) -> bytes | None:
+        """Return the body; ``None`` for a request that was refused instead."""
+        scope = trio.CancelScope()
+        self._unread.add(scope)
+        try:
+            failure = _refusals.at_end_of_grace(may_have_run=False)
+            with scope:
+                body = await http.read_body(
+                    request, self._cfg.limits.body_bytes, customer
+                )
+                if isinstance(body, result.Ok):
+                    return body.ok_value
+                failure = body.err_value
+            await _send_unless_disconnected(request, failure)
+            return None
+        finally:
+            self._unread.remove(scope)
+
     async def _handle_completion(
         self,
         request: http.Request,
--- a/sedgepin/tests/test_grace_period.py
+++ b/sedgepin/tests/test_grace_period.py
@@ -3,6 +3,7 @@
 import collections
 import collections.abc
 import concurrent.futures
+import contextlib
 import dataclasses
 import http.client
 import pathlib
@@ -120,10 +121,11 @@
     )
     with socket.create_connection((host, int(port)), timeout=15.0) as conn:
         conn.sendall(head.encode())
-        try:
-            return conn.recv(4096)
-        except ConnectionResetError:
-            return b""
+        received = b""
+        with contextlib.suppress(ConnectionResetError):
+            while data := conn.recv(4096):
+                received += data
+        return received
 
 
 def _stop(system: processes.Processes, signalled_at: float) -> int:
@@ -177,7 +179,10 @@
         assert log.count("code=drain_ended") == 3
         assert "drain_ended cut_requests=3 cut_forwards=0" in log
         assert "unread_requests=1" in log
-        assert unread.result() == b""
+        assert unread.result().startswith(b"HTTP/1.1 503 ")
+        assert b"\r\nconnection: close\r\n" in unread.result().lower()
+        assert b'"draining"' in unread.result()
+        assert b'"not_run"' in unread.result()
 
 
 class TestOpenRequests:
