Leave other tests' objects out of the measure of tiny pieces

Cause: what tests leave behind counts in a full collection, too, and the test counts the processor time of its thread between two turns of a task.

The bound stays.

--- a/sedgepin/_web/tests/test_slow_requests.py
+++ b/sedgepin/_web/tests/test_slow_requests.py
@@ -206,7 +206,7 @@
         assert caller.sent_bytes < 24 * 1024 * 1024
 
     async def test_tiny_pieces_hold_up_no_other_task(
-        self, nursery: trio.Nursery
+        self, nursery: trio.Nursery, frozen_heap: None
     ) -> None:
         caller = await _send(nursery, _endless(_CHUNKED, b"1\r\nx\r\n" * 500))
         assert caller.status == 413
--- a/sedgepin/conftest.py
+++ b/sedgepin/conftest.py
@@ -1,5 +1,6 @@
 """Hypothesis settings that make property tests deterministic, and a clock."""
 
+import gc
 import typing
 
 import hypothesis
@@ -24,3 +25,13 @@
     clock = clocks.HeldClock()
     yield clock
     clock.close()
+
+
+@pytest.fixture
+def frozen_heap() -> None:
+    """Leave what other tests have made out of garbage collections.
+
+    For tests that measure how long the code holds its thread.
+    """
+    gc.collect()
+    gc.freeze()
