Tell callers in the notice of an entry VM not to use their connections again

For the notice after SIGTERM (5 s) the product's entry answered without Connection: close, and then closed all kept connections at once. A caller that sent its next request at that moment got no answer. The platform's gateway announces the close from the signal on; so does the entry now.

An announced close would take the answer from requests that wait behind another one on their connection, as it did before once the notice was over: hypercorn drops them. So none is announced while bytes of a next request are there, as in the gateway.

--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -149,6 +149,7 @@
         await self._nursery.start(shell.watch_stop_signals, stop)
         await stop.wait()
         self._driver.submit(_events.DrainRequested())
+        self._server.start_draining()
         self._forwarding.is_draining = True
         grace_seconds = self._cfg.drain.grace_seconds
         if grace_seconds is None:
@@ -169,7 +170,6 @@
         await self._server.take_in()
         # The server may stop at once, and answers nothing that comes later.
         self._driver.submit(_events.DrainNoticeEnded())
-        self._server.start_draining()
         self._server.start_refusing()
         await self._server.wait_idle()
         while self._forwarding.open_forwards:
@@ -184,7 +184,6 @@
         ended = _events.GracePeriodEnded(
             self._forwarding.open_forwards, self._server.unread_requests
         )
-        self._server.start_draining()
         self._forwarding.record_cut()
         self._driver.submit(ended)
         self._server.start_refusing()
--- a/sedgepin/_http/_caller_stream.py
+++ b/sedgepin/_http/_caller_stream.py
@@ -29,6 +29,7 @@
         "_open_requests",
         "_send_scope",
         "_stream",
+        "has_next_request",
         "received_bytes",
         "socket",
     )
@@ -49,6 +50,8 @@
         self._head_bytes = 0
         self._open_requests = 0
         self.received_bytes = 0
+        # Tells whether bytes have come after the request that is answered.
+        self.has_next_request: collections.abc.Callable[[], bool] = bool
         self._send_scope: trio.CancelScope | None = None
 
     @property
--- a/sedgepin/_http/_connections.py
+++ b/sedgepin/_http/_connections.py
@@ -4,6 +4,7 @@
 import ssl
 import typing
 
+import h11
 import hypercorn.config
 import hypercorn.trio.tcp_server
 import hypercorn.trio.worker_context
@@ -18,6 +19,8 @@
 
 # Of the stream in the state of a request's scope.
 STREAM_KEY = "sedgepin.stream"
+# Empty lines may follow a body and belong to no request.
+_LINE_END = b"\r\n"
 
 
 async def serve(
@@ -53,14 +56,18 @@
             # It names the stream for the requests on it.
             state = hypercorn.typing.LifespanState({STREAM_KEY: stream})
             arrivals.add_stream(stream)
+            server = hypercorn.trio.tcp_server.TCPServer(
+                wrapped,
+                cfg,
+                context,
+                hypercorn.typing.ConnectionState(state),
+                _with_tls(stream, tls),
+            )
+            stream.has_next_request = functools.partial(
+                _has_next_request, server, stream
+            )
             try:
-                await hypercorn.trio.tcp_server.TCPServer(
-                    wrapped,
-                    cfg,
-                    context,
-                    hypercorn.typing.ConnectionState(state),
-                    _with_tls(stream, tls),
-                )
+                await server
             finally:
                 arrivals.remove_stream(stream)
 
@@ -81,6 +88,24 @@
         connections.cancel_scope.deadline = deadline
 
 
+def _has_next_request(
+    server: hypercorn.trio.tcp_server.TCPServer,
+    stream: _caller_stream.CallerStream,
+) -> bool:
+    """Return whether bytes have come after the request that is answered.
+
+    Over HTTP/2 requests do not wait behind each other.
+    """
+    protocol = server.protocol.protocol
+    connection = getattr(protocol, "connection", None)
+    if not isinstance(connection, h11.Connection):
+        return False
+    if connection.their_state is not h11.DONE:
+        return False
+    kept = connection.trailing_data[0].lstrip(_LINE_END)
+    return bool(kept) or stream.unread_bytes > 0
+
+
 def _with_tls(
     stream: _caller_stream.CallerStream, tls: ssl.SSLContext | None
 ) -> typing.Any:
--- a/sedgepin/_http/_server.py
+++ b/sedgepin/_http/_server.py
@@ -8,6 +8,7 @@
 import trio
 
 from sedgepin._http import _arrivals
+from sedgepin._http import _caller_stream
 from sedgepin._http import _connections
 from sedgepin._http import _failures
 from sedgepin._http import _holder
@@ -134,13 +135,15 @@
         holder = _holder.RequestHolder(self._budget, head_bytes)
         intake = _intake.BodyIntake(receive)
         is_http2 = scope.get("http_version") == "2"
+        stream = scope.get("state", {}).get(_connections.STREAM_KEY)
         request = _messages.Request.from_scope(
             scope,
             intake.receive,
-            self._wrap_send(send, holder, intake if is_http2 else None),
+            self._wrap_send(
+                send, holder, intake if is_http2 else None, stream
+            ),
             holder,
         )
-        stream = scope.get("state", {}).get(_connections.STREAM_KEY)
         if stream is not None:
             holder.follow(stream)
         if self._is_refusing:
@@ -170,9 +173,11 @@
         send: _messages.Send,
         holder: _holder.RequestHolder,
         intake: _intake.BodyIntake | None,
+        stream: _caller_stream.CallerStream | None,
     ) -> _messages.Send:
         """Wrap ``send`` to add ``Connection: close`` while draining.
 
+        Not while the next request waits already: it is owed an answer.
         Over HTTP/2, which has ``intake``, an answer ends only after the rest
         of the body was read: hypercorn fails on data of an answered stream,
         and with it all streams beside it.
@@ -181,7 +186,8 @@
         async def wrapped_send(message: typing.Any) -> None:
             if message["type"] == "http.response.start":
                 holder.has_started_answer = True
-                if self._draining:
+                has_next = stream is not None and stream.has_next_request()
+                if self._draining and not has_next:
                     close = (b"connection", b"close")
                     message["headers"] = [*message["headers"], close]
             elif not message.get("more_body", False):
--- a/sedgepin/tests/test_grace_period.py
+++ b/sedgepin/tests/test_grace_period.py
@@ -185,6 +185,54 @@
         assert b'"not_run"' in unread.result()
 
 
+class TestKeptConnections:
+    def test_callers_are_told_in_the_notice_not_to_use_them_again(
+        self, system: processes.Processes
+    ) -> None:
+        """A request that crosses the close of a connection gets no answer."""
+        host, _, port = system.address("entry-1").rpartition(":")
+        conn = http.client.HTTPConnection(host, int(port), timeout=15.0)
+        body = msgspec.json.encode(
+            {"prompt": "lorry", "max_tokens": _SHORT_ANSWER_TOKENS}
+        )
+        headers = {"authorization": f"Bearer {processes.CALLER_CREDENTIAL}"}
+        answers: list[tuple[int, str | None]] = []
+        with contextlib.closing(conn):
+            for pause_seconds in (0.0, 0.5):
+                time.sleep(pause_seconds)
+                conn.request("POST", _COMPLETIONS_PATH, body, headers)
+                answer = conn.getresponse()
+                answer.read()
+                answers.append((answer.status, answer.getheader("connection")))
+                system.signal("entry-1", signal.SIGTERM)
+        assert answers == [(200, None), (200, "close")]
+
+    def test_requests_that_wait_behind_others_in_the_notice_are_answered(
+        self, system: processes.Processes
+    ) -> None:
+        """They came before the caller could learn that none is read."""
+        host, _, port = system.address("entry-1").rpartition(":")
+        body = msgspec.json.encode(
+            {"prompt": "lorry", "max_tokens": _SHORT_ANSWER_TOKENS}
+        )
+        head = (
+            f"POST {_COMPLETIONS_PATH} HTTP/1.1\r\nHost: e\r\n"
+            f"Authorization: Bearer {processes.CALLER_CREDENTIAL}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        system.signal("entry-1", signal.SIGTERM)
+        time.sleep(_LATE_SECONDS)
+        received = b""
+        with socket.create_connection((host, int(port)), timeout=15.0) as conn:
+            conn.sendall(3 * (head.encode() + body))
+            while data := conn.recv(4096):
+                received += data
+        answers = received.lower().split(b"http/1.1 ")[1:]
+        assert [answer[:3] for answer in answers] == [b"200"] * 3
+        closes = [b"\r\nconnection: close\r\n" in one for one in answers]
+        assert closes == [False, False, True]
+
+
 class TestOpenRequests:
     """How the reducer ends all that is open when the VM stops."""
 
