End a stopped entry or control daemon without the interpreter's teardown

At load 47 a forwarder (the product's entry) had stopped 1.0 s before the end of its grace period, as its line process_stopped says, and its supervisor killed it all the same: the interpreter was tearing down its modules. This is one way in which test_answers_that_last_past_its_grace_period_are_whole ends, which is listed, and whose message had not been kept.

The test, in which the teardown takes a minute, failed before for both roles.

--- a/sedgepin/cli/_daemons.py
+++ b/sedgepin/cli/_daemons.py
@@ -23,6 +23,7 @@
     if not isinstance(cfg, settings.EntrySettings):
         _exit_with_wrong_role(settings_file, "an entry VM")
     _entry.run(cfg)
+    _exit.end_stopped_daemon()
 
 
 def control(settings_file: pathlib.Path) -> None:
@@ -36,6 +37,7 @@
     if not isinstance(cfg, settings.ControlSettings):
         _exit_with_wrong_role(settings_file, "a control VM")
     _control.run(cfg)
+    _exit.end_stopped_daemon()
 
 
 def read_settings(path: pathlib.Path) -> settings.Settings:
--- a/sedgepin/cli/_exit.py
+++ b/sedgepin/cli/_exit.py
@@ -1,6 +1,7 @@
 """Exit codes of the ``sedgepin`` command and exits with a failure."""
 
 import enum
+import os
 import sys
 import typing
 
@@ -32,3 +33,14 @@
     else:
         print(f"{failure.code}: {failure.detail()}", file=sys.stderr)
     raise SystemExit(int(code))
+
+
+def end_stopped_daemon() -> typing.NoReturn:
+    """End the process of a daemon that has stopped.
+
+    The interpreter's own teardown would take longer than all else that a stop
+    does after its last answers, and a daemon leaves nothing to it.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(int(ExitCode.DONE))
--- a/sedgepin/tests/test_grace_period.py
+++ b/sedgepin/tests/test_grace_period.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import time
 
 import msgspec
@@ -33,6 +34,15 @@
 _SHORT_ANSWER_TOKENS = 10
 _RECEIPTS_PATH = "/v1/services/ledger/call/receipts"
 _COMPLETIONS_PATH = "/v1/services/assistant/completions"
+# Runs the command; its teardown outlasts any grace period.
+_PROGRAM_WITH_A_LONG_TEARDOWN = """
+import atexit
+import runpy
+import time
+
+atexit.register(time.sleep, 60.0)
+runpy.run_module("sedgepin", run_name="__main__", alter_sys=True)
+"""
 
 
 @dataclasses.dataclass
@@ -233,6 +243,32 @@
         assert closes == [False, False, True]
 
 
+class TestExit:
+    @pytest.mark.parametrize("role", ["control", "entry"])
+    def test_stopped_daemon_leaves_without_the_interpreters_teardown(
+        self, system: processes.Processes, role: str
+    ) -> None:
+        """On a busy machine it lasts longer than the end of a stop."""
+        system.kill(f"{role}-1")
+        path = system.folder / f"{role}-1.json"
+        with subprocess.Popen(
+            [sys.executable, "-c", _PROGRAM_WITH_A_LONG_TEARDOWN, role, path],
+            stderr=subprocess.PIPE,
+        ) as process:
+            assert process.stderr is not None
+            for line in process.stderr:
+                if b" process_started " in line:
+                    break
+            time.sleep(_FURTHER_SIGNAL_SECONDS)
+            process.send_signal(signal.SIGTERM)
+            try:
+                process.wait(20.0)
+            except subprocess.TimeoutExpired:
+                process.kill()
+            assert b" process_stopped " in process.stderr.read()
+        assert process.returncode == 0
+
+
 class TestOpenRequests:
     """How the reducer ends all that is open when the VM stops."""
 
