Count a grace period from a signal that waited for the process

Callers of a VM that the machine did not run when SIGTERM came were cut at its kill, without a line: the VM counted its grace period from when a task learned of the signal, and the platform from the signal.

The handler now notes the signal, some turns of the event loop before the task that waits for it runs. The signal may have come at any time since the tick before, so that the grace period counts from there. No more than half of it counts as over: a VM that was suspended for long may get the signal as it goes on. The notice for the load balancer, which learns of the stop only now, stays as long as it was where the other times allow.

--- a/sedgepin/_control/_daemon.py
+++ b/sedgepin/_control/_daemon.py
@@ -132,7 +132,7 @@
             await trio.sleep(_TICK_SECONDS)
 
     async def _wait_for_drain(self) -> None:
-        stop = trio.Event()
+        stop = shell.StopSignal()
         await self._nursery.start(shell.watch_stop_signals, stop)
         await stop.wait()
         self._driver.submit(_events.DrainRequested())
--- a/sedgepin/_entry/_daemon.py
+++ b/sedgepin/_entry/_daemon.py
@@ -125,8 +125,9 @@
                 await nursery.start(
                     self._forwarding.serve, self._cfg.forward_listen
                 )
-            nursery.start_soon(self._tick)
-            nursery.start_soon(self._wait_for_drain)
+            stop = shell.StopSignal()
+            nursery.start_soon(self._tick, stop)
+            nursery.start_soon(self._wait_for_drain, stop)
             line = events.PROCESS_STARTED.line(
                 id=self._cfg.id, role="entry", address=self._cfg.caller_listen
             )
@@ -139,13 +140,13 @@
             nursery.cancel_scope.cancel()
         logs.write(events.PROCESS_STOPPED.line(id=self._cfg.id))
 
-    async def _tick(self) -> None:
+    async def _tick(self, stop: shell.StopSignal) -> None:
         while True:
+            stop.pulse()
             self._driver.submit(_events.TimerFired())
             await trio.sleep(_TICK_SECONDS)
 
-    async def _wait_for_drain(self) -> None:
-        stop = trio.Event()
+    async def _wait_for_drain(self, stop: shell.StopSignal) -> None:
         await self._nursery.start(shell.watch_stop_signals, stop)
         await stop.wait()
         self._driver.submit(_events.DrainRequested())
@@ -155,8 +156,9 @@
         if grace_seconds is None:
             await self._drain()
             return
+        seconds = grace_seconds - stop.seconds_waited(grace_seconds)
         with trio.move_on_after(
-            grace_seconds - settings.GRACE_END_SECONDS
+            max(0.0, seconds - settings.GRACE_END_SECONDS)
         ) as scope:
             await self._drain()
             # The server may still be sending the last bytes.
--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -197,7 +197,7 @@
         """Serve until SIGTERM, then drain."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            stop = trio.Event()
+            stop = shell.StopSignal()
             await nursery.start(shell.watch_stop_signals, stop)
             await nursery.start(self._readiness.serve, self._cfg.ready_listen)
             await nursery.start(self._server.serve, self._cfg.listen)
@@ -210,7 +210,7 @@
                     web.MetricsHandler(self._metrics.text), self._budget
                 )
                 await nursery.start(server.serve, self._cfg.metrics_listen)
-            nursery.start_soon(self._tick)
+            nursery.start_soon(self._tick, stop)
             await nursery.start(
                 shell.watch_settings, self._source, self._reload
             )
@@ -223,7 +223,7 @@
             )
             await nursery.start(self._transport.run)
             await stop.wait()
-            await self._drain()
+            await self._drain(stop)
             nursery.cancel_scope.cancel()
         logs.write(events.PROCESS_STOPPED.line(id=self._cfg.vm_id))
 
@@ -278,8 +278,9 @@
     def _reload(self, cfg: _settings.GatewaySettings) -> None:
         self._driver.submit(_events.SettingsReloaded(cfg))
 
-    async def _tick(self) -> None:
+    async def _tick(self, stop: shell.StopSignal) -> None:
         while True:
+            stop.pulse()
             now = trio.current_time()
             # As with the events of requests and peers, a failure must not end
             # the process, and with it the requests that have no part in it.
@@ -300,15 +301,16 @@
             seconds = max(_MIN_TICK_SECONDS, stalled_at - now)
             await trio.sleep(min(longest, seconds))
 
-    async def _drain(self) -> None:
+    async def _drain(self, stop: shell.StopSignal) -> None:
         """Stop being ready, serve until callers are redirected, then finish.
 
         Open requests may finish until shortly before the end of the grace
         period; the reducer answers the others by then.
         """
         grace_period = self._source.current.grace_period
-        times = _planned_stop.StopTimes.from_grace_period(
-            grace_period.total_seconds()
+        grace_seconds = grace_period.total_seconds()
+        times = _planned_stop.StopTimes.from_grace_period(grace_seconds).after(
+            stop.seconds_waited(grace_seconds)
         )
         self._forwarding.is_draining = True
         requested = _events.DrainRequested(
--- a/sedgepin/_gateway/_planned_stop.py
+++ b/sedgepin/_gateway/_planned_stop.py
@@ -62,6 +62,26 @@
         last_estimate = min(notice, seconds * _MAX_ESTIMATED_SHARE)
         return cls(last_estimate, notice, last_connection, last_answer, end)
 
+    def after(self, seconds: float) -> "StopTimes":
+        """Return the times of a stop whose signal has waited meanwhile.
+
+        The load balancer learns of the stop only now, so that the notice stays
+        as long as the other times allow.
+
+        >>> StopTimes.from_grace_period(8.0).after(1.0)
+        StopTimes(last_estimate=1.6, notice=2.6, last_connection=6.0,
+                  last_answer=6.5, end=6.7)
+        """
+        last_answer = self.last_answer - seconds
+        notice = min(self.notice, last_answer)
+        return StopTimes(
+            last_estimate=max(0.0, self.last_estimate - seconds),
+            notice=notice,
+            last_connection=max(notice, self.last_connection - seconds),
+            last_answer=last_answer,
+            end=self.end - seconds,
+        )
+
 
 async def serve_last_requests(
     server: web.Server,
--- a/sedgepin/_gateway/tests/test_planned_stop.py
+++ b/sedgepin/_gateway/tests/test_planned_stop.py
@@ -27,3 +27,23 @@
         assert times.last_answer >= grace_seconds * 5 / 6
         assert times.notice <= times.last_connection <= times.last_answer
         assert times.last_answer < times.end < grace_seconds
+
+    @pytest.mark.parametrize("grace_seconds", [1.5, 3.0, 6.0, 8.0])
+    @pytest.mark.parametrize("waited_share", [0.0, 0.1, 0.3, 0.5])
+    def test_times_count_from_a_signal_that_waited(
+        self, grace_seconds: float, waited_share: float
+    ) -> None:
+        seconds = grace_seconds * waited_share
+        whole = _planned_stop.StopTimes.from_grace_period(grace_seconds)
+        times = whole.after(seconds)
+        assert times.end == pytest.approx(whole.end - seconds)
+        assert times.last_answer == pytest.approx(whole.last_answer - seconds)
+        assert 0 <= times.last_estimate <= whole.last_estimate
+        assert times.last_estimate <= times.notice <= times.last_connection
+        assert times.last_connection <= times.last_answer < times.end
+
+    def test_load_balancer_has_its_time_after_a_signal_that_waited(
+        self,
+    ) -> None:
+        times = _planned_stop.StopTimes.from_grace_period(8.0)
+        assert times.after(2.0).notice == times.notice
--- a/sedgepin/_registrar/_daemon.py
+++ b/sedgepin/_registrar/_daemon.py
@@ -244,7 +244,7 @@
         """Serve until SIGTERM, then drain and return."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            stop = trio.Event()
+            stop = shell.StopSignal()
             await nursery.start(shell.watch_stop_signals, stop)
             await nursery.start(self._server.serve, self._cfg.listen)
             if self._cfg.metrics_listen is not None:
@@ -254,7 +254,7 @@
                 await nursery.start(
                     metrics_server.serve, self._cfg.metrics_listen
                 )
-            nursery.start_soon(self._tick)
+            nursery.start_soon(self._tick, stop)
             nursery.start_soon(self._retry_writes)
             await nursery.start(
                 shell.watch_settings, self._source, self._reload
@@ -268,7 +268,7 @@
             )
             await nursery.start(self._transport.run)
             await stop.wait()
-            await self._drain()
+            await self._drain(stop)
             nursery.cancel_scope.cancel()
         logs.write(events.PROCESS_STOPPED.line(id=self._cfg.vm_id))
 
@@ -280,19 +280,21 @@
     def _reload(self, cfg: _settings.RegistrarSettings) -> None:
         self._driver.submit(_events.SettingsReloaded(cfg))
 
-    async def _tick(self) -> None:
+    async def _tick(self, stop: shell.StopSignal) -> None:
         while True:
+            stop.pulse()
             self._driver.submit(_events.TimerFired())
             await trio.sleep(_TICK_SECONDS)
 
-    async def _drain(self) -> None:
+    async def _drain(self, stop: shell.StopSignal) -> None:
         """Answer all calls that are read, before the grace period ends."""
         grace_seconds = self._source.current.grace_period.total_seconds()
         end_seconds = min(
             _GRACE_END_SECONDS, grace_seconds * _MAX_GRACE_END_SHARE
         )
         logs.write(events.PROCESS_DRAINING.line())
-        with trio.move_on_after(grace_seconds - end_seconds) as scope:
+        seconds = grace_seconds - stop.seconds_waited(grace_seconds)
+        with trio.move_on_after(seconds - end_seconds) as scope:
             await self._finish_calls()
         if not scope.cancelled_caught:
             return
--- a/sedgepin/_shell/__init__.py
+++ b/sedgepin/_shell/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from sedgepin._shell._daemon import peers_to_dial
+from sedgepin._shell._daemon import StopSignal
 from sedgepin._shell._daemon import watch_stop_signals
 from sedgepin._shell._driver import Driver
 from sedgepin._shell._driver import DriverStopped
@@ -28,6 +29,7 @@
     "PrometheusSink",
     "SettingsSource",
     "StatsdSink",
+    "StopSignal",
     "create_budget",
     "create_sink",
     "open_log",
--- a/sedgepin/_shell/tests/test_daemon.py
+++ b/sedgepin/_shell/tests/test_daemon.py
@@ -34,7 +34,7 @@
 
 
 async def main():
-    stop = trio.Event()
+    stop = shell.StopSignal()
     async with trio.open_nursery() as nursery:
         await nursery.start(shell.watch_stop_signals, stop)
         print("ready", flush=True)
@@ -46,6 +46,28 @@
 time.sleep(0.5)
 """
 
+# Prints how much of a grace period of 8 s is over when it learns of a signal.
+_WAITING_PROGRAM = """
+import trio
+
+from sedgepin import _shell as shell
+
+
+async def main():
+    stop = shell.StopSignal()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(shell.watch_stop_signals, stop)
+        print("ready", flush=True)
+        while not stop.is_set():
+            stop.pulse()
+            await trio.sleep(0.1)
+        print(stop.seconds_waited(8.0), flush=True)
+        nursery.cancel_scope.cancel()
+
+
+trio.run(main)
+"""
+
 # Gets another signal at the instant at which its last task is cancelled.
 _CANCELLED_PROGRAM = """
 import signal
@@ -56,7 +78,7 @@
 
 
 async def main():
-    stop = trio.Event()
+    stop = shell.StopSignal()
     async with trio.open_nursery() as nursery:
         await nursery.start(shell.watch_stop_signals, stop)
         signal.raise_signal(signal.SIGTERM)
@@ -72,7 +94,7 @@
 """
 
 
-async def _wait(stop: trio.Event) -> None:
+async def _wait(stop: shell.StopSignal) -> None:
     with trio.fail_after(1.0):
         await stop.wait()
 
@@ -106,7 +128,7 @@
     async def test_further_signals_do_not_end_a_drain(
         self, nursery: trio.Nursery, first: signal.Signals
     ) -> None:
-        stop = trio.Event()
+        stop = shell.StopSignal()
         await nursery.start(shell.watch_stop_signals, stop)
         os.kill(os.getpid(), first)
         await _wait(stop)
@@ -117,7 +139,7 @@
         nursery.cancel_scope.cancel()
 
     async def test_second_interrupt_ends_the_process_at_once(self) -> None:
-        stop = trio.Event()
+        stop = shell.StopSignal()
         with pytest.raises(BaseExceptionGroup) as raised:
             async with trio.open_nursery() as watching:
                 await watching.start(shell.watch_stop_signals, stop)
@@ -129,7 +151,7 @@
     async def test_settings_watch_keeps_its_sighup(
         self, nursery: trio.Nursery
     ) -> None:
-        stop = trio.Event()
+        stop = shell.StopSignal()
         with trio.open_signal_receiver(signal.SIGHUP) as hangups:
             await nursery.start(shell.watch_stop_signals, stop)
             os.kill(os.getpid(), signal.SIGTERM)
@@ -138,3 +160,39 @@
             with trio.fail_after(1.0):
                 assert await anext(hangups) == signal.SIGHUP
         nursery.cancel_scope.cancel()
+
+
+class TestSignalsThatWait:
+    @pytest.mark.parametrize(
+        ("seconds", "least", "most"),
+        [(0.0, 0.0, 1.0), (1.5, 1.5, 2.5), (5.0, 4.0, 4.0)],
+    )
+    def test_time_in_which_the_process_was_not_run_counts(
+        self, seconds: float, least: float, most: float
+    ) -> None:
+        """Up to half of the grace period."""
+        process = subprocess.Popen(
+            [sys.executable, "-c", _WAITING_PROGRAM], stdout=subprocess.PIPE
+        )
+        assert process.stdout is not None
+        with process, process.stdout as output:
+            assert output.readline() == b"ready\n"
+            time.sleep(0.3)
+            if seconds:
+                process.send_signal(signal.SIGSTOP)
+            process.send_signal(signal.SIGTERM)
+            time.sleep(seconds)
+            process.send_signal(signal.SIGCONT)
+            assert least <= float(output.readline()) <= most
+
+    async def test_turn_of_the_loop_in_which_a_signal_came_counts(
+        self, nursery: trio.Nursery
+    ) -> None:
+        stop = shell.StopSignal()
+        await nursery.start(shell.watch_stop_signals, stop)
+        stop.pulse()
+        os.kill(os.getpid(), signal.SIGTERM)
+        time.sleep(0.4)
+        await _wait(stop)
+        assert 0.4 <= stop.seconds_waited(8.0) < 1.4
+        nursery.cancel_scope.cancel()
--- a/sedgepin/platform/tests/test_planned_stop.py
+++ b/sedgepin/platform/tests/test_planned_stop.py
@@ -314,6 +314,30 @@
         assert statuses[:20] == [504] * 20
         _check(callers, engine)
 
+    async def test_grace_period_counts_from_a_signal_that_waited(
+        self, system: running_system.System, nursery: trio.Nursery
+    ) -> None:
+        """A VM that is not run when SIGTERM comes still ends by itself."""
+        system.grace_seconds = _GRACE_SECONDS
+        engine = _SlowEngine()
+        await running_system.start_system(system, nursery, engine)
+        callers = _Callers()
+        entry = system.processes["entry"]
+        async with trio.open_nursery() as calls:
+            calls.start_soon(callers.run, b"/draft/3.8s/")
+            await trio.sleep(0.3)
+            entry.send_signal(signal.SIGSTOP)
+
+            async def go_on() -> None:
+                await trio.sleep(0.3 * _GRACE_SECONDS)
+                entry.send_signal(signal.SIGCONT)
+
+            calls.start_soon(go_on)
+            stop = await _stop(system)
+        assert stop.seconds - stop.seconds_held < _GRACE_SECONDS, stop
+        lines = system.log_lines("entry")
+        assert "answer_cut" in {line["event"] for line in lines}
+
     async def test_request_that_came_while_suspended_is_answered(
         self, system: running_system.System, nursery: trio.Nursery
     ) -> None:
--- a/sedgepin/platform/tests/test_timer_failures.py
+++ b/sedgepin/platform/tests/test_timer_failures.py
@@ -67,7 +67,7 @@
                 (b"X-Deadline-Ms", b"300"),
             )
         )
-        nursery.start_soon(daemon._tick)
+        nursery.start_soon(daemon._tick, shell.StopSignal())
         with trio.fail_after(2):
             await daemon.relay(caller)
         assert caller.status == 503
@@ -87,7 +87,7 @@
             _relay.Relay, "check_progress", lambda *_: checked.set()
         )
         daemon = _make_daemon()
-        nursery.start_soon(daemon._tick)
+        nursery.start_soon(daemon._tick, shell.StopSignal())
         caller = _Caller(((b"Host", b"one.example"), (b"X-Request-Id", b"r")))
         nursery.start_soon(daemon.relay, caller)
         with trio.fail_after(2):
--- a/sedgepin/tests/test_grace_period.py
+++ b/sedgepin/tests/test_grace_period.py
@@ -268,6 +268,23 @@
             assert b" process_stopped " in process.stderr.read()
         assert process.returncode == 0
 
+    def test_grace_period_counts_from_a_signal_that_waited(
+        self, system: processes.Processes
+    ) -> None:
+        """A VM that is not run when SIGTERM comes still answers."""
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            whole = pool.submit(_complete, system, _LONG_ANSWER_TOKENS, False)
+            time.sleep(_LATE_SECONDS)
+            system.signal("entry-1", signal.SIGSTOP)
+            system.signal("entry-1", signal.SIGTERM)
+            signalled_at = time.monotonic()
+            time.sleep(_LATE_SECONDS)
+            system.signal("entry-1", signal.SIGCONT)
+            exit_code = _stop(system, signalled_at)
+            caught = whole.result()
+        assert exit_code == 0, system.read_log("entry-1")[-2000:]
+        assert (caught.status, caught.is_whole) == (503, True)
+
 
 class TestOpenRequests:
     """How the reducer ends all that is open when the VM stops."""
