Close idle connections of a VM that stops once others serve

Cause: a stopping VM announces the close with its answers, so that a connection which is idle through the notice, or whose answer began before the signal, stayed open until the VM stopped accepting, 7 of 8 s after SIGTERM.

Change: from the end of the notice on, once enough others are known to take new streams, no connection is kept between requests: idle ones are closed, and one whose last answer announced no close after the next request or 0.25 s. While nobody else serves they stay, since a new one would lead to the same VM.

Tests: idle, open and new connections, and when the stop does it. Each was red without its part of the change (close, wait of an open answer, a new connection that is counted as busy, the call in the stop).

--- a/sedgepin/_gateway/_daemon.py
+++ b/sedgepin/_gateway/_daemon.py
@@ -324,6 +324,7 @@
             times,
             lambda: self._forwarding.open_forwards,
             self._seconds_since_sent,
+            lambda: self.reducer.do_others_serve,
         )
         unread_requests = self._server.unread_requests
         self._server.refuse_unread_requests(_failures.Draining())
--- a/sedgepin/_gateway/_drain.py
+++ b/sedgepin/_gateway/_drain.py
@@ -88,6 +88,7 @@
         "_remembered",
         "_do_enough_serve",
         "answer_by",
+        "do_others_serve",
         "last_sent_at",
     )
 
@@ -102,6 +103,8 @@
             _Kind, collections.deque[_durations.Duration]
         ] = {}
         self._do_enough_serve = True
+        # Whether enough of the others are known to take new streams.
+        self.do_others_serve = False
         # When a request was sent to an endpoint.
         self.last_sent_at: datetime.datetime | None = None
         # Those of one instant: the durations by kind, and the probabilities by
@@ -125,6 +128,7 @@
     def set_serving(self, serving: int, entry_count: int) -> None:
         """Record how many of all entry VMs take new streams."""
         self._do_enough_serve = serving >= entry_count * _MIN_SERVING_SHARE
+        self.do_others_serve = serving > 0 and self._do_enough_serve
 
     def record_end(
         self,
--- a/sedgepin/_gateway/_planned_stop.py
+++ b/sedgepin/_gateway/_planned_stop.py
@@ -88,10 +88,13 @@
     times: StopTimes,
     count_others: collections.abc.Callable[[], int],
     quiet_seconds: collections.abc.Callable[[], float],
+    do_others_serve: collections.abc.Callable[[], bool],
 ) -> None:
     """Serve until no request is open and no more are expected.
 
     To be called at the signal; returns at ``times.end`` at the latest.
+    Once ``do_others_serve`` after the notice, no connection is kept open
+    between requests: on a new one the next request leads to another VM.
     ``count_others`` returns the open requests of other servers, and
     ``quiet_seconds`` how long ago a request was sent to an endpoint.  Callers
     that are only refused do not keep the VM from stopping: it serves them
@@ -101,12 +104,16 @@
     with trio.move_on_at(started_at + times.end):
         server.start_draining()
         await trio.sleep(times.notice)
+        is_keeping = True
         with trio.move_on_at(started_at + times.last_connection):
             while (
                 server.open_exchanges
                 or count_others()
                 or quiet_seconds() < _QUIET_SECONDS
             ):
+                if is_keeping and do_others_serve():
+                    is_keeping = False
+                    server.stop_keeping_connections()
                 await trio.sleep(_POLL_SECONDS)
         server.finish_draining()
         while server.open_exchanges or count_others():
--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -99,6 +99,11 @@
         # As in the last report.
         self._was_stopping = False
 
+    @property
+    def do_others_serve(self) -> bool:
+        """Whether enough other entry VMs are known to take new streams."""
+        return self._state.drain.do_others_serve
+
     @property
     def last_sent_at(self) -> datetime.datetime | None:
         """Return when a request was last sent to an endpoint."""
--- a/sedgepin/_gateway/tests/test_drain.py
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -389,6 +389,23 @@
         assert failure.retry_after == parts.milliseconds(250)
 
 
+class TestOthersThatServe:
+    @pytest.mark.parametrize(
+        ("entry_count", "stopping_count", "do_serve"),
+        [(0, 0, False), (1, 1, False), (8, 6, True), (8, 7, False)],
+    )
+    def test_others_serve_if_enough_are_known_to(
+        self, entry_count: int, stopping_count: int, do_serve: bool
+    ) -> None:
+        gateway = parts.Gateway()
+        assert not gateway.reducer.do_others_serve
+        summed = protocol.LoadSummed(
+            (), entry_count=entry_count, stopping_count=stopping_count
+        )
+        gateway.receive(summed)
+        assert gateway.reducer.do_others_serve == do_serve
+
+
 class TestReport:
     def test_control_vms_learn_when_no_new_streams_are_taken(self) -> None:
         gateway = parts.Gateway()
--- a/sedgepin/_gateway/tests/test_planned_stop.py
+++ b/sedgepin/_gateway/tests/test_planned_stop.py
@@ -1,8 +1,13 @@
 """Tests of the times of a planned stop."""
 
+import typing
+
 import pytest
+import trio
+import trio.testing
 
 from sedgepin._gateway import _planned_stop
+from sedgepin import _web as web
 
 # What an exit is promised, and the share of a short grace period instead.
 _EXIT_SECONDS = 0.3
@@ -47,3 +52,57 @@
     ) -> None:
         times = _planned_stop.StopTimes.from_grace_period(8.0)
         assert times.after(2.0).notice == times.notice
+
+
+class _Server:
+    """Records when the steps of a stop come; a request stays open."""
+
+    def __init__(self) -> None:
+        self.open_exchanges = 1
+        self._started_at = trio.current_time()
+        self.steps: list[tuple[float, str]] = []
+
+    def _record(self, step: str) -> None:
+        seconds = round(trio.current_time() - self._started_at, 3)
+        self.steps.append((seconds, step))
+
+    def start_draining(self) -> None:
+        self._record("announce close")
+
+    def stop_keeping_connections(self) -> None:
+        self._record("keep none")
+
+    def finish_draining(self) -> None:
+        self._record("accept none")
+
+
+class TestServeLastRequests:
+    @pytest.mark.parametrize(
+        ("others_serve_from", "kept_until"),
+        [(0.0, 2.6), (4.0, 4.0), (9.0, None)],
+    )
+    async def test_connections_are_kept_until_other_vms_serve(
+        self,
+        autojump_clock: trio.testing.MockClock,
+        others_serve_from: float,
+        kept_until: float | None,
+    ) -> None:
+        """Without another VM a new connection would lead here again."""
+        started_at = trio.current_time()
+        server = _Server()
+        times = _planned_stop.StopTimes.from_grace_period(8.0)
+        await _planned_stop.serve_last_requests(
+            typing.cast(web.Server, server),
+            times,
+            lambda: 0,
+            lambda: 0.0,
+            lambda: trio.current_time() - started_at >= others_serve_from,
+        )
+        assert server.steps[0] == (0.0, "announce close")
+        assert (7.0, "accept none") in server.steps
+        closed = [at for at, step in server.steps if step == "keep none"]
+        if kept_until is None:
+            assert not closed
+            return
+        (closed_at,) = closed
+        assert kept_until <= closed_at <= kept_until + 0.1
--- a/sedgepin/_web/_caller_connection.py
+++ b/sedgepin/_web/_caller_connection.py
@@ -430,9 +430,9 @@
         self._close_reason = ""
         while True:
             deadline = self._idle_deadline()
-            if self._server.has_stopped_accepting:
+            if not self._server.keeps_connections:
                 self._close_reason = "drain"
-                self.is_busy = True
+                self.is_busy = self._server.has_stopped_accepting
                 deadline = self._drain_deadline()
             self._idle_scope = trio.CancelScope(deadline=deadline)
             with self._idle_scope:
--- a/sedgepin/_web/_server.py
+++ b/sedgepin/_web/_server.py
@@ -125,6 +125,18 @@
         """Announce ``Connection: close`` with each answer from now on."""
         self._state.is_draining = True
 
+    def stop_keeping_connections(self) -> None:
+        """Keep no connection open between requests from now on.
+
+        Idle ones are closed, so that their callers send the next request on a
+        new connection, which can lead to another VM.  New ones are accepted.
+        Those that are not idle, or whose caller may have sent the next
+        request by now, are closed as described for ``finish_draining``.
+        """
+        self._state.keeps_connections = False
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+
     def finish_draining(self) -> None:
         """Accept no new connections or requests and close idle connections.
 
@@ -134,6 +146,7 @@
         announced no close, after the next request or a short wait for it.
         """
         self._state.has_stopped_accepting = True
+        self._state.keeps_connections = False
         self._is_closing_listeners = bool(self._listeners)
         self._scope.cancel()
         for listener in self._listeners:
--- a/sedgepin/_web/_server_state.py
+++ b/sedgepin/_web/_server_state.py
@@ -16,6 +16,7 @@
         "budget",
         "has_stopped_accepting",
         "is_draining",
+        "keeps_connections",
     )
 
     def __init__(
@@ -29,6 +30,7 @@
         self._idle_limits = _idle_limits.IdleLimits(seconds)
         self.has_stopped_accepting = False
         self.is_draining = False
+        self.keeps_connections = True
 
     def update_limits(self) -> None:
         """Record the idle timeout that is in force now."""
--- a/sedgepin/_web/tests/test_connections.py
+++ b/sedgepin/_web/tests/test_connections.py
@@ -12,6 +12,7 @@
 from sedgepin import errors
 
 _LIMITS = web.ServerLimits(2_048, 64, 0.3, 0.5)
+_LONG_IDLE_TIMEOUT = web.ServerLimits(2_048, 64, 0.3, 60.0)
 
 
 class _EchoHandler(web.Handler):
@@ -23,6 +24,7 @@
     def __init__(self) -> None:
         self.disconnects = 0
         self.release = trio.Event()
+        self.in_force = _LIMITS
 
     async def handle(self, exchange: web.Exchange) -> None:
         if exchange.request.target == b"/slow":
@@ -71,7 +73,7 @@
         return web.AnswerHead(failure.http_status), failure.code.encode()
 
     def limits(self) -> web.ServerLimits:
-        return _LIMITS
+        return self.in_force
 
 
 class _EchoServer:
@@ -227,6 +229,66 @@
         with pytest.raises(OSError):
             await again
 
+    async def test_idle_connection_is_closed_once_none_is_kept(
+        self, nursery: trio.Nursery
+    ) -> None:
+        echo = _EchoServer(nursery)
+        echo.handler.in_force = _LONG_IDLE_TIMEOUT
+        await echo.start()
+        request = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+        kept = await echo.connect()
+        await kept.send_all(request)
+        assert b"200" in await kept.receive_some(65_536)
+        await trio.sleep(0.3)
+        echo.server.start_draining()
+        echo.server.stop_keeping_connections()
+        with trio.fail_after(1):
+            assert await kept.receive_some(1) == b""
+        later = await echo.connect()
+        await later.send_all(request)
+        with trio.fail_after(1):
+            received = await _read_all(later)
+        assert b"200" in received and b"Connection: close" in received
+
+    @pytest.mark.parametrize("sends_another", [False, True])
+    async def test_open_answer_is_followed_by_one_more_once_none_is_kept(
+        self, nursery: trio.Nursery, sends_another: bool
+    ) -> None:
+        """The open answer's head announced no ``Connection: close``."""
+        echo = _EchoServer(nursery)
+        echo.handler.in_force = _LONG_IDLE_TIMEOUT
+        await echo.start()
+        stream = await echo.connect()
+        await stream.send_all(b"GET /started HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert b"200" in await stream.receive_some(65_536)
+        echo.server.start_draining()
+        echo.server.stop_keeping_connections()
+        await trio.sleep(0.3)
+        echo.handler.release.set()
+        await trio.sleep(0.05)
+        if sends_another:
+            await stream.send_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        with trio.fail_after(1):
+            received = await _read_all(stream)
+        end, separator, answer = received.partition(b"0\r\n\r\n")
+        assert not end and separator
+        assert answer.count(b"HTTP/1.1 200 ") == sends_another
+        assert (b"Connection: close" in answer) == sends_another
+
+    async def test_new_connection_without_a_request_holds_up_no_drain(
+        self, nursery: trio.Nursery
+    ) -> None:
+        echo = _EchoServer(nursery)
+        echo.handler.in_force = _LONG_IDLE_TIMEOUT
+        await echo.start()
+        echo.server.start_draining()
+        echo.server.stop_keeping_connections()
+        stream = await echo.connect()
+        await trio.sleep(0.1)
+        assert not echo.server.open_exchanges
+        with trio.fail_after(2):
+            assert await stream.receive_some(1) == b""
+
     async def test_broken_resource_error_in_a_handler_closes_the_connection(
         self, nursery: trio.Nursery
     ) -> None:
