Report the end of new streams before it comes

What callers saw: refused by a VM that took no new streams, they were told to return after 0.25 s, as other VMs were thought to serve; those stopped taking streams in that moment, and the one retry was refused, too.

Cause: a VM reported that it takes no new streams when it was so. The report takes up to 0.5 s by way of the control VMs, and the caller 0.25 s to return.

Change: it is reported 0.75 s ahead.

Test: the test of the report held the instant itself; it holds the new one now, as exactly, 0.75 s before the end of new streams, and was red on the old code.

--- a/sedgepin/_gateway/_reducer.py
+++ b/sedgepin/_gateway/_reducer.py
@@ -29,6 +29,10 @@
 # A load report that repeats the one before is sent only this often.  Control
 # VMs forget the load of an entry VM after 1 s without a report.
 _UNCHANGED_REPORT_INTERVAL = datetime.timedelta(milliseconds=400)
+# How long before the end of new streams this VM reports it: a caller that
+# another VM refuses meanwhile returns after that.  The report takes up to
+# 0.5 s to get there, and the caller 0.25 s to return.
+_STOP_NOTICE = datetime.timedelta(milliseconds=750)
 
 
 class GatewayReducer:
@@ -527,7 +531,7 @@
         previous = self._aggregator_selector.selected
         aggregator = self._aggregator_selector.select(connected, now)
         effects: Effects = []
-        is_stopping = self._state.drain.is_late(now)
+        is_stopping = self._state.drain.is_late(now + _STOP_NOTICE)
         if previous != aggregator and previous in connected:
             # Otherwise the load would count twice until this report expires.
             withdrawal = protocol.LoadReported((), is_stopping=is_stopping)
--- a/sedgepin/_gateway/tests/test_drain.py
+++ b/sedgepin/_gateway/tests/test_drain.py
@@ -407,7 +407,8 @@
 
 
 class TestReport:
-    def test_control_vms_learn_when_no_new_streams_are_taken(self) -> None:
+    def test_control_vms_learn_before_no_new_streams_are_taken(self) -> None:
+        """By 0.75 s: then callers that others refuse now do not come here."""
         gateway = parts.Gateway()
         _drain(gateway, 7500, estimated=2600)
         reported: list[tuple[int, bool]] = []
@@ -421,7 +422,7 @@
             ]
         assert {stops for _, stops in reported} == {False, True}
         first = next(tick for tick, stops in reported if stops)
-        assert first == 12
+        assert first == 9
         assert all(stops == (tick >= first) for tick, stops in reported)
 
     def test_control_vm_that_is_left_does_not_count_this_vm_as_serving(
--- a/sedgepin/_protocol/_messages.py
+++ b/sedgepin/_protocol/_messages.py
@@ -161,7 +161,8 @@
 class LoadReported(msgspec.Struct, frozen=True, tag=True):
     """The load that the sending entry VM puts on endpoints and services.
 
-    ``is_stopping`` tells that it takes no new streams before it stops.
+    ``is_stopping`` tells that it takes no new streams before it stops, or will
+    take none by the time at which callers act on this.
     """
 
     loads: tuple[EndpointLoad, ...]
