Judge other builds by what callers get, not by their lines on failures

test_upgrade.py plays builds from before beside these sources.

These sources are judged as before, also when they are turned back to an old build afterwards, and what callers get is judged for all builds.

--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -6,6 +6,8 @@
 
 import collections.abc
 import dataclasses
+import datetime
+import json
 import os
 import pathlib
 import random
@@ -426,6 +428,50 @@
         assert (not programs.unexpected_exits) == is_expected
 
 
+class TestOtherBuilds:
+    @pytest.mark.parametrize(
+        ("are_others", "count"),
+        [
+            ((False,), 1),
+            ((True,), 0),
+            ((True, False), 1),
+            ((False, True), 0),
+        ],
+    )
+    async def test_only_these_sources_answer_for_their_failures(
+        self,
+        tmp_path: pathlib.Path,
+        start_program: _Start,
+        are_others: tuple[bool, ...],
+        count: int,
+    ) -> None:
+        """The build at the time of the line counts."""
+        addresses = _addresses.Addresses(loopback.BLOCK, {})
+        programs = _programs.Programs(tmp_path, addresses)
+        program = start_program(1, _SLEEP)
+        program.folder = tmp_path
+        programs.programs.append(program)
+        now = trio.current_time()
+        for number, is_other in enumerate(are_others):
+            at = now - len(are_others) + number
+            build = tmp_path if is_other else None
+            programs.starts.append(_programs.Start("entry-1", at, build))
+        # Of a process that starts after the line.
+        last = tmp_path if not are_others[-1] else None
+        programs.starts.append(_programs.Start("entry-1", now + 60, last))
+        line = {
+            "time": datetime.datetime.now(datetime.timezone.utc).isoformat(),
+            "event": "request_failed",
+            "request": "r1",
+            "code": "deadline_passed",
+            "may_have_run": False,
+        }
+        (tmp_path / "log").write_text(json.dumps(line) + "\n")
+        record = _record.Record()
+        programs.fill_in(record)
+        assert len(record.failures) == count
+
+
 class TestHolds:
     async def test_only_a_program_that_waits_for_a_processor_is_held(
         self,
