Leave requests without any time out of the soak's calm spans

What the soak's and the upgrade's findings call reads are callers' requests on the route "read", not reads of the configuration. They were not served in calm spans because the machine did not run the soak's own process, which has the callers, the proxies and all engines: entries found every engine silent, went from one to the next at the 0.5 s of the route's target, and refused what came then (no_endpoint), or the callers left at their 3 s.

The judge now also measures the holds of its own process. A request that was not served is left out if, over its life and at least the 2 s before its end, its loop or its entry paused for three quarters and the machine held it for half. What callers and engines compute themselves is no hold, so attempts without end would still be found. Served requests count as before, so the share is as strict; a span in which fewer than half of a route's requests can be judged is a finding. The soak's calm spans of 3 s begin anew, for up to 30 s, while callers are held for half of one.

--- a/sedgepin/platform/tests/soak/_record.py
+++ b/sedgepin/platform/tests/soak/_record.py
@@ -15,6 +15,8 @@
 LONG_ROUTES = ("long", "feed")
 # Those of the service whose engines hold layers of a model.
 MODEL_ROUTES = ("stream", "long")
+# The name under which holds of the process of callers and engines are kept.
+CALLERS = "callers"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -26,6 +26,7 @@
 from sedgepin.platform.tests.soak import _programs
 from sedgepin.platform.tests.soak import _proxy
 from sedgepin.platform.tests.soak import _record
+from sedgepin.platform.tests.soak import _seed_run
 from sedgepin.tests import loopback
 
 _FAULT_SECONDS = 4.0
@@ -355,6 +356,171 @@
         assert any(finding in found for found in soak.find_violations(record))
 
 
+def _refuse_reads(
+    record: _record.Record,
+    seconds_lost: float,
+    seconds_held: float,
+    at: float = 5.0,
+) -> None:
+    """Refuse 5 of 20 reads, whose callers and engines the machine held.
+
+    Loop and process lose time before the refusals, 0.2 s after ``at``.
+    """
+    for number in range(20):
+        request_id = f"x{number}"
+        record.sent[request_id] = _sent("read", request_id, at)
+        status = 200 if number < 15 else 503
+        record.answers[request_id] = dataclasses.replace(
+            _answer(status=status), request_id=request_id
+        )
+        record.caller_ends[request_id] = _record.CallerEnd(
+            request_id, "entry-1", _record.EndKind.ANSWERED, at + 0.2
+        )
+    ends_at = 5.2
+    record.pauses.append((ends_at - seconds_lost, ends_at))
+    record.holds.append(
+        _record.Hold(
+            _record.CALLERS, ends_at - seconds_held, ends_at, seconds_held
+        )
+    )
+
+
+def _calm_findings(record: _record.Record) -> list[str]:
+    return [found for found in soak.find_violations(record) if "calm" in found]
+
+
+class TestCalmSpans:
+    @pytest.mark.parametrize(
+        ("seconds_lost", "seconds_held", "at", "is_found"),
+        [
+            (0.0, 0.0, 5.0, True),
+            # They worked for more than half of the time.
+            (2.0, 0.9, 5.0, True),
+            (2.0, 1.1, 5.0, False),
+            (1.6, 1.6, 5.0, False),
+            # They had more than a quarter of the 2 s.
+            (1.4, 1.4, 5.0, True),
+            # It was before, or after.
+            (2.0, 2.0, 6.0, True),
+            (2.0, 2.0, 4.0, True),
+        ],
+    )
+    def test_only_requests_without_time_may_be_refused(
+        self,
+        seconds_lost: float,
+        seconds_held: float,
+        at: float,
+        is_found: bool,
+    ) -> None:
+        record = _record.Record(calm_spans=[(0.0, 10.0)])
+        _refuse_reads(record, seconds_lost, seconds_held, at)
+        found = _calm_findings(record)
+        assert bool(found) == is_found
+        if is_found:
+            assert "15 of 20 requests on route read" in found[0]
+
+    @pytest.mark.parametrize(
+        ("held", "is_found"), [("entry-1", False), ("entry-2", True)]
+    )
+    def test_entry_that_the_machine_does_not_run(
+        self, held: str, is_found: bool
+    ) -> None:
+        record = _record.Record(calm_spans=[(0.0, 10.0)])
+        _refuse_reads(record, 0.0, 0.0)
+        for request_id in record.sent:
+            record.handed_over_to[request_id] = "entry-1"
+        record.holds.append(_record.Hold(held, 3.1, 5.2, 2.0))
+        assert bool(_calm_findings(record)) == is_found
+
+    def test_work_of_callers_and_engines_is_no_hold(self) -> None:
+        """Attempts without end would keep them busy on a free machine."""
+        record = _record.Record(calm_spans=[(0.0, 10.0)])
+        _refuse_reads(record, 2.0, 0.0)
+        assert _calm_findings(record)
+
+    @pytest.mark.parametrize(
+        ("refused", "is_found"), [(10, False), (11, True)]
+    )
+    def test_half_of_the_requests_need_time(
+        self, refused: int, is_found: bool
+    ) -> None:
+        record = _record.Record(calm_spans=[(0.0, 10.0)])
+        _refuse_reads(record, 2.0, 2.0)
+        for number in range(20 - refused, 20):
+            request_id = f"x{number}"
+            record.answers[request_id] = dataclasses.replace(
+                record.answers[request_id], status=503
+            )
+        found = _calm_findings(record)
+        assert bool(found) == is_found
+        if is_found:
+            assert "9 of 20 requests on route read had time" in found[0]
+
+    @pytest.mark.parametrize(
+        ("seconds_held", "min_seconds", "max_seconds"),
+        [(0.0, 3.0, 6.0), (4.0, 4.5, 12.0), (1000.0, 30.0, 40.0)],
+    )
+    async def test_span_begins_anew_while_the_machine_holds_callers(
+        self,
+        autojump_clock: trio.testing.MockClock,
+        seconds_held: float,
+        min_seconds: float,
+        max_seconds: float,
+    ) -> None:
+        """The last one is kept at last, however it was."""
+        record = _record.Record()
+        start = trio.current_time()
+        record.holds.append(
+            _record.Hold(
+                _record.CALLERS, start, start + seconds_held, seconds_held
+            )
+        )
+        await _seed_run.record_calm_span(record)
+        ((_, end),) = record.calm_spans
+        assert min_seconds <= end - start <= max_seconds
+
+    async def test_holds_of_callers_and_engines_are_measured(
+        self,
+        nursery: trio.Nursery,
+        tmp_path: pathlib.Path,
+        start_program: _Start,
+    ) -> None:
+        addresses = _addresses.Addresses(loopback.BLOCK, {})
+        programs = _programs.Programs(tmp_path, addresses)
+        processors = os.sched_getaffinity(0)
+        processor = max(processors)
+        for number in (1, 2):
+            program = start_program(number, "while True: pass")
+            os.sched_setaffinity(program.process.pid, {processor})
+        os.sched_setaffinity(0, {processor})
+        first = self._seconds_waited()
+        try:
+            nursery.start_soon(_seed_run.measure_holds, programs)
+            await trio.sleep(0.1)
+            started, second = trio.current_time(), self._seconds_waited()
+            while trio.current_time() - started < 1.5:
+                await trio.lowlevel.checkpoint()
+            ended, third = trio.current_time(), self._seconds_waited()
+            # Several turns of the loop, so that it is measured once more.
+            for _number in range(3):
+                await trio.sleep(0.05)
+        finally:
+            os.sched_setaffinity(0, processors)
+        held = sum(
+            hold.seconds
+            for hold in programs.meter.holds
+            if hold.program == _record.CALLERS
+        )
+        assert third - second > 0.4 * (ended - started)
+        assert 0.8 * (third - second) < held
+        assert held <= self._seconds_waited() - first
+
+    def _seconds_waited(self) -> float:
+        times = _holds.read_times(os.getpid())
+        assert times is not None
+        return times.seconds_waited
+
+
 class TestCrashingParts:
     def test_half_of_the_sound_streams_are_enough(self) -> None:
         record = _make_valid_record("stream")
