Place the soak's long holds by the samples in which a program did not run

A hold was known by its start, its end and its length: Linux counts a wait when it is over. If the soak's process is held as well, samples are far apart, and a hold that begins in a long sample counts for nearly nothing near its end.

Between two samples at which a program is ready, and has neither run nor got a processor, it surely waits. A hold now has that span too, and the longer of the two lower bounds counts. Where Linux counts less waiting than that, it ran and was counted late, and there is no such span. Both sides have a test. One expected value is more exact: 0.9 s where a program still waited at the sample at 1.9 s, 0.88 s before.

--- a/sedgepin/platform/tests/soak/_holds.py
+++ b/sedgepin/platform/tests/soak/_holds.py
@@ -46,6 +46,8 @@
     # and no later than the second.
     waits_since: float
     still_since: float
+    # Since which sample it has been ready and has not run, if it is ready.
+    ready_since: float | None
     seconds_held: float = 0.0
 
 
@@ -83,23 +85,33 @@
             return
         before = self._progress.get(name)
         if before is None or before.process_id != process_id:
-            progress = _Progress(process_id, now, times, now, now)
+            ready_since = now if times.is_runnable else None
+            progress = _Progress(process_id, now, times, now, now, ready_since)
             self._progress[name] = progress
             return
         seconds = times.seconds_waited - before.times.seconds_waited
         if seconds >= _MIN_HOLD_SECONDS:
             hold = _record.Hold(name, before.waits_since, now, seconds)
+            since = before.ready_since
+            # Linux counts what runs a little late.
+            if since is not None and before.at - since <= seconds:
+                hold = dataclasses.replace(
+                    hold, surely_since=since, surely_until=before.at
+                )
             self.holds.append(hold)
             before.seconds_held += seconds
         if not times.is_runnable:
             before.waits_since = before.still_since = now
+            before.ready_since = None
         elif (times.seconds_run, times.seconds_waited) != (
             before.times.seconds_run,
             before.times.seconds_waited,
         ):
             # It has run since the last sample, and may wait again.
             before.waits_since = before.at
-            before.still_since = now
+            before.still_since = before.ready_since = now
+        elif before.ready_since is None:
+            before.ready_since = now
         before.at = now
         before.times = times
 
--- a/sedgepin/platform/tests/soak/_record.py
+++ b/sedgepin/platform/tests/soak/_record.py
@@ -239,13 +239,28 @@
 class Hold:
     """For how long the machine did not run a program that was ready to run.
 
-    Some time between start and end, ``seconds`` altogether.
+    Some time between start and end, ``seconds`` altogether, and all the time
+    from ``surely_since`` until ``surely_until``.
     """
 
     program: str
     start: float
     end: float
     seconds: float
+    surely_since: float = 0.0
+    surely_until: float = 0.0
+
+    def seconds_within(self, start: float, end: float) -> float:
+        """Return for how long it surely was in a time span.
+
+        Of a hold that may have been outside the span, only the part counts
+        that does not fit there.
+        """
+        if not self.start < end > start < self.end:
+            return 0.0
+        outside = max(0.0, start - self.start) + max(0.0, self.end - end)
+        surely = min(end, self.surely_until) - max(start, self.surely_since)
+        return max(0.0, self.seconds - outside, surely)
 
 
 @dataclasses.dataclass(slots=True)
@@ -351,20 +366,11 @@
     def seconds_held(
         self, program: str | None, start: float, end: float
     ) -> float:
-        """Return for how long a program surely was held in a time span.
-
-        Of a hold that may have been outside the span, only the part counts
-        that does not fit there.
-        """
+        """Return for how long a program surely was held in a time span."""
         return sum(
-            max(
-                0.0,
-                hold.seconds
-                - max(0.0, start - hold.start)
-                - max(0.0, hold.end - end),
-            )
+            hold.seconds_within(start, end)
             for hold in self.holds
-            if hold.program == program and hold.start < end > start < hold.end
+            if hold.program == program
         )
 
     def has_left_early(self, request_id: str) -> bool:
--- a/sedgepin/platform/tests/test_soak.py
+++ b/sedgepin/platform/tests/test_soak.py
@@ -697,9 +697,49 @@
         meter.add("entry-1", 1, 2.0, _holds.Times(False, 1.01, 1.88))
         record = _record.Record(holds=meter.holds)
         assert record.seconds_held("entry-1", 0, 2) == pytest.approx(1.88)
-        assert record.seconds_held("entry-1", 1, 2) == pytest.approx(0.88)
+        # It still waits at the sample at 1.9 s.
+        assert record.seconds_held("entry-1", 1, 2) == pytest.approx(0.9)
         assert record.seconds_held("entry-1", 2, 3) == 0
 
+    def test_samples_in_which_a_program_does_not_run_place_a_hold(
+        self,
+    ) -> None:
+        """It ran at an unknown time of the long sample before."""
+        meter = self._sample(
+            (0.0, True, 1.0, 0.0),
+            (0.4, True, 1.3, 0.0),
+            (0.5, True, 1.3, 0.0),
+            (1.9, True, 1.3, 0.0),
+            (2.0, False, 1.33, 1.67),
+        )
+        record = _record.Record(holds=meter.holds)
+        assert record.seconds_held("entry-1", 0, 2) == pytest.approx(1.67)
+        assert record.seconds_held("entry-1", 1.6, 2) == pytest.approx(0.3)
+        assert record.seconds_held("entry-1", 1.0, 1.5) == pytest.approx(0.5)
+        # It may have run then.
+        assert record.seconds_held("entry-1", 0, 0.3) == 0
+        assert record.seconds_held("entry-1", 1.9, 2) == 0
+
+    def test_program_that_may_run_at_a_sample_is_not_surely_held(
+        self,
+    ) -> None:
+        """Linux counted later that it ran all the time, or that it slept."""
+        running = self._sample(
+            (0.0, True, 1.0, 0.0),
+            (1.0, True, 1.0, 0.0),
+            (1.1, True, 1.9, 0.2),
+        )
+        record = _record.Record(holds=running.holds)
+        assert record.seconds_held("entry-1", 0.4, 1.0) == 0
+        woken = self._sample(
+            (0.0, False, 1.0, 0.0),
+            (1.0, True, 1.0, 0.0),
+            (1.1, False, 1.01, 0.3),
+        )
+        record = _record.Record(holds=woken.holds)
+        assert record.seconds_held("entry-1", 0.4, 1.0) == 0
+        assert record.seconds_held("entry-1", 0, 1.1) == pytest.approx(0.3)
+
     def test_hold_of_the_process_before_does_not_count(self) -> None:
         meter = self._sample((0.0, False, 1.0, 0.0), (1.0, False, 1.0, 0.9))
         assert meter.seconds_held("entry-1", 1) == pytest.approx(0.9)
